State the contracts between the areas

Cause: the areas are built side by side and have to meet in typed messages, tables and ports. Change: error kinds with their answers, log records, fleet and pool tables, ports to the platform, targets and peers, the catalogue of log events, the settings schema.

--- /dev/null
+++ b/src/logging/TslogEventLog.ts
@@ -0,0 +1,46 @@
+import { Logger } from 'tslog';
+import { EVENT_CATALOGUE, type EventName } from './EVENT_CATALOGUE.js';
+import type { EventFields, EventLog } from './EventLog.js';
+import type { LogLevel } from './LogEvent.js';
+
+/** Options of {@link TslogEventLog}. */
+export interface TslogEventLogOptions {
+  /** Name of the instance, on every line. */
+  readonly instance: string;
+  /** Least severity that is written. */
+  readonly level: LogLevel;
+  /** Receives each line, without its line break. */
+  readonly writeLine: (line: string) => void;
+}
+
+const TSLOG_LEVELS: Readonly<Record<LogLevel, number>> = { debug: 2, info: 3, warn: 4, error: 5 };
+
+/** Log lines as JSON objects, one a line, through tslog. */
+export class TslogEventLog implements EventLog {
+  private readonly logger: Logger<unknown>;
+
+  private readonly options: TslogEventLogOptions;
+
+  /**
+   * Creates the log of an instance.
+   * @param options - Name, level and destination.
+   */
+  constructor(options: TslogEventLogOptions) {
+    this.options = options;
+    this.logger = new Logger({
+      type: 'hidden',
+      minLevel: TSLOG_LEVELS[options.level],
+      hideLogPositionForProduction: true,
+      attachedTransports: [(entry) => options.writeLine(JSON.stringify(entry['0']))],
+    });
+  }
+
+  /** {@inheritDoc EventLog.write} */
+  write(event: EventName, fields: EventFields = {}): void {
+    const { number, level, text } = EVENT_CATALOGUE[event];
+    if (TSLOG_LEVELS[level] < TSLOG_LEVELS[this.options.level]) return;
+    const { instance } = this.options;
+    const line = { at: new Date().toISOString(), number, event, level, instance, text, ...fields };
+    this.logger.log(TSLOG_LEVELS[level], level.toUpperCase(), line);
+  }
+}
--- /dev/null
+++ b/src/logging/events/daemonEvents.ts
@@ -0,0 +1,9 @@
+import type { LogEvent } from '../LogEvent.js';
+
+/** Events 9000 to 9999: the daemon itself. */
+export const DAEMON_EVENTS = {
+  daemonStarted: { number: 9001, level: 'info', text: 'The daemon is ready.' },
+  daemonStopping: { number: 9002, level: 'info', text: 'The daemon stops taking work.' },
+  daemonStopped: { number: 9003, level: 'info', text: 'The daemon has finished.' },
+  unexpectedError: { number: 9004, level: 'error', text: 'Something failed unexpectedly.' },
+} as const satisfies Readonly<Record<string, LogEvent>>;
--- /dev/null
+++ b/src/logging/events/fleetEvents.ts
@@ -0,0 +1,12 @@
+import type { LogEvent } from '../LogEvent.js';
+
+/** Events 3000 to 3999: VMs, moves and maintenance waves. */
+export const FLEET_EVENTS = {
+  vmAdopted: { number: 3001, level: 'info', text: 'A pool adopted a VM.' },
+  vmReleased: { number: 3002, level: 'info', text: 'A pool released a VM.' },
+  stepStarted: { number: 3003, level: 'info', text: 'A wave began to maintain a VM.' },
+  stepFinished: { number: 3004, level: 'info', text: 'A wave finished with a VM.' },
+  waveWaiting: { number: 3005, level: 'info', text: 'A wave waits before its next step.' },
+  waveStopped: { number: 3006, level: 'warn', text: 'A wave stopped itself.' },
+  vmRebooting: { number: 3007, level: 'info', text: 'A drained VM was told to reboot.' },
+} as const satisfies Readonly<Record<string, LogEvent>>;
--- /dev/null
+++ b/src/logging/events/peerEvents.ts
@@ -0,0 +1,8 @@
+import type { LogEvent } from '../LogEvent.js';
+
+/** Events 5000 to 5999: connections between instances. */
+export const PEER_EVENTS = {
+  peerConnected: { number: 5001, level: 'info', text: 'A connection to a peer is up.' },
+  peerLost: { number: 5002, level: 'warn', text: 'A connection to a peer is gone.' },
+  replyDropped: { number: 5003, level: 'warn', text: 'A late or unknown reply was dropped.' },
+} as const satisfies Readonly<Record<string, LogEvent>>;
--- /dev/null
+++ b/src/logging/index.ts
@@ -0,0 +1,5 @@
+export { EVENT_CATALOGUE, type EventName } from './EVENT_CATALOGUE.js';
+export type { EventFields, EventLog } from './EventLog.js';
+export type { LogEvent, LogLevel } from './LogEvent.js';
+export { MemoryEventLog, type KeptEvent } from './MemoryEventLog.js';
+export { TslogEventLog, type TslogEventLogOptions } from './TslogEventLog.js';
--- /dev/null
+++ b/src/metrics/Metrics.ts
@@ -0,0 +1,28 @@
+/** Labels of a measurement. */
+export type MetricTags = Readonly<Record<string, string>>;
+
+/** Where measurements go. */
+export interface Metrics {
+  /**
+   * Counts something.
+   * @param name - Name of the counter.
+   * @param tags - Labels.
+   */
+  increment(name: string, tags?: MetricTags): void;
+
+  /**
+   * Records a length of time.
+   * @param name - Name of the timer, ending in `_ms`.
+   * @param valueMs - Milliseconds.
+   * @param tags - Labels.
+   */
+  timing(name: string, valueMs: number, tags?: MetricTags): void;
+
+  /**
+   * Records a level.
+   * @param name - Name of the gauge.
+   * @param value - Its present value.
+   * @param tags - Labels.
+   */
+  gauge(name: string, value: number, tags?: MetricTags): void;
+}
--- /dev/null
+++ b/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export type { Metrics, MetricTags } from './Metrics.js';
--- /dev/null
+++ b/src/peers/PeerMessage.ts
@@ -0,0 +1,109 @@
+import type { ErrorKind, Outcome } from '../errors/index.js';
+import type { LogEntry } from '../platform/index.js';
+import type { Urgency } from '../settings/index.js';
+
+/** Request for a slot, from an entry instance to a pool's home. */
+export interface GrantRequest {
+  readonly type: 'request-grant';
+  readonly requestId: string;
+  readonly pool: string;
+  readonly team: string;
+  readonly jobKind: string;
+  readonly urgency: Urgency;
+  readonly coreCount: number;
+  readonly memoryMb: number;
+  readonly idempotent: boolean;
+  /** Wall-clock time after which the caller has no use for the answer. */
+  readonly deadlineAtMs: number;
+  /** Hash of the request, to tell a repeat from a reused id. */
+  readonly fingerprint: string;
+  /** VMs that already failed this request. */
+  readonly excludedVms: readonly string[];
+}
+
+/** How the use of a grant ended, as its entry instance saw it. */
+export type GrantResult = 'run' | 'failed' | 'not-started' | 'unknown';
+
+/** What one instance asks of another; each gets exactly one reply. */
+export type PeerRequest =
+  | GrantRequest
+  | { readonly type: 'cancel-request'; readonly pool: string; readonly requestId: string }
+  | {
+      readonly type: 'finish-grant';
+      readonly pool: string;
+      readonly grantId: string;
+      readonly result: GrantResult;
+      /** What the caller is told, which settles the claim of a non-idempotent request. */
+      readonly outcome: Outcome;
+      readonly ranMs: number;
+    }
+  | { readonly type: 'renew-grants'; readonly pool: string; readonly grantIds: readonly string[] }
+  | { readonly type: 'list-grants'; readonly pool: string }
+  | { readonly type: 'push-entries'; readonly entries: readonly LogEntry[] }
+  | { readonly type: 'get-entries'; readonly fromOffset: number; readonly maxCount: number }
+  | { readonly type: 'get-pool-state'; readonly pool: string }
+  | { readonly type: 'get-job'; readonly jobId: string }
+  | { readonly type: 'cancel-job'; readonly jobId: string }
+  | { readonly type: 'explain'; readonly subject: string };
+
+/** A grant as the entry instance holds it. */
+export interface GrantReply {
+  readonly type: 'granted';
+  readonly grantId: string;
+  readonly term: number;
+  readonly vm: string;
+  readonly host: string;
+  readonly port: number;
+  /** Time that the request spent at the home before the grant began. */
+  readonly heldMs: number;
+}
+
+/** Answer of one instance to another. */
+export type PeerReply =
+  | GrantReply
+  | {
+      readonly type: 'refused';
+      readonly kind: ErrorKind;
+      readonly message: string;
+      /** Wall-clock time at which to come back. */
+      readonly retryAtMs?: number;
+    }
+  | { readonly type: 'done' }
+  | { readonly type: 'grants'; readonly grants: readonly HeldGrant[] }
+  | { readonly type: 'entries'; readonly entries: readonly LogEntry[] }
+  | { readonly type: 'state'; readonly json: string };
+
+/** A grant that an entry instance still uses, as it tells a new home. */
+export interface HeldGrant {
+  readonly grantId: string;
+  readonly requestId: string;
+  readonly team: string;
+  readonly jobKind: string;
+  readonly urgency: Urgency;
+  readonly vm: string;
+  readonly coreCount: number;
+  readonly memoryMb: number;
+}
+
+/** Address of a peer. */
+export interface PeerAddress {
+  readonly instance: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Requests to other instances. */
+export interface PeerPort {
+  /**
+   * Sends a request to a peer and waits for its reply.
+   * @param peer - Which instance, and where it listens.
+   * @param request - What to ask.
+   * @param waitMs - Longest wait for the reply, in milliseconds.
+   * @returns The reply.
+   * @throws RattanliftError Of kind `peer-unavailable` without a reply; the peer may have acted.
+   */
+  call(peer: PeerAddress, request: PeerRequest, waitMs: number): Promise<PeerReply>;
+}
+
+/** Handles the requests of peers; what it throws reaches the peer as a `refused` reply. */
+export type PeerHandler = (from: string, request: PeerRequest) => Promise<PeerReply>;
--- /dev/null
+++ b/src/peers/index.ts
@@ -0,0 +1,11 @@
+export type {
+  GrantReply,
+  GrantRequest,
+  GrantResult,
+  HeldGrant,
+  PeerAddress,
+  PeerHandler,
+  PeerPort,
+  PeerReply,
+  PeerRequest,
+} from './PeerMessage.js';
--- /dev/null
+++ b/src/systems/index.ts
@@ -0,0 +1,6 @@
+export type {
+  BudgetVerdict,
+  CapacityDecision,
+  PlacementDecision,
+  WaveDecision,
+} from './decisions.js';
--- /dev/null
+++ b/src/targets/index.ts
@@ -0,0 +1,7 @@
+export type {
+  TargetAddress,
+  TargetPort,
+  TargetStatus,
+  TaskRequest,
+  TaskResult,
+} from './TargetPort.js';
