State the ports of callers and operators

Cause: the HTTP fronts and the daemon behind them are built side by side. Change: EntryPort for jobs and OperatorPort for settings, pools, VMs, waves and explanations. Measured: type check and lint pass; no behaviour yet.

--- /dev/null
+++ b/src/callers/index.ts
@@ -0,0 +1,1 @@
+export type { EntryPort, JobAnswer, JobState, JobSubmission } from './EntryPort.js';
--- /dev/null
+++ b/src/operators/index.ts
@@ -0,0 +1,9 @@
+export type {
+  InstanceView,
+  OperatorPort,
+  PoolView,
+  PublicationView,
+  SettingsView,
+  VmView,
+  WaveView,
+} from './OperatorPort.js';
