Give each attempt for a grant its own id

Cause: two callers may use one request id, and one request may ask its home several times; the queue would mix them up. Change: attemptId in grant requests, queue rows and decisions; rendezvous ranking and a util that keeps actions of one key from overlapping.

--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -5,6 +5,8 @@
 /** Request for a slot, from an entry instance to a pool's home. */
 export interface GrantRequest {
   readonly type: 'request-grant';
+  /** Id of this attempt, unique over all attempts of all requests. */
+  readonly attemptId: string;
   readonly requestId: string;
   readonly pool: string;
   readonly team: string;
@@ -27,7 +29,7 @@
 /** What one instance asks of another; each gets exactly one reply. */
 export type PeerRequest =
   | GrantRequest
-  | { readonly type: 'cancel-request'; readonly pool: string; readonly requestId: string }
+  | { readonly type: 'cancel-request'; readonly pool: string; readonly attemptId: string }
   | {
       readonly type: 'finish-grant';
       readonly pool: string;
--- a/src/systems/decisions.ts
+++ b/src/systems/decisions.ts
@@ -4,14 +4,14 @@
 export type PlacementDecision =
   | {
       readonly type: 'place';
-      readonly requestId: string;
+      readonly attemptId: string;
       readonly vm: string;
       /** Why this VM, for the log line and `explain`. */
       readonly reason: string;
     }
   | {
       readonly type: 'refuse';
-      readonly requestId: string;
+      readonly attemptId: string;
       readonly kind: ErrorKind;
       readonly reason: string;
       /** How long from now the caller should stay away, in milliseconds. */
--- a/src/tables/PoolTables.ts
+++ b/src/tables/PoolTables.ts
@@ -55,7 +55,7 @@
   readonly queue = new Table<string, QueuedRow>({
     entity: 'queued request',
     missingKind: 'unknown-job',
-    keyOf: (row) => row.requestId,
+    keyOf: (row) => row.attemptId,
   });
 
   readonly history = new Table<string, JobKindHistoryRow>({
--- a/src/tables/entities.ts
+++ b/src/tables/entities.ts
@@ -108,6 +108,7 @@
 
 /** A slot given to an entry instance for one request. */
 export interface GrantRow {
+  /** Same as the attempt's id in the queue. */
   readonly grantId: string;
   readonly requestId: string;
   readonly entry: string;
@@ -125,6 +126,8 @@
 
 /** A request that waits for a slot. */
 export interface QueuedRow {
+  /** Id of this attempt, unique over all attempts of all requests. */
+  readonly attemptId: string;
   readonly requestId: string;
   readonly entry: string;
   readonly pool: string;
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,6 +1,8 @@
 export { assertNever } from './assertNever.js';
 export type { Clock } from './Clock.js';
 export { hashText } from './hashText.js';
+export { rankByRendezvous } from './rankByRendezvous.js';
+export { KeyedOnce } from './KeyedOnce.js';
 export { ManualClock } from './ManualClock.js';
 export type { Rng } from './Rng.js';
 export { SystemClock } from './SystemClock.js';
