Tell a pool's home which request and VM a finished grant was about

Cause: a home that took over knows neither the grant nor its request, yet has to settle the claim. Change: finish-grant carries request id, job kind, VM, whether a claim stands and measured memory; get-tables lets an instance start from a peer while the log is out.

--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -34,15 +34,23 @@
       readonly type: 'finish-grant';
       readonly pool: string;
       readonly grantId: string;
+      readonly requestId: string;
+      readonly jobKind: string;
+      readonly vm: string;
+      /** Whether the request was claimed at the log and so has to be settled there. */
+      readonly isClaimed: boolean;
       readonly result: GrantResult;
       /** What the caller is told, which settles the claim of a non-idempotent request. */
       readonly outcome: Outcome;
       readonly ranMs: number;
+      /** Most memory that the target measured for the run; absent where it told none. */
+      readonly usedMemoryMb?: number;
     }
   | { readonly type: 'renew-grants'; readonly pool: string; readonly grantIds: readonly string[] }
   | { readonly type: 'list-grants'; readonly pool: string }
   | { readonly type: 'push-entries'; readonly entries: readonly LogEntry[] }
   | { readonly type: 'get-entries'; readonly fromOffset: number; readonly maxCount: number }
+  | { readonly type: 'get-tables' }
   | { readonly type: 'get-pool-state'; readonly pool: string }
   | { readonly type: 'get-job'; readonly jobId: string }
   | { readonly type: 'cancel-job'; readonly jobId: string }
