Check settings documents with places and suggestions

Cause: an operator, the daemon and every instance that reads a document from the log need one verdict on it, with the place of each fault. Ruled out: JSON.parse positions (none for values, no comments); reporting schema faults after a syntax error (they are echoes of it). Change: parseJsonWithComments on jsonc-parser and zod gives a value with warnings or all problems with file, line, column, path, expected and found. Excessive nesting is refused by a flat scan before the recursive parser sees it. Repeated keys and `__proto__` are refused. checkTeamSettings adds the checks across fields. Conclusion: the log fold and the daemon can use both functions.

--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,3 +1,8 @@
+export { checkTeamSettings, type TeamCheckOptions } from './checkTeamSettings.js';
+export { formatProblem } from './formatProblem.js';
+export { JsonDocument, type JsonDocumentOptions, type ProblemText } from './JsonDocument.js';
+export { parseJsonWithComments, type ParseOptions } from './parseJsonWithComments.js';
+export type { ParsedDocument, SettingsProblem } from './SettingsProblem.js';
 export {
   availabilitySchema,
   jobKindSchema,
