Fold, follow and write the control stream

Cause: every instance needs the same state from one order of facts, and writers need to know whether what they wrote applied, through outages and lost answers. Change: a pure fold of the records into FleetTables (a function per record type), a follower that survives outages, silent connections, retention and entries pushed by peers, and a writer that appends in batches, reads back and only then answers. Additive in shared contracts: verdict, frozen, retired-home and writer-clock rows, WaveRow.finishedOffset, requests-claimed.writtenAtMs, Table.removeOldest. Ruled out: removing a pool's home with its term (a term given twice would let a frozen holder pass for the new one); the largest wall clock alone for forgetting claims (one wrong clock would make all instances forget them); the time of receipt as freshness of a read (an answer may wait in the socket of a frozen process).

--- /dev/null
+++ b/src/log/LogFollower.ts
@@ -0,0 +1,283 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { throwError, toRattanliftError } from '../errors/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { LogEntry, LogPort, LogReadResult } from '../platform/index.js';
+import type { LogRecord } from '../records/index.js';
+import type { FleetTables } from '../tables/index.js';
+import type { Clock } from '../utils/index.js';
+import { applyEntryWithRecord } from './applyEntry.js';
+import type { ApplyVerdict } from './ApplyVerdict.js';
+import { Backoff, type BackoffOptions } from './Backoff.js';
+import { OfferBuffer } from './OfferBuffer.js';
+import { OffsetWaiters, type OffsetWaitOptions } from './OffsetWaiters.js';
+import { raceTimeout } from './raceTimeout.js';
+
+const DEFAULT_READ_WAIT_MS = 2_000;
+const DEFAULT_READ_GRACE_MS = 5_000;
+const DEFAULT_BACKOFF: BackoffOptions = { firstMs: 100, longestMs: 2_000 };
+const MAX_READ_COUNT = 500;
+const EMPTY_READ_GAP_MS = 20;
+
+/** Hears of each entry right after it was applied; `record` is undefined where none is readable. */
+export type AppliedListener = (
+  entry: LogEntry,
+  record: LogRecord | undefined,
+  verdict: ApplyVerdict,
+) => void;
+
+/** Options of {@link LogFollower}. */
+export interface LogFollowerOptions {
+  readonly log: LogPort;
+  readonly stream: string;
+  /** State that the follower alone changes. */
+  readonly tables: FleetTables;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly onApplied?: AppliedListener;
+  /**
+   * Brings the tables forward to the latest whole snapshot, in place.
+   * @returns Whether there was one ahead of what is applied.
+   */
+  readonly restoreSnapshot: () => Promise<boolean>;
+  /** Called after a snapshot has replaced the state, so that views of it can be built anew. */
+  readonly onRestored?: () => void;
+  /** How long the service may hold a read open, in milliseconds. */
+  readonly readWaitMs?: number;
+  /** How much longer a read may take before it counts as failed, in milliseconds. */
+  readonly readGraceMs?: number;
+  readonly backoff?: BackoffOptions;
+}
+
+/** Reads a stream in order and applies it to the tables, through outages and retention. */
+export class LogFollower {
+  private readonly options: LogFollowerOptions;
+
+  private readonly backoff: Backoff;
+
+  private readonly buffer = new OfferBuffer();
+
+  private readonly waiters = new OffsetWaiters();
+
+  private readonly listeners = new Set<AppliedListener>();
+
+  private readonly restoredListeners = new Set<() => void>();
+
+  private readonly stopping = new AbortController();
+
+  private running: Promise<void> | undefined;
+
+  private isOut = false;
+
+  private reachedAtMs: number | undefined;
+
+  private knownEndOffset = 0;
+
+  /**
+   * Creates a follower, which reads nothing before it is started.
+   * @param options - Stream, state and whom to tell.
+   */
+  constructor(options: LogFollowerOptions) {
+    this.options = options;
+    this.backoff = new Backoff(options.backoff ?? DEFAULT_BACKOFF);
+    if (options.onApplied !== undefined) this.listeners.add(options.onApplied);
+    if (options.onRestored !== undefined) this.restoredListeners.add(options.onRestored);
+  }
+
+  /** Whether the state holds every record that the last answer of the log knew of. */
+  get isAtEnd(): boolean {
+    return this.reachedAtMs !== undefined && this.getLagCount() === 0;
+  }
+
+  /** Whether the last read failed. */
+  get isLogOut(): boolean {
+    return this.isOut;
+  }
+
+  /**
+   * Monotonic time at which the last read that reached the end of the log was sent; undefined
+   * before the first one.
+   *
+   * A process that freezes while an answer is on its way finds it in the socket after it thaws.
+   * The time of receipt would make that answer look fresh, the time of sending cannot.
+   */
+  get lastReachedAtMs(): number | undefined {
+    return this.reachedAtMs;
+  }
+
+  /**
+   * Counts the records that stand on the log, as far as is known, and are not applied.
+   * @returns Count of records.
+   */
+  getLagCount(): number {
+    return Math.max(0, this.knownEndOffset - this.options.tables.nextOffset);
+  }
+
+  /** Begins to read. */
+  start(): void {
+    this.running ??= this.run();
+  }
+
+  /** Ends reading; waits that are under way end as not reached. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    this.waiters.abandon();
+    await this.running;
+  }
+
+  /**
+   * Adds a listener to each applied entry.
+   * @param listener - The listener.
+   * @returns Removes it again.
+   */
+  addAppliedListener(listener: AppliedListener): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /**
+   * Adds a listener to the replacement of the state by a snapshot.
+   * @param listener - The listener.
+   * @returns Removes it again.
+   */
+  addRestoredListener(listener: () => void): () => void {
+    this.restoredListeners.add(listener);
+    return () => this.restoredListeners.delete(listener);
+  }
+
+  /**
+   * Takes entries that a peer has read from the log: in any order, repeated or with gaps.
+   *
+   * One slow reader must not lag behind an accepted change, so those who read it push it on.
+   * Entries are applied only without a gap; those ahead of one wait for the missing ones.
+   * @param entries - The entries.
+   */
+  offer(entries: readonly LogEntry[]): void {
+    this.buffer.add(entries, this.options.tables.nextOffset);
+    this.applyBuffered();
+    this.waiters.reach(this.options.tables.nextOffset);
+  }
+
+  /**
+   * Waits until the record at an offset is applied.
+   * @param offset - The offset.
+   * @param options - Limits of the wait.
+   * @returns Whether it was applied before the limits ended the wait.
+   */
+  waitForOffset(offset: number, options: OffsetWaitOptions = {}): Promise<boolean> {
+    if (offset < this.options.tables.nextOffset) return Promise.resolve(true);
+    if (this.stopping.signal.aborted) return Promise.resolve(false);
+    return this.waiters.wait(offset, options);
+  }
+
+  /** Tells everyone that a snapshot or a peer's state has replaced the tables. */
+  noteRestored(): void {
+    this.buffer.dropBefore(this.options.tables.nextOffset);
+    this.restoredListeners.forEach((listener) => listener());
+    this.applyBuffered();
+    this.waiters.reach(this.options.tables.nextOffset);
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      // eslint-disable-next-line no-await-in-loop -- each read begins where the last one ended
+      await this.readOnce().catch((thrown: unknown) => this.pause(thrown));
+    }
+  }
+
+  private async readOnce(): Promise<void> {
+    const { clock, log, stream, tables, readWaitMs = DEFAULT_READ_WAIT_MS } = this.options;
+    const limitMs = readWaitMs + (this.options.readGraceMs ?? DEFAULT_READ_GRACE_MS);
+    const fromOffset = tables.nextOffset;
+    const sentAtMs = clock.monotonicMs();
+    const options = { stream, fromOffset, maxCount: MAX_READ_COUNT, waitMs: readWaitMs };
+    const result = await raceTimeout(log.read(options), limitMs);
+    if (this.stopping.signal.aborted) return;
+    await this.takeResult(result, fromOffset, sentAtMs);
+    this.noteReachable();
+    // A service that answers without waiting would turn the loop into a flood of empty reads.
+    const isEmpty = result.type === 'entries' && result.entries.length === 0;
+    if (isEmpty && clock.monotonicMs() - sentAtMs < EMPTY_READ_GAP_MS) {
+      await this.sleepFor(EMPTY_READ_GAP_MS);
+    }
+  }
+
+  private async takeResult(
+    result: LogReadResult,
+    fromOffset: number,
+    sentAtMs: number,
+  ): Promise<void> {
+    if (result.type === 'truncated') {
+      await this.restore(result.firstOffset);
+      return;
+    }
+    const { endOffset, entries } = result;
+    if (endOffset < fromOffset) {
+      throwError('log-unavailable', `The log ends at ${endOffset}, before ${fromOffset}.`);
+    }
+    entries.forEach((entry) => this.apply(entry));
+    this.knownEndOffset = Math.max(this.knownEndOffset, endOffset);
+    this.applyBuffered();
+    if (this.options.tables.nextOffset >= endOffset) this.reachedAtMs = sentAtMs;
+    this.waiters.reach(this.options.tables.nextOffset);
+  }
+
+  /**
+   * Loads a snapshot after the retention has passed what was to be read next.
+   *
+   * An instance that was away for longer than the log keeps records would lose accepted changes
+   * if it read on from the first one kept. It goes on only from a snapshot that leaves no gap,
+   * and tries again until there is one.
+   */
+  private async restore(firstOffset: number): Promise<void> {
+    const { tables, restoreSnapshot } = this.options;
+    const isRestored = await restoreSnapshot();
+    if (isRestored) this.noteRestored();
+    if (tables.nextOffset >= firstOffset) return;
+    const gap = `records ${tables.nextOffset} to ${firstOffset - 1}`;
+    throwError('log-unavailable', `The log keeps no ${gap} any more, nor does a snapshot.`);
+  }
+
+  private apply(entry: LogEntry): void {
+    const { verdict, record } = applyEntryWithRecord(this.options.tables, entry);
+    if (verdict.type === 'stale') return;
+    this.knownEndOffset = Math.max(this.knownEndOffset, entry.offset + 1);
+    if (verdict.type === 'rejected') {
+      const { offset } = entry;
+      const { reason } = verdict;
+      const fields = { offset, reason, writer: record?.writer, type: record?.body.type };
+      this.options.events.write('recordRejected', fields);
+    }
+    this.listeners.forEach((listener) => listener(entry, record, verdict));
+  }
+
+  private applyBuffered(): void {
+    const { tables } = this.options;
+    let entry = this.buffer.take(tables.nextOffset);
+    while (entry !== undefined) {
+      this.apply(entry);
+      entry = this.buffer.take(tables.nextOffset);
+    }
+    this.buffer.dropBefore(tables.nextOffset);
+  }
+
+  private async pause(thrown: unknown): Promise<void> {
+    const { message } = toRattanliftError(thrown, 'log-unavailable');
+    if (!this.isOut) {
+      this.isOut = true;
+      this.options.events.write('logUnreachable', { stream: this.options.stream, message });
+    }
+    await this.sleepFor(this.backoff.take());
+  }
+
+  private async sleepFor(pauseMs: number): Promise<void> {
+    const { signal } = this.stopping;
+    await sleep(pauseMs, undefined, { signal }).catch(() => undefined);
+  }
+
+  private noteReachable(): void {
+    this.backoff.reset();
+    if (!this.isOut) return;
+    this.isOut = false;
+    this.options.events.write('logReachable', { stream: this.options.stream });
+  }
+}
--- /dev/null
+++ b/src/log/LogWriter.ts
@@ -0,0 +1,242 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { toRattanliftError } from '../errors/index.js';
+import type { LogPort } from '../platform/index.js';
+import {
+  type LogRecord,
+  logRecordSchema,
+  RECORD_FORMAT_VERSION,
+  type RecordBody,
+} from '../records/index.js';
+import type { FleetTables, VerdictRow } from '../tables/index.js';
+import type { Clock } from '../utils/index.js';
+import { Backoff, type BackoffOptions } from './Backoff.js';
+import type { LogFollower } from './LogFollower.js';
+import { PendingWrite } from './PendingWrite.js';
+import { raceTimeout } from './raceTimeout.js';
+import type { WriteResult } from './WriteResult.js';
+
+const DEFAULT_APPEND_WAIT_MS = 5_000;
+const DEFAULT_BACKOFF: BackoffOptions = { firstMs: 50, longestMs: 2_000 };
+const MAX_BATCH_COUNT = 200;
+const MAX_BATCH_BYTES = 262_144;
+
+/** Options of {@link LogWriter}. */
+export interface LogWriterOptions {
+  readonly log: LogPort;
+  readonly stream: string;
+  /** Applies the stream to `tables`; the writer learns its verdicts there. */
+  readonly follower: LogFollower;
+  readonly tables: FleetTables;
+  /** Name of the writer, on each record. */
+  readonly writer: string;
+  readonly clock: Clock;
+  /**
+   * Makes the id of a record.
+   * @returns An id that nobody has used before.
+   */
+  readonly makeRecordId: () => string;
+  /** How long an append may take before it counts as lost, in milliseconds. */
+  readonly appendWaitMs?: number;
+  readonly backoff?: BackoffOptions;
+}
+
+/** Limits of one write. */
+export interface WriteOptions {
+  /** Monotonic time after which the caller has no use for the verdict. */
+  readonly deadlineMs: number;
+  /** Whether to answer `not-written` at once while the log is known to be out. */
+  readonly failsFast?: boolean;
+}
+
+/**
+ * Writes records: appends them, reads them back through the follower, and only then answers.
+ *
+ * An append whose answer is lost may have taken effect. It is repeated with the same record ids,
+ * which the fold applies once, until the records are read back or their deadlines pass.
+ */
+export class LogWriter {
+  private readonly options: LogWriterOptions;
+
+  private readonly backoff: Backoff;
+
+  /** Records without a verdict by their ids, in the order of their writes. */
+  private readonly pending = new Map<string, PendingWrite>();
+
+  /** Ids of the records to append, again or for the first time, in the order of their writes. */
+  private readonly unsent = new Set<string>();
+
+  private readonly closing = new AbortController();
+
+  private readonly removeListeners: readonly (() => void)[];
+
+  private isPumping = false;
+
+  private isOut = false;
+
+  /**
+   * Creates a writer; its follower has to be started for a write to end.
+   * @param options - Stream, follower and identity of the writer.
+   */
+  constructor(options: LogWriterOptions) {
+    this.options = options;
+    this.backoff = new Backoff(options.backoff ?? DEFAULT_BACKOFF);
+    const { follower } = options;
+    this.removeListeners = [
+      follower.addAppliedListener((_entry, record) => {
+        if (record !== undefined) this.settleIfKnown(record.recordId);
+      }),
+      follower.addRestoredListener(() => {
+        [...this.pending.keys()].forEach((recordId) => this.settleIfKnown(recordId));
+      }),
+    ];
+  }
+
+  /** Whether the last append failed. */
+  get isLogOut(): boolean {
+    return this.isOut;
+  }
+
+  /**
+   * Writes a record and waits until it is read back.
+   * @param body - What the record says.
+   * @param options - Limits of the write.
+   * @returns The verdict, `unknown` if the deadline passed first, or `not-written`.
+   */
+  write(body: RecordBody, options: WriteOptions): Promise<WriteResult> {
+    const { clock, makeRecordId, writer } = this.options;
+    const recordId = makeRecordId();
+    const parsed = logRecordSchema.safeParse({
+      formatVersion: RECORD_FORMAT_VERSION,
+      recordId,
+      writer,
+      body,
+    });
+    if (!parsed.success) {
+      const issue = parsed.error.issues[0]!;
+      const reason = `${issue.path.join('.')}: ${issue.message}`;
+      return Promise.resolve({ type: 'rejected', reason });
+    }
+    const { deadlineMs, failsFast = false } = options;
+    const waitMs = deadlineMs - clock.monotonicMs();
+    const refusal = this.findRefusal(waitMs, failsFast);
+    if (refusal !== undefined) return Promise.resolve({ type: 'not-written', reason: refusal });
+    return this.enqueue(parsed.data, waitMs, failsFast);
+  }
+
+  /** Ends the writer; writes under way are answered with what is known of them. */
+  close(): void {
+    this.closing.abort();
+    this.removeListeners.forEach((remove) => remove());
+    [...this.pending.values()].forEach((pending) => {
+      this.drop(pending);
+      pending.giveUp('The writer was closed.');
+    });
+  }
+
+  private findRefusal(waitMs: number, failsFast: boolean): string | undefined {
+    if (this.closing.signal.aborted) return 'The writer is closed.';
+    if (waitMs <= 0) return 'The deadline has passed.';
+    return failsFast && this.isOut ? 'The log does not answer.' : undefined;
+  }
+
+  private enqueue(record: LogRecord, waitMs: number, failsFast: boolean): Promise<WriteResult> {
+    const onExpired = (pending: PendingWrite): void => this.expire(pending);
+    const pending = new PendingWrite({ record, failsFast, waitMs, onExpired });
+    this.pending.set(record.recordId, pending);
+    this.unsent.add(record.recordId);
+    // All that is written in one turn goes out in one append.
+    queueMicrotask(() => {
+      void this.pump();
+    });
+    return pending.result;
+  }
+
+  private async pump(): Promise<void> {
+    if (this.isPumping) return;
+    this.isPumping = true;
+    while (this.unsent.size > 0 && !this.closing.signal.aborted) {
+      // eslint-disable-next-line no-await-in-loop -- one append at a time keeps the order
+      await this.appendBatch(this.takeBatch());
+    }
+    this.isPumping = false;
+  }
+
+  private takeBatch(): readonly PendingWrite[] {
+    let sizeBytes = 0;
+    const candidates = [...this.unsent].slice(0, MAX_BATCH_COUNT);
+    const batch = candidates
+      .map((recordId) => this.pending.get(recordId)!)
+      .filter((pending, index) => {
+        sizeBytes += pending.sizeBytes;
+        return index === 0 || sizeBytes <= MAX_BATCH_BYTES;
+      });
+    batch.forEach((pending) => this.unsent.delete(pending.record.recordId));
+    return batch;
+  }
+
+  private async appendBatch(batch: readonly PendingWrite[]): Promise<void> {
+    const { appendWaitMs = DEFAULT_APPEND_WAIT_MS, log, stream } = this.options;
+    const records = batch.map((pending) => pending.record);
+    batch.forEach((pending) => pending.markSent());
+    try {
+      await raceTimeout(log.append(stream, records), appendWaitMs);
+      this.isOut = false;
+      this.backoff.reset();
+    } catch (thrown) {
+      this.isOut = true;
+      this.putBack(batch);
+      this.failFast(toRattanliftError(thrown, 'log-unavailable').message);
+      const { signal } = this.closing;
+      await sleep(this.backoff.take(), undefined, { signal }).catch(() => undefined);
+    }
+  }
+
+  /** Queues a batch again ahead of later records, but for those that were read back meanwhile. */
+  private putBack(batch: readonly PendingWrite[]): void {
+    const later = [...this.unsent];
+    this.unsent.clear();
+    batch
+      .map((pending) => pending.record.recordId)
+      .filter((recordId) => this.pending.has(recordId))
+      .concat(later)
+      .forEach((recordId) => this.unsent.add(recordId));
+  }
+
+  private failFast(reason: string): void {
+    [...this.pending.values()]
+      .filter((pending) => pending.failsFast && !pending.mayStand)
+      .forEach((pending) => {
+        this.drop(pending);
+        pending.giveUp(reason);
+      });
+  }
+
+  private settleIfKnown(recordId: string): boolean {
+    const pending = this.pending.get(recordId);
+    if (pending === undefined) return false;
+    const row = this.options.tables.verdicts.get(recordId);
+    if (row === undefined) return false;
+    this.drop(pending);
+    pending.settle(LogWriter.toResult(row));
+    return true;
+  }
+
+  private expire(pending: PendingWrite): void {
+    if (this.settleIfKnown(pending.record.recordId)) return;
+    this.drop(pending);
+    pending.giveUp('The deadline passed before the record was read back.');
+  }
+
+  private drop(pending: PendingWrite): void {
+    this.pending.delete(pending.record.recordId);
+    this.unsent.delete(pending.record.recordId);
+  }
+
+  private static toResult({ offset, verdict }: VerdictRow): WriteResult {
+    if (verdict.type === 'rejected') return verdict;
+    const { refusedRequestIds } = verdict;
+    return refusedRequestIds === undefined
+      ? { type: 'accepted', offset }
+      : { type: 'accepted', offset, refusedRequestIds };
+  }
+}
--- /dev/null
+++ b/src/log/applyEntry.ts
@@ -0,0 +1,124 @@
+import { z } from 'zod';
+import { throwError } from '../errors/index.js';
+import type { LogEntry } from '../platform/index.js';
+import type { LogRecord } from '../records/index.js';
+import type { FleetTables, RecordVerdict } from '../tables/index.js';
+import type { ApplyVerdict } from './ApplyVerdict.js';
+import { type DecodedEntry, decodeEntry } from './decodeEntry.js';
+import { applyBody } from './fold/applyBody.js';
+import { recordPublication } from './fold/settings.js';
+import { reject } from './fold/verdicts.js';
+
+const MAX_VERDICT_COUNT = 20_000;
+const EVERY_SUBTREE = '*';
+const UNREADABLE = '?';
+
+const publicationSchema = z.object({
+  body: z.object({
+    type: z.literal('settings-published'),
+    team: z.string().catch(UNREADABLE),
+    author: z.string().catch(UNREADABLE),
+  }),
+});
+
+/** An entry with what applying it decided. */
+export interface AppliedEntry {
+  readonly verdict: ApplyVerdict;
+  /** Undefined where the entry is stale or holds no readable record. */
+  readonly record: LogRecord | undefined;
+}
+
+/**
+ * Applies a record that could be read, unless its id is known already.
+ *
+ * An append whose answer was lost is repeated with the same record id, and the record stands on
+ * the log twice. The verdict on the first one is remembered, so the second changes nothing.
+ * @param tables - The state.
+ * @param record - The record.
+ * @param offset - Its offset.
+ * @returns The verdict.
+ */
+function applyRecord(tables: FleetTables, record: LogRecord, offset: number): ApplyVerdict {
+  const known = tables.verdicts.get(record.recordId);
+  if (known !== undefined) return { type: 'repeated', first: known.verdict };
+  const verdict = applyBody(tables, record.body, offset);
+  tables.verdicts.put({ recordId: record.recordId, offset, verdict });
+  if (tables.verdicts.size > MAX_VERDICT_COUNT) tables.verdicts.removeOldest();
+  return verdict;
+}
+
+/**
+ * Rejects an entry that this program cannot read; a broken publication shows in the history.
+ * @param tables - The state.
+ * @param entry - The entry.
+ * @param reason - Why it cannot be read.
+ * @returns The verdict.
+ */
+function rejectUnreadable(tables: FleetTables, entry: LogEntry, reason: string): RecordVerdict {
+  const publication = publicationSchema.safeParse(entry.payload);
+  if (publication.success) {
+    const { team, author } = publication.data.body;
+    const { offset } = entry;
+    recordPublication(tables, { offset, team, author, verdict: 'rejected', reason });
+  }
+  return reject(reason);
+}
+
+/**
+ * Marks the subtrees of a record of a newer format, so that this program stops deciding there.
+ *
+ * While instances are upgraded one by one, the new ones act on records that the old ones cannot
+ * read; an old one that went on would decide on a state that the others no longer share.
+ * @param tables - The state.
+ * @param decoded - The record's version and teams.
+ * @param offset - Its offset.
+ */
+function freeze(
+  tables: FleetTables,
+  decoded: Extract<DecodedEntry, { readonly type: 'newer' }>,
+  offset: number,
+): void {
+  const { formatVersion, teams } = decoded;
+  const subtrees = teams.length === 0 ? [EVERY_SUBTREE] : teams;
+  subtrees
+    .filter((subtree) => !tables.frozen.has(subtree))
+    .forEach((subtree) => tables.frozen.put({ subtree, formatVersion, offset }));
+}
+
+/**
+ * Applies an entry and tells which record it holds.
+ * @param tables - The state.
+ * @param entry - The entry at the state's next offset, or an earlier one.
+ * @returns The verdict and the record.
+ * @throws RattanliftError Of kind `internal` when entries before this one are missing.
+ */
+export function applyEntryWithRecord(tables: FleetTables, entry: LogEntry): AppliedEntry {
+  const { offset } = entry;
+  if (offset < tables.nextOffset) return { verdict: { type: 'stale' }, record: undefined };
+  if (offset > tables.nextOffset) {
+    throwError('internal', `Entry ${offset} cannot be applied before ${tables.nextOffset}.`);
+  }
+  Object.assign(tables, { nextOffset: offset + 1 });
+  const decoded = decodeEntry(entry);
+  if (decoded.type === 'record') {
+    const { record } = decoded;
+    return { verdict: applyRecord(tables, record, offset), record };
+  }
+  if (decoded.type === 'undecodable') {
+    return { verdict: rejectUnreadable(tables, entry, decoded.reason), record: undefined };
+  }
+  freeze(tables, decoded, offset);
+  const reason = `formatVersion: ${decoded.formatVersion} is newer than this program.`;
+  return { verdict: rejectUnreadable(tables, entry, reason), record: undefined };
+}
+
+/**
+ * Applies an entry of the log to the state: a pure function of the two, alike in every instance.
+ * @param tables - The state, which is changed in place.
+ * @param entry - The entry at the state's next offset, or an earlier one.
+ * @returns Whether the record applied, and why not.
+ * @throws RattanliftError Of kind `internal` when entries before this one are missing.
+ */
+export function applyEntry(tables: FleetTables, entry: LogEntry): ApplyVerdict {
+  return applyEntryWithRecord(tables, entry).verdict;
+}
--- /dev/null
+++ b/src/log/fold/assignments.ts
@@ -0,0 +1,59 @@
+import type { RecordBodyOf } from '../../records/index.js';
+import type { FleetTables, RecordVerdict } from '../../tables/index.js';
+import { findHomeFault, isPoolInForce } from './homes.js';
+import { ACCEPTED, reject } from './verdicts.js';
+import { finishWavesOf } from './waveProgress.js';
+
+/**
+ * Applies the adoption of a VM by a pool.
+ *
+ * Two pools may reach for one free VM at once: both name the version that they saw, the first
+ * on the log changes it, and the second is rejected, so a VM is in one pool at most.
+ * @param tables - The state.
+ * @param body - The record.
+ * @param offset - Its offset.
+ * @returns The verdict.
+ */
+export function applyVmAdopted(
+  tables: FleetTables,
+  body: RecordBodyOf<'vm-adopted'>,
+  offset: number,
+): RecordVerdict {
+  const { vm, pool, expectedVersion } = body;
+  const fault = findHomeFault(tables, body);
+  if (fault !== undefined) return reject(fault);
+  if (!isPoolInForce(tables, pool)) return reject(`Pool ${pool} is in no settings in force.`);
+  const row = tables.assignments.get(vm);
+  const version = row?.version ?? 0;
+  if (row?.pool !== undefined) return reject(`VM ${vm} belongs to pool ${row.pool}.`);
+  if (version !== expectedVersion) {
+    return reject(`VM ${vm} is at version ${version}, not at version ${expectedVersion}.`);
+  }
+  tables.assignments.put({ vm, pool, version: offset + 1 });
+  return ACCEPTED;
+}
+
+/**
+ * Applies the release of a VM by its pool.
+ * @param tables - The state.
+ * @param body - The record.
+ * @param offset - Its offset.
+ * @returns The verdict.
+ */
+export function applyVmReleased(
+  tables: FleetTables,
+  body: RecordBodyOf<'vm-released'>,
+  offset: number,
+): RecordVerdict {
+  const { vm, pool, expectedVersion } = body;
+  const fault = findHomeFault(tables, body);
+  if (fault !== undefined) return reject(fault);
+  const row = tables.assignments.get(vm);
+  if (row?.pool !== pool) return reject(`VM ${vm} does not belong to pool ${pool}.`);
+  if (row.version !== expectedVersion) {
+    return reject(`VM ${vm} is at version ${row.version}, not at version ${expectedVersion}.`);
+  }
+  tables.assignments.put({ vm, pool: undefined, version: offset + 1 });
+  finishWavesOf(tables, pool, offset);
+  return ACCEPTED;
+}
--- /dev/null
+++ b/src/log/fold/membership.ts
@@ -0,0 +1,104 @@
+import type { RecordBodyOf } from '../../records/index.js';
+import type { FleetTables, InstanceRow, RecordVerdict } from '../../tables/index.js';
+import { freeHomes } from './homes.js';
+import { ACCEPTED, reject } from './verdicts.js';
+
+const MAX_ENDED_INSTANCE_COUNT = 200;
+
+/**
+ * Ends an instance and forgets the oldest ended ones beyond a count.
+ * @param tables - The state.
+ * @param row - The instance.
+ * @param state - How it ended.
+ */
+function endInstance(tables: FleetTables, row: InstanceRow, state: 'left' | 'lapsed'): void {
+  tables.instances.put({ ...row, state });
+  tables.writerClocks.remove(row.instance);
+  freeHomes(tables, row.instance);
+  const ended = tables.instances.list().filter((other) => other.state !== 'joined');
+  if (ended.length > MAX_ENDED_INSTANCE_COUNT) tables.instances.remove(ended[0]!.instance);
+}
+
+/**
+ * Applies the join of an instance.
+ *
+ * Another instance with the same address stays joined: its process may be frozen, not gone, and
+ * still act on its leases, so only its own lapse may free them.
+ * @param tables - The state.
+ * @param body - The record.
+ * @param offset - Its offset.
+ * @returns The verdict.
+ */
+export function applyInstanceJoined(
+  tables: FleetTables,
+  body: RecordBodyOf<'instance-joined'>,
+  offset: number,
+): RecordVerdict {
+  const { instance, host, peerPort, callerPort, dataCentre } = body;
+  if (tables.instances.has(instance)) return reject(`Instance ${instance} has joined before.`);
+  const state = 'joined';
+  const renewalOffset = offset;
+  tables.instances.put({ instance, host, peerPort, callerPort, dataCentre, renewalOffset, state });
+  return ACCEPTED;
+}
+
+/**
+ * Applies the renewal of an instance's lease.
+ * @param tables - The state.
+ * @param body - The record.
+ * @param offset - Its offset.
+ * @returns The verdict.
+ */
+export function applyInstanceRenewed(
+  tables: FleetTables,
+  body: RecordBodyOf<'instance-renewed'>,
+  offset: number,
+): RecordVerdict {
+  const row = tables.instances.get(body.instance);
+  if (row?.state !== 'joined') return reject(`Instance ${body.instance} is not joined.`);
+  tables.instances.put({ ...row, renewalOffset: offset });
+  return ACCEPTED;
+}
+
+/**
+ * Applies the orderly leave of an instance.
+ * @param tables - The state.
+ * @param body - The record.
+ * @returns The verdict.
+ */
+export function applyInstanceLeft(
+  tables: FleetTables,
+  body: RecordBodyOf<'instance-left'>,
+): RecordVerdict {
+  const row = tables.instances.get(body.instance);
+  if (row?.state !== 'joined') return reject(`Instance ${body.instance} is not joined.`);
+  endInstance(tables, row, 'left');
+  return ACCEPTED;
+}
+
+/**
+ * Applies the end of an instance that another one saw no renewal of.
+ *
+ * The lapse races the renewal: an instance that was only slow appends its renewal while its
+ * observer appends the lapse. The observed offset travels in the record, so whichever comes
+ * first on the log wins in every instance alike, without a clock in the fold.
+ * @param tables - The state.
+ * @param body - The record.
+ * @returns The verdict.
+ */
+export function applyInstanceLapsed(
+  tables: FleetTables,
+  body: RecordBodyOf<'instance-lapsed'>,
+): RecordVerdict {
+  const { instance, observedRenewalOffset, by } = body;
+  const row = tables.instances.get(instance);
+  if (row?.state !== 'joined') return reject(`Instance ${instance} is not joined.`);
+  if (by === instance) return reject(`Instance ${instance} cannot declare itself lapsed.`);
+  if (row.renewalOffset !== observedRenewalOffset) {
+    return reject(
+      `Instance ${instance} renewed at offset ${row.renewalOffset}, after offset ${observedRenewalOffset}.`,
+    );
+  }
+  endInstance(tables, row, 'lapsed');
+  return ACCEPTED;
+}
--- /dev/null
+++ b/src/log/fold/waves.ts
@@ -0,0 +1,155 @@
+import type { RecordBodyOf } from '../../records/index.js';
+import type { FleetTables, RecordVerdict, WaveStepRow } from '../../tables/index.js';
+import { findHomeFault } from './homes.js';
+import { ACCEPTED, reject } from './verdicts.js';
+import { finishWaveIfDone, isWaveFinished } from './waveProgress.js';
+
+/**
+ * Applies the start of a wave.
+ * @param tables - The state.
+ * @param body - The record.
+ * @param offset - Its offset.
+ * @returns The verdict.
+ */
+export function applyWaveStarted(
+  tables: FleetTables,
+  body: RecordBodyOf<'wave-started'>,
+  offset: number,
+): RecordVerdict {
+  const { wave, pools, author } = body;
+  if (tables.waves.has(wave)) return reject(`Wave ${wave} has been started before.`);
+  if (pools.length === 0) return reject(`Wave ${wave} names no pool.`);
+  const unknown = pools.find((pool) => !tables.homes.has(pool));
+  if (unknown !== undefined) return reject(`There is no pool ${unknown}.`);
+  const other = tables.waves
+    .list()
+    .find((row) => !isWaveFinished(row) && row.pools.some((pool) => pools.includes(pool)));
+  if (other !== undefined) {
+    const shared = other.pools.find((pool) => pools.includes(pool));
+    return reject(`Pool ${shared} is in wave ${other.wave}, which is not finished.`);
+  }
+  const state = 'running';
+  const row = { wave, pools, state, reason: '', author, startedOffset: offset } as const;
+  tables.waves.put(row);
+  finishWaveIfDone(tables, row, offset);
+  return ACCEPTED;
+}
+
+/**
+ * Applies the pause of a wave.
+ * @param tables - The state.
+ * @param body - The record.
+ * @returns The verdict.
+ */
+export function applyWavePaused(
+  tables: FleetTables,
+  body: RecordBodyOf<'wave-paused'>,
+): RecordVerdict {
+  const row = tables.waves.get(body.wave);
+  if (row === undefined) return reject(`There is no wave ${body.wave}.`);
+  if (isWaveFinished(row)) return reject(`Wave ${body.wave} is finished.`);
+  if (row.state === 'paused') return reject(`Wave ${body.wave} is paused: ${row.reason}`);
+  tables.waves.put({ ...row, state: 'paused', reason: body.reason });
+  return ACCEPTED;
+}
+
+/**
+ * Applies the resumption of a paused wave.
+ * @param tables - The state.
+ * @param body - The record.
+ * @returns The verdict.
+ */
+export function applyWaveResumed(
+  tables: FleetTables,
+  body: RecordBodyOf<'wave-resumed'>,
+): RecordVerdict {
+  const row = tables.waves.get(body.wave);
+  if (row === undefined) return reject(`There is no wave ${body.wave}.`);
+  if (isWaveFinished(row)) return reject(`Wave ${body.wave} is finished.`);
+  if (row.state === 'running') return reject(`Wave ${body.wave} is not paused.`);
+  tables.waves.put({ ...row, state: 'running', reason: '' });
+  return ACCEPTED;
+}
+
+/**
+ * Finds why a step may not begin, leaving aside who asks.
+ * @param tables - The state.
+ * @param body - The record.
+ * @returns The reason, or undefined where it may.
+ */
+function findStepFault(
+  tables: FleetTables,
+  body: RecordBodyOf<'step-intended'>,
+): string | undefined {
+  const wave = tables.waves.get(body.wave);
+  if (wave === undefined) return `There is no wave ${body.wave}.`;
+  if (isWaveFinished(wave)) return `Wave ${body.wave} is finished.`;
+  if (wave.state === 'paused') return `Wave ${body.wave} is paused: ${wave.reason}`;
+  if (!wave.pools.includes(body.pool)) return `Pool ${body.pool} is not in wave ${body.wave}.`;
+  if (tables.assignments.get(body.vm)?.pool !== body.pool) {
+    return `VM ${body.vm} does not belong to pool ${body.pool}.`;
+  }
+  return undefined;
+}
+
+/**
+ * Tells whether a step of a VM stands in the way of another one in the same wave.
+ * @param step - The step on record.
+ * @param body - The step that is asked for.
+ * @returns Whether the step on record is done or belongs to the same term.
+ */
+function isInTheWay(step: WaveStepRow, body: RecordBodyOf<'step-intended'>): boolean {
+  if (step.state !== 'intended') return true;
+  return step.pool === body.pool && step.term >= body.term;
+}
+
+/**
+ * Applies the intention to maintain a VM.
+ *
+ * A home that dies after its intention leaves open whether the VM was rebooted. Its successor
+ * repeats the step, and the boot on record stays the one from before the first attempt: if the
+ * VM shows a later one, the reboot took place and is not done twice.
+ * @param tables - The state.
+ * @param body - The record.
+ * @returns The verdict.
+ */
+export function applyStepIntended(
+  tables: FleetTables,
+  body: RecordBodyOf<'step-intended'>,
+): RecordVerdict {
+  const { wave, pool, vm, term } = body;
+  const fault = findHomeFault(tables, body) ?? findStepFault(tables, body);
+  if (fault !== undefined) return reject(fault);
+  const former = tables.waveSteps.get(`${wave}/${vm}`);
+  if (former !== undefined && isInTheWay(former, body)) {
+    return reject(`The step of VM ${vm} in wave ${wave} is ${former.state} already.`);
+  }
+  const bootId = former?.bootId ?? body.bootId;
+  tables.waveSteps.put({ wave, pool, vm, term, bootId, state: 'intended' });
+  return ACCEPTED;
+}
+
+/**
+ * Applies the end of a VM's step.
+ * @param tables - The state.
+ * @param body - The record.
+ * @param offset - Its offset.
+ * @returns The verdict.
+ */
+export function applyStepFinished(
+  tables: FleetTables,
+  body: RecordBodyOf<'step-finished'>,
+  offset: number,
+): RecordVerdict {
+  const { wave, pool, vm, result } = body;
+  const fault = findHomeFault(tables, body);
+  if (fault !== undefined) return reject(fault);
+  const step = tables.waveSteps.get(`${wave}/${vm}`);
+  if (step?.pool !== pool) return reject(`VM ${vm} of pool ${pool} has no step in wave ${wave}.`);
+  if (step.state !== 'intended') {
+    return reject(`The step of VM ${vm} in wave ${wave} is ${step.state} already.`);
+  }
+  tables.waveSteps.put({ ...step, state: result });
+  finishWaveIfDone(tables, tables.waves.getOrThrow(wave), offset);
+  return ACCEPTED;
+}
--- a/src/records/LogRecord.ts
+++ b/src/records/LogRecord.ts
@@ -106,6 +106,8 @@
     instance: id,
     term: count,
     claims: z.array(claimSchema).readonly(),
+    /** Wall-clock time of the writer; the fold has no clock to forget claims by. */
+    writtenAtMs: z.number().optional(),
   }),
   z.strictObject({
     type: z.literal('requests-settled'),
--- a/src/tables/Table.ts
+++ b/src/tables/Table.ts
@@ -80,6 +80,12 @@
     return this.rows.delete(key);
   }
 
+  /** Removes the row that was inserted first, if there is one. */
+  removeOldest(): void {
+    const oldest = this.rows.keys().next();
+    if (!oldest.done) this.rows.delete(oldest.value);
+  }
+
   /** Removes every row. */
   clear(): void {
     this.rows.clear();
--- a/src/tables/entities.ts
+++ b/src/tables/entities.ts
@@ -81,6 +81,8 @@
   readonly reason: string;
   readonly author: string;
   readonly startedOffset: number;
+  /** Offset of the record with which its last VM was done; undefined while there is work left. */
+  readonly finishedOffset?: number;
 }
 
 /** One VM's step within a wave. */
@@ -106,6 +108,42 @@
   readonly outcome: Outcome | undefined;
 }
 
+/** What the fold decided about a record when it first met it. */
+export type RecordVerdict =
+  | {
+      readonly type: 'accepted';
+      /** Claims of the record that were refused because their request is claimed already. */
+      readonly refusedRequestIds?: readonly string[];
+    }
+  | { readonly type: 'rejected'; readonly reason: string };
+
+/** Verdict on a record by its id, so that a repeated append changes nothing. */
+export interface VerdictRow {
+  readonly recordId: string;
+  readonly offset: number;
+  readonly verdict: RecordVerdict;
+}
+
+/** A subtree on which this program must not decide, because it cannot read all of its records. */
+export interface FrozenRow {
+  /** Team whose subtree is frozen, or `*` for everything. */
+  readonly subtree: string;
+  readonly formatVersion: number;
+  readonly offset: number;
+}
+
+/** Term of a pool that is in nobody's settings any more, so that no term is ever given twice. */
+export interface RetiredHomeRow {
+  readonly pool: string;
+  readonly term: number;
+}
+
+/** Latest wall-clock time that an instance wrote into its claims. */
+export interface WriterClockRow {
+  readonly instance: string;
+  readonly wallMs: number;
+}
+
 /** A slot given to an entry instance for one request. */
 export interface GrantRow {
   /** Same as the attempt's id in the queue. */
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -2,15 +2,20 @@
   AssignmentRow,
   ClaimRow,
   DrainRow,
+  FrozenRow,
   GrantRow,
   HomeRow,
   InstanceRow,
   PublicationRow,
   QueuedRow,
+  RecordVerdict,
+  RetiredHomeRow,
   SettingsRow,
+  VerdictRow,
   VmRow,
   WaveRow,
   WaveStepRow,
+  WriterClockRow,
 } from './entities.js';
 export { FleetTables } from './FleetTables.js';
 export {
--- /dev/null
+++ b/tests/log/LogWriter.test.ts
@@ -0,0 +1,74 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { createInstance } from './support/createInstance.js';
+import { type Fault, MemoryLog } from './support/MemoryLog.js';
+
+const LONG_MS = 30_000;
+const SHORT_MS = 60;
+
+const stops: (() => Promise<void>)[] = [];
+afterEach(async () => {
+  await Promise.all(stops.splice(0).map((stop) => stop()));
+});
+
+function setUp(appendFault: Fault = 'none', isFollowing = true) {
+  const log = new MemoryLog();
+  log.appendFault = appendFault;
+  const instance = createInstance(log);
+  if (isFollowing) instance.follower.start();
+  stops.push(async () => {
+    instance.writer.close();
+    await instance.follower.stop();
+  });
+  const drain = (vm: string, waitMs = LONG_MS, failsFast = false) =>
+    instance.writer.write(
+      { type: 'vm-drain-ordered', vm, author: 'anna' },
+      { deadlineMs: instance.clock.monotonicMs() + waitMs, failsFast },
+    );
+  return { log, drain, ...instance };
+}
+
+describe('LogWriter', () => {
+  describe('write', () => {
+    it('answers with the verdict that was read back, in the order of the writes', async () => {
+      const { log, drain, tables } = setUp();
+      const results = await Promise.all(['vm-1', 'vm-2', 'vm-3'].map((vm) => drain(vm)));
+      expect(results.map((result) => result.type === 'accepted' && result.offset)).toEqual([
+        0, 1, 2,
+      ]);
+      expect(tables.drains.list().map((row) => row.vm)).toEqual(['vm-1', 'vm-2', 'vm-3']);
+      expect(log.batchSizes).toEqual([3]);
+    });
+
+    it('applies a record once whose append answers were lost', async () => {
+      // An operator's order is appended, the answer is lost, and the order is appended again.
+      // It would show twice in the state, or the operator would be told that it failed.
+      // Cause: the platform's answer gets lost after the append has taken effect.
+      const { log, drain, tables, follower } = setUp('lose-answer', false);
+      const written = drain('vm-1');
+      await expect.poll(() => log.entriesOf('control').length).toBeGreaterThan(2);
+      log.appendFault = 'none';
+      follower.start();
+      expect(await written).toEqual({ type: 'accepted', offset: 0 });
+      await follower.waitForOffset(log.entriesOf('control').length - 1);
+      expect(tables.drains.size).toBe(1);
+    });
+
+    it('answers unknown, not "not written", when the deadline passes after an append', async () => {
+      const { drain } = setUp('lose-answer', false);
+      expect(await drain('vm-1', SHORT_MS)).toMatchObject({ type: 'unknown' });
+    });
+
+    it('answers unknown when the append never returns', async () => {
+      const { drain } = setUp('hang');
+      expect(await drain('vm-1', SHORT_MS)).toMatchObject({ type: 'unknown' });
+    });
+
+    it('answers not-written at once while the log is known to be out', async () => {
+      const { log, drain, writer } = setUp('refuse');
+      void drain('vm-1');
+      await expect.poll(() => writer.isLogOut).toBe(true);
+      expect(await drain('vm-2', LONG_MS, true)).toMatchObject({ type: 'not-written' });
+      expect(log.batchSizes.every((size) => size === 1)).toBe(true);
+    });
+  });
+});
--- /dev/null
+++ b/tests/log/support/MemoryLog.ts
@@ -0,0 +1,64 @@
+import { throwError } from '../../../src/errors/index.js';
+import type {
+  LogEntry,
+  LogPort,
+  LogReadOptions,
+  LogReadResult,
+} from '../../../src/platform/index.js';
+
+const MAX_WAIT_MS = 20;
+
+/** What happens to the next calls. */
+export type Fault = 'none' | 'refuse' | 'lose-answer' | 'hang';
+
+/** Log in memory whose calls can be made to fail. */
+export class MemoryLog implements LogPort {
+  appendFault: Fault = 'none';
+
+  readFault: Fault = 'none';
+
+  /** Sizes of the batches that were sent, lost ones included. */
+  readonly batchSizes: number[] = [];
+
+  private readonly streams = new Map<string, LogEntry[]>();
+
+  private readonly firstOffsets = new Map<string, number>();
+
+  /** Every record of a stream, those past the retention included. */
+  entriesOf(stream: string): LogEntry[] {
+    const entries = this.streams.get(stream) ?? [];
+    this.streams.set(stream, entries);
+    return entries;
+  }
+
+  /** Lets the retention pass. */
+  truncate(stream: string, firstOffset: number): void {
+    this.firstOffsets.set(stream, firstOffset);
+  }
+
+  async append(stream: string, payloads: readonly unknown[]): Promise<number> {
+    this.batchSizes.push(payloads.length);
+    if (this.appendFault === 'hang') return new Promise(() => {});
+    if (this.appendFault === 'refuse') throwError('log-unavailable', 'refused');
+    const entries = this.entriesOf(stream);
+    const offset = entries.length;
+    payloads.forEach((payload, index) => entries.push({ offset: offset + index, payload }));
+    if (this.appendFault === 'lose-answer') throwError('log-unavailable', 'answer lost');
+    return offset;
+  }
+
+  async read(options: LogReadOptions): Promise<LogReadResult> {
+    if (this.readFault === 'hang') return new Promise(() => {});
+    if (this.readFault !== 'none') throwError('log-unavailable', 'refused');
+    const all = this.entriesOf(options.stream);
+    const firstOffset = this.firstOffsets.get(options.stream) ?? 0;
+    if (options.fromOffset < firstOffset) return { type: 'truncated', firstOffset };
+    if (all.length <= options.fromOffset && options.waitMs > 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, Math.min(options.waitMs, MAX_WAIT_MS));
+      });
+    }
+    const entries = all.slice(options.fromOffset, options.fromOffset + options.maxCount);
+    return { type: 'entries', entries, endOffset: all.length };
+  }
+}
--- /dev/null
+++ b/tests/log/support/createInstance.ts
@@ -0,0 +1,39 @@
+import { LogFollower, LogWriter } from '../../../src/log/index.js';
+import { MemoryEventLog } from '../../../src/logging/index.js';
+import { FleetTables } from '../../../src/tables/index.js';
+import { SystemClock } from '../../../src/utils/index.js';
+import type { MemoryLog } from './MemoryLog.js';
+
+const BACKOFF = { firstMs: 5, longestMs: 10 };
+
+/** Follower, writer and state of one instance on a log in memory. */
+export function createInstance(
+  log: MemoryLog,
+  name = 'a',
+  restoreSnapshot: (tables: FleetTables) => Promise<boolean> = async () => false,
+) {
+  const tables = new FleetTables();
+  const clock = new SystemClock();
+  const events = new MemoryEventLog();
+  const common = { log, stream: 'control', tables, clock, backoff: BACKOFF };
+  const follower = new LogFollower({
+    ...common,
+    events,
+    readWaitMs: 20,
+    readGraceMs: 50,
+    restoreSnapshot: () => restoreSnapshot(tables),
+  });
+  let recordCount = 0;
+  const makeRecordId = () => {
+    recordCount += 1;
+    return `${name}-${recordCount}`;
+  };
+  const writer = new LogWriter({
+    ...common,
+    follower,
+    writer: name,
+    makeRecordId,
+    appendWaitMs: 50,
+  });
+  return { tables, clock, events, follower, writer };
+}
