--- /dev/null
+++ b/src/targets/HttpTargetPort.ts
@@ -0,0 +1,222 @@
+import { Client, type Dispatcher, Pool } from 'undici';
+import { z } from 'zod';
+import { HttpJsonClient, type JsonAnswer, type JsonRequest } from '../utils/index.js';
+import { TASK_HEADERS } from './taskHeaders.js';
+import { TaskExchange } from './TaskExchange.js';
+import type {
+  TargetAddress,
+  TargetPort,
+  TargetStatus,
+  TaskRequest,
+  TaskResult,
+} from './TargetPort.js';
+
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_CONTROL_TIMEOUT_MS = 1000;
+const DEFAULT_IDLE_LIMIT_MS = 4000;
+const HTTP_OK = 200;
+
+const statusSchema = z
+  .object({
+    bootId: z.string(),
+    draining: z.boolean(),
+    runningTaskIds: z.array(z.string()).readonly(),
+    usedCoreCount: z.number(),
+    usedMemoryMb: z.number(),
+  })
+  .readonly();
+
+/** Options of {@link HttpTargetPort}. */
+export interface HttpTargetPortOptions {
+  /** Longest wait for a connection, in milliseconds. */
+  readonly connectTimeoutMs?: number;
+  /** Longest wait for the answer to a status or control call, in milliseconds. */
+  readonly controlTimeoutMs?: number;
+  /**
+   * Idle time after which a connection is not used again, in milliseconds; shorter than what
+   * any middlebox between here and the targets remembers.
+   */
+  readonly idleLimitMs?: number;
+}
+
+/** Connections to one target. */
+interface TargetConnections {
+  readonly tasks: Pool;
+  readonly controls: HttpJsonClient;
+}
+
+/** Tasks on targets over HTTP; a task is sent at most once by each call. */
+export class HttpTargetPort implements TargetPort {
+  private readonly connectTimeoutMs: number;
+
+  private readonly controlTimeoutMs: number;
+
+  private readonly idleLimitMs: number;
+
+  private readonly connections = new Map<string, TargetConnections>();
+
+  /**
+   * Creates a client of all targets.
+   * @param options - Limits; what is left out takes its default.
+   */
+  constructor(options: HttpTargetPortOptions = {}) {
+    this.connectTimeoutMs = options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+    this.controlTimeoutMs = options.controlTimeoutMs ?? DEFAULT_CONTROL_TIMEOUT_MS;
+    this.idleLimitMs = options.idleLimitMs ?? DEFAULT_IDLE_LIMIT_MS;
+  }
+
+  /** {@inheritDoc TargetPort.run} */
+  async run(target: TargetAddress, task: TaskRequest): Promise<TaskResult> {
+    if (task.signal?.aborted) return { type: 'not-started', reason: 'The request was cancelled.' };
+    const dispatcher = task.freshConnection
+      ? this.createClient(target)
+      : this.getConnections(target).tasks;
+    const ended = new AbortController();
+    const exchange = new TaskExchange({
+      connectTimeoutMs: this.connectTimeoutMs,
+      silenceLimitMs: task.silenceLimitMs,
+      onSilent: () => this.retire(target, dispatcher),
+      onEnded: () => {
+        ended.abort();
+        if (dispatcher instanceof Client) void dispatcher.close().catch(() => undefined);
+      },
+    });
+    const onAbort = () => {
+      if (exchange.cancel()) void this.control(target, task.taskId, 'stop');
+    };
+    task.signal?.addEventListener('abort', onAbort, { once: true, signal: ended.signal });
+    HttpTargetPort.dispatch(dispatcher, task, exchange);
+    return exchange.result;
+  }
+
+  /** {@inheritDoc TargetPort.getStatus} */
+  async getStatus(target: TargetAddress): Promise<TargetStatus | undefined> {
+    const answer = await this.send(target, { method: 'GET', path: '/v1/status' });
+    if (answer?.httpStatus !== HTTP_OK) return undefined;
+    const parsed = statusSchema.safeParse(answer.body);
+    return parsed.success ? parsed.data : undefined;
+  }
+
+  /** {@inheritDoc TargetPort.control} */
+  async control(
+    target: TargetAddress,
+    taskId: string,
+    action: 'checkpoint' | 'throttle' | 'unthrottle' | 'stop',
+  ): Promise<boolean> {
+    const path = `/v1/tasks/${encodeURIComponent(taskId)}/${action}`;
+    const answer = await this.send(target, { method: 'POST', path, body: {} });
+    return answer?.httpStatus === HTTP_OK;
+  }
+
+  /** {@inheritDoc TargetPort.renewLease} */
+  async renewLease(
+    target: TargetAddress,
+    taskId: string,
+    leaseDeadlineMs: number,
+  ): Promise<boolean> {
+    const path = `/v1/tasks/${encodeURIComponent(taskId)}/lease`;
+    const answer = await this.send(target, { method: 'PUT', path, body: { leaseDeadlineMs } });
+    return answer?.httpStatus === HTTP_OK;
+  }
+
+  /** Ends every connection; exchanges in progress fail. */
+  async close(): Promise<void> {
+    const all = [...this.connections.values()];
+    this.connections.clear();
+    await Promise.all(all.flatMap(({ tasks, controls }) => [tasks.destroy(), controls.close()]));
+  }
+
+  private static dispatch(dispatcher: Dispatcher, task: TaskRequest, exchange: TaskExchange): void {
+    const options: Dispatcher.DispatchOptions = {
+      method: 'POST',
+      path: '/v1/tasks',
+      headers: {
+        'content-type': task.contentType,
+        [TASK_HEADERS.taskId]: task.taskId,
+        [TASK_HEADERS.requestId]: task.requestId,
+        [TASK_HEADERS.jobKind]: task.jobKind,
+        [TASK_HEADERS.coreCount]: String(task.coreCount),
+        [TASK_HEADERS.memoryMb]: String(task.memoryMb),
+        [TASK_HEADERS.leaseDeadlineMs]: String(task.leaseDeadlineMs),
+      },
+      body: task.body,
+      reset: task.freshConnection,
+      // The exchange watches the target's silence itself, to the millisecond.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    try {
+      dispatcher.dispatch(options, exchange);
+    } catch (error) {
+      exchange.onResponseError(undefined, error as Error);
+    }
+  }
+
+  private getConnections(target: TargetAddress): TargetConnections {
+    const key = HttpTargetPort.keyOf(target);
+    const known = this.connections.get(key);
+    if (known !== undefined) return known;
+    const created = {
+      tasks: new Pool(HttpTargetPort.originOf(target), this.connectionOptions()),
+      controls: new HttpJsonClient({
+        host: target.host,
+        port: target.port,
+        connectTimeoutMs: this.connectTimeoutMs,
+        idleLimitMs: this.idleLimitMs,
+      }),
+    };
+    this.connections.set(key, created);
+    return created;
+  }
+
+  private createClient(target: TargetAddress): Client {
+    return new Client(HttpTargetPort.originOf(target), this.connectionOptions());
+  }
+
+  private connectionOptions() {
+    return {
+      pipelining: 1,
+      keepAliveTimeout: this.idleLimitMs,
+      // Bounds what a target may ask for in its Keep-Alive header.
+      keepAliveMaxTimeout: this.idleLimitMs,
+      connect: { timeout: this.connectTimeoutMs },
+    };
+  }
+
+  // Guards against a middlebox that has lost track of connections: one of them went silent, so
+  // its neighbours in the pool are in doubt too while a new connection may work. No request
+  // starts on them any more; those in progress go on under their own silence limits.
+  private retire(target: TargetAddress, dispatcher: Dispatcher): void {
+    const key = HttpTargetPort.keyOf(target);
+    const known = this.connections.get(key);
+    if (known?.tasks !== dispatcher) return;
+    this.connections.delete(key);
+    void known.tasks.close().catch(() => undefined);
+    void known.controls.close().catch(() => undefined);
+  }
+
+  // Status and control calls are idempotent. The second try runs on a new connection (the client
+  // drops its old ones after a failure), which tells a dead connection from a dead target.
+  private async send(
+    target: TargetAddress,
+    request: Omit<JsonRequest, 'timeoutMs'>,
+  ): Promise<JsonAnswer | undefined> {
+    const timed = { ...request, timeoutMs: this.controlTimeoutMs };
+    const { controls } = this.getConnections(target);
+    try {
+      return await controls.send(timed);
+    } catch {
+      return this.getConnections(target)
+        .controls.send(timed)
+        .catch(() => undefined);
+    }
+  }
+
+  private static keyOf(target: TargetAddress): string {
+    return `${target.host}:${target.port}`;
+  }
+
+  private static originOf(target: TargetAddress): string {
+    return `http://${HttpTargetPort.keyOf(target)}`;
+  }
+}
--- /dev/null
+++ b/src/targets/TaskExchange.ts
@@ -0,0 +1,238 @@
+import { Readable } from 'node:stream';
+import type { IncomingHttpHeaders } from 'undici/types/header.js';
+import type { Dispatcher } from 'undici';
+import { RattanliftError } from '../errors/index.js';
+import { assertNever } from '../utils/index.js';
+import { TASK_HEADERS, TASK_OUTCOMES } from './taskHeaders.js';
+import type { TaskResult } from './TargetPort.js';
+
+type Controller = Dispatcher.DispatchController;
+
+const HTTP_FIRST_FINAL_STATUS = 200;
+const HTTP_NO_CONTENT = 204;
+const HTTP_NOT_MODIFIED = 304;
+const HTTP_UNAVAILABLE = 503;
+
+/** Options of {@link TaskExchange}. */
+export interface TaskExchangeOptions {
+  /** Longest wait for a connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** Longest silence of the target once the request may have left, in milliseconds. */
+  readonly silenceLimitMs: number;
+  /** Called once when the target was silent for too long. */
+  readonly onSilent: () => void;
+  /** Called once when nothing more will happen. */
+  readonly onEnded: () => void;
+}
+
+/**
+ * How far an exchange is: no byte of the request has left, some may have, the answer has begun,
+ * the rest of the answer is skipped, or all is over.
+ */
+type Phase = 'connecting' | 'sent' | 'answering' | 'skipping' | 'ended';
+
+/**
+ * One task's request and answer, which knows at each moment whether the task can have started.
+ * @internal
+ */
+export class TaskExchange implements Dispatcher.DispatchHandler {
+  /** How the attempt ended or began to answer; it never rejects. */
+  readonly result: Promise<TaskResult>;
+
+  private readonly options: TaskExchangeOptions;
+
+  private readonly settle: (result: TaskResult) => void;
+
+  private phase: Phase = 'connecting';
+
+  private controller: Controller | undefined;
+
+  private body: Readable | undefined;
+
+  private endsOnlyByClose = false;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  /**
+   * Creates an exchange that waits for its connection.
+   * @param options - Limits, and whom to tell.
+   */
+  constructor(options: TaskExchangeOptions) {
+    this.options = options;
+    let settle: (result: TaskResult) => void = () => undefined;
+    this.result = new Promise((resolve) => {
+      settle = resolve;
+    });
+    this.settle = settle;
+    this.watch(options.connectTimeoutMs);
+  }
+
+  /**
+   * Gives up on the exchange for its caller.
+   * @returns Whether the request may have left, so that the task has to be stopped.
+   */
+  cancel(): boolean {
+    const mayRun = this.phase === 'sent' || this.phase === 'answering';
+    this.giveUp('cancelled', 'The request was cancelled.');
+    return mayRun;
+  }
+
+  /**
+   * Learns that the request is about to be written.
+   * @param controller - Control over the request.
+   */
+  onRequestStart(controller: Controller): void {
+    // The library calls this immediately before the first byte, and again where it would repeat
+    // a request by itself. A request that was given up or sent once must not leave (again):
+    // an abort from here keeps every byte back, which makes `not-started` true for the former.
+    if (this.phase !== 'connecting') {
+      this.fail('connection-lost', 'The connection was lost.');
+      controller.abort(new Error('not to be sent'));
+      return;
+    }
+    this.controller = controller;
+    this.phase = 'sent';
+    this.watch(this.options.silenceLimitMs);
+  }
+
+  /**
+   * Receives the head of an answer, or of an interim one, which only shows progress.
+   * @param _controller - Control over the request.
+   * @param httpStatus - Status of the answer.
+   * @param headers - Headers of the answer.
+   */
+  onResponseStart(_controller: Controller, httpStatus: number, headers: IncomingHttpHeaders): void {
+    if (this.phase !== 'sent') return;
+    this.watch(this.options.silenceLimitMs);
+    if (httpStatus < HTTP_FIRST_FINAL_STATUS) return;
+    const outcome = headers[TASK_HEADERS.outcome];
+    if (httpStatus === HTTP_UNAVAILABLE && outcome === TASK_OUTCOMES.notStarted) {
+      this.phase = 'skipping';
+      const reason = String(headers[TASK_HEADERS.reason] ?? 'the target refused the task');
+      this.settle({ type: 'not-started', reason });
+      return;
+    }
+    if (outcome === TASK_OUTCOMES.stopped) {
+      this.phase = 'skipping';
+      this.settle({ type: 'unknown', reason: 'cancelled' });
+      return;
+    }
+    this.beginAnswer(httpStatus, headers);
+  }
+
+  /**
+   * Receives a part of the answer.
+   * @param controller - Control over the request.
+   * @param chunk - The part.
+   */
+  onResponseData(controller: Controller, chunk: Buffer): void {
+    this.watch(this.options.silenceLimitMs);
+    if (this.phase !== 'answering') return;
+    if (this.body!.push(chunk)) return;
+    // The reader is slow: that is not the target's silence, so the watch rests until it reads on.
+    clearTimeout(this.timer);
+    controller.pause();
+  }
+
+  /** Learns that the answer has arrived whole. */
+  onResponseEnd(): void {
+    if (this.phase === 'answering' && this.endsOnlyByClose) {
+      // Guards against an answer cut off by a dying target or middlebox: without a declared
+      // length its end looks like any other, so such an answer never counts as whole.
+      this.fail('connection-lost', 'The answer ended without a declared length.');
+      return;
+    }
+    if (this.phase === 'answering') this.body!.push(null);
+    this.end();
+  }
+
+  /**
+   * Learns that the exchange failed.
+   * @param _controller - Control over the request.
+   * @param error - What happened.
+   */
+  onResponseError(_controller: Controller | undefined, error: Error): void {
+    this.fail('connection-lost', error.message);
+  }
+
+  private beginAnswer(httpStatus: number, headers: IncomingHttpHeaders): void {
+    const hasBody = httpStatus !== HTTP_NO_CONTENT && httpStatus !== HTTP_NOT_MODIFIED;
+    this.endsOnlyByClose =
+      hasBody &&
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined;
+    this.phase = 'answering';
+    const body = new Readable({
+      read: () => this.readOn(),
+      destroy: (error, done) => {
+        this.abandon();
+        done(error);
+      },
+    });
+    // An answer may break off before its reader listens; the stream keeps the error for it.
+    body.on('error', () => undefined);
+    this.body = body;
+    const contentType = String(headers['content-type'] ?? 'application/octet-stream');
+    this.settle({ type: 'answering', httpStatus, contentType, body });
+  }
+
+  private readOn(): void {
+    if (this.phase !== 'answering' || !this.controller?.paused) return;
+    this.watch(this.options.silenceLimitMs);
+    this.controller.resume();
+  }
+
+  private watch(limitMs: number): void {
+    clearTimeout(this.timer);
+    if (this.phase === 'ended') return;
+    this.timer = setTimeout(() => this.onSilence(limitMs), limitMs);
+  }
+
+  private onSilence(limitMs: number): void {
+    const { onSilent } = this.options;
+    this.giveUp('silent', `The target was silent for ${limitMs} ms.`);
+    onSilent();
+  }
+
+  private giveUp(reason: 'silent' | 'cancelled', message: string): void {
+    const { controller } = this;
+    this.fail(reason, message);
+    controller?.abort(new Error(message));
+  }
+
+  private fail(reason: 'silent' | 'connection-lost' | 'cancelled', message: string): void {
+    const { phase, body } = this;
+    this.end();
+    switch (phase) {
+      case 'connecting':
+        this.settle({ type: 'not-started', reason: message });
+        break;
+      case 'sent':
+        this.settle({ type: 'unknown', reason });
+        break;
+      case 'answering':
+        body!.destroy(new RattanliftError({ kind: 'answer-cut', message }));
+        break;
+      case 'skipping':
+      case 'ended':
+        break;
+      default:
+        assertNever(phase);
+    }
+  }
+
+  /** Breaks the exchange off when the reader of its answer has gone. */
+  private abandon(): void {
+    if (this.phase !== 'answering') return;
+    const { controller } = this;
+    this.end();
+    controller?.abort(new Error('The reader of the answer has gone.'));
+  }
+
+  private end(): void {
+    clearTimeout(this.timer);
+    if (this.phase === 'ended') return;
+    this.phase = 'ended';
+    this.options.onEnded();
+  }
+}
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -1,3 +1,4 @@
+export { HttpTargetPort, type HttpTargetPortOptions } from './HttpTargetPort.js';
 export type {
   TargetAddress,
   TargetPort,
@@ -5,3 +6,4 @@
   TaskRequest,
   TaskResult,
 } from './TargetPort.js';
+export { TASK_HEADERS, TASK_OUTCOMES } from './taskHeaders.js';
--- /dev/null
+++ b/src/utils/HttpJsonClient.ts
@@ -0,0 +1,99 @@
+import { Pool } from 'undici';
+
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_IDLE_LIMIT_MS = 4000;
+
+/** Options of {@link HttpJsonClient}. */
+export interface HttpJsonClientOptions {
+  readonly host: string;
+  readonly port: number;
+  /** Longest wait for a connection, in milliseconds. */
+  readonly connectTimeoutMs?: number;
+  /** Idle time after which a connection is not used again, in milliseconds. */
+  readonly idleLimitMs?: number;
+}
+
+/** A request with an optional JSON body. */
+export interface JsonRequest {
+  readonly method: 'GET' | 'POST' | 'PUT';
+  readonly path: string;
+  readonly body?: unknown;
+  /** Longest time until the whole answer is here, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** A whole answer. */
+export interface JsonAnswer {
+  readonly httpStatus: number;
+  /** Parsed body; undefined where the answer had none. */
+  readonly body: unknown;
+}
+
+/** Short exchanges of JSON over HTTP with one server, never repeated and never without an end. */
+export class HttpJsonClient {
+  private readonly options: HttpJsonClientOptions;
+
+  private pool: Pool;
+
+  /**
+   * Creates a client that connects at its first request.
+   * @param options - Address and limits.
+   */
+  constructor(options: HttpJsonClientOptions) {
+    this.options = options;
+    this.pool = this.createPool();
+  }
+
+  /**
+   * Sends one request and reads its whole answer.
+   * @param request - What to send and how long to wait.
+   * @returns The answer, whatever its status.
+   * @throws Error Where no whole answer came in time; the request may have taken effect.
+   */
+  async send(request: JsonRequest): Promise<JsonAnswer> {
+    const { pool } = this;
+    try {
+      const response = await pool.request({
+        method: request.method,
+        path: request.path,
+        headers: { accept: 'application/json', 'content-type': 'application/json' },
+        body: request.body === undefined ? null : JSON.stringify(request.body),
+        signal: AbortSignal.timeout(request.timeoutMs),
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      const text = await response.body.text();
+      const body: unknown = text === '' ? undefined : JSON.parse(text);
+      return { httpStatus: response.statusCode, body };
+    } catch (error) {
+      this.retire(pool);
+      throw error;
+    }
+  }
+
+  /** Ends every connection; requests in progress fail. */
+  async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  // Guards against a middlebox that has forgotten the open connections: requests on them get no
+  // answer while a new connection would work. After a failure no old connection is used again;
+  // requests still in progress on them end by their own timeouts.
+  private retire(pool: Pool): void {
+    if (this.pool !== pool || pool.destroyed) return;
+    this.pool = this.createPool();
+    void pool.close().catch(() => undefined);
+  }
+
+  private createPool(): Pool {
+    const { host, port, connectTimeoutMs, idleLimitMs } = this.options;
+    const keepAliveMs = idleLimitMs ?? DEFAULT_IDLE_LIMIT_MS;
+    return new Pool(`http://${host}:${port}`, {
+      pipelining: 1,
+      keepAliveTimeout: keepAliveMs,
+      // Bounds what a server may ask for in its Keep-Alive header.
+      keepAliveMaxTimeout: keepAliveMs,
+      connect: { timeout: connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
+    });
+  }
+}
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,5 +1,11 @@
 export { assertNever } from './assertNever.js';
 export type { Clock } from './Clock.js';
+export {
+  HttpJsonClient,
+  type HttpJsonClientOptions,
+  type JsonAnswer,
+  type JsonRequest,
+} from './HttpJsonClient.js';
 export { hashText } from './hashText.js';
 export { rankByRendezvous } from './rankByRendezvous.js';
 export { KeyedOnce } from './KeyedOnce.js';
