Serve the operators' interface over HTTP, with its client

Cause: operators drive the daemons through a separate tool, and any daemon may be gone while they do. Ruled out: sending every order again after a lost answer (a wave would conflict with itself); sending none again (a publication carries its base version and is safe to repeat). Change: registerOperatorRoutes answers everything of OperatorPort under /operators/v1 with errors by the table; a document is checked before it costs a record. OperatorClient asks the daemons in turn; an order that is not repeatable ends as outcome-unknown when its answer was lost. RattanliftError stays as it is: the problems of a document travel in the answer only. Conclusion: the daemon can mount the routes on its HTTP server.

--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -1,3 +1,14 @@
+export {
+  DaemonTransport,
+  type DaemonRequest,
+  type DaemonTransportOptions,
+} from './DaemonTransport.js';
+export { type ErrorBody, fromErrorBody, toErrorBody } from './ErrorBody.js';
+export {
+  OperatorClient,
+  type OperatorClientOptions,
+  type PublishRequest,
+} from './OperatorClient.js';
 export type {
   InstanceView,
   OperatorPort,
@@ -7,3 +18,4 @@
   VmView,
   WaveView,
 } from './OperatorPort.js';
+export { OPERATOR_PREFIX, registerOperatorRoutes } from './registerOperatorRoutes.js';
