Carry messages between instances over TCP with cbor-x

Cause: the daemon needs its transport between instances. Change: length-prefixed CBOR frames, a hello that names the expected instance, numbered calls, heartbeats at both ends, and a client that reopens lost connections with a bounded wait. Ruled out: heartbeats by clock readings; counted ones do not drop a connection after a freeze. Conclusion: calls fail or are answered once, and never by another instance or call.

--- a/src/errors/throwError.ts
+++ b/src/errors/throwError.ts
@@ -26,5 +26,6 @@
 export function toRattanliftError(thrown: unknown, kind: ErrorKind = 'internal'): RattanliftError {
   if (thrown instanceof RattanliftError) return thrown;
   const cause = thrown instanceof Error ? thrown : new Error(String(thrown));
-  return new RattanliftError({ kind, message: cause.message, cause });
+  // VError appends the cause's message to the one given here.
+  return new RattanliftError({ kind, message: cause.name, cause });
 }
--- /dev/null
+++ b/src/peers/PeerClient.ts
@@ -0,0 +1,71 @@
+import { throwError } from '../errors/index.js';
+import type { EventLog } from '../logging/index.js';
+import { DEFAULT_HEARTBEAT, type HeartbeatOptions } from './HeartbeatOptions.js';
+import { PeerLink, type ReopenOptions } from './PeerLink.js';
+import type { PeerAddress, PeerPort, PeerReply, PeerRequest } from './PeerMessage.js';
+
+/** Links above which those of instances that are gone are forgotten. */
+const MAX_IDLE_LINKS = 64;
+
+const DEFAULT_REOPEN: ReopenOptions = { reopenMinMs: 50, reopenMaxMs: 1000 };
+
+/** Options of {@link PeerClient}. */
+export interface PeerClientOptions {
+  /** Id of this instance. */
+  readonly instance: string;
+  readonly events: EventLog;
+  readonly heartbeat?: HeartbeatOptions;
+  readonly reopen?: ReopenOptions;
+}
+
+/** Calls other instances over TCP, with one connection for each. */
+export class PeerClient implements PeerPort {
+  private readonly options: PeerClientOptions;
+
+  private readonly links = new Map<string, PeerLink>();
+
+  private stopped = false;
+
+  /**
+   * Creates a client without connections.
+   * @param options - Who calls, and how connections are watched.
+   */
+  constructor(options: PeerClientOptions) {
+    this.options = options;
+  }
+
+  /** {@inheritDoc PeerPort.call} */
+  async call(peer: PeerAddress, request: PeerRequest, waitMs: number): Promise<PeerReply> {
+    if (this.stopped) throwError('peer-unavailable', 'This instance stops.');
+    return this.getLink(peer).call(request, waitMs);
+  }
+
+  /** Closes every connection and fails every call. */
+  stop(): void {
+    this.stopped = true;
+    this.links.forEach((link) => link.stop());
+    this.links.clear();
+  }
+
+  private getLink(peer: PeerAddress): PeerLink {
+    const key = `${peer.instance} ${peer.host}:${peer.port}`;
+    const known = this.links.get(key);
+    if (known) return known;
+    if (this.links.size >= MAX_IDLE_LINKS) this.forgetIdleLinks();
+    const link = this.createLink(peer);
+    this.links.set(key, link);
+    return link;
+  }
+
+  private createLink(peer: PeerAddress): PeerLink {
+    const { instance, events } = this.options;
+    const { heartbeat = DEFAULT_HEARTBEAT, reopen = DEFAULT_REOPEN } = this.options;
+    return new PeerLink({ instance, peer, events, heartbeat, reopen });
+  }
+
+  private forgetIdleLinks(): void {
+    this.links.forEach((link, key) => {
+      if (link.idle) this.links.delete(key);
+    });
+  }
+}
--- /dev/null
+++ b/src/peers/PeerServerConnection.ts
@@ -0,0 +1,129 @@
+import type { Socket } from 'node:net';
+import { RattanliftError, throwError, toRattanliftError } from '../errors/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { HeartbeatOptions } from './HeartbeatOptions.js';
+import { type ConnectionClosure, PeerConnection } from './PeerConnection.js';
+import type { PeerFrame } from './PeerFrame.js';
+import type { PeerHandler, PeerReply } from './PeerMessage.js';
+import { parsePeerRequest } from './peerSchemas.js';
+
+/**
+ * Options of {@link PeerServerConnection}.
+ * @internal
+ */
+export interface PeerServerConnectionOptions {
+  readonly socket: Socket;
+  readonly instance: string;
+  readonly handler: PeerHandler;
+  readonly events: EventLog;
+  readonly heartbeat: HeartbeatOptions;
+  readonly onClosed: () => void;
+}
+
+/**
+ * The serving end of a connection: checks the hello, then answers each request once.
+ * @internal
+ */
+export class PeerServerConnection {
+  private readonly options: PeerServerConnectionOptions;
+
+  private readonly connection: PeerConnection;
+
+  /** Instance at the other end, once it has said hello. */
+  private from: string | undefined;
+
+  private lastRequestNumber = 0;
+
+  /**
+   * Takes over an accepted socket.
+   * @param options - The socket and who answers on it.
+   */
+  constructor(options: PeerServerConnectionOptions) {
+    this.options = options;
+    this.connection = new PeerConnection({
+      socket: options.socket,
+      heartbeat: options.heartbeat,
+      onFrame: (frame) => this.receive(frame),
+      onClosed: (closure) => this.finish(closure),
+    });
+  }
+
+  /** Closes the connection after the replies that were already given. */
+  stop(): void {
+    this.connection.closeAfterWrites('this instance stops');
+  }
+
+  private receive(frame: PeerFrame): void {
+    if (frame.kind === 'hello') this.greet(frame.from, frame.to);
+    else if (frame.kind === 'request') void this.answer(frame.number, frame.request);
+    else throwError('bad-request', `A ${frame.kind} came to a serving end.`);
+  }
+
+  /**
+   * Guards against a restarted daemon that answers for its predecessor on the same address: it
+   * knows nothing of the predecessor's grants, and its "no such grant" would be taken for the
+   * predecessor's word. An instance id is never used twice, so comparing it is enough.
+   */
+  private greet(from: string, to: string): void {
+    const { instance, events } = this.options;
+    if (this.from !== undefined) throwError('bad-request', 'A second hello came.');
+    if (to !== instance) {
+      events.write('peerMismatched', { peer: from, expectedInstance: to });
+      this.connection.closeAfterWrites(`the peer expected ${to}`);
+      return;
+    }
+    this.from = from;
+    const number = this.connection.takeNumber();
+    this.connection.send({ kind: 'hello', number, from: instance, to: from });
+    events.write('peerConnected', { peer: from, opened: 'by-peer' });
+  }
+
+  private async answer(number: number, value: unknown): Promise<void> {
+    if (this.from === undefined) {
+      this.connection.reject('a request came before the hello');
+      return;
+    }
+    if (number <= this.lastRequestNumber) {
+      this.connection.reject('a request number came twice');
+      return;
+    }
+    this.lastRequestNumber = number;
+    this.sendReply(number, await this.handle(this.from, value));
+  }
+
+  private async handle(from: string, value: unknown): Promise<PeerReply> {
+    try {
+      return await this.options.handler(from, parsePeerRequest(value));
+    } catch (thrown) {
+      if (!(thrown instanceof RattanliftError)) this.logFailure(from, thrown);
+      const { kind, message, retryAtMs } = toRattanliftError(thrown);
+      return { type: 'refused', kind, message, retryAtMs };
+    }
+  }
+
+  private sendReply(number: number, reply: PeerReply): void {
+    try {
+      this.connection.send({ kind: 'reply', number, reply });
+    } catch (thrown) {
+      const { kind, message } = toRattanliftError(thrown);
+      this.logFailure(this.from!, thrown);
+      this.connection.send({
+        kind: 'reply',
+        number,
+        reply: { type: 'refused', kind, message },
+      });
+    }
+  }
+
+  private logFailure(peer: string, thrown: unknown): void {
+    this.options.events.write('peerHandlerFailed', { peer, error: String(thrown) });
+  }
+
+  private finish({ type, reason }: ConnectionClosure): void {
+    const { events, onClosed, socket } = this.options;
+    const peer = this.from ?? socket.remoteAddress ?? 'unknown';
+    if (type === 'rejected') events.write('frameRejected', { peer, reason });
+    else if (this.from !== undefined) events.write('peerLost', { peer, reason });
+    onClosed();
+  }
+}
--- /dev/null
+++ b/src/peers/frameCodec.ts
@@ -0,0 +1,58 @@
+import { Encoder, setSizeLimits } from 'cbor-x';
+import { z } from 'zod';
+import { throwError } from '../errors/index.js';
+import { type PeerFrame, peerFrameSchema } from './PeerFrame.js';
+
+/** Bytes of the big-endian length before each frame. */
+export const FRAME_HEADER_BYTES = 4;
+
+/** Largest frame without its header, in bytes. */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+// A few bytes can announce an array of billions of items, for which the decoder would reserve
+// memory before it finds that they are missing. No item is shorter than one byte.
+setSizeLimits({
+  maxArraySize: MAX_FRAME_BYTES,
+  maxMapSize: MAX_FRAME_BYTES,
+  maxObjectSize: MAX_FRAME_BYTES,
+});
+
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
+
+/**
+ * Encodes a frame with its length.
+ * @param frame - The frame.
+ * @returns The bytes to send.
+ * @throws RattanliftError Of kind `internal` where the frame is larger than the limit.
+ * @internal
+ */
+export function encodeFrame(frame: PeerFrame): Buffer {
+  const payload = codec.encode(frame);
+  if (payload.length > MAX_FRAME_BYTES) {
+    throwError('internal', `A frame of ${payload.length} bytes exceeds ${MAX_FRAME_BYTES}.`);
+  }
+  const header = Buffer.allocUnsafe(FRAME_HEADER_BYTES);
+  header.writeUInt32BE(payload.length);
+  return Buffer.concat([header, payload]);
+}
+
+function decodeCbor(payload: Buffer): unknown {
+  try {
+    return codec.decode(payload);
+  } catch (thrown) {
+    return throwError('bad-request', `The frame is no CBOR: ${String(thrown)}`);
+  }
+}
+
+/**
+ * Decodes a frame.
+ * @param payload - The bytes after the header.
+ * @returns The frame.
+ * @throws RattanliftError Of kind `bad-request` where the bytes are no frame.
+ * @internal
+ */
+export function decodeFrame(payload: Buffer): PeerFrame {
+  const result = peerFrameSchema.safeParse(decodeCbor(payload));
+  if (result.success) return result.data;
+  return throwError('bad-request', `The frame is malformed: ${z.prettifyError(result.error)}`);
+}
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -1,3 +1,6 @@
+export { DEFAULT_HEARTBEAT, type HeartbeatOptions } from './HeartbeatOptions.js';
+export { PeerClient, type PeerClientOptions } from './PeerClient.js';
+export type { ReopenOptions } from './PeerLink.js';
 export type {
   GrantReply,
   GrantRequest,
@@ -9,3 +12,4 @@
   PeerReply,
   PeerRequest,
 } from './PeerMessage.js';
+export { PeerServer, type PeerServerOptions } from './PeerServer.js';
--- /dev/null
+++ b/src/peers/peerSchemas.ts
@@ -0,0 +1,110 @@
+import { z } from 'zod';
+import { ERROR_ANSWERS, type ErrorKind, throwError } from '../errors/index.js';
+import type { PeerReply, PeerRequest } from './PeerMessage.js';
+
+const id = z.string().min(1).max(200);
+const text = z.string();
+const count = z.int().nonnegative();
+const urgency = z.enum(['urgent', 'normal', 'overnight']);
+const outcome = z.enum(['run', 'not-run', 'unknown']);
+const errorKind = z.enum(Object.keys(ERROR_ANSWERS) as [ErrorKind, ...ErrorKind[]]);
+const entries = z.array(z.object({ offset: count, payload: z.unknown() }));
+
+// Objects are not strict: an instance of a later version may send fields that this one ignores.
+const requestSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('request-grant'),
+    requestId: id,
+    pool: id,
+    team: id,
+    jobKind: id,
+    urgency,
+    coreCount: z.number().nonnegative(),
+    memoryMb: z.number().nonnegative(),
+    idempotent: z.boolean(),
+    deadlineAtMs: z.number(),
+    fingerprint: text,
+    excludedVms: z.array(id),
+  }),
+  z.object({ type: z.literal('cancel-request'), pool: id, requestId: id }),
+  z.object({
+    type: z.literal('finish-grant'),
+    pool: id,
+    grantId: id,
+    result: z.enum(['run', 'failed', 'not-started', 'unknown']),
+    outcome,
+    ranMs: z.number().nonnegative(),
+  }),
+  z.object({ type: z.literal('renew-grants'), pool: id, grantIds: z.array(id) }),
+  z.object({ type: z.literal('list-grants'), pool: id }),
+  z.object({ type: z.literal('push-entries'), entries }),
+  z.object({ type: z.literal('get-entries'), fromOffset: count, maxCount: count }),
+  z.object({ type: z.literal('get-pool-state'), pool: id }),
+  z.object({ type: z.literal('get-job'), jobId: id }),
+  z.object({ type: z.literal('cancel-job'), jobId: id }),
+  z.object({ type: z.literal('explain'), subject: text }),
+]);
+
+const heldGrant = z.object({
+  grantId: id,
+  requestId: id,
+  team: id,
+  jobKind: id,
+  urgency,
+  vm: id,
+  coreCount: z.number(),
+  memoryMb: z.number(),
+});
+
+const replySchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('granted'),
+    grantId: id,
+    term: count,
+    vm: id,
+    host: text,
+    port: z.int(),
+    heldMs: z.number(),
+  }),
+  z.object({
+    type: z.literal('refused'),
+    kind: errorKind,
+    message: text,
+    retryAtMs: z.number().optional(),
+  }),
+  z.object({ type: z.literal('done') }),
+  z.object({ type: z.literal('grants'), grants: z.array(heldGrant) }),
+  z.object({ type: z.literal('entries'), entries }),
+  z.object({ type: z.literal('state'), json: text }),
+]);
+
+function throwMalformed(what: string, error: z.ZodError): never {
+  const field = error.issues[0]?.path.join('.');
+  return throwError('bad-request', `The ${what} is malformed: ${z.prettifyError(error)}`, {
+    field,
+  });
+}
+
+/**
+ * Checks the request of a peer.
+ * @param value - What the frame held.
+ * @returns The request.
+ * @throws RattanliftError Of kind `bad-request` with the field at fault.
+ * @internal
+ */
+export function parsePeerRequest(value: unknown): PeerRequest {
+  const result = requestSchema.safeParse(value);
+  return result.success ? result.data : throwMalformed('request', result.error);
+}
+
+/**
+ * Checks the reply of a peer.
+ * @param value - What the frame held.
+ * @returns The reply.
+ * @throws RattanliftError Of kind `bad-request` with the field at fault.
+ * @internal
+ */
+export function parsePeerReply(value: unknown): PeerReply {
+  const result = replySchema.safeParse(value);
+  return result.success ? result.data : throwMalformed('reply', result.error);
+}
--- /dev/null
+++ b/tests/peers/PeerClient.test.ts
@@ -0,0 +1,261 @@
+import { connect } from 'node:net';
+import { afterEach, describe, expect, it, vi } from 'vitest';
+import { throwError } from '../../src/errors/index.js';
+import { type EventName, MemoryEventLog } from '../../src/logging/index.js';
+import {
+  PeerClient,
+  type PeerHandler,
+  type PeerReply,
+  type PeerRequest,
+  PeerServer,
+} from '../../src/peers/index.js';
+import { TcpForwarder } from './TcpForwarder.js';
+
+const HOST = '127.0.0.1';
+const LONG_MS = 30_000;
+const heartbeat = { heartbeatMs: 10, silentHeartbeatLimit: 10 };
+const reopen = { reopenMinMs: 5, reopenMaxMs: 20 };
+const cleanups: (() => unknown)[] = [];
+
+const echo: PeerHandler = async (from, request) => ({
+  type: 'state',
+  json: request.type === 'explain' ? `${from} ${request.subject}` : request.type,
+});
+
+const explain = (subject: string): PeerRequest => ({ type: 'explain', subject });
+
+async function startServer(handler: PeerHandler = echo, instance = 'b', port = 0) {
+  const events = new MemoryEventLog();
+  const server = new PeerServer({ instance, host: HOST, port, handler, events, heartbeat });
+  const address = await server.start();
+  cleanups.push(() => server.stop());
+  return { server, events, peer: { instance, host: HOST, port: address.port } };
+}
+
+function createClient() {
+  const events = new MemoryEventLog();
+  const client = new PeerClient({ instance: 'a', events, heartbeat, reopen });
+  cleanups.push(() => client.stop());
+  return { client, events };
+}
+
+const waitForEvent = (log: MemoryEventLog, event: EventName) =>
+  vi.waitFor(() => expect(log.events.map((kept) => kept.event)).toContain(event), LONG_MS);
+
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+describe('PeerClient.call', () => {
+  it('gives each of one thousand concurrent calls its own reply', async () => {
+    const held: { subject: string; resolve: (reply: PeerReply) => void }[] = [];
+    const { peer } = await startServer(
+      (_from, request) =>
+        new Promise((resolve) => {
+          held.push({ subject: request.type === 'explain' ? request.subject : '', resolve });
+          if (held.length < 1000) return;
+          held.reverse().forEach((call) => call.resolve({ type: 'state', json: call.subject }));
+        }),
+    );
+    const { client } = createClient();
+    const subjects = Array.from({ length: 1000 }, (_, index) => `subject ${index}`);
+
+    const replies = await Promise.all(
+      subjects.map((subject) => client.call(peer, explain(subject), LONG_MS)),
+    );
+
+    expect(replies).toEqual(subjects.map((json) => ({ type: 'state', json })));
+  });
+
+  it('carries every field of a request and a reply', async () => {
+    const entries = [{ offset: 7, payload: { recordId: 'r', at: 1_790_000_000_123, none: null } }];
+    const seen: PeerRequest[] = [];
+    const { peer } = await startServer(async (_from, request) => {
+      seen.push(request);
+      return { type: 'entries', entries };
+    });
+    const request: PeerRequest = { type: 'push-entries', entries };
+    const { client } = createClient();
+    expect(await client.call(peer, request, LONG_MS)).toEqual({ type: 'entries', entries });
+    expect(seen).toEqual([request]);
+  });
+
+  it.each([
+    {
+      name: 'an error of a kind',
+      handler: () => throwError('queue-full', 'Too many.', { retryAtMs: 5000 }),
+      expected: { type: 'refused', kind: 'queue-full', message: 'Too many.', retryAtMs: 5000 },
+    },
+    {
+      name: 'any other error',
+      handler: () => {
+        throw new TypeError('slip');
+      },
+      expected: { type: 'refused', kind: 'internal', message: 'TypeError: slip' },
+    },
+    {
+      name: 'a reply over the frame limit',
+      handler: async () => ({ type: 'state', json: 'x'.repeat(5_000_000) }) as const,
+      expected: { type: 'refused', kind: 'internal' },
+    },
+  ])('turns $name of the handler into a refused reply', async ({ handler, expected }) => {
+    const { peer } = await startServer(async () => handler());
+    expect(await createClient().client.call(peer, explain('x'), LONG_MS)).toMatchObject(expected);
+  });
+
+  it('refuses a malformed request, names its field and keeps the connection', async () => {
+    const { peer, events } = await startServer();
+    const { client } = createClient();
+    const malformed = { type: 'list-grants', pool: 7 } as unknown as PeerRequest;
+    const reply = await client.call(peer, malformed, LONG_MS);
+    expect(reply).toMatchObject({ type: 'refused', kind: 'bad-request' });
+    expect(reply).toHaveProperty('message', expect.stringContaining('pool'));
+    await client.call(peer, explain('x'), LONG_MS);
+    expect(events.events.map(({ event }) => event)).toEqual(['peerConnected']);
+  });
+
+  it('does not send what is too large', async () => {
+    const { peer } = await startServer();
+    const call = createClient().client.call(peer, explain('x'.repeat(5_000_000)), LONG_MS);
+    await expect(call).rejects.toMatchObject({ kind: 'internal' });
+  });
+
+  it('drops a reply that comes after its call gave up', async () => {
+    // A caller waits for a page while the home is slow. The entry instance gives the first call up
+    // and asks again; then the first reply arrives. Were it taken for the second call's, the
+    // caller would get another request's slot.
+    const resolvers: ((reply: PeerReply) => void)[] = [];
+    const { peer } = await startServer(
+      () =>
+        new Promise((resolve) => {
+          resolvers.push(resolve);
+        }),
+    );
+    const { client, events } = createClient();
+    const warmUp = client.call(peer, explain('warm-up'), LONG_MS);
+    await vi.waitFor(() => expect(resolvers).toHaveLength(1), LONG_MS);
+    resolvers.shift()!({ type: 'done' });
+    await warmUp;
+    await expect(client.call(peer, explain('first'), 5)).rejects.toMatchObject({
+      kind: 'peer-unavailable',
+    });
+    const second = client.call(peer, explain('second'), LONG_MS);
+    await vi.waitFor(() => expect(resolvers).toHaveLength(2), LONG_MS);
+
+    resolvers[0]!({ type: 'state', json: 'first' });
+    await waitForEvent(events, 'replyDropped');
+    resolvers[1]!({ type: 'state', json: 'second' });
+
+    expect(await second).toEqual({ type: 'state', json: 'second' });
+  });
+
+  it('leaves a silent connection and works over a new one', async () => {
+    // A middlebox loses track of an open connection: nothing arrives any more and no reset comes.
+    // Callers of one entry VM would wait for their whole deadline, though a new connection works.
+    const { peer } = await startServer();
+    const forwarder = new TcpForwarder(peer.port);
+    const port = await forwarder.start();
+    cleanups.push(() => forwarder.stop());
+    const { client, events } = createClient();
+    const through = { ...peer, port };
+    await client.call(through, explain('before'), LONG_MS);
+
+    forwarder.forgetConnections();
+
+    const stuck = client.call(through, explain('stuck'), LONG_MS);
+    await expect(stuck).rejects.toThrow('silent');
+    expect(events.events.at(-1)).toMatchObject({ event: 'peerLost' });
+    expect(await client.call(through, explain('after'), LONG_MS)).toMatchObject({
+      json: 'a after',
+    });
+    expect(forwarder.connectionCount).toBe(2);
+  });
+
+  it('keeps an idle connection that answers pings', async () => {
+    const { peer } = await startServer();
+    const forwarder = new TcpForwarder(peer.port);
+    const port = await forwarder.start();
+    cleanups.push(() => forwarder.stop());
+    const { client } = createClient();
+    await client.call({ ...peer, port }, explain('x'), LONG_MS);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 3 * heartbeat.heartbeatMs * heartbeat.silentHeartbeatLimit);
+    });
+    await client.call({ ...peer, port }, explain('x'), LONG_MS);
+    expect(forwarder.connectionCount).toBe(1);
+  });
+
+  it('is not answered by a restarted daemon on the same port', async () => {
+    // A daemon restarts on its old address and port with a new instance id. An entry instance asks
+    // the old one which grants it still uses; "none", said by the new one, would free slots that
+    // are in use, and two jobs would share one.
+    const first = await startServer(echo, 'b-1');
+    const { client, events } = createClient();
+    await client.call(first.peer, explain('x'), LONG_MS);
+    await first.server.stop();
+    await waitForEvent(events, 'peerLost');
+    let handledCount = 0;
+    const second = await startServer(
+      async () => {
+        handledCount += 1;
+        return { type: 'done' };
+      },
+      'b-2',
+      first.peer.port,
+    );
+
+    const call = client.call(first.peer, explain('x'), LONG_MS);
+
+    await expect(call).rejects.toMatchObject({ kind: 'peer-unavailable' });
+    await waitForEvent(second.events, 'peerMismatched');
+    expect(handledCount).toBe(0);
+    expect(await client.call(second.peer, explain('x'), LONG_MS)).toEqual({ type: 'done' });
+  });
+
+  it('fails outstanding calls at once when the server stops', async () => {
+    const { server, peer, events } = await startServer(() => new Promise(() => {}));
+    const { client } = createClient();
+    const calls = [client.call(peer, explain('x'), LONG_MS), client.call(peer, explain('y'), 1e12)];
+    const settled = Promise.allSettled(calls);
+    await waitForEvent(events, 'peerConnected');
+    await server.stop();
+    expect((await settled).map(({ status }) => status)).toEqual(['rejected', 'rejected']);
+    await expect(client.call(peer, explain('x'), LONG_MS)).rejects.toThrow('ECONNREFUSED');
+  });
+});
+
+describe('PeerServer', () => {
+  const hello = Buffer.from('a4646b696e646568656c6c6f666e756d6265720164', 'hex');
+
+  it.each([
+    { name: 'garbage', bytes: Buffer.from('GET / HTTP/1.1\r\n\r\n') },
+    { name: 'an oversized frame', bytes: Buffer.from([0x00, 0x40, 0x00, 0x01]) },
+    { name: 'an empty frame', bytes: Buffer.from([0, 0, 0, 0]) },
+    { name: 'a cut CBOR value', bytes: Buffer.concat([Buffer.from([0, 0, 0, 20]), hello]) },
+    { name: 'an array that claims 2^32 items', bytes: Buffer.from('000000059affffffff', 'hex') },
+    { name: 'CBOR that is no frame', bytes: Buffer.from([0, 0, 0, 1, 0x01]) },
+    // {kind: "request", number: 1} before any hello.
+    {
+      name: 'a request before the hello',
+      bytes: Buffer.from('00000016a2646b696e646772657175657374666e756d62657201', 'hex'),
+    },
+  ])('closes a connection that sends $name, and goes on', async ({ bytes }) => {
+    const { peer, events } = await startServer();
+    const socket = connect(peer.port, HOST);
+    socket.on('error', () => {});
+    const closed = new Promise((resolve) => {
+      socket.on('close', resolve);
+    });
+    socket.write(bytes);
+    await closed;
+    await waitForEvent(events, 'frameRejected');
+    expect(await createClient().client.call(peer, explain('x'), LONG_MS)).toMatchObject({
+      json: 'a x',
+    });
+  });
+
+  it('says which address it cannot have', async () => {
+    const { peer } = await startServer();
+    await expect(startServer(echo, 'c', peer.port)).rejects.toThrow(`${HOST}:${peer.port}`);
+  });
+});
--- /dev/null
+++ b/tests/peers/TcpForwarder.ts
@@ -0,0 +1,50 @@
+import { type AddressInfo, connect, createServer, type Socket } from 'node:net';
+
+/** Forwards TCP connections and can forget them: their bytes vanish, without a reset. */
+export class TcpForwarder {
+  private readonly sockets = new Set<Socket>();
+
+  private readonly server = createServer((near) => this.forward(near));
+
+  private readonly targetPort: number;
+
+  connectionCount = 0;
+
+  constructor(targetPort: number) {
+    this.targetPort = targetPort;
+  }
+
+  async start(): Promise<number> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Lets the bytes of every present connection vanish from now on. */
+  forgetConnections(): void {
+    this.sockets.forEach((socket) => {
+      socket.removeAllListeners('data');
+      socket.on('data', () => {});
+    });
+  }
+
+  stop(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+    this.server.close();
+  }
+
+  private forward(near: Socket): void {
+    const far = connect(this.targetPort, '127.0.0.1');
+    this.connectionCount += 1;
+    this.copy(near, far);
+    this.copy(far, near);
+  }
+
+  private copy(from: Socket, to: Socket): void {
+    this.sockets.add(from);
+    from.on('data', (bytes) => to.write(bytes));
+    from.on('error', () => {});
+    from.on('close', () => to.destroy());
+  }
+}
