Check the new fields of grant messages

Change: the schemas of messages know them, and keep fields that they do not know instead of dropping them without a word. Conclusion: a field that is added to a message reaches the other end.

--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -8,12 +8,13 @@
 const urgency = z.enum(['urgent', 'normal', 'overnight']);
 const outcome = z.enum(['run', 'not-run', 'unknown']);
 const errorKind = z.enum(Object.keys(ERROR_ANSWERS) as [ErrorKind, ...ErrorKind[]]);
-const entries = z.array(z.object({ offset: count, payload: z.unknown() }));
+const entries = z.array(z.looseObject({ offset: count, payload: z.unknown() }));
 
-// Objects are not strict: an instance of a later version may send fields that this one ignores.
+// Objects are loose: an instance of a later version may send fields that this one does not know.
 const requestSchema = z.discriminatedUnion('type', [
-  z.object({
+  z.looseObject({
     type: z.literal('request-grant'),
+    attemptId: id,
     requestId: id,
     pool: id,
     team: id,
@@ -26,26 +27,32 @@
     fingerprint: text,
     excludedVms: z.array(id),
   }),
-  z.object({ type: z.literal('cancel-request'), pool: id, requestId: id }),
-  z.object({
+  z.looseObject({ type: z.literal('cancel-request'), pool: id, attemptId: id }),
+  z.looseObject({
     type: z.literal('finish-grant'),
     pool: id,
     grantId: id,
+    requestId: id,
+    jobKind: id,
+    vm: id,
+    isClaimed: z.boolean(),
     result: z.enum(['run', 'failed', 'not-started', 'unknown']),
     outcome,
     ranMs: z.number().nonnegative(),
+    usedMemoryMb: z.number().nonnegative().optional(),
   }),
-  z.object({ type: z.literal('renew-grants'), pool: id, grantIds: z.array(id) }),
-  z.object({ type: z.literal('list-grants'), pool: id }),
-  z.object({ type: z.literal('push-entries'), entries }),
-  z.object({ type: z.literal('get-entries'), fromOffset: count, maxCount: count }),
-  z.object({ type: z.literal('get-pool-state'), pool: id }),
-  z.object({ type: z.literal('get-job'), jobId: id }),
-  z.object({ type: z.literal('cancel-job'), jobId: id }),
-  z.object({ type: z.literal('explain'), subject: text }),
+  z.looseObject({ type: z.literal('renew-grants'), pool: id, grantIds: z.array(id) }),
+  z.looseObject({ type: z.literal('list-grants'), pool: id }),
+  z.looseObject({ type: z.literal('push-entries'), entries }),
+  z.looseObject({ type: z.literal('get-entries'), fromOffset: count, maxCount: count }),
+  z.looseObject({ type: z.literal('get-tables') }),
+  z.looseObject({ type: z.literal('get-pool-state'), pool: id }),
+  z.looseObject({ type: z.literal('get-job'), jobId: id }),
+  z.looseObject({ type: z.literal('cancel-job'), jobId: id }),
+  z.looseObject({ type: z.literal('explain'), subject: text }),
 ]);
 
-const heldGrant = z.object({
+const heldGrant = z.looseObject({
   grantId: id,
   requestId: id,
   team: id,
@@ -57,7 +64,7 @@
 });
 
 const replySchema = z.discriminatedUnion('type', [
-  z.object({
+  z.looseObject({
     type: z.literal('granted'),
     grantId: id,
     term: count,
@@ -66,16 +73,16 @@
     port: z.int(),
     heldMs: z.number(),
   }),
-  z.object({
+  z.looseObject({
     type: z.literal('refused'),
     kind: errorKind,
     message: text,
     retryAtMs: z.number().optional(),
   }),
-  z.object({ type: z.literal('done') }),
-  z.object({ type: z.literal('grants'), grants: z.array(heldGrant) }),
-  z.object({ type: z.literal('entries'), entries }),
-  z.object({ type: z.literal('state'), json: text }),
+  z.looseObject({ type: z.literal('done') }),
+  z.looseObject({ type: z.literal('grants'), grants: z.array(heldGrant) }),
+  z.looseObject({ type: z.literal('entries'), entries }),
+  z.looseObject({ type: z.literal('state'), json: text }),
 ]);
 
 function throwMalformed(what: string, error: z.ZodError): never {
