--- /dev/null
+++ b/src/systems/BudgetTally.ts
@@ -0,0 +1,105 @@
+import type { AvailabilitySettings } from '../settings/index.js';
+import type { PoolTables, PoolVmRow } from '../tables/index.js';
+import type { BudgetVerdict } from './decisions.js';
+import { DomainSlots } from './DomainSlots.js';
+import { isQuarantined, listSteppedVms } from './vmStates.js';
+
+/** Options of {@link BudgetTally}. */
+export interface BudgetTallyOptions {
+  readonly tables: PoolTables;
+  /** Monotonic time, in milliseconds: it decides which quarantines still hold. */
+  readonly nowMs: number;
+}
+
+/** Running account of a pool's availability budget, cheap to ask again for each further VM. */
+export class BudgetTally {
+  private readonly availability: AvailabilitySettings;
+
+  private readonly neededSlotCount: number;
+
+  private readonly vmCount: number;
+
+  private readonly acceptingVms = new Map<string, PoolVmRow>();
+
+  private readonly slots: DomainSlots;
+
+  /**
+   * Counts the pool as it stands.
+   * @param options - State of the pool and the time.
+   */
+  constructor(options: BudgetTallyOptions) {
+    const { tables, nowMs } = options;
+    const steppedVms = listSteppedVms(tables);
+    this.availability = tables.settings.availability;
+    this.neededSlotCount = tables.settings.neededSlotCount;
+    this.vmCount = tables.vms.size;
+    this.slots = new DomainSlots(this.availability.failureDomain);
+    tables.vms
+      .list()
+      .filter((vm) => vm.condition === 'accepting' && vm.state === 'live')
+      .filter((vm) => !steppedVms.has(vm.vm) && !isQuarantined(tables, vm.vm, nowMs))
+      .forEach((vm) => this.count(vm));
+  }
+
+  /** Count of VMs that give no service, for whatever reason. */
+  get outVmCount(): number {
+    return this.vmCount - this.acceptingVms.size;
+  }
+
+  /** Most VMs that the declared fraction lets be out at once. */
+  get allowedOutVmCount(): number {
+    return Math.floor(this.availability.maxUnavailableFraction * this.vmCount);
+  }
+
+  /**
+   * Tells whether a VM gives service.
+   * @param vm - Name of the VM.
+   * @returns Whether it is counted as accepting.
+   */
+  isAccepting(vm: string): boolean {
+    return this.acceptingVms.has(vm);
+  }
+
+  /**
+   * Counts a VM as out from now on.
+   * @param vmName - Name of the VM; one that is out already changes nothing.
+   */
+  takeOut(vmName: string): void {
+    const vm = this.acceptingVms.get(vmName);
+    if (vm === undefined) return;
+    this.acceptingVms.delete(vmName);
+    this.slots.remove(vm);
+  }
+
+  /**
+   * Counts a VM as accepting again, after {@link takeOut}.
+   * @param vm - The VM.
+   */
+  count(vm: PoolVmRow): void {
+    this.acceptingVms.set(vm.vm, vm);
+    this.slots.add(vm);
+  }
+
+  /**
+   * Judges the pool as counted so far.
+   * @returns The slots to spare, or why the budget does not hold.
+   */
+  verdict(): BudgetVerdict {
+    const { outVmCount, allowedOutVmCount, neededSlotCount } = this;
+    if (outVmCount > allowedOutVmCount) {
+      return {
+        type: 'exceeded',
+        reason: `${outVmCount} of ${this.vmCount} VMs would be out; ${allowedOutVmCount} may be`,
+      };
+    }
+    const leftSlotCount = this.slots.countAfterLoss();
+    if (leftSlotCount < neededSlotCount) {
+      const domain = this.availability.failureDomain;
+      return {
+        type: 'exceeded',
+        reason: `${leftSlotCount} slots would be left after the loss of a ${domain}; ${neededSlotCount} are needed`,
+      };
+    }
+    return { type: 'within', spareSlotCount: leftSlotCount - neededSlotCount };
+  }
+}
--- /dev/null
+++ b/src/systems/DomainSlots.ts
@@ -0,0 +1,72 @@
+import type { FailureDomain } from '../settings/index.js';
+import type { VmRow } from '../tables/index.js';
+import { domainOf } from './domainOf.js';
+
+/** Slots of a set of VMs by failure domain. */
+export class DomainSlots {
+  private readonly failureDomain: FailureDomain;
+
+  private readonly slotCounts = new Map<string, number>();
+
+  private totalSlotCount = 0;
+
+  /**
+   * Starts with no VM.
+   * @param failureDomain - Kind of domain whose loss is to be survived.
+   */
+  constructor(failureDomain: FailureDomain) {
+    this.failureDomain = failureDomain;
+  }
+
+  /** Slots of all VMs in the set. */
+  get slotCount(): number {
+    return this.totalSlotCount;
+  }
+
+  /**
+   * Adds a VM's slots.
+   * @param vm - A VM outside the set.
+   */
+  add(vm: VmRow): void {
+    this.change(vm, vm.slotCount);
+  }
+
+  /**
+   * Takes a VM's slots away.
+   * @param vm - A VM of the set.
+   */
+  remove(vm: VmRow): void {
+    this.change(vm, -vm.slotCount);
+  }
+
+  /**
+   * Counts the slots in a VM's domain.
+   * @param vm - The VM.
+   * @returns Slots of the set in that domain.
+   */
+  countInDomainOf(vm: VmRow): number {
+    return this.slotCounts.get(domainOf(vm, this.failureDomain)) ?? 0;
+  }
+
+  /**
+   * Counts what remains when the largest domain is lost.
+   * @returns Slots outside the domain with the most slots.
+   */
+  countAfterLoss(): number {
+    return this.totalSlotCount - this.largestDomainSlotCount();
+  }
+
+  /**
+   * Counts the slots of the largest domain.
+   * @returns Slots that its loss costs.
+   */
+  largestDomainSlotCount(): number {
+    return [...this.slotCounts.values()].reduce((most, count) => Math.max(most, count), 0);
+  }
+
+  private change(vm: VmRow, bySlotCount: number): void {
+    const domain = domainOf(vm, this.failureDomain);
+    this.slotCounts.set(domain, (this.slotCounts.get(domain) ?? 0) + bySlotCount);
+    this.totalSlotCount += bySlotCount;
+  }
+}
--- /dev/null
+++ b/src/systems/PoolLoad.ts
@@ -0,0 +1,124 @@
+import type { Urgency } from '../settings/index.js';
+import type { GrantRow, PoolTables } from '../tables/index.js';
+import { domainOf } from './domainOf.js';
+import type { JobSize } from './learnedSize.js';
+import { VmLoad } from './VmLoad.js';
+import { isQuarantined } from './vmStates.js';
+
+/** How long a start counts as recent, in milliseconds. */
+const RECENT_START_MS = 200;
+/** Share of its cores that a throttled run keeps. */
+export const THROTTLED_CORE_FRACTION = 0.25;
+
+/** Options of {@link PoolLoad}. */
+export interface PoolLoadOptions {
+  readonly tables: PoolTables;
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+}
+
+/** Adds to a counter in a map. */
+function addTo<Key>(counts: Map<Key, number>, key: Key, by: number): void {
+  counts.set(key, (counts.get(key) ?? 0) + by);
+}
+
+/** What each accepting VM, rack, team and urgency of a pool holds at the moment. */
+export class PoolLoad {
+  readonly vmLoads: readonly VmLoad[];
+
+  private readonly loadByVm: ReadonlyMap<string, VmLoad>;
+
+  private readonly usedSlotsByRack = new Map<string, number>();
+
+  private readonly slotsByRack = new Map<string, number>();
+
+  private readonly heldByTeam = new Map<string, number>();
+
+  private readonly heldByUrgency = new Map<Urgency, number>();
+
+  private usedSlots = 0;
+
+  /**
+   * Counts the pool's grants.
+   * @param options - State of the pool and the time.
+   */
+  constructor(options: PoolLoadOptions) {
+    const { tables, nowMs } = options;
+    this.vmLoads = tables.vms
+      .list()
+      .filter((vm) => vm.condition === 'accepting' && vm.state === 'live')
+      .filter((vm) => !isQuarantined(tables, vm.vm, nowMs))
+      .map((vm) => new VmLoad(vm, tables.health.get(vm.vm)?.failedRequestIds.length ?? 0));
+    this.loadByVm = new Map(this.vmLoads.map((load) => [load.vm.vm, load]));
+    this.vmLoads.forEach(({ vm }) => addTo(this.slotsByRack, domainOf(vm, 'rack'), vm.slotCount));
+    tables.grants.list().forEach((grant) => {
+      const throttled = tables.preemptions.get(grant.grantId)?.action === 'throttle';
+      const coreCount = grant.coreCount * (throttled ? THROTTLED_CORE_FRACTION : 1);
+      const recent = nowMs - grant.grantedAtMs < RECENT_START_MS;
+      this.countRun(grant, { coreCount, memoryMb: grant.memoryMb }, recent);
+    });
+  }
+
+  /** Slots of the accepting VMs. */
+  get slotCount(): number {
+    return this.vmLoads.reduce((sum, load) => sum + load.vm.slotCount, 0);
+  }
+
+  /** Slots of the accepting VMs that no run holds. */
+  get freeSlotCount(): number {
+    return this.slotCount - this.usedSlots;
+  }
+
+  /**
+   * Gets the load of an accepting VM.
+   * @param vm - Name of the VM.
+   * @returns Its load, or undefined where it takes no work.
+   */
+  getVmLoad(vm: string): VmLoad | undefined {
+    return this.loadByVm.get(vm);
+  }
+
+  /**
+   * Counts the slots that a team holds.
+   * @param team - The team.
+   * @returns Slots on all VMs, also on those that drain.
+   */
+  heldByTeamCount(team: string): number {
+    return this.heldByTeam.get(team) ?? 0;
+  }
+
+  /**
+   * Counts the slots that jobs of an urgency hold.
+   * @param urgency - The urgency.
+   * @returns Slots on all VMs, also on those that drain.
+   */
+  heldByUrgencyCount(urgency: Urgency): number {
+    return this.heldByUrgency.get(urgency) ?? 0;
+  }
+
+  /**
+   * Measures how full a VM's rack is.
+   * @param load - Load of the VM.
+   * @returns Share of the rack's slots in use.
+   */
+  rackLoadFraction(load: VmLoad): number {
+    const rack = domainOf(load.vm, 'rack');
+    return (this.usedSlotsByRack.get(rack) ?? 0) / (this.slotsByRack.get(rack) ?? 1);
+  }
+
+  /**
+   * Adds a run.
+   * @param run - On which VM, for which team, how urgent.
+   * @param size - What it takes.
+   * @param recent - Whether it began within the last moments.
+   */
+  countRun(run: Pick<GrantRow, 'vm' | 'team' | 'urgency'>, size: JobSize, recent: boolean): void {
+    addTo(this.heldByTeam, run.team, 1);
+    addTo(this.heldByUrgency, run.urgency, 1);
+    const load = this.loadByVm.get(run.vm);
+    if (load === undefined) return;
+    load.add(size, recent);
+    this.usedSlots += 1;
+    addTo(this.usedSlotsByRack, domainOf(load.vm, 'rack'), 1);
+  }
+}
--- /dev/null
+++ b/src/systems/chooseVm.ts
@@ -0,0 +1,85 @@
+import type { QueuedRow } from '../tables/index.js';
+import type { Rng } from '../utils/index.js';
+import type { JobSize } from './learnedSize.js';
+import type { PoolLoad } from './PoolLoad.js';
+import type { VmLoad } from './VmLoad.js';
+
+/** Racks whose load differs by less than this share count as equally full. */
+const RACK_LOAD_STEP = 0.25;
+/** Fewest starts that a VM takes within the moment that {@link PoolLoad} calls recent. */
+const MIN_RECENT_START_COUNT = 2;
+/** Share of a VM's slots that may start within that moment. */
+const RECENT_START_FRACTION = 0.25;
+
+/** Options of {@link chooseVm}. */
+export interface ChooseVmOptions {
+  readonly load: PoolLoad;
+  readonly request: QueuedRow;
+  readonly size: JobSize;
+  readonly rng: Rng;
+  /** VMs that are kept free for a larger job. */
+  readonly reservedVms: ReadonlySet<string>;
+}
+
+/**
+ * Whether a VM may start one more run at this moment. After a wave of cancellations many slots
+ * come free at once; without a limit the whole queue would start on the same VMs in one instant.
+ * Urgent work is too rare to stampede and does not wait.
+ */
+function mayStart(load: VmLoad, request: QueuedRow): boolean {
+  if (request.urgency === 'urgent') return true;
+  const limit = Math.max(
+    MIN_RECENT_START_COUNT,
+    Math.ceil(load.vm.slotCount * RECENT_START_FRACTION),
+  );
+  return load.recentStartCount < limit;
+}
+
+/**
+ * Whether a VM is trusted with one more run. A VM that fails all that it starts is always empty
+ * and would draw every job; after a failure it gets a single run at a time until one succeeds.
+ */
+function isTrusted(load: VmLoad): boolean {
+  return load.failureCount === 0 || load.usedSlotCount === 0;
+}
+
+/** Ranks a VM: trusted ones first, then the emptier rack, then the tighter fit. */
+function rankOf(options: ChooseVmOptions, load: VmLoad): readonly [number, number, number] {
+  const rackStep = Math.floor(options.load.rackLoadFraction(load) / RACK_LOAD_STEP);
+  return [load.failureCount, rackStep, load.slackAfter(options.size)];
+}
+
+/** Whether the first rank is better than the second. */
+function isBetter(
+  first: readonly [number, number, number],
+  second: readonly [number, number, number],
+): boolean {
+  if (first[0] !== second[0]) return first[0] < second[0];
+  if (first[1] !== second[1]) return first[1] < second[1];
+  return first[2] < second[2];
+}
+
+/**
+ * Chooses the VM for a request: one that can carry its learned size, in an emptier rack so that
+ * the loss of a rack costs few jobs, and there the tightest fit, which keeps room for large jobs.
+ * @param options - Load of the pool, the request and its size.
+ * @returns The VM's load, or undefined where nothing fits now.
+ */
+export function chooseVm(options: ChooseVmOptions): VmLoad | undefined {
+  const { load, request, size, rng, reservedVms } = options;
+  const { vmLoads } = load;
+  const start = Math.floor(rng.next() * vmLoads.length);
+  let best: VmLoad | undefined;
+  let bestRank: readonly [number, number, number] | undefined;
+  vmLoads.forEach((ignored, index) => {
+    // Ties go to the first VM seen, so each search starts elsewhere.
+    const candidate = vmLoads[(start + index) % vmLoads.length]!;
+    if (!candidate.fits(size) || !mayStart(candidate, request) || !isTrusted(candidate)) return;
+    if (reservedVms.has(candidate.vm.vm) || request.excludedVms.includes(candidate.vm.vm)) return;
+    const rank = rankOf(options, candidate);
+    if (bestRank !== undefined && !isBetter(rank, bestRank)) return;
+    best = candidate;
+    bestRank = rank;
+  });
+  return best;
+}
--- a/src/systems/decisions.ts
+++ b/src/systems/decisions.ts
@@ -6,6 +6,10 @@
       readonly type: 'place';
       readonly attemptId: string;
       readonly vm: string;
+      /** Cores to set aside for the run. */
+      readonly coreCount: number;
+      /** Memory to set aside for the run: what its kind was measured to need. */
+      readonly memoryMb: number;
       /** Why this VM, for the log line and `explain`. */
       readonly reason: string;
     }
@@ -23,6 +27,29 @@
       readonly grantId: string;
       readonly action: 'checkpoint' | 'throttle';
       readonly reason: string;
+    }
+  | {
+      /** Gives a throttled run its processors back. */
+      readonly type: 'unthrottle';
+      readonly grantId: string;
+      readonly reason: string;
+    };
+
+/** What the learning system concluded from a finished attempt. */
+export type RunVerdict =
+  | {
+      readonly type: 'quarantine';
+      readonly vm: string;
+      /** Monotonic time until which the VM gets no work. */
+      readonly untilMs: number;
+      readonly reason: string;
+    }
+  | { readonly type: 'restore'; readonly vm: string; readonly reason: string }
+  | {
+      /** The request fails wherever it goes: no further attempt. */
+      readonly type: 'blame-job';
+      readonly requestId: string;
+      readonly reason: string;
     };
 
 /** What the wave system decided for a pool. */
--- /dev/null
+++ b/src/systems/findWaveFailure.ts
@@ -0,0 +1,82 @@
+import type { PoolTables, PoolVmRow, WaveRow, WaveStepRow } from '../tables/index.js';
+import { domainOf } from './domainOf.js';
+
+/** How long a maintained VM has to be lost before the wave is suspected of it, in milliseconds. */
+const LOSS_CONFIRMATION_MS = 15_000;
+/** Finished steps below which a single failure stops the wave. */
+const EARLY_STEP_COUNT = 3;
+/** Fewest failures that stop a wave later on. */
+const MIN_FAILURE_COUNT = 2;
+/** Share of the finished steps above which failures are taken to follow the wave. */
+const MAX_FAILURE_FRACTION = 0.1;
+
+/** Options of {@link findWaveFailure}. */
+export interface FindWaveFailureOptions {
+  readonly tables: PoolTables;
+  readonly wave: WaveRow;
+  /** Steps of the wave in this pool. */
+  readonly steps: readonly WaveStepRow[];
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+}
+
+/** Whether the loss has lasted: the platform's list lags, and a VM may be missing from one copy. */
+function isConfirmedLoss(tables: PoolTables, vm: string, nowMs: number): boolean {
+  const sinceMs = tables.losses.get(vm)?.sinceMs;
+  return sinceMs !== undefined && nowMs - sinceMs >= LOSS_CONFIRMATION_MS;
+}
+
+/** Racks that lost a VM that the wave has not touched: the rack failed, not the maintenance. */
+function listRacksLostOtherwise(
+  tables: PoolTables,
+  touchedVms: ReadonlySet<string>,
+): ReadonlySet<string> {
+  const untouchedLostVms = tables.losses
+    .list()
+    .filter((loss) => !touchedVms.has(loss.vm))
+    .map((loss) => tables.vms.get(loss.vm))
+    .filter((vm): vm is PoolVmRow => vm !== undefined);
+  return new Set(untouchedLostVms.map((vm) => domainOf(vm, 'rack')));
+}
+
+/** VMs that came back from maintenance and were lost afterwards. */
+function listVmsLostAfterwards(options: FindWaveFailureOptions): readonly string[] {
+  const { tables, steps, nowMs } = options;
+  const racksLostOtherwise = listRacksLostOtherwise(tables, new Set(steps.map((step) => step.vm)));
+  return steps
+    .filter((step) => step.state === 'maintained' && isConfirmedLoss(tables, step.vm, nowMs))
+    .map((step) => tables.vms.get(step.vm))
+    .filter((vm): vm is PoolVmRow => vm !== undefined)
+    .filter((vm) => !racksLostOtherwise.has(domainOf(vm, 'rack')))
+    .map((vm) => vm.vm);
+}
+
+/**
+ * Lists the VMs whose failure may be the wave's doing.
+ * @param options - State of the pool, the wave and its steps.
+ * @returns VMs whose step failed, or that were lost soon after it.
+ */
+export function listSuspectVms(options: FindWaveFailureOptions): readonly string[] {
+  const failedVms = options.steps.filter((step) => step.state === 'failed').map((step) => step.vm);
+  return [...failedVms, ...listVmsLostAfterwards(options)];
+}
+
+/**
+ * Looks for failures that follow a wave. What the maintenance installs can break every VM that it
+ * touches; it shows as failed steps, or as VMs that come back and are lost minutes later. Stray
+ * failures happen all the time, so that later in a wave a share of the steps has to fail; the
+ * first few VMs are there to catch the fault cheaply, and one failure among them is enough.
+ * @param options - State of the pool, the wave and its steps.
+ * @returns Why the wave has to stop, or undefined.
+ */
+export function findWaveFailure(options: FindWaveFailureOptions): string | undefined {
+  const forgivenVms = options.tables.waveWatches.get(options.wave.wave)?.forgivenVms ?? [];
+  const suspectVms = listSuspectVms(options).filter((vm) => !forgivenVms.includes(vm));
+  const finishedCount = options.steps.filter((step) => step.state !== 'intended').length;
+  const stoppingCount =
+    finishedCount <= EARLY_STEP_COUNT
+      ? 1
+      : Math.max(MIN_FAILURE_COUNT, Math.ceil(finishedCount * MAX_FAILURE_FRACTION));
+  if (suspectVms.length < stoppingCount) return undefined;
+  return `${suspectVms.length} of ${finishedCount} VMs failed in or after their maintenance: ${suspectVms.join(', ')}`;
+}
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -1,6 +1,16 @@
+export { checkBudget, type CheckBudgetOptions } from './checkBudget.js';
 export type {
   BudgetVerdict,
   CapacityDecision,
   PlacementDecision,
+  RunVerdict,
   WaveDecision,
 } from './decisions.js';
+export { domainOf } from './domainOf.js';
+export { type JobSize, learnedSize } from './learnedSize.js';
+export { placeQueuedJobs, type PlaceQueuedJobsOptions } from './placeQueuedJobs.js';
+export { planCapacity, type PlanCapacityOptions } from './planCapacity.js';
+export { planWaveSteps, type PlanWaveStepsOptions } from './planWaveSteps.js';
+export { recordRun, type RecordRunOptions } from './recordRun.js';
+export { isQuarantined } from './vmStates.js';
+export { summariseWaves, type WaveProgress } from './WaveProgress.js';
--- /dev/null
+++ b/src/systems/orderQueue.ts
@@ -0,0 +1,119 @@
+import type { Urgency } from '../settings/index.js';
+import type { PoolTables, QueuedRow } from '../tables/index.js';
+import type { PoolLoad } from './PoolLoad.js';
+import { quotaOf } from './quotaOf.js';
+
+/** Urgencies in the order in which they are served. */
+const SERVING_ORDER: readonly Urgency[] = ['urgent', 'normal', 'overnight'];
+
+/** What an urgency is owed while a more urgent one would take everything. */
+interface AgeingRule {
+  readonly urgency: Urgency;
+  /** Wait from which on a job of the urgency is owed a slot, in milliseconds. */
+  readonly owedAfterMs: number;
+  /** Share of the pool's slots that such jobs may take ahead of others; at least one slot. */
+  readonly owedSlotFraction: number;
+}
+
+const AGEING_RULES: readonly AgeingRule[] = [
+  { urgency: 'normal', owedAfterMs: 20_000, owedSlotFraction: 0.2 },
+  { urgency: 'overnight', owedAfterMs: 900_000, owedSlotFraction: 0.05 },
+];
+
+/** A request with its place in the weighted fair order. */
+interface RankedRequest {
+  readonly request: QueuedRow;
+  /** Weighted share that its team would hold just before the request is served. */
+  readonly share: number;
+}
+
+/** Compares by time of arrival. */
+function compareArrival(left: QueuedRow, right: QueuedRow): number {
+  return left.queuedAtMs - right.queuedAtMs;
+}
+
+/**
+ * Orders requests of one urgency by weighted fair share. A team's next request is ranked by the
+ * slots that the team holds and has been ranked for already, over its weight, so a team with ten
+ * times the requests waits behind itself and not ahead of a small one.
+ */
+function orderFairly(
+  tables: PoolTables,
+  load: PoolLoad,
+  requests: readonly QueuedRow[],
+): readonly QueuedRow[] {
+  const servedByTeam = new Map<string, number>();
+  const ranked: RankedRequest[] = [...requests].sort(compareArrival).map((request) => {
+    const { team } = request;
+    const served = servedByTeam.get(team) ?? load.heldByTeamCount(team);
+    servedByTeam.set(team, served + 1);
+    return { request, share: served / (quotaOf(tables.settings, team)?.weight ?? 1) };
+  });
+  return ranked
+    .sort((left, right) => left.share - right.share || compareArrival(left.request, right.request))
+    .map(({ request }) => request);
+}
+
+/**
+ * Counts the slots that an urgency is owed, however much more urgent work there is.
+ * @param urgency - The urgency.
+ * @param slotCount - Slots of the pool.
+ * @returns Slots, 0 for an urgency that is owed none.
+ */
+export function owedSlotCount(urgency: Urgency, slotCount: number): number {
+  const rule = AGEING_RULES.find((candidate) => candidate.urgency === urgency);
+  return rule === undefined ? 0 : Math.max(1, Math.floor(rule.owedSlotFraction * slotCount));
+}
+
+/** Lists the requests that have waited long enough to be owed a slot, oldest first. */
+function listOwed(
+  load: PoolLoad,
+  requests: readonly QueuedRow[],
+  nowMs: number,
+): readonly QueuedRow[] {
+  return AGEING_RULES.flatMap((rule) => {
+    const owedCount = owedSlotCount(rule.urgency, load.slotCount);
+    const missingCount = Math.max(0, owedCount - load.heldByUrgencyCount(rule.urgency));
+    return requests
+      .filter((request) => request.urgency === rule.urgency)
+      .filter((request) => nowMs - request.queuedAtMs >= rule.owedAfterMs)
+      .sort(compareArrival)
+      .slice(0, missingCount);
+  });
+}
+
+/** Options of {@link orderQueue}. */
+export interface OrderQueueOptions {
+  readonly tables: PoolTables;
+  readonly load: PoolLoad;
+  readonly requests: readonly QueuedRow[];
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+}
+
+/** Requests in the order in which they are served. */
+export interface ServingOrder {
+  /** Requests that have waited so long that they go first. */
+  readonly owed: ReadonlySet<QueuedRow>;
+  readonly requests: readonly QueuedRow[];
+}
+
+/**
+ * Orders a pool's queue: what is owed after a long wait, then by urgency, and within an urgency
+ * by weighted fair share of the teams.
+ * @param options - State of the pool, its load and the requests to order.
+ * @returns The order.
+ */
+export function orderQueue(options: OrderQueueOptions): ServingOrder {
+  const { tables, load, requests, nowMs } = options;
+  const owed = new Set(listOwed(load, requests, nowMs));
+  const others = requests.filter((request) => !owed.has(request));
+  const ordered = SERVING_ORDER.flatMap((urgency) =>
+    orderFairly(
+      tables,
+      load,
+      others.filter((request) => request.urgency === urgency),
+    ),
+  );
+  return { owed, requests: [...owed, ...ordered] };
+}
--- /dev/null
+++ b/src/systems/placeQueuedJobs.ts
@@ -0,0 +1,175 @@
+import type { Urgency } from '../settings/index.js';
+import type { PoolTables, QueuedRow } from '../tables/index.js';
+import { assertNever, type Rng } from '../utils/index.js';
+import { chooseVm } from './chooseVm.js';
+import type { PlacementDecision } from './decisions.js';
+import { type JobSize, learnedSize } from './learnedSize.js';
+import { orderQueue } from './orderQueue.js';
+import { planPreemptions, planUnthrottles } from './planPreemptions.js';
+import { PoolLoad } from './PoolLoad.js';
+import { quotaOf } from './quotaOf.js';
+import { refuseHopeless, refuseLate } from './refuseHopeless.js';
+import type { VmLoad } from './VmLoad.js';
+
+/** Shares of the pool's slots kept free of an urgency's jobs, for what is more urgent. */
+const NORMAL_HEADROOM_FRACTION = 0.05;
+const OVERNIGHT_HEADROOM_FRACTION = 0.1;
+/** Wait from which on a VM is kept free for a job that fits nowhere, in milliseconds. */
+const RESERVE_AFTER_MS = 10_000;
+
+/** Options of {@link placeQueuedJobs}. */
+export interface PlaceQueuedJobsOptions {
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+  /** Source of the ties' outcome. */
+  readonly rng: Rng;
+}
+
+/** What one run of the placement works on. */
+interface PlacementRun extends PlaceQueuedJobsOptions {
+  readonly tables: PoolTables;
+  readonly load: PoolLoad;
+  readonly owed: ReadonlySet<QueuedRow>;
+  readonly largestVmMemoryMb: number;
+  /** Sizes that were found to fit nowhere; within a run VMs only fill up. */
+  readonly unfitSizes: Set<string>;
+  /** VM, at most one, that is kept free for a job that has fitted nowhere for long. */
+  readonly reservedVms: Set<string>;
+}
+
+/** Slots to keep free when a job of an urgency is placed. */
+function headroomSlotCount(urgency: Urgency, slotCount: number): number {
+  switch (urgency) {
+    case 'urgent':
+      return 0;
+    case 'normal':
+      return Math.floor(NORMAL_HEADROOM_FRACTION * slotCount);
+    case 'overnight':
+      return Math.min(Math.ceil(OVERNIGHT_HEADROOM_FRACTION * slotCount), slotCount - 1);
+    default:
+      return assertNever(urgency);
+  }
+}
+
+/**
+ * Learned size of a request, at most the largest VM: a few runs that were measured far too large
+ * must not keep a whole kind from ever running and being measured again.
+ */
+function sizeOf(run: PlacementRun, request: QueuedRow): JobSize {
+  const { coreCount, memoryMb } = learnedSize(run.tables, request);
+  return { coreCount, memoryMb: Math.min(memoryMb, run.largestVmMemoryMb) };
+}
+
+/** Whether quota and headroom let a request start now. */
+function mayStart(run: PlacementRun, request: QueuedRow): boolean {
+  const { load, owed } = run;
+  const quota = quotaOf(run.tables.settings, request.team);
+  if (quota === undefined || load.heldByTeamCount(request.team) >= quota.slotCount) return false;
+  const headroom = owed.has(request) ? 0 : headroomSlotCount(request.urgency, load.slotCount);
+  return load.freeSlotCount > headroom;
+}
+
+/** Finds a VM for a request, and remembers sizes for which there is none. */
+function findVm(run: PlacementRun, request: QueuedRow, size: JobSize): VmLoad | undefined {
+  const sizeKey = `${request.urgency === 'urgent'}/${size.coreCount}/${size.memoryMb}`;
+  if (run.unfitSizes.has(sizeKey)) return undefined;
+  const chosen = chooseVm({ ...run, request, size });
+  if (chosen === undefined && request.excludedVms.length === 0) run.unfitSizes.add(sizeKey);
+  return chosen;
+}
+
+/**
+ * Keeps a VM free for a large job. Small jobs fit into every gap, so without this a large one
+ * would be passed over for as long as there are small ones.
+ */
+function reserveFor(run: PlacementRun, request: QueuedRow, size: JobSize): void {
+  const { load, nowMs } = run;
+  if (run.reservedVms.size > 0 || nowMs - request.queuedAtMs < RESERVE_AFTER_MS) return;
+  const carriers = load.vmLoads.filter(
+    ({ vm }) =>
+      vm.memoryMb >= size.memoryMb &&
+      vm.coreCount >= size.coreCount &&
+      !request.excludedVms.includes(vm.vm),
+  );
+  const emptiest = carriers.reduce<VmLoad | undefined>(
+    (best, next) =>
+      best === undefined || next.slackAfter(size) > best.slackAfter(size) ? next : best,
+    undefined,
+  );
+  if (emptiest !== undefined) run.reservedVms.add(emptiest.vm.vm);
+}
+
+/** Places a request, or leaves it waiting. */
+function tryPlace(run: PlacementRun, request: QueuedRow): PlacementDecision | undefined {
+  if (!mayStart(run, request)) return undefined;
+  const size = sizeOf(run, request);
+  const chosen = findVm(run, request, size);
+  if (chosen === undefined) {
+    reserveFor(run, request, size);
+    return undefined;
+  }
+  const { vm } = chosen.vm;
+  run.load.countRun({ ...request, vm }, size, true);
+  return {
+    type: 'place',
+    requestId: request.requestId,
+    vm,
+    coreCount: size.coreCount,
+    memoryMb: size.memoryMb,
+    reason: `${chosen.usedSlotCount} of ${chosen.vm.slotCount} slots used, ${Math.floor(chosen.freeMemoryMb)} MB left, rack ${chosen.vm.rack} ${Math.round(run.load.rackLoadFraction(chosen) * 100)} % full`,
+  };
+}
+
+/** Urgent requests that wait for room, not for their team's quota. */
+function listWaitingUrgent(run: PlacementRun, waiting: readonly QueuedRow[]): readonly QueuedRow[] {
+  return waiting.filter((request) => {
+    const quota = quotaOf(run.tables.settings, request.team);
+    const heldCount = run.load.heldByTeamCount(request.team);
+    return request.urgency === 'urgent' && quota !== undefined && heldCount < quota.slotCount;
+  });
+}
+
+/**
+ * Decides about the requests that wait for a slot of a pool: which start where, which are refused
+ * and why, and which running ones have to make room.
+ * @param tables - State of the pool; only its preemptions are changed.
+ * @param options - Time and source of randomness.
+ * @returns Decisions; requests without one stay queued.
+ */
+export function placeQueuedJobs(
+  tables: PoolTables,
+  options: PlaceQueuedJobsOptions,
+): readonly PlacementDecision[] {
+  const { nowMs } = options;
+  if (tables.queue.size === 0 && tables.preemptions.size === 0) return [];
+  const refusals = refuseHopeless(tables, nowMs);
+  const refusedIds = new Set(refusals.map((refusal) => refusal.requestId));
+  const requests = tables.queue.list().filter(({ requestId }) => !refusedIds.has(requestId));
+  const load = new PoolLoad({ tables, nowMs });
+  const order = orderQueue({ tables, load, requests, nowMs });
+  const largestVmMemoryMb = tables.vms.list().reduce((most, vm) => Math.max(most, vm.memoryMb), 0);
+  const run: PlacementRun = {
+    ...options,
+    tables,
+    load,
+    owed: order.owed,
+    largestVmMemoryMb,
+    unfitSizes: new Set(),
+    reservedVms: new Set(),
+  };
+  const waiting: QueuedRow[] = [];
+  const placements = order.requests.flatMap((request): readonly PlacementDecision[] => {
+    const placement = tryPlace(run, request);
+    if (placement === undefined) waiting.push(request);
+    return placement === undefined ? [] : [placement];
+  });
+  const waitingUrgent = listWaitingUrgent(run, waiting);
+  const preemptions = planPreemptions({ tables, load, waitingUrgent, nowMs });
+  return [
+    ...refusals,
+    ...placements,
+    ...refuseLate(tables, waiting, load.slotCount, nowMs),
+    ...preemptions,
+    ...(waitingUrgent.length === 0 ? planUnthrottles(tables, load) : []),
+  ];
+}
--- /dev/null
+++ b/src/systems/planCapacity.ts
@@ -0,0 +1,249 @@
+import type { PoolTables, PoolVmRow, VmRow } from '../tables/index.js';
+import { hashText } from '../utils/index.js';
+import { canCarryAnyKind } from './canCarryAnyKind.js';
+import type { CapacityDecision } from './decisions.js';
+import { DomainSlots } from './DomainSlots.js';
+import { noteLosses } from './noteLosses.js';
+import { isLost, isQuarantined, listSteppedVms } from './vmStates.js';
+import { waveWidth } from './waveWidth.js';
+
+/** How long a lost VM still counts: most come back at once, and a move costs more than that. */
+const LOSS_GRACE_MS = 5_000;
+/** How long a surplus has to last before VMs are released: demand that swings moves nothing. */
+const SURPLUS_HOLD_MS = 600_000;
+/** How long a VM that the platform reports as gone stays with its pool. */
+const GONE_HOLD_MS = 600_000;
+
+/** Options of {@link planCapacity}. */
+export interface PlanCapacityOptions {
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+  /** VMs that belong to no pool. */
+  readonly unassignedVms: readonly VmRow[];
+}
+
+/** What the pool has and what it should have. */
+interface CapacityPlan {
+  readonly tables: PoolTables;
+  /** VMs that the pool can count on. */
+  readonly presentVms: readonly PoolVmRow[];
+  readonly slots: DomainSlots;
+  readonly dataCentreSlots: DomainSlots;
+  /** Slots to have left after the loss of the largest failure domain. */
+  readonly targetSlotCount: number;
+  /** VMs to have, so that a wave may take one of them out. */
+  readonly targetVmCount: number;
+}
+
+/** Whether the pool can count on a VM: it serves, or a wave step will bring it back. */
+function isPresent(
+  tables: PoolTables,
+  vm: PoolVmRow,
+  steppedVms: ReadonlySet<string>,
+  nowMs: number,
+): boolean {
+  if (vm.state === 'leaving' || isQuarantined(tables, vm.vm, nowMs)) return false;
+  if (steppedVms.has(vm.vm) || vm.condition === 'accepting') return true;
+  return isLost(vm) && nowMs - (tables.losses.get(vm.vm)?.sinceMs ?? nowMs) < LOSS_GRACE_MS;
+}
+
+/**
+ * Slots that a wave borrows while it runs. Without them a pool that has just what it needs could
+ * never take a VM out, and the wave would wait for ever; with a standing reserve every pool would
+ * hold idle VMs all day.
+ */
+function waveReserveSlotCount(tables: PoolTables): number {
+  const largestVmSlotCount = tables.vms
+    .list()
+    .reduce((most, vm) => Math.max(most, vm.slotCount), 0);
+  return waveWidth(tables) * largestVmSlotCount;
+}
+
+/** Measures the pool. */
+function measure(tables: PoolTables, nowMs: number): CapacityPlan {
+  const steppedVms = listSteppedVms(tables);
+  const presentVms = tables.vms.list().filter((vm) => isPresent(tables, vm, steppedVms, nowMs));
+  const slots = new DomainSlots(tables.settings.availability.failureDomain);
+  const dataCentreSlots = new DomainSlots('data-centre');
+  presentVms.forEach((vm) => slots.add(vm));
+  presentVms.forEach((vm) => dataCentreSlots.add(vm));
+  const waveRuns = tables.waves.list().some((wave) => wave.state === 'running');
+  const reserveSlotCount = waveRuns ? waveReserveSlotCount(tables) : 0;
+  return {
+    tables,
+    presentVms,
+    slots,
+    dataCentreSlots,
+    targetSlotCount: tables.settings.neededSlotCount + reserveSlotCount,
+    targetVmCount: waveRuns
+      ? Math.ceil(1 / tables.settings.availability.maxUnavailableFraction)
+      : 0,
+  };
+}
+
+/** Slots that a VM adds to what is left after the loss of the largest domain. */
+function gainOf(slots: DomainSlots, largestSlotCount: number, vm: VmRow): number {
+  const domainSlotCount = slots.countInDomainOf(vm) + vm.slotCount;
+  return vm.slotCount - Math.max(0, domainSlotCount - largestSlotCount);
+}
+
+/** How good a VM is for the pool; compared field by field, the smallest first. */
+type AdoptionRank = readonly number[];
+
+/** Ranks a VM for adoption: most gain up to the lack, least waste, then the widest spread. */
+function rankForAdoption(
+  plan: CapacityPlan,
+  vm: VmRow,
+  missingSlotCount: number,
+  largestSlotCount: number,
+): AdoptionRank {
+  const usefulGain = Math.min(gainOf(plan.slots, largestSlotCount, vm), missingSlotCount);
+  return [
+    -usefulGain,
+    usefulGain >= missingSlotCount ? vm.slotCount : -vm.slotCount,
+    plan.slots.countInDomainOf(vm),
+    plan.dataCentreSlots.countInDomainOf(vm),
+    // Homes that look for VMs at the same moment should not all want the same one.
+    hashText(`${plan.tables.pool} ${vm.vm}`),
+  ];
+}
+
+/** Compares two ranks. */
+function compareRanks(left: AdoptionRank, right: AdoptionRank): number {
+  const place = left.findIndex((value, index) => value !== right[index]);
+  return place < 0 ? 0 : left[place]! - right[place]!;
+}
+
+/** Picks the VM that helps most, if any helps at all. */
+function pickAdoption(
+  plan: CapacityPlan,
+  candidates: readonly VmRow[],
+  missingSlotCount: number,
+): VmRow | undefined {
+  const largestSlotCount = plan.slots.largestDomainSlotCount();
+  const ranked = candidates.map((vm) => ({
+    vm,
+    rank: rankForAdoption(plan, vm, missingSlotCount, largestSlotCount),
+  }));
+  const first = ranked.reduce<(typeof ranked)[number] | undefined>(
+    (best, next) => (best === undefined || compareRanks(next.rank, best.rank) < 0 ? next : best),
+    undefined,
+  );
+  if (first === undefined) return undefined;
+  const helps = first.rank[0]! < 0 || plan.slots.slotCount < plan.targetSlotCount;
+  return helps ? first.vm : undefined;
+}
+
+/** Plans the adoptions that the pool lacks. */
+function planAdoptions(
+  plan: CapacityPlan,
+  unassignedVms: readonly VmRow[],
+): readonly CapacityDecision[] {
+  const { dataCentres } = plan.tables.settings;
+  const decisions: CapacityDecision[] = [];
+  const isMissing = (): boolean =>
+    plan.slots.countAfterLoss() < plan.targetSlotCount ||
+    plan.presentVms.length + decisions.length < plan.targetVmCount;
+  if (!isMissing()) return decisions;
+  let candidates = unassignedVms
+    .filter((vm) => vm.state === 'live')
+    .filter((vm) => dataCentres.length === 0 || dataCentres.includes(vm.dataCentre))
+    .filter((vm) => canCarryAnyKind(plan.tables.settings, vm));
+  while (isMissing()) {
+    const leftSlotCount = plan.slots.countAfterLoss();
+    const missingSlotCount = Math.max(1, plan.targetSlotCount - leftSlotCount);
+    const picked = pickAdoption(plan, candidates, missingSlotCount);
+    if (picked === undefined) return decisions;
+    decisions.push({
+      type: 'adopt',
+      vm: picked.vm,
+      reason: `${leftSlotCount} slots would be left after the loss of a ${plan.tables.settings.availability.failureDomain}; ${plan.targetSlotCount} are wanted`,
+    });
+    plan.slots.add(picked);
+    plan.dataCentreSlots.add(picked);
+    candidates = candidates.filter((vm) => vm.vm !== picked.vm);
+  }
+  return decisions;
+}
+
+/** Names of VMs that hold grants, which a move would cut off. */
+function listBusyVms(tables: PoolTables): ReadonlySet<string> {
+  return new Set(tables.grants.list().map((grant) => grant.vm));
+}
+
+/** Releases VMs that the platform reports as gone, so that they stop eating the budget. */
+function planGoneReleases(
+  tables: PoolTables,
+  busyVms: ReadonlySet<string>,
+  nowMs: number,
+): readonly CapacityDecision[] {
+  return tables.vms
+    .list()
+    .filter((vm) => vm.state === 'gone' && !busyVms.has(vm.vm))
+    .filter((vm) => nowMs - (tables.losses.get(vm.vm)?.sinceMs ?? nowMs) >= GONE_HOLD_MS)
+    .map((vm) => ({ type: 'release', vm: vm.vm, reason: 'the VM is gone for good' }));
+}
+
+/** Plans the releases that leave the pool with just what it needs; largest VMs go first. */
+function planSurplusReleases(
+  plan: CapacityPlan,
+  busyVms: ReadonlySet<string>,
+): readonly CapacityDecision[] {
+  const { tables, slots } = plan;
+  const { maxUnavailableFraction } = tables.settings.availability;
+  if (slots.countAfterLoss() <= plan.targetSlotCount) return [];
+  const outCount = tables.vms.size - plan.presentVms.length;
+  const idleVms = plan.presentVms
+    .filter((vm) => vm.condition === 'accepting' && !busyVms.has(vm.vm))
+    .sort(
+      (left, right) =>
+        right.slotCount - left.slotCount ||
+        slots.countInDomainOf(right) - slots.countInDomainOf(left) ||
+        (left.vm < right.vm ? -1 : 1),
+    );
+  const releasedVms: string[] = [];
+  idleVms.forEach((vm) => {
+    const leftVmCount = tables.vms.size - releasedVms.length - 1;
+    slots.remove(vm);
+    const suffices =
+      slots.countAfterLoss() >= plan.targetSlotCount &&
+      outCount <= Math.floor(maxUnavailableFraction * leftVmCount);
+    if (suffices) releasedVms.push(vm.vm);
+    else slots.add(vm);
+  });
+  return releasedVms.map((vm) => ({
+    type: 'release',
+    vm,
+    reason: `${plan.targetSlotCount} slots are left without it after the largest loss`,
+  }));
+}
+
+/**
+ * Decides which VMs a pool takes from the unassigned ones and which it gives back: as few moves
+ * as its budget allows. While a wave runs nothing is released, and the VMs that its steps have
+ * taken out count as present, so that a wave moves nothing but what it borrows at its start.
+ * @param tables - State of the pool; its losses and surplus time are brought up to date.
+ * @param options - The time and the VMs without a pool.
+ * @returns Adoptions or releases.
+ */
+export function planCapacity(
+  tables: PoolTables,
+  options: PlanCapacityOptions,
+): readonly CapacityDecision[] {
+  const { nowMs, unassignedVms } = options;
+  noteLosses(tables, nowMs);
+  const plan = measure(tables, nowMs);
+  const adoptions = planAdoptions(plan, unassignedVms);
+  const busyVms = listBusyVms(tables);
+  const goneReleases = planGoneReleases(tables, busyVms, nowMs);
+  const releases =
+    adoptions.length > 0 || tables.waves.size > 0 ? [] : planSurplusReleases(plan, busyVms);
+  if (releases.length === 0) {
+    tables.noteSurplus(undefined);
+    return [...adoptions, ...goneReleases];
+  }
+  const sinceMs = tables.surplusSinceMs ?? nowMs;
+  tables.noteSurplus(sinceMs);
+  const lasts = nowMs - sinceMs >= SURPLUS_HOLD_MS;
+  return lasts ? [...goneReleases, ...releases] : goneReleases;
+}
--- /dev/null
+++ b/src/systems/planWaveSteps.ts
@@ -0,0 +1,147 @@
+import type { PoolTables, PoolVmRow, WaveRow, WaveStepRow } from '../tables/index.js';
+import { BudgetTally } from './BudgetTally.js';
+import type { WaveDecision } from './decisions.js';
+import { domainOf } from './domainOf.js';
+import { findWaveFailure, listSuspectVms } from './findWaveFailure.js';
+import { isWithinWindow } from './isWithinWindow.js';
+import { noteLosses } from './noteLosses.js';
+import { waveWidth } from './waveWidth.js';
+import { NO_PROGRESS, type WaveProgress } from './WaveProgress.js';
+
+/** Options of {@link planWaveSteps}. */
+export interface PlanWaveStepsOptions {
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+  /** Minutes since midnight where the pool is, for its maintenance window. */
+  readonly minuteOfDay: number;
+  /** Progress of each wave over all pools; without it each pool starts on its own. */
+  readonly fleetProgress?: ReadonlyMap<string, WaveProgress>;
+}
+
+/** What the planning of one wave works on. */
+interface WavePlan extends PlanWaveStepsOptions {
+  readonly tables: PoolTables;
+  readonly wave: WaveRow;
+  readonly steps: readonly WaveStepRow[];
+  readonly tally: BudgetTally;
+}
+
+/** VMs still to maintain: those out already first, then rack by rack. */
+function listRemainingVms(plan: WavePlan): readonly PoolVmRow[] {
+  const touchedVms = new Set(plan.steps.map((step) => step.vm));
+  const { failureDomain } = plan.tables.settings.availability;
+  const sortKeys = new Map<PoolVmRow, string>();
+  plan.tables.vms
+    .list()
+    .filter((vm) => vm.state === 'live' && !touchedVms.has(vm.vm))
+    .filter((vm) => vm.condition === 'accepting' || vm.condition === 'draining')
+    .forEach((vm) => {
+      const out = plan.tally.isAccepting(vm.vm) ? 1 : 0;
+      const domain = domainOf(vm, failureDomain === 'data-centre' ? failureDomain : 'rack');
+      sortKeys.set(vm, [out, domain, domainOf(vm, 'rack'), vm.worker, vm.vm].join(' '));
+    });
+  const compare = (left: PoolVmRow, right: PoolVmRow): number =>
+    sortKeys.get(left)! < sortKeys.get(right)! ? -1 : 1;
+  return [...sortKeys.keys()].sort(compare);
+}
+
+/**
+ * Whether it is the pool's turn to begin with a wave over several pools. If every home began at
+ * once, a bad maintenance would break a VM in each pool before the first failure shows. So the
+ * pools join one by one as VMs come back; the turn moves with the minute, lest a pool that cannot
+ * begin holds up the others.
+ */
+function isPoolsTurn(plan: WavePlan): boolean {
+  if (plan.fleetProgress === undefined) return true;
+  const { pools } = plan.wave;
+  const fleet = plan.fleetProgress.get(plan.wave.wave) ?? NO_PROGRESS;
+  const place = pools.indexOf(plan.tables.pool) - (plan.minuteOfDay % pools.length);
+  const turn = (place + pools.length) % pools.length;
+  return turn <= fleet.maintainedVmCount && fleet.inProgressVmCount <= fleet.maintainedVmCount;
+}
+
+/** Steps that may be in progress at once: one, then twice as many each time they go well. */
+function rampedStepCount(plan: WavePlan): number {
+  const maintainedCount = plan.steps.filter((step) => step.state === 'maintained').length;
+  return Math.min(maintainedCount + 1, waveWidth(plan.tables));
+}
+
+/** Takes VMs as long as the budget holds with each of them out on top. */
+function takeWithinBudget(plan: WavePlan, candidates: readonly PoolVmRow[]): readonly PoolVmRow[] {
+  const taken: PoolVmRow[] = [];
+  candidates.every((vm) => {
+    const wasAccepting = plan.tally.isAccepting(vm.vm);
+    plan.tally.takeOut(vm.vm);
+    const holds = plan.tally.verdict().type === 'within';
+    if (holds) taken.push(vm);
+    else if (wasAccepting) plan.tally.count(vm);
+    return holds;
+  });
+  return taken;
+}
+
+/** Says why a wave starts nothing although VMs remain. */
+function explainBudget(plan: WavePlan, candidate: PoolVmRow): string {
+  const wasAccepting = plan.tally.isAccepting(candidate.vm);
+  plan.tally.takeOut(candidate.vm);
+  const verdict = plan.tally.verdict();
+  if (wasAccepting) plan.tally.count(candidate);
+  return verdict.type === 'exceeded' ? verdict.reason : 'the budget allows no further VM';
+}
+
+/** Plans one running wave in one pool. */
+function planWave(plan: WavePlan): readonly WaveDecision[] {
+  const { wave } = plan.wave;
+  const wait = (reason: string): readonly WaveDecision[] => [{ type: 'wait', wave, reason }];
+  const failure = findWaveFailure(plan);
+  if (failure !== undefined) return [{ type: 'stop-wave', wave, reason: failure }];
+  const remainingVms = listRemainingVms(plan);
+  if (remainingVms.length === 0) return [];
+  if (!isWithinWindow(plan.tables.settings.maintenance, plan.minuteOfDay)) {
+    return wait('the maintenance window is closed');
+  }
+  const inProgressCount = plan.steps.filter((step) => step.state === 'intended').length;
+  if (plan.steps.length === 0 && !isPoolsTurn(plan)) {
+    return wait('other pools of the wave begin first');
+  }
+  const freeCount = rampedStepCount(plan) - inProgressCount;
+  if (freeCount <= 0) return wait(`${inProgressCount} steps are in progress`);
+  const taken = takeWithinBudget(plan, remainingVms.slice(0, freeCount));
+  if (taken.length === 0) return wait(explainBudget(plan, remainingVms[0]!));
+  return taken.map((vm) => ({
+    type: 'start-step',
+    wave,
+    vm: vm.vm,
+    reason: `the budget holds with ${plan.tally.outVmCount} of ${plan.tally.allowedOutVmCount} VMs out`,
+  }));
+}
+
+/** Remembers the failures of a paused wave: whoever resumes it has accepted them. */
+function forgive(plan: WavePlan): void {
+  plan.tables.waveWatches.put({ wave: plan.wave.wave, forgivenVms: listSuspectVms(plan) });
+}
+
+/**
+ * Decides which VMs of a pool the running waves maintain next. A step is allowed only if the
+ * availability budget holds after it; losses that nobody planned count at once.
+ * @param tables - State of the pool; its losses and watched waves are brought up to date.
+ * @param options - Time, minute of the day and the waves' progress in other pools.
+ * @returns Steps to start, waits with their reason, and waves to stop.
+ */
+export function planWaveSteps(
+  tables: PoolTables,
+  options: PlanWaveStepsOptions,
+): readonly WaveDecision[] {
+  noteLosses(tables, options.nowMs);
+  const waves = tables.waves.list();
+  if (waves.length === 0) return [];
+  const tally = new BudgetTally({ tables, nowMs: options.nowMs });
+  const allSteps = tables.waveSteps.list();
+  return waves.flatMap((wave) => {
+    const steps = allSteps.filter((step) => step.wave === wave.wave);
+    const plan: WavePlan = { ...options, tables, wave, steps, tally };
+    if (wave.state === 'running') return planWave(plan);
+    forgive(plan);
+    return [];
+  });
+}
--- /dev/null
+++ b/src/systems/recordRun.ts
@@ -0,0 +1,165 @@
+import type { GrantResult } from '../peers/index.js';
+import type { JobKindHistoryRow, PoolTables, VmHealthRow } from '../tables/index.js';
+import { BudgetTally } from './BudgetTally.js';
+import type { RunVerdict } from './decisions.js';
+import { MEMORY_FLOOR_FRACTION } from './learnedSize.js';
+import { quantile } from './quantile.js';
+import { MAX_FAILED_VM_COUNT } from './refuseHopeless.js';
+
+/** Latest runs that a kind's quantiles are taken over. */
+const RECENT_RUN_COUNT = 64;
+/** Quantile of run time and memory that is learned. */
+const LEARNED_QUANTILE = 0.9;
+/** Distinct kinds of job that have to fail on a VM before it is quarantined. */
+const MIN_FAILED_KIND_COUNT = 2;
+/** Distinct requests that have to fail on a VM before it is quarantined. */
+const MIN_FAILED_REQUEST_COUNT = 3;
+/** VMs on which a kind has to fail before the kind, not the VMs, is at fault. */
+const MIN_KIND_FAILED_VM_COUNT = 3;
+/** First quarantine, and the longest; each one after a failed trial lasts twice as long. */
+const FIRST_QUARANTINE_MS = 60_000;
+const MAX_QUARANTINE_MS = 1_800_000;
+/** Ids of failed requests kept for a VM. */
+const MAX_KEPT_FAILURE_COUNT = 16;
+
+/** How an attempt on a VM ended. Leave out those that their caller cancelled: they say nothing. */
+export interface RecordRunOptions {
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+  readonly requestId: string;
+  readonly jobKind: string;
+  readonly vm: string;
+  readonly result: GrantResult;
+  /** How long the attempt ran, in milliseconds. */
+  readonly ranMs: number;
+  /** Memory that the run was seen to use; undefined where nothing was measured. */
+  readonly usedMemoryMb?: number;
+  /** VMs that the request failed on before. */
+  readonly excludedVms: readonly string[];
+}
+
+/** Adds a value to a bounded list of the latest ones. */
+function withLatest(values: readonly number[], value: number): readonly number[] {
+  return [...values, value].slice(-RECENT_RUN_COUNT);
+}
+
+/** Learns run time and memory from a run that ended well. */
+function learn(tables: PoolTables, run: RecordRunOptions): void {
+  const before: JobKindHistoryRow | undefined = tables.history.get(run.jobKind);
+  const declaredMemoryMb = tables.settings.jobKinds[run.jobKind]?.memoryMb ?? 0;
+  const recentRunMs = withLatest(before?.recentRunMs ?? [], run.ranMs);
+  const recentMemoryMb =
+    run.usedMemoryMb === undefined
+      ? (before?.recentMemoryMb ?? [])
+      : withLatest(before?.recentMemoryMb ?? [], run.usedMemoryMb);
+  const measuredMemoryMb =
+    recentMemoryMb.length === 0 ? declaredMemoryMb : quantile(recentMemoryMb, LEARNED_QUANTILE);
+  tables.history.put({
+    jobKind: run.jobKind,
+    runCount: (before?.runCount ?? 0) + 1,
+    runMs: quantile(recentRunMs, LEARNED_QUANTILE),
+    memoryMb: Math.max(measuredMemoryMb, declaredMemoryMb * MEMORY_FLOOR_FRACTION),
+    recentRunMs,
+    recentMemoryMb,
+  });
+}
+
+/** A run that ended well clears what was held against its VM. */
+function trust(tables: PoolTables, run: RecordRunOptions): readonly RunVerdict[] {
+  const health = tables.health.get(run.vm);
+  tables.health.remove(run.vm);
+  const wasQuarantined = health?.quarantinedUntilMs !== undefined;
+  return wasQuarantined ? [{ type: 'restore', vm: run.vm, reason: 'a run ended well on it' }] : [];
+}
+
+/** Takes a request's failures off every VM, once the request itself is at fault. */
+function acquitVms(tables: PoolTables, requestId: string): void {
+  tables.health
+    .list()
+    .filter((health) => health.failedRequestIds.includes(requestId))
+    .forEach((health) => {
+      const failedRequestIds = health.failedRequestIds.filter((id) => id !== requestId);
+      const failedJobKinds = failedRequestIds.length === 0 ? [] : health.failedJobKinds;
+      tables.health.put({ ...health, failedRequestIds, failedJobKinds });
+    });
+}
+
+/** Adds a failure to what is held against a VM. */
+function noteFailure(tables: PoolTables, run: RecordRunOptions): VmHealthRow {
+  const before = tables.health.get(run.vm);
+  const health: VmHealthRow = {
+    vm: run.vm,
+    failedJobKinds: [...new Set([...(before?.failedJobKinds ?? []), run.jobKind])],
+    failedRequestIds: [...new Set([...(before?.failedRequestIds ?? []), run.requestId])].slice(
+      -MAX_KEPT_FAILURE_COUNT,
+    ),
+    quarantinedUntilMs: before?.quarantinedUntilMs,
+    quarantineCount: before?.quarantineCount ?? 0,
+  };
+  tables.health.put(health);
+  return health;
+}
+
+/** Whether a kind fails on so many VMs that the kind is at fault. */
+function isKindAtFault(tables: PoolTables, jobKind: string): boolean {
+  const vms = tables.health.list().filter((health) => health.failedJobKinds.includes(jobKind));
+  return vms.length >= MIN_KIND_FAILED_VM_COUNT;
+}
+
+/** Says why a VM is to be quarantined, if it is. */
+function findFault(tables: PoolTables, health: VmHealthRow): string | undefined {
+  const failedAfterTrial = health.quarantineCount > 0;
+  if (failedAfterTrial) return 'the first run after its quarantine failed';
+  const kinds = health.failedJobKinds.filter((kind) => !isKindAtFault(tables, kind));
+  if (kinds.length >= MIN_FAILED_KIND_COUNT) return `jobs of ${kinds.length} kinds failed on it`;
+  const requestCount = health.failedRequestIds.length;
+  if (kinds.length > 0 && requestCount >= MIN_FAILED_REQUEST_COUNT) {
+    return `${requestCount} requests failed on it`;
+  }
+  return undefined;
+}
+
+/**
+ * Quarantines a VM if the budget allows. Judging VMs wrongly, by a broken job or a broken network,
+ * must not take the pool away; where the budget forbids it the VM still gets one run at a time.
+ */
+function quarantine(
+  tables: PoolTables,
+  run: RecordRunOptions,
+  health: VmHealthRow,
+): readonly RunVerdict[] {
+  const isHeld = health.quarantinedUntilMs !== undefined && run.nowMs < health.quarantinedUntilMs;
+  const reason = findFault(tables, health);
+  if (isHeld || reason === undefined) return [];
+  const tally = new BudgetTally({ tables, nowMs: run.nowMs });
+  if (tally.isAccepting(run.vm)) {
+    tally.takeOut(run.vm);
+    if (tally.verdict().type === 'exceeded') return [];
+  }
+  const lengthMs = Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** health.quarantineCount);
+  const untilMs = run.nowMs + lengthMs;
+  const quarantineCount = health.quarantineCount + 1;
+  tables.health.put({ ...health, quarantinedUntilMs: untilMs, quarantineCount });
+  return [{ type: 'quarantine', vm: run.vm, untilMs, reason }];
+}
+
+/**
+ * Learns from an attempt that ended: sizes and run times from a good one; from a failed one
+ * whether the VM or the request is at fault.
+ * @param tables - State of the pool; its history and health are brought up to date.
+ * @param run - How the attempt ended.
+ * @returns VMs quarantined or restored, and requests that are at fault themselves.
+ */
+export function recordRun(tables: PoolTables, run: RecordRunOptions): readonly RunVerdict[] {
+  if (run.result === 'run') {
+    learn(tables, run);
+    return trust(tables, run);
+  }
+  const failedVms = new Set([...run.excludedVms, run.vm]);
+  if (failedVms.size >= MAX_FAILED_VM_COUNT) {
+    acquitVms(tables, run.requestId);
+    const reason = `it failed on ${failedVms.size} VMs: ${[...failedVms].join(', ')}`;
+    return [{ type: 'blame-job', requestId: run.requestId, reason }];
+  }
+  return quarantine(tables, run, noteFailure(tables, run));
+}
--- /dev/null
+++ b/src/systems/refuseHopeless.ts
@@ -0,0 +1,162 @@
+import type { PoolTables, QueuedRow } from '../tables/index.js';
+import { groupBy } from '../utils/index.js';
+import type { PlacementDecision } from './decisions.js';
+import { estimateRun } from './learnedSize.js';
+import { quotaOf } from './quotaOf.js';
+
+/** VMs that a request may fail on before it is taken to be at fault itself. */
+export const MAX_FAILED_VM_COUNT = 3;
+/** Shortest and longest time that a refused caller is told to stay away, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 1_000;
+const MAX_RETRY_AFTER_MS = 60_000;
+/** When to look again for a pool that has no VM yet, in milliseconds. */
+const NO_VM_RETRY_AFTER_MS = 5_000;
+/** Share of an estimated wait that is believed: only what is clearly hopeless is refused. */
+const BELIEVED_WAIT_FRACTION = 0.5;
+
+/** A refusal. */
+export type Refusal = Extract<PlacementDecision, { type: 'refuse' }>;
+
+/** Keeps a time to stay away within reason. */
+function clampRetryAfter(ms: number): number {
+  return Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, ms)));
+}
+
+/** Finds what makes a request impossible whatever the load. */
+function findImpossible(
+  tables: PoolTables,
+  request: QueuedRow,
+  nowMs: number,
+): Omit<Refusal, 'type' | 'requestId'> | undefined {
+  const leftMs = request.deadlineMs - nowMs;
+  if (leftMs <= 0) {
+    return { kind: 'deadline-past', reason: 'its deadline has passed', retryAfterMs: 0 };
+  }
+  const { shortestMs } = estimateRun(tables, request.jobKind);
+  if (leftMs < shortestMs) {
+    return {
+      kind: 'deadline-past',
+      reason: `its deadline is ${Math.round(leftMs)} ms away and hardly any run of its kind takes less than ${Math.round(shortestMs)} ms`,
+      retryAfterMs: 0,
+    };
+  }
+  if (quotaOf(tables.settings, request.team) === undefined) {
+    return {
+      kind: 'quota-exceeded',
+      reason: `team ${request.team} has no quota on the pool`,
+      retryAfterMs: MAX_RETRY_AFTER_MS,
+    };
+  }
+  const vms = tables.vms.list();
+  if (vms.length === 0) {
+    return {
+      kind: 'no-capacity',
+      reason: 'the pool has no VM',
+      retryAfterMs: NO_VM_RETRY_AFTER_MS,
+    };
+  }
+  const { memoryMb, coreCount } = request;
+  if (!vms.some((vm) => vm.memoryMb >= memoryMb && vm.coreCount >= coreCount)) {
+    return {
+      kind: 'job-too-large',
+      reason: `it declares ${coreCount} cores and ${memoryMb} MB; no VM of the pool has that`,
+      retryAfterMs: 0,
+    };
+  }
+  // A job that fails wherever it goes would otherwise visit and hold up every VM of the pool.
+  const failedCount = request.excludedVms.length;
+  if (
+    failedCount >= MAX_FAILED_VM_COUNT ||
+    vms.every((vm) => request.excludedVms.includes(vm.vm))
+  ) {
+    return {
+      kind: 'target-failed',
+      reason: `it failed on ${failedCount} VMs: ${request.excludedVms.join(', ')}`,
+      retryAfterMs: 0,
+    };
+  }
+  return undefined;
+}
+
+/** Refuses the youngest requests of teams that have more waiting than their quota allows. */
+function refuseOverfull(tables: PoolTables, requests: readonly QueuedRow[]): readonly Refusal[] {
+  const slotCount = tables.vms.list().reduce((sum, vm) => sum + vm.slotCount, 0);
+  const byTeam = groupBy(requests, (request) => request.team);
+  return [...byTeam].flatMap(([team, teamRequests]) => {
+    const quota = quotaOf(tables.settings, team)!;
+    if (teamRequests.length <= quota.queuedJobCount) return [];
+    const heldCount = tables.grants.list().filter((grant) => grant.team === team).length;
+    const atQuota = heldCount >= quota.slotCount;
+    const { typicalMs } = estimateRun(tables, teamRequests[0]!.jobKind);
+    const drainMs = (typicalMs * quota.queuedJobCount) / Math.min(slotCount, quota.slotCount) / 2;
+    return [...teamRequests]
+      .sort((left, right) => left.queuedAtMs - right.queuedAtMs)
+      .slice(quota.queuedJobCount)
+      .map((request) => ({
+        type: 'refuse' as const,
+        requestId: request.requestId,
+        kind: atQuota ? ('quota-exceeded' as const) : ('queue-full' as const),
+        reason: atQuota
+          ? `team ${team} holds its ${quota.slotCount} slots and ${quota.queuedJobCount} requests wait`
+          : `${quota.queuedJobCount} requests of team ${team} wait already`,
+        retryAfterMs: clampRetryAfter(drainMs),
+      }));
+  });
+}
+
+/**
+ * Refuses the requests that cannot be served, before any is placed, so that their callers learn
+ * it at once.
+ * @param tables - State of the pool.
+ * @param nowMs - Monotonic time, in milliseconds.
+ * @returns Refusals with their kind and when to come back.
+ */
+export function refuseHopeless(tables: PoolTables, nowMs: number): readonly Refusal[] {
+  const requests = tables.queue.list();
+  const impossible = requests.flatMap((request): readonly Refusal[] => {
+    const found = findImpossible(tables, request, nowMs);
+    return found === undefined ? [] : [{ type: 'refuse', requestId: request.requestId, ...found }];
+  });
+  const refusedIds = new Set(impossible.map((refusal) => refusal.requestId));
+  const possible = requests.filter((request) => !refusedIds.has(request.requestId));
+  return [...impossible, ...refuseOverfull(tables, possible)];
+}
+
+/**
+ * Refuses waiting requests that the work ahead of them keeps from their deadline. Under overload
+ * they would otherwise wait, take a slot too late, and waste it on an answer that nobody reads.
+ * @param tables - State of the pool.
+ * @param waiting - Requests that got no slot, in the order in which they will be served.
+ * @param slotCount - Slots of the accepting VMs.
+ * @param nowMs - Monotonic time, in milliseconds.
+ * @returns Refusals with when to come back.
+ */
+export function refuseLate(
+  tables: PoolTables,
+  waiting: readonly QueuedRow[],
+  slotCount: number,
+  nowMs: number,
+): readonly Refusal[] {
+  if (slotCount === 0) return [];
+  const typicalRunMs = new Map<string, number>();
+  let workAheadMs = 0;
+  return waiting.flatMap((request): readonly Refusal[] => {
+    const { jobKind, requestId } = request;
+    const runMs = typicalRunMs.get(jobKind) ?? estimateRun(tables, jobKind).typicalMs;
+    typicalRunMs.set(jobKind, runMs);
+    const waitMs = (workAheadMs / slotCount) * BELIEVED_WAIT_FRACTION;
+    if (nowMs + waitMs <= request.deadlineMs) {
+      workAheadMs += runMs;
+      return [];
+    }
+    return [
+      {
+        type: 'refuse',
+        requestId,
+        kind: 'no-capacity',
+        reason: `the work ahead of it takes about ${Math.round(workAheadMs / slotCount)} ms, longer than its deadline allows`,
+        retryAfterMs: clampRetryAfter(workAheadMs / slotCount),
+      },
+    ];
+  });
+}
--- /dev/null
+++ b/src/systems/waveWidth.ts
@@ -0,0 +1,13 @@
+import type { PoolTables } from '../tables/index.js';
+
+/**
+ * Computes how many VMs of a pool a wave takes out at once, from the settings' wish for a short
+ * roll-out or a small buffer.
+ * @param tables - State of the pool.
+ * @returns One VM at weight 0, all that the declared fraction allows at weight 1.
+ */
+export function waveWidth(tables: PoolTables): number {
+  const { availability, maintenance } = tables.settings;
+  const allowedCount = Math.floor(availability.maxUnavailableFraction * tables.vms.size);
+  return Math.max(1, Math.round(maintenance.rollOutWeight * allowedCount));
+}
--- a/src/tables/PoolTables.ts
+++ b/src/tables/PoolTables.ts
@@ -19,6 +19,10 @@
   readonly runMs: number;
   /** Upper quantile of measured memory, never below a floor from the declaration. */
   readonly memoryMb: number;
+  /** Latest measured run times, oldest first. */
+  readonly recentRunMs: readonly number[];
+  /** Latest measured memory sizes, oldest first. */
+  readonly recentMemoryMb: readonly number[];
 }
 
 /** What a home has learned of a VM. */
@@ -30,6 +34,30 @@
   readonly failedRequestIds: readonly string[];
   /** Monotonic time until which the VM gets no work; undefined where it is trusted. */
   readonly quarantinedUntilMs: number | undefined;
+  /** Quarantines since the VM's last success; each one lasts longer. */
+  readonly quarantineCount: number;
+}
+
+/** A VM that the pool has lost unplanned, and since when. */
+export interface VmLossRow {
+  readonly vm: string;
+  /** Monotonic time at which the loss was first seen. */
+  readonly sinceMs: number;
+}
+
+/** A running grant that was told to make room for urgent work. */
+export interface PreemptionRow {
+  readonly grantId: string;
+  readonly action: 'checkpoint' | 'throttle';
+  /** Monotonic time of the decision. */
+  readonly decidedAtMs: number;
+}
+
+/** Failures of a wave that an operator accepted when resuming it. */
+export interface WaveWatchRow {
+  readonly wave: string;
+  /** VMs whose failed step or loss no longer counts against the wave. */
+  readonly forgivenVms: readonly string[];
 }
 
 /** State of one pool at its home; the systems read and change nothing else. */
@@ -82,6 +110,26 @@
     keyOf: (row) => `${row.wave}/${row.vm}`,
   });
 
+  readonly losses = new Table<string, VmLossRow>({
+    entity: 'loss of VM',
+    missingKind: 'unknown-vm',
+    keyOf: (row) => row.vm,
+  });
+
+  readonly preemptions = new Table<string, PreemptionRow>({
+    entity: 'preemption of grant',
+    missingKind: 'unknown-job',
+    keyOf: (row) => row.grantId,
+  });
+
+  readonly waveWatches = new Table<string, WaveWatchRow>({
+    entity: 'watch over wave',
+    missingKind: 'unknown-wave',
+    keyOf: (row) => row.wave,
+  });
+
+  private surplusStartMs: number | undefined = undefined;
+
   /**
    * Creates the empty state of a pool.
    * @param pool - Pool as `team/pool`.
@@ -91,4 +139,17 @@
     this.pool = pool;
     this.settings = settings;
   }
+
+  /** Monotonic time since which the pool has had VMs to spare; undefined while it has none. */
+  get surplusSinceMs(): number | undefined {
+    return this.surplusStartMs;
+  }
+
+  /**
+   * Notes since when the pool has had VMs to spare.
+   * @param sinceMs - Monotonic time in milliseconds, or undefined where it has none.
+   */
+  noteSurplus(sinceMs: number | undefined): void {
+    this.surplusStartMs = sinceMs;
+  }
 }
--- a/src/tables/index.ts
+++ b/src/tables/index.ts
@@ -22,6 +22,9 @@
   PoolTables,
   type JobKindHistoryRow,
   type PoolVmRow,
+  type PreemptionRow,
   type VmHealthRow,
+  type VmLossRow,
+  type WaveWatchRow,
 } from './PoolTables.js';
 export { Table, type TableOptions } from './Table.js';
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -6,9 +6,11 @@
   type JsonAnswer,
   type JsonRequest,
 } from './HttpJsonClient.js';
+export { groupBy } from './groupBy.js';
 export { hashText } from './hashText.js';
 export { rankByRendezvous } from './rankByRendezvous.js';
 export { KeyedOnce } from './KeyedOnce.js';
 export { ManualClock } from './ManualClock.js';
 export type { Rng } from './Rng.js';
+export { SeededRng } from './SeededRng.js';
 export { SystemClock } from './SystemClock.js';
