--- a/src/systems/placeQueuedJobs.ts
+++ b/src/systems/placeQueuedJobs.ts
@@ -112,7 +112,7 @@
   run.load.countRun({ ...request, vm }, size, true);
   return {
     type: 'place',
-    requestId: request.requestId,
+    attemptId: request.attemptId,
     vm,
     coreCount: size.coreCount,
     memoryMb: size.memoryMb,
@@ -143,8 +143,8 @@
   const { nowMs } = options;
   if (tables.queue.size === 0 && tables.preemptions.size === 0) return [];
   const refusals = refuseHopeless(tables, nowMs);
-  const refusedIds = new Set(refusals.map((refusal) => refusal.requestId));
-  const requests = tables.queue.list().filter(({ requestId }) => !refusedIds.has(requestId));
+  const refusedIds = new Set(refusals.map((refusal) => refusal.attemptId));
+  const requests = tables.queue.list().filter(({ attemptId }) => !refusedIds.has(attemptId));
   const load = new PoolLoad({ tables, nowMs });
   const order = orderQueue({ tables, load, requests, nowMs });
   const largestVmMemoryMb = tables.vms.list().reduce((most, vm) => Math.max(most, vm.memoryMb), 0);
--- a/src/systems/refuseHopeless.ts
+++ b/src/systems/refuseHopeless.ts
@@ -27,7 +27,7 @@
   tables: PoolTables,
   request: QueuedRow,
   nowMs: number,
-): Omit<Refusal, 'type' | 'requestId'> | undefined {
+): Omit<Refusal, 'type' | 'attemptId'> | undefined {
   const leftMs = request.deadlineMs - nowMs;
   if (leftMs <= 0) {
     return { kind: 'deadline-past', reason: 'its deadline has passed', retryAfterMs: 0 };
@@ -94,7 +94,7 @@
       .slice(quota.queuedJobCount)
       .map((request) => ({
         type: 'refuse' as const,
-        requestId: request.requestId,
+        attemptId: request.attemptId,
         kind: atQuota ? ('quota-exceeded' as const) : ('queue-full' as const),
         reason: atQuota
           ? `team ${team} holds its ${quota.slotCount} slots and ${quota.queuedJobCount} requests wait`
@@ -115,10 +115,10 @@
   const requests = tables.queue.list();
   const impossible = requests.flatMap((request): readonly Refusal[] => {
     const found = findImpossible(tables, request, nowMs);
-    return found === undefined ? [] : [{ type: 'refuse', requestId: request.requestId, ...found }];
+    return found === undefined ? [] : [{ type: 'refuse', attemptId: request.attemptId, ...found }];
   });
-  const refusedIds = new Set(impossible.map((refusal) => refusal.requestId));
-  const possible = requests.filter((request) => !refusedIds.has(request.requestId));
+  const refusedIds = new Set(impossible.map((refusal) => refusal.attemptId));
+  const possible = requests.filter((request) => !refusedIds.has(request.attemptId));
   return [...impossible, ...refuseOverfull(tables, possible)];
 }
 
@@ -141,7 +141,7 @@
   const typicalRunMs = new Map<string, number>();
   let workAheadMs = 0;
   return waiting.flatMap((request): readonly Refusal[] => {
-    const { jobKind, requestId } = request;
+    const { jobKind, attemptId } = request;
     const runMs = typicalRunMs.get(jobKind) ?? estimateRun(tables, jobKind).typicalMs;
     typicalRunMs.set(jobKind, runMs);
     const waitMs = (workAheadMs / slotCount) * BELIEVED_WAIT_FRACTION;
@@ -152,7 +152,7 @@
     return [
       {
         type: 'refuse',
-        requestId,
+        attemptId,
         kind: 'no-capacity',
         reason: `the work ahead of it takes about ${Math.round(workAheadMs / slotCount)} ms, longer than its deadline allows`,
         retryAfterMs: clampRetryAfter(workAheadMs / slotCount),
