--- a/standins/platform/PlatformStandIn.ts
+++ b/standins/platform/PlatformStandIn.ts
@@ -198,7 +198,8 @@
       this.stats = { ...this.stats, readCount: this.stats.readCount + 1 };
       const stream = this.getStream(request.params.stream);
       await stream.waitFor(fromOffset, waitMs);
-      // An outage that begins while a reader waits hits that reader too.
+      // An outage or a stop that begins while a reader waits hits that reader too.
+      if (this.app !== app) return PlatformStandIn.breakOff(request, reply);
       if (await this.failLog(request, reply)) return reply;
       const result = stream.read(fromOffset, maxCount);
       if (result.type === 'entries') {
@@ -215,7 +216,12 @@
     });
     app.post('/v1/vms', async (request) => {
       const { vms, controlPort } = registerSchema.parse(request.body);
-      this.putVms(vms, controlPort);
+      // A VM that leaves goes on leaving after a reboot, whatever it says of itself.
+      const known = vms.map((row) => ({
+        ...row,
+        state: this.directory.get(row.vm)?.state ?? row.state,
+      }));
+      this.putVms(known, controlPort);
       return {};
     });
     app.post('/v1/vms/:vm/drain', (request: VmRequest, reply) =>
--- /dev/null
+++ b/tests/support/index.ts
@@ -0,0 +1,9 @@
+export { type FleetShape, makeFleet } from './makeFleet.js';
+export {
+  endProcesses,
+  type ProcessEnd,
+  type ProcessOptions,
+  startProcess,
+  TestProcess,
+} from './startProcess.js';
+export { TcpForwarder } from './TcpForwarder.js';
--- /dev/null
+++ b/tests/support/makeFleet.ts
@@ -0,0 +1,38 @@
+import type { TargetVmSpec } from '../../standins/targets/index.js';
+
+/** Shape of a fleet. */
+export interface FleetShape {
+  readonly workerCount: number;
+  readonly vmCountPerWorker: number;
+  readonly workerCountPerRack: number;
+  readonly dataCentres: readonly string[];
+  readonly coreCount?: number;
+  readonly memoryMb?: number;
+  readonly slotCount?: number;
+}
+
+const DEFAULT_VM_SIZE = { coreCount: 8, memoryMb: 16_384, slotCount: 4 };
+
+/**
+ * Makes the VMs of a fleet; racks fill up in turn and go round the data centres.
+ * @param shape - How many of what.
+ * @returns The VMs, in the order of their names.
+ */
+export function makeFleet(shape: FleetShape): readonly TargetVmSpec[] {
+  const { workerCount, vmCountPerWorker, workerCountPerRack, dataCentres } = shape;
+  const { coreCount, memoryMb, slotCount } = { ...DEFAULT_VM_SIZE, ...shape };
+  return Array.from({ length: workerCount * vmCountPerWorker }, (_, index) => {
+    const workerIndex = Math.floor(index / vmCountPerWorker);
+    const rackIndex = Math.floor(workerIndex / workerCountPerRack);
+    return {
+      vm: `vm-${String(index + 1).padStart(3, '0')}`,
+      worker: `worker-${workerIndex + 1}`,
+      rack: `rack-${rackIndex + 1}`,
+      dataCentre: dataCentres[rackIndex % dataCentres.length]!,
+      coreCount,
+      memoryMb,
+      acceleratorCount: 0,
+      slotCount,
+    };
+  });
+}
--- /dev/null
+++ b/tests/support/startProcess.ts
@@ -0,0 +1,117 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { createInterface } from 'node:readline';
+
+const READY_TIMEOUT_MS = 20_000;
+
+/** What to start and how to tell that it is ready. */
+export interface ProcessOptions {
+  /** Program below `dist`, for example `src/daemon/main.js`. */
+  readonly program: string;
+  readonly args?: readonly string[];
+  /** Matches the line that says that the process is ready; absent to wait for nothing. */
+  readonly readyLine?: RegExp;
+}
+
+/** How a process ended. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+/** A process of ours under test. */
+export class TestProcess {
+  /** Lines written so far, of both outputs. */
+  readonly lines: string[] = [];
+
+  /** Resolves when the process has ended. */
+  readonly ended: Promise<ProcessEnd>;
+
+  private readonly child: ChildProcess;
+
+  private readonly listeners = new Set<(line: string) => void>();
+
+  /**
+   * Starts a program with this Node.js.
+   * @param options - Program and arguments.
+   */
+  constructor(options: ProcessOptions) {
+    this.child = spawn(process.execPath, [`dist/${options.program}`, ...(options.args ?? [])], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.ended = new Promise((resolve) => {
+      this.child.once('exit', (code, signal) => resolve({ code, signal }));
+    });
+    [this.child.stdout!, this.child.stderr!].forEach((output) => {
+      createInterface({ input: output }).on('line', (line) => {
+        this.lines.push(line);
+        this.listeners.forEach((listener) => listener(line));
+      });
+    });
+  }
+
+  /** Log lines written so far that are JSON objects. */
+  get logLines(): readonly Readonly<Record<string, unknown>>[] {
+    return this.lines
+      .filter((line) => line.startsWith('{'))
+      .map((line) => JSON.parse(line) as Readonly<Record<string, unknown>>);
+  }
+
+  /**
+   * Waits for a line.
+   * @param pattern - What it matches.
+   * @returns The match.
+   * @throws Error Where the process ends or the time is up before.
+   */
+  async waitForLine(pattern: RegExp): Promise<RegExpMatchArray> {
+    const seen = this.lines.find((line) => pattern.test(line));
+    if (seen !== undefined) return seen.match(pattern)!;
+    return new Promise((resolve, reject) => {
+      const fail = () => {
+        reject(new Error(`No line like ${pattern}; output:\n${this.lines.join('\n')}`));
+      };
+      const timer = setTimeout(fail, READY_TIMEOUT_MS);
+      void this.ended.then(fail);
+      this.listeners.add((line) => {
+        const match = line.match(pattern);
+        if (match === null) return;
+        clearTimeout(timer);
+        resolve(match);
+      });
+    });
+  }
+
+  /**
+   * Sends a signal to the process.
+   * @param signal - For example `SIGKILL`, `SIGSTOP`, `SIGCONT` or `SIGTERM`.
+   */
+  signal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  /** Ends the process whatever its state, and waits for it. */
+  async kill(): Promise<void> {
+    this.child.kill('SIGKILL');
+    await this.ended;
+  }
+}
+
+const started = new Set<TestProcess>();
+
+/**
+ * Starts a program and waits until it is ready.
+ * @param options - Program, arguments and ready line.
+ * @returns The process.
+ */
+export async function startProcess(options: ProcessOptions): Promise<TestProcess> {
+  const testProcess = new TestProcess(options);
+  started.add(testProcess);
+  if (options.readyLine !== undefined) await testProcess.waitForLine(options.readyLine);
+  return testProcess;
+}
+
+/** Ends every process that {@link startProcess} started; to be called in `afterEach`. */
+export async function endProcesses(): Promise<void> {
+  const all = [...started];
+  started.clear();
+  await Promise.all(all.map((testProcess) => testProcess.kill()));
+}
