--- /dev/null
+++ b/tests/log/support/RandomFleet.ts
@@ -0,0 +1,157 @@
+import fc from 'fast-check';
+import type { RecordBody } from '../../../src/records/index.js';
+import { Folder, join, publication } from './Folder.js';
+
+const TEAMS = ['wiki', 'food'];
+const POOL_NAMES = ['one', 'two'];
+const INSTANCES = ['a', 'b', 'c', 'd', 'e'];
+const VMS = ['vm-1', 'vm-2', 'vm-3'];
+const WAVES = ['w-1', 'w-2'];
+const REQUEST_IDS = ['save-1', 'save-2', 'save-3'];
+const STALE_COUNT = 4;
+
+/** Every type of record. */
+export const TYPES: readonly RecordBody['type'][] = [
+  'settings-published',
+  'instance-joined',
+  'instance-renewed',
+  'instance-left',
+  'instance-lapsed',
+  'home-claimed',
+  'home-released',
+  'vm-adopted',
+  'vm-released',
+  'vm-drain-ordered',
+  'vm-drain-cancelled',
+  'wave-started',
+  'wave-paused',
+  'wave-resumed',
+  'step-intended',
+  'step-finished',
+  'requests-claimed',
+  'requests-settled',
+];
+
+/** Types that end what others need, drawn less often. */
+const ENDING_TYPES = ['instance-left', 'instance-lapsed', 'home-released'];
+const FREQUENT_TYPES = TYPES.filter((type) => !ENDING_TYPES.includes(type));
+
+/** One append: whose, of what, and whether its writer saw the latest state. */
+const moveArbitrary = fc.record({
+  type: fc.constantFrom(...TYPES, ...FREQUENT_TYPES, ...FREQUENT_TYPES),
+  team: fc.constantFrom(...TEAMS),
+  poolName: fc.constantFrom(...POOL_NAMES),
+  instance: fc.constantFrom(...INSTANCES),
+  vm: fc.constantFrom(...VMS),
+  wave: fc.constantFrom(...WAVES),
+  requestId: fc.constantFrom(...REQUEST_IDS),
+  isFresh: fc.nat(3).map((draw) => draw > 0),
+  stale: fc.nat(STALE_COUNT),
+  isRepeated: fc.boolean(),
+});
+
+type Move = typeof moveArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Appends of several writers, interleaved at random. */
+export const movesArbitrary = fc.array(moveArbitrary, { minLength: 60, maxLength: 160 });
+
+/** Makes the record of a move, from what its writer saw. */
+function toBody(move: Move, { tables }: Folder): RecordBody {
+  const { instance: name, isFresh, stale, team, vm, wave, requestId } = move;
+  const poolOfVm = isFresh ? tables.assignments.get(vm)?.pool : undefined;
+  const pool = poolOfVm ?? `${team}/${move.poolName}`;
+  const home = tables.homes.get(pool);
+  const instance = (isFresh ? home?.instance : undefined) ?? name;
+  const term = isFresh ? (home?.term ?? 0) : stale;
+  const acting = { pool, instance, term };
+  const version = (fresh: number | undefined): number => (isFresh ? (fresh ?? 0) : stale);
+  const runningWave = tables.waves
+    .list()
+    .find((row) => row.finishedOffset === undefined && row.pools.includes(pool));
+  const waveId = (isFresh ? runningWave?.wave : undefined) ?? `${wave}-${stale}`;
+  const vmVersion = version(tables.assignments.get(vm)?.version);
+  switch (move.type) {
+    case 'settings-published': {
+      const poolNames = stale === 0 ? [move.poolName] : POOL_NAMES;
+      return publication(team, poolNames, version(tables.settings.get(team)?.version));
+    }
+    case 'instance-joined':
+      return join(name);
+    case 'instance-renewed':
+    case 'instance-left':
+      return { type: move.type, instance: name };
+    case 'instance-lapsed': {
+      const observedRenewalOffset = version(tables.instances.get(name)?.renewalOffset);
+      return { type: 'instance-lapsed', instance: name, observedRenewalOffset, by: 'z' };
+    }
+    case 'home-claimed':
+      return { type: 'home-claimed', pool, instance: name, expectedTerm: term };
+    case 'home-released':
+      return { type: 'home-released', ...acting };
+    case 'vm-adopted':
+    case 'vm-released':
+      return { type: move.type, vm, ...acting, expectedVersion: vmVersion };
+    case 'vm-drain-ordered':
+    case 'vm-drain-cancelled':
+      return { type: move.type, vm, author: name };
+    case 'wave-started':
+      return {
+        type: 'wave-started',
+        wave: `${wave}-${tables.nextOffset}`,
+        pools: [pool],
+        author: name,
+      };
+    case 'wave-paused':
+      return { type: 'wave-paused', wave: waveId, reason: 'a VM failed' };
+    case 'wave-resumed':
+      return { type: 'wave-resumed', wave: waveId, author: name };
+    case 'step-intended':
+      return { type: 'step-intended', wave: waveId, vm, ...acting, bootId: 'boot' };
+    case 'step-finished':
+      return { type: move.type, wave: waveId, vm, ...acting, result: 'maintained' };
+    case 'requests-claimed': {
+      const claim = { requestId, entry: 'e', keepUntilMs: 1, fingerprint: 'f' };
+      return { type: 'requests-claimed', ...acting, claims: [claim] };
+    }
+    case 'requests-settled':
+      return { type: move.type, ...acting, settlements: [{ requestId, outcome: 'run' }] };
+    default:
+      throw new Error(`There is no move for ${String(move.type)}.`);
+  }
+}
+
+/** One appended record with what the fold decided about it. */
+export interface PlayedRecord {
+  readonly payload: unknown;
+  readonly body: RecordBody;
+  readonly verdict: ReturnType<Folder['apply']>;
+}
+
+/** Records that every play begins with: two teams, and instances that hold their pools. */
+const OPENING: readonly RecordBody[] = [
+  ...TEAMS.map((team) => publication(team, POOL_NAMES)),
+  ...INSTANCES.slice(0, -1).map(join),
+  ...TEAMS.map((team, index): RecordBody => ({
+    type: 'home-claimed',
+    pool: `${team}/${POOL_NAMES[0]}`,
+    instance: INSTANCES[index]!,
+    expectedTerm: 0,
+  })),
+];
+
+/** Plays moves one by one; some are appended twice, as after a lost answer. */
+export function play(moves: readonly Move[]): readonly PlayedRecord[] {
+  const folder = new Folder();
+  const append = (body: RecordBody, times: number): readonly PlayedRecord[] => {
+    const recordId = `r-${folder.tables.nextOffset}`;
+    const payload = { formatVersion: 1, recordId, writer: 'w', body };
+    return Array.from({ length: times }, () => ({
+      payload,
+      body,
+      verdict: folder.applyPayload(payload),
+    }));
+  };
+  const opening = OPENING.flatMap((body) => append(body, 1));
+  const played = moves.flatMap((move) => append(toBody(move, folder), move.isRepeated ? 2 : 1));
+  return [...opening, ...played];
+}
