Take callers' jobs over HTTP

Cause: callers need a front that is strict about what it takes and truthful in what it answers. The client of peers is closed by close().

--- a/src/callers/EntryPort.ts
+++ b/src/callers/EntryPort.ts
@@ -12,6 +12,8 @@
   readonly team: string;
   readonly jobKind: string;
   readonly idempotent: boolean | undefined;
+  /** First header that a non-idempotent job needs and the caller left out. */
+  readonly missingHeader?: string;
   readonly urgency: Urgency | undefined;
   readonly coreCount: number | undefined;
   readonly memoryMb: number | undefined;
--- /dev/null
+++ b/src/callers/createHttpServer.ts
@@ -0,0 +1,141 @@
+import { randomUUID } from 'node:crypto';
+import type { Socket } from 'node:net';
+import { fastify, type FastifyInstance } from 'fastify';
+import { RattanliftError, throwError } from '../errors/index.js';
+import type { EventLog } from '../logging/index.js';
+import { type Clock, SystemClock } from '../utils/index.js';
+import { answerBrokenRequest } from './answerBrokenRequest.js';
+import { CALLER_HEADERS } from './callerHeaders.js';
+import { isRequestId } from './headerValues.js';
+import { sendError } from './sendError.js';
+import { toRequestError } from './toRequestError.js';
+
+const DEFAULT_BODY_LIMIT_BYTES = 1024 * 1024;
+const DEFAULT_RECEIVE_TIMEOUT_MS = 30_000;
+const DEFAULT_KEEP_ALIVE_MS = 65_000;
+const TIMEOUT_CHECK_MS = 1000;
+const TCP_KEEP_ALIVE_DELAY_MS = 10_000;
+const MAX_PATH_PART_LENGTH = 300;
+
+/** Options of {@link createHttpServer}. */
+export interface HttpServerOptions {
+  /** Largest body, in bytes. */
+  readonly bodyLimitBytes?: number;
+  /** Longest time for a request to arrive whole, in milliseconds. */
+  readonly receiveTimeoutMs?: number;
+  /** How long a connection may stay open without a request, in milliseconds. */
+  readonly keepAliveMs?: number;
+  readonly clock?: Clock;
+  readonly events?: EventLog;
+  /** Makes the ids of requests that bring none. */
+  readonly createRequestId?: () => string;
+}
+
+/** Registers a parser that hands every body on as the bytes that came. */
+function useRawBodies(server: FastifyInstance): void {
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
+    done(null, body);
+  });
+}
+
+function useJsonErrors(server: FastifyInstance, clock: Clock, events: EventLog | undefined): void {
+  server.setErrorHandler<Error>((thrown, request, reply) => {
+    const { error, httpStatus, isUnexpected } = toRequestError(thrown);
+    const requestId = request.id;
+    const { kind, field, message } = error;
+    if (isUnexpected) events?.write('unexpectedError', { requestId, error: String(thrown) });
+    else events?.write('badInput', { requestId, kind, field, reason: message });
+    sendError(reply, error, { nowMs: clock.wallMs(), httpStatus });
+  });
+  server.setNotFoundHandler((request, reply) => {
+    const message = `There is no ${request.method} ${request.url}.`;
+    const error = new RattanliftError({ kind: 'bad-request', message, field: 'path' });
+    sendError(reply, error, { nowMs: clock.wallMs(), httpStatus: 404 });
+  });
+}
+
+/**
+ * Lets requests in progress end on close, and refuses those that still come on open connections;
+ * a connection is closed as soon as it has nothing in progress.
+ */
+function useGracefulClose(server: FastifyInstance): void {
+  let closing = false;
+  server.addHook('preClose', (done) => {
+    closing = true;
+    done();
+  });
+  server.addHook('onRequest', (_request, reply, done) => {
+    reply.raw.once('close', () => {
+      if (closing) setImmediate(() => server.server.closeIdleConnections());
+    });
+    if (closing) {
+      void reply.header('Connection', 'close');
+      throwError('shutting-down', 'This instance is stopping; another one takes the request.');
+    }
+    done();
+  });
+}
+
+/** Counts the requests of each connection that are being handled. */
+function countHandled(server: FastifyInstance): (socket: Socket) => number {
+  const counts = new WeakMap<Socket, number>();
+  const getCount = (socket: Socket): number => counts.get(socket) ?? 0;
+  server.addHook('preHandler', (request, reply, done) => {
+    const { socket } = request.raw;
+    counts.set(socket, getCount(socket) + 1);
+    reply.raw.once('close', () => counts.set(socket, getCount(socket) - 1));
+    done();
+  });
+  return getCount;
+}
+
+/**
+ * Creates the HTTP server that callers and operators reach, without routes.
+ * @param options - Limits, clock and log.
+ * @returns The server, which does not listen yet; its `close` lets requests in progress end.
+ */
+export function createHttpServer(options: HttpServerOptions = {}): FastifyInstance {
+  const { clock = new SystemClock(), createRequestId = randomUUID, events } = options;
+  const receiveTimeoutMs = options.receiveTimeoutMs ?? DEFAULT_RECEIVE_TIMEOUT_MS;
+  let getHandledCount = (_socket: Socket): number => 0;
+  const server = fastify({
+    bodyLimit: options.bodyLimitBytes ?? DEFAULT_BODY_LIMIT_BYTES,
+    requestTimeout: receiveTimeoutMs,
+    keepAliveTimeout: options.keepAliveMs ?? DEFAULT_KEEP_ALIVE_MS,
+    return503OnClosing: false,
+    exposeHeadRoutes: false,
+    routerOptions: { maxParamLength: MAX_PATH_PART_LENGTH },
+    http: {
+      // Node.js swaps the two limits where the one for headers is the longer one.
+      headersTimeout: receiveTimeoutMs,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+      keepAlive: true,
+      keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
+      noDelay: true,
+    },
+    genReqId: (raw) => {
+      const given = raw.headers[CALLER_HEADERS.requestId.toLowerCase()];
+      return typeof given === 'string' && isRequestId(given) ? given : createRequestId();
+    },
+    frameworkErrors: (thrown, _request, reply) => {
+      const { error, httpStatus } = toRequestError(thrown);
+      sendError(reply, error, { nowMs: clock.wallMs(), httpStatus });
+    },
+    /**
+     * Guards against an answer that reaches the wrong request: bytes that are no HTTP may follow
+     * a request in progress on the same connection, and "bad request, not run" written now would
+     * be taken for that one's answer. Its connection is broken off instead.
+     */
+    clientErrorHandler: (cause, socket) => {
+      if (socket.writable && getHandledCount(socket) === 0) {
+        answerBrokenRequest(socket, cause, createRequestId());
+      } else socket.destroy();
+    },
+  });
+  getHandledCount = countHandled(server);
+  useRawBodies(server);
+  useJsonErrors(server, clock, events);
+  useGracefulClose(server);
+  return server;
+}
--- a/src/logging/events/callerEvents.ts
+++ b/src/logging/events/callerEvents.ts
@@ -7,4 +7,6 @@
   requestRetried: { number: 1003, level: 'info', text: 'A request is tried on another VM.' },
   requestAnswered: { number: 1004, level: 'info', text: 'A request got its final answer.' },
   requestRefused: { number: 1005, level: 'info', text: 'A request was refused and did not run.' },
+  answerCut: { number: 1006, level: 'warn', text: 'An answer was broken off before its end.' },
+  badInput: { number: 1007, level: 'info', text: 'What a caller sent could not be accepted.' },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/peers/PeerClient.ts
+++ b/src/peers/PeerClient.ts
@@ -24,7 +24,7 @@
 
   private readonly links = new Map<string, PeerLink>();
 
-  private stopped = false;
+  private closed = false;
 
   /**
    * Creates a client without connections.
@@ -36,13 +36,13 @@
 
   /** {@inheritDoc PeerPort.call} */
   async call(peer: PeerAddress, request: PeerRequest, waitMs: number): Promise<PeerReply> {
-    if (this.stopped) throwError('peer-unavailable', 'This instance stops.');
+    if (this.closed) throwError('peer-unavailable', 'The client is closed.');
     return this.getLink(peer).call(request, waitMs);
   }
 
   /** Closes every connection and fails every call. */
-  stop(): void {
-    this.stopped = true;
+  close(): void {
+    this.closed = true;
     this.links.forEach((link) => link.stop());
     this.links.clear();
   }
--- a/tests/peers/PeerClient.test.ts
+++ b/tests/peers/PeerClient.test.ts
@@ -35,7 +35,7 @@
 function createClient() {
   const events = new MemoryEventLog();
   const client = new PeerClient({ instance: 'a', events, heartbeat, reopen });
-  cleanups.push(() => client.stop());
+  cleanups.push(() => client.close());
   return { client, events };
 }
 
