Test that an idle connection is closed after its last answer

Cause: the test ended the answer before the server had begun to close, so it passed without the guard that it is about. Conclusion: the guard is tested.

--- a/tests/callers/createHttpServer.test.ts
+++ b/tests/callers/createHttpServer.test.ts
@@ -98,6 +98,7 @@
     const received = exchangeBytes(port, JOB);
     await vi.waitFor(() => expect(entry.submissions).toHaveLength(1), LONG_MS);
     const closed = server.close();
+    await vi.waitFor(() => expect(server.server.listening).toBe(false), LONG_MS);
     body.end('whole');
     await closed;
     expect(await received).toContain('whole');
--- a/tests/callers/registerCallerRoutes.test.ts
+++ b/tests/callers/registerCallerRoutes.test.ts
@@ -18,11 +18,14 @@
 
 type Headers = Record<string, string | string[]>;
 
-async function send(
-  { url }: CallerServer,
-  path: string,
-  { method = 'POST', headers = {}, body = 'x' } = {},
-) {
+interface Sent {
+  readonly method?: string;
+  readonly headers?: Headers;
+  readonly body?: string | Buffer | null;
+}
+
+async function send({ url }: CallerServer, path: string, options: Sent = {}) {
+  const { method = 'POST', headers = {}, body = 'x' } = options;
   const dispatcher = new Agent({ pipelining: 1 });
   agents.push(dispatcher);
   const sent: Headers = { 'Rattanlift-Kind': 'page-save', ...headers };
