--- a/src/cli/JobClient.ts
+++ b/src/cli/JobClient.ts
@@ -12,7 +12,7 @@
   readonly pool: string;
   readonly requestId: string;
   readonly team: string | undefined;
-  readonly jobKind: string | undefined;
+  readonly jobKind: string;
   readonly urgency: string | undefined;
   readonly isNonIdempotent: boolean;
   /** Time after which the answer is of no use, in milliseconds since the Unix epoch. */
--- a/src/cli/commands/jobsSubmitCommand.ts
+++ b/src/cli/commands/jobsSubmitCommand.ts
@@ -19,7 +19,11 @@
 
 const SUBMIT_ARGS = {
   pool: { type: 'positional', description: 'Pool as TEAM/POOL', required: true },
-  kind: { type: 'string', description: 'Kind of job, as the settings of the pool name it' },
+  kind: {
+    type: 'string',
+    description: 'Kind of job, as the settings of the pool name it',
+    required: true,
+  },
   body: { type: 'string', valueHint: 'FILE', description: 'File with the job, - for the input' },
   'content-type': {
     type: 'string',
--- a/tests/cli/runCli.test.ts
+++ b/tests/cli/runCli.test.ts
@@ -94,7 +94,8 @@
       [['settings', 'publish'], 'FILE'],
       [['settings', 'publish', 'wiki.jsonc', '--base-version', 'x'], 'a whole number'],
       [['pools', '--daemon', 'http://a'], 'A daemon is HOST:PORT'],
-      [['jobs', 'submit', 'saves'], 'A pool is TEAM/POOL'],
+      [['jobs', 'submit', 'wiki/saves'], '--kind'],
+      [['jobs', 'submit', 'saves', '--kind', 'save'], 'A pool is TEAM/POOL'],
     ] as const;
     const results = await Promise.all(expectations.map(([args]) => run(...args)));
     results.forEach(({ exitCode, stderr }, index) => {
@@ -187,13 +188,21 @@
       { phase: 'running' },
       { phase: 'finished', outcome: 'run', httpStatus: 200, bodyBase64 },
     ];
-    const submit = ['jobs', 'submit', 'wiki/saves', '--non-idempotent', '--deadline-s', '5'];
+    const submit = [
+      'jobs',
+      'submit',
+      'wiki/saves',
+      '--kind=save',
+      '--non-idempotent',
+      '--deadline-s=5',
+    ];
     const result = await run(...submit, '--request-id', 'r-1', '--wait');
     expect(result).toMatchObject({ exitCode: EXIT_CODES.ok, stdout: 'saved' });
     expect(jobHeaders).toMatchObject({
       'rattanlift-deadline-ms': '6000',
       'rattanlift-request-id': 'r-1',
       'rattanlift-team': 'wiki',
+      'rattanlift-kind': 'save',
       'rattanlift-non-idempotent': 'true',
     });
   });
