Borrow for a wave as it grows, keep a team's quota open for its urgent work

Change: a pool borrows what its next steps take out and gives back as its part ends; headroom and preemption also work within a team's quota; a VM with failures gets trial runs with growing pauses.

--- a/src/systems/PoolLoad.ts
+++ b/src/systems/PoolLoad.ts
@@ -5,8 +5,6 @@
 import { VmLoad } from './VmLoad.js';
 import { isQuarantined } from './vmStates.js';
 
-/** How long a start counts as recent, in milliseconds. */
-const RECENT_START_MS = 200;
 /** Share of its cores that a throttled run keeps. */
 export const THROTTLED_CORE_FRACTION = 0.25;
 
@@ -26,6 +24,9 @@
 export class PoolLoad {
   readonly vmLoads: readonly VmLoad[];
 
+  /** Slots of the accepting VMs. */
+  readonly slotCount: number;
+
   private readonly loadByVm: ReadonlyMap<string, VmLoad>;
 
   private readonly usedSlotsByRack = new Map<string, number>();
@@ -48,22 +49,17 @@
       .list()
       .filter((vm) => vm.condition === 'accepting' && vm.state === 'live')
       .filter((vm) => !isQuarantined(tables, vm.vm, nowMs))
-      .map((vm) => new VmLoad(vm, tables.health.get(vm.vm)?.failedRequestIds.length ?? 0));
+      .map((vm) => new VmLoad({ vm, health: tables.health.get(vm.vm), nowMs }));
+    this.slotCount = this.vmLoads.reduce((sum, load) => sum + load.vm.slotCount, 0);
     this.loadByVm = new Map(this.vmLoads.map((load) => [load.vm.vm, load]));
     this.vmLoads.forEach(({ vm }) => addTo(this.slotsByRack, domainOf(vm, 'rack'), vm.slotCount));
     tables.grants.list().forEach((grant) => {
       const throttled = tables.preemptions.get(grant.grantId)?.action === 'throttle';
       const coreCount = grant.coreCount * (throttled ? THROTTLED_CORE_FRACTION : 1);
-      const recent = nowMs - grant.grantedAtMs < RECENT_START_MS;
-      this.countRun(grant, { coreCount, memoryMb: grant.memoryMb }, recent);
+      this.countRun(grant, { coreCount, memoryMb: grant.memoryMb }, grant.grantedAtMs);
     });
   }
 
-  /** Slots of the accepting VMs. */
-  get slotCount(): number {
-    return this.vmLoads.reduce((sum, load) => sum + load.vm.slotCount, 0);
-  }
-
   /** Slots of the accepting VMs that no run holds. */
   get freeSlotCount(): number {
     return this.slotCount - this.usedSlots;
@@ -110,14 +106,18 @@
    * Adds a run.
    * @param run - On which VM, for which team, how urgent.
    * @param size - What it takes.
-   * @param recent - Whether it began within the last moments.
+   * @param startedAtMs - Monotonic time of its start.
    */
-  countRun(run: Pick<GrantRow, 'vm' | 'team' | 'urgency'>, size: JobSize, recent: boolean): void {
+  countRun(
+    run: Pick<GrantRow, 'vm' | 'team' | 'urgency'>,
+    size: JobSize,
+    startedAtMs: number,
+  ): void {
     addTo(this.heldByTeam, run.team, 1);
     addTo(this.heldByUrgency, run.urgency, 1);
     const load = this.loadByVm.get(run.vm);
     if (load === undefined) return;
-    load.add(size, recent);
+    load.add(size, startedAtMs);
     this.usedSlots += 1;
     addTo(this.usedSlotsByRack, domainOf(load.vm, 'rack'), 1);
   }
--- a/src/systems/VmLoad.ts
+++ b/src/systems/VmLoad.ts
@@ -1,14 +1,32 @@
-import type { PoolVmRow } from '../tables/index.js';
+import type { PoolVmRow, VmHealthRow } from '../tables/index.js';
 import type { JobSize } from './learnedSize.js';
 
+/** How long a start counts as recent, in milliseconds. */
+const RECENT_START_MS = 200;
+/** How long a run after a failure has to last to count as no failure, in milliseconds. */
+const TRIAL_MS = 5_000;
+/** Pauses between trials of a VM with failures, in milliseconds. */
+const FIRST_TRIAL_PAUSE_MS = 250;
+const MAX_TRIAL_PAUSE_MS = 10_000;
+
+/** Options of {@link VmLoad}. */
+export interface VmLoadOptions {
+  readonly vm: PoolVmRow;
+  /** What is held against the VM, if anything. */
+  readonly health: VmHealthRow | undefined;
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+}
+
 const NOTHING_FREED = { slotCount: 0, coreCount: 0, memoryMb: 0 };
 
 /** What a VM carries at the moment, and what else would fit. */
 export class VmLoad {
   readonly vm: PoolVmRow;
 
-  /** Requests that failed on the VM since its last success. */
-  readonly failureCount: number;
+  private readonly health: VmHealthRow | undefined;
+
+  private readonly nowMs: number;
 
   private usedSlots = 0;
 
@@ -18,14 +36,32 @@
 
   private recentStarts = 0;
 
+  private trials = 0;
+
   /**
    * Starts with an empty VM.
-   * @param vm - The VM.
-   * @param failureCount - Requests that failed on it since its last success.
+   * @param options - The VM, what is held against it, and the time.
+   */
+  constructor(options: VmLoadOptions) {
+    this.vm = options.vm;
+    this.health = options.health;
+    this.nowMs = options.nowMs;
+  }
+
+  /** Requests that failed on the VM since its last success. */
+  get failureCount(): number {
+    return this.health?.failedRequestIds.length ?? 0;
+  }
+
+  /**
+   * Whether the VM is trusted with one more run. A VM that fails all that it starts is always
+   * empty and would draw every job; after a failure it gets a single run at a time, after a pause
+   * that doubles with each failure, until a run has ended well.
    */
-  constructor(vm: PoolVmRow, failureCount: number) {
-    this.vm = vm;
-    this.failureCount = failureCount;
+  get isTrusted(): boolean {
+    if (this.health === undefined || this.failureCount === 0) return true;
+    const pauseMs = Math.min(MAX_TRIAL_PAUSE_MS, FIRST_TRIAL_PAUSE_MS * 2 ** this.failureCount);
+    return this.trials === 0 && this.nowMs >= this.health.lastFailedAtMs + pauseMs;
   }
 
   /** Slots in use. */
@@ -56,13 +92,16 @@
   /**
    * Adds a run.
    * @param size - What it takes.
-   * @param recent - Whether it began within the last moments.
+   * @param startedAtMs - Monotonic time of its start.
    */
-  add(size: JobSize, recent: boolean): void {
+  add(size: JobSize, startedAtMs: number): void {
     this.usedSlots += 1;
     this.usedCores += size.coreCount;
     this.usedMemory += size.memoryMb;
-    if (recent) this.recentStarts += 1;
+    const ageMs = this.nowMs - startedAtMs;
+    if (ageMs < RECENT_START_MS) this.recentStarts += 1;
+    const isTrial = this.health !== undefined && startedAtMs >= this.health.lastFailedAtMs;
+    if (isTrial && ageMs < TRIAL_MS) this.trials += 1;
   }
 
   /**
--- a/src/systems/chooseVm.ts
+++ b/src/systems/chooseVm.ts
@@ -6,7 +6,7 @@
 
 /** Racks whose load differs by less than this share count as equally full. */
 const RACK_LOAD_STEP = 0.25;
-/** Fewest starts that a VM takes within the moment that {@link PoolLoad} calls recent. */
+/** Fewest starts that a VM takes within the moment that {@link VmLoad} calls recent. */
 const MIN_RECENT_START_COUNT = 2;
 /** Share of a VM's slots that may start within that moment. */
 const RECENT_START_FRACTION = 0.25;
@@ -35,14 +35,6 @@
   return load.recentStartCount < limit;
 }
 
-/**
- * Whether a VM is trusted with one more run. A VM that fails all that it starts is always empty
- * and would draw every job; after a failure it gets a single run at a time until one succeeds.
- */
-function isTrusted(load: VmLoad): boolean {
-  return load.failureCount === 0 || load.usedSlotCount === 0;
-}
-
 /** Ranks a VM: trusted ones first, then the emptier rack, then the tighter fit. */
 function rankOf(options: ChooseVmOptions, load: VmLoad): readonly [number, number, number] {
   const rackStep = Math.floor(options.load.rackLoadFraction(load) / RACK_LOAD_STEP);
@@ -74,7 +66,7 @@
   vmLoads.forEach((ignored, index) => {
     // Ties go to the first VM seen, so each search starts elsewhere.
     const candidate = vmLoads[(start + index) % vmLoads.length]!;
-    if (!candidate.fits(size) || !mayStart(candidate, request) || !isTrusted(candidate)) return;
+    if (!candidate.fits(size) || !mayStart(candidate, request) || !candidate.isTrusted) return;
     if (reservedVms.has(candidate.vm.vm) || request.excludedVms.includes(candidate.vm.vm)) return;
     const rank = rankOf(options, candidate);
     if (bestRank !== undefined && !isBetter(rank, bestRank)) return;
--- /dev/null
+++ b/src/systems/listUntouchedVms.ts
@@ -0,0 +1,14 @@
+import type { PoolTables, PoolVmRow, WaveRow } from '../tables/index.js';
+
+/**
+ * Lists the VMs of a pool that a wave has still to maintain.
+ * @param tables - State of the pool.
+ * @param wave - The wave.
+ * @returns VMs that are there, without a step in the wave.
+ */
+export function listUntouchedVms(tables: PoolTables, wave: WaveRow): readonly PoolVmRow[] {
+  return tables.vms
+    .list()
+    .filter((vm) => vm.state === 'live' && !tables.waveSteps.has(`${wave.wave}/${vm.vm}`))
+    .filter((vm) => vm.condition === 'accepting' || vm.condition === 'draining');
+}
--- a/src/systems/placeQueuedJobs.ts
+++ b/src/systems/placeQueuedJobs.ts
@@ -60,13 +60,22 @@
   return { coreCount, memoryMb: Math.min(memoryMb, run.largestVmMemoryMb) };
 }
 
-/** Whether quota and headroom let a request start now. */
+/**
+ * Whether quota and headroom let a request start now. Headroom is kept in the pool and in the
+ * team's quota alike: a team that filled its quota with overnight runs would block its own saves.
+ */
 function mayStart(run: PlacementRun, request: QueuedRow): boolean {
   const { load, owed } = run;
-  const quota = quotaOf(run.tables.settings, request.team);
-  if (quota === undefined || load.heldByTeamCount(request.team) >= quota.slotCount) return false;
-  const headroom = owed.has(request) ? 0 : headroomSlotCount(request.urgency, load.slotCount);
-  return load.freeSlotCount > headroom;
+  const { team, urgency } = request;
+  const quota = quotaOf(run.tables.settings, team);
+  if (quota === undefined) return false;
+  const headroomOf = (slotCount: number): number =>
+    owed.has(request) ? 0 : headroomSlotCount(urgency, slotCount);
+  const freeQuota = quota.slotCount - load.heldByTeamCount(team);
+  return (
+    freeQuota > headroomOf(Math.min(quota.slotCount, load.slotCount)) &&
+    load.freeSlotCount > headroomOf(load.slotCount)
+  );
 }
 
 /** Finds a VM for a request, and remembers sizes for which there is none. */
@@ -109,7 +118,7 @@
     return undefined;
   }
   const { vm } = chosen.vm;
-  run.load.countRun({ ...request, vm }, size, true);
+  run.load.countRun({ ...request, vm }, size, run.nowMs);
   return {
     type: 'place',
     attemptId: request.attemptId,
@@ -120,15 +129,6 @@
   };
 }
 
-/** Urgent requests that wait for room, not for their team's quota. */
-function listWaitingUrgent(run: PlacementRun, waiting: readonly QueuedRow[]): readonly QueuedRow[] {
-  return waiting.filter((request) => {
-    const quota = quotaOf(run.tables.settings, request.team);
-    const heldCount = run.load.heldByTeamCount(request.team);
-    return request.urgency === 'urgent' && quota !== undefined && heldCount < quota.slotCount;
-  });
-}
-
 /**
  * Decides about the requests that wait for a slot of a pool: which start where, which are refused
  * and why, and which running ones have to make room.
@@ -163,7 +163,7 @@
     if (placement === undefined) waiting.push(request);
     return placement === undefined ? [] : [placement];
   });
-  const waitingUrgent = listWaitingUrgent(run, waiting);
+  const waitingUrgent = waiting.filter((request) => request.urgency === 'urgent');
   const preemptions = planPreemptions({ tables, load, waitingUrgent, nowMs });
   return [
     ...refusals,
--- a/src/systems/planCapacity.ts
+++ b/src/systems/planCapacity.ts
@@ -3,9 +3,10 @@
 import { canCarryAnyKind } from './canCarryAnyKind.js';
 import type { CapacityDecision } from './decisions.js';
 import { DomainSlots } from './DomainSlots.js';
+import { listUntouchedVms } from './listUntouchedVms.js';
 import { noteLosses } from './noteLosses.js';
+import { rampedStepCount } from './rampedStepCount.js';
 import { isLost, isQuarantined, listSteppedVms } from './vmStates.js';
-import { waveWidth } from './waveWidth.js';
 
 /** How long a lost VM still counts: most come back at once, and a move costs more than that. */
 const LOSS_GRACE_MS = 5_000;
@@ -22,6 +23,14 @@
   readonly unassignedVms: readonly VmRow[];
 }
 
+/** What the running waves want of a pool. */
+interface WaveNeed {
+  /** VMs that they take out at once. */
+  readonly outVmCount: number;
+  /** Whether fewer VMs are left to maintain than they would take out at once. */
+  readonly isEnding: boolean;
+}
+
 /** What the pool has and what it should have. */
 interface CapacityPlan {
   readonly tables: PoolTables;
@@ -33,6 +42,8 @@
   readonly targetSlotCount: number;
   /** VMs to have, so that a wave may take one of them out. */
   readonly targetVmCount: number;
+  /** What the running waves want of the pool; undefined while there are none. */
+  readonly waveNeed: WaveNeed | undefined;
 }
 
 /** Whether the pool can count on a VM: it serves, or a wave step will bring it back. */
@@ -48,15 +59,25 @@
 }
 
 /**
- * Slots that a wave borrows while it runs. Without them a pool that has just what it needs could
- * never take a VM out, and the wave would wait for ever; with a standing reserve every pool would
- * hold idle VMs all day.
+ * Finds what the running waves want of the pool. A pool that has just what it needs could never
+ * take a VM out, and the wave would wait for ever; with a standing reserve every pool would hold
+ * idle VMs all day. So VMs are borrowed while the wave runs, no more than its next steps take
+ * out, because pools that are maintained at the same time share the spare VMs.
  */
-function waveReserveSlotCount(tables: PoolTables): number {
-  const largestVmSlotCount = tables.vms
-    .list()
-    .reduce((most, vm) => Math.max(most, vm.slotCount), 0);
-  return waveWidth(tables) * largestVmSlotCount;
+function findWaveNeed(tables: PoolTables, steppedVms: ReadonlySet<string>): WaveNeed | undefined {
+  const wave = tables.waves.list().find(({ state }) => state === 'running');
+  if (wave === undefined) return undefined;
+  const leftVmCount = listUntouchedVms(tables, wave).length + steppedVms.size;
+  const rampedCount = rampedStepCount(tables, wave);
+  return {
+    outVmCount: Math.min(leftVmCount, rampedCount),
+    isEnding: leftVmCount < rampedCount,
+  };
+}
+
+/** Slots of the pool's largest VM. */
+function largestVmSlotCount(tables: PoolTables): number {
+  return tables.vms.list().reduce((most, vm) => Math.max(most, vm.slotCount), 0);
 }
 
 /** Measures the pool. */
@@ -67,17 +88,18 @@
   const dataCentreSlots = new DomainSlots('data-centre');
   presentVms.forEach((vm) => slots.add(vm));
   presentVms.forEach((vm) => dataCentreSlots.add(vm));
-  const waveRuns = tables.waves.list().some((wave) => wave.state === 'running');
-  const reserveSlotCount = waveRuns ? waveReserveSlotCount(tables) : 0;
+  const waveNeed = findWaveNeed(tables, steppedVms);
+  const outVmCount = waveNeed?.outVmCount ?? 0;
+  const reserveSlotCount = outVmCount * largestVmSlotCount(tables);
+  const { maxUnavailableFraction } = tables.settings.availability;
   return {
     tables,
     presentVms,
     slots,
     dataCentreSlots,
     targetSlotCount: tables.settings.neededSlotCount + reserveSlotCount,
-    targetVmCount: waveRuns
-      ? Math.ceil(1 / tables.settings.availability.maxUnavailableFraction)
-      : 0,
+    targetVmCount: outVmCount > 0 ? Math.ceil(1 / maxUnavailableFraction) : 0,
+    waveNeed,
   };
 }
 
@@ -220,8 +242,9 @@
 
 /**
  * Decides which VMs a pool takes from the unassigned ones and which it gives back: as few moves
- * as its budget allows. While a wave runs nothing is released, and the VMs that its steps have
- * taken out count as present, so that a wave moves nothing but what it borrows at its start.
+ * as its budget allows. While a wave maintains the pool nothing is released, and the VMs that its
+ * steps have taken out count as present, so that a wave moves nothing but what it borrows at its
+ * start and gives back when it is through with the pool.
  * @param tables - State of the pool; its losses and surplus time are brought up to date.
  * @param options - The time and the VMs without a pool.
  * @returns Adoptions or releases.
@@ -237,13 +260,16 @@
   const busyVms = listBusyVms(tables);
   const goneReleases = planGoneReleases(tables, busyVms, nowMs);
   const releases =
-    adoptions.length > 0 || tables.waves.size > 0 ? [] : planSurplusReleases(plan, busyVms);
+    adoptions.length > 0 || plan.waveNeed?.isEnding === false
+      ? []
+      : planSurplusReleases(plan, busyVms);
   if (releases.length === 0) {
     tables.noteSurplus(undefined);
     return [...adoptions, ...goneReleases];
   }
   const sinceMs = tables.surplusSinceMs ?? nowMs;
   tables.noteSurplus(sinceMs);
-  const lasts = nowMs - sinceMs >= SURPLUS_HOLD_MS;
+  // Other pools of the wave may wait for the VMs that this one has borrowed.
+  const lasts = plan.waveNeed?.isEnding === true || nowMs - sinceMs >= SURPLUS_HOLD_MS;
   return lasts ? [...goneReleases, ...releases] : goneReleases;
 }
--- a/src/systems/planPreemptions.ts
+++ b/src/systems/planPreemptions.ts
@@ -2,6 +2,7 @@
 import type { PlacementDecision } from './decisions.js';
 import { learnedSize } from './learnedSize.js';
 import { owedSlotCount } from './orderQueue.js';
+import { quotaOf } from './quotaOf.js';
 import { type PoolLoad, THROTTLED_CORE_FRACTION } from './PoolLoad.js';
 
 /** How long a checkpoint may take before another run is asked to make room, in milliseconds. */
@@ -46,9 +47,20 @@
   return { slotCount: 0, coreCount, memoryMb: 0 };
 }
 
-/** Whether ending or throttling the run would let the request start on its VM. */
+/** Whether a request's team holds all the slots that its quota gives it. */
+function isAtQuota(options: PlanPreemptionsOptions, request: QueuedRow): boolean {
+  const quota = quotaOf(options.tables.settings, request.team);
+  return options.load.heldByTeamCount(request.team) >= (quota?.slotCount ?? 0);
+}
+
+/**
+ * Whether ending or throttling the run would let the request start on its VM. Where the team's
+ * quota is what keeps the request waiting, only the end of one of the team's own runs helps.
+ */
 function makesRoom(options: PlanPreemptionsOptions, grant: GrantRow, request: QueuedRow): boolean {
   if (request.excludedVms.includes(grant.vm)) return false;
+  const helpsQuota = grant.team === request.team && isCheckpointable(options.tables, grant);
+  if (isAtQuota(options, request) && !helpsQuota) return false;
   const size = learnedSize(options.tables, request);
   const vmLoad = options.load.getVmLoad(grant.vm);
   return vmLoad !== undefined && vmLoad.fits(size, freedBy(options.tables, grant));
--- a/src/systems/planWaveSteps.ts
+++ b/src/systems/planWaveSteps.ts
@@ -4,8 +4,9 @@
 import { domainOf } from './domainOf.js';
 import { findWaveFailure, listSuspectVms } from './findWaveFailure.js';
 import { isWithinWindow } from './isWithinWindow.js';
+import { listUntouchedVms } from './listUntouchedVms.js';
 import { noteLosses } from './noteLosses.js';
-import { waveWidth } from './waveWidth.js';
+import { rampedStepCount } from './rampedStepCount.js';
 import { NO_PROGRESS, type WaveProgress } from './WaveProgress.js';
 
 /** Options of {@link planWaveSteps}. */
@@ -28,18 +29,13 @@
 
 /** VMs still to maintain: those out already first, then rack by rack. */
 function listRemainingVms(plan: WavePlan): readonly PoolVmRow[] {
-  const touchedVms = new Set(plan.steps.map((step) => step.vm));
   const { failureDomain } = plan.tables.settings.availability;
   const sortKeys = new Map<PoolVmRow, string>();
-  plan.tables.vms
-    .list()
-    .filter((vm) => vm.state === 'live' && !touchedVms.has(vm.vm))
-    .filter((vm) => vm.condition === 'accepting' || vm.condition === 'draining')
-    .forEach((vm) => {
-      const out = plan.tally.isAccepting(vm.vm) ? 1 : 0;
-      const domain = domainOf(vm, failureDomain === 'data-centre' ? failureDomain : 'rack');
-      sortKeys.set(vm, [out, domain, domainOf(vm, 'rack'), vm.worker, vm.vm].join(' '));
-    });
+  listUntouchedVms(plan.tables, plan.wave).forEach((vm) => {
+    const out = plan.tally.isAccepting(vm.vm) ? 1 : 0;
+    const domain = domainOf(vm, failureDomain === 'data-centre' ? failureDomain : 'rack');
+    sortKeys.set(vm, [out, domain, domainOf(vm, 'rack'), vm.worker, vm.vm].join(' '));
+  });
   const compare = (left: PoolVmRow, right: PoolVmRow): number =>
     sortKeys.get(left)! < sortKeys.get(right)! ? -1 : 1;
   return [...sortKeys.keys()].sort(compare);
@@ -60,12 +56,6 @@
   return turn <= fleet.maintainedVmCount && fleet.inProgressVmCount <= fleet.maintainedVmCount;
 }
 
-/** Steps that may be in progress at once: one, then twice as many each time they go well. */
-function rampedStepCount(plan: WavePlan): number {
-  const maintainedCount = plan.steps.filter((step) => step.state === 'maintained').length;
-  return Math.min(maintainedCount + 1, waveWidth(plan.tables));
-}
-
 /** Takes VMs as long as the budget holds with each of them out on top. */
 function takeWithinBudget(plan: WavePlan, candidates: readonly PoolVmRow[]): readonly PoolVmRow[] {
   const taken: PoolVmRow[] = [];
@@ -104,7 +94,7 @@
   if (plan.steps.length === 0 && !isPoolsTurn(plan)) {
     return wait('other pools of the wave begin first');
   }
-  const freeCount = rampedStepCount(plan) - inProgressCount;
+  const freeCount = rampedStepCount(plan.tables, plan.wave) - inProgressCount;
   if (freeCount <= 0) return wait(`${inProgressCount} steps are in progress`);
   const taken = takeWithinBudget(plan, remainingVms.slice(0, freeCount));
   if (taken.length === 0) return wait(explainBudget(plan, remainingVms[0]!));
--- a/src/systems/recordRun.ts
+++ b/src/systems/recordRun.ts
@@ -93,6 +93,7 @@
     failedRequestIds: [...new Set([...(before?.failedRequestIds ?? []), run.requestId])].slice(
       -MAX_KEPT_FAILURE_COUNT,
     ),
+    lastFailedAtMs: run.nowMs,
     quarantinedUntilMs: before?.quarantinedUntilMs,
     quarantineCount: before?.quarantineCount ?? 0,
   };
@@ -121,7 +122,7 @@
 
 /**
  * Quarantines a VM if the budget allows. Judging VMs wrongly, by a broken job or a broken network,
- * must not take the pool away; where the budget forbids it the VM still gets one run at a time.
+ * must not take the pool away; where the budget forbids it the VM still gets single trial runs.
  */
 function quarantine(
   tables: PoolTables,
--- a/src/tables/PoolTables.ts
+++ b/src/tables/PoolTables.ts
@@ -32,6 +32,8 @@
   readonly failedJobKinds: readonly string[];
   /** Ids of the requests that failed on the VM since its last success. */
   readonly failedRequestIds: readonly string[];
+  /** Monotonic time of the latest failure. */
+  readonly lastFailedAtMs: number;
   /** Monotonic time until which the VM gets no work; undefined where it is trusted. */
   readonly quarantinedUntilMs: number | undefined;
   /** Quarantines since the VM's last success; each one lasts longer. */
--- a/tests/systems/placeQueuedJobs.test.ts
+++ b/tests/systems/placeQueuedJobs.test.ts
@@ -41,6 +41,7 @@
       vm: 'vm-00-01',
       failedJobKinds: ['save', 'index'],
       failedRequestIds: ['a', 'b'],
+      lastFailedAtMs: 0,
       quarantinedUntilMs: 1_000,
       quarantineCount: 1,
     });
