--- /dev/null
+++ b/src/entry/Entry.ts
@@ -0,0 +1,212 @@
+import { finished } from 'node:stream';
+import type { EntryPort, JobAnswer, JobState, JobSubmission } from '../callers/index.js';
+import {
+  ERROR_ANSWERS,
+  type ErrorKind,
+  RattanliftError,
+  throwError,
+  toRattanliftError,
+} from '../errors/index.js';
+import type { PeerPort, PeerReply } from '../peers/index.js';
+import type { PoolSettings } from '../settings/index.js';
+import type { FleetTables } from '../tables/index.js';
+import { createFingerprint } from './createFingerprint.js';
+import { createJob, type Job } from './Job.js';
+import { JobRun, type JobRunContext } from './JobRun.js';
+import { JobStore } from './JobStore.js';
+
+/** Options of {@link Entry}. */
+export interface EntryOptions {
+  readonly context: JobRunContext;
+  readonly fleet: FleetTables;
+  readonly peers: PeerPort;
+  /** Gets the settings in force for a pool. */
+  readonly getPoolSettings: (pool: string) => PoolSettings | undefined;
+}
+
+const MAX_STORED_JOB_COUNT = 1_000;
+const PEER_WAIT_MS = 3_000;
+const JOB_ID_SEPARATOR = '~';
+
+/** Entry of callers' jobs at this instance. */
+export class Entry implements EntryPort {
+  private readonly options: EntryOptions;
+
+  private readonly store: JobStore;
+
+  /** Non-idempotent requests under way at this instance. */
+  private readonly underWay = new Set<string>();
+
+  private runningCount = 0;
+
+  private jobNumber = 0;
+
+  private isStopping = false;
+
+  /**
+   * Creates the entry of an instance.
+   * @param options - What runs work with, settings, peers.
+   */
+  constructor(options: EntryOptions) {
+    this.options = options;
+    const { clock } = options.context;
+    this.store = new JobStore({ clock, maxJobCount: MAX_STORED_JOB_COUNT });
+  }
+
+  /** Count of jobs whose final answer is not complete. */
+  get unfinishedCount(): number {
+    return this.runningCount;
+  }
+
+  /** Refuses new jobs from now on; those under way go on to their end. */
+  stopTakingJobs(): void {
+    this.isStopping = true;
+  }
+
+  /** Forgets finished jobs whose time is over. */
+  tick(): void {
+    this.store.tick();
+  }
+
+  /** {@inheritDoc EntryPort.run} */
+  async run(submission: JobSubmission): Promise<JobAnswer> {
+    const { clock, events, metrics } = this.options.context;
+    const startedAtMs = clock.monotonicMs();
+    const { requestId, pool, jobKind } = submission;
+    events.write('requestReceived', { requestId, pool, jobKind });
+    this.runningCount += 1;
+    const answer = await this.runChecked(submission);
+    this.whenComplete(answer, () => {
+      this.runningCount -= 1;
+    });
+    const tookMs = Math.round(clock.monotonicMs() - startedAtMs);
+    metrics.timing('request_ms', tookMs);
+    metrics.increment('requests_answered', { outcome: outcomeOf(answer) });
+    this.logAnswer(answer, pool, tookMs);
+    return answer;
+  }
+
+  /** {@inheritDoc EntryPort.submit} */
+  async submit(submission: JobSubmission): Promise<JobState> {
+    this.createJobOrThrow(submission);
+    const { requestId, pool } = submission;
+    this.jobNumber += 1;
+    const jobId = `${this.options.context.instance}${JOB_ID_SEPARATOR}${this.jobNumber}`;
+    const job = this.store.add({ jobId, requestId, pool, phase: 'running' });
+    void this.run({ ...submission, signal: job.abort.signal }).then((answer) =>
+      this.store.finish(jobId, answer),
+    );
+    return job.state;
+  }
+
+  /** {@inheritDoc EntryPort.getJob} */
+  async getJob(jobId: string): Promise<JobState> {
+    if (this.ownsJob(jobId)) return this.store.getOrThrow(jobId).state;
+    return this.askOwner(jobId, 'get-job');
+  }
+
+  /** {@inheritDoc EntryPort.cancelJob} */
+  async cancelJob(jobId: string): Promise<JobState> {
+    if (!this.ownsJob(jobId)) return this.askOwner(jobId, 'cancel-job');
+    const job = this.store.getOrThrow(jobId);
+    job.abort.abort();
+    return job.state;
+  }
+
+  private async runChecked(submission: JobSubmission): Promise<JobAnswer> {
+    try {
+      const job = this.createJobOrThrow(submission);
+      return job.idempotent
+        ? await this.runJob(job, submission.signal)
+        : await this.runOnce(job, submission.signal);
+    } catch (thrown) {
+      const error = toRattanliftError(thrown);
+      const { outcome } = ERROR_ANSWERS[error.kind];
+      return { type: 'failed', requestId: submission.requestId, outcome, error };
+    }
+  }
+
+  private createJobOrThrow(submission: JobSubmission): Job {
+    if (this.isStopping) return throwError('shutting-down', 'This instance is stopping.');
+    const settings = this.options.getPoolSettings(submission.pool);
+    if (settings === undefined) {
+      return throwError('unknown-pool', `There is no pool ${submission.pool}.`, { field: 'pool' });
+    }
+    if (submission.deadlineAtMs <= this.options.context.clock.wallMs()) {
+      return throwError('deadline-past', 'The deadline has passed already.', {
+        field: 'Rattanlift-Deadline-Ms',
+      });
+    }
+    return createJob(submission, settings, createFingerprint(submission));
+  }
+
+  /**
+   * Failure: a caller repeats a non-idempotent request while its first attempt is under way here,
+   * or ended without the log having taken the outcome. The claim is this instance's own, so the
+   * pool's home would let it pass.
+   */
+  private async runOnce(job: Job, signal: AbortSignal): Promise<JobAnswer> {
+    const { requestId } = job;
+    const pending = this.options.context.reporter.getPending(requestId);
+    if (pending !== undefined) throwPending(pending.outcome === 'run' ? 'already-run' : undefined);
+    if (this.underWay.has(requestId)) throwPending(undefined);
+    this.underWay.add(requestId);
+    const answer = await this.runJob(job, signal);
+    this.whenComplete(answer, () => this.underWay.delete(requestId));
+    return answer;
+  }
+
+  private async runJob(job: Job, signal: AbortSignal): Promise<JobAnswer> {
+    const { clock } = this.options.context;
+    const expiry = AbortSignal.timeout(Math.max(1, job.deadlineAtMs - clock.wallMs()));
+    return new JobRun(this.options.context, job, AbortSignal.any([signal, expiry])).run();
+  }
+
+  private whenComplete(answer: JobAnswer, action: () => void): void {
+    if (answer.type === 'failed') action();
+    else finished(answer.body, action);
+  }
+
+  private ownsJob(jobId: string): boolean {
+    return jobId.startsWith(`${this.options.context.instance}${JOB_ID_SEPARATOR}`);
+  }
+
+  private async askOwner(jobId: string, type: 'get-job' | 'cancel-job'): Promise<JobState> {
+    const owner = jobId.slice(0, jobId.lastIndexOf(JOB_ID_SEPARATOR));
+    const row = this.options.fleet.instances.get(owner);
+    if (row === undefined || row.state !== 'joined') {
+      return throwError('unknown-job', `No instance that runs knows the job ${jobId}.`);
+    }
+    const address = { instance: row.instance, host: row.host, port: row.peerPort };
+    const reply = await this.options.peers.call(address, { type, jobId }, PEER_WAIT_MS);
+    return parseJobState(reply);
+  }
+
+  private logAnswer(answer: JobAnswer, pool: string, tookMs: number): void {
+    const { events } = this.options.context;
+    const { requestId } = answer;
+    const outcome = outcomeOf(answer);
+    if (answer.type === 'answered') {
+      const { vm, httpStatus } = answer;
+      events.write('requestAnswered', { requestId, pool, vm, httpStatus, outcome, tookMs });
+      return;
+    }
+    const { kind, message: reason } = answer.error;
+    const event = outcome === 'not-run' ? 'requestRefused' : 'requestAnswered';
+    events.write(event, { requestId, pool, kind, reason, outcome, tookMs });
+  }
+}
+
+function throwPending(kind: ErrorKind | undefined): never {
+  return throwError(kind ?? 'already-running', 'The request has been handled here already.');
+}
+
+function outcomeOf(answer: JobAnswer): 'run' | 'not-run' | 'unknown' {
+  return answer.type === 'answered' ? 'run' : answer.outcome;
+}
+
+function parseJobState(reply: PeerReply): JobState {
+  if (reply.type === 'state') return JSON.parse(reply.json) as JobState;
+  if (reply.type === 'refused') throw new RattanliftError({ ...reply });
+  return throwError('internal', `A peer answered a question about a job with ${reply.type}.`);
+}
--- /dev/null
+++ b/src/entry/FinishReporter.ts
@@ -0,0 +1,89 @@
+import type { PeerRequest } from '../peers/index.js';
+import { type Clock, KeyedOnce } from '../utils/index.js';
+import type { HomeRouter } from './HomeRouter.js';
+
+/** Report of how the use of a grant ended. */
+export type FinishReport = Extract<PeerRequest, { readonly type: 'finish-grant' }>;
+
+/** Options of {@link FinishReporter}. */
+export interface FinishReporterOptions {
+  readonly router: Pick<HomeRouter, 'ask'>;
+  readonly clock: Clock;
+}
+
+interface PendingReport {
+  readonly report: FinishReport;
+  readonly sendAtMs: number;
+  readonly giveUpAtMs: number;
+}
+
+const REPORT_WAIT_MS = 4_000;
+const REPEAT_AFTER_MS = 1_000;
+/** How long a claim's settlement is repeated; without it repeats learn nothing of the outcome. */
+const CLAIMED_KEPT_MS = 3_600_000;
+
+/** Tells homes how grants ended, through changes of home and outages of the log. */
+export class FinishReporter {
+  private readonly options: FinishReporterOptions;
+
+  private readonly pending = new Map<string, PendingReport>();
+
+  private readonly sends = new KeyedOnce();
+
+  /**
+   * Creates a reporter with nothing to tell.
+   * @param options - Way to the homes, and clock.
+   */
+  constructor(options: FinishReporterOptions) {
+    this.options = options;
+  }
+
+  /** Count of reports that no home has taken yet. */
+  get size(): number {
+    return this.pending.size;
+  }
+
+  /**
+   * Tells the home of a pool how a grant ended, and goes on until it is recorded.
+   * @param report - What to tell.
+   */
+  report(report: FinishReport): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const giveUpAtMs = nowMs + (report.isClaimed ? CLAIMED_KEPT_MS : REPORT_WAIT_MS);
+    this.pending.set(report.grantId, { report, sendAtMs: nowMs, giveUpAtMs });
+    this.tick();
+  }
+
+  /**
+   * Gets the outcome of a request whose settlement is not recorded yet.
+   * @param requestId - The request.
+   * @returns The report, or undefined where none is pending.
+   */
+  getPending(requestId: string): FinishReport | undefined {
+    const all = Array.from(this.pending.values());
+    return all.find(({ report }) => report.requestId === requestId)?.report;
+  }
+
+  /** Sends the reports that are due. */
+  tick(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    Array.from(this.pending.values())
+      .filter((pending) => pending.sendAtMs <= nowMs)
+      .forEach((pending) => {
+        this.sends.start(pending.report.grantId, () => this.send(pending));
+      });
+  }
+
+  private async send(pending: PendingReport): Promise<void> {
+    const { report } = pending;
+    const reply = await this.options.router
+      .ask(report.pool, report, REPORT_WAIT_MS)
+      .catch(() => undefined);
+    const nowMs = this.options.clock.monotonicMs();
+    if (reply?.type === 'done' || nowMs >= pending.giveUpAtMs) {
+      this.pending.delete(report.grantId);
+      return;
+    }
+    this.pending.set(report.grantId, { ...pending, sendAtMs: nowMs + REPEAT_AFTER_MS });
+  }
+}
--- /dev/null
+++ b/src/entry/GrantKeeper.ts
@@ -0,0 +1,128 @@
+import type { HeldGrant, PeerRequest } from '../peers/index.js';
+import type { TargetAddress, TargetPort } from '../targets/index.js';
+import { type Clock, KeyedOnce } from '../utils/index.js';
+import type { HomeRouter } from './HomeRouter.js';
+
+/** A grant in use at this instance. */
+export interface UsedGrant extends HeldGrant {
+  readonly pool: string;
+  readonly target: TargetAddress;
+  /** Called when the target no longer knows the task or does not answer for it. */
+  readonly onLost: () => void;
+}
+
+/** Options of {@link GrantKeeper}. */
+export interface GrantKeeperOptions {
+  readonly router: Pick<HomeRouter, 'ask'>;
+  readonly targets: Pick<TargetPort, 'renewLease'>;
+  readonly clock: Clock;
+}
+
+/** How long a target's lease for a task lasts after each renewal. */
+export const TASK_LEASE_MS = 15_000;
+const RENEW_EVERY_MS = 2_000;
+const RENEW_WAIT_MS = 1_500;
+/** Renewals in a row that a target may miss before its task counts as lost. */
+const MAX_MISSED_COUNT = 3;
+
+/** Keeps grants and task leases alive while this instance uses them. */
+export class GrantKeeper {
+  private readonly options: GrantKeeperOptions;
+
+  private readonly grants = new Map<string, UsedGrant>();
+
+  private readonly missedCounts = new Map<string, number>();
+
+  private readonly renewals = new KeyedOnce();
+
+  private renewAtMs = Number.NEGATIVE_INFINITY;
+
+  /**
+   * Creates a keeper without grants.
+   * @param options - Ways to the homes and the targets.
+   */
+  constructor(options: GrantKeeperOptions) {
+    this.options = options;
+  }
+
+  /** Count of grants in use. */
+  get size(): number {
+    return this.grants.size;
+  }
+
+  /**
+   * Begins to keep a grant.
+   * @param grant - The grant.
+   */
+  add(grant: UsedGrant): void {
+    this.grants.set(grant.grantId, grant);
+  }
+
+  /**
+   * Ends keeping a grant.
+   * @param grantId - The grant.
+   */
+  remove(grantId: string): void {
+    this.grants.delete(grantId);
+    this.missedCounts.delete(grantId);
+  }
+
+  /**
+   * Lists the grants of a pool, for a home that takes over.
+   * @param pool - Pool as `team/pool`.
+   * @returns The grants in use.
+   */
+  list(pool: string): readonly HeldGrant[] {
+    return this.listAll()
+      .filter((grant) => grant.pool === pool)
+      .map(({ grantId, requestId, team, jobKind, urgency, vm, coreCount, memoryMb }) => ({
+        grantId,
+        requestId,
+        team,
+        jobKind,
+        urgency,
+        vm,
+        coreCount,
+        memoryMb,
+      }));
+  }
+
+  /** Renews what is due. */
+  tick(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs < this.renewAtMs) return;
+    this.renewAtMs = nowMs + RENEW_EVERY_MS;
+    const grants = this.listAll();
+    Array.from(new Set(grants.map((grant) => grant.pool))).forEach((pool) => {
+      this.renewals.start(`pool ${pool}`, () => this.renewAtHome(pool));
+    });
+    grants.forEach((grant) => {
+      this.renewals.start(grant.grantId, () => this.renewAtTarget(grant));
+    });
+  }
+
+  private listAll(): readonly UsedGrant[] {
+    return Array.from(this.grants.values());
+  }
+
+  private async renewAtHome(pool: string): Promise<void> {
+    const grantIds = this.list(pool).map((grant) => grant.grantId);
+    const request: PeerRequest = { type: 'renew-grants', pool, grantIds };
+    await this.options.router.ask(pool, request, RENEW_WAIT_MS).catch(() => undefined);
+  }
+
+  /**
+   * Failure: the connection that carries a task went silent for good, or its target was lost, and
+   * the caller would wait until its deadline. Renewals travel on other connections, so a target
+   * that no longer knows the task, or answers none of them, shows the loss.
+   */
+  private async renewAtTarget(grant: UsedGrant): Promise<void> {
+    const { clock, targets } = this.options;
+    const leaseDeadlineMs = clock.wallMs() + TASK_LEASE_MS;
+    const isRenewed = await targets.renewLease(grant.target, grant.grantId, leaseDeadlineMs);
+    if (!this.grants.has(grant.grantId)) return;
+    const missedCount = isRenewed ? 0 : (this.missedCounts.get(grant.grantId) ?? 0) + 1;
+    this.missedCounts.set(grant.grantId, missedCount);
+    if (missedCount >= MAX_MISSED_COUNT) grant.onLost();
+  }
+}
--- /dev/null
+++ b/src/entry/Job.ts
@@ -0,0 +1,61 @@
+import type { JobSubmission } from '../callers/index.js';
+import { throwError } from '../errors/index.js';
+import type { JobKindSettings, PoolSettings, Urgency } from '../settings/index.js';
+
+/** A job with everything that its pool's settings add to it. */
+export interface Job {
+  readonly requestId: string;
+  /** Pool as `team/pool`. */
+  readonly pool: string;
+  readonly team: string;
+  readonly jobKind: string;
+  readonly idempotent: boolean;
+  readonly urgency: Urgency;
+  readonly coreCount: number;
+  readonly memoryMb: number;
+  /** Wall-clock time after which the caller has no use for the answer. */
+  readonly deadlineAtMs: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+  /** Hash of the request, to tell a repeat from a reused id. */
+  readonly fingerprint: string;
+}
+
+/**
+ * Completes a submission from the settings of its pool.
+ * @param submission - What the caller sent.
+ * @param settings - Settings in force for the pool.
+ * @param fingerprint - Hash of the request.
+ * @returns The job.
+ * @throws RattanliftError Of kind `bad-request` where the pool has no such kind of job.
+ */
+export function createJob(
+  submission: JobSubmission,
+  settings: PoolSettings,
+  fingerprint: string,
+): Job {
+  const { requestId, pool, team, jobKind, deadlineAtMs, contentType, body } = submission;
+  const declared = getJobKindOrThrow(settings, jobKind);
+  return {
+    requestId,
+    pool,
+    team,
+    jobKind,
+    idempotent: submission.idempotent ?? declared.idempotent,
+    urgency: submission.urgency ?? declared.urgency,
+    coreCount: submission.coreCount ?? declared.coreCount,
+    memoryMb: submission.memoryMb ?? declared.memoryMb,
+    deadlineAtMs,
+    contentType,
+    body,
+    fingerprint,
+  };
+}
+
+function getJobKindOrThrow(settings: PoolSettings, jobKind: string): JobKindSettings {
+  if (Object.hasOwn(settings.jobKinds, jobKind)) return settings.jobKinds[jobKind]!;
+  const known = Object.keys(settings.jobKinds).join(', ');
+  return throwError('bad-request', `The pool has no job kind ${jobKind}; it has: ${known}.`, {
+    field: 'Rattanlift-Kind',
+  });
+}
--- /dev/null
+++ b/src/entry/JobRun.ts
@@ -0,0 +1,356 @@
+import { finished } from 'node:stream';
+import type { JobAnswer } from '../callers/index.js';
+import {
+  ERROR_ANSWERS,
+  type ErrorKind,
+  type Outcome,
+  RattanliftError,
+  toRattanliftError,
+} from '../errors/index.js';
+import { GRANT_LENGTH_MS } from '../home/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
+import type { GrantReply, GrantResult, PeerReply } from '../peers/index.js';
+import type { TargetAddress, TargetPort, TaskResult } from '../targets/index.js';
+import { assertNever, type Clock } from '../utils/index.js';
+import type { FinishReporter } from './FinishReporter.js';
+import { type GrantKeeper, TASK_LEASE_MS } from './GrantKeeper.js';
+import type { HomeRouter } from './HomeRouter.js';
+import type { Job } from './Job.js';
+import type { RetryBudget } from './RetryBudget.js';
+
+/** What every run at this instance works with. */
+export interface JobRunContext {
+  readonly instance: string;
+  readonly router: HomeRouter;
+  readonly keeper: GrantKeeper;
+  readonly reporter: FinishReporter;
+  readonly targets: TargetPort;
+  readonly retryBudget: RetryBudget;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  /** Makes an id that no other attempt has. */
+  readonly createAttemptId: (requestId: string) => string;
+  /** Waits until a pool may have got another home. */
+  readonly waitForHome: (pool: string, signal: AbortSignal) => Promise<void>;
+}
+
+type Answering = Extract<TaskResult, { readonly type: 'answering' }>;
+
+type AttemptEnd =
+  | { readonly type: 'final'; readonly answer: JobAnswer }
+  | { readonly type: 'again'; readonly error: RattanliftError; readonly excludedVm?: string };
+
+const MAX_ATTEMPT_COUNT = 4;
+/** Safety margin before a grant's end within which nothing is sent any more. */
+const GRANT_MARGIN_MS = 500;
+const SERVER_ERROR_STATUS = 500;
+/** How much longer than the caller's deadline the home's answer is awaited. */
+const HOME_GRACE_MS = 500;
+
+/** One job on its way: grants, attempts on targets, and the final answer. */
+export class JobRun {
+  private readonly context: JobRunContext;
+
+  private readonly job: Job;
+
+  private readonly signal: AbortSignal;
+
+  /** Whether the request may stand on the log as claimed by this instance. */
+  private isClaimed = false;
+
+  private lastAttemptId = '';
+
+  private lastVm = '';
+
+  /**
+   * Prepares a run.
+   * @param context - What the run works with.
+   * @param job - The job.
+   * @param signal - Aborts when the caller goes away, cancels, or its deadline passes.
+   */
+  constructor(context: JobRunContext, job: Job, signal: AbortSignal) {
+    this.context = context;
+    this.job = job;
+    this.signal = signal;
+  }
+
+  /**
+   * Runs the job.
+   * @returns The final answer; it never rejects.
+   */
+  async run(): Promise<JobAnswer> {
+    this.context.retryBudget.earn();
+    const answer = await this.attemptFrom(1, []);
+    if (answer.type === 'failed') this.settle('not-started', answer.outcome);
+    return answer;
+  }
+
+  private async attemptFrom(
+    attemptNumber: number,
+    excludedVms: readonly string[],
+  ): Promise<JobAnswer> {
+    const end = await this.attempt(excludedVms);
+    if (end.type === 'final') return end.answer;
+    const isLast = attemptNumber >= MAX_ATTEMPT_COUNT || this.signal.aborted;
+    if (isLast || !this.context.retryBudget.spend()) return this.fail(end.error);
+    const { events, metrics } = this.context;
+    const { requestId, pool } = this.job;
+    events.write('requestRetried', { requestId, pool, reason: end.error.message, attemptNumber });
+    metrics.increment('retries');
+    const nextExcluded = end.excludedVm ? [...excludedVms, end.excludedVm] : excludedVms;
+    return this.attemptFrom(attemptNumber + 1, nextExcluded);
+  }
+
+  private async attempt(excludedVms: readonly string[]): Promise<AttemptEnd> {
+    if (this.signal.aborted) return this.endByAbort('not-run');
+    const { clock } = this.context;
+    this.lastAttemptId = this.context.createAttemptId(this.job.requestId);
+    const askedAtMs = clock.monotonicMs();
+    const reply = await this.askForGrant(excludedVms);
+    if (reply instanceof RattanliftError) return this.endWithoutReply(reply);
+    if (reply.type !== 'granted') return this.endByRefusal(reply);
+    this.isClaimed ||= !this.job.idempotent;
+    this.lastVm = reply.vm;
+    // Failure: this process was paused, or the grant's answer was, and the slot belongs to another
+    // request by now. Counted from before the asking, the deadline here is ahead of the home's.
+    const deadlineMs = askedAtMs + reply.heldMs + GRANT_LENGTH_MS - GRANT_MARGIN_MS;
+    if (this.signal.aborted || clock.monotonicMs() >= deadlineMs) {
+      this.withdraw();
+      return this.signal.aborted ? this.endByAbort('not-run') : this.endByExpiry();
+    }
+    return this.runOnTarget(reply);
+  }
+
+  private async askForGrant(excludedVms: readonly string[]): Promise<PeerReply | RattanliftError> {
+    const { job } = this;
+    const { clock, router } = this.context;
+    const waitMs = Math.max(0, job.deadlineAtMs - clock.wallMs()) + HOME_GRACE_MS;
+    const withdraw = (): void => this.withdraw();
+    this.signal.addEventListener('abort', withdraw, { once: true });
+    try {
+      return await router.ask(
+        job.pool,
+        {
+          type: 'request-grant',
+          attemptId: this.lastAttemptId,
+          requestId: job.requestId,
+          pool: job.pool,
+          team: job.team,
+          jobKind: job.jobKind,
+          urgency: job.urgency,
+          coreCount: job.coreCount,
+          memoryMb: job.memoryMb,
+          idempotent: job.idempotent,
+          deadlineAtMs: job.deadlineAtMs,
+          fingerprint: job.fingerprint,
+          excludedVms,
+        },
+        waitMs,
+      );
+    } catch (thrown) {
+      return toRattanliftError(thrown, 'home-unavailable');
+    } finally {
+      this.signal.removeEventListener('abort', withdraw);
+    }
+  }
+
+  /** No reply came: the home may have acted, but nothing was sent to a target. */
+  private async endWithoutReply(error: RattanliftError): Promise<AttemptEnd> {
+    this.withdraw();
+    if (this.signal.aborted) return this.endByAbort('not-run');
+    await this.context.waitForHome(this.job.pool, this.signal);
+    const message = `The pool's home could not be asked: ${error.message}`;
+    return { type: 'again', error: new RattanliftError({ kind: 'home-unavailable', message }) };
+  }
+
+  private async endByRefusal(reply: PeerReply): Promise<AttemptEnd> {
+    if (reply.type !== 'refused') {
+      const message = `The home answered a request for a grant with ${reply.type}.`;
+      return this.endWithoutReply(new RattanliftError({ kind: 'internal', message }));
+    }
+    const { kind, message, retryAtMs } = reply;
+    const error = new RattanliftError({ kind, message, retryAtMs });
+    if (kind === 'cancelled' && this.signal.aborted) return this.endByAbort('not-run');
+    if (kind !== 'home-unavailable') return { type: 'final', answer: this.fail(error) };
+    await this.context.waitForHome(this.job.pool, this.signal);
+    return { type: 'again', error };
+  }
+
+  private async runOnTarget(grant: GrantReply): Promise<AttemptEnd> {
+    const { job } = this;
+    const { clock, events, targets, keeper } = this.context;
+    const target = { vm: grant.vm, host: grant.host, port: grant.port };
+    const lost = new AbortController();
+    this.keep(grant, target, () => lost.abort());
+    const { requestId, pool, jobKind, team } = job;
+    const reason = `granted by the home in term ${grant.term}`;
+    events.write('requestRouted', { requestId, pool, vm: grant.vm, jobKind, team, reason });
+    const startedAtMs = clock.monotonicMs();
+    const result = await targets.run(target, {
+      taskId: grant.grantId,
+      requestId,
+      jobKind,
+      coreCount: job.coreCount,
+      memoryMb: job.memoryMb,
+      contentType: job.contentType,
+      body: job.body,
+      // Failure: a middlebox has forgotten an idle connection, and a request that must not be sent
+      // twice vanishes on it. A connection of its own cannot have been forgotten.
+      freshConnection: !job.idempotent,
+      leaseDeadlineMs: clock.wallMs() + TASK_LEASE_MS,
+      silenceLimitMs: Math.max(1, job.deadlineAtMs - clock.wallMs()),
+      signal: AbortSignal.any([this.signal, lost.signal]),
+    });
+    if (result.type !== 'answering') keeper.remove(grant.grantId);
+    const ranMs = clock.monotonicMs() - startedAtMs;
+    switch (result.type) {
+      case 'answering':
+        return this.endByAnswer(grant, result, startedAtMs);
+      case 'not-started':
+        return this.endByTargetRefusal(grant, result.reason, ranMs);
+      case 'unknown':
+        return this.endByUnknown(grant, result.reason, ranMs);
+      default:
+        return assertNever(result);
+    }
+  }
+
+  private keep(grant: GrantReply, target: TargetAddress, onLost: () => void): void {
+    const { requestId, pool, team, jobKind, urgency, coreCount, memoryMb } = this.job;
+    this.context.keeper.add({
+      grantId: grant.grantId,
+      requestId,
+      pool,
+      team,
+      jobKind,
+      urgency,
+      vm: grant.vm,
+      coreCount,
+      memoryMb,
+      target,
+      onLost,
+    });
+  }
+
+  private endByAnswer(grant: GrantReply, result: Answering, startedAtMs: number): AttemptEnd {
+    const isFailed = result.httpStatus >= SERVER_ERROR_STATUS;
+    if (isFailed && this.job.idempotent) return this.endByFailure(grant, result, startedAtMs);
+    finished(result.body, (error) => {
+      const ranMs = this.context.clock.monotonicMs() - startedAtMs;
+      const isWhole = error === undefined || error === null;
+      const goodResult: GrantResult = isFailed ? 'failed' : 'run';
+      this.endGrant(grant, isWhole ? goodResult : 'unknown', isWhole ? 'run' : 'unknown', ranMs);
+    });
+    const { httpStatus, contentType, body } = result;
+    const { requestId } = this.job;
+    const { vm } = grant;
+    const answer: JobAnswer = { type: 'answered', requestId, vm, httpStatus, contentType, body };
+    return { type: 'final', answer };
+  }
+
+  private endByFailure(grant: GrantReply, result: Answering, startedAtMs: number): AttemptEnd {
+    const ranMs = this.context.clock.monotonicMs() - startedAtMs;
+    result.body.on('error', () => undefined);
+    result.body.resume();
+    this.endGrant(grant, 'failed', 'run', ranMs);
+    const message = `The job failed on ${grant.vm} with status ${result.httpStatus}.`;
+    const error = new RattanliftError({ kind: 'target-failed', message });
+    return { type: 'again', error, excludedVm: grant.vm };
+  }
+
+  private endByTargetRefusal(grant: GrantReply, reason: string, ranMs: number): AttemptEnd {
+    this.reportAttempt(grant, 'not-started', ranMs);
+    if (this.signal.aborted) return this.endByAbort('not-run');
+    const message = `${grant.vm} did not start the job: ${reason}.`;
+    const error = new RattanliftError({ kind: 'target-refused', message });
+    return { type: 'again', error, excludedVm: grant.vm };
+  }
+
+  private endByUnknown(grant: GrantReply, reason: string, ranMs: number): AttemptEnd {
+    const message = `${grant.vm} gave no answer to the end: ${reason}.`;
+    const error = new RattanliftError({ kind: 'target-silent', message });
+    if (this.job.idempotent) {
+      this.endGrant(grant, 'unknown', 'unknown', ranMs);
+      if (this.signal.aborted) return this.endByAbort('unknown');
+      return { type: 'again', error, excludedVm: grant.vm };
+    }
+    // Failure: the target got a request that must run at most once and then fell silent. It may
+    // have run, so it is neither sent again nor called not run.
+    this.reportAttempt(grant, 'unknown', ranMs);
+    return { type: 'final', answer: this.fail(error, 'unknown') };
+  }
+
+  private endByExpiry(): AttemptEnd {
+    const message = 'The grant ended before it could be used.';
+    return { type: 'again', error: new RattanliftError({ kind: 'home-unavailable', message }) };
+  }
+
+  private endByAbort(outcome: Outcome): AttemptEnd {
+    const isPast = this.context.clock.wallMs() >= this.job.deadlineAtMs;
+    const kind: ErrorKind = isPast ? 'deadline-past' : 'cancelled';
+    const message = isPast ? 'The deadline has passed.' : 'The job was cancelled.';
+    return { type: 'final', answer: this.fail(new RattanliftError({ kind, message }), outcome) };
+  }
+
+  private fail(error: RattanliftError, outcome?: Outcome): JobAnswer {
+    const { requestId } = this.job;
+    const known = outcome ?? ERROR_ANSWERS[error.kind].outcome;
+    return { type: 'failed', requestId, outcome: known, error };
+  }
+
+  /** Ends a grant whose attempt settles the request. */
+  private endGrant(grant: GrantReply, result: GrantResult, outcome: Outcome, ranMs: number): void {
+    this.context.keeper.remove(grant.grantId);
+    this.sendReport(grant.grantId, result, outcome, ranMs, this.isClaimed);
+    this.isClaimed = false;
+  }
+
+  /** Ends a grant after which the request goes on, or is settled by {@link settle}. */
+  private reportAttempt(grant: GrantReply, result: GrantResult, ranMs: number): void {
+    this.sendReport(grant.grantId, result, 'not-run', ranMs, false);
+  }
+
+  /**
+   * Settles the claim of a request that has got its final answer without one from a target. Only
+   * the last attempt settles: a settlement as not run frees the id, and one that belongs to an
+   * earlier attempt would free it while a later attempt runs.
+   */
+  private settle(result: GrantResult, outcome: Outcome): void {
+    if (!this.isClaimed) return;
+    this.sendReport(`${this.lastAttemptId}!`, result, outcome, 0, true);
+    this.isClaimed = false;
+  }
+
+  private sendReport(
+    grantId: string,
+    result: GrantResult,
+    outcome: Outcome,
+    ranMs: number,
+    isClaimed: boolean,
+  ): void {
+    const { requestId, pool, jobKind } = this.job;
+    const vm = this.lastVm;
+    this.context.reporter.report({
+      type: 'finish-grant',
+      pool,
+      grantId,
+      requestId,
+      jobKind,
+      vm,
+      isClaimed,
+      result,
+      outcome,
+      ranMs,
+    });
+  }
+
+  private withdraw(): void {
+    const { router } = this.context;
+    const { pool } = this.job;
+    const attemptId = this.lastAttemptId;
+    const request = { type: 'cancel-request', pool, attemptId } as const;
+    void router.ask(pool, request, HOME_GRACE_MS).catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/src/entry/createFingerprint.ts
@@ -0,0 +1,15 @@
+import { createHash } from 'node:crypto';
+import type { JobSubmission } from '../callers/index.js';
+
+/**
+ * Hashes what makes two requests the same one.
+ * @param submission - The request.
+ * @returns A digest of pool, team, kind, deadline and body.
+ */
+export function createFingerprint(submission: JobSubmission): string {
+  const { pool, team, jobKind, deadlineAtMs, body } = submission;
+  return createHash('sha256')
+    .update(JSON.stringify([pool, team, jobKind, deadlineAtMs]))
+    .update(body)
+    .digest('base64url');
+}
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,1 @@
+export { VmDirectory, type VmDirectoryOptions } from './VmDirectory.js';
--- /dev/null
+++ b/src/home/PoolHome.ts
@@ -0,0 +1,465 @@
+import type { VmDirectory } from '../fleet/index.js';
+import type { LogWriter } from '../log/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
+import type { GrantRequest, HeldGrant, PeerReply, PeerRequest } from '../peers/index.js';
+import type { VmPort } from '../platform/index.js';
+import type { PoolSettings } from '../settings/index.js';
+import {
+  checkBudget,
+  placeQueuedJobs,
+  planCapacity,
+  planWaveSteps,
+  type PlacementDecision,
+  recordRun,
+  type WaveProgress,
+} from '../systems/index.js';
+import { type FleetTables, type GrantRow, PoolTables, type QueuedRow } from '../tables/index.js';
+import type { TargetPort } from '../targets/index.js';
+import { assertNever, type Clock, type Rng } from '../utils/index.js';
+import { CapacityRunner } from './CapacityRunner.js';
+import { ClaimDesk, type Refusal } from './ClaimDesk.js';
+import { DrainRunner } from './DrainRunner.js';
+import { ExplainLog } from './ExplainLog.js';
+import { syncPoolTables } from './syncPoolTables.js';
+import { VmProber } from './VmProber.js';
+import { WaveRunner } from './WaveRunner.js';
+
+/** Options of {@link PoolHome}. */
+export interface PoolHomeOptions {
+  /** Pool as `team/pool`. */
+  readonly pool: string;
+  readonly instance: string;
+  /** Term in which this instance decides for the pool. */
+  readonly term: number;
+  readonly settings: PoolSettings;
+  readonly fleet: FleetTables;
+  readonly directory: VmDirectory;
+  readonly writer: Pick<LogWriter, 'write'>;
+  readonly vmPort: VmPort;
+  readonly targets: TargetPort;
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  /** Tells whether this instance's lease holds at this moment. */
+  readonly holdsLease: () => boolean;
+  /** Grants that entry instances hold from an earlier home. */
+  readonly heldGrants: readonly (HeldGrant & { readonly entry: string })[];
+}
+
+/** What a home tells operators about its pool. */
+export interface PoolHomeState {
+  readonly runningJobCount: number;
+  readonly queuedJobCount: number;
+  readonly usableSlotCount: number;
+  readonly acceptingVmCount: number;
+  readonly vmCount: number;
+  readonly budget: string;
+  readonly waveWaitReasons: readonly string[];
+}
+
+interface WaitingRequest {
+  readonly entry: string;
+  readonly request: GrantRequest;
+  readonly enteredAtMs: number;
+  readonly reply: (reply: PeerReply) => void;
+}
+
+type FinishGrant = Extract<PeerRequest, { readonly type: 'finish-grant' }>;
+
+/** How long a grant lasts unless its entry instance renews it. */
+export const GRANT_LENGTH_MS = 6_000;
+/** Least time between two rounds of capacity and wave planning. */
+const PLAN_EVERY_MS = 250;
+const PROBE_EVERY_MS = 1_000;
+const MINUTE_MS = 60_000;
+const MINUTES_PER_DAY = 1_440;
+
+/** One pool at the instance that decides for it: queue, grants, claims, VMs, waves. */
+export class PoolHome {
+  readonly tables: PoolTables;
+
+  readonly explainLog: ExplainLog;
+
+  private readonly options: PoolHomeOptions;
+
+  private readonly claimDesk: ClaimDesk;
+
+  private readonly waveRunner: WaveRunner;
+
+  private readonly capacityRunner: CapacityRunner;
+
+  private readonly drainRunner: DrainRunner;
+
+  private readonly prober: VmProber;
+
+  private readonly waiting = new Map<string, WaitingRequest>();
+
+  private planAtMs = Number.NEGATIVE_INFINITY;
+
+  private isClosed = false;
+
+  /**
+   * Opens the home of a pool.
+   * @param options - Pool, term, and what the home works on.
+   */
+  constructor(options: PoolHomeOptions) {
+    this.options = options;
+    const { pool, settings, clock, events, targets } = options;
+    this.tables = new PoolTables(pool, settings);
+    this.explainLog = new ExplainLog({ clock });
+    const getVm = options.directory.get.bind(options.directory);
+    const shared = { ...options, tables: this.tables, getVm };
+    this.claimDesk = new ClaimDesk(options);
+    this.waveRunner = new WaveRunner(shared);
+    this.capacityRunner = new CapacityRunner(shared);
+    this.drainRunner = new DrainRunner(shared);
+    this.prober = new VmProber({ targets, clock, events, probeEveryMs: PROBE_EVERY_MS });
+    options.heldGrants.forEach((held) => this.tables.grants.put(this.createHeldGrant(held)));
+    this.sync();
+    events.write('homeOpened', { pool, term: options.term });
+  }
+
+  /** Term in which this instance decides for the pool. */
+  get term(): number {
+    return this.options.term;
+  }
+
+  /**
+   * Takes in a request for a slot.
+   * @param entry - Instance that asks.
+   * @param request - What it asks.
+   * @returns The grant or the refusal, once decided.
+   */
+  requestGrant(entry: string, request: GrantRequest): Promise<PeerReply> {
+    const refusal = this.isClosed ? CLOSED : this.findObstacle(entry, request);
+    if (refusal !== undefined) {
+      this.noteRefusal(request, refusal);
+      return Promise.resolve(refusal);
+    }
+    const enteredAtMs = this.options.clock.monotonicMs();
+    this.tables.queue.put(this.createQueuedRow(entry, request, enteredAtMs));
+    const reply = new Promise<PeerReply>((resolve) => {
+      this.waiting.set(request.attemptId, { entry, request, enteredAtMs, reply: resolve });
+    });
+    this.place();
+    if (this.tables.queue.has(request.attemptId)) {
+      const { requestId, jobKind, team } = request;
+      this.options.events.write('jobQueued', { requestId, pool: this.tables.pool, jobKind, team });
+      this.explainLog.note(requestId, 'queued: no VM of the pool has room for it now');
+    }
+    return reply;
+  }
+
+  /**
+   * Withdraws a request or a grant that its entry instance never used.
+   * @param attemptId - Id of the attempt.
+   */
+  cancelRequest(attemptId: string): void {
+    const grant = this.tables.grants.get(attemptId);
+    if (grant !== undefined) this.claimDesk.noteUnsent(grant.requestId);
+    this.tables.queue.remove(attemptId);
+    this.tables.grants.remove(attemptId);
+    this.answer(attemptId, refuse('cancelled', 'The request was withdrawn.'));
+    this.place();
+  }
+
+  /**
+   * Takes in how the use of a grant ended.
+   * @param finish - The report of the entry instance.
+   * @returns Whether everything about it is recorded; if not, the report has to be repeated.
+   */
+  async finishGrant(finish: FinishGrant): Promise<boolean> {
+    const grant = this.tables.grants.get(finish.grantId);
+    if (grant !== undefined) {
+      this.tables.grants.remove(finish.grantId);
+      this.learn(grant, finish);
+      this.place();
+    }
+    if (!finish.isClaimed) return true;
+    return this.claimDesk.settle(finish.requestId, finish.outcome);
+  }
+
+  /**
+   * Prolongs grants that are still in use.
+   * @param grantIds - The grants.
+   */
+  renewGrants(grantIds: readonly string[]): void {
+    const deadlineMs = this.options.clock.monotonicMs() + GRANT_LENGTH_MS;
+    grantIds
+      .flatMap((grantId) => this.tables.grants.get(grantId) ?? [])
+      .forEach((grant) => this.tables.grants.put({ ...grant, deadlineMs }));
+  }
+
+  /**
+   * Runs the systems of the pool once.
+   * @param settings - Settings in force for the pool.
+   * @param fleetProgress - Progress of each wave over all pools.
+   */
+  tick(settings: PoolSettings, fleetProgress: ReadonlyMap<string, WaveProgress>): void {
+    this.tables.settings = settings;
+    this.prober.tick();
+    this.expireGrants();
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs >= this.planAtMs) {
+      this.planAtMs = nowMs + PLAN_EVERY_MS;
+      this.plan(nowMs, fleetProgress);
+    }
+    this.place();
+  }
+
+  /**
+   * Tells operators about the pool.
+   * @returns Counts, and whether the budget holds.
+   */
+  getState(): PoolHomeState {
+    const vms = this.tables.vms.list();
+    const accepting = vms.filter((vm) => vm.condition === 'accepting');
+    const verdict = checkBudget(this.tables, { nowMs: this.options.clock.monotonicMs() });
+    return {
+      runningJobCount: this.tables.grants.size,
+      queuedJobCount: this.tables.queue.size,
+      usableSlotCount: accepting.reduce((sum, vm) => sum + vm.slotCount, 0),
+      acceptingVmCount: accepting.length,
+      vmCount: vms.length,
+      budget: verdict.type === 'within' ? 'within' : verdict.reason,
+      waveWaitReasons: this.tables.waves
+        .list()
+        .flatMap(({ wave }) => this.waveRunner.getWaitReason(wave) ?? []),
+    };
+  }
+
+  /** Stops deciding: whoever waits is told at once to ask the pool's next home. */
+  close(): void {
+    this.isClosed = true;
+    Array.from(this.waiting.keys()).forEach((attemptId) => this.answer(attemptId, CLOSED));
+    const { pool, term, events } = this.options;
+    events.write('homeClosed', { pool, term });
+  }
+
+  private findObstacle(entry: string, request: GrantRequest): Refusal | undefined {
+    if (request.idempotent) return undefined;
+    const isSame = (row: { readonly requestId: string }) => row.requestId === request.requestId;
+    const isUnderWay = this.tables.queue.list().some(isSame) || this.isGranted(request.requestId);
+    const obstacle = this.claimDesk.findObstacle(entry, request, isUnderWay);
+    if (obstacle !== undefined || this.options.holdsLease()) return obstacle;
+    // Failure: while the log is out another instance cannot be told from one that has taken over.
+    // Idempotent work goes on, work that must run at most once is refused: certainly not run.
+    return refuse('log-unavailable', 'The log does not answer, so the request cannot be claimed.');
+  }
+
+  private isGranted(requestId: string): boolean {
+    return this.tables.grants.list().some((grant) => grant.requestId === requestId);
+  }
+
+  private place(): void {
+    if (this.isClosed || this.tables.queue.size === 0) return;
+    const nowMs = this.options.clock.monotonicMs();
+    placeQueuedJobs(this.tables, nowMs, this.options.rng).forEach((decision) =>
+      this.applyPlacement(decision),
+    );
+  }
+
+  private applyPlacement(decision: PlacementDecision): void {
+    switch (decision.type) {
+      case 'place':
+        this.grant(this.tables.queue.getOrThrow(decision.attemptId), decision.vm, decision.reason);
+        break;
+      case 'refuse':
+        this.refuseQueued(decision);
+        break;
+      case 'preempt':
+        this.preempt(decision.grantId, decision.action, decision.reason);
+        break;
+      default:
+        assertNever(decision);
+    }
+  }
+
+  private grant(row: QueuedRow, vm: string, reason: string): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const { attemptId, requestId, pool, team, jobKind, urgency, coreCount, memoryMb } = row;
+    this.tables.queue.remove(attemptId);
+    this.tables.grants.put({
+      grantId: attemptId,
+      requestId,
+      entry: row.entry,
+      pool,
+      team,
+      jobKind,
+      urgency,
+      vm,
+      coreCount,
+      memoryMb,
+      grantedAtMs: nowMs,
+      deadlineMs: nowMs + GRANT_LENGTH_MS,
+    });
+    this.options.metrics.timing('grant_wait_ms', nowMs - row.queuedAtMs);
+    const waitedMs = Math.round(nowMs - row.queuedAtMs);
+    this.options.events.write('jobPlaced', { requestId, pool, vm, team, jobKind, reason, waitedMs });
+    this.explainLog.note(requestId, `placed on ${vm}: ${reason}`);
+    void this.hand(attemptId, vm);
+  }
+
+  /** Claims the request where that is needed, and hands the grant to its entry instance. */
+  private async hand(attemptId: string, vm: string): Promise<void> {
+    const waiting = this.waiting.get(attemptId);
+    if (waiting === undefined) {
+      this.tables.grants.remove(attemptId);
+      return;
+    }
+    const { entry, request, enteredAtMs } = waiting;
+    const refusal = request.idempotent ? undefined : await this.claimDesk.claim(entry, request);
+    if (refusal !== undefined) {
+      this.tables.grants.remove(attemptId);
+      this.noteRefusal(request, refusal);
+      this.answer(attemptId, refusal);
+      return;
+    }
+    if (!request.idempotent && !this.waiting.has(attemptId)) {
+      this.claimDesk.noteUnsent(request.requestId);
+      return;
+    }
+    const { host, port } = this.options.directory.getOrThrow(vm);
+    const heldMs = this.options.clock.monotonicMs() - enteredAtMs;
+    const { term } = this.options;
+    this.answer(attemptId, { type: 'granted', grantId: attemptId, term, vm, host, port, heldMs });
+  }
+
+  private refuseQueued(decision: Extract<PlacementDecision, { readonly type: 'refuse' }>): void {
+    this.tables.queue.remove(decision.attemptId);
+    const retryAtMs = this.options.clock.wallMs() + decision.retryAfterMs;
+    const refusal = { ...refuse(decision.kind, decision.reason), retryAtMs };
+    const waiting = this.waiting.get(decision.attemptId);
+    if (waiting !== undefined) this.noteRefusal(waiting.request, refusal);
+    this.answer(decision.attemptId, refusal);
+  }
+
+  private preempt(grantId: string, action: 'checkpoint' | 'throttle', reason: string): void {
+    const grant = this.tables.grants.get(grantId);
+    const vm = grant && this.options.directory.get(grant.vm);
+    if (grant === undefined || vm === undefined) return;
+    const { requestId } = grant;
+    this.options.events.write('jobPreempted', { requestId, vm: grant.vm, action, reason });
+    this.explainLog.note(requestId, `${action} on ${grant.vm}: ${reason}`);
+    void this.options.targets.control(vm, grantId, action);
+  }
+
+  private learn(grant: GrantRow, finish: FinishGrant): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const verdicts = recordRun(this.tables, {
+      nowMs,
+      vm: grant.vm,
+      jobKind: grant.jobKind,
+      requestId: grant.requestId,
+      result: finish.result,
+      ranMs: finish.ranMs,
+      usedMemoryMb: finish.usedMemoryMb,
+    });
+    verdicts.forEach((verdict) => {
+      switch (verdict.type) {
+        case 'quarantine':
+          this.options.events.write('vmQuarantined', { vm: verdict.vm, reason: verdict.reason });
+          break;
+        case 'restore':
+          this.options.events.write('vmRestored', { vm: verdict.vm, reason: verdict.reason });
+          break;
+        case 'blame-job':
+          this.explainLog.note(verdict.requestId, verdict.reason);
+          break;
+        default:
+          assertNever(verdict);
+      }
+    });
+    const vm = this.options.directory.get(grant.vm);
+    const isSuspect = finish.result === 'unknown' || finish.result === 'not-started';
+    if (isSuspect && vm !== undefined) this.prober.suspect(vm);
+  }
+
+  private expireGrants(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    this.tables.grants
+      .list()
+      .filter((grant) => grant.deadlineMs <= nowMs)
+      .filter((grant) => !this.waiting.has(grant.grantId))
+      .forEach((grant) => {
+        this.tables.grants.remove(grant.grantId);
+        const { requestId, vm, entry } = grant;
+        this.options.events.write('grantExpired', { requestId, vm, entry });
+      });
+  }
+
+  private plan(nowMs: number, fleetProgress: ReadonlyMap<string, WaveProgress>): void {
+    this.sync();
+    this.claimDesk.tick();
+    this.options.metrics.gauge('queue_length', this.tables.queue.size);
+    // Failure: a home that lost its lease goes on moving or rebooting VMs beside its successor.
+    if (!this.options.holdsLease() || !this.options.directory.isLoaded) return;
+    const minuteOfDay = Math.floor(this.options.clock.wallMs() / MINUTE_MS) % MINUTES_PER_DAY;
+    this.waveRunner.apply(planWaveSteps(this.tables, { nowMs, minuteOfDay, fleetProgress }));
+    this.waveRunner.tick();
+    this.drainRunner.tick();
+    if (this.capacityRunner.isBusy) return;
+    const unassignedVms = this.options.directory
+      .list()
+      .filter((vm) => vm.state === 'live')
+      .filter((vm) => this.options.fleet.assignments.get(vm.vm)?.pool === undefined);
+    this.capacityRunner.apply(planCapacity(this.tables, { nowMs, unassignedVms }));
+  }
+
+  private sync(): void {
+    const { fleet, directory } = this.options;
+    const withheldVms = new Set([
+      ...this.waveRunner.withheldVms,
+      ...this.capacityRunner.withheldVms,
+    ]);
+    const isUnreachable = this.prober.isUnreachable.bind(this.prober);
+    syncPoolTables({ tables: this.tables, fleet, directory, withheldVms, isUnreachable });
+  }
+
+  private answer(attemptId: string, reply: PeerReply): void {
+    const waiting = this.waiting.get(attemptId);
+    this.waiting.delete(attemptId);
+    waiting?.reply(reply);
+  }
+
+  private noteRefusal(request: GrantRequest, refusal: Refusal): void {
+    const { requestId, pool, team, jobKind } = request;
+    const { kind, message: reason } = refusal;
+    this.options.events.write('jobRefused', { requestId, pool, team, jobKind, kind, reason });
+    this.explainLog.note(requestId, `refused (${kind}): ${reason}`);
+  }
+
+  private createQueuedRow(entry: string, request: GrantRequest, nowMs: number): QueuedRow {
+    const { attemptId, requestId, pool, team, jobKind, urgency, excludedVms } = request;
+    const { coreCount, memoryMb } = request;
+    const deadlineMs = nowMs + request.deadlineAtMs - this.options.clock.wallMs();
+    return {
+      attemptId,
+      requestId,
+      entry,
+      pool,
+      team,
+      jobKind,
+      urgency,
+      coreCount,
+      memoryMb,
+      queuedAtMs: nowMs,
+      deadlineMs,
+      excludedVms,
+    };
+  }
+
+  private createHeldGrant(held: HeldGrant & { readonly entry: string }): GrantRow {
+    const nowMs = this.options.clock.monotonicMs();
+    const { pool } = this.options;
+    return { ...held, pool, grantedAtMs: nowMs, deadlineMs: nowMs + GRANT_LENGTH_MS };
+  }
+}
+
+const CLOSED = refuse('home-unavailable', 'The pool is being handed to another home.');
+
+function refuse(kind: Refusal['kind'], message: string): Refusal {
+  return { type: 'refused', kind, message };
+}
--- /dev/null
+++ b/src/home/WaveRunner.ts
@@ -0,0 +1,266 @@
+import type { LogWriter } from '../log/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
+import type { VmPort } from '../platform/index.js';
+import type { WaveDecision } from '../systems/index.js';
+import type { FleetTables, PoolTables, VmRow, WaveStepRow } from '../tables/index.js';
+import type { TargetPort } from '../targets/index.js';
+import { assertNever, type Clock, KeyedOnce } from '../utils/index.js';
+
+/** Options of {@link WaveRunner}. */
+export interface WaveRunnerOptions {
+  readonly instance: string;
+  readonly term: number;
+  readonly tables: PoolTables;
+  readonly fleet: FleetTables;
+  readonly writer: Pick<LogWriter, 'write'>;
+  readonly vmPort: Pick<VmPort, 'drain' | 'undrain' | 'reboot'>;
+  readonly targets: Pick<TargetPort, 'getStatus' | 'control'>;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  /** Tells whether this instance's lease holds at this moment. */
+  readonly holdsLease: () => boolean;
+  /** Gets the VM as the platform lists it. */
+  readonly getVm: (vm: string) => VmRow | undefined;
+}
+
+type StepPhase =
+  | { readonly type: 'draining'; readonly checkpointAtMs: number }
+  | { readonly type: 'rebooting'; readonly giveUpAtMs: number };
+
+interface RunningStep {
+  readonly wave: string;
+  readonly vm: string;
+  readonly bootId: string;
+  readonly startedAtMs: number;
+  readonly phase: StepPhase;
+}
+
+/** Longest wait until a record about a step is read back. */
+const WRITE_WAIT_MS = 5_000;
+
+/** Carries out the steps of waves in one pool: drain, wait for running tasks, reboot, return. */
+export class WaveRunner {
+  private readonly options: WaveRunnerOptions;
+
+  private readonly steps = new Map<string, RunningStep>();
+
+  private readonly withheld = new Set<string>();
+
+  private readonly actions = new KeyedOnce();
+
+  private readonly waitReasons = new Map<string, string>();
+
+  /**
+   * Creates a runner; steps that a former home left open are taken up at the next tick.
+   * @param options - Pool, term, and what the runner works on.
+   */
+  constructor(options: WaveRunnerOptions) {
+    this.options = options;
+  }
+
+  /** VMs that get no new work because a step on them has begun or is about to. */
+  get withheldVms(): ReadonlySet<string> {
+    return this.withheld;
+  }
+
+  /**
+   * Gets why a wave waits in this pool.
+   * @param wave - The wave.
+   * @returns The latest reason, or undefined where it does not wait.
+   */
+  getWaitReason(wave: string): string | undefined {
+    return this.waitReasons.get(wave);
+  }
+
+  /**
+   * Acts on what the wave system decided.
+   * @param decisions - The decisions of one tick.
+   */
+  apply(decisions: readonly WaveDecision[]): void {
+    decisions.forEach((decision) => {
+      switch (decision.type) {
+        case 'start-step':
+          this.waitReasons.delete(decision.wave);
+          this.startStep(decision.wave, decision.vm, decision.reason);
+          break;
+        case 'wait':
+          this.noteWait(decision.wave, decision.reason);
+          break;
+        case 'stop-wave':
+          this.stopWave(decision.wave, decision.reason);
+          break;
+        default:
+          assertNever(decision);
+      }
+    });
+  }
+
+  /** Takes every step of the pool a little further. */
+  tick(): void {
+    if (!this.options.holdsLease()) return;
+    this.options.tables.waveSteps
+      .list()
+      .filter((step) => step.state === 'intended')
+      .forEach((step) => this.takeUp(step));
+    this.steps.forEach((step) => {
+      this.actions.start(step.vm, () => this.advance(step));
+    });
+  }
+
+  private startStep(wave: string, vm: string, reason: string): void {
+    const row = this.options.getVm(vm);
+    if (row === undefined) return;
+    this.withheld.add(vm);
+    this.actions.start(vm, async () => {
+      const { tables, instance, term, writer, clock, events } = this.options;
+      const { pool } = tables;
+      const body = { wave, pool, vm, instance, term, bootId: row.bootId } as const;
+      const deadlineMs = clock.monotonicMs() + WRITE_WAIT_MS;
+      const result = await writer.write({ type: 'step-intended', ...body }, { deadlineMs });
+      if (result.type === 'accepted') events.write('stepStarted', { wave, pool, vm, reason });
+      else this.withheld.delete(vm);
+    });
+  }
+
+  /**
+   * Failure: the former home wrote a step and was lost before, during or after the reboot. The
+   * step's boot identity tells which: a VM that shows another boot has been rebooted.
+   */
+  private takeUp(step: WaveStepRow): void {
+    if (this.steps.has(step.vm)) return;
+    const { clock, tables } = this.options;
+    const nowMs = clock.monotonicMs();
+    this.withheld.add(step.vm);
+    this.steps.set(step.vm, {
+      wave: step.wave,
+      vm: step.vm,
+      bootId: step.bootId,
+      startedAtMs: nowMs,
+      phase: {
+        type: 'draining',
+        checkpointAtMs: nowMs + tables.settings.maintenance.drainTimeoutMs,
+      },
+    });
+    this.options.events.write('stepDraining', { wave: step.wave, vm: step.vm });
+  }
+
+  private async advance(step: RunningStep): Promise<void> {
+    const vm = this.options.getVm(step.vm);
+    if (vm === undefined) return;
+    switch (step.phase.type) {
+      case 'draining':
+        await this.advanceDrain(step, vm, step.phase.checkpointAtMs);
+        break;
+      case 'rebooting':
+        await this.advanceReboot(step, vm, step.phase.giveUpAtMs);
+        break;
+      default:
+        assertNever(step.phase);
+    }
+  }
+
+  private async advanceDrain(
+    step: RunningStep,
+    vm: VmRow,
+    checkpointAtMs: number,
+  ): Promise<void> {
+    const { vmPort, targets, clock, tables, events } = this.options;
+    const status = await targets.getStatus(vm);
+    if (status !== undefined && status.bootId !== step.bootId) {
+      this.setPhase(step, this.createRebootPhase());
+      return;
+    }
+    const isDrained = await succeeds(vmPort.drain(step.vm));
+    const isOverdue = clock.monotonicMs() >= checkpointAtMs;
+    if (status !== undefined && isOverdue) await this.checkpointTasks(vm, status.runningTaskIds);
+    const hasGrants = tables.grants.list().some((grant) => grant.vm === step.vm);
+    // Failure: a reboot cuts off a request in progress. Grants of this home can be incomplete after
+    // a takeover, so the target itself has to say that it refuses new tasks and runs none.
+    const isIdle = status?.draining === true && status.runningTaskIds.length === 0;
+    if (!isDrained || hasGrants || !isIdle) return;
+    // Failure: this process was paused while it waited, another home works on the step now, and a
+    // late reboot would cut off what runs on the VM by then. Hence the check right before the act,
+    // and the boot identity for a call that is delayed on its way.
+    if (!this.options.holdsLease()) return;
+    events.write('vmRebooting', { wave: step.wave, vm: step.vm, bootId: step.bootId });
+    await succeeds(vmPort.reboot(step.vm, step.bootId));
+    this.setPhase(step, this.createRebootPhase());
+  }
+
+  private async checkpointTasks(vm: VmRow, taskIds: readonly string[]): Promise<void> {
+    await Promise.all(
+      taskIds.map((taskId) => this.options.targets.control(vm, taskId, 'checkpoint')),
+    );
+  }
+
+  private async advanceReboot(step: RunningStep, vm: VmRow, giveUpAtMs: number): Promise<void> {
+    const { clock, vmPort, targets } = this.options;
+    const status = await targets.getStatus(vm);
+    if (status !== undefined && status.bootId !== step.bootId) {
+      if (await succeeds(vmPort.undrain(step.vm))) await this.finish(step, 'maintained');
+      return;
+    }
+    if (clock.monotonicMs() >= giveUpAtMs) {
+      await this.finish(step, 'failed');
+      return;
+    }
+    // The call's answer, or the call itself, may have been lost; it is repeated while the VM still
+    // shows the old boot, is idle and drained, and the lease holds.
+    const isIdle = status?.draining === true && status.runningTaskIds.length === 0;
+    if (isIdle && this.options.holdsLease()) await succeeds(vmPort.reboot(step.vm, step.bootId));
+  }
+
+  private async finish(step: RunningStep, result: 'maintained' | 'failed'): Promise<void> {
+    const { tables, instance, term, writer, clock, events, metrics } = this.options;
+    const { pool } = tables;
+    const { wave, vm } = step;
+    const nowMs = clock.monotonicMs();
+    const written = await writer.write(
+      { type: 'step-finished', wave, pool, vm, instance, term, result },
+      { deadlineMs: nowMs + WRITE_WAIT_MS },
+    );
+    if (written.type !== 'accepted') return;
+    this.steps.delete(vm);
+    this.withheld.delete(vm);
+    metrics.timing('wave_step_ms', nowMs - step.startedAtMs);
+    const ranMs = Math.round(nowMs - step.startedAtMs);
+    events.write('stepFinished', { wave, pool, vm, result, ranMs });
+  }
+
+  private createRebootPhase(): StepPhase {
+    const { clock, tables } = this.options;
+    const giveUpAtMs = clock.monotonicMs() + tables.settings.maintenance.rebootTimeoutMs;
+    return { type: 'rebooting', giveUpAtMs };
+  }
+
+  private setPhase(step: RunningStep, phase: StepPhase): void {
+    this.steps.set(step.vm, { ...step, phase });
+  }
+
+  private noteWait(wave: string, reason: string): void {
+    if (this.waitReasons.get(wave) === reason) return;
+    this.waitReasons.set(wave, reason);
+    this.options.events.write('waveWaiting', { wave, pool: this.options.tables.pool, reason });
+  }
+
+  private stopWave(wave: string, reason: string): void {
+    const { writer, clock, events, tables } = this.options;
+    this.actions.start(`stop ${wave}`, async () => {
+      const deadlineMs = clock.monotonicMs() + WRITE_WAIT_MS;
+      const result = await writer.write({ type: 'wave-paused', wave, reason }, { deadlineMs });
+      if (result.type !== 'accepted') return;
+      events.write('waveStopped', { wave, pool: tables.pool, reason });
+    });
+  }
+}
+
+async function succeeds(action: Promise<void>): Promise<boolean> {
+  try {
+    await action;
+    return true;
+  } catch {
+    return false;
+  }
+}
--- a/src/logging/events/homeEvents.ts
+++ b/src/logging/events/homeEvents.ts
@@ -8,4 +8,8 @@
   grantExpired: { number: 2004, level: 'warn', text: 'A grant ended without a report.' },
   vmQuarantined: { number: 2005, level: 'warn', text: 'A VM gets no work for a while.' },
   vmRestored: { number: 2006, level: 'info', text: 'A quarantined VM gets work again.' },
+  jobPreempted: { number: 2007, level: 'info', text: 'A running job made room for urgent work.' },
+  claimRefused: { number: 2008, level: 'warn', text: 'A claim on a request was refused.' },
+  homeOpened: { number: 2009, level: 'info', text: 'This instance decides for a pool.' },
+  homeClosed: { number: 2010, level: 'info', text: 'This instance stopped deciding for a pool.' },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- /dev/null
+++ b/src/membership/HomeKeeper.ts
@@ -0,0 +1,85 @@
+import type { FleetTables, HomeRow } from '../tables/index.js';
+import { rankByRendezvous } from '../utils/index.js';
+
+/** What to do about the home of a pool. */
+export type HomeDecision =
+  | { readonly type: 'claim'; readonly pool: string; readonly expectedTerm: number }
+  | { readonly type: 'release'; readonly pool: string; readonly term: number };
+
+/** Options of {@link HomeKeeper}. */
+export interface HomeKeeperOptions {
+  /** This instance. */
+  readonly instance: string;
+  /** How much longer each next candidate waits for the ones before it to claim. */
+  readonly candidateStepMs: number;
+  /** How long an instance must have been joined before pools are handed to it. */
+  readonly settleMs: number;
+}
+
+/** Decides which pools this instance should claim, and which it should hand on. */
+export class HomeKeeper {
+  private readonly options: HomeKeeperOptions;
+
+  private vacantSinceMs: ReadonlyMap<string, number> = new Map();
+
+  private joinedSinceMs: ReadonlyMap<string, number> = new Map();
+
+  /**
+   * Creates a keeper.
+   * @param options - Own name and waits.
+   */
+  constructor(options: HomeKeeperOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Decides about every pool.
+   * @param tables - State by the log.
+   * @param nowMs - Monotonic time.
+   * @returns Claims and releases to write; the fold decides races.
+   */
+  decide(tables: FleetTables, nowMs: number): readonly HomeDecision[] {
+    const homes = tables.homes.list();
+    const joined = tables.instances
+      .list()
+      .filter((row) => row.state === 'joined')
+      .map((row) => row.instance);
+    this.joinedSinceMs = keepTimes(this.joinedSinceMs, joined, nowMs);
+    const vacant = homes.filter((row) => row.instance === undefined).map((row) => row.pool);
+    this.vacantSinceMs = keepTimes(this.vacantSinceMs, vacant, nowMs);
+    if (!joined.includes(this.options.instance)) return [];
+    return homes.flatMap((home) => this.decideFor(home, joined, nowMs));
+  }
+
+  private decideFor(
+    home: HomeRow,
+    joined: readonly string[],
+    nowMs: number,
+  ): readonly HomeDecision[] {
+    const ranked = rankByRendezvous(home.pool, joined);
+    if (home.instance === undefined) return this.decideVacant(home, ranked, nowMs);
+    const preferred = ranked[0]!;
+    if (home.instance !== this.options.instance || preferred === home.instance) return [];
+    const settledMs = nowMs - this.joinedSinceMs.get(preferred)!;
+    if (settledMs < this.options.settleMs) return [];
+    return [{ type: 'release', pool: home.pool, term: home.term }];
+  }
+
+  private decideVacant(
+    home: HomeRow,
+    ranked: readonly string[],
+    nowMs: number,
+  ): readonly HomeDecision[] {
+    const waitMs = ranked.indexOf(this.options.instance) * this.options.candidateStepMs;
+    if (nowMs - this.vacantSinceMs.get(home.pool)! < waitMs) return [];
+    return [{ type: 'claim', pool: home.pool, expectedTerm: home.term }];
+  }
+}
+
+function keepTimes(
+  known: ReadonlyMap<string, number>,
+  names: readonly string[],
+  nowMs: number,
+): ReadonlyMap<string, number> {
+  return new Map(names.map((name) => [name, known.get(name) ?? nowMs]));
+}
--- /dev/null
+++ b/src/membership/Membership.ts
@@ -0,0 +1,124 @@
+import type { EventLog } from '../logging/index.js';
+import type { LogWriter } from '../log/index.js';
+import type { FleetTables, InstanceRow } from '../tables/index.js';
+import { type Clock, KeyedOnce } from '../utils/index.js';
+import { HeldLease } from './HeldLease.js';
+import { LapseWatch } from './LapseWatch.js';
+import type { LeaseTiming } from './LeaseTiming.js';
+
+/** Options of {@link Membership}. */
+export interface MembershipOptions {
+  /** This instance as it joins; the name is unique to this start of the process. */
+  readonly self: Omit<InstanceRow, 'renewalOffset' | 'state'>;
+  readonly tables: FleetTables;
+  readonly writer: Pick<LogWriter, 'write'>;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly timing: LeaseTiming;
+  /** Reads when the latest read to the log's end was sent; undefined while the log is out. */
+  readonly getReadToEndAtMs: () => number | undefined;
+}
+
+/** This instance's place among the instances: joins, renews, and ends the leases of lost ones. */
+export class Membership {
+  private readonly options: MembershipOptions;
+
+  private readonly lease: HeldLease;
+
+  private readonly lapseWatch: LapseWatch;
+
+  private readonly writes = new KeyedOnce();
+
+  private isLeaving = false;
+
+  private wasHeld = false;
+
+  private renewAtMs = Number.NEGATIVE_INFINITY;
+
+  /**
+   * Creates the membership of an instance that has not joined yet.
+   * @param options - Who it is, and what it works on.
+   */
+  constructor(options: MembershipOptions) {
+    this.options = options;
+    const { clock, timing } = options;
+    this.lease = new HeldLease({ clock, timing });
+    this.lapseWatch = new LapseWatch({ instance: options.self.instance, timing });
+  }
+
+  /**
+   * Tells whether this instance's lease holds at this moment.
+   * @returns Whether acts that need the lease are allowed.
+   */
+  holdsLease(): boolean {
+    return this.lease.isHeld();
+  }
+
+  /** Runs the membership once: renewal, detection of lost instances, report of a lost lease. */
+  tick(): void {
+    this.reportLoss();
+    if (this.isLeaving) return;
+    this.renewIfDue();
+    this.endLapsedLeases();
+  }
+
+  /**
+   * Leaves, which frees this instance's homes at once.
+   * @param deadlineMs - Monotonic time at which to stop trying.
+   */
+  async leave(deadlineMs: number): Promise<void> {
+    this.isLeaving = true;
+    this.lease.drop();
+    const { instance } = this.options.self;
+    if (!this.options.tables.instances.has(instance)) return;
+    await this.options.writer.write({ type: 'instance-left', instance }, { deadlineMs });
+  }
+
+  private reportLoss(): void {
+    const isHeld = this.lease.isHeld();
+    if (this.wasHeld && !isHeld) this.options.events.write('leaseLost');
+    this.wasHeld = isHeld;
+  }
+
+  private renewIfDue(): void {
+    const { clock, timing } = this.options;
+    const nowMs = clock.monotonicMs();
+    if (nowMs < this.renewAtMs) return;
+    this.renewAtMs = nowMs + timing.renewEveryMs;
+    this.writes.start(this.options.self.instance, () => this.joinOrRenew());
+  }
+
+  private async joinOrRenew(): Promise<void> {
+    const { self, tables, writer, clock, timing, events } = this.options;
+    const sentAt = this.lease.readClocks();
+    const isJoined = tables.instances.get(self.instance)?.state === 'joined';
+    const body = isJoined
+      ? ({ type: 'instance-renewed', instance: self.instance } as const)
+      : ({ type: 'instance-joined', ...self } as const);
+    const deadlineMs = clock.monotonicMs() + timing.leaseMs;
+    const result = await writer.write(body, { deadlineMs });
+    if (result.type !== 'accepted') return;
+    this.lease.extend(sentAt);
+    if (!isJoined) events.write('instanceJoined', { joinedInstance: self.instance });
+  }
+
+  private endLapsedLeases(): void {
+    const { tables, clock, writer, timing, self, events, getReadToEndAtMs } = this.options;
+    const readToEndAtMs = getReadToEndAtMs();
+    if (readToEndAtMs === undefined) {
+      this.lapseWatch.restart();
+      return;
+    }
+    const nowMs = clock.monotonicMs();
+    if (!this.lease.isHeld()) return;
+    const deadlineMs = nowMs + timing.leaseMs;
+    this.lapseWatch.findLapsed(tables.instances, readToEndAtMs, nowMs).forEach((lapsed) => {
+      this.writes.start(lapsed.instance, async () => {
+        const body = { type: 'instance-lapsed', ...lapsed, by: self.instance } as const;
+        const result = await writer.write(body, { deadlineMs });
+        if (result.type !== 'accepted') return;
+        events.write('instanceEnded', { endedInstance: lapsed.instance, how: 'lapsed' });
+      });
+    });
+  }
+}
