--- /dev/null
+++ b/src/daemon/createPeerHandler.ts
@@ -0,0 +1,86 @@
+import type { Entry, GrantKeeper } from '../entry/index.js';
+import type { PoolHome } from '../home/index.js';
+import type { LogFollower } from '../log/index.js';
+import type { PeerHandler, PeerReply, PeerRequest } from '../peers/index.js';
+import { assertNever } from '../utils/index.js';
+
+/** Options of {@link createPeerHandler}. */
+export interface PeerHandlerOptions {
+  readonly getHome: (pool: string) => PoolHome | undefined;
+  readonly keeper: Pick<GrantKeeper, 'list'>;
+  readonly entry: () => Pick<Entry, 'getJob' | 'cancelJob'>;
+  readonly follower: Pick<LogFollower, 'offer'>;
+  readonly readRecentEntries: (fromOffset: number, maxCount: number) => PeerReply;
+  readonly serializeTables: () => string;
+  readonly explainHere: (subject: string) => readonly string[];
+}
+
+const DONE: PeerReply = { type: 'done' };
+const NO_HOME: PeerReply = {
+  type: 'refused',
+  kind: 'home-unavailable',
+  message: 'This instance does not decide for the pool.',
+};
+const NOT_RECORDED: PeerReply = {
+  type: 'refused',
+  kind: 'log-unavailable',
+  message: 'The outcome is not on the log yet.',
+};
+
+/**
+ * Creates what answers the requests of other instances.
+ * @param options - The parts of the daemon that the requests are about.
+ * @returns The handler.
+ */
+export function createPeerHandler(options: PeerHandlerOptions): PeerHandler {
+  const atHome = (
+    pool: string,
+    action: (home: PoolHome) => PeerReply | Promise<PeerReply>,
+  ): PeerReply | Promise<PeerReply> => {
+    const home = options.getHome(pool);
+    return home === undefined ? NO_HOME : action(home);
+  };
+  return async (from: string, request: PeerRequest): Promise<PeerReply> => {
+    switch (request.type) {
+      case 'request-grant':
+        return atHome(request.pool, (home) => home.requestGrant(from, request));
+      case 'cancel-request':
+        return atHome(request.pool, (home) => {
+          home.cancelRequest(request.attemptId);
+          return DONE;
+        });
+      case 'finish-grant':
+        return atHome(request.pool, async (home) =>
+          (await home.finishGrant(request)) ? DONE : NOT_RECORDED,
+        );
+      case 'renew-grants':
+        return atHome(request.pool, (home) => {
+          home.renewGrants(request.grantIds);
+          return DONE;
+        });
+      case 'list-grants':
+        return { type: 'grants', grants: options.keeper.list(request.pool) };
+      case 'push-entries':
+        options.follower.offer(request.entries);
+        return DONE;
+      case 'get-entries':
+        return options.readRecentEntries(request.fromOffset, request.maxCount);
+      case 'get-tables':
+        return { type: 'state', json: options.serializeTables() };
+      case 'get-pool-state':
+        return atHome(request.pool, (home) => toState(home.getState()));
+      case 'get-job':
+        return toState(await options.entry().getJob(request.jobId));
+      case 'cancel-job':
+        return toState(await options.entry().cancelJob(request.jobId));
+      case 'explain':
+        return toState(options.explainHere(request.subject));
+      default:
+        return assertNever(request);
+    }
+  };
+}
+
+function toState(value: unknown): PeerReply {
+  return { type: 'state', json: JSON.stringify(value) };
+}
--- a/src/entry/JobRun.ts
+++ b/src/entry/JobRun.ts
@@ -45,6 +45,8 @@
 const MAX_ATTEMPT_COUNT = 4;
 /** Safety margin before a grant's end within which nothing is sent any more. */
 const GRANT_MARGIN_MS = 500;
+/** How long a request waits for a pool that is between two homes. */
+const HOME_WAIT_MS = 2_000;
 const SERVER_ERROR_STATUS = 500;
 /** How much longer than the caller's deadline the home's answer is awaited. */
 const HOME_GRACE_MS = 500;
@@ -60,6 +62,9 @@
   /** Whether the request may stand on the log as claimed by this instance. */
   private isClaimed = false;
 
+  /** Monotonic time after which a pool without a home is no longer waited for. */
+  private readonly homeWaitEndsAtMs: number;
+
   private lastAttemptId = '';
 
   private lastVm = '';
@@ -74,6 +79,7 @@
     this.context = context;
     this.job = job;
     this.signal = signal;
+    this.homeWaitEndsAtMs = context.clock.monotonicMs() + HOME_WAIT_MS;
   }
 
   /**
@@ -93,9 +99,15 @@
   ): Promise<JobAnswer> {
     const end = await this.attempt(excludedVms);
     if (end.type === 'final') return end.answer;
-    const isLast = attemptNumber >= MAX_ATTEMPT_COUNT || this.signal.aborted;
-    if (isLast || !this.context.retryBudget.spend()) return this.fail(end.error);
-    const { events, metrics } = this.context;
+    if (this.signal.aborted) return this.fail(end.error);
+    const { events, metrics, clock, retryBudget } = this.context;
+    // A pool between two homes is waited for, for a bounded time; no target saw the request, so
+    // this is no retry that could flood one.
+    if (end.error.kind === 'home-unavailable') {
+      if (clock.monotonicMs() >= this.homeWaitEndsAtMs) return this.fail(end.error);
+      return this.attemptFrom(attemptNumber, excludedVms);
+    }
+    if (attemptNumber >= MAX_ATTEMPT_COUNT || !retryBudget.spend()) return this.fail(end.error);
     const { requestId, pool } = this.job;
     events.write('requestRetried', { requestId, pool, reason: end.error.message, attemptNumber });
     metrics.increment('retries');
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -96,6 +96,9 @@
 
   private readonly waiting = new Map<string, WaitingRequest>();
 
+  /** VMs that failed a granted request before, by grant. */
+  private readonly excludedVms = new Map<string, readonly string[]>();
+
   private planAtMs = Number.NEGATIVE_INFINITY;
 
   private isClosed = false;
@@ -160,7 +163,7 @@
     const grant = this.tables.grants.get(attemptId);
     if (grant !== undefined) this.claimDesk.noteUnsent(grant.requestId);
     this.tables.queue.remove(attemptId);
-    this.tables.grants.remove(attemptId);
+    this.removeGrant(attemptId);
     this.answer(attemptId, refuse('cancelled', 'The request was withdrawn.'));
     this.place();
   }
@@ -173,8 +176,8 @@
   async finishGrant(finish: FinishGrant): Promise<boolean> {
     const grant = this.tables.grants.get(finish.grantId);
     if (grant !== undefined) {
-      this.tables.grants.remove(finish.grantId);
       this.learn(grant, finish);
+      this.removeGrant(finish.grantId);
       this.place();
     }
     if (!finish.isClaimed) return true;
@@ -256,7 +259,8 @@
   private place(): void {
     if (this.isClosed || this.tables.queue.size === 0) return;
     const nowMs = this.options.clock.monotonicMs();
-    placeQueuedJobs(this.tables, nowMs, this.options.rng).forEach((decision) =>
+    const { rng } = this.options;
+    placeQueuedJobs(this.tables, { nowMs, rng }).forEach((decision) =>
       this.applyPlacement(decision),
     );
   }
@@ -295,6 +299,7 @@
       grantedAtMs: nowMs,
       deadlineMs: nowMs + GRANT_LENGTH_MS,
     });
+    this.excludedVms.set(attemptId, row.excludedVms);
     this.options.metrics.timing('grant_wait_ms', nowMs - row.queuedAtMs);
     const waitedMs = Math.round(nowMs - row.queuedAtMs);
     this.options.events.write('jobPlaced', { requestId, pool, vm, team, jobKind, reason, waitedMs });
@@ -306,13 +311,13 @@
   private async hand(attemptId: string, vm: string): Promise<void> {
     const waiting = this.waiting.get(attemptId);
     if (waiting === undefined) {
-      this.tables.grants.remove(attemptId);
+      this.removeGrant(attemptId);
       return;
     }
     const { entry, request, enteredAtMs } = waiting;
     const refusal = request.idempotent ? undefined : await this.claimDesk.claim(entry, request);
     if (refusal !== undefined) {
-      this.tables.grants.remove(attemptId);
+      this.removeGrant(attemptId);
       this.noteRefusal(request, refusal);
       this.answer(attemptId, refusal);
       return;
@@ -356,6 +361,7 @@
       result: finish.result,
       ranMs: finish.ranMs,
       usedMemoryMb: finish.usedMemoryMb,
+      excludedVms: this.excludedVms.get(grant.grantId) ?? [],
     });
     verdicts.forEach((verdict) => {
       switch (verdict.type) {
@@ -384,7 +390,7 @@
       .filter((grant) => grant.deadlineMs <= nowMs)
       .filter((grant) => !this.waiting.has(grant.grantId))
       .forEach((grant) => {
-        this.tables.grants.remove(grant.grantId);
+        this.removeGrant(grant.grantId);
         const { requestId, vm, entry } = grant;
         this.options.events.write('grantExpired', { requestId, vm, entry });
       });
@@ -418,6 +424,11 @@
     syncPoolTables({ tables: this.tables, fleet, directory, withheldVms, isUnreachable });
   }
 
+  private removeGrant(grantId: string): void {
+    this.tables.grants.remove(grantId);
+    this.excludedVms.delete(grantId);
+  }
+
   private answer(attemptId: string, reply: PeerReply): void {
     const waiting = this.waiting.get(attemptId);
     this.waiting.delete(attemptId);
--- a/src/home/syncPoolTables.ts
+++ b/src/home/syncPoolTables.ts
@@ -1,4 +1,5 @@
 import type { VmDirectory } from '../fleet/index.js';
+import { isWaveFinished } from '../log/index.js';
 import type { FleetTables, PoolTables, PoolVmRow, VmRow } from '../tables/index.js';
 
 /** Options of {@link syncPoolTables}. */
@@ -35,7 +36,7 @@
   tables.waveSteps.clear();
   fleet.waves
     .list()
-    .filter((wave) => wave.pools.includes(tables.pool))
+    .filter((wave) => wave.pools.includes(tables.pool) && !isWaveFinished(wave))
     .forEach((wave) => tables.waves.put(wave));
   fleet.waveSteps
     .list()
