Wire the daemon

Cause: the parts stand side by side without a process that runs them. Change: Daemon, its start, tick and stop; reading from peers while the log is out.

--- /dev/null
+++ b/src/daemon/Daemon.ts
@@ -0,0 +1,347 @@
+import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { FastifyInstance } from 'fastify';
+import { createHttpServer, registerCallerRoutes } from '../callers/index.js';
+import { Entry, FinishReporter, GrantKeeper, HomeRouter, RetryBudget } from '../entry/index.js';
+import { VmDirectory } from '../fleet/index.js';
+import {
+  LogFollower,
+  LogWriter,
+  loadLatestSnapshot,
+  restoreTables,
+  serializeTables,
+  SnapshotWriter,
+} from '../log/index.js';
+import type { EventLog } from '../logging/index.js';
+import { DEFAULT_LEASE_TIMING, Membership } from '../membership/index.js';
+import type { Metrics } from '../metrics/index.js';
+import { registerOperatorRoutes } from '../operators/index.js';
+import { PeerClient, type PeerHandler, PeerServer } from '../peers/index.js';
+import { HttpLogPort, HttpVmPort } from '../platform/index.js';
+import type { PoolSettings } from '../settings/index.js';
+import { FleetTables } from '../tables/index.js';
+import { HttpTargetPort } from '../targets/index.js';
+import { type Clock, KeyedOnce, rankByRendezvous, type Rng, SystemClock } from '../utils/index.js';
+import { createPeerHandler } from './createPeerHandler.js';
+import type { DaemonConfig } from './DaemonConfig.js';
+import { HomeManager } from './HomeManager.js';
+import { Operations } from './Operations.js';
+import { PeerCatchUp } from './PeerCatchUp.js';
+import { RecentEntries } from './RecentEntries.js';
+
+/** Options of {@link Daemon}. */
+export interface DaemonOptions {
+  readonly config: DaemonConfig;
+  /** Name of this start of the process; no other start ever has it. */
+  readonly instance: string;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+}
+
+const CONTROL_STREAM = 'control';
+const TICK_MS = 50;
+const VM_LIST_EVERY_MS = 1_000;
+const HOME_POLL_MS = 50;
+const SNAPSHOT_KEY = 'snapshots';
+const RETRIES_PER_REQUEST = 0.1;
+const MAX_SAVED_RETRY_COUNT = 20;
+const LEAVE_WAIT_MS = 2_000;
+
+const systemRng: Rng = { next: Math.random };
+
+/** All parts of one instance, wired together. */
+export class Daemon {
+  private readonly options: DaemonOptions;
+
+  private readonly clock: Clock = new SystemClock();
+
+  private readonly fleet = new FleetTables();
+
+  private readonly recentEntries = new RecentEntries();
+
+  private readonly work = new KeyedOnce();
+
+  private readonly peers: PeerClient;
+
+  private readonly peerServer: PeerServer;
+
+  private readonly follower: LogFollower;
+
+  private readonly writer: LogWriter;
+
+  private readonly log: HttpLogPort;
+
+  private readonly directory: VmDirectory;
+
+  private readonly keeper: GrantKeeper;
+
+  private readonly reporter: FinishReporter;
+
+  private readonly entry: Entry;
+
+  private readonly homes: HomeManager;
+
+  private readonly snapshots: SnapshotWriter;
+
+  private readonly catchUp: PeerCatchUp;
+
+  private readonly operations: Operations;
+
+  private readonly handlePeer: PeerHandler;
+
+  private membership: Membership | undefined;
+
+  private server: FastifyInstance | undefined;
+
+  private ticker: NodeJS.Timeout | undefined;
+
+  /**
+   * Wires an instance that has not started.
+   * @param options - Settings, name, log lines and metrics.
+   */
+  constructor(options: DaemonOptions) {
+    this.options = options;
+    const { config, instance, events, metrics } = options;
+    const { clock, fleet } = this;
+    const getPoolSettings = this.getPoolSettings.bind(this);
+    const handleLocally: PeerHandler = (from, request) => this.handlePeer(from, request);
+    this.log = new HttpLogPort(config.log);
+    this.follower = this.createFollower();
+    this.writer = new LogWriter({
+      log: this.log,
+      follower: this.follower,
+      stream: CONTROL_STREAM,
+      tables: fleet,
+      writer: instance,
+      clock,
+      makeRecordId: randomUUID,
+    });
+    const vmPort = new HttpVmPort(config.vms);
+    const targets = new HttpTargetPort();
+    this.directory = new VmDirectory({
+      vmPort,
+      clock,
+      events,
+      refreshEveryMs: VM_LIST_EVERY_MS,
+    });
+    this.peers = new PeerClient({ instance, events });
+    const { peers, writer, directory } = this;
+    const router = new HomeRouter({ instance, fleet, peers, handleLocally });
+    this.keeper = new GrantKeeper({ router, targets, clock });
+    this.reporter = new FinishReporter({ router, clock });
+    let attemptNumber = 0;
+    this.entry = new Entry({
+      context: {
+        instance,
+        router,
+        keeper: this.keeper,
+        reporter: this.reporter,
+        targets,
+        retryBudget: new RetryBudget({
+          earnedPerRequest: RETRIES_PER_REQUEST,
+          maxSavedCount: MAX_SAVED_RETRY_COUNT,
+        }),
+        clock,
+        events,
+        metrics,
+        createAttemptId: () => {
+          attemptNumber += 1;
+          return `${instance}.${attemptNumber}`;
+        },
+        waitForHome: async (_pool, signal) => {
+          await sleep(HOME_POLL_MS, undefined, { signal }).catch(() => undefined);
+        },
+      },
+      fleet,
+      peers,
+      getPoolSettings,
+    });
+    this.homes = new HomeManager({
+      instance,
+      fleet,
+      directory,
+      writer,
+      vmPort,
+      targets,
+      clock,
+      rng: systemRng,
+      events,
+      metrics,
+      peers,
+      getPoolSettings,
+      holdsLease: () => this.membership?.holdsLease() ?? false,
+      listOwnGrants: (pool) =>
+        this.keeper.list(pool).map((grant) => ({ ...grant, entry: instance })),
+    });
+    this.catchUp = new PeerCatchUp({ instance, fleet, follower: this.follower, peers });
+    this.snapshots = new SnapshotWriter({
+      log: this.log,
+      tables: fleet,
+      clock,
+      events,
+      makeSnapshotId: randomUUID,
+      recordsBetween: config.snapshotEveryRecordCount,
+    });
+    const explainHere = this.explainHere.bind(this);
+    this.handlePeer = createPeerHandler({
+      getHome: (pool) => this.homes.get(pool),
+      keeper: this.keeper,
+      entry: () => this.entry,
+      follower: this.follower,
+      readRecentEntries: (fromOffset, maxCount) => this.recentEntries.read(fromOffset, maxCount),
+      serializeTables: () => JSON.stringify(serializeTables(fleet)),
+      explainHere,
+    });
+    this.peerServer = new PeerServer({
+      instance,
+      host: config.peers.host,
+      port: config.peers.port,
+      handler: this.handlePeer,
+      events,
+    });
+    this.operations = new Operations({
+      instance,
+      fleet,
+      directory,
+      writer,
+      peers,
+      clock,
+      getPoolSettings,
+      handleLocally,
+      explainHere,
+    });
+  }
+
+  /**
+   * Starts to listen, joins, and takes part.
+   * @returns Ports on which callers and peers are listened to.
+   */
+  async start(): Promise<{ readonly callerPort: number; readonly peerPort: number }> {
+    const { config, instance, events } = this.options;
+    const { port: peerPort } = await this.peerServer.start();
+    this.server = createHttpServer({});
+    registerCallerRoutes(this.server, this.entry, { clock: this.clock });
+    registerOperatorRoutes(this.server, this.operations);
+    const { host } = config.callers;
+    await this.server.listen({ host, port: config.callers.port });
+    const { port: callerPort } = this.server.server.address() as { readonly port: number };
+    const { dataCentre, peers } = config;
+    this.membership = new Membership({
+      self: { instance, host: peers.host, peerPort, callerPort, dataCentre },
+      tables: this.fleet,
+      writer: this.writer,
+      clock: this.clock,
+      events,
+      timing: DEFAULT_LEASE_TIMING,
+      getReadToEndAtMs: () =>
+        this.follower.isLogOut ? undefined : this.follower.lastReachedAtMs,
+    });
+    this.follower.start();
+    this.ticker = setInterval(() => this.tick(), TICK_MS);
+    events.write('daemonStarted', { callerPort, peerPort, dataCentre });
+    return { callerPort, peerPort };
+  }
+
+  /**
+   * Stops without cutting off a request: refuses new work, hands the homes over, finishes what is
+   * in progress, leaves.
+   */
+  async stop(): Promise<void> {
+    const { config, events } = this.options;
+    events.write('daemonStopping', { unfinishedCount: this.entry.unfinishedCount });
+    const deadlineMs = this.clock.monotonicMs() + config.stopWaitMs;
+    this.entry.stopTakingJobs();
+    const closing = this.server?.close();
+    this.homes.stop();
+    await this.membership?.leave(this.clock.monotonicMs() + LEAVE_WAIT_MS);
+    await this.waitForUnfinished(deadlineMs);
+    clearInterval(this.ticker);
+    await closing;
+    this.writer.close();
+    await this.follower.stop();
+    await this.peerServer.stop();
+    this.peers.close();
+    events.write('daemonStopped', { unfinishedCount: this.entry.unfinishedCount });
+  }
+
+  private createFollower(): LogFollower {
+    return new LogFollower({
+      log: this.log,
+      stream: CONTROL_STREAM,
+      tables: this.fleet,
+      clock: this.clock,
+      events: this.options.events,
+      restoreSnapshot: () => this.restoreSnapshot(),
+      onApplied: (entry, record, verdict) => {
+        this.recentEntries.add(entry);
+        if (record?.body.type !== 'settings-published' || verdict.type !== 'accepted') return;
+        const { team } = record.body;
+        const version = entry.offset + 1;
+        this.options.events.write('settingsInForce', { team, version, author: record.body.author });
+      },
+    });
+  }
+
+  private async restoreSnapshot(): Promise<boolean> {
+    const snapshot = await loadLatestSnapshot(this.log);
+    if (snapshot === undefined) return false;
+    const result = restoreTables(this.fleet, snapshot);
+    if (result.type !== 'restored') return false;
+    this.options.events.write('snapshotLoaded', { nextOffset: this.fleet.nextOffset });
+    return true;
+  }
+
+  private tick(): void {
+    try {
+      this.directory.tick();
+      this.membership?.tick();
+      this.homes.tick();
+      this.keeper.tick();
+      this.reporter.tick();
+      this.entry.tick();
+      this.catchUp.tick();
+      this.writeSnapshotIfDue();
+    } catch (thrown) {
+      const reason = thrown instanceof Error ? (thrown.stack ?? thrown.message) : String(thrown);
+      this.options.events.write('unexpectedError', { reason });
+    }
+  }
+
+  private writeSnapshotIfDue(): void {
+    const { instance } = this.options;
+    if (!this.membership?.holdsLease()) return;
+    const joined = this.fleet.instances.list().filter((row) => row.state === 'joined');
+    const names = joined.map((row) => row.instance);
+    if (rankByRendezvous(SNAPSHOT_KEY, names)[0] !== instance) return;
+    this.work.start(SNAPSHOT_KEY, async () => {
+      await this.snapshots.writeIfDue().catch((thrown: unknown) => {
+        this.options.events.write('unexpectedError', { reason: String(thrown) });
+      });
+      await sleep(VM_LIST_EVERY_MS);
+    });
+  }
+
+  private async waitForUnfinished(deadlineMs: number): Promise<void> {
+    const isDone = this.entry.unfinishedCount === 0 && this.reporter.size === 0;
+    if (isDone || this.clock.monotonicMs() >= deadlineMs) return;
+    await sleep(TICK_MS);
+    await this.waitForUnfinished(deadlineMs);
+  }
+
+  private getPoolSettings(pool: string): PoolSettings | undefined {
+    const separatorIndex = pool.indexOf('/');
+    const pools = this.fleet.settings.get(pool.slice(0, separatorIndex))?.settings.pools;
+    const name = pool.slice(separatorIndex + 1);
+    return pools !== undefined && Object.hasOwn(pools, name) ? pools[name] : undefined;
+  }
+
+  private explainHere(subject: string): readonly string[] {
+    const pool = this.homes.get(subject);
+    const ofPool = pool === undefined ? [] : [JSON.stringify(pool.getState())];
+    const ofRequest = this.homes.list().flatMap((home) => home.explainLog.get(subject));
+    const ofWave = this.fleet.waves.has(subject)
+      ? this.homes.list().flatMap((home) => home.getWaveReasons(subject))
+      : [];
+    return [...ofPool, ...ofRequest, ...ofWave];
+  }
+}
--- a/src/daemon/HomeManager.ts
+++ b/src/daemon/HomeManager.ts
@@ -114,7 +114,7 @@
     const collected = await Promise.all(others.map((peer) => this.collect(peer, row.pool)));
     const heldGrants = [...collected.flat(), ...this.options.listOwnGrants(row.pool)];
     const now = this.options.fleet.homes.get(row.pool);
-    if (this.isStopping || now?.instance !== row.instance || now.term !== row.term) return;
+    if (this.isStopping || now?.instance !== row.instance || now?.term !== row.term) return;
     const { pool, term } = row;
     this.homes.set(pool, new PoolHome({ ...this.options, pool, term, settings, heldGrants }));
   }
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,47 @@
+#!/usr/bin/env node
+import { randomUUID } from 'node:crypto';
+import { defineCommand, runMain } from 'citty';
+import { ERROR_ANSWERS, toRattanliftError } from '../errors/index.js';
+import { TslogEventLog } from '../logging/index.js';
+import { createMetrics } from '../metrics/index.js';
+import { Daemon } from './Daemon.js';
+import { readDaemonConfig } from './DaemonConfig.js';
+
+const ID_LENGTH = 8;
+
+async function runDaemon(fileName: string): Promise<void> {
+  const config = readDaemonConfig(fileName);
+  const instance = `${config.name}-${randomUUID().slice(0, ID_LENGTH)}`;
+  const writeLine = (line: string): void => {
+    process.stdout.write(`${line}\n`);
+  };
+  const events = new TslogEventLog({ instance, level: config.logLevel, writeLine });
+  const metrics = createMetrics(config.metrics, events);
+  const daemon = new Daemon({ config, instance, events, metrics });
+  await daemon.start();
+  const stop = async (): Promise<void> => {
+    await daemon.stop();
+    process.exit(0);
+  };
+  process.once('SIGTERM', () => void stop());
+  process.once('SIGINT', () => void stop());
+}
+
+await runMain(
+  defineCommand({
+    meta: {
+      name: 'rattanliftd',
+      description: 'Daemon of rattanlift for one entry VM. Example: rattanliftd --config entry.jsonc',
+    },
+    args: { config: { type: 'string', description: 'Settings of the daemon', required: true } },
+    run: async ({ args }) => {
+      try {
+        await runDaemon(args.config);
+      } catch (thrown) {
+        const error = toRattanliftError(thrown);
+        process.stderr.write(`${error.message}\n`);
+        process.exit(ERROR_ANSWERS[error.kind].exitCode);
+      }
+    },
+  }),
+);
--- a/src/home/ClaimDesk.ts
+++ b/src/home/ClaimDesk.ts
@@ -72,7 +72,8 @@
       return this.continueClaim(request);
     }
     const deadlineMs = clock.monotonicMs() + CLAIM_WAIT_MS;
-    const result = await writer.write(this.createRecord(entry, request), { deadlineMs });
+    const record = this.createRecord(entry, request);
+    const result = await writer.write(record, { deadlineMs, failsFast: true });
     switch (result.type) {
       case 'accepted':
         if (!result.refusedRequestIds?.includes(request.requestId)) return undefined;
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -233,6 +233,16 @@
     };
   }
 
+  /**
+   * Tells why a wave waits in the pool.
+   * @param wave - The wave.
+   * @returns A line, or none where it does not wait here.
+   */
+  getWaveReasons(wave: string): readonly string[] {
+    const reason = this.waveRunner.getWaitReason(wave);
+    return reason === undefined ? [] : [`${this.tables.pool} waits: ${reason}`];
+  }
+
   /** Stops deciding: whoever waits is told at once to ask the pool's next home. */
   close(): void {
     this.isClosed = true;
