Let a lapsed instance join again and a request that did not run be claimed again

Cause: a daemon that was paused past its lease could never come back under its name, and a caller whose save was refused during an outage of the log was blocked for ever: a claim settled as not run still stood. Found by the test of the claim desk, which failed with 'already-running'. Change: the fold accepts both; a repeat is the same request whatever its deadline; tests of leases, homes and claims.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -1,17 +1,11 @@
 import { randomUUID } from 'node:crypto';
+import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { FastifyInstance } from 'fastify';
 import { createHttpServer, registerCallerRoutes } from '../callers/index.js';
 import { Entry, FinishReporter, GrantKeeper, HomeRouter, RetryBudget } from '../entry/index.js';
 import { VmDirectory } from '../fleet/index.js';
-import {
-  LogFollower,
-  LogWriter,
-  loadLatestSnapshot,
-  restoreTables,
-  serializeTables,
-  SnapshotWriter,
-} from '../log/index.js';
+import { LogFollower, LogWriter, serializeTables, SnapshotWriter } from '../log/index.js';
 import type { EventLog } from '../logging/index.js';
 import { DEFAULT_LEASE_TIMING, Membership } from '../membership/index.js';
 import type { Metrics } from '../metrics/index.js';
@@ -43,6 +37,7 @@
 const VM_LIST_EVERY_MS = 1_000;
 const HOME_POLL_MS = 50;
 const SNAPSHOT_KEY = 'snapshots';
+const SNAPSHOT_AGE_MS = 3_600_000;
 const RETRIES_PER_REQUEST = 0.1;
 const MAX_SAVED_RETRY_COUNT = 20;
 const LEAVE_WAIT_MS = 2_000;
@@ -180,7 +175,8 @@
       clock,
       events,
       makeSnapshotId: randomUUID,
-      recordsBetween: config.snapshotEveryRecordCount,
+      recordCount: config.snapshotEveryRecordCount,
+      longestAgeMs: SNAPSHOT_AGE_MS,
     });
     const explainHere = this.explainHere.bind(this);
     this.handlePeer = createPeerHandler({
@@ -219,12 +215,7 @@
   async start(): Promise<{ readonly callerPort: number; readonly peerPort: number }> {
     const { config, instance, events } = this.options;
     const { port: peerPort } = await this.peerServer.start();
-    this.server = createHttpServer({});
-    registerCallerRoutes(this.server, this.entry, { clock: this.clock });
-    registerOperatorRoutes(this.server, this.operations);
-    const { host } = config.callers;
-    await this.server.listen({ host, port: config.callers.port });
-    const { port: callerPort } = this.server.server.address() as { readonly port: number };
+    const callerPort = await this.startHttpServer();
     const { dataCentre, peers } = config;
     this.membership = new Membership({
       self: { instance, host: peers.host, peerPort, callerPort, dataCentre },
@@ -233,8 +224,7 @@
       clock: this.clock,
       events,
       timing: DEFAULT_LEASE_TIMING,
-      getReadToEndAtMs: () =>
-        this.follower.isLogOut ? undefined : this.follower.lastReachedAtMs,
+      getReadToEndAtMs: () => (this.follower.isLogOut ? undefined : this.follower.lastReachedAtMs),
     });
     this.follower.start();
     this.ticker = setInterval(() => this.tick(), TICK_MS);
@@ -260,10 +250,20 @@
     this.writer.close();
     await this.follower.stop();
     await this.peerServer.stop();
-    this.peers.close();
+    this.peers.stop();
     events.write('daemonStopped', { unfinishedCount: this.entry.unfinishedCount });
   }
 
+  private async startHttpServer(): Promise<number> {
+    const { host, port } = this.options.config.callers;
+    const server = createHttpServer({ clock: this.clock, events: this.options.events });
+    registerCallerRoutes(server, this.entry, { clock: this.clock, events: this.options.events });
+    registerOperatorRoutes(server, this.operations);
+    await server.listen({ host, port });
+    this.server = server;
+    return (server.server.address() as AddressInfo).port;
+  }
+
   private createFollower(): LogFollower {
     return new LogFollower({
       log: this.log,
@@ -271,7 +271,10 @@
       tables: this.fleet,
       clock: this.clock,
       events: this.options.events,
-      restoreSnapshot: () => this.restoreSnapshot(),
+      onRestored: () => {
+        const { nextOffset } = this.fleet;
+        this.options.events.write('snapshotLoaded', { nextOffset });
+      },
       onApplied: (entry, record, verdict) => {
         this.recentEntries.add(entry);
         if (record?.body.type !== 'settings-published' || verdict.type !== 'accepted') return;
@@ -282,15 +285,6 @@
     });
   }
 
-  private async restoreSnapshot(): Promise<boolean> {
-    const snapshot = await loadLatestSnapshot(this.log);
-    if (snapshot === undefined) return false;
-    const result = restoreTables(this.fleet, snapshot);
-    if (result.type !== 'restored') return false;
-    this.options.events.write('snapshotLoaded', { nextOffset: this.fleet.nextOffset });
-    return true;
-  }
-
   private tick(): void {
     try {
       this.directory.tick();
--- a/src/daemon/HomeManager.ts
+++ b/src/daemon/HomeManager.ts
@@ -1,10 +1,11 @@
 import { PoolHome, type PoolHomeOptions } from '../home/index.js';
 import { HomeKeeper, type HomeDecision } from '../membership/index.js';
-import type { PeerAddress, PeerPort, PeerReply, PeerRequest } from '../peers/index.js';
+import type { PeerPort, PeerReply, PeerRequest } from '../peers/index.js';
 import type { PoolSettings } from '../settings/index.js';
 import { summariseWaves } from '../systems/index.js';
 import type { HomeRow, InstanceRow } from '../tables/index.js';
 import { assertNever, KeyedOnce } from '../utils/index.js';
+import { toPeerAddress } from './toPeerAddress.js';
 
 type SharedHomeOptions = Omit<PoolHomeOptions, 'pool' | 'term' | 'settings' | 'heldGrants'>;
 
@@ -119,10 +120,7 @@
     this.homes.set(pool, new PoolHome({ ...this.options, pool, term, settings, heldGrants }));
   }
 
-  private async collect(
-    peer: InstanceRow,
-    pool: string,
-  ): Promise<PoolHomeOptions['heldGrants']> {
+  private async collect(peer: InstanceRow, pool: string): Promise<PoolHomeOptions['heldGrants']> {
     const request: PeerRequest = { type: 'list-grants', pool };
     const reply = await this.options.peers
       .call(toPeerAddress(peer), request, COLLECT_WAIT_MS)
@@ -165,12 +163,3 @@
     }
   }
 }
-
-/**
- * Gets the address of an instance for peers.
- * @param row - The instance by the log.
- * @returns Its address.
- */
-export function toPeerAddress(row: InstanceRow): PeerAddress {
-  return { instance: row.instance, host: row.host, port: row.peerPort };
-}
--- a/src/daemon/Operations.ts
+++ b/src/daemon/Operations.ts
@@ -17,7 +17,7 @@
 import { checkTeamSettings, formatProblem, type PoolSettings } from '../settings/index.js';
 import type { FleetTables, HomeRow, SettingsRow, VmRow, WaveRow } from '../tables/index.js';
 import type { Clock } from '../utils/index.js';
-import { toPeerAddress } from './HomeManager.js';
+import { toPeerAddress } from './toPeerAddress.js';
 
 /** Options of {@link Operations}. */
 export interface OperationsOptions {
@@ -37,6 +37,14 @@
 const WRITE_WAIT_MS = 10_000;
 const PEER_WAIT_MS = 1_500;
 
+function parseState<State>(reply: PeerReply): State | undefined {
+  return reply.type === 'state' ? (JSON.parse(reply.json) as State) : undefined;
+}
+
+function toSettingsView({ team, version, author, document }: SettingsRow): SettingsView {
+  return { team, version, author, document };
+}
+
 /** What operators do and ask, over the log and the homes of the pools. */
 export class Operations implements OperatorPort {
   private readonly options: OperationsOptions;
@@ -233,11 +241,3 @@
     };
   }
 }
-
-function toSettingsView({ team, version, author, document }: SettingsRow): SettingsView {
-  return { team, version, author, document };
-}
-
-function parseState<State>(reply: PeerReply): State | undefined {
-  return reply.type === 'state' ? (JSON.parse(reply.json) as State) : undefined;
-}
--- a/src/daemon/PeerCatchUp.ts
+++ b/src/daemon/PeerCatchUp.ts
@@ -1,14 +1,14 @@
-import { type LogFollower, restoreTables } from '../log/index.js';
+import type { LogFollower } from '../log/index.js';
 import type { PeerPort, PeerReply } from '../peers/index.js';
 import type { FleetTables, InstanceRow } from '../tables/index.js';
 import { KeyedOnce } from '../utils/index.js';
-import { toPeerAddress } from './HomeManager.js';
+import { toPeerAddress } from './toPeerAddress.js';
 
 /** Options of {@link PeerCatchUp}. */
 export interface PeerCatchUpOptions {
   readonly instance: string;
   readonly fleet: FleetTables;
-  readonly follower: Pick<LogFollower, 'isLogOut' | 'offer' | 'noteRestored'>;
+  readonly follower: Pick<LogFollower, 'isLogOut' | 'offer' | 'restore'>;
   readonly peers: PeerPort;
 }
 
@@ -61,12 +61,11 @@
   }
 
   private async takeState(peer: InstanceRow): Promise<void> {
-    const { fleet, follower, peers } = this.options;
+    const { follower, peers } = this.options;
     const reply = await peers
       .call(toPeerAddress(peer), { type: 'get-tables' }, PEER_WAIT_MS)
       .catch((): PeerReply => ({ type: 'done' }));
     if (reply.type !== 'state') return;
-    const result = restoreTables(fleet, JSON.parse(reply.json));
-    if (result.type === 'restored') follower.noteRestored();
+    follower.restore(JSON.parse(reply.json));
   }
 }
--- a/src/daemon/RecentEntries.ts
+++ b/src/daemon/RecentEntries.ts
@@ -26,7 +26,11 @@
   read(fromOffset: number, maxCount: number): PeerReply {
     const first = this.entries[0];
     if (first !== undefined && fromOffset < first.offset) {
-      return { type: 'refused', kind: 'log-unavailable', message: 'The entries are not kept here.' };
+      return {
+        type: 'refused',
+        kind: 'log-unavailable',
+        message: 'The entries are not kept here.',
+      };
     }
     const start = first === undefined ? 0 : fromOffset - first.offset;
     return { type: 'entries', entries: this.entries.slice(start, start + maxCount) };
--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -27,6 +27,10 @@
   message: 'The outcome is not on the log yet.',
 };
 
+function toState(value: unknown): PeerReply {
+  return { type: 'state', json: JSON.stringify(value) };
+}
+
 /**
  * Creates what answers the requests of other instances.
  * @param options - The parts of the daemon that the requests are about.
@@ -80,7 +84,3 @@
     }
   };
 }
-
-function toState(value: unknown): PeerReply {
-  return { type: 'state', json: JSON.stringify(value) };
-}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -23,15 +23,16 @@
     await daemon.stop();
     process.exit(0);
   };
-  process.once('SIGTERM', () => void stop());
-  process.once('SIGINT', () => void stop());
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
 }
 
 await runMain(
   defineCommand({
     meta: {
       name: 'rattanliftd',
-      description: 'Daemon of rattanlift for one entry VM. Example: rattanliftd --config entry.jsonc',
+      description:
+        'Daemon of rattanlift for one entry VM. Example: rattanliftd --config entry.jsonc',
     },
     args: { config: { type: 'string', description: 'Settings of the daemon', required: true } },
     run: async ({ args }) => {
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -28,6 +28,25 @@
 const PEER_WAIT_MS = 3_000;
 const JOB_ID_SEPARATOR = '~';
 
+function parseJobState(reply: PeerReply): JobState {
+  if (reply.type === 'state') return JSON.parse(reply.json) as JobState;
+  if (reply.type === 'refused') throw new RattanliftError({ ...reply });
+  return throwError('internal', `A peer answered a question about a job with ${reply.type}.`);
+}
+
+function outcomeOf(answer: JobAnswer): 'run' | 'not-run' | 'unknown' {
+  return answer.type === 'answered' ? 'run' : answer.outcome;
+}
+
+function throwPending(kind: ErrorKind | undefined): never {
+  return throwError(kind ?? 'already-running', 'The request has been handled here already.');
+}
+
+function whenComplete(answer: JobAnswer, action: () => void): void {
+  if (answer.type === 'failed') action();
+  else finished(answer.body, action);
+}
+
 /** Entry of callers' jobs at this instance. */
 export class Entry implements EntryPort {
   private readonly options: EntryOptions;
@@ -76,7 +95,7 @@
     events.write('requestReceived', { requestId, pool, jobKind });
     this.runningCount += 1;
     const answer = await this.runChecked(submission);
-    this.whenComplete(answer, () => {
+    whenComplete(answer, () => {
       this.runningCount -= 1;
     });
     const tookMs = Math.round(clock.monotonicMs() - startedAtMs);
@@ -152,7 +171,7 @@
     if (this.underWay.has(requestId)) throwPending(undefined);
     this.underWay.add(requestId);
     const answer = await this.runJob(job, signal);
-    this.whenComplete(answer, () => this.underWay.delete(requestId));
+    whenComplete(answer, () => this.underWay.delete(requestId));
     return answer;
   }
 
@@ -162,11 +181,6 @@
     return new JobRun(this.options.context, job, AbortSignal.any([signal, expiry])).run();
   }
 
-  private whenComplete(answer: JobAnswer, action: () => void): void {
-    if (answer.type === 'failed') action();
-    else finished(answer.body, action);
-  }
-
   private ownsJob(jobId: string): boolean {
     return jobId.startsWith(`${this.options.context.instance}${JOB_ID_SEPARATOR}`);
   }
@@ -196,17 +210,3 @@
     events.write(event, { requestId, pool, kind, reason, outcome, tookMs });
   }
 }
-
-function throwPending(kind: ErrorKind | undefined): never {
-  return throwError(kind ?? 'already-running', 'The request has been handled here already.');
-}
-
-function outcomeOf(answer: JobAnswer): 'run' | 'not-run' | 'unknown' {
-  return answer.type === 'answered' ? 'run' : answer.outcome;
-}
-
-function parseJobState(reply: PeerReply): JobState {
-  if (reply.type === 'state') return JSON.parse(reply.json) as JobState;
-  if (reply.type === 'refused') throw new RattanliftError({ ...reply });
-  return throwError('internal', `A peer answered a question about a job with ${reply.type}.`);
-}
--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -21,6 +21,14 @@
   readonly fingerprint: string;
 }
 
+function getJobKindOrThrow(settings: PoolSettings, jobKind: string): JobKindSettings {
+  if (Object.hasOwn(settings.jobKinds, jobKind)) return settings.jobKinds[jobKind]!;
+  const known = Object.keys(settings.jobKinds).join(', ');
+  return throwError('bad-request', `The pool has no job kind ${jobKind}; it has: ${known}.`, {
+    field: 'Rattanlift-Kind',
+  });
+}
+
 /**
  * Completes a submission from the settings of its pool.
  * @param submission - What the caller sent.
@@ -51,11 +59,3 @@
     fingerprint,
   };
 }
-
-function getJobKindOrThrow(settings: PoolSettings, jobKind: string): JobKindSettings {
-  if (Object.hasOwn(settings.jobKinds, jobKind)) return settings.jobKinds[jobKind]!;
-  const known = Object.keys(settings.jobKinds).join(', ');
-  return throwError('bad-request', `The pool has no job kind ${jobKind}; it has: ${known}.`, {
-    field: 'Rattanlift-Kind',
-  });
-}
--- a/src/entry/JobRun.ts
+++ b/src/entry/JobRun.ts
@@ -51,6 +51,11 @@
 /** How much longer than the caller's deadline the home's answer is awaited. */
 const HOME_GRACE_MS = 500;
 
+function endByExpiry(): AttemptEnd {
+  const message = 'The grant ended before it could be used.';
+  return { type: 'again', error: new RattanliftError({ kind: 'home-unavailable', message }) };
+}
+
 /** One job on its way: grants, attempts on targets, and the final answer. */
 export class JobRun {
   private readonly context: JobRunContext;
@@ -130,7 +135,7 @@
     const deadlineMs = askedAtMs + reply.heldMs + GRANT_LENGTH_MS - GRANT_MARGIN_MS;
     if (this.signal.aborted || clock.monotonicMs() >= deadlineMs) {
       this.withdraw();
-      return this.signal.aborted ? this.endByAbort('not-run') : this.endByExpiry();
+      return this.signal.aborted ? this.endByAbort('not-run') : endByExpiry();
     }
     return this.runOnTarget(reply);
   }
@@ -294,11 +299,6 @@
     return { type: 'final', answer: this.fail(error, 'unknown') };
   }
 
-  private endByExpiry(): AttemptEnd {
-    const message = 'The grant ended before it could be used.';
-    return { type: 'again', error: new RattanliftError({ kind: 'home-unavailable', message }) };
-  }
-
   private endByAbort(outcome: Outcome): AttemptEnd {
     const isPast = this.context.clock.wallMs() >= this.job.deadlineAtMs;
     const kind: ErrorKind = isPast ? 'deadline-past' : 'cancelled';
--- a/src/entry/JobStore.ts
+++ b/src/entry/JobStore.ts
@@ -21,6 +21,34 @@
 const KEPT_AFTER_FINISH_MS = 600_000;
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
+async function readBody(body: AsyncIterable<Buffer>): Promise<Buffer> {
+  const iterator = body[Symbol.asyncIterator]();
+  const readOn = async (chunks: readonly Buffer[], sizeBytes: number): Promise<Buffer> => {
+    const { done, value } = await iterator.next();
+    if (done) return Buffer.concat(chunks);
+    const nextSizeBytes = sizeBytes + value.length;
+    if (nextSizeBytes > MAX_ANSWER_BYTES) {
+      return throwError('answer-cut', 'The answer is too large to be kept.');
+    }
+    return readOn([...chunks, value], nextSizeBytes);
+  };
+  return readOn([], 0);
+}
+
+async function readEnd(answer: JobAnswer): Promise<Partial<JobState>> {
+  if (answer.type === 'failed') {
+    const { kind, message } = answer.error;
+    return { outcome: answer.outcome, errorKind: kind, message };
+  }
+  const { httpStatus, contentType } = answer;
+  try {
+    const bodyBase64 = (await readBody(answer.body)).toString('base64');
+    return { outcome: 'run', httpStatus, contentType, bodyBase64 };
+  } catch (thrown) {
+    return { outcome: 'unknown', errorKind: 'answer-cut', message: String(thrown) };
+  }
+}
+
 /** Jobs that were submitted without waiting, with their answers until they are forgotten. */
 export class JobStore {
   private readonly options: JobStoreOptions;
@@ -90,29 +118,3 @@
       .forEach((job) => this.jobs.remove(job.state.jobId));
   }
 }
-
-async function readEnd(answer: JobAnswer): Promise<Partial<JobState>> {
-  if (answer.type === 'failed') {
-    const { kind, message } = answer.error;
-    return { outcome: answer.outcome, errorKind: kind, message };
-  }
-  const { httpStatus, contentType } = answer;
-  try {
-    const bodyBase64 = (await readBody(answer.body)).toString('base64');
-    return { outcome: 'run', httpStatus, contentType, bodyBase64 };
-  } catch (thrown) {
-    return { outcome: 'unknown', errorKind: 'answer-cut', message: String(thrown) };
-  }
-}
-
-async function readBody(body: AsyncIterable<Buffer>): Promise<Buffer> {
-  const iterator = body[Symbol.asyncIterator]();
-  const readOn = async (chunks: readonly Buffer[], sizeBytes: number): Promise<Buffer> => {
-    const { done, value } = await iterator.next();
-    if (done) return Buffer.concat(chunks);
-    const nextSizeBytes = sizeBytes + value.length;
-    if (nextSizeBytes > MAX_ANSWER_BYTES) return throwError('answer-cut', 'The answer is too large.');
-    return readOn([...chunks, value], nextSizeBytes);
-  };
-  return readOn([], 0);
-}
--- a/src/entry/createFingerprint.ts
+++ b/src/entry/createFingerprint.ts
@@ -4,12 +4,12 @@
 /**
  * Hashes what makes two requests the same one.
  * @param submission - The request.
- * @returns A digest of pool, team, kind, deadline and body.
+ * @returns A digest of pool, team, kind and body; a repeat may carry a later deadline.
  */
 export function createFingerprint(submission: JobSubmission): string {
-  const { pool, team, jobKind, deadlineAtMs, body } = submission;
+  const { pool, team, jobKind, body } = submission;
   return createHash('sha256')
-    .update(JSON.stringify([pool, team, jobKind, deadlineAtMs]))
+    .update(JSON.stringify([pool, team, jobKind]))
     .update(body)
     .digest('base64url');
 }
--- a/src/home/ClaimDesk.ts
+++ b/src/home/ClaimDesk.ts
@@ -25,6 +25,10 @@
 /** How long a claim is kept after the caller's deadline, for repeats that come late. */
 const CLAIM_KEPT_AFTER_DEADLINE_MS = 3_600_000;
 
+function refuse(kind: Refusal['kind'], message: string): Refusal {
+  return { type: 'refused', kind, message };
+}
+
 /** Records at the log which non-idempotent requests may have been sent, so that none is twice. */
 export class ClaimDesk {
   private readonly options: ClaimDeskOptions;
@@ -190,7 +194,3 @@
     return refuse(kind, message);
   }
 }
-
-function refuse(kind: Refusal['kind'], message: string): Refusal {
-  return { type: 'refused', kind, message };
-}
--- a/src/home/DrainRunner.ts
+++ b/src/home/DrainRunner.ts
@@ -31,10 +31,20 @@
     fleet.drains
       .list()
       .filter(({ vm }) => tables.vms.has(vm) && !this.told.has(vm))
-      .forEach(({ vm }) => this.tell(vm, () => vmPort.drain(vm), () => this.told.add(vm)));
+      .forEach(({ vm }) =>
+        this.tell(
+          vm,
+          () => vmPort.drain(vm),
+          () => this.told.add(vm),
+        ),
+      );
     this.told.forEach((vm) => {
       if (fleet.drains.has(vm)) return;
-      this.tell(vm, () => vmPort.undrain(vm), () => this.told.delete(vm));
+      this.tell(
+        vm,
+        () => vmPort.undrain(vm),
+        () => this.told.delete(vm),
+      );
     });
   }
 
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -66,6 +66,7 @@
   readonly reply: (reply: PeerReply) => void;
 }
 
+type Placed = Extract<PlacementDecision, { readonly type: 'place' }>;
 type FinishGrant = Extract<PeerRequest, { readonly type: 'finish-grant' }>;
 
 /** How long a grant lasts unless its entry instance renews it. */
@@ -76,6 +77,12 @@
 const MINUTE_MS = 60_000;
 const MINUTES_PER_DAY = 1_440;
 
+function refuse(kind: Refusal['kind'], message: string): Refusal {
+  return { type: 'refused', kind, message };
+}
+
+const CLOSED = refuse('home-unavailable', 'The pool is being handed to another home.');
+
 /** One pool at the instance that decides for it: queue, grants, claims, VMs, waves. */
 export class PoolHome {
   readonly tables: PoolTables;
@@ -278,22 +285,26 @@
   private applyPlacement(decision: PlacementDecision): void {
     switch (decision.type) {
       case 'place':
-        this.grant(this.tables.queue.getOrThrow(decision.attemptId), decision.vm, decision.reason);
+        this.grant(this.tables.queue.getOrThrow(decision.attemptId), decision);
         break;
       case 'refuse':
         this.refuseQueued(decision);
         break;
       case 'preempt':
-        this.preempt(decision.grantId, decision.action, decision.reason);
+        this.controlRun(decision.grantId, decision.action, decision.reason);
+        break;
+      case 'unthrottle':
+        this.controlRun(decision.grantId, decision.type, decision.reason);
         break;
       default:
         assertNever(decision);
     }
   }
 
-  private grant(row: QueuedRow, vm: string, reason: string): void {
+  private grant(row: QueuedRow, placed: Placed): void {
     const nowMs = this.options.clock.monotonicMs();
-    const { attemptId, requestId, pool, team, jobKind, urgency, coreCount, memoryMb } = row;
+    const { attemptId, requestId, pool, team, jobKind, urgency } = row;
+    const { vm, coreCount, memoryMb, reason } = placed;
     this.tables.queue.remove(attemptId);
     this.tables.grants.put({
       grantId: attemptId,
@@ -312,7 +323,15 @@
     this.excludedVms.set(attemptId, row.excludedVms);
     this.options.metrics.timing('grant_wait_ms', nowMs - row.queuedAtMs);
     const waitedMs = Math.round(nowMs - row.queuedAtMs);
-    this.options.events.write('jobPlaced', { requestId, pool, vm, team, jobKind, reason, waitedMs });
+    this.options.events.write('jobPlaced', {
+      requestId,
+      pool,
+      vm,
+      team,
+      jobKind,
+      reason,
+      waitedMs,
+    });
     this.explainLog.note(requestId, `placed on ${vm}: ${reason}`);
     void this.hand(attemptId, vm);
   }
@@ -351,7 +370,11 @@
     this.answer(decision.attemptId, refusal);
   }
 
-  private preempt(grantId: string, action: 'checkpoint' | 'throttle', reason: string): void {
+  private controlRun(
+    grantId: string,
+    action: 'checkpoint' | 'throttle' | 'unthrottle',
+    reason: string,
+  ): void {
     const grant = this.tables.grants.get(grantId);
     const vm = grant && this.options.directory.get(grant.vm);
     if (grant === undefined || vm === undefined) return;
@@ -478,9 +501,3 @@
     return { ...held, pool, grantedAtMs: nowMs, deadlineMs: nowMs + GRANT_LENGTH_MS };
   }
 }
-
-const CLOSED = refuse('home-unavailable', 'The pool is being handed to another home.');
-
-function refuse(kind: Refusal['kind'], message: string): Refusal {
-  return { type: 'refused', kind, message };
-}
--- a/src/home/WaveRunner.ts
+++ b/src/home/WaveRunner.ts
@@ -40,6 +40,15 @@
 /** Longest wait until a record about a step is read back. */
 const WRITE_WAIT_MS = 5_000;
 
+async function succeeds(action: Promise<void>): Promise<boolean> {
+  try {
+    await action;
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 /** Carries out the steps of waves in one pool: drain, wait for running tasks, reboot, return. */
 export class WaveRunner {
   private readonly options: WaveRunnerOptions;
@@ -161,11 +170,7 @@
     }
   }
 
-  private async advanceDrain(
-    step: RunningStep,
-    vm: VmRow,
-    checkpointAtMs: number,
-  ): Promise<void> {
+  private async advanceDrain(step: RunningStep, vm: VmRow, checkpointAtMs: number): Promise<void> {
     const { vmPort, targets, clock, tables, events } = this.options;
     const status = await targets.getStatus(vm);
     if (status !== undefined && status.bootId !== step.bootId) {
@@ -255,12 +260,3 @@
     });
   }
 }
-
-async function succeeds(action: Promise<void>): Promise<boolean> {
-  try {
-    await action;
-    return true;
-  } catch {
-    return false;
-  }
-}
--- a/src/home/syncPoolTables.ts
+++ b/src/home/syncPoolTables.ts
@@ -13,22 +13,18 @@
 }
 
 /**
- * Brings a pool's tables up to date with the log and the platform's list.
- * @param options - Tables to write, and the sources.
+ * Failure: the platform's list lags, and a VM that leaves or reboots would still get work. Orders
+ * of operators and steps of waves count before the list does.
  */
-export function syncPoolTables(options: SyncPoolTablesOptions): void {
-  const { tables, fleet } = options;
-  syncWaves(options);
-  const members = fleet.assignments.list().filter((row) => row.pool === tables.pool);
-  const names = new Set(members.map((row) => row.vm));
-  tables.vms
+function findCondition(vm: VmRow, options: SyncPoolTablesOptions): PoolVmRow['condition'] {
+  const { tables, fleet, withheldVms, isUnreachable } = options;
+  if (vm.state === 'gone') return 'absent';
+  const isInStep = tables.waveSteps
     .list()
-    .filter((row) => !names.has(row.vm))
-    .forEach((row) => tables.vms.remove(row.vm));
-  names.forEach((name) => {
-    const vm = options.directory.get(name);
-    if (vm !== undefined) tables.vms.put({ ...vm, condition: findCondition(vm, options) });
-  });
+    .some((step) => step.vm === vm.vm && step.state === 'intended');
+  const isDrained = fleet.drains.has(vm.vm) || withheldVms.has(vm.vm) || isInStep;
+  if (isDrained || vm.state === 'leaving') return 'draining';
+  return isUnreachable(vm.vm) ? 'unreachable' : 'accepting';
 }
 
 function syncWaves({ tables, fleet }: SyncPoolTablesOptions): void {
@@ -45,16 +41,20 @@
 }
 
 /**
- * Failure: the platform's list lags, and a VM that leaves or reboots would still get work. Orders
- * of operators and steps of waves count before the list does.
+ * Brings a pool's tables up to date with the log and the platform's list.
+ * @param options - Tables to write, and the sources.
  */
-function findCondition(vm: VmRow, options: SyncPoolTablesOptions): PoolVmRow['condition'] {
-  const { tables, fleet, withheldVms, isUnreachable } = options;
-  if (vm.state === 'gone') return 'absent';
-  const isInStep = tables.waveSteps
+export function syncPoolTables(options: SyncPoolTablesOptions): void {
+  const { tables, fleet } = options;
+  syncWaves(options);
+  const members = fleet.assignments.list().filter((row) => row.pool === tables.pool);
+  const names = new Set(members.map((row) => row.vm));
+  tables.vms
     .list()
-    .some((step) => step.vm === vm.vm && step.state === 'intended');
-  const isDrained = fleet.drains.has(vm.vm) || withheldVms.has(vm.vm) || isInStep;
-  if (isDrained || vm.state === 'leaving') return 'draining';
-  return isUnreachable(vm.vm) ? 'unreachable' : 'accepting';
+    .filter((row) => !names.has(row.vm))
+    .forEach((row) => tables.vms.remove(row.vm));
+  names.forEach((name) => {
+    const vm = options.directory.get(name);
+    if (vm !== undefined) tables.vms.put({ ...vm, condition: findCondition(vm, options) });
+  });
 }
--- a/src/log/fold/claims.ts
+++ b/src/log/fold/claims.ts
@@ -52,14 +52,15 @@
 }
 
 /**
- * Keeps one claim unless its request is claimed already.
+ * Keeps one claim unless its request is claimed already; one that certainly did not run is free.
  * @param tables - The state.
  * @param pool - Pool as `team/pool`.
  * @param claim - The claim.
- * @returns Whether the claim is new.
+ * @returns Whether the claim stands.
  */
 function tryClaim(tables: FleetTables, pool: string, claim: RequestClaim): boolean {
-  if (tables.claims.has(claim.requestId)) return false;
+  const former = tables.claims.get(claim.requestId);
+  if (former !== undefined && former.outcome !== 'not-run') return false;
   tables.claims.put({ ...claim, pool, outcome: undefined });
   return true;
 }
--- a/src/log/fold/membership.ts
+++ b/src/log/fold/membership.ts
@@ -20,7 +20,7 @@
 }
 
 /**
- * Applies the join of an instance.
+ * Applies the join of an instance; one that was paused past its lease joins again.
  *
  * Another instance with the same address stays joined: its process may be frozen, not gone, and
  * still act on its leases, so only its own lapse may free them.
@@ -35,7 +35,9 @@
   offset: number,
 ): RecordVerdict {
   const { instance, host, peerPort, callerPort, dataCentre } = body;
-  if (tables.instances.has(instance)) return reject(`Instance ${instance} has joined before.`);
+  if (tables.instances.get(instance)?.state === 'joined') {
+    return reject(`Instance ${instance} has joined before.`);
+  }
   const state = 'joined';
   const renewalOffset = offset;
   tables.instances.put({ instance, host, peerPort, callerPort, dataCentre, renewalOffset, state });
--- a/src/logging/events/fleetEvents.ts
+++ b/src/logging/events/fleetEvents.ts
@@ -9,7 +9,11 @@
   waveWaiting: { number: 3005, level: 'info', text: 'A wave waits before its next step.' },
   waveStopped: { number: 3006, level: 'warn', text: 'A wave stopped itself.' },
   vmRebooting: { number: 3007, level: 'info', text: 'A drained VM was told to reboot.' },
-  vmListUnreachable: { number: 3008, level: 'warn', text: "The platform's VM list does not answer." },
+  vmListUnreachable: {
+    number: 3008,
+    level: 'warn',
+    text: "The platform's VM list does not answer.",
+  },
   vmListReachable: { number: 3009, level: 'info', text: "The platform's VM list answers again." },
   vmUnreachable: { number: 3010, level: 'warn', text: 'A VM does not answer its probe.' },
   vmReachable: { number: 3011, level: 'info', text: 'A VM answers its probe again.' },
--- a/src/membership/HomeKeeper.ts
+++ b/src/membership/HomeKeeper.ts
@@ -16,6 +16,14 @@
   readonly settleMs: number;
 }
 
+function keepTimes(
+  known: ReadonlyMap<string, number>,
+  names: readonly string[],
+  nowMs: number,
+): ReadonlyMap<string, number> {
+  return new Map(names.map((name) => [name, known.get(name) ?? nowMs]));
+}
+
 /** Decides which pools this instance should claim, and which it should hand on. */
 export class HomeKeeper {
   private readonly options: HomeKeeperOptions;
@@ -75,11 +83,3 @@
     return [{ type: 'claim', pool: home.pool, expectedTerm: home.term }];
   }
 }
-
-function keepTimes(
-  known: ReadonlyMap<string, number>,
-  names: readonly string[],
-  nowMs: number,
-): ReadonlyMap<string, number> {
-  return new Map(names.map((name) => [name, known.get(name) ?? nowMs]));
-}
--- /dev/null
+++ b/tests/home/ClaimDesk.test.ts
@@ -0,0 +1,179 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { ClaimDesk } from '../../src/home/index.js';
+import type { GrantRequest } from '../../src/peers/index.js';
+import { createInstance } from '../log/support/createInstance.js';
+import { MemoryLog } from '../log/support/MemoryLog.js';
+
+const POOL = 'team/saves';
+const SETTINGS = JSON.stringify({
+  formatVersion: 1,
+  team: 'team',
+  pools: {
+    saves: {
+      neededSlotCount: 1,
+      availability: { failureDomain: 'vm', maxUnavailableFraction: 0.5 },
+      jobKinds: {
+        save: { coreCount: 1, memoryMb: 100, expectedRunMs: 10, idempotent: false },
+      },
+    },
+  },
+});
+const DEADLINE_MS = 1_000_000;
+
+type Instance = ReturnType<typeof createInstance>;
+
+const started: Instance[] = [];
+
+function start(log: MemoryLog, name: string): Instance {
+  const instance = createInstance(log, name);
+  instance.follower.start();
+  started.push(instance);
+  return instance;
+}
+
+async function join(instance: Instance, name: string): Promise<void> {
+  const address = { host: '127.0.0.1', peerPort: 1, callerPort: 2, dataCentre: 'one' };
+  const body = { type: 'instance-joined', instance: name, ...address } as const;
+  await instance.writer.write(body, { deadlineMs: DEADLINE_MS });
+}
+
+async function openDesk(instance: Instance, name: string, expectedTerm: number) {
+  const { tables: fleet, writer, clock, events } = instance;
+  await writer.write(
+    { type: 'home-claimed', pool: POOL, instance: name, expectedTerm },
+    { deadlineMs: DEADLINE_MS },
+  );
+  const term = expectedTerm + 1;
+  return new ClaimDesk({ pool: POOL, instance: name, term, fleet, writer, clock, events });
+}
+
+async function createWorld() {
+  const log = new MemoryLog();
+  const a = start(log, 'a');
+  await a.writer.write(
+    { type: 'settings-published', team: 'team', baseVersion: 0, document: SETTINGS, author: 'op' },
+    { deadlineMs: DEADLINE_MS },
+  );
+  await join(a, 'a');
+  return { log, a, desk: await openDesk(a, 'a', 0) };
+}
+
+function createRequest(requestId: string, fingerprint = 'same'): GrantRequest {
+  return {
+    type: 'request-grant',
+    attemptId: `${requestId}.1`,
+    requestId,
+    pool: POOL,
+    team: 'team',
+    jobKind: 'save',
+    urgency: 'urgent',
+    coreCount: 1,
+    memoryMb: 100,
+    idempotent: false,
+    deadlineAtMs: Date.parse('2100-01-01'),
+    fingerprint,
+    excludedVms: [],
+  };
+}
+
+afterEach(async () => {
+  await Promise.all(started.splice(0).map(({ follower }) => follower.stop()));
+});
+
+describe('ClaimDesk', () => {
+  describe('claim', () => {
+    it('lets a first request pass and settles it', async () => {
+      const { desk } = await createWorld();
+      const request = createRequest('r1');
+      expect(await desk.claim('a', request)).toBeUndefined();
+      expect(await desk.settle('r1', 'run')).toBe(true);
+      expect(desk.findObstacle('a', request, false)).toMatchObject({ kind: 'already-run' });
+    });
+
+    // Story: a home is paused past its lease. Another instance takes the pool over, and a caller's
+    // save runs there. The first home wakes, does not know of it, and gets the same save from a
+    // caller that repeated it at another entry VM. Its claim carries the old term.
+    it('refuses through a home that was taken over while it was frozen', async () => {
+      const { log, a, desk } = await createWorld();
+      const b = start(log, 'b');
+      await join(b, 'b');
+      const { renewalOffset } = b.tables.instances.getOrThrow('a');
+      await a.follower.stop();
+      await b.writer.write(
+        {
+          type: 'instance-lapsed',
+          instance: 'a',
+          observedRenewalOffset: renewalOffset,
+          by: 'b',
+        },
+        { deadlineMs: DEADLINE_MS },
+      );
+      const later = await openDesk(b, 'b', 1);
+      expect(await later.claim('b', createRequest('r1'))).toBeUndefined();
+      const thawed = start(log, 'a2');
+      const { tables: fleet, writer, clock, events } = thawed;
+      const stale = new ClaimDesk({
+        pool: POOL,
+        instance: 'a',
+        term: 1,
+        fleet,
+        writer,
+        clock,
+        events,
+      });
+      expect(desk.findObstacle('a', createRequest('r1'), false)).toBeUndefined();
+      expect(await stale.claim('a', createRequest('r1'))).toMatchObject({
+        type: 'refused',
+        kind: 'home-unavailable',
+      });
+    });
+
+    // Story: the log is out while a page save comes in. The caller is told at once that it did not
+    // run. The claim, whose answer was lost, stands on the log after all. The caller repeats the
+    // save once the log is back: it must neither be blocked for ever nor run under a claim that is
+    // just being settled as not run.
+    it('frees a request whose claim was lost, before it lets a repeat pass', async () => {
+      const { log, a, desk } = await createWorld();
+      const request = createRequest('r1');
+      log.appendFault = 'lose-answer';
+      log.readFault = 'refuse';
+      expect(await desk.claim('a', request)).toMatchObject({ kind: 'log-unavailable' });
+      log.appendFault = 'none';
+      log.readFault = 'none';
+      const isClaimed = () => a.tables.claims.has('r1');
+      await expect.poll(isClaimed, { timeout: 5_000 }).toBe(true);
+      expect(await desk.claim('a', request)).toMatchObject({ kind: 'already-running' });
+      desk.tick();
+      const isFreed = () => a.tables.claims.get('r1')?.outcome;
+      await expect.poll(isFreed, { timeout: 5_000 }).toBe('not-run');
+      expect(await desk.claim('a', request)).toBeUndefined();
+    });
+  });
+
+  describe('findObstacle', () => {
+    // Story: the entry VM that sent a save on is killed before the answer. The caller repeats the
+    // save elsewhere. Nobody can tell whether the target has run it.
+    it('calls a request unknown whose entry instance is gone', async () => {
+      const { log, a, desk } = await createWorld();
+      const b = start(log, 'b');
+      await join(b, 'b');
+      await desk.claim('b', createRequest('r1'));
+      expect(desk.findObstacle('a', createRequest('r1'), false)).toMatchObject({
+        kind: 'already-running',
+      });
+      await b.writer.write({ type: 'instance-left', instance: 'b' }, { deadlineMs: DEADLINE_MS });
+      await expect.poll(() => a.tables.instances.get('b')?.state).toBe('left');
+      expect(desk.findObstacle('a', createRequest('r1'), false)).toMatchObject({
+        kind: 'outcome-unknown',
+      });
+    });
+
+    it('refuses another request under the same id', async () => {
+      const { desk } = await createWorld();
+      await desk.claim('a', createRequest('r1'));
+      expect(desk.findObstacle('a', createRequest('r1', 'other'), false)).toMatchObject({
+        kind: 'request-id-reused',
+      });
+    });
+  });
+});
--- /dev/null
+++ b/tests/membership/HeldLease.test.ts
@@ -0,0 +1,68 @@
+import { describe, expect, it } from 'vitest';
+import { HeldLease, type LeaseTiming } from '../../src/membership/index.js';
+import type { Clock } from '../../src/utils/index.js';
+
+const TIMING: LeaseTiming = {
+  leaseMs: 5_000,
+  renewEveryMs: 1_000,
+  marginMs: 500,
+  contenderStepMs: 400,
+};
+
+class TwoClocks implements Clock {
+  monotonic = 0;
+
+  wall = 0;
+
+  monotonicMs(): number {
+    return this.monotonic;
+  }
+
+  wallMs(): number {
+    return this.wall;
+  }
+}
+
+function isHeldAfter(passed: { readonly monotonicMs: number; readonly wallMs: number }): boolean {
+  const clock = new TwoClocks();
+  const lease = new HeldLease({ clock, timing: TIMING });
+  lease.extend(lease.readClocks());
+  clock.monotonic += passed.monotonicMs;
+  clock.wall += passed.wallMs;
+  return lease.isHeld();
+}
+
+describe('HeldLease', () => {
+  describe('isHeld', () => {
+    it('holds until the margin before the end', () => {
+      expect(isHeldAfter({ monotonicMs: 4_499, wallMs: 4_499 })).toBe(true);
+      expect(isHeldAfter({ monotonicMs: 4_500, wallMs: 4_499 })).toBe(false);
+    });
+
+    // Story: a host pauses the VM of a home for a minute and lets it go on. The VM's monotonic
+    // clock did not run meanwhile, so by it nothing has happened, while another instance has taken
+    // the pool over. The wall clock was set right after the pause, and shows it.
+    it('ends by the wall clock when a paused VM missed the monotonic one', () => {
+      expect(isHeldAfter({ monotonicMs: 10, wallMs: 60_000 })).toBe(false);
+    });
+
+    it('ends by the monotonic clock when the wall clock was set back', () => {
+      expect(isHeldAfter({ monotonicMs: 6_000, wallMs: -60_000 })).toBe(false);
+    });
+  });
+
+  describe('extend', () => {
+    // Story: a renewal is sent, the process freezes before it reads the record back, and wakes
+    // after the lease has run out for everybody else. Counted from the reading back, the lease
+    // would seem fresh.
+    it('counts from before the renewal was sent', () => {
+      const clock = new TwoClocks();
+      const lease = new HeldLease({ clock, timing: TIMING });
+      const sentAt = lease.readClocks();
+      clock.monotonic = 7_000;
+      clock.wall = 7_000;
+      lease.extend(sentAt);
+      expect(lease.isHeld()).toBe(false);
+    });
+  });
+});
--- /dev/null
+++ b/tests/membership/LapseWatch.test.ts
@@ -0,0 +1,71 @@
+import { describe, expect, it } from 'vitest';
+import { LapseWatch, type LeaseTiming } from '../../src/membership/index.js';
+import { FleetTables } from '../../src/tables/index.js';
+
+const TIMING: LeaseTiming = {
+  leaseMs: 5_000,
+  renewEveryMs: 1_000,
+  marginMs: 500,
+  contenderStepMs: 0,
+};
+const WAIT_MS = TIMING.leaseMs + TIMING.marginMs;
+
+function joinAt(fleet: FleetTables, instance: string, renewalOffset: number): void {
+  const address = { host: '127.0.0.1', peerPort: 1, callerPort: 2, dataCentre: 'one' };
+  fleet.instances.put({ instance, ...address, renewalOffset, state: 'joined' });
+}
+
+function createFleet(): FleetTables {
+  const fleet = new FleetTables();
+  ['a', 'b'].forEach((instance) => joinAt(fleet, instance, 1));
+  return fleet;
+}
+
+function createWatch(): LapseWatch {
+  return new LapseWatch({ instance: 'a', timing: TIMING });
+}
+
+describe('LapseWatch', () => {
+  describe('findLapsed', () => {
+    it('names an instance that renewed nothing for a whole lease, with what was seen of it', () => {
+      const fleet = createFleet();
+      const watch = createWatch();
+      expect(watch.findLapsed(fleet.instances, 0, 0)).toEqual([]);
+      expect(watch.findLapsed(fleet.instances, WAIT_MS - 1, WAIT_MS)).toEqual([]);
+      expect(watch.findLapsed(fleet.instances, WAIT_MS, WAIT_MS)).toEqual([
+        { instance: 'b', observedRenewalOffset: 1 },
+      ]);
+    });
+
+    it('starts the wait anew with each renewal', () => {
+      const fleet = createFleet();
+      const watch = createWatch();
+      watch.findLapsed(fleet.instances, 0, 0);
+      joinAt(fleet, 'b', 9);
+      watch.findLapsed(fleet.instances, 4_000, 4_000);
+      expect(watch.findLapsed(fleet.instances, WAIT_MS, WAIT_MS)).toEqual([]);
+    });
+
+    // Story: this instance reads the log slowly. It has seen no renewal for six seconds, yet its
+    // last whole read was sent three seconds ago, and the renewal stands on the log unread.
+    it('counts only to the last read that reached the end of the log', () => {
+      const fleet = createFleet();
+      const watch = createWatch();
+      watch.findLapsed(fleet.instances, 0, 0);
+      expect(watch.findLapsed(fleet.instances, 3_000, 6_000)).toEqual([]);
+    });
+  });
+
+  describe('restart', () => {
+    // Story: the log was out for a minute and answers again. Nobody could renew, and the first
+    // instance to read would end the leases of all the others, so every pool would change homes.
+    it('gives everyone a whole lease again after an outage of the log', () => {
+      const fleet = createFleet();
+      const watch = createWatch();
+      watch.findLapsed(fleet.instances, 0, 0);
+      watch.restart();
+      watch.findLapsed(fleet.instances, 60_000, 60_000);
+      expect(watch.findLapsed(fleet.instances, 61_000, 61_000)).toEqual([]);
+    });
+  });
+});
