--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -258,7 +258,7 @@
     const { host, port } = this.options.config.callers;
     const server = createHttpServer({ clock: this.clock, events: this.options.events });
     registerCallerRoutes(server, this.entry, { clock: this.clock, events: this.options.events });
-    registerOperatorRoutes(server, this.operations);
+    await registerOperatorRoutes(server, this.operations, this.clock);
     await server.listen({ host, port });
     this.server = server;
     return (server.server.address() as AddressInfo).port;
