Serve the first jobs through the whole path

Cause: the daemon could not be built until the callers' front was there; its first run showed log lines printed as undefined. Ruled out: the daemon's wiring, since the process listened on both ports. Change: the event log hands tslog's merged object on, without its meta data.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -250,7 +250,7 @@
     this.writer.close();
     await this.follower.stop();
     await this.peerServer.stop();
-    this.peers.stop();
+    this.peers.close();
     events.write('daemonStopped', { unfinishedCount: this.entry.unfinishedCount });
   }
 
--- a/src/logging/TslogEventLog.ts
+++ b/src/logging/TslogEventLog.ts
@@ -31,7 +31,7 @@
       type: 'hidden',
       minLevel: TSLOG_LEVELS[options.level],
       hideLogPositionForProduction: true,
-      attachedTransports: [(entry) => options.writeLine(JSON.stringify(entry['0']))],
+      attachedTransports: [({ _meta, ...line }) => options.writeLine(JSON.stringify(line))],
     });
   }
 
