Call daemons in tests through functions of their own

Cause: the linter refuses methods without use of their object. Change: send and operate stand beside the world.

--- a/tests/daemon/path.test.ts
+++ b/tests/daemon/path.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { send } from './support/callDaemon.js';
 import { World } from './support/World.js';
 
 let world: World;
@@ -15,7 +16,7 @@
     await world.startDaemons(['entry-1', 'entry-2', 'entry-3']);
     const answers = await Promise.all(
       world.daemons.map((daemon, index) =>
-        world.send(daemon, { kind: 'save', requestId: `save-${index}` }),
+        send(daemon, { kind: 'save', requestId: `save-${index}` }),
       ),
     );
     const expected = world.daemons.map((_daemon, index) => ({
--- a/tests/daemon/support/World.ts
+++ b/tests/daemon/support/World.ts
@@ -1,11 +1,11 @@
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { request } from 'undici';
 import { PlatformStandIn } from '../../../standins/platform/index.js';
 import { TargetStandIn, type TargetsConfig } from '../../../standins/targets/index.js';
 import { makeFleet } from '../../support/makeFleet.js';
-import { endProcesses, startProcess, type TestProcess } from '../../support/startProcess.js';
+import { endProcesses, startProcess } from '../../support/startProcess.js';
+import { operate, type RunningDaemon } from './callDaemon.js';
 
 const HOST = '127.0.0.1';
 const POLL_MS = 25;
@@ -40,32 +40,6 @@
   },
 });
 
-/** A daemon that runs as a process of its own. */
-export interface RunningDaemon {
-  readonly name: string;
-  readonly instance: string;
-  readonly port: number;
-  readonly process: TestProcess;
-}
-
-/** An answer to a caller. */
-export interface CallerAnswer {
-  readonly status: number;
-  readonly outcome: string | undefined;
-  readonly requestId: string | undefined;
-  readonly retryAfterS: string | undefined;
-  readonly body: Readonly<Record<string, unknown>>;
-}
-
-/** A job to send. */
-export interface CallerJob {
-  readonly kind: string;
-  readonly requestId?: string;
-  readonly body?: unknown;
-  readonly deadlineMs?: number;
-  readonly pool?: string;
-}
-
 /** Stand-ins of platform and targets in this process, and daemons as processes of their own. */
 export class World {
   readonly platform = new PlatformStandIn();
@@ -139,17 +113,17 @@
   /** Publishes settings through a daemon. */
   async publish(document: string, baseVersion: number, daemon = this.daemons[0]!) {
     const path = '/operators/v1/settings';
-    return this.operate(daemon, 'POST', path, { document, baseVersion, author: 'operator' });
+    return operate(daemon, 'POST', path, { document, baseVersion, author: 'operator' });
   }
 
   /** Waits until as many instances are joined and each pool can carry its jobs. */
   async waitForHomes(instanceCount: number, daemon = this.daemons[0]!): Promise<void> {
     await this.waitFor(async () => {
-      const instances = await this.operate(daemon, 'GET', '/operators/v1/instances');
+      const instances = await operate(daemon, 'GET', '/operators/v1/instances');
       const joined = (instances.body as unknown as { state: string }[]).filter(
         ({ state }) => state === 'joined',
       );
-      const pools = await this.operate(daemon, 'GET', '/operators/v1/pools');
+      const pools = await operate(daemon, 'GET', '/operators/v1/pools');
       const rows = pools.body as unknown as { budget: string; usableSlotCount: number }[];
       const isReady = rows.length > 0 && rows.every((row) => row.budget === 'within');
       return joined.length === instanceCount && isReady;
@@ -158,48 +132,11 @@
 
   /** Gets the daemon that is the home of the only pool. */
   async getHome(daemon = this.daemons[0]!): Promise<RunningDaemon> {
-    const pools = await this.operate(daemon, 'GET', '/operators/v1/pools');
+    const pools = await operate(daemon, 'GET', '/operators/v1/pools');
     const { home } = (pools.body as unknown as { home: string }[])[0]!;
     return this.daemons.find(({ instance }) => instance === home)!;
   }
 
-  /** Sends a job to a daemon and reads its whole answer. */
-  async send(daemon: RunningDaemon, job: CallerJob): Promise<CallerAnswer> {
-    const { kind, requestId, body = {}, deadlineMs = 20_000, pool = 'wiki/pages' } = job;
-    const answer = await request(`http://${HOST}:${daemon.port}/v1/pools/${pool}/jobs`, {
-      method: 'POST',
-      body: JSON.stringify(body),
-      headers: {
-        'content-type': 'application/json',
-        'rattanlift-kind': kind,
-        'rattanlift-deadline-ms': String(Date.now() + deadlineMs),
-        ...(requestId === undefined ? {} : { 'rattanlift-request-id': requestId }),
-      },
-    });
-    const { headers } = answer;
-    return {
-      status: answer.statusCode,
-      outcome: headers['rattanlift-outcome'] as string | undefined,
-      requestId: headers['rattanlift-request-id'] as string | undefined,
-      retryAfterS: headers['retry-after'] as string | undefined,
-      body: (await answer.body.json()) as Readonly<Record<string, unknown>>,
-    };
-  }
-
-  /** Calls the operators' interface of a daemon. */
-  async operate(daemon: RunningDaemon, method: 'GET' | 'POST', path: string, body?: unknown) {
-    const answer = await request(`http://${HOST}:${daemon.port}${path}`, {
-      method,
-      ...(body === undefined
-        ? {}
-        : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
-    });
-    return {
-      status: answer.statusCode,
-      body: (await answer.body.json()) as Readonly<Record<string, unknown>>,
-    };
-  }
-
   /** Counts how often a request was started on any target. */
   countStarts(requestId: string): number {
     return this.targets.listStarts().filter((start) => start.requestId === requestId).length;
