--- /dev/null
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -0,0 +1,99 @@
+/** A kind of measurement. */
+export interface MetricKind {
+  readonly type: 'counter' | 'timer' | 'gauge';
+  readonly unit: string;
+  /** What it says, in a sentence. */
+  readonly meaning: string;
+  /** Names of its tags. */
+  readonly tags: readonly string[];
+}
+
+/** Every measurement by name; `docs/METRICS.md` lists the same ones. */
+export const METRIC_CATALOGUE = {
+  requests_answered: {
+    type: 'counter',
+    unit: 'requests',
+    meaning: 'Jobs of callers that got their final answer, by what became of them.',
+    tags: ['outcome'],
+  },
+  retries: {
+    type: 'counter',
+    unit: 'attempts',
+    meaning: 'Further attempts at jobs after one that did not run or may be repeated.',
+    tags: [],
+  },
+  records_rejected: {
+    type: 'counter',
+    unit: 'records',
+    meaning: 'Records on the log that no longer applied when they were read.',
+    tags: ['type'],
+  },
+  lease_lapsed: {
+    type: 'counter',
+    unit: 'lapses',
+    meaning: 'Times at which this instance lost its lease.',
+    tags: [],
+  },
+  request_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: 'From the arrival of a job to the beginning of its answer.',
+    tags: [],
+  },
+  grant_wait_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: "From a job's arrival at its pool's home to its grant.",
+    tags: ['pool'],
+  },
+  log_append_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: 'From an append to the log to its answer.',
+    tags: [],
+  },
+  wave_step_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: 'From the drain of a VM by a wave to its return.',
+    tags: ['pool'],
+  },
+  peer_call_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: 'From a call to another instance to its reply or failure.',
+    tags: ['type', 'result'],
+  },
+  queue_length: {
+    type: 'gauge',
+    unit: 'jobs',
+    meaning: 'Jobs that wait at the home of a pool.',
+    tags: ['pool'],
+  },
+  slots_free: {
+    type: 'gauge',
+    unit: 'slots',
+    meaning: 'Slots of a pool that take work and hold none.',
+    tags: ['pool'],
+  },
+  log_lag_records: {
+    type: 'gauge',
+    unit: 'records',
+    meaning: 'Records on the log that this instance has not applied yet.',
+    tags: [],
+  },
+} as const satisfies Readonly<Record<string, MetricKind>>;
+
+/** Name of a measurement. */
+export type MetricName = keyof typeof METRIC_CATALOGUE;
+
+type NameOfType<Type extends MetricKind['type']> = {
+  [Name in MetricName]: (typeof METRIC_CATALOGUE)[Name]['type'] extends Type ? Name : never;
+}[MetricName];
+
+/** Name of a counter. */
+export type CounterName = NameOfType<'counter'>;
+/** Name of a timer. */
+export type TimerName = NameOfType<'timer'>;
+/** Name of a gauge. */
+export type GaugeName = NameOfType<'gauge'>;
--- a/src/metrics/Metrics.ts
+++ b/src/metrics/Metrics.ts
@@ -1,3 +1,5 @@
+import type { CounterName, GaugeName, TimerName } from './METRIC_CATALOGUE.js';
+
 /** Labels of a measurement. */
 export type MetricTags = Readonly<Record<string, string>>;
 
@@ -8,15 +10,15 @@
    * @param name - Name of the counter.
    * @param tags - Labels.
    */
-  increment(name: string, tags?: MetricTags): void;
+  increment(name: CounterName, tags?: MetricTags): void;
 
   /**
    * Records a length of time.
-   * @param name - Name of the timer, ending in `_ms`.
+   * @param name - Name of the timer.
    * @param valueMs - Milliseconds.
    * @param tags - Labels.
    */
-  timing(name: string, valueMs: number, tags?: MetricTags): void;
+  timing(name: TimerName, valueMs: number, tags?: MetricTags): void;
 
   /**
    * Records a level.
@@ -24,5 +26,5 @@
    * @param value - Its present value.
    * @param tags - Labels.
    */
-  gauge(name: string, value: number, tags?: MetricTags): void;
+  gauge(name: GaugeName, value: number, tags?: MetricTags): void;
 }
--- a/src/peers/PeerClient.ts
+++ b/src/peers/PeerClient.ts
@@ -1,5 +1,7 @@
 import { throwError } from '../errors/index.js';
 import type { EventLog } from '../logging/index.js';
+import { type Metrics, NoMetrics } from '../metrics/index.js';
+import { type Clock, SystemClock } from '../utils/index.js';
 import { DEFAULT_HEARTBEAT, type HeartbeatOptions } from './HeartbeatOptions.js';
 import { PeerLink, type ReopenOptions } from './PeerLink.js';
 import type { PeerAddress, PeerPort, PeerReply, PeerRequest } from './PeerMessage.js';
@@ -16,6 +18,8 @@
   readonly events: EventLog;
   readonly heartbeat?: HeartbeatOptions;
   readonly reopen?: ReopenOptions;
+  readonly metrics?: Metrics;
+  readonly clock?: Clock;
 }
 
 /** Calls other instances over TCP, with one connection for each. */
@@ -24,6 +28,8 @@
 
   private readonly links = new Map<string, PeerLink>();
 
+  private readonly ownClock = new SystemClock();
+
   private closed = false;
 
   /**
@@ -37,7 +43,20 @@
   /** {@inheritDoc PeerPort.call} */
   async call(peer: PeerAddress, request: PeerRequest, waitMs: number): Promise<PeerReply> {
     if (this.closed) throwError('peer-unavailable', 'The client is closed.');
-    return this.getLink(peer).call(request, waitMs);
+    const { metrics = new NoMetrics(), clock = this.ownClock } = this.options;
+    const calledAtMs = clock.monotonicMs();
+    const measure = (result: string): void => {
+      const tookMs = clock.monotonicMs() - calledAtMs;
+      metrics.timing('peer_call_ms', tookMs, { type: request.type, result });
+    };
+    try {
+      const reply = await this.getLink(peer).call(request, waitMs);
+      measure(reply.type);
+      return reply;
+    } catch (thrown) {
+      measure('failed');
+      throw thrown;
+    }
   }
 
   /** Closes every connection and fails every call. */
