Test the command line against the callers' real routes

Cause: the tool's job commands were tested against a fake of the callers' routes. Operator routes log errors that nobody expected. Conclusion: both HTTP interfaces work on one server.

--- a/src/cli/JobClient.ts
+++ b/src/cli/JobClient.ts
@@ -1,4 +1,4 @@
-import type { JobState } from '../callers/index.js';
+import { CALLER_HEADERS, type JobState } from '../callers/index.js';
 import type { DaemonTransport } from '../operators/index.js';
 
 /** Options of {@link JobClient}. */
@@ -55,12 +55,12 @@
       path: `/v1/pools/${path}/jobs?wait=false`,
       headers: toHeaders({
         'content-type': job.contentType,
-        'rattanlift-request-id': job.requestId,
-        'rattanlift-team': job.team,
-        'rattanlift-kind': job.jobKind,
-        'rattanlift-urgency': job.urgency,
-        'rattanlift-deadline-ms': String(job.deadlineAtMs),
-        'rattanlift-non-idempotent': job.isNonIdempotent ? 'true' : undefined,
+        [CALLER_HEADERS.requestId]: job.requestId,
+        [CALLER_HEADERS.team]: job.team,
+        [CALLER_HEADERS.kind]: job.jobKind,
+        [CALLER_HEADERS.urgency]: job.urgency,
+        [CALLER_HEADERS.deadline]: String(job.deadlineAtMs),
+        [CALLER_HEADERS.nonIdempotent]: job.isNonIdempotent ? 'true' : undefined,
       }),
       body: job.body,
       isRepeatable: false,
--- a/src/operators/registerOperatorRoutes.ts
+++ b/src/operators/registerOperatorRoutes.ts
@@ -6,6 +6,7 @@
   throwError,
   toRattanliftError,
 } from '../errors/index.js';
+import type { EventLog } from '../logging/index.js';
 import { checkTeamSettings, formatProblem } from '../settings/index.js';
 import { type Clock, SystemClock } from '../utils/index.js';
 import { type ErrorBody, toErrorBody } from './ErrorBody.js';
@@ -112,10 +113,18 @@
 }
 
 /** Makes every failure an answer of the table, in this scope only. */
-function addErrorHandlers(scope: FastifyInstance, clock: Clock): void {
-  scope.setErrorHandler<Partial<FastifyError>>((thrown, _request, reply) =>
-    sendError(reply, toErrorBody(toRattanliftError(thrown, kindOf(thrown)), clock.wallMs())),
-  );
+function addErrorHandlers(
+  scope: FastifyInstance,
+  clock: Clock,
+  events: EventLog | undefined,
+): void {
+  scope.setErrorHandler<Partial<FastifyError>>((thrown, request, reply) => {
+    const error = toRattanliftError(thrown, kindOf(thrown));
+    if (error.kind === 'internal') {
+      events?.write('unexpectedError', { requestId: request.id, error: String(thrown) });
+    }
+    return sendError(reply, toErrorBody(error, clock.wallMs()));
+  });
   scope.setNotFoundHandler((request) =>
     throwError('bad-request', `There is no ${request.method} ${request.url}.`, { field: 'path' }),
   );
@@ -126,12 +135,14 @@
  * @param fastify - The server, before it listens.
  * @param port - What the operators do and ask.
  * @param clock - Clock that `Retry-After` is counted from.
+ * @param events - Log for errors that nobody expected.
  * @returns A promise that resolves once the routes are there.
  */
 export async function registerOperatorRoutes(
   fastify: FastifyInstance,
   port: OperatorPort,
   clock: Clock = new SystemClock(),
+  events?: EventLog,
 ): Promise<void> {
   await fastify.register(
     async (scope) => {
@@ -140,7 +151,7 @@
         route.bodyLimit = BODY_LIMIT_BYTES;
       });
       addJsonParser(scope);
-      addErrorHandlers(scope, clock);
+      addErrorHandlers(scope, clock, events);
       addReadRoutes(scope, port);
       addWriteRoutes(scope, port);
     },
--- a/tests/cli/runCli.test.ts
+++ b/tests/cli/runCli.test.ts
@@ -1,5 +1,12 @@
-import fastifyFactory, { type FastifyInstance } from 'fastify';
+import type { FastifyInstance } from 'fastify';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import {
+  createHttpServer,
+  type EntryPort,
+  type JobState,
+  type JobSubmission,
+  registerCallerRoutes,
+} from '../../src/callers/index.js';
 import { type CliIo, runCli } from '../../src/cli/index.js';
 import { EXIT_CODES } from '../../src/errors/index.js';
 import { registerOperatorRoutes, type WaveView } from '../../src/operators/index.js';
@@ -19,35 +26,40 @@
   'rival.jsonc': DOCUMENT.replace('40', '60'),
   'broken.jsonc': DOCUMENT.replace('"rack"', '"shelf"'),
 };
-const JOB = { jobId: 'entry-1.7', requestId: 'r-1', pool: 'wiki/saves' };
+const JOB = { jobId: 'entry-1.7', requestId: 'r-1', pool: 'wiki/saves' } as const;
 
-let fastify: FastifyInstance;
+let server: FastifyInstance;
 let port: FakeOperatorPort;
 let daemon: string;
-let jobAnswers: readonly object[];
-let jobHeaders: Record<string, unknown>;
+let submission: JobSubmission;
+let jobAnswers: readonly Partial<JobState>[];
+
+const ENTRY: EntryPort = {
+  run: () => Promise.reject(new Error('The command line never waits for an answer.')),
+  submit: async (submitted) => {
+    submission = submitted;
+    return { ...JOB, phase: 'waiting' };
+  },
+  getJob: async () => {
+    const [answer, ...rest] = jobAnswers;
+    jobAnswers = rest;
+    return { ...JOB, phase: 'finished', ...answer };
+  },
+  cancelJob: async () => ({ ...JOB, phase: 'finished', outcome: 'not-run' }),
+};
 
 beforeEach(async () => {
   port = new FakeOperatorPort();
   jobAnswers = [];
-  fastify = fastifyFactory();
-  fastify.removeAllContentTypeParsers();
-  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, async () => undefined);
-  await registerOperatorRoutes(fastify, port, new ManualClock());
-  fastify.post('/v1/pools/:team/:pool/jobs', async (request, reply) => {
-    jobHeaders = request.headers;
-    return reply.code(202).send({ ...JOB, phase: 'waiting' });
-  });
-  fastify.get('/v1/jobs/:jobId', async () => {
-    const [answer, ...rest] = jobAnswers;
-    jobAnswers = rest;
-    return { ...JOB, ...answer };
-  });
-  daemon = new URL(await fastify.listen({ host: '127.0.0.1', port: 0 })).host;
+  const clock = new ManualClock(1000);
+  server = createHttpServer({ clock });
+  registerCallerRoutes(server, ENTRY, { clock });
+  await registerOperatorRoutes(server, port, clock);
+  daemon = new URL(await server.listen({ host: '127.0.0.1', port: 0 })).host;
 });
 
 afterEach(async () => {
-  await fastify.close();
+  await server.close();
 });
 
 /** Runs a command against the daemon, with a clock that only sleeping moves. */
@@ -198,12 +210,12 @@
     ];
     const result = await run(...submit, '--request-id', 'r-1', '--wait');
     expect(result).toMatchObject({ exitCode: EXIT_CODES.ok, stdout: 'saved' });
-    expect(jobHeaders).toMatchObject({
-      'rattanlift-deadline-ms': '6000',
-      'rattanlift-request-id': 'r-1',
-      'rattanlift-team': 'wiki',
-      'rattanlift-kind': 'save',
-      'rattanlift-non-idempotent': 'true',
+    expect(submission).toMatchObject({
+      requestId: 'r-1',
+      team: 'wiki',
+      jobKind: 'save',
+      idempotent: false,
+      deadlineAtMs: 6000,
     });
   });
 
