--- a/src/log/LogFollower.ts
+++ b/src/log/LogFollower.ts
@@ -74,6 +74,8 @@
 
   private hasLoadedAtStart = false;
 
+  private isCutOff = false;
+
   private reachedAtMs: number | undefined;
 
   private knownEndOffset = 0;
@@ -94,6 +96,11 @@
     return this.reachedAtMs !== undefined && this.getLagCount() === 0;
   }
 
+  /** Whether records are lost to this instance until there is a snapshot that holds them. */
+  get isTruncated(): boolean {
+    return this.isCutOff;
+  }
+
   /** Whether the last read failed. */
   get isLogOut(): boolean {
     return this.isOut;
@@ -261,10 +268,14 @@
    * and tries again until there is one.
    */
   private async loadAhead(firstOffset: number): Promise<void> {
-    const { tables } = this.options;
+    const { events, tables } = this.options;
+    const { nextOffset: neededOffset } = tables;
     const state = await this.loadSnapshot();
     if (state !== undefined) this.restore(state);
-    if (tables.nextOffset >= firstOffset) return;
+    const wasCutOff = this.isCutOff;
+    this.isCutOff = tables.nextOffset < firstOffset;
+    if (!this.isCutOff) return;
+    if (!wasCutOff) events.write('logTruncated', { neededOffset, firstOffset });
     const gap = `records ${tables.nextOffset} to ${firstOffset - 1}`;
     throwError('log-unavailable', `The log keeps no ${gap} any more, nor does a snapshot.`);
   }
--- a/src/logging/events/logEvents.ts
+++ b/src/logging/events/logEvents.ts
@@ -13,4 +13,9 @@
   homeReleased: { number: 4009, level: 'info', text: 'An instance gave up a pool.' },
   snapshotWritten: { number: 4010, level: 'info', text: 'A snapshot was written.' },
   snapshotLoaded: { number: 4011, level: 'info', text: 'A snapshot was loaded.' },
+  logTruncated: {
+    number: 4012,
+    level: 'error',
+    text: 'The log no longer keeps what comes next, and no snapshot holds it.',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/tests/log/LogFollower.test.ts
+++ b/tests/log/LogFollower.test.ts
@@ -79,7 +79,7 @@
     // An operator's drain order is forgotten by one instance, which sends work to the VM.
     // The instance was cut off for longer than the log keeps records.
     // Cause: reading on from the first record kept would skip the order.
-    const { log, follower, tables } = setUp();
+    const { log, follower, tables, events } = setUp();
     await log.append('control', drainRecords(0, 5));
     follower.start();
     await follower.waitForOffset(4);
@@ -90,10 +90,12 @@
     log.entriesOf('control').forEach((entry) => other.follower.offer([entry]));
     log.truncate('control', 20);
     log.readFault = 'none';
-    await expect.poll(() => follower.isLogOut).toBe(true);
+    await expect.poll(() => follower.isTruncated).toBe(true);
+    expect(events.events.at(-1)?.event).toBe('logTruncated');
     expect(tables.nextOffset).toBe(5);
     await writeSnapshot(log, other.tables);
     expect(await follower.waitForOffset(29)).toBe(true);
+    expect(follower.isTruncated).toBe(false);
     expect(serializeTables(tables)).toEqual(serializeTables(other.tables));
   });
 
--- a/tests/log/applyEntry.test.ts
+++ b/tests/log/applyEntry.test.ts
@@ -261,6 +261,13 @@
       expect(folder.apply(claimRecord(['save-1'], B))).toEqual({ type: 'accepted' });
     });
 
+    it('rejects the late claims of a home that has given the pool up and taken it again', () => {
+      const folder = createHeld();
+      folder.apply({ type: 'home-released', ...A });
+      folder.apply({ type: 'home-claimed', pool: POOL, instance: 'a', expectedTerm: 1 });
+      expect(folder.reasonOf(claimRecord(['save-1']))).toContain('in term 2, not by a in term 1');
+    });
+
     it('refuses a request that is claimed, within one record too, and keeps the others', () => {
       const folder = createHeld();
       folder.apply(claimRecord(['save-1']));
--- a/tests/log/snapshot.test.ts
+++ b/tests/log/snapshot.test.ts
@@ -92,8 +92,9 @@
     const { log, writer, stream } = setUp();
     await writer.writeIfDue();
     const whole = await loadLatestSnapshot(log);
+    const original = [...stream];
     const copy = (snapshotId: string) =>
-      stream.map(({ payload }) => ({ ...(payload as object), snapshotId, firstPartOffset: 0 }));
+      original.map(({ payload }) => ({ ...(payload as object), snapshotId, firstPartOffset: 0 }));
     await log.append(SNAPSHOT_STREAM, copy('no-end').slice(0, -1));
     await log.append(SNAPSHOT_STREAM, copy('no-start').slice(1));
     const changed = copy('changed').map((payload, index) =>
