--- a/src/callers/createHttpServer.ts
+++ b/src/callers/createHttpServer.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
 import { fastify, type FastifyInstance } from 'fastify';
-import { RattanliftError, throwError } from '../errors/index.js';
+import { ERROR_ANSWERS, type Outcome, RattanliftError, throwError } from '../errors/index.js';
 import type { EventLog } from '../logging/index.js';
 import { type Clock, SystemClock } from '../utils/index.js';
 import { answerBrokenRequest } from './answerBrokenRequest.js';
@@ -27,6 +27,8 @@
   readonly keepAliveMs?: number;
   readonly clock?: Clock;
   readonly events?: EventLog;
+  /** Tells what is known of earlier attempts at a request; undefined where there was none. */
+  readonly getEarlierOutcome?: (requestId: string) => Outcome | undefined;
   /** Makes the ids of requests that bring none. */
   readonly createRequestId?: () => string;
 }
@@ -39,14 +41,30 @@
   });
 }
 
-function useJsonErrors(server: FastifyInstance, clock: Clock, events: EventLog | undefined): void {
+/**
+ * Guards against "not run" for a page save that did run: its answer was lost, the caller repeats
+ * it, and the repeat is refused before its id is looked up, because the instance stops, the
+ * deadline has passed or a header is wrong. The refusal then tells what became of the first one.
+ */
+function getRefusalOutcome(
+  { kind }: RattanliftError,
+  requestId: string,
+  { getEarlierOutcome }: HttpServerOptions,
+): Outcome {
+  const { outcome } = ERROR_ANSWERS[kind];
+  return outcome === 'not-run' ? (getEarlierOutcome?.(requestId) ?? outcome) : outcome;
+}
+
+function useJsonErrors(server: FastifyInstance, clock: Clock, options: HttpServerOptions): void {
+  const { events } = options;
   server.setErrorHandler<Error>((thrown, request, reply) => {
     const { error, httpStatus, isUnexpected } = toRequestError(thrown);
     const requestId = request.id;
     const { kind, field, message } = error;
     if (isUnexpected) events?.write('unexpectedError', { requestId, error: String(thrown) });
     else events?.write('badInput', { requestId, kind, field, reason: message });
-    sendError(reply, error, { nowMs: clock.wallMs(), httpStatus });
+    const outcome = getRefusalOutcome(error, requestId, options);
+    sendError(reply, error, { nowMs: clock.wallMs(), httpStatus, outcome });
   });
   server.setNotFoundHandler((request, reply) => {
     const message = `There is no ${request.method} ${request.url}.`;
@@ -96,7 +114,7 @@
  * @returns The server, which does not listen yet; its `close` lets requests in progress end.
  */
 export function createHttpServer(options: HttpServerOptions = {}): FastifyInstance {
-  const { clock = new SystemClock(), createRequestId = randomUUID, events } = options;
+  const { clock = new SystemClock(), createRequestId = randomUUID } = options;
   const receiveTimeoutMs = options.receiveTimeoutMs ?? DEFAULT_RECEIVE_TIMEOUT_MS;
   let getHandledCount = (_socket: Socket): number => 0;
   const server = fastify({
@@ -135,7 +153,7 @@
   });
   getHandledCount = countHandled(server);
   useRawBodies(server);
-  useJsonErrors(server, clock, events);
+  useJsonErrors(server, clock, options);
   useGracefulClose(server);
   return server;
 }
--- a/tests/callers/createHttpServer.test.ts
+++ b/tests/callers/createHttpServer.test.ts
@@ -59,6 +59,27 @@
   });
 });
 
+describe('getEarlierOutcome', () => {
+  it('keeps a refused repeat from being told that its job did not run', async () => {
+    // A page save runs, but its answer is lost with the connection. The caller repeats it after
+    // its deadline. The repeat is refused without asking anyone, and a plain "not run" would make
+    // the field crew enter the page again.
+    const { port } = await start({
+      getEarlierOutcome: (id: string) => (id === 'ran' ? 'run' : undefined),
+    });
+    const late = (id: string) =>
+      exchangeBytes(
+        port,
+        JOB.replace(
+          'Host: a',
+          `Host: a\r\nConnection: close\r\nRattanlift-Request-Id: ${id}`,
+        ).replace('Kind: k', 'Kind: k\r\nRattanlift-Deadline-Ms: 1'),
+      );
+    expect(await late('ran')).toContain('"kind":"deadline-past","outcome":"run"');
+    expect(await late('new')).toContain('"kind":"deadline-past","outcome":"not-run"');
+  });
+});
+
 describe('close', () => {
   it('lets a request in progress end and refuses new ones', async () => {
     // An instance is replaced while an export streams to its caller, whose next request is already
