Look for an earlier attempt before a request is called not run

Cause: a page save had run through a new home while the old one was frozen; repeated at the old one as it woke, it was refused as 'not run', which is untrue of the save. Found by the test of the frozen home. A second test showed 'already-running' for good after an entry VM was killed: its grant stood. Ruled out: a double run; starts were 1 in each case. Change: an instance reads the log to its end before it calls a non-idempotent request not run; where it cannot, only a first attempt is called so, and callers mark repeats by Rattanlift-Repeat. A grant of an instance that is gone stands in nobody's way.

--- a/src/callers/EntryPort.ts
+++ b/src/callers/EntryPort.ts
@@ -14,6 +14,8 @@
   readonly idempotent: boolean | undefined;
   /** First header that a non-idempotent job needs and the caller left out. */
   readonly missingHeader?: string;
+  /** Whether the caller says that it has sent the request before. */
+  readonly isRepeat: boolean;
   readonly urgency: Urgency | undefined;
   readonly coreCount: number | undefined;
   readonly memoryMb: number | undefined;
--- a/src/callers/callerHeaders.ts
+++ b/src/callers/callerHeaders.ts
@@ -8,6 +8,7 @@
   coreCount: 'Rattanlift-Core-Count',
   memory: 'Rattanlift-Memory-Mb',
   nonIdempotent: 'Rattanlift-Non-Idempotent',
+  repeat: 'Rattanlift-Repeat',
 } as const;
 
 /** Headers that only answers carry. */
--- a/src/callers/createHttpServer.ts
+++ b/src/callers/createHttpServer.ts
@@ -83,12 +83,17 @@
     closing = true;
     done();
   });
-  server.addHook('onRequest', (_request, reply, done) => {
+  server.addHook('onRequest', (request, reply, done) => {
     reply.raw.once('close', () => {
       if (closing) setImmediate(() => server.server.closeIdleConnections());
     });
     if (closing) {
       void reply.header('Connection', 'close');
+      // Failure: a caller repeats a request whose first attempt has run, and takes "not run" for
+      // the fate of both. What an instance that stops cannot look up any more is unknown.
+      if (request.headers[CALLER_HEADERS.repeat.toLowerCase()] === 'true') {
+        throwError('outcome-unknown', 'This instance is stopping; ask another one.');
+      }
       throwError('shutting-down', 'This instance is stopping; another one takes the request.');
     }
     done();
--- a/src/callers/parseSubmission.ts
+++ b/src/callers/parseSubmission.ts
@@ -64,7 +64,7 @@
  * Reads path and headers of a submission.
  * @param source - Path, headers and what fills gaps.
  * @returns The submission but for its body and signal.
- * @throws RattanliftError Of kind `bad-request` or `deadline-past`, with the field at fault.
+ * @throws RattanliftError Of kind `bad-request`, with the field at fault.
  * @internal
  */
 export function parseSubmission(source: SubmissionSource): Omit<JobSubmission, 'body' | 'signal'> {
@@ -90,6 +90,7 @@
     jobKind,
     idempotent: nonIdempotent === undefined ? undefined : !nonIdempotent,
     missingHeader,
+    isRepeat: read(headers, CALLER_HEADERS.repeat, parseBoolean) ?? false,
     urgency: read(headers, CALLER_HEADERS.urgency, parseUrgency),
     coreCount: read(headers, CALLER_HEADERS.coreCount, parseSize),
     memoryMb: read(headers, CALLER_HEADERS.memory, parseSize),
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -3,7 +3,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { FastifyInstance } from 'fastify';
 import { createHttpServer, registerCallerRoutes } from '../callers/index.js';
-import { Entry, FinishReporter, GrantKeeper, HomeRouter, RetryBudget } from '../entry/index.js';
+import {
+  Entry,
+  FinishReporter,
+  GrantKeeper,
+  HomeRouter,
+  NotRunCheck,
+  RetryBudget,
+} from '../entry/index.js';
 import { VmDirectory } from '../fleet/index.js';
 import { LogFollower, LogWriter, serializeTables, SnapshotWriter } from '../log/index.js';
 import type { EventLog } from '../logging/index.js';
@@ -34,6 +41,7 @@
 
 const CONTROL_STREAM = 'control';
 const TICK_MS = 50;
+const MAX_READ_COUNT = 500;
 const VM_LIST_EVERY_MS = 1_000;
 const HOME_POLL_MS = 50;
 const SNAPSHOT_KEY = 'snapshots';
@@ -84,6 +92,10 @@
 
   private readonly handlePeer: PeerHandler;
 
+  private currentRead: Promise<boolean> = Promise.resolve(true);
+
+  private nextRead: Promise<boolean> | undefined;
+
   private membership: Membership | undefined;
 
   private server: FastifyInstance | undefined;
@@ -149,6 +161,7 @@
       },
       fleet,
       peers,
+      notRunCheck: new NotRunCheck({ instance, fleet, readToEnd: () => this.readToEnd() }),
       getPoolSettings,
     });
     this.homes = new HomeManager({
@@ -285,6 +298,33 @@
     });
   }
 
+  /**
+   * Reads the log to its end by a read that is sent from now on, beside the follower. Whoever
+   * comes while one is under way shares the next one.
+   */
+  private readToEnd(): Promise<boolean> {
+    this.nextRead ??= this.currentRead.then(() => {
+      this.nextRead = undefined;
+      const read = this.readOnceToEnd();
+      this.currentRead = read;
+      return read;
+    });
+    return this.nextRead;
+  }
+
+  private async readOnceToEnd(): Promise<boolean> {
+    const options = { stream: CONTROL_STREAM, maxCount: MAX_READ_COUNT, waitMs: 0 };
+    try {
+      const fromOffset = this.fleet.nextOffset;
+      const result = await this.log.read({ ...options, fromOffset });
+      if (result.type !== 'entries') return false;
+      this.follower.offer(result.entries);
+      return this.fleet.nextOffset >= result.endOffset;
+    } catch {
+      return false;
+    }
+  }
+
   private tick(): void {
     try {
       this.directory.tick();
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -14,12 +14,14 @@
 import { createJob, type Job } from './Job.js';
 import { JobRun, type JobRunContext } from './JobRun.js';
 import { JobStore } from './JobStore.js';
+import type { FailedAnswer, NotRunCheck } from './NotRunCheck.js';
 
 /** Options of {@link Entry}. */
 export interface EntryOptions {
   readonly context: JobRunContext;
   readonly fleet: FleetTables;
   readonly peers: PeerPort;
+  readonly notRunCheck: Pick<NotRunCheck, 'correct'>;
   /** Gets the settings in force for a pool. */
   readonly getPoolSettings: (pool: string) => PoolSettings | undefined;
 }
@@ -135,16 +137,24 @@
   private async runChecked(submission: JobSubmission): Promise<JobAnswer> {
     try {
       const job = this.createJobOrThrow(submission);
-      return job.idempotent
-        ? await this.runJob(job, submission.signal)
-        : await this.runOnce(job, submission.signal);
+      if (job.idempotent) return await this.runJob(job, submission.signal);
+      const answer = await this.runOnce(job, submission.signal);
+      return answer.type === 'failed' ? await this.checkNotRun(answer, submission) : answer;
     } catch (thrown) {
       const error = toRattanliftError(thrown);
       const { outcome } = ERROR_ANSWERS[error.kind];
-      return { type: 'failed', requestId: submission.requestId, outcome, error };
+      const { requestId } = submission;
+      return this.checkNotRun({ type: 'failed', requestId, outcome, error }, submission);
     }
   }
 
+  private async checkNotRun(answer: FailedAnswer, submission: JobSubmission): Promise<JobAnswer> {
+    const { isRepeat, missingHeader } = submission;
+    // Only a request that brought an id and a deadline of its own can have been sent before.
+    if (missingHeader !== undefined) return answer;
+    return this.options.notRunCheck.correct(answer, isRepeat);
+  }
+
   private createJobOrThrow(submission: JobSubmission): Job {
     if (this.isStopping) return throwError('shutting-down', 'This instance is stopping.');
     const settings = this.options.getPoolSettings(submission.pool);
--- a/src/entry/Job.ts
+++ b/src/entry/Job.ts
@@ -15,6 +15,8 @@
   readonly memoryMb: number;
   /** Wall-clock time after which the caller has no use for the answer. */
   readonly deadlineAtMs: number;
+  /** Whether the caller says that it has sent the request before. */
+  readonly isRepeat: boolean;
   readonly contentType: string;
   readonly body: Buffer;
   /** Hash of the request, to tell a repeat from a reused id. */
@@ -35,7 +37,8 @@
  * @param settings - Settings in force for the pool.
  * @param fingerprint - Hash of the request.
  * @returns The job.
- * @throws RattanliftError Of kind `bad-request` where the pool has no such kind of job.
+ * @throws RattanliftError Of kind `bad-request` where the pool has no such kind of job, or a header
+ * is missing that a non-idempotent job needs.
  */
 export function createJob(
   submission: JobSubmission,
@@ -43,17 +46,25 @@
   fingerprint: string,
 ): Job {
   const { requestId, pool, team, jobKind, deadlineAtMs, contentType, body } = submission;
+  const { isRepeat, missingHeader } = submission;
   const declared = getJobKindOrThrow(settings, jobKind);
+  const idempotent = submission.idempotent ?? declared.idempotent;
+  if (!idempotent && missingHeader !== undefined) {
+    return throwError('bad-request', `A ${jobKind} needs the header ${missingHeader}.`, {
+      field: missingHeader,
+    });
+  }
   return {
     requestId,
     pool,
     team,
     jobKind,
-    idempotent: submission.idempotent ?? declared.idempotent,
+    idempotent,
     urgency: submission.urgency ?? declared.urgency,
     coreCount: submission.coreCount ?? declared.coreCount,
     memoryMb: submission.memoryMb ?? declared.memoryMb,
     deadlineAtMs,
+    isRepeat,
     contentType,
     body,
     fingerprint,
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -260,8 +260,7 @@
 
   private findObstacle(entry: string, request: GrantRequest): Refusal | undefined {
     if (request.idempotent) return undefined;
-    const isSame = (row: { readonly requestId: string }) => row.requestId === request.requestId;
-    const isUnderWay = this.tables.queue.list().some(isSame) || this.isGranted(request.requestId);
+    const isUnderWay = this.isUnderWay(request.requestId);
     const obstacle = this.claimDesk.findObstacle(entry, request, isUnderWay);
     if (obstacle !== undefined || this.options.holdsLease()) return obstacle;
     // Failure: while the log is out another instance cannot be told from one that has taken over.
@@ -269,8 +268,12 @@
     return refuse('log-unavailable', 'The log does not answer, so the request cannot be claimed.');
   }
 
-  private isGranted(requestId: string): boolean {
-    return this.tables.grants.list().some((grant) => grant.requestId === requestId);
+  /** Tells whether an entry instance that runs waits with the request, or has a grant for it. */
+  private isUnderWay(requestId: string): boolean {
+    const { instances } = this.options.fleet;
+    return [...this.tables.queue.list(), ...this.tables.grants.list()]
+      .filter((row) => row.requestId === requestId)
+      .some((row) => instances.get(row.entry)?.state === 'joined');
   }
 
   private place(): void {
