Look an earlier attempt up for refusals of form as well

Cause: refusals before the entry (a past deadline, a stopping instance) asked a hook that nothing was plugged into, and beside it stood a second check of mine for the same failure. Change: one check reads the log to its end for both; the past deadline stays with the headers, where its test is; measurements go to StatsD.

--- a/src/callers/createHttpServer.ts
+++ b/src/callers/createHttpServer.ts
@@ -28,7 +28,7 @@
   readonly clock?: Clock;
   readonly events?: EventLog;
   /** Tells what is known of earlier attempts at a request; undefined where there was none. */
-  readonly getEarlierOutcome?: (requestId: string) => Outcome | undefined;
+  readonly getEarlierOutcome?: (requestId: string) => Promise<Outcome | undefined>;
   /** Makes the ids of requests that bring none. */
   readonly createRequestId?: () => string;
 }
@@ -46,25 +46,27 @@
  * it, and the repeat is refused before its id is looked up, because the instance stops, the
  * deadline has passed or a header is wrong. The refusal then tells what became of the first one.
  */
-function getRefusalOutcome(
+async function getRefusalOutcome(
   { kind }: RattanliftError,
   requestId: string,
   { getEarlierOutcome }: HttpServerOptions,
-): Outcome {
+): Promise<Outcome> {
   const { outcome } = ERROR_ANSWERS[kind];
-  return outcome === 'not-run' ? (getEarlierOutcome?.(requestId) ?? outcome) : outcome;
+  if (outcome !== 'not-run') return outcome;
+  return (await getEarlierOutcome?.(requestId)) ?? outcome;
 }
 
 function useJsonErrors(server: FastifyInstance, clock: Clock, options: HttpServerOptions): void {
   const { events } = options;
-  server.setErrorHandler<Error>((thrown, request, reply) => {
+  server.setErrorHandler<Error>(async (thrown, request, reply) => {
     const { error, httpStatus, isUnexpected } = toRequestError(thrown);
     const requestId = request.id;
     const { kind, field, message } = error;
     if (isUnexpected) events?.write('unexpectedError', { requestId, error: String(thrown) });
     else events?.write('badInput', { requestId, kind, field, reason: message });
-    const outcome = getRefusalOutcome(error, requestId, options);
+    const outcome = await getRefusalOutcome(error, requestId, options);
     sendError(reply, error, { nowMs: clock.wallMs(), httpStatus, outcome });
+    return reply;
   });
   server.setNotFoundHandler((request, reply) => {
     const message = `There is no ${request.method} ${request.url}.`;
@@ -83,17 +85,12 @@
     closing = true;
     done();
   });
-  server.addHook('onRequest', (request, reply, done) => {
+  server.addHook('onRequest', (_request, reply, done) => {
     reply.raw.once('close', () => {
       if (closing) setImmediate(() => server.server.closeIdleConnections());
     });
     if (closing) {
       void reply.header('Connection', 'close');
-      // Failure: a caller repeats a request whose first attempt has run, and takes "not run" for
-      // the fate of both. What an instance that stops cannot look up any more is unknown.
-      if (request.headers[CALLER_HEADERS.repeat.toLowerCase()] === 'true') {
-        throwError('outcome-unknown', 'This instance is stopping; ask another one.');
-      }
       throwError('shutting-down', 'This instance is stopping; another one takes the request.');
     }
     done();
--- a/src/callers/headerValues.ts
+++ b/src/callers/headerValues.ts
@@ -89,13 +89,18 @@
  * @param value - Its value.
  * @param nowMs - Wall-clock time.
  * @returns Milliseconds since the Unix epoch.
- * @throws RattanliftError Of kind `bad-request`; a past deadline is judged with the request's id.
+ * @throws RattanliftError Of kind `bad-request`, or `deadline-past`.
  */
 export function parseDeadline(field: string, value: string, nowMs: number): number {
   if (!INTEGER.test(value)) {
     throwBadValue(field, value, 'whole milliseconds since the Unix epoch');
   }
   const deadlineAtMs = Number(value);
+  if (deadlineAtMs <= nowMs) {
+    throwError('deadline-past', `${field} passed ${Math.ceil(nowMs - deadlineAtMs)} ms ago.`, {
+      field,
+    });
+  }
   if (deadlineAtMs - nowMs > MAX_DEADLINE_AHEAD_MS) {
     throwBadValue(field, value, 'a time within the next 24 hours');
   }
--- a/src/callers/parseSubmission.ts
+++ b/src/callers/parseSubmission.ts
@@ -64,7 +64,7 @@
  * Reads path and headers of a submission.
  * @param source - Path, headers and what fills gaps.
  * @returns The submission but for its body and signal.
- * @throws RattanliftError Of kind `bad-request`, with the field at fault.
+ * @throws RattanliftError Of kind `bad-request` or `deadline-past`, with the field at fault.
  * @internal
  */
 export function parseSubmission(source: SubmissionSource): Omit<JobSubmission, 'body' | 'signal'> {
--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -80,6 +80,8 @@
 
   private readonly reporter: FinishReporter;
 
+  private readonly notRunCheck: NotRunCheck;
+
   private readonly entry: Entry;
 
   private readonly homes: HomeManager;
@@ -136,6 +138,8 @@
     const router = new HomeRouter({ instance, fleet, peers, handleLocally });
     this.keeper = new GrantKeeper({ router, targets, clock });
     this.reporter = new FinishReporter({ router, clock });
+    const readToEnd = this.readToEnd.bind(this);
+    this.notRunCheck = new NotRunCheck({ instance, fleet, readToEnd });
     let attemptNumber = 0;
     this.entry = new Entry({
       context: {
@@ -161,7 +165,7 @@
       },
       fleet,
       peers,
-      notRunCheck: new NotRunCheck({ instance, fleet, readToEnd: () => this.readToEnd() }),
+      notRunCheck: this.notRunCheck,
       getPoolSettings,
     });
     this.homes = new HomeManager({
@@ -269,7 +273,11 @@
 
   private async startHttpServer(): Promise<number> {
     const { host, port } = this.options.config.callers;
-    const server = createHttpServer({ clock: this.clock, events: this.options.events });
+    const server = createHttpServer({
+      clock: this.clock,
+      events: this.options.events,
+      getEarlierOutcome: (requestId) => this.notRunCheck.findEarlierOutcome(requestId),
+    });
     registerCallerRoutes(server, this.entry, { clock: this.clock, events: this.options.events });
     await registerOperatorRoutes(server, this.operations, this.clock);
     await server.listen({ host, port });
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -3,12 +3,11 @@
 import { defineCommand, runMain } from 'citty';
 import { ERROR_ANSWERS, toRattanliftError } from '../errors/index.js';
 import { TslogEventLog } from '../logging/index.js';
-import type { Metrics } from '../metrics/index.js';
+import { NoMetrics, StatsdMetrics } from '../metrics/index.js';
 import { Daemon } from './Daemon.js';
 import { readDaemonConfig } from './DaemonConfig.js';
 
 const ID_LENGTH = 8;
-const metrics: Metrics = { increment() {}, timing() {}, gauge() {} };
 
 async function runDaemon(fileName: string): Promise<void> {
   const config = readDaemonConfig(fileName);
@@ -17,6 +16,8 @@
     process.stdout.write(`${line}\n`);
   };
   const events = new TslogEventLog({ instance, level: config.logLevel, writeLine });
+  const metrics =
+    config.metrics === undefined ? new NoMetrics() : new StatsdMetrics(config.metrics);
   const daemon = new Daemon({ config, instance, events, metrics });
   await daemon.start();
   const stop = async (): Promise<void> => {
--- a/src/entry/NotRunCheck.ts
+++ b/src/entry/NotRunCheck.ts
@@ -1,5 +1,5 @@
 import type { JobAnswer } from '../callers/index.js';
-import { ERROR_ANSWERS, type ErrorKind, RattanliftError } from '../errors/index.js';
+import { ERROR_ANSWERS, type ErrorKind, type Outcome, RattanliftError } from '../errors/index.js';
 import type { FleetTables } from '../tables/index.js';
 
 /** Options of {@link NotRunCheck}. */
@@ -42,6 +42,17 @@
     this.options = options;
   }
 
+  /**
+   * Finds what became of earlier attempts at a request that is refused for its form.
+   * @param requestId - The request.
+   * @returns The outcome, or undefined where no attempt is on record.
+   */
+  async findEarlierOutcome(requestId: string): Promise<Outcome | undefined> {
+    await this.options.readToEnd();
+    const claim = this.options.fleet.claims.get(requestId);
+    return claim === undefined ? undefined : (claim.outcome ?? 'unknown');
+  }
+
   /**
    * Corrects an answer that says "not run".
    *
--- a/tests/callers/createHttpServer.test.ts
+++ b/tests/callers/createHttpServer.test.ts
@@ -65,7 +65,7 @@
     // its deadline. The repeat is refused without asking anyone, and a plain "not run" would make
     // the field crew enter the page again.
     const { port } = await start({
-      getEarlierOutcome: (id: string) => (id === 'ran' ? 'run' : undefined),
+      getEarlierOutcome: async (id: string) => (id === 'ran' ? 'run' : undefined),
     });
     const late = (id: string) =>
       exchangeBytes(
