--- a/src/callers/createHttpServer.ts
+++ b/src/callers/createHttpServer.ts
@@ -62,7 +62,7 @@
     const { error, httpStatus, isUnexpected } = toRequestError(thrown);
     const requestId = request.id;
     const { kind, field, message } = error;
-    if (isUnexpected) events?.write('unexpectedError', { requestId, error: String(thrown) });
+    if (isUnexpected) events?.write('unexpectedError', { requestId, reason: String(thrown) });
     else events?.write('badInput', { requestId, kind, field, reason: message });
     const outcome = await getRefusalOutcome(error, requestId, options);
     sendError(reply, error, { nowMs: clock.wallMs(), httpStatus, outcome });
--- a/src/logging/TslogEventLog.ts
+++ b/src/logging/TslogEventLog.ts
@@ -1,4 +1,5 @@
 import { Logger } from 'tslog';
+import { type Clock, SystemClock } from '../utils/index.js';
 import { EVENT_CATALOGUE, type EventName } from './EVENT_CATALOGUE.js';
 import type { EventFields, EventLog } from './EventLog.js';
 import type { LogLevel } from './LogEvent.js';
@@ -11,6 +12,7 @@
   readonly level: LogLevel;
   /** Receives each line, without its line break. */
   readonly writeLine: (line: string) => void;
+  readonly clock?: Clock;
 }
 
 const TSLOG_LEVELS: Readonly<Record<LogLevel, number>> = { debug: 2, info: 3, warn: 4, error: 5 };
@@ -21,12 +23,15 @@
 
   private readonly options: TslogEventLogOptions;
 
+  private readonly clock: Clock;
+
   /**
    * Creates the log of an instance.
    * @param options - Name, level and destination.
    */
   constructor(options: TslogEventLogOptions) {
     this.options = options;
+    this.clock = options.clock ?? new SystemClock();
     this.logger = new Logger({
       type: 'hidden',
       minLevel: TSLOG_LEVELS[options.level],
@@ -40,7 +45,8 @@
     const { number, level, text } = EVENT_CATALOGUE[event];
     if (TSLOG_LEVELS[level] < TSLOG_LEVELS[this.options.level]) return;
     const { instance } = this.options;
-    const line = { at: new Date().toISOString(), number, event, level, instance, text, ...fields };
+    const at = new Date(this.clock.wallMs()).toISOString();
+    const line = { at, number, event, level, instance, text, ...fields };
     this.logger.log(TSLOG_LEVELS[level], level.toUpperCase(), line);
   }
 }
--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -174,7 +174,10 @@
    */
   private settle(number: number, value: unknown): void {
     if (!this.calls.has(number) || this.unsent.has(number)) {
-      this.options.events.write('replyDropped', { peer: this.options.peer.instance, number });
+      this.options.events.write('replyDropped', {
+        peer: this.options.peer.instance,
+        callNumber: number,
+      });
       return;
     }
     const reply = parsePeerReply(value);
--- a/src/peers/PeerServerConnection.ts
+++ b/src/peers/PeerServerConnection.ts
@@ -116,7 +116,7 @@
   }
 
   private logFailure(peer: string, thrown: unknown): void {
-    this.options.events.write('peerHandlerFailed', { peer, error: String(thrown) });
+    this.options.events.write('peerHandlerFailed', { peer, reason: String(thrown) });
   }
 
   private finish({ type, reason }: ConnectionClosure): void {
