--- a/src/cli/commands/settingsHistoryCommand.ts
+++ b/src/cli/commands/settingsHistoryCommand.ts
@@ -18,7 +18,10 @@
       context.print(publications, (rows) =>
         formatTable(
           [
-            { title: 'VERSION', valueOf: (row) => row.offset + 1 },
+            {
+              title: 'VERSION',
+              valueOf: (row) => (row.verdict === 'accepted' ? row.offset + 1 : '-'),
+            },
             { title: 'TEAM', valueOf: (row) => row.team },
             { title: 'AUTHOR', valueOf: (row) => row.author },
             { title: 'VERDICT', valueOf: (row) => row.verdict },
--- a/src/cli/commands/settingsPublishCommand.ts
+++ b/src/cli/commands/settingsPublishCommand.ts
@@ -1,4 +1,4 @@
-import { RattanliftError, throwError } from '../../errors/index.js';
+import { type ErrorKind, RattanliftError, throwError } from '../../errors/index.js';
 import type { OperatorClient, PublicationView, SettingsView } from '../../operators/index.js';
 import { checkTeamSettings, formatProblem } from '../../settings/index.js';
 import type { CommandContext } from '../CommandContext.js';
@@ -6,6 +6,9 @@
 import { diffLines } from '../diffLines.js';
 import { parseWholeNumberOrThrow } from '../parseWholeNumberOrThrow.js';
 
+/** Errors after which a publication may stand on the log all the same. */
+const MAYBE_PUBLISHED_KINDS: readonly ErrorKind[] = ['log-unavailable', 'outcome-unknown'];
+
 /** A file that is ready to be published. */
 interface CheckedFile {
   readonly fileName: string;
@@ -17,7 +20,7 @@
 interface ConflictReport {
   readonly baseVersion: number;
   readonly inForce: SettingsView | undefined;
-  /** Publications since the version that the operator saw. */
+  /** Publications accepted since the version that the operator saw. */
   readonly publications: readonly PublicationView[];
   readonly comparedWith: 'the version that you saw' | 'your file';
   /** Lines that went and came from the compared text to the one in force. */
@@ -49,7 +52,9 @@
   return {
     baseVersion,
     inForce,
-    publications: publications.filter(({ offset }) => offset >= baseVersion),
+    publications: publications.filter(
+      ({ offset, verdict }) => offset >= baseVersion && verdict === 'accepted',
+    ),
     comparedWith: isSeenKnown ? 'the version that you saw' : 'your file',
     changes: diffLines(
       isSeenKnown ? (seen?.document ?? '') : file.document,
@@ -64,11 +69,8 @@
   return [
     `You saw version ${report.baseVersion}; in force is version ${inForce?.version ?? 0}` +
       ` by ${inForce?.author ?? 'nobody'}.`,
-    'Publications since then:',
-    ...report.publications.map(
-      ({ offset, author, verdict, reason }) =>
-        `  version ${offset + 1} by ${author}: ${verdict}${reason && ` (${reason})`}`,
-    ),
+    'Published since then:',
+    ...report.publications.map(({ offset, author }) => `  version ${offset + 1} by ${author}`),
     `Changes from ${report.comparedWith} to the version in force:`,
     ...report.changes.map((line) => `  ${line}`),
     'Nothing was published. Take these changes over and publish again.',
@@ -97,6 +99,10 @@
       const report = await describeConflict(operators, file, seen, baseVersion);
       context.print(report, formatConflict);
     }
+    if (error instanceof RattanliftError && MAYBE_PUBLISHED_KINDS.includes(error.kind)) {
+      const command = `rattanlift settings history ${file.team}`;
+      context.printProgress(`It may still come into force: look at ${command}.`);
+    }
     throw error;
   }
 }
