Move the starting of processes beside the stand-ins

Cause: the demo starts processes as the tests do; the logic would stand twice. Change: ManagedProcess and startProcess live in standins/processes, tests import them from tests/support as before; waiting for a line leaves neither timer nor listener behind. Measured: the tests of the stand-ins as processes pass. Conclusion: one place starts and ends processes.

--- a/tests/support/startProcess.ts
+++ b/standins/processes/ManagedProcess.ts
@@ -18,8 +18,8 @@
   readonly signal: NodeJS.Signals | null;
 }
 
-/** A process of ours under test. */
-export class TestProcess {
+/** A program of ours in a process of its own. */
+export class ManagedProcess {
   /** Lines written so far, of both outputs. */
   readonly lines: string[] = [];
 
@@ -39,7 +39,7 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.ended = new Promise((resolve) => {
-      this.child.once('exit', (code, signal) => resolve({ code, signal }));
+      this.child.once('close', (code, signal) => resolve({ code, signal }));
     });
     [this.child.stdout!, this.child.stderr!].forEach((output) => {
       createInterface({ input: output }).on('line', (line) => {
@@ -49,10 +49,10 @@
     });
   }
 
-  /** Log lines written so far that are JSON objects. */
+  /** Log lines written so far that are whole JSON objects. */
   get logLines(): readonly Readonly<Record<string, unknown>>[] {
     return this.lines
-      .filter((line) => line.startsWith('{'))
+      .filter((line) => line.startsWith('{') && line.endsWith('}'))
       .map((line) => JSON.parse(line) as Readonly<Record<string, unknown>>);
   }
 
@@ -66,16 +66,18 @@
     const seen = this.lines.find((line) => pattern.test(line));
     if (seen !== undefined) return seen.match(pattern)!;
     return new Promise((resolve, reject) => {
-      const fail = () => {
-        reject(new Error(`No line like ${pattern}; output:\n${this.lines.join('\n')}`));
-      };
-      const timer = setTimeout(fail, READY_TIMEOUT_MS);
-      void this.ended.then(fail);
-      this.listeners.add((line) => {
+      const timer = setTimeout(() => this.failWait(pattern, reject), READY_TIMEOUT_MS);
+      const listener = (line: string) => {
         const match = line.match(pattern);
         if (match === null) return;
         clearTimeout(timer);
+        this.listeners.delete(listener);
         resolve(match);
+      };
+      this.listeners.add(listener);
+      void this.ended.then(() => {
+        clearTimeout(timer);
+        this.failWait(pattern, reject);
       });
     });
   }
@@ -93,25 +95,8 @@
     this.child.kill('SIGKILL');
     await this.ended;
   }
-}
 
-const started = new Set<TestProcess>();
-
-/**
- * Starts a program and waits until it is ready.
- * @param options - Program, arguments and ready line.
- * @returns The process.
- */
-export async function startProcess(options: ProcessOptions): Promise<TestProcess> {
-  const testProcess = new TestProcess(options);
-  started.add(testProcess);
-  if (options.readyLine !== undefined) await testProcess.waitForLine(options.readyLine);
-  return testProcess;
-}
-
-/** Ends every process that {@link startProcess} started; to be called in `afterEach`. */
-export async function endProcesses(): Promise<void> {
-  const all = [...started];
-  started.clear();
-  await Promise.all(all.map((testProcess) => testProcess.kill()));
+  private failWait(pattern: RegExp, reject: (error: Error) => void): void {
+    reject(new Error(`No line like ${pattern}; output:\n${this.lines.join('\n')}`));
+  }
 }
--- a/tests/standins/processes.test.ts
+++ b/tests/standins/processes.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { HttpVmPort } from '../../src/platform/index.js';
-import { endProcesses, makeFleet, startProcess, type TestProcess } from '../support/index.js';
+import { endProcesses, makeFleet, startProcess, type ManagedProcess } from '../support/index.js';
 
 const READY_LINE = /^listening (\d+)$/;
 
@@ -18,15 +18,15 @@
   rmSync(directory, { recursive: true });
 });
 
-async function start(program: string, config: unknown): Promise<[TestProcess, number]> {
+async function start(program: string, config: unknown): Promise<[ManagedProcess, number]> {
   const path = join(directory, `${program}.jsonc`);
   writeFileSync(path, `// Test.\n${JSON.stringify(config)}`);
-  const testProcess = await startProcess({
+  const managed = await startProcess({
     program: `standins/${program}/main.js`,
     args: ['--config', path],
   });
-  const [, port] = await testProcess.waitForLine(READY_LINE);
-  return [testProcess, Number(port)];
+  const [, port] = await managed.waitForLine(READY_LINE);
+  return [managed, Number(port)];
 }
 
 describe('main', () => {
@@ -48,7 +48,7 @@
       ['vm-003', 'dc-b'],
       ['vm-004', 'dc-b'],
     ]);
-    [targets, platform].forEach((testProcess) => testProcess.signal('SIGTERM'));
+    [targets, platform].forEach((managed) => managed.signal('SIGTERM'));
     expect(await targets.ended).toEqual({ code: 0, signal: null });
     expect(await platform.ended).toEqual({ code: 0, signal: null });
   });
@@ -57,8 +57,8 @@
     const path = join(directory, 'bad.jsonc');
     writeFileSync(path, '{ "port": "eighty" }');
     const program = 'standins/platform/main.js';
-    const testProcess = await startProcess({ program, args: ['--config', path] });
-    expect(await testProcess.ended).toMatchObject({ code: 1 });
-    expect(testProcess.lines.join('\n')).toMatch(/bad\.jsonc: [^]*port/);
+    const managed = await startProcess({ program, args: ['--config', path] });
+    expect(await managed.ended).toMatchObject({ code: 1 });
+    expect(managed.lines.join('\n')).toMatch(/bad\.jsonc: [^]*port/);
   });
 });
--- a/tests/support/index.ts
+++ b/tests/support/index.ts
@@ -1,9 +1,9 @@
 export { type FleetShape, makeFleet } from './makeFleet.js';
 export {
   endProcesses,
+  ManagedProcess,
   type ProcessEnd,
   type ProcessOptions,
   startProcess,
-  TestProcess,
-} from './startProcess.js';
+} from '../../standins/processes/index.js';
 export { TcpForwarder } from './TcpForwarder.js';
