Add the demo of both users

Cause: nobody can see the parts work together without a bench. Change: npm run demo starts the stand-ins with both example fleets (150 VMs) and three daemons, publishes the example settings through the command line, sends jobs of both users to every daemon (some of them twice), runs one wave and a change of settings meanwhile, stops the daemons while the last jobs run, and compares what callers were told and what was logged with what the targets started. It exits 1 where a promise broke, a job lacks an answer, a decision lacks its log line, or a daemon did not stop by itself; it ends by itself before 60 s and leaves no process.

--- /dev/null
+++ b/standins/demo/main.ts
@@ -0,0 +1,147 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { z } from 'zod';
+import { SeededRng } from '../../src/utils/index.js';
+import { checkPromises } from './checkPromises.js';
+import { DemoCluster } from './DemoCluster.js';
+import { listJobKinds } from './DemoJob.js';
+import { type DemoFile, type DemoUser, readDemoUsers } from './demoUsers.js';
+import { formatSummary } from './formatSummary.js';
+import { JobStream } from './JobStream.js';
+import { getConfigurationRollOutMs, getWaveRollOutMs } from './rollOutTimes.js';
+
+const DAEMON_COUNT = 3;
+const SEED = 1;
+const JOB_INTERVAL_MS = 25;
+const MAX_JOB_COUNT = 1_200;
+const READY_WAIT_MS = 20_000;
+const READY_POLL_MS = 250;
+const WAVE_LIMIT_S = 35;
+const DEMO_LIMIT_MS = 58_000;
+
+const poolsSchema = z.array(
+  z.object({
+    pool: z.string(),
+    neededSlotCount: z.number(),
+    usableSlotCount: z.number(),
+    budget: z.string(),
+  }),
+);
+const waveSchema = z.object({
+  wave: z.string(),
+  state: z.string(),
+  reason: z.string(),
+  vmCount: z.number(),
+  maintainedVmCount: z.number(),
+});
+
+async function publish(cluster: DemoCluster, file: DemoFile): Promise<void> {
+  const path = cluster.writeFile(file.fileName, file.document);
+  const run = await cluster.runCli(['settings', 'publish', path]);
+  if (run.code !== 0) throw new Error(`publish failed:\n${run.lines.join('\n')}`);
+}
+
+async function waitForCapacity(cluster: DemoCluster, deadlineMs: number): Promise<void> {
+  const run = await cluster.runCli(['pools']);
+  const pools = poolsSchema.safeParse(run.json).data ?? [];
+  const isReady = (pool: (typeof pools)[number]) => pool.usableSlotCount >= pool.neededSlotCount;
+  if (pools.length > 0 && pools.every(isReady)) return;
+  if (Date.now() >= deadlineMs) {
+    throw new Error(`The pools did not get their VMs:\n${run.lines.join('\n')}`);
+  }
+  await sleep(READY_POLL_MS);
+  await waitForCapacity(cluster, deadlineMs);
+}
+
+/** Chooses one pool of each user: the one that needs the fewest slots. */
+function chooseWavePools(users: readonly DemoUser[]): readonly string[] {
+  return users.map((user) => {
+    const pools = user.files.flatMap(({ settings }) =>
+      Object.entries(settings.pools).map(([name, pool]) => ({
+        name: `${settings.team}/${name}`,
+        neededSlotCount: pool.neededSlotCount,
+      })),
+    );
+    return pools.reduce((least, pool) =>
+      pool.neededSlotCount < least.neededSlotCount ? pool : least,
+    ).name;
+  });
+}
+
+async function runWave(cluster: DemoCluster, users: readonly DemoUser[]) {
+  const limit = String(WAVE_LIMIT_S);
+  const pools = chooseWavePools(users);
+  const run = await cluster.runCli(['waves', 'start', ...pools, '--wait', '--limit-s', limit]);
+  const wave = waveSchema.safeParse(run.json).data;
+  if (run.code !== 0 || wave?.state !== 'finished') {
+    throw new Error(`The wave did not finish:\n${run.lines.join('\n')}`);
+  }
+  return wave;
+}
+
+async function runDemo(cluster: DemoCluster): Promise<number> {
+  const users = readDemoUsers();
+  await cluster.start(users, DAEMON_COUNT);
+  console.log(`${DAEMON_COUNT} daemons, ${users.flatMap(({ vms }) => vms).length} VMs`);
+  const files = users.flatMap((user) => user.files);
+  await Promise.all(files.map((file) => publish(cluster, file)));
+  await waitForCapacity(cluster, Date.now() + READY_WAIT_MS);
+  console.log('settings of both users in force, every pool has its VMs');
+  const stream = new JobStream({
+    daemons: cluster.daemons,
+    kinds: users.flatMap(listJobKinds),
+    rng: new SeededRng(SEED),
+    intervalMs: JOB_INTERVAL_MS,
+    maxJobCount: MAX_JOB_COUNT,
+  });
+  stream.start();
+  const [wave] = await Promise.all([
+    runWave(cluster, users),
+    // A change of settings under load, whose roll-out is measured.
+    publish(cluster, { ...files[0]!, document: `${files[0]!.document}\n// Revised.\n` }),
+  ]);
+  // The daemons are told to stop while the last jobs run, none of which may be cut off.
+  stream.stop();
+  const [stoppedDaemonCount, answers] = await Promise.all([
+    cluster.stopDaemons(),
+    stream.collectAnswers(),
+  ]);
+  const starts = await cluster.listStarts();
+  const logLines = cluster.daemons.flatMap(({ managed }) => managed.logLines);
+  const broken = checkPromises(answers, starts, logLines);
+  const summary = formatSummary({
+    answers,
+    broken,
+    waveRollOutMs: getWaveRollOutMs(logLines, wave.wave),
+    waveVmCount: wave.maintainedVmCount,
+    configurationRollOutMs: getConfigurationRollOutMs(logLines),
+    stoppedDaemonCount,
+    daemonCount: DAEMON_COUNT,
+  });
+  console.log(summary.join('\n'));
+  const isWhole = Object.values(broken).every((ids) => ids.length === 0);
+  return isWhole && stoppedDaemonCount === DAEMON_COUNT ? 0 : 1;
+}
+
+async function main(): Promise<number> {
+  const cluster = new DemoCluster();
+  const limit = setTimeout(() => {
+    console.error('The demo took too long.');
+    void cluster.destroy().then(() => process.exit(1));
+  }, DEMO_LIMIT_MS);
+  const stop = () => {
+    void cluster.destroy().then(() => process.exit(1));
+  };
+  process.once('SIGINT', stop);
+  process.once('SIGTERM', stop);
+  try {
+    return await runDemo(cluster);
+  } catch (error) {
+    console.error(String(error));
+    return 1;
+  } finally {
+    clearTimeout(limit);
+    await cluster.destroy();
+  }
+}
+
+process.exit(await main());
--- a/standins/processes/ManagedProcess.ts
+++ b/standins/processes/ManagedProcess.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { createInterface } from 'node:readline';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 const READY_TIMEOUT_MS = 20_000;
 
@@ -23,6 +24,9 @@
   /** Lines written so far, of both outputs. */
   readonly lines: string[] = [];
 
+  /** Lines written so far to the standard output. */
+  readonly outputLines: string[] = [];
+
   /** Resolves when the process has ended. */
   readonly ended: Promise<ProcessEnd>;
 
@@ -41,12 +45,11 @@
     this.ended = new Promise((resolve) => {
       this.child.once('close', (code, signal) => resolve({ code, signal }));
     });
-    [this.child.stdout!, this.child.stderr!].forEach((output) => {
-      createInterface({ input: output }).on('line', (line) => {
-        this.lines.push(line);
-        this.listeners.forEach((listener) => listener(line));
-      });
+    createInterface({ input: this.child.stdout! }).on('line', (line) => {
+      this.outputLines.push(line);
+      this.receive(line);
     });
+    createInterface({ input: this.child.stderr! }).on('line', (line) => this.receive(line));
   }
 
   /** Log lines written so far that are whole JSON objects. */
@@ -82,6 +85,19 @@
     });
   }
 
+  /**
+   * Waits until the process has ended by itself.
+   * @param limitMs - Longest wait, in milliseconds.
+   * @returns How it ended, or undefined where it still runs.
+   */
+  async waitForEnd(limitMs: number): Promise<ProcessEnd | undefined> {
+    const timeout = new AbortController();
+    const late = sleep(limitMs, undefined, { signal: timeout.signal }).catch(() => undefined);
+    const end = await Promise.race([this.ended, late]);
+    timeout.abort();
+    return end;
+  }
+
   /**
    * Sends a signal to the process.
    * @param signal - For example `SIGKILL`, `SIGSTOP`, `SIGCONT` or `SIGTERM`.
@@ -96,6 +112,11 @@
     await this.ended;
   }
 
+  private receive(line: string): void {
+    this.lines.push(line);
+    this.listeners.forEach((listener) => listener(line));
+  }
+
   private failWait(pattern: RegExp, reject: (error: Error) => void): void {
     reject(new Error(`No line like ${pattern}; output:\n${this.lines.join('\n')}`));
   }
--- a/standins/targets/index.ts
+++ b/standins/targets/index.ts
@@ -1,3 +1,4 @@
+export { type FleetShape, makeFleet } from './makeFleet.js';
 export { NO_TARGET_FAULTS, type TargetFaults } from './TargetFaults.js';
 export { TargetStandIn } from './TargetStandIn.js';
 export { type TargetsConfig, targetsConfigSchema, type TargetVmSpec } from './targetsConfig.js';
--- a/tests/support/makeFleet.ts
+++ b/standins/targets/makeFleet.ts
@@ -1,7 +1,9 @@
-import type { TargetVmSpec } from '../../standins/targets/index.js';
+import type { TargetVmSpec } from './targetsConfig.js';
 
 /** Shape of a fleet. */
 export interface FleetShape {
+  /** Starts every name, so that two fleets can stand side by side. */
+  readonly namePrefix?: string;
   readonly workerCount: number;
   readonly vmCountPerWorker: number;
   readonly workerCountPerRack: number;
@@ -21,13 +23,14 @@
 export function makeFleet(shape: FleetShape): readonly TargetVmSpec[] {
   const { workerCount, vmCountPerWorker, workerCountPerRack, dataCentres } = shape;
   const { coreCount, memoryMb, slotCount } = { ...DEFAULT_VM_SIZE, ...shape };
+  const { namePrefix = '' } = shape;
   return Array.from({ length: workerCount * vmCountPerWorker }, (_, index) => {
     const workerIndex = Math.floor(index / vmCountPerWorker);
     const rackIndex = Math.floor(workerIndex / workerCountPerRack);
     return {
-      vm: `vm-${String(index + 1).padStart(3, '0')}`,
-      worker: `worker-${workerIndex + 1}`,
-      rack: `rack-${rackIndex + 1}`,
+      vm: `${namePrefix}vm-${String(index + 1).padStart(3, '0')}`,
+      worker: `${namePrefix}worker-${workerIndex + 1}`,
+      rack: `${namePrefix}rack-${rackIndex + 1}`,
       dataCentre: dataCentres[rackIndex % dataCentres.length]!,
       coreCount,
       memoryMb,
--- a/tests/support/index.ts
+++ b/tests/support/index.ts
@@ -1,4 +1,3 @@
-export { type FleetShape, makeFleet } from './makeFleet.js';
 export {
   endProcesses,
   ManagedProcess,
@@ -7,3 +6,4 @@
   startProcess,
 } from '../../standins/processes/index.js';
 export { TcpForwarder } from './TcpForwarder.js';
+export { type FleetShape, makeFleet } from '../../standins/targets/index.js';
