--- a/tests/standins/processes.test.ts
+++ b/tests/standins/processes.test.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { HttpVmPort } from '../../src/platform/index.js';
-import { endProcesses, makeFleet, startProcess, type ManagedProcess } from '../support/index.js';
+import { endProcesses, makeFleet, startProcess, type TestProcess } from '../support/index.js';
 
 const READY_LINE = /^listening (\d+)$/;
 
@@ -18,7 +18,7 @@
   rmSync(directory, { recursive: true });
 });
 
-async function start(program: string, config: unknown): Promise<[ManagedProcess, number]> {
+async function start(program: string, config: unknown): Promise<[TestProcess, number]> {
   const path = join(directory, `${program}.jsonc`);
   writeFileSync(path, `// Test.\n${JSON.stringify(config)}`);
   const managed = await startProcess({
--- a/tests/support/index.ts
+++ b/tests/support/index.ts
@@ -1,9 +1,9 @@
+export { type FleetShape, makeFleet } from './makeFleet.js';
 export {
   endProcesses,
-  ManagedProcess,
   type ProcessEnd,
   type ProcessOptions,
   startProcess,
-} from '../../standins/processes/index.js';
+  TestProcess,
+} from './startProcess.js';
 export { TcpForwarder } from './TcpForwarder.js';
-export { type FleetShape, makeFleet } from '../../standins/targets/index.js';
--- /dev/null
+++ b/tests/support/makeFleet.ts
@@ -0,0 +1,1 @@
+export { type FleetShape, makeFleet } from '../../standins/targets/index.js';
--- /dev/null
+++ b/tests/support/startProcess.ts
@@ -0,0 +1,7 @@
+export {
+  endProcesses,
+  ManagedProcess as TestProcess,
+  type ProcessEnd,
+  type ProcessOptions,
+  startProcess,
+} from '../../standins/processes/index.js';
