--- a/src/callers/createHttpServer.ts
+++ b/src/callers/createHttpServer.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
-import { fastify, type FastifyInstance } from 'fastify';
+import { fastify, type FastifyInstance, type FastifyRequest } from 'fastify';
 import { ERROR_ANSWERS, type Outcome, RattanliftError, throwError } from '../errors/index.js';
 import type { EventLog } from '../logging/index.js';
 import { type Clock, SystemClock } from '../utils/index.js';
@@ -48,12 +48,18 @@
  */
 async function getRefusalOutcome(
   { kind }: RattanliftError,
-  requestId: string,
+  request: FastifyRequest,
   { getEarlierOutcome }: HttpServerOptions,
 ): Promise<Outcome> {
   const { outcome } = ERROR_ANSWERS[kind];
-  if (outcome !== 'not-run') return outcome;
-  return (await getEarlierOutcome?.(requestId)) ?? outcome;
+  const isOwnId = request.headers[CALLER_HEADERS.requestId.toLowerCase()] === request.id;
+  // An id that was made here has no earlier attempt, so the log is not read for it.
+  if (outcome !== 'not-run' || !isOwnId || getEarlierOutcome === undefined) return outcome;
+  try {
+    return (await getEarlierOutcome(request.id)) ?? outcome;
+  } catch {
+    return 'unknown';
+  }
 }
 
 function useJsonErrors(server: FastifyInstance, clock: Clock, options: HttpServerOptions): void {
@@ -64,7 +70,7 @@
     const { kind, field, message } = error;
     if (isUnexpected) events?.write('unexpectedError', { requestId, reason: String(thrown) });
     else events?.write('badInput', { requestId, kind, field, reason: message });
-    const outcome = await getRefusalOutcome(error, requestId, options);
+    const outcome = await getRefusalOutcome(error, request, options);
     sendError(reply, error, { nowMs: clock.wallMs(), httpStatus, outcome });
     return reply;
   });
--- a/tests/callers/createHttpServer.test.ts
+++ b/tests/callers/createHttpServer.test.ts
@@ -65,7 +65,10 @@
     // its deadline. The repeat is refused without asking anyone, and a plain "not run" would make
     // the field crew enter the page again.
     const { port } = await start({
-      getEarlierOutcome: async (id: string) => (id === 'ran' ? 'run' : undefined),
+      getEarlierOutcome: async (id: string) => {
+        if (id === 'fails') throw new Error('slip');
+        return id === 'ran' ? 'run' : undefined;
+      },
     });
     const late = (id: string) =>
       exchangeBytes(
@@ -77,6 +80,7 @@
       );
     expect(await late('ran')).toContain('"kind":"deadline-past","outcome":"run"');
     expect(await late('new')).toContain('"kind":"deadline-past","outcome":"not-run"');
+    expect(await late('fails')).toContain('"kind":"deadline-past","outcome":"unknown"');
   });
 });
 
