--- a/bench/model/FleetModel.ts
+++ b/bench/model/FleetModel.ts
@@ -80,6 +80,8 @@
 
   private belowNeededMs = 0;
 
+  private outsideBudgetMs = 0;
+
   private moves = 0;
 
   private heldMs = 0;
@@ -131,6 +133,7 @@
       brokenVmCount: this.brokenVms,
       overBudgetStepCount: this.overBudgetSteps,
       belowNeededMs: this.belowNeededMs,
+      outsideBudgetMs: this.outsideBudgetMs,
       moveCount: this.moves,
       heldVmHours: this.heldMs / HOUR_MS,
       neededVmHours: this.neededMs / HOUR_MS,
@@ -330,6 +333,8 @@
       const accepting = vms.filter(({ condition }) => condition === 'accepting');
       const slotCount = accepting.reduce((sum, vm) => sum + vm.slotCount, 0);
       const hasSettled = this.nowMs > 0;
+      const isOutside = checkBudget(tables, { nowMs: this.nowMs }).type === 'exceeded';
+      if (hasSettled && isOutside) this.outsideBudgetMs += tickMs;
       if (hasSettled && slotCount < neededSlotCount) this.belowNeededMs += tickMs;
       const neededVmCount = Math.ceil(neededSlotCount / (vms[0]?.slotCount ?? 4));
       heldCount += vms.length;
--- a/bench/model/FleetOutcome.ts
+++ b/bench/model/FleetOutcome.ts
@@ -12,6 +12,8 @@
   readonly overBudgetStepCount: number;
   /** Time in which some pool had fewer accepting slots than it needs, summed over pools. */
   readonly belowNeededMs: number;
+  /** Time in which some pool was outside its budget for whatever reason, summed over pools. */
+  readonly outsideBudgetMs: number;
   /** VMs that changed pools: one move an adoption. */
   readonly moveCount: number;
   /** VM time held by pools, in hours. */
--- a/bench/model/JobOutcome.ts
+++ b/bench/model/JobOutcome.ts
@@ -24,7 +24,7 @@
   readonly overfilledStartCount: number;
   /** Starts on a VM that fails all that it starts. */
   readonly badVmStartCount: number;
-  /** Slot time of runs that ended well, or still run, in milliseconds. */
+  /** Work of runs that ended well, were checkpointed or still run, in milliseconds. */
   readonly usefulSlotMs: number;
   /** Slot time of the VMs that were there, in milliseconds. */
   readonly availableSlotMs: number;
--- a/bench/subjects/measurePlacement.ts
+++ b/bench/subjects/measurePlacement.ts
@@ -20,12 +20,14 @@
 /** Share of the slot time that jobs could at best have used. */
 function bestUtilisation(trace: Trace, availableSlotMs: number): number {
   const { endMs } = trace.head;
-  const cancelledIds = new Set(
-    trace.events.flatMap((event) => (event.type === 'cancel' ? [event.id] : [])),
+  const cancelledAtMs = new Map(
+    trace.events.flatMap((event) =>
+      event.type === 'cancel' ? [[event.id, event.atMs] as const] : [],
+    ),
   );
   const offeredMs = trace.events.map((event) =>
-    event.type === 'job' && event.poison !== true && !cancelledIds.has(event.id)
-      ? Math.min(event.runMs, endMs - event.atMs)
+    event.type === 'job' && event.poison !== true
+      ? Math.min(event.runMs, (cancelledAtMs.get(event.id) ?? endMs) - event.atMs)
       : 0,
   );
   return Math.min(1, sum(offeredMs) / availableSlotMs);
--- a/bench/subjects/measureWaves.ts
+++ b/bench/subjects/measureWaves.ts
@@ -43,8 +43,12 @@
   return Math.max(fleetMs, ...poolMs);
 }
 
-/** Figures of one run. */
-function figuresOf(outcome: FleetOutcome): Readonly<Record<string, number>> {
+/**
+ * Computes the figures of one wave run.
+ * @param outcome - What happened.
+ * @returns Figures by column.
+ */
+export function waveFigures(outcome: FleetOutcome): Readonly<Record<string, number>> {
   return {
     rollOutMinutes: (outcome.rollOutMs ?? NaN) / MINUTE_MS,
     overBudgetSteps: outcome.overBudgetStepCount,
@@ -111,7 +115,7 @@
     const outcome = replayWaves(trace, policy);
     return {
       policy: policy.name,
-      figures: figuresOf(outcome),
+      figures: waveFigures(outcome),
       brokenPromiseCount: outcome.brokenPromises.length,
       brokenPromises: outcome.brokenPromises,
     };
--- a/src/systems/VmLoad.ts
+++ b/src/systems/VmLoad.ts
@@ -2,7 +2,7 @@
 import type { JobSize } from './learnedSize.js';
 
 /** How long a start counts as recent, in milliseconds. */
-const RECENT_START_MS = 200;
+const RECENT_START_MS = 50;
 /** How long a run after a failure has to last to count as no failure, in milliseconds. */
 const TRIAL_MS = 5_000;
 /** Pauses between trials of a VM with failures, in milliseconds. */
--- a/src/systems/placeQueuedJobs.ts
+++ b/src/systems/placeQueuedJobs.ts
@@ -9,11 +9,14 @@
 import { PoolLoad } from './PoolLoad.js';
 import { quotaOf } from './quotaOf.js';
 import { refuseHopeless, refuseLate } from './refuseHopeless.js';
+import { RunEstimator } from './RunEstimator.js';
 import type { VmLoad } from './VmLoad.js';
 
 /** Shares of the pool's slots kept free of an urgency's jobs, for what is more urgent. */
 const NORMAL_HEADROOM_FRACTION = 0.05;
 const OVERNIGHT_HEADROOM_FRACTION = 0.1;
+/** Mean time between two ends of runs that urgent work may wait for, in milliseconds. */
+const SOON_FREE_MS = 500;
 /** Wait from which on a VM is kept free for a job that fits nowhere, in milliseconds. */
 const RESERVE_AFTER_MS = 10_000;
 
@@ -29,6 +32,7 @@
 interface PlacementRun extends PlaceQueuedJobsOptions {
   readonly tables: PoolTables;
   readonly load: PoolLoad;
+  readonly estimator: RunEstimator;
   readonly owed: ReadonlySet<QueuedRow>;
   readonly largestVmMemoryMb: number;
   /** Sizes that were found to fit nowhere; within a run VMs only fill up. */
@@ -37,13 +41,18 @@
   readonly reservedVms: Set<string>;
 }
 
-/** Slots to keep free when a job of an urgency is placed. */
-function headroomSlotCount(urgency: Urgency, slotCount: number): number {
+/**
+ * Slots to keep free when a job of an urgency is placed. Where normal runs are short, one of them
+ * ends soon enough for urgent work, and no slot has to idle for it.
+ */
+function headroomSlotCount(urgency: Urgency, slotCount: number, meanRunMs: number): number {
   switch (urgency) {
     case 'urgent':
       return 0;
     case 'normal':
-      return Math.floor(NORMAL_HEADROOM_FRACTION * slotCount);
+      return meanRunMs / slotCount <= SOON_FREE_MS
+        ? 0
+        : Math.floor(NORMAL_HEADROOM_FRACTION * slotCount);
     case 'overnight':
       return Math.min(Math.ceil(OVERNIGHT_HEADROOM_FRACTION * slotCount), slotCount - 1);
     default:
@@ -69,8 +78,9 @@
   const { team, urgency } = request;
   const quota = quotaOf(run.tables.settings, team);
   if (quota === undefined) return false;
+  const { meanMs } = run.estimator.estimate(request.jobKind);
   const headroomOf = (slotCount: number): number =>
-    owed.has(request) ? 0 : headroomSlotCount(urgency, slotCount);
+    owed.has(request) ? 0 : headroomSlotCount(urgency, slotCount, meanMs);
   const freeQuota = quota.slotCount - load.heldByTeamCount(team);
   return (
     freeQuota > headroomOf(Math.min(quota.slotCount, load.slotCount)) &&
@@ -142,7 +152,8 @@
 ): readonly PlacementDecision[] {
   const { nowMs } = options;
   if (tables.queue.size === 0 && tables.preemptions.size === 0) return [];
-  const refusals = refuseHopeless(tables, nowMs);
+  const estimator = new RunEstimator(tables);
+  const refusals = refuseHopeless(tables, { nowMs, estimator });
   const refusedIds = new Set(refusals.map((refusal) => refusal.attemptId));
   const requests = tables.queue.list().filter(({ attemptId }) => !refusedIds.has(attemptId));
   const load = new PoolLoad({ tables, nowMs });
@@ -152,6 +163,7 @@
     ...options,
     tables,
     load,
+    estimator,
     owed: order.owed,
     largestVmMemoryMb,
     unfitSizes: new Set(),
@@ -168,7 +180,7 @@
   return [
     ...refusals,
     ...placements,
-    ...refuseLate(tables, waiting, load.slotCount, nowMs),
+    ...refuseLate(waiting, load.slotCount, { nowMs, estimator }),
     ...preemptions,
     ...(waitingUrgent.length === 0 ? planUnthrottles(tables, load) : []),
   ];
--- a/src/systems/planCapacity.ts
+++ b/src/systems/planCapacity.ts
@@ -15,6 +15,9 @@
 /** How long a VM that the platform reports as gone stays with its pool. */
 const GONE_HOLD_MS = 600_000;
 
+/** VMs without gain of their own that are adopted for the gain of the ones after them. */
+const MAX_GAINLESS_COUNT = 2;
+
 /** Options of {@link planCapacity}. */
 export interface PlanCapacityOptions {
   /** Monotonic time, in milliseconds. */
@@ -136,7 +139,7 @@
   return place < 0 ? 0 : left[place]! - right[place]!;
 }
 
-/** Picks the VM that helps most, if any helps at all. */
+/** Picks the VM that helps most. */
 function pickAdoption(
   plan: CapacityPlan,
   candidates: readonly VmRow[],
@@ -151,41 +154,54 @@
     (best, next) => (best === undefined || compareRanks(next.rank, best.rank) < 0 ? next : best),
     undefined,
   );
-  if (first === undefined) return undefined;
-  const helps = first.rank[0]! < 0 || plan.slots.slotCount < plan.targetSlotCount;
-  return helps ? first.vm : undefined;
+  return first?.vm;
+}
+
+/** VMs that the pool may adopt. */
+function listCandidates(plan: CapacityPlan, unassignedVms: readonly VmRow[]): readonly VmRow[] {
+  const { dataCentres } = plan.tables.settings;
+  return unassignedVms
+    .filter((vm) => vm.state === 'live')
+    .filter((vm) => dataCentres.length === 0 || dataCentres.includes(vm.dataCentre))
+    .filter((vm) => canCarryAnyKind(plan.tables.settings, vm));
 }
 
-/** Plans the adoptions that the pool lacks. */
+/**
+ * Plans the adoptions that the pool lacks. Where all failure domains are equally full, the next VM
+ * alone gains nothing, since it enlarges the largest loss; the ones after it do gain. So a few VMs
+ * without gain are looked past, and given up again if none after them gains either.
+ */
 function planAdoptions(
   plan: CapacityPlan,
   unassignedVms: readonly VmRow[],
 ): readonly CapacityDecision[] {
-  const { dataCentres } = plan.tables.settings;
+  const { slots, targetSlotCount, targetVmCount } = plan;
+  const domain = plan.tables.settings.availability.failureDomain;
   const decisions: CapacityDecision[] = [];
   const isMissing = (): boolean =>
-    plan.slots.countAfterLoss() < plan.targetSlotCount ||
-    plan.presentVms.length + decisions.length < plan.targetVmCount;
+    slots.countAfterLoss() < targetSlotCount ||
+    plan.presentVms.length + decisions.length < targetVmCount;
   if (!isMissing()) return decisions;
-  let candidates = unassignedVms
-    .filter((vm) => vm.state === 'live')
-    .filter((vm) => dataCentres.length === 0 || dataCentres.includes(vm.dataCentre))
-    .filter((vm) => canCarryAnyKind(plan.tables.settings, vm));
-  while (isMissing()) {
-    const leftSlotCount = plan.slots.countAfterLoss();
-    const missingSlotCount = Math.max(1, plan.targetSlotCount - leftSlotCount);
-    const picked = pickAdoption(plan, candidates, missingSlotCount);
-    if (picked === undefined) return decisions;
+  let candidates = listCandidates(plan, unassignedVms);
+  let usefulCount = 0;
+  while (isMissing() && decisions.length - usefulCount <= MAX_GAINLESS_COUNT) {
+    const leftSlotCount = slots.countAfterLoss();
+    const isShort =
+      slots.slotCount < targetSlotCount ||
+      plan.presentVms.length + decisions.length < targetVmCount;
+    const picked = pickAdoption(plan, candidates, Math.max(1, targetSlotCount - leftSlotCount));
+    if (picked === undefined) return decisions.slice(0, usefulCount);
     decisions.push({
       type: 'adopt',
       vm: picked.vm,
-      reason: `${leftSlotCount} slots would be left after the loss of a ${plan.tables.settings.availability.failureDomain}; ${plan.targetSlotCount} are wanted`,
+      reason: `${leftSlotCount} slots would be left after the loss of a ${domain}; ${targetSlotCount} are wanted`,
     });
-    plan.slots.add(picked);
+    slots.add(picked);
     plan.dataCentreSlots.add(picked);
     candidates = candidates.filter((vm) => vm.vm !== picked.vm);
+    if (isShort || slots.countAfterLoss() > leftSlotCount) usefulCount = decisions.length;
   }
-  return decisions;
+  return decisions.slice(0, usefulCount);
 }
 
 /** Names of VMs that hold grants, which a move would cut off. */
@@ -213,7 +229,7 @@
 ): readonly CapacityDecision[] {
   const { tables, slots } = plan;
   const { maxUnavailableFraction } = tables.settings.availability;
-  if (slots.countAfterLoss() <= plan.targetSlotCount) return [];
+  if (slots.countAfterLoss() < plan.targetSlotCount) return [];
   const outCount = tables.vms.size - plan.presentVms.length;
   const idleVms = plan.presentVms
     .filter((vm) => vm.condition === 'accepting' && !busyVms.has(vm.vm))
--- a/src/systems/refuseHopeless.ts
+++ b/src/systems/refuseHopeless.ts
@@ -1,8 +1,8 @@
 import type { PoolTables, QueuedRow } from '../tables/index.js';
 import { groupBy } from '../utils/index.js';
 import type { PlacementDecision } from './decisions.js';
-import { estimateRun } from './learnedSize.js';
 import { quotaOf } from './quotaOf.js';
+import type { RunEstimator } from './RunEstimator.js';
 
 /** VMs that a request may fail on before it is taken to be at fault itself. */
 export const MAX_FAILED_VM_COUNT = 3;
@@ -11,8 +11,23 @@
 const MAX_RETRY_AFTER_MS = 60_000;
 /** When to look again for a pool that has no VM yet, in milliseconds. */
 const NO_VM_RETRY_AFTER_MS = 5_000;
-/** Share of an estimated wait that is believed: only what is clearly hopeless is refused. */
-const BELIEVED_WAIT_FRACTION = 0.5;
+/**
+ * Share of an estimated wait that is believed. A request that has just come is refused as soon as
+ * its wait looks too long; one that waits already only when that is clear, since an early answer
+ * is worth most and estimates swing. Waits estimated from declared run times count for less.
+ */
+const BELIEVED_OF_NEW_FRACTION = 1;
+const BELIEVED_OF_WAITING_FRACTION = 0.6;
+const BELIEVED_OF_DECLARED_FRACTION = 0.5;
+/** How long a request counts as one that has just come, in milliseconds. */
+const NEW_REQUEST_MS = 300;
+
+/** Options of the refusals. */
+export interface RefuseOptions {
+  /** Monotonic time, in milliseconds. */
+  readonly nowMs: number;
+  readonly estimator: RunEstimator;
+}
 
 /** A refusal. */
 export type Refusal = Extract<PlacementDecision, { type: 'refuse' }>;
@@ -26,13 +41,13 @@
 function findImpossible(
   tables: PoolTables,
   request: QueuedRow,
-  nowMs: number,
+  options: RefuseOptions,
 ): Omit<Refusal, 'type' | 'attemptId'> | undefined {
-  const leftMs = request.deadlineMs - nowMs;
+  const leftMs = request.deadlineMs - options.nowMs;
   if (leftMs <= 0) {
     return { kind: 'deadline-past', reason: 'its deadline has passed', retryAfterMs: 0 };
   }
-  const { shortestMs } = estimateRun(tables, request.jobKind);
+  const { shortestMs } = options.estimator.estimate(request.jobKind);
   if (leftMs < shortestMs) {
     return {
       kind: 'deadline-past',
@@ -79,7 +94,11 @@
 }
 
 /** Refuses the youngest requests of teams that have more waiting than their quota allows. */
-function refuseOverfull(tables: PoolTables, requests: readonly QueuedRow[]): readonly Refusal[] {
+function refuseOverfull(
+  tables: PoolTables,
+  requests: readonly QueuedRow[],
+  options: RefuseOptions,
+): readonly Refusal[] {
   const slotCount = tables.vms.list().reduce((sum, vm) => sum + vm.slotCount, 0);
   const byTeam = groupBy(requests, (request) => request.team);
   return [...byTeam].flatMap(([team, teamRequests]) => {
@@ -87,8 +106,8 @@
     if (teamRequests.length <= quota.queuedJobCount) return [];
     const heldCount = tables.grants.list().filter((grant) => grant.team === team).length;
     const atQuota = heldCount >= quota.slotCount;
-    const { typicalMs } = estimateRun(tables, teamRequests[0]!.jobKind);
-    const drainMs = (typicalMs * quota.queuedJobCount) / Math.min(slotCount, quota.slotCount) / 2;
+    const { meanMs } = options.estimator.estimate(teamRequests[0]!.jobKind);
+    const drainMs = (meanMs * quota.queuedJobCount) / Math.min(slotCount, quota.slotCount) / 2;
     return [...teamRequests]
       .sort((left, right) => left.queuedAtMs - right.queuedAtMs)
       .slice(quota.queuedJobCount)
@@ -108,54 +127,59 @@
  * Refuses the requests that cannot be served, before any is placed, so that their callers learn
  * it at once.
  * @param tables - State of the pool.
- * @param nowMs - Monotonic time, in milliseconds.
+ * @param options - Time and estimates of run times.
  * @returns Refusals with their kind and when to come back.
  */
-export function refuseHopeless(tables: PoolTables, nowMs: number): readonly Refusal[] {
+export function refuseHopeless(tables: PoolTables, options: RefuseOptions): readonly Refusal[] {
   const requests = tables.queue.list();
   const impossible = requests.flatMap((request): readonly Refusal[] => {
-    const found = findImpossible(tables, request, nowMs);
+    const found = findImpossible(tables, request, options);
     return found === undefined ? [] : [{ type: 'refuse', attemptId: request.attemptId, ...found }];
   });
   const refusedIds = new Set(impossible.map((refusal) => refusal.attemptId));
   const possible = requests.filter((request) => !refusedIds.has(request.attemptId));
-  return [...impossible, ...refuseOverfull(tables, possible)];
+  return [...impossible, ...refuseOverfull(tables, possible, options)];
+}
+
+/** Share of a request's estimated wait that is believed. */
+function believedFraction(request: QueuedRow, options: RefuseOptions): number {
+  const { nowMs, estimator } = options;
+  if (!estimator.estimate(request.jobKind).isMeasured) return BELIEVED_OF_DECLARED_FRACTION;
+  const isNew = nowMs - request.queuedAtMs < NEW_REQUEST_MS;
+  return isNew ? BELIEVED_OF_NEW_FRACTION : BELIEVED_OF_WAITING_FRACTION;
 }
 
 /**
  * Refuses waiting requests that the work ahead of them keeps from their deadline. Under overload
- * they would otherwise wait, take a slot too late, and waste it on an answer that nobody reads.
- * @param tables - State of the pool.
+ * they would otherwise wait, take a slot too late, and waste it on an answer that nobody reads;
+ * so a request only waits while even a long run could still end in time.
  * @param waiting - Requests that got no slot, in the order in which they will be served.
  * @param slotCount - Slots of the accepting VMs.
- * @param nowMs - Monotonic time, in milliseconds.
+ * @param options - Time and estimates of run times.
  * @returns Refusals with when to come back.
  */
 export function refuseLate(
-  tables: PoolTables,
   waiting: readonly QueuedRow[],
   slotCount: number,
-  nowMs: number,
+  options: RefuseOptions,
 ): readonly Refusal[] {
   if (slotCount === 0) return [];
-  const typicalRunMs = new Map<string, number>();
   let workAheadMs = 0;
   return waiting.flatMap((request): readonly Refusal[] => {
-    const { jobKind, attemptId } = request;
-    const runMs = typicalRunMs.get(jobKind) ?? estimateRun(tables, jobKind).typicalMs;
-    typicalRunMs.set(jobKind, runMs);
-    const waitMs = (workAheadMs / slotCount) * BELIEVED_WAIT_FRACTION;
-    if (nowMs + waitMs <= request.deadlineMs) {
-      workAheadMs += runMs;
+    const { meanMs, longMs } = options.estimator.estimate(request.jobKind);
+    const waitMs = workAheadMs / slotCount;
+    const believedWaitMs = waitMs * believedFraction(request, options);
+    if (options.nowMs + believedWaitMs + longMs <= request.deadlineMs) {
+      workAheadMs += meanMs;
       return [];
     }
     return [
       {
         type: 'refuse',
-        attemptId,
+        attemptId: request.attemptId,
         kind: 'no-capacity',
-        reason: `the work ahead of it takes about ${Math.round(workAheadMs / slotCount)} ms, longer than its deadline allows`,
-        retryAfterMs: clampRetryAfter(workAheadMs / slotCount),
+        reason: `the work ahead of it takes about ${Math.round(waitMs)} ms and its own run up to ${Math.round(longMs)} ms, longer than its deadline allows`,
+        retryAfterMs: clampRetryAfter(waitMs),
       },
     ];
   });
--- a/tests/systems/planCapacity.test.ts
+++ b/tests/systems/planCapacity.test.ts
@@ -45,6 +45,20 @@
     expect(step(tables, 0, spares).toSorted()).toEqual(['adopt vm-01-00', 'adopt vm-07-00']);
   });
 
+  // Every rack holds one VM, and one more is needed. Any single VM makes some rack the largest, so
+  // each alone gains nothing; a pool that judged them one by one would stay outside its budget.
+  it('adopts two VMs where one alone would gain nothing, and none where no number helps', () => {
+    const settings = makeSettings({ neededSlotCount: 16 });
+    const tables = makePool(0, settings);
+    [0, 1, 2, 3, 4].forEach((rack) =>
+      tables.vms.put({ ...makeVm(rack, 0), condition: 'accepting' }),
+    );
+    tables.settings = makeSettings({ neededSlotCount: 20 });
+    expect(step(tables, 0, makeSpares([0]))).toEqual([]);
+    expect(step(tables, 0, makeSpares([0, 1])).length).toBe(2);
+    expect(checkBudget(tables, { nowMs: 0 })).toEqual({ type: 'within', spareSlotCount: 0 });
+  });
+
   // The switch of a rack restarts and its VMs are unreachable for two seconds. Users would see
   // VMs change pools for nothing, twice. A VM that stays away longer is replaced.
   it('waits for a VM that is lost for a moment, and replaces it when it stays away', () => {
