Count a target's own failure as the answer that it is

Cause: the demo's caller expected the daemon's error form of every answer but 200, and took a passed-on failure of a target for no answer. Change: an answer with another status needs the request's id; the kind is named where there is one.

--- a/standins/demo/sendJob.ts
+++ b/standins/demo/sendJob.ts
@@ -21,7 +21,8 @@
 const ANSWER_TIMEOUT_MS = 30_000;
 
 const echoSchema = z.object({ requestId: z.string(), bodySha256: z.string() });
-const errorSchema = z.object({ kind: z.string(), requestId: z.string() });
+/** An error of the daemon, which has a kind, or one of the target. */
+const errorSchema = z.object({ kind: z.string().optional(), requestId: z.string() });
 
 function isOwnAnswer(job: DemoJob, body: string, httpStatus: number, text: string): boolean {
   const parsed: unknown = JSON.parse(text);
