--- a/src/log/snapshot/SnapshotWriter.ts
+++ b/src/log/snapshot/SnapshotWriter.ts
@@ -15,6 +15,7 @@
 const APPEND_WAIT_MS = 5_000;
 const ATTEMPT_COUNT = 4;
 const PARTS_PER_APPEND = 8;
+const DEFAULT_APPEND_GAP_MS = 20;
 
 /** Options of {@link SnapshotWriter}. */
 export interface SnapshotWriterOptions {
@@ -31,6 +32,8 @@
   readonly recordCount: number;
   /** Age of the latest snapshot at which the next one is due; far less than the retention. */
   readonly longestAgeMs: number;
+  /** Pause between appends, which leaves the log's rate to the claims of requests. */
+  readonly appendGapMs?: number;
   readonly backoff?: BackoffOptions;
 }
 
@@ -128,6 +131,7 @@
     );
     await laterStarts.reduce<Promise<unknown>>(async (former, start) => {
       await former;
+      await sleep(this.options.appendGapMs ?? DEFAULT_APPEND_GAP_MS);
       return this.append(parts.slice(start, start + PARTS_PER_APPEND));
     }, Promise.resolve());
     return firstPartOffset;
--- a/tests/log/snapshot.test.ts
+++ b/tests/log/snapshot.test.ts
@@ -42,6 +42,7 @@
     },
     recordCount: 100,
     longestAgeMs: AGE_MS,
+    appendGapMs: 0,
     backoff: { firstMs: 1, longestMs: 1 },
   });
   return { log, clock, tables, writer, stream: log.entriesOf(SNAPSHOT_STREAM) };
