Give up answers that their caller does not take

Cause: a caller's connection can go silent in the middle of an answer, and TCP goes on trying for minutes while the job holds its slot. Change: an answer is broken off where bytes wait for the caller and none left for 30 s; a target that is slow to send does not count. Result: 63 tests of tests/callers passed; without the limit, and without its condition, one each of the two new tests failed. Conclusion: a silent caller holds a slot for 30 s and not for the timeout of TCP.

--- a/src/callers/registerCallerRoutes.ts
+++ b/src/callers/registerCallerRoutes.ts
@@ -14,18 +14,22 @@
 const JOB_PATH = '/v1/jobs/:jobId';
 const HEALTH_PATH = '/healthz';
 const WAIT_PARAMETER = 'wait';
+const DEFAULT_STALL_LIMIT_MS = 30_000;
 const METHODS: readonly HTTPMethods[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'];
 
 /** Options of {@link registerCallerRoutes}. */
 export interface CallerRoutesOptions {
   readonly clock?: Clock;
   readonly events?: EventLog;
+  /** Longest time for which a caller may take nothing of its answer, in milliseconds. */
+  readonly stallLimitMs?: number;
 }
 
 interface RouteContext {
   readonly entry: EntryPort;
   readonly clock: Clock;
   readonly events: EventLog | undefined;
+  readonly stallLimitMs: number;
 }
 
 type Query = Readonly<Record<string, string | readonly string[]>>;
@@ -101,13 +105,13 @@
 }
 
 async function runJob(
-  { entry, clock, events }: RouteContext,
+  { entry, clock, events, stallLimitMs }: RouteContext,
   submission: Omit<JobSubmission, 'signal'>,
   reply: FastifyReply,
 ): Promise<void> {
   const answer = await entry.run({ ...submission, signal: createCallerSignal(reply.raw) });
   if (answer.type === 'answered') {
-    await sendAnswer(reply, answer, events);
+    await sendAnswer(reply, answer, { stallLimitMs, events });
     return;
   }
   sendError(reply, answer.error, { nowMs: clock.wallMs(), outcome: answer.outcome });
@@ -173,8 +177,8 @@
   entry: EntryPort,
   options: CallerRoutesOptions = {},
 ): void {
-  const { clock = new SystemClock(), events } = options;
-  registerJobRoutes(server, { entry, clock, events });
+  const { clock = new SystemClock(), events, stallLimitMs = DEFAULT_STALL_LIMIT_MS } = options;
+  registerJobRoutes(server, { entry, clock, events, stallLimitMs });
   server.get(HEALTH_PATH, (request, reply) => {
     readQuery(request, []);
     void reply
--- a/src/callers/sendAnswer.ts
+++ b/src/callers/sendAnswer.ts
@@ -1,9 +1,31 @@
+import type { ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
 import type { FastifyReply } from 'fastify';
 import type { EventLog } from '../logging/index.js';
 import { ANSWER_HEADERS } from './callerHeaders.js';
 import type { JobAnswer } from './EntryPort.js';
 
+/**
+ * Options of {@link sendAnswer}.
+ * @internal
+ */
+export interface SendAnswerOptions {
+  /** Longest time for which a caller may take nothing of what waits for it, in milliseconds. */
+  readonly stallLimitMs: number;
+  readonly events: EventLog | undefined;
+}
+
+/**
+ * Guards against a caller whose connection went silent in the middle of an answer: no reset comes,
+ * and TCP would try for a quarter of an hour while the job holds its slot. An answer for which
+ * bytes wait that nobody takes is given up; a target that is slow to send leaves none waiting.
+ */
+function giveUpOnStall(response: ServerResponse, stallLimitMs: number): void {
+  response.setTimeout(stallLimitMs, () => {
+    if (response.writableLength > 0) response.destroy(new Error('the caller takes nothing'));
+  });
+}
+
 /**
  * Streams a target's answer to its caller.
  *
@@ -13,13 +35,13 @@
  * failure.
  * @param reply - Reply of the request.
  * @param answer - The answer.
- * @param events - Where a broken answer is logged.
+ * @param options - Limit and log.
  * @internal
  */
 export async function sendAnswer(
   reply: FastifyReply,
   answer: Extract<JobAnswer, { readonly type: 'answered' }>,
-  events: EventLog | undefined,
+  { stallLimitMs, events }: SendAnswerOptions,
 ): Promise<void> {
   const { raw } = reply;
   const { vm, requestId } = answer;
@@ -31,6 +53,7 @@
       [ANSWER_HEADERS.requestId]: requestId,
       [ANSWER_HEADERS.vm]: vm,
     });
+    giveUpOnStall(raw, stallLimitMs);
     await pipeline(answer.body, raw);
   } catch (thrown) {
     answer.body.destroy();
--- a/tests/callers/callerServer.ts
+++ b/tests/callers/callerServer.ts
@@ -13,6 +13,8 @@
 /** Time on the clock of the test servers. */
 export const NOW_MS = 1_790_000_000_000;
 
+const STALL_LIMIT_MS = 100;
+
 /** A server on a port of its own with a fake entry behind it. */
 export interface CallerServer {
   readonly server: FastifyInstance;
@@ -28,7 +30,7 @@
   const events = new MemoryEventLog();
   const clock = new ManualClock(NOW_MS);
   const server = createHttpServer({ clock, events, createRequestId: () => 'made', ...options });
-  registerCallerRoutes(server, entry, { clock, events });
+  registerCallerRoutes(server, entry, { clock, events, stallLimitMs: STALL_LIMIT_MS });
   await server.listen({ host: '127.0.0.1', port: 0 });
   const { port } = server.server.address() as AddressInfo;
   return { server, entry, events, port, url: `http://127.0.0.1:${port}` };
--- a/tests/callers/registerCallerRoutes.test.ts
+++ b/tests/callers/registerCallerRoutes.test.ts
@@ -1,4 +1,5 @@
-import { PassThrough } from 'node:stream';
+import { connect } from 'node:net';
+import { PassThrough, Readable } from 'node:stream';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { Agent, request } from 'undici';
 import { RattanliftError } from '../../src/errors/index.js';
@@ -45,6 +46,10 @@
   };
 }
 
+function* endlessPages() {
+  while (true) yield Buffer.alloc(100_000);
+}
+
 afterEach(async () => {
   await Promise.all(agents.splice(0).map((agent) => agent.destroy()));
   await Promise.all(servers.splice(0).map(({ server }) => server.close()));
@@ -269,6 +274,39 @@
     expect(await aborted).toBe('aborted');
   });
 
+  it('gives up an answer that its caller does not take', async () => {
+    // A middlebox forgets the connection while a committee pack streams over it. The caller's end
+    // sends neither a reset nor an acknowledgement, and the export would hold its slot for long.
+    const server = await start();
+    const body = Readable.from(endlessPages());
+    server.entry.runWith = async ({ requestId }) => answerText(requestId, body);
+    const ended = new Promise((resolve) => {
+      body.on('close', resolve);
+    });
+    const socket = connect(server.port, '127.0.0.1');
+    socket.on('error', () => {});
+    socket.pause();
+    socket.write(
+      `POST ${JOBS} HTTP/1.1\r\nHost: a\r\nRattanlift-Kind: k\r\nContent-Length: 0\r\n\r\n`,
+    );
+    await ended;
+    socket.destroy();
+    expect(server.events.events).toMatchObject([{ event: 'answerCut' }]);
+  });
+
+  it('waits for a target that is slow to send', async () => {
+    const server = await start();
+    const body = new PassThrough();
+    server.entry.runWith = async ({ requestId }) => answerText(requestId, body);
+    const reply = send(server, JOBS);
+    body.write('slow ');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 300);
+    });
+    body.end('answer');
+    expect(await reply).toMatchObject({ text: 'slow answer' });
+  });
+
   it('does not abort a job whose caller has its whole answer', async () => {
     const server = await start();
     await send(server, JOBS);
