Give a VM up that a former home rebooted and that never came back

Cause: the test of failing reboots hung once: the pool changed homes within the step, and the new home waited for the drain of a VM that answers nothing. The wave neither went on nor stopped. Ruled out: the wave system, which had no failed step to judge. Change: a VM that stays silent for the reboot timeout while it drains counts as failed.

--- a/src/home/WaveRunner.ts
+++ b/src/home/WaveRunner.ts
@@ -26,9 +26,16 @@
 }
 
 type StepPhase =
-  | { readonly type: 'draining'; readonly checkpointAtMs: number }
+  | {
+      readonly type: 'draining';
+      readonly checkpointAtMs: number;
+      /** Monotonic time at which a VM that answers nothing until then counts as failed. */
+      readonly giveUpAtMs: number;
+    }
   | { readonly type: 'rebooting'; readonly giveUpAtMs: number };
 
+type DrainPhase = Extract<StepPhase, { readonly type: 'draining' }>;
+
 interface RunningStep {
   readonly wave: string;
   readonly vm: string;
@@ -150,6 +157,7 @@
       phase: {
         type: 'draining',
         checkpointAtMs: nowMs + tables.settings.maintenance.drainTimeoutMs,
+        giveUpAtMs: this.getRebootEndMs(),
       },
     });
     this.options.events.write('stepDraining', { wave: step.wave, vm: step.vm });
@@ -160,7 +168,7 @@
     if (vm === undefined) return;
     switch (step.phase.type) {
       case 'draining':
-        await this.advanceDrain(step, vm, step.phase.checkpointAtMs);
+        await this.advanceDrain(step, vm, step.phase);
         break;
       case 'rebooting':
         await this.advanceReboot(step, vm, step.phase.giveUpAtMs);
@@ -170,20 +178,26 @@
     }
   }
 
-  private async advanceDrain(step: RunningStep, vm: VmRow, checkpointAtMs: number): Promise<void> {
+  private async advanceDrain(step: RunningStep, vm: VmRow, phase: DrainPhase): Promise<void> {
     const { vmPort, targets, clock, tables, events } = this.options;
     const status = await targets.getStatus(vm);
-    if (status !== undefined && status.bootId !== step.bootId) {
+    if (status === undefined) {
+      await this.giveUpSilent(step, phase);
+      return;
+    }
+    if (status.bootId !== step.bootId) {
       this.setPhase(step, this.createRebootPhase());
       return;
     }
     const isDrained = await succeeds(vmPort.drain(step.vm));
-    const isOverdue = clock.monotonicMs() >= checkpointAtMs;
-    if (status !== undefined && isOverdue) await this.checkpointTasks(vm, status.runningTaskIds);
+    this.setPhase(step, { ...phase, giveUpAtMs: this.getRebootEndMs() });
+    if (clock.monotonicMs() >= phase.checkpointAtMs) {
+      await this.checkpointTasks(vm, status.runningTaskIds);
+    }
     const hasGrants = tables.grants.list().some((grant) => grant.vm === step.vm);
     // Failure: a reboot cuts off a request in progress. Grants of this home can be incomplete after
     // a takeover, so the target itself has to say that it refuses new tasks and runs none.
-    const isIdle = status?.draining === true && status.runningTaskIds.length === 0;
+    const isIdle = status.draining && status.runningTaskIds.length === 0;
     if (!isDrained || hasGrants || !isIdle) return;
     // Failure: this process was paused while it waited, another home works on the step now, and a
     // late reboot would cut off what runs on the VM by then. Hence the check right before the act,
@@ -194,6 +208,15 @@
     this.setPhase(step, this.createRebootPhase());
   }
 
+  /**
+   * Failure: the former home rebooted the VM, which never came back, and was lost before it could
+   * say so; or the VM died while it drained. Its successor would wait for the drain for ever, and
+   * the wave would neither go on nor stop.
+   */
+  private async giveUpSilent(step: RunningStep, phase: DrainPhase): Promise<void> {
+    if (this.options.clock.monotonicMs() >= phase.giveUpAtMs) await this.finish(step, 'failed');
+  }
+
   private async checkpointTasks(vm: VmRow, taskIds: readonly string[]): Promise<void> {
     await Promise.all(
       taskIds.map((taskId) => this.options.targets.control(vm, taskId, 'checkpoint')),
@@ -235,9 +258,13 @@
   }
 
   private createRebootPhase(): StepPhase {
+    return { type: 'rebooting', giveUpAtMs: this.getRebootEndMs() };
+  }
+
+  /** Monotonic time by which a VM that reboots from now on should answer again. */
+  private getRebootEndMs(): number {
     const { clock, tables } = this.options;
-    const giveUpAtMs = clock.monotonicMs() + tables.settings.maintenance.rebootTimeoutMs;
-    return { type: 'rebooting', giveUpAtMs };
+    return clock.monotonicMs() + tables.settings.maintenance.rebootTimeoutMs;
   }
 
   private setPhase(step: RunningStep, phase: StepPhase): void {
