Bound what a document full of mistakes costs

Ruled out: a limit on time, which would differ from instance to instance. Change: an index of lines finds places, and at most 50 problems of a kind are described. Conclusion: the verdict stays the same in every instance and costs little.

--- a/src/settings/JsonDocument.ts
+++ b/src/settings/JsonDocument.ts
@@ -7,7 +7,8 @@
   parseTree,
   printParseErrorCode,
 } from 'jsonc-parser';
-import type { SettingsProblem } from './SettingsProblem.js';
+import { LineIndex } from './LineIndex.js';
+import { MAX_PROBLEM_COUNT, type SettingsProblem } from './SettingsProblem.js';
 
 const BYTE_ORDER_MARK = '\uFEFF';
 const MAX_DEPTH = 64;
@@ -68,6 +69,8 @@
 
   private readonly fileName: string;
 
+  private readonly lines: LineIndex;
+
   private readonly root: Node | undefined;
 
   /**
@@ -77,6 +80,7 @@
   constructor(options: JsonDocumentOptions) {
     this.text = options.text.startsWith(BYTE_ORDER_MARK) ? options.text.slice(1) : options.text;
     this.fileName = options.fileName;
+    this.lines = new LineIndex(this.text);
     const deepOffset = this.findTooDeepOffset();
     if (deepOffset !== undefined) {
       this.isWellFormed = false;
@@ -87,7 +91,7 @@
     this.root = parseTree(this.text, errors, { allowTrailingComma: true });
     this.isWellFormed = errors.length === 0;
     this.problems = this.isWellFormed
-      ? this.findBadKeys(this.root, [])
+      ? this.findBadKeys(this.root, []).slice(0, MAX_PROBLEM_COUNT)
       : this.describeSyntaxErrors(errors);
   }
 
@@ -137,12 +141,10 @@
     path: readonly PropertyKey[],
     text: ProblemText,
   ): SettingsProblem {
-    const before = this.text.slice(0, offset);
     return {
       severity: text.severity ?? 'error',
       file: this.fileName,
-      line: before.split('\n').length,
-      column: offset - before.lastIndexOf('\n'),
+      ...this.lines.locate(offset),
       path: path.map(String).join('.'),
       expected: text.expected,
       found: text.found,
@@ -197,7 +199,7 @@
 
   /** Describes the first error of each line; those after it on the line are its echoes. */
   private describeSyntaxErrors(errors: readonly ParseError[]): readonly SettingsProblem[] {
-    const problems = errors.map((error) =>
+    const problems = errors.slice(0, MAX_PROBLEM_COUNT).map((error) =>
       this.problemAt(error.offset, [], {
         expected: EXPECTED_BY_SYNTAX_ERROR[printParseErrorCode(error.error)] ?? 'JSON',
         found:
--- a/src/settings/SettingsProblem.ts
+++ b/src/settings/SettingsProblem.ts
@@ -1,3 +1,10 @@
+/**
+ * Most errors of one kind that are described. The failure guarded against: a document with a
+ * mistake on each of its half a million lines costs every instance that reads it from the log
+ * minutes of descriptions, in which it renews no lease. Nobody reads more than the first few.
+ */
+export const MAX_PROBLEM_COUNT = 50;
+
 /** Something wrong, or doubtful, at one place of a settings document. */
 export interface SettingsProblem {
   /** An error keeps the document from being accepted; a warning does not. */
--- a/src/settings/parseJsonWithComments.ts
+++ b/src/settings/parseJsonWithComments.ts
@@ -3,7 +3,7 @@
 import { findNearestName } from './findNearestName.js';
 import { getKnownKeys } from './getKnownKeys.js';
 import { JsonDocument } from './JsonDocument.js';
-import type { ParsedDocument, SettingsProblem } from './SettingsProblem.js';
+import { MAX_PROBLEM_COUNT, type ParsedDocument, type SettingsProblem } from './SettingsProblem.js';
 
 /** Options of {@link parseJsonWithComments}. */
 export interface ParseOptions<Schema extends z.ZodType> {
@@ -41,7 +41,8 @@
   issue: z.core.$ZodIssue,
 ): readonly SettingsProblem[] {
   if (issue.code === 'unrecognized_keys') {
-    return issue.keys.map((key) => describeUnknownKey(document, schema, [...issue.path, key]));
+    const keys = issue.keys.slice(0, MAX_PROBLEM_COUNT);
+    return keys.map((key) => describeUnknownKey(document, schema, [...issue.path, key]));
   }
   const expected = describeIssue(issue);
   if (issue.code === 'invalid_key') {
@@ -68,9 +69,9 @@
   if (!document.isWellFormed) return { type: 'invalid', problems: document.problems };
   const result = options.schema.safeParse(document.value);
   if (!result.success) {
-    const problems = result.error.issues.flatMap((issue) =>
-      describeAtPlace(document, options.schema, issue),
-    );
+    const problems = result.error.issues
+      .slice(0, MAX_PROBLEM_COUNT)
+      .flatMap((issue) => describeAtPlace(document, options.schema, issue));
     return { type: 'invalid', problems: inReadingOrder([...document.problems, ...problems]) };
   }
   const crossProblems = options.crossCheck?.(result.data, document) ?? [];
--- a/tests/settings/checkTeamSettings.test.ts
+++ b/tests/settings/checkTeamSettings.test.ts
@@ -111,6 +111,18 @@
     );
   });
 
+  // A publication has a mistake on each of its lines. Each instance that reads it describes them
+  // all, which takes minutes; no lease is renewed meanwhile, and every pool loses its home.
+  it.each([
+    ['errors of syntax', 'x\n'.repeat(250_000)],
+    ['unknown keys', `{${Array.from({ length: 40_000 }, (_, key) => `"k${key}":1`).join(',\n')}}`],
+    ['repeated keys', `{${'"k":1,\n'.repeat(60_000)}}`],
+  ])('describes only the first of very many %s', (_, text) => {
+    const lines = linesOf(text);
+    expect(lines[0]).toBe('invalid');
+    expect(lines.length).toBeLessThan(200);
+  });
+
   // A document names a pool `__proto__`. The schema's check passes over that key, so that the pool
   // would be accepted unchecked and then be nowhere to be found.
   it('refuses the key that stands for the prototype', () => {
