Write no decision on a subtree with a newer record

Cause: the fold marked subtrees that this program cannot read in full, but nothing heeded the mark: an instance of the older version would have gone on claiming there. Change: LogWriter answers not-written to records that decide on such a subtree; what gives something up or reports what has happened is still written, and so are lease renewals. Ruled out: letting leases lapse as well (one stray record without a team would end the service for every team). Conclusion: placement of idempotent jobs does not go through the log and is not stopped by this; FleetTables.isFrozen tells it.

--- a/src/log/LogWriter.ts
+++ b/src/log/LogWriter.ts
@@ -10,6 +10,7 @@
 import type { FleetTables, VerdictRow } from '../tables/index.js';
 import type { Clock } from '../utils/index.js';
 import { Backoff, type BackoffOptions } from './Backoff.js';
+import { findFreeze } from './findFreeze.js';
 import type { LogFollower } from './LogFollower.js';
 import { PendingWrite } from './PendingWrite.js';
 import { raceTimeout } from './raceTimeout.js';
@@ -118,7 +119,8 @@
     }
     const { deadlineMs, failsFast = false } = options;
     const waitMs = deadlineMs - clock.monotonicMs();
-    const refusal = this.findRefusal(waitMs, failsFast);
+    const refusal =
+      this.findRefusal(waitMs, failsFast) ?? findFreeze(this.options.tables, parsed.data.body);
     if (refusal !== undefined) return Promise.resolve({ type: 'not-written', reason: refusal });
     return this.enqueue(parsed.data, waitMs, failsFast);
   }
--- a/tests/log/LogWriter.test.ts
+++ b/tests/log/LogWriter.test.ts
@@ -63,6 +63,20 @@
       expect(await drain('vm-1', SHORT_MS)).toMatchObject({ type: 'unknown' });
     });
 
+    it('decides nothing on the subtree of a record of a newer format', async () => {
+      const { log, writer, clock, follower } = setUp();
+      await log.append('control', [{ formatVersion: 2, body: { pool: 'wiki/saves' } }]);
+      await follower.waitForOffset(0);
+      const acting = { instance: 'a', term: 1 };
+      const claimOf = (pool: string) =>
+        writer.write(
+          { type: 'requests-claimed', pool, ...acting, claims: [] },
+          { deadlineMs: clock.monotonicMs() + LONG_MS },
+        );
+      expect(await claimOf('wiki/exports')).toMatchObject({ type: 'not-written' });
+      expect(await claimOf('food/match')).toMatchObject({ type: 'rejected' });
+    });
+
     it('answers not-written at once while the log is known to be out', async () => {
       const { log, drain, writer } = setUp('refuse');
       void drain('vm-1');
