Send replies in parts that are larger than a frame

Cause: the whole state, which a new instance takes from a peer while the log is out, may be larger than a frame of 4 MiB, and was refused then. Change: a reply over the limit travels in frames of 1 MiB, up to 32 MiB; beyond that it is refused as before. Conclusion: state of up to 32 MiB can be taken from a peer.

--- a/src/peers/PeerFrame.ts
+++ b/src/peers/PeerFrame.ts
@@ -20,6 +20,14 @@
     number,
     reply: z.unknown(),
   }),
+  z.object({
+    kind: z.literal('reply-part'),
+    /** Number of the request that the parts answer together. */
+    number,
+    /** Piece of the encoded reply. */
+    bytes: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+    isLast: z.boolean(),
+  }),
   z.object({ kind: z.literal('ping'), number }),
   z.object({ kind: z.literal('pong'), number }),
 ]);
--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import { RattanliftError, throwError, toRattanliftError } from '../errors/index.js';
 import type { EventLog } from '../logging/index.js';
+import { decodeCbor, MAX_REPLY_BYTES } from './frameCodec.js';
 import type { HeartbeatOptions } from './HeartbeatOptions.js';
 import { type ConnectionClosure, PeerConnection } from './PeerConnection.js';
 import type { PeerFrame } from './PeerFrame.js';
@@ -31,6 +32,8 @@
   readonly reopen: ReopenOptions;
 }
 
+type ReplyPart = Extract<PeerFrame, { readonly kind: 'reply-part' }>;
+
 /** A call that has no reply yet. */
 interface PendingCall {
   readonly request: PeerRequest;
@@ -63,6 +66,9 @@
 
   private readonly calls = new Map<number, PendingCall>();
 
+  /** Parts of large replies that are not whole yet, by the numbers of their calls. */
+  private readonly parts = new Map<number, readonly Uint8Array[]>();
+
   /** Numbers of the calls that no connection has carried yet. */
   private readonly unsent = new Set<number>();
 
@@ -146,6 +152,7 @@
   private take(number: number): PendingCall {
     const call = this.calls.get(number)!;
     this.calls.delete(number);
+    this.parts.delete(number);
     this.unsent.delete(number);
     clearTimeout(call.timer);
     return call;
@@ -154,6 +161,7 @@
   private receive(frame: PeerFrame): void {
     if (frame.kind === 'hello') this.checkHello(frame.from, frame.to);
     else if (frame.kind === 'reply' && this.greeted) this.settle(frame.number, frame.reply);
+    else if (frame.kind === 'reply-part' && this.greeted) this.collect(frame);
     else throwError('bad-request', `A ${frame.kind} came to a calling end.`);
   }
 
@@ -184,6 +192,17 @@
     this.take(number).resolve(reply);
   }
 
+  /** Gathers the parts of a large reply; those that nobody waits for any more are not kept. */
+  private collect({ number, bytes, isLast }: ReplyPart): void {
+    const parts = [...(this.parts.get(number) ?? []), bytes];
+    const sizeBytes = parts.reduce((sum, part) => sum + part.length, 0);
+    if (sizeBytes > MAX_REPLY_BYTES) throwError('bad-request', 'A reply is too large.');
+    if (this.calls.has(number)) this.parts.set(number, parts);
+    if (!isLast) return;
+    const isAwaited = this.calls.has(number);
+    this.settle(number, isAwaited ? decodeCbor(Buffer.concat(parts)) : undefined);
+  }
+
   private expire(number: number): void {
     const call = this.take(number);
     call.reject(this.createError(`did not reply to ${call.request.type} in time`));
--- a/src/peers/PeerServerConnection.ts
+++ b/src/peers/PeerServerConnection.ts
@@ -1,12 +1,15 @@
 import type { Socket } from 'node:net';
 import { RattanliftError, throwError, toRattanliftError } from '../errors/index.js';
 import type { EventLog } from '../logging/index.js';
+import { encodeCbor, MAX_REPLY_BYTES } from './frameCodec.js';
 import type { HeartbeatOptions } from './HeartbeatOptions.js';
 import { type ConnectionClosure, PeerConnection } from './PeerConnection.js';
 import type { PeerFrame } from './PeerFrame.js';
 import type { PeerHandler, PeerReply } from './PeerMessage.js';
 import { parsePeerRequest } from './peerSchemas.js';
 
+const PART_BYTES = 1024 * 1024;
+
 /**
  * Options of {@link PeerServerConnection}.
  * @internal
@@ -104,17 +107,35 @@
   private sendReply(number: number, reply: PeerReply): void {
     try {
       this.connection.send({ kind: 'reply', number, reply });
+    } catch {
+      this.sendLarge(number, reply);
+    }
+  }
+
+  private sendLarge(number: number, reply: PeerReply): void {
+    try {
+      this.sendInParts(number, encodeCbor(reply));
     } catch (thrown) {
-      const { kind, message } = toRattanliftError(thrown);
       this.logFailure(this.from!, thrown);
-      this.connection.send({
-        kind: 'reply',
-        number,
-        reply: { type: 'refused', kind, message },
-      });
+      const { kind, message } = toRattanliftError(thrown);
+      const refusal: PeerReply = { type: 'refused', kind, message };
+      this.connection.send({ kind: 'reply', number, reply: refusal });
     }
   }
 
+  /** Sends a reply that is too large for one frame, such as the whole state for a new instance. */
+  private sendInParts(number: number, payload: Buffer): void {
+    if (payload.length > MAX_REPLY_BYTES) {
+      throwError('internal', `A reply of ${payload.length} bytes exceeds ${MAX_REPLY_BYTES}.`);
+    }
+    const partCount = Math.ceil(payload.length / PART_BYTES);
+    Array.from({ length: partCount }).forEach((_, index) => {
+      const bytes = payload.subarray(index * PART_BYTES, (index + 1) * PART_BYTES);
+      const isLast = index === partCount - 1;
+      this.connection.send({ kind: 'reply-part', number, bytes, isLast });
+    });
+  }
+
   private logFailure(peer: string, thrown: unknown): void {
     this.options.events.write('peerHandlerFailed', { peer, reason: String(thrown) });
   }
--- a/src/peers/frameCodec.ts
+++ b/src/peers/frameCodec.ts
@@ -9,6 +9,9 @@
 /** Largest frame without its header, in bytes. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
+/** Largest reply, which travels in several frames where it is larger than one, in bytes. */
+export const MAX_REPLY_BYTES = 32 * 1024 * 1024;
+
 // A few bytes can announce an array of billions of items, for which the decoder would reserve
 // memory before it finds that they are missing. No item is shorter than one byte.
 setSizeLimits({
@@ -36,11 +39,28 @@
   return Buffer.concat([header, payload]);
 }
 
-function decodeCbor(payload: Buffer): unknown {
+/**
+ * Encodes a value.
+ * @param value - The value.
+ * @returns Its bytes.
+ * @internal
+ */
+export function encodeCbor(value: unknown): Buffer {
+  return codec.encode(value);
+}
+
+/**
+ * Decodes a value.
+ * @param payload - Its bytes.
+ * @returns The value.
+ * @throws RattanliftError Of kind `bad-request` where the bytes are no CBOR.
+ * @internal
+ */
+export function decodeCbor(payload: Buffer): unknown {
   try {
     return codec.decode(payload);
   } catch (thrown) {
-    return throwError('bad-request', `The frame is no CBOR: ${String(thrown)}`);
+    return throwError('bad-request', `The frame is not CBOR: ${String(thrown)}`);
   }
 }
 
