Tell a late settlement from one of the claim that stands

Cause: since a request settled as not run may be claimed again, a settlement of the first claim that reaches the log late (its answer was lost and it was written again meanwhile) marked the second claim, whose request runs, as not run, and freed its id for a third attempt: at most once and 'not run means not run' were both broken. Found by reading the two rules together. Ruled out: refusing to claim a request again at all, which blocked the callers refused in an outage. Change: claims carry the offset of their record, a settlement names the claim that its writer saw (LogWriter fills it in), and the fold passes over a 'not run' of an earlier claim. Additive fields: ClaimRow.claimedOffset and isRepeat, settlements[].claimedOffset. Conclusion: only the claim that stands can be freed.

--- a/src/log/LogWriter.ts
+++ b/src/log/LogWriter.ts
@@ -12,6 +12,7 @@
 import { Backoff, type BackoffOptions } from './Backoff.js';
 import { findFreeze } from './findFreeze.js';
 import type { LogFollower } from './LogFollower.js';
+import { nameClaims } from './nameClaims.js';
 import { PendingWrite } from './PendingWrite.js';
 import { raceTimeout } from './raceTimeout.js';
 import type { WriteResult } from './WriteResult.js';
@@ -110,7 +111,7 @@
       formatVersion: RECORD_FORMAT_VERSION,
       recordId,
       writer,
-      body,
+      body: nameClaims(this.options.tables, body),
     });
     if (!parsed.success) {
       const issue = parsed.error.issues[0]!;
--- a/src/log/fold/applyBody.ts
+++ b/src/log/fold/applyBody.ts
@@ -62,7 +62,7 @@
     case 'step-finished':
       return applyStepFinished(tables, body, offset);
     case 'requests-claimed':
-      return applyRequestsClaimed(tables, body);
+      return applyRequestsClaimed(tables, body, offset);
     case 'requests-settled':
       return applyRequestsSettled(tables, body);
     default:
--- a/src/log/fold/claims.ts
+++ b/src/log/fold/claims.ts
@@ -1,9 +1,11 @@
 import type { Outcome } from '../../errors/index.js';
 import type { RecordBodyOf, RequestClaim } from '../../records/index.js';
-import type { FleetTables, RecordVerdict } from '../../tables/index.js';
+import type { ClaimRow, FleetTables, RecordVerdict } from '../../tables/index.js';
 import { findHomeFault } from './homes.js';
 import { ACCEPTED, reject } from './verdicts.js';
 
+type RequestSettlement = RecordBodyOf<'requests-settled'>['settlements'][number];
+
 const FORGET_MARGIN_MS = 600_000;
 const FORGET_STEP_MS = 60_000;
 
@@ -56,12 +58,14 @@
  * @param tables - The state.
  * @param pool - Pool as `team/pool`.
  * @param claim - The claim.
+ * @param offset - Offset of its record.
  * @returns Whether the claim stands.
  */
-function tryClaim(tables: FleetTables, pool: string, claim: RequestClaim): boolean {
+function tryClaim(tables: FleetTables, pool: string, claim: RequestClaim, offset: number): boolean {
   const former = tables.claims.get(claim.requestId);
   if (former !== undefined && former.outcome !== 'not-run') return false;
-  tables.claims.put({ ...claim, pool, outcome: undefined });
+  const isRepeat = former !== undefined;
+  tables.claims.put({ ...claim, pool, outcome: undefined, claimedOffset: offset, isRepeat });
   return true;
 }
 
@@ -73,18 +77,20 @@
  * one, so none of its claims counts, and it may not send what it did not read back as accepted.
  * @param tables - The state.
  * @param body - The record.
+ * @param offset - Its offset.
  * @returns The verdict, with the claims that were refused because their request is claimed.
  */
 export function applyRequestsClaimed(
   tables: FleetTables,
   body: RecordBodyOf<'requests-claimed'>,
+  offset: number,
 ): RecordVerdict {
   const fault = findHomeFault(tables, body);
   if (fault !== undefined) return reject(fault);
   noteClock(tables, body.instance, body.writtenAtMs);
   forgetExpiredClaims(tables);
   const refusedRequestIds = body.claims
-    .filter((claim) => !tryClaim(tables, body.pool, claim))
+    .filter((claim) => !tryClaim(tables, body.pool, claim, offset))
     .map((claim) => claim.requestId);
   return refusedRequestIds.length === 0 ? ACCEPTED : { type: 'accepted', refusedRequestIds };
 }
@@ -100,6 +106,23 @@
   return outcome === 'run' ? 'run' : former;
 }
 
+/**
+ * Tells whether an outcome is of an earlier claim than the one that stands.
+ *
+ * A home settles a claim as not run, gets no answer and settles it again; the request is claimed
+ * anew and runs; then the first settlement reaches the log after all. It would show the running
+ * request as not run and free its id for a third attempt. So an outcome that frees the id has to
+ * name the claim it is of, except where the request was only ever claimed once.
+ * @param claim - The claim that stands.
+ * @param settlement - The outcome.
+ * @returns Whether it must be passed over.
+ */
+function isOfEarlierClaim(claim: ClaimRow, settlement: RequestSettlement): boolean {
+  if (settlement.outcome !== 'not-run') return false;
+  if (settlement.claimedOffset === undefined) return claim.isRepeat === true;
+  return settlement.claimedOffset !== claim.claimedOffset;
+}
+
 /**
  * Applies the outcomes of claimed requests; those without a claim of the pool are passed over.
  * @param tables - The state.
@@ -112,10 +135,11 @@
 ): RecordVerdict {
   const fault = findHomeFault(tables, body);
   if (fault !== undefined) return reject(fault);
-  body.settlements.forEach(({ requestId, outcome }) => {
-    const claim = tables.claims.get(requestId);
-    if (claim?.pool !== body.pool) return;
-    tables.claims.put({ ...claim, outcome: mergeOutcomes(claim.outcome, outcome) });
+  body.settlements.forEach((settlement) => {
+    const claim = tables.claims.get(settlement.requestId);
+    if (claim?.pool !== body.pool || isOfEarlierClaim(claim, settlement)) return;
+    const outcome = mergeOutcomes(claim.outcome, settlement.outcome);
+    tables.claims.put({ ...claim, outcome });
   });
   return ACCEPTED;
 }
--- a/src/records/LogRecord.ts
+++ b/src/records/LogRecord.ts
@@ -117,7 +117,12 @@
     settlements: z
       .array(
         z
-          .strictObject({ requestId: id, outcome: z.enum(['run', 'not-run', 'unknown']) })
+          .strictObject({
+            requestId: id,
+            outcome: z.enum(['run', 'not-run', 'unknown']),
+            /** Offset of the claim that the outcome is of; a repeat has a claim of its own. */
+            claimedOffset: count.optional(),
+          })
           .readonly(),
       )
       .readonly(),
--- a/src/tables/entities.ts
+++ b/src/tables/entities.ts
@@ -106,6 +106,10 @@
   readonly keepUntilMs: number;
   /** Undefined while the request is under way. */
   readonly outcome: Outcome | undefined;
+  /** Offset of the record with which the claim stands. */
+  readonly claimedOffset?: number;
+  /** Whether an earlier claim of the request was settled as not run. */
+  readonly isRepeat?: boolean;
 }
 
 /** What the fold decided about a record when it first met it. */
--- a/tests/log/LogWriter.test.ts
+++ b/tests/log/LogWriter.test.ts
@@ -77,6 +77,20 @@
       expect(await claimOf('food/match')).toMatchObject({ type: 'rejected' });
     });
 
+    it('names in a settlement the claim that its writer sees', async () => {
+      const { log, writer, clock, tables } = setUp();
+      const claim = { requestId: 'save-1', pool: 'wiki/saves', entry: 'e', fingerprint: 'f' };
+      tables.claims.put({ ...claim, keepUntilMs: 1, outcome: undefined, claimedOffset: 7 });
+      const settlements = [{ requestId: 'save-1', outcome: 'not-run' } as const];
+      await writer.write(
+        { type: 'requests-settled', pool: 'wiki/saves', instance: 'a', term: 1, settlements },
+        { deadlineMs: clock.monotonicMs() + LONG_MS },
+      );
+      expect(log.entriesOf('control')[0]?.payload).toMatchObject({
+        body: { settlements: [{ requestId: 'save-1', claimedOffset: 7 }] },
+      });
+    });
+
     it('answers not-written at once while the log is known to be out', async () => {
       const { log, drain, writer } = setUp('refuse');
       void drain('vm-1');
--- a/tests/log/applyEntry.test.ts
+++ b/tests/log/applyEntry.test.ts
@@ -289,6 +289,27 @@
       expect(folder.tables.claims.getOrThrow('save-1').outcome).toBe(expected);
     });
 
+    it('passes over a late "not run" of an earlier claim of a request that runs now', () => {
+      // A save that runs is shown as not run, is repeated by its caller and runs twice.
+      // Its first claim was settled as not run twice, because the first answer was lost.
+      // Cause: the first settlement reaches the log after the request was claimed again.
+      const folder = createHeld();
+      const settleAs = (claimedOffset: number | undefined): void => {
+        const settlements = [{ requestId: 'save-1', outcome: 'not-run', claimedOffset } as const];
+        folder.apply({ type: 'requests-settled', ...A, settlements });
+      };
+      const firstOffset = folder.tables.nextOffset;
+      folder.apply(claimRecord(['save-1']));
+      settleAs(firstOffset);
+      const secondOffset = folder.tables.nextOffset;
+      folder.apply(claimRecord(['save-1']));
+      settleAs(firstOffset);
+      settleAs(undefined);
+      expect(folder.tables.claims.getOrThrow('save-1').outcome).toBeUndefined();
+      settleAs(secondOffset);
+      expect(folder.tables.claims.getOrThrow('save-1').outcome).toBe('not-run');
+    });
+
     it('forgets claims by the clocks of the writers, not by one that is far ahead', () => {
       // A repeated save runs twice because every instance has forgotten its claim.
       // Cause: the wall clock of one writer is a year ahead.
