Let another instance stand in for a home that is lost while the log is out

Cause: without the log nobody can become the home of a pool, so one lost instance would take its pools down for as long as the outage lasts, idempotent work included. Ruled out: claims by peers' consent, since an instance that joins through the log is bound by none. Change: the entry instance asks the next instances by rendezvous; one that cannot read the log either places idempotent jobs without a lease, and does nothing else.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -113,6 +113,7 @@
     const { config, instance, events, metrics } = options;
     const { clock, fleet } = this;
     const getPoolSettings = this.getPoolSettings.bind(this);
+    const isLogOut = (): boolean => this.follower.isLogOut;
     const handleLocally: PeerHandler = (from, request) => this.handlePeer(from, request);
     this.log = new HttpLogPort(config.log);
     this.follower = this.createFollower();
@@ -135,7 +136,7 @@
     });
     this.peers = new PeerClient({ instance, events });
     const { peers, writer, directory } = this;
-    const router = new HomeRouter({ instance, fleet, peers, handleLocally });
+    const router = new HomeRouter({ instance, fleet, peers, handleLocally, isLogOut });
     this.keeper = new GrantKeeper({ router, targets, clock });
     this.reporter = new FinishReporter({ router, clock });
     const readToEnd = this.readToEnd.bind(this);
@@ -181,6 +182,7 @@
       metrics,
       peers,
       getPoolSettings,
+      isLogOut,
       holdsLease: () => this.membership?.holdsLease() ?? false,
       listOwnGrants: (pool) =>
         this.keeper.list(pool).map((grant) => ({ ...grant, entry: instance })),
@@ -198,6 +200,7 @@
     const explainHere = this.explainHere.bind(this);
     this.handlePeer = createPeerHandler({
       getHome: (pool) => this.homes.get(pool),
+      openStandIn: (pool) => this.homes.openStandIn(pool),
       keeper: this.keeper,
       entry: () => this.entry,
       follower: this.follower,
--- a/src/daemon/HomeManager.ts
+++ b/src/daemon/HomeManager.ts
@@ -12,6 +12,8 @@
 /** Options of {@link HomeManager}. */
 export interface HomeManagerOptions extends SharedHomeOptions {
   readonly peers: PeerPort;
+  /** Tells whether the log cannot be read just now. */
+  readonly isLogOut: () => boolean;
   /** Gets the settings in force for a pool. */
   readonly getPoolSettings: (pool: string) => PoolSettings | undefined;
   /** Lists the grants that this instance uses itself, for a pool that it takes over. */
@@ -86,10 +88,24 @@
     this.homes.clear();
   }
 
+  /**
+   * Opens a stand-in for the home of a pool while the log is out. It holds no lease, so it places
+   * idempotent jobs and does nothing else; it is closed when the log answers again.
+   * @param pool - Pool as `team/pool`.
+   * @returns The stand-in, or undefined where the log answers or the pool is not known.
+   */
+  async openStandIn(pool: string): Promise<PoolHome | undefined> {
+    const row = this.options.fleet.homes.get(pool);
+    if (row === undefined || this.isStopping || !this.options.isLogOut()) return undefined;
+    await this.open(row);
+    return this.homes.get(pool);
+  }
+
   private closeLost(): void {
     this.homes.forEach((home, pool) => {
       const row = this.options.fleet.homes.get(pool);
-      if (row?.instance === this.options.instance && row.term === home.term) return;
+      const isOwn = row?.instance === this.options.instance || this.options.isLogOut();
+      if (isOwn && row?.term === home.term) return;
       home.close();
       this.homes.delete(pool);
     });
@@ -117,6 +133,7 @@
     const now = this.options.fleet.homes.get(row.pool);
     if (this.isStopping || now?.instance !== row.instance || now?.term !== row.term) return;
     const { pool, term } = row;
+    if (this.homes.has(pool)) return;
     this.homes.set(pool, new PoolHome({ ...this.options, pool, term, settings, heldGrants }));
   }
 
--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -1,12 +1,14 @@
 import type { Entry, GrantKeeper } from '../entry/index.js';
 import type { PoolHome } from '../home/index.js';
 import type { LogFollower } from '../log/index.js';
-import type { PeerHandler, PeerReply, PeerRequest } from '../peers/index.js';
+import type { GrantRequest, PeerHandler, PeerReply, PeerRequest } from '../peers/index.js';
 import { assertNever } from '../utils/index.js';
 
 /** Options of {@link createPeerHandler}. */
 export interface PeerHandlerOptions {
   readonly getHome: (pool: string) => PoolHome | undefined;
+  /** Opens a stand-in for a pool's home, or gives undefined where the log answers. */
+  readonly openStandIn: (pool: string) => Promise<PoolHome | undefined>;
   readonly keeper: Pick<GrantKeeper, 'list'>;
   readonly entry: () => Pick<Entry, 'getJob' | 'cancelJob'>;
   readonly follower: Pick<LogFollower, 'offer'>;
@@ -31,6 +33,16 @@
   return { type: 'state', json: JSON.stringify(value) };
 }
 
+async function requestGrant(
+  options: PeerHandlerOptions,
+  from: string,
+  request: GrantRequest,
+): Promise<PeerReply> {
+  const known = options.getHome(request.pool);
+  const home = known ?? (request.idempotent ? await options.openStandIn(request.pool) : undefined);
+  return home === undefined ? NO_HOME : home.requestGrant(from, request);
+}
+
 /**
  * Creates what answers the requests of other instances.
  * @param options - The parts of the daemon that the requests are about.
@@ -47,7 +59,7 @@
   return async (from: string, request: PeerRequest): Promise<PeerReply> => {
     switch (request.type) {
       case 'request-grant':
-        return atHome(request.pool, (home) => home.requestGrant(from, request));
+        return requestGrant(options, from, request);
       case 'cancel-request':
         return atHome(request.pool, (home) => {
           home.cancelRequest(request.attemptId);
