--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -262,6 +262,9 @@
     const deadlineMs = this.clock.monotonicMs() + config.stopWaitMs;
     this.entry.stopTakingJobs();
     const closing = this.server?.close();
+    // Failure: the last instance gives its homes up first, and then waits in vain for a home that
+    // takes the outcomes of its jobs. With nobody to hand over to, it keeps them to the end.
+    if (!this.hasOthers()) await this.waitForUnfinished(deadlineMs);
     this.homes.stop();
     await this.membership?.leave(this.clock.monotonicMs() + LEAVE_WAIT_MS);
     await this.waitForUnfinished(deadlineMs);
@@ -366,6 +369,13 @@
     });
   }
 
+  private hasOthers(): boolean {
+    const { instance } = this.options;
+    return this.fleet.instances
+      .list()
+      .some((row) => row.state === 'joined' && row.instance !== instance);
+  }
+
   private async waitForUnfinished(deadlineMs: number): Promise<void> {
     const isDone = this.entry.unfinishedCount === 0 && this.reporter.size === 0;
     if (isDone || this.clock.monotonicMs() >= deadlineMs) return;
--- a/src/entry/JobRun.ts
+++ b/src/entry/JobRun.ts
@@ -51,6 +51,13 @@
 /** How much longer than the caller's deadline the home's answer is awaited. */
 const HOME_GRACE_MS = 500;
 
+const OUTCOMES_BY_STRENGTH: readonly Outcome[] = ['not-run', 'unknown', 'run'];
+
+function findStrongest(one: Outcome, other: Outcome): Outcome {
+  const strengthOf = (outcome: Outcome) => OUTCOMES_BY_STRENGTH.indexOf(outcome);
+  return strengthOf(one) >= strengthOf(other) ? one : other;
+}
+
 function endByExpiry(): AttemptEnd {
   const message = 'The grant ended before it could be used.';
   return { type: 'again', error: new RattanliftError({ kind: 'home-unavailable', message }) };
@@ -70,6 +77,9 @@
   /** Monotonic time after which a pool without a home is no longer waited for. */
   private readonly homeWaitEndsAtMs: number;
 
+  /** Strongest of what became of earlier attempts. */
+  private earlierOutcome: Outcome = 'not-run';
+
   private lastAttemptId = '';
 
   private lastVm = '';
@@ -272,6 +282,7 @@
     result.body.on('error', () => undefined);
     result.body.resume();
     this.endGrant(grant, 'failed', 'run', ranMs);
+    this.earlierOutcome = 'run';
     const message = `The job failed on ${grant.vm} with status ${result.httpStatus}.`;
     const error = new RattanliftError({ kind: 'target-failed', message });
     return { type: 'again', error, excludedVm: grant.vm };
@@ -290,6 +301,7 @@
     const error = new RattanliftError({ kind: 'target-silent', message });
     if (this.job.idempotent) {
       this.endGrant(grant, 'unknown', 'unknown', ranMs);
+      this.earlierOutcome = findStrongest(this.earlierOutcome, 'unknown');
       if (this.signal.aborted) return this.endByAbort('unknown');
       return { type: 'again', error, excludedVm: grant.vm };
     }
@@ -309,7 +321,10 @@
   private fail(error: RattanliftError, outcome?: Outcome): JobAnswer {
     const { requestId } = this.job;
     const known = outcome ?? ERROR_ANSWERS[error.kind].outcome;
-    return { type: 'failed', requestId, outcome: known, error };
+    // Failure: a first attempt runs and fails, the next one finds no VM, and the caller is told of
+    // the last one that the job was not run. What an earlier attempt did stays part of the answer.
+    const strongest = findStrongest(this.earlierOutcome, known);
+    return { type: 'failed', requestId, outcome: strongest, error };
   }
 
   /** Ends a grant whose attempt settles the request. */
--- /dev/null
+++ b/tests/entry/JobRun.test.ts
@@ -0,0 +1,166 @@
+import { Readable } from 'node:stream';
+import { describe, expect, it } from 'vitest';
+import {
+  FinishReporter,
+  GrantKeeper,
+  type HomeRouter,
+  JobRun,
+  RetryBudget,
+} from '../../src/entry/index.js';
+import type { ErrorKind } from '../../src/errors/index.js';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import { MemoryMetrics } from '../../src/metrics/index.js';
+import type { PeerReply, PeerRequest } from '../../src/peers/index.js';
+import type { TargetPort, TaskRequest, TaskResult } from '../../src/targets/index.js';
+import { ManualClock } from '../../src/utils/index.js';
+
+const DEADLINE_MS = 60_000;
+
+interface Script {
+  readonly idempotent: boolean;
+  /** What targets do with each attempt in turn. */
+  readonly results: readonly TaskResult[];
+  /** What the home says to each request for a grant in turn; a grant where there is none. */
+  readonly refusals?: readonly (ErrorKind | undefined)[];
+  /** Time that passes while the home holds the request. */
+  readonly heldAtHomeMs?: number;
+}
+
+function answer(httpStatus: number): TaskResult {
+  return { type: 'answering', httpStatus, contentType: 'text/plain', body: Readable.from(['x']) };
+}
+
+/** Runs a job by a script and tells the answer, the tasks sent and the reports to the home. */
+async function play(script: Script) {
+  const clock = new ManualClock();
+  const tasks: TaskRequest[] = [];
+  const asked: PeerRequest[] = [];
+  let grantCount = 0;
+  const reply = (request: PeerRequest): PeerReply => {
+    if (request.type !== 'request-grant') return { type: 'done' };
+    const kind = script.refusals?.[grantCount];
+    grantCount += 1;
+    clock.advance(script.heldAtHomeMs ?? 0);
+    if (kind !== undefined) return { type: 'refused', kind, message: kind };
+    const { attemptId: grantId } = request;
+    return {
+      type: 'granted',
+      grantId,
+      term: 1,
+      vm: `vm-${grantCount}`,
+      host: 'h',
+      port: 1,
+      heldMs: 0,
+    };
+  };
+  const router = {
+    ask: async (_pool: string, request: PeerRequest) => {
+      asked.push(request);
+      return reply(request);
+    },
+  } as unknown as HomeRouter;
+  const targets = {
+    run: async (_target: unknown, task: TaskRequest) => {
+      tasks.push(task);
+      return script.results[tasks.length - 1]!;
+    },
+  } as unknown as TargetPort;
+  const run = new JobRun(
+    {
+      instance: 'a',
+      router,
+      targets,
+      clock,
+      keeper: new GrantKeeper({ router, targets, clock }),
+      reporter: new FinishReporter({ router, clock }),
+      retryBudget: new RetryBudget({ earnedPerRequest: 1, maxSavedCount: 10 }),
+      events: new MemoryEventLog(),
+      metrics: new MemoryMetrics(),
+      createAttemptId: () => `attempt-${grantCount}`,
+      waitForHome: async () => clock.advance(500),
+    },
+    {
+      requestId: 'r1',
+      pool: 'team/pool',
+      team: 'team',
+      jobKind: 'save',
+      idempotent: script.idempotent,
+      urgency: 'urgent',
+      coreCount: 1,
+      memoryMb: 1,
+      deadlineAtMs: DEADLINE_MS,
+      isRepeat: false,
+      contentType: 'text/plain',
+      body: Buffer.from(''),
+      fingerprint: 'f',
+    },
+    new AbortController().signal,
+  );
+  const result = await run.run();
+  const settled = asked.flatMap((request) =>
+    request.type === 'finish-grant' && request.isClaimed ? [request.outcome] : [],
+  );
+  return { result, tasks, settled };
+}
+
+const SILENT: TaskResult = { type: 'unknown', reason: 'silent' };
+const REFUSED: TaskResult = { type: 'not-started', reason: 'draining' };
+
+describe('JobRun', () => {
+  describe('run', () => {
+    // Story: a target gets a page save and falls silent. It may have stored the page.
+    it('never sends a non-idempotent request again once it has left', async () => {
+      const played = await play({ idempotent: false, results: [SILENT, answer(200)] });
+      expect(played.tasks).toHaveLength(1);
+      expect(played.result).toMatchObject({ type: 'failed', outcome: 'unknown' });
+      expect(played.settled).toEqual(['unknown']);
+    });
+
+    it('tries another VM where the target certainly did not start', async () => {
+      const played = await play({ idempotent: false, results: [REFUSED, answer(200)] });
+      expect(played.result).toMatchObject({ type: 'answered', httpStatus: 200 });
+      expect(played.tasks.every((task) => task.freshConnection)).toBe(true);
+    });
+
+    // Story: a draining VM refuses a save, the next VM gets it, and a settlement as "not run" of
+    // the first attempt reaches the log while the second one runs. A repeat would run beside it.
+    it('settles a claim once, with the last attempt', async () => {
+      const played = await play({ idempotent: false, results: [REFUSED, SILENT] });
+      expect(played.settled).toEqual(['unknown']);
+    });
+
+    // Story: a search runs on a VM that answers 500 (or never), the next attempt finds no VM, and
+    // the caller was told "not run" of a job that had run.
+    it.each([
+      ['run', answer(500)],
+      ['unknown', SILENT],
+    ] as const)(
+      'answers %s where an earlier attempt did, whatever the last one did',
+      async (outcome, first) => {
+        const played = await play({
+          idempotent: true,
+          results: [first],
+          refusals: [undefined, 'no-capacity'],
+        });
+        expect(played.result).toMatchObject({ type: 'failed', outcome });
+      },
+    );
+
+    // Story: the process is paused after its home has granted a slot. When it goes on, the slot
+    // belongs to another request.
+    it('sends nothing on a grant that has ended', async () => {
+      const played = await play({ idempotent: true, results: [], heldAtHomeMs: 10_000 });
+      expect(played.tasks).toEqual([]);
+      expect(played.result).toMatchObject({ type: 'failed', outcome: 'not-run' });
+    });
+
+    it('gives up on a pool without a home after a bounded wait', async () => {
+      const refusals = Array.from({ length: 20 }, () => 'home-unavailable' as const);
+      const played = await play({ idempotent: true, results: [], refusals });
+      expect(played.result).toMatchObject({
+        outcome: 'not-run',
+        error: { kind: 'home-unavailable' },
+      });
+    });
+  });
+});
--- a/tests/promises/stops.test.ts
+++ b/tests/promises/stops.test.ts
@@ -38,6 +38,24 @@
   });
 });
 
+describe('the stop of the last daemon', () => {
+  // Story: all daemons are stopped at once. The last one has a save in progress and hands its pool
+  // to nobody; it waited a whole minute for a home that would take the outcome.
+  it('records the outcome of its last save before it gives its pools up', async () => {
+    await world.startDaemons(['entry-1']);
+    const [only] = world.daemons;
+    const save = send(only!, { kind: 'save', requestId: 'save-1', body: { runMs: 500 } });
+    await world.waitFor(() => world.countStarts('save-1') === 1);
+    only!.process.signal('SIGTERM');
+    expect(await save).toMatchObject({ status: 200, outcome: 'run' });
+    expect(await only!.process.ended).toEqual({ code: 0, signal: null });
+    const types = world.platform
+      .listRecords('control')
+      .map((record) => (record as { body: { type: string } }).body.type);
+    expect(types.slice(-2)).toEqual(['requests-settled', 'instance-left']);
+  });
+});
+
 describe('a target that is leaving', () => {
   // Story: the platform tells that a VM is leaving, and an operator drains another. Searches that
   // arrive at any daemon once it is known there must not be started on either.
