Undrain what nobody wants drained, and tell operators what is unknown

Cause: a drain cancelled while its pool changed homes was never told to the platform, and an order whose confirmation was lost was answered as not run although it came into force later. Both were found by reading and by a trial of the command line. Change: a new home probes its VMs once, and a VM that says it drains against every order is undrained; an unconfirmed order is answered outcome-unknown; explain describes a pool in words; unexpected errors of the operators' routes are logged.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -285,7 +285,7 @@
       getEarlierOutcome: (requestId) => this.notRunCheck.findEarlierOutcome(requestId),
     });
     registerCallerRoutes(server, this.entry, { clock: this.clock, events: this.options.events });
-    await registerOperatorRoutes(server, this.operations, this.clock);
+    await registerOperatorRoutes(server, this.operations, this.clock, this.options.events);
     await server.listen({ host, port });
     this.server = server;
     return (server.server.address() as AddressInfo).port;
@@ -392,7 +392,7 @@
 
   private explainHere(subject: string): readonly string[] {
     const pool = this.homes.get(subject);
-    const ofPool = pool === undefined ? [] : [JSON.stringify(pool.getState())];
+    const ofPool = pool === undefined ? [] : [pool.describe()];
     const ofRequest = this.homes.list().flatMap((home) => home.explainLog.get(subject));
     const ofWave = this.fleet.waves.has(subject)
       ? this.homes.list().flatMap((home) => home.getWaveReasons(subject))
--- a/src/daemon/Operations.ts
+++ b/src/daemon/Operations.ts
@@ -16,7 +16,7 @@
 import type { RecordBody } from '../records/index.js';
 import { checkTeamSettings, formatProblem, type PoolSettings } from '../settings/index.js';
 import type { FleetTables, HomeRow, SettingsRow, VmRow, WaveRow } from '../tables/index.js';
-import type { Clock } from '../utils/index.js';
+import { assertNever, type Clock } from '../utils/index.js';
 import { toPeerAddress } from './toPeerAddress.js';
 
 /** Options of {@link Operations}. */
@@ -180,9 +180,23 @@
     const { writer, clock } = this.options;
     const deadlineMs = clock.monotonicMs() + WRITE_WAIT_MS;
     const result = await writer.write(body, { deadlineMs });
-    if (result.type === 'accepted') return;
-    if (result.type === 'rejected') throwError(conflictKind, result.reason);
-    throwError('log-unavailable', `The log did not confirm the order: ${result.reason}`);
+    switch (result.type) {
+      case 'accepted':
+        return;
+      case 'rejected':
+        throwError(conflictKind, result.reason);
+        break;
+      case 'not-written':
+        throwError('log-unavailable', `The log does not answer: ${result.reason}`);
+        break;
+      case 'unknown':
+        // Failure: the order stands on the log and comes into force after its author was told that
+        // it does not.
+        throwError('outcome-unknown', `The order may come into force yet: ${result.reason}`);
+        break;
+      default:
+        assertNever(result);
+    }
   }
 
   private async viewPool(home: HomeRow): Promise<PoolView> {
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -129,7 +129,13 @@
     this.waveRunner = new WaveRunner(shared);
     this.capacityRunner = new CapacityRunner(shared);
     this.drainRunner = new DrainRunner(shared);
-    this.prober = new VmProber({ targets, clock, events, probeEveryMs: PROBE_EVERY_MS });
+    this.prober = new VmProber({
+      targets,
+      clock,
+      events,
+      probeEveryMs: PROBE_EVERY_MS,
+      onDraining: (vm) => this.undrainForgotten(vm),
+    });
     options.heldGrants.forEach((held) => this.tables.grants.put(this.createHeldGrant(held)));
     this.sync();
     events.write('homeOpened', { pool, term: options.term });
@@ -244,6 +250,17 @@
     };
   }
 
+  /**
+   * Describes the pool in a line for a person.
+   * @returns Counts, and whether the budget holds.
+   */
+  describe(): string {
+    const state = this.getState();
+    const vms = `${state.acceptingVmCount} of ${state.vmCount} VMs take work`;
+    const jobs = `${state.runningJobCount} jobs run, ${state.queuedJobCount} wait`;
+    return [vms, jobs, `budget: ${state.budget}`, ...state.waveWaitReasons].join('; ');
+  }
+
   /**
    * Tells why a wave waits in the pool.
    * @param wave - The wave.
@@ -472,7 +489,24 @@
       ...this.capacityRunner.withheldVms,
     ]);
     const isUnreachable = this.prober.isUnreachable.bind(this.prober);
+    const known = new Set(this.tables.vms.list().map((vm) => vm.vm));
     syncPoolTables({ tables: this.tables, fleet, directory, withheldVms, isUnreachable });
+    this.tables.vms
+      .list()
+      .filter((vm) => !known.has(vm.vm) && vm.condition === 'accepting')
+      .forEach((vm) => this.prober.suspect(vm));
+  }
+
+  /**
+   * Failure: a drain is cancelled while the pool changes homes, or a step ends as failed and its VM
+   * comes back later. Nobody remembers that the platform was told to drain the VM, and it refuses
+   * every task although the pool counts on it. Its own word in a probe shows it.
+   */
+  private undrainForgotten(vm: string): void {
+    this.sync();
+    const isWanted = this.tables.vms.get(vm)?.condition === 'accepting';
+    if (!isWanted || !this.options.holdsLease()) return;
+    void this.options.vmPort.undrain(vm).catch(() => undefined);
   }
 
   private removeGrant(grantId: string): void {
--- a/src/home/VmProber.ts
+++ b/src/home/VmProber.ts
@@ -10,6 +10,8 @@
   readonly events: EventLog;
   /** How often an unreachable VM is probed. */
   readonly probeEveryMs: number;
+  /** Hears of a VM that answers and says that it takes no tasks. */
+  readonly onDraining: (vm: string) => void;
 }
 
 interface Suspect {
@@ -70,6 +72,7 @@
     if (status !== undefined) {
       this.suspects.delete(vm.vm);
       if (isUnreachable) this.options.events.write('vmReachable', { vm: vm.vm });
+      if (status.draining) this.options.onDraining(vm.vm);
       return;
     }
     if (!isUnreachable) this.options.events.write('vmUnreachable', { vm: vm.vm });
--- /dev/null
+++ b/tests/home/VmProber.test.ts
@@ -0,0 +1,67 @@
+import { describe, expect, it } from 'vitest';
+import { VmProber } from '../../src/home/index.js';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import type { VmRow } from '../../src/tables/index.js';
+import type { TargetStatus } from '../../src/targets/index.js';
+import { ManualClock } from '../../src/utils/index.js';
+
+const VM = { vm: 'vm-1', host: '127.0.0.1', port: 1 } as VmRow;
+const STATUS: TargetStatus = {
+  bootId: 'b',
+  draining: false,
+  runningTaskIds: [],
+  usedCoreCount: 0,
+  usedMemoryMb: 0,
+};
+
+/** Probes a VM once for each status in turn, a second apart. */
+async function probe(statuses: readonly (TargetStatus | undefined)[]) {
+  const clock = new ManualClock();
+  const drained: string[] = [];
+  let probeCount = 0;
+  const getStatus = async () => {
+    probeCount += 1;
+    return statuses[probeCount - 1];
+  };
+  const prober = new VmProber({
+    targets: { getStatus },
+    clock,
+    events: new MemoryEventLog(),
+    probeEveryMs: 1_000,
+    onDraining: (vm) => drained.push(vm),
+  });
+  prober.suspect(VM);
+  const settle = () =>
+    new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  await statuses.reduce(async (former) => {
+    await former;
+    await settle();
+    clock.advance(1_000);
+    prober.tick();
+  }, Promise.resolve());
+  await settle();
+  return { isUnreachable: prober.isUnreachable('vm-1'), drained, probeCount };
+}
+
+describe('VmProber', () => {
+  describe('suspect', () => {
+    // Story: a connection to a healthy VM went silent, because something in between forgot it. The
+    // VM must not lose its work for that: it answers a probe on a new connection.
+    it('leaves a VM alone that answers its probe', async () => {
+      expect(await probe([STATUS])).toMatchObject({ isUnreachable: false, probeCount: 1 });
+    });
+
+    it('gives a VM no work until it answers again', async () => {
+      expect(await probe([undefined, undefined])).toMatchObject({ isUnreachable: true });
+      expect(await probe([undefined, STATUS])).toMatchObject({ isUnreachable: false });
+    });
+
+    // Story: an operator cancels a drain while the pool changes homes. The new home has told the
+    // platform nothing, the VM refuses every task for ever, and the pool counts on its slots.
+    it('tells of a VM that answers and takes no tasks', async () => {
+      expect((await probe([{ ...STATUS, draining: true }])).drained).toEqual(['vm-1']);
+    });
+  });
+});
