--- a/standins/processes/ManagedProcess.ts
+++ b/standins/processes/ManagedProcess.ts
@@ -52,6 +52,11 @@
     createInterface({ input: this.child.stderr! }).on('line', (line) => this.receive(line));
   }
 
+  /** Id of the process. */
+  get pid(): number {
+    return this.child.pid!;
+  }
+
   /** Log lines written so far that are whole JSON objects. */
   get logLines(): readonly Readonly<Record<string, unknown>>[] {
     return this.lines
