--- a/src/systems/PoolLoad.ts
+++ b/src/systems/PoolLoad.ts
@@ -1,6 +1,5 @@
 import type { Urgency } from '../settings/index.js';
 import type { GrantRow, PoolTables } from '../tables/index.js';
-import { domainOf } from './domainOf.js';
 import type { JobSize } from './learnedSize.js';
 import { VmLoad } from './VmLoad.js';
 import { isQuarantined } from './vmStates.js';
@@ -52,7 +51,7 @@
       .map((vm) => new VmLoad({ vm, health: tables.health.get(vm.vm), nowMs }));
     this.slotCount = this.vmLoads.reduce((sum, load) => sum + load.vm.slotCount, 0);
     this.loadByVm = new Map(this.vmLoads.map((load) => [load.vm.vm, load]));
-    this.vmLoads.forEach(({ vm }) => addTo(this.slotsByRack, domainOf(vm, 'rack'), vm.slotCount));
+    this.vmLoads.forEach(({ rack, vm }) => addTo(this.slotsByRack, rack, vm.slotCount));
     tables.grants.list().forEach((grant) => {
       const throttled = tables.preemptions.get(grant.grantId)?.action === 'throttle';
       const coreCount = grant.coreCount * (throttled ? THROTTLED_CORE_FRACTION : 1);
@@ -98,8 +97,8 @@
    * @returns Share of the rack's slots in use.
    */
   rackLoadFraction(load: VmLoad): number {
-    const rack = domainOf(load.vm, 'rack');
-    return (this.usedSlotsByRack.get(rack) ?? 0) / (this.slotsByRack.get(rack) ?? 1);
+    const usedSlotCount = this.usedSlotsByRack.get(load.rack) ?? 0;
+    return usedSlotCount / (this.slotsByRack.get(load.rack) ?? 1);
   }
 
   /**
@@ -119,6 +118,6 @@
     if (load === undefined) return;
     load.add(size, startedAtMs);
     this.usedSlots += 1;
-    addTo(this.usedSlotsByRack, domainOf(load.vm, 'rack'), 1);
+    addTo(this.usedSlotsByRack, load.rack, 1);
   }
 }
--- a/src/systems/VmLoad.ts
+++ b/src/systems/VmLoad.ts
@@ -1,4 +1,5 @@
 import type { PoolVmRow, VmHealthRow } from '../tables/index.js';
+import { domainOf } from './domainOf.js';
 import type { JobSize } from './learnedSize.js';
 
 /** How long a start counts as recent, in milliseconds. */
@@ -24,6 +25,9 @@
 export class VmLoad {
   readonly vm: PoolVmRow;
 
+  /** Name of the VM's rack, unique over all data centres. */
+  readonly rack: string;
+
   private readonly health: VmHealthRow | undefined;
 
   private readonly nowMs: number;
@@ -44,6 +48,7 @@
    */
   constructor(options: VmLoadOptions) {
     this.vm = options.vm;
+    this.rack = domainOf(options.vm, 'rack');
     this.health = options.health;
     this.nowMs = options.nowMs;
   }
--- a/src/systems/chooseVm.ts
+++ b/src/systems/chooseVm.ts
@@ -35,20 +35,17 @@
   return load.recentStartCount < limit;
 }
 
-/** Ranks a VM: trusted ones first, then the emptier rack, then the tighter fit. */
-function rankOf(options: ChooseVmOptions, load: VmLoad): readonly [number, number, number] {
-  const rackStep = Math.floor(options.load.rackLoadFraction(load) / RACK_LOAD_STEP);
-  return [load.failureCount, rackStep, load.slackAfter(options.size)];
-}
-
-/** Whether the first rank is better than the second. */
-function isBetter(
-  first: readonly [number, number, number],
-  second: readonly [number, number, number],
-): boolean {
-  if (first[0] !== second[0]) return first[0] < second[0];
-  if (first[1] !== second[1]) return first[1] < second[1];
-  return first[2] < second[2];
+/**
+ * Whether a VM is the better choice: fewer failures, then the emptier rack, then the tighter fit.
+ * It is asked for every VM and request, so it compares in place of building ranks.
+ */
+function isBetter(options: ChooseVmOptions, first: VmLoad, second: VmLoad): boolean {
+  if (first.failureCount !== second.failureCount) return first.failureCount < second.failureCount;
+  const { load, size } = options;
+  const firstStep = Math.floor(load.rackLoadFraction(first) / RACK_LOAD_STEP);
+  const secondStep = Math.floor(load.rackLoadFraction(second) / RACK_LOAD_STEP);
+  if (firstStep !== secondStep) return firstStep < secondStep;
+  return first.slackAfter(size) < second.slackAfter(size);
 }
 
 /**
@@ -62,16 +59,13 @@
   const { vmLoads } = load;
   const start = Math.floor(rng.next() * vmLoads.length);
   let best: VmLoad | undefined;
-  let bestRank: readonly [number, number, number] | undefined;
   vmLoads.forEach((ignored, index) => {
     // Ties go to the first VM seen, so each search starts elsewhere.
     const candidate = vmLoads[(start + index) % vmLoads.length]!;
     if (!candidate.fits(size) || !mayStart(candidate, request) || !candidate.isTrusted) return;
-    if (reservedVms.has(candidate.vm.vm) || request.excludedVms.includes(candidate.vm.vm)) return;
-    const rank = rankOf(options, candidate);
-    if (bestRank !== undefined && !isBetter(rank, bestRank)) return;
-    best = candidate;
-    bestRank = rank;
+    if (reservedVms.has(candidate.vm.vm)) return;
+    if (request.excludedVms.includes(candidate.vm.vm)) return;
+    if (best === undefined || isBetter(options, candidate, best)) best = candidate;
   });
   return best;
 }
--- a/src/systems/refuseHopeless.ts
+++ b/src/systems/refuseHopeless.ts
@@ -1,4 +1,4 @@
-import type { PoolTables, QueuedRow } from '../tables/index.js';
+import type { PoolTables, PoolVmRow, QueuedRow } from '../tables/index.js';
 import { groupBy } from '../utils/index.js';
 import type { PlacementDecision } from './decisions.js';
 import { quotaOf } from './quotaOf.js';
@@ -37,9 +37,19 @@
   return Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, ms)));
 }
 
+/** Whether a request has failed on as many VMs as it may, or on all that there are. */
+function hasFailedEverywhere(request: QueuedRow, vms: readonly PoolVmRow[]): boolean {
+  const { excludedVms } = request;
+  if (excludedVms.length === 0) return false;
+  return (
+    excludedVms.length >= MAX_FAILED_VM_COUNT || vms.every((vm) => excludedVms.includes(vm.vm))
+  );
+}
+
 /** Finds what makes a request impossible whatever the load. */
 function findImpossible(
   tables: PoolTables,
+  vms: readonly PoolVmRow[],
   request: QueuedRow,
   options: RefuseOptions,
 ): Omit<Refusal, 'type' | 'attemptId'> | undefined {
@@ -62,7 +72,6 @@
       retryAfterMs: MAX_RETRY_AFTER_MS,
     };
   }
-  const vms = tables.vms.list();
   if (vms.length === 0) {
     return {
       kind: 'no-capacity',
@@ -80,10 +89,7 @@
   }
   // A job that fails wherever it goes would otherwise visit and hold up every VM of the pool.
   const failedCount = request.excludedVms.length;
-  if (
-    failedCount >= MAX_FAILED_VM_COUNT ||
-    vms.every((vm) => request.excludedVms.includes(vm.vm))
-  ) {
+  if (hasFailedEverywhere(request, vms)) {
     return {
       kind: 'target-failed',
       reason: `it failed on ${failedCount} VMs: ${request.excludedVms.join(', ')}`,
@@ -132,8 +138,9 @@
  */
 export function refuseHopeless(tables: PoolTables, options: RefuseOptions): readonly Refusal[] {
   const requests = tables.queue.list();
+  const vms = tables.vms.list();
   const impossible = requests.flatMap((request): readonly Refusal[] => {
-    const found = findImpossible(tables, request, options);
+    const found = findImpossible(tables, vms, request, options);
     return found === undefined ? [] : [{ type: 'refuse', attemptId: request.attemptId, ...found }];
   });
   const refusedIds = new Set(impossible.map((refusal) => refusal.attemptId));
