--- a/bench/model/FleetModel.ts
+++ b/bench/model/FleetModel.ts
@@ -1,6 +1,6 @@
 import { checkBudget, summariseWaves } from '../../src/systems/index.js';
 import { PoolTables, type PoolVmRow, type WaveStepRow } from '../../src/tables/index.js';
-import { assertNever } from '../../src/utils/index.js';
+import { assertNever, groupBy } from '../../src/utils/index.js';
 import type { FleetPolicy } from '../policies/FleetPolicy.js';
 import type { Trace, TraceEvent } from '../traces/index.js';
 import { EventQueue } from './EventQueue.js';
@@ -211,11 +211,12 @@
     this.measure();
     const { policy, tickMs } = this.options;
     const minuteOfDay = Math.floor(this.nowMs / MINUTE_MS) % MINUTES_A_DAY;
+    const failedRacks = this.listFailedRacks();
     this.pools.forEach((tables) => {
       // Each home sees the steps that the homes before it have just decided.
       const fleetProgress = summariseWaves([...this.steps.values()]);
       policy
-        .planSteps(tables, { nowMs: this.nowMs, minuteOfDay, fleetProgress })
+        .planSteps(tables, { nowMs: this.nowMs, minuteOfDay, fleetProgress, failedRacks })
         .forEach((decision) => {
           if (decision.type === 'start-step') this.startStep(tables, decision.wave, decision.vm);
           if (decision.type === 'stop-wave') this.stopReason ??= decision.reason;
@@ -230,6 +231,19 @@
     this.agenda.push(this.nowMs + tickMs, { type: 'tick' });
   }
 
+  /** Racks that lost all their VMs, or one that the wave has not touched. */
+  private listFailedRacks(): ReadonlySet<string> {
+    const byRack = groupBy(
+      this.options.trace.head.vms,
+      ({ dataCentre, rack }) => `${dataCentre}/${rack}`,
+    );
+    const failed = [...byRack].filter(([, vms]) => {
+      const lost = vms.filter(({ vm }) => this.lostVms.has(vm));
+      return lost.length === vms.length || lost.some(({ vm }) => !this.steps.has(vm));
+    });
+    return new Set(failed.map(([rack]) => rack));
+  }
+
   private startStep(tables: PoolTables, wave: string, vm: string): void {
     const { drainMs, rebootMs } = this.stories.get(vm)!;
     const step: WaveStepRow = {
--- a/src/systems/findWaveFailure.ts
+++ b/src/systems/findWaveFailure.ts
@@ -18,6 +18,10 @@
   readonly steps: readonly WaveStepRow[];
   /** Monotonic time, in milliseconds. */
   readonly nowMs: number;
+  /** Steps of the wave that have finished in any pool; without it those of this pool count. */
+  readonly fleetFinishedCount?: number;
+  /** Racks known to have failed, as `data centre/rack`. */
+  readonly failedRacks?: ReadonlySet<string>;
 }
 
 /** Whether the loss has lasted: the platform's list lags, and a VM may be missing from one copy. */
@@ -43,11 +47,13 @@
 function listVmsLostAfterwards(options: FindWaveFailureOptions): readonly string[] {
   const { tables, steps, nowMs } = options;
   const racksLostOtherwise = listRacksLostOtherwise(tables, new Set(steps.map((step) => step.vm)));
+  const hasRackFailed = (rack: string): boolean =>
+    racksLostOtherwise.has(rack) || options.failedRacks?.has(rack) === true;
   return steps
     .filter((step) => step.state === 'maintained' && isConfirmedLoss(tables, step.vm, nowMs))
     .map((step) => tables.vms.get(step.vm))
     .filter((vm): vm is PoolVmRow => vm !== undefined)
-    .filter((vm) => !racksLostOtherwise.has(domainOf(vm, 'rack')))
+    .filter((vm) => !hasRackFailed(domainOf(vm, 'rack')))
     .map((vm) => vm.vm);
 }
 
@@ -74,7 +80,7 @@
   const suspectVms = listSuspectVms(options).filter((vm) => !forgivenVms.includes(vm));
   const finishedCount = options.steps.filter((step) => step.state !== 'intended').length;
   const stoppingCount =
-    finishedCount <= EARLY_STEP_COUNT
+    (options.fleetFinishedCount ?? finishedCount) <= EARLY_STEP_COUNT
       ? 1
       : Math.max(MIN_FAILURE_COUNT, Math.ceil(finishedCount * MAX_FAILURE_FRACTION));
   if (suspectVms.length < stoppingCount) return undefined;
--- a/src/systems/planWaveSteps.ts
+++ b/src/systems/planWaveSteps.ts
@@ -17,6 +17,12 @@
   readonly minuteOfDay: number;
   /** Progress of each wave over all pools; without it each pool starts on its own. */
   readonly fleetProgress?: ReadonlyMap<string, WaveProgress>;
+  /**
+   * Racks, as `data centre/rack`, that have lost every VM at once, or one that no wave has touched,
+   * in whichever pool. A pool whose few VMs in a lost rack were all maintained cannot tell that
+   * loss from a broken maintenance on its own, and stops the wave; the rack's other VMs can.
+   */
+  readonly failedRacks?: ReadonlySet<string>;
 }
 
 /** What the planning of one wave works on. */
@@ -79,11 +85,17 @@
   return verdict.type === 'exceeded' ? verdict.reason : 'the budget allows no further VM';
 }
 
+/** Steps of the wave that have finished in any pool; undefined where only this pool is known. */
+function countFinishedInFleet(plan: WavePlan): number | undefined {
+  const fleet = plan.fleetProgress?.get(plan.wave.wave);
+  return fleet && fleet.maintainedVmCount + fleet.failedVmCount;
+}
+
 /** Plans one running wave in one pool. */
 function planWave(plan: WavePlan): readonly WaveDecision[] {
   const { wave } = plan.wave;
   const wait = (reason: string): readonly WaveDecision[] => [{ type: 'wait', wave, reason }];
-  const failure = findWaveFailure(plan);
+  const failure = findWaveFailure({ ...plan, fleetFinishedCount: countFinishedInFleet(plan) });
   if (failure !== undefined) return [{ type: 'stop-wave', wave, reason: failure }];
   const remainingVms = listRemainingVms(plan);
   if (remainingVms.length === 0) return [];
--- a/tests/systems/planWaveSteps.test.ts
+++ b/tests/systems/planWaveSteps.test.ts
@@ -112,6 +112,20 @@
     expect(plan(tables, 60_000)).not.toContain('stop-wave');
   });
 
+  // All that a pool has in a rack is just maintained, and the rack fails. Seen from this pool the
+  // maintenance broke its VMs; the lost VMs of other pools in the rack tell that it did not.
+  it('does not blame the wave for a rack in which other pools lost VMs as well', () => {
+    const tables = makePool(8);
+    startWave(tables);
+    putSteps(tables, RACK_0, 'maintained');
+    changeVms(tables, RACK_0, { condition: 'absent' });
+    plan(tables, 1_000);
+    const options = { nowMs: 60_000, minuteOfDay: 0, failedRacks: new Set(['dc-0/rack-00']) };
+    const types = planWaveSteps(tables, options).map(({ type }) => type);
+    expect(types).not.toContain('stop-wave');
+    expect(plan(tables, 60_000)).toEqual(['stop-wave']);
+  });
+
   it('accepts the failures that an operator resumed the wave with', () => {
     const tables = makePool(8);
     startWave(tables, 'paused');
