--- a/bench/path/PathCluster.ts
+++ b/bench/path/PathCluster.ts
@@ -145,6 +145,15 @@
     return ((await answer.body.json()) as { vms: { vm: string; port: number }[] }).vms;
   }
 
+  /**
+   * Reads how many appends the log has taken, each with one record or many.
+   * @returns Count of appends, and of their records.
+   */
+  async readAppends(): Promise<{ appendCount: number; appendedRecordCount: number }> {
+    const answer = await request(`http://${HOST}:${this.platformPort}/v1/stats`);
+    return (await answer.body.json()) as { appendCount: number; appendedRecordCount: number };
+  }
+
   /**
    * Reads the resident memory of a daemon.
    * @param daemon - The daemon.
--- a/bench/path/main.ts
+++ b/bench/path/main.ts
@@ -130,7 +130,10 @@
   const save = await measureLatency(() => callDaemon(other, 'save'));
   const directPerS = await measureRate(() => callTarget(vm!.port));
   const searchesPerS = await measureRate(() => callDaemon(other, 'search'));
+  const before = await cluster.readAppends();
   const savesPerS = await measureRate(() => callDaemon(other, 'save'));
+  const after = await cluster.readAppends();
+  const appendsPerS = ((after.appendCount - before.appendCount) * 1_000) / LOAD_MS;
   const loadedRssMb = PathCluster.readRssMb(other);
   const rollOutsMs = await measureRollOuts(cluster);
   const takeoverMs = await measureTakeover(cluster);
@@ -142,6 +145,7 @@
     directPerS,
     searchesPerS,
     savesPerS,
+    appendsPerS,
     idleRssMb,
     loadedRssMb,
     idleCpuPercent,
@@ -165,6 +169,7 @@
   console.log(`direct calls a second        ${figures.directPerS.toFixed(0)}`);
   console.log(`searches a second, one daemon ${figures.searchesPerS.toFixed(0)}`);
   console.log(`saves a second, one daemon    ${figures.savesPerS.toFixed(0)}`);
+  console.log(`appends a second meanwhile    ${figures.appendsPerS.toFixed(0)}`);
   console.log(
     `RSS of a daemon, idle/loaded  ${figures.idleRssMb.toFixed(0)} MB / ${figures.loadedRssMb.toFixed(0)} MB`,
   );
--- a/tests/promises/stops.test.ts
+++ b/tests/promises/stops.test.ts
@@ -57,6 +57,35 @@
 });
 
 describe('a target that is leaving', () => {
+  // Story: the platform tells that a VM is leaving while the log is out, and has been out for longer
+  // than every lease. The list of VMs is all that is left to go by.
+  it('gets no new work during an outage of the log either', async () => {
+    await world.startDaemons(['entry-1', 'entry-2']);
+    const home = await world.getHome();
+    world.platform.setFaults({ logOutage: 'unavailable' });
+    const hasLost = () => home.process.logLines.some((line) => line.event === 'leaseLost');
+    await world.waitFor(hasLost);
+    const vms = await operate(home, 'GET', '/operators/v1/vms');
+    const members = (vms.body as unknown as { vm: string; pool?: string }[]).filter(
+      ({ pool }) => pool === 'wiki/pages',
+    );
+    const leaving = members[0]!.vm;
+    await world.leave(leaving);
+    await world.waitFor(async () => {
+      const view = await operate(home, 'GET', '/operators/v1/vms');
+      const rows = view.body as unknown as { vm: string; state: string }[];
+      return rows.some(({ vm, state }) => vm === leaving && state === 'leaving');
+    });
+    const firstLate = world.targets.listStarts().length;
+    const sends = Array.from({ length: 40 }, (_none, index) =>
+      send(world.daemons[index % 2]!, { kind: 'search' }),
+    );
+    const outcomes = new Set((await Promise.all(sends)).map(({ status }) => status));
+    expect(outcomes).toEqual(new Set([200]));
+    const late = world.targets.listStarts().slice(firstLate);
+    expect(late.filter(({ vm }) => vm === leaving)).toEqual([]);
+  });
+
   // Story: the platform tells that a VM is leaving, and an operator drains another. Searches that
   // arrive at any daemon once it is known there must not be started on either.
   it('gets no new work, whoever said that it leaves', async () => {
