Tell what an abandoned job did, ignore cancelled runs, and lift throttles in time

Cause: found by reading beside the systems. A job that three VMs refused was answered as run; a wave of cancellations counted as failures of the VMs; a throttled run stayed slow while its pool's queue was empty; a rack that failed during a wave looked like bad maintenance to a pool with few VMs in it. Measured: 96 tests of entry, home, systems and peers pass; the new one of the refused job failed before with outcome run.

--- a/src/entry/JobRun.ts
+++ b/src/entry/JobRun.ts
@@ -200,7 +200,9 @@
     const { kind, message, retryAtMs } = reply;
     const error = new RattanliftError({ kind, message, retryAtMs });
     if (kind === 'cancelled' && this.signal.aborted) return this.endByAbort('not-run');
-    if (kind !== 'home-unavailable') return { type: 'final', answer: this.fail(error) };
+    // The home gives a job up that ended badly on several VMs; whether it ran there is known here.
+    const outcome = kind === 'target-failed' ? this.earlierOutcome : undefined;
+    if (kind !== 'home-unavailable') return { type: 'final', answer: this.fail(error, outcome) };
     await this.context.waitForHome(this.job.pool, this.signal);
     return { type: 'again', error };
   }
@@ -289,7 +291,7 @@
   }
 
   private endByTargetRefusal(grant: GrantReply, reason: string, ranMs: number): AttemptEnd {
-    this.reportAttempt(grant, 'not-started', ranMs);
+    this.reportAttempt(grant, this.signal.aborted ? 'cancelled' : 'not-started', ranMs);
     if (this.signal.aborted) return this.endByAbort('not-run');
     const message = `${grant.vm} did not start the job: ${reason}.`;
     const error = new RattanliftError({ kind: 'target-refused', message });
@@ -300,14 +302,14 @@
     const message = `${grant.vm} gave no answer to the end: ${reason}.`;
     const error = new RattanliftError({ kind: 'target-silent', message });
     if (this.job.idempotent) {
-      this.endGrant(grant, 'unknown', 'unknown', ranMs);
+      this.endGrant(grant, this.signal.aborted ? 'cancelled' : 'unknown', 'unknown', ranMs);
       this.earlierOutcome = findStrongest(this.earlierOutcome, 'unknown');
       if (this.signal.aborted) return this.endByAbort('unknown');
       return { type: 'again', error, excludedVm: grant.vm };
     }
     // Failure: the target got a request that must run at most once and then fell silent. It may
     // have run, so it is neither sent again nor called not run.
-    this.reportAttempt(grant, 'unknown', ranMs);
+    this.reportAttempt(grant, this.signal.aborted ? 'cancelled' : 'unknown', ranMs);
     return { type: 'final', answer: this.fail(error, 'unknown') };
   }
 
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -21,6 +21,7 @@
 import { ClaimDesk, type Refusal } from './ClaimDesk.js';
 import { DrainRunner } from './DrainRunner.js';
 import { ExplainLog } from './ExplainLog.js';
+import { findFailedRacks } from './findFailedRacks.js';
 import { syncPoolTables } from './syncPoolTables.js';
 import { VmProber } from './VmProber.js';
 import { WaveRunner } from './WaveRunner.js';
@@ -292,7 +293,8 @@
   }
 
   private place(): void {
-    if (this.isClosed || this.tables.queue.size === 0) return;
+    const isIdle = this.tables.queue.size === 0 && this.tables.preemptions.size === 0;
+    if (this.isClosed || isIdle) return;
     // Failure: a VM gets work after its drain was accepted, because the tables are some ticks old.
     this.syncIfChanged();
     const nowMs = this.options.clock.monotonicMs();
@@ -458,7 +460,11 @@
     // Failure: a home that lost its lease goes on moving or rebooting VMs beside its successor.
     if (!this.options.holdsLease() || !this.options.directory.isLoaded) return;
     const minuteOfDay = Math.floor(this.options.clock.wallMs() / MINUTE_MS) % MINUTES_PER_DAY;
-    this.waveRunner.apply(planWaveSteps(this.tables, { nowMs, minuteOfDay, fleetProgress }));
+    const failedRacks = findFailedRacks(
+      this.tables.waves.size > 0 ? this.options.directory.list() : [],
+    );
+    const options = { nowMs, minuteOfDay, fleetProgress, failedRacks };
+    this.waveRunner.apply(planWaveSteps(this.tables, options));
     this.waveRunner.tick();
     this.drainRunner.tick();
     if (this.capacityRunner.isBusy) return;
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -24,7 +24,7 @@
 }
 
 /** How the use of a grant ended, as its entry instance saw it. */
-export type GrantResult = 'run' | 'failed' | 'not-started' | 'unknown';
+export type GrantResult = 'run' | 'failed' | 'not-started' | 'unknown' | 'cancelled';
 
 /** What one instance asks of another; each gets exactly one reply. */
 export type PeerRequest =
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -36,7 +36,7 @@
     jobKind: id,
     vm: id,
     isClaimed: z.boolean(),
-    result: z.enum(['run', 'failed', 'not-started', 'unknown']),
+    result: z.enum(['run', 'failed', 'not-started', 'unknown', 'cancelled']),
     outcome,
     ranMs: z.number().nonnegative(),
     usedMemoryMb: z.number().nonnegative().optional(),
--- a/src/systems/recordRun.ts
+++ b/src/systems/recordRun.ts
@@ -156,6 +156,8 @@
     learn(tables, run);
     return trust(tables, run);
   }
+  // A wave of cancellations says nothing against the VMs that ran the jobs.
+  if (run.result === 'cancelled') return [];
   const failedVms = new Set([...run.excludedVms, run.vm]);
   if (failedVms.size >= MAX_FAILED_VM_COUNT) {
     acquitVms(tables, run.requestId);
--- a/tests/entry/JobRun.test.ts
+++ b/tests/entry/JobRun.test.ts
@@ -146,6 +146,17 @@
       },
     );
 
+    // Story: three VMs refuse a job, and the home gives it up as one that fails everywhere. The
+    // caller was told that it ran, though no target had started it.
+    it('does not call a job run that no target has started', async () => {
+      const played = await play({
+        idempotent: true,
+        results: [REFUSED, REFUSED, REFUSED],
+        refusals: [undefined, undefined, undefined, 'target-failed'],
+      });
+      expect(played.result).toMatchObject({ outcome: 'not-run', error: { kind: 'target-failed' } });
+    });
+
     // Story: the process is paused after its home has granted a slot. When it goes on, the slot
     // belongs to another request.
     it('sends nothing on a grant that has ended', async () => {
