--- a/src/daemon/Operations.ts
+++ b/src/daemon/Operations.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { type ErrorKind, throwError } from '../errors/index.js';
 import type { VmDirectory } from '../fleet/index.js';
-import type { PoolHomeState } from '../home/index.js';
+import type { PoolState } from '../home/index.js';
 import { isWaveFinished, type LogWriter } from '../log/index.js';
 import type {
   InstanceView,
@@ -217,7 +217,7 @@
     };
   }
 
-  private async askPoolState(home: HomeRow): Promise<PoolHomeState | undefined> {
+  private async askPoolState(home: HomeRow): Promise<PoolState | undefined> {
     const row = this.options.fleet.instances.get(home.instance ?? '');
     if (row === undefined) return undefined;
     const request: PeerRequest = { type: 'get-pool-state', pool: home.pool };
@@ -226,7 +226,7 @@
       row.instance === instance
         ? handleLocally(instance, request)
         : peers.call(toPeerAddress(row), request, PEER_WAIT_MS);
-    return parseState<PoolHomeState>(await asked.catch((): PeerReply => ({ type: 'done' })));
+    return parseState<PoolState>(await asked.catch((): PeerReply => ({ type: 'done' })));
   }
 
   private viewVm(row: VmRow): VmView {
--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -84,7 +84,7 @@
       case 'get-tables':
         return { type: 'state', json: options.serializeTables() };
       case 'get-pool-state':
-        return atHome(request.pool, (home) => toState(home.getState()));
+        return atHome(request.pool, (home) => toState(home.vms.getState()));
       case 'get-job':
         return toState(await options.entry().getJob(request.jobId));
       case 'cancel-job':
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -22,6 +22,7 @@
   await daemon.start();
   const stop = async (): Promise<void> => {
     await daemon.stop();
+    if (metrics instanceof StatsdMetrics) await metrics.close();
     process.exit(0);
   };
   process.once('SIGTERM', stop);
--- a/src/entry/JobRun.ts
+++ b/src/entry/JobRun.ts
@@ -13,6 +13,8 @@
 import type { GrantReply, GrantResult, PeerReply } from '../peers/index.js';
 import type { TargetAddress, TargetPort, TaskResult } from '../targets/index.js';
 import { assertNever, type Clock } from '../utils/index.js';
+import { createGrantRequest } from './createGrantRequest.js';
+import { findStrongest } from './findStrongest.js';
 import type { FinishReporter } from './FinishReporter.js';
 import { type GrantKeeper, TASK_LEASE_MS } from './GrantKeeper.js';
 import type { HomeRouter } from './HomeRouter.js';
@@ -51,13 +53,6 @@
 /** How much longer than the caller's deadline the home's answer is awaited. */
 const HOME_GRACE_MS = 500;
 
-const OUTCOMES_BY_STRENGTH: readonly Outcome[] = ['not-run', 'unknown', 'run'];
-
-function findStrongest(one: Outcome, other: Outcome): Outcome {
-  const strengthOf = (outcome: Outcome) => OUTCOMES_BY_STRENGTH.indexOf(outcome);
-  return strengthOf(one) >= strengthOf(other) ? one : other;
-}
-
 function endByExpiry(): AttemptEnd {
   const message = 'The grant ended before it could be used.';
   return { type: 'again', error: new RattanliftError({ kind: 'home-unavailable', message }) };
@@ -157,25 +152,8 @@
     const withdraw = (): void => this.withdraw();
     this.signal.addEventListener('abort', withdraw, { once: true });
     try {
-      return await router.ask(
-        job.pool,
-        {
-          type: 'request-grant',
-          attemptId: this.lastAttemptId,
-          requestId: job.requestId,
-          pool: job.pool,
-          team: job.team,
-          jobKind: job.jobKind,
-          urgency: job.urgency,
-          coreCount: job.coreCount,
-          memoryMb: job.memoryMb,
-          idempotent: job.idempotent,
-          deadlineAtMs: job.deadlineAtMs,
-          fingerprint: job.fingerprint,
-          excludedVms,
-        },
-        waitMs,
-      );
+      const request = createGrantRequest(job, this.lastAttemptId, excludedVms);
+      return await router.ask(job.pool, request, waitMs);
     } catch (thrown) {
       return toRattanliftError(thrown, 'home-unavailable');
     } finally {
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -2,14 +2,11 @@
 import type { LogWriter } from '../log/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { GrantRequest, HeldGrant, PeerReply, PeerRequest } from '../peers/index.js';
+import type { GrantRequest, PeerReply, PeerRequest } from '../peers/index.js';
 import type { VmPort } from '../platform/index.js';
 import type { PoolSettings } from '../settings/index.js';
 import {
-  checkBudget,
   placeQueuedJobs,
-  planCapacity,
-  planWaveSteps,
   type PlacementDecision,
   recordRun,
   type WaveProgress,
@@ -17,14 +14,16 @@
 import { type FleetTables, type GrantRow, PoolTables, type QueuedRow } from '../tables/index.js';
 import type { TargetPort } from '../targets/index.js';
 import { assertNever, type Clock, type Rng } from '../utils/index.js';
-import { CapacityRunner } from './CapacityRunner.js';
 import { ClaimDesk, type Refusal } from './ClaimDesk.js';
-import { DrainRunner } from './DrainRunner.js';
 import { ExplainLog } from './ExplainLog.js';
-import { findFailedRacks } from './findFailedRacks.js';
-import { syncPoolTables } from './syncPoolTables.js';
-import { VmProber } from './VmProber.js';
-import { WaveRunner } from './WaveRunner.js';
+import {
+  createGrant,
+  createHeldGrant,
+  createQueuedRow,
+  GRANT_LENGTH_MS,
+  type GrantHeldElsewhere,
+} from './grantRows.js';
+import { PoolVms } from './PoolVms.js';
 
 /** Options of {@link PoolHome}. */
 export interface PoolHomeOptions {
@@ -46,18 +45,7 @@
   /** Tells whether this instance's lease holds at this moment. */
   readonly holdsLease: () => boolean;
   /** Grants that entry instances hold from an earlier home. */
-  readonly heldGrants: readonly (HeldGrant & { readonly entry: string })[];
-}
-
-/** What a home tells operators about its pool. */
-export interface PoolHomeState {
-  readonly runningJobCount: number;
-  readonly queuedJobCount: number;
-  readonly usableSlotCount: number;
-  readonly acceptingVmCount: number;
-  readonly vmCount: number;
-  readonly budget: string;
-  readonly waveWaitReasons: readonly string[];
+  readonly heldGrants: readonly GrantHeldElsewhere[];
 }
 
 interface WaitingRequest {
@@ -70,14 +58,6 @@
 type Placed = Extract<PlacementDecision, { readonly type: 'place' }>;
 type FinishGrant = Extract<PeerRequest, { readonly type: 'finish-grant' }>;
 
-/** How long a grant lasts unless its entry instance renews it. */
-export const GRANT_LENGTH_MS = 6_000;
-/** Least time between two rounds of capacity and wave planning. */
-const PLAN_EVERY_MS = 250;
-const PROBE_EVERY_MS = 1_000;
-const MINUTE_MS = 60_000;
-const MINUTES_PER_DAY = 1_440;
-
 function refuse(kind: Refusal['kind'], message: string): Refusal {
   return { type: 'refused', kind, message };
 }
@@ -92,27 +72,16 @@
 
   private readonly options: PoolHomeOptions;
 
-  private readonly claimDesk: ClaimDesk;
-
-  private readonly waveRunner: WaveRunner;
-
-  private readonly capacityRunner: CapacityRunner;
-
-  private readonly drainRunner: DrainRunner;
+  /** The pool's VMs, with their waves, moves and drains. */
+  readonly vms: PoolVms;
 
-  private readonly prober: VmProber;
+  private readonly claimDesk: ClaimDesk;
 
   private readonly waiting = new Map<string, WaitingRequest>();
 
   /** VMs that failed a granted request before, by grant. */
   private readonly excludedVms = new Map<string, readonly string[]>();
 
-  private syncedOffset = -1;
-
-  private syncedListVersion = -1;
-
-  private planAtMs = Number.NEGATIVE_INFINITY;
-
   private isClosed = false;
 
   /**
@@ -121,24 +90,15 @@
    */
   constructor(options: PoolHomeOptions) {
     this.options = options;
-    const { pool, settings, clock, events, targets } = options;
+    const { pool, settings, clock, events } = options;
     this.tables = new PoolTables(pool, settings);
     this.explainLog = new ExplainLog({ clock });
-    const getVm = options.directory.get.bind(options.directory);
-    const shared = { ...options, tables: this.tables, getVm };
+    this.vms = new PoolVms({ ...options, tables: this.tables });
     this.claimDesk = new ClaimDesk(options);
-    this.waveRunner = new WaveRunner(shared);
-    this.capacityRunner = new CapacityRunner(shared);
-    this.drainRunner = new DrainRunner(shared);
-    this.prober = new VmProber({
-      targets,
-      clock,
-      events,
-      probeEveryMs: PROBE_EVERY_MS,
-      onDraining: (vm) => this.undrainForgotten(vm),
-    });
-    options.heldGrants.forEach((held) => this.tables.grants.put(this.createHeldGrant(held)));
-    this.sync();
+    options.heldGrants.forEach((held) =>
+      this.tables.grants.put(createHeldGrant(held, pool, clock.monotonicMs())),
+    );
+    this.vms.sync();
     events.write('homeOpened', { pool, term: options.term });
   }
 
@@ -160,7 +120,7 @@
       return Promise.resolve(refusal);
     }
     const enteredAtMs = this.options.clock.monotonicMs();
-    this.tables.queue.put(this.createQueuedRow(entry, request, enteredAtMs));
+    this.tables.queue.put(createQueuedRow(entry, request, this.options.clock));
     const reply = new Promise<PeerReply>((resolve) => {
       this.waiting.set(request.attemptId, { entry, request, enteredAtMs, reply: resolve });
     });
@@ -220,52 +180,12 @@
    */
   tick(settings: PoolSettings, fleetProgress: ReadonlyMap<string, WaveProgress>): void {
     this.tables.settings = settings;
-    this.prober.tick();
+    this.claimDesk.tick();
     this.expireGrants();
-    const nowMs = this.options.clock.monotonicMs();
-    if (nowMs >= this.planAtMs) {
-      this.planAtMs = nowMs + PLAN_EVERY_MS;
-      this.plan(nowMs, fleetProgress);
-    }
+    this.vms.tick(fleetProgress);
     this.place();
   }
 
-  /**
-   * Tells operators about the pool.
-   * @returns Counts, and whether the budget holds.
-   */
-  getState(): PoolHomeState {
-    const verdict = checkBudget(this.tables, { nowMs: this.options.clock.monotonicMs() });
-    return {
-      ...this.getCounts(),
-      budget: verdict.type === 'within' ? 'within' : verdict.reason,
-      waveWaitReasons: this.tables.waves
-        .list()
-        .flatMap(({ wave }) => this.waveRunner.getWaitReason(wave) ?? []),
-    };
-  }
-
-  /**
-   * Describes the pool in a line for a person.
-   * @returns Counts, and whether the budget holds.
-   */
-  describe(): string {
-    const state = this.getState();
-    const vms = `${state.acceptingVmCount} of ${state.vmCount} VMs take work`;
-    const jobs = `${state.runningJobCount} jobs run, ${state.queuedJobCount} wait`;
-    return [vms, jobs, `budget: ${state.budget}`, ...state.waveWaitReasons].join('; ');
-  }
-
-  /**
-   * Tells why a wave waits in the pool.
-   * @param wave - The wave.
-   * @returns A line, or none where it does not wait here.
-   */
-  getWaveReasons(wave: string): readonly string[] {
-    const reason = this.waveRunner.getWaitReason(wave);
-    return reason === undefined ? [] : [`${this.tables.pool} waits: ${reason}`];
-  }
-
   /** Stops deciding: whoever waits is told at once to ask the pool's next home. */
   close(): void {
     this.isClosed = true;
@@ -296,7 +216,7 @@
     const isIdle = this.tables.queue.size === 0 && this.tables.preemptions.size === 0;
     if (this.isClosed || isIdle) return;
     // Failure: a VM gets work after its drain was accepted, because the tables are some ticks old.
-    this.syncIfChanged();
+    this.vms.syncIfChanged();
     const nowMs = this.options.clock.monotonicMs();
     const { rng } = this.options;
     placeQueuedJobs(this.tables, { nowMs, rng }).forEach((decision) =>
@@ -325,23 +245,10 @@
 
   private grant(row: QueuedRow, placed: Placed): void {
     const nowMs = this.options.clock.monotonicMs();
-    const { attemptId, requestId, pool, team, jobKind, urgency } = row;
-    const { vm, coreCount, memoryMb, reason } = placed;
+    const { attemptId, requestId, pool, team, jobKind } = row;
+    const { vm, reason } = placed;
     this.tables.queue.remove(attemptId);
-    this.tables.grants.put({
-      grantId: attemptId,
-      requestId,
-      entry: row.entry,
-      pool,
-      team,
-      jobKind,
-      urgency,
-      vm,
-      coreCount,
-      memoryMb,
-      grantedAtMs: nowMs,
-      deadlineMs: nowMs + GRANT_LENGTH_MS,
-    });
+    this.tables.grants.put(createGrant(row, placed, nowMs));
     this.excludedVms.set(attemptId, row.excludedVms);
     this.options.metrics.timing('grant_wait_ms', nowMs - row.queuedAtMs, { pool });
     const waitedMs = Math.round(nowMs - row.queuedAtMs);
@@ -433,9 +340,8 @@
           assertNever(verdict);
       }
     });
-    const vm = this.options.directory.get(grant.vm);
     const isSuspect = finish.result === 'unknown' || finish.result === 'not-started';
-    if (isSuspect && vm !== undefined) this.prober.suspect(vm);
+    if (isSuspect) this.vms.suspect(grant.vm);
   }
 
   private expireGrants(): void {
@@ -451,83 +357,6 @@
       });
   }
 
-  private plan(nowMs: number, fleetProgress: ReadonlyMap<string, WaveProgress>): void {
-    this.sync();
-    this.claimDesk.tick();
-    const tags = { pool: this.tables.pool };
-    this.options.metrics.gauge('queue_length', this.tables.queue.size, tags);
-    this.options.metrics.gauge('slots_free', this.countFreeSlots(), tags);
-    // Failure: a home that lost its lease goes on moving or rebooting VMs beside its successor.
-    if (!this.options.holdsLease() || !this.options.directory.isLoaded) return;
-    const minuteOfDay = Math.floor(this.options.clock.wallMs() / MINUTE_MS) % MINUTES_PER_DAY;
-    const failedRacks = findFailedRacks(
-      this.tables.waves.size > 0 ? this.options.directory.list() : [],
-    );
-    const options = { nowMs, minuteOfDay, fleetProgress, failedRacks };
-    this.waveRunner.apply(planWaveSteps(this.tables, options));
-    this.waveRunner.tick();
-    this.drainRunner.tick();
-    if (this.capacityRunner.isBusy) return;
-    const unassignedVms = this.options.directory
-      .list()
-      .filter((vm) => vm.state === 'live')
-      .filter((vm) => this.options.fleet.assignments.get(vm.vm)?.pool === undefined);
-    this.capacityRunner.apply(planCapacity(this.tables, { nowMs, unassignedVms }));
-  }
-
-  private getCounts(): Omit<PoolHomeState, 'budget' | 'waveWaitReasons'> {
-    const vms = this.tables.vms.list();
-    const accepting = vms.filter((vm) => vm.condition === 'accepting');
-    return {
-      runningJobCount: this.tables.grants.size,
-      queuedJobCount: this.tables.queue.size,
-      usableSlotCount: accepting.reduce((sum, vm) => sum + vm.slotCount, 0),
-      acceptingVmCount: accepting.length,
-      vmCount: vms.length,
-    };
-  }
-
-  private countFreeSlots(): number {
-    const { usableSlotCount, runningJobCount } = this.getCounts();
-    return Math.max(0, usableSlotCount - runningJobCount);
-  }
-
-  private syncIfChanged(): void {
-    const { fleet, directory } = this.options;
-    const isSame =
-      fleet.nextOffset === this.syncedOffset && directory.version === this.syncedListVersion;
-    if (!isSame) this.sync();
-  }
-
-  private sync(): void {
-    const { fleet, directory } = this.options;
-    this.syncedOffset = fleet.nextOffset;
-    this.syncedListVersion = directory.version;
-    const withheldVms = new Set([
-      ...this.waveRunner.withheldVms,
-      ...this.capacityRunner.withheldVms,
-    ]);
-    const isUnreachable = this.prober.isUnreachable.bind(this.prober);
-    const known = new Set(this.tables.vms.list().map((vm) => vm.vm));
-    syncPoolTables({ tables: this.tables, fleet, directory, withheldVms, isUnreachable });
-    this.tables.vms
-      .list()
-      .filter((vm) => !known.has(vm.vm) && vm.condition === 'accepting')
-      .forEach((vm) => this.prober.suspect(vm));
-  }
-
-  /**
-   * Failure: a drain is cancelled while the pool changes homes, or a step ends as failed and its VM
-   * comes back later. Nobody remembers that the platform was told to drain the VM, and it refuses
-   * every task although the pool counts on it. Its own word in a probe shows it.
-   */
-  private undrainForgotten(vm: string): void {
-    this.sync();
-    const isWanted = this.tables.vms.get(vm)?.condition === 'accepting';
-    if (!isWanted || !this.options.holdsLease()) return;
-    void this.options.vmPort.undrain(vm).catch(() => undefined);
-  }
-
   private removeGrant(grantId: string): void {
     this.tables.grants.remove(grantId);
     this.excludedVms.delete(grantId);
@@ -545,30 +374,4 @@
     this.options.events.write('jobRefused', { requestId, pool, team, jobKind, kind, reason });
     this.explainLog.note(requestId, `refused (${kind}): ${reason}`);
   }
-
-  private createQueuedRow(entry: string, request: GrantRequest, nowMs: number): QueuedRow {
-    const { attemptId, requestId, pool, team, jobKind, urgency, excludedVms } = request;
-    const { coreCount, memoryMb } = request;
-    const deadlineMs = nowMs + request.deadlineAtMs - this.options.clock.wallMs();
-    return {
-      attemptId,
-      requestId,
-      entry,
-      pool,
-      team,
-      jobKind,
-      urgency,
-      coreCount,
-      memoryMb,
-      queuedAtMs: nowMs,
-      deadlineMs,
-      excludedVms,
-    };
-  }
-
-  private createHeldGrant(held: HeldGrant & { readonly entry: string }): GrantRow {
-    const nowMs = this.options.clock.monotonicMs();
-    const { pool } = this.options;
-    return { ...held, pool, grantedAtMs: nowMs, deadlineMs: nowMs + GRANT_LENGTH_MS };
-  }
 }
