--- a/standins/demo/DemoCluster.ts
+++ b/standins/demo/DemoCluster.ts
@@ -39,10 +39,22 @@
 export class DemoCluster {
   private readonly directory = mkdtempSync(join(tmpdir(), 'rattanlift-demo-'));
 
-  private targetsPort = 0;
+  private targetsControlPort = 0;
+
+  private platformControlPort = 0;
 
   private running: readonly DemoDaemon[] = [];
 
+  /** Port on which the targets' stand-in takes faults. */
+  get targetsPort(): number {
+    return this.targetsControlPort;
+  }
+
+  /** Port of the platform's stand-in. */
+  get platformPort(): number {
+    return this.platformControlPort;
+  }
+
   /** Daemons that were started. */
   get daemons(): readonly DemoDaemon[] {
     return this.running;
@@ -55,7 +67,8 @@
    */
   async start(users: readonly DemoUser[], daemonCount: number): Promise<void> {
     const platformPort = await this.startStandIn('platform', {});
-    this.targetsPort = await this.startStandIn('targets', {
+    this.platformControlPort = platformPort;
+    this.targetsControlPort = await this.startStandIn('targets', {
       vms: users.flatMap((user) => user.vms),
       platformPort,
       rebootMs: REBOOT_MS,
--- a/standins/demo/main.ts
+++ b/standins/demo/main.ts
@@ -4,29 +4,20 @@
 import { checkPromises } from './checkPromises.js';
 import { DemoCluster, type DemoDaemon } from './DemoCluster.js';
 import { listJobKinds } from './DemoJob.js';
-import { type DemoFile, type DemoUser, readDemoUsers } from './demoUsers.js';
+import { type DemoUser, readDemoUsers } from './demoUsers.js';
 import { formatSummary } from './formatSummary.js';
 import { JobStream } from './JobStream.js';
+import { publish, publishAll } from './publish.js';
 import { getConfigurationRollOutMs, getWaveRollOutMs } from './rollOutTimes.js';
 
 const DAEMON_COUNT = 3;
 const SEED = 1;
 const JOB_INTERVAL_MS = 25;
 const MAX_JOB_COUNT = 1_200;
-const READY_WAIT_MS = 20_000;
-const READY_POLL_MS = 250;
 const WAVE_LIMIT_S = 35;
 const BALANCER_DELAY_MS = 200;
 const DEMO_LIMIT_MS = 58_000;
 
-const poolsSchema = z.array(
-  z.object({
-    pool: z.string(),
-    neededSlotCount: z.number(),
-    usableSlotCount: z.number(),
-    budget: z.string(),
-  }),
-);
 const waveSchema = z.object({
   wave: z.string(),
   state: z.string(),
@@ -35,24 +26,6 @@
   maintainedVmCount: z.number(),
 });
 
-async function publish(cluster: DemoCluster, file: DemoFile): Promise<void> {
-  const path = cluster.writeFile(file.fileName, file.document);
-  const run = await cluster.runCli(['settings', 'publish', path]);
-  if (run.code !== 0) throw new Error(`publish failed:\n${run.lines.join('\n')}`);
-}
-
-async function waitForCapacity(cluster: DemoCluster, deadlineMs: number): Promise<void> {
-  const run = await cluster.runCli(['pools']);
-  const pools = poolsSchema.safeParse(run.json).data ?? [];
-  const isReady = (pool: (typeof pools)[number]) => pool.usableSlotCount >= pool.neededSlotCount;
-  if (pools.length > 0 && pools.every(isReady)) return;
-  if (Date.now() >= deadlineMs) {
-    throw new Error(`The pools did not get their VMs:\n${run.lines.join('\n')}`);
-  }
-  await sleep(READY_POLL_MS);
-  await waitForCapacity(cluster, deadlineMs);
-}
-
 /** Chooses one pool of each user: the one that needs the fewest slots. */
 function chooseWavePools(users: readonly DemoUser[]): readonly string[] {
   return users.map((user) => {
@@ -95,8 +68,7 @@
   await cluster.start(users, DAEMON_COUNT);
   console.log(`${DAEMON_COUNT} daemons, ${users.flatMap(({ vms }) => vms).length} VMs`);
   const files = users.flatMap((user) => user.files);
-  await Promise.all(files.map((file) => publish(cluster, file)));
-  await waitForCapacity(cluster, Date.now() + READY_WAIT_MS);
+  await publishAll(cluster, files);
   console.log('settings of both users in force, every pool has its VMs');
   const stream = new JobStream({
     daemons: cluster.daemons,
