Measure the last new task of a leaving VM, and time appends

Cause: how long a leaving target still gets work was proved by order only, not in seconds; log_append_ms was named and written nowhere. Change: the path bench takes a busy VM out under load, by a drain and by the platform's list; the writer tells how long each append took.

--- a/bench/path/PathCluster.ts
+++ b/bench/path/PathCluster.ts
@@ -55,6 +55,8 @@
 
   private platformPort = 0;
 
+  private targetsPort = 0;
+
   /**
    * Starts everything and waits until the pool can carry its jobs.
    * @param daemonCount - Count of entry VMs.
@@ -70,7 +72,7 @@
       slotCount: SLOT_COUNT,
     });
     const { platformPort } = this;
-    await this.startStandIn('targets', { vms, platformPort, defaultRunMs: 1 });
+    this.targetsPort = await this.startStandIn('targets', { vms, platformPort, defaultRunMs: 1 });
     const names = Array.from({ length: daemonCount }, (_none, index) => `entry-${index + 1}`);
     this.daemons = await Promise.all(names.map((name) => this.startDaemon(name)));
     await this.publish(SETTINGS, 0);
@@ -145,6 +147,31 @@
     return ((await answer.body.json()) as { vms: { vm: string; port: number }[] }).vms;
   }
 
+  /**
+   * Has a VM leave, by an operator's drain or by the platform's list.
+   * @param vm - The VM.
+   * @param how - Who says so.
+   */
+  async takeOut(vm: string, how: 'drain' | 'leave'): Promise<void> {
+    const port = how === 'drain' ? this.daemons[0]!.port : this.platformPort;
+    const prefix = how === 'drain' ? '/operators/v1' : '/v1';
+    const answer = await request(`http://${HOST}:${port}${prefix}/vms/${vm}/${how}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(how === 'drain' ? { author: 'bench' } : {}),
+    });
+    await answer.body.dump();
+  }
+
+  /**
+   * Lists every start of a task.
+   * @returns VM and wall-clock time of each.
+   */
+  async listStarts(): Promise<readonly { vm: string; startedAtMs: number }[]> {
+    const answer = await request(`http://${HOST}:${this.targetsPort}/v1/starts`);
+    return (await answer.body.json()) as { vm: string; startedAtMs: number }[];
+  }
+
   /**
    * Reads how many appends the log has taken, each with one record or many.
    * @returns Count of appends, and of their records.
--- a/bench/path/main.ts
+++ b/bench/path/main.ts
@@ -109,6 +109,18 @@
   return performance.now() - startedAtMs;
 }
 
+/** Takes a busy VM out under load, and counts the time until its last new task. */
+async function measureLastStart(cluster: PathCluster, how: 'drain' | 'leave'): Promise<number> {
+  const load = measureRate(() => callDaemon(cluster.daemons[0]!, 'search'));
+  await sleep(LOAD_MS / 4);
+  const { vm } = (await cluster.listStarts()).at(-1)!;
+  await cluster.takeOut(vm, how);
+  const takenOutAtMs = Date.now();
+  await load;
+  const starts = (await cluster.listStarts()).filter((start) => start.vm === vm);
+  return Math.max(0, starts.at(-1)!.startedAtMs - takenOutAtMs);
+}
+
 async function measureIdleCpu(daemon: PathDaemon): Promise<number> {
   const startedS = PathCluster.readCpuS(daemon);
   await sleep(IDLE_MS);
@@ -143,6 +155,8 @@
   const appendsPerS = ((after.appendCount - before.appendCount) * 1_000) / LOAD_MS;
   const loadedRssMb = PathCluster.readRssMb(other);
   const rollOutsMs = await measureRollOuts(cluster);
+  const lastStartAfterDrainMs = await measureLastStart(cluster, 'drain');
+  const lastStartAfterLeaveMs = await measureLastStart(cluster, 'leave');
   const takeoverMs = await measureTakeover(cluster);
   return {
     direct,
@@ -158,6 +172,8 @@
     idleCpuPercent,
     medianRollOutMs: rollOutsMs[Math.floor(rollOutsMs.length / 2)]!,
     slowestRollOutMs: rollOutsMs.at(-1)!,
+    lastStartAfterDrainMs,
+    lastStartAfterLeaveMs,
     takeoverMs,
   };
 }
@@ -181,6 +197,8 @@
     `RSS of a daemon, idle/loaded  ${figures.idleRssMb.toFixed(0)} MB / ${figures.loadedRssMb.toFixed(0)} MB`,
   );
   console.log(`processor time of an idle daemon ${figures.idleCpuPercent.toFixed(1)} % of a core`);
+  const leftMs = `${figures.lastStartAfterDrainMs.toFixed(0)} ms / ${figures.lastStartAfterLeaveMs.toFixed(0)} ms`;
+  console.log(`last new task after a drain / after the list says leaving ${leftMs}`);
   console.log(
     `configuration in force on all ${figures.medianRollOutMs.toFixed(0)} ms median, ${figures.slowestRollOutMs.toFixed(0)} ms slowest of ${ROLL_OUT_COUNT}`,
   );
--- a/src/daemon/InstanceParts.ts
+++ b/src/daemon/InstanceParts.ts
@@ -142,6 +142,7 @@
       makeRecordId: randomUUID,
       appendGapMs: APPEND_GAP_MS,
       appendBurstCount: APPEND_BURST_COUNT,
+      onAppended: (tookMs) => this.options.metrics.timing('log_append_ms', tookMs),
     });
   }
 
--- a/src/log/LogWriter.ts
+++ b/src/log/LogWriter.ts
@@ -44,6 +44,8 @@
   /** Appends that may go out without a gap after a quiet time. */
   readonly appendBurstCount?: number;
   readonly backoff?: BackoffOptions;
+  /** Hears how long an append took that was answered, in milliseconds. */
+  readonly onAppended?: (tookMs: number) => void;
 }
 
 /** Limits of one write. */
@@ -200,11 +202,13 @@
   }
 
   private async appendBatch(batch: readonly PendingWrite[]): Promise<void> {
-    const { appendWaitMs = DEFAULT_APPEND_WAIT_MS, log, stream } = this.options;
+    const { appendWaitMs = DEFAULT_APPEND_WAIT_MS, clock, log, stream } = this.options;
     const records = batch.map((pending) => pending.record);
     batch.forEach((pending) => pending.markSent());
+    const sentAtMs = clock.monotonicMs();
     try {
       await raceTimeout(log.append(stream, records), appendWaitMs);
+      this.options.onAppended?.(clock.monotonicMs() - sentAtMs);
       this.isOut = false;
       this.backoff.reset();
     } catch (thrown) {
