Create the tables of waves and of their steps in one place

Cause: the fleet's tables and a pool's tables each defined both, with the key of a step written twice; a change to one would have let a pool look steps up under another key than the fold. Change: createWaveTable and createWaveStepTable serve both; behaviour is the same.

--- a/src/tables/FleetTables.ts
+++ b/src/tables/FleetTables.ts
@@ -9,11 +9,10 @@
   RetiredHomeRow,
   SettingsRow,
   VerdictRow,
-  WaveRow,
-  WaveStepRow,
   WriterClockRow,
 } from './entities.js';
 import { Table } from './Table.js';
+import { createWaveStepTable, createWaveTable } from './waveTables.js';
 
 /** Key of the row of `frozen` that covers every team. */
 const EVERY_SUBTREE = '*';
@@ -56,17 +55,9 @@
     keyOf: (row) => row.vm,
   });
 
-  readonly waves = new Table<string, WaveRow>({
-    entity: 'wave',
-    missingKind: 'unknown-wave',
-    keyOf: (row) => row.wave,
-  });
+  readonly waves = createWaveTable();
 
-  readonly waveSteps = new Table<string, WaveStepRow>({
-    entity: 'wave step',
-    missingKind: 'unknown-wave',
-    keyOf: (row) => `${row.wave}/${row.vm}`,
-  });
+  readonly waveSteps = createWaveStepTable();
 
   readonly claims = new Table<string, ClaimRow>({
     entity: 'claim of request',
--- a/src/tables/PoolTables.ts
+++ b/src/tables/PoolTables.ts
@@ -1,6 +1,7 @@
 import type { PoolSettings } from '../settings/index.js';
-import type { GrantRow, QueuedRow, VmRow, WaveRow, WaveStepRow } from './entities.js';
+import type { GrantRow, QueuedRow, VmRow } from './entities.js';
 import { Table } from './Table.js';
+import { createWaveStepTable, createWaveTable } from './waveTables.js';
 
 /** A VM of a pool as its home sees it. */
 export interface PoolVmRow extends VmRow {
@@ -99,18 +100,10 @@
     keyOf: (row) => row.vm,
   });
 
-  readonly waves = new Table<string, WaveRow>({
-    entity: 'wave',
-    missingKind: 'unknown-wave',
-    keyOf: (row) => row.wave,
-  });
+  readonly waves = createWaveTable();
 
   /** Steps of the pool's VMs in running and paused waves. */
-  readonly waveSteps = new Table<string, WaveStepRow>({
-    entity: 'wave step',
-    missingKind: 'unknown-wave',
-    keyOf: (row) => `${row.wave}/${row.vm}`,
-  });
+  readonly waveSteps = createWaveStepTable();
 
   readonly losses = new Table<string, VmLossRow>({
     entity: 'loss of VM',
