--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,7 @@
 });
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'reports/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'reports/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -91,6 +91,11 @@
         return toState(await options.entry().cancelJob(request.jobId));
       case 'explain':
         return toState(options.explainHere(request.subject));
+      case 'submit-durable-job':
+      case 'get-durable-job':
+      case 'cancel-durable-job':
+      case 'count-pending-jobs':
+        return NO_HOME;
       default:
         return assertNever(request);
     }
--- /dev/null
+++ b/src/jobs/DurableJobRow.ts
@@ -0,0 +1,45 @@
+import type { DurableJobSpec, DurableJobState } from './DurableJobSpec.js';
+import type { TaskRow } from './TaskRow.js';
+
+/** A job with the progress of its tasks; rows are replaced, never changed. */
+export interface DurableJobRow {
+  readonly spec: DurableJobSpec;
+  readonly state: DurableJobState;
+  /** Tasks ordered by occurrence, step and index. */
+  readonly tasks: readonly TaskRow[];
+  /** When the job reached its final state, in milliseconds since the Unix epoch. */
+  readonly finishedAtMs?: number;
+}
+
+/**
+ * Creates the row of a job that has just been accepted.
+ * @param spec - The job.
+ * @returns Its row; every task waits.
+ */
+export function createJobRow(spec: DurableJobSpec): DurableJobRow {
+  const occurrenceCount = spec.schedule?.occurrenceCount ?? 1;
+  const tasks = Array.from({ length: occurrenceCount }, (_o, occurrence) =>
+    spec.steps.flatMap(({ taskCount }, step) =>
+      Array.from({ length: taskCount }, (_t, index): TaskRow => ({
+        occurrence,
+        step,
+        index,
+        phase: 'waiting',
+        run: 0,
+        targetId: undefined,
+        failureCount: 0,
+        checkpoint: undefined,
+      })),
+    ),
+  ).flat();
+  return { spec, state: 'queued', tasks, finishedAtMs: undefined };
+}
+
+/**
+ * Tells whether a job has reached its final state.
+ * @param row - The job.
+ * @returns Whether nothing of it is to run any more.
+ */
+export function isFinished(row: DurableJobRow): boolean {
+  return row.state === 'completed' || row.state === 'failed' || row.state === 'cancelled';
+}
--- /dev/null
+++ b/src/jobs/index.ts
@@ -0,0 +1,26 @@
+export { createJobRow, type DurableJobRow, isFinished } from './DurableJobRow.js';
+export type {
+  DurableJobSpec,
+  DurableJobState,
+  QueueTerms,
+  Resources,
+  Schedule,
+  StepSpec,
+} from './DurableJobSpec.js';
+export {
+  decodeJobRecord,
+  durableJobSpecSchema,
+  encodeJobProgress,
+  encodeJobRemoval,
+  encodeJobSpec,
+  type JobProgress,
+  type JobRecord,
+} from './jobCodec.js';
+export {
+  formatTaskName,
+  parseTaskName,
+  type TaskName,
+  type TaskPhase,
+  type TaskRow,
+} from './TaskRow.js';
+export { cancelJob, endRun, findTask, placeTask, type RunEnd, unplaceTask } from './progressJob.js';
--- /dev/null
+++ b/src/jobs/jobCodec.ts
@@ -0,0 +1,138 @@
+import { Encoder } from 'cbor-x';
+import { z } from 'zod';
+import { throwError } from '../errors/index.js';
+import type { KeyedRecord } from '../store/index.js';
+import type { DurableJobRow } from './DurableJobRow.js';
+import type { DurableJobSpec } from './DurableJobSpec.js';
+
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
+
+const SPEC_PREFIX = 'spec/';
+const PROGRESS_PREFIX = 'progress/';
+
+const count = z.int().nonnegative();
+
+const stepSchema = z.looseObject({
+  taskCount: count,
+  demand: z.looseObject({ cpuMillicores: count, memoryMb: count, gpuCount: count }),
+  estimatedRunMs: z.number(),
+  afterSteps: z.array(count),
+  isCheckpointing: z.boolean(),
+  isGang: z.boolean(),
+  wantsSameRack: z.boolean(),
+  requiredLabel: z.string().optional(),
+  dataRack: z.string().optional(),
+  maxTasksPerTarget: count.optional(),
+  mayRunCopies: z.boolean(),
+  isLongRunning: z.boolean(),
+  image: z.string().optional(),
+  latencyTargetMs: z.number().optional(),
+  isBestEffort: z.boolean(),
+  maxUnavailableCount: count.optional(),
+});
+
+/** Schema of a job's specification, for records and for messages between instances. */
+export const durableJobSpecSchema = z.looseObject({
+  jobId: z.string(),
+  terms: z.looseObject({
+    queue: z.string(),
+    pool: z.string(),
+    priority: z.number(),
+    maxAttempts: count,
+    stretch: z.number(),
+    targetDurationMs: z.number(),
+  }),
+  payload: z.string(),
+  steps: z.array(stepSchema),
+  schedule: z
+    .looseObject({ occurrenceCount: count, firstDueAtMs: z.number(), intervalMs: z.number() })
+    .optional(),
+  submittedAtMs: z.number(),
+});
+
+const progressSchema = z.looseObject({
+  state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
+  finishedAtMs: z.number().optional(),
+  tasks: z.array(
+    z.looseObject({
+      occurrence: count,
+      step: count,
+      index: count,
+      phase: z.enum(['waiting', 'placed', 'done']),
+      run: count,
+      targetId: z.string().optional(),
+      failureCount: count,
+      checkpoint: z.string().optional(),
+    }),
+  ),
+});
+
+/** Progress of a job as its record keeps it. */
+export type JobProgress = Pick<DurableJobRow, 'state' | 'finishedAtMs' | 'tasks'>;
+
+/** A record of a job, told apart by its key. */
+export type JobRecord =
+  | { readonly type: 'spec'; readonly jobId: string; readonly spec: DurableJobSpec }
+  | { readonly type: 'progress'; readonly jobId: string; readonly progress: JobProgress }
+  | { readonly type: 'other' };
+
+/**
+ * Encodes what a caller submitted; this record is written once and not replaced.
+ * @param spec - The job.
+ * @returns The record.
+ */
+export function encodeJobSpec(spec: DurableJobSpec): KeyedRecord {
+  return { key: `${SPEC_PREFIX}${spec.jobId}`, value: codec.encode(spec) };
+}
+
+/**
+ * Encodes the progress of a job.
+ * @param row - The job.
+ * @returns The record, which replaces the job's earlier progress.
+ */
+export function encodeJobProgress({
+  spec,
+  state,
+  finishedAtMs,
+  tasks,
+}: DurableJobRow): KeyedRecord {
+  const progress: JobProgress = { state, finishedAtMs, tasks };
+  return { key: `${PROGRESS_PREFIX}${spec.jobId}`, value: codec.encode(progress) };
+}
+
+/**
+ * Lists the records that drop a job from the store.
+ * @param jobId - Id of the job.
+ * @returns Its keys without values.
+ */
+export function encodeJobRemoval(jobId: string): readonly KeyedRecord[] {
+  return [
+    { key: `${PROGRESS_PREFIX}${jobId}`, value: undefined },
+    { key: `${SPEC_PREFIX}${jobId}`, value: undefined },
+  ];
+}
+
+function parseOrThrow<Value>(schema: z.ZodType, key: string, value: Uint8Array): Value {
+  const result = schema.safeParse(codec.decode(value));
+  if (result.success) return result.data as Value;
+  return throwError('internal', `Record ${key} is malformed: ${z.prettifyError(result.error)}`);
+}
+
+/**
+ * Decodes a record of a pool's partition.
+ * @param record - The record.
+ * @returns What it holds; `other` where its key is none of a job.
+ * @throws RattanliftError Of kind `internal` where the value does not fit its key.
+ */
+export function decodeJobRecord({ key, value }: KeyedRecord): JobRecord {
+  if (value === undefined) return { type: 'other' };
+  if (key.startsWith(SPEC_PREFIX)) {
+    const jobId = key.slice(SPEC_PREFIX.length);
+    return { type: 'spec', jobId, spec: parseOrThrow(durableJobSpecSchema, key, value) };
+  }
+  if (key.startsWith(PROGRESS_PREFIX)) {
+    const jobId = key.slice(PROGRESS_PREFIX.length);
+    return { type: 'progress', jobId, progress: parseOrThrow(progressSchema, key, value) };
+  }
+  return { type: 'other' };
+}
--- a/src/logging/events/daemonEvents.ts
+++ b/src/logging/events/daemonEvents.ts
@@ -6,4 +6,9 @@
   daemonStopping: { number: 9002, level: 'info', text: 'The daemon stops taking work.' },
   daemonStopped: { number: 9003, level: 'info', text: 'The daemon has finished.' },
   unexpectedError: { number: 9004, level: 'error', text: 'Something failed unexpectedly.' },
+  settingsReread: {
+    number: 9005,
+    level: 'info',
+    text: 'The daemon was told to read its settings.',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- /dev/null
+++ b/src/logging/events/taskEvents.ts
@@ -0,0 +1,48 @@
+import type { LogEvent } from '../LogEvent.js';
+
+/** Events 6000 to 6999: durable jobs, their tasks, and the homes that decide for them. */
+export const TASK_EVENTS = {
+  jobAccepted: { number: 6001, level: 'info', text: 'A durable job is stored.' },
+  jobTurnedAway: { number: 6002, level: 'info', text: 'A durable job was refused; it never runs.' },
+  jobFinished: { number: 6003, level: 'info', text: 'A durable job has its final state.' },
+  jobCancelled: { number: 6004, level: 'info', text: 'A durable job was cancelled by its caller.' },
+  taskPlaced: { number: 6005, level: 'info', text: 'Tasks of a job were given to targets.' },
+  startRefused: { number: 6006, level: 'info', text: 'A target refused to start a task.' },
+  startUnanswered: { number: 6007, level: 'warn', text: 'A start got no answer.' },
+  stopUnanswered: { number: 6008, level: 'warn', text: 'A stop got no answer.' },
+  taskEnded: { number: 6009, level: 'info', text: 'A run of a task has ended.' },
+  strayTask: { number: 6010, level: 'warn', text: 'A target runs what this home did not place.' },
+  targetAppeared: { number: 6011, level: 'info', text: 'A target is known.' },
+  targetDraining: { number: 6012, level: 'info', text: 'A target leaves and gets no new task.' },
+  targetGone: { number: 6013, level: 'warn', text: 'The lifetime of a target is over.' },
+  targetSilent: { number: 6014, level: 'warn', text: 'A target does not answer.' },
+  targetHeardAgain: { number: 6015, level: 'info', text: 'A silent target answers again.' },
+  targetAvoided: { number: 6016, level: 'warn', text: 'A target gets no new task for a while.' },
+  taskHomeOpened: { number: 6017, level: 'info', text: 'This instance decides for a partition.' },
+  taskHomeClosed: { number: 6018, level: 'info', text: 'This instance gave a partition up.' },
+  taskHomeOpenFailed: { number: 6019, level: 'warn', text: 'A partition could not be opened.' },
+  appendUnanswered: { number: 6020, level: 'warn', text: 'An append got no answer; repeated.' },
+  appendRejected: { number: 6021, level: 'warn', text: 'The store rejected an append; repeated.' },
+  writerFenced: { number: 6022, level: 'warn', text: 'Another instance writes the partition.' },
+  recordUnreadable: { number: 6023, level: 'error', text: 'A stored record cannot be read.' },
+  groupUnreachable: { number: 6024, level: 'warn', text: 'The group could not be renewed.' },
+  groupReachable: { number: 6025, level: 'info', text: 'The group was renewed again.' },
+  targetListUnreachable: { number: 6026, level: 'warn', text: 'The list of targets is stale.' },
+  targetListReachable: { number: 6027, level: 'info', text: 'The list of targets is fresh again.' },
+  configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
+  configurationUnreadable: {
+    number: 6029,
+    level: 'error',
+    text: 'A configuration cannot be read; the one before stays.',
+  },
+  configurationUnreachable: {
+    number: 6030,
+    level: 'warn',
+    text: 'The configuration cannot be read from the store.',
+  },
+  configurationReachable: {
+    number: 6031,
+    level: 'info',
+    text: 'The configuration can be read from the store again.',
+  },
+} as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,4 +1,5 @@
 import type { ErrorKind, Outcome } from '../errors/index.js';
+import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
 import type { LogEntry } from '../platform/index.js';
 import type { Urgency } from '../settings/index.js';
 
@@ -26,6 +27,13 @@
 /** How the use of a grant ended, as its entry instance saw it. */
 export type GrantResult = 'run' | 'failed' | 'not-started' | 'unknown' | 'cancelled';
 
+/** What an entry asks of the home of a durable job's pool. */
+export type DurableJobRequest =
+  | { readonly type: 'submit-durable-job'; readonly pool: string; readonly job: DurableJobSpec }
+  | { readonly type: 'get-durable-job'; readonly pool: string; readonly jobId: string }
+  | { readonly type: 'cancel-durable-job'; readonly pool: string; readonly jobId: string }
+  | { readonly type: 'count-pending-jobs'; readonly pool: string; readonly queue: string };
+
 /** What one instance asks of another; each gets exactly one reply. */
 export type PeerRequest =
   | GrantRequest
@@ -54,7 +62,8 @@
   | { readonly type: 'get-pool-state'; readonly pool: string }
   | { readonly type: 'get-job'; readonly jobId: string }
   | { readonly type: 'cancel-job'; readonly jobId: string }
-  | { readonly type: 'explain'; readonly subject: string };
+  | { readonly type: 'explain'; readonly subject: string }
+  | DurableJobRequest;
 
 /** A grant as the entry instance holds it. */
 export interface GrantReply {
@@ -79,6 +88,9 @@
       readonly retryAtMs?: number;
     }
   | { readonly type: 'done' }
+  /** State of a durable job; without one the home is sure that there is no such job. */
+  | { readonly type: 'durable-job'; readonly state?: DurableJobState }
+  | { readonly type: 'pending-jobs'; readonly count: number }
   | { readonly type: 'grants'; readonly grants: readonly HeldGrant[] }
   | { readonly type: 'entries'; readonly entries: readonly LogEntry[] }
   | { readonly type: 'state'; readonly json: string };
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { ERROR_ANSWERS, type ErrorKind, throwError } from '../errors/index.js';
+import { durableJobSpecSchema } from '../jobs/index.js';
 import type { PeerReply, PeerRequest } from './PeerMessage.js';
 
 const id = z.string().min(1).max(200);
@@ -50,6 +51,10 @@
   z.looseObject({ type: z.literal('get-job'), jobId: id }),
   z.looseObject({ type: z.literal('cancel-job'), jobId: id }),
   z.looseObject({ type: z.literal('explain'), subject: text }),
+  z.looseObject({ type: z.literal('submit-durable-job'), pool: id, job: durableJobSpecSchema }),
+  z.looseObject({ type: z.literal('get-durable-job'), pool: id, jobId: id }),
+  z.looseObject({ type: z.literal('cancel-durable-job'), pool: id, jobId: id }),
+  z.looseObject({ type: z.literal('count-pending-jobs'), pool: id, queue: id }),
 ]);
 
 const heldGrant = z.looseObject({
@@ -80,6 +85,11 @@
     retryAtMs: z.number().optional(),
   }),
   z.looseObject({ type: z.literal('done') }),
+  z.looseObject({
+    type: z.literal('durable-job'),
+    state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']).optional(),
+  }),
+  z.looseObject({ type: z.literal('pending-jobs'), count }),
   z.looseObject({ type: z.literal('grants'), grants: z.array(heldGrant) }),
   z.looseObject({ type: z.literal('entries'), entries }),
   z.looseObject({ type: z.literal('state'), json: text }),
--- /dev/null
+++ b/src/queues/ConfigurationFollower.ts
@@ -0,0 +1,117 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { EventLog } from '../logging/index.js';
+import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
+import type { QueueConfiguration } from './QueueConfiguration.js';
+
+/** Options of {@link ConfigurationFollower}. */
+export interface ConfigurationFollowerOptions {
+  readonly store: KeyedLogPort;
+  readonly topic: string;
+  readonly partition: number;
+  /** Key of the configuration in the topic. */
+  readonly key: string;
+  /**
+   * Decodes a configuration.
+   * @throws RattanliftError Of kind `settings-invalid` with the field at fault.
+   */
+  readonly decode: (value: Uint8Array) => QueueConfiguration;
+  readonly events: EventLog;
+  /** Takes the other records of the topic. */
+  readonly onOther?: (record: KeyedRecord) => void;
+}
+
+/** How long the store holds a reading back where nothing changes, in milliseconds. */
+const WAIT_MS = 20_000;
+/** Pause after a failed reading, in milliseconds: several tries within the bound of 2 s. */
+const RETRY_PAUSE_MS = 150;
+
+/** Keeps the newest configuration that operators have published. */
+export class ConfigurationFollower {
+  private readonly options: ConfigurationFollowerOptions;
+
+  private readonly follower: KeyedFollower;
+
+  private configuration: QueueConfiguration | undefined;
+
+  private isUnreachable = false;
+
+  private isStopped = false;
+
+  /**
+   * Creates a follower without a configuration.
+   * @param options - Where configurations are published.
+   */
+  constructor(options: ConfigurationFollowerOptions) {
+    this.options = options;
+    this.follower = new KeyedFollower({ ...options, onRecord: (record) => this.take(record) });
+  }
+
+  /**
+   * Gets the configuration in force.
+   * @returns The configuration, or undefined before the first one was read.
+   */
+  get(): QueueConfiguration | undefined {
+    return this.configuration;
+  }
+
+  /** Begins to follow. */
+  start(): void {
+    void this.run();
+  }
+
+  /** Ends after the reading in progress. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isStopped) {
+      // eslint-disable-next-line no-await-in-loop -- one reading follows the other
+      await this.read();
+    }
+  }
+
+  private async read(): Promise<void> {
+    const { events } = this.options;
+    try {
+      await this.follower.read(WAIT_MS);
+      if (this.isUnreachable) {
+        events.write('configurationReachable', { version: this.configuration?.version });
+      }
+      this.isUnreachable = false;
+    } catch (thrown) {
+      if (!this.isUnreachable) {
+        const { version } = this.configuration ?? {};
+        events.write('configurationUnreachable', { version, reason: String(thrown) });
+      }
+      this.isUnreachable = true;
+      await sleep(RETRY_PAUSE_MS);
+    }
+  }
+
+  private take(record: KeyedRecord): void {
+    const { key, decode, events, onOther } = this.options;
+    if (record.key !== key) {
+      onOther?.(record);
+      return;
+    }
+    if (record.value === undefined) return;
+    try {
+      this.accept(decode(record.value));
+    } catch (thrown) {
+      events.write('configurationUnreadable', { reason: String(thrown) });
+    }
+  }
+
+  /** Guards against a step back: a reload may meet an older record than one that is in force. */
+  private accept(next: QueueConfiguration): void {
+    if (this.configuration !== undefined && next.version <= this.configuration.version) return;
+    this.configuration = next;
+    const { version, queues, pools } = next;
+    this.options.events.write('configurationInForce', {
+      version,
+      queueCount: queues.length,
+      poolCount: pools.length,
+    });
+  }
+}
--- /dev/null
+++ b/src/store/index.ts
@@ -0,0 +1,13 @@
+export type { GroupPort, GroupShare, JoinRequest, PartitionOwner } from './GroupPort.js';
+export type {
+  AppendFence,
+  AppendRequest,
+  AppendResult,
+  KeyedLogPort,
+  KeyedRecord,
+  NewestRecords,
+  ReadRequest,
+  ReadResult,
+  StoredRecord,
+} from './KeyedLogPort.js';
+export { KeyedFollower, type KeyedFollowerOptions } from './KeyedFollower.js';
--- /dev/null
+++ b/src/systems/TargetRoom.ts
@@ -0,0 +1,104 @@
+import type { DurableJobRow, Resources, StepSpec } from '../jobs/index.js';
+
+/** A target as placement sees it. */
+export interface PlacementTarget {
+  readonly targetId: string;
+  readonly pool: string;
+  readonly rack: string | undefined;
+  readonly labels: readonly string[];
+  readonly capacity: Resources;
+  /** Whether the target may get new tasks; false while it drains, is unheard of or fails tasks. */
+  readonly takesTasks: boolean;
+}
+
+/**
+ * Computes what a task takes from the room of its target; a best-effort task takes no processor.
+ * @param step - The task's step.
+ * @returns The resources.
+ */
+export function getOccupied(step: StepSpec): Resources {
+  return step.isBestEffort ? { ...step.demand, cpuMillicores: 0 } : step.demand;
+}
+
+/** Room of one target during a round of placement. */
+export class TargetRoom {
+  readonly target: PlacementTarget;
+
+  private cpuMillicores: number;
+
+  private memoryMb: number;
+
+  private gpuCount: number;
+
+  private readonly countsByStep = new Map<string, number>();
+
+  /**
+   * Starts with an empty target.
+   * @param target - The target.
+   */
+  constructor(target: PlacementTarget) {
+    this.target = target;
+    ({
+      cpuMillicores: this.cpuMillicores,
+      memoryMb: this.memoryMb,
+      gpuCount: this.gpuCount,
+    } = target.capacity);
+  }
+
+  /** Processor that no task occupies, in thousandths of a core. */
+  get freeCpuMillicores(): number {
+    return this.cpuMillicores;
+  }
+
+  /**
+   * Takes room for a task.
+   * @param stepKey - Job, occurrence and step of the task.
+   * @param step - The step.
+   */
+  take(stepKey: string, step: StepSpec): void {
+    const occupied = getOccupied(step);
+    this.cpuMillicores -= occupied.cpuMillicores;
+    this.memoryMb -= occupied.memoryMb;
+    this.gpuCount -= occupied.gpuCount;
+    this.countsByStep.set(stepKey, this.countOf(stepKey) + 1);
+  }
+
+  /**
+   * Counts the tasks of a step here.
+   * @param stepKey - Job, occurrence and step.
+   * @returns How many there are.
+   */
+  countOf(stepKey: string): number {
+    return this.countsByStep.get(stepKey) ?? 0;
+  }
+
+  /**
+   * Tells whether one more task of a step may run here.
+   * @param stepKey - Job, occurrence and step.
+   * @param step - The step.
+   * @returns Whether there is room and the step's own limits allow it.
+   */
+  accepts(stepKey: string, step: StepSpec): boolean {
+    const { takesTasks, labels } = this.target;
+    const occupied = getOccupied(step);
+    return (
+      takesTasks &&
+      occupied.cpuMillicores <= this.cpuMillicores &&
+      occupied.memoryMb <= this.memoryMb &&
+      occupied.gpuCount <= this.gpuCount &&
+      (step.requiredLabel === undefined || labels.includes(step.requiredLabel)) &&
+      this.countOf(stepKey) < (step.maxTasksPerTarget ?? Infinity)
+    );
+  }
+}
+
+/**
+ * Names a step of one occurrence of a job.
+ * @param row - The job.
+ * @param occurrence - Number of the occurrence.
+ * @param step - Index of the step.
+ * @returns A key, unique over all jobs.
+ */
+export function getStepKey({ spec }: DurableJobRow, occurrence: number, step: number): string {
+  return `${spec.jobId}.${occurrence}.${step}`;
+}
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -14,3 +14,7 @@
 export { recordRun, type RecordRunOptions } from './recordRun.js';
 export { isQuarantined } from './vmStates.js';
 export { summariseWaves, type WaveProgress } from './WaveProgress.js';
+export { getObjectiveAtMs, orderJobs } from './orderJobs.js';
+export { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
+export { placeTasks, type PlaceTasksInput, type TaskPlacement } from './placeTasks.js';
+export { getOccupied, getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
--- /dev/null
+++ b/src/systems/listReadyTasks.ts
@@ -0,0 +1,47 @@
+import { type DurableJobRow, isFinished } from '../jobs/index.js';
+import { groupBy } from '../utils/index.js';
+
+/** Tasks of one step and occurrence that wait and whose turn has come. */
+export interface ReadyTasks {
+  readonly step: number;
+  readonly occurrence: number;
+  /** Places of the tasks among the job's tasks. */
+  readonly positions: readonly number[];
+}
+
+function isDue({ spec }: DurableJobRow, occurrence: number, nowMs: number): boolean {
+  if (spec.schedule === undefined) return true;
+  const { firstDueAtMs, intervalMs } = spec.schedule;
+  return nowMs >= firstDueAtMs + occurrence * intervalMs;
+}
+
+/**
+ * Lists the waiting tasks of a job that may start: their occurrence is due and every task of the
+ * steps before them is done.
+ * @param row - The job.
+ * @param nowMs - Wall-clock time in milliseconds since the Unix epoch.
+ * @returns The tasks by step and occurrence, none of an empty list.
+ */
+export function listReadyTasks(row: DurableJobRow, nowMs: number): readonly ReadyTasks[] {
+  if (isFinished(row)) return [];
+  const waiting = row.tasks
+    .map((task, position) => ({ task, position }))
+    .filter(({ task }) => task.phase === 'waiting');
+  const unfinished = new Set(
+    row.tasks
+      .filter(({ phase }) => phase !== 'done')
+      .map(({ occurrence, step }) => `${occurrence}.${step}`),
+  );
+  const groups = groupBy(waiting, ({ task }) => `${task.occurrence}.${task.step}`);
+  return [...groups.values()]
+    .map((group) => {
+      const { occurrence, step } = group[0]!.task;
+      return { occurrence, step, positions: group.map(({ position }) => position) };
+    })
+    .filter(({ occurrence, step }) => {
+      const isBlocked = row.spec.steps[step]!.afterSteps.some((before) =>
+        unfinished.has(`${occurrence}.${before}`),
+      );
+      return !isBlocked && isDue(row, occurrence, nowMs);
+    });
+}
--- /dev/null
+++ b/src/systems/placeTasks.ts
@@ -0,0 +1,98 @@
+import type { DurableJobRow, StepSpec } from '../jobs/index.js';
+import { groupBy } from '../utils/index.js';
+import { listReadyTasks } from './listReadyTasks.js';
+import { getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
+
+/** A task that is to start on a target. */
+export interface TaskPlacement {
+  readonly jobId: string;
+  /** Place of the task among its job's tasks. */
+  readonly position: number;
+  readonly targetId: string;
+}
+
+/** What {@link placeTasks} decides over. */
+export interface PlaceTasksInput {
+  /** Unfinished jobs in the order in which they get room. */
+  readonly jobs: readonly DurableJobRow[];
+  /** Every job with tasks on targets, also finished ones that are being stopped. */
+  readonly occupants: readonly DurableJobRow[];
+  readonly targets: readonly PlacementTarget[];
+  /** Targets on which a task has failed before; another one is preferred. */
+  readonly failedOn: (jobId: string, position: number) => ReadonlySet<string>;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly nowMs: number;
+}
+
+const NONE: ReadonlySet<string> = new Set();
+
+function occupy(rooms: ReadonlyMap<string, TargetRoom>, row: DurableJobRow): void {
+  row.tasks
+    .filter(({ phase }) => phase === 'placed')
+    .forEach(({ occurrence, step, targetId }) => {
+      const key = getStepKey(row, occurrence, step);
+      rooms.get(targetId!)?.take(key, row.spec.steps[step]!);
+    });
+}
+
+/**
+ * Chooses the target with most free processor, so that neighbours disturb each other least and a
+ * lost target takes few tasks of a job with it. The rack of the data comes first: elsewhere the
+ * task takes longer. A task of a step that may lose only some tasks at a time goes where the step
+ * has fewest, so that a maintenance step meets few of them.
+ */
+function chooseRoom(
+  rooms: readonly TargetRoom[],
+  step: StepSpec,
+  stepKey: string,
+  failed: ReadonlySet<string>,
+): TargetRoom | undefined {
+  const preference = (room: TargetRoom): readonly number[] => [
+    failed.has(room.target.targetId) ? 1 : 0,
+    step.dataRack !== undefined && room.target.rack !== step.dataRack ? 1 : 0,
+    room.countOf(stepKey),
+    -room.freeCpuMillicores,
+  ];
+  const isBetter = (a: readonly number[], b: readonly number[]): boolean => {
+    const place = a.findIndex((value, index) => value !== b[index]);
+    return place >= 0 && a[place]! < b[place]!;
+  };
+  return rooms
+    .filter((room) => room.accepts(stepKey, step))
+    .map((room) => ({ room, rank: preference(room) }))
+    .reduce<{ readonly room: TargetRoom; readonly rank: readonly number[] } | undefined>(
+      (best, next) => (best === undefined || isBetter(next.rank, best.rank) ? next : best),
+      undefined,
+    )?.room;
+}
+
+/**
+ * Gives waiting tasks to targets with room for them.
+ * @param input - Jobs in their order, targets, and the time.
+ * @returns The placements; a gang is placed whole or not at all.
+ */
+export function placeTasks(input: PlaceTasksInput): readonly TaskPlacement[] {
+  const { jobs, occupants, targets, failedOn, nowMs } = input;
+  const rooms = new Map(targets.map((target) => [target.targetId, new TargetRoom(target)]));
+  occupants.forEach((row) => occupy(rooms, row));
+  const roomsByPool = groupBy([...rooms.values()], (room) => room.target.pool);
+  return jobs.flatMap((row) => {
+    const { jobId, terms } = row.spec;
+    const poolRooms = roomsByPool.get(terms.pool) ?? [];
+    return listReadyTasks(row, nowMs).flatMap(({ step, occurrence, positions }) => {
+      const stepSpec = row.spec.steps[step]!;
+      const stepKey = getStepKey(row, occurrence, step);
+      let isFull = false;
+      return positions.flatMap((position): readonly TaskPlacement[] => {
+        if (isFull) return [];
+        const hasFailed = row.tasks[position]!.failureCount > 0;
+        const failed = hasFailed ? failedOn(jobId, position) : NONE;
+        const room = chooseRoom(poolRooms, stepSpec, stepKey, failed);
+        isFull = room === undefined;
+        if (room === undefined) return [];
+        room.take(stepKey, stepSpec);
+        return [{ jobId, position, targetId: room.target.targetId }];
+      });
+    });
+  });
+}
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -7,3 +7,16 @@
   TaskResult,
 } from './TargetPort.js';
 export { TASK_HEADERS, TASK_OUTCOMES } from './taskHeaders.js';
+export type {
+  EndedTaskReport,
+  LeaseAnswer,
+  LeasedTargetAddress,
+  LeasedTargetPort,
+  LeaseRenewal,
+  OrderAnswer,
+  RunningTaskReport,
+  StartAnswer,
+  StartRefusal,
+  TaskEnd,
+  TaskStart,
+} from './LeasedTargetPort.js';
--- /dev/null
+++ b/src/taskHome/HomeDirectory.ts
@@ -0,0 +1,91 @@
+import type { EventLog } from '../logging/index.js';
+import type { PeerAddress } from '../peers/index.js';
+import type { GroupPort } from '../store/index.js';
+import type { Clock } from '../utils/index.js';
+
+/** Options of {@link HomeDirectory}. */
+export interface HomeDirectoryOptions {
+  readonly groups: Pick<GroupPort, 'listOwners'>;
+  readonly group: string;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Least time between two readings that calls ask for, in milliseconds: store calls are shared. */
+const ASKED_GAP_MS = 150;
+
+const MEMBER_PATTERN = /^([^@]+)@([^:]+):(\d+)$/;
+
+/**
+ * Names a member of the group so that others can reach it.
+ * @param address - Instance and address.
+ * @returns The name.
+ */
+export function formatMember({ instance, host, port }: PeerAddress): string {
+  return `${instance}@${host}:${port}`;
+}
+
+/**
+ * Reads the address from a member's name.
+ * @param member - The name.
+ * @returns The address, or undefined where the name is not of this form.
+ */
+export function parseMember(member: string): PeerAddress | undefined {
+  const match = MEMBER_PATTERN.exec(member);
+  if (match === null) return undefined;
+  const [, instance, host, port] = match as unknown as readonly string[];
+  return { instance: instance!, host: host!, port: Number(port) };
+}
+
+/** Where the home of each partition is, as the platform's group tells it. */
+export class HomeDirectory {
+  private readonly options: HomeDirectoryOptions;
+
+  private owners: ReadonlyMap<number, PeerAddress> = new Map();
+
+  private readAtMs = Number.NEGATIVE_INFINITY;
+
+  private reading: Promise<void> | undefined;
+
+  /**
+   * Creates a directory that knows no home.
+   * @param options - The group.
+   */
+  constructor(options: HomeDirectoryOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Gets the home of a partition as of the last reading.
+   * @param partition - Number of the partition.
+   * @returns Its address, or undefined where none is known.
+   */
+  get(partition: number): PeerAddress | undefined {
+    return this.owners.get(partition);
+  }
+
+  /** Reads the owners, unless that was done a moment ago; without an answer they stay. */
+  refresh(): Promise<void> {
+    const { clock } = this.options;
+    if (clock.monotonicMs() - this.readAtMs < ASKED_GAP_MS) return Promise.resolve();
+    this.reading ??= this.read().finally(() => {
+      this.reading = undefined;
+    });
+    return this.reading;
+  }
+
+  private async read(): Promise<void> {
+    const { groups, group, clock, events } = this.options;
+    try {
+      const rows = await groups.listOwners(group);
+      const known = rows.flatMap(({ partition, member }): readonly [number, PeerAddress][] => {
+        const address = parseMember(member);
+        return address === undefined ? [] : [[partition, address]];
+      });
+      this.owners = new Map(known);
+    } catch (thrown) {
+      events.write('groupUnreachable', { group, reason: String(thrown) });
+    }
+    this.readAtMs = clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/src/taskHome/JobGateway.ts
@@ -0,0 +1,144 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { ERROR_ANSWERS, RattanliftError, throwError, toRattanliftError } from '../errors/index.js';
+import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { DurableJobRequest, PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
+import type { Clock } from '../utils/index.js';
+import type { HomeDirectory } from './HomeDirectory.js';
+import type { PoolPartitions } from './PoolPartitions.js';
+
+/** Options of {@link JobGateway}. */
+export interface JobGatewayOptions {
+  /** Id of this instance. */
+  readonly instance: string;
+  readonly peers: PeerPort;
+  /** Handles a request where this instance is the home. */
+  readonly handleHere: (request: DurableJobRequest) => Promise<PeerReply>;
+  readonly directory: HomeDirectory;
+  readonly partitions: PoolPartitions;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Pause before a home is looked for again, in milliseconds: a home opens in about 50. */
+const RETRY_PAUSE_MS = 100;
+/** Longest wait for one reply, in milliseconds: above a store at a hundredth of its speed. */
+const CALL_WAIT_MS = 1_200;
+/** Longest search for a home: a takeover takes about 2.5 s, and callers are not kept for longer. */
+const SEARCH_MS = 2_500;
+
+const RETRYABLE: ReadonlySet<string> = new Set(['home-unavailable', 'peer-unavailable']);
+
+/** What became of one try at a home. */
+type Try =
+  | { readonly type: 'reply'; readonly reply: PeerReply }
+  | { readonly type: 'again'; readonly error: RattanliftError };
+
+/** Takes durable jobs at their entry and passes them to the homes of their pools. */
+export class JobGateway {
+  private readonly options: JobGatewayOptions;
+
+  /**
+   * Creates a gateway.
+   * @param options - Where homes are found and how they are called.
+   */
+  constructor(options: JobGatewayOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Submits a job; a repeat is the same job.
+   * @param job - The job.
+   * @returns Resolves once it is stored.
+   * @throws RattanliftError With an outcome of `not-run` only where it is certainly not stored.
+   */
+  async submit(job: DurableJobSpec): Promise<void> {
+    const { pool } = job.terms;
+    await this.call({ type: 'submit-durable-job', pool, job }, pool);
+  }
+
+  /**
+   * Gets the state of a job.
+   * @param pool - Pool of the job's queue.
+   * @param jobId - Id of the job.
+   * @returns The state, or undefined where there certainly is no such job.
+   * @throws RattanliftError Where no home could tell.
+   */
+  async getState(pool: string, jobId: string): Promise<DurableJobState | undefined> {
+    const reply = await this.call({ type: 'get-durable-job', pool, jobId }, pool);
+    return reply.type === 'durable-job' ? reply.state : undefined;
+  }
+
+  /**
+   * Cancels a job.
+   * @param pool - Pool of the job's queue.
+   * @param jobId - Id of the job.
+   * @returns Whether there is such a job.
+   * @throws RattanliftError Where no home took the cancel.
+   */
+  async cancel(pool: string, jobId: string): Promise<boolean> {
+    const reply = await this.call({ type: 'cancel-durable-job', pool, jobId }, pool);
+    return reply.type === 'durable-job' && reply.state !== undefined;
+  }
+
+  /**
+   * Counts the jobs of a queue that have not begun.
+   * @param pool - Pool of the queue.
+   * @param queue - Name of the queue.
+   * @returns How many there are.
+   * @throws RattanliftError Where no home could tell.
+   */
+  async countPending(pool: string, queue: string): Promise<number> {
+    const reply = await this.call({ type: 'count-pending-jobs', pool, queue }, pool);
+    return reply.type === 'pending-jobs' ? reply.count : 0;
+  }
+
+  /** Asks the home of a pool, and the next one where a home is being replaced. */
+  private async call(request: DurableJobRequest, pool: string): Promise<PeerReply> {
+    const { clock, directory } = this.options;
+    const giveUpAtMs = clock.monotonicMs() + SEARCH_MS;
+    let isInDoubt = false;
+    let last: Try = await this.tryOnce(request, pool);
+    while (last.type === 'again' && clock.monotonicMs() < giveUpAtMs) {
+      isInDoubt ||= ERROR_ANSWERS[last.error.kind].outcome !== 'not-run';
+      // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
+      await Promise.all([directory.refresh(), sleep(RETRY_PAUSE_MS)]);
+      // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
+      last = await this.tryOnce(request, pool);
+    }
+    if (last.type === 'reply') return JobGateway.checkReply(last.reply, isInDoubt);
+    // "Not run" must be true: an earlier try without an answer may still have stored the job.
+    if (isInDoubt) throwError('outcome-unknown', 'No home has answered.', { cause: last.error });
+    throw last.error;
+  }
+
+  private async tryOnce(request: DurableJobRequest, pool: string): Promise<Try> {
+    const { instance, directory, partitions, handleHere, peers } = this.options;
+    const home: PeerAddress | undefined = directory.get(partitions.getPartition(pool));
+    if (home === undefined) return JobGateway.tryAgain('home-unavailable', 'No home is known.');
+    try {
+      const reply =
+        home.instance === instance
+          ? await handleHere(request)
+          : await peers.call(home, request, CALL_WAIT_MS);
+      const isRetryable = reply.type === 'refused' && RETRYABLE.has(reply.kind);
+      return isRetryable
+        ? JobGateway.tryAgain(reply.kind, reply.message)
+        : { type: 'reply', reply };
+    } catch (thrown) {
+      const error = toRattanliftError(thrown);
+      if (!RETRYABLE.has(error.kind)) throw error;
+      return { type: 'again', error };
+    }
+  }
+
+  private static tryAgain(kind: RattanliftError['kind'], message: string): Try {
+    return { type: 'again', error: new RattanliftError({ kind, message }) };
+  }
+
+  private static checkReply(reply: PeerReply, isInDoubt: boolean): PeerReply {
+    if (reply.type !== 'refused') return reply;
+    const isNotRun = ERROR_ANSWERS[reply.kind].outcome === 'not-run';
+    return throwError(isInDoubt && isNotRun ? 'outcome-unknown' : reply.kind, reply.message);
+  }
+}
--- /dev/null
+++ b/src/taskHome/JobTable.ts
@@ -0,0 +1,91 @@
+import { type DurableJobRow, encodeJobProgress, encodeJobSpec, isFinished } from '../jobs/index.js';
+import type { KeyedRecord } from '../store/index.js';
+
+/** The jobs of one home, and which of them differ from what is stored. */
+export class JobTable {
+  private readonly rows = new Map<string, DurableJobRow>();
+
+  private readonly changed = new Set<string>();
+
+  /** Jobs whose specification is not stored yet. */
+  private readonly unstored = new Set<string>();
+
+  /**
+   * Gets a job.
+   * @param jobId - Id of the job.
+   * @returns The job, or undefined where there is none.
+   */
+  get(jobId: string): DurableJobRow | undefined {
+    return this.rows.get(jobId);
+  }
+
+  /**
+   * Lists the jobs.
+   * @returns A new array of the jobs, the oldest first.
+   */
+  list(): readonly DurableJobRow[] {
+    return [...this.rows.values()];
+  }
+
+  /**
+   * Takes a job as it is stored.
+   * @param row - The job.
+   */
+  restore(row: DurableJobRow): void {
+    this.rows.set(row.spec.jobId, row);
+  }
+
+  /**
+   * Adds a job that is not stored yet.
+   * @param row - The job.
+   */
+  add(row: DurableJobRow): void {
+    this.unstored.add(row.spec.jobId);
+    this.put(row);
+  }
+
+  /**
+   * Replaces a job.
+   * @param row - The job.
+   */
+  put(row: DurableJobRow): void {
+    this.rows.set(row.spec.jobId, row);
+    this.changed.add(row.spec.jobId);
+  }
+
+  /**
+   * Removes a job.
+   * @param jobId - Id of the job.
+   */
+  remove(jobId: string): void {
+    this.rows.delete(jobId);
+    this.changed.delete(jobId);
+    this.unstored.delete(jobId);
+  }
+
+  /**
+   * Takes the records of what has changed since the last call.
+   * @returns The records; the caller has to write them.
+   */
+  takeChanges(): readonly KeyedRecord[] {
+    const rows = [...this.changed].map((jobId) => this.rows.get(jobId)!);
+    const records = rows.flatMap((row) => {
+      const progress = encodeJobProgress(row);
+      return this.unstored.has(row.spec.jobId) ? [encodeJobSpec(row.spec), progress] : [progress];
+    });
+    this.changed.clear();
+    this.unstored.clear();
+    return records;
+  }
+
+  /**
+   * Counts the jobs of a queue of which no task has been placed.
+   * @param queue - Name of the queue.
+   * @returns How many there are.
+   */
+  countPending(queue: string): number {
+    return this.list().filter(
+      (row) => row.spec.terms.queue === queue && !isFinished(row) && row.state === 'queued',
+    ).length;
+  }
+}
--- /dev/null
+++ b/src/taskHome/RecordWriter.ts
@@ -0,0 +1,163 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { RattanliftError } from '../errors/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { AppendResult, KeyedLogPort, KeyedRecord } from '../store/index.js';
+import { assertNever, type Clock } from '../utils/index.js';
+
+/** Options of {@link RecordWriter}. */
+export interface RecordWriterOptions {
+  readonly store: Pick<KeyedLogPort, 'append'>;
+  readonly topic: string;
+  readonly partition: number;
+  readonly producer: string;
+  readonly term: number;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Called once where another writer has taken the partition over. */
+  readonly onFenced: () => void;
+}
+
+/** Longest wait for one answer: a store at a hundredth of its speed still answers in 0.4 s. */
+const APPEND_TIMEOUT_MS = 1_000;
+/** Pause before an append is repeated: a few times the store's usual 10 ms. */
+const RETRY_PAUSE_MS = 50;
+/** Time without an answer from which new work is turned away: the store is slow or away. */
+const STALLED_AFTER_MS = 500;
+
+interface Waiter {
+  readonly resolve: () => void;
+  readonly reject: (error: Error) => void;
+}
+
+/**
+ * Writes records of one partition in order, one append at a time; what comes meanwhile goes into
+ * the next one together.
+ *
+ * An append is repeated under the same number until it has an answer. The store answers a repeat
+ * like the first, so that an answer that was lost neither doubles a record nor leaves it in doubt.
+ */
+export class RecordWriter {
+  private readonly options: RecordWriterOptions;
+
+  private sequence = 0;
+
+  private pending = new Map<string, KeyedRecord>();
+
+  private waiters: Waiter[] = [];
+
+  private isWriting = false;
+
+  private isClosed = false;
+
+  private busySinceMs: number | undefined;
+
+  /**
+   * Creates a writer whose term the store knows already, by the append that opened it as number 0.
+   * @param options - Partition, term and store.
+   */
+  constructor(options: RecordWriterOptions) {
+    this.options = options;
+  }
+
+  /** Whether the store has left an append without an answer for a while. */
+  get isStalled(): boolean {
+    const { busySinceMs } = this;
+    if (busySinceMs === undefined) return false;
+    return this.options.clock.monotonicMs() - busySinceMs > STALLED_AFTER_MS;
+  }
+
+  /**
+   * Writes records; the latest one of a key stands.
+   * @param records - The records.
+   * @returns Resolves once they are stored.
+   * @throws RattanliftError Of kind `home-unavailable` where they were never sent, or
+   * `outcome-unknown` where the writer ended with its append in doubt.
+   */
+  write(records: readonly KeyedRecord[]): Promise<void> {
+    if (this.isClosed) return Promise.reject(this.createError('home-unavailable'));
+    records.forEach((record) => this.pending.set(record.key, record));
+    return new Promise((resolve, reject) => {
+      this.waiters.push({ resolve, reject });
+      if (!this.isWriting) void this.writeAll();
+    });
+  }
+
+  /** Ends the writer; what was not sent is not written. */
+  close(): void {
+    this.isClosed = true;
+    const waiters = this.waiters.splice(0);
+    waiters.forEach(({ reject }) => reject(this.createError('home-unavailable')));
+  }
+
+  private async writeAll(): Promise<void> {
+    this.isWriting = true;
+    // Waits for the end of this turn, so that all records of one decision share an append.
+    await Promise.resolve();
+    while (this.waiters.length > 0 && !this.isClosed) {
+      // eslint-disable-next-line no-await-in-loop -- appends of a partition keep their order
+      await this.writeBatch();
+    }
+    this.isWriting = false;
+  }
+
+  private async writeBatch(): Promise<void> {
+    const records = [...this.pending.values()];
+    const waiters = this.waiters.splice(0);
+    this.pending = new Map();
+    this.sequence += 1;
+    this.busySinceMs = this.options.clock.monotonicMs();
+    const isStored = await this.appendUntilAnswered(records);
+    this.busySinceMs = undefined;
+    if (isStored) waiters.forEach(({ resolve }) => resolve());
+    else waiters.forEach(({ reject }) => reject(this.createError('outcome-unknown')));
+  }
+
+  private async appendUntilAnswered(records: readonly KeyedRecord[]): Promise<boolean> {
+    let isStored: boolean | undefined;
+    while (isStored === undefined && !this.isClosed) {
+      // eslint-disable-next-line no-await-in-loop -- a repeat follows the attempt before it
+      isStored = await this.appendOnce(records);
+      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
+      if (isStored === undefined) await sleep(RETRY_PAUSE_MS);
+    }
+    return isStored ?? false;
+  }
+
+  /** Appends once; undefined means that the same append is to be repeated. */
+  private async appendOnce(records: readonly KeyedRecord[]): Promise<boolean | undefined> {
+    const { store, topic, partition, producer, term, events } = this.options;
+    const fence = { producer, term, sequence: this.sequence };
+    try {
+      const timeoutMs = APPEND_TIMEOUT_MS;
+      return this.judge(await store.append({ topic, partition, records, fence, timeoutMs }));
+    } catch (thrown) {
+      events.write('appendUnanswered', { topic, partition, term, reason: String(thrown) });
+      return undefined;
+    }
+  }
+
+  private judge(result: AppendResult): boolean | undefined {
+    const { topic, partition, term, events, onFenced } = this.options;
+    switch (result.type) {
+      case 'appended':
+        return true;
+      case 'rejected':
+        events.write('appendRejected', { topic, partition, term, reason: result.reason });
+        return undefined;
+      case 'fenced':
+      case 'out-of-sequence':
+      case 'end-moved':
+        events.write('writerFenced', { topic, partition, term, reason: result.type });
+        this.close();
+        onFenced();
+        return false;
+      default:
+        return assertNever(result);
+    }
+  }
+
+  private createError(kind: 'home-unavailable' | 'outcome-unknown'): RattanliftError {
+    const { topic, partition } = this.options;
+    return new RattanliftError({ kind, message: `Writing ${topic} ${partition} has ended.` });
+  }
+}
--- /dev/null
+++ b/src/taskHome/TargetDirectory.ts
@@ -0,0 +1,69 @@
+import type { EventLog } from '../logging/index.js';
+import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
+import type { TargetEntries, TargetEntry } from './TargetEntry.js';
+
+/** Options of {@link TargetDirectory}. */
+export interface TargetDirectoryOptions {
+  readonly store: KeyedLogPort;
+  readonly topic: string;
+  readonly partition: number;
+  /** Decodes a target's report; undefined where it cannot be read. */
+  readonly decode: (record: KeyedRecord) => TargetEntry | undefined;
+  readonly events: EventLog;
+}
+
+/** The targets that report themselves at the platform's store, as of the last refresh. */
+export class TargetDirectory {
+  private readonly options: TargetDirectoryOptions;
+
+  private readonly follower: KeyedFollower;
+
+  private readonly entries = new Map<string, TargetEntry>();
+
+  private isStale = false;
+
+  private refreshing: Promise<void> | undefined;
+
+  /**
+   * Creates an empty directory.
+   * @param options - Where targets report themselves.
+   */
+  constructor(options: TargetDirectoryOptions) {
+    this.options = options;
+    this.follower = new KeyedFollower({ ...options, onRecord: (record) => this.take(record) });
+  }
+
+  /**
+   * Lists the targets.
+   * @returns The targets by id; the map changes with each refresh.
+   */
+  list(): TargetEntries {
+    return this.entries;
+  }
+
+  /** Reads what has changed; without an answer the entries stay as they are. */
+  refresh(): Promise<void> {
+    this.refreshing ??= this.read().finally(() => {
+      this.refreshing = undefined;
+    });
+    return this.refreshing;
+  }
+
+  private async read(): Promise<void> {
+    const { events } = this.options;
+    try {
+      await this.follower.read(0);
+      if (this.isStale) events.write('targetListReachable', { targetCount: this.entries.size });
+      this.isStale = false;
+    } catch (thrown) {
+      if (!this.isStale) events.write('targetListUnreachable', { reason: String(thrown) });
+      this.isStale = true;
+    }
+  }
+
+  private take(record: KeyedRecord): void {
+    const entry = record.value === undefined ? undefined : this.options.decode(record);
+    if (entry === undefined) this.entries.delete(record.key);
+    else this.entries.set(record.key, entry);
+  }
+}
--- /dev/null
+++ b/src/taskHome/TargetSession.ts
@@ -0,0 +1,181 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { EventLog } from '../logging/index.js';
+import type { LeaseAnswer, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
+import { assertNever, type Clock } from '../utils/index.js';
+
+/** A report of a target with the time at which it was asked for. */
+export interface TargetReport {
+  readonly answer: Extract<LeaseAnswer, { readonly type: 'report' }>;
+  /** When the renewal was sent, by the monotonic clock; later orders may not be in the report. */
+  readonly askedAtMs: number;
+}
+
+/** Why a session has ended. */
+export type SessionEnd = 'other-lifetime' | 'stale-term';
+
+/** Options of {@link TargetSession}. */
+export interface TargetSessionOptions {
+  readonly port: Pick<LeasedTargetPort, 'renew'>;
+  readonly address: LeasedTargetAddress;
+  readonly term: number;
+  /** Length of the lease that each renewal asks for, in milliseconds. */
+  readonly leaseMs: number;
+  /** Longest time that the target may hold a renewal back for an end, in milliseconds. */
+  readonly waitMs: number;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Takes a report; the next renewal is sent once this has resolved. */
+  readonly onReport: (report: TargetReport) => Promise<void>;
+  readonly onEnd: (end: SessionEnd) => void;
+}
+
+/** Pause after a renewal without an answer, in milliseconds: several tries within one lease. */
+const RETRY_PAUSE_MS = 200;
+/** The slowest clock of a target, by the platform's bounds: 2 % behind. */
+const SLOWEST_TARGET_CLOCK = 0.98;
+
+/** Keeps the lease of one target and passes on its reports, one renewal at a time. */
+export class TargetSession {
+  private readonly options: TargetSessionOptions;
+
+  private readonly createdAtMs: number;
+
+  private isClosed = false;
+
+  private acknowledgedEndNumber = 0;
+
+  private readTargetClock: { readonly targetMs: number; readonly atMs: number } | undefined;
+
+  private leaseUntilTargetMs = 0;
+
+  private heardAtMs: number | undefined;
+
+  private isSilent = false;
+
+  /**
+   * Creates a session that renews nothing yet.
+   * @param options - The target, the term and the length of the lease.
+   */
+  constructor(options: TargetSessionOptions) {
+    this.options = options;
+    this.createdAtMs = options.clock.monotonicMs();
+  }
+
+  /** Whether the target answers under this home's term. */
+  get isReachable(): boolean {
+    return this.heardAtMs !== undefined && !this.isSilent;
+  }
+
+  /** Latest end of the lease that was asked for, on the target's clock. */
+  get leaseUntilMs(): number {
+    return this.computeLease();
+  }
+
+  /**
+   * Time from which on everything that ran on the target has certainly been killed, by the
+   * monotonic clock. Before the first answer an earlier home's lease may still run.
+   */
+  get surelyLapsedAtMs(): number {
+    const { readTargetClock, leaseUntilTargetMs, createdAtMs } = this;
+    if (readTargetClock === undefined) {
+      return createdAtMs + this.options.leaseMs / SLOWEST_TARGET_CLOCK;
+    }
+    const restMs = leaseUntilTargetMs - readTargetClock.targetMs;
+    return readTargetClock.atMs + Math.max(0, restMs) / SLOWEST_TARGET_CLOCK;
+  }
+
+  /** Starts to renew, until the session is closed or ends by itself. */
+  start(): void {
+    void this.run();
+  }
+
+  /** Ends the session; the target keeps its lease until that lapses. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  /**
+   * Lets the target forget ends, with the next renewal.
+   * @param endNumber - Ends up to this number are stored.
+   */
+  acknowledge(endNumber: number): void {
+    this.acknowledgedEndNumber = Math.max(this.acknowledgedEndNumber, endNumber);
+  }
+
+  /**
+   * Takes the target's clock from an answer to an order.
+   * @param targetMs - Reading of the target's clock.
+   */
+  noteClock(targetMs: number): void {
+    this.readTargetClock = { targetMs, atMs: this.options.clock.monotonicMs() };
+  }
+
+  private computeLease(): number {
+    const { readTargetClock } = this;
+    if (readTargetClock === undefined) return this.leaseUntilTargetMs;
+    const passedMs = this.options.clock.monotonicMs() - readTargetClock.atMs;
+    const untilMs = Math.floor(readTargetClock.targetMs + passedMs + this.options.leaseMs);
+    this.leaseUntilTargetMs = Math.max(this.leaseUntilTargetMs, untilMs);
+    return this.leaseUntilTargetMs;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isClosed) {
+      // eslint-disable-next-line no-await-in-loop -- one renewal follows the other
+      await this.renew();
+    }
+  }
+
+  private async renew(): Promise<void> {
+    const { port, address, term, waitMs, clock } = this.options;
+    const askedAtMs = clock.monotonicMs();
+    // The first renewal only raises the term and reads the clock that a lease is counted on.
+    const isFirst = this.readTargetClock === undefined;
+    try {
+      const answer = await port.renew(address, {
+        term,
+        acknowledgedEndNumber: this.acknowledgedEndNumber,
+        leaseUntilTargetMs: isFirst ? undefined : this.computeLease(),
+        waitMs: isFirst || this.isSilent ? 0 : waitMs,
+      });
+      if (!this.isClosed) await this.take(answer, askedAtMs);
+    } catch (thrown) {
+      this.noteSilence(String(thrown));
+      await sleep(RETRY_PAUSE_MS);
+    }
+  }
+
+  private async take(answer: LeaseAnswer, askedAtMs: number): Promise<void> {
+    switch (answer.type) {
+      case 'report':
+        this.noteClock(answer.targetClockMs);
+        this.noteHeard();
+        await this.options.onReport({ answer, askedAtMs });
+        return;
+      case 'unhealthy':
+        this.noteSilence(answer.type);
+        await sleep(RETRY_PAUSE_MS);
+        return;
+      case 'stale-term':
+      case 'other-lifetime':
+        this.close();
+        this.options.onEnd(answer.type);
+        return;
+      default:
+        assertNever(answer);
+    }
+  }
+
+  private noteHeard(): void {
+    const { address, clock, events, term } = this.options;
+    this.heardAtMs = clock.monotonicMs();
+    if (this.isSilent) events.write('targetHeardAgain', { targetId: address.targetId, term });
+    this.isSilent = false;
+  }
+
+  private noteSilence(reason: string): void {
+    const { address, events, term } = this.options;
+    if (!this.isSilent) events.write('targetSilent', { targetId: address.targetId, term, reason });
+    this.isSilent = true;
+  }
+}
--- /dev/null
+++ b/src/taskHome/TargetSessions.ts
@@ -0,0 +1,198 @@
+import type { EventLog } from '../logging/index.js';
+import type { PlacementTarget } from '../systems/index.js';
+import type { EndedTaskReport, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
+import type { Clock } from '../utils/index.js';
+import type { TargetEntries, TargetEntry } from './TargetEntry.js';
+import { type TargetReport, TargetSession } from './TargetSession.js';
+import type { TaskHomeTiming } from './TaskHomeTiming.js';
+
+/** Why nothing of a target runs any more; after a lapse the same lifetime may come back. */
+export type TargetLoss = 'other-lifetime' | 'lapsed';
+
+/** Options of {@link TargetSessions}. */
+export interface TargetSessionsOptions {
+  readonly targets: LeasedTargetPort;
+  readonly term: number;
+  readonly timing: TaskHomeTiming;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Targets of this home's pools as the platform lists them. */
+  readonly getEntries: () => TargetEntries;
+  readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
+  /** The lifetime of a target is over for certain, so nothing runs there any more. */
+  readonly onGone: (targetId: string, reason: TargetLoss) => void;
+  readonly onStaleTerm: () => void;
+}
+
+interface Known {
+  readonly session: TargetSession;
+  entry: TargetEntry;
+  /** Whether the platform still lists the target. */
+  isListed: boolean;
+  takenEndNumber: number;
+}
+
+/** Time after the end of a lease from which its target counts as empty, in milliseconds. */
+const LAPSE_MARGIN_MS = 300;
+
+/** The targets of one home: a session with each, and what the platform says of it. */
+export class TargetSessions {
+  private readonly options: TargetSessionsOptions;
+
+  private readonly known = new Map<string, Known>();
+
+  private readonly ended = new Set<string>();
+
+  /**
+   * Starts without targets.
+   * @param options - Where targets come from and what happens with their reports.
+   */
+  constructor(options: TargetSessionsOptions) {
+    this.options = options;
+  }
+
+  /** Opens sessions with new targets, and ends those of targets that are gone for certain. */
+  sync(): void {
+    const entries = this.options.getEntries();
+    entries.forEach((entry) => this.update(entry));
+    const nowMs = this.options.clock.monotonicMs();
+    [...this.known].forEach(([targetId, known]) => {
+      Object.assign(known, { isListed: entries.has(targetId) });
+      if (TargetSessions.isSurelyGone(known, nowMs)) {
+        this.options.onGone(targetId, 'lapsed');
+      }
+    });
+  }
+
+  /**
+   * Tells whether there is a session with a target.
+   * @param targetId - Id of the target.
+   * @returns Whether it is known.
+   */
+  has(targetId: string): boolean {
+    return this.known.has(targetId);
+  }
+
+  /**
+   * Gets the address of a target.
+   * @param targetId - Id of the target.
+   * @returns The address, or undefined where the target is not known.
+   */
+  getAddress(targetId: string): LeasedTargetAddress | undefined {
+    return this.known.get(targetId)?.entry;
+  }
+
+  /**
+   * Computes the end of a target's lease for an order.
+   * @param targetId - Id of the target.
+   * @returns The end on the target's own clock, in milliseconds.
+   */
+  getLeaseUntilMs(targetId: string): number {
+    return this.known.get(targetId)?.session.leaseUntilMs ?? 0;
+  }
+
+  /**
+   * Takes a target's clock from an answer.
+   * @param targetId - Id of the target.
+   * @param targetClockMs - Reading of its clock.
+   */
+  noteClock(targetId: string, targetClockMs: number): void {
+    this.known.get(targetId)?.session.noteClock(targetClockMs);
+  }
+
+  /**
+   * Filters the ends that were not taken before; a target repeats them until they are acknowledged.
+   * @param targetId - Id of the target.
+   * @param ended - Ends of a report.
+   * @returns The new ones, in order.
+   */
+  takeFreshEnds(targetId: string, ended: readonly EndedTaskReport[]): readonly EndedTaskReport[] {
+    const known = this.known.get(targetId);
+    if (known === undefined) return [];
+    const fresh = ended
+      .filter(({ endNumber }) => endNumber > known.takenEndNumber)
+      .toSorted((a, b) => a.endNumber - b.endNumber);
+    known.takenEndNumber = fresh.at(-1)?.endNumber ?? known.takenEndNumber;
+    return fresh;
+  }
+
+  /**
+   * Lets a target forget ends that are stored.
+   * @param targetId - Id of the target.
+   * @param endNumber - Number of the last one.
+   */
+  acknowledge(targetId: string, endNumber: number): void {
+    this.known.get(targetId)?.session.acknowledge(endNumber);
+  }
+
+  /**
+   * Lists the targets for a round of placement.
+   * @param isAvoided - Tells whether a target is to be left out for a while.
+   * @returns The targets; one that drains or does not answer takes no tasks. One that the platform
+   * does not list may have lost its entry in an outage of the store; its answers count.
+   */
+  listForPlacement(isAvoided: (targetId: string) => boolean): readonly PlacementTarget[] {
+    return [...this.known.values()].map(({ entry, session }) => ({
+      ...entry,
+      takesTasks: !entry.isDraining && session.isReachable && !isAvoided(entry.targetId),
+    }));
+  }
+
+  /**
+   * Ends the session with a target whose lifetime is over.
+   * @param targetId - Id of the target.
+   * @param mayReturn - Whether the same lifetime may be heard again, after its lease has lapsed.
+   */
+  remove(targetId: string, mayReturn: boolean): void {
+    this.known.get(targetId)?.session.close();
+    this.known.delete(targetId);
+    if (!mayReturn) this.ended.add(targetId);
+    this.options.targets.forget(targetId);
+  }
+
+  /** Ends every session; the targets keep their leases until these lapse. */
+  close(): void {
+    this.known.forEach(({ session }) => session.close());
+  }
+
+  /**
+   * Tells whether nothing can run on a target any more: its lease is over by the slowest clock, and
+   * the platform does not list it. Silence alone says nothing, as a target that is cut off runs on.
+   */
+  private static isSurelyGone({ session, isListed }: Known, nowMs: number): boolean {
+    if (isListed || session.isReachable) return false;
+    return nowMs > session.surelyLapsedAtMs + LAPSE_MARGIN_MS;
+  }
+
+  private update(entry: TargetEntry): void {
+    const known = this.known.get(entry.targetId);
+    if (known === undefined) {
+      if (!this.ended.has(entry.targetId)) this.open(entry);
+      return;
+    }
+    const { events, term } = this.options;
+    if (entry.isDraining && !known.entry.isDraining) {
+      events.write('targetDraining', { targetId: entry.targetId, pool: entry.pool, term });
+    }
+    known.entry = entry;
+  }
+
+  private open(entry: TargetEntry): void {
+    const { targets, term, timing, clock, events, onReport, onGone, onStaleTerm } = this.options;
+    const { targetId, pool, rack } = entry;
+    const session = new TargetSession({
+      port: targets,
+      address: entry,
+      term,
+      leaseMs: timing.targetLeaseMs,
+      waitMs: timing.targetWaitMs,
+      clock,
+      events,
+      onReport: (report) => onReport(targetId, report),
+      onEnd: (end) => (end === 'stale-term' ? onStaleTerm() : onGone(targetId, end)),
+    });
+    this.known.set(targetId, { session, entry, isListed: true, takenEndNumber: 0 });
+    events.write('targetAppeared', { targetId, pool, rack, term, ...entry.capacity });
+    session.start();
+  }
+}
--- /dev/null
+++ b/src/taskHome/TaskHomes.ts
@@ -0,0 +1,206 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { EventLog } from '../logging/index.js';
+import { HeldLease } from '../membership/index.js';
+import type { GroupPort, KeyedLogPort } from '../store/index.js';
+import type { LeasedTargetPort } from '../targets/index.js';
+import { type Clock, KeyedOnce } from '../utils/index.js';
+import { HOME_PRODUCER, openTaskHome } from './openTaskHome.js';
+import type { PoolPartitions } from './PoolPartitions.js';
+import type { TargetDirectory } from './TargetDirectory.js';
+import { TaskHome } from './TaskHome.js';
+import type { TaskHomeTiming } from './TaskHomeTiming.js';
+
+/** How the members of the group of homes tell each other from dead ones. */
+export interface GroupTiming {
+  /** Silence after which a member loses its partitions, in milliseconds. */
+  readonly ttlMs: number;
+  /** How often a membership is renewed, in milliseconds. */
+  readonly renewEveryMs: number;
+  /** Longest wait for the answer to a renewal, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Options of {@link TaskHomes}. */
+export interface TaskHomesOptions {
+  readonly store: KeyedLogPort;
+  readonly groups: GroupPort;
+  readonly targets: LeasedTargetPort;
+  readonly directory: TargetDirectory;
+  readonly partitions: PoolPartitions;
+  readonly group: string;
+  readonly topic: string;
+  /** Name of this member, from which others read its address. */
+  readonly member: string;
+  readonly groupTiming: GroupTiming;
+  readonly homeTiming: TaskHomeTiming;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** How often homes look at their targets and due tasks, in milliseconds. */
+const TICK_MS = 250;
+/** How often the list of targets is read where there is a home: a fifth of the drain bound. */
+const DIRECTORY_EVERY_MS = 400;
+/** Pause before a partition is opened again, in milliseconds: a few answers of the store. */
+const REOPEN_PAUSE_MS = 50;
+/** Taken off the time to live where this member judges itself, against clocks that run apart. */
+const LEASE_MARGIN_MS = 200;
+
+/** The homes that this instance holds, as the platform's group shares the partitions out. */
+export class TaskHomes {
+  private readonly options: TaskHomesOptions;
+
+  private readonly homes = new Map<number, TaskHome>();
+
+  private readonly opening = new KeyedOnce();
+
+  private readonly lease: HeldLease;
+
+  private shared: ReadonlySet<number> = new Set();
+
+  private generation = 0;
+
+  private isUnreachable = false;
+
+  private isStopped = false;
+
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  /**
+   * Creates the homes of an instance that is no member yet.
+   * @param options - Store, group, targets and timing.
+   */
+  constructor(options: TaskHomesOptions) {
+    this.options = options;
+    const { clock, groupTiming } = options;
+    this.lease = new HeldLease({
+      clock,
+      timing: {
+        leaseMs: groupTiming.ttlMs,
+        renewEveryMs: groupTiming.renewEveryMs,
+        marginMs: LEASE_MARGIN_MS,
+        contenderStepMs: 0,
+      },
+    });
+  }
+
+  /** Joins the group and begins to hold homes. */
+  start(): void {
+    void this.renewAll();
+    this.timers.push(
+      setInterval(() => this.homes.forEach((home) => home.tick()), TICK_MS),
+      setInterval(() => {
+        if (this.homes.size > 0) void this.options.directory.refresh();
+      }, DIRECTORY_EVERY_MS),
+    );
+  }
+
+  /** Gives every home up and leaves the group, so that others take over at once. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    this.timers.forEach((timer) => clearInterval(timer));
+    [...this.homes.keys()].forEach((partition) => this.close(partition, 'stopping'));
+    const { groups, group, member, events } = this.options;
+    await groups.leave(group, member).catch((thrown: unknown) => {
+      events.write('groupUnreachable', { group, member, reason: String(thrown) });
+    });
+  }
+
+  /**
+   * Gets the home of a pool.
+   * @param pool - Name of the pool.
+   * @returns The home, or undefined where it is elsewhere or not open yet.
+   */
+  get(pool: string): TaskHome | undefined {
+    return this.homes.get(this.options.partitions.getPartition(pool));
+  }
+
+  private async renewAll(): Promise<void> {
+    while (!this.isStopped) {
+      // eslint-disable-next-line no-await-in-loop -- one renewal follows the other
+      await this.renew();
+      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two renewals
+      await sleep(this.options.groupTiming.renewEveryMs);
+    }
+  }
+
+  private async renew(): Promise<void> {
+    const { groups, group, member, topic, groupTiming, events } = this.options;
+    const sentAt = this.lease.readClocks();
+    const { generation } = this;
+    try {
+      const share = await groups.join({ group, member, topic, ...groupTiming, generation });
+      if (this.isStopped) return;
+      this.lease.extend(sentAt);
+      if (this.isUnreachable) events.write('groupReachable', { group, member, generation });
+      this.isUnreachable = false;
+      this.generation = share.generation;
+      this.shared = new Set(share.partitions);
+      this.follow();
+    } catch (thrown) {
+      const reason = String(thrown);
+      if (!this.isUnreachable) events.write('groupUnreachable', { group, member, reason });
+      this.isUnreachable = true;
+    }
+  }
+
+  /** Closes the homes that went to others before the next renewal confirms that, and opens new. */
+  private follow(): void {
+    [...this.homes.keys()]
+      .filter((partition) => !this.shared.has(partition))
+      .forEach((partition) => this.close(partition, 'reassigned'));
+    this.options.partitions
+      .listUsed()
+      .filter((partition) => this.shared.has(partition) && !this.homes.has(partition))
+      .forEach((partition) => this.opening.start(`${partition}`, () => this.open(partition)));
+  }
+
+  private isWanted(partition: number): boolean {
+    return !this.isStopped && this.shared.has(partition);
+  }
+
+  private async open(partition: number): Promise<void> {
+    const { store, topic, member, events, directory } = this.options;
+    const openOptions = { store, topic, partition, instance: member, events };
+    while (this.isWanted(partition) && !this.homes.has(partition)) {
+      try {
+        // eslint-disable-next-line no-await-in-loop -- an attempt follows the one before it
+        const [opened] = await Promise.all([openTaskHome(openOptions), directory.refresh()]);
+        if (opened !== undefined && this.isWanted(partition)) this.add(partition, opened);
+      } catch (thrown) {
+        events.write('taskHomeOpenFailed', { partition, reason: String(thrown) });
+      }
+      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
+      await sleep(REOPEN_PAUSE_MS);
+    }
+  }
+
+  private add(
+    partition: number,
+    { term, jobs }: NonNullable<Awaited<ReturnType<typeof openTaskHome>>>,
+  ): void {
+    const { partitions, directory, homeTiming, events } = this.options;
+    const home = new TaskHome({
+      ...this.options,
+      partition,
+      producer: HOME_PRODUCER,
+      term,
+      jobs,
+      timing: homeTiming,
+      getEntries: () => partitions.filterEntries(partition, directory.list()),
+      isCertain: () => this.lease.isHeld(),
+      onReplaced: () => this.close(partition, 'replaced'),
+    });
+    this.homes.set(partition, home);
+    events.write('taskHomeOpened', { partition, term, jobCount: jobs.length });
+    home.tick();
+  }
+
+  private close(partition: number, reason: string): void {
+    const home = this.homes.get(partition);
+    if (home === undefined) return;
+    this.homes.delete(partition);
+    home.close();
+    this.options.events.write('taskHomeClosed', { partition, term: home.term, reason });
+  }
+}
--- /dev/null
+++ b/src/taskHome/TaskOrders.ts
@@ -0,0 +1,286 @@
+import type { EventLog } from '../logging/index.js';
+import type {
+  LeasedTargetAddress,
+  LeasedTargetPort,
+  OrderAnswer,
+  RunningTaskReport,
+  StartAnswer,
+  StartRefusal,
+  TaskStart,
+} from '../targets/index.js';
+import { assertNever, type Clock } from '../utils/index.js';
+
+/** One run of a task on a target. */
+export interface RunKey {
+  readonly taskName: string;
+  readonly run: number;
+  readonly targetId: string;
+}
+
+/**
+ * How far an order is. `unanswered` means that the target may have acted, or may act later;
+ * `stopped` that the target has accepted the stop, so that a late start is refused there.
+ */
+type OrderPhase = 'unsent' | 'starting' | 'unanswered' | 'started' | 'stopping' | 'stopped';
+
+interface Order extends RunKey {
+  phase: OrderPhase;
+  /** When the last answer came, by the monotonic clock: a report asked for later shows the run. */
+  answeredAtMs: number;
+}
+
+/** Options of {@link TaskOrders}. */
+export interface TaskOrdersOptions {
+  readonly port: Pick<LeasedTargetPort, 'start' | 'stop'>;
+  readonly term: number;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly getAddress: (targetId: string) => LeasedTargetAddress | undefined;
+  /** Builds the start of a run; undefined where the run is not wanted any more. */
+  readonly createStart: (key: RunKey) => TaskStart | undefined;
+  /** Reading of a target's clock that came with an answer. */
+  readonly onClock: (targetId: string, targetClockMs: number) => void;
+  /** The target did not start the run, and never will. */
+  readonly onRefused: (key: RunKey, reason: StartRefusal) => void;
+  /** The run is over without an end of its own in a report. */
+  readonly onVanished: (key: RunKey) => void;
+  readonly onOtherLifetime: (targetId: string) => void;
+  readonly onStaleTerm: () => void;
+}
+
+/**
+ * Starts and stops runs on targets, and finds out what became of orders without an answer.
+ *
+ * A start without an answer may take effect seconds later. It is repeated under the same number
+ * on the same target, which changes nothing there, and the task goes elsewhere only after the
+ * target has refused it, has accepted a stop of it, or has ended its lifetime. Otherwise the task
+ * could run twice.
+ */
+export class TaskOrders {
+  private readonly options: TaskOrdersOptions;
+
+  private readonly orders = new Map<string, Order>();
+
+  /**
+   * Creates an empty set of orders.
+   * @param options - The port to targets and what happens with their answers.
+   */
+  constructor(options: TaskOrdersOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Reserves a run that will be started once its placement is stored.
+   * @param key - The run.
+   */
+  reserve(key: RunKey): void {
+    this.orders.set(key.taskName, { ...key, phase: 'unsent', answeredAtMs: 0 });
+  }
+
+  /**
+   * Takes over a run that an earlier home has placed and may have started.
+   * @param key - The run.
+   */
+  adopt(key: RunKey): void {
+    this.orders.set(key.taskName, { ...key, phase: 'unanswered', answeredAtMs: 0 });
+  }
+
+  /**
+   * Forgets a run that is over.
+   * @param taskName - Name of the task.
+   */
+  forget(taskName: string): void {
+    this.orders.delete(taskName);
+  }
+
+  /**
+   * Tells whether a run was never sent to its target.
+   * @param taskName - Name of the task.
+   * @returns Whether its start is still only planned.
+   */
+  isUnsent(taskName: string): boolean {
+    return this.orders.get(taskName)?.phase === 'unsent';
+  }
+
+  /**
+   * Lists the runs on a target.
+   * @param targetId - Id of the target.
+   * @returns The runs, started or not.
+   */
+  listOn(targetId: string): readonly RunKey[] {
+    return [...this.orders.values()].filter((order) => order.targetId === targetId);
+  }
+
+  /**
+   * Starts a reserved run.
+   * @param taskName - Name of the task.
+   */
+  start(taskName: string): void {
+    const order = this.orders.get(taskName);
+    if (order?.phase === 'unsent' || order?.phase === 'unanswered') void this.sendStart(order);
+  }
+
+  /**
+   * Stops a run, whether or not it has begun.
+   * @param taskName - Name of the task.
+   */
+  stop(taskName: string): void {
+    const order = this.orders.get(taskName);
+    if (order === undefined || order.phase === 'stopping' || order.phase === 'stopped') return;
+    void this.sendStop(order);
+  }
+
+  /**
+   * Compares the runs on a target with its report.
+   * @param targetId - Id of the target.
+   * @param running - What runs there.
+   * @param askedAtMs - When the report was asked for, by the monotonic clock.
+   */
+  reconcile(targetId: string, running: readonly RunningTaskReport[], askedAtMs: number): void {
+    const runningNames = new Map(running.map((task) => [task.taskName, task]));
+    this.listOn(targetId).forEach(({ taskName }) => {
+      const order = this.orders.get(taskName)!;
+      const isRunning = runningNames.get(taskName)?.run === order.run;
+      if (isRunning) this.noteRunning(order);
+      else if (order.answeredAtMs < askedAtMs) this.noteAbsent(order);
+    });
+    running
+      .filter(({ taskName, run }) => !this.isOrdered(targetId, taskName, run))
+      .forEach(({ taskName, run }) => this.stopStray({ taskName, run, targetId }));
+  }
+
+  private isOrdered(targetId: string, taskName: string, run: number): boolean {
+    const order = this.orders.get(taskName);
+    return order?.targetId === targetId && order.run === run;
+  }
+
+  private noteRunning(order: Order): void {
+    if (order.phase !== 'unanswered' && order.phase !== 'starting') return;
+    const isWanted = this.options.createStart(order) !== undefined;
+    this.settle(order, 'started');
+    if (!isWanted) void this.sendStop(order);
+  }
+
+  private noteAbsent(order: Order): void {
+    switch (order.phase) {
+      case 'unsent':
+      case 'starting':
+      case 'stopping':
+        return;
+      case 'unanswered':
+        void this.sendStart(order);
+        return;
+      case 'started':
+      case 'stopped':
+        this.orders.delete(order.taskName);
+        this.options.onVanished(order);
+        return;
+      default:
+        assertNever(order.phase);
+    }
+  }
+
+  private settle(order: Order, phase: OrderPhase): void {
+    Object.assign(order, { phase, answeredAtMs: this.options.clock.monotonicMs() });
+  }
+
+  private isCurrent(order: Order): boolean {
+    return this.orders.get(order.taskName) === order;
+  }
+
+  private async sendStart(order: Order): Promise<void> {
+    const { port, events, term } = this.options;
+    const start = this.options.createStart(order);
+    const address = this.options.getAddress(order.targetId);
+    if (start === undefined || address === undefined) {
+      void this.sendStop(order);
+      return;
+    }
+    this.settle(order, 'starting');
+    const { taskName, run, targetId } = order;
+    try {
+      const answer = await port.start(address, start);
+      if (this.isCurrent(order)) this.takeStartAnswer(order, answer);
+    } catch (thrown) {
+      events.write('startUnanswered', { taskName, run, targetId, term, reason: String(thrown) });
+      if (this.isCurrent(order) && order.phase === 'starting') this.settle(order, 'unanswered');
+    }
+  }
+
+  private takeStartAnswer(order: Order, answer: StartAnswer): void {
+    const { onClock, onOtherLifetime } = this.options;
+    switch (answer.type) {
+      case 'started':
+        onClock(order.targetId, answer.targetClockMs);
+        if (order.phase === 'starting') this.settle(order, 'started');
+        return;
+      case 'other-lifetime':
+        onOtherLifetime(order.targetId);
+        return;
+      case 'refused':
+        if (answer.targetClockMs !== undefined) onClock(order.targetId, answer.targetClockMs);
+        this.takeRefusal(order, answer.reason);
+        return;
+      default:
+        assertNever(answer);
+    }
+  }
+
+  private takeRefusal(order: Order, reason: StartRefusal): void {
+    const { events, term, onRefused, onStaleTerm } = this.options;
+    const { taskName, run, targetId } = order;
+    events.write('startRefused', { taskName, run, targetId, term, reason });
+    if (reason === 'stale-term') onStaleTerm();
+    // The run has ended there before; its end is in a report, or the next one shows its absence.
+    else if (reason === 'stale-run') this.settle(order, 'started');
+    else if (order.phase === 'starting') {
+      this.orders.delete(taskName);
+      onRefused(order, reason);
+    }
+  }
+
+  private async sendStop(order: Order): Promise<void> {
+    const { port, events, term } = this.options;
+    const address = this.options.getAddress(order.targetId);
+    if (address === undefined) return;
+    this.settle(order, 'stopping');
+    const { taskName, run, targetId } = order;
+    try {
+      const answer = await port.stop(address, taskName, run, term);
+      if (this.isCurrent(order)) this.takeStopAnswer(order, answer);
+    } catch (thrown) {
+      events.write('stopUnanswered', { taskName, run, targetId, term, reason: String(thrown) });
+      // The next report shows whether it still runs, or asks for the start, which then stops it.
+      if (this.isCurrent(order)) this.settle(order, 'unanswered');
+    }
+  }
+
+  private takeStopAnswer(order: Order, answer: OrderAnswer): void {
+    const { onOtherLifetime, onStaleTerm } = this.options;
+    switch (answer.type) {
+      case 'accepted':
+        this.settle(order, 'stopped');
+        return;
+      case 'other-lifetime':
+        onOtherLifetime(order.targetId);
+        return;
+      case 'refused':
+        if (answer.reason === 'stale-term') onStaleTerm();
+        else this.settle(order, 'unanswered');
+        return;
+      default:
+        assertNever(answer);
+    }
+  }
+
+  private stopStray(key: RunKey): void {
+    const { events, term, port, getAddress } = this.options;
+    const { taskName, run, targetId } = key;
+    const address = getAddress(targetId);
+    events.write('strayTask', { taskName, run, targetId, term });
+    if (address === undefined) return;
+    port.stop(address, taskName, run, term).catch((thrown: unknown) => {
+      events.write('stopUnanswered', { taskName, run, targetId, term, reason: String(thrown) });
+    });
+  }
+}
--- /dev/null
+++ b/src/taskHome/handleJobRequest.ts
@@ -0,0 +1,49 @@
+import { toRattanliftError } from '../errors/index.js';
+import type { DurableJobRequest, PeerReply } from '../peers/index.js';
+import { assertNever } from '../utils/index.js';
+import type { TaskHome } from './TaskHome.js';
+
+const NO_HOME: PeerReply = {
+  type: 'refused',
+  kind: 'home-unavailable',
+  message: 'This instance does not decide for the pool.',
+};
+
+async function handle(home: TaskHome, request: DurableJobRequest): Promise<PeerReply> {
+  switch (request.type) {
+    case 'submit-durable-job':
+      await home.submit(request.job);
+      return { type: 'done' };
+    case 'get-durable-job': {
+      const state = home.getState(request.jobId);
+      return state === undefined ? { type: 'durable-job' } : { type: 'durable-job', state };
+    }
+    case 'cancel-durable-job': {
+      const isKnown = await home.cancel(request.jobId);
+      return isKnown ? { type: 'durable-job', state: 'cancelled' } : { type: 'durable-job' };
+    }
+    case 'count-pending-jobs':
+      return { type: 'pending-jobs', count: home.countPending(request.queue) };
+    default:
+      return assertNever(request);
+  }
+}
+
+/**
+ * Handles a request about durable jobs at the home of their pool.
+ * @param home - The home here; undefined where it is elsewhere.
+ * @param request - The request.
+ * @returns The reply; an error becomes a refusal of its kind.
+ */
+export async function handleJobRequest(
+  home: TaskHome | undefined,
+  request: DurableJobRequest,
+): Promise<PeerReply> {
+  if (home === undefined) return NO_HOME;
+  try {
+    return await handle(home, request);
+  } catch (thrown) {
+    const { kind, message } = toRattanliftError(thrown);
+    return { type: 'refused', kind, message };
+  }
+}
--- /dev/null
+++ b/src/taskHome/index.ts
@@ -0,0 +1,14 @@
+export {
+  formatMember,
+  HomeDirectory,
+  type HomeDirectoryOptions,
+  parseMember,
+} from './HomeDirectory.js';
+export { handleJobRequest } from './handleJobRequest.js';
+export { JobGateway, type JobGatewayOptions } from './JobGateway.js';
+export { PoolPartitions, type PoolPartitionsOptions } from './PoolPartitions.js';
+export { TargetDirectory, type TargetDirectoryOptions } from './TargetDirectory.js';
+export type { TargetEntries, TargetEntry } from './TargetEntry.js';
+export { TaskHome, type TaskHomeOptions } from './TaskHome.js';
+export { type GroupTiming, TaskHomes, type TaskHomesOptions } from './TaskHomes.js';
+export type { TaskHomeTiming } from './TaskHomeTiming.js';
--- /dev/null
+++ b/src/taskHome/openTaskHome.ts
@@ -0,0 +1,89 @@
+import { Encoder } from 'cbor-x';
+import {
+  createJobRow,
+  decodeJobRecord,
+  type DurableJobRow,
+  type DurableJobSpec,
+  type JobProgress,
+  type JobRecord,
+} from '../jobs/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
+
+/** Key under which a partition keeps the term of its home. */
+const TERM_KEY = 'term';
+/** Role under which homes append; the store fences earlier terms of the same role. */
+export const HOME_PRODUCER = 'home';
+const APPEND_TIMEOUT_MS = 1_000;
+
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
+
+/** What a home takes over with its partition. */
+export interface OpenedPartition {
+  readonly term: number;
+  readonly jobs: readonly DurableJobRow[];
+}
+
+/** Options of {@link openTaskHome}. */
+export interface OpenTaskHomeOptions {
+  readonly store: KeyedLogPort;
+  readonly topic: string;
+  readonly partition: number;
+  /** Instance that becomes the home. */
+  readonly instance: string;
+  readonly events: EventLog;
+}
+
+function decodeOrLog(record: KeyedRecord, { partition, events }: OpenTaskHomeOptions): JobRecord {
+  try {
+    return decodeJobRecord(record);
+  } catch (thrown) {
+    events.write('recordUnreadable', { key: record.key, partition, reason: String(thrown) });
+    return { type: 'other' };
+  }
+}
+
+function joinRecords(records: readonly JobRecord[]): readonly DurableJobRow[] {
+  const specs = new Map<string, DurableJobSpec>();
+  const progresses = new Map<string, JobProgress>();
+  records.forEach((record) => {
+    if (record.type === 'spec') specs.set(record.jobId, record.spec);
+    if (record.type === 'progress') progresses.set(record.jobId, record.progress);
+  });
+  return [...specs.values()]
+    .map((spec) => ({ ...createJobRow(spec), ...progresses.get(spec.jobId) }))
+    .toSorted((a, b) => a.spec.submittedAtMs - b.spec.submittedAtMs);
+}
+
+function readTerm(records: readonly KeyedRecord[]): number {
+  const value = records.find(({ key }) => key === TERM_KEY)?.value;
+  return value === undefined ? 0 : (codec.decode(value) as { readonly term: number }).term;
+}
+
+/**
+ * Becomes the home of a partition: reads its jobs and raises the term.
+ *
+ * The record of the new term is appended only where the partition still ends where it was read.
+ * Otherwise an append of the earlier home could slip in between and be missed, and a task that it
+ * placed would run a second time. From then on the store rejects the earlier home by its term.
+ * @param options - The partition, and who opens it.
+ * @returns Term and jobs, or undefined where something came between and it has to be tried again.
+ * @throws Error Where the store did not answer.
+ */
+export async function openTaskHome(
+  options: OpenTaskHomeOptions,
+): Promise<OpenedPartition | undefined> {
+  const { store, topic, partition, instance } = options;
+  const { records, endOffset } = await store.readNewest(topic, partition);
+  const term = readTerm(records) + 1;
+  const result = await store.append({
+    topic,
+    partition,
+    records: [{ key: TERM_KEY, value: codec.encode({ term, instance }) }],
+    fence: { producer: HOME_PRODUCER, term, sequence: 0 },
+    expectedEndOffset: endOffset,
+    timeoutMs: APPEND_TIMEOUT_MS,
+  });
+  if (result.type !== 'appended') return undefined;
+  return { term, jobs: joinRecords(records.map((record) => decodeOrLog(record, options))) };
+}
--- a/src/utils/HttpJsonClient.ts
+++ b/src/utils/HttpJsonClient.ts
@@ -1,22 +1,13 @@
-import { Pool } from 'undici';
-
-const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
-const DEFAULT_IDLE_LIMIT_MS = 4000;
+import { HttpClient, type HttpClientOptions } from './HttpClient.js';
 
 /** Options of {@link HttpJsonClient}. */
-export interface HttpJsonClientOptions {
-  readonly host: string;
-  readonly port: number;
-  /** Longest wait for a connection, in milliseconds. */
-  readonly connectTimeoutMs?: number;
-  /** Idle time after which a connection is not used again, in milliseconds. */
-  readonly idleLimitMs?: number;
-}
+export type HttpJsonClientOptions = HttpClientOptions;
 
 /** A request with an optional JSON body. */
 export interface JsonRequest {
   readonly method: 'GET' | 'POST' | 'PUT';
   readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
   readonly body?: unknown;
   /** Longest time until the whole answer is here, in milliseconds. */
   readonly timeoutMs: number;
@@ -29,19 +20,18 @@
   readonly body: unknown;
 }
 
+const JSON_HEADERS = { accept: 'application/json', 'content-type': 'application/json' };
+
 /** Short exchanges of JSON over HTTP with one server, never repeated and never without an end. */
 export class HttpJsonClient {
-  private readonly options: HttpJsonClientOptions;
-
-  private pool: Pool;
+  private readonly client: HttpClient;
 
   /**
    * Creates a client that connects at its first request.
    * @param options - Address and limits.
    */
   constructor(options: HttpJsonClientOptions) {
-    this.options = options;
-    this.pool = this.createPool();
+    this.client = new HttpClient(options);
   }
 
   /**
@@ -51,49 +41,19 @@
    * @throws Error Where no whole answer came in time; the request may have taken effect.
    */
   async send(request: JsonRequest): Promise<JsonAnswer> {
-    const { pool } = this;
-    try {
-      const response = await pool.request({
-        method: request.method,
-        path: request.path,
-        headers: { accept: 'application/json', 'content-type': 'application/json' },
-        body: request.body === undefined ? null : JSON.stringify(request.body),
-        signal: AbortSignal.timeout(request.timeoutMs),
-        headersTimeout: 0,
-        bodyTimeout: 0,
-      });
-      const text = await response.body.text();
-      const body: unknown = text === '' ? undefined : JSON.parse(text);
-      return { httpStatus: response.statusCode, body };
-    } catch (error) {
-      this.retire(pool);
-      throw error;
-    }
+    const { httpStatus, body } = await this.client.send({
+      method: request.method,
+      path: request.path,
+      headers: { ...JSON_HEADERS, ...request.headers },
+      ...(request.body === undefined ? {} : { body: JSON.stringify(request.body) }),
+      timeoutMs: request.timeoutMs,
+    });
+    const parsed: unknown = body.length === 0 ? undefined : JSON.parse(body.toString('utf8'));
+    return { httpStatus, body: parsed };
   }
 
   /** Ends every connection; requests in progress fail. */
   async close(): Promise<void> {
-    await this.pool.destroy();
-  }
-
-  // Guards against a middlebox that has forgotten the open connections: requests on them get no
-  // answer while a new connection would work. After a failure no old connection is used again;
-  // requests still in progress on them end by their own timeouts.
-  private retire(pool: Pool): void {
-    if (this.pool !== pool || pool.destroyed) return;
-    this.pool = this.createPool();
-    void pool.close().catch(() => undefined);
-  }
-
-  private createPool(): Pool {
-    const { host, port, connectTimeoutMs, idleLimitMs } = this.options;
-    const keepAliveMs = idleLimitMs ?? DEFAULT_IDLE_LIMIT_MS;
-    return new Pool(`http://${host}:${port}`, {
-      pipelining: 1,
-      keepAliveTimeout: keepAliveMs,
-      // Bounds what a server may ask for in its Keep-Alive header.
-      keepAliveMaxTimeout: keepAliveMs,
-      connect: { timeout: connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
-    });
+    await this.client.close();
   }
 }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,5 +1,11 @@
 export { assertNever } from './assertNever.js';
 export type { Clock } from './Clock.js';
+export {
+  HttpClient,
+  type HttpAnswer,
+  type HttpClientOptions,
+  type HttpRequest,
+} from './HttpClient.js';
 export {
   HttpJsonClient,
   type HttpJsonClientOptions,
--- a/tests/logging/EVENT_CATALOGUE.test.ts
+++ b/tests/logging/EVENT_CATALOGUE.test.ts
@@ -7,8 +7,10 @@
 const CATALOGUE_FOLDER = join('src', 'logging');
 const events = Object.entries(EVENT_CATALOGUE);
 
-const sources = readdirSync('src', { recursive: true, encoding: 'utf8' })
-  .map((name) => join('src', name))
+const sources = ['src', 'platform']
+  .flatMap((folder) =>
+    readdirSync(folder, { recursive: true, encoding: 'utf8' }).map((name) => join(folder, name)),
+  )
   .filter((name) => name.endsWith('.ts') && !name.startsWith(CATALOGUE_FOLDER))
   .map((name) => readFileSync(name, 'utf8'));
 
@@ -28,6 +30,7 @@
     ['fleetEvents', 3],
     ['logEvents', 4],
     ['peerEvents', 5],
+    ['taskEvents', 6],
     ['daemonEvents', 9],
   ])('keeps %s in the area of %i000', async (file, area) => {
     const module = await import(`../../src/logging/events/${file}.ts`);
