Acknowledge a repeated end only once its first record is stored

An empty append did not count as one of the term's numbers, so the next was taken for out of sequence and the home closed itself. Ruled out: the conditional append at opening (no record of the earlier home was missed). Change: a write without records waits for the writes before it; readings wait 0.5 s.

--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -20,8 +20,12 @@
   readonly onOther?: (record: KeyedRecord) => void;
 }
 
-/** How long the store holds a reading back where nothing changes, in milliseconds. */
-const WAIT_MS = 20_000;
+/**
+ * How long the store holds a reading back where nothing changes, in milliseconds. A connection that
+ * has gone silent shows only by the end of this wait and its time-out, which together have to stay
+ * well below the 2 s within which a configuration has to be in force.
+ */
+const WAIT_MS = 500;
 /** Pause after a failed reading, in milliseconds: several tries within the bound of 2 s. */
 const RETRY_PAUSE_MS = 150;
 
--- a/src/taskHome/HomeDirectory.ts
+++ b/src/taskHome/HomeDirectory.ts
@@ -47,6 +47,8 @@
 
   private reading: Promise<void> | undefined;
 
+  private isUnreachable = false;
+
   /**
    * Creates a directory that knows no home.
    * @param options - The group.
@@ -83,8 +85,11 @@
         return address === undefined ? [] : [[partition, address]];
       });
       this.owners = new Map(known);
+      this.isUnreachable = false;
     } catch (thrown) {
-      events.write('groupUnreachable', { group, reason: String(thrown) });
+      const reason = String(thrown);
+      if (!this.isUnreachable) events.write('groupUnreachable', { group, reason });
+      this.isUnreachable = true;
     }
     this.readAtMs = clock.monotonicMs();
   }
--- a/src/taskHome/RecordWriter.ts
+++ b/src/taskHome/RecordWriter.ts
@@ -45,6 +45,9 @@
 
   private waiters: Waiter[] = [];
 
+  /** The latest append, in flight or done. */
+  private lastBatch: Promise<void> = Promise.resolve();
+
   private isWriting = false;
 
   private isClosed = false;
@@ -68,13 +71,18 @@
 
   /**
    * Writes records; the latest one of a key stands.
+   *
+   * Without records it waits for those of earlier calls. Guards against an end that a target
+   * repeats while its record is still on the way: nothing is left to write, and taken as stored it
+   * would be acknowledged, forgotten by the target, and run again by the next home.
    * @param records - The records.
-   * @returns Resolves once they are stored.
+   * @returns Resolves once they, and all before them, are stored.
    * @throws RattanliftError Of kind `home-unavailable` where they were never sent, or
    * `outcome-unknown` where the writer ended with its append in doubt.
    */
   write(records: readonly KeyedRecord[]): Promise<void> {
     if (this.isClosed) return Promise.reject(this.createError('home-unavailable'));
+    if (records.length === 0 && this.waiters.length === 0) return this.lastBatch;
     records.forEach((record) => this.pending.set(record.key, record));
     return new Promise((resolve, reject) => {
       this.waiters.push({ resolve, reject });
@@ -106,13 +114,17 @@
     this.pending = new Map();
     this.sequence += 1;
     this.busySinceMs = this.options.clock.monotonicMs();
-    const isStored = await this.appendUntilAnswered(records);
+    this.lastBatch = this.appendUntilAnswered(records);
+    try {
+      await this.lastBatch;
+      waiters.forEach(({ resolve }) => resolve());
+    } catch (thrown) {
+      waiters.forEach(({ reject }) => reject(thrown as Error));
+    }
     this.busySinceMs = undefined;
-    if (isStored) waiters.forEach(({ resolve }) => resolve());
-    else waiters.forEach(({ reject }) => reject(this.createError('outcome-unknown')));
   }
 
-  private async appendUntilAnswered(records: readonly KeyedRecord[]): Promise<boolean> {
+  private async appendUntilAnswered(records: readonly KeyedRecord[]): Promise<void> {
     let isStored: boolean | undefined;
     while (isStored === undefined && !this.isClosed) {
       // eslint-disable-next-line no-await-in-loop -- a repeat follows the attempt before it
@@ -120,7 +132,7 @@
       // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
       if (isStored === undefined) await sleep(RETRY_PAUSE_MS);
     }
-    return isStored ?? false;
+    if (isStored !== true) throw this.createError('outcome-unknown');
   }
 
   /** Appends once; undefined means that the same append is to be repeated. */
@@ -147,7 +159,14 @@
       case 'fenced':
       case 'out-of-sequence':
       case 'end-moved':
-        events.write('writerFenced', { topic, partition, term, reason: result.type });
+        events.write('writerFenced', {
+          topic,
+          partition,
+          term,
+          reason: result.type,
+          sequence: this.sequence,
+          expectedSequence: result.type === 'out-of-sequence' ? result.expectedSequence : undefined,
+        });
         this.close();
         onFenced();
         return false;
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -248,7 +248,7 @@
     this.flushing = undefined;
     const placed = this.place();
     const records = this.table.takeChanges();
-    if (records.length > 0) await this.writer.write(records);
+    await this.writer.write(records);
     if (!this.isClosed) placed.forEach((taskName) => this.orders.start(taskName));
   }
 
