Lead waves of maintenance, and give VMs to pools whose tasks wait

Change: the home of one partition is the home of the fleet; it alone orders moves and maintenance, asks each pool's home for its load, drains before it orders, and evacuates long-running tasks one of a step at a time.

--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -95,6 +95,7 @@
       case 'get-durable-job':
       case 'cancel-durable-job':
       case 'count-pending-jobs':
+      case 'sync-pool':
         return NO_HOME;
       default:
         return assertNever(request);
--- /dev/null
+++ b/src/fleetHome/WaveDesk.ts
@@ -0,0 +1,171 @@
+import type { EventLog } from '../logging/index.js';
+import type { KeyedRecord } from '../store/index.js';
+import { planMaintenance, type TargetLoad } from '../systems/index.js';
+import type { Clock } from '../utils/index.js';
+import type { FleetVm } from '../vms/index.js';
+import type { VmOrderOutcome, VmOrders } from './VmOrders.js';
+import { encodeWaveRecord, type WaveOrder, type WaveRecord, type WaveStatus } from './WaveOrder.js';
+
+/** Options of {@link WaveDesk}. */
+export interface WaveDeskOptions {
+  readonly orders: VmOrders;
+  /** Progress as an earlier home has stored it. */
+  readonly records: readonly WaveRecord[];
+  readonly listWaveOrders: () => readonly WaveOrder[];
+  readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
+  readonly publishStatus: (wave: number, status: WaveStatus) => Promise<void>;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Answers that end a VM's part in a wave without a maintenance. */
+const SKIPPED: ReadonlySet<VmOrderOutcome> = new Set(['not-in-wave', 'impossible']);
+
+/** Leads waves of maintenance: empties VMs, takes them down, and tells how far the waves are. */
+export class WaveDesk {
+  private readonly options: WaveDeskOptions;
+
+  private readonly records = new Map<number, WaveRecord>();
+
+  private readonly published = new Map<number, WaveStatus>();
+
+  /** VMs that are being emptied, with their waves. */
+  private readonly draining = new Map<string, number>();
+
+  /**
+   * Takes waves over.
+   * @param options - Orders, stored progress, and where progress is told.
+   */
+  constructor(options: WaveDeskOptions) {
+    this.options = options;
+    options.records.forEach((record) => this.records.set(record.wave, record));
+  }
+
+  /**
+   * Lists the VMs that get no new tasks.
+   * @returns Their names.
+   */
+  listDrained(): ReadonlySet<string> {
+    return new Set(this.draining.keys());
+  }
+
+  /**
+   * Takes the next steps of every wave.
+   * @param vms - The VMs as listed.
+   * @param loads - Load of each target, told after the last call's drains were known.
+   */
+  async advance(vms: readonly FleetVm[], loads: ReadonlyMap<string, TargetLoad>): Promise<void> {
+    const orders = this.options.listWaveOrders();
+    await Promise.all(orders.map((order) => this.advanceWave(order, vms, loads)));
+  }
+
+  private async advanceWave(
+    order: WaveOrder,
+    vms: readonly FleetVm[],
+    loads: ReadonlyMap<string, TargetLoad>,
+  ): Promise<void> {
+    const record = this.getRecord(order);
+    if (record.status === 'running') {
+      await this.takeDownEmpty(order, vms, loads);
+      this.drainNext(order, vms, loads);
+      await this.finish(order, vms);
+    }
+    await this.publish(order.wave);
+  }
+
+  private getRecord({ wave, withinMs }: WaveOrder): WaveRecord {
+    const known = this.records.get(wave);
+    if (known !== undefined) return known;
+    const deadlineAtMs = this.options.clock.wallMs() + withinMs;
+    const record: WaveRecord = { wave, deadlineAtMs, doneVms: [], status: 'running' };
+    this.records.set(wave, record);
+    return record;
+  }
+
+  private drainNext(
+    order: WaveOrder,
+    vms: readonly FleetVm[],
+    loads: ReadonlyMap<string, TargetLoad>,
+  ): void {
+    const { clock, events } = this.options;
+    const record = this.records.get(order.wave)!;
+    const next = planMaintenance({
+      wave: { ...order, ...record, doneVms: new Set(record.doneVms) },
+      vms,
+      loads,
+      inProgress: this.listInProgress(order),
+      nowMs: clock.wallMs(),
+    });
+    next.forEach((vm) => {
+      this.draining.set(vm, order.wave);
+      events.write('vmDraining', { vm, wave: order.wave, doneCount: record.doneVms.length });
+    });
+  }
+
+  private listInProgress({ wave }: WaveOrder): ReadonlySet<string> {
+    const drained = [...this.draining].filter(([, ofWave]) => ofWave === wave).map(([vm]) => vm);
+    return new Set([...drained, ...this.listDown(wave)]);
+  }
+
+  private listDown(wave: number): readonly string[] {
+    return this.options.orders
+      .listAway()
+      .filter((order) => order.type === 'maintain' && order.wave === wave)
+      .map(({ vm }) => vm);
+  }
+
+  private async takeDownEmpty(
+    order: WaveOrder,
+    vms: readonly FleetVm[],
+    loads: ReadonlyMap<string, TargetLoad>,
+  ): Promise<void> {
+    const freeCount = order.maxDownCount - this.listDown(order.wave).length;
+    const ready = vms
+      .filter(({ vm }) => this.draining.get(vm) === order.wave)
+      .filter(({ state, targetId }) => {
+        const isEmpty = targetId === undefined || loads.get(targetId)?.runCount === 0;
+        return state === 'up' && isEmpty;
+      });
+    const outcomes = await Promise.all(
+      ready
+        .filter(({ vm }, place) => place < freeCount || this.options.orders.isAway(vm))
+        .map((vm) => this.takeDown(order, vm)),
+    );
+    if (outcomes.includes(true)) await this.store(order.wave);
+  }
+
+  /** Takes a VM down; tells whether its part in the wave is done. */
+  private async takeDown({ wave }: WaveOrder, { vm, targetId }: FleetVm): Promise<boolean> {
+    const { orders } = this.options;
+    const outcome = await orders.give({ type: 'maintain', vm, wave }, targetId);
+    if (outcome !== 'accepted' && !SKIPPED.has(outcome)) return false;
+    this.draining.delete(vm);
+    const record = this.records.get(wave)!;
+    this.records.set(wave, { ...record, doneVms: [...record.doneVms, vm] });
+    return true;
+  }
+
+  /** Ends a wave once each of its VMs that the platform still lists has begun its maintenance. */
+  private async finish({ wave, vms: waveVms }: WaveOrder, vms: readonly FleetVm[]): Promise<void> {
+    const record = this.records.get(wave)!;
+    const done = new Set(record.doneVms);
+    const listed = new Set(vms.map(({ vm }) => vm));
+    if (!waveVms.every((vm) => done.has(vm) || !listed.has(vm))) return;
+    this.records.set(wave, { ...record, status: 'completed' });
+    this.options.events.write('waveFinished', { wave, doneCount: done.size });
+    await this.store(wave);
+  }
+
+  private store(wave: number): Promise<void> {
+    return this.options.store([encodeWaveRecord(this.records.get(wave)!)]);
+  }
+
+  /** Tells operators of a wave; a wave is stored before it is first told, and when it ends. */
+  private async publish(wave: number): Promise<void> {
+    const { status } = this.records.get(wave)!;
+    if (this.published.get(wave) === status) return;
+    if (status === 'running') await this.store(wave);
+    await this.options.publishStatus(wave, status);
+    this.published.set(wave, status);
+  }
+}
--- /dev/null
+++ b/src/fleetHome/WaveOrder.ts
@@ -0,0 +1,59 @@
+import { Encoder } from 'cbor-x';
+import { z } from 'zod';
+import { throwError } from '../errors/index.js';
+import type { KeyedRecord } from '../store/index.js';
+
+/** A wave of maintenance as operators have ordered it. */
+export interface WaveOrder {
+  readonly wave: number;
+  readonly vms: readonly string[];
+  /** Time within which every VM has to have begun, in milliseconds from the order. */
+  readonly withinMs: number;
+  /** Most VMs of the wave that may be down for it at the same time. */
+  readonly maxDownCount: number;
+}
+
+/** What operators are told of a wave. */
+export type WaveStatus = 'running' | 'completed';
+
+/** What is stored of a wave's progress. */
+export interface WaveRecord {
+  readonly wave: number;
+  /** Wall-clock time by which every VM has to have begun, in milliseconds since the Unix epoch. */
+  readonly deadlineAtMs: number;
+  readonly doneVms: readonly string[];
+  readonly status: WaveStatus;
+}
+
+const PREFIX = 'wave/';
+
+const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
+
+const recordSchema = z.looseObject({
+  wave: z.number(),
+  deadlineAtMs: z.number(),
+  doneVms: z.array(z.string()),
+  status: z.enum(['running', 'completed']),
+});
+
+/**
+ * Encodes the progress of a wave.
+ * @param record - The progress.
+ * @returns Its record.
+ */
+export function encodeWaveRecord(record: WaveRecord): KeyedRecord {
+  return { key: `${PREFIX}${record.wave}`, value: codec.encode(record) };
+}
+
+/**
+ * Decodes the progress of a wave.
+ * @param record - A record of the partition of the fleet's home.
+ * @returns The progress, or undefined where the record is about something else.
+ * @throws RattanliftError Of kind `internal` where it is malformed.
+ */
+export function decodeWaveRecord({ key, value }: KeyedRecord): WaveRecord | undefined {
+  if (!key.startsWith(PREFIX) || value === undefined) return undefined;
+  const result = recordSchema.safeParse(codec.decode(value));
+  if (result.success) return result.data;
+  return throwError('internal', `Record ${key} is malformed: ${z.prettifyError(result.error)}`);
+}
--- a/src/logging/events/fleetEvents.ts
+++ b/src/logging/events/fleetEvents.ts
@@ -18,4 +18,8 @@
   vmUnreachable: { number: 3010, level: 'warn', text: 'A VM does not answer its probe.' },
   vmReachable: { number: 3011, level: 'info', text: 'A VM answers its probe again.' },
   stepDraining: { number: 3012, level: 'info', text: 'A VM drains before its reboot.' },
+  vmOrdered: { number: 3013, level: 'info', text: 'An order for a VM was given.' },
+  vmDraining: { number: 3014, level: 'info', text: 'A VM is emptied for its maintenance.' },
+  waveFinished: { number: 3015, level: 'info', text: 'Every VM of a wave was maintained.' },
+  fleetLookFailed: { number: 3016, level: 'warn', text: 'A look at the fleet broke off.' },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -29,6 +29,7 @@
   groupReachable: { number: 6025, level: 'info', text: 'The group was renewed again.' },
   targetListUnreachable: { number: 6026, level: 'warn', text: 'The list of targets is stale.' },
   targetListReachable: { number: 6027, level: 'info', text: 'The list of targets is fresh again.' },
+  taskEvacuated: { number: 6032, level: 'info', text: 'A task leaves a target that is emptied.' },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,5 +1,6 @@
 import type { ErrorKind, Outcome } from '../errors/index.js';
 import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
+import type { PoolDemand } from '../systems/PoolDemand.js';
 import type { LogEntry } from '../platform/index.js';
 import type { Urgency } from '../settings/index.js';
 
@@ -32,7 +33,15 @@
   | { readonly type: 'submit-durable-job'; readonly pool: string; readonly job: DurableJobSpec }
   | { readonly type: 'get-durable-job'; readonly pool: string; readonly jobId: string }
   | { readonly type: 'cancel-durable-job'; readonly pool: string; readonly jobId: string }
-  | { readonly type: 'count-pending-jobs'; readonly pool: string; readonly queue: string };
+  | { readonly type: 'count-pending-jobs'; readonly pool: string; readonly queue: string }
+  /** From the fleet's home: which targets get no new task for a while, and what the pool needs. */
+  | {
+      readonly type: 'sync-pool';
+      readonly pool: string;
+      readonly drainedTargets: readonly string[];
+      /** How long the drains last without another message; a length, as clocks differ. */
+      readonly drainedForMs: number;
+    };
 
 /** What one instance asks of another; each gets exactly one reply. */
 export type PeerRequest =
@@ -91,6 +100,7 @@
   /** State of a durable job; without one the home is sure that there is no such job. */
   | { readonly type: 'durable-job'; readonly state?: DurableJobState }
   | { readonly type: 'pending-jobs'; readonly count: number }
+  | { readonly type: 'pool-demand'; readonly demand: PoolDemand }
   | { readonly type: 'grants'; readonly grants: readonly HeldGrant[] }
   | { readonly type: 'entries'; readonly entries: readonly LogEntry[] }
   | { readonly type: 'state'; readonly json: string };
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -55,6 +55,12 @@
   z.looseObject({ type: z.literal('get-durable-job'), pool: id, jobId: id }),
   z.looseObject({ type: z.literal('cancel-durable-job'), pool: id, jobId: id }),
   z.looseObject({ type: z.literal('count-pending-jobs'), pool: id, queue: id }),
+  z.looseObject({
+    type: z.literal('sync-pool'),
+    pool: id,
+    drainedTargets: z.array(id),
+    drainedForMs: z.number().nonnegative(),
+  }),
 ]);
 
 const heldGrant = z.looseObject({
@@ -90,6 +96,23 @@
     state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']).optional(),
   }),
   z.looseObject({ type: z.literal('pending-jobs'), count }),
+  z.looseObject({
+    type: z.literal('pool-demand'),
+    demand: z.looseObject({
+      pool: id,
+      targets: z.array(
+        z.looseObject({
+          targetId: id,
+          runCount: count,
+          longRunningCount: count,
+          usedCpuMillicores: z.number(),
+          cpuMillicores: z.number(),
+        }),
+      ),
+      waitingCpuMillicores: z.number(),
+      jobCount: count,
+    }),
+  }),
   z.looseObject({ type: z.literal('grants'), grants: z.array(heldGrant) }),
   z.looseObject({ type: z.literal('entries'), entries }),
   z.looseObject({ type: z.literal('state'), json: text }),
--- /dev/null
+++ b/src/systems/PoolDemand.ts
@@ -0,0 +1,19 @@
+/** What a target of a pool carries. */
+export interface TargetLoad {
+  readonly targetId: string;
+  /** Runs that are placed on it, started or not. */
+  readonly runCount: number;
+  readonly longRunningCount: number;
+  readonly usedCpuMillicores: number;
+  readonly cpuMillicores: number;
+}
+
+/** Load and demand of a pool, as its home sees them. */
+export interface PoolDemand {
+  readonly pool: string;
+  readonly targets: readonly TargetLoad[];
+  /** Processor that waiting tasks ask for whose turn has come, in thousandths of a core. */
+  readonly waitingCpuMillicores: number;
+  /** Unfinished jobs. */
+  readonly jobCount: number;
+}
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -18,3 +18,11 @@
 export { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 export { placeTasks, type PlaceTasksInput, type TaskPlacement } from './placeTasks.js';
 export { getOccupied, getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
+export type { PoolDemand, TargetLoad } from './PoolDemand.js';
+export { type Evacuation, planEvacuations, type PlanEvacuationsInput } from './planEvacuations.js';
+export {
+  type MaintenanceWave,
+  planMaintenance,
+  type PlanMaintenanceInput,
+} from './planMaintenance.js';
+export { planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
--- /dev/null
+++ b/src/systems/planMaintenance.ts
@@ -0,0 +1,80 @@
+import type { FleetVm } from '../vms/index.js';
+import { groupBy } from '../utils/index.js';
+import type { TargetLoad } from './PoolDemand.js';
+
+/** A wave of maintenance as operators have ordered it, and how far it is. */
+export interface MaintenanceWave {
+  readonly wave: number;
+  readonly vms: readonly string[];
+  /** Most VMs of the wave that may be down for it at the same time. */
+  readonly maxDownCount: number;
+  /** Wall-clock time by which every VM has to have begun, in milliseconds since the Unix epoch. */
+  readonly deadlineAtMs: number;
+  /** VMs whose maintenance has begun, or that need none any more. */
+  readonly doneVms: ReadonlySet<string>;
+}
+
+/** What {@link planMaintenance} decides over. */
+export interface PlanMaintenanceInput {
+  readonly wave: MaintenanceWave;
+  readonly vms: readonly FleetVm[];
+  /** Load of each target that a home has told of. */
+  readonly loads: ReadonlyMap<string, TargetLoad>;
+  /** VMs that are being drained for the wave or are down for it. */
+  readonly inProgress: ReadonlySet<string>;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly nowMs: number;
+}
+
+/** Time that a VM is out: its tasks end within about 4 s, and the maintenance takes 2 s. */
+const STEP_MS = 6_000;
+/** Time kept free at the end of a wave for VMs that take long, in milliseconds. */
+const SPARE_MS = 4_000;
+/** Share of a pool's VMs that may be out for a wave at once while it is on time. */
+const MAX_POOL_SHARE = 0.34;
+const MIN_LEFT_MS = 1_000;
+
+/** VMs that must be out at once to end in time, counted from what is left of both. */
+function countNeededAtOnce(remainingCount: number, leftMs: number): number {
+  return Math.ceil((remainingCount * STEP_MS) / Math.max(leftMs, MIN_LEFT_MS));
+}
+
+/**
+ * Chooses the VMs that are drained next for a wave: only as many at once as it needs to end in
+ * time, those without work first, and never more of a pool than it can spare.
+ * @param input - The wave, the VMs and their load.
+ * @returns Names of the VMs, the first one first.
+ */
+export function planMaintenance(input: PlanMaintenanceInput): readonly string[] {
+  const { wave, vms, loads, inProgress, nowMs } = input;
+  const inWave = new Set(wave.vms);
+  const remaining = vms.filter(
+    ({ vm, state }) =>
+      inWave.has(vm) && !wave.doneVms.has(vm) && !inProgress.has(vm) && state === 'up',
+  );
+  const leftMs = wave.deadlineAtMs - SPARE_MS - nowMs;
+  const neededCount = countNeededAtOnce(remaining.length + inProgress.size, leftMs);
+  const isLate = neededCount > wave.maxDownCount;
+  const freeCount = Math.min(wave.maxDownCount, neededCount + 1) - inProgress.size;
+  const upByPool = groupBy(
+    vms.filter(({ state }) => state === 'up'),
+    ({ pool }) => pool,
+  );
+  const outByPool = new Map<string, number>();
+  vms
+    .filter(({ vm }) => inProgress.has(vm))
+    .forEach(({ pool }) => outByPool.set(pool, (outByPool.get(pool) ?? 0) + 1));
+  const getWork = ({ targetId }: FleetVm): number =>
+    targetId === undefined ? -1 : (loads.get(targetId)?.runCount ?? Infinity);
+  return remaining
+    .toSorted((a, b) => getWork(a) - getWork(b) || a.vm.localeCompare(b.vm))
+    .filter((vm) => {
+      const outCount = outByPool.get(vm.pool) ?? 0;
+      const limit = Math.max(1, Math.floor((upByPool.get(vm.pool)?.length ?? 0) * MAX_POOL_SHARE));
+      const isSpared = vm.targetId === undefined || isLate || outCount < limit;
+      if (isSpared) outByPool.set(vm.pool, outCount + 1);
+      return isSpared;
+    })
+    .slice(0, Math.max(0, freeCount))
+    .map(({ vm }) => vm);
+}
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -3,6 +3,7 @@
 import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { DurableJobRequest, PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
+import type { PoolDemand } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { HomeDirectory } from './HomeDirectory.js';
 import type { PoolPartitions } from './PoolPartitions.js';
@@ -27,6 +28,9 @@
 /** Longest search for a home: a takeover takes about 2.5 s, and callers are not kept for longer. */
 const SEARCH_MS = 2_500;
 
+/** How long a drain lasts without another message, in milliseconds: ten looks at the fleet. */
+const DRAINED_FOR_MS = 3_000;
+
 const RETRYABLE: ReadonlySet<string> = new Set(['home-unavailable', 'peer-unavailable']);
 
 /** What became of one try at a home. */
@@ -93,6 +97,20 @@
     return reply.type === 'pending-jobs' ? reply.count : 0;
   }
 
+  /**
+   * Tells the home of a pool which targets get no new task, and asks what the pool needs.
+   * @param pool - The pool.
+   * @param drainedTargets - Ids of the targets.
+   * @returns The demand, or undefined where no home answers at this moment.
+   */
+  async syncPool(pool: string, drainedTargets: readonly string[]): Promise<PoolDemand | undefined> {
+    const drainedForMs = DRAINED_FOR_MS;
+    const request = { type: 'sync-pool', pool, drainedTargets, drainedForMs } as const;
+    const outcome = await this.tryOnce(request, pool).catch(() => undefined);
+    if (outcome?.type !== 'reply' || outcome.reply.type !== 'pool-demand') return undefined;
+    return outcome.reply.demand;
+  }
+
   /** Asks the home of a pool, and the next one where a home is being replaced. */
   private async call(request: DurableJobRequest, pool: string): Promise<PeerReply> {
     const { clock, directory } = this.options;
--- a/src/taskHome/PoolPartitions.ts
+++ b/src/taskHome/PoolPartitions.ts
@@ -8,6 +8,9 @@
   readonly listPools: () => readonly string[];
 }
 
+/** Name under which the affairs of the whole fleet are kept, as if it were a pool. */
+const FLEET = 'fleet';
+
 /**
  * Which partition keeps the jobs of which pool. The hash of the pool's name decides, so that every
  * instance and every configuration agree without asking.
@@ -33,12 +36,22 @@
   }
 
   /**
-   * Lists the partitions that keep a pool.
-   * @returns Their numbers, each once.
+   * Lists the partitions that keep a pool or the affairs of the whole fleet.
+   * @returns Their numbers, each once; none before there is a configuration.
    */
   listUsed(): readonly number[] {
-    const { listPools } = this.options;
-    return [...new Set(listPools().map((pool) => this.getPartition(pool)))];
+    const pools = this.options.listPools();
+    if (pools.length === 0) return [];
+    return [...new Set([...pools, FLEET].map((name) => this.getPartition(name)))];
+  }
+
+  /**
+   * Tells whether a partition keeps the affairs of the whole fleet.
+   * @param partition - Number of the partition.
+   * @returns Whether its home is the home of the fleet.
+   */
+  isOfFleet(partition: number): boolean {
+    return partition === this.getPartition(FLEET);
   }
 
   /**
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -18,8 +18,14 @@
   unplaceTask,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
-import type { KeyedLogPort } from '../store/index.js';
-import { orderJobs, placeTasks, type TaskPlacement } from '../systems/index.js';
+import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
+import {
+  orderJobs,
+  placeTasks,
+  planEvacuations,
+  type PoolDemand,
+  type TaskPlacement,
+} from '../systems/index.js';
 import type {
   EndedTaskReport,
   LeasedTargetPort,
@@ -27,13 +33,16 @@
   TaskStart,
 } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
+import { describeDemand } from './describeDemand.js';
 import { JobTable } from './JobTable.js';
 import { RecordWriter } from './RecordWriter.js';
+import { TargetDrains } from './TargetDrains.js';
 import type { TargetEntries } from './TargetEntry.js';
 import { TargetHealth } from './TargetHealth.js';
 import type { TargetReport } from './TargetSession.js';
 import { type TargetLoss, TargetSessions } from './TargetSessions.js';
 import { type RunKey, TaskOrders } from './TaskOrders.js';
+import { TaskProgress } from './TaskProgress.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
 
 /** Options of {@link TaskHome}. */
@@ -78,6 +87,10 @@
 
   private readonly health: TargetHealth;
 
+  private readonly drains: TargetDrains;
+
+  private readonly progress = new TaskProgress();
+
   private flushing: Promise<void> | undefined;
 
   private readonly openedAtMs: number;
@@ -94,6 +107,7 @@
     this.openedAtMs = clock.monotonicMs();
     this.writer = new RecordWriter({ ...options, onFenced: () => this.replace() });
     this.health = new TargetHealth({ clock, events });
+    this.drains = new TargetDrains(clock);
     this.sessions = new TargetSessions({
       ...options,
       onReport: (targetId, report) => this.takeReport(targetId, report),
@@ -190,6 +204,33 @@
     return this.table.countPending(queue);
   }
 
+  /**
+   * Keeps new tasks off some targets for a while, empties them, and tells what the pool needs.
+   * @param pool - The pool.
+   * @param drainedTargets - Ids of the targets, in place of those named before.
+   * @param drainedForMs - How long that lasts, in milliseconds.
+   * @returns Load and demand of the pool.
+   * @throws RattanliftError Of kind `home-unavailable` where this home cannot be sure.
+   */
+  async syncPool(
+    pool: string,
+    drainedTargets: readonly string[],
+    drainedForMs: number,
+  ): Promise<PoolDemand> {
+    this.assertCertain();
+    this.drains.replace(pool, drainedTargets, drainedForMs);
+    this.evacuate();
+    // What was placed before this call is counted below; nothing is placed there after it.
+    await this.flush().catch(() => undefined);
+    return describeDemand({
+      pool,
+      rows: this.table.list(),
+      targets: this.sessions.listForPlacement(() => false),
+      countRuns: (targetId) => this.orders.listOn(targetId).length,
+      nowMs: this.options.clock.wallMs(),
+    });
+  }
+
   /** Looks at targets, due tasks and what is to be stopped or forgotten; called each tick. */
   tick(): void {
     if (this.isClosed) return;
@@ -200,6 +241,16 @@
     this.flushInBackground();
   }
 
+  /**
+   * Stores further records of the partition in this home's term.
+   * @param records - The records.
+   * @returns Resolves once they are stored.
+   * @throws RattanliftError Where this home has been replaced.
+   */
+  store(records: readonly KeyedRecord[]): Promise<void> {
+    return this.writer.write(records);
+  }
+
   /** Gives the partition up; nothing more is written or ordered. */
   close(): void {
     this.isClosed = true;
@@ -257,7 +308,9 @@
     const placements = placeTasks({
       jobs: orderJobs(rows),
       occupants: rows,
-      targets: this.sessions.listForPlacement((targetId) => this.health.isAvoided(targetId)),
+      targets: this.sessions.listForPlacement(
+        (targetId) => this.health.isAvoided(targetId) || this.drains.has(targetId),
+      ),
       failedOn: (jobId, position) => this.getFailedTargets(jobId, position),
       nowMs: this.options.clock.wallMs(),
     });
@@ -325,6 +378,7 @@
     const { answer, askedAtMs } = report;
     const fresh = this.sessions.takeFreshEnds(targetId, answer.ended);
     fresh.forEach((ended) => this.takeEnd(targetId, ended));
+    this.progress.note(answer.running);
     this.orders.reconcile(targetId, answer.running, askedAtMs);
     if (answer.ended.length === 0) {
       this.flushInBackground();
@@ -351,6 +405,7 @@
     const { jobId } = found.row.spec;
     events.write('taskEnded', { jobId, taskName, run, targetId, end: runEnd.end, source });
     this.orders.forget(taskName);
+    this.progress.forget(taskName);
     if (runEnd.end === 'done') this.health.noteSuccess(targetId);
     if (runEnd.end === 'failed') this.health.noteFailure(targetId, jobId, taskName);
     const row = endRun(found.row, found.position, runEnd, clock.wallMs());
@@ -358,6 +413,29 @@
     if (isFinished(row) && !isFinished(found.row)) this.noteFinished(row);
   }
 
+  /** Stops long-running tasks on targets that are being emptied, as far as their steps allow. */
+  private evacuate(): void {
+    const drainedTargets = this.drains.list();
+    if (drainedTargets.size === 0) return;
+    const evacuations = planEvacuations({
+      jobs: this.table.list(),
+      drainedTargets,
+      isAtWork: (row, position) => {
+        const task = row.tasks[position]!;
+        return task.phase === 'placed' && this.progress.isAtWork(toTaskName(row, task), task.run);
+      },
+    });
+    evacuations.forEach(({ jobId, position }) => {
+      const row = this.table.get(jobId)!;
+      const task = row.tasks[position]!;
+      const taskName = toTaskName(row, task);
+      const { targetId, run } = task;
+      this.options.events.write('taskEvacuated', { jobId, taskName, run, targetId });
+      this.progress.forget(taskName);
+      this.orders.stop(taskName);
+    });
+  }
+
   private noteFinished({ spec, state }: DurableJobRow): void {
     const { clock, events } = this.options;
     const tookMs = clock.wallMs() - spec.submittedAtMs;
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -1,7 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { decodeWaveRecord, type FleetHome, type WaveRecord } from '../fleetHome/index.js';
 import type { EventLog } from '../logging/index.js';
 import { HeldLease } from '../membership/index.js';
-import type { GroupPort, KeyedLogPort } from '../store/index.js';
+import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import { type Clock, KeyedOnce } from '../utils/index.js';
 import { HOME_PRODUCER, openTaskHome } from './openTaskHome.js';
@@ -35,6 +36,16 @@
   readonly homeTiming: TaskHomeTiming;
   readonly clock: Clock;
   readonly events: EventLog;
+  /** Creates the home of the fleet, on the instance that is the home of its partition. */
+  readonly createFleetHome: (basis: FleetHomeBasis) => FleetHome;
+}
+
+/** What the home of the fleet gets from the home of its partition. */
+export interface FleetHomeBasis {
+  readonly term: number;
+  readonly waveRecords: readonly WaveRecord[];
+  readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
+  readonly onReplaced: () => void;
 }
 
 /** How often homes look at their targets and due tasks, in milliseconds. */
@@ -64,6 +75,8 @@
 
   private isStopped = false;
 
+  private fleet: FleetHome | undefined;
+
   private readonly timers: NodeJS.Timeout[] = [];
 
   /**
@@ -177,7 +190,7 @@
 
   private add(
     partition: number,
-    { term, jobs }: NonNullable<Awaited<ReturnType<typeof openTaskHome>>>,
+    { term, jobs, records }: NonNullable<Awaited<ReturnType<typeof openTaskHome>>>,
   ): void {
     const { partitions, directory, homeTiming, events } = this.options;
     const home = new TaskHome({
@@ -192,13 +205,28 @@
       onReplaced: () => this.close(partition, 'replaced'),
     });
     this.homes.set(partition, home);
+    if (partitions.isOfFleet(partition)) this.openFleet(partition, home, records);
     events.write('taskHomeOpened', { partition, term, jobCount: jobs.length });
     home.tick();
   }
 
+  private openFleet(partition: number, home: TaskHome, records: readonly KeyedRecord[]): void {
+    const waveRecords = records
+      .map((record) => decodeWaveRecord(record))
+      .filter((record) => record !== undefined);
+    this.fleet = this.options.createFleetHome({
+      term: home.term,
+      waveRecords,
+      store: (changes) => home.store(changes),
+      onReplaced: () => this.close(partition, 'replaced'),
+    });
+    this.fleet.start();
+  }
+
   private close(partition: number, reason: string): void {
     const home = this.homes.get(partition);
     if (home === undefined) return;
+    if (this.options.partitions.isOfFleet(partition)) this.fleet?.close();
     this.homes.delete(partition);
     home.close();
     this.options.events.write('taskHomeClosed', { partition, term: home.term, reason });
--- /dev/null
+++ b/src/taskHome/describeDemand.ts
@@ -0,0 +1,63 @@
+import { type DurableJobRow, isFinished } from '../jobs/index.js';
+import {
+  getOccupied,
+  listReadyTasks,
+  type PlacementTarget,
+  type PoolDemand,
+} from '../systems/index.js';
+
+/** What {@link describeDemand} looks at. */
+export interface DescribeDemandInput {
+  readonly pool: string;
+  readonly rows: readonly DurableJobRow[];
+  readonly targets: readonly PlacementTarget[];
+  readonly countRuns: (targetId: string) => number;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly nowMs: number;
+}
+
+function sumWaitingCpu(rows: readonly DurableJobRow[], nowMs: number): number {
+  return rows
+    .flatMap((row) =>
+      listReadyTasks(row, nowMs).map(
+        ({ step, positions }) =>
+          positions.length * getOccupied(row.spec.steps[step]!).cpuMillicores,
+      ),
+    )
+    .reduce((sum, cpuMillicores) => sum + cpuMillicores, 0);
+}
+
+/**
+ * Describes what a pool carries and what waits for room in it.
+ * @param input - Jobs and targets of the pool's home.
+ * @returns Load and demand.
+ */
+export function describeDemand(input: DescribeDemandInput): PoolDemand {
+  const { pool, rows, targets, countRuns, nowMs } = input;
+  const ofPool = rows.filter((row) => row.spec.terms.pool === pool);
+  const placed = ofPool.flatMap((row) =>
+    row.tasks
+      .filter(({ phase }) => phase === 'placed')
+      .map(({ targetId, step }) => ({ targetId, step: row.spec.steps[step]! })),
+  );
+  return {
+    pool,
+    targets: targets
+      .filter((target) => target.pool === pool)
+      .map(({ targetId, capacity }) => {
+        const here = placed.filter((task) => task.targetId === targetId);
+        return {
+          targetId,
+          runCount: Math.max(here.length, countRuns(targetId)),
+          longRunningCount: here.filter(({ step }) => step.isLongRunning).length,
+          usedCpuMillicores: here.reduce(
+            (sum, { step }) => sum + getOccupied(step).cpuMillicores,
+            0,
+          ),
+          cpuMillicores: capacity.cpuMillicores,
+        };
+      }),
+    waitingCpuMillicores: sumWaitingCpu(ofPool, nowMs),
+    jobCount: ofPool.filter((row) => !isFinished(row)).length,
+  };
+}
--- a/src/taskHome/handleJobRequest.ts
+++ b/src/taskHome/handleJobRequest.ts
@@ -24,6 +24,11 @@
     }
     case 'count-pending-jobs':
       return { type: 'pending-jobs', count: home.countPending(request.queue) };
+    case 'sync-pool':
+      return {
+        type: 'pool-demand',
+        demand: await home.syncPool(request.pool, request.drainedTargets, request.drainedForMs),
+      };
     default:
       return assertNever(request);
   }
--- a/src/taskHome/index.ts
+++ b/src/taskHome/index.ts
@@ -10,5 +10,11 @@
 export { TargetDirectory, type TargetDirectoryOptions } from './TargetDirectory.js';
 export type { TargetEntries, TargetEntry } from './TargetEntry.js';
 export { TaskHome, type TaskHomeOptions } from './TaskHome.js';
-export { type GroupTiming, TaskHomes, type TaskHomesOptions } from './TaskHomes.js';
+export {
+  type FleetHomeBasis,
+  type GroupTiming,
+  TaskHomes,
+  type TaskHomesOptions,
+} from './TaskHomes.js';
 export type { TaskHomeTiming } from './TaskHomeTiming.js';
+export { RecordWriter, type RecordWriterOptions } from './RecordWriter.js';
--- a/src/taskHome/openTaskHome.ts
+++ b/src/taskHome/openTaskHome.ts
@@ -22,6 +22,8 @@
 export interface OpenedPartition {
   readonly term: number;
   readonly jobs: readonly DurableJobRow[];
+  /** All records of the partition, for what else is kept there. */
+  readonly records: readonly KeyedRecord[];
 }
 
 /** Options of {@link openTaskHome}. */
@@ -85,5 +87,6 @@
     timeoutMs: APPEND_TIMEOUT_MS,
   });
   if (result.type !== 'appended') return undefined;
-  return { term, jobs: joinRecords(records.map((record) => decodeOrLog(record, options))) };
+  const jobs = joinRecords(records.map((record) => decodeOrLog(record, options)));
+  return { term, jobs, records };
 }
--- /dev/null
+++ b/src/vms/index.ts
@@ -0,0 +1,8 @@
+export type {
+  FleetVm,
+  VmFleetPort,
+  VmOrderAnswer,
+  VmOrderIssuer,
+  VmOrderRefusal,
+  VmState,
+} from './VmFleetPort.js';
