Prove the home of durable jobs on stand-ins of store and leased targets

Stand-ins: a store with fenced, conditional and repeated appends, newest by key, groups, outages and lost answers; leased targets with terms, run numbers, late starts, cuts, and a watch for tasks that run twice.

--- /dev/null
+++ b/tests/taskHome/HomeWorld.ts
@@ -0,0 +1,140 @@
+import { vi } from 'vitest';
+import type { DurableJobSpec, StepSpec } from '../../src/jobs/index.js';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import { SystemClock } from '../../src/utils/index.js';
+import { LeasedTargetsStandIn } from '../../standins/leasedTargets/index.js';
+import { StoreStandIn } from '../../standins/store/index.js';
+import { openTaskHome } from '../../src/taskHome/openTaskHome.js';
+import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
+
+const TOPIC = 'jobs';
+const PARTITION = 0;
+const LEASE_MS = 60_000;
+const TICK_MS = 10;
+
+/** A step of one short task; a test changes what it is about. */
+export function makeStep(changes: Partial<StepSpec> = {}): StepSpec {
+  return {
+    taskCount: 1,
+    demand: { cpuMillicores: 1_000, memoryMb: 100, gpuCount: 0 },
+    estimatedRunMs: 500,
+    afterSteps: [],
+    isCheckpointing: false,
+    isGang: false,
+    wantsSameRack: false,
+    mayRunCopies: false,
+    isLongRunning: false,
+    isBestEffort: false,
+    ...changes,
+  };
+}
+
+/** A job of the pool `pages`. */
+export function makeJob(jobId: string, steps: readonly StepSpec[] = [makeStep()]): DurableJobSpec {
+  return {
+    jobId,
+    terms: {
+      queue: 'saves',
+      pool: 'pages',
+      priority: 0,
+      maxAttempts: 2,
+      stretch: 2,
+      targetDurationMs: 600,
+    },
+    payload: 'payload',
+    steps,
+    submittedAtMs: Date.now(),
+  };
+}
+
+/** A target of the pool `pages` with four cores. */
+export function makeEntry(targetId: string, changes: Partial<TargetEntry> = {}): TargetEntry {
+  return {
+    targetId,
+    pool: 'pages',
+    host: '10.0.0.1',
+    port: 80,
+    dataCentre: 'north',
+    rack: 'r1',
+    labels: ['a', 'r1'],
+    capacity: { cpuMillicores: 4_000, memoryMb: 10_000, gpuCount: 0 },
+    isDraining: false,
+    ...changes,
+  };
+}
+
+/** A store, some targets, and the homes that a test opens over them. */
+export class HomeWorld {
+  readonly store = new StoreStandIn({ partitionCount: 4 });
+
+  readonly targets = new LeasedTargetsStandIn();
+
+  readonly entries = new Map<string, TargetEntry>();
+
+  readonly events = new MemoryEventLog();
+
+  /** Whether the homes believe that they still are. */
+  isCertain = true;
+
+  private readonly homes: TaskHome[] = [];
+
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  constructor(targetIds: readonly string[] = ['t1', 't2']) {
+    targetIds.forEach((targetId) => this.addTarget(makeEntry(targetId)));
+  }
+
+  addTarget(entry: TargetEntry): void {
+    this.targets.add(entry.targetId);
+    this.entries.set(entry.targetId, entry);
+  }
+
+  /** Opens a home in the next term, as an instance that takes over would. */
+  async open(): Promise<TaskHome> {
+    const { store, targets, events } = this;
+    const place = { store, topic: TOPIC, partition: PARTITION };
+    const opened = await openTaskHome({ ...place, instance: 'test', events });
+    const home: TaskHome = new TaskHome({
+      ...place,
+      targets,
+      producer: 'home',
+      term: opened!.term,
+      jobs: opened!.jobs,
+      timing: { targetLeaseMs: LEASE_MS, targetWaitMs: 10, keepFinishedMs: LEASE_MS },
+      clock: new SystemClock(),
+      events,
+      getEntries: () => this.entries,
+      isCertain: () => this.isCertain,
+      onReplaced: () => undefined,
+    });
+    this.homes.push(home);
+    home.tick();
+    this.timers.push(setInterval(() => home.tick(), TICK_MS));
+    return home;
+  }
+
+  /** Ends a home as a kill would: nothing more of it happens. */
+  kill(home: TaskHome): void {
+    const place = this.homes.indexOf(home);
+    clearInterval(this.timers[place]);
+    home.close();
+  }
+
+  close(): void {
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.homes.forEach((home) => home.close());
+  }
+
+  /** Waits until tasks run. */
+  async waitForRunning(taskNames: readonly string[]): Promise<void> {
+    await vi.waitFor(() => {
+      const running = this.targets.listRunning().toSorted();
+      if (running.join() !== taskNames.toSorted().join()) throw new Error(running.join());
+    });
+  }
+
+  /** Counts the lines of a kind. */
+  countEvents(event: string): number {
+    return this.events.events.filter((kept) => kept.event === event).length;
+  }
+}
--- /dev/null
+++ b/tests/taskHome/TaskHome.test.ts
@@ -0,0 +1,212 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { HomeWorld, makeEntry, makeJob, makeStep } from './HomeWorld.js';
+
+describe('TaskHome', () => {
+  let world: HomeWorld;
+
+  beforeEach(() => {
+    world = new HomeWorld();
+  });
+
+  afterEach(() => {
+    world.close();
+    expect(world.targets.violations).toEqual([]);
+  });
+
+  it('runs the steps of a job in their order and tells when it is completed', async () => {
+    const home = await world.open();
+    const steps = [makeStep({ taskCount: 2 }), makeStep({ afterSteps: [0] })];
+    await home.submit(makeJob('a', steps));
+    await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
+    world.targets.finish('a.0.0.0', 'done');
+    await vi.waitFor(() => expect(world.countEvents('taskEnded')).toBe(1));
+    expect(world.targets.listRunning()).toEqual(['a.0.0.1']);
+    world.targets.finish('a.0.0.1', 'done');
+    await world.waitForRunning(['a.0.1.0']);
+    expect(home.getState('a')).toBe('running');
+    world.targets.finish('a.0.1.0', 'done');
+    await vi.waitFor(() => expect(home.getState('a')).toBe('completed'));
+  });
+
+  it('takes the repeat of a submission for the same job', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    expect(world.targets.begun).toHaveLength(1);
+  });
+
+  // A page was saved twice: its task ended, the store was away, so the end was not stored, yet the
+  // home told the target to forget it when the target repeated it. The next home knew of no end
+  // and ran the task again. Cause: a report with nothing new to write passed for stored.
+  it('lets a target forget an end only once it is stored', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    world.store.faults.rejects = true;
+    world.targets.finish('a.0.0.0', 'done');
+    await vi.waitFor(() => expect(world.countEvents('taskEnded')).toBe(1));
+    // Long enough for the target to have repeated the end several times.
+    await vi.waitFor(() => expect(world.countEvents('appendRejected')).toBeGreaterThan(20), 5_000);
+    const kept = ['t1', 't2'].flatMap((id) => world.targets.get(id).unacknowledged);
+    expect(kept).toHaveLength(1);
+    world.kill(home);
+    world.store.faults.rejects = false;
+    const next = await world.open();
+    await vi.waitFor(() => expect(next.getState('a')).toBe('completed'));
+    expect(world.targets.begun).toHaveLength(1);
+  });
+
+  // A courier was sent twice: the home placed a task, its start got no answer, and the home was
+  // killed. The start took effect seconds later, when the next home had given the task to another
+  // target. Cause: an order without an answer was taken for one that did not happen.
+  it('does not run a task twice whose start takes effect after a change of homes', async () => {
+    ['t1', 't2'].forEach((id) => world.targets.setFaults(id, { appliesStartsLate: true }));
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await vi.waitFor(() => expect(world.countEvents('startUnanswered')).toBeGreaterThan(0));
+    world.kill(home);
+    ['t1', 't2'].forEach((id) => world.targets.setFaults(id, { appliesStartsLate: false }));
+    const next = await world.open();
+    await world.waitForRunning(['a.0.0.0']);
+    world.targets.applyLateStarts();
+    world.targets.finish('a.0.0.0', 'done');
+    await vi.waitFor(() => expect(next.getState('a')).toBe('completed'));
+    expect(world.targets.begun).toHaveLength(1);
+  });
+
+  // A receipt was printed after its job had been cancelled: the start had got no answer, the job
+  // was cancelled, and seconds later the target carried the start out. Cause: only tasks that were
+  // known to run were stopped.
+  it('stops a cancelled task whose start takes effect later', async () => {
+    ['t1', 't2'].forEach((id) => world.targets.setFaults(id, { appliesStartsLate: true }));
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await vi.waitFor(() => expect(world.countEvents('startUnanswered')).toBeGreaterThan(0));
+    expect(await home.cancel('a')).toBe(true);
+    expect(home.getState('a')).toBe('cancelled');
+    // The stop is accepted before the start arrives.
+    await vi.waitFor(() => expect(world.countEvents('taskEnded')).toBe(1));
+    world.targets.applyLateStarts();
+    expect(world.targets.listRunning()).toEqual([]);
+  });
+
+  it('stops the running tasks of a cancelled job', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a', [makeStep({ taskCount: 3 })]));
+    await world.waitForRunning(['a.0.0.0', 'a.0.0.1', 'a.0.0.2']);
+    await home.cancel('a');
+    await world.waitForRunning([]);
+  });
+
+  it('shows a job as failed only after its attempts are used up', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    world.targets.finish('a.0.0.0', 'failed');
+    await vi.waitFor(() => expect(world.targets.begun).toHaveLength(2));
+    expect(home.getState('a')).toBe('running');
+    world.targets.finish('a.0.0.0', 'failed');
+    await vi.waitFor(() => expect(home.getState('a')).toBe('failed'));
+    expect(new Set(world.targets.begun.map(({ targetId }) => targetId)).size).toBe(2);
+  });
+
+  it('starts a task elsewhere once the lifetime of its target is over', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    const { targetId } = world.targets.begun[0]!;
+    world.targets.remove(targetId);
+    world.entries.delete(targetId);
+    await vi.waitFor(() => expect(world.targets.begun).toHaveLength(2));
+    expect(world.targets.begun[1]).toMatchObject({ taskName: 'a.0.0.0', run: 2 });
+    expect(home.getState('a')).toBe('running');
+  });
+
+  // A pickup was dispatched twice: its target was cut off from everyone and ran on, while the home
+  // gave the task to another. Cause: silence was taken for the end of the lifetime.
+  it('keeps a task on a target that is silent until its lease has lapsed', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    const { targetId } = world.targets.begun[0]!;
+    world.targets.setFaults(targetId, { isCutOff: true });
+    world.entries.delete(targetId);
+    await vi.waitFor(() => expect(world.countEvents('targetSilent')).toBe(1));
+    expect(world.targets.begun).toHaveLength(1);
+    world.targets.setFaults(targetId, { isCutOff: false });
+    await vi.waitFor(() => expect(world.countEvents('targetHeardAgain')).toBe(1));
+    expect(home.getState('a')).toBe('running');
+    expect(world.targets.begun).toHaveLength(1);
+  });
+
+  it('gives a draining target no new task', async () => {
+    world.entries.set('t1', makeEntry('t1', { isDraining: true }));
+    const home = await world.open();
+    await home.submit(makeJob('a', [makeStep({ taskCount: 4 })]));
+    await vi.waitFor(() => expect(world.targets.begun).toHaveLength(4));
+    expect(world.targets.begun.every(({ targetId }) => targetId === 't2')).toBe(true);
+  });
+
+  it('starts long-running tasks again however they end', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a', [makeStep({ isLongRunning: true })]));
+    await world.waitForRunning(['a.0.0.0']);
+    world.targets.finish('a.0.0.0', 'failed');
+    await vi.waitFor(() => expect(world.targets.begun).toHaveLength(2));
+    world.targets.finish('a.0.0.0', 'failed');
+    await vi.waitFor(() => expect(world.targets.begun).toHaveLength(3));
+    expect(home.getState('a')).toBe('running');
+  });
+
+  // A caller was told that its accepted job does not exist: it asked an instance that had lost its
+  // homes during a cut and did not know so. Cause: absence from the own table was taken for proof.
+  it('does not deny a job while it may have been replaced', async () => {
+    const home = await world.open();
+    expect(home.getState('b')).toBeUndefined();
+    world.isCertain = false;
+    expect(() => home.getState('b')).toThrow('may not be the home');
+    expect(() => home.countPending('saves')).toThrow('may not be the home');
+    await expect(home.cancel('b')).rejects.toThrow('may not be the home');
+  });
+
+  it('refuses a job at once, and never stores it, while the store does not answer', async () => {
+    const home = await world.open();
+    world.store.faults.isSilent = true;
+    const first = home.submit(makeJob('a')).catch((error: unknown) => error);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 600);
+    });
+    await expect(home.submit(makeJob('b'))).rejects.toMatchObject({ kind: 'log-unavailable' });
+    world.store.faults.isSilent = false;
+    expect(await first).toBeUndefined();
+    const { records } = await world.store.readNewest('jobs', 0);
+    expect(records.some(({ key }) => key.includes('b'))).toBe(false);
+  });
+
+  it('stops ordering once a later term has been seen', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    const next = await world.open();
+    await expect(home.submit(makeJob('b'))).rejects.toThrow();
+    await next.submit(makeJob('c'));
+    await world.waitForRunning(['a.0.0.0', 'c.0.0.0']);
+    expect(world.targets.begun).toHaveLength(2);
+  });
+
+  it('empties a drained target, one long-running task of a step at a time', async () => {
+    const home = await world.open();
+    const step = makeStep({ taskCount: 2, isLongRunning: true, maxUnavailableCount: 1 });
+    await home.submit(makeJob('a', [step]));
+    await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
+    world.addTarget(makeEntry('t3'));
+    await vi.waitFor(async () => {
+      const { targets } = await home.syncPool('pages', ['t1', 't2'], 1_000);
+      const counts = targets.filter(({ targetId }) => targetId !== 't3');
+      expect(counts.map(({ runCount }) => runCount)).toEqual([0, 0]);
+    }, 5_000);
+    await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
+    expect(world.targets.get('t3').runningNames).toHaveLength(2);
+  });
+});
