--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -51,6 +51,9 @@
 
   private readonly waves: WaveDesk;
 
+  /** VMs as listed last. */
+  private readonly known = new Map<string, FleetVm>();
+
   private demands: readonly PoolDemand[] = [];
 
   private isClosed = false;
@@ -108,6 +111,7 @@
       const vms = await port.listVms();
       if (this.isListSilent) events.write('vmListReachable', {});
       this.isListSilent = false;
+      vms.forEach((vm) => this.noteVm(vm));
       return vms;
     } catch (thrown) {
       if (!this.isListSilent) events.write('vmListUnreachable', { reason: String(thrown) });
@@ -116,6 +120,15 @@
     }
   }
 
+  private noteVm(listed: FleetVm): void {
+    const { vm, pool, state, targetId } = listed;
+    const known = this.known.get(vm);
+    this.known.set(vm, listed);
+    const isSame = known?.pool === pool && known.state === state && known.targetId === targetId;
+    if (known === undefined || isSame) return;
+    this.options.events.write('vmChanged', { vm, pool, state, targetId, stateBefore: known.state });
+  }
+
   private getLoads(): ReadonlyMap<string, TargetLoad> {
     return new Map(
       this.demands.flatMap(({ targets }) => targets.map((load) => [load.targetId, load])),
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -23,4 +23,12 @@
   type TaskPhase,
   type TaskRow,
 } from './TaskRow.js';
-export { cancelJob, endRun, findTask, placeTask, type RunEnd, unplaceTask } from './progressJob.js';
+export {
+  cancelJob,
+  endRun,
+  findTask,
+  listGangMates,
+  placeTask,
+  type RunEnd,
+  unplaceTask,
+} from './progressJob.js';
--- a/src/jobs/progressJob.ts
+++ b/src/jobs/progressJob.ts
@@ -33,6 +33,15 @@
   return replaceTask(row, position, freeTask(row.tasks[position]!));
 }
 
+/** Lists the places of a task and of those that work only together with it. */
+function listTogether(row: DurableJobRow, position: number): readonly number[] {
+  const { occurrence, step } = row.tasks[position]!;
+  if (!row.spec.steps[step]!.isGang) return [position];
+  return row.tasks.flatMap((task, place) =>
+    task.occurrence === occurrence && task.step === step ? [place] : [],
+  );
+}
+
 function endTask(row: DurableJobRow, position: number, end: TaskEnd): TaskRow {
   const task = freeTask(row.tasks[position]!);
   const { isLongRunning } = row.spec.steps[task.step]!;
@@ -43,7 +52,9 @@
 
 function settle(row: DurableJobRow, position: number, nowMs: number): DurableJobRow {
   if (isFinished(row)) return row;
-  const { failureCount } = row.tasks[position]!;
+  const failureCount = listTogether(row, position)
+    .map((place) => row.tasks[place]!.failureCount)
+    .reduce((sum, count) => sum + count, 0);
   if (failureCount >= row.spec.terms.maxAttempts) {
     return { ...row, state: 'failed', finishedAtMs: nowMs };
   }
@@ -71,9 +82,27 @@
   { end, checkpoint }: RunEnd,
   nowMs: number,
 ): DurableJobRow {
-  const ended = endTask(row, position, end);
-  const saved = checkpoint ?? ended.checkpoint;
-  return settle(replaceTask(row, position, { ...ended, checkpoint: saved }), position, nowMs);
+  const ended = replaceTask(row, position, endTask(row, position, end));
+  const together = new Set(listTogether(row, position));
+  const tasks = ended.tasks.map((task, place): TaskRow => {
+    if (!together.has(place)) return task;
+    const saved = { ...task, checkpoint: checkpoint ?? task.checkpoint };
+    // The members of a gang are done together, and one end stands for all of them.
+    return ended.tasks[position]!.phase === 'done' ? { ...freeTask(saved), phase: 'done' } : saved;
+  });
+  return settle({ ...ended, tasks }, position, nowMs);
+}
+
+/**
+ * Lists the placed tasks that cannot work without a task, because they are one gang with it.
+ * @param row - The job.
+ * @param position - Place of the task among the job's tasks.
+ * @returns Places of the others; none where the task is no member of a gang.
+ */
+export function listGangMates(row: DurableJobRow, position: number): readonly number[] {
+  return listTogether(row, position).filter(
+    (place) => place !== position && row.tasks[place]!.phase === 'placed',
+  );
 }
 
 /**
--- a/src/logging/events/fleetEvents.ts
+++ b/src/logging/events/fleetEvents.ts
@@ -22,4 +22,5 @@
   vmDraining: { number: 3014, level: 'info', text: 'A VM is emptied for its maintenance.' },
   waveFinished: { number: 3015, level: 'info', text: 'Every VM of a wave was maintained.' },
   fleetLookFailed: { number: 3016, level: 'warn', text: 'A look at the fleet broke off.' },
+  vmChanged: { number: 3017, level: 'info', text: 'A VM is in another state, pool or lifetime.' },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/systems/TargetRoom.ts
+++ b/src/systems/TargetRoom.ts
@@ -63,6 +63,19 @@
     this.countsByStep.set(stepKey, this.countOf(stepKey) + 1);
   }
 
+  /**
+   * Gives the room of a task back.
+   * @param stepKey - Job, occurrence and step of the task.
+   * @param step - The step.
+   */
+  release(stepKey: string, step: StepSpec): void {
+    const occupied = getOccupied(step);
+    this.cpuMillicores += occupied.cpuMillicores;
+    this.memoryMb += occupied.memoryMb;
+    this.gpuCount += occupied.gpuCount;
+    this.countsByStep.set(stepKey, this.countOf(stepKey) - 1);
+  }
+
   /**
    * Counts the tasks of a step here.
    * @param stepKey - Job, occurrence and step.
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -1,6 +1,6 @@
 import type { DurableJobRow, StepSpec } from '../jobs/index.js';
 import { groupBy } from '../utils/index.js';
-import { listReadyTasks } from './listReadyTasks.js';
+import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import { getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
 
 /** A task that is to start on a target. */
@@ -66,6 +66,65 @@
     )?.room;
 }
 
+/** Tasks of one step and occurrence, and the rooms that may take them. */
+interface StepPlacement {
+  readonly row: DurableJobRow;
+  readonly ready: ReadyTasks;
+  readonly step: StepSpec;
+  readonly stepKey: string;
+  readonly failedOn: PlaceTasksInput['failedOn'];
+}
+
+/** Places the tasks one by one until one finds no room; the others of the step would find none. */
+function placeInTurn(
+  { row, ready, step, stepKey, failedOn }: StepPlacement,
+  rooms: readonly TargetRoom[],
+): readonly TaskPlacement[] {
+  const { jobId } = row.spec;
+  let isFull = false;
+  return ready.positions.flatMap((position): readonly TaskPlacement[] => {
+    if (isFull) return [];
+    const hasFailed = row.tasks[position]!.failureCount > 0;
+    const failed = hasFailed ? failedOn(jobId, position) : NONE;
+    const room = chooseRoom(rooms, step, stepKey, failed);
+    isFull = room === undefined;
+    if (room === undefined) return [];
+    room.take(stepKey, step);
+    return [{ jobId, position, targetId: room.target.targetId }];
+  });
+}
+
+/** Places all members of a gang in some rooms, or none. */
+function placeMembers(
+  placement: StepPlacement,
+  rooms: readonly TargetRoom[],
+): readonly TaskPlacement[] {
+  const { step, stepKey } = placement;
+  const members = placeInTurn(placement, rooms);
+  if (members.length === step.taskCount) return members;
+  members.forEach(({ targetId }) =>
+    rooms.find(({ target }) => target.targetId === targetId)!.release(stepKey, step),
+  );
+  return [];
+}
+
+/**
+ * Places a gang whole or not at all, on one rack where it wants that and one has room. Members that
+ * wait for others without room would hold their resources for nothing, and end alone.
+ */
+function placeGang(
+  placement: StepPlacement,
+  rooms: readonly TargetRoom[],
+): readonly TaskPlacement[] {
+  const { ready, step } = placement;
+  if (ready.positions.length < step.taskCount) return [];
+  const racks = step.wantsSameRack ? [...groupBy(rooms, ({ target }) => target.rack).values()] : [];
+  return [...racks, rooms].reduce<readonly TaskPlacement[]>(
+    (placed, candidates) => (placed.length > 0 ? placed : placeMembers(placement, candidates)),
+    [],
+  );
+}
+
 /**
  * Gives waiting tasks to targets with room for them.
  * @param input - Jobs in their order, targets, and the time.
@@ -77,22 +136,12 @@
   occupants.forEach((row) => occupy(rooms, row));
   const roomsByPool = groupBy([...rooms.values()], (room) => room.target.pool);
   return jobs.flatMap((row) => {
-    const { jobId, terms } = row.spec;
-    const poolRooms = roomsByPool.get(terms.pool) ?? [];
-    return listReadyTasks(row, nowMs).flatMap(({ step, occurrence, positions }) => {
-      const stepSpec = row.spec.steps[step]!;
-      const stepKey = getStepKey(row, occurrence, step);
-      let isFull = false;
-      return positions.flatMap((position): readonly TaskPlacement[] => {
-        if (isFull) return [];
-        const hasFailed = row.tasks[position]!.failureCount > 0;
-        const failed = hasFailed ? failedOn(jobId, position) : NONE;
-        const room = chooseRoom(poolRooms, stepSpec, stepKey, failed);
-        isFull = room === undefined;
-        if (room === undefined) return [];
-        room.take(stepKey, stepSpec);
-        return [{ jobId, position, targetId: room.target.targetId }];
-      });
+    const poolRooms = roomsByPool.get(row.spec.terms.pool) ?? [];
+    return listReadyTasks(row, nowMs).flatMap((ready) => {
+      const step = row.spec.steps[ready.step]!;
+      const stepKey = getStepKey(row, ready.occurrence, ready.step);
+      const placement = { row, ready, step, stepKey, failedOn };
+      return step.isGang ? placeGang(placement, poolRooms) : placeInTurn(placement, poolRooms);
     });
   });
 }
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -129,14 +129,16 @@
   private async renew(): Promise<void> {
     const { port, address, term, waitMs, clock } = this.options;
     const askedAtMs = clock.monotonicMs();
-    // The first renewal only raises the term and reads the clock that a lease is counted on.
-    const isFirst = this.readTargetClock === undefined;
+    // The first renewal only raises the term and reads the clock that a lease is counted on. While
+    // the target is silent nothing extends its lease either: a renewal without an answer may still
+    // be carried out, so its lease would never be over for certain and its tasks never run again.
+    const isOnlyLook = this.readTargetClock === undefined || this.isSilent;
     try {
       const answer = await port.renew(address, {
         term,
         acknowledgedEndNumber: this.acknowledgedEndNumber,
-        leaseUntilTargetMs: isFirst ? undefined : this.computeLease(),
-        waitMs: isFirst || this.isSilent ? 0 : waitMs,
+        leaseUntilTargetMs: isOnlyLook ? undefined : this.computeLease(),
+        waitMs: isOnlyLook ? 0 : waitMs,
       });
       if (!this.isClosed) await this.take(answer, askedAtMs);
     } catch (thrown) {
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -11,6 +11,7 @@
   findTask,
   formatTaskName,
   isFinished,
+  listGangMates,
   parseTaskName,
   placeTask,
   type RunEnd,
@@ -89,7 +90,7 @@
 
   private readonly drains: TargetDrains;
 
-  private readonly progress = new TaskProgress();
+  private readonly progress: TaskProgress;
 
   private flushing: Promise<void> | undefined;
 
@@ -108,6 +109,7 @@
     this.writer = new RecordWriter({ ...options, onFenced: () => this.replace() });
     this.health = new TargetHealth({ clock, events });
     this.drains = new TargetDrains(clock);
+    this.progress = new TaskProgress(clock);
     this.sessions = new TargetSessions({
       ...options,
       onReport: (targetId, report) => this.takeReport(targetId, report),
@@ -369,7 +371,10 @@
     }
     if (reason !== 'lease-past') this.health.noteRefusal(key.targetId);
     const found = this.findPlaced(key);
-    if (found !== undefined) this.table.put(unplaceTask(found.row, found.position));
+    if (found !== undefined) {
+      this.stopGangMates(found.row, found.position);
+      this.table.put(unplaceTask(found.row, found.position));
+    }
     this.flushInBackground();
   }
 
@@ -409,10 +414,18 @@
     if (runEnd.end === 'done') this.health.noteSuccess(targetId);
     if (runEnd.end === 'failed') this.health.noteFailure(targetId, jobId, taskName);
     const row = endRun(found.row, found.position, runEnd, clock.wallMs());
+    this.forgetDone(found.row, row);
     this.table.put(row);
     if (isFinished(row) && !isFinished(found.row)) this.noteFinished(row);
   }
 
+  /** Forgets the orders of gang members that another member's end has made done. */
+  private forgetDone(before: DurableJobRow, after: DurableJobRow): void {
+    before.tasks
+      .filter(({ phase }, place) => phase === 'placed' && after.tasks[place]!.phase === 'done')
+      .forEach((task) => this.orders.forget(toTaskName(before, task)));
+  }
+
   /** Stops long-running tasks on targets that are being emptied, as far as their steps allow. */
   private evacuate(): void {
     const drainedTargets = this.drains.list();
@@ -476,6 +489,16 @@
       );
   }
 
+  /**
+   * Stops the others of a gang of which a member could not start. Left alone they would hold their
+   * targets until the wait for that member ends, and count as started in vain.
+   */
+  private stopGangMates(row: DurableJobRow, position: number): void {
+    listGangMates(row, position).forEach((place) =>
+      this.orders.stop(toTaskName(row, row.tasks[place]!)),
+    );
+  }
+
   private stopTask(row: DurableJobRow, task: TaskRow, position: number): void {
     const taskName = toTaskName(row, task);
     if (!this.orders.isUnsent(taskName)) {
--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -1,24 +1,44 @@
 import type { RunningTaskReport } from '../targets/index.js';
+import type { Clock } from '../utils/index.js';
 
 /** Progress at which a long-running task is at work. */
 const AT_WORK_PERCENT = 100;
 
+/**
+ * Age of a report from which it says nothing any more, in milliseconds. Reports come each second;
+ * the platform's users take a task for away after 4.5 s or more without it.
+ */
+const FRESH_MS = 2_000;
+
 interface Progress {
   readonly run: number;
   readonly percent: number;
+  /** When the report was taken, by the monotonic clock. */
+  readonly notedAtMs: number;
 }
 
 /** How far running tasks are, by the latest report of their targets. */
 export class TaskProgress {
   private readonly byTask = new Map<string, Progress>();
 
+  private readonly clock: Clock;
+
+  /**
+   * Starts without reports.
+   * @param clock - Tells how old a report is.
+   */
+  constructor(clock: Clock) {
+    this.clock = clock;
+  }
+
   /**
    * Takes the report of a target.
    * @param running - What runs there.
    */
   note(running: readonly RunningTaskReport[]): void {
+    const notedAtMs = this.clock.monotonicMs();
     running.forEach(({ taskName, run, progressPercent: percent }) =>
-      this.byTask.set(taskName, { run, percent }),
+      this.byTask.set(taskName, { run, percent, notedAtMs }),
     );
   }
 
@@ -32,12 +52,16 @@
 
   /**
    * Tells whether a run of a long-running task is at work.
+   *
+   * Guards against one task too many that is away: a target crashed, its last report still said
+   * that its task was at work, and the system stopped another one of the step meanwhile.
    * @param taskName - Name of the task.
    * @param run - Number of the run.
-   * @returns Whether the latest report says so.
+   * @returns Whether a fresh report says so.
    */
   isAtWork(taskName: string, run: number): boolean {
     const progress = this.byTask.get(taskName);
-    return progress?.run === run && progress.percent >= AT_WORK_PERCENT;
+    if (progress?.run !== run || progress.percent < AT_WORK_PERCENT) return false;
+    return this.clock.monotonicMs() - progress.notedAtMs < FRESH_MS;
   }
 }
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -9,7 +9,7 @@
 
 const TOPIC = 'jobs';
 const PARTITION = 0;
-const LEASE_MS = 60_000;
+const KEEP_MS = 60_000;
 const TICK_MS = 10;
 
 /** A step of one short task; a test changes what it is about. */
@@ -73,6 +73,9 @@
 
   readonly events = new MemoryEventLog();
 
+  /** Length of the leases of targets, in milliseconds. */
+  leaseMs = 60_000;
+
   /** Whether the homes believe that they still are. */
   isCertain = true;
 
@@ -100,7 +103,7 @@
       producer: 'home',
       term: opened!.term,
       jobs: opened!.jobs,
-      timing: { targetLeaseMs: LEASE_MS, targetWaitMs: 10, keepFinishedMs: LEASE_MS },
+      timing: { targetLeaseMs: this.leaseMs, targetWaitMs: 10, keepFinishedMs: KEEP_MS },
       clock: new SystemClock(),
       events,
       getEntries: () => this.entries,
--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -140,6 +140,21 @@
     expect(world.targets.begun).toHaveLength(1);
   });
 
+  // A service stood still for half a minute: its target had crashed, and the home went on to renew
+  // the lease. Each renewal without an answer might have been carried out, so the lease never was
+  // over for certain, and the tasks were not started elsewhere.
+  it('starts tasks elsewhere once the lease of a silent, unlisted target has lapsed', async () => {
+    world.leaseMs = 300;
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    const { targetId } = world.targets.begun[0]!;
+    world.targets.setFaults(targetId, { isCutOff: true });
+    world.entries.delete(targetId);
+    await vi.waitFor(() => expect(world.targets.begun).toHaveLength(2), 5_000);
+    expect(world.targets.begun[1]).toMatchObject({ taskName: 'a.0.0.0', run: 2 });
+  });
+
   it('gives a draining target no new task', async () => {
     world.entries.set('t1', makeEntry('t1', { isDraining: true }));
     const home = await world.open();
--- /dev/null
+++ b/tests/taskHome/TaskProgress.test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, it } from 'vitest';
+import { TaskProgress } from '../../src/taskHome/TaskProgress.js';
+import { ManualClock } from '../../src/utils/index.js';
+
+const report = (run: number, progressPercent: number) => ({
+  taskName: 'a.0.0.0',
+  run,
+  progressPercent,
+  checkpoint: undefined,
+  loadFigure: undefined,
+});
+
+describe('TaskProgress', () => {
+  it('knows a task at work by its current run and full progress', () => {
+    const progress = new TaskProgress(new ManualClock());
+    progress.note([report(2, 100)]);
+    expect(progress.isAtWork('a.0.0.0', 2)).toBe(true);
+    expect(progress.isAtWork('a.0.0.0', 3)).toBe(false);
+    progress.note([report(3, 40)]);
+    expect(progress.isAtWork('a.0.0.0', 3)).toBe(false);
+  });
+
+  // A service lost two of its nodes at once: a target had crashed, and while its last report still
+  // said that a node was at work, maintenance stopped another. Cause: reports did not grow old.
+  it('does not go by an old report', () => {
+    const clock = new ManualClock();
+    const progress = new TaskProgress(clock);
+    progress.note([report(1, 100)]);
+    clock.advance(2_000);
+    expect(progress.isAtWork('a.0.0.0', 1)).toBe(false);
+  });
+});
