Move VMs by what arrives and what is left to do; put late jobs last

Cause: a pool got VMs only for tasks that already waited, about 2 s late in a rush of 5 s, and in a rush the earliest objective was always one that could not be met any more. Change: a pool needs what arrives (over 0.7 s), its backlog over 2 s, and its long-running tasks; run times are learned by queue where declarations are off; jobs too late for their objective come last.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -39,7 +39,7 @@
 }
 
 /** Pause between two looks at the fleet, in milliseconds: a move takes 1.5 s, a rush lasts 5. */
-const LOOK_EVERY_MS = 300;
+const LOOK_EVERY_MS = 200;
 /** Margin on the time between the orders of two holders, in milliseconds. */
 const ORDER_MARGIN_MS = 300;
 
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -110,6 +110,7 @@
         }),
       ),
       waitingCpuMillicores: z.number(),
+      neededCpuMillicores: z.number(),
       jobCount: count,
     }),
   }),
--- a/src/systems/PoolDemand.ts
+++ b/src/systems/PoolDemand.ts
@@ -14,6 +14,11 @@
   readonly targets: readonly TargetLoad[];
   /** Processor that waiting tasks ask for whose turn has come, in thousandths of a core. */
   readonly waitingCpuMillicores: number;
+  /**
+   * Processor that would serve what arrives and what is left to do in time, in thousandths of a
+   * core; long-running tasks count with what they occupy.
+   */
+  readonly neededCpuMillicores: number;
   /** Unfinished jobs. */
   readonly jobCount: number;
 }
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -22,52 +22,64 @@
 
 /** Processor of one VM where no target of the pool tells it, in thousandths of a core. */
 const TYPICAL_VM_MILLICORES = 32_000;
-/** VMs that a pool without waiting work keeps, for the first tasks of its next rush. */
-const MIN_KEPT_COUNT = 2;
+/** VMs that a pool without much work keeps, for the first tasks of its next rush. */
+const MIN_KEPT_COUNT = 3;
 /** Most VMs that are ordered at once for one pool; the next look is a fraction of a second away. */
-const MAX_MOVES_PER_POOL = 6;
-/** Waiting work, as a share of a VM, from which another VM is worth its move. */
-const WORTHWHILE_SHARE = 0.3;
+const MAX_MOVES_PER_POOL = 8;
 
-function countNeeded({ waitingCpuMillicores, targets }: PoolDemand, arrivingCount: number): number {
+/** A pool with the VMs that it has, or is about to have, and needs. */
+interface PoolBalance {
+  readonly demand: PoolDemand;
+  readonly upVms: readonly FleetVm[];
+  readonly haveCount: number;
+  readonly needCount: number;
+}
+
+function balancePool(demand: PoolDemand, input: PlanMovesInput): PoolBalance {
+  const { vms, heldVms, arrivingByPool } = input;
+  const { pool, targets, neededCpuMillicores } = demand;
+  const upVms = vms.filter((vm) => vm.pool === pool && vm.state === 'up' && !heldVms.has(vm.vm));
   const vmMillicores = targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
-  const needed = waitingCpuMillicores / vmMillicores - arrivingCount;
-  return Math.min(MAX_MOVES_PER_POOL, Math.ceil(needed - WORTHWHILE_SHARE));
+  return {
+    demand,
+    upVms,
+    haveCount: upVms.length + (arrivingByPool.get(pool) ?? 0),
+    needCount: Math.ceil(neededCpuMillicores / vmMillicores),
+  };
 }
 
-/** Idle VMs of pools without waiting work, beyond those that each pool keeps. */
-function listSpareVms({ demands, vms, heldVms }: PlanMovesInput): readonly FleetVm[] {
-  return demands
-    .filter(({ waitingCpuMillicores }) => waitingCpuMillicores === 0)
-    .flatMap(({ pool, targets }) => {
-      const loads = new Map<string, TargetLoad>(targets.map((load) => [load.targetId, load]));
-      const up = vms.filter((vm) => vm.pool === pool && vm.state === 'up' && !heldVms.has(vm.vm));
-      const idle = up.filter(({ targetId }) => loads.get(targetId ?? '')?.runCount === 0);
-      return idle.slice(0, Math.max(0, up.length - MIN_KEPT_COUNT));
-    });
+/** Idle VMs of a pool beyond what it needs and keeps. */
+function listSpareVms({ demand, upVms, haveCount, needCount }: PoolBalance): readonly FleetVm[] {
+  const loads = new Map<string, TargetLoad>(demand.targets.map((load) => [load.targetId, load]));
+  const idle = upVms.filter(({ targetId }) => loads.get(targetId ?? '')?.runCount === 0);
+  return idle.slice(0, Math.max(0, haveCount - Math.max(needCount, MIN_KEPT_COUNT)));
 }
 
 /**
- * Gives VMs to pools whose tasks wait: those that are switched off first, then idle ones of pools
- * without waiting tasks.
+ * Gives VMs to pools that need more than they have: those that are switched off first, then idle
+ * ones that another pool does not need.
  *
  * Answers a rush that moves from pool to pool and asks for more than one pool holds, while the
  * others idle: a VM does about fifteen times in worth of what it costs while tasks wait for it.
+ * What arrives counts beside what waits, since a VM comes 2 s after its order and a rush lasts 5.
  * @param input - Demand of the pools, and the VMs.
  * @returns The moves.
  */
 export function planMoves(input: PlanMovesInput): readonly VmMove[] {
-  const { demands, vms, standbyPools, heldVms, arrivingByPool } = input;
+  const { demands, vms, standbyPools, heldVms } = input;
   const standby = vms.filter(
     ({ vm, pool, state }) => standbyPools.has(pool) && state === 'up' && !heldVms.has(vm),
   );
-  const available = [...standby, ...listSpareVms(input)];
-  return demands
-    .map((demand) => ({
+  const balances = demands
+    .filter(({ pool }) => !standbyPools.has(pool))
+    .map((demand) => balancePool(demand, input));
+  const available = [...standby, ...balances.flatMap(listSpareVms)];
+  return balances
+    .map(({ demand, haveCount, needCount }) => ({
       pool: demand.pool,
-      count: countNeeded(demand, arrivingByPool.get(demand.pool) ?? 0),
+      count: Math.min(MAX_MOVES_PER_POOL, needCount - haveCount),
     }))
-    .filter(({ pool, count }) => count > 0 && !standbyPools.has(pool))
+    .filter(({ count }) => count > 0)
     .toSorted((a, b) => b.count - a.count)
     .flatMap(({ pool, count }) =>
       available.splice(0, count).map(({ vm, pool: fromPool }) => ({ vm, fromPool, toPool: pool })),
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -21,10 +21,12 @@
 import type { EventLog } from '../logging/index.js';
 import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
 import {
+  ArrivalRate,
   orderJobs,
   placeTasks,
   planEvacuations,
   type PoolDemand,
+  RunTimes,
   type TaskPlacement,
 } from '../systems/index.js';
 import type {
@@ -88,6 +90,13 @@
 
   private readonly health: TargetHealth;
 
+  private readonly runTimes = new RunTimes();
+
+  /** When the runs under way were placed, by the monotonic clock. */
+  private readonly placedAtMs = new Map<string, number>();
+
+  private readonly arrivals = new Map<string, ArrivalRate>();
+
   private readonly drains: TargetDrains;
 
   private readonly progress: TaskProgress;
@@ -153,7 +162,9 @@
       return;
     }
     if (this.writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
-    this.table.add(createJobRow(spec));
+    const row = createJobRow(spec);
+    this.table.add(row);
+    this.getArrivals(spec.terms.pool).note(this.runTimes.estimateWork(row));
     try {
       await this.flush();
     } catch (thrown) {
@@ -229,6 +240,8 @@
       rows: this.table.list(),
       targets: this.sessions.listForPlacement(() => false),
       countRuns: (targetId) => this.orders.listOn(targetId).length,
+      runTimes: this.runTimes,
+      arrivingCpuMillicores: this.getArrivals(pool).cpuMillicores,
       nowMs: this.options.clock.wallMs(),
     });
   }
@@ -308,7 +321,7 @@
   private place(): readonly string[] {
     const rows = this.table.list();
     const placements = placeTasks({
-      jobs: orderJobs(rows),
+      jobs: orderJobs(rows, { runTimes: this.runTimes, nowMs: this.options.clock.wallMs() }),
       occupants: rows,
       targets: this.sessions.listForPlacement(
         (targetId) => this.health.isAvoided(targetId) || this.drains.has(targetId),
@@ -326,6 +339,7 @@
     const taskName = toTaskName(row, task);
     const { run } = task;
     this.orders.reserve({ taskName, run, targetId });
+    this.placedAtMs.set(taskName, this.options.clock.monotonicMs());
     this.options.events.write('taskPlaced', { jobId, taskName, run, targetId, term: this.term });
     return taskName;
   }
@@ -411,7 +425,11 @@
     events.write('taskEnded', { jobId, taskName, run, targetId, end: runEnd.end, source });
     this.orders.forget(taskName);
     this.progress.forget(taskName);
-    if (runEnd.end === 'done') this.health.noteSuccess(targetId);
+    if (runEnd.end === 'done') {
+      this.health.noteSuccess(targetId);
+      this.noteRunTime(found.row, found.position, taskName);
+    }
+    this.placedAtMs.delete(taskName);
     if (runEnd.end === 'failed') this.health.noteFailure(targetId, jobId, taskName);
     const row = endRun(found.row, found.position, runEnd, clock.wallMs());
     this.forgetDone(found.row, row);
@@ -419,6 +437,22 @@
     if (isFinished(row) && !isFinished(found.row)) this.noteFinished(row);
   }
 
+  private noteRunTime({ spec, tasks }: DurableJobRow, position: number, taskName: string): void {
+    const placedAtMs = this.placedAtMs.get(taskName);
+    if (placedAtMs === undefined) return;
+    const { estimatedRunMs } = spec.steps[tasks[position]!.step]!;
+    const runMs = this.options.clock.monotonicMs() - placedAtMs;
+    this.runTimes.note(spec.terms.queue, estimatedRunMs, runMs);
+  }
+
+  private getArrivals(pool: string): ArrivalRate {
+    const known = this.arrivals.get(pool);
+    if (known !== undefined) return known;
+    const created = new ArrivalRate(this.options.clock);
+    this.arrivals.set(pool, created);
+    return created;
+  }
+
   /** Forgets the orders of gang members that another member's end has made done. */
   private forgetDone(before: DurableJobRow, after: DurableJobRow): void {
     before.tasks
--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -4,6 +4,7 @@
   listReadyTasks,
   type PlacementTarget,
   type PoolDemand,
+  type RunTimes,
 } from '../systems/index.js';
 
 /** What {@link describeDemand} looks at. */
@@ -12,6 +13,9 @@
   readonly rows: readonly DurableJobRow[];
   readonly targets: readonly PlacementTarget[];
   readonly countRuns: (targetId: string) => number;
+  readonly runTimes: RunTimes;
+  /** Processor that would keep up with what arrives, in thousandths of a core. */
+  readonly arrivingCpuMillicores: number;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
 }
@@ -27,6 +31,22 @@
     .reduce((sum, cpuMillicores) => sum + cpuMillicores, 0);
 }
 
+/** Time in which work that has come should be done: objectives allow waits of one to two s. */
+const BACKLOG_MS = 2_000;
+
+function sumNeededCpu(rows: readonly DurableJobRow[], input: DescribeDemandInput): number {
+  const open = rows.filter((row) => !isFinished(row));
+  const longRunning = open.flatMap(({ spec, tasks }) =>
+    tasks
+      .map(({ step }) => spec.steps[step]!)
+      .filter(({ isLongRunning }) => isLongRunning)
+      .map((step) => getOccupied(step).cpuMillicores),
+  );
+  const backlog = open.reduce((sum, row) => sum + input.runTimes.estimateWork(row), 0);
+  const occupied = longRunning.reduce((sum, cpuMillicores) => sum + cpuMillicores, 0);
+  return occupied + backlog / BACKLOG_MS + input.arrivingCpuMillicores;
+}
+
 /**
  * Describes what a pool carries and what waits for room in it.
  * @param input - Jobs and targets of the pool's home.
@@ -58,6 +78,7 @@
         };
       }),
     waitingCpuMillicores: sumWaitingCpu(ofPool, nowMs),
+    neededCpuMillicores: sumNeededCpu(ofPool, input),
     jobCount: ofPool.filter((row) => !isFinished(row)).length,
   };
 }
