--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -25,12 +25,14 @@
   /** Pools whose VMs are switched off until they are moved elsewhere. */
   readonly listStandbyPools: () => readonly string[];
   /**
-   * Tells the home of a pool which targets get no new task, and asks for its demand.
+   * Tells the home of a pool which targets get no new task and which are gone, and asks for its
+   * demand.
    * @returns The demand, or undefined where no home answered.
    */
   readonly syncPool: (
     pool: string,
     drainedTargets: readonly string[],
+    endedTargets: readonly string[],
   ) => Promise<PoolDemand | undefined>;
   /** Stores records of this home; rejects where it has been replaced. */
   readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
@@ -40,6 +42,8 @@
 
 /** Pause between two looks at the fleet, in milliseconds: a move takes 1.5 s, a rush lasts 5. */
 const LOOK_EVERY_MS = 200;
+/** How long homes are told of a lifetime that is over, in milliseconds: a takeover takes 2.5 s. */
+const TELL_ENDED_MS = 10_000;
 /** Margin on the time between the orders of two holders, in milliseconds. */
 const ORDER_MARGIN_MS = 300;
 
@@ -54,6 +58,9 @@
   /** VMs as listed last. */
   private readonly known = new Map<string, FleetVm>();
 
+  /** Lifetimes that are over, with the monotonic time of the list that showed it. */
+  private readonly ended = new Map<string, number>();
+
   private demands: readonly PoolDemand[] = [];
 
   private isClosed = false;
@@ -126,9 +133,21 @@
     this.known.set(vm, listed);
     const isSame = known?.pool === pool && known.state === state && known.targetId === targetId;
     if (known === undefined || isSame) return;
+    if (known.targetId !== undefined && known.targetId !== targetId) {
+      this.ended.set(known.targetId, this.options.clock.monotonicMs());
+    }
     this.options.events.write('vmChanged', { vm, pool, state, targetId, stateBefore: known.state });
   }
 
+  /** Lifetimes that were listed and are not any more; told for long enough to reach every home. */
+  private listEnded(): readonly string[] {
+    const nowMs = this.options.clock.monotonicMs();
+    [...this.ended]
+      .filter(([, endedAtMs]) => nowMs - endedAtMs > TELL_ENDED_MS)
+      .forEach(([targetId]) => this.ended.delete(targetId));
+    return [...this.ended.keys()];
+  }
+
   private getLoads(): ReadonlyMap<string, TargetLoad> {
     return new Map(
       this.demands.flatMap(({ targets }) => targets.map((load) => [load.targetId, load])),
@@ -138,7 +157,9 @@
   private async syncPools(vms: readonly FleetVm[], drained: ReadonlySet<string>): Promise<void> {
     const { listPools, syncPool } = this.options;
     const answers = await Promise.all(
-      listPools().map((pool) => syncPool(pool, FleetHome.listTargets(vms, pool, drained))),
+      listPools().map((pool) =>
+        syncPool(pool, FleetHome.listTargets(vms, pool, drained), this.listEnded()),
+      ),
     );
     this.demands = answers.filter((demand) => demand !== undefined);
   }
@@ -206,7 +227,9 @@
       this.options
         .listPools()
         .filter((pool) => pools.has(pool))
-        .map((pool) => this.options.syncPool(pool, FleetHome.listTargets(vms, pool, drained))),
+        .map((pool) =>
+          this.options.syncPool(pool, FleetHome.listTargets(vms, pool, drained), this.listEnded()),
+        ),
     );
     const empty = new Set(
       answers
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -41,6 +41,8 @@
       readonly drainedTargets: readonly string[];
       /** How long the drains last without another message; a length, as clocks differ. */
       readonly drainedForMs: number;
+      /** Lifetimes of targets that are over by the platform's list of VMs. */
+      readonly endedTargets: readonly string[];
     };
 
 /** What one instance asks of another; each gets exactly one reply. */
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -60,6 +60,7 @@
     pool: id,
     drainedTargets: z.array(id),
     drainedForMs: z.number().nonnegative(),
+    endedTargets: z.array(id),
   }),
 ]);
 
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -98,14 +98,20 @@
   }
 
   /**
-   * Tells the home of a pool which targets get no new task, and asks what the pool needs.
+   * Tells the home of a pool which targets get no new task and which are gone, and asks what the
+   * pool needs.
    * @param pool - The pool.
-   * @param drainedTargets - Ids of the targets.
+   * @param drainedTargets - Ids of the targets that get no new task.
+   * @param endedTargets - Ids of those whose lifetimes are over.
    * @returns The demand, or undefined where no home answers at this moment.
    */
-  async syncPool(pool: string, drainedTargets: readonly string[]): Promise<PoolDemand | undefined> {
-    const drainedForMs = DRAINED_FOR_MS;
-    const request = { type: 'sync-pool', pool, drainedTargets, drainedForMs } as const;
+  async syncPool(
+    pool: string,
+    drainedTargets: readonly string[],
+    endedTargets: readonly string[],
+  ): Promise<PoolDemand | undefined> {
+    const lists = { drainedTargets, drainedForMs: DRAINED_FOR_MS, endedTargets };
+    const request = { type: 'sync-pool', pool, ...lists } as const;
     const outcome = await this.tryOnce(request, pool).catch(() => undefined);
     if (outcome?.type !== 'reply' || outcome.reply.type !== 'pool-demand') return undefined;
     return outcome.reply.demand;
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -19,6 +19,7 @@
   unplaceTask,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
+import type { DurableJobRequest } from '../peers/index.js';
 import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
 import {
   ArrivalRate,
@@ -67,6 +68,9 @@
   readonly onReplaced: () => void;
 }
 
+/** What the fleet's home tells and asks about a pool. */
+type PoolSync = Omit<Extract<DurableJobRequest, { readonly type: 'sync-pool' }>, 'type'>;
+
 /** Longest time for which a report waits for its ends to be stored before the lease is renewed. */
 const STORE_WAIT_MS = 400;
 /** Leases of an earlier home count as lapsed after their length, 2 % for clocks, and a margin. */
@@ -219,18 +223,19 @@
 
   /**
    * Keeps new tasks off some targets for a while, empties them, and tells what the pool needs.
-   * @param pool - The pool.
-   * @param drainedTargets - Ids of the targets, in place of those named before.
-   * @param drainedForMs - How long that lasts, in milliseconds.
+   * @param request - The pool, its drained targets in place of those named before, and the targets
+   * whose lifetimes are over.
    * @returns Load and demand of the pool.
    * @throws RattanliftError Of kind `home-unavailable` where this home cannot be sure.
    */
-  async syncPool(
-    pool: string,
-    drainedTargets: readonly string[],
-    drainedForMs: number,
-  ): Promise<PoolDemand> {
+  async syncPool({
+    pool,
+    drainedTargets,
+    drainedForMs,
+    endedTargets,
+  }: PoolSync): Promise<PoolDemand> {
     this.assertCertain();
+    this.loseEnded(endedTargets);
     this.drains.replace(pool, drainedTargets, drainedForMs);
     this.evacuate();
     // What was placed before this call is counted below; nothing is placed there after it.
@@ -489,6 +494,16 @@
     events.write('jobFinished', { jobId: spec.jobId, queue: spec.terms.queue, state, tookMs });
   }
 
+  /**
+   * Takes note of lifetimes that are over by the platform's list of VMs, which shows a crash at
+   * once. A target that falls silent would else keep its tasks until its lease has lapsed.
+   */
+  private loseEnded(endedTargets: readonly string[]): void {
+    endedTargets
+      .filter((targetId) => this.sessions.has(targetId) || this.orders.listOn(targetId).length > 0)
+      .forEach((targetId) => this.loseTarget(targetId, 'unlisted'));
+  }
+
   /** Frees the runs that an earlier home placed on targets that were gone before this one. */
   private loseUnknownTargets(): void {
     const { clock, timing } = this.options;
--- a/src/taskHome/handleJobRequest.ts
+++ b/src/taskHome/handleJobRequest.ts
@@ -25,10 +25,7 @@
     case 'count-pending-jobs':
       return { type: 'pending-jobs', count: home.countPending(request.queue) };
     case 'sync-pool':
-      return {
-        type: 'pool-demand',
-        demand: await home.syncPool(request.pool, request.drainedTargets, request.drainedForMs),
-      };
+      return { type: 'pool-demand', demand: await home.syncPool(request) };
     default:
       return assertNever(request);
   }
--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -155,6 +155,21 @@
     expect(world.targets.begun[1]).toMatchObject({ taskName: 'a.0.0.0', run: 2 });
   });
 
+  // Every crash cost five seconds: the tasks of a target that had fallen silent waited until its
+  // lease had lapsed, while the platform's list showed at once that its lifetime was over.
+  it('starts tasks elsewhere at once where the list of VMs shows that a lifetime is over', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    const { targetId } = world.targets.begun[0]!;
+    world.targets.get(targetId).end('a.0.0.0', 'stopped');
+    world.targets.setFaults(targetId, { isCutOff: true });
+    const lists = { drainedTargets: [], drainedForMs: 1_000, endedTargets: [targetId] };
+    await home.syncPool({ pool: 'pages', ...lists });
+    await vi.waitFor(() => expect(world.targets.begun).toHaveLength(2));
+    expect(world.targets.begun[1]).toMatchObject({ taskName: 'a.0.0.0', run: 2 });
+  });
+
   it('gives a draining target no new task', async () => {
     world.entries.set('t1', makeEntry('t1', { isDraining: true }));
     const home = await world.open();
@@ -217,7 +232,12 @@
     await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
     world.addTarget(makeEntry('t3'));
     await vi.waitFor(async () => {
-      const { targets } = await home.syncPool('pages', ['t1', 't2'], 1_000);
+      const { targets } = await home.syncPool({
+        pool: 'pages',
+        drainedTargets: ['t1', 't2'],
+        drainedForMs: 1_000,
+        endedTargets: [],
+      });
       const counts = targets.filter(({ targetId }) => targetId !== 't3');
       expect(counts.map(({ runCount }) => runCount)).toEqual([0, 0]);
     }, 5_000);
