Pack tasks, empty VMs that a pool does not need, and hand partitions over faster

After a restart of a daemon a partition had no home for 1.0 s, as its old and its next holder waited for their usual renewal. Change: the fullest target with room first; VMs beyond a pool's need are emptied, then moved; renewals every 60 ms while partitions change hands.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -47,6 +47,14 @@
 /** Margin on the time between the orders of two holders, in milliseconds. */
 const ORDER_MARGIN_MS = 300;
 
+/** Time within which a VM has to be empty to move, in milliseconds: tasks last one or two s. */
+const EMPTY_WITHIN_MS = 3_000;
+
+interface LeavingVm extends VmMove {
+  /** Monotonic time after which the move is given up. */
+  readonly untilMs: number;
+}
+
 /** The one instance that orders moves and maintenance of VMs, in a term. */
 export class FleetHome {
   private readonly options: FleetHomeOptions;
@@ -58,6 +66,9 @@
   /** VMs as listed last. */
   private readonly known = new Map<string, FleetVm>();
 
+  /** VMs that are emptied before they move. */
+  private readonly leaving = new Map<string, LeavingVm>();
+
   /** Lifetimes that are over, with the monotonic time of the list that showed it. */
   private readonly ended = new Map<string, number>();
 
@@ -106,7 +117,7 @@
     const vms = await this.listVms();
     if (vms === undefined || this.isClosed) return;
     this.orders.noteList(vms, askedAtMs);
-    await this.syncPools(vms, this.waves.listDrained());
+    await this.syncPools(vms);
     if (this.isClosed) return;
     await this.waves.advance(vms, this.getLoads());
     await this.moveVms(vms);
@@ -154,16 +165,23 @@
     );
   }
 
-  private async syncPools(vms: readonly FleetVm[], drained: ReadonlySet<string>): Promise<void> {
-    const { listPools, syncPool } = this.options;
+  private async syncPools(vms: readonly FleetVm[]): Promise<void> {
+    const drained = this.listDrained();
     const answers = await Promise.all(
-      listPools().map((pool) =>
-        syncPool(pool, FleetHome.listTargets(vms, pool, drained), this.listEnded()),
-      ),
+      this.options.listPools().map((pool) => this.syncPool(vms, pool, drained)),
     );
     this.demands = answers.filter((demand) => demand !== undefined);
   }
 
+  private syncPool(
+    vms: readonly FleetVm[],
+    pool: string,
+    drained: ReadonlySet<string>,
+  ): Promise<PoolDemand | undefined> {
+    const targets = FleetHome.listTargets(vms, pool, drained);
+    return this.options.syncPool(pool, targets, this.listEnded());
+  }
+
   private static listTargets(
     vms: readonly FleetVm[],
     pool: string,
@@ -175,8 +193,10 @@
       .filter((targetId) => targetId !== undefined);
   }
 
+  /** Plans further moves, and orders those whose VMs are empty. */
   private async moveVms(vms: readonly FleetVm[]): Promise<void> {
-    const { listStandbyPools } = this.options;
+    const { clock, events, listStandbyPools } = this.options;
+    const nowMs = clock.monotonicMs();
     const moves = planMoves({
       demands: this.demands,
       vms,
@@ -184,26 +204,65 @@
       heldVms: this.listHeld(),
       arrivingByPool: this.countArriving(vms),
     });
-    if (moves.length === 0) return;
-    const free = await this.emptyTargets(vms, moves);
-    await Promise.all(
-      moves
-        .filter(({ vm }) => free.has(vm))
-        .map(({ vm, toPool }) => {
-          const targetId = vms.find((listed) => listed.vm === vm)?.targetId;
-          return this.orders.give({ type: 'move', vm, toPool }, targetId);
-        }),
+    moves.forEach((move) => {
+      this.leaving.set(move.vm, { ...move, untilMs: nowMs + EMPTY_WITHIN_MS });
+      events.write('vmLeaving', { vm: move.vm, fromPool: move.fromPool, toPool: move.toPool });
+    });
+    const loads = moves.length === 0 ? this.getLoads() : await this.askLeaving(vms, moves);
+    await this.orderMoves(vms, loads);
+  }
+
+  private async orderMoves(
+    vms: readonly FleetVm[],
+    loads: ReadonlyMap<string, TargetLoad>,
+  ): Promise<void> {
+    const nowMs = this.options.clock.monotonicMs();
+    const empty = vms
+      .filter(({ vm }) => this.leaving.has(vm))
+      .filter(({ targetId }) => targetId === undefined || loads.get(targetId)?.runCount === 0);
+    const ordered = empty.map(({ vm, targetId }) => {
+      const { toPool } = this.leaving.get(vm)!;
+      return this.orders.give({ type: 'move', vm, toPool }, targetId);
+    });
+    empty.forEach(({ vm }) => this.leaving.delete(vm));
+    // One that does not fall idle in time stays; it may be chosen again.
+    [...this.leaving]
+      .filter(([, { untilMs }]) => untilMs < nowMs)
+      .forEach(([vm]) => this.leaving.delete(vm));
+    await Promise.all(ordered);
+  }
+
+  /** Asks again after new tasks are kept off: only then does an empty target stay empty. */
+  private async askLeaving(
+    vms: readonly FleetVm[],
+    moves: readonly VmMove[],
+  ): Promise<ReadonlyMap<string, TargetLoad>> {
+    const pools = new Set(moves.map(({ fromPool }) => fromPool));
+    const drained = this.listDrained();
+    const answers = await Promise.all(
+      this.options
+        .listPools()
+        .filter((pool) => pools.has(pool))
+        .map((pool) => this.syncPool(vms, pool, drained)),
     );
+    const fresh = answers.flatMap((demand) => demand?.targets ?? []);
+    return new Map(fresh.map((load) => [load.targetId, load]));
   }
 
-  /** VMs that are away, or that a wave is about to take: these are not moved. */
+  /** VMs that get no new task: a wave is about to take them, or they leave their pool. */
+  private listDrained(): ReadonlySet<string> {
+    return new Set([...this.waves.listDrained(), ...this.leaving.keys()]);
+  }
+
+  /** VMs that are not to be moved: drained already, or away. */
   private listHeld(): ReadonlySet<string> {
-    return new Set([...this.waves.listDrained(), ...this.orders.listAway().map(({ vm }) => vm)]);
+    return new Set([...this.listDrained(), ...this.orders.listAway().map(({ vm }) => vm)]);
   }
 
   private countArriving(vms: readonly FleetVm[]): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
     const note = (pool: string): unknown => counts.set(pool, (counts.get(pool) ?? 0) + 1);
+    this.leaving.forEach(({ toPool }) => note(toPool));
     this.orders.listAway().forEach((order) => {
       if (order.type === 'move') note(order.toPool);
     });
@@ -213,31 +272,4 @@
       .forEach(({ pool }) => note(pool));
     return counts;
   }
-
-  /** Keeps new tasks off the VMs that are to move, and finds those on which still nothing runs. */
-  private async emptyTargets(
-    vms: readonly FleetVm[],
-    moves: readonly VmMove[],
-  ): Promise<ReadonlySet<string>> {
-    const moving = new Set(moves.map(({ vm }) => vm));
-    const off = vms.filter(({ vm, targetId }) => moving.has(vm) && targetId === undefined);
-    const pools = new Set(moves.map(({ fromPool }) => fromPool));
-    const drained = new Set([...moving, ...this.waves.listDrained()]);
-    const answers = await Promise.all(
-      this.options
-        .listPools()
-        .filter((pool) => pools.has(pool))
-        .map((pool) =>
-          this.options.syncPool(pool, FleetHome.listTargets(vms, pool, drained), this.listEnded()),
-        ),
-    );
-    const empty = new Set(
-      answers
-        .flatMap((demand) => demand?.targets ?? [])
-        .filter(({ runCount }) => runCount === 0)
-        .map(({ targetId }) => targetId),
-    );
-    const emptyVms = vms.filter(({ vm, targetId }) => moving.has(vm) && empty.has(targetId ?? ''));
-    return new Set([...off, ...emptyVms].map(({ vm }) => vm));
-  }
 }
--- a/src/systems/TargetRoom.ts
+++ b/src/systems/TargetRoom.ts
@@ -30,6 +30,8 @@
 
   private gpuCount: number;
 
+  private longRunningCount = 0;
+
   private readonly countsByStep = new Map<string, number>();
 
   /**
@@ -45,6 +47,11 @@
     } = target.capacity);
   }
 
+  /** Whether a long-running task keeps the target from falling idle. */
+  get isHeld(): boolean {
+    return this.longRunningCount > 0;
+  }
+
   /** Processor that no task occupies, in thousandths of a core. */
   get freeCpuMillicores(): number {
     return this.cpuMillicores;
@@ -60,6 +67,7 @@
     this.cpuMillicores -= occupied.cpuMillicores;
     this.memoryMb -= occupied.memoryMb;
     this.gpuCount -= occupied.gpuCount;
+    this.longRunningCount += step.isLongRunning ? 1 : 0;
     this.countsByStep.set(stepKey, this.countOf(stepKey) + 1);
   }
 
@@ -73,6 +81,7 @@
     this.cpuMillicores += occupied.cpuMillicores;
     this.memoryMb += occupied.memoryMb;
     this.gpuCount += occupied.gpuCount;
+    this.longRunningCount -= step.isLongRunning ? 1 : 0;
     this.countsByStep.set(stepKey, this.countOf(stepKey) - 1);
   }
 
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -36,10 +36,11 @@
 }
 
 /**
- * Chooses the target with most free processor, so that neighbours disturb each other least and a
- * lost target takes few tasks of a job with it. The rack of the data comes first: elsewhere the
- * task takes longer. A task of a step that may lose only some tasks at a time goes where the step
- * has fewest, so that a maintenance step meets few of them.
+ * Chooses the fullest target that has room, so that others fall idle and can change their pool.
+ * With tasks spread evenly, a pool whose rush is over keeps every VM until its last task ends. A
+ * target that long-running tasks hold anyway comes first. The rack of the data goes before that:
+ * elsewhere the task takes longer. A task of a step that may lose only some tasks at a time goes
+ * where the step has fewest, so that maintenance meets few of them.
  */
 function chooseRoom(
   rooms: readonly TargetRoom[],
@@ -50,8 +51,9 @@
   const preference = (room: TargetRoom): readonly number[] => [
     failed.has(room.target.targetId) ? 1 : 0,
     step.dataRack !== undefined && room.target.rack !== step.dataRack ? 1 : 0,
-    room.countOf(stepKey),
-    -room.freeCpuMillicores,
+    step.maxUnavailableCount === undefined ? 0 : room.countOf(stepKey),
+    room.isHeld ? 0 : 1,
+    room.freeCpuMillicores,
   ];
   const isBetter = (a: readonly number[], b: readonly number[]): boolean => {
     const place = a.findIndex((value, index) => value !== b[index]);
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -48,16 +48,23 @@
   };
 }
 
-/** Idle VMs of a pool beyond what it needs and keeps. */
+/**
+ * VMs of a pool beyond what it needs and keeps, those with the fewest tasks first; one that still
+ * works is emptied first. VMs with long-running tasks stay.
+ */
 function listSpareVms({ demand, upVms, haveCount, needCount }: PoolBalance): readonly FleetVm[] {
   const loads = new Map<string, TargetLoad>(demand.targets.map((load) => [load.targetId, load]));
-  const idle = upVms.filter(({ targetId }) => loads.get(targetId ?? '')?.runCount === 0);
-  return idle.slice(0, Math.max(0, haveCount - Math.max(needCount, MIN_KEPT_COUNT)));
+  const getRunCount = ({ targetId }: FleetVm): number =>
+    loads.get(targetId ?? '')?.runCount ?? Infinity;
+  return upVms
+    .filter(({ targetId }) => loads.get(targetId ?? '')?.longRunningCount === 0)
+    .toSorted((a, b) => getRunCount(a) - getRunCount(b))
+    .slice(0, Math.max(0, haveCount - Math.max(needCount, MIN_KEPT_COUNT)));
 }
 
 /**
- * Gives VMs to pools that need more than they have: those that are switched off first, then idle
- * ones that another pool does not need.
+ * Gives VMs to pools that need more than they have: those that are switched off first, then those
+ * that another pool does not need, with the fewest tasks first.
  *
  * Answers a rush that moves from pool to pool and asks for more than one pool holds, while the
  * others idle: a VM does about fifteen times in worth of what it costs while tasks wait for it.
@@ -73,7 +80,13 @@
   const balances = demands
     .filter(({ pool }) => !standbyPools.has(pool))
     .map((demand) => balancePool(demand, input));
-  const available = [...standby, ...balances.flatMap(listSpareVms)];
+  const loads = new Map(
+    demands.flatMap(({ targets }) => targets.map((load) => [load.targetId, load.runCount])),
+  );
+  const spare = balances
+    .flatMap(listSpareVms)
+    .toSorted((a, b) => (loads.get(a.targetId ?? '') ?? 0) - (loads.get(b.targetId ?? '') ?? 0));
+  const available = [...standby, ...spare];
   return balances
     .map(({ demand, haveCount, needCount }) => ({
       pool: demand.pool,
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -52,6 +52,8 @@
 const TICK_MS = 250;
 /** How often the list of targets is read where there is a home: a fifth of the drain bound. */
 const DIRECTORY_EVERY_MS = 400;
+/** Pause between renewals while partitions change hands, in milliseconds: a few answers. */
+const CHANGING_PAUSE_MS = 60;
 /** Pause before a partition is opened again, in milliseconds: a few answers of the store. */
 const REOPEN_PAUSE_MS = 50;
 /** Taken off the time to live where this member judges itself, against clocks that run apart. */
@@ -130,10 +132,15 @@
 
   private async renewAll(): Promise<void> {
     while (!this.isStopped) {
+      const { generation } = this;
       // eslint-disable-next-line no-await-in-loop -- one renewal follows the other
       await this.renew();
+      // A partition changes hands only once its holder has joined with the new generation, and its
+      // next holder learns of it by joining again; until then it has no home.
+      const isChanging = generation !== this.generation;
+      const pauseMs = isChanging ? CHANGING_PAUSE_MS : this.options.groupTiming.renewEveryMs;
       // eslint-disable-next-line no-await-in-loop -- the pause belongs between two renewals
-      await sleep(this.options.groupTiming.renewEveryMs);
+      await sleep(pauseMs);
     }
   }
 
