Restart tasks that stand still, pace best-effort tasks, and leave draining targets early

Causes: a target on which tasks stand still answers every renewal, so its jobs waited for ever; nothing slowed best-effort tasks beside a service close to its latency target; long-running tasks stayed on a target that leaves until it was gone, and then until its lease had lapsed.

--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -28,3 +28,4 @@
   type PlanMaintenanceInput,
 } from './planMaintenance.js';
 export { planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
+export { type PaceChange, type PacedTask, planPace, type ServingLoad } from './planPace.js';
--- a/src/taskHome/TargetHealth.ts
+++ b/src/taskHome/TargetHealth.ts
@@ -66,6 +66,14 @@
     if (jobs.size >= FAILED_JOBS_TO_AVOID) this.avoid(targetId, AVOID_FAILING_MS, 'failures');
   }
 
+  /**
+   * Takes note of a task that stood still, which a job cannot be to blame for.
+   * @param targetId - The target.
+   */
+  noteStall(targetId: string): void {
+    this.avoid(targetId, AVOID_FAILING_MS, 'stall');
+  }
+
   /**
    * Takes note of a start that a target refused for want of room or health.
    * @param targetId - The target.
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -64,6 +64,16 @@
     });
   }
 
+  /**
+   * Lists the targets that have announced that they leave.
+   * @returns Their ids.
+   */
+  listDraining(): readonly string[] {
+    return [...this.known.values()]
+      .filter(({ entry }) => entry.isDraining)
+      .map(({ entry }) => entry.targetId);
+  }
+
   /**
    * Tells whether there is a session with a target.
    * @param targetId - Id of the target.
@@ -159,8 +169,10 @@
    * Tells whether nothing can run on a target any more: its lease is over by the slowest clock, and
    * the platform does not list it. Silence alone says nothing, as a target that is cut off runs on.
    */
-  private static isSurelyGone({ session, isListed }: Known, nowMs: number): boolean {
+  private static isSurelyGone({ session, entry, isListed }: Known, nowMs: number): boolean {
     if (isListed || session.isReachable) return false;
+    // One that had announced its leave, is silent and is no longer listed has left.
+    if (entry.isDraining) return true;
     return nowMs > session.surelyLapsedAtMs + LAPSE_MARGIN_MS;
   }
 
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -15,6 +15,7 @@
   parseTaskName,
   placeTask,
   type RunEnd,
+  type StepSpec,
   type TaskRow,
   unplaceTask,
 } from '../jobs/index.js';
@@ -33,6 +34,7 @@
 import type {
   EndedTaskReport,
   LeasedTargetPort,
+  RunningTaskReport,
   StartRefusal,
   TaskStart,
 } from '../targets/index.js';
@@ -46,6 +48,7 @@
 import type { TargetReport } from './TargetSession.js';
 import { type TargetLoss, TargetSessions } from './TargetSessions.js';
 import { type RunKey, TaskOrders } from './TaskOrders.js';
+import { TaskPacer } from './TaskPacer.js';
 import { TaskProgress } from './TaskProgress.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
 
@@ -105,6 +108,8 @@
 
   private readonly progress: TaskProgress;
 
+  private readonly pacer: TaskPacer;
+
   private flushing: Promise<void> | undefined;
 
   private readonly openedAtMs: number;
@@ -123,6 +128,8 @@
     this.health = new TargetHealth({ clock, events });
     this.drains = new TargetDrains(clock);
     this.progress = new TaskProgress(clock);
+    const getStep = (taskName: string): StepSpec | undefined => this.getStep(taskName);
+    this.pacer = new TaskPacer({ port: targets, term, events, getStep });
     this.sessions = new TargetSessions({
       ...options,
       onReport: (targetId, report) => this.takeReport(targetId, report),
@@ -256,6 +263,7 @@
     if (this.isClosed) return;
     this.sessions.sync();
     this.loseUnknownTargets();
+    this.evacuate();
     this.stopFinished();
     this.forgetOld();
     this.flushInBackground();
@@ -403,6 +411,9 @@
     const fresh = this.sessions.takeFreshEnds(targetId, answer.ended);
     fresh.forEach((ended) => this.takeEnd(targetId, ended));
     this.progress.note(answer.running);
+    this.restartStalled(targetId, answer.running);
+    const address = this.sessions.getAddress(targetId);
+    if (address !== undefined) this.pacer.take(address, answer.running);
     this.orders.reconcile(targetId, answer.running, askedAtMs);
     if (answer.ended.length === 0) {
       this.flushInBackground();
@@ -416,6 +427,25 @@
     await Promise.race([stored.catch(() => undefined), sleep(STORE_WAIT_MS)]);
   }
 
+  /** Stops tasks that stand still, so that they start again on another target. */
+  private restartStalled(targetId: string, running: readonly RunningTaskReport[]): void {
+    running
+      .filter(({ taskName, run }) => this.progress.isStalled(taskName, run))
+      .filter(({ taskName }) => this.getStep(taskName)?.isGang === false)
+      .forEach(({ taskName, run, progressPercent }) => {
+        const { events } = this.options;
+        events.write('taskStalled', { taskName, run, targetId, progressPercent });
+        this.health.noteStall(targetId);
+        this.progress.forget(taskName);
+        this.orders.stop(taskName);
+      });
+  }
+
+  private getStep(taskName: string): StepSpec | undefined {
+    const name = parseTaskName(taskName);
+    return name && this.table.get(name.jobId)?.spec.steps[name.step];
+  }
+
   private takeEnd(targetId: string, ended: EndedTaskReport): void {
     const { taskName, run, end, checkpoint } = ended;
     this.endRun({ taskName, run, targetId }, { end, checkpoint }, 'reported');
@@ -467,7 +497,7 @@
 
   /** Stops long-running tasks on targets that are being emptied, as far as their steps allow. */
   private evacuate(): void {
-    const drainedTargets = this.drains.list();
+    const drainedTargets = new Set([...this.drains.list(), ...this.sessions.listDraining()]);
     if (drainedTargets.size === 0) return;
     const evacuations = planEvacuations({
       jobs: this.table.list(),
--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -10,9 +10,17 @@
  */
 const FRESH_MS = 2_000;
 
+/**
+ * Time without progress from which a task counts as stalled, in milliseconds: a task of 4 s on a
+ * target that is seven times too slow still moves each third of a second.
+ */
+const STALLED_MS = 2_000;
+
 interface Progress {
   readonly run: number;
   readonly percent: number;
+  /** Since when the progress is the same, by the monotonic clock. */
+  readonly sinceMs: number;
   /** When the report was taken, by the monotonic clock. */
   readonly notedAtMs: number;
 }
@@ -37,9 +45,27 @@
    */
   note(running: readonly RunningTaskReport[]): void {
     const notedAtMs = this.clock.monotonicMs();
-    running.forEach(({ taskName, run, progressPercent: percent }) =>
-      this.byTask.set(taskName, { run, percent, notedAtMs }),
-    );
+    running.forEach(({ taskName, run, progressPercent: percent }) => {
+      const known = this.byTask.get(taskName);
+      const isSame = known?.run === run && known.percent === percent;
+      const sinceMs = isSame ? known.sinceMs : notedAtMs;
+      this.byTask.set(taskName, { run, percent, sinceMs, notedAtMs });
+    });
+  }
+
+  /**
+   * Tells whether a run makes no progress although its target reports.
+   *
+   * Guards against targets on which tasks stand still: their leases are renewed and nothing fails,
+   * so the job would wait for ever.
+   * @param taskName - Name of the task.
+   * @param run - Number of the run.
+   * @returns Whether it is stalled.
+   */
+  isStalled(taskName: string, run: number): boolean {
+    const progress = this.byTask.get(taskName);
+    if (progress?.run !== run || progress.percent >= AT_WORK_PERCENT) return false;
+    return progress.notedAtMs - progress.sinceMs >= STALLED_MS;
   }
 
   /**
--- a/tests/taskHome/TaskProgress.test.ts
+++ b/tests/taskHome/TaskProgress.test.ts
@@ -29,4 +29,19 @@
     clock.advance(2_000);
     expect(progress.isAtWork('a.0.0.0', 1)).toBe(false);
   });
+
+  // A job never ended: its tasks stood still on a target that answered every renewal.
+  it('finds a run that makes no progress', () => {
+    const clock = new ManualClock();
+    const progress = new TaskProgress(clock);
+    progress.note([report(1, 30)]);
+    clock.advance(1_900);
+    progress.note([report(1, 30)]);
+    expect(progress.isStalled('a.0.0.0', 1)).toBe(false);
+    clock.advance(100);
+    progress.note([report(1, 30)]);
+    expect(progress.isStalled('a.0.0.0', 1)).toBe(true);
+    progress.note([report(1, 31)]);
+    expect(progress.isStalled('a.0.0.0', 1)).toBe(false);
+  });
 });
