Write log lines within a budget and never wait for their reader; refuse queues that need tickets

Cause: standard output is a pipe whose writes block the process once nobody reads; and a job of a queue with advice would be accepted and never run, as its targets refuse each start without a ticket.

--- a/src/jobs/DurableJobSpec.ts
+++ b/src/jobs/DurableJobSpec.ts
@@ -54,6 +54,8 @@
   /** The objective is this many times the longest chain of work, and a fixed time more. */
   readonly stretch: number;
   readonly targetDurationMs: number;
+  /** Whether a service has to be asked which targets may run a step. */
+  readonly needsAdvice?: boolean;
 }
 
 /** A job as its caller submitted it. */
--- a/src/logging/TslogEventLog.ts
+++ b/src/logging/TslogEventLog.ts
@@ -10,8 +10,8 @@
   readonly instance: string;
   /** Least severity that is written. */
   readonly level: LogLevel;
-  /** Receives each line, without its line break. */
-  readonly writeLine: (line: string) => void;
+  /** Receives each line, without its line break, and its kind. */
+  readonly writeLine: (line: string, event: EventName) => void;
   readonly clock?: Clock;
 }
 
@@ -36,7 +36,13 @@
       type: 'hidden',
       minLevel: TSLOG_LEVELS[options.level],
       hideLogPositionForProduction: true,
-      attachedTransports: [({ _meta, ...line }) => options.writeLine(JSON.stringify(line))],
+      attachedTransports: [
+        ({ _meta, ...line }) =>
+          options.writeLine(
+            JSON.stringify(line),
+            (line as unknown as { readonly event: EventName }).event,
+          ),
+      ],
     });
   }
 
--- a/src/logging/events/daemonEvents.ts
+++ b/src/logging/events/daemonEvents.ts
@@ -11,4 +11,5 @@
     level: 'info',
     text: 'The daemon was told to read its settings.',
   },
+  linesLeftOut: { number: 9006, level: 'warn', text: 'Log lines over the budget were left out.' },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -1,5 +1,7 @@
+export { BoundedLineWriter, type BoundedLineWriterOptions } from './BoundedLineWriter.js';
 export { EVENT_CATALOGUE, type EventName } from './EVENT_CATALOGUE.js';
 export type { EventFields, EventLog } from './EventLog.js';
 export type { LogEvent, LogLevel } from './LogEvent.js';
 export { MemoryEventLog, type KeptEvent } from './MemoryEventLog.js';
+export { writeToDescriptor } from './writeToDescriptor.js';
 export { TslogEventLog, type TslogEventLogOptions } from './TslogEventLog.js';
--- /dev/null
+++ b/tests/logging/BoundedLineWriter.test.ts
@@ -0,0 +1,58 @@
+import { describe, expect, it } from 'vitest';
+import { BoundedLineWriter } from '../../src/logging/index.js';
+import { ManualClock } from '../../src/utils/index.js';
+
+function createWriter(options: { readonly reads: boolean; readonly maxWaitingBytes?: number }) {
+  const clock = new ManualClock();
+  const written: string[] = [];
+  const pending: (() => void)[] = [];
+  const writer = new BoundedLineWriter({
+    write: (text, onWritten) => {
+      written.push(text);
+      if (options.reads) onWritten();
+      else pending.push(onWritten);
+    },
+    clock,
+    maxLinesPerS: 10,
+    maxWaitingBytes: options.maxWaitingBytes,
+    formatLeftOut: (counts) => `left out ${JSON.stringify(Object.fromEntries(counts))}`,
+  });
+  return { clock, written, pending, writer };
+}
+
+const write = (writer: BoundedLineWriter, event: 'taskPlaced' | 'jobFinished', count: number) =>
+  Array.from({ length: count }, (_l, number) => writer.write(`${event} ${number}`, event));
+
+describe('BoundedLineWriter', () => {
+  it('writes half of the budget of task lines, and all of it of job lines', () => {
+    const { written, writer } = createWriter({ reads: true });
+    write(writer, 'taskPlaced', 20);
+    write(writer, 'jobFinished', 20);
+    const lines = written.join('').trim().split('\n');
+    expect(lines.filter((line) => line.startsWith('taskPlaced'))).toHaveLength(5);
+    expect(lines.filter((line) => line.startsWith('jobFinished'))).toHaveLength(5);
+  });
+
+  it('tells in the next second what it left out', () => {
+    const { clock, written, writer } = createWriter({ reads: true });
+    write(writer, 'taskPlaced', 8);
+    clock.advance(1_000);
+    write(writer, 'jobFinished', 1);
+    expect(written.join('')).toContain('left out {"taskPlaced":3}\njobFinished 0\n');
+  });
+
+  // Every request of an instance stood still: whoever read its log had stopped reading, the pipe
+  // was full, and the write of the next line waited for it.
+  it('goes on, and keeps little, where nobody reads', () => {
+    const { clock, written, pending, writer } = createWriter({ reads: false, maxWaitingBytes: 40 });
+    write(writer, 'jobFinished', 9);
+    expect(written).toHaveLength(1);
+    clock.advance(1_000);
+    write(writer, 'jobFinished', 9);
+    expect(written).toHaveLength(1);
+    expect(written.join('').length).toBeLessThanOrEqual(40);
+    pending.splice(0).forEach((onWritten) => onWritten());
+    expect(written).toHaveLength(2);
+    expect(written[1]!.length).toBeLessThanOrEqual(40);
+  });
+});
