Offer durable jobs at the product's own interface; keep a second task of a step from being stopped

Ruled out: a report that was too old (it was fresh). Test first: it failed on the code before, and passes.

--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -3,3 +3,9 @@
 export { createHttpServer, type HttpServerOptions } from './createHttpServer.js';
 export type { EntryPort, JobAnswer, JobState, JobSubmission } from './EntryPort.js';
 export { type CallerRoutesOptions, registerCallerRoutes } from './registerCallerRoutes.js';
+export {
+  type DurableJobPort,
+  type DurableJobRoutesOptions,
+  type DurableJobView,
+  registerDurableJobRoutes,
+} from './registerDurableJobRoutes.js';
--- /dev/null
+++ b/src/callers/parseDurableJob.ts
@@ -0,0 +1,81 @@
+import { z } from 'zod';
+import { throwError } from '../errors/index.js';
+import type { DurableJobSpec, QueueTerms } from '../jobs/index.js';
+
+const count = z.int().nonnegative();
+
+const stepSchema = z.strictObject({
+  taskCount: z.int().positive(),
+  demand: z
+    .strictObject({
+      cpuMillicores: count.default(0),
+      memoryMb: count.default(0),
+      gpuCount: count.default(0),
+    })
+    .prefault({}),
+  estimatedRunMs: z.number().nonnegative().default(0),
+  afterSteps: z.array(count).default([]),
+  isCheckpointing: z.boolean().default(false),
+  isGang: z.boolean().default(false),
+  wantsSameRack: z.boolean().default(false),
+  requiredLabel: z.string().min(1).optional(),
+  dataRack: z.string().min(1).optional(),
+  maxTasksPerTarget: z.int().positive().optional(),
+  mayRunCopies: z.boolean().default(false),
+  isLongRunning: z.boolean().default(false),
+  image: z.string().optional(),
+  latencyTargetMs: z.number().positive().optional(),
+  isBestEffort: z.boolean().default(false),
+  maxUnavailableCount: count.optional(),
+});
+
+const jobSchema = z.strictObject({
+  payload: z.string().default(''),
+  steps: z
+    .array(stepSchema)
+    .min(1)
+    .refine(
+      (steps) => steps.every(({ afterSteps }, step) => afterSteps.every((before) => before < step)),
+      { error: 'a step may only come after earlier ones' },
+    ),
+  schedule: z
+    .strictObject({
+      occurrenceCount: z.int().positive(),
+      firstDueAtMs: z.number().nonnegative(),
+      intervalMs: z.number().nonnegative(),
+    })
+    .optional(),
+});
+
+/** Where a submitted job comes from. */
+export interface DurableJobOrigin {
+  readonly jobId: string;
+  readonly terms: QueueTerms;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly nowMs: number;
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch (thrown) {
+    return throwError('bad-request', `The body is not JSON: ${String(thrown)}`, { field: 'body' });
+  }
+}
+
+/**
+ * Reads a durable job as callers submit it.
+ * @param body - The body of the request.
+ * @param origin - Its id, its queue and the time.
+ * @returns The job.
+ * @throws RattanliftError Of kind `bad-request` with the field at fault.
+ */
+export function parseDurableJob(body: Buffer, origin: DurableJobOrigin): DurableJobSpec {
+  const result = jobSchema.safeParse(parseJson(body));
+  if (!result.success) {
+    const field = result.error.issues[0]?.path.join('.') ?? 'body';
+    return throwError('bad-request', z.prettifyError(result.error), { field });
+  }
+  const { jobId, terms, nowMs: submittedAtMs } = origin;
+  return { jobId, terms, submittedAtMs, ...result.data };
+}
--- /dev/null
+++ b/src/callers/registerDurableJobRoutes.ts
@@ -0,0 +1,105 @@
+import type { FastifyInstance, FastifyRequest } from 'fastify';
+import { throwError } from '../errors/index.js';
+import type { DurableJobSpec, DurableJobState, QueueTerms } from '../jobs/index.js';
+import type { QueueConfiguration } from '../queues/index.js';
+import type { Clock } from '../utils/index.js';
+import { parseDurableJob } from './parseDurableJob.js';
+
+const QUEUE_PATH = '/v1/queues/:queue';
+const JOB_PATH = '/v1/queues/:queue/jobs/:jobId';
+const JOB_ID_PATTERN = /^[A-Za-z0-9_-]{1,64}$/;
+const STORED = 201;
+
+/** Takes durable jobs and tells of them; errors are RattanliftErrors. */
+export interface DurableJobPort {
+  /** Stores a job; a repeat of one that is known changes nothing. */
+  submit(job: DurableJobSpec): Promise<void>;
+  /** Gets the state of a job; undefined where there certainly is none. */
+  getState(pool: string, jobId: string): Promise<DurableJobState | undefined>;
+  /** Cancels a job; false where there certainly is none. */
+  cancel(pool: string, jobId: string): Promise<boolean>;
+  /** Counts the jobs of a queue that have not begun. */
+  countPending(pool: string, queue: string): Promise<number>;
+}
+
+/** Options of {@link registerDurableJobRoutes}. */
+export interface DurableJobRoutesOptions {
+  readonly port: DurableJobPort;
+  readonly getConfiguration: () => QueueConfiguration | undefined;
+  readonly clock: Clock;
+}
+
+interface Parameters {
+  readonly queue: string;
+  readonly jobId?: string;
+}
+
+/** What the caller is told of a job. */
+export interface DurableJobView {
+  readonly queue: string;
+  readonly jobId: string;
+  readonly state: DurableJobState;
+}
+
+/**
+ * Registers the routes of durable jobs: submit, state, cancel, and how many wait.
+ * @param server - The server.
+ * @param options - Where jobs go, and the queues that there are.
+ */
+export function registerDurableJobRoutes(
+  server: FastifyInstance,
+  options: DurableJobRoutesOptions,
+): void {
+  const { port, clock } = options;
+
+  const findTerms = ({ params }: FastifyRequest): QueueTerms => {
+    const { queue } = params as Parameters;
+    const configuration = options.getConfiguration();
+    if (configuration === undefined) throwError('home-unavailable', 'No configuration is known.');
+    const found = configuration.queues.find(({ terms }) => terms.queue === queue);
+    return found?.terms ?? throwError('unknown-pool', `There is no queue ${queue}.`);
+  };
+
+  const findJobId = ({ params }: FastifyRequest): string => {
+    const { jobId = '' } = params as Parameters;
+    if (JOB_ID_PATTERN.test(jobId)) return jobId;
+    return throwError('bad-request', 'A job id has up to 64 letters, digits, "-" and "_".', {
+      field: 'jobId',
+    });
+  };
+
+  const view = ({ queue }: QueueTerms, jobId: string, state: DurableJobState): DurableJobView => ({
+    queue,
+    jobId,
+    state,
+  });
+
+  server.post(JOB_PATH, async (request, reply) => {
+    const terms = findTerms(request);
+    const jobId = findJobId(request);
+    const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
+    await port.submit(parseDurableJob(body, { jobId, terms, nowMs: clock.wallMs() }));
+    return reply.code(STORED).send(view(terms, jobId, 'queued'));
+  });
+
+  server.get(JOB_PATH, async (request, reply) => {
+    const terms = findTerms(request);
+    const jobId = findJobId(request);
+    const state = await port.getState(terms.pool, jobId);
+    if (state === undefined) throwError('unknown-job', `There is no job ${jobId}.`);
+    return reply.send(view(terms, jobId, state));
+  });
+
+  server.delete(JOB_PATH, async (request, reply) => {
+    const terms = findTerms(request);
+    const jobId = findJobId(request);
+    const isKnown = await port.cancel(terms.pool, jobId);
+    if (!isKnown) throwError('unknown-job', `There is no job ${jobId}.`);
+    return reply.send(view(terms, jobId, 'cancelled'));
+  });
+
+  server.get(QUEUE_PATH, async (request, reply) => {
+    const { pool, queue } = findTerms(request);
+    return reply.send({ queue, pendingJobCount: await port.countPending(pool, queue) });
+  });
+}
--- a/src/cli/CommandContext.ts
+++ b/src/cli/CommandContext.ts
@@ -2,6 +2,7 @@
 import type { CliIo } from './CliIo.js';
 import type { GlobalFlags } from './GlobalFlags.js';
 import { JobClient } from './JobClient.js';
+import { QueueClient } from './QueueClient.js';
 import { UsageError } from './UsageError.js';
 
 const SILENCE_LIMIT_MS = 30_000;
@@ -47,6 +48,15 @@
     return new JobClient({ transport: this.getTransportOrThrow() });
   }
 
+  /**
+   * Gets the daemons' interface of durable jobs.
+   * @returns The client.
+   * @throws UsageError Where no daemon is given.
+   */
+  getQueuesOrThrow(): QueueClient {
+    return new QueueClient({ transport: this.getTransportOrThrow() });
+  }
+
   /**
    * Prints a result.
    * @param value - The result, printed as it is with `--json`.
--- a/src/cli/createRootCommand.ts
+++ b/src/cli/createRootCommand.ts
@@ -3,6 +3,7 @@
 import { createInstancesCommand } from './commands/instancesCommand.js';
 import { createJobsCommand } from './commands/jobsCommand.js';
 import { createPoolsCommand } from './commands/poolsCommand.js';
+import { createQueuesCommand } from './commands/queuesCommand.js';
 import { createSettingsCommand } from './commands/settingsCommand.js';
 import { createVmsCommand } from './commands/vmsCommand.js';
 import { createWavesCommand } from './commands/wavesCommand.js';
@@ -25,6 +26,7 @@
       instances: createInstancesCommand(context),
       waves: createWavesCommand(context),
       jobs: createJobsCommand(context),
+      queues: createQueuesCommand(context),
       explain: createExplainCommand(context),
     },
   );
--- /dev/null
+++ b/src/jobNode/JobNode.ts
@@ -0,0 +1,217 @@
+import { FleetHome, type WaveOrder } from '../fleetHome/index.js';
+import { PeerClient, type PeerReply, type PeerRequest, PeerServer } from '../peers/index.js';
+import { ConfigurationFollower, type QueueConfiguration } from '../queues/index.js';
+import type { KeyedRecord } from '../store/index.js';
+import {
+  type FleetHomeBasis,
+  formatMember,
+  handleJobRequest,
+  HomeDirectory,
+  JobGateway,
+  PoolPartitions,
+  RecordWriter,
+  TargetDirectory,
+  TaskHomes,
+} from '../taskHome/index.js';
+import type { JobNodeOptions } from './JobNodeOptions.js';
+
+/** Group in which the nodes share the partitions of jobs, and role of the fleet's home. */
+const GROUP = 'homes';
+/** Topics of operators, targets and status have one partition. */
+const ONLY_PARTITION = 0;
+
+/** Longest lease asked of a target: it outlasts a takeover of 2.5 s, renewed each second. */
+const TARGET_LEASE_MS = 5_000;
+/** How long a target may hold a renewal back: at work tasks are reported that often. */
+const TARGET_WAIT_MS = 1_000;
+/** A member is given up after 1.5 s, three renewals and an answer of a slow store. */
+const GROUP_TIMING = { ttlMs: 1_500, renewEveryMs: 400, timeoutMs: 1_000 };
+/** How often the homes of partitions are read without a need, in milliseconds. */
+const HOMES_EVERY_MS = 1_000;
+
+/** One instance of the engine of durable jobs: an entry to all homes, and homes of its own. */
+export class JobNode {
+  /** Takes jobs and questions about them. */
+  readonly gateway: JobGateway;
+
+  private readonly options: JobNodeOptions;
+
+  private readonly configuration: ConfigurationFollower;
+
+  private readonly waveOrders = new Map<number, WaveOrder>();
+
+  private readonly partitions: PoolPartitions;
+
+  private homes: TaskHomes | undefined;
+
+  private readonly homeDirectory: HomeDirectory;
+
+  private readonly peers: PeerClient;
+
+  private readonly peerServer: PeerServer;
+
+  private homesTimer: NodeJS.Timeout | undefined;
+
+  private isStopping = false;
+
+  /**
+   * Wires a node that does nothing yet.
+   * @param options - Its address, the ports, and what the platform sets.
+   */
+  constructor(options: JobNodeOptions) {
+    this.options = options;
+    const { address, clock, events, ports, records } = options;
+    const { instance, host, port } = address;
+    this.partitions = new PoolPartitions({
+      partitionCount: records.partitionCount,
+      listPools: () => (this.getConfiguration()?.pools ?? []).map(({ pool }) => pool),
+    });
+    this.configuration = this.createConfigurationFollower();
+    this.homeDirectory = new HomeDirectory({ groups: ports.groups, group: GROUP, clock, events });
+    this.peers = new PeerClient({ instance, events, clock });
+    const handler = (_from: string, request: PeerRequest): Promise<PeerReply> =>
+      this.handlePeer(request);
+    this.peerServer = new PeerServer({ instance, host, port, handler, events });
+    this.gateway = new JobGateway({
+      instance,
+      peers: this.peers,
+      handleHere: (request) => handleJobRequest(this.homes?.get(request.pool), request),
+      directory: this.homeDirectory,
+      partitions: this.partitions,
+      clock,
+      events,
+    });
+  }
+
+  /** Whether callers can be served: a configuration is in force and the node does not stop. */
+  get isReady(): boolean {
+    return !this.isStopping && this.getConfiguration() !== undefined;
+  }
+
+  /**
+   * Gets the configuration in force.
+   * @returns The configuration, or undefined before the first one was read.
+   */
+  getConfiguration(): QueueConfiguration | undefined {
+    return this.configuration.get();
+  }
+
+  /** Starts to serve peers, to follow the configuration and to hold homes. */
+  async start(): Promise<void> {
+    const { port } = await this.peerServer.start();
+    this.configuration.start();
+    this.homes = this.createHomes(formatMember({ ...this.options.address, port }));
+    this.homes.start();
+    void this.homeDirectory.refresh();
+    this.homesTimer = setInterval(() => {
+      void this.homeDirectory.refresh();
+    }, HOMES_EVERY_MS);
+  }
+
+  /** Hands every home over; requests in progress still find their homes elsewhere. */
+  async handOver(): Promise<void> {
+    this.isStopping = true;
+    await this.homes?.stop();
+  }
+
+  /** Ends everything else, after {@link handOver} and the last request. */
+  async stop(): Promise<void> {
+    clearInterval(this.homesTimer);
+    this.configuration.stop();
+    this.peers.close();
+    await this.peerServer.stop();
+  }
+
+  private createConfigurationFollower(): ConfigurationFollower {
+    const { ports, records, events } = this.options;
+    return new ConfigurationFollower({
+      store: ports.store,
+      topic: records.operatorsTopic,
+      partition: ONLY_PARTITION,
+      key: records.configurationKey,
+      decode: records.decodeConfiguration,
+      events,
+      onOther: (record) => this.takeWave(record),
+    });
+  }
+
+  private createHomes(member: string): TaskHomes {
+    const { bounds, clock, events, ports, records } = this.options;
+    return new TaskHomes({
+      ...ports,
+      directory: new TargetDirectory({
+        store: ports.store,
+        topic: records.targetsTopic,
+        partition: ONLY_PARTITION,
+        decode: records.decodeTargetEntry,
+        events,
+      }),
+      partitions: this.partitions,
+      group: GROUP,
+      topic: records.jobsTopic,
+      member,
+      groupTiming: {
+        ...GROUP_TIMING,
+        ttlMs: Math.max(GROUP_TIMING.ttlMs, bounds.minMemberTtlMs),
+      },
+      homeTiming: {
+        targetLeaseMs: Math.min(TARGET_LEASE_MS, bounds.maxTargetLeaseMs),
+        targetWaitMs: TARGET_WAIT_MS,
+        keepFinishedMs: bounds.keepFinishedMs,
+      },
+      clock,
+      events,
+      createFleetHome: (basis) => this.createFleetHome(basis),
+    });
+  }
+
+  private takeWave(record: KeyedRecord): void {
+    const order = this.options.records.decodeWaveOrder(record);
+    if (order !== undefined) this.waveOrders.set(order.wave, order);
+  }
+
+  private listPoolNames(isStandby: boolean): readonly string[] {
+    const pools = this.getConfiguration()?.pools ?? [];
+    return pools.filter((pool) => pool.isStandby === isStandby).map(({ pool }) => pool);
+  }
+
+  private createFleetHome(basis: FleetHomeBasis): FleetHome {
+    const { bounds, clock, events, holder, ports, records } = this.options;
+    const statusWriter = new RecordWriter({
+      store: ports.store,
+      topic: records.statusTopic,
+      partition: ONLY_PARTITION,
+      producer: GROUP,
+      term: basis.term,
+      clock,
+      events,
+      onFenced: basis.onReplaced,
+    });
+    return new FleetHome({
+      ...basis,
+      port: ports.vms,
+      holder,
+      clock,
+      events,
+      orderLeaseMs: bounds.orderLeaseMs,
+      listWaveOrders: () => [...this.waveOrders.values()],
+      listPools: () => this.listPoolNames(false),
+      listStandbyPools: () => this.listPoolNames(true),
+      syncPool: (pool, drained, ended) => this.gateway.syncPool(pool, drained, ended),
+      publishStatus: (wave, status) => statusWriter.write([records.encodeWaveStatus(wave, status)]),
+    });
+  }
+
+  private async handlePeer(request: PeerRequest): Promise<PeerReply> {
+    switch (request.type) {
+      case 'submit-durable-job':
+      case 'get-durable-job':
+      case 'cancel-durable-job':
+      case 'count-pending-jobs':
+      case 'sync-pool':
+        return handleJobRequest(this.homes?.get(request.pool), request);
+      default:
+        return { type: 'refused', kind: 'bad-request', message: `No ${request.type} here.` };
+    }
+  }
+}
--- /dev/null
+++ b/src/jobNode/JobNodeOptions.ts
@@ -0,0 +1,66 @@
+import type { WaveOrder, WaveStatus } from '../fleetHome/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { PeerAddress } from '../peers/index.js';
+import type { QueueConfiguration } from '../queues/index.js';
+import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
+import type { TargetEntry } from '../taskHome/index.js';
+import type { LeasedTargetPort } from '../targets/index.js';
+import type { Clock } from '../utils/index.js';
+import type { VmFleetPort } from '../vms/index.js';
+
+/** The outside systems that a node works with. */
+export interface JobNodePorts {
+  readonly store: KeyedLogPort;
+  readonly groups: GroupPort;
+  readonly targets: LeasedTargetPort;
+  readonly vms: VmFleetPort;
+}
+
+/** Names of the topics of the store, and how their records are read and written. */
+export interface JobNodeRecords {
+  /** Topic of jobs; each pool has one of its partitions. */
+  readonly jobsTopic: string;
+  readonly partitionCount: number;
+  /** Topic in which operators publish, with the key of the configuration. */
+  readonly operatorsTopic: string;
+  readonly configurationKey: string;
+  /** Topic in which targets report themselves. */
+  readonly targetsTopic: string;
+  /** Topic in which the progress of waves is told. */
+  readonly statusTopic: string;
+  /**
+   * Decodes a configuration.
+   * @throws RattanliftError Of kind `settings-invalid` with the field at fault.
+   */
+  readonly decodeConfiguration: (value: Uint8Array) => QueueConfiguration;
+  /** Decodes an order for a wave; undefined where the record holds none. */
+  readonly decodeWaveOrder: (record: KeyedRecord) => WaveOrder | undefined;
+  readonly encodeWaveStatus: (wave: number, status: WaveStatus) => KeyedRecord;
+  /** Decodes a target's report; undefined where it cannot be read. */
+  readonly decodeTargetEntry: (record: KeyedRecord) => TargetEntry | undefined;
+}
+
+/** Bounds that the platform sets. */
+export interface JobNodeBounds {
+  /** Shortest time to live of a member of a group, in milliseconds. */
+  readonly minMemberTtlMs: number;
+  /** Longest lease that a target grants, in milliseconds. */
+  readonly maxTargetLeaseMs: number;
+  /** How long the state of a finished job can be read, in milliseconds. */
+  readonly keepFinishedMs: number;
+  /** Time between the orders of two holders for one VM, in milliseconds. */
+  readonly orderLeaseMs: number;
+}
+
+/** Options of a node. */
+export interface JobNodeOptions {
+  /** Id of this start of the process, and where its peers reach it; port 0 takes a free one. */
+  readonly address: PeerAddress;
+  /** Name under which orders for VMs are given. */
+  readonly holder: string;
+  readonly ports: JobNodePorts;
+  readonly records: JobNodeRecords;
+  readonly bounds: JobNodeBounds;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
--- /dev/null
+++ b/src/jobNode/index.ts
@@ -0,0 +1,7 @@
+export { JobNode } from './JobNode.js';
+export type {
+  JobNodeBounds,
+  JobNodeOptions,
+  JobNodePorts,
+  JobNodeRecords,
+} from './JobNodeOptions.js';
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -472,6 +472,16 @@
     if (isFinished(row) && !isFinished(found.row)) this.noteFinished(row);
   }
 
+  /**
+   * Tells whether a long-running task is at work and stays so. A target reports a run that is being
+   * stopped until it has ended; counted as at work, it would let a second task of the step go.
+   */
+  private isAtWork(row: DurableJobRow, task: TaskRow): boolean {
+    const taskName = toTaskName(row, task);
+    if (task.phase !== 'placed' || this.orders.isStopping(taskName)) return false;
+    return this.progress.isAtWork(taskName, task.run);
+  }
+
   private noteRunTime({ spec, tasks }: DurableJobRow, position: number, taskName: string): void {
     const placedAtMs = this.placedAtMs.get(taskName);
     if (placedAtMs === undefined) return;
@@ -502,10 +512,7 @@
     const evacuations = planEvacuations({
       jobs: this.table.list(),
       drainedTargets,
-      isAtWork: (row, position) => {
-        const task = row.tasks[position]!;
-        return task.phase === 'placed' && this.progress.isAtWork(toTaskName(row, task), task.run);
-      },
+      isAtWork: (row, position) => this.isAtWork(row, row.tasks[position]!),
     });
     evacuations.forEach(({ jobId, position }) => {
       const row = this.table.get(jobId)!;
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -102,6 +102,16 @@
     return this.orders.get(taskName)?.phase === 'unsent';
   }
 
+  /**
+   * Tells whether a run is being stopped; its target may still report it for a moment.
+   * @param taskName - Name of the task.
+   * @returns Whether a stop was sent and its end was not reported yet.
+   */
+  isStopping(taskName: string): boolean {
+    const phase = this.orders.get(taskName)?.phase;
+    return phase === 'stopping' || phase === 'stopped';
+  }
+
   /**
    * Lists the runs on a target.
    * @param targetId - Id of the target.
--- /dev/null
+++ b/standins/jobs/JobsCluster.ts
@@ -0,0 +1,198 @@
+import { randomUUID } from 'node:crypto';
+import type { FastifyInstance } from 'fastify';
+import { createHttpServer, registerDurableJobRoutes } from '../../src/callers/index.js';
+import type { WaveOrder } from '../../src/fleetHome/index.js';
+import { JobNode } from '../../src/jobNode/index.js';
+import type { EventLog } from '../../src/logging/index.js';
+import type { QueueConfiguration } from '../../src/queues/index.js';
+import type { KeyedRecord } from '../../src/store/index.js';
+import type { TargetEntry } from '../../src/taskHome/index.js';
+import { SystemClock } from '../../src/utils/index.js';
+import type { FleetVm } from '../../src/vms/index.js';
+import { LeasedTargetsStandIn } from '../leasedTargets/index.js';
+import { StoreStandIn } from '../store/index.js';
+import { FleetStandIn } from '../vms/index.js';
+
+const HOST = '127.0.0.1';
+const PARTITION_COUNT = 4;
+const TARGETS_TOPIC = 'targets';
+const OPERATORS_TOPIC = 'operators';
+const STATUS_TOPIC = 'status';
+const CONFIGURATION_KEY = 'configuration';
+const WAVE_PREFIX = 'wave/';
+const WRITE_TIMEOUT_MS = 1_000;
+const CORES = { cpuMillicores: 32_000, memoryMb: 65_536, gpuCount: 0 };
+
+/** A running instance with its own HTTP interface. */
+export interface ClusterNode {
+  readonly node: JobNode;
+  readonly server: FastifyInstance;
+  /** Where its interface listens, as `HOST:PORT`. */
+  readonly address: string;
+}
+
+/** Options of {@link JobsCluster}. */
+export interface JobsClusterOptions {
+  readonly configuration: QueueConfiguration;
+  /** VMs of each pool; those of a standby pool are off. */
+  readonly vms: readonly FleetVm[];
+  readonly events: EventLog;
+  readonly nodeCount: number;
+}
+
+function decode<Value>(value: Uint8Array): Value {
+  return JSON.parse(Buffer.from(value).toString('utf8')) as Value;
+}
+
+function decodeWaveOrder({ key, value }: KeyedRecord): WaveOrder | undefined {
+  return key.startsWith(WAVE_PREFIX) && value !== undefined ? decode<WaveOrder>(value) : undefined;
+}
+
+/** Instances of the engine in one process, over the stand-ins of the platform. */
+export class JobsCluster {
+  readonly store = new StoreStandIn({ partitionCount: PARTITION_COUNT });
+
+  readonly targets = new LeasedTargetsStandIn();
+
+  readonly fleet: FleetStandIn;
+
+  readonly nodes: ClusterNode[] = [];
+
+  private readonly options: JobsClusterOptions;
+
+  private readonly clock = new SystemClock();
+
+  /**
+   * Creates a cluster without instances.
+   * @param options - Configuration, VMs and log.
+   */
+  constructor(options: JobsClusterOptions) {
+    this.options = options;
+    this.fleet = new FleetStandIn({
+      vms: options.vms,
+      onLifetime: (ended, begun) => this.changeLifetime(ended, begun),
+    });
+  }
+
+  /** Publishes the configuration and the targets, and starts the instances. */
+  async start(): Promise<void> {
+    const { configuration, vms, nodeCount } = this.options;
+    await this.publish(CONFIGURATION_KEY, configuration);
+    await Promise.all(vms.map((vm) => this.addTarget(vm)));
+    await Promise.all(Array.from({ length: nodeCount }, () => this.startNode()));
+  }
+
+  /**
+   * Publishes a record as operators do.
+   * @param key - Its key.
+   * @param value - Its content.
+   */
+  async publish(key: string, value: unknown): Promise<void> {
+    const records = [{ key, value: Buffer.from(JSON.stringify(value)) }];
+    await this.append(OPERATORS_TOPIC, records);
+  }
+
+  /**
+   * Orders a wave of maintenance.
+   * @param order - The wave.
+   */
+  async orderWave(order: WaveOrder): Promise<void> {
+    await this.publish(`${WAVE_PREFIX}${order.wave}`, order);
+  }
+
+  /**
+   * Reads what operators are told of a wave.
+   * @param wave - Number of the wave.
+   * @returns Its status, or undefined where nothing was told yet.
+   */
+  async readWaveStatus(wave: number): Promise<string | undefined> {
+    const { records } = await this.store.readNewest(STATUS_TOPIC, 0);
+    const value = records.find(({ key }) => key === `${WAVE_PREFIX}${wave}`)?.value;
+    return value === undefined ? undefined : decode<string>(value);
+  }
+
+  /** Stops every instance, each as a planned stop does. */
+  async stop(): Promise<void> {
+    await Promise.all(this.nodes.map((node) => JobsCluster.stopNode(node)));
+  }
+
+  /**
+   * Stops an instance as a planned stop does.
+   * @param clusterNode - The instance.
+   */
+  static async stopNode({ node, server }: ClusterNode): Promise<void> {
+    await node.handOver();
+    await server.close();
+    await node.stop();
+  }
+
+  private async startNode(): Promise<void> {
+    const { events } = this.options;
+    const { store, targets, clock } = this;
+    const instance = `node-${randomUUID().slice(0, 8)}`;
+    const node = new JobNode({
+      address: { instance, host: HOST, port: 0 },
+      holder: instance,
+      ports: { store, groups: store, targets, vms: this.fleet },
+      records: {
+        jobsTopic: 'jobs',
+        partitionCount: PARTITION_COUNT,
+        operatorsTopic: OPERATORS_TOPIC,
+        configurationKey: CONFIGURATION_KEY,
+        targetsTopic: TARGETS_TOPIC,
+        statusTopic: STATUS_TOPIC,
+        decodeConfiguration: (value) => decode<QueueConfiguration>(value),
+        decodeWaveOrder,
+        encodeWaveStatus: (wave, status) => ({
+          key: `${WAVE_PREFIX}${wave}`,
+          value: Buffer.from(JSON.stringify(status)),
+        }),
+        decodeTargetEntry: ({ value }) => decode<TargetEntry>(value!),
+      },
+      bounds: {
+        minMemberTtlMs: 0,
+        maxTargetLeaseMs: 5_000,
+        keepFinishedMs: 60_000,
+        orderLeaseMs: 100,
+      },
+      clock,
+      events,
+    });
+    const server = createHttpServer({ clock, events });
+    const getConfiguration = (): QueueConfiguration | undefined => node.getConfiguration();
+    registerDurableJobRoutes(server, { port: node.gateway, getConfiguration, clock });
+    await node.start();
+    const url = await server.listen({ host: HOST, port: 0 });
+    this.nodes.push({ node, server, address: new URL(url).host });
+  }
+
+  private async append(topic: string, records: readonly KeyedRecord[]): Promise<void> {
+    await this.store.append({ topic, partition: 0, records, timeoutMs: WRITE_TIMEOUT_MS });
+  }
+
+  private async addTarget({ targetId, pool, rack = 'r1' }: FleetVm): Promise<void> {
+    if (targetId === undefined) return;
+    this.targets.add(targetId);
+    const entry: TargetEntry = {
+      targetId,
+      pool,
+      host: HOST,
+      port: 1,
+      dataCentre: 'north',
+      rack,
+      labels: ['general', rack],
+      capacity: CORES,
+      isDraining: false,
+    };
+    const value = Buffer.from(JSON.stringify(entry));
+    await this.append(TARGETS_TOPIC, [{ key: targetId, value }]);
+  }
+
+  private changeLifetime(ended: string | undefined, begun: FleetVm): void {
+    if (ended !== undefined) {
+      this.targets.remove(ended);
+      void this.append(TARGETS_TOPIC, [{ key: ended, value: undefined }]);
+    }
+    void this.addTarget(begun);
+  }
+}
--- /dev/null
+++ b/standins/jobs/index.ts
@@ -0,0 +1,1 @@
+export { type ClusterNode, JobsCluster, type JobsClusterOptions } from './JobsCluster.js';
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -17,6 +17,8 @@
   isCutOff: boolean;
   /** Starts get no answer, and are carried out once this is lifted. */
   appliesStartsLate: boolean;
+  /** Stops are accepted, and what they stop goes on. */
+  stopsSlowly: boolean;
 }
 
 /** A run that has begun on a target. */
@@ -34,6 +36,9 @@
   /** Runs that have begun, in order. */
   readonly begun: BegunRun[] = [];
 
+  /** Names of the tasks that were to be stopped, in order. */
+  readonly stops: string[] = [];
+
   /** Tasks that ran twice at the same time, or again after an acknowledged end. */
   readonly violations: string[] = [];
 
@@ -63,7 +68,11 @@
   add(targetId: string): LeasedTarget {
     const target = new LeasedTarget(this.clock);
     this.targets.set(targetId, target);
-    this.faults.set(targetId, { isCutOff: false, appliesStartsLate: false });
+    this.faults.set(targetId, {
+      isCutOff: false,
+      appliesStartsLate: false,
+      stopsSlowly: false,
+    });
     return target;
   }
 
@@ -138,6 +147,8 @@
     term: number,
   ): Promise<OrderAnswer> {
     this.throwIfCutOff(targetId);
+    this.stops.push(taskName);
+    if (this.faults.get(targetId)?.stopsSlowly === true) return { type: 'accepted' };
     return this.targets.get(targetId)?.stop(taskName, run, term) ?? { type: 'other-lifetime' };
   }
 
--- a/standins/store/StoreStandIn.ts
+++ b/standins/store/StoreStandIn.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type {
   AppendRequest,
   AppendResult,
@@ -15,6 +16,8 @@
 import type { StoreFaults } from './StoreFaults.js';
 
 const REMEMBERED_APPENDS = 5;
+/** Readings at the end wait this long at most, so that a test sees changes soon. */
+const LONGEST_WAIT_MS = 10;
 
 interface Producer {
   readonly term: number;
@@ -72,7 +75,10 @@
   }
 
   /** {@inheritDoc KeyedLogPort.readFrom} */
-  async readFrom({ topic, partition, fromOffset }: ReadRequest): Promise<ReadResult> {
+  async readFrom({ topic, partition, fromOffset, waitMs }: ReadRequest): Promise<ReadResult> {
+    this.throwIfAway();
+    const isAtEnd = fromOffset >= this.getPartition(topic, partition).endOffset;
+    if (isAtEnd && waitMs > 0) await sleep(Math.min(waitMs, LONGEST_WAIT_MS));
     this.throwIfAway();
     const { records, firstOffset, endOffset } = this.getPartition(topic, partition);
     if (fromOffset < firstOffset) return { type: 'expired', firstOffset };
--- /dev/null
+++ b/standins/vms/index.ts
@@ -0,0 +1,1 @@
+export { type CarriedOutOrder, FleetStandIn, type FleetStandInOptions } from './FleetStandIn.js';
--- a/tests/queues/ConfigurationFollower.test.ts
+++ b/tests/queues/ConfigurationFollower.test.ts
@@ -23,15 +23,7 @@
 
   function follow(store: StoreStandIn, events = new MemoryEventLog()): ConfigurationFollower {
     const follower = new ConfigurationFollower({
-      // A store that answers at once would be asked without a pause.
-      store: Object.assign(Object.create(store) as StoreStandIn, {
-        readFrom: async (request: Parameters<StoreStandIn['readFrom']>[0]) => {
-          await new Promise((resolve) => {
-            setTimeout(resolve, 5);
-          });
-          return store.readFrom(request);
-        },
-      }),
+      store,
       ...PLACE,
       key: 'config',
       decode: (value) => JSON.parse(Buffer.from(value).toString()) as QueueConfiguration,
--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -157,7 +157,7 @@
 
   // Every crash cost five seconds: the tasks of a target that had fallen silent waited until its
   // lease had lapsed, while the platform's list showed at once that its lifetime was over.
-  it('starts tasks elsewhere at once where the list of VMs shows that a lifetime is over', async () => {
+  it('starts tasks elsewhere at once where the list of VMs ends a lifetime', async () => {
     const home = await world.open();
     await home.submit(makeJob('a'));
     await world.waitForRunning(['a.0.0.0']);
@@ -244,4 +244,31 @@
     await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
     expect(world.targets.get('t3').runningNames).toHaveLength(2);
   });
+
+  // A service lost two of its nodes at once: maintenance had stopped one, its target reported it
+  // for a moment more, and the second one was stopped meanwhile. Cause: a run that was being
+  // stopped counted as at work as long as reports listed it.
+  it('stops no second task of a step while the first one is still being stopped', async () => {
+    const home = await world.open();
+    const limits = { maxUnavailableCount: 1, maxTasksPerTarget: 1 };
+    const step = makeStep({ taskCount: 2, isLongRunning: true, ...limits });
+    await home.submit(makeJob('a', [step]));
+    await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
+    ['t1', 't2'].forEach((id) => world.targets.setFaults(id, { stopsSlowly: true }));
+    const lists = { pool: 'pages', drainedForMs: 5_000, endedTargets: [] };
+    // The second task of the step is the first one to go.
+    const { targetId } = world.targets.begun.find(({ taskName }) => taskName === 'a.0.0.1')!;
+    await vi.waitFor(async () => {
+      await home.syncPool({ ...lists, drainedTargets: [targetId] });
+      expect(world.targets.stops).toEqual(['a.0.0.1']);
+    });
+    await Array.from({ length: 10 }).reduce<Promise<void>>(async (before) => {
+      await before;
+      await new Promise((resolve) => {
+        setTimeout(resolve, 20);
+      });
+      await home.syncPool({ ...lists, drainedTargets: ['t1', 't2'] });
+    }, Promise.resolve());
+    expect(world.targets.stops).not.toContain('a.0.0.0');
+  });
 });
