--- /dev/null
+++ b/bench/jobs/decisionRound.ts
@@ -0,0 +1,94 @@
+import { createJobRow, type DurableJobRow, type StepSpec } from '../../src/jobs/index.js';
+import { orderJobs, type PlacementTarget, placeTasks, RunTimes } from '../../src/systems/index.js';
+import { measureCpuUs } from '../slopes/measureCpuUs.js';
+
+const NOW_MS = 1_000_000;
+const TASKS_PER_JOB = 10;
+const TARGET_CORES = 32;
+const CORE = 1_000;
+const US_PER_MS = 1_000;
+
+function makeStep(taskCount: number, cores: number): StepSpec {
+  return {
+    taskCount,
+    demand: { cpuMillicores: cores * CORE, memoryMb: 1_000, gpuCount: 0 },
+    estimatedRunMs: 800,
+    afterSteps: [],
+    isCheckpointing: false,
+    isGang: false,
+    wantsSameRack: false,
+    mayRunCopies: false,
+    isLongRunning: false,
+    isBestEffort: false,
+  };
+}
+
+function makeJob(number: number, taskCount: number, cores: number): DurableJobRow {
+  return createJobRow({
+    jobId: `job-${number}`,
+    terms: {
+      queue: 'saves',
+      pool: 'pages',
+      priority: 0,
+      maxAttempts: 4,
+      stretch: 1.6,
+      targetDurationMs: 600,
+    },
+    payload: '',
+    steps: [makeStep(taskCount, cores)],
+    submittedAtMs: NOW_MS - number,
+  });
+}
+
+function makeTarget(number: number): PlacementTarget {
+  return {
+    targetId: `target-${number}`,
+    pool: 'pages',
+    rack: `rack-${number % 8}`,
+    labels: [],
+    capacity: { cpuMillicores: TARGET_CORES * CORE, memoryMb: 131_072, gpuCount: 0 },
+    takesTasks: true,
+  };
+}
+
+/** Jobs whose tasks occupy a share of every target. */
+function makeOccupants(targetCount: number, share: number): readonly DurableJobRow[] {
+  return Array.from({ length: targetCount }, (_t, number) => {
+    const row = makeJob(-1 - number, Math.round(TARGET_CORES * share), 1);
+    const tasks = row.tasks.map((task) => ({
+      ...task,
+      phase: 'placed' as const,
+      run: 1,
+      targetId: `target-${number}`,
+    }));
+    return { ...row, state: 'running' as const, tasks };
+  });
+}
+
+/** Measures one round of decisions: order the jobs, and place what has room. */
+function measureRound(targetCount: number, queuedCount: number, share: number): number {
+  const targets = Array.from({ length: targetCount }, (_t, number) => makeTarget(number));
+  const jobs = Array.from({ length: queuedCount / TASKS_PER_JOB }, (_j, number) =>
+    makeJob(number, TASKS_PER_JOB, 2),
+  );
+  const occupants = [...makeOccupants(targetCount, share), ...jobs];
+  const runTimes = new RunTimes();
+  const none: ReadonlySet<string> = new Set();
+  return measureCpuUs(() => {
+    const ordered = orderJobs(occupants, { runTimes, nowMs: NOW_MS });
+    placeTasks({ jobs: ordered, occupants, targets, failedOn: () => none, nowMs: NOW_MS });
+  });
+}
+
+[
+  [60, 1_000, 1],
+  [60, 1_000, 0.5],
+  [60, 200, 1],
+  [240, 1_000, 1],
+].forEach(([targetCount, queuedCount, share]) => {
+  const tookMs = measureRound(targetCount!, queuedCount!, share!) / US_PER_MS;
+  console.log(
+    `${targetCount} targets ${share! * 100} % full, ${queuedCount} queued tasks: ` +
+      `${tookMs.toFixed(2)} ms a round`,
+  );
+});
