--- /dev/null
+++ b/tests/platformAdapter/readSettings.test.ts
@@ -0,0 +1,50 @@
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe, expect, it } from 'vitest';
+import { readSettings, splitAddress } from '../../platform/readSettings.js';
+
+const TEMPLATE = readFileSync('deploy/settings.jsonc', 'utf8');
+const VALUES: Readonly<Record<string, string>> = {
+  node_name: 'frontend-1',
+  ip: '10.1.0.9',
+  'internal_ports.0': '7060',
+  zone: 'hall-a',
+  'listen_addrs.frontend': '10.1.0.9:8624',
+  'listen_addrs.ready': '10.1.0.9:8622',
+  'platform.address': '10.200.1.7:8621',
+  'platform.parts': '16',
+  'platform.ttl_min_ms': '1000',
+  'cloud_api.address': '10.200.0.107:8621',
+  'bounds.hold_max_ms': '10000',
+  'bounds.status_s': '120',
+  'bounds.lease_ms': '3000',
+};
+
+function fill(changes: Readonly<Record<string, string>> = {}): string {
+  const values = { ...VALUES, ...changes };
+  const text = TEMPLATE.replaceAll(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name]!);
+  const file = join(mkdtempSync(join(tmpdir(), 'settings-')), 'entry.jsonc');
+  writeFileSync(file, text);
+  return file;
+}
+
+describe('readSettings', () => {
+  it('reads the template once the platform has filled it in', () => {
+    expect(readSettings(fill())).toMatchObject({
+      name: 'frontend-1',
+      peerPort: 7060,
+      storePartitionCount: 16,
+      longestTargetLeaseMs: 10_000,
+    });
+  });
+
+  it('names the field and the line of a wrong value', () => {
+    const act = () => readSettings(fill({ 'listen_addrs.ready': 'nowhere' }));
+    expect(act).toThrow(/:9:\d+.*readyAddress/s);
+  });
+
+  it('splits an address at its last colon', () => {
+    expect(splitAddress('10.1.0.9:8624')).toEqual({ host: '10.1.0.9', port: 8624 });
+  });
+});
