--- a/src/jobs/DurableJobRow.ts
+++ b/src/jobs/DurableJobRow.ts
@@ -1,5 +1,5 @@
 import type { DurableJobSpec, DurableJobState } from './DurableJobSpec.js';
-import type { TaskRow } from './TaskRow.js';
+import { formatTaskName, type TaskRow } from './TaskRow.js';
 
 /** A job with the progress of its tasks; rows are replaced, never changed. */
 export interface DurableJobRow {
@@ -35,6 +35,33 @@
   return { spec, state: 'queued', tasks, finishedAtMs: undefined };
 }
 
+/**
+ * Names a task of a job as targets know it.
+ * @param row - The job.
+ * @param task - The task.
+ * @returns The name, unique over all jobs.
+ */
+export function nameTask({ spec }: DurableJobRow, task: TaskRow): string {
+  return formatTaskName({ jobId: spec.jobId, ...task });
+}
+
+/** A task with its place among its job's tasks. */
+export interface TaskAt {
+  readonly task: TaskRow;
+  readonly position: number;
+}
+
+/**
+ * Lists the tasks of a job that are placed on targets.
+ * @param row - The job.
+ * @returns The tasks with their places.
+ */
+export function listPlacedTasks({ tasks }: DurableJobRow): readonly TaskAt[] {
+  return tasks
+    .map((task, position) => ({ task, position }))
+    .filter(({ task }) => task.phase === 'placed');
+}
+
 /**
  * Tells whether a job has reached its final state.
  * @param row - The job.
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -1,4 +1,11 @@
-export { createJobRow, type DurableJobRow, isFinished } from './DurableJobRow.js';
+export {
+  createJobRow,
+  type DurableJobRow,
+  isFinished,
+  listPlacedTasks,
+  nameTask,
+  type TaskAt,
+} from './DurableJobRow.js';
 export type {
   DurableJobSpec,
   DurableJobState,
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -1,5 +1,20 @@
-import { type DurableJobRow, encodeJobProgress, encodeJobSpec, isFinished } from '../jobs/index.js';
+import {
+  type DurableJobRow,
+  encodeJobProgress,
+  encodeJobSpec,
+  findTask,
+  isFinished,
+  parseTaskName,
+  type StepSpec,
+} from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
+import type { RunKey } from './TaskOrders.js';
+
+/** A task that is placed, by its job and its place there. */
+export interface PlacedTask {
+  readonly row: DurableJobRow;
+  readonly position: number;
+}
 
 /** The jobs of one home, and which of them differ from what is stored. */
 export class JobTable {
@@ -88,4 +103,30 @@
       (row) => row.spec.terms.queue === queue && !isFinished(row) && row.state === 'queued',
     ).length;
   }
+
+  /**
+   * Finds the task that a run belongs to.
+   * @param key - The run.
+   * @returns Its job and its place there; undefined where the run is not the task's current one.
+   */
+  findPlaced(key: RunKey): PlacedTask | undefined {
+    const name = parseTaskName(key.taskName);
+    const row = name && this.get(name.jobId);
+    if (name === undefined || row === undefined) return undefined;
+    const position = findTask(row, name);
+    const task = row.tasks[position];
+    const isCurrent =
+      task?.phase === 'placed' && task.run === key.run && task.targetId === key.targetId;
+    return isCurrent ? { row, position } : undefined;
+  }
+
+  /**
+   * Gets the step of a task.
+   * @param taskName - Name of the task.
+   * @returns The step; undefined for a task of no known job.
+   */
+  getStep(taskName: string): StepSpec | undefined {
+    const name = parseTaskName(taskName);
+    return name && this.get(name.jobId)?.spec.steps[name.step];
+  }
 }
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -7,50 +7,23 @@
   type DurableJobSpec,
   type DurableJobState,
   encodeJobRemoval,
-  endRun,
-  findTask,
-  formatTaskName,
   isFinished,
-  listGangMates,
-  parseTaskName,
-  placeTask,
-  type RunEnd,
-  type StepSpec,
-  type TaskRow,
-  unplaceTask,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { DurableJobRequest } from '../peers/index.js';
 import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
-import {
-  ArrivalRate,
-  orderJobs,
-  placeTasks,
-  planEvacuations,
-  type PoolDemand,
-  RunTimes,
-  type TaskPlacement,
-} from '../systems/index.js';
-import type {
-  EndedTaskReport,
-  LeasedTargetPort,
-  RunningTaskReport,
-  StartRefusal,
-  TaskStart,
-} from '../targets/index.js';
+import { ArrivalRate, orderJobs, placeTasks, type PoolDemand } from '../systems/index.js';
+import type { LeasedTargetPort } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
 import { describeDemand } from './describeDemand.js';
 import { JobTable } from './JobTable.js';
 import { RecordWriter } from './RecordWriter.js';
 import { TargetDrains } from './TargetDrains.js';
 import type { TargetEntries } from './TargetEntry.js';
-import { TargetHealth } from './TargetHealth.js';
 import type { TargetReport } from './TargetSession.js';
-import { type TargetLoss, TargetSessions } from './TargetSessions.js';
-import { type RunKey, TaskOrders } from './TaskOrders.js';
-import { TaskPacer } from './TaskPacer.js';
-import { TaskProgress } from './TaskProgress.js';
+import { TargetSessions } from './TargetSessions.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
+import { TaskRuns } from './TaskRuns.js';
 
 /** Options of {@link TaskHome}. */
 export interface TaskHomeOptions {
@@ -79,10 +52,6 @@
 /** Leases of an earlier home count as lapsed after their length, 2 % for clocks, and a margin. */
 const ADOPTED_LEASE_FACTOR = 1.1;
 
-function toTaskName(row: DurableJobRow, task: TaskRow): string {
-  return formatTaskName({ jobId: row.spec.jobId, ...task });
-}
-
 /** The home of one partition: it alone decides for the jobs and targets of the pools in it. */
 export class TaskHome {
   private readonly options: TaskHomeOptions;
@@ -91,25 +60,14 @@
 
   private readonly writer: RecordWriter;
 
-  private readonly orders: TaskOrders;
+  private readonly runs: TaskRuns;
 
   private readonly sessions: TargetSessions;
 
-  private readonly health: TargetHealth;
-
-  private readonly runTimes = new RunTimes();
-
-  /** When the runs under way were placed, by the monotonic clock. */
-  private readonly placedAtMs = new Map<string, number>();
-
   private readonly arrivals = new Map<string, ArrivalRate>();
 
   private readonly drains: TargetDrains;
 
-  private readonly progress: TaskProgress;
-
-  private readonly pacer: TaskPacer;
-
   private flushing: Promise<void> | undefined;
 
   private readonly openedAtMs: number;
@@ -121,35 +79,28 @@
    * @param options - Jobs as they are stored, the term, and the ports.
    */
   constructor(options: TaskHomeOptions) {
-    const { clock, events, targets, term, jobs } = options;
+    const { clock, jobs } = options;
     this.options = options;
     this.openedAtMs = clock.monotonicMs();
     this.writer = new RecordWriter({ ...options, onFenced: () => this.replace() });
-    this.health = new TargetHealth({ clock, events });
     this.drains = new TargetDrains(clock);
-    this.progress = new TaskProgress(clock);
-    const getStep = (taskName: string): StepSpec | undefined => this.getStep(taskName);
-    this.pacer = new TaskPacer({ port: targets, term, events, getStep });
+    this.runs = new TaskRuns({
+      ...options,
+      table: this.table,
+      getSessions: () => this.sessions,
+      onChanged: () => this.flushInBackground(),
+      onStaleTerm: () => this.replace(),
+    });
     this.sessions = new TargetSessions({
       ...options,
       onReport: (targetId, report) => this.takeReport(targetId, report),
-      onGone: (targetId, reason) => this.loseTarget(targetId, reason),
+      onGone: (targetId, reason) => this.runs.loseTarget(targetId, reason),
       onStaleTerm: () => this.replace(),
     });
-    this.orders = new TaskOrders({
-      port: targets,
-      term,
-      clock,
-      events,
-      getAddress: (targetId) => this.sessions.getAddress(targetId),
-      createStart: (key) => this.createStart(key),
-      onClock: (targetId, targetClockMs) => this.sessions.noteClock(targetId, targetClockMs),
-      onRefused: (key, reason) => this.takeRefusal(key, reason),
-      onVanished: (key) => this.endRun(key, { end: 'lapsed', checkpoint: undefined }, 'vanished'),
-      onOtherLifetime: (targetId) => this.loseTarget(targetId, 'other-lifetime'),
-      onStaleTerm: () => this.replace(),
+    jobs.forEach((row) => {
+      this.table.restore(row);
+      this.runs.restore(row);
     });
-    jobs.forEach((row) => this.restore(row));
   }
 
   /** Term under which this home writes and orders. */
@@ -175,7 +126,7 @@
     if (this.writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
     const row = createJobRow(spec);
     this.table.add(row);
-    this.getArrivals(spec.terms.pool).note(this.runTimes.estimateWork(row));
+    this.getArrivals(spec.terms.pool).note(this.runs.runTimes.estimateWork(row));
     try {
       await this.flush();
     } catch (thrown) {
@@ -213,7 +164,7 @@
       this.options.events.write('jobCancelled', { jobId, term: this.term, stateBefore: row.state });
     }
     await this.flush();
-    this.stopFinished();
+    this.runs.stopFinished();
     return true;
   }
 
@@ -242,17 +193,17 @@
     endedTargets,
   }: PoolSync): Promise<PoolDemand> {
     this.assertCertain();
-    this.loseEnded(endedTargets);
+    this.runs.loseEnded(endedTargets);
     this.drains.replace(pool, drainedTargets, drainedForMs);
-    this.evacuate();
+    this.runs.evacuate(this.listEmptied());
     // What was placed before this call is counted below; nothing is placed there after it.
     await this.flush().catch(() => undefined);
     return describeDemand({
       pool,
       rows: this.table.list(),
       targets: this.sessions.listForPlacement(() => false),
-      countRuns: (targetId) => this.orders.listOn(targetId).length,
-      runTimes: this.runTimes,
+      countRuns: (targetId) => this.runs.countOn(targetId),
+      runTimes: this.runs.runTimes,
       arrivingCpuMillicores: this.getArrivals(pool).cpuMillicores,
       nowMs: this.options.clock.wallMs(),
     });
@@ -263,8 +214,8 @@
     if (this.isClosed) return;
     this.sessions.sync();
     this.loseUnknownTargets();
-    this.evacuate();
-    this.stopFinished();
+    this.runs.evacuate(this.listEmptied());
+    this.runs.stopFinished();
     this.forgetOld();
     this.flushInBackground();
   }
@@ -286,16 +237,6 @@
     this.sessions.close();
   }
 
-  private restore(row: DurableJobRow): void {
-    this.table.restore(row);
-    row.tasks
-      .filter(({ phase }) => phase === 'placed')
-      .forEach((task) => {
-        const { run, targetId } = task;
-        this.orders.adopt({ taskName: toTaskName(row, task), run, targetId: targetId! });
-      });
-  }
-
   private replace(): void {
     if (this.isClosed) return;
     this.close();
@@ -328,93 +269,28 @@
     const placed = this.place();
     const records = this.table.takeChanges();
     await this.writer.write(records);
-    if (!this.isClosed) placed.forEach((taskName) => this.orders.start(taskName));
+    if (!this.isClosed) placed.forEach((taskName) => this.runs.start(taskName));
   }
 
   private place(): readonly string[] {
     const rows = this.table.list();
     const placements = placeTasks({
-      jobs: orderJobs(rows, { runTimes: this.runTimes, nowMs: this.options.clock.wallMs() }),
+      jobs: orderJobs(rows, { runTimes: this.runs.runTimes, nowMs: this.options.clock.wallMs() }),
       occupants: rows,
       targets: this.sessions.listForPlacement(
-        (targetId) => this.health.isAvoided(targetId) || this.drains.has(targetId),
+        (targetId) => this.runs.isAvoided(targetId) || this.drains.has(targetId),
       ),
-      failedOn: (jobId, position) => this.getFailedTargets(jobId, position),
+      failedOn: (jobId, position) => this.runs.getFailedTargets(jobId, position),
       nowMs: this.options.clock.wallMs(),
     });
-    return placements.map((placement) => this.reserve(placement));
-  }
-
-  private reserve({ jobId, position, targetId }: TaskPlacement): string {
-    const row = placeTask(this.table.get(jobId)!, position, targetId);
-    this.table.put(row);
-    const task = row.tasks[position]!;
-    const taskName = toTaskName(row, task);
-    const { run } = task;
-    this.orders.reserve({ taskName, run, targetId });
-    this.placedAtMs.set(taskName, this.options.clock.monotonicMs());
-    this.options.events.write('taskPlaced', { jobId, taskName, run, targetId, term: this.term });
-    return taskName;
-  }
-
-  private getFailedTargets(jobId: string, position: number): ReadonlySet<string> {
-    const row = this.table.get(jobId)!;
-    return this.health.getFailedTargets(toTaskName(row, row.tasks[position]!));
-  }
-
-  /** Finds the placed task of a run; undefined where the run is not the task's current one. */
-  private findPlaced(
-    key: RunKey,
-  ): { readonly row: DurableJobRow; readonly position: number } | undefined {
-    const name = parseTaskName(key.taskName);
-    const row = name && this.table.get(name.jobId);
-    if (name === undefined || row === undefined) return undefined;
-    const position = findTask(row, name);
-    const task = row.tasks[position];
-    const isCurrent =
-      task?.phase === 'placed' && task.run === key.run && task.targetId === key.targetId;
-    return isCurrent ? { row, position } : undefined;
-  }
-
-  private createStart(key: RunKey): TaskStart | undefined {
-    const found = this.findPlaced(key);
-    if (found === undefined || isFinished(found.row)) return undefined;
-    const { row, position } = found;
-    return {
-      taskName: key.taskName,
-      run: key.run,
-      payload: row.spec.payload,
-      leaseUntilTargetMs: this.sessions.getLeaseUntilMs(key.targetId),
-      term: this.term,
-      checkpoint: row.tasks[position]!.checkpoint,
-      ticket: undefined,
-    };
-  }
-
-  private takeRefusal(key: RunKey, reason: StartRefusal): void {
-    if (reason === 'malformed') {
-      this.endRun(key, { end: 'failed', checkpoint: undefined }, reason);
-      return;
-    }
-    if (reason !== 'lease-past') this.health.noteRefusal(key.targetId);
-    const found = this.findPlaced(key);
-    if (found !== undefined) {
-      this.stopGangMates(found.row, found.position);
-      this.table.put(unplaceTask(found.row, found.position));
-    }
-    this.flushInBackground();
+    return placements.map((placement) => this.runs.reserve(placement));
   }
 
   private async takeReport(targetId: string, report: TargetReport): Promise<void> {
     if (this.isClosed) return;
-    const { answer, askedAtMs } = report;
+    const { answer } = report;
     const fresh = this.sessions.takeFreshEnds(targetId, answer.ended);
-    fresh.forEach((ended) => this.takeEnd(targetId, ended));
-    this.progress.note(answer.running);
-    this.restartStalled(targetId, answer.running);
-    const address = this.sessions.getAddress(targetId);
-    if (address !== undefined) this.pacer.take(address, answer.running);
-    this.orders.reconcile(targetId, answer.running, askedAtMs);
+    this.runs.takeReport(targetId, fresh, report);
     if (answer.ended.length === 0) {
       this.flushInBackground();
       return;
@@ -427,67 +303,9 @@
     await Promise.race([stored.catch(() => undefined), sleep(STORE_WAIT_MS)]);
   }
 
-  /** Stops tasks that stand still, so that they start again on another target. */
-  private restartStalled(targetId: string, running: readonly RunningTaskReport[]): void {
-    running
-      .filter(({ taskName, run }) => this.progress.isStalled(taskName, run))
-      .filter(({ taskName }) => this.getStep(taskName)?.isGang === false)
-      .forEach(({ taskName, run, progressPercent }) => {
-        const { events } = this.options;
-        events.write('taskStalled', { taskName, run, targetId, progressPercent });
-        this.health.noteStall(targetId);
-        this.progress.forget(taskName);
-        this.orders.stop(taskName);
-      });
-  }
-
-  private getStep(taskName: string): StepSpec | undefined {
-    const name = parseTaskName(taskName);
-    return name && this.table.get(name.jobId)?.spec.steps[name.step];
-  }
-
-  private takeEnd(targetId: string, ended: EndedTaskReport): void {
-    const { taskName, run, end, checkpoint } = ended;
-    this.endRun({ taskName, run, targetId }, { end, checkpoint }, 'reported');
-  }
-
-  private endRun(key: RunKey, runEnd: RunEnd, source: string): void {
-    const { clock, events } = this.options;
-    const found = this.findPlaced(key);
-    if (found === undefined) return;
-    const { taskName, run, targetId } = key;
-    const { jobId } = found.row.spec;
-    events.write('taskEnded', { jobId, taskName, run, targetId, end: runEnd.end, source });
-    this.orders.forget(taskName);
-    this.progress.forget(taskName);
-    if (runEnd.end === 'done') {
-      this.health.noteSuccess(targetId);
-      this.noteRunTime(found.row, found.position, taskName);
-    }
-    this.placedAtMs.delete(taskName);
-    if (runEnd.end === 'failed') this.health.noteFailure(targetId, jobId, taskName);
-    const row = endRun(found.row, found.position, runEnd, clock.wallMs());
-    this.forgetDone(found.row, row);
-    this.table.put(row);
-    if (isFinished(row) && !isFinished(found.row)) this.noteFinished(row);
-  }
-
-  /**
-   * Tells whether a long-running task is at work and stays so. A target reports a run that is being
-   * stopped until it has ended; counted as at work, it would let a second task of the step go.
-   */
-  private isAtWork(row: DurableJobRow, task: TaskRow): boolean {
-    const taskName = toTaskName(row, task);
-    if (task.phase !== 'placed' || this.orders.isStopping(taskName)) return false;
-    return this.progress.isAtWork(taskName, task.run);
-  }
-
-  private noteRunTime({ spec, tasks }: DurableJobRow, position: number, taskName: string): void {
-    const placedAtMs = this.placedAtMs.get(taskName);
-    if (placedAtMs === undefined) return;
-    const { estimatedRunMs } = spec.steps[tasks[position]!.step]!;
-    const runMs = this.options.clock.monotonicMs() - placedAtMs;
-    this.runTimes.note(spec.terms.queue, estimatedRunMs, runMs);
+  /** Targets that are emptied: the fleet's home takes their VMs, or they have said to leave. */
+  private listEmptied(): ReadonlySet<string> {
+    return new Set([...this.drains.list(), ...this.sessions.listDraining()]);
   }
 
   private getArrivals(pool: string): ArrivalRate {
@@ -498,49 +316,6 @@
     return created;
   }
 
-  /** Forgets the orders of gang members that another member's end has made done. */
-  private forgetDone(before: DurableJobRow, after: DurableJobRow): void {
-    before.tasks
-      .filter(({ phase }, place) => phase === 'placed' && after.tasks[place]!.phase === 'done')
-      .forEach((task) => this.orders.forget(toTaskName(before, task)));
-  }
-
-  /** Stops long-running tasks on targets that are being emptied, as far as their steps allow. */
-  private evacuate(): void {
-    const drainedTargets = new Set([...this.drains.list(), ...this.sessions.listDraining()]);
-    if (drainedTargets.size === 0) return;
-    const evacuations = planEvacuations({
-      jobs: this.table.list(),
-      drainedTargets,
-      isAtWork: (row, position) => this.isAtWork(row, row.tasks[position]!),
-    });
-    evacuations.forEach(({ jobId, position }) => {
-      const row = this.table.get(jobId)!;
-      const task = row.tasks[position]!;
-      const taskName = toTaskName(row, task);
-      const { targetId, run } = task;
-      this.options.events.write('taskEvacuated', { jobId, taskName, run, targetId });
-      this.progress.forget(taskName);
-      this.orders.stop(taskName);
-    });
-  }
-
-  private noteFinished({ spec, state }: DurableJobRow): void {
-    const { clock, events } = this.options;
-    const tookMs = clock.wallMs() - spec.submittedAtMs;
-    events.write('jobFinished', { jobId: spec.jobId, queue: spec.terms.queue, state, tookMs });
-  }
-
-  /**
-   * Takes note of lifetimes that are over by the platform's list of VMs, which shows a crash at
-   * once. A target that falls silent would else keep its tasks until its lease has lapsed.
-   */
-  private loseEnded(endedTargets: readonly string[]): void {
-    endedTargets
-      .filter((targetId) => this.sessions.has(targetId) || this.orders.listOn(targetId).length > 0)
-      .forEach((targetId) => this.loseTarget(targetId, 'unlisted'));
-  }
-
   /** Frees the runs that an earlier home placed on targets that were gone before this one. */
   private loseUnknownTargets(): void {
     const { clock, timing } = this.options;
@@ -551,49 +326,7 @@
       .flatMap(({ tasks }) => tasks.map(({ targetId }) => targetId))
       .filter((targetId) => targetId !== undefined)
       .filter((targetId) => !this.sessions.has(targetId));
-    new Set(targetIds).forEach((targetId) => this.loseTarget(targetId, 'lapsed'));
-  }
-
-  private loseTarget(targetId: string, reason: TargetLoss): void {
-    const keys = this.orders.listOn(targetId);
-    this.sessions.remove(targetId, reason === 'lapsed');
-    this.options.events.write('targetGone', { targetId, reason, runCount: keys.length });
-    keys.forEach((key) => this.endRun(key, { end: 'lapsed', checkpoint: undefined }, reason));
-    this.flushInBackground();
-  }
-
-  /** Stops the runs of jobs that are cancelled or have failed. */
-  private stopFinished(): void {
-    this.table
-      .list()
-      .filter(isFinished)
-      .forEach((row) =>
-        row.tasks
-          .map((task, position) => ({ task, position }))
-          .filter(({ task }) => task.phase === 'placed')
-          .forEach(({ task, position }) => this.stopTask(row, task, position)),
-      );
-  }
-
-  /**
-   * Stops the others of a gang of which a member could not start. Left alone they would hold their
-   * targets until the wait for that member ends, and count as started in vain.
-   */
-  private stopGangMates(row: DurableJobRow, position: number): void {
-    listGangMates(row, position).forEach((place) =>
-      this.orders.stop(toTaskName(row, row.tasks[place]!)),
-    );
-  }
-
-  private stopTask(row: DurableJobRow, task: TaskRow, position: number): void {
-    const taskName = toTaskName(row, task);
-    if (!this.orders.isUnsent(taskName)) {
-      this.orders.stop(taskName);
-      return;
-    }
-    this.orders.forget(taskName);
-    const current = this.table.get(row.spec.jobId)!;
-    this.table.put(unplaceTask(current, position));
+    new Set(targetIds).forEach((targetId) => this.runs.loseTarget(targetId, 'lapsed'));
   }
 
   private forgetOld(): void {
--- /dev/null
+++ b/src/taskHome/TaskRuns.ts
@@ -0,0 +1,349 @@
+import {
+  type DurableJobRow,
+  endRun,
+  isFinished,
+  listGangMates,
+  listPlacedTasks,
+  nameTask,
+  placeTask,
+  type RunEnd,
+  type TaskRow,
+  unplaceTask,
+} from '../jobs/index.js';
+import type { EventLog } from '../logging/index.js';
+import { planEvacuations, type RunTimes, type TaskPlacement } from '../systems/index.js';
+import type {
+  EndedTaskReport,
+  LeasedTargetPort,
+  RunningTaskReport,
+  StartRefusal,
+  TaskStart,
+} from '../targets/index.js';
+import type { Clock } from '../utils/index.js';
+import { createTaskStart } from './createTaskStart.js';
+import type { JobTable } from './JobTable.js';
+import { RunTimer } from './RunTimer.js';
+import { TargetHealth } from './TargetHealth.js';
+import type { TargetReport } from './TargetSession.js';
+import type { TargetLoss, TargetSessions } from './TargetSessions.js';
+import { type RunKey, TaskOrders } from './TaskOrders.js';
+import { TaskPacer } from './TaskPacer.js';
+import { TaskProgress } from './TaskProgress.js';
+
+/** Options of {@link TaskRuns}. */
+export interface TaskRunsOptions {
+  readonly targets: LeasedTargetPort;
+  readonly term: number;
+  readonly table: JobTable;
+  /** Sessions with the targets, which are created after the runs. */
+  readonly getSessions: () => TargetSessions;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Called where a job has changed, so that it is stored and what has room is placed. */
+  readonly onChanged: () => void;
+  /** Called where a target has seen a later term. */
+  readonly onStaleTerm: () => void;
+}
+
+/** The runs of a home's tasks: from their placement to their end, with all that can go wrong. */
+export class TaskRuns {
+  private readonly options: TaskRunsOptions;
+
+  private readonly table: JobTable;
+
+  private readonly orders: TaskOrders;
+
+  private readonly health: TargetHealth;
+
+  private readonly progress: TaskProgress;
+
+  private readonly pacer: TaskPacer;
+
+  private readonly timer: RunTimer;
+
+  /**
+   * Starts without runs.
+   * @param options - Jobs, targets and what happens with changes.
+   */
+  constructor(options: TaskRunsOptions) {
+    const { clock, events, targets, term, table } = options;
+    this.options = options;
+    this.table = table;
+    this.health = new TargetHealth({ clock, events });
+    this.progress = new TaskProgress(clock);
+    this.timer = new RunTimer(clock);
+    this.pacer = new TaskPacer({
+      port: targets,
+      term,
+      events,
+      getStep: (taskName) => table.getStep(taskName),
+    });
+    this.orders = new TaskOrders({
+      port: targets,
+      term,
+      clock,
+      events,
+      getAddress: (targetId) => this.sessions.getAddress(targetId),
+      createStart: (key) => this.createStart(key),
+      onClock: (targetId, targetClockMs) => this.sessions.noteClock(targetId, targetClockMs),
+      onRefused: (key, reason) => this.takeRefusal(key, reason),
+      onVanished: (key) => this.endRun(key, { end: 'lapsed', checkpoint: undefined }, 'vanished'),
+      onOtherLifetime: (targetId) => this.loseTarget(targetId, 'other-lifetime'),
+      onStaleTerm: () => this.options.onStaleTerm(),
+    });
+  }
+
+  /** What has been learned of run times. */
+  get runTimes(): RunTimes {
+    return this.timer.runTimes;
+  }
+
+  private get sessions(): TargetSessions {
+    return this.options.getSessions();
+  }
+
+  /**
+   * Takes over the runs that an earlier home has placed and may have started.
+   * @param row - A job as it is stored.
+   */
+  restore(row: DurableJobRow): void {
+    listPlacedTasks(row).forEach(({ task }) => {
+      const { run, targetId } = task;
+      this.orders.adopt({ taskName: nameTask(row, task), run, targetId: targetId! });
+    });
+  }
+
+  /**
+   * Gives a task to a target; the start follows once that is stored.
+   * @param placement - The task and its target.
+   * @returns Name of the task.
+   */
+  reserve({ jobId, position, targetId }: TaskPlacement): string {
+    const row = placeTask(this.table.get(jobId)!, position, targetId);
+    this.table.put(row);
+    const task = row.tasks[position]!;
+    const taskName = nameTask(row, task);
+    const { run } = task;
+    this.orders.reserve({ taskName, run, targetId });
+    this.timer.begin(taskName);
+    this.options.events.write('taskPlaced', {
+      jobId,
+      taskName,
+      run,
+      targetId,
+      term: this.options.term,
+    });
+    return taskName;
+  }
+
+  /**
+   * Starts a run whose placement is stored.
+   * @param taskName - Name of the task.
+   */
+  start(taskName: string): void {
+    this.orders.start(taskName);
+  }
+
+  /**
+   * Lists the targets on which a task has failed.
+   * @param jobId - Id of the job.
+   * @param position - Place of the task among the job's tasks.
+   * @returns Ids of the targets.
+   */
+  getFailedTargets(jobId: string, position: number): ReadonlySet<string> {
+    const row = this.table.get(jobId)!;
+    return this.health.getFailedTargets(nameTask(row, row.tasks[position]!));
+  }
+
+  /**
+   * Tells whether a target is to be avoided at this moment.
+   * @param targetId - The target.
+   * @returns Whether it should get no new task.
+   */
+  isAvoided(targetId: string): boolean {
+    return this.health.isAvoided(targetId);
+  }
+
+  /**
+   * Counts the runs on a target, started or not.
+   * @param targetId - The target.
+   * @returns How many there are.
+   */
+  countOn(targetId: string): number {
+    return this.orders.listOn(targetId).length;
+  }
+
+  /**
+   * Takes note of what a target runs and what has ended there.
+   * @param targetId - The target.
+   * @param ended - Ends that were not taken before.
+   * @param report - The whole report.
+   */
+  takeReport(targetId: string, ended: readonly EndedTaskReport[], report: TargetReport): void {
+    const { running } = report.answer;
+    ended.forEach((end) => this.takeEnd(targetId, end));
+    this.progress.note(running);
+    this.restartStalled(targetId, running);
+    const address = this.sessions.getAddress(targetId);
+    if (address !== undefined) this.pacer.take(address, running);
+    this.orders.reconcile(targetId, running, report.askedAtMs);
+  }
+
+  /**
+   * Stops long-running tasks on targets that are being emptied, as far as their steps allow.
+   * @param drainedTargets - Ids of the targets.
+   */
+  evacuate(drainedTargets: ReadonlySet<string>): void {
+    if (drainedTargets.size === 0) return;
+    const evacuations = planEvacuations({
+      jobs: this.table.list(),
+      drainedTargets,
+      isAtWork: (row, position) => this.isAtWork(row, row.tasks[position]!),
+    });
+    evacuations.forEach(({ jobId, position }) => {
+      const row = this.table.get(jobId)!;
+      const task = row.tasks[position]!;
+      const taskName = nameTask(row, task);
+      const { targetId, run } = task;
+      this.options.events.write('taskEvacuated', { jobId, taskName, run, targetId });
+      this.progress.forget(taskName);
+      this.orders.stop(taskName);
+    });
+  }
+
+  /**
+   * Takes note of lifetimes that are over by the platform's list of VMs, which shows a crash at
+   * once. A target that falls silent would else keep its tasks until its lease has lapsed.
+   * @param endedTargets - Ids of the lifetimes.
+   */
+  loseEnded(endedTargets: readonly string[]): void {
+    endedTargets
+      .filter((targetId) => this.sessions.has(targetId) || this.orders.listOn(targetId).length > 0)
+      .forEach((targetId) => this.loseTarget(targetId, 'unlisted'));
+  }
+
+  /**
+   * Ends the runs on a target on which nothing can run any more.
+   * @param targetId - The target.
+   * @param reason - How that is known.
+   */
+  loseTarget(targetId: string, reason: TargetLoss): void {
+    const keys = this.orders.listOn(targetId);
+    this.sessions.remove(targetId, reason === 'lapsed');
+    this.options.events.write('targetGone', { targetId, reason, runCount: keys.length });
+    keys.forEach((key) => this.endRun(key, { end: 'lapsed', checkpoint: undefined }, reason));
+    this.options.onChanged();
+  }
+
+  /** Stops the runs of jobs that are cancelled or have failed. */
+  stopFinished(): void {
+    this.table
+      .list()
+      .filter(isFinished)
+      .forEach((row) =>
+        listPlacedTasks(row).forEach(({ task, position }) => this.stopTask(row, task, position)),
+      );
+  }
+
+  private createStart(key: RunKey): TaskStart | undefined {
+    const found = this.table.findPlaced(key);
+    if (found === undefined || isFinished(found.row)) return undefined;
+    const leaseUntilTargetMs = this.sessions.getLeaseUntilMs(key.targetId);
+    return createTaskStart(key, found, { leaseUntilTargetMs, term: this.options.term });
+  }
+
+  private takeRefusal(key: RunKey, reason: StartRefusal): void {
+    if (reason === 'malformed') {
+      this.endRun(key, { end: 'failed', checkpoint: undefined }, reason);
+      return;
+    }
+    if (reason !== 'lease-past') this.health.noteRefusal(key.targetId);
+    const found = this.table.findPlaced(key);
+    if (found !== undefined) {
+      this.stopGangMates(found.row, found.position);
+      this.table.put(unplaceTask(found.row, found.position));
+    }
+    this.options.onChanged();
+  }
+
+  /** Stops tasks that stand still, so that they start again on another target. */
+  private restartStalled(targetId: string, running: readonly RunningTaskReport[]): void {
+    running
+      .filter(({ taskName, run }) => this.progress.isStalled(taskName, run))
+      .filter(({ taskName }) => this.table.getStep(taskName)?.isGang === false)
+      .forEach(({ taskName, run, progressPercent }) => {
+        const { events } = this.options;
+        events.write('taskStalled', { taskName, run, targetId, progressPercent });
+        this.health.noteStall(targetId);
+        this.progress.forget(taskName);
+        this.orders.stop(taskName);
+      });
+  }
+
+  private takeEnd(targetId: string, ended: EndedTaskReport): void {
+    const { taskName, run, end, checkpoint } = ended;
+    this.endRun({ taskName, run, targetId }, { end, checkpoint }, 'reported');
+  }
+
+  private endRun(key: RunKey, runEnd: RunEnd, source: string): void {
+    const { clock, events } = this.options;
+    const found = this.table.findPlaced(key);
+    if (found === undefined) return;
+    const { taskName, run, targetId } = key;
+    const { jobId } = found.row.spec;
+    events.write('taskEnded', { jobId, taskName, run, targetId, end: runEnd.end, source });
+    this.orders.forget(taskName);
+    this.progress.forget(taskName);
+    this.timer.end(taskName, found.row, found.position, runEnd.end === 'done');
+    if (runEnd.end === 'done') this.health.noteSuccess(targetId);
+    if (runEnd.end === 'failed') this.health.noteFailure(targetId, jobId, taskName);
+    const row = endRun(found.row, found.position, runEnd, clock.wallMs());
+    this.forgetDone(found.row, row);
+    this.table.put(row);
+    if (isFinished(row) && !isFinished(found.row)) this.noteFinished(row);
+  }
+
+  /**
+   * Tells whether a long-running task is at work and stays so. A target reports a run that is being
+   * stopped until it has ended; counted as at work, it would let a second task of the step go.
+   */
+  private isAtWork(row: DurableJobRow, task: TaskRow): boolean {
+    const taskName = nameTask(row, task);
+    if (task.phase !== 'placed' || this.orders.isStopping(taskName)) return false;
+    return this.progress.isAtWork(taskName, task.run);
+  }
+
+  /** Forgets the orders of gang members that another member's end has made done. */
+  private forgetDone(before: DurableJobRow, after: DurableJobRow): void {
+    before.tasks
+      .filter(({ phase }, place) => phase === 'placed' && after.tasks[place]!.phase === 'done')
+      .forEach((task) => this.orders.forget(nameTask(before, task)));
+  }
+
+  private noteFinished({ spec, state }: DurableJobRow): void {
+    const { clock, events } = this.options;
+    const tookMs = clock.wallMs() - spec.submittedAtMs;
+    events.write('jobFinished', { jobId: spec.jobId, queue: spec.terms.queue, state, tookMs });
+  }
+
+  /**
+   * Stops the others of a gang of which a member could not start. Left alone they would hold their
+   * targets until the wait for that member ends, and count as started in vain.
+   */
+  private stopGangMates(row: DurableJobRow, position: number): void {
+    listGangMates(row, position).forEach((place) =>
+      this.orders.stop(nameTask(row, row.tasks[place]!)),
+    );
+  }
+
+  private stopTask(row: DurableJobRow, task: TaskRow, position: number): void {
+    const taskName = nameTask(row, task);
+    if (!this.orders.isUnsent(taskName)) {
+      this.orders.stop(taskName);
+      return;
+    }
+    this.orders.forget(taskName);
+    const current = this.table.get(row.spec.jobId)!;
+    this.table.put(unplaceTask(current, position));
+  }
+}
