--- a/src/entry/JobRun.ts
+++ b/src/entry/JobRun.ts
@@ -11,9 +11,10 @@
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { GrantReply, GrantResult, PeerReply } from '../peers/index.js';
-import type { TargetAddress, TargetPort, TaskResult } from '../targets/index.js';
+import type { TargetPort, TaskResult } from '../targets/index.js';
 import { assertNever, type Clock } from '../utils/index.js';
 import { createGrantRequest } from './createGrantRequest.js';
+import { createUsedGrant } from './createUsedGrant.js';
 import { findStrongest } from './findStrongest.js';
 import type { FinishReporter } from './FinishReporter.js';
 import { type GrantKeeper, TASK_LEASE_MS } from './GrantKeeper.js';
@@ -190,7 +191,7 @@
     const { clock, events, targets, keeper } = this.context;
     const target = { vm: grant.vm, host: grant.host, port: grant.port };
     const lost = new AbortController();
-    this.keep(grant, target, () => lost.abort());
+    keeper.add(createUsedGrant(job, grant, target, () => lost.abort()));
     const { requestId, pool, jobKind, team } = job;
     const reason = `granted by the home in term ${grant.term}`;
     events.write('requestRouted', { requestId, pool, vm: grant.vm, jobKind, team, reason });
@@ -224,23 +225,6 @@
     }
   }
 
-  private keep(grant: GrantReply, target: TargetAddress, onLost: () => void): void {
-    const { requestId, pool, team, jobKind, urgency, coreCount, memoryMb } = this.job;
-    this.context.keeper.add({
-      grantId: grant.grantId,
-      requestId,
-      pool,
-      team,
-      jobKind,
-      urgency,
-      vm: grant.vm,
-      coreCount,
-      memoryMb,
-      target,
-      onLost,
-    });
-  }
-
   private endByAnswer(grant: GrantReply, result: Answering, startedAtMs: number): AttemptEnd {
     const isFailed = result.httpStatus >= SERVER_ERROR_STATUS;
     if (isFailed && this.job.idempotent) return this.endByFailure(grant, result, startedAtMs);
--- a/src/home/ClaimDesk.ts
+++ b/src/home/ClaimDesk.ts
@@ -1,12 +1,10 @@
 import type { LogWriter } from '../log/index.js';
 import type { EventLog } from '../logging/index.js';
-import type { GrantRequest, PeerReply } from '../peers/index.js';
+import type { GrantRequest } from '../peers/index.js';
 import type { ClaimRow, FleetTables } from '../tables/index.js';
 import type { Outcome } from '../errors/index.js';
 import { type Clock, KeyedOnce } from '../utils/index.js';
-
-/** Answer that refuses a grant. */
-export type Refusal = Extract<PeerReply, { readonly type: 'refused' }>;
+import { type Refusal, refuse } from './Refusal.js';
 
 /** Options of {@link ClaimDesk}. */
 export interface ClaimDeskOptions {
@@ -25,10 +23,6 @@
 /** How long a claim is kept after the caller's deadline, for repeats that come late. */
 const CLAIM_KEPT_AFTER_DEADLINE_MS = 3_600_000;
 
-function refuse(kind: Refusal['kind'], message: string): Refusal {
-  return { type: 'refused', kind, message };
-}
-
 /** Records at the log which non-idempotent requests may have been sent, so that none is twice. */
 export class ClaimDesk {
   private readonly options: ClaimDeskOptions;
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -14,7 +14,7 @@
 import { type FleetTables, type GrantRow, PoolTables, type QueuedRow } from '../tables/index.js';
 import type { TargetPort } from '../targets/index.js';
 import { assertNever, type Clock, type Rng } from '../utils/index.js';
-import { ClaimDesk, type Refusal } from './ClaimDesk.js';
+import { ClaimDesk } from './ClaimDesk.js';
 import { ExplainLog } from './ExplainLog.js';
 import {
   createGrant,
@@ -23,7 +23,10 @@
   GRANT_LENGTH_MS,
   type GrantHeldElsewhere,
 } from './grantRows.js';
+import { isUnderWay } from './isUnderWay.js';
 import { PoolVms } from './PoolVms.js';
+import { type Refusal, refuse } from './Refusal.js';
+import { tellRunVerdict } from './tellRunVerdict.js';
 
 /** Options of {@link PoolHome}. */
 export interface PoolHomeOptions {
@@ -58,10 +61,6 @@
 type Placed = Extract<PlacementDecision, { readonly type: 'place' }>;
 type FinishGrant = Extract<PeerRequest, { readonly type: 'finish-grant' }>;
 
-function refuse(kind: Refusal['kind'], message: string): Refusal {
-  return { type: 'refused', kind, message };
-}
-
 const CLOSED = refuse('home-unavailable', 'The pool is being handed to another home.');
 
 /** One pool at the instance that decides for it: queue, grants, claims, VMs, waves. */
@@ -196,22 +195,14 @@
 
   private findObstacle(entry: string, request: GrantRequest): Refusal | undefined {
     if (request.idempotent) return undefined;
-    const isUnderWay = this.isUnderWay(request.requestId);
-    const obstacle = this.claimDesk.findObstacle(entry, request, isUnderWay);
+    const isWaiting = isUnderWay(request.requestId, this.tables, this.options.fleet);
+    const obstacle = this.claimDesk.findObstacle(entry, request, isWaiting);
     if (obstacle !== undefined || this.options.holdsLease()) return obstacle;
     // Failure: while the log is out another instance cannot be told from one that has taken over.
     // Idempotent work goes on, work that must run at most once is refused: certainly not run.
     return refuse('log-unavailable', 'The log does not answer, so the request cannot be claimed.');
   }
 
-  /** Tells whether an entry instance that runs waits with the request, or has a grant for it. */
-  private isUnderWay(requestId: string): boolean {
-    const { instances } = this.options.fleet;
-    return [...this.tables.queue.list(), ...this.tables.grants.list()]
-      .filter((row) => row.requestId === requestId)
-      .some((row) => instances.get(row.entry)?.state === 'joined');
-  }
-
   private place(): void {
     const isIdle = this.tables.queue.size === 0 && this.tables.preemptions.size === 0;
     if (this.isClosed || isIdle) return;
@@ -252,15 +243,8 @@
     this.excludedVms.set(attemptId, row.excludedVms);
     this.options.metrics.timing('grant_wait_ms', nowMs - row.queuedAtMs, { pool });
     const waitedMs = Math.round(nowMs - row.queuedAtMs);
-    this.options.events.write('jobPlaced', {
-      requestId,
-      pool,
-      vm,
-      team,
-      jobKind,
-      reason,
-      waitedMs,
-    });
+    const placement = { requestId, pool, vm, team, jobKind, reason, waitedMs };
+    this.options.events.write('jobPlaced', placement);
     this.explainLog.note(requestId, `placed on ${vm}: ${reason}`);
     void this.hand(attemptId, vm);
   }
@@ -325,21 +309,9 @@
       usedMemoryMb: finish.usedMemoryMb,
       excludedVms: this.excludedVms.get(grant.grantId) ?? [],
     });
-    verdicts.forEach((verdict) => {
-      switch (verdict.type) {
-        case 'quarantine':
-          this.options.events.write('vmQuarantined', { vm: verdict.vm, reason: verdict.reason });
-          break;
-        case 'restore':
-          this.options.events.write('vmRestored', { vm: verdict.vm, reason: verdict.reason });
-          break;
-        case 'blame-job':
-          this.explainLog.note(verdict.requestId, verdict.reason);
-          break;
-        default:
-          assertNever(verdict);
-      }
-    });
+    const { events } = this.options;
+    const { explainLog } = this;
+    verdicts.forEach((verdict) => tellRunVerdict(verdict, { events, explainLog }));
     const isSuspect = finish.result === 'unknown' || finish.result === 'not-started';
     if (isSuspect) this.vms.suspect(grant.vm);
   }
--- a/src/home/index.ts
+++ b/src/home/index.ts
@@ -1,4 +1,5 @@
-export { ClaimDesk, type ClaimDeskOptions, type Refusal } from './ClaimDesk.js';
+export { ClaimDesk, type ClaimDeskOptions } from './ClaimDesk.js';
+export type { Refusal } from './Refusal.js';
 export { ExplainLog } from './ExplainLog.js';
 export { GRANT_LENGTH_MS, type GrantHeldElsewhere } from './grantRows.js';
 export { PoolHome, type PoolHomeOptions } from './PoolHome.js';
