Let one piece of code serve where durable jobs had copies

Found on reading the change again: - two readers of a job's JSON body (own interface, platform) -> parseJsonBody, one DurableJobOrigin; - four CBOR codecs of the same settings, two checks of record values -> cborCodec, recordValue; - the states of a job listed twice -> durableJobStateSchema; - six flags that tell a loss and a return once -> OutageLog; - loads of targets indexed in four places -> indexLoads; planMoves sorted by two functions -> one; - a getter of TargetSession that extended the lease as it was read -> the method extendLease; a time of which only its presence was asked -> a flag. Behaviour stays but for one case: a malformed record of a term is now refused with an error, where the term became no number before.

--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -9,3 +9,5 @@
   type DurableJobView,
   registerDurableJobRoutes,
 } from './registerDurableJobRoutes.js';
+export type { DurableJobOrigin } from './parseDurableJob.js';
+export { parseJsonBody } from './parseJsonBody.js';
--- a/src/callers/parseDurableJob.ts
+++ b/src/callers/parseDurableJob.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
-import { throwError } from '../errors/index.js';
 import type { DurableJobSpec, QueueTerms } from '../jobs/index.js';
+import { parseJsonBody } from './parseJsonBody.js';
 
 const count = z.int().nonnegative();
 
@@ -55,14 +55,6 @@
   readonly nowMs: number;
 }
 
-function parseJson(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString('utf8'));
-  } catch (thrown) {
-    return throwError('bad-request', `The body is not JSON: ${String(thrown)}`, { field: 'body' });
-  }
-}
-
 /**
  * Reads a durable job as callers submit it.
  * @param body - The body of the request.
@@ -71,11 +63,6 @@
  * @throws RattanliftError Of kind `bad-request` with the field at fault.
  */
 export function parseDurableJob(body: Buffer, origin: DurableJobOrigin): DurableJobSpec {
-  const result = jobSchema.safeParse(parseJson(body));
-  if (!result.success) {
-    const field = result.error.issues[0]?.path.join('.') ?? 'body';
-    return throwError('bad-request', z.prettifyError(result.error), { field });
-  }
   const { jobId, terms, nowMs: submittedAtMs } = origin;
-  return { jobId, terms, submittedAtMs, ...result.data };
+  return { jobId, terms, submittedAtMs, ...parseJsonBody(jobSchema, body) };
 }
--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -1,7 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { EventLog } from '../logging/index.js';
+import { type EventLog, OutageLog } from '../logging/index.js';
 import type { KeyedRecord } from '../store/index.js';
-import { type PoolDemand, planMoves, type TargetLoad, type VmMove } from '../systems/index.js';
+import {
+  indexLoads,
+  type PoolDemand,
+  planMoves,
+  type TargetLoad,
+  type VmMove,
+} from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm, VmFleetPort } from '../vms/index.js';
 import { VmOrders } from './VmOrders.js';
@@ -76,7 +82,7 @@
 
   private isClosed = false;
 
-  private isListSilent = false;
+  private readonly listOutage: OutageLog;
 
   /**
    * Creates a home that does nothing yet.
@@ -84,7 +90,12 @@
    */
   constructor(options: FleetHomeOptions) {
     this.options = options;
-    const { clock, orderLeaseMs, waveRecords } = options;
+    const { clock, events, orderLeaseMs, waveRecords } = options;
+    this.listOutage = new OutageLog({
+      events,
+      lost: 'vmListUnreachable',
+      regained: 'vmListReachable',
+    });
     const notBeforeMs = clock.monotonicMs() + orderLeaseMs + ORDER_MARGIN_MS;
     const onStaleTerm = (): void => this.options.onReplaced();
     this.orders = new VmOrders({ ...options, notBeforeMs, onStaleTerm });
@@ -124,16 +135,13 @@
   }
 
   private async listVms(): Promise<readonly FleetVm[] | undefined> {
-    const { port, events } = this.options;
     try {
-      const vms = await port.listVms();
-      if (this.isListSilent) events.write('vmListReachable', {});
-      this.isListSilent = false;
+      const vms = await this.options.port.listVms();
+      this.listOutage.noteSuccess();
       vms.forEach((vm) => this.noteVm(vm));
       return vms;
     } catch (thrown) {
-      if (!this.isListSilent) events.write('vmListUnreachable', { reason: String(thrown) });
-      this.isListSilent = true;
+      this.listOutage.noteFailure({ reason: String(thrown) });
       return undefined;
     }
   }
@@ -160,9 +168,7 @@
   }
 
   private getLoads(): ReadonlyMap<string, TargetLoad> {
-    return new Map(
-      this.demands.flatMap(({ targets }) => targets.map((load) => [load.targetId, load])),
-    );
+    return indexLoads(this.demands);
   }
 
   private async syncPools(vms: readonly FleetVm[]): Promise<void> {
@@ -245,8 +251,7 @@
         .filter((pool) => pools.has(pool))
         .map((pool) => this.syncPool(vms, pool, drained)),
     );
-    const fresh = answers.flatMap((demand) => demand?.targets ?? []);
-    return new Map(fresh.map((load) => [load.targetId, load]));
+    return indexLoads(answers.filter((demand) => demand !== undefined));
   }
 
   /** VMs that get no new task: a wave is about to take them, or they leave their pool. */
--- a/src/fleetHome/WaveOrder.ts
+++ b/src/fleetHome/WaveOrder.ts
@@ -1,7 +1,5 @@
-import { Encoder } from 'cbor-x';
 import { z } from 'zod';
-import { throwError } from '../errors/index.js';
-import type { KeyedRecord } from '../store/index.js';
+import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../store/index.js';
 
 /** A wave of maintenance as operators have ordered it. */
 export interface WaveOrder {
@@ -27,8 +25,6 @@
 
 const PREFIX = 'wave/';
 
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
-
 const recordSchema = z.looseObject({
   wave: z.number(),
   deadlineAtMs: z.number(),
@@ -42,7 +38,7 @@
  * @returns Its record.
  */
 export function encodeWaveRecord(record: WaveRecord): KeyedRecord {
-  return { key: `${PREFIX}${record.wave}`, value: codec.encode(record) };
+  return { key: `${PREFIX}${record.wave}`, value: encodeRecordValue(record) };
 }
 
 /**
@@ -51,9 +47,7 @@
  * @returns The progress, or undefined where the record is about something else.
  * @throws RattanliftError Of kind `internal` where it is malformed.
  */
-export function decodeWaveRecord({ key, value }: KeyedRecord): WaveRecord | undefined {
-  if (!key.startsWith(PREFIX) || value === undefined) return undefined;
-  const result = recordSchema.safeParse(codec.decode(value));
-  if (result.success) return result.data;
-  return throwError('internal', `Record ${key} is malformed: ${z.prettifyError(result.error)}`);
+export function decodeWaveRecord(record: KeyedRecord): WaveRecord | undefined {
+  if (!record.key.startsWith(PREFIX) || record.value === undefined) return undefined;
+  return decodeRecordValue(recordSchema, record);
 }
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -17,6 +17,7 @@
 export {
   decodeJobRecord,
   durableJobSpecSchema,
+  durableJobStateSchema,
   encodeJobProgress,
   encodeJobRemoval,
   encodeJobSpec,
--- a/src/jobs/jobCodec.ts
+++ b/src/jobs/jobCodec.ts
@@ -1,12 +1,8 @@
-import { Encoder } from 'cbor-x';
 import { z } from 'zod';
-import { throwError } from '../errors/index.js';
-import type { KeyedRecord } from '../store/index.js';
+import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../store/index.js';
 import type { DurableJobRow } from './DurableJobRow.js';
 import type { DurableJobSpec } from './DurableJobSpec.js';
 
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
-
 const SPEC_PREFIX = 'spec/';
 const PROGRESS_PREFIX = 'progress/';
 
@@ -50,8 +46,17 @@
   submittedAtMs: z.number(),
 });
 
+/** Schema of a job's state, for records and for messages between instances. */
+export const durableJobStateSchema = z.enum([
+  'queued',
+  'running',
+  'completed',
+  'failed',
+  'cancelled',
+]);
+
 const progressSchema = z.looseObject({
-  state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
+  state: durableJobStateSchema,
   finishedAtMs: z.number().optional(),
   tasks: z.array(
     z.looseObject({
@@ -82,7 +87,7 @@
  * @returns The record.
  */
 export function encodeJobSpec(spec: DurableJobSpec): KeyedRecord {
-  return { key: `${SPEC_PREFIX}${spec.jobId}`, value: codec.encode(spec) };
+  return { key: `${SPEC_PREFIX}${spec.jobId}`, value: encodeRecordValue(spec) };
 }
 
 /**
@@ -97,7 +102,7 @@
   tasks,
 }: DurableJobRow): KeyedRecord {
   const progress: JobProgress = { state, finishedAtMs, tasks };
-  return { key: `${PROGRESS_PREFIX}${spec.jobId}`, value: codec.encode(progress) };
+  return { key: `${PROGRESS_PREFIX}${spec.jobId}`, value: encodeRecordValue(progress) };
 }
 
 /**
@@ -112,27 +117,22 @@
   ];
 }
 
-function parseOrThrow<Value>(schema: z.ZodType, key: string, value: Uint8Array): Value {
-  const result = schema.safeParse(codec.decode(value));
-  if (result.success) return result.data as Value;
-  return throwError('internal', `Record ${key} is malformed: ${z.prettifyError(result.error)}`);
-}
-
 /**
  * Decodes a record of a pool's partition.
  * @param record - The record.
  * @returns What it holds; `other` where its key is none of a job.
  * @throws RattanliftError Of kind `internal` where the value does not fit its key.
  */
-export function decodeJobRecord({ key, value }: KeyedRecord): JobRecord {
+export function decodeJobRecord(record: KeyedRecord): JobRecord {
+  const { key, value } = record;
   if (value === undefined) return { type: 'other' };
   if (key.startsWith(SPEC_PREFIX)) {
     const jobId = key.slice(SPEC_PREFIX.length);
-    return { type: 'spec', jobId, spec: parseOrThrow(durableJobSpecSchema, key, value) };
+    return { type: 'spec', jobId, spec: decodeRecordValue(durableJobSpecSchema, record) };
   }
   if (key.startsWith(PROGRESS_PREFIX)) {
     const jobId = key.slice(PROGRESS_PREFIX.length);
-    return { type: 'progress', jobId, progress: parseOrThrow(progressSchema, key, value) };
+    return { type: 'progress', jobId, progress: decodeRecordValue(progressSchema, record) };
   }
   return { type: 'other' };
 }
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -3,5 +3,6 @@
 export type { EventFields, EventLog } from './EventLog.js';
 export type { LogEvent, LogLevel } from './LogEvent.js';
 export { MemoryEventLog, type KeptEvent } from './MemoryEventLog.js';
+export { OutageLog, type OutageLogOptions } from './OutageLog.js';
 export { writeToDescriptor } from './writeToDescriptor.js';
 export { TslogEventLog, type TslogEventLogOptions } from './TslogEventLog.js';
--- a/src/peers/frameCodec.ts
+++ b/src/peers/frameCodec.ts
@@ -1,6 +1,7 @@
-import { Encoder, setSizeLimits } from 'cbor-x';
+import { setSizeLimits } from 'cbor-x';
 import { z } from 'zod';
 import { throwError } from '../errors/index.js';
+import { cborCodec } from '../utils/index.js';
 import { type PeerFrame, peerFrameSchema } from './PeerFrame.js';
 
 /** Bytes of the big-endian length before each frame. */
@@ -20,8 +21,6 @@
   maxObjectSize: MAX_FRAME_BYTES,
 });
 
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
-
 /**
  * Encodes a frame with its length.
  * @param frame - The frame.
@@ -30,7 +29,7 @@
  * @internal
  */
 export function encodeFrame(frame: PeerFrame): Buffer {
-  const payload = codec.encode(frame);
+  const payload = cborCodec.encode(frame);
   if (payload.length > MAX_FRAME_BYTES) {
     throwError('internal', `A frame of ${payload.length} bytes exceeds ${MAX_FRAME_BYTES}.`);
   }
@@ -46,7 +45,7 @@
  * @internal
  */
 export function encodeCbor(value: unknown): Buffer {
-  return codec.encode(value);
+  return cborCodec.encode(value);
 }
 
 /**
@@ -58,7 +57,7 @@
  */
 export function decodeCbor(payload: Buffer): unknown {
   try {
-    return codec.decode(payload);
+    return cborCodec.decode(payload);
   } catch (thrown) {
     return throwError('bad-request', `The frame is not CBOR: ${String(thrown)}`);
   }
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { ERROR_ANSWERS, type ErrorKind, throwError } from '../errors/index.js';
-import { durableJobSpecSchema } from '../jobs/index.js';
+import { durableJobSpecSchema, durableJobStateSchema } from '../jobs/index.js';
 import type { PeerReply, PeerRequest } from './PeerMessage.js';
 
 const id = z.string().min(1).max(200);
@@ -94,7 +94,7 @@
   z.looseObject({ type: z.literal('done') }),
   z.looseObject({
     type: z.literal('durable-job'),
-    state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']).optional(),
+    state: durableJobStateSchema.optional(),
   }),
   z.looseObject({ type: z.literal('pending-jobs'), count }),
   z.looseObject({
--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { EventLog } from '../logging/index.js';
+import { type EventLog, OutageLog } from '../logging/index.js';
 import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
 import type { QueueConfiguration } from './QueueConfiguration.js';
 
@@ -37,7 +37,7 @@
 
   private configuration: QueueConfiguration | undefined;
 
-  private isUnreachable = false;
+  private readonly outage: OutageLog;
 
   private isStopped = false;
 
@@ -47,6 +47,11 @@
    */
   constructor(options: ConfigurationFollowerOptions) {
     this.options = options;
+    this.outage = new OutageLog({
+      events: options.events,
+      lost: 'configurationUnreachable',
+      regained: 'configurationReachable',
+    });
     this.follower = new KeyedFollower({ ...options, onRecord: (record) => this.take(record) });
   }
 
@@ -76,19 +81,12 @@
   }
 
   private async read(): Promise<void> {
-    const { events } = this.options;
     try {
       await this.follower.read(WAIT_MS);
-      if (this.isUnreachable) {
-        events.write('configurationReachable', { version: this.configuration?.version });
-      }
-      this.isUnreachable = false;
+      this.outage.noteSuccess({ version: this.configuration?.version });
     } catch (thrown) {
-      if (!this.isUnreachable) {
-        const { version } = this.configuration ?? {};
-        events.write('configurationUnreachable', { version, reason: String(thrown) });
-      }
-      this.isUnreachable = true;
+      const { version } = this.configuration ?? {};
+      this.outage.noteFailure({ version, reason: String(thrown) });
       await sleep(RETRY_PAUSE_MS);
     }
   }
--- a/src/systems/PoolDemand.ts
+++ b/src/systems/PoolDemand.ts
@@ -22,3 +22,14 @@
   /** Unfinished jobs. */
   readonly jobCount: number;
 }
+
+/**
+ * Finds the loads of targets over several pools.
+ * @param demands - The pools.
+ * @returns Loads by the ids of their targets.
+ */
+export function indexLoads(demands: readonly PoolDemand[]): ReadonlyMap<string, TargetLoad> {
+  return new Map(
+    demands.flatMap(({ targets }) => targets.map((load) => [load.targetId, load] as const)),
+  );
+}
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -20,7 +20,7 @@
 export { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 export { placeTasks, type PlaceTasksInput, type TaskPlacement } from './placeTasks.js';
 export { getOccupied, getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
-export type { PoolDemand, TargetLoad } from './PoolDemand.js';
+export { indexLoads, type PoolDemand, type TargetLoad } from './PoolDemand.js';
 export { type Evacuation, planEvacuations, type PlanEvacuationsInput } from './planEvacuations.js';
 export {
   type MaintenanceWave,
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -1,5 +1,5 @@
 import type { FleetVm } from '../vms/index.js';
-import type { PoolDemand, TargetLoad } from './PoolDemand.js';
+import { indexLoads, type PoolDemand, type TargetLoad } from './PoolDemand.js';
 
 /** A VM that is to change its pool. */
 export interface VmMove {
@@ -48,17 +48,30 @@
   };
 }
 
+function getLoad(
+  loads: ReadonlyMap<string, TargetLoad>,
+  { targetId }: FleetVm,
+): TargetLoad | undefined {
+  return targetId === undefined ? undefined : loads.get(targetId);
+}
+
+/** Puts the VMs with the fewest tasks first, and those of which nothing is known last. */
+function byRunCount(loads: ReadonlyMap<string, TargetLoad>): (a: FleetVm, b: FleetVm) => number {
+  const getRunCount = (vm: FleetVm): number => getLoad(loads, vm)?.runCount ?? Infinity;
+  return (a, b) => getRunCount(a) - getRunCount(b);
+}
+
 /**
  * VMs of a pool beyond what it needs and keeps, those with the fewest tasks first; one that still
  * works is emptied first. VMs with long-running tasks stay.
  */
-function listSpareVms({ demand, upVms, haveCount, needCount }: PoolBalance): readonly FleetVm[] {
-  const loads = new Map<string, TargetLoad>(demand.targets.map((load) => [load.targetId, load]));
-  const getRunCount = ({ targetId }: FleetVm): number =>
-    loads.get(targetId ?? '')?.runCount ?? Infinity;
+function listSpareVms(
+  { upVms, haveCount, needCount }: PoolBalance,
+  loads: ReadonlyMap<string, TargetLoad>,
+): readonly FleetVm[] {
   return upVms
-    .filter(({ targetId }) => loads.get(targetId ?? '')?.longRunningCount === 0)
-    .toSorted((a, b) => getRunCount(a) - getRunCount(b))
+    .filter((vm) => getLoad(loads, vm)?.longRunningCount === 0)
+    .toSorted(byRunCount(loads))
     .slice(0, Math.max(0, haveCount - Math.max(needCount, MIN_KEPT_COUNT)));
 }
 
@@ -80,12 +93,10 @@
   const balances = demands
     .filter(({ pool }) => !standbyPools.has(pool))
     .map((demand) => balancePool(demand, input));
-  const loads = new Map(
-    demands.flatMap(({ targets }) => targets.map((load) => [load.targetId, load.runCount])),
-  );
+  const loads = indexLoads(demands);
   const spare = balances
-    .flatMap(listSpareVms)
-    .toSorted((a, b) => (loads.get(a.targetId ?? '') ?? 0) - (loads.get(b.targetId ?? '') ?? 0));
+    .flatMap((balance) => listSpareVms(balance, loads))
+    .toSorted(byRunCount(loads));
   const available = [...standby, ...spare];
   return balances
     .map(({ demand, haveCount, needCount }) => ({
--- a/src/taskHome/HomeDirectory.ts
+++ b/src/taskHome/HomeDirectory.ts
@@ -1,4 +1,4 @@
-import type { EventLog } from '../logging/index.js';
+import { type EventLog, OutageLog } from '../logging/index.js';
 import type { PeerAddress } from '../peers/index.js';
 import type { GroupPort } from '../store/index.js';
 import type { Clock } from '../utils/index.js';
@@ -47,7 +47,7 @@
 
   private reading: Promise<void> | undefined;
 
-  private isUnreachable = false;
+  private readonly outage: OutageLog;
 
   /**
    * Creates a directory that knows no home.
@@ -55,6 +55,7 @@
    */
   constructor(options: HomeDirectoryOptions) {
     this.options = options;
+    this.outage = new OutageLog({ events: options.events, lost: 'groupUnreachable' });
   }
 
   /**
@@ -77,7 +78,7 @@
   }
 
   private async read(): Promise<void> {
-    const { groups, group, clock, events } = this.options;
+    const { groups, group, clock } = this.options;
     try {
       const rows = await groups.listOwners(group);
       const known = rows.flatMap(({ partition, member }): readonly [number, PeerAddress][] => {
@@ -85,11 +86,9 @@
         return address === undefined ? [] : [[partition, address]];
       });
       this.owners = new Map(known);
-      this.isUnreachable = false;
+      this.outage.noteSuccess();
     } catch (thrown) {
-      const reason = String(thrown);
-      if (!this.isUnreachable) events.write('groupUnreachable', { group, reason });
-      this.isUnreachable = true;
+      this.outage.noteFailure({ group, reason: String(thrown) });
     }
     this.readAtMs = clock.monotonicMs();
   }
--- a/src/taskHome/TargetDirectory.ts
+++ b/src/taskHome/TargetDirectory.ts
@@ -1,4 +1,4 @@
-import type { EventLog } from '../logging/index.js';
+import { type EventLog, OutageLog } from '../logging/index.js';
 import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
 import type { TargetEntries, TargetEntry } from './TargetEntry.js';
 
@@ -20,7 +20,7 @@
 
   private readonly entries = new Map<string, TargetEntry>();
 
-  private isStale = false;
+  private readonly outage: OutageLog;
 
   private refreshing: Promise<void> | undefined;
 
@@ -30,6 +30,11 @@
    */
   constructor(options: TargetDirectoryOptions) {
     this.options = options;
+    this.outage = new OutageLog({
+      events: options.events,
+      lost: 'targetListUnreachable',
+      regained: 'targetListReachable',
+    });
     this.follower = new KeyedFollower({ ...options, onRecord: (record) => this.take(record) });
   }
 
@@ -50,14 +55,11 @@
   }
 
   private async read(): Promise<void> {
-    const { events } = this.options;
     try {
       await this.follower.read(0);
-      if (this.isStale) events.write('targetListReachable', { targetCount: this.entries.size });
-      this.isStale = false;
+      this.outage.noteSuccess({ targetCount: this.entries.size });
     } catch (thrown) {
-      if (!this.isStale) events.write('targetListUnreachable', { reason: String(thrown) });
-      this.isStale = true;
+      this.outage.noteFailure({ reason: String(thrown) });
     }
   }
 
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { EventLog } from '../logging/index.js';
+import { type EventLog, OutageLog } from '../logging/index.js';
 import type { LeaseAnswer, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
 import { assertNever, type Clock } from '../utils/index.js';
 
@@ -48,9 +48,9 @@
 
   private leaseUntilTargetMs = 0;
 
-  private heardAtMs: number | undefined;
+  private hasAnswered = false;
 
-  private isSilent = false;
+  private readonly outage: OutageLog;
 
   /**
    * Creates a session that renews nothing yet.
@@ -59,16 +59,16 @@
   constructor(options: TargetSessionOptions) {
     this.options = options;
     this.createdAtMs = options.clock.monotonicMs();
+    this.outage = new OutageLog({
+      events: options.events,
+      lost: 'targetSilent',
+      regained: 'targetHeardAgain',
+    });
   }
 
   /** Whether the target answers under this home's term. */
   get isReachable(): boolean {
-    return this.heardAtMs !== undefined && !this.isSilent;
-  }
-
-  /** Latest end of the lease that was asked for, on the target's clock. */
-  get leaseUntilMs(): number {
-    return this.computeLease();
+    return this.hasAnswered && !this.outage.isOut;
   }
 
   /**
@@ -110,7 +110,11 @@
     this.readTargetClock = { targetMs, atMs: this.options.clock.monotonicMs() };
   }
 
-  private computeLease(): number {
+  /**
+   * Extends the lease that renewals and starts ask for, counted from now.
+   * @returns Its end on the target's clock, in milliseconds.
+   */
+  extendLease(): number {
     const { readTargetClock } = this;
     if (readTargetClock === undefined) return this.leaseUntilTargetMs;
     const passedMs = this.options.clock.monotonicMs() - readTargetClock.atMs;
@@ -132,30 +136,34 @@
     // The first renewal only raises the term and reads the clock that a lease is counted on. While
     // the target is silent nothing extends its lease either: a renewal without an answer may still
     // be carried out, so its lease would never be over for certain and its tasks never run again.
-    const isOnlyLook = this.readTargetClock === undefined || this.isSilent;
+    const isOnlyLook = this.readTargetClock === undefined || this.outage.isOut;
     try {
       const answer = await port.renew(address, {
         term,
         acknowledgedEndNumber: this.acknowledgedEndNumber,
-        leaseUntilTargetMs: isOnlyLook ? undefined : this.computeLease(),
+        leaseUntilTargetMs: isOnlyLook ? undefined : this.extendLease(),
         waitMs: isOnlyLook ? 0 : waitMs,
       });
       if (!this.isClosed) await this.take(answer, askedAtMs);
     } catch (thrown) {
-      this.noteSilence(String(thrown));
+      const { targetId } = address;
+      this.outage.noteFailure({ targetId, term, reason: String(thrown) });
       await sleep(RETRY_PAUSE_MS);
     }
   }
 
   private async take(answer: LeaseAnswer, askedAtMs: number): Promise<void> {
+    const { term, address } = this.options;
+    const { targetId } = address;
     switch (answer.type) {
       case 'report':
         this.noteClock(answer.targetClockMs);
-        this.noteHeard();
+        this.hasAnswered = true;
+        this.outage.noteSuccess({ targetId, term });
         await this.options.onReport({ answer, askedAtMs });
         return;
       case 'unhealthy':
-        this.noteSilence(answer.type);
+        this.outage.noteFailure({ targetId, term, reason: answer.type });
         await sleep(RETRY_PAUSE_MS);
         return;
       case 'stale-term':
@@ -167,17 +175,4 @@
         assertNever(answer);
     }
   }
-
-  private noteHeard(): void {
-    const { address, clock, events, term } = this.options;
-    this.heardAtMs = clock.monotonicMs();
-    if (this.isSilent) events.write('targetHeardAgain', { targetId: address.targetId, term });
-    this.isSilent = false;
-  }
-
-  private noteSilence(reason: string): void {
-    const { address, events, term } = this.options;
-    if (!this.isSilent) events.write('targetSilent', { targetId: address.targetId, term, reason });
-    this.isSilent = true;
-  }
 }
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -93,12 +93,12 @@
   }
 
   /**
-   * Computes the end of a target's lease for an order.
+   * Extends a target's lease for an order that carries it.
    * @param targetId - Id of the target.
    * @returns The end on the target's own clock, in milliseconds.
    */
-  getLeaseUntilMs(targetId: string): number {
-    return this.known.get(targetId)?.session.leaseUntilMs ?? 0;
+  extendLease(targetId: string): number {
+    return this.known.get(targetId)?.session.extendLease() ?? 0;
   }
 
   /**
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -298,9 +298,10 @@
     const lastEndNumber = Math.max(...answer.ended.map(({ endNumber }) => endNumber));
     // Ends are forgotten by the target only once they are stored; a store that is away must not
     // keep the lease from being renewed.
-    const stored = this.flush().then(() => this.sessions.acknowledge(targetId, lastEndNumber));
-    stored.catch(() => undefined);
-    await Promise.race([stored.catch(() => undefined), sleep(STORE_WAIT_MS)]);
+    const stored = this.flush()
+      .then(() => this.sessions.acknowledge(targetId, lastEndNumber))
+      .catch(() => undefined);
+    await Promise.race([stored, sleep(STORE_WAIT_MS)]);
   }
 
   /** Targets that are emptied: the fleet's home takes their VMs, or they have said to leave. */
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { decodeWaveRecord, type FleetHome, type WaveRecord } from '../fleetHome/index.js';
-import type { EventLog } from '../logging/index.js';
+import { type EventLog, OutageLog } from '../logging/index.js';
 import { HeldLease } from '../membership/index.js';
 import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
@@ -73,7 +73,7 @@
 
   private generation = 0;
 
-  private isUnreachable = false;
+  private readonly outage: OutageLog;
 
   private isStopped = false;
 
@@ -87,7 +87,8 @@
    */
   constructor(options: TaskHomesOptions) {
     this.options = options;
-    const { clock, groupTiming } = options;
+    const { clock, events, groupTiming } = options;
+    this.outage = new OutageLog({ events, lost: 'groupUnreachable', regained: 'groupReachable' });
     this.lease = new HeldLease({
       clock,
       timing: {
@@ -145,22 +146,19 @@
   }
 
   private async renew(): Promise<void> {
-    const { groups, group, member, topic, groupTiming, events } = this.options;
+    const { groups, group, member, topic, groupTiming } = this.options;
     const sentAt = this.lease.readClocks();
     const { generation } = this;
     try {
       const share = await groups.join({ group, member, topic, ...groupTiming, generation });
       if (this.isStopped) return;
       this.lease.extend(sentAt);
-      if (this.isUnreachable) events.write('groupReachable', { group, member, generation });
-      this.isUnreachable = false;
+      this.outage.noteSuccess({ group, member, generation });
       this.generation = share.generation;
       this.shared = new Set(share.partitions);
       this.follow();
     } catch (thrown) {
-      const reason = String(thrown);
-      if (!this.isUnreachable) events.write('groupUnreachable', { group, member, reason });
-      this.isUnreachable = true;
+      this.outage.noteFailure({ group, member, reason: String(thrown) });
     }
   }
 
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -248,7 +248,7 @@
   private createStart(key: RunKey): TaskStart | undefined {
     const found = this.table.findPlaced(key);
     if (found === undefined || isFinished(found.row)) return undefined;
-    const leaseUntilTargetMs = this.sessions.getLeaseUntilMs(key.targetId);
+    const leaseUntilTargetMs = this.sessions.extendLease(key.targetId);
     return createTaskStart(key, found, { leaseUntilTargetMs, term: this.options.term });
   }
 
--- a/src/taskHome/openTaskHome.ts
+++ b/src/taskHome/openTaskHome.ts
@@ -1,4 +1,4 @@
-import { Encoder } from 'cbor-x';
+import { z } from 'zod';
 import {
   createJobRow,
   decodeJobRecord,
@@ -8,7 +8,12 @@
   type JobRecord,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
-import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
+import {
+  decodeRecordValue,
+  encodeRecordValue,
+  type KeyedLogPort,
+  type KeyedRecord,
+} from '../store/index.js';
 
 /** Key under which a partition keeps the term of its home. */
 const TERM_KEY = 'term';
@@ -16,7 +21,7 @@
 export const HOME_PRODUCER = 'home';
 const APPEND_TIMEOUT_MS = 1_000;
 
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
+const termSchema = z.looseObject({ term: z.int().positive() });
 
 /** What a home takes over with its partition. */
 export interface OpenedPartition {
@@ -58,8 +63,8 @@
 }
 
 function readTerm(records: readonly KeyedRecord[]): number {
-  const value = records.find(({ key }) => key === TERM_KEY)?.value;
-  return value === undefined ? 0 : (codec.decode(value) as { readonly term: number }).term;
+  const record = records.find(({ key, value }) => key === TERM_KEY && value !== undefined);
+  return record === undefined ? 0 : decodeRecordValue(termSchema, record).term;
 }
 
 /**
@@ -81,7 +86,7 @@
   const result = await store.append({
     topic,
     partition,
-    records: [{ key: TERM_KEY, value: codec.encode({ term, instance }) }],
+    records: [{ key: TERM_KEY, value: encodeRecordValue({ term, instance }) }],
     fence: { producer: HOME_PRODUCER, term, sequence: 0 },
     expectedEndOffset: endOffset,
     timeoutMs: APPEND_TIMEOUT_MS,
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,3 +1,4 @@
+export { cborCodec } from './cborCodec.js';
 export { assertNever } from './assertNever.js';
 export type { Clock } from './Clock.js';
 export {
