Serve counters and latency histograms of durable jobs on a metrics port, and log what decisions rest on

Cause: on call had log lines only, and a line of a placement said nothing of what it was decided on; a question or cancel that failed left no line at all.

Lines are counted by event before the budget leaves any out. - Every call to store, targets and VMs is measured by kind and result; answers at the entry, first starts, whole jobs and rounds of placement too. - taskPlaced tells the job's age, the target's free processor and the age of its report; refused questions and cancels, and pools whose tasks wait for room, have lines of their own.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -14,6 +14,7 @@
   TaskHomes,
 } from '../taskHome/index.js';
 import type { JobNodeOptions } from './JobNodeOptions.js';
+import { measurePorts } from './measurePorts.js';
 
 /** Group in which the nodes share the partitions of jobs, and role of the fleet's home. */
 const GROUP = 'homes';
@@ -59,8 +60,9 @@
    * @param options - Its address, the ports, and what the platform sets.
    */
   constructor(options: JobNodeOptions) {
-    this.options = options;
-    const { address, clock, events, ports, records } = options;
+    const { address, clock, events, metrics, records } = options;
+    const ports = measurePorts(options.ports, { metrics, clock });
+    this.options = { ...options, ports };
     const { instance, host, port } = address;
     this.partitions = new PoolPartitions({
       partitionCount: records.partitionCount,
@@ -79,7 +81,7 @@
       directory: this.homeDirectory,
       partitions: this.partitions,
       clock,
-      events,
+      metrics,
     });
   }
 
@@ -136,7 +138,7 @@
   }
 
   private createHomes(member: string): TaskHomes {
-    const { bounds, clock, events, ports, records } = this.options;
+    const { bounds, clock, events, metrics, ports, records } = this.options;
     return new TaskHomes({
       ...ports,
       directory: new TargetDirectory({
@@ -161,6 +163,7 @@
       },
       clock,
       events,
+      metrics,
       createFleetHome: (basis) => this.createFleetHome(basis),
     });
   }
--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -1,5 +1,6 @@
 import type { WaveOrder, WaveStatus } from '../fleetHome/index.js';
 import type { EventLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
 import type { PeerAddress } from '../peers/index.js';
 import type { QueueConfiguration } from '../queues/index.js';
 import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
@@ -63,4 +64,5 @@
   readonly bounds: JobNodeBounds;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: Metrics;
 }
--- a/src/logging/events/daemonEvents.ts
+++ b/src/logging/events/daemonEvents.ts
@@ -12,4 +12,9 @@
     text: 'The daemon was told to read its settings.',
   },
   linesLeftOut: { number: 9006, level: 'warn', text: 'Log lines over the budget were left out.' },
+  metricsUnavailable: {
+    number: 9007,
+    level: 'warn',
+    text: 'The port of the metrics cannot be opened; work goes on without.',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -32,6 +32,13 @@
   taskEvacuated: { number: 6032, level: 'info', text: 'A task leaves a target that is emptied.' },
   taskStalled: { number: 6033, level: 'warn', text: 'A task stands still and is started anew.' },
   taskPaced: { number: 6034, level: 'info', text: 'The speed of a best-effort task was changed.' },
+  questionTurnedAway: {
+    number: 6035,
+    level: 'info',
+    text: 'A question about a durable job, or its cancel, got no answer.',
+  },
+  tasksWait: { number: 6036, level: 'info', text: 'Tasks of a pool wait for room.' },
+  tasksFit: { number: 6037, level: 'info', text: 'No task of a pool waits for room any more.' },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -82,6 +82,73 @@
     meaning: 'Records on the log that this instance has not applied yet.',
     tags: [],
   },
+  log_lines: {
+    type: 'counter',
+    unit: 'lines',
+    meaning: 'Log lines by event, also those that were left out over the budget.',
+    tags: ['event'],
+  },
+  durable_answer_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: 'From a request about a durable job at its entry to its answer, or to its error kind.',
+    tags: ['call', 'result'],
+  },
+  first_start_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: "From a durable job's submission to the placement of its first task.",
+    tags: ['pool'],
+  },
+  job_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: "From a durable job's submission to its final state.",
+    tags: ['pool', 'state'],
+  },
+  placement_round_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: 'Processor time of one round of placement at a home of durable jobs.',
+    tags: [],
+  },
+  store_call_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: "From a call to the platform's store to its answer or failure.",
+    tags: ['call', 'result'],
+  },
+  target_call_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning:
+      'From a call to a leased target to its answer or failure; renewals are held back there.',
+    tags: ['call', 'result'],
+  },
+  vm_call_ms: {
+    type: 'timer',
+    unit: 'ms',
+    meaning: 'From a call to the interface of VMs to its answer or failure.',
+    tags: ['call', 'result'],
+  },
+  open_jobs: {
+    type: 'gauge',
+    unit: 'jobs',
+    meaning: 'Unfinished durable jobs of a pool, at its home.',
+    tags: ['pool'],
+  },
+  waiting_millicores: {
+    type: 'gauge',
+    unit: 'millicores',
+    meaning: 'Processor that tasks ask for whose turn has come and that wait for room.',
+    tags: ['pool'],
+  },
+  placed_tasks: {
+    type: 'gauge',
+    unit: 'tasks',
+    meaning: 'Tasks of a pool that are given to targets.',
+    tags: ['pool'],
+  },
 } as const satisfies Readonly<Record<string, MetricKind>>;
 
 /** Name of a measurement. */
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -9,6 +9,8 @@
   /** Place of the task among its job's tasks. */
   readonly position: number;
   readonly targetId: string;
+  /** Processor of the target that was free before, in thousandths of a core. */
+  readonly freeCpuMillicores: number;
 }
 
 /** What {@link placeTasks} decides over. */
@@ -91,8 +93,9 @@
     const room = chooseRoom(rooms, step, stepKey, failed);
     isFull = room === undefined;
     if (room === undefined) return [];
+    const { freeCpuMillicores, target } = room;
     room.take(stepKey, step);
-    return [{ jobId, position, targetId: room.target.targetId }];
+    return [{ jobId, position, targetId: target.targetId, freeCpuMillicores }];
   });
 }
 
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ERROR_ANSWERS, RattanliftError, throwError, toRattanliftError } from '../errors/index.js';
 import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
-import type { EventLog } from '../logging/index.js';
+import { measureCall, type Metrics } from '../metrics/index.js';
 import type { DurableJobRequest, PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
 import type { PoolDemand } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
@@ -18,7 +18,7 @@
   readonly directory: HomeDirectory;
   readonly partitions: PoolPartitions;
   readonly clock: Clock;
-  readonly events: EventLog;
+  readonly metrics: Metrics;
 }
 
 /** Pause before a home is looked for again, in milliseconds: a home opens in about 50. */
@@ -117,8 +117,20 @@
     return outcome.reply.demand;
   }
 
+  private call(request: DurableJobRequest, pool: string): Promise<PeerReply> {
+    const { clock, metrics } = this.options;
+    return measureCall({
+      metrics,
+      clock,
+      timer: 'durable_answer_ms',
+      call: request.type,
+      run: () => this.askHomes(request, pool),
+      describeError: (thrown) => toRattanliftError(thrown).kind,
+    });
+  }
+
   /** Asks the home of a pool, and the next one where a home is being replaced. */
-  private async call(request: DurableJobRequest, pool: string): Promise<PeerReply> {
+  private async askHomes(request: DurableJobRequest, pool: string): Promise<PeerReply> {
     const { clock, directory } = this.options;
     const giveUpAtMs = clock.monotonicMs() + SEARCH_MS;
     let isInDoubt = false;
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -71,6 +71,12 @@
     return this.hasAnswered && !this.outage.isOut;
   }
 
+  /** Age of the target's latest answer in milliseconds; undefined before the first. */
+  get answerAgeMs(): number | undefined {
+    if (this.readTargetClock === undefined) return undefined;
+    return Math.round(this.options.clock.monotonicMs() - this.readTargetClock.atMs);
+  }
+
   /**
    * Time from which on everything that ran on the target has certainly been killed, by the
    * monotonic clock. Before the first answer an earlier home's lease may still run.
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -92,6 +92,15 @@
     return this.known.get(targetId)?.entry;
   }
 
+  /**
+   * Tells how old the latest answer of a target is.
+   * @param targetId - Id of the target.
+   * @returns The age in milliseconds, or undefined where the target has not answered yet.
+   */
+  getAnswerAgeMs(targetId: string): number | undefined {
+    return this.known.get(targetId)?.session.answerAgeMs;
+  }
+
   /**
    * Extends a target's lease for an order that carries it.
    * @param targetId - Id of the target.
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -10,13 +10,16 @@
   isFinished,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
 import type { DurableJobRequest } from '../peers/index.js';
 import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
-import { ArrivalRate, orderJobs, placeTasks, type PoolDemand } from '../systems/index.js';
+import { orderJobs, placeTasks, type PoolDemand } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
 import { describeDemand } from './describeDemand.js';
 import { JobTable } from './JobTable.js';
+import { JobTelemetry } from './JobTelemetry.js';
+import { PoolArrivals } from './PoolArrivals.js';
 import { RecordWriter } from './RecordWriter.js';
 import { TargetDrains } from './TargetDrains.js';
 import type { TargetEntries } from './TargetEntry.js';
@@ -37,6 +40,7 @@
   readonly timing: TaskHomeTiming;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly getEntries: () => TargetEntries;
   /** Whether this instance certainly still is the home at this moment. */
   readonly isCertain: () => boolean;
@@ -64,7 +68,9 @@
 
   private readonly sessions: TargetSessions;
 
-  private readonly arrivals = new Map<string, ArrivalRate>();
+  private readonly telemetry: JobTelemetry;
+
+  private readonly arrivals: PoolArrivals;
 
   private readonly drains: TargetDrains;
 
@@ -84,8 +90,11 @@
     this.openedAtMs = clock.monotonicMs();
     this.writer = new RecordWriter({ ...options, onFenced: () => this.replace() });
     this.drains = new TargetDrains(clock);
+    this.arrivals = new PoolArrivals(clock);
+    this.telemetry = new JobTelemetry(options);
     this.runs = new TaskRuns({
       ...options,
+      telemetry: this.telemetry,
       table: this.table,
       getSessions: () => this.sessions,
       onChanged: () => this.flushInBackground(),
@@ -126,7 +135,7 @@
     if (this.writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
     const row = createJobRow(spec);
     this.table.add(row);
-    this.getArrivals(spec.terms.pool).note(this.runs.runTimes.estimateWork(row));
+    this.arrivals.get(spec.terms.pool).note(this.runs.runTimes.estimateWork(row));
     try {
       await this.flush();
     } catch (thrown) {
@@ -198,15 +207,17 @@
     this.runs.evacuate(this.listEmptied());
     // What was placed before this call is counted below; nothing is placed there after it.
     await this.flush().catch(() => undefined);
-    return describeDemand({
+    const demand = describeDemand({
       pool,
       rows: this.table.list(),
       targets: this.sessions.listForPlacement(() => false),
       countRuns: (targetId) => this.runs.countOn(targetId),
       runTimes: this.runs.runTimes,
-      arrivingCpuMillicores: this.getArrivals(pool).cpuMillicores,
+      arrivingCpuMillicores: this.arrivals.get(pool).cpuMillicores,
       nowMs: this.options.clock.wallMs(),
     });
+    this.telemetry.noteDemand(demand);
+    return demand;
   }
 
   /** Looks at targets, due tasks and what is to be stopped or forgotten; called each tick. */
@@ -266,8 +277,11 @@
   private async placeAndStore(): Promise<void> {
     await Promise.resolve();
     this.flushing = undefined;
+    const { clock, metrics } = this.options;
+    const startedAtMs = clock.monotonicMs();
     const placed = this.place();
     const records = this.table.takeChanges();
+    metrics.timing('placement_round_ms', clock.monotonicMs() - startedAtMs);
     await this.writer.write(records);
     if (!this.isClosed) placed.forEach((taskName) => this.runs.start(taskName));
   }
@@ -309,19 +323,10 @@
     return new Set([...this.drains.list(), ...this.sessions.listDraining()]);
   }
 
-  private getArrivals(pool: string): ArrivalRate {
-    const known = this.arrivals.get(pool);
-    if (known !== undefined) return known;
-    const created = new ArrivalRate(this.options.clock);
-    this.arrivals.set(pool, created);
-    return created;
-  }
-
   /** Frees the runs that an earlier home placed on targets that were gone before this one. */
   private loseUnknownTargets(): void {
-    const { clock, timing } = this.options;
-    const lapsedAtMs = this.openedAtMs + timing.targetLeaseMs * ADOPTED_LEASE_FACTOR;
-    if (clock.monotonicMs() < lapsedAtMs) return;
+    const leaseMs = this.options.timing.targetLeaseMs * ADOPTED_LEASE_FACTOR;
+    if (this.options.clock.monotonicMs() < this.openedAtMs + leaseMs) return;
     const targetIds = this.table
       .list()
       .flatMap(({ tasks }) => tasks.map(({ targetId }) => targetId))
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -2,6 +2,7 @@
 import { decodeWaveRecord, type FleetHome, type WaveRecord } from '../fleetHome/index.js';
 import { type EventLog, OutageLog } from '../logging/index.js';
 import { HeldLease } from '../membership/index.js';
+import type { Metrics } from '../metrics/index.js';
 import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import { type Clock, KeyedOnce } from '../utils/index.js';
@@ -36,6 +37,7 @@
   readonly homeTiming: TaskHomeTiming;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: Metrics;
   /** Creates the home of the fleet, on the instance that is the home of its partition. */
   readonly createFleetHome: (basis: FleetHomeBasis) => FleetHome;
 }
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -22,6 +22,7 @@
 import type { Clock } from '../utils/index.js';
 import { createTaskStart } from './createTaskStart.js';
 import type { JobTable } from './JobTable.js';
+import type { JobTelemetry } from './JobTelemetry.js';
 import { RunTimer } from './RunTimer.js';
 import { TargetHealth } from './TargetHealth.js';
 import type { TargetReport } from './TargetSession.js';
@@ -39,6 +40,7 @@
   readonly getSessions: () => TargetSessions;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly telemetry: JobTelemetry;
   /** Called where a job has changed, so that it is stored and what has room is placed. */
   readonly onChanged: () => void;
   /** Called where a target has seen a later term. */
@@ -118,21 +120,17 @@
    * @param placement - The task and its target.
    * @returns Name of the task.
    */
-  reserve({ jobId, position, targetId }: TaskPlacement): string {
-    const row = placeTask(this.table.get(jobId)!, position, targetId);
+  reserve({ jobId, position, targetId, freeCpuMillicores }: TaskPlacement): string {
+    const before = this.table.get(jobId)!;
+    const row = placeTask(before, position, targetId);
     this.table.put(row);
     const task = row.tasks[position]!;
     const taskName = nameTask(row, task);
-    const { run } = task;
-    this.orders.reserve({ taskName, run, targetId });
+    const key = { taskName, run: task.run, targetId };
+    this.orders.reserve(key);
     this.timer.begin(taskName);
-    this.options.events.write('taskPlaced', {
-      jobId,
-      taskName,
-      run,
-      targetId,
-      term: this.options.term,
-    });
+    const reportAgeMs = this.sessions.getAnswerAgeMs(targetId);
+    this.options.telemetry.notePlaced(before, key, { freeCpuMillicores, reportAgeMs });
     return taskName;
   }
 
@@ -286,12 +284,12 @@
   }
 
   private endRun(key: RunKey, runEnd: RunEnd, source: string): void {
-    const { clock, events } = this.options;
+    const { clock, telemetry } = this.options;
     const found = this.table.findPlaced(key);
     if (found === undefined) return;
-    const { taskName, run, targetId } = key;
+    const { taskName, targetId } = key;
     const { jobId } = found.row.spec;
-    events.write('taskEnded', { jobId, taskName, run, targetId, end: runEnd.end, source });
+    telemetry.noteEnded(jobId, key, runEnd, source);
     this.orders.forget(taskName);
     this.progress.forget(taskName);
     this.timer.end(taskName, found.row, found.position, runEnd.end === 'done');
@@ -300,7 +298,7 @@
     const row = endRun(found.row, found.position, runEnd, clock.wallMs());
     this.forgetDone(found.row, row);
     this.table.put(row);
-    if (isFinished(row) && !isFinished(found.row)) this.noteFinished(row);
+    if (isFinished(row) && !isFinished(found.row)) telemetry.noteFinished(row);
   }
 
   /**
@@ -320,12 +318,6 @@
       .forEach((task) => this.orders.forget(nameTask(before, task)));
   }
 
-  private noteFinished({ spec, state }: DurableJobRow): void {
-    const { clock, events } = this.options;
-    const tookMs = clock.wallMs() - spec.submittedAtMs;
-    events.write('jobFinished', { jobId: spec.jobId, queue: spec.terms.queue, state, tookMs });
-  }
-
   /**
    * Stops the others of a gang of which a member could not start. Left alone they would hold their
    * targets until the wait for that member ends, and count as started in vain.
--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -4,6 +4,7 @@
 import type { WaveOrder } from '../../src/fleetHome/index.js';
 import { JobNode } from '../../src/jobNode/index.js';
 import type { EventLog } from '../../src/logging/index.js';
+import { NoMetrics } from '../../src/metrics/index.js';
 import type { QueueConfiguration } from '../../src/queues/index.js';
 import type { KeyedRecord } from '../../src/store/index.js';
 import type { TargetEntry } from '../../src/taskHome/index.js';
@@ -157,6 +158,7 @@
       },
       clock,
       events,
+      metrics: new NoMetrics(),
     });
     const server = createHttpServer({ clock, events });
     const getConfiguration = (): QueueConfiguration | undefined => node.getConfiguration();
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -1,6 +1,7 @@
 import { vi } from 'vitest';
 import type { DurableJobSpec, StepSpec } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
+import { MemoryMetrics } from '../../src/metrics/index.js';
 import { SystemClock } from '../../src/utils/index.js';
 import { LeasedTargetsStandIn } from '../../standins/leasedTargets/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
@@ -73,6 +74,8 @@
 
   readonly events = new MemoryEventLog();
 
+  readonly metrics = new MemoryMetrics();
+
   /** Length of the leases of targets, in milliseconds. */
   leaseMs = 60_000;
 
@@ -106,6 +109,7 @@
       timing: { targetLeaseMs: this.leaseMs, targetWaitMs: 10, keepFinishedMs: KEEP_MS },
       clock: new SystemClock(),
       events,
+      metrics: this.metrics,
       getEntries: () => this.entries,
       isCertain: () => this.isCertain,
       onReplaced: () => undefined,
