Tell a job's story from the collected logs of several daemons

Cause: on call had to grep the lines of a job and to look for what happened around it by hand.

rattanlift explain JOB LOG... reads files or standard input, gzip too, with any collector's prefix, and prints the job's lines in order with what happened meanwhile to its targets, its pool and the instances that decided; then the wait for the first placement, the longest silence, how runs ended, and whether lines were left out.

--- a/tests/cli/runCli.test.ts
+++ b/tests/cli/runCli.test.ts
@@ -1,3 +1,4 @@
+import { gzipSync } from 'node:zlib';
 import type { FastifyInstance } from 'fastify';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import {
@@ -21,9 +22,16 @@
     "jobKinds": { "save": { "coreCount": 1, "memoryMb": 9, "expectedRunMs": 9, "idempotent": false } }
   } }
 }`;
+function formatLogLine(second: number, instance: string, event: string, text: string): string {
+  const at = `2026-10-03T14:24:0${second}.000Z`;
+  return `${JSON.stringify({ at, event, instance, text, jobId: 'pack-17' })}\n`;
+}
+
 const FILES: Readonly<Record<string, string>> = {
   'wiki.jsonc': DOCUMENT,
   'rival.jsonc': DOCUMENT.replace('40', '60'),
+  'entry-1.log': formatLogLine(0, 'entry-1', 'jobAccepted', 'A durable job is stored.'),
+  'home-2.log.gz': formatLogLine(1, 'home-2', 'jobFinished', 'A durable job has its final state.'),
   'broken.jsonc': DOCUMENT.replace('"rack"', '"shelf"'),
 };
 const JOB = { jobId: 'entry-1.7', requestId: 'r-1', pool: 'wiki/saves' } as const;
@@ -74,7 +82,8 @@
     stderr: (text) => {
       stderr += text;
     },
-    readFile: async (path) => Buffer.from(FILES[path]!),
+    readFile: async (path) =>
+      path.endsWith('.gz') ? gzipSync(FILES[path]!) : Buffer.from(FILES[path]!),
     environment: { RATTANLIFT_DAEMONS: daemon, USER: 'ada' },
     clock,
     sleep: async (delayMs) => clock.advance(delayMs),
@@ -239,4 +248,13 @@
     );
     expect(exitCodes).toEqual(expectations.map(([, exitCode]) => exitCode));
   });
+
+  it('tells the story of a job from log files of several daemons, gzip too', async () => {
+    const told = await run('explain', 'pack-17', 'home-2.log.gz', 'entry-1.log');
+    expect(told.exitCode).toBe(EXIT_CODES.ok);
+    expect(told.stdout).toMatch(/\+0\.000 s .*jobAccepted[^]*\+1\.000 s .*jobFinished/);
+    const unknown = await run('explain', 'pack-18', 'entry-1.log');
+    expect(unknown).toMatchObject({ exitCode: EXIT_CODES.notFound, stdout: '' });
+    expect(unknown.stderr).toContain('No line is about pack-18.');
+  });
 });
