Order VMs at once after a takeover, but for those that the earlier home has just ordered

Cause: a new home of the fleet left every VM alone for 3.3 s, since an earlier one that did not know it was replaced might still order some.

Ruled out: the store and the takeover itself (home open 1.0 s after the start).

An order whose record took over a second is dropped, as the VM may have got tasks meanwhile.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -10,6 +10,7 @@
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm, VmFleetPort } from '../vms/index.js';
+import type { VmOrderRecord } from './VmOrderRecord.js';
 import { VmOrders } from './VmOrders.js';
 import { WaveDesk } from './WaveDesk.js';
 import type { WaveOrder, WaveRecord, WaveStatus } from './WaveOrder.js';
@@ -25,6 +26,8 @@
   readonly orderLeaseMs: number;
   /** Progress of waves as an earlier home has stored it. */
   readonly waveRecords: readonly WaveRecord[];
+  /** Latest orders for VMs as earlier homes have stored them. */
+  readonly orderRecords: readonly VmOrderRecord[];
   readonly listWaveOrders: () => readonly WaveOrder[];
   /** Pools whose VMs work. */
   readonly listPools: () => readonly string[];
@@ -50,8 +53,6 @@
 const LOOK_EVERY_MS = 200;
 /** How long homes are told of a lifetime that is over, in milliseconds: a takeover takes 2.5 s. */
 const TELL_ENDED_MS = 10_000;
-/** Margin on the time between the orders of two holders, in milliseconds. */
-const ORDER_MARGIN_MS = 300;
 
 /** Time within which a VM has to be empty to move, in milliseconds: tasks last one or two s. */
 const EMPTY_WITHIN_MS = 3_000;
@@ -90,15 +91,14 @@
    */
   constructor(options: FleetHomeOptions) {
     this.options = options;
-    const { clock, events, orderLeaseMs, waveRecords } = options;
+    const { events, waveRecords } = options;
     this.listOutage = new OutageLog({
       events,
       lost: 'vmListUnreachable',
       regained: 'vmListReachable',
     });
-    const notBeforeMs = clock.monotonicMs() + orderLeaseMs + ORDER_MARGIN_MS;
     const onStaleTerm = (): void => this.options.onReplaced();
-    this.orders = new VmOrders({ ...options, notBeforeMs, onStaleTerm });
+    this.orders = new VmOrders({ ...options, onStaleTerm });
     this.waves = new WaveDesk({ ...options, orders: this.orders, records: waveRecords });
   }
 
@@ -259,9 +259,10 @@
     return new Set([...this.waves.listDrained(), ...this.leaving.keys()]);
   }
 
-  /** VMs that are not to be moved: drained already, or away. */
+  /** VMs that are not to be moved: drained already, away, or just ordered by an earlier home. */
   private listHeld(): ReadonlySet<string> {
-    return new Set([...this.listDrained(), ...this.orders.listAway().map(({ vm }) => vm)]);
+    const away = this.orders.listAway().map(({ vm }) => vm);
+    return new Set([...this.listDrained(), ...away, ...this.orders.listTooEarly()]);
   }
 
   private countArriving(vms: readonly FleetVm[]): ReadonlyMap<string, number> {
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -1,6 +1,8 @@
 import type { EventLog } from '../logging/index.js';
+import type { KeyedRecord } from '../store/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm, VmFleetPort, VmOrderAnswer, VmOrderRefusal } from '../vms/index.js';
+import { encodeVmOrderRecord, type VmOrderRecord } from './VmOrderRecord.js';
 
 /** Something that is to be done to a VM. */
 export type VmOrder =
@@ -14,16 +16,21 @@
   readonly term: number;
   readonly clock: Clock;
   readonly events: EventLog;
-  /**
-   * Monotonic time from which on orders may be given. An earlier holder that does not know yet that
-   * it was replaced may still give some; both would take turns on one VM.
-   */
-  readonly notBeforeMs: number;
+  /** Time that has to pass between the orders of two holders for one VM, in milliseconds. */
+  readonly orderLeaseMs: number;
+  /** Latest orders of earlier holders, as they were stored when this one began. */
+  readonly orderRecords: readonly VmOrderRecord[];
+  /** Stores records; rejects where this holder has been replaced. */
+  readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
   readonly onStaleTerm: () => void;
 }
 
-/** What became of an order; `unanswered` means that it may have been carried out. */
-export type VmOrderOutcome = 'accepted' | VmOrderRefusal | 'unanswered' | 'too-early';
+/**
+ * What became of an order. `unanswered` means that it may have been carried out; `too-early`,
+ * `unrecorded` and `outdated` that it was not sent.
+ */
+export type VmOrderOutcome =
+  'accepted' | VmOrderRefusal | 'unanswered' | 'too-early' | 'unrecorded' | 'outdated';
 
 interface Away {
   readonly order: VmOrder;
@@ -31,21 +38,48 @@
   readonly orderedAtMs: number;
 }
 
+/** Margin on the time between the orders of two holders, in milliseconds. */
+const ORDER_MARGIN_MS = 300;
+/**
+ * How far the clocks of two holders may be apart, in milliseconds: the platform lets a clock jump
+ * by 2 s, in both directions, and a process can be held up by as much.
+ */
+const MAX_CLOCK_DIFFERENCE_MS = 5_000;
+/** Age from which the reasons of an order do not hold any more, in milliseconds: five looks. */
+const OUTDATED_AFTER_MS = 1_000;
 /** Time after an order before which the list of VMs may not show it yet, in milliseconds. */
 const SETTLE_MS = 700;
 
-/** Gives orders for VMs, and knows which VMs are away because of them. */
+/**
+ * Gives orders for VMs, and knows which VMs are away because of them.
+ *
+ * Guards against two holders that take turns on one VM: the earlier one does not know yet that it
+ * was replaced, and the VM is moved back and forth. An order is stored before it is given, so that
+ * a holder that was replaced can give none, and its successor knows which VMs it has to leave alone
+ * for a while. All others are ordered at once; a pool may wait for them with nearly no VMs.
+ */
 export class VmOrders {
   private readonly options: VmOrdersOptions;
 
   private readonly away = new Map<string, Away>();
 
+  /** Monotonic times before which VMs that an earlier holder has ordered are left alone. */
+  private readonly notBeforeMs: ReadonlyMap<string, number>;
+
   /**
    * Starts without orders.
    * @param options - The port, and who orders.
    */
   constructor(options: VmOrdersOptions) {
     this.options = options;
+    const { clock, orderLeaseMs, orderRecords } = options;
+    const waitMs = orderLeaseMs + ORDER_MARGIN_MS;
+    const oldestAtMs = clock.wallMs() - waitMs - MAX_CLOCK_DIFFERENCE_MS;
+    this.notBeforeMs = new Map(
+      orderRecords
+        .filter(({ orderedAtMs }) => orderedAtMs > oldestAtMs)
+        .map(({ vm }) => [vm, clock.monotonicMs() + waitMs]),
+    );
   }
 
   /**
@@ -65,6 +99,15 @@
     return this.away.has(vm);
   }
 
+  /**
+   * Lists the VMs that must be left alone for now, since an earlier holder has just ordered them.
+   * @returns Their names.
+   */
+  listTooEarly(): readonly string[] {
+    const nowMs = this.options.clock.monotonicMs();
+    return [...this.notBeforeMs].filter(([, atMs]) => nowMs < atMs).map(([vm]) => vm);
+  }
+
   /**
    * Takes note of which VMs are back.
    * @param vms - The VMs as listed.
@@ -87,17 +130,31 @@
    * @returns What became of it.
    */
   async give(order: VmOrder, targetId: string | undefined): Promise<VmOrderOutcome> {
-    const { clock, notBeforeMs } = this.options;
-    const orderedAtMs = clock.monotonicMs();
-    if (orderedAtMs < notBeforeMs) return 'too-early';
+    const orderedAtMs = this.options.clock.monotonicMs();
+    if (orderedAtMs < (this.notBeforeMs.get(order.vm) ?? 0)) return 'too-early';
     const targetIdBefore = this.away.get(order.vm)?.targetIdBefore ?? targetId;
     this.away.set(order.vm, { order, targetIdBefore, orderedAtMs });
-    const outcome = await this.send(order);
+    const outcome = (await this.record(order.vm, orderedAtMs)) ?? (await this.send(order));
     if (outcome !== 'accepted' && outcome !== 'unanswered') this.away.delete(order.vm);
     this.report(order, outcome);
     return outcome;
   }
 
+  /** Stores that an order is about to be given; tells why it must not be given, if so. */
+  private async record(
+    vm: string,
+    orderedAtMs: number,
+  ): Promise<'unrecorded' | 'outdated' | undefined> {
+    const { clock, store } = this.options;
+    try {
+      await store([encodeVmOrderRecord({ vm, orderedAtMs: clock.wallMs() })]);
+    } catch {
+      // The writer has told why; this holder has been replaced.
+      return 'unrecorded';
+    }
+    return clock.monotonicMs() - orderedAtMs < OUTDATED_AFTER_MS ? undefined : 'outdated';
+  }
+
   private async send(order: VmOrder): Promise<VmOrderOutcome> {
     try {
       const answer = await this.call(order);
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -1,5 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { decodeWaveRecord, type FleetHome, type WaveRecord } from '../fleetHome/index.js';
+import {
+  decodeVmOrderRecord,
+  decodeWaveRecord,
+  type FleetHome,
+  type VmOrderRecord,
+  type WaveRecord,
+} from '../fleetHome/index.js';
 import { type EventLog, OutageLog } from '../logging/index.js';
 import { HeldLease } from '../membership/index.js';
 import type { Metrics } from '../metrics/index.js';
@@ -46,6 +52,7 @@
 export interface FleetHomeBasis {
   readonly term: number;
   readonly waveRecords: readonly WaveRecord[];
+  readonly orderRecords: readonly VmOrderRecord[];
   readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
   readonly onReplaced: () => void;
 }
@@ -218,12 +225,10 @@
   }
 
   private openFleet(partition: number, home: TaskHome, records: readonly KeyedRecord[]): void {
-    const waveRecords = records
-      .map((record) => decodeWaveRecord(record))
-      .filter((record) => record !== undefined);
     this.fleet = this.options.createFleetHome({
       term: home.term,
-      waveRecords,
+      waveRecords: records.map(decodeWaveRecord).filter((record) => record !== undefined),
+      orderRecords: records.map(decodeVmOrderRecord).filter((record) => record !== undefined),
       store: (changes) => home.store(changes),
       onReplaced: () => this.close(partition, 'replaced'),
     });
--- /dev/null
+++ b/tests/fleetHome/VmOrders.test.ts
@@ -0,0 +1,176 @@
+import { describe, expect, it, vi } from 'vitest';
+import { FleetHome } from '../../src/fleetHome/index.js';
+import { decodeVmOrderRecord, type VmOrderRecord } from '../../src/fleetHome/VmOrderRecord.js';
+import { VmOrders } from '../../src/fleetHome/VmOrders.js';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import type { KeyedRecord } from '../../src/store/index.js';
+import { ManualClock } from '../../src/utils/index.js';
+import type { FleetVm } from '../../src/vms/index.js';
+import { FleetStandIn } from '../../standins/vms/index.js';
+
+const ORDER_LEASE_MS = 3_000;
+const VMS: readonly FleetVm[] = ['vm-1', 'vm-2'].map((vm) => ({
+  vm,
+  pool: 'spares',
+  state: 'up',
+  targetId: undefined,
+  rack: 'r1',
+}));
+
+class OrderWorld {
+  readonly clock = new ManualClock(50_000);
+
+  readonly events = new MemoryEventLog();
+
+  readonly fleet = new FleetStandIn({ vms: VMS, onLifetime: () => undefined });
+
+  /** Records as a store keeps them: the newest of each key. */
+  readonly stored = new Map<string, KeyedRecord>();
+
+  store = async (records: readonly KeyedRecord[]): Promise<void> => {
+    records.forEach((record) => this.stored.set(record.key, record));
+  };
+
+  get orderRecords(): readonly VmOrderRecord[] {
+    return [...this.stored.values()].map((record) => decodeVmOrderRecord(record)!);
+  }
+
+  open(term: number, holder = `holder-${term}`): VmOrders {
+    const { clock, events, fleet, orderRecords } = this;
+    return new VmOrders({
+      port: fleet,
+      holder,
+      term,
+      clock,
+      events,
+      orderLeaseMs: ORDER_LEASE_MS,
+      orderRecords,
+      store: (records) => this.store(records),
+      onStaleTerm: () => undefined,
+    });
+  }
+
+  listOrders(): readonly string[] {
+    return this.fleet.orders.map(({ vm, holder }) => `${vm} by ${holder}`);
+  }
+}
+
+/** Opens a home of the fleet for a pool that waits for VMs. */
+function openHome(world: OrderWorld): FleetHome {
+  const { clock, events, fleet, orderRecords } = world;
+  return new FleetHome({
+    port: fleet,
+    holder: 'holder-2',
+    term: 2,
+    clock,
+    events,
+    orderLeaseMs: ORDER_LEASE_MS,
+    waveRecords: [],
+    orderRecords,
+    listWaveOrders: () => [],
+    listPools: () => ['pages'],
+    listStandbyPools: () => ['spares'],
+    syncPool: async (pool) => ({
+      pool,
+      targets: [],
+      waitingCpuMillicores: 64_000,
+      neededCpuMillicores: 64_000,
+      jobCount: 3,
+    }),
+    store: (records) => world.store(records),
+    publishStatus: async () => undefined,
+    onReplaced: () => undefined,
+  });
+}
+
+const moveOf = (vm: string) => ({ type: 'move', vm, toPool: 'pages' }) as const;
+
+describe('VmOrders', () => {
+  // A morning rush found three VMs in its pool for five seconds after all daemons had lost power.
+  // The new home of the fleet waited out the order lease for every VM, although the earlier one had
+  // ordered none of them. Cause: nobody knew which VMs an earlier home might still order.
+  it('orders a VM at once that no earlier holder has ordered lately', async () => {
+    const world = new OrderWorld();
+    expect(await world.open(2).give(moveOf('vm-1'), undefined)).toBe('accepted');
+    expect(world.listOrders()).toEqual(['vm-1 by holder-2']);
+  });
+
+  // A VM was sent back and forth: a home that was being replaced moved it to one pool, and its
+  // successor moved it on within a second, while the first one's next order was on its way.
+  it('leaves a VM alone that an earlier holder has just ordered, until its lease is over', async () => {
+    const world = new OrderWorld();
+    await world.open(1).give(moveOf('vm-1'), undefined);
+    world.clock.advance(500);
+    const successor = world.open(2);
+    expect(await successor.give(moveOf('vm-1'), undefined)).toBe('too-early');
+    expect(await successor.give(moveOf('vm-2'), undefined)).toBe('accepted');
+    world.clock.advance(ORDER_LEASE_MS + 400);
+    expect(await successor.give(moveOf('vm-1'), undefined)).toBe('accepted');
+    expect(world.listOrders()).toEqual([
+      'vm-1 by holder-1',
+      'vm-2 by holder-2',
+      'vm-1 by holder-2',
+    ]);
+  });
+
+  // The successor's clock was two seconds ahead, so that an order half a second old looked older
+  // than the lease, and both holders ordered the same VM.
+  it('takes an order for recent even where the clocks of the holders are seconds apart', async () => {
+    const world = new OrderWorld();
+    await world.open(1).give(moveOf('vm-1'), undefined);
+    world.clock.advance(ORDER_LEASE_MS + 2_000);
+    expect(await world.open(2).give(moveOf('vm-1'), undefined)).toBe('too-early');
+    world.clock.advance(60_000);
+    expect(await world.open(3).give(moveOf('vm-1'), undefined)).toBe('accepted');
+  });
+
+  // A home that had been frozen woke up and moved a VM that its successor was about to use. It did
+  // not know yet that it was replaced; the store did.
+  it('gives no order that could not be stored', async () => {
+    const world = new OrderWorld();
+    const replaced = world.open(1);
+    world.store = () => Promise.reject(new Error('fenced'));
+    expect(await replaced.give(moveOf('vm-1'), undefined)).toBe('unrecorded');
+    expect(world.listOrders()).toEqual([]);
+    expect(replaced.isAway('vm-1')).toBe(false);
+  });
+
+  // A VM with tasks was taken down: the order had waited four seconds for the store, and by then
+  // the pool's home had given the VM new tasks, as nobody had told it again to keep them off.
+  it('gives no order whose record was stored too late', async () => {
+    const world = new OrderWorld();
+    const orders = world.open(1);
+    const { store } = world;
+    world.store = async (records) => {
+      world.clock.advance(4_000);
+      await store(records);
+    };
+    expect(await orders.give(moveOf('vm-1'), undefined)).toBe('outdated');
+    expect(world.listOrders()).toEqual([]);
+    expect(orders.isAway('vm-1')).toBe(false);
+  });
+});
+
+describe('FleetHome', () => {
+  // See the first story of VmOrders; the clock stands still, so no lease is ever waited out.
+  it('gives spares to a pool whose tasks wait as soon as it is opened', async () => {
+    const world = new OrderWorld();
+    const home = openHome(world);
+    home.start();
+    await vi.waitFor(() => expect(world.listOrders()).toHaveLength(2));
+    home.close();
+  });
+
+  // After a power loss a pool got few VMs in three seconds. Those that an earlier home had just
+  // ordered were chosen again and again, kept idle, and took the places of others.
+  it('chooses no VM that it may not order yet', async () => {
+    const world = new OrderWorld();
+    await world.open(1).give(moveOf('vm-1'), undefined);
+    const home = openHome(world);
+    home.start();
+    await vi.waitFor(() => expect(world.listOrders()).toContain('vm-2 by holder-2'));
+    home.close();
+    const chosen = world.events.events.filter(({ event }) => event === 'vmLeaving');
+    expect(chosen.map(({ fields }) => fields.vm)).toEqual(['vm-2']);
+  });
+});
