--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -2,7 +2,8 @@
 import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
-import { MUTANTS } from './mutantList.js';
+import { DURABLE_JOB_MUTANTS } from './durableJobMutants.js';
+import { MUTANTS as ONE_SHOT_MUTANTS } from './mutantList.js';
 import type { Mutant } from './Mutant.js';
 
 interface Report {
@@ -47,6 +48,8 @@
   return broken.numFailedTests > 0 ? 'caught' : 'NOT CAUGHT';
 }
 
+const MUTANTS: readonly Mutant[] = [...ONE_SHOT_MUTANTS, ...DURABLE_JOB_MUTANTS];
+
 const copy = createCopy();
 const verdicts = MUTANTS.map((mutant, index) => {
   const verdict = judge(copy, mutant);
