Place nothing at a home that was closed while it waited for the store; keep ages in whole milliseconds

Cause: a round of placement now waits for the append in progress, and a home that was replaced meanwhile went on to reserve tasks and to tell of them; nothing was sent, yet the lines misled. The steady clock gave fractions of milliseconds into records and lines. Found by reading the diff; the test failed before.

--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -286,7 +286,7 @@
     this.flushing = undefined;
     const { clock, metrics } = this.options;
     const startedAtMs = clock.monotonicMs();
-    const placed = this.place();
+    const placed = this.isClosed ? [] : this.place();
     const records = this.table.takeChanges();
     metrics.timing('placement_round_ms', clock.monotonicMs() - startedAtMs);
     await this.writer.write(records);
--- a/src/utils/SteadyClock.ts
+++ b/src/utils/SteadyClock.ts
@@ -27,6 +27,6 @@
 
   /** {@inheritDoc Clock.wallMs} */
   wallMs(): number {
-    return this.offsetMs + this.clock.monotonicMs();
+    return Math.round(this.offsetMs + this.clock.monotonicMs());
   }
 }
--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -222,6 +222,22 @@
     await vi.waitFor(() => expect(home.getState('d')).toBe('running'));
   });
 
+  // On call looked for a task on a target that had never heard of it: a home that was replaced
+  // while it waited for the store had still told of a placement.
+  it('places nothing once it is closed, also where it waited for the store', async () => {
+    const home = await world.open();
+    world.store.faults.rejects = true;
+    const first = home.submit(makeJob('a')).catch((error: unknown) => error);
+    const listEvents = () => world.events.events.map(({ event }) => event);
+    await vi.waitFor(() => expect(listEvents()).toContain('appendRejected'));
+    const second = home.submit(makeJob('b')).catch((error: unknown) => error);
+    home.close();
+    expect(await first).toMatchObject({ kind: 'outcome-unknown' });
+    expect(await second).toMatchObject({ kind: 'home-unavailable' });
+    const placed = world.events.events.filter(({ event }) => event === 'taskPlaced');
+    expect(placed.map(({ fields }) => fields.jobId)).not.toContain('b');
+  });
+
   it('refuses a job at once, and never stores it, while the store does not answer', async () => {
     const home = await world.open();
     world.store.faults.isSilent = true;
