Wait whole milliseconds for answers of the store

Cause: the wait that follows the store's usual answer could be 301.7 ms, which no timer takes; renewals and appends then failed before they were sent, so that homes were lost and found while the store was slow. Found in the log of an incident (groupUnreachable with a RangeError from all daemons at once); the test failed before. Ruled out: the store itself, which answered in between.

--- a/src/utils/AdaptiveTimeout.ts
+++ b/src/utils/AdaptiveTimeout.ts
@@ -34,11 +34,11 @@
     this.options = options;
   }
 
-  /** How long to wait for the next answer, in milliseconds. */
+  /** How long to wait for the next answer, in whole milliseconds, as timers take nothing else. */
   get currentMs(): number {
     const { shortestMs, longestMs } = this.options;
     const baseMs = Math.max(shortestMs, this.usualMs * MARGIN_FACTOR);
-    return Math.min(longestMs, baseMs * BACKOFF_FACTOR ** this.failureCount);
+    return Math.ceil(Math.min(longestMs, baseMs * BACKOFF_FACTOR ** this.failureCount));
   }
 
   /**
--- a/tests/utils/AdaptiveTimeout.test.ts
+++ b/tests/utils/AdaptiveTimeout.test.ts
@@ -16,6 +16,15 @@
     expect(timeout.currentMs).toBe(250);
   });
 
+  // The store turned slow, and daemons lost their homes again and again: each renewal failed before
+  // it was sent, as a wait of 301.7 ms is none that a timer takes.
+  it('gives whole milliseconds', () => {
+    const timeout = createTimeout();
+    timeout.noteAnswer(187.3);
+    expect(timeout.currentMs).toBe(300);
+    expect(() => AbortSignal.timeout(timeout.currentMs)).not.toThrow();
+  });
+
   it('waits for a slow peer instead of calling it again and again', () => {
     const timeout = createTimeout();
     [250, 250, 250].forEach(() => timeout.noteFailure());
