Make the timed call to the store in one place

Cause: RecordWriter and TaskHomes each read the wait, timed the answer and noted it or the failure, line by line alike. Change: AdaptiveTimeout.run makes the call and does that; an error that comes after an answer no longer counts as a missing answer.

--- a/src/taskHome/RecordWriter.ts
+++ b/src/taskHome/RecordWriter.ts
@@ -149,14 +149,12 @@
   private async appendOnce(records: readonly KeyedRecord[]): Promise<boolean | undefined> {
     const { store, topic, partition, producer, term, clock, events } = this.options;
     const fence = { producer, term, sequence: this.sequence };
-    const timeoutMs = this.timeout.currentMs;
-    const sentAtMs = clock.monotonicMs();
     try {
-      const result = await store.append({ topic, partition, records, fence, timeoutMs });
-      this.timeout.noteAnswer(clock.monotonicMs() - sentAtMs);
+      const result = await this.timeout.run(clock, (timeoutMs) =>
+        store.append({ topic, partition, records, fence, timeoutMs }),
+      );
       return this.judge(result);
     } catch (thrown) {
-      this.timeout.noteFailure();
       events.write('appendUnanswered', { topic, partition, term, reason: String(thrown) });
       return undefined;
     }
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -160,15 +160,14 @@
   }
 
   private async renew(): Promise<void> {
-    const { groups, group, member, topic, groupTiming } = this.options;
+    const { groups, group, member, topic, groupTiming, clock } = this.options;
     const sentAt = this.lease.readClocks();
-    const sentAtMs = this.options.clock.monotonicMs();
     const { generation } = this;
     const { ttlMs } = groupTiming;
-    const timeoutMs = this.renewTimeout.currentMs;
     try {
-      const share = await groups.join({ group, member, topic, ttlMs, timeoutMs, generation });
-      this.renewTimeout.noteAnswer(this.options.clock.monotonicMs() - sentAtMs);
+      const share = await this.renewTimeout.run(clock, (timeoutMs) =>
+        groups.join({ group, member, topic, ttlMs, timeoutMs, generation }),
+      );
       if (this.isStopped) return;
       this.lease.extend(sentAt);
       this.outage.noteSuccess({ group, member, generation });
@@ -176,7 +175,6 @@
       this.shared = new Set(share.partitions);
       this.follow();
     } catch (thrown) {
-      this.renewTimeout.noteFailure();
       this.outage.noteFailure({ group, member, reason: String(thrown) });
     }
   }
--- a/src/utils/AdaptiveTimeout.ts
+++ b/src/utils/AdaptiveTimeout.ts
@@ -1,3 +1,5 @@
+import type { Clock } from './Clock.js';
+
 /** Options of {@link AdaptiveTimeout}. */
 export interface AdaptiveTimeoutOptions {
   /** Shortest wait, in milliseconds: well above a usual answer. */
@@ -41,6 +43,25 @@
     return Math.ceil(Math.min(longestMs, baseMs * BACKOFF_FACTOR ** this.failureCount));
   }
 
+  /**
+   * Makes a call and takes note of its answer or failure.
+   * @param clock - Times the answer.
+   * @param call - Makes the call, which may wait for as long as it is told, in milliseconds.
+   * @returns The answer.
+   * @throws What the call throws.
+   */
+  async run<Answer>(clock: Clock, call: (timeoutMs: number) => Promise<Answer>): Promise<Answer> {
+    const sentAtMs = clock.monotonicMs();
+    try {
+      const answer = await call(this.currentMs);
+      this.noteAnswer(clock.monotonicMs() - sentAtMs);
+      return answer;
+    } catch (thrown) {
+      this.noteFailure();
+      throw thrown;
+    }
+  }
+
   /**
    * Takes note of an answer.
    * @param tookMs - How long it took.
--- a/tests/utils/AdaptiveTimeout.test.ts
+++ b/tests/utils/AdaptiveTimeout.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { AdaptiveTimeout } from '../../src/utils/index.js';
+import { AdaptiveTimeout, ManualClock } from '../../src/utils/index.js';
 
 const createTimeout = () => new AdaptiveTimeout({ shortestMs: 250, longestMs: 1_000 });
 
@@ -34,4 +34,18 @@
     timeout.noteAnswer(400);
     expect(timeout.currentMs).toBe(1_000);
   });
+
+  it('follows the answers and failures of the calls that it makes', async () => {
+    const timeout = createTimeout();
+    const clock = new ManualClock();
+    const fail = () => timeout.run(clock, () => Promise.reject(new Error('lost')));
+    await expect(fail()).rejects.toThrow('lost');
+    expect(timeout.currentMs).toBe(500);
+    const answer = await timeout.run(clock, async (timeoutMs) => {
+      clock.advance(400);
+      return timeoutMs;
+    });
+    expect(answer).toBe(500);
+    expect(timeout.currentMs).toBe(640);
+  });
 });
