Let a reading of the store go on while it arrives, keep what was read, and bound an append's bytes

Cause: waits that do not grow with what they wait for. A page of up to 1 MB had 1.2 s for its whole, an append of whatever had gathered at most 1 s; on 10 Mbit/s both begin anew for ever. So a partition that fell to a small instance had no home: its services stayed down and questions about its jobs had no answer. Ruled out: the store (others opened partitions beside it), the group, the size of the term's own append.

--- a/src/jobNode/measurePorts.ts
+++ b/src/jobNode/measurePorts.ts
@@ -37,8 +37,7 @@
   return {
     store: {
       append: (request) => toStore('append', () => store.append(request), getType),
-      readNewest: (topic, partition) =>
-        toStore('read-newest', () => store.readNewest(topic, partition)),
+      readNewest: (...page) => toStore('read-newest', () => store.readNewest(...page)),
       // A reading that waits lasts until something happens, however fast the store is.
       readFrom: (request) =>
         toStore(
--- a/src/store/KeyedFollower.ts
+++ b/src/store/KeyedFollower.ts
@@ -9,12 +9,23 @@
   readonly onRecord: (record: KeyedRecord) => void;
 }
 
+/** A reading of everything that is not at its end. */
+interface Reload {
+  /** End of the partition before the first page; what came later is read again from here. */
+  readonly endOffset: number;
+  readonly records: readonly KeyedRecord[];
+  readonly afterKey: string | undefined;
+}
+
 /** Follows the newest record of each key of a partition. */
 export class KeyedFollower {
   private readonly options: KeyedFollowerOptions;
 
   private nextOffset: number | undefined;
 
+  /** Pages that an attempt has read which did not come to their end. */
+  private reload: Reload | undefined;
+
   private readonly keys = new Set<string>();
 
   /**
@@ -25,34 +36,51 @@
     this.options = options;
   }
 
+  /** Offset up to which every change has been taken; undefined before everything was read once. */
+  get endOffset(): number | undefined {
+    return this.nextOffset;
+  }
+
   /**
    * Reads what has changed since the last call: everything at first, and after a gap.
    * @param waitMs - How long the store may wait for a change, in milliseconds.
-   * @throws Error Where the store did not answer; the next call continues where this one began.
+   * @returns Whether there may be more to read at once.
+   * @throws Error Where the store did not answer; the next call continues where this one ended.
    */
-  async read(waitMs: number): Promise<void> {
+  async read(waitMs: number): Promise<boolean> {
     const { store, topic, partition } = this.options;
     if (this.nextOffset === undefined) {
-      await this.reload();
-      return;
+      await this.readAll();
+      return true;
     }
     const fromOffset = this.nextOffset;
     const result = await store.readFrom({ topic, partition, fromOffset, waitMs });
     if (result.type === 'expired') {
-      await this.reload();
-      return;
+      this.nextOffset = undefined;
+      await this.readAll();
+      return true;
     }
     result.records.forEach((record) => this.take(record));
     this.nextOffset = Math.max(fromOffset, result.nextOffset);
+    return this.nextOffset > fromOffset;
   }
 
   /**
-   * Reads everything. Records that were dropped from the history took changes with them that this
-   * follower has not seen, so keys that are no longer there count as dropped.
+   * Reads everything, page by page. Records that were dropped from the history took changes with
+   * them that this follower has not seen, so keys that are no longer there count as dropped.
+   *
+   * Guards against a reading that never ends: where one page in several fails, an attempt from the
+   * first page on would fail as well, again and again. Pages that were read are kept; what changes
+   * meanwhile is read from the end that the first page told.
    */
-  private async reload(): Promise<void> {
-    const { store, topic, partition } = this.options;
-    const { records, endOffset } = await store.readNewest(topic, partition);
+  private async readAll(): Promise<void> {
+    let isWhole = false;
+    while (!isWhole) {
+      // eslint-disable-next-line no-await-in-loop -- a page tells where the next one begins
+      isWhole = await this.readPage();
+    }
+    const { records, endOffset } = this.reload!;
+    this.reload = undefined;
     const present = new Set(records.map(({ key }) => key));
     [...this.keys]
       .filter((key) => !present.has(key))
@@ -61,6 +89,18 @@
     this.nextOffset = endOffset;
   }
 
+  /** Reads the next page; tells whether it was the last. */
+  private async readPage(): Promise<boolean> {
+    const { store, topic, partition } = this.options;
+    const page = await store.readNewest(topic, partition, this.reload?.afterKey);
+    this.reload = {
+      endOffset: this.reload?.endOffset ?? page.endOffset,
+      records: [...(this.reload?.records ?? []), ...page.records],
+      afterKey: page.nextAfterKey,
+    };
+    return page.nextAfterKey === undefined;
+  }
+
   private take(record: KeyedRecord): void {
     if (record.value === undefined) this.keys.delete(record.key);
     else this.keys.add(record.key);
--- a/src/store/KeyedLogPort.ts
+++ b/src/store/KeyedLogPort.ts
@@ -39,11 +39,13 @@
   | { readonly type: 'out-of-sequence'; readonly expectedSequence: number | undefined }
   | { readonly type: 'rejected'; readonly reason: string };
 
-/** The newest record of each key of a partition. */
+/** A page of the newest record of each key of a partition. */
 export interface NewestRecords {
   readonly records: readonly StoredRecord[];
-  /** End of the partition before the first page was read; later records may be among these. */
+  /** End of the partition before the page was read; later records may be among these. */
   readonly endOffset: number;
+  /** Key after which the next page begins; undefined after the last one. */
+  readonly nextAfterKey: string | undefined;
 }
 
 /** Answer to a read from an offset. */
@@ -78,13 +80,14 @@
    */
   append(request: AppendRequest): Promise<AppendResult>;
   /**
-   * Reads the newest record of each key, in several pages where they are many.
+   * Reads a page of the newest record of each key.
    * @param topic - Topic.
    * @param partition - Partition of the topic.
-   * @returns The records and the end of the partition.
+   * @param afterKey - Key after which the page begins, by the page before; absent for the first.
+   * @returns The records, the end of the partition, and where the next page begins.
    * @throws Error Without a whole answer.
    */
-  readNewest(topic: string, partition: number): Promise<NewestRecords>;
+  readNewest(topic: string, partition: number, afterKey?: string): Promise<NewestRecords>;
   /**
    * Reads the records from an offset on.
    * @param request - Where, and how long to wait.
--- a/src/taskHome/openTaskHome.ts
+++ b/src/taskHome/PartitionOpening.ts
@@ -12,6 +12,7 @@
 import {
   decodeRecordValue,
   encodeRecordValue,
+  KeyedFollower,
   type KeyedLogPort,
   type KeyedRecord,
 } from '../store/index.js';
@@ -21,6 +22,8 @@
 /** Role under which homes append; the store fences earlier terms of the same role. */
 export const HOME_PRODUCER = 'home';
 const APPEND_TIMEOUT_MS = 1_000;
+/** A reading at the end of a partition is answered at once. */
+const NO_WAIT_MS = 0;
 /** First numbers of appends are drawn below this: two openings share one once in a billion. */
 const FIRST_SEQUENCE_LIMIT = 2 ** 30;
 
@@ -36,8 +39,8 @@
   readonly records: readonly KeyedRecord[];
 }
 
-/** Options of {@link openTaskHome}. */
-export interface OpenTaskHomeOptions {
+/** Options of {@link PartitionOpening}. */
+export interface PartitionOpeningOptions {
   readonly store: KeyedLogPort;
   readonly topic: string;
   readonly partition: number;
@@ -46,7 +49,10 @@
   readonly events: EventLog;
 }
 
-function decodeOrLog(record: KeyedRecord, { partition, events }: OpenTaskHomeOptions): JobRecord {
+function decodeOrLog(
+  record: KeyedRecord,
+  { partition, events }: PartitionOpeningOptions,
+): JobRecord {
   try {
     return decodeJobRecord(record);
   } catch (thrown) {
@@ -59,7 +65,7 @@
 function restoreOrLog(
   spec: DurableJobSpec,
   progress: JobProgress | undefined,
-  { partition, events }: OpenTaskHomeOptions,
+  { partition, events }: PartitionOpeningOptions,
 ): DurableJobRow {
   try {
     return restoreJobRow(spec, progress);
@@ -71,7 +77,7 @@
 
 function joinRecords(
   records: readonly JobRecord[],
-  options: OpenTaskHomeOptions,
+  options: PartitionOpeningOptions,
 ): readonly DurableJobRow[] {
   const specs = new Map<string, DurableJobSpec>();
   const progresses = new Map<string, JobProgress>();
@@ -99,27 +105,67 @@
  * The append has a number drawn at random. Two instances that read the partition at the same moment
  * would else open it in the same term under the same number: the store would take the second for a
  * repeat of the first, both would be its home, and records of either would pass for repeats.
- * @param options - The partition, and who opens it.
- * @returns Term and jobs, or undefined where something came between and it has to be tried again.
- * @throws Error Where the store did not answer.
+ *
+ * What was read stays between attempts. Guards against a partition that nobody opens: on a narrow
+ * link its pages take seconds, and an attempt that began anew after a lost page, or after an append
+ * of the earlier home, would never come to its end.
  */
-export async function openTaskHome(
-  options: OpenTaskHomeOptions,
-): Promise<OpenedPartition | undefined> {
-  const { store, topic, partition, instance } = options;
-  const { records, endOffset } = await store.readNewest(topic, partition);
-  const term = readTerm(records) + 1;
-  const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
-  const result = await store.append({
-    topic,
-    partition,
-    records: [{ key: TERM_KEY, value: encodeRecordValue({ term, instance }) }],
-    fence: { producer: HOME_PRODUCER, term, sequence },
-    expectedEndOffset: endOffset,
-    timeoutMs: APPEND_TIMEOUT_MS,
-  });
-  if (result.type !== 'appended') return undefined;
-  const decoded = records.map((record) => decodeOrLog(record, options));
-  const jobs = joinRecords(decoded, options);
-  return { term, sequence, jobs, records };
+export class PartitionOpening {
+  private readonly options: PartitionOpeningOptions;
+
+  private readonly newest = new Map<string, KeyedRecord>();
+
+  private readonly follower: KeyedFollower;
+
+  /**
+   * Creates an opening that has read nothing.
+   * @param options - The partition, and who opens it.
+   */
+  constructor(options: PartitionOpeningOptions) {
+    this.options = options;
+    this.follower = new KeyedFollower({ ...options, onRecord: (record) => this.take(record) });
+  }
+
+  /** Count of the records that have been read so far. */
+  get recordCount(): number {
+    return this.newest.size;
+  }
+
+  /**
+   * Reads what is missing, and raises the term.
+   * @returns Term and jobs, or undefined where something came between and it has to be tried again.
+   * @throws Error Where the store did not answer; the next attempt continues from here.
+   */
+  async attempt(): Promise<OpenedPartition | undefined> {
+    await this.catchUp();
+    const { store, topic, partition, instance } = this.options;
+    const records = [...this.newest.values()];
+    const term = readTerm(records) + 1;
+    const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
+    const result = await store.append({
+      topic,
+      partition,
+      records: [{ key: TERM_KEY, value: encodeRecordValue({ term, instance }) }],
+      fence: { producer: HOME_PRODUCER, term, sequence },
+      expectedEndOffset: this.follower.endOffset!,
+      timeoutMs: APPEND_TIMEOUT_MS,
+    });
+    if (result.type !== 'appended') return undefined;
+    const decoded = records.map((record) => decodeOrLog(record, this.options));
+    const jobs = joinRecords(decoded, this.options);
+    return { term, sequence, jobs, records };
+  }
+
+  private async catchUp(): Promise<void> {
+    let hasMore = true;
+    while (hasMore) {
+      // eslint-disable-next-line no-await-in-loop -- a reading begins where the one before it ended
+      hasMore = await this.follower.read(NO_WAIT_MS);
+    }
+  }
+
+  private take(record: KeyedRecord): void {
+    if (record.value === undefined) this.newest.delete(record.key);
+    else this.newest.set(record.key, record);
+  }
 }
--- a/src/taskHome/RecordWriter.ts
+++ b/src/taskHome/RecordWriter.ts
@@ -26,7 +26,21 @@
 /** Time without an answer from which new work is turned away: the store is slow or away. */
 const STALLED_AFTER_MS = 500;
 
+/**
+ * Most bytes of an append, in values; a larger record goes alone. They take 0.1 s on 10 Mbit/s,
+ * well within the shortest wait for an answer.
+ */
+const MAX_APPEND_BYTES = 128_000;
+
+/** A record with its place in the order of appends. */
+interface NumberedRecord {
+  readonly record: KeyedRecord;
+  readonly number: number;
+}
+
 interface Waiter {
+  /** Number of the last record that has to be stored. */
+  readonly lastNumber: number;
   readonly resolve: () => void;
   readonly reject: (error: Error) => void;
 }
@@ -45,9 +59,11 @@
 
   private sequence: number;
 
-  private pending = new Map<string, KeyedRecord>();
+  private readonly pending = new Map<string, NumberedRecord>();
+
+  private lastNumber = 0;
 
-  private waiters: Waiter[] = [];
+  private waiters: readonly Waiter[] = [];
 
   /** The latest append, in flight or done. */
   private lastBatch: Promise<void> = Promise.resolve();
@@ -88,9 +104,9 @@
   write(records: readonly KeyedRecord[]): Promise<void> {
     if (this.isClosed) return Promise.reject(this.createError('home-unavailable'));
     if (records.length === 0 && this.waiters.length === 0) return this.lastBatch;
-    records.forEach((record) => this.pending.set(record.key, record));
+    records.forEach((record) => this.add(record));
     return new Promise((resolve, reject) => {
-      this.waiters.push({ resolve, reject });
+      this.waiters = [...this.waiters, { lastNumber: this.lastNumber, resolve, reject }];
       if (!this.isWriting) void this.writeAll();
     });
   }
@@ -106,10 +122,18 @@
   /** Ends the writer; what was not sent is not written. */
   close(): void {
     this.isClosed = true;
-    const waiters = this.waiters.splice(0);
+    const { waiters } = this;
+    this.waiters = [];
     waiters.forEach(({ reject }) => reject(this.createError('home-unavailable')));
   }
 
+  /** Adds a record in the order of appends; one that waits under the same key keeps its place. */
+  private add(record: KeyedRecord): void {
+    const known = this.pending.get(record.key);
+    if (known === undefined) this.lastNumber += 1;
+    this.pending.set(record.key, { record, number: known?.number ?? this.lastNumber });
+  }
+
   private async writeAll(): Promise<void> {
     this.isWriting = true;
     // Waits for the end of this turn, so that all records of one decision share an append.
@@ -122,12 +146,13 @@
   }
 
   private async writeBatch(): Promise<void> {
-    const records = [...this.pending.values()];
-    const waiters = this.waiters.splice(0);
-    this.pending = new Map();
+    const batch = this.takeBatch();
+    const lastNumber = batch.at(-1)!.number;
+    const waiters = this.waiters.filter((waiter) => waiter.lastNumber <= lastNumber);
+    this.waiters = this.waiters.filter((waiter) => waiter.lastNumber > lastNumber);
     this.sequence += 1;
     this.busySinceMs = this.options.clock.monotonicMs();
-    this.lastBatch = this.appendUntilAnswered(records);
+    this.lastBatch = this.appendUntilAnswered(batch.map(({ record }) => record));
     try {
       await this.lastBatch;
       waiters.forEach(({ resolve }) => resolve());
@@ -137,6 +162,26 @@
     this.busySinceMs = undefined;
   }
 
+  /**
+   * Takes the records of the next append, the oldest first.
+   *
+   * Guards against an append that no attempt ever carries to its end: what gathers while the store
+   * is away may have megabytes, an append has to be repeated as it was, and on a narrow link a
+   * whole one takes longer than the longest wait for an answer. It shows as `appendUnanswered`
+   * without end after the store is back.
+   */
+  private takeBatch(): readonly NumberedRecord[] {
+    let sizeBytes = 0;
+    const waiting = [...this.pending.values()];
+    const endsAt = waiting.findIndex(({ record }) => {
+      sizeBytes += record.value?.length ?? 0;
+      return sizeBytes > MAX_APPEND_BYTES;
+    });
+    const batch = endsAt < 0 ? waiting : waiting.slice(0, Math.max(1, endsAt));
+    batch.forEach(({ record }) => this.pending.delete(record.key));
+    return batch;
+  }
+
   private async appendUntilAnswered(records: readonly KeyedRecord[]): Promise<void> {
     let isStored: boolean | undefined;
     while (isStored === undefined && !this.isClosed) {
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -13,7 +13,7 @@
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import { AdaptiveTimeout, type Clock, KeyedOnce } from '../utils/index.js';
-import { HOME_PRODUCER, openTaskHome } from './openTaskHome.js';
+import { HOME_PRODUCER, type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
 import type { PoolPartitions } from './PoolPartitions.js';
 import type { TargetDirectory } from './TargetDirectory.js';
 import { TaskHome } from './TaskHome.js';
@@ -227,14 +227,15 @@
 
   private async open(partition: number): Promise<void> {
     const { store, topic, member, events, directory } = this.options;
-    const openOptions = { store, topic, partition, instance: member, events };
+    const opening = new PartitionOpening({ store, topic, partition, instance: member, events });
     while (this.isWanted(partition) && !this.homes.has(partition)) {
       try {
         // eslint-disable-next-line no-await-in-loop -- an attempt follows the one before it
-        const [opened] = await Promise.all([openTaskHome(openOptions), directory.refresh()]);
+        const [opened] = await Promise.all([opening.attempt(), directory.refresh()]);
         if (opened !== undefined && this.isWanted(partition)) this.add(partition, opened);
       } catch (thrown) {
-        events.write('taskHomeOpenFailed', { partition, reason: String(thrown) });
+        const { recordCount } = opening;
+        events.write('taskHomeOpenFailed', { partition, recordCount, reason: String(thrown) });
       }
       // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
       await sleep(REOPEN_PAUSE_MS);
@@ -243,12 +244,7 @@
 
   private add(
     partition: number,
-    {
-      term,
-      sequence: lastSequence,
-      jobs,
-      records,
-    }: NonNullable<Awaited<ReturnType<typeof openTaskHome>>>,
+    { term, sequence: lastSequence, jobs, records }: OpenedPartition,
   ): void {
     const { partitions, directory, homeTiming, events } = this.options;
     const home = new TaskHome({
--- a/src/utils/HttpClient.ts
+++ b/src/utils/HttpClient.ts
@@ -2,6 +2,7 @@
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_IDLE_LIMIT_MS = 4000;
+const NO_TIMEOUT = 0;
 
 /** Options of {@link HttpClient}. */
 export interface HttpClientOptions {
@@ -23,6 +24,11 @@
   readonly body?: Uint8Array | string;
   /** Longest time until the whole answer is here, in milliseconds. */
   readonly timeoutMs: number;
+  /**
+   * Longest time without a further piece of the answer, in milliseconds; absent means that only the
+   * whole counts. Tells an answer that is long and on its way from one that does not come.
+   */
+  readonly silenceTimeoutMs?: number;
 }
 
 /** A whole answer as bytes. */
@@ -61,8 +67,8 @@
         headers: request.headers ?? {},
         body: request.body ?? null,
         signal: AbortSignal.timeout(request.timeoutMs),
-        headersTimeout: 0,
-        bodyTimeout: 0,
+        headersTimeout: request.silenceTimeoutMs ?? NO_TIMEOUT,
+        bodyTimeout: request.silenceTimeoutMs ?? NO_TIMEOUT,
       });
       const body = Buffer.from(await response.body.arrayBuffer());
       return { httpStatus: response.statusCode, body };
--- a/standins/store/StoreStandIn.ts
+++ b/standins/store/StoreStandIn.ts
@@ -71,7 +71,7 @@
   async readNewest(topic: string, partition: number): Promise<NewestRecords> {
     this.throwIfAway();
     const { newest, endOffset } = this.getPartition(topic, partition);
-    return { records: [...newest.values()], endOffset };
+    return { records: [...newest.values()], endOffset, nextAfterKey: undefined };
   }
 
   /** {@inheritDoc KeyedLogPort.readFrom} */
--- /dev/null
+++ b/tests/store/KeyedFollower.test.ts
@@ -0,0 +1,60 @@
+import { expect, it } from 'vitest';
+import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../../src/store/index.js';
+import { StoreStandIn } from '../../standins/store/index.js';
+
+const PAGE_SIZE = 2;
+
+/** A store whose newest records come in pages, of which each is lost at its first request. */
+class PagedStore implements Pick<KeyedLogPort, 'readNewest' | 'readFrom'> {
+  readonly whole = new StoreStandIn({ partitionCount: 1 });
+
+  /** Keys after which pages were asked for, in order; the first page has none. */
+  readonly asked: (string | undefined)[] = [];
+
+  readonly readFrom = this.whole.readFrom.bind(this.whole);
+
+  async readNewest(
+    topic: string,
+    partition: number,
+    afterKey?: string,
+  ): ReturnType<KeyedLogPort['readNewest']> {
+    const isRepeat = this.asked.includes(afterKey);
+    this.asked.push(afterKey);
+    if (!isRepeat) throw new Error('The page was lost.');
+    const { records, endOffset } = await this.whole.readNewest(topic, partition);
+    const from = records.findIndex(({ key }) => key === afterKey) + 1;
+    const page = records.slice(from, from + PAGE_SIZE);
+    const isLast = from + PAGE_SIZE >= records.length;
+    return { records: page, endOffset, nextAfterKey: isLast ? undefined : page.at(-1)!.key };
+  }
+
+  async append(...keys: readonly string[]): Promise<void> {
+    const records = keys.map((key) => ({ key, value: Buffer.from(key) }));
+    await this.whole.append({ topic: 'jobs', partition: 0, records, timeoutMs: 1_000 });
+  }
+}
+
+// A partition of several pages was never read to its end: where the store lost one answer in three,
+// each attempt lost one of its pages and the next one began with the first page.
+it('continues a reading of everything with the page that was lost', async () => {
+  const store = new PagedStore();
+  await store.append('a', 'b', 'c', 'd', 'e');
+  const taken = new Map<string, KeyedRecord>();
+  const follower = new KeyedFollower({
+    store,
+    topic: 'jobs',
+    partition: 0,
+    onRecord: (record) => taken.set(record.key, record),
+  });
+  await expect(follower.read(0)).rejects.toThrow('lost');
+  await expect(follower.read(0)).rejects.toThrow('lost');
+  await store.append('f', 'a');
+  await expect(follower.read(0)).rejects.toThrow('lost');
+  expect(follower.endOffset).toBeUndefined();
+  await follower.read(0);
+  await follower.read(0);
+  expect(store.asked).toEqual([undefined, undefined, 'b', 'b', 'd', 'd']);
+  expect([...taken.keys()].toSorted()).toEqual(['a', 'b', 'c', 'd', 'e', 'f']);
+  expect(follower.endOffset).toBe(7);
+  expect(await follower.read(0)).toBe(false);
+});
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -5,7 +5,7 @@
 import { SystemClock } from '../../src/utils/index.js';
 import { LeasedTargetsStandIn } from '../../standins/leasedTargets/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
-import { openTaskHome } from '../../src/taskHome/openTaskHome.js';
+import { PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
 import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
 
@@ -100,7 +100,7 @@
   async open(): Promise<TaskHome> {
     const { store, targets, events } = this;
     const place = { store, topic: TOPIC, partition: PARTITION };
-    const opened = await openTaskHome({ ...place, instance: 'test', events });
+    const opened = await new PartitionOpening({ ...place, instance: 'test', events }).attempt();
     const home: TaskHome = new TaskHome({
       ...place,
       targets,
