--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -12,7 +12,7 @@
 import { SystemClock } from '../../src/utils/index.js';
 import type { FleetVm } from '../../src/vms/index.js';
 import { LeasedTargetsStandIn } from '../leasedTargets/index.js';
-import { StoreStandIn } from '../store/index.js';
+import { StoreAccess, StoreStandIn } from '../store/index.js';
 import { FleetStandIn } from '../vms/index.js';
 
 const HOST = '127.0.0.1';
@@ -34,6 +34,10 @@
   readonly server: FastifyInstance;
   /** Where its interface listens, as `HOST:PORT`. */
   readonly address: string;
+  /** Id of the instance. */
+  readonly instance: string;
+  /** Its way to the store. */
+  readonly storeAccess: StoreAccess;
 }
 
 /** Options of {@link JobsCluster}. */
@@ -136,13 +140,14 @@
 
   private async startNode(capacity: HomeCapacity = LIKE_OTHERS): Promise<void> {
     const { events } = this.options;
-    const { store, targets, clock } = this;
+    const { targets, clock } = this;
+    const storeAccess = new StoreAccess(this.store);
     const instance = `node-${randomUUID().slice(0, 8)}`;
     const node = new JobNode({
       address: { instance, host: HOST, port: 0 },
       capacity,
       holder: instance,
-      ports: { store, groups: store, targets, vms: this.fleet },
+      ports: { store: storeAccess, groups: storeAccess, targets, vms: this.fleet },
       records: {
         jobsTopic: 'jobs',
         partitionCount: PARTITION_COUNT,
@@ -174,7 +179,7 @@
     registerDurableJobRoutes(server, { port: node.gateway, getConfiguration, clock });
     await node.start();
     const url = await server.listen({ host: HOST, port: 0 });
-    this.nodes.push({ node, server, address: new URL(url).host });
+    this.nodes.push({ node, server, address: new URL(url).host, instance, storeAccess });
   }
 
   private async append(topic: string, records: readonly KeyedRecord[]): Promise<void> {
--- a/standins/store/index.ts
+++ b/standins/store/index.ts
@@ -1,2 +1,3 @@
+export { StoreAccess } from './StoreAccess.js';
 export type { StoreFaults } from './StoreFaults.js';
 export { StoreStandIn, type StoreStandInOptions } from './StoreStandIn.js';
