Learn who holds a partition from peers where the store turns an instance away

Cause: see the test. Ruled out: keeping calls at the earlier home, which cannot know either. Change: where the group does not answer, the directory asks three peers a time what they have read, after a look of their own, and takes it if it is later than its own. The test waits until every instance has seen the others, as it could fail for want of any known peer; it fails on the code before as it did.

--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -97,6 +97,7 @@
       case 'count-pending-jobs':
       case 'sync-pool':
       case 'call-target':
+      case 'list-homes':
         return NO_HOME;
       default:
         return assertNever(request);
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -83,8 +83,15 @@
       listPools: () => (this.getConfiguration()?.pools ?? []).map(({ pool }) => pool),
     });
     this.configuration = this.createConfigurationFollower();
-    this.homeDirectory = new HomeDirectory({ groups: ports.groups, group: GROUP, clock, events });
     this.peers = new PeerClient({ instance, events, clock });
+    this.homeDirectory = new HomeDirectory({
+      groups: ports.groups,
+      group: GROUP,
+      instance,
+      peers: this.peers,
+      clock,
+      events,
+    });
     const handler = (_from: string, request: PeerRequest): Promise<PeerReply> =>
       this.handlePeer(request);
     this.peerServer = new PeerServer({ instance, host, port, handler, events });
@@ -250,6 +257,8 @@
       case 'count-pending-jobs':
       case 'sync-pool':
         return handleJobRequest(this.homes?.get(request.pool), request);
+      case 'list-homes':
+        return this.homeDirectory.tell();
       case 'call-target':
         return relayTargetCall(this.options.ports.targets, request);
       default:
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -3,6 +3,7 @@
 import type { PoolDemand } from '../systems/PoolDemand.js';
 import type { LogEntry } from '../platform/index.js';
 import type { Urgency } from '../settings/index.js';
+import type { PartitionOwner } from '../store/GroupPort.js';
 import type { LeasedTargetAddress, TargetAnswer, TargetCall } from '../targets/LeasedTargetPort.js';
 
 /** Request for a slot, from an entry instance to a pool's home. */
@@ -82,6 +83,8 @@
   | { readonly type: 'get-job'; readonly jobId: string }
   | { readonly type: 'cancel-job'; readonly jobId: string }
   | { readonly type: 'explain'; readonly subject: string }
+  /** Which instances hold the partitions, as the asked one has read it last. */
+  | { readonly type: 'list-homes' }
   | TargetCallRequest
   | DurableJobRequest;
 
@@ -113,6 +116,12 @@
   | { readonly type: 'pending-jobs'; readonly count: number }
   | { readonly type: 'pool-demand'; readonly demand: PoolDemand }
   | { readonly type: 'target-answer'; readonly answer: TargetAnswer }
+  | {
+      readonly type: 'homes';
+      readonly owners: readonly PartitionOwner[];
+      /** Time since the reading; a length, as clocks differ. */
+      readonly ageMs: number;
+    }
   | { readonly type: 'grants'; readonly grants: readonly HeldGrant[] }
   | { readonly type: 'entries'; readonly entries: readonly LogEntry[] }
   | { readonly type: 'state'; readonly json: string };
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -63,6 +63,7 @@
     drainedForMs: z.number().nonnegative(),
     endedTargets: z.array(id),
   }),
+  z.looseObject({ type: z.literal('list-homes') }),
   z.looseObject({
     type: z.literal('call-target'),
     target: z.looseObject({ targetId: id, host: text, port: z.int() }),
@@ -122,6 +123,11 @@
     }),
   }),
   z.looseObject({ type: z.literal('target-answer'), answer: targetAnswerSchema }),
+  z.looseObject({
+    type: z.literal('homes'),
+    owners: z.array(z.looseObject({ partition: count, member: text })),
+    ageMs: z.number().nonnegative(),
+  }),
   z.looseObject({ type: z.literal('grants'), grants: z.array(heldGrant) }),
   z.looseObject({ type: z.literal('entries'), entries }),
   z.looseObject({ type: z.literal('state'), json: text }),
--- a/src/taskHome/HomeDirectory.ts
+++ b/src/taskHome/HomeDirectory.ts
@@ -1,6 +1,6 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
-import type { PeerAddress } from '../peers/index.js';
-import type { GroupPort } from '../store/index.js';
+import type { PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
+import type { GroupPort, PartitionOwner } from '../store/index.js';
 import type { HomeCapacity } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 
@@ -8,12 +8,19 @@
 export interface HomeDirectoryOptions {
   readonly groups: Pick<GroupPort, 'listOwners'>;
   readonly group: string;
+  /** Id of this instance. */
+  readonly instance: string;
+  readonly peers: PeerPort;
   readonly clock: Clock;
   readonly events: EventLog;
 }
 
 /** Least time between two readings that calls ask for, in milliseconds: store calls are shared. */
 const ASKED_GAP_MS = 150;
+/** Peers that are asked at once where the group does not answer: several may be cut off as well. */
+const ASKED_PEER_COUNT = 3;
+/** Longest wait for a peer's reply, in milliseconds: usually 5, and callers wait for this one. */
+const PEER_WAIT_MS = 400;
 
 const MEMBER_PATTERN = /^([^@]+)@([^:]+):(\d+)\/([\d.]+),([\d.]+)$/;
 
@@ -48,13 +55,43 @@
   };
 }
 
-/** Where the home of each partition is, as the platform's group tells it. */
+/** Owners of partitions, and when the group told them. */
+interface OwnersReading {
+  readonly rows: readonly PartitionOwner[];
+  /** By the monotonic clock. */
+  readonly readAtMs: number;
+}
+
+const NOTHING_READ: OwnersReading = { rows: [], readAtMs: Number.NEGATIVE_INFINITY };
+
+function parseOwners(rows: readonly PartitionOwner[]): ReadonlyMap<number, GroupMember> {
+  const known = rows.flatMap(({ partition, member: name }): readonly [number, GroupMember][] => {
+    const member = parseMember(name);
+    return member === undefined ? [] : [[partition, member]];
+  });
+  return new Map(known);
+}
+
+/**
+ * Where the home of each partition is, as the platform's group tells it, or a peer that has heard
+ * from the group since.
+ *
+ * Guards against entries that the store turns away while it serves others: a home that is replaced
+ * meanwhile would be asked for as long as that lasts, which shows as `jobTurnedAway` by an instance
+ * that does not decide for the pool. Peers that the store serves know the new one.
+ */
 export class HomeDirectory {
   private readonly options: HomeDirectoryOptions;
 
   private owners: ReadonlyMap<number, GroupMember> = new Map();
 
-  private readAtMs = Number.NEGATIVE_INFINITY;
+  private latest = NOTHING_READ;
+
+  /** When the last reading ended, with or without an answer, by the monotonic clock. */
+  private triedAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Place among the members of the peer that is asked next. */
+  private nextPeer = 0;
 
   private reading: Promise<void> | undefined;
 
@@ -108,31 +145,79 @@
     return [...new Map(members.map((member) => [member.address.instance, member])).values()];
   }
 
+  /**
+   * Tells a peer what this directory knows, after a look at the group. It asks no peers itself: two
+   * that the group does not answer would wait for each other.
+   * @returns The owners with the age of their reading; a refusal where there was none.
+   */
+  async tell(): Promise<PeerReply> {
+    if (this.ageMs > ASKED_GAP_MS) await this.readGroup();
+    const { rows, readAtMs } = this.latest;
+    if (readAtMs === NOTHING_READ.readAtMs) {
+      return { type: 'refused', kind: 'home-unavailable', message: 'No owners were read yet.' };
+    }
+    return { type: 'homes', owners: rows, ageMs: this.ageMs };
+  }
+
   /** Reads the owners, unless that was done a moment ago; without an answer they stay. */
   refresh(): Promise<void> {
     const { clock } = this.options;
-    if (clock.monotonicMs() - this.readAtMs < ASKED_GAP_MS) return Promise.resolve();
+    if (clock.monotonicMs() - this.triedAtMs < ASKED_GAP_MS) return Promise.resolve();
     this.reading ??= this.read().finally(() => {
       this.reading = undefined;
     });
     return this.reading;
   }
 
+  /** Time since the group told the owners, to this instance or to a peer. */
+  private get ageMs(): number {
+    return this.options.clock.monotonicMs() - this.latest.readAtMs;
+  }
+
   private async read(): Promise<void> {
+    if (!(await this.readGroup())) await this.askPeers();
+    this.triedAtMs = this.options.clock.monotonicMs();
+  }
+
+  /** Reads the owners from the group; tells whether it has answered. */
+  private async readGroup(): Promise<boolean> {
     const { groups, group, clock } = this.options;
     try {
       const rows = await groups.listOwners(group);
-      const known = rows.flatMap(
-        ({ partition, member: name }): readonly [number, GroupMember][] => {
-          const member = parseMember(name);
-          return member === undefined ? [] : [[partition, member]];
-        },
-      );
-      this.owners = new Map(known);
+      this.take({ rows, readAtMs: clock.monotonicMs() });
       this.outage.noteSuccess();
+      return true;
     } catch (thrown) {
       this.outage.noteFailure({ group, reason: String(thrown) });
+      return false;
     }
-    this.readAtMs = clock.monotonicMs();
+  }
+
+  private take(reading: OwnersReading): void {
+    if (reading.readAtMs <= this.latest.readAtMs) return;
+    this.latest = reading;
+    this.owners = parseOwners(reading.rows);
+  }
+
+  /** Takes what peers have read later than this instance; each attempt asks other ones. */
+  private async askPeers(): Promise<void> {
+    const { instance } = this.options;
+    const others = this.listMembers()
+      .map(({ address }) => address)
+      .filter((address) => address.instance !== instance);
+    const turned = [...others.slice(this.nextPeer), ...others.slice(0, this.nextPeer)];
+    this.nextPeer = (this.nextPeer + ASKED_PEER_COUNT) % Math.max(1, others.length);
+    const asked = turned.slice(0, ASKED_PEER_COUNT);
+    await Promise.all(asked.map((address) => this.askPeer(address)));
+  }
+
+  private async askPeer(address: PeerAddress): Promise<void> {
+    const { peers, clock } = this.options;
+    // A peer that does not reply says nothing; the connection to it logs its own failures.
+    const reply = await peers
+      .call(address, { type: 'list-homes' }, PEER_WAIT_MS)
+      .catch(() => undefined);
+    if (reply?.type !== 'homes') return;
+    this.take({ rows: reply.owners, readAtMs: clock.monotonicMs() - reply.ageMs });
   }
 }
--- a/tests/jobNode/cutFromStore.test.ts
+++ b/tests/jobNode/cutFromStore.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, expect, it, vi } from 'vitest';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { PoolPartitions } from '../../src/taskHome/index.js';
@@ -7,6 +8,8 @@
 const POOL = 'pages';
 const TERMS = { queue: 'saves', pool: POOL, priority: 0, maxAttempts: 2, stretch: 2 };
 const PARTITION_COUNT = 8;
+/** Time within which every instance has read who holds the partitions. */
+const OWNERS_READ_EVERY_MS = 1_200;
 
 let cluster: JobsCluster;
 
@@ -54,6 +57,11 @@
 // that reason from entries of `groupUnreachable` alone, until the store took them back.
 it('reaches a new home through an entry that the store turns away', async () => {
   await vi.waitFor(() => submit(cluster.nodes[0]!, 'first'), 5_000);
+  await vi.waitFor(async () => {
+    const owners = await cluster.store.listOwners(GROUP);
+    expect(new Set(owners.map(({ member }) => member)).size).toBe(cluster.nodes.length);
+  }, 5_000);
+  await sleep(OWNERS_READ_EVERY_MS);
   const { home, member } = await findHome();
   const [entry] = cluster.nodes.filter((node) => node !== home);
   await submit(entry!, 'second');
--- a/tests/taskHome/HomeDirectory.test.ts
+++ b/tests/taskHome/HomeDirectory.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import type { PartitionOwner } from '../../src/store/index.js';
 import { formatMember, HomeDirectory, parseMember } from '../../src/taskHome/index.js';
@@ -18,6 +18,8 @@
         owners.map(([partition, member]) => ({ partition, member })),
     },
     group: 'homes',
+    instance: 'asker',
+    peers: { call: () => Promise.reject(new Error('No peer is asked.')) },
     clock: new ManualClock(),
     events: new MemoryEventLog(),
   });
@@ -45,4 +47,36 @@
     expect(directory.listOthers([0])).toEqual([idle.address]);
     expect(directory.listCapacities('busy')).toEqual([idle.capacity]);
   });
+
+  it('takes from peers what they have read later, where the group does not answer', async () => {
+    const clock = new ManualClock();
+    const [earlier, later] = [makeMember('earlier', 1), makeMember('later', 1)];
+    const owners = [{ partition: 0, member: formatMember(earlier) }];
+    const listOwners = vi.fn(async () => owners);
+    const replies = { ageMs: 2_000, member: formatMember(later) };
+    const directory = new HomeDirectory({
+      groups: { listOwners },
+      group: 'homes',
+      instance: 'asker',
+      peers: {
+        call: async () => ({
+          type: 'homes',
+          owners: [{ partition: 0, member: replies.member }],
+          ageMs: replies.ageMs,
+        }),
+      },
+      clock,
+      events: new MemoryEventLog(),
+    });
+    await directory.refresh();
+    listOwners.mockRejectedValue(new Error('turned away'));
+    clock.advance(1_000);
+    await directory.refresh();
+    expect(directory.get(0)).toEqual(earlier.address);
+    replies.ageMs = 500;
+    clock.advance(1_000);
+    await directory.refresh();
+    expect(directory.get(0)).toEqual(later.address);
+    expect(await directory.tell()).toMatchObject({ type: 'homes', ageMs: 500 });
+  });
 });
