Read who holds the homes before an instance joins the group of homes

Cause: an instance joined at its start and read the owners beside that, so each small one joined, left again 400 ms later, and the platform shared the partitions out anew both times. Ruled out: lost renewals of the large ones (none was logged) and closings by a higher term (the reason was 'reassigned'). Change: the first reading comes before the first join; the test fails without it.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -125,8 +125,11 @@
     this.configuration.start();
     const { address, capacity } = this.options;
     this.homes = this.createHomes(formatMember({ address: { ...address, port }, capacity }));
+    // Guards against a small instance that joins the group before it has read that larger ones hold
+    // the homes, and leaves it a moment later: the platform shares the partitions out anew each
+    // time, which shows as `taskHomeClosed` with `reassigned` wherever such an instance starts.
+    await this.homeDirectory.refresh();
     this.homes.start();
-    void this.homeDirectory.refresh();
     this.homesTimer = setInterval(() => {
       void this.homeDirectory.refresh();
     }, HOMES_EVERY_MS);
--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -138,7 +138,11 @@
     await node.stop();
   }
 
-  private async startNode(capacity: HomeCapacity = LIKE_OTHERS): Promise<void> {
+  /**
+   * Starts one more instance.
+   * @param capacity - What it can carry; like the others where it is absent.
+   */
+  async startNode(capacity: HomeCapacity = LIKE_OTHERS): Promise<void> {
     const { events } = this.options;
     const { targets, clock } = this;
     const storeAccess = new StoreAccess(this.store);
--- a/tests/jobNode/largerInstances.test.ts
+++ b/tests/jobNode/largerInstances.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { parseMember } from '../../src/taskHome/index.js';
@@ -6,6 +7,7 @@
 const SMALL = { coreCount: 0.3, linkMbps: 10 };
 const LARGE = { coreCount: 1.2, linkMbps: 200 };
 const GROUP = 'homes';
+const SEVERAL_RENEWALS_MS = 1_200;
 
 describe('instances of different size', () => {
   let cluster: JobsCluster;
@@ -43,4 +45,22 @@
     await stopLarge(3);
     await vi.waitFor(async () => expect(isAll(await listOwnedCores(), 0.3)).toBe(true), 8_000);
   }, 20_000);
+
+  // After all instances had lost power, pools lost their homes a second time, for 0.3 to 0.8 s, and
+  // with them what had been learned of run times and arrivals. The large instances were back first
+  // and had opened every partition. Then each small one joined the group, as it had read nothing of
+  // the others yet, and left it a moment later; each time the platform shared the partitions out
+  // anew. Evidence: `taskHomeClosed` with `reassigned` 1.3 s after the first `taskHomeOpened`.
+  it('keep the homes of larger ones where they are when a small one starts', async () => {
+    await vi.waitFor(async () => {
+      const cores = await listOwnedCores();
+      expect(cores.length > 0 && cores.every((owned) => owned === 1.2)).toBe(true);
+    }, 8_000);
+    const join = vi.spyOn(cluster.store, 'join');
+    await cluster.startNode(SMALL);
+    await sleep(SEVERAL_RENEWALS_MS);
+    const { instance } = cluster.nodes.at(-1)!;
+    const joined = join.mock.calls.filter(([{ member }]) => member.startsWith(instance));
+    expect(joined).toEqual([]);
+  }, 20_000);
 });
