Count VMs that an earlier home has just moved, and hold them no longer than their order lease

Cause: a new home of the fleet leaves VMs alone that the earlier one has just ordered. Once up they counted neither as had nor as arriving, so their pool ordered them again; and each was held for the whole lease from the opening on, however old its order was. Change: planMoves counts held VMs that work where they are; the hold ends with the lease, less what the clocks may be apart. Both tests fail on the code before.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -232,6 +232,7 @@
       vms,
       standbyPools: new Set(listStandbyPools()),
       heldVms: this.listHeld(),
+      stayingVms: this.listStaying(),
       arrivingByPool: this.countArriving(vms),
       yieldsKept: mechanisms.has('kept-yields-in-shortage'),
       ...(mechanisms.has('kept-by-peak') ? { keptCounts: this.peaks.getKeptCounts() } : {}),
@@ -285,6 +286,14 @@
     return new Set([...this.listDrained(), ...away, ...this.orders.listTooEarly()]);
   }
 
+  /** VMs that are only left alone: neither drained nor away, they work on where they are. */
+  private listStaying(): ReadonlySet<string> {
+    const drained = this.listDrained();
+    return new Set(
+      this.orders.listTooEarly().filter((vm) => !drained.has(vm) && !this.orders.isAway(vm)),
+    );
+  }
+
   private countArriving(vms: readonly FleetVm[]): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
     const note = (pool: string): unknown => counts.set(pool, (counts.get(pool) ?? 0) + 1);
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -63,7 +63,11 @@
 
   private readonly away = new Map<string, Away>();
 
-  /** Monotonic times before which VMs that an earlier holder has ordered are left alone. */
+  /**
+   * Monotonic times before which VMs that an earlier holder has ordered are left alone. The time
+   * since the order counts, less what the clocks may be apart: with the whole wait for each, 130
+   * VMs were held for up to 3.3 s too long in the front of a rush, and 37 of them idled.
+   */
   private readonly notBeforeMs: ReadonlyMap<string, number>;
 
   /**
@@ -78,7 +82,10 @@
     this.notBeforeMs = new Map(
       orderRecords
         .filter(({ orderedAtMs }) => orderedAtMs > oldestAtMs)
-        .map(({ vm }) => [vm, clock.monotonicMs() + waitMs]),
+        .map(({ vm, orderedAtMs }) => [
+          vm,
+          clock.monotonicMs() + Math.min(waitMs, orderedAtMs - oldestAtMs),
+        ]),
     );
   }
 
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -16,6 +16,8 @@
   readonly standbyPools: ReadonlySet<string>;
   /** VMs that are left alone: drained, moving, in a wave, or moved a moment ago. */
   readonly heldVms: ReadonlySet<string>;
+  /** Held VMs that work on where they are: an earlier home has just ordered them. */
+  readonly stayingVms?: ReadonlySet<string>;
   /** VMs on their way to each pool. */
   readonly arrivingByPool: ReadonlyMap<string, number>;
   /** VMs that each pool keeps without a need; {@link MIN_KEPT_COUNT} where it is absent. */
@@ -39,9 +41,12 @@
  */
 const MAX_MOVES_PER_POOL = 32;
 
+const NO_VMS: ReadonlySet<string> = new Set();
+
 /** A pool with the VMs that it has, or is about to have, and needs. */
 interface PoolBalance {
   readonly demand: PoolDemand;
+  /** Those that may be given away. */
   readonly upVms: readonly FleetVm[];
   readonly haveCount: number;
   readonly needCount: number;
@@ -49,16 +54,25 @@
   readonly keptCount: number;
 }
 
+/**
+ * Compares what a pool has with what it needs.
+ *
+ * Guards against VMs that are ordered twice: those that an earlier home had moved into a pool are
+ * left alone for a while, and not counted they would be missed the moment they are up. A pool with
+ * a need of 124 had 182 VMs then, and the next one began its rush with 3.
+ */
 function balancePool(demand: PoolDemand, input: PlanMovesInput): PoolBalance {
-  const { vms, heldVms, arrivingByPool, keptCounts } = input;
+  const { vms, heldVms, stayingVms = NO_VMS, arrivingByPool, keptCounts } = input;
   const { pool, targets, neededCpuMillicores } = demand;
-  const upVms = vms.filter((vm) => vm.pool === pool && vm.state === 'up' && !heldVms.has(vm.vm));
+  const upInPool = vms.filter((vm) => vm.pool === pool && vm.state === 'up');
+  const upVms = upInPool.filter(({ vm }) => !heldVms.has(vm));
+  const stayingCount = upInPool.filter(({ vm }) => stayingVms.has(vm)).length;
   const vmMillicores = targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
   const needCount = Math.ceil(neededCpuMillicores / vmMillicores);
   return {
     demand,
     upVms,
-    haveCount: upVms.length + (arrivingByPool.get(pool) ?? 0),
+    haveCount: upVms.length + stayingCount + (arrivingByPool.get(pool) ?? 0),
     needCount,
     keptCount: Math.max(needCount, keptCounts?.get(pool) ?? MIN_KEPT_COUNT),
   };
--- a/tests/fleetHome/VmOrders.test.ts
+++ b/tests/fleetHome/VmOrders.test.ts
@@ -126,6 +126,19 @@
     expect(await world.open(3).give(moveOf('vm-1'), undefined)).toBe('accepted');
   });
 
+  // In the front of a rush 37 VMs idled, held for 3.3 s from the opening of the fleet's home, though
+  // the earlier home had ordered them 5 s before: their order lease was long over.
+  it('leaves a VM alone only for what is left of the time since its order', async () => {
+    const world = new OrderWorld();
+    await world.open(1).give(moveOf('vm-1'), undefined);
+    world.clock.advance(ORDER_LEASE_MS + 2_000);
+    const successor = world.open(2);
+    expect(successor.listTooEarly()).toEqual(['vm-1']);
+    world.clock.advance(800);
+    expect(successor.listTooEarly()).toEqual([]);
+    expect(await successor.give(moveOf('vm-1'), undefined)).toBe('accepted');
+  });
+
   // A home that had been frozen woke up and moved a VM that its successor was about to use. It did
   // not know yet that it was replaced; the store did.
   it('gives no order that could not be stored', async () => {
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -108,6 +108,18 @@
     expect(moves.map(({ vm, toPool }) => `${vm} ${toPool}`)).toEqual(['s1 pages', 'a1 pages']);
   });
 
+  // After all daemons had lost power, the new home of the fleet ordered VMs twice for one pool: those
+  // that the earlier home had moved there were up and held, and counted neither as there nor as on
+  // their way. The pool got 182 VMs for a need of 124, and the next pool began its rush with three.
+  it('counts the VMs that an earlier home has just moved and that work', () => {
+    const held = new Set(['p2', 'p3']);
+    const vms = [...input.vms, makeVm('p2', 'pages'), makeVm('p3', 'pages')];
+    const plan = (stayingVms: ReadonlySet<string>) =>
+      planMoves({ ...input, vms, heldVms: held, stayingVms });
+    expect(plan(held)).toEqual([]);
+    expect(plan(new Set())).toHaveLength(2);
+  });
+
   it('counts the VMs that are on their way', () => {
     expect(planMoves({ ...input, arrivingByPool: new Map([['pages', 3]]) })).toEqual([]);
   });
