--- a/tests/fleetHome/VmOrders.test.ts
+++ b/tests/fleetHome/VmOrders.test.ts
@@ -126,8 +126,8 @@
     expect(await world.open(3).give(moveOf('vm-1'), undefined)).toBe('accepted');
   });
 
-  // In the front of a rush 37 VMs idled, held for 3.3 s from the opening of the fleet's home, though
-  // the earlier home had ordered them 5 s before: their order lease was long over.
+  // In the front of a rush 37 VMs idled: they were held for 3.3 s from the opening of the fleet's
+  // home, though the earlier home had ordered them 5 s before, and their order lease was long over.
   it('leaves a VM alone only for what is left of the time since its order', async () => {
     const world = new OrderWorld();
     await world.open(1).give(moveOf('vm-1'), undefined);
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -108,7 +108,7 @@
     expect(moves.map(({ vm, toPool }) => `${vm} ${toPool}`)).toEqual(['s1 pages', 'a1 pages']);
   });
 
-  // After all daemons had lost power, the new home of the fleet ordered VMs twice for one pool: those
+  // After all daemons lost power, the new home of the fleet ordered VMs twice for one pool: those
   // that the earlier home had moved there were up and held, and counted neither as there nor as on
   // their way. The pool got 182 VMs for a need of 124, and the next pool began its rush with three.
   it('counts the VMs that an earlier home has just moved and that work', () => {
