Keep the peaks of pools over a change of the fleet's home

Cause: a new home of the fleet took what a pool had at that moment for all that it ever had, though others had just been served from it; such a pool kept three VMs for the front of its next rush. Change: peaks are stored in the fleet's partition when the count that a pool keeps changes; a new home goes on with them. The test fails before, for want of the list.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -5,6 +5,7 @@
   indexLoads,
   type Mechanisms,
   type PoolDemand,
+  type PoolPeak,
   PoolPeaks,
   planMoves,
   type TargetLoad,
@@ -12,6 +13,7 @@
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm, VmFleetPort } from '../vms/index.js';
+import { encodePoolPeakRecord } from './PoolPeakRecord.js';
 import { PoolsLog } from './PoolsLog.js';
 import type { VmOrderRecord } from './VmOrderRecord.js';
 import { VmOrders } from './VmOrders.js';
@@ -30,6 +32,8 @@
   readonly orderLeaseMs: number;
   /** Progress of waves as an earlier home has stored it. */
   readonly waveRecords: readonly WaveRecord[];
+  /** Most VMs that each pool has used, as earlier homes have stored it. */
+  readonly peakRecords: readonly PoolPeak[];
   /** Latest orders for VMs as earlier homes have stored them. */
   readonly orderRecords: readonly VmOrderRecord[];
   readonly listWaveOrders: () => readonly WaveOrder[];
@@ -93,6 +97,9 @@
 
   private readonly peaks: PoolPeaks;
 
+  /** What pools keep by the peaks that are stored. */
+  private storedKeptCounts: ReadonlyMap<string, number>;
+
   /**
    * Creates a home that does nothing yet.
    * @param options - The VMs, the pools and the waves.
@@ -106,7 +113,8 @@
       regained: 'vmListReachable',
     });
     this.poolsLog = new PoolsLog(options);
-    this.peaks = new PoolPeaks(options.clock);
+    this.peaks = new PoolPeaks(options.clock, options.peakRecords);
+    this.storedKeptCounts = this.peaks.getKeptCounts();
     const onStaleTerm = (): void => this.options.onReplaced();
     this.orders = new VmOrders({ ...options, onStaleTerm });
     this.waves = new WaveDesk({ ...options, orders: this.orders, records: waveRecords });
@@ -142,6 +150,7 @@
     if (this.isClosed) return;
     this.poolsLog.note(this.demands, vms, this.listHeld());
     this.demands.forEach((demand) => this.peaks.note(demand));
+    this.storePeaks();
     await this.waves.advance(vms, this.getLoads());
     await this.moveVms(vms);
   }
@@ -179,6 +188,18 @@
     return [...this.ended.keys()];
   }
 
+  /** Stores the peaks of pools that keep another count of VMs than those stored say. */
+  private storePeaks(): void {
+    const keptCounts = this.peaks.getKeptCounts();
+    const changed = this.peaks
+      .list()
+      .filter(({ pool }) => keptCounts.get(pool) !== this.storedKeptCounts.get(pool));
+    if (changed.length === 0) return;
+    this.storedKeptCounts = keptCounts;
+    // A writer that was replaced has told so; the next home then keeps what was stored before.
+    this.options.store(changed.map(encodePoolPeakRecord)).catch(() => undefined);
+  }
+
   private getLoads(): ReadonlyMap<string, TargetLoad> {
     return indexLoads(this.demands);
   }
--- /dev/null
+++ b/src/fleetHome/PoolPeakRecord.ts
@@ -0,0 +1,31 @@
+import { z } from 'zod';
+import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../store/index.js';
+import type { PoolPeak } from '../systems/index.js';
+
+const PREFIX = 'pool-peak/';
+
+const recordSchema = z.looseObject({
+  pool: z.string(),
+  vmCount: z.number(),
+  seenAtMs: z.number(),
+});
+
+/**
+ * Encodes the most VMs that a pool has used, for the next home of the fleet.
+ * @param peak - The peak.
+ * @returns Its record.
+ */
+export function encodePoolPeakRecord(peak: PoolPeak): KeyedRecord {
+  return { key: `${PREFIX}${peak.pool}`, value: encodeRecordValue(peak) };
+}
+
+/**
+ * Decodes the most VMs that a pool has used.
+ * @param record - A record of the partition of the fleet's home.
+ * @returns The peak, or undefined where the record is about something else.
+ * @throws RattanliftError Of kind `internal` where it is malformed.
+ */
+export function decodePoolPeakRecord(record: KeyedRecord): PoolPeak | undefined {
+  if (!record.key.startsWith(PREFIX) || record.value === undefined) return undefined;
+  return decodeRecordValue(recordSchema, record);
+}
--- a/src/systems/PoolPeaks.ts
+++ b/src/systems/PoolPeaks.ts
@@ -14,40 +14,63 @@
 /** Time in which what a pool has counts as its peak, in ms: targets are met within 2 s. */
 const ALLOTMENT_WINDOW_MS = 3_000;
 
-interface Peak {
+/** The most VMs that a pool has used at once, faded until it was seen last. */
+export interface PoolPeak {
+  readonly pool: string;
   readonly vmCount: number;
-  readonly atMs: number;
-  readonly firstSeenAtMs: number;
+  /** Wall-clock time in milliseconds since the Unix epoch; a jump of the clock fades little. */
+  readonly seenAtMs: number;
 }
 
-/** The most VMs that each pool has been seen to use at once, which fades slowly. */
+/**
+ * The most VMs that each pool has been seen to use at once, which fades slowly.
+ *
+ * Guards against a takeover in the midst of a rush: what a pool has at that moment says nothing of
+ * what operators gave it, and a pool that others had just been served from would keep three VMs
+ * for its own rush. So an earlier home's peaks are taken over.
+ */
 export class PoolPeaks {
   private readonly clock: Clock;
 
-  private readonly peaks = new Map<string, Peak>();
+  private readonly peaks: Map<string, PoolPeak>;
+
+  /** When each pool without a known peak was seen first, in wall-clock milliseconds. */
+  private readonly firstSeenAtMs = new Map<string, number>();
 
   /**
-   * Starts without peaks.
+   * Starts with what is known.
    * @param clock - Tells how old a peak is.
+   * @param known - Peaks as an earlier home has seen them.
    */
-  constructor(clock: Clock) {
+  constructor(clock: Clock, known: readonly PoolPeak[] = []) {
     this.clock = clock;
+    this.peaks = new Map(known.map((peak) => [peak.pool, peak]));
+    known.forEach(({ pool }) => this.firstSeenAtMs.set(pool, Number.NEGATIVE_INFINITY));
   }
 
   /**
-   * Takes note of what a pool uses. What it has in the first seconds counts as its peak, since
-   * operators, or the rushes before, have given it that.
+   * Takes note of what a pool uses. What it has in its first seconds counts as its peak, since
+   * operators have given it that.
    * @param demand - Load and demand of the pool.
    */
   note({ pool, targets }: PoolDemand): void {
     const usedVms = targets
       .map(({ usedCpuMillicores, cpuMillicores }) => usedCpuMillicores / Math.max(1, cpuMillicores))
       .reduce((sum, share) => sum + share, 0);
-    const atMs = this.clock.monotonicMs();
-    const { firstSeenAtMs = atMs } = this.peaks.get(pool) ?? {};
-    const allottedCount = atMs - firstSeenAtMs < ALLOTMENT_WINDOW_MS ? targets.length : 0;
+    const seenAtMs = this.clock.wallMs();
+    const firstSeenAtMs = this.firstSeenAtMs.get(pool) ?? seenAtMs;
+    this.firstSeenAtMs.set(pool, firstSeenAtMs);
+    const allottedCount = seenAtMs - firstSeenAtMs < ALLOTMENT_WINDOW_MS ? targets.length : 0;
     const vmCount = Math.max(this.getPeak(pool) ?? 0, allottedCount, usedVms);
-    this.peaks.set(pool, { vmCount, atMs, firstSeenAtMs });
+    this.peaks.set(pool, { pool, vmCount, seenAtMs });
+  }
+
+  /**
+   * Lists the peaks.
+   * @returns One for each pool that has been seen.
+   */
+  list(): readonly PoolPeak[] {
+    return [...this.peaks.values()];
   }
 
   /**
@@ -66,7 +89,7 @@
   private getPeak(pool: string): number | undefined {
     const peak = this.peaks.get(pool);
     if (peak === undefined) return undefined;
-    const ageMs = this.clock.monotonicMs() - peak.atMs;
+    const ageMs = Math.max(0, this.clock.wallMs() - peak.seenAtMs);
     return peak.vmCount * 0.5 ** (ageMs / HALF_LIFE_MS);
   }
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -38,5 +38,5 @@
 } from './planMaintenance.js';
 export { planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
 export { type PaceChange, type PacedTask, planPace, type ServingLoad } from './planPace.js';
-export { PoolPeaks } from './PoolPeaks.js';
+export { type PoolPeak, PoolPeaks } from './PoolPeaks.js';
 export { choosesToHold, type ChoosesToHoldInput, type HomeCapacity } from './choosesToHold.js';
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  decodePoolPeakRecord,
   decodeVmOrderRecord,
   decodeWaveRecord,
   type FleetHome,
@@ -10,7 +11,7 @@
 import { HeldLease } from '../membership/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
-import type { Mechanisms } from '../systems/index.js';
+import type { Mechanisms, PoolPeak } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import { AdaptiveTimeout, type Clock, KeyedOnce } from '../utils/index.js';
 import { HOME_PRODUCER, type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
@@ -58,6 +59,7 @@
   readonly term: number;
   readonly waveRecords: readonly WaveRecord[];
   readonly orderRecords: readonly VmOrderRecord[];
+  readonly peakRecords: readonly PoolPeak[];
   readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
   readonly onReplaced: () => void;
 }
@@ -270,6 +272,7 @@
       term: home.term,
       waveRecords: this.decodeAll(partition, records, decodeWaveRecord),
       orderRecords: this.decodeAll(partition, records, decodeVmOrderRecord),
+      peakRecords: this.decodeAll(partition, records, decodePoolPeakRecord),
       store: (changes) => home.store(changes),
       onReplaced: () => this.close(partition, 'replaced'),
     });
--- a/tests/fleetHome/VmOrders.test.ts
+++ b/tests/fleetHome/VmOrders.test.ts
@@ -68,6 +68,7 @@
     mechanisms: ALL_MECHANISMS,
     orderLeaseMs: ORDER_LEASE_MS,
     waveRecords: [],
+    peakRecords: [],
     orderRecords,
     listWaveOrders: () => [],
     listPools: () => ['pages'],
--- a/tests/systems/PoolPeaks.test.ts
+++ b/tests/systems/PoolPeaks.test.ts
@@ -33,6 +33,24 @@
     expect(peaks.getKeptCounts().get('small')).toBe(6);
   });
 
+  // After a loss of power a pool began its rush with three VMs, of which it used 40 before:
+  // the new home of the fleet took the few that others had left it for all that it ever had.
+  it('goes on with the peaks of an earlier home, whatever its pools have at that moment', () => {
+    const clock = new ManualClock();
+    const earlier = new PoolPeaks(clock);
+    earlier.note(makeDemand('emptied', fill(40, VM_CORES)));
+    earlier.note(makeDemand('flooded', fill(12, VM_CORES)));
+    const peaks = new PoolPeaks(clock, earlier.list());
+    peaks.note(makeDemand('emptied', fill(3, 0)));
+    peaks.note(makeDemand('flooded', fill(180, 1)));
+    peaks.note(makeDemand('new', fill(20, 0)));
+    expect([...peaks.getKeptCounts()]).toEqual([
+      ['emptied', 10],
+      ['flooded', 3],
+      ['new', 5],
+    ]);
+  });
+
   it('forgets a peak slowly', () => {
     const clock = new ManualClock();
     const peaks = new PoolPeaks(clock);
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -156,8 +156,8 @@
     expect(moves.map(({ vm, toPool }) => `${vm} ${toPool}`)).toEqual(['a1 pages', 'a2 pages']);
   });
 
-  // A pool whose rush had begun waited with three VMs for two seconds: the need of another, foreseen
-  // from four large jobs, came out at several times the fleet, so that it got whatever was free.
+  // A pool whose rush had begun waited with three VMs for two seconds: another pool, whose need had
+  // been foreseen from four large jobs and was several times the fleet, got whatever was free.
   it('gives VMs to tasks that wait before it gives any to what is foreseen', () => {
     const free = ['f1', 'f2', 'f3'].map((vm) => makeVm(vm, 'spare', { targetId: undefined }));
     const foreseen = { ...makeDemand('media', 0, []), neededCpuMillicores: 37_344_000 };
