Keep what stops a run early in a module of its own

Ruled out: letting TaskHome call the new class itself. It would then know two classes where one serves; TaskRuns passes evacuate and stopFinished on.

Change: RunStops holds those decisions with their guards and comments; no behaviour changes.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -21,8 +21,8 @@
   },
   {
     failure: 'tasks of a cancelled job that run on',
-    file: 'src/taskHome/TaskRuns.ts',
-    find: 'this.orders.stop(taskName);\n      return;',
+    file: 'src/taskHome/RunStops.ts',
+    find: 'orders.stop(taskName);\n      return;',
     replace: 'return;',
     test: HOME_TEST,
     name: 'stops the running tasks of a cancelled job',
@@ -61,8 +61,8 @@
   },
   {
     failure: 'two tasks of a step that are away, as one that is being stopped counted as at work',
-    file: 'src/taskHome/TaskRuns.ts',
-    find: "if (task.phase !== 'placed' || this.orders.isStopping(taskName)) return false;",
+    file: 'src/taskHome/RunStops.ts',
+    find: "if (task.phase !== 'placed' || orders.isStopping(taskName)) return false;",
     replace: "if (task.phase !== 'placed') return false;",
     test: HOME_TEST,
     name: 'stops no second task of a step while the first one is still being stopped',
--- /dev/null
+++ b/src/taskHome/RunStops.ts
@@ -0,0 +1,128 @@
+import {
+  type DurableJobRow,
+  isFinished,
+  listGangMates,
+  listPlacedTasks,
+  nameTask,
+  type TaskRow,
+  unplaceTask,
+} from '../jobs/index.js';
+import type { EventLog } from '../logging/index.js';
+import { planEvacuations } from '../systems/index.js';
+import type { RunningTaskReport } from '../targets/index.js';
+import type { JobTable } from './JobTable.js';
+import type { TargetHealth } from './TargetHealth.js';
+import type { TaskOrders } from './TaskOrders.js';
+import type { TaskProgress } from './TaskProgress.js';
+
+/** Options of {@link RunStops}. */
+export interface RunStopsOptions {
+  readonly table: JobTable;
+  readonly orders: TaskOrders;
+  readonly health: TargetHealth;
+  readonly progress: TaskProgress;
+  readonly events: EventLog;
+}
+
+/** Decides which runs of a home's tasks are stopped before their own end, and orders that. */
+export class RunStops {
+  private readonly options: RunStopsOptions;
+
+  /**
+   * Stops nothing yet.
+   * @param options - Jobs, orders, and what is known of targets and runs.
+   */
+  constructor(options: RunStopsOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Stops long-running tasks on targets that are being emptied, as far as their steps allow.
+   * @param drainedTargets - Ids of the targets.
+   */
+  evacuate(drainedTargets: ReadonlySet<string>): void {
+    if (drainedTargets.size === 0) return;
+    const { table, events } = this.options;
+    const evacuations = planEvacuations({
+      jobs: table.listActive(),
+      drainedTargets,
+      isAtWork: (row, position) => this.isAtWork(row, row.tasks[position]!),
+    });
+    evacuations.forEach(({ jobId, position }) => {
+      const row = table.get(jobId)!;
+      const task = row.tasks[position]!;
+      const taskName = nameTask(row, task);
+      const { targetId, run } = task;
+      events.write('taskEvacuated', { jobId, taskName, run, targetId });
+      this.stopForRestart(taskName);
+    });
+  }
+
+  /** Stops the runs of jobs that are cancelled or have failed. */
+  stopFinished(): void {
+    this.options.table
+      .listActive()
+      .filter(isFinished)
+      .forEach((row) =>
+        listPlacedTasks(row).forEach(({ task, position }) => this.stopTask(row, task, position)),
+      );
+  }
+
+  /**
+   * Stops tasks that stand still, so that they start again on another target.
+   * @param targetId - The target.
+   * @param running - What it reports to run.
+   */
+  stopStalled(targetId: string, running: readonly RunningTaskReport[]): void {
+    const { table, progress, health, events } = this.options;
+    running
+      .filter(({ taskName, run }) => progress.isStalled(taskName, run))
+      .filter(({ taskName }) => table.getStep(taskName)?.isGang === false)
+      .forEach(({ taskName, run, progressPercent }) => {
+        events.write('taskStalled', { taskName, run, targetId, progressPercent });
+        health.noteStall(targetId);
+        this.stopForRestart(taskName);
+      });
+  }
+
+  /**
+   * Stops the others of a gang of which a member could not start. Left alone they would hold their
+   * targets until the wait for that member ends, and count as started in vain.
+   * @param row - The job.
+   * @param position - Place of the member among the job's tasks.
+   */
+  stopGangMates(row: DurableJobRow, position: number): void {
+    listGangMates(row, position).forEach((place) =>
+      this.options.orders.stop(nameTask(row, row.tasks[place]!)),
+    );
+  }
+
+  /**
+   * Tells whether a long-running task is at work and stays so. A target reports a run that is being
+   * stopped until it has ended; counted as at work, it would let a second task of the step go.
+   */
+  private isAtWork(row: DurableJobRow, task: TaskRow): boolean {
+    const { orders, progress } = this.options;
+    const taskName = nameTask(row, task);
+    if (task.phase !== 'placed' || orders.isStopping(taskName)) return false;
+    return progress.isAtWork(taskName, task.run);
+  }
+
+  /** Stops a run whose task goes on elsewhere; the next run's progress begins anew. */
+  private stopForRestart(taskName: string): void {
+    this.options.progress.forget(taskName);
+    this.options.orders.stop(taskName);
+  }
+
+  private stopTask(row: DurableJobRow, task: TaskRow, position: number): void {
+    const { orders, table } = this.options;
+    const taskName = nameTask(row, task);
+    if (!orders.isUnsent(taskName)) {
+      orders.stop(taskName);
+      return;
+    }
+    orders.forget(taskName);
+    const current = table.get(row.spec.jobId)!;
+    table.put(unplaceTask(current, position));
+  }
+}
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -2,25 +2,17 @@
   type DurableJobRow,
   endRun,
   isFinished,
-  listGangMates,
   listPlacedTasks,
   nameTask,
   placeTask,
   type RunEnd,
-  type TaskRow,
   unplaceTask,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
-import {
-  type Mechanisms,
-  planEvacuations,
-  type RunTimes,
-  type TaskPlacement,
-} from '../systems/index.js';
+import type { Mechanisms, RunTimes, TaskPlacement } from '../systems/index.js';
 import type {
   EndedTaskReport,
   LeasedTargetPort,
-  RunningTaskReport,
   StartRefusal,
   TaskStart,
 } from '../targets/index.js';
@@ -28,6 +20,7 @@
 import { createTaskStart } from './createTaskStart.js';
 import type { JobTable } from './JobTable.js';
 import type { JobTelemetry } from './JobTelemetry.js';
+import { RunStops } from './RunStops.js';
 import { RunTimer } from './RunTimer.js';
 import { TargetHealth } from './TargetHealth.js';
 import type { TargetReport } from './TargetSession.js';
@@ -69,6 +62,8 @@
 
   private readonly timer: RunTimer;
 
+  private readonly stops: RunStops;
+
   /**
    * Starts without runs.
    * @param options - Jobs, targets and what happens with changes.
@@ -100,6 +95,13 @@
       onOtherLifetime: (targetId) => this.loseTarget(targetId, 'other-lifetime'),
       onStaleTerm: () => this.options.onStaleTerm(),
     });
+    this.stops = new RunStops({
+      table,
+      orders: this.orders,
+      health: this.health,
+      progress: this.progress,
+      events,
+    });
   }
 
   /** What has been learned of run times. */
@@ -189,7 +191,7 @@
     const { running } = report.answer;
     ended.forEach((end) => this.takeEnd(targetId, end));
     this.progress.note(running);
-    this.restartStalled(targetId, running);
+    this.stops.stopStalled(targetId, running);
     const address = this.sessions.getAddress(targetId);
     if (address !== undefined) this.pacer.take(address, running);
     this.orders.reconcile(targetId, running, report.askedAtMs);
@@ -200,21 +202,7 @@
    * @param drainedTargets - Ids of the targets.
    */
   evacuate(drainedTargets: ReadonlySet<string>): void {
-    if (drainedTargets.size === 0) return;
-    const evacuations = planEvacuations({
-      jobs: this.table.listActive(),
-      drainedTargets,
-      isAtWork: (row, position) => this.isAtWork(row, row.tasks[position]!),
-    });
-    evacuations.forEach(({ jobId, position }) => {
-      const row = this.table.get(jobId)!;
-      const task = row.tasks[position]!;
-      const taskName = nameTask(row, task);
-      const { targetId, run } = task;
-      this.options.events.write('taskEvacuated', { jobId, taskName, run, targetId });
-      this.progress.forget(taskName);
-      this.orders.stop(taskName);
-    });
+    this.stops.evacuate(drainedTargets);
   }
 
   /**
@@ -244,12 +232,7 @@
 
   /** Stops the runs of jobs that are cancelled or have failed. */
   stopFinished(): void {
-    this.table
-      .listActive()
-      .filter(isFinished)
-      .forEach((row) =>
-        listPlacedTasks(row).forEach(({ task, position }) => this.stopTask(row, task, position)),
-      );
+    this.stops.stopFinished();
   }
 
   private createStart(key: RunKey): TaskStart | undefined {
@@ -267,26 +250,12 @@
     if (reason !== 'lease-past') this.health.noteRefusal(key.targetId);
     const found = this.table.findPlaced(key);
     if (found !== undefined) {
-      this.stopGangMates(found.row, found.position);
+      this.stops.stopGangMates(found.row, found.position);
       this.table.put(unplaceTask(found.row, found.position));
     }
     this.options.onChanged();
   }
 
-  /** Stops tasks that stand still, so that they start again on another target. */
-  private restartStalled(targetId: string, running: readonly RunningTaskReport[]): void {
-    running
-      .filter(({ taskName, run }) => this.progress.isStalled(taskName, run))
-      .filter(({ taskName }) => this.table.getStep(taskName)?.isGang === false)
-      .forEach(({ taskName, run, progressPercent }) => {
-        const { events } = this.options;
-        events.write('taskStalled', { taskName, run, targetId, progressPercent });
-        this.health.noteStall(targetId);
-        this.progress.forget(taskName);
-        this.orders.stop(taskName);
-      });
-  }
-
   private takeEnd(targetId: string, ended: EndedTaskReport): void {
     const { taskName, run, end, checkpoint } = ended;
     this.endRun({ taskName, run, targetId }, { end, checkpoint }, 'reported');
@@ -310,41 +279,10 @@
     if (isFinished(row) && !isFinished(found.row)) telemetry.noteFinished(row);
   }
 
-  /**
-   * Tells whether a long-running task is at work and stays so. A target reports a run that is being
-   * stopped until it has ended; counted as at work, it would let a second task of the step go.
-   */
-  private isAtWork(row: DurableJobRow, task: TaskRow): boolean {
-    const taskName = nameTask(row, task);
-    if (task.phase !== 'placed' || this.orders.isStopping(taskName)) return false;
-    return this.progress.isAtWork(taskName, task.run);
-  }
-
   /** Forgets the orders of gang members that another member's end has made done. */
   private forgetDone(before: DurableJobRow, after: DurableJobRow): void {
     before.tasks
       .filter(({ phase }, place) => phase === 'placed' && after.tasks[place]!.phase === 'done')
       .forEach((task) => this.orders.forget(nameTask(before, task)));
   }
-
-  /**
-   * Stops the others of a gang of which a member could not start. Left alone they would hold their
-   * targets until the wait for that member ends, and count as started in vain.
-   */
-  private stopGangMates(row: DurableJobRow, position: number): void {
-    listGangMates(row, position).forEach((place) =>
-      this.orders.stop(nameTask(row, row.tasks[place]!)),
-    );
-  }
-
-  private stopTask(row: DurableJobRow, task: TaskRow, position: number): void {
-    const taskName = nameTask(row, task);
-    if (!this.orders.isUnsent(taskName)) {
-      this.orders.stop(taskName);
-      return;
-    }
-    this.orders.forget(taskName);
-    const current = this.table.get(row.spec.jobId)!;
-    this.table.put(unplaceTask(current, position));
-  }
 }
