Test the decisions to stop a run by themselves

Cause: RunStops had tests only through TaskHome, with targets and a store; the mates of a gang, a member that stands still and an unsent run of a finished job had none.

Ruled out: a real TaskOrders in the test; its own answers would hide which stops were ordered.

Change: six tests on a table, health and progress as they are and orders that only take note. The options name the four calls of TaskOrders that are used.

Conclusion: each way to stop a run has a test that needs no target.

--- a/src/taskHome/RunStops.ts
+++ b/src/taskHome/RunStops.ts
@@ -18,7 +18,7 @@
 /** Options of {@link RunStops}. */
 export interface RunStopsOptions {
   readonly table: JobTable;
-  readonly orders: TaskOrders;
+  readonly orders: Pick<TaskOrders, 'forget' | 'isStopping' | 'isUnsent' | 'stop'>;
   readonly health: TargetHealth;
   readonly progress: TaskProgress;
   readonly events: EventLog;
--- /dev/null
+++ b/tests/taskHome/RunStops.test.ts
@@ -0,0 +1,124 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { cancelJob, createJobRow, placeTask } from '../../src/jobs/index.js';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import { JobTable } from '../../src/taskHome/JobTable.js';
+import { RunStops } from '../../src/taskHome/RunStops.js';
+import { TargetHealth } from '../../src/taskHome/TargetHealth.js';
+import { TaskProgress } from '../../src/taskHome/TaskProgress.js';
+import { ManualClock } from '../../src/utils/index.js';
+import { makeJob, makeStep } from './HomeWorld.js';
+
+const STALLED_MS = 2_000;
+
+const report = (taskName: string, progressPercent: number) => ({
+  taskName,
+  run: 1,
+  progressPercent,
+  checkpoint: undefined,
+  loadFigure: undefined,
+});
+
+/** Orders that only take note of what they are told. */
+class FakeOrders {
+  readonly unsent = new Set<string>();
+
+  readonly stopped: string[] = [];
+
+  readonly forgotten: string[] = [];
+
+  isUnsent(taskName: string): boolean {
+    return this.unsent.has(taskName);
+  }
+
+  isStopping(taskName: string): boolean {
+    return this.stopped.includes(taskName);
+  }
+
+  stop(taskName: string): void {
+    this.stopped.push(taskName);
+  }
+
+  forget(taskName: string): void {
+    this.forgotten.push(taskName);
+  }
+}
+
+describe('RunStops', () => {
+  let clock: ManualClock;
+  let table: JobTable;
+  let orders: FakeOrders;
+  let health: TargetHealth;
+  let progress: TaskProgress;
+  let stops: RunStops;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    const events = new MemoryEventLog();
+    table = new JobTable();
+    orders = new FakeOrders();
+    health = new TargetHealth({ clock, events });
+    progress = new TaskProgress(clock);
+    stops = new RunStops({ table, orders, health, progress, events });
+  });
+
+  it('stops the sent runs of a finished job and takes the unsent ones back', () => {
+    const row = createJobRow(makeJob('a', [makeStep({ taskCount: 2 })]));
+    table.add(cancelJob(placeTask(placeTask(row, 0, 't1'), 1, 't2'), 0));
+    orders.unsent.add('a.0.0.1');
+    stops.stopFinished();
+    expect(orders.stopped).toEqual(['a.0.0.0']);
+    expect(orders.forgotten).toEqual(['a.0.0.1']);
+    expect(table.get('a')!.tasks.map(({ phase }) => phase)).toEqual(['placed', 'waiting']);
+  });
+
+  it('leaves the runs of a job that goes on', () => {
+    table.add(placeTask(createJobRow(makeJob('a')), 0, 't1'));
+    stops.stopFinished();
+    expect(orders.stopped).toEqual([]);
+  });
+
+  it('stops a run that stands still, and avoids its target', () => {
+    table.add(placeTask(createJobRow(makeJob('a')), 0, 't1'));
+    const running = [report('a.0.0.0', 30)];
+    progress.note(running);
+    stops.stopStalled('t1', running);
+    expect(orders.stopped).toEqual([]);
+    clock.advance(STALLED_MS);
+    progress.note(running);
+    stops.stopStalled('t1', running);
+    expect(orders.stopped).toEqual(['a.0.0.0']);
+    expect(health.isAvoided('t1')).toBe(true);
+  });
+
+  it('leaves a member of a gang that stands still', () => {
+    const row = createJobRow(makeJob('a', [makeStep({ taskCount: 2, isGang: true })]));
+    table.add(placeTask(placeTask(row, 0, 't1'), 1, 't2'));
+    const running = [report('a.0.0.0', 30)];
+    progress.note(running);
+    clock.advance(STALLED_MS);
+    progress.note(running);
+    stops.stopStalled('t1', running);
+    expect(orders.stopped).toEqual([]);
+    expect(health.isAvoided('t1')).toBe(false);
+  });
+
+  it('stops the other members of a gang', () => {
+    const row = createJobRow(makeJob('a', [makeStep({ taskCount: 3, isGang: true })]));
+    const placed = [0, 1, 2].reduce((before, position) => placeTask(before, position, 't1'), row);
+    stops.stopGangMates(placed, 1);
+    expect(orders.stopped).toEqual(['a.0.0.0', 'a.0.0.2']);
+  });
+
+  it('stops a long-running task on a drained target only while it is at work', () => {
+    const step = makeStep({ isLongRunning: true, maxUnavailableCount: 1 });
+    table.add(placeTask(createJobRow(makeJob('a', [step])), 0, 't1'));
+    progress.note([report('a.0.0.0', 40)]);
+    stops.evacuate(new Set(['t1']));
+    expect(orders.stopped).toEqual([]);
+    progress.note([report('a.0.0.0', 100)]);
+    stops.evacuate(new Set(['t2']));
+    expect(orders.stopped).toEqual([]);
+    stops.evacuate(new Set(['t1']));
+    expect(orders.stopped).toEqual(['a.0.0.0']);
+  });
+});
