--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -13,12 +13,14 @@
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm, VmFleetPort } from '../vms/index.js';
+import { isEmpty } from './isEmpty.js';
 import { encodePoolPeakRecord } from './PoolPeakRecord.js';
-import { PoolsLog } from './PoolsLog.js';
+import { PoolReporter } from './PoolReporter.js';
 import type { VmOrderRecord } from './VmOrderRecord.js';
 import { VmOrders } from './VmOrders.js';
-import { WaveDesk } from './WaveDesk.js';
-import type { WaveOrder, WaveRecord, WaveStatus } from './WaveOrder.js';
+import { WaveCoordinator } from './WaveCoordinator.js';
+import type { WaveOrder } from './WaveOrder.js';
+import type { WaveRecord, WaveStatus } from './WaveRecord.js';
 
 /** Options of {@link FleetHome}. */
 export interface FleetHomeOptions {
@@ -76,7 +78,7 @@
 
   private readonly orders: VmOrders;
 
-  private readonly waves: WaveDesk;
+  private readonly waves: WaveCoordinator;
 
   /** VMs as listed last. */
   private readonly known = new Map<string, FleetVm>();
@@ -93,7 +95,7 @@
 
   private readonly listOutage: OutageLog;
 
-  private readonly poolsLog: PoolsLog;
+  private readonly poolReporter: PoolReporter;
 
   private readonly peaks: PoolPeaks;
 
@@ -112,12 +114,12 @@
       lost: 'vmListUnreachable',
       regained: 'vmListReachable',
     });
-    this.poolsLog = new PoolsLog(options);
+    this.poolReporter = new PoolReporter(options);
     this.peaks = new PoolPeaks(options.clock, options.peakRecords);
     this.storedKeptCounts = this.peaks.getKeptCounts();
     const onStaleTerm = (): void => this.options.onReplaced();
     this.orders = new VmOrders({ ...options, onStaleTerm });
-    this.waves = new WaveDesk({ ...options, orders: this.orders, records: waveRecords });
+    this.waves = new WaveCoordinator({ ...options, orders: this.orders, records: waveRecords });
   }
 
   /** Begins to look at the fleet again and again. */
@@ -146,9 +148,9 @@
     const vms = await this.listVms();
     if (vms === undefined || this.isClosed) return;
     this.orders.noteList(vms, askedAtMs);
-    await this.syncPools(vms);
+    this.demands = await this.syncPools(vms, this.options.listPools());
     if (this.isClosed) return;
-    this.poolsLog.note(this.demands, vms, this.listHeld());
+    this.poolReporter.note(this.demands, vms, this.listHeld());
     this.demands.forEach((demand) => this.peaks.note(demand));
     this.storePeaks();
     await this.waves.advance(vms, this.getLoads());
@@ -204,12 +206,14 @@
     return indexLoads(this.demands);
   }
 
-  private async syncPools(vms: readonly FleetVm[]): Promise<void> {
+  /** Tells homes of pools which VMs get no new tasks; the demands of those that answer. */
+  private async syncPools(
+    vms: readonly FleetVm[],
+    pools: readonly string[],
+  ): Promise<readonly PoolDemand[]> {
     const drained = this.listDrained();
-    const answers = await Promise.all(
-      this.options.listPools().map((pool) => this.syncPool(vms, pool, drained)),
-    );
-    this.demands = answers.filter((demand) => demand !== undefined);
+    const answers = await Promise.all(pools.map((pool) => this.syncPool(vms, pool, drained)));
+    return answers.filter((demand) => demand !== undefined);
   }
 
   private syncPool(
@@ -265,9 +269,7 @@
     loads: ReadonlyMap<string, TargetLoad>,
   ): Promise<void> {
     const nowMs = this.options.clock.monotonicMs();
-    const empty = vms
-      .filter(({ vm }) => this.leaving.has(vm))
-      .filter(({ targetId }) => targetId === undefined || loads.get(targetId)?.runCount === 0);
+    const empty = vms.filter(({ vm }) => this.leaving.has(vm)).filter((vm) => isEmpty(vm, loads));
     const ordered = empty.map(({ vm, targetId }) => {
       const { toPool } = this.leaving.get(vm)!;
       return this.orders.give({ type: 'move', vm, toPool }, targetId);
@@ -285,15 +287,9 @@
     vms: readonly FleetVm[],
     moves: readonly VmMove[],
   ): Promise<ReadonlyMap<string, TargetLoad>> {
-    const pools = new Set(moves.map(({ fromPool }) => fromPool));
-    const drained = this.listDrained();
-    const answers = await Promise.all(
-      this.options
-        .listPools()
-        .filter((pool) => pools.has(pool))
-        .map((pool) => this.syncPool(vms, pool, drained)),
-    );
-    return indexLoads(answers.filter((demand) => demand !== undefined));
+    const left = new Set(moves.map(({ fromPool }) => fromPool));
+    const pools = this.options.listPools().filter((pool) => left.has(pool));
+    return indexLoads(await this.syncPools(vms, pools));
   }
 
   /** VMs that get no new task: a wave is about to take them, or they leave their pool. */
--- a/src/fleetHome/PoolPeakRecord.ts
+++ b/src/fleetHome/PoolPeakRecord.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../store/index.js';
+import { decodeRecordOf, encodeRecordValue, type KeyedRecord } from '../store/index.js';
 import type { PoolPeak } from '../systems/index.js';
 
 const PREFIX = 'pool-peak/';
@@ -26,6 +26,5 @@
  * @throws RattanliftError Of kind `internal` where it is malformed.
  */
 export function decodePoolPeakRecord(record: KeyedRecord): PoolPeak | undefined {
-  if (!record.key.startsWith(PREFIX) || record.value === undefined) return undefined;
-  return decodeRecordValue(recordSchema, record);
+  return decodeRecordOf(PREFIX, recordSchema, record);
 }
--- a/src/fleetHome/WaveSteps.ts
+++ b/src/fleetHome/WaveStepTimer.ts
@@ -1,13 +1,13 @@
 import { STEP_MS } from '../systems/index.js';
-import type { Clock } from '../utils/index.js';
+import { type Clock, followMean } from '../utils/index.js';
 
 /** Weight of the latest step in the mean: the last handful decide. */
 const LEARNING_RATE = 0.2;
 /** Added to what was seen: a step that takes longer than the mean must not make the wave late. */
 const MARGIN_FACTOR = 1.5;
 
-/** How long VMs are out for a wave, from the first task that is kept off until they are back. */
-export class WaveSteps {
+/** Times how long VMs are out for a wave, from the first task kept off until they are back. */
+export class WaveStepTimer {
   private readonly clock: Clock;
 
   private readonly begunAtMs = new Map<string, number>();
@@ -45,7 +45,7 @@
       .filter(([vm]) => !outVms.has(vm))
       .forEach(([vm, atMs]) => {
         const tookMs = nowMs - atMs;
-        this.meanMs = (this.meanMs ?? tookMs) + LEARNING_RATE * (tookMs - (this.meanMs ?? tookMs));
+        this.meanMs = followMean(this.meanMs ?? tookMs, tookMs, LEARNING_RATE);
         this.begunAtMs.delete(vm);
       });
   }
--- a/src/fleetHome/index.ts
+++ b/src/fleetHome/index.ts
@@ -1,10 +1,10 @@
 export { FleetHome, type FleetHomeOptions } from './FleetHome.js';
 export { decodePoolPeakRecord } from './PoolPeakRecord.js';
 export { decodeVmOrderRecord, type VmOrderRecord } from './VmOrderRecord.js';
+export type { WaveOrder } from './WaveOrder.js';
 export {
   decodeWaveRecord,
   encodeWaveRecord,
-  type WaveOrder,
   type WaveRecord,
   type WaveStatus,
-} from './WaveOrder.js';
+} from './WaveRecord.js';
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -7,7 +7,7 @@
   WaveDecision,
 } from './decisions.js';
 export { estimateNeededCpu, type NeededCpuInput } from './estimateNeededCpu.js';
-export { domainOf } from './domainOf.js';
+export { getFailureDomain } from './getFailureDomain.js';
 export { type JobSize, learnedSize } from './learnedSize.js';
 export { placeQueuedJobs, type PlaceQueuedJobsOptions } from './placeQueuedJobs.js';
 export { planCapacity, type PlanCapacityOptions } from './planCapacity.js';
@@ -39,4 +39,8 @@
 export { planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
 export { type PaceChange, type PacedTask, planPace, type ServingLoad } from './planPace.js';
 export { type PoolPeak, PoolPeaks } from './PoolPeaks.js';
-export { choosesToHold, type ChoosesToHoldInput, type HomeCapacity } from './choosesToHold.js';
+export {
+  shouldHoldHomes,
+  type ShouldHoldHomesInput,
+  type HomeCapacity,
+} from './shouldHoldHomes.js';
