Part the place in the group from the homes that it gives

Change: GroupMembership keeps the place and tells of renewals and leaving; TaskHomes opens and closes. decodeReadable passes over records that cannot be read. Order of the calls and the events are the same: homes close before the group hears of the leave, and an answer after the stop gives no share.

Conclusion: who holds which partition can be read, and tested, without a home.

--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -6,30 +6,20 @@
   type VmOrderRecord,
   type WaveRecord,
 } from '../fleetHome/index.js';
-import { type EventLog, OutageLog } from '../logging/index.js';
-import { HeldLease } from '../membership/index.js';
+import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
-import { AdaptiveTimeout, type Clock, KeyedOnce } from '../utils/index.js';
+import { type Clock, KeyedOnce } from '../utils/index.js';
+import { decodeReadable } from './decodeReadable.js';
+import { GroupMembership, type GroupTiming } from './GroupMembership.js';
 import { HOME_PRODUCER, openTaskHome } from './openTaskHome.js';
 import type { PoolPartitions } from './PoolPartitions.js';
 import type { TargetDirectory } from './TargetDirectory.js';
 import { TaskHome } from './TaskHome.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
 
-/** How the members of the group of homes tell each other from dead ones. */
-export interface GroupTiming {
-  /** Silence after which a member loses its partitions, in milliseconds. */
-  readonly ttlMs: number;
-  /** How often a membership is renewed, in milliseconds. */
-  readonly renewEveryMs: number;
-  /** Shortest and longest wait for the answer to a renewal, in milliseconds. */
-  readonly shortestWaitMs: number;
-  readonly longestWaitMs: number;
-}
-
 /** Options of {@link TaskHomes}. */
 export interface TaskHomesOptions {
   readonly store: KeyedLogPort;
@@ -69,12 +59,8 @@
  * the front of a rush gets its first task about 0.2 s sooner than at 400 ms and the next tick.
  */
 const DIRECTORY_EVERY_MS = 200;
-/** Pause between renewals while partitions change hands, in milliseconds: a few answers. */
-const CHANGING_PAUSE_MS = 60;
 /** Pause before a partition is opened again, in milliseconds: a few answers of the store. */
 const REOPEN_PAUSE_MS = 50;
-/** Taken off the time to live where this member judges itself, against clocks that run apart. */
-const LEASE_MARGIN_MS = 200;
 
 /** The homes that this instance holds, as the platform's group shares the partitions out. */
 export class TaskHomes {
@@ -84,20 +70,10 @@
 
   private readonly opening = new KeyedOnce();
 
-  private readonly lease: HeldLease;
-
-  private readonly renewTimeout: AdaptiveTimeout;
-
-  private shared: ReadonlySet<number> = new Set();
-
-  private generation = 0;
-
-  private readonly outage: OutageLog;
+  private readonly membership: GroupMembership;
 
   private isStopped = false;
 
-  private isMember = false;
-
   private fleet: FleetHome | undefined;
 
   private readonly timers: NodeJS.Timeout[] = [];
@@ -108,24 +84,16 @@
    */
   constructor(options: TaskHomesOptions) {
     this.options = options;
-    const { clock, events, groupTiming } = options;
-    const { shortestWaitMs: shortestMs, longestWaitMs: longestMs } = groupTiming;
-    this.renewTimeout = new AdaptiveTimeout({ shortestMs, longestMs });
-    this.outage = new OutageLog({ events, lost: 'groupUnreachable', regained: 'groupReachable' });
-    this.lease = new HeldLease({
-      clock,
-      timing: {
-        leaseMs: groupTiming.ttlMs,
-        renewEveryMs: groupTiming.renewEveryMs,
-        marginMs: LEASE_MARGIN_MS,
-        contenderStepMs: 0,
-      },
+    this.membership = new GroupMembership({
+      ...options,
+      onRenewed: () => this.follow(),
+      onLeaving: (reason) => this.closeAll(reason),
     });
   }
 
   /** Joins the group and begins to hold homes. */
   start(): void {
-    void this.renewAll();
+    this.membership.start();
     this.timers.push(
       setInterval(() => this.homes.forEach((home) => home.tick()), TICK_MS),
       setInterval(() => {
@@ -138,7 +106,7 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     this.timers.forEach((timer) => clearInterval(timer));
-    await this.leave('stopping');
+    await this.membership.stop();
   }
 
   /**
@@ -156,73 +124,23 @@
     this.homes.forEach((home) => home.meetTargets());
   }
 
-  private async renewAll(): Promise<void> {
-    while (!this.isStopped) {
-      const { generation } = this;
-      // eslint-disable-next-line no-await-in-loop -- one renewal follows the other
-      await this.takePart();
-      // A partition changes hands only once its holder has joined with the new generation, and its
-      // next holder learns of it by joining again; until then it has no home.
-      const isChanging = generation !== this.generation;
-      const pauseMs = isChanging ? CHANGING_PAUSE_MS : this.options.groupTiming.renewEveryMs;
-      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two renewals
-      await sleep(pauseMs);
-    }
-  }
-
-  /** Stays in the group, or out of it where others are to hold the partitions. */
-  private async takePart(): Promise<void> {
-    if (this.options.shouldHold(this.isMember)) {
-      this.isMember = true;
-      await this.renew();
-    } else if (this.isMember) {
-      this.isMember = false;
-      await this.leave('left-to-larger');
-    }
-  }
-
-  private async leave(reason: string): Promise<void> {
-    this.shared = new Set();
+  private closeAll(reason: string): void {
     [...this.homes.keys()].forEach((partition) => this.close(partition, reason));
-    const { groups, group, member, events } = this.options;
-    await groups.leave(group, member).catch((thrown: unknown) => {
-      events.write('groupUnreachable', { group, member, reason: String(thrown) });
-    });
-  }
-
-  private async renew(): Promise<void> {
-    const { groups, group, member, topic, groupTiming, clock } = this.options;
-    const sentAt = this.lease.readClocks();
-    const { generation } = this;
-    const { ttlMs } = groupTiming;
-    try {
-      const share = await this.renewTimeout.run(clock, (timeoutMs) =>
-        groups.join({ group, member, topic, ttlMs, timeoutMs, generation }),
-      );
-      if (this.isStopped) return;
-      this.lease.extend(sentAt);
-      this.outage.noteSuccess({ group, member, generation });
-      this.generation = share.generation;
-      this.shared = new Set(share.partitions);
-      this.follow();
-    } catch (thrown) {
-      this.outage.noteFailure({ group, member, reason: String(thrown) });
-    }
   }
 
   /** Closes the homes that went to others before the next renewal confirms that, and opens new. */
   private follow(): void {
     [...this.homes.keys()]
-      .filter((partition) => !this.shared.has(partition))
+      .filter((partition) => !this.membership.holds(partition))
       .forEach((partition) => this.close(partition, 'reassigned'));
     this.options.partitions
       .listUsed()
-      .filter((partition) => this.shared.has(partition) && !this.homes.has(partition))
+      .filter((partition) => this.membership.holds(partition) && !this.homes.has(partition))
       .forEach((partition) => this.opening.start(`${partition}`, () => this.open(partition)));
   }
 
   private isWanted(partition: number): boolean {
-    return !this.isStopped && this.shared.has(partition);
+    return !this.isStopped && this.membership.holds(partition);
   }
 
   private async open(partition: number): Promise<void> {
@@ -260,7 +178,7 @@
       jobs,
       timing: homeTiming,
       getEntries: () => partitions.filterEntries(partition, directory.list()),
-      isCertain: () => this.lease.isHeld(),
+      isCertain: () => this.membership.isCertain(),
       onReplaced: () => this.close(partition, 'replaced'),
     });
     this.homes.set(partition, home);
@@ -270,34 +188,18 @@
   }
 
   private openFleet(partition: number, home: TaskHome, records: readonly KeyedRecord[]): void {
-    this.fleet = this.options.createFleetHome({
+    const { createFleetHome, events } = this.options;
+    const source = { partition, events };
+    this.fleet = createFleetHome({
       term: home.term,
-      waveRecords: this.decodeAll(partition, records, decodeWaveRecord),
-      orderRecords: this.decodeAll(partition, records, decodeVmOrderRecord),
+      waveRecords: decodeReadable(records, decodeWaveRecord, source),
+      orderRecords: decodeReadable(records, decodeVmOrderRecord, source),
       store: (changes) => home.store(changes),
       onReplaced: () => this.close(partition, 'replaced'),
     });
     this.fleet.start();
   }
 
-  /** Passes over records that cannot be read: one must not keep the fleet without a home. */
-  private decodeAll<Value>(
-    partition: number,
-    records: readonly KeyedRecord[],
-    decode: (record: KeyedRecord) => Value | undefined,
-  ): readonly Value[] {
-    return records.flatMap((record) => {
-      try {
-        const value = decode(record);
-        return value === undefined ? [] : [value];
-      } catch (thrown) {
-        const { key } = record;
-        this.options.events.write('recordUnreadable', { key, partition, reason: String(thrown) });
-        return [];
-      }
-    });
-  }
-
   private close(partition: number, reason: string): void {
     const home = this.homes.get(partition);
     if (home === undefined) return;
--- a/src/taskHome/index.ts
+++ b/src/taskHome/index.ts
@@ -5,18 +5,14 @@
   type HomeDirectoryOptions,
   parseMember,
 } from './HomeDirectory.js';
+export type { GroupTiming } from './GroupMembership.js';
 export { handleJobRequest } from './handleJobRequest.js';
 export { JobGateway, type JobGatewayOptions } from './JobGateway.js';
 export { PoolPartitions, type PoolPartitionsOptions } from './PoolPartitions.js';
 export { TargetDirectory, type TargetDirectoryOptions } from './TargetDirectory.js';
 export type { TargetEntries, TargetEntry } from './TargetEntry.js';
 export { TaskHome, type TaskHomeOptions } from './TaskHome.js';
-export {
-  type FleetHomeBasis,
-  type GroupTiming,
-  TaskHomes,
-  type TaskHomesOptions,
-} from './TaskHomes.js';
+export { type FleetHomeBasis, TaskHomes, type TaskHomesOptions } from './TaskHomes.js';
 export type { TaskHomeTiming } from './TaskHomeTiming.js';
 export { RecordWriter, type RecordWriterOptions } from './RecordWriter.js';
 export { RelayedTargets, type RelayedTargetsOptions } from './RelayedTargets.js';
--- /dev/null
+++ b/tests/taskHome/GroupMembership.test.ts
@@ -0,0 +1,117 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import type { GroupPort, GroupShare } from '../../src/store/index.js';
+import { GroupMembership } from '../../src/taskHome/GroupMembership.js';
+import { SystemClock } from '../../src/utils/index.js';
+
+const GROUP_TIMING = { ttlMs: 1_000, renewEveryMs: 10, shortestWaitMs: 100, longestWaitMs: 200 };
+
+/** A group that gives every partition to the one member that a test has. */
+class FakeGroups implements GroupPort {
+  share: GroupShare = { generation: 1, partitions: [0, 2] };
+
+  /** What was called, and what the member told, in its order. */
+  readonly calls: string[] = [];
+
+  private readonly held: (() => void)[] = [];
+
+  /** Answers wait from now on until they are let go. */
+  holdsAnswers = false;
+
+  async join(): Promise<GroupShare> {
+    this.calls.push('join');
+    if (this.holdsAnswers) {
+      await new Promise<void>((resolve) => {
+        this.held.push(resolve);
+      });
+    }
+    return this.share;
+  }
+
+  leave(): Promise<void> {
+    this.calls.push('leave');
+    return Promise.resolve();
+  }
+
+  listOwners(): Promise<readonly []> {
+    this.calls.push('listOwners');
+    return Promise.resolve([]);
+  }
+
+  letGo(): void {
+    this.held.forEach((resolve) => resolve());
+  }
+}
+
+describe('GroupMembership', () => {
+  let groups: FakeGroups;
+  let shouldHold: boolean;
+  let renewedCount: number;
+  let membership: GroupMembership;
+
+  beforeEach(() => {
+    groups = new FakeGroups();
+    shouldHold = true;
+    renewedCount = 0;
+    membership = new GroupMembership({
+      groups,
+      group: 'homes',
+      topic: 'jobs',
+      member: 'm1',
+      groupTiming: GROUP_TIMING,
+      clock: new SystemClock(),
+      events: new MemoryEventLog(),
+      shouldHold: () => shouldHold,
+      onRenewed: () => {
+        renewedCount += 1;
+      },
+      onLeaving: (reason) => groups.calls.push(`leaving: ${reason}`),
+    });
+  });
+
+  afterEach(async () => {
+    await membership.stop();
+  });
+
+  it('holds the partitions that the group gives it, and is certain of them by its lease', async () => {
+    expect(membership.isCertain()).toBe(false);
+    membership.start();
+    await vi.waitFor(() => expect(renewedCount).toBeGreaterThan(0));
+    expect([0, 1, 2].filter((partition) => membership.holds(partition))).toEqual([0, 2]);
+    expect(membership.isCertain()).toBe(true);
+  });
+
+  it('leaves once where others are to hold the partitions, and joins none meanwhile', async () => {
+    membership.start();
+    await vi.waitFor(() => expect(renewedCount).toBeGreaterThan(0));
+    shouldHold = false;
+    await vi.waitFor(() => expect(groups.calls).toContain('leave'));
+    const callCount = groups.calls.length;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5 * GROUP_TIMING.renewEveryMs);
+    });
+    expect(groups.calls).toHaveLength(callCount);
+    expect(groups.calls.slice(-2)).toEqual(['leaving: left-to-larger', 'leave']);
+    expect(membership.holds(0)).toBe(false);
+  });
+
+  it('gives its homes up before it tells the group that it leaves', async () => {
+    membership.start();
+    await vi.waitFor(() => expect(renewedCount).toBeGreaterThan(0));
+    await membership.stop();
+    expect(groups.calls.slice(-2)).toEqual(['leaving: stopping', 'leave']);
+  });
+
+  it('takes no share from an answer that comes after it was stopped', async () => {
+    groups.holdsAnswers = true;
+    membership.start();
+    await vi.waitFor(() => expect(groups.calls).toEqual(['join']));
+    await membership.stop();
+    groups.letGo();
+    await new Promise((resolve) => {
+      setTimeout(resolve, GROUP_TIMING.renewEveryMs);
+    });
+    expect(renewedCount).toBe(0);
+    expect(membership.holds(0)).toBe(false);
+  });
+});
