Part the applying of entries from the reading of the log

Change: EntryApplier applies; LogFollower reads, and its interface stays. Reading three times the same three calls (apply what is buffered, drop, end waits) is one function.

--- a/src/log/LogFollower.ts
+++ b/src/log/LogFollower.ts
@@ -2,17 +2,14 @@
 import { throwError, toRattanliftError } from '../errors/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { LogEntry, LogPort, LogReadResult } from '../platform/index.js';
-import type { LogRecord } from '../records/index.js';
 import type { FleetTables } from '../tables/index.js';
 import type { Clock } from '../utils/index.js';
-import { applyEntryWithRecord } from './applyEntry.js';
-import type { ApplyVerdict } from './ApplyVerdict.js';
 import { Backoff, type BackoffOptions } from './Backoff.js';
-import { OfferBuffer } from './OfferBuffer.js';
-import { OffsetWaiters, type OffsetWaitOptions } from './OffsetWaiters.js';
+import { type AppliedListener, EntryApplier } from './EntryApplier.js';
+import type { OffsetWaitOptions } from './OffsetWaiters.js';
 import { raceTimeout } from './raceTimeout.js';
 import { loadLatestSnapshot } from './snapshot/loadLatestSnapshot.js';
-import { type RestoreResult, restoreTables } from './snapshot/restoreTables.js';
+import type { RestoreResult } from './snapshot/restoreTables.js';
 import type { SerializedTables } from './snapshot/SerializedTables.js';
 
 const DEFAULT_READ_WAIT_MS = 2_000;
@@ -21,13 +18,6 @@
 const MAX_READ_COUNT = 500;
 const EMPTY_READ_GAP_MS = 20;
 
-/** Hears of each entry right after it was applied; `record` is undefined where none is readable. */
-export type AppliedListener = (
-  entry: LogEntry,
-  record: LogRecord | undefined,
-  verdict: ApplyVerdict,
-) => void;
-
 /** Options of {@link LogFollower}. */
 export interface LogFollowerOptions {
   readonly log: LogPort;
@@ -58,13 +48,7 @@
 
   private readonly backoff: Backoff;
 
-  private readonly buffer = new OfferBuffer();
-
-  private readonly waiters = new OffsetWaiters();
-
-  private readonly listeners = new Set<AppliedListener>();
-
-  private readonly restoredListeners = new Set<() => void>();
+  private readonly applier: EntryApplier;
 
   private readonly stopping = new AbortController();
 
@@ -78,8 +62,6 @@
 
   private reachedAtMs: number | undefined;
 
-  private knownEndOffset = 0;
-
   /**
    * Creates a follower, which reads nothing before it is started.
    * @param options - Stream, state and whom to tell.
@@ -87,8 +69,9 @@
   constructor(options: LogFollowerOptions) {
     this.options = options;
     this.backoff = new Backoff(options.backoff ?? DEFAULT_BACKOFF);
-    if (options.onApplied !== undefined) this.listeners.add(options.onApplied);
-    if (options.onRestored !== undefined) this.restoredListeners.add(options.onRestored);
+    this.applier = new EntryApplier(options);
+    if (options.onApplied !== undefined) this.applier.addAppliedListener(options.onApplied);
+    if (options.onRestored !== undefined) this.applier.addRestoredListener(options.onRestored);
   }
 
   /** Whether the state holds every record that the last answer of the log knew of. */
@@ -122,7 +105,7 @@
    * @returns Count of records.
    */
   getLagCount(): number {
-    return Math.max(0, this.knownEndOffset - this.options.tables.nextOffset);
+    return this.applier.getLagCount();
   }
 
   /** Begins to read. */
@@ -133,7 +116,7 @@
   /** Ends reading; waits that are under way end as not reached. */
   async stop(): Promise<void> {
     this.stopping.abort();
-    this.waiters.abandon();
+    this.applier.endWaits();
     await this.running;
   }
 
@@ -143,8 +126,7 @@
    * @returns Removes it again.
    */
   addAppliedListener(listener: AppliedListener): () => void {
-    this.listeners.add(listener);
-    return () => this.listeners.delete(listener);
+    return this.applier.addAppliedListener(listener);
   }
 
   /**
@@ -153,8 +135,7 @@
    * @returns Removes it again.
    */
   addRestoredListener(listener: () => void): () => void {
-    this.restoredListeners.add(listener);
-    return () => this.restoredListeners.delete(listener);
+    return this.applier.addRestoredListener(listener);
   }
 
   /**
@@ -165,9 +146,7 @@
    * @param entries - The entries.
    */
   offer(entries: readonly LogEntry[]): void {
-    this.buffer.add(entries, this.options.tables.nextOffset);
-    this.applyBuffered();
-    this.waiters.reach(this.options.tables.nextOffset);
+    this.applier.offer(entries);
   }
 
   /**
@@ -177,9 +156,7 @@
    * @returns Whether it was applied before the limits ended the wait.
    */
   waitForOffset(offset: number, options: OffsetWaitOptions = {}): Promise<boolean> {
-    if (offset < this.options.tables.nextOffset) return Promise.resolve(true);
-    if (this.stopping.signal.aborted) return Promise.resolve(false);
-    return this.waiters.wait(offset, options);
+    return this.applier.waitForOffset(offset, options);
   }
 
   /**
@@ -188,18 +165,7 @@
    * @returns Whether the tables were replaced, and why not.
    */
   restore(state: unknown): RestoreResult {
-    const result = restoreTables(this.options.tables, state);
-    if (result.type === 'restored') this.noteRestored();
-    return result;
-  }
-
-  private noteRestored(): void {
-    const { events, tables } = this.options;
-    events.write('snapshotLoaded', { nextOffset: tables.nextOffset });
-    this.buffer.dropBefore(this.options.tables.nextOffset);
-    this.restoredListeners.forEach((listener) => listener());
-    this.applyBuffered();
-    this.waiters.reach(this.options.tables.nextOffset);
+    return this.applier.restore(state);
   }
 
   private async run(): Promise<void> {
@@ -240,11 +206,8 @@
     if (endOffset < fromOffset) {
       throwError('log-unavailable', `The log ends at ${endOffset}, before ${fromOffset}.`);
     }
-    entries.forEach((entry) => this.apply(entry));
-    this.knownEndOffset = Math.max(this.knownEndOffset, endOffset);
-    this.applyBuffered();
+    this.applier.applyRead(entries, endOffset);
     if (this.options.tables.nextOffset >= endOffset) this.reachedAtMs = sentAtMs;
-    this.waiters.reach(this.options.tables.nextOffset);
   }
 
   /** Begins from the latest snapshot, so that a new instance need not read the whole log. */
@@ -280,29 +243,6 @@
     throwError('log-unavailable', `The log keeps no ${gap} any more, nor does a snapshot.`);
   }
 
-  private apply(entry: LogEntry): void {
-    const { verdict, record } = applyEntryWithRecord(this.options.tables, entry);
-    if (verdict.type === 'stale') return;
-    this.knownEndOffset = Math.max(this.knownEndOffset, entry.offset + 1);
-    if (verdict.type === 'rejected') {
-      const { offset } = entry;
-      const { reason } = verdict;
-      const fields = { offset, reason, writer: record?.writer, type: record?.body.type };
-      this.options.events.write('recordRejected', fields);
-    }
-    this.listeners.forEach((listener) => listener(entry, record, verdict));
-  }
-
-  private applyBuffered(): void {
-    const { tables } = this.options;
-    let entry = this.buffer.take(tables.nextOffset);
-    while (entry !== undefined) {
-      this.apply(entry);
-      entry = this.buffer.take(tables.nextOffset);
-    }
-    this.buffer.dropBefore(tables.nextOffset);
-  }
-
   private async pause(thrown: unknown): Promise<void> {
     const { message } = toRattanliftError(thrown, 'log-unavailable');
     if (!this.isOut) {
