Part asking for grants and reporting their ends from the run of a job

Ruled out: moving the ends of attempts. They change what the next attempt may do, so their state would be shared by two classes.

Change: GrantAsker asks and withdraws, GrantReports reports and settles the claim once, createTaskRequest builds the task; their comments on failures went with them.

Conclusion: the claim's state has one owner.

--- a/src/entry/JobRun.ts
+++ b/src/entry/JobRun.ts
@@ -1,23 +1,19 @@
 import { finished } from 'node:stream';
 import type { JobAnswer } from '../callers/index.js';
-import {
-  ERROR_ANSWERS,
-  type ErrorKind,
-  type Outcome,
-  RattanliftError,
-  toRattanliftError,
-} from '../errors/index.js';
+import { ERROR_ANSWERS, type ErrorKind, type Outcome, RattanliftError } from '../errors/index.js';
 import { GRANT_LENGTH_MS } from '../home/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { GrantReply, GrantResult, PeerReply } from '../peers/index.js';
 import type { TargetPort, TaskResult } from '../targets/index.js';
 import { assertNever, type Clock } from '../utils/index.js';
-import { createGrantRequest } from './createGrantRequest.js';
+import { createTaskRequest } from './createTaskRequest.js';
 import { createUsedGrant } from './createUsedGrant.js';
 import { findStrongest } from './findStrongest.js';
 import type { FinishReporter } from './FinishReporter.js';
-import { type GrantKeeper, TASK_LEASE_MS } from './GrantKeeper.js';
+import { GrantAsker } from './GrantAsker.js';
+import type { GrantKeeper } from './GrantKeeper.js';
+import { GrantReports } from './GrantReports.js';
 import type { HomeRouter } from './HomeRouter.js';
 import type { Job } from './Job.js';
 import type { RetryBudget } from './RetryBudget.js';
@@ -51,8 +47,6 @@
 /** How long a request waits for a pool that is between two homes. */
 const HOME_WAIT_MS = 2_000;
 const SERVER_ERROR_STATUS = 500;
-/** How much longer than the caller's deadline the home's answer is awaited. */
-const HOME_GRACE_MS = 500;
 
 function endByExpiry(): AttemptEnd {
   const message = 'The grant ended before it could be used.';
@@ -67,8 +61,9 @@
 
   private readonly signal: AbortSignal;
 
-  /** Whether the request may stand on the log as claimed by this instance. */
-  private isClaimed = false;
+  private readonly asker: GrantAsker;
+
+  private readonly reports: GrantReports;
 
   /** Monotonic time after which a pool without a home is no longer waited for. */
   private readonly homeWaitEndsAtMs: number;
@@ -78,8 +73,6 @@
 
   private lastAttemptId = '';
 
-  private lastVm = '';
-
   /**
    * Prepares a run.
    * @param context - What the run works with.
@@ -90,7 +83,10 @@
     this.context = context;
     this.job = job;
     this.signal = signal;
-    this.homeWaitEndsAtMs = context.clock.monotonicMs() + HOME_WAIT_MS;
+    const { clock, keeper, reporter, router } = context;
+    this.asker = new GrantAsker({ job, router, clock, signal });
+    this.reports = new GrantReports({ job, keeper, reporter });
+    this.homeWaitEndsAtMs = clock.monotonicMs() + HOME_WAIT_MS;
   }
 
   /**
@@ -100,7 +96,7 @@
   async run(): Promise<JobAnswer> {
     this.context.retryBudget.earn();
     const answer = await this.attemptFrom(1, []);
-    if (answer.type === 'failed') this.settle('not-started', answer.outcome);
+    if (answer.type === 'failed') this.reports.settle(this.lastAttemptId, answer.outcome);
     return answer;
   }
 
@@ -131,40 +127,23 @@
     const { clock } = this.context;
     this.lastAttemptId = this.context.createAttemptId(this.job.requestId);
     const askedAtMs = clock.monotonicMs();
-    const reply = await this.askForGrant(excludedVms);
+    const reply = await this.asker.ask(this.lastAttemptId, excludedVms);
     if (reply instanceof RattanliftError) return this.endWithoutReply(reply);
     if (reply.type !== 'granted') return this.endByRefusal(reply);
-    this.isClaimed ||= !this.job.idempotent;
-    this.lastVm = reply.vm;
+    this.reports.noteGranted(reply);
     // Failure: this process was paused, or the grant's answer was, and the slot belongs to another
     // request by now. Counted from before the asking, the deadline here is ahead of the home's.
     const deadlineMs = askedAtMs + reply.heldMs + GRANT_LENGTH_MS - GRANT_MARGIN_MS;
     if (this.signal.aborted || clock.monotonicMs() >= deadlineMs) {
-      this.withdraw();
+      this.asker.withdraw(this.lastAttemptId);
       return this.signal.aborted ? this.endByAbort('not-run') : endByExpiry();
     }
     return this.runOnTarget(reply);
   }
 
-  private async askForGrant(excludedVms: readonly string[]): Promise<PeerReply | RattanliftError> {
-    const { job } = this;
-    const { clock, router } = this.context;
-    const waitMs = Math.max(0, job.deadlineAtMs - clock.wallMs()) + HOME_GRACE_MS;
-    const withdraw = (): void => this.withdraw();
-    this.signal.addEventListener('abort', withdraw, { once: true });
-    try {
-      const request = createGrantRequest(job, this.lastAttemptId, excludedVms);
-      return await router.ask(job.pool, request, waitMs);
-    } catch (thrown) {
-      return toRattanliftError(thrown, 'home-unavailable');
-    } finally {
-      this.signal.removeEventListener('abort', withdraw);
-    }
-  }
-
   /** No reply came: the home may have acted, but nothing was sent to a target. */
   private async endWithoutReply(error: RattanliftError): Promise<AttemptEnd> {
-    this.withdraw();
+    this.asker.withdraw(this.lastAttemptId);
     if (this.signal.aborted) return this.endByAbort('not-run');
     await this.context.waitForHome(this.job.pool, this.signal);
     const message = `The pool's home could not be asked: ${error.message}`;
@@ -196,21 +175,8 @@
     const reason = `granted by the home in term ${grant.term}`;
     events.write('requestRouted', { requestId, pool, vm: grant.vm, jobKind, team, reason });
     const startedAtMs = clock.monotonicMs();
-    const result = await targets.run(target, {
-      taskId: grant.grantId,
-      requestId,
-      jobKind,
-      coreCount: job.coreCount,
-      memoryMb: job.memoryMb,
-      contentType: job.contentType,
-      body: job.body,
-      // Failure: a middlebox has forgotten an idle connection, and a request that must not be sent
-      // twice vanishes on it. A connection of its own cannot have been forgotten.
-      freshConnection: !job.idempotent,
-      leaseDeadlineMs: clock.wallMs() + TASK_LEASE_MS,
-      silenceLimitMs: Math.max(1, job.deadlineAtMs - clock.wallMs()),
-      signal: AbortSignal.any([this.signal, lost.signal]),
-    });
+    const signal = AbortSignal.any([this.signal, lost.signal]);
+    const result = await targets.run(target, createTaskRequest(job, grant, { clock, signal }));
     if (result.type !== 'answering') keeper.remove(grant.grantId);
     const ranMs = clock.monotonicMs() - startedAtMs;
     switch (result.type) {
@@ -232,7 +198,12 @@
       const ranMs = this.context.clock.monotonicMs() - startedAtMs;
       const isWhole = error === undefined || error === null;
       const goodResult: GrantResult = isFailed ? 'failed' : 'run';
-      this.endGrant(grant, isWhole ? goodResult : 'unknown', isWhole ? 'run' : 'unknown', ranMs);
+      this.reports.endGrant(
+        grant,
+        isWhole ? goodResult : 'unknown',
+        isWhole ? 'run' : 'unknown',
+        ranMs,
+      );
     });
     const { httpStatus, contentType, body } = result;
     const { requestId } = this.job;
@@ -245,7 +216,7 @@
     const ranMs = this.context.clock.monotonicMs() - startedAtMs;
     result.body.on('error', () => undefined);
     result.body.resume();
-    this.endGrant(grant, 'failed', 'run', ranMs);
+    this.reports.endGrant(grant, 'failed', 'run', ranMs);
     this.earlierOutcome = 'run';
     const message = `The job failed on ${grant.vm} with status ${result.httpStatus}.`;
     const error = new RattanliftError({ kind: 'target-failed', message });
@@ -253,7 +224,7 @@
   }
 
   private endByTargetRefusal(grant: GrantReply, reason: string, ranMs: number): AttemptEnd {
-    this.reportAttempt(grant, this.signal.aborted ? 'cancelled' : 'not-started', ranMs);
+    this.reports.reportAttempt(grant, this.signal.aborted ? 'cancelled' : 'not-started', ranMs);
     if (this.signal.aborted) return this.endByAbort('not-run');
     const message = `${grant.vm} did not start the job: ${reason}.`;
     const error = new RattanliftError({ kind: 'target-refused', message });
@@ -264,14 +235,14 @@
     const message = `${grant.vm} gave no answer to the end: ${reason}.`;
     const error = new RattanliftError({ kind: 'target-silent', message });
     if (this.job.idempotent) {
-      this.endGrant(grant, this.signal.aborted ? 'cancelled' : 'unknown', 'unknown', ranMs);
+      this.reports.endGrant(grant, this.signal.aborted ? 'cancelled' : 'unknown', 'unknown', ranMs);
       this.earlierOutcome = findStrongest(this.earlierOutcome, 'unknown');
       if (this.signal.aborted) return this.endByAbort('unknown');
       return { type: 'again', error, excludedVm: grant.vm };
     }
     // Failure: the target got a request that must run at most once and then fell silent. It may
     // have run, so it is neither sent again nor called not run.
-    this.reportAttempt(grant, this.signal.aborted ? 'cancelled' : 'unknown', ranMs);
+    this.reports.reportAttempt(grant, this.signal.aborted ? 'cancelled' : 'unknown', ranMs);
     return { type: 'final', answer: this.fail(error, 'unknown') };
   }
 
@@ -290,58 +261,4 @@
     const strongest = findStrongest(this.earlierOutcome, known);
     return { type: 'failed', requestId, outcome: strongest, error };
   }
-
-  /** Ends a grant whose attempt settles the request. */
-  private endGrant(grant: GrantReply, result: GrantResult, outcome: Outcome, ranMs: number): void {
-    this.context.keeper.remove(grant.grantId);
-    this.sendReport(grant.grantId, result, outcome, ranMs, this.isClaimed);
-    this.isClaimed = false;
-  }
-
-  /** Ends a grant after which the request goes on, or is settled by {@link settle}. */
-  private reportAttempt(grant: GrantReply, result: GrantResult, ranMs: number): void {
-    this.sendReport(grant.grantId, result, 'not-run', ranMs, false);
-  }
-
-  /**
-   * Settles the claim of a request that has got its final answer without one from a target. Only
-   * the last attempt settles: a settlement as not run frees the id, and one that belongs to an
-   * earlier attempt would free it while a later attempt runs.
-   */
-  private settle(result: GrantResult, outcome: Outcome): void {
-    if (!this.isClaimed) return;
-    this.sendReport(`${this.lastAttemptId}!`, result, outcome, 0, true);
-    this.isClaimed = false;
-  }
-
-  private sendReport(
-    grantId: string,
-    result: GrantResult,
-    outcome: Outcome,
-    ranMs: number,
-    isClaimed: boolean,
-  ): void {
-    const { requestId, pool, jobKind } = this.job;
-    const vm = this.lastVm;
-    this.context.reporter.report({
-      type: 'finish-grant',
-      pool,
-      grantId,
-      requestId,
-      jobKind,
-      vm,
-      isClaimed,
-      result,
-      outcome,
-      ranMs,
-    });
-  }
-
-  private withdraw(): void {
-    const { router } = this.context;
-    const { pool } = this.job;
-    const attemptId = this.lastAttemptId;
-    const request = { type: 'cancel-request', pool, attemptId } as const;
-    void router.ask(pool, request, HOME_GRACE_MS).catch(() => undefined);
-  }
 }
--- /dev/null
+++ b/tests/entry/GrantAsker.test.ts
@@ -0,0 +1,75 @@
+import { describe, expect, it } from 'vitest';
+import { GrantAsker } from '../../src/entry/GrantAsker.js';
+import { RattanliftError } from '../../src/errors/index.js';
+import type { PeerReply, PeerRequest } from '../../src/peers/index.js';
+import { ManualClock } from '../../src/utils/index.js';
+
+const DEADLINE_MS = 3_000;
+const GRACE_MS = 500;
+
+const JOB = {
+  requestId: 'r1',
+  pool: 'team/pool',
+  team: 'team',
+  jobKind: 'save',
+  idempotent: true,
+  urgency: 'urgent',
+  coreCount: 1,
+  memoryMb: 1,
+  deadlineAtMs: DEADLINE_MS,
+  isRepeat: false,
+  contentType: 'text/plain',
+  body: Buffer.from(''),
+  fingerprint: 'f',
+} as const;
+
+function setUp(answer: (request: PeerRequest) => Promise<PeerReply>) {
+  const asked: { readonly type: string; readonly waitMs: number }[] = [];
+  const caller = new AbortController();
+  const asker = new GrantAsker({
+    job: JOB,
+    clock: new ManualClock(),
+    signal: caller.signal,
+    router: {
+      ask: (_pool, request, waitMs) => {
+        asked.push({ type: request.type, waitMs });
+        return answer(request);
+      },
+    },
+  });
+  return { asker, asked, caller };
+}
+
+describe('GrantAsker', () => {
+  it('withdraws a request at once where its job ends meanwhile, and not later', async () => {
+    let reply: (reply: PeerReply) => void = () => undefined;
+    const held = new Promise<PeerReply>((resolve) => {
+      reply = resolve;
+    });
+    const { asker, asked, caller } = setUp(({ type }) =>
+      type === 'request-grant' ? held : Promise.reject(new Error('No home.')),
+    );
+    const asking = asker.ask('a1', []);
+    caller.abort();
+    expect(asked).toEqual([
+      { type: 'request-grant', waitMs: DEADLINE_MS + GRACE_MS },
+      { type: 'cancel-request', waitMs: GRACE_MS },
+    ]);
+    reply({ type: 'done' });
+    expect(await asking).toEqual({ type: 'done' });
+  });
+
+  it('leaves the request of an attempt that is over alone', async () => {
+    const { asker, asked, caller } = setUp(() => Promise.resolve({ type: 'done' }));
+    await asker.ask('a1', []);
+    caller.abort();
+    expect(asked.map(({ type }) => type)).toEqual(['request-grant']);
+  });
+
+  it('tells why there is no reply', async () => {
+    const { asker } = setUp(() => Promise.reject(new Error('No home.')));
+    const reply = await asker.ask('a1', []);
+    expect(reply).toBeInstanceOf(RattanliftError);
+    expect(reply).toMatchObject({ kind: 'home-unavailable' });
+  });
+});
