Part grants and waiting requests from the home of a pool

Beside the way of a request from queue to grant it kept the map of those who wait, the end and renewal of grants, and what the end of a run teaches.

Ruled out: a function for each; expiry, learning and removal share the VMs excluded by grant, and would pass that map around.

Change: PoolGrants has the grants from placement to end, WaitingRequests the requests without an answer; PoolHome decides. Order of events and answers is the same. A grant begins by a reading of the clock of its own, microseconds after the one by which the wait is measured.

--- /dev/null
+++ b/src/home/PoolGrants.ts
@@ -0,0 +1,141 @@
+import type { EventLog } from '../logging/index.js';
+import type { PeerRequest } from '../peers/index.js';
+import { type PlacementDecision, recordRun } from '../systems/index.js';
+import type { GrantRow, PoolTables, QueuedRow } from '../tables/index.js';
+import type { Clock } from '../utils/index.js';
+import type { ExplainLog } from './ExplainLog.js';
+import {
+  createGrant,
+  createHeldGrant,
+  GRANT_LENGTH_MS,
+  type GrantHeldElsewhere,
+} from './grantRows.js';
+import { tellRunVerdict } from './tellRunVerdict.js';
+
+/** Options of {@link PoolGrants}. */
+export interface PoolGrantsOptions {
+  readonly tables: PoolTables;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly explainLog: ExplainLog;
+  /** Whether a grant is not handed to its entry instance yet. */
+  readonly isWaiting: (grantId: string) => boolean;
+  /** Called with a VM whose run ended so that the VM itself may be to blame. */
+  readonly onSuspect: (vm: string) => void;
+}
+
+/** Where a queued request was placed. */
+export type PlacedRequest = Extract<PlacementDecision, { readonly type: 'place' }>;
+
+/** Report of how the use of a grant ended. */
+export type FinishGrant = Extract<PeerRequest, { readonly type: 'finish-grant' }>;
+
+/** The grants of a pool from their placement to their end, and what their ends teach. */
+export class PoolGrants {
+  private readonly options: PoolGrantsOptions;
+
+  /** VMs that failed a granted request before, by grant. */
+  private readonly excludedVms = new Map<string, readonly string[]>();
+
+  /**
+   * Works on the grants that the tables hold.
+   * @param options - Tables of the pool, and who hears of ends.
+   */
+  constructor(options: PoolGrantsOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Takes over grants that entry instances hold from an earlier home.
+   * @param heldGrants - The grants.
+   */
+  adopt(heldGrants: readonly GrantHeldElsewhere[]): void {
+    const { tables, clock } = this.options;
+    heldGrants.forEach((held) =>
+      tables.grants.put(createHeldGrant(held, tables.pool, clock.monotonicMs())),
+    );
+  }
+
+  /**
+   * Creates the grant of a request that was placed.
+   * @param row - The request.
+   * @param placed - Where, and what is set aside for it.
+   */
+  begin(row: QueuedRow, placed: PlacedRequest): void {
+    const { tables, clock } = this.options;
+    tables.grants.put(createGrant(row, placed, clock.monotonicMs()));
+    this.excludedVms.set(row.attemptId, row.excludedVms);
+  }
+
+  /**
+   * Gets a grant.
+   * @param grantId - Its id.
+   * @returns The grant, or undefined where it has ended or is unknown.
+   */
+  get(grantId: string): GrantRow | undefined {
+    return this.options.tables.grants.get(grantId);
+  }
+
+  /**
+   * Prolongs grants that are still in use.
+   * @param grantIds - The grants.
+   */
+  renew(grantIds: readonly string[]): void {
+    const { tables, clock } = this.options;
+    const deadlineMs = clock.monotonicMs() + GRANT_LENGTH_MS;
+    grantIds
+      .flatMap((grantId) => tables.grants.get(grantId) ?? [])
+      .forEach((grant) => tables.grants.put({ ...grant, deadlineMs }));
+  }
+
+  /** Ends the grants whose entry instances have not renewed them. */
+  expire(): void {
+    const { tables, clock, events, isWaiting } = this.options;
+    const nowMs = clock.monotonicMs();
+    tables.grants
+      .list()
+      .filter((grant) => grant.deadlineMs <= nowMs)
+      .filter((grant) => !isWaiting(grant.grantId))
+      .forEach((grant) => {
+        this.remove(grant.grantId);
+        const { requestId, vm, entry } = grant;
+        events.write('grantExpired', { requestId, vm, entry });
+      });
+  }
+
+  /**
+   * Learns from the end of a grant about its VM and its job, and removes it.
+   * @param grant - The grant.
+   * @param finish - How it ended.
+   */
+  finish(grant: GrantRow, finish: FinishGrant): void {
+    this.learn(grant, finish);
+    this.remove(grant.grantId);
+  }
+
+  /**
+   * Removes a grant.
+   * @param grantId - Its id.
+   */
+  remove(grantId: string): void {
+    this.options.tables.grants.remove(grantId);
+    this.excludedVms.delete(grantId);
+  }
+
+  private learn(grant: GrantRow, finish: FinishGrant): void {
+    const { tables, clock, events, explainLog, onSuspect } = this.options;
+    const verdicts = recordRun(tables, {
+      nowMs: clock.monotonicMs(),
+      vm: grant.vm,
+      jobKind: grant.jobKind,
+      requestId: grant.requestId,
+      result: finish.result,
+      ranMs: finish.ranMs,
+      usedMemoryMb: finish.usedMemoryMb,
+      excludedVms: this.excludedVms.get(grant.grantId) ?? [],
+    });
+    verdicts.forEach((verdict) => tellRunVerdict(verdict, { events, explainLog }));
+    const isSuspect = finish.result === 'unknown' || finish.result === 'not-started';
+    if (isSuspect) onSuspect(grant.vm);
+  }
+}
--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -2,31 +2,21 @@
 import type { LogWriter } from '../log/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { GrantRequest, PeerReply, PeerRequest } from '../peers/index.js';
+import type { GrantRequest, PeerReply } from '../peers/index.js';
 import type { VmPort } from '../platform/index.js';
 import type { PoolSettings } from '../settings/index.js';
-import {
-  placeQueuedJobs,
-  type PlacementDecision,
-  recordRun,
-  type WaveProgress,
-} from '../systems/index.js';
-import { type FleetTables, type GrantRow, PoolTables, type QueuedRow } from '../tables/index.js';
+import { placeQueuedJobs, type PlacementDecision, type WaveProgress } from '../systems/index.js';
+import { type FleetTables, PoolTables, type QueuedRow } from '../tables/index.js';
 import type { TargetPort } from '../targets/index.js';
 import { assertNever, type Clock, type Rng } from '../utils/index.js';
 import { ClaimDesk } from './ClaimDesk.js';
 import { ExplainLog } from './ExplainLog.js';
-import {
-  createGrant,
-  createHeldGrant,
-  createQueuedRow,
-  GRANT_LENGTH_MS,
-  type GrantHeldElsewhere,
-} from './grantRows.js';
+import { createQueuedRow, type GrantHeldElsewhere } from './grantRows.js';
 import { isUnderWay } from './isUnderWay.js';
+import { type FinishGrant, PoolGrants, type PlacedRequest } from './PoolGrants.js';
 import { PoolVms } from './PoolVms.js';
 import { type Refusal, refuse } from './Refusal.js';
-import { tellRunVerdict } from './tellRunVerdict.js';
+import { WaitingRequests } from './WaitingRequests.js';
 
 /** Options of {@link PoolHome}. */
 export interface PoolHomeOptions {
@@ -51,16 +41,6 @@
   readonly heldGrants: readonly GrantHeldElsewhere[];
 }
 
-interface WaitingRequest {
-  readonly entry: string;
-  readonly request: GrantRequest;
-  readonly enteredAtMs: number;
-  readonly reply: (reply: PeerReply) => void;
-}
-
-type Placed = Extract<PlacementDecision, { readonly type: 'place' }>;
-type FinishGrant = Extract<PeerRequest, { readonly type: 'finish-grant' }>;
-
 const CLOSED = refuse('home-unavailable', 'The pool is being handed to another home.');
 
 /** One pool at the instance that decides for it: queue, grants, claims, VMs, waves. */
@@ -76,10 +56,9 @@
 
   private readonly claimDesk: ClaimDesk;
 
-  private readonly waiting = new Map<string, WaitingRequest>();
+  private readonly waiting: WaitingRequests;
 
-  /** VMs that failed a granted request before, by grant. */
-  private readonly excludedVms = new Map<string, readonly string[]>();
+  private readonly grants: PoolGrants;
 
   private isClosed = false;
 
@@ -90,13 +69,22 @@
   constructor(options: PoolHomeOptions) {
     this.options = options;
     const { pool, settings, clock, events } = options;
-    this.tables = new PoolTables(pool, settings);
-    this.explainLog = new ExplainLog({ clock });
-    this.vms = new PoolVms({ ...options, tables: this.tables });
+    const tables = new PoolTables(pool, settings);
+    const explainLog = new ExplainLog({ clock });
+    this.tables = tables;
+    this.explainLog = explainLog;
+    this.vms = new PoolVms({ ...options, tables });
     this.claimDesk = new ClaimDesk(options);
-    options.heldGrants.forEach((held) =>
-      this.tables.grants.put(createHeldGrant(held, pool, clock.monotonicMs())),
-    );
+    this.waiting = new WaitingRequests({ events, explainLog });
+    this.grants = new PoolGrants({
+      tables,
+      clock,
+      events,
+      explainLog,
+      isWaiting: (grantId) => this.waiting.has(grantId),
+      onSuspect: (vm) => this.vms.suspect(vm),
+    });
+    this.grants.adopt(options.heldGrants);
     this.vms.sync();
     events.write('homeOpened', { pool, term: options.term });
   }
@@ -115,14 +103,12 @@
   requestGrant(entry: string, request: GrantRequest): Promise<PeerReply> {
     const refusal = this.isClosed ? CLOSED : this.findObstacle(entry, request);
     if (refusal !== undefined) {
-      this.noteRefusal(request, refusal);
+      this.waiting.tellRefusal(request, refusal);
       return Promise.resolve(refusal);
     }
     const enteredAtMs = this.options.clock.monotonicMs();
     this.tables.queue.put(createQueuedRow(entry, request, this.options.clock));
-    const reply = new Promise<PeerReply>((resolve) => {
-      this.waiting.set(request.attemptId, { entry, request, enteredAtMs, reply: resolve });
-    });
+    const reply = this.waiting.add({ entry, request, enteredAtMs });
     this.place();
     if (this.tables.queue.has(request.attemptId)) {
       const { requestId, jobKind, team } = request;
@@ -137,11 +123,11 @@
    * @param attemptId - Id of the attempt.
    */
   cancelRequest(attemptId: string): void {
-    const grant = this.tables.grants.get(attemptId);
+    const grant = this.grants.get(attemptId);
     if (grant !== undefined) this.claimDesk.noteUnsent(grant.requestId);
     this.tables.queue.remove(attemptId);
-    this.removeGrant(attemptId);
-    this.answer(attemptId, refuse('cancelled', 'The request was withdrawn.'));
+    this.grants.remove(attemptId);
+    this.waiting.answer(attemptId, refuse('cancelled', 'The request was withdrawn.'));
     this.place();
   }
 
@@ -151,10 +137,9 @@
    * @returns Whether everything about it is recorded; if not, the report has to be repeated.
    */
   async finishGrant(finish: FinishGrant): Promise<boolean> {
-    const grant = this.tables.grants.get(finish.grantId);
+    const grant = this.grants.get(finish.grantId);
     if (grant !== undefined) {
-      this.learn(grant, finish);
-      this.removeGrant(finish.grantId);
+      this.grants.finish(grant, finish);
       this.place();
     }
     if (!finish.isClaimed) return true;
@@ -166,10 +151,7 @@
    * @param grantIds - The grants.
    */
   renewGrants(grantIds: readonly string[]): void {
-    const deadlineMs = this.options.clock.monotonicMs() + GRANT_LENGTH_MS;
-    grantIds
-      .flatMap((grantId) => this.tables.grants.get(grantId) ?? [])
-      .forEach((grant) => this.tables.grants.put({ ...grant, deadlineMs }));
+    this.grants.renew(grantIds);
   }
 
   /**
@@ -180,7 +162,7 @@
   tick(settings: PoolSettings, fleetProgress: ReadonlyMap<string, WaveProgress>): void {
     this.tables.settings = settings;
     this.claimDesk.tick();
-    this.expireGrants();
+    this.grants.expire();
     this.vms.tick(fleetProgress);
     this.place();
   }
@@ -188,7 +170,7 @@
   /** Stops deciding: whoever waits is told at once to ask the pool's next home. */
   close(): void {
     this.isClosed = true;
-    Array.from(this.waiting.keys()).forEach((attemptId) => this.answer(attemptId, CLOSED));
+    this.waiting.answerAll(CLOSED);
     const { pool, term, events } = this.options;
     events.write('homeClosed', { pool, term });
   }
@@ -234,13 +216,12 @@
     }
   }
 
-  private grant(row: QueuedRow, placed: Placed): void {
+  private grant(row: QueuedRow, placed: PlacedRequest): void {
     const nowMs = this.options.clock.monotonicMs();
     const { attemptId, requestId, pool, team, jobKind } = row;
     const { vm, reason } = placed;
     this.tables.queue.remove(attemptId);
-    this.tables.grants.put(createGrant(row, placed, nowMs));
-    this.excludedVms.set(attemptId, row.excludedVms);
+    this.grants.begin(row, placed);
     this.options.metrics.timing('grant_wait_ms', nowMs - row.queuedAtMs, { pool });
     const waitedMs = Math.round(nowMs - row.queuedAtMs);
     const placement = { requestId, pool, vm, team, jobKind, reason, waitedMs };
@@ -253,15 +234,15 @@
   private async hand(attemptId: string, vm: string): Promise<void> {
     const waiting = this.waiting.get(attemptId);
     if (waiting === undefined) {
-      this.removeGrant(attemptId);
+      this.grants.remove(attemptId);
       return;
     }
     const { entry, request, enteredAtMs } = waiting;
     const refusal = request.idempotent ? undefined : await this.claimDesk.claim(entry, request);
     if (refusal !== undefined) {
-      this.removeGrant(attemptId);
-      this.noteRefusal(request, refusal);
-      this.answer(attemptId, refusal);
+      this.grants.remove(attemptId);
+      this.waiting.tellRefusal(request, refusal);
+      this.waiting.answer(attemptId, refusal);
       return;
     }
     if (!request.idempotent && !this.waiting.has(attemptId)) {
@@ -271,16 +252,15 @@
     const { host, port } = this.options.directory.getOrThrow(vm);
     const heldMs = this.options.clock.monotonicMs() - enteredAtMs;
     const { term } = this.options;
-    this.answer(attemptId, { type: 'granted', grantId: attemptId, term, vm, host, port, heldMs });
+    const grant = { type: 'granted', grantId: attemptId, term, vm, host, port, heldMs } as const;
+    this.waiting.answer(attemptId, grant);
   }
 
   private refuseQueued(decision: Extract<PlacementDecision, { readonly type: 'refuse' }>): void {
     this.tables.queue.remove(decision.attemptId);
     const retryAtMs = this.options.clock.wallMs() + decision.retryAfterMs;
     const refusal = { ...refuse(decision.kind, decision.reason), retryAtMs };
-    const waiting = this.waiting.get(decision.attemptId);
-    if (waiting !== undefined) this.noteRefusal(waiting.request, refusal);
-    this.answer(decision.attemptId, refusal);
+    this.waiting.refuse(decision.attemptId, refusal);
   }
 
   private controlRun(
@@ -288,7 +268,7 @@
     action: 'checkpoint' | 'throttle' | 'unthrottle',
     reason: string,
   ): void {
-    const grant = this.tables.grants.get(grantId);
+    const grant = this.grants.get(grantId);
     const vm = grant && this.options.directory.get(grant.vm);
     if (grant === undefined || vm === undefined) return;
     const { requestId } = grant;
@@ -296,54 +276,4 @@
     this.explainLog.note(requestId, `${action} on ${grant.vm}: ${reason}`);
     void this.options.targets.control(vm, grantId, action);
   }
-
-  private learn(grant: GrantRow, finish: FinishGrant): void {
-    const nowMs = this.options.clock.monotonicMs();
-    const verdicts = recordRun(this.tables, {
-      nowMs,
-      vm: grant.vm,
-      jobKind: grant.jobKind,
-      requestId: grant.requestId,
-      result: finish.result,
-      ranMs: finish.ranMs,
-      usedMemoryMb: finish.usedMemoryMb,
-      excludedVms: this.excludedVms.get(grant.grantId) ?? [],
-    });
-    const { events } = this.options;
-    const { explainLog } = this;
-    verdicts.forEach((verdict) => tellRunVerdict(verdict, { events, explainLog }));
-    const isSuspect = finish.result === 'unknown' || finish.result === 'not-started';
-    if (isSuspect) this.vms.suspect(grant.vm);
-  }
-
-  private expireGrants(): void {
-    const nowMs = this.options.clock.monotonicMs();
-    this.tables.grants
-      .list()
-      .filter((grant) => grant.deadlineMs <= nowMs)
-      .filter((grant) => !this.waiting.has(grant.grantId))
-      .forEach((grant) => {
-        this.removeGrant(grant.grantId);
-        const { requestId, vm, entry } = grant;
-        this.options.events.write('grantExpired', { requestId, vm, entry });
-      });
-  }
-
-  private removeGrant(grantId: string): void {
-    this.tables.grants.remove(grantId);
-    this.excludedVms.delete(grantId);
-  }
-
-  private answer(attemptId: string, reply: PeerReply): void {
-    const waiting = this.waiting.get(attemptId);
-    this.waiting.delete(attemptId);
-    waiting?.reply(reply);
-  }
-
-  private noteRefusal(request: GrantRequest, refusal: Refusal): void {
-    const { requestId, pool, team, jobKind } = request;
-    const { kind, message: reason } = refusal;
-    this.options.events.write('jobRefused', { requestId, pool, team, jobKind, kind, reason });
-    this.explainLog.note(requestId, `refused (${kind}): ${reason}`);
-  }
 }
