Name the parts of the fleet's home, and the choice to hold homes, for what they do

Cause: WaveSteps, WaveDesk and PoolsLog had to be explained: the first measures how long VMs are out, the second leads waves, the third writes lines of the event log and has nothing to do with the log. choosesToHold did not say what is held. WaveOrder.ts also held what is stored of a wave.

Ruled out: other names for VmOrders, RunTimes, PoolPeaks and the plan functions of src/systems; the glossary or their first comment says at once what they are.

Change: WaveStepTimer, WaveCoordinator, PoolReporter, shouldHoldHomes; WaveRecord.ts beside WaveOrder.ts, as VmOrderRecord.ts beside VmOrders.ts. Tests and the mutants' list follow.

Conclusion: the folder's list of files says what the home of the fleet consists of.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -213,10 +213,10 @@
   },
   {
     failure: 'small instances stay away though no larger one answers',
-    file: 'src/systems/choosesToHold.ts',
+    file: 'src/systems/shouldHoldHomes.ts',
     find: 'if (areHomesSilent) return true;',
     replace: '',
-    test: 'tests/systems/choosesToHold.test.ts',
+    test: 'tests/systems/shouldHoldHomes.test.ts',
     name: 'comes back where no home answers, whoever is said to hold them',
   },
   {
--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -12,11 +12,12 @@
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm, VmFleetPort } from '../vms/index.js';
-import { PoolsLog } from './PoolsLog.js';
+import { PoolReporter } from './PoolReporter.js';
 import type { VmOrderRecord } from './VmOrderRecord.js';
 import { VmOrders } from './VmOrders.js';
-import { WaveDesk } from './WaveDesk.js';
-import type { WaveOrder, WaveRecord, WaveStatus } from './WaveOrder.js';
+import { WaveCoordinator } from './WaveCoordinator.js';
+import type { WaveOrder } from './WaveOrder.js';
+import type { WaveRecord, WaveStatus } from './WaveRecord.js';
 
 /** Options of {@link FleetHome}. */
 export interface FleetHomeOptions {
@@ -72,7 +73,7 @@
 
   private readonly orders: VmOrders;
 
-  private readonly waves: WaveDesk;
+  private readonly waves: WaveCoordinator;
 
   /** VMs as listed last. */
   private readonly known = new Map<string, FleetVm>();
@@ -89,7 +90,7 @@
 
   private readonly listOutage: OutageLog;
 
-  private readonly poolsLog: PoolsLog;
+  private readonly poolReporter: PoolReporter;
 
   private readonly peaks: PoolPeaks;
 
@@ -105,11 +106,11 @@
       lost: 'vmListUnreachable',
       regained: 'vmListReachable',
     });
-    this.poolsLog = new PoolsLog(options);
+    this.poolReporter = new PoolReporter(options);
     this.peaks = new PoolPeaks(options.clock);
     const onStaleTerm = (): void => this.options.onReplaced();
     this.orders = new VmOrders({ ...options, onStaleTerm });
-    this.waves = new WaveDesk({ ...options, orders: this.orders, records: waveRecords });
+    this.waves = new WaveCoordinator({ ...options, orders: this.orders, records: waveRecords });
   }
 
   /** Begins to look at the fleet again and again. */
@@ -140,7 +141,7 @@
     this.orders.noteList(vms, askedAtMs);
     await this.syncPools(vms);
     if (this.isClosed) return;
-    this.poolsLog.note(this.demands, vms, this.listHeld());
+    this.poolReporter.note(this.demands, vms, this.listHeld());
     this.demands.forEach((demand) => this.peaks.note(demand));
     await this.waves.advance(vms, this.getLoads());
     await this.moveVms(vms);
--- a/src/fleetHome/PoolsLog.ts
+++ b/src/fleetHome/PoolReporter.ts
@@ -3,8 +3,8 @@
 import type { Clock } from '../utils/index.js';
 import type { FleetVm } from '../vms/index.js';
 
-/** Options of {@link PoolsLog}. */
-export interface PoolsLogOptions {
+/** Options of {@link PoolReporter}. */
+export interface PoolReporterOptions {
   readonly events: EventLog;
   readonly clock: Clock;
 }
@@ -16,8 +16,8 @@
 const toCores = (millicores: number): number => Math.round(millicores / MILLICORES_PER_CORE);
 
 /** Tells at intervals what every pool has and needs, from which a day can be read afterwards. */
-export class PoolsLog {
-  private readonly options: PoolsLogOptions;
+export class PoolReporter {
+  private readonly options: PoolReporterOptions;
 
   private toldAtMs = Number.NEGATIVE_INFINITY;
 
@@ -25,7 +25,7 @@
    * Starts without a line.
    * @param options - Log and clock.
    */
-  constructor(options: PoolsLogOptions) {
+  constructor(options: PoolReporterOptions) {
     this.options = options;
   }
 
--- a/src/fleetHome/WaveDesk.ts
+++ b/src/fleetHome/WaveCoordinator.ts
@@ -4,11 +4,12 @@
 import type { Clock } from '../utils/index.js';
 import type { FleetVm } from '../vms/index.js';
 import type { VmOrderOutcome, VmOrders } from './VmOrders.js';
-import { WaveSteps } from './WaveSteps.js';
-import { encodeWaveRecord, type WaveOrder, type WaveRecord, type WaveStatus } from './WaveOrder.js';
+import { WaveStepTimer } from './WaveStepTimer.js';
+import type { WaveOrder } from './WaveOrder.js';
+import { encodeWaveRecord, type WaveRecord, type WaveStatus } from './WaveRecord.js';
 
-/** Options of {@link WaveDesk}. */
-export interface WaveDeskOptions {
+/** Options of {@link WaveCoordinator}. */
+export interface WaveCoordinatorOptions {
   readonly orders: VmOrders;
   /** Progress as an earlier home has stored it. */
   readonly records: readonly WaveRecord[];
@@ -24,8 +25,8 @@
 const SKIPPED: ReadonlySet<VmOrderOutcome> = new Set(['not-in-wave', 'impossible']);
 
 /** Leads waves of maintenance: empties VMs, takes them down, and tells how far the waves are. */
-export class WaveDesk {
-  private readonly options: WaveDeskOptions;
+export class WaveCoordinator {
+  private readonly options: WaveCoordinatorOptions;
 
   private readonly records = new Map<number, WaveRecord>();
 
@@ -34,15 +35,15 @@
   /** VMs that are being emptied, with their waves. */
   private readonly draining = new Map<string, number>();
 
-  private readonly steps: WaveSteps;
+  private readonly stepTimer: WaveStepTimer;
 
   /**
    * Takes waves over.
    * @param options - Orders, stored progress, and where progress is told.
    */
-  constructor(options: WaveDeskOptions) {
+  constructor(options: WaveCoordinatorOptions) {
     this.options = options;
-    this.steps = new WaveSteps(options.clock);
+    this.stepTimer = new WaveStepTimer(options.clock);
     options.records.forEach((record) => this.records.set(record.wave, record));
   }
 
@@ -61,7 +62,7 @@
    */
   async advance(vms: readonly FleetVm[], loads: ReadonlyMap<string, TargetLoad>): Promise<void> {
     const orders = this.options.listWaveOrders();
-    this.steps.noteOut(new Set(orders.flatMap((order) => [...this.listInProgress(order)])));
+    this.stepTimer.noteOut(new Set(orders.flatMap((order) => [...this.listInProgress(order)])));
     await Promise.all(orders.map((order) => this.advanceWave(order, vms, loads)));
   }
 
@@ -102,11 +103,11 @@
       loads,
       inProgress: this.listInProgress(order),
       nowMs: clock.wallMs(),
-      stepMs: hasObserved ? this.steps.expectedMs : undefined,
+      stepMs: hasObserved ? this.stepTimer.expectedMs : undefined,
     });
     next.forEach((vm) => {
       this.draining.set(vm, order.wave);
-      this.steps.begin(vm);
+      this.stepTimer.begin(vm);
       events.write('vmDraining', { vm, wave: order.wave, doneCount: record.doneVms.length });
     });
   }
--- /dev/null
+++ b/src/fleetHome/WaveRecord.ts
@@ -0,0 +1,43 @@
+import { z } from 'zod';
+import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../store/index.js';
+
+/** What operators are told of a wave. */
+export type WaveStatus = 'running' | 'completed';
+
+/** What is stored of a wave's progress. */
+export interface WaveRecord {
+  readonly wave: number;
+  /** Wall-clock time by which every VM has to have begun, in milliseconds since the Unix epoch. */
+  readonly deadlineAtMs: number;
+  readonly doneVms: readonly string[];
+  readonly status: WaveStatus;
+}
+
+const PREFIX = 'wave/';
+
+const recordSchema = z.looseObject({
+  wave: z.number(),
+  deadlineAtMs: z.number(),
+  doneVms: z.array(z.string()),
+  status: z.enum(['running', 'completed']),
+});
+
+/**
+ * Encodes the progress of a wave.
+ * @param record - The progress.
+ * @returns Its record.
+ */
+export function encodeWaveRecord(record: WaveRecord): KeyedRecord {
+  return { key: `${PREFIX}${record.wave}`, value: encodeRecordValue(record) };
+}
+
+/**
+ * Decodes the progress of a wave.
+ * @param record - A record of the partition of the fleet's home.
+ * @returns The progress, or undefined where the record is about something else.
+ * @throws RattanliftError Of kind `internal` where it is malformed.
+ */
+export function decodeWaveRecord(record: KeyedRecord): WaveRecord | undefined {
+  if (!record.key.startsWith(PREFIX) || record.value === undefined) return undefined;
+  return decodeRecordValue(recordSchema, record);
+}
--- a/src/fleetHome/WaveSteps.ts
+++ b/src/fleetHome/WaveStepTimer.ts
@@ -6,8 +6,8 @@
 /** Added to what was seen: a step that takes longer than the mean must not make the wave late. */
 const MARGIN_FACTOR = 1.5;
 
-/** How long VMs are out for a wave, from the first task that is kept off until they are back. */
-export class WaveSteps {
+/** Times how long VMs are out for a wave, from the first task kept off until they are back. */
+export class WaveStepTimer {
   private readonly clock: Clock;
 
   private readonly begunAtMs = new Map<string, number>();
--- a/src/fleetHome/index.ts
+++ b/src/fleetHome/index.ts
@@ -1,9 +1,9 @@
 export { FleetHome, type FleetHomeOptions } from './FleetHome.js';
 export { decodeVmOrderRecord, type VmOrderRecord } from './VmOrderRecord.js';
+export type { WaveOrder } from './WaveOrder.js';
 export {
   decodeWaveRecord,
   encodeWaveRecord,
-  type WaveOrder,
   type WaveRecord,
   type WaveStatus,
-} from './WaveOrder.js';
+} from './WaveRecord.js';
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -8,7 +8,7 @@
 } from '../peers/index.js';
 import { ConfigurationFollower, type QueueConfiguration } from '../queues/index.js';
 import type { KeyedRecord } from '../store/index.js';
-import { choosesToHold } from '../systems/index.js';
+import { shouldHoldHomes } from '../systems/index.js';
 import {
   type FleetHomeBasis,
   formatMember,
@@ -196,7 +196,7 @@
 
   private shouldHold(isMember: boolean): boolean {
     const { address, capacity: own } = this.options;
-    return choosesToHold({
+    return shouldHoldHomes({
       own,
       others: this.homeDirectory.listCapacities(address.instance),
       isMember,
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -39,4 +39,8 @@
 export { planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
 export { type PaceChange, type PacedTask, planPace, type ServingLoad } from './planPace.js';
 export { PoolPeaks } from './PoolPeaks.js';
-export { choosesToHold, type ChoosesToHoldInput, type HomeCapacity } from './choosesToHold.js';
+export {
+  shouldHoldHomes,
+  type ShouldHoldHomesInput,
+  type HomeCapacity,
+} from './shouldHoldHomes.js';
--- a/src/systems/choosesToHold.ts
+++ b/src/systems/shouldHoldHomes.ts
@@ -6,8 +6,8 @@
   readonly linkMbps: number;
 }
 
-/** What {@link choosesToHold} decides over. */
-export interface ChoosesToHoldInput {
+/** What {@link shouldHoldHomes} decides over. */
+export interface ShouldHoldHomesInput {
   readonly own: HomeCapacity;
   /** Capacities of the other instances that hold partitions. */
   readonly others: readonly HomeCapacity[];
@@ -35,7 +35,7 @@
  * @param input - The instance, the others, and whether homes answer.
  * @returns Whether it should hold partitions.
  */
-export function choosesToHold(input: ChoosesToHoldInput): boolean {
+export function shouldHoldHomes(input: ShouldHoldHomesInput): boolean {
   const { own, others, isMember, areHomesSilent } = input;
   if (areHomesSilent) return true;
   const larger = others.filter(
--- a/tests/fleetHome/WaveDesk.test.ts
+++ b/tests/fleetHome/WaveCoordinator.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { WaveDesk } from '../../src/fleetHome/WaveDesk.js';
+import { WaveCoordinator } from '../../src/fleetHome/WaveCoordinator.js';
 import type { VmOrder, VmOrders } from '../../src/fleetHome/VmOrders.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
@@ -22,7 +22,7 @@
   };
   const clock = new ManualClock(1_000_000);
   const deadlineAtMs = clock.wallMs() + ORDER.withinMs;
-  const desk = new WaveDesk({
+  const coordinator = new WaveCoordinator({
     orders: orders as VmOrders,
     records: [{ wave: 1, deadlineAtMs, doneVms: ['m1'], status: 'running' }],
     listWaveOrders: () => [ORDER],
@@ -33,12 +33,12 @@
     mechanisms: ALL_MECHANISMS,
   });
   const vms: readonly FleetVm[] = [first, { vm: 'm2', pool: 'pages', state: 'up' }];
-  await desk.advance(vms, new Map());
-  await desk.advance(vms, new Map());
+  await coordinator.advance(vms, new Map());
+  await coordinator.advance(vms, new Map());
   return given;
 }
 
-describe('WaveDesk', () => {
+describe('WaveCoordinator', () => {
   // Ten VMs of a wave were down where nine were allowed: the home of the fleet had changed, and the
   // next one counted its own orders alone.
   it('counts the VMs that an earlier home has taken down', async () => {
--- a/tests/systems/choosesToHold.test.ts
+++ b/tests/systems/shouldHoldHomes.test.ts
@@ -1,14 +1,14 @@
 import { describe, expect, it } from 'vitest';
-import { choosesToHold, type HomeCapacity } from '../../src/systems/index.js';
+import { shouldHoldHomes, type HomeCapacity } from '../../src/systems/index.js';
 
 const SMALL: HomeCapacity = { coreCount: 0.324, linkMbps: 10 };
 const LARGE: HomeCapacity = { coreCount: 1.35, linkMbps: 200 };
 
 function choose(own: HomeCapacity, others: readonly HomeCapacity[], isMember = true): boolean {
-  return choosesToHold({ own, others, isMember, areHomesSilent: false });
+  return shouldHoldHomes({ own, others, isMember, areHomesSilent: false });
 }
 
-describe('choosesToHold', () => {
+describe('shouldHoldHomes', () => {
   // Jobs waited for 13 s for their first task though most processors idled: the busiest homes had
   // fallen to instances with links of 10 Mbit/s, and their targets' reports did not fit through.
   it('leaves the homes to several larger instances', () => {
@@ -31,7 +31,9 @@
   // which could have gone on, left all jobs to them.
   it('comes back where no home answers, whoever is said to hold them', () => {
     const others = [LARGE, LARGE, LARGE];
-    expect(choosesToHold({ own: SMALL, others, isMember: false, areHomesSilent: true })).toBe(true);
+    expect(shouldHoldHomes({ own: SMALL, others, isMember: false, areHomesSilent: true })).toBe(
+      true,
+    );
   });
 
   it('does not leave the homes to instances whose link is slower', () => {
