Say once when a VM is empty, how pools are asked, and how fleet records are told apart

Cause: FleetHome and WaveCoordinator each spelled out when a VM is empty; FleetHome asked the homes of pools in two places; WaveRecord and VmOrderRecord each told their records by key and value.

Ruled out: one codec object for both records; their encoders differ in the key, and jobCodec needs the id behind the prefix.

Change: isEmpty, FleetHome.syncPools for some or all pools, and decodeRecordOf in src/store.

Figures: each of the three stood twice, now once.

Conclusion: waves and moves go by the same emptiness.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -12,6 +12,7 @@
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm, VmFleetPort } from '../vms/index.js';
+import { isEmpty } from './isEmpty.js';
 import { PoolReporter } from './PoolReporter.js';
 import type { VmOrderRecord } from './VmOrderRecord.js';
 import { VmOrders } from './VmOrders.js';
@@ -139,7 +140,7 @@
     const vms = await this.listVms();
     if (vms === undefined || this.isClosed) return;
     this.orders.noteList(vms, askedAtMs);
-    await this.syncPools(vms);
+    this.demands = await this.syncPools(vms, this.options.listPools());
     if (this.isClosed) return;
     this.poolReporter.note(this.demands, vms, this.listHeld());
     this.demands.forEach((demand) => this.peaks.note(demand));
@@ -184,12 +185,14 @@
     return indexLoads(this.demands);
   }
 
-  private async syncPools(vms: readonly FleetVm[]): Promise<void> {
+  /** Tells homes of pools which VMs get no new tasks; the demands of those that answer. */
+  private async syncPools(
+    vms: readonly FleetVm[],
+    pools: readonly string[],
+  ): Promise<readonly PoolDemand[]> {
     const drained = this.listDrained();
-    const answers = await Promise.all(
-      this.options.listPools().map((pool) => this.syncPool(vms, pool, drained)),
-    );
-    this.demands = answers.filter((demand) => demand !== undefined);
+    const answers = await Promise.all(pools.map((pool) => this.syncPool(vms, pool, drained)));
+    return answers.filter((demand) => demand !== undefined);
   }
 
   private syncPool(
@@ -244,9 +247,7 @@
     loads: ReadonlyMap<string, TargetLoad>,
   ): Promise<void> {
     const nowMs = this.options.clock.monotonicMs();
-    const empty = vms
-      .filter(({ vm }) => this.leaving.has(vm))
-      .filter(({ targetId }) => targetId === undefined || loads.get(targetId)?.runCount === 0);
+    const empty = vms.filter(({ vm }) => this.leaving.has(vm)).filter((vm) => isEmpty(vm, loads));
     const ordered = empty.map(({ vm, targetId }) => {
       const { toPool } = this.leaving.get(vm)!;
       return this.orders.give({ type: 'move', vm, toPool }, targetId);
@@ -264,15 +265,9 @@
     vms: readonly FleetVm[],
     moves: readonly VmMove[],
   ): Promise<ReadonlyMap<string, TargetLoad>> {
-    const pools = new Set(moves.map(({ fromPool }) => fromPool));
-    const drained = this.listDrained();
-    const answers = await Promise.all(
-      this.options
-        .listPools()
-        .filter((pool) => pools.has(pool))
-        .map((pool) => this.syncPool(vms, pool, drained)),
-    );
-    return indexLoads(answers.filter((demand) => demand !== undefined));
+    const left = new Set(moves.map(({ fromPool }) => fromPool));
+    const pools = this.options.listPools().filter((pool) => left.has(pool));
+    return indexLoads(await this.syncPools(vms, pools));
   }
 
   /** VMs that get no new task: a wave is about to take them, or they leave their pool. */
--- a/src/fleetHome/VmOrderRecord.ts
+++ b/src/fleetHome/VmOrderRecord.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../store/index.js';
+import { decodeRecordOf, encodeRecordValue, type KeyedRecord } from '../store/index.js';
 
 /** What is stored of the latest order for a VM, before the order is given. */
 export interface VmOrderRecord {
@@ -28,6 +28,5 @@
  * @throws RattanliftError Of kind `internal` where it is malformed.
  */
 export function decodeVmOrderRecord(record: KeyedRecord): VmOrderRecord | undefined {
-  if (!record.key.startsWith(PREFIX) || record.value === undefined) return undefined;
-  return decodeRecordValue(recordSchema, record);
+  return decodeRecordOf(PREFIX, recordSchema, record);
 }
--- a/src/fleetHome/WaveCoordinator.ts
+++ b/src/fleetHome/WaveCoordinator.ts
@@ -3,6 +3,7 @@
 import { type Mechanisms, planMaintenance, type TargetLoad } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm } from '../vms/index.js';
+import { isEmpty } from './isEmpty.js';
 import type { VmOrderOutcome, VmOrders } from './VmOrders.js';
 import { WaveStepTimer } from './WaveStepTimer.js';
 import type { WaveOrder } from './WaveOrder.js';
@@ -146,10 +147,7 @@
     const freeCount = order.maxDownCount - this.countDown(order, vms);
     const ready = vms
       .filter(({ vm }) => this.draining.get(vm) === order.wave)
-      .filter(({ state, targetId }) => {
-        const isEmpty = targetId === undefined || loads.get(targetId)?.runCount === 0;
-        return state === 'up' && isEmpty;
-      });
+      .filter((vm) => vm.state === 'up' && isEmpty(vm, loads));
     const outcomes = await Promise.all(
       ready
         .filter(({ vm }, place) => place < freeCount || this.options.orders.isAway(vm))
--- a/src/fleetHome/WaveRecord.ts
+++ b/src/fleetHome/WaveRecord.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../store/index.js';
+import { decodeRecordOf, encodeRecordValue, type KeyedRecord } from '../store/index.js';
 
 /** What operators are told of a wave. */
 export type WaveStatus = 'running' | 'completed';
@@ -38,6 +38,5 @@
  * @throws RattanliftError Of kind `internal` where it is malformed.
  */
 export function decodeWaveRecord(record: KeyedRecord): WaveRecord | undefined {
-  if (!record.key.startsWith(PREFIX) || record.value === undefined) return undefined;
-  return decodeRecordValue(recordSchema, record);
+  return decodeRecordOf(PREFIX, recordSchema, record);
 }
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -10,5 +10,5 @@
   ReadResult,
   StoredRecord,
 } from './KeyedLogPort.js';
-export { decodeRecordValue, encodeRecordValue } from './recordValue.js';
+export { decodeRecordOf, decodeRecordValue, encodeRecordValue } from './recordValue.js';
 export { KeyedFollower, type KeyedFollowerOptions } from './KeyedFollower.js';
--- a/src/store/recordValue.ts
+++ b/src/store/recordValue.ts
@@ -27,3 +27,20 @@
   if (result.success) return result.data;
   return throwError('internal', `Record ${key} is malformed: ${z.prettifyError(result.error)}`);
 }
+
+/**
+ * Decodes a record where it is of one kind of the project's own, told by its key.
+ * @param prefix - What the keys of the kind begin with.
+ * @param schema - What a record of the kind has to hold.
+ * @param record - The record.
+ * @returns The checked content, or undefined where the record is of another kind or removed.
+ * @throws RattanliftError Of kind `internal` where the value does not fit.
+ */
+export function decodeRecordOf<Schema extends z.ZodType>(
+  prefix: string,
+  schema: Schema,
+  record: KeyedRecord,
+): z.output<Schema> | undefined {
+  if (!record.key.startsWith(prefix) || record.value === undefined) return undefined;
+  return decodeRecordValue(schema, record);
+}
