Let means that follow the latest values share their step

Cause: WaveStepTimer and AdaptiveTimeout each wrote out the step of an exponential mean.

Ruled out: PoolPeaks, which keeps a maximum that fades with time, not a mean; and a class for means, as the two begin differently: one with its first value, the other at zero. RunTimes takes the same step with a weight that falls from one, and can use the function too; it is left as it is here.

Change: followMean in src/utils.

Figures: the step stood three times, now twice.

Conclusion: weight and start of each mean stay where they are chosen.

--- a/src/fleetHome/WaveStepTimer.ts
+++ b/src/fleetHome/WaveStepTimer.ts
@@ -1,5 +1,5 @@
 import { STEP_MS } from '../systems/index.js';
-import type { Clock } from '../utils/index.js';
+import { type Clock, followMean } from '../utils/index.js';
 
 /** Weight of the latest step in the mean: the last handful decide. */
 const LEARNING_RATE = 0.2;
@@ -45,7 +45,7 @@
       .filter(([vm]) => !outVms.has(vm))
       .forEach(([vm, atMs]) => {
         const tookMs = nowMs - atMs;
-        this.meanMs = (this.meanMs ?? tookMs) + LEARNING_RATE * (tookMs - (this.meanMs ?? tookMs));
+        this.meanMs = followMean(this.meanMs ?? tookMs, tookMs, LEARNING_RATE);
         this.begunAtMs.delete(vm);
       });
   }
--- a/src/utils/AdaptiveTimeout.ts
+++ b/src/utils/AdaptiveTimeout.ts
@@ -1,4 +1,5 @@
 import type { Clock } from './Clock.js';
+import { followMean } from './followMean.js';
 
 /** Options of {@link AdaptiveTimeout}. */
 export interface AdaptiveTimeoutOptions {
@@ -68,7 +69,7 @@
    */
   noteAnswer(tookMs: number): void {
     this.failureCount = 0;
-    this.usualMs += LEARNING_RATE * (tookMs - this.usualMs);
+    this.usualMs = followMean(this.usualMs, tookMs, LEARNING_RATE);
   }
 
   /** Takes note of a call without an answer. */
