Let homes take the options of what they consist of

Cause: PoolHome listed every option of PoolVms again, and TaskHomes those of GroupMembership.

Ruled out: passing the parts in ready made; they need calls back to their home.

Change: the options extend those of the part, without what the home itself supplies.

Tests of tests/home, tests/taskHome and tests/daemon pass.

Conclusion: an option is described once, where it is used.

--- a/src/home/PoolHome.ts
+++ b/src/home/PoolHome.ts
@@ -1,42 +1,23 @@
-import type { VmDirectory } from '../fleet/index.js';
-import type { LogWriter } from '../log/index.js';
-import type { EventLog } from '../logging/index.js';
-import type { Metrics } from '../metrics/index.js';
 import type { GrantRequest, PeerReply } from '../peers/index.js';
-import type { VmPort } from '../platform/index.js';
 import type { PoolSettings } from '../settings/index.js';
 import { placeQueuedJobs, type PlacementDecision, type WaveProgress } from '../systems/index.js';
-import { type FleetTables, PoolTables, type QueuedRow } from '../tables/index.js';
-import type { TargetPort } from '../targets/index.js';
-import { assertNever, type Clock, type Rng } from '../utils/index.js';
+import { PoolTables, type QueuedRow } from '../tables/index.js';
+import { assertNever, type Rng } from '../utils/index.js';
 import { ClaimDesk } from './ClaimDesk.js';
 import { ExplainLog } from './ExplainLog.js';
 import { createQueuedRow, type GrantHeldElsewhere } from './grantRows.js';
 import { isUnderWay } from './isUnderWay.js';
 import { type FinishGrant, PoolGrants, type PlacedRequest } from './PoolGrants.js';
-import { PoolVms } from './PoolVms.js';
+import { PoolVms, type PoolVmsOptions } from './PoolVms.js';
 import { type Refusal, refuse } from './Refusal.js';
 import { WaitingRequests } from './WaitingRequests.js';
 
 /** Options of {@link PoolHome}. */
-export interface PoolHomeOptions {
+export interface PoolHomeOptions extends Omit<PoolVmsOptions, 'tables'> {
   /** Pool as `team/pool`. */
   readonly pool: string;
-  readonly instance: string;
-  /** Term in which this instance decides for the pool. */
-  readonly term: number;
   readonly settings: PoolSettings;
-  readonly fleet: FleetTables;
-  readonly directory: VmDirectory;
-  readonly writer: Pick<LogWriter, 'write'>;
-  readonly vmPort: VmPort;
-  readonly targets: TargetPort;
-  readonly clock: Clock;
   readonly rng: Rng;
-  readonly events: EventLog;
-  readonly metrics: Metrics;
-  /** Tells whether this instance's lease holds at this moment. */
-  readonly holdsLease: () => boolean;
   /** Grants that entry instances hold from an earlier home. */
   readonly heldGrants: readonly GrantHeldElsewhere[];
 }
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -6,14 +6,13 @@
   type VmOrderRecord,
   type WaveRecord,
 } from '../fleetHome/index.js';
-import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
+import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
-import { type Clock, KeyedOnce } from '../utils/index.js';
+import { KeyedOnce } from '../utils/index.js';
 import { decodeReadable } from './decodeReadable.js';
-import { GroupMembership, type GroupTiming } from './GroupMembership.js';
+import { GroupMembership, type GroupMembershipOptions } from './GroupMembership.js';
 import { HOME_PRODUCER, openTaskHome } from './openTaskHome.js';
 import type { PoolPartitions } from './PoolPartitions.js';
 import type { TargetDirectory } from './TargetDirectory.js';
@@ -21,24 +20,14 @@
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
 
 /** Options of {@link TaskHomes}. */
-export interface TaskHomesOptions {
+export interface TaskHomesOptions extends Omit<GroupMembershipOptions, 'onRenewed' | 'onLeaving'> {
   readonly store: KeyedLogPort;
-  readonly groups: GroupPort;
   readonly targets: LeasedTargetPort;
   readonly directory: TargetDirectory;
   readonly partitions: PoolPartitions;
-  readonly group: string;
-  readonly topic: string;
-  /** Name of this member, from which others read its address. */
-  readonly member: string;
-  readonly groupTiming: GroupTiming;
   readonly homeTiming: TaskHomeTiming;
-  readonly clock: Clock;
-  readonly events: EventLog;
   readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
-  /** Whether this instance is to hold partitions, given whether it does now. */
-  readonly shouldHold: (isMember: boolean) => boolean;
   /** Creates the home of the fleet, on the instance that is the home of its partition. */
   readonly createFleetHome: (basis: FleetHomeBasis) => FleetHome;
 }
