Order imports alike everywhere

Ruled out: a rule of the linter for it, which is a choice of its own.

Change: the same lines in the order of the others.

Types, linter and formatter pass.

Conclusion: a new import has one place.

--- a/src/cli/commands/jobsSubmitCommand.ts
+++ b/src/cli/commands/jobsSubmitCommand.ts
@@ -5,9 +5,9 @@
 import type { Urgency } from '../../settings/index.js';
 import type { CommandContext } from '../CommandContext.js';
 import { type CliCommand, defineCliCommand } from '../defineCliCommand.js';
+import type { JobRequest } from '../JobClient.js';
 import { parseWholeNumberOrThrow } from '../parseWholeNumberOrThrow.js';
 import { pollUntil } from '../pollUntil.js';
-import type { JobRequest } from '../JobClient.js';
 import { UsageError } from '../UsageError.js';
 import { answerOf, exitCodeOfJob, formatJob } from './jobStates.js';
 
--- a/src/fleetHome/WaveCoordinator.ts
+++ b/src/fleetHome/WaveCoordinator.ts
@@ -5,9 +5,9 @@
 import type { FleetVm } from '../vms/index.js';
 import { isEmpty } from './isEmpty.js';
 import type { VmOrderOutcome, VmOrders } from './VmOrders.js';
-import { WaveStepTimer } from './WaveStepTimer.js';
 import type { WaveOrder } from './WaveOrder.js';
 import { encodeWaveRecord, type WaveRecord, type WaveStatus } from './WaveRecord.js';
+import { WaveStepTimer } from './WaveStepTimer.js';
 
 /** Options of {@link WaveCoordinator}. */
 export interface WaveCoordinatorOptions {
--- a/src/home/ClaimDesk.ts
+++ b/src/home/ClaimDesk.ts
@@ -1,8 +1,8 @@
+import type { Outcome } from '../errors/index.js';
 import type { LogWriter } from '../log/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { GrantRequest } from '../peers/index.js';
 import type { ClaimRow, FleetTables } from '../tables/index.js';
-import type { Outcome } from '../errors/index.js';
 import { type Clock, KeyedOnce } from '../utils/index.js';
 import { type Refusal, refuse } from './Refusal.js';
 
--- a/src/home/VmProber.ts
+++ b/src/home/VmProber.ts
@@ -1,6 +1,6 @@
 import type { EventLog } from '../logging/index.js';
-import type { TargetPort } from '../targets/index.js';
 import type { VmRow } from '../tables/index.js';
+import type { TargetPort } from '../targets/index.js';
 import { type Clock, KeyedOnce } from '../utils/index.js';
 
 /** Options of {@link VmProber}. */
--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -5,8 +5,8 @@
 import type { QueueConfiguration } from '../queues/index.js';
 import type { GroupPort, KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { HomeCapacity, Mechanisms } from '../systems/index.js';
-import type { TargetEntry } from '../taskHome/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
+import type { TargetEntry } from '../taskHome/index.js';
 import type { Clock } from '../utils/index.js';
 import type { VmFleetPort } from '../vms/index.js';
 
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -1,5 +1,5 @@
-import type { EventLog } from '../logging/index.js';
 import type { LogWriter } from '../log/index.js';
+import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { FleetTables, InstanceRow } from '../tables/index.js';
 import { type Clock, KeyedOnce } from '../utils/index.js';
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,8 +1,8 @@
 import type { ErrorKind, Outcome } from '../errors/index.js';
 import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
-import type { PoolDemand } from '../systems/PoolDemand.js';
 import type { LogEntry } from '../platform/index.js';
 import type { Urgency } from '../settings/index.js';
+import type { PoolDemand } from '../systems/PoolDemand.js';
 import type { LeasedTargetAddress, TargetAnswer, TargetCall } from '../targets/LeasedTargetPort.js';
 
 /** Request for a slot, from an entry instance to a pool's home. */
--- a/src/systems/planMaintenance.ts
+++ b/src/systems/planMaintenance.ts
@@ -1,5 +1,5 @@
-import type { FleetVm } from '../vms/index.js';
 import { groupBy } from '../utils/index.js';
+import type { FleetVm } from '../vms/index.js';
 import type { TargetLoad } from './PoolDemand.js';
 
 /** A wave of maintenance as operators have ordered it, and how far it is. */
--- a/src/systems/planPreemptions.ts
+++ b/src/systems/planPreemptions.ts
@@ -2,8 +2,8 @@
 import type { PlacementDecision } from './decisions.js';
 import { learnedSize } from './learnedSize.js';
 import { owedSlotCount } from './orderQueue.js';
-import { quotaOf } from './quotaOf.js';
 import { type PoolLoad, THROTTLED_CORE_FRACTION } from './PoolLoad.js';
+import { quotaOf } from './quotaOf.js';
 
 /** How long a checkpoint may take before another run is asked to make room, in milliseconds. */
 const CHECKPOINT_WAIT_MS = 10_000;
--- a/src/targets/HttpTargetPort.ts
+++ b/src/targets/HttpTargetPort.ts
@@ -1,8 +1,6 @@
 import { Client, type Dispatcher, Pool } from 'undici';
 import { z } from 'zod';
 import { HttpJsonClient, type JsonAnswer, type JsonRequest } from '../utils/index.js';
-import { TASK_HEADERS } from './taskHeaders.js';
-import { TaskExchange } from './TaskExchange.js';
 import type {
   TargetAddress,
   TargetPort,
@@ -10,6 +8,8 @@
   TaskRequest,
   TaskResult,
 } from './TargetPort.js';
+import { TaskExchange } from './TaskExchange.js';
+import { TASK_HEADERS } from './taskHeaders.js';
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_CONTROL_TIMEOUT_MS = 1000;
--- a/src/targets/TaskExchange.ts
+++ b/src/targets/TaskExchange.ts
@@ -1,10 +1,10 @@
 import { Readable } from 'node:stream';
-import type { IncomingHttpHeaders } from 'undici/types/header.js';
 import type { Dispatcher } from 'undici';
+import type { IncomingHttpHeaders } from 'undici/types/header.js';
 import { RattanliftError } from '../errors/index.js';
 import { assertNever } from '../utils/index.js';
-import { TASK_HEADERS, TASK_OUTCOMES } from './taskHeaders.js';
 import type { TaskResult } from './TargetPort.js';
+import { TASK_HEADERS, TASK_OUTCOMES } from './taskHeaders.js';
 
 type Controller = Dispatcher.DispatchController;
 
