Name four systems by what they return

Cause: nearly all functions of src/systems begin with a verb; domainOf, quotaOf, rampedStepCount and waveWidth did not, and one had to open them to see what they compute, and of what.

Ruled out: learnedSize, owedSlotCount and quantile, which read well where they are called.

Conclusion: a newcomer need not know the old names.

--- a/src/home/findFailedRacks.ts
+++ b/src/home/findFailedRacks.ts
@@ -1,4 +1,4 @@
-import { domainOf } from '../systems/index.js';
+import { getFailureDomain } from '../systems/index.js';
 import type { VmRow } from '../tables/index.js';
 
 /**
@@ -10,7 +10,9 @@
  * @returns The racks, as `data centre/rack`.
  */
 export function findFailedRacks(vms: readonly VmRow[]): ReadonlySet<string> {
-  const racks = new Set(vms.map((vm) => domainOf(vm, 'rack')));
-  vms.filter((vm) => vm.state !== 'gone').forEach((vm) => racks.delete(domainOf(vm, 'rack')));
+  const racks = new Set(vms.map((vm) => getFailureDomain(vm, 'rack')));
+  vms
+    .filter((vm) => vm.state !== 'gone')
+    .forEach((vm) => racks.delete(getFailureDomain(vm, 'rack')));
   return racks;
 }
--- a/src/systems/DomainSlots.ts
+++ b/src/systems/DomainSlots.ts
@@ -1,6 +1,6 @@
 import type { FailureDomain } from '../settings/index.js';
 import type { VmRow } from '../tables/index.js';
-import { domainOf } from './domainOf.js';
+import { getFailureDomain } from './getFailureDomain.js';
 
 /** Slots of a set of VMs by failure domain. */
 export class DomainSlots {
@@ -45,7 +45,7 @@
    * @returns Slots of the set in that domain.
    */
   countInDomainOf(vm: VmRow): number {
-    return this.slotCounts.get(domainOf(vm, this.failureDomain)) ?? 0;
+    return this.slotCounts.get(getFailureDomain(vm, this.failureDomain)) ?? 0;
   }
 
   /**
@@ -65,7 +65,7 @@
   }
 
   private change(vm: VmRow, bySlotCount: number): void {
-    const domain = domainOf(vm, this.failureDomain);
+    const domain = getFailureDomain(vm, this.failureDomain);
     this.slotCounts.set(domain, (this.slotCounts.get(domain) ?? 0) + bySlotCount);
     this.totalSlotCount += bySlotCount;
   }
--- a/src/systems/VmLoad.ts
+++ b/src/systems/VmLoad.ts
@@ -1,5 +1,5 @@
 import type { PoolVmRow, VmHealthRow } from '../tables/index.js';
-import { domainOf } from './domainOf.js';
+import { getFailureDomain } from './getFailureDomain.js';
 import type { JobSize } from './learnedSize.js';
 
 /** How long a start counts as recent, in milliseconds. */
@@ -48,7 +48,7 @@
    */
   constructor(options: VmLoadOptions) {
     this.vm = options.vm;
-    this.rack = domainOf(options.vm, 'rack');
+    this.rack = getFailureDomain(options.vm, 'rack');
     this.health = options.health;
     this.nowMs = options.nowMs;
   }
--- a/src/systems/findWaveFailure.ts
+++ b/src/systems/findWaveFailure.ts
@@ -1,5 +1,5 @@
 import type { PoolTables, PoolVmRow, WaveRow, WaveStepRow } from '../tables/index.js';
-import { domainOf } from './domainOf.js';
+import { getFailureDomain } from './getFailureDomain.js';
 
 /** How long a maintained VM has to be lost before the wave is suspected of it, in milliseconds. */
 const LOSS_CONFIRMATION_MS = 15_000;
@@ -40,7 +40,7 @@
     .filter((loss) => !touchedVms.has(loss.vm))
     .map((loss) => tables.vms.get(loss.vm))
     .filter((vm): vm is PoolVmRow => vm !== undefined);
-  return new Set(untouchedLostVms.map((vm) => domainOf(vm, 'rack')));
+  return new Set(untouchedLostVms.map((vm) => getFailureDomain(vm, 'rack')));
 }
 
 /** VMs that came back from maintenance and were lost afterwards. */
@@ -53,7 +53,7 @@
     .filter((step) => step.state === 'maintained' && isConfirmedLoss(tables, step.vm, nowMs))
     .map((step) => tables.vms.get(step.vm))
     .filter((vm): vm is PoolVmRow => vm !== undefined)
-    .filter((vm) => !hasRackFailed(domainOf(vm, 'rack')))
+    .filter((vm) => !hasRackFailed(getFailureDomain(vm, 'rack')))
     .map((vm) => vm.vm);
 }
 
--- a/src/systems/domainOf.ts
+++ b/src/systems/getFailureDomain.ts
@@ -8,7 +8,7 @@
  * @param failureDomain - Kind of domain that the pool declares.
  * @returns A name that all VMs of the same domain share.
  */
-export function domainOf(vm: VmRow, failureDomain: FailureDomain): string {
+export function getFailureDomain(vm: VmRow, failureDomain: FailureDomain): string {
   switch (failureDomain) {
     case 'vm':
       return vm.vm;
--- a/src/systems/rampedStepCount.ts
+++ b/src/systems/getMaxStepsInProgress.ts
@@ -1,5 +1,5 @@
 import type { PoolTables, WaveRow } from '../tables/index.js';
-import { waveWidth } from './waveWidth.js';
+import { getWaveWidth } from './getWaveWidth.js';
 
 /**
  * Computes how many steps of a wave may be in progress in a pool: one at first, and twice as many
@@ -8,9 +8,9 @@
  * @param wave - The wave.
  * @returns Steps at once, at most the width that the settings ask for.
  */
-export function rampedStepCount(tables: PoolTables, wave: WaveRow): number {
+export function getMaxStepsInProgress(tables: PoolTables, wave: WaveRow): number {
   const maintainedCount = tables.waveSteps
     .list()
     .filter((step) => step.wave === wave.wave && step.state === 'maintained').length;
-  return Math.min(maintainedCount + 1, waveWidth(tables));
+  return Math.min(maintainedCount + 1, getWaveWidth(tables));
 }
--- a/src/systems/quotaOf.ts
+++ b/src/systems/getTeamQuota.ts
@@ -6,6 +6,6 @@
  * @param team - The team.
  * @returns The team's own quota, else the one for every other team, else undefined.
  */
-export function quotaOf(settings: PoolSettings, team: string): QuotaSettings | undefined {
+export function getTeamQuota(settings: PoolSettings, team: string): QuotaSettings | undefined {
   return Object.hasOwn(settings.quotas, team) ? settings.quotas[team] : settings.quotas['*'];
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -7,7 +7,7 @@
   WaveDecision,
 } from './decisions.js';
 export { estimateNeededCpu, type NeededCpuInput } from './estimateNeededCpu.js';
-export { domainOf } from './domainOf.js';
+export { getFailureDomain } from './getFailureDomain.js';
 export { type JobSize, learnedSize } from './learnedSize.js';
 export { placeQueuedJobs, type PlaceQueuedJobsOptions } from './placeQueuedJobs.js';
 export { planCapacity, type PlanCapacityOptions } from './planCapacity.js';
--- a/src/systems/orderQueue.ts
+++ b/src/systems/orderQueue.ts
@@ -1,7 +1,7 @@
 import type { Urgency } from '../settings/index.js';
 import type { PoolTables, QueuedRow } from '../tables/index.js';
+import { getTeamQuota } from './getTeamQuota.js';
 import type { PoolLoad } from './PoolLoad.js';
-import { quotaOf } from './quotaOf.js';
 
 /** Urgencies in the order in which they are served. */
 const SERVING_ORDER: readonly Urgency[] = ['urgent', 'normal', 'overnight'];
@@ -47,7 +47,7 @@
     const { team } = request;
     const served = servedByTeam.get(team) ?? load.heldByTeamCount(team);
     servedByTeam.set(team, served + 1);
-    return { request, share: served / (quotaOf(tables.settings, team)?.weight ?? 1) };
+    return { request, share: served / (getTeamQuota(tables.settings, team)?.weight ?? 1) };
   });
   return ranked
     .sort((left, right) => left.share - right.share || compareArrival(left.request, right.request))
--- a/src/systems/placeQueuedJobs.ts
+++ b/src/systems/placeQueuedJobs.ts
@@ -3,11 +3,11 @@
 import { assertNever, type Rng } from '../utils/index.js';
 import { chooseVm } from './chooseVm.js';
 import type { PlacementDecision } from './decisions.js';
+import { getTeamQuota } from './getTeamQuota.js';
 import { type JobSize, learnedSize } from './learnedSize.js';
 import { orderQueue } from './orderQueue.js';
 import { planPreemptions, planUnthrottles } from './planPreemptions.js';
 import { PoolLoad } from './PoolLoad.js';
-import { quotaOf } from './quotaOf.js';
 import { refuseHopeless, refuseLate } from './refuseHopeless.js';
 import { RunEstimator } from './RunEstimator.js';
 import type { VmLoad } from './VmLoad.js';
@@ -76,7 +76,7 @@
 function mayStart(run: PlacementRun, request: QueuedRow): boolean {
   const { load, owed } = run;
   const { team, urgency } = request;
-  const quota = quotaOf(run.tables.settings, team);
+  const quota = getTeamQuota(run.tables.settings, team);
   if (quota === undefined) return false;
   const { meanMs } = run.estimator.estimate(request.jobKind);
   const headroomOf = (slotCount: number): number =>
--- a/src/systems/planCapacity.ts
+++ b/src/systems/planCapacity.ts
@@ -3,9 +3,9 @@
 import { canCarryAnyKind } from './canCarryAnyKind.js';
 import type { CapacityDecision } from './decisions.js';
 import { DomainSlots } from './DomainSlots.js';
+import { getMaxStepsInProgress } from './getMaxStepsInProgress.js';
 import { listUntouchedVms } from './listUntouchedVms.js';
 import { noteLosses } from './noteLosses.js';
-import { rampedStepCount } from './rampedStepCount.js';
 import { isLost, isQuarantined, listSteppedVms } from './vmStates.js';
 
 /** How long a lost VM still counts: most come back at once, and a move costs more than that. */
@@ -71,7 +71,7 @@
   const wave = tables.waves.list().find(({ state }) => state === 'running');
   if (wave === undefined) return undefined;
   const leftVmCount = listUntouchedVms(tables, wave).length + steppedVms.size;
-  const rampedCount = rampedStepCount(tables, wave);
+  const rampedCount = getMaxStepsInProgress(tables, wave);
   return {
     outVmCount: Math.min(leftVmCount, rampedCount),
     isEnding: leftVmCount < rampedCount,
--- a/src/systems/planPreemptions.ts
+++ b/src/systems/planPreemptions.ts
@@ -1,9 +1,9 @@
 import type { GrantRow, PoolTables, QueuedRow } from '../tables/index.js';
 import type { PlacementDecision } from './decisions.js';
+import { getTeamQuota } from './getTeamQuota.js';
 import { learnedSize } from './learnedSize.js';
 import { owedSlotCount } from './orderQueue.js';
 import { type PoolLoad, THROTTLED_CORE_FRACTION } from './PoolLoad.js';
-import { quotaOf } from './quotaOf.js';
 
 /** How long a checkpoint may take before another run is asked to make room, in milliseconds. */
 const CHECKPOINT_WAIT_MS = 10_000;
@@ -49,7 +49,7 @@
 
 /** Whether a request's team holds all the slots that its quota gives it. */
 function isAtQuota(options: PlanPreemptionsOptions, request: QueuedRow): boolean {
-  const quota = quotaOf(options.tables.settings, request.team);
+  const quota = getTeamQuota(options.tables.settings, request.team);
   return options.load.heldByTeamCount(request.team) >= (quota?.slotCount ?? 0);
 }
 
--- a/src/systems/planWaveSteps.ts
+++ b/src/systems/planWaveSteps.ts
@@ -1,12 +1,12 @@
 import type { PoolTables, PoolVmRow, WaveRow, WaveStepRow } from '../tables/index.js';
 import { BudgetTally } from './BudgetTally.js';
 import type { WaveDecision } from './decisions.js';
-import { domainOf } from './domainOf.js';
 import { findWaveFailure, listSuspectVms } from './findWaveFailure.js';
+import { getFailureDomain } from './getFailureDomain.js';
+import { getMaxStepsInProgress } from './getMaxStepsInProgress.js';
 import { isWithinWindow } from './isWithinWindow.js';
 import { listUntouchedVms } from './listUntouchedVms.js';
 import { noteLosses } from './noteLosses.js';
-import { rampedStepCount } from './rampedStepCount.js';
 import { NO_PROGRESS, type WaveProgress } from './WaveProgress.js';
 
 /** Options of {@link planWaveSteps}. */
@@ -39,8 +39,8 @@
   const sortKeys = new Map<PoolVmRow, string>();
   listUntouchedVms(plan.tables, plan.wave).forEach((vm) => {
     const out = plan.tally.isAccepting(vm.vm) ? 1 : 0;
-    const domain = domainOf(vm, failureDomain === 'data-centre' ? failureDomain : 'rack');
-    sortKeys.set(vm, [out, domain, domainOf(vm, 'rack'), vm.worker, vm.vm].join(' '));
+    const domain = getFailureDomain(vm, failureDomain === 'data-centre' ? failureDomain : 'rack');
+    sortKeys.set(vm, [out, domain, getFailureDomain(vm, 'rack'), vm.worker, vm.vm].join(' '));
   });
   const compare = (left: PoolVmRow, right: PoolVmRow): number =>
     sortKeys.get(left)! < sortKeys.get(right)! ? -1 : 1;
@@ -106,7 +106,7 @@
   if (plan.steps.length === 0 && !isPoolsTurn(plan)) {
     return wait('other pools of the wave begin first');
   }
-  const freeCount = rampedStepCount(plan.tables, plan.wave) - inProgressCount;
+  const freeCount = getMaxStepsInProgress(plan.tables, plan.wave) - inProgressCount;
   if (freeCount <= 0) return wait(`${inProgressCount} steps are in progress`);
   const taken = takeWithinBudget(plan, remainingVms.slice(0, freeCount));
   if (taken.length === 0) return wait(explainBudget(plan, remainingVms[0]!));
--- a/src/systems/refuseHopeless.ts
+++ b/src/systems/refuseHopeless.ts
@@ -1,7 +1,7 @@
 import type { PoolTables, PoolVmRow, QueuedRow } from '../tables/index.js';
 import { groupBy } from '../utils/index.js';
 import type { PlacementDecision } from './decisions.js';
-import { quotaOf } from './quotaOf.js';
+import { getTeamQuota } from './getTeamQuota.js';
 import type { RunEstimator } from './RunEstimator.js';
 
 /** VMs that a request may fail on before it is taken to be at fault itself. */
@@ -65,7 +65,7 @@
       retryAfterMs: 0,
     };
   }
-  if (quotaOf(tables.settings, request.team) === undefined) {
+  if (getTeamQuota(tables.settings, request.team) === undefined) {
     return {
       kind: 'quota-exceeded',
       reason: `team ${request.team} has no quota on the pool`,
@@ -108,7 +108,7 @@
   const slotCount = tables.vms.list().reduce((sum, vm) => sum + vm.slotCount, 0);
   const byTeam = groupBy(requests, (request) => request.team);
   return [...byTeam].flatMap(([team, teamRequests]) => {
-    const quota = quotaOf(tables.settings, team)!;
+    const quota = getTeamQuota(tables.settings, team)!;
     if (teamRequests.length <= quota.queuedJobCount) return [];
     const heldCount = tables.grants.list().filter((grant) => grant.team === team).length;
     const atQuota = heldCount >= quota.slotCount;
