Describe once what an entry instance asks of a pool

Cause: GrantRow and QueuedRow listed the same eight fields of a request.

Ruled out: one type with the messages between instances too; these are checked on arrival by schemas and may change at another time than the rows.

Change: both rows extend SlotRequest, which stays within the file.

Conclusion: a new field of requests is written once for the tables.

--- a/src/tables/entities.ts
+++ b/src/tables/entities.ts
@@ -148,36 +148,32 @@
   readonly wallMs: number;
 }
 
-/** A slot given to an entry instance for one request. */
-export interface GrantRow {
-  /** Same as the attempt's id in the queue. */
-  readonly grantId: string;
+/** What an entry instance asks of a pool for one request: a slot of a size. */
+interface SlotRequest {
   readonly requestId: string;
   readonly entry: string;
   readonly pool: string;
   readonly team: string;
   readonly jobKind: string;
   readonly urgency: Urgency;
-  readonly vm: string;
   readonly coreCount: number;
   readonly memoryMb: number;
+}
+
+/** A slot given to an entry instance for one request. */
+export interface GrantRow extends SlotRequest {
+  /** Same as the attempt's id in the queue. */
+  readonly grantId: string;
+  readonly vm: string;
   readonly grantedAtMs: number;
   /** Monotonic time at which the grant ends unless its entry instance renews it. */
   readonly deadlineMs: number;
 }
 
 /** A request that waits for a slot. */
-export interface QueuedRow {
+export interface QueuedRow extends SlotRequest {
   /** Id of this attempt, unique over all attempts of all requests. */
   readonly attemptId: string;
-  readonly requestId: string;
-  readonly entry: string;
-  readonly pool: string;
-  readonly team: string;
-  readonly jobKind: string;
-  readonly urgency: Urgency;
-  readonly coreCount: number;
-  readonly memoryMb: number;
   readonly queuedAtMs: number;
   /** Monotonic time after which the caller has no use for the answer. */
   readonly deadlineMs: number;
