Show a start on a target that announced its leave while the placement was stored

Cause: TaskRuns starts what PlacementRounds has placed once that is stored, and looks at nothing that the target has announced meanwhile.

--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -73,6 +73,27 @@
     expect(world.targets.begun.map(({ targetId }) => targetId)).toEqual(['t2']);
   });
 
+  // A task began on a target three seconds after that had announced its leave: it had been placed
+  // before, and its placement waited that long for a store that did not answer. Cause: once stored,
+  // the start went out whatever the target had announced since.
+  it('does not start a task whose target has announced its leave while it was stored', async () => {
+    world.targets.setFaults('t2', { isCutOff: true });
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await world.waitForRunning(['a.0.0.0']);
+    world.store.faults.rejects = true;
+    const submitted = home.submit(makeJob('b'));
+    await vi.waitFor(() => expect(world.countEvents('taskPlaced')).toBe(2));
+    world.entries.set('t1', makeEntry('t1', { isDraining: true }));
+    await vi.waitFor(() => expect(world.countEvents('targetDraining')).toBe(1));
+    world.store.faults.rejects = false;
+    await submitted;
+    world.targets.setFaults('t2', { isCutOff: false });
+    await world.waitForRunning(['a.0.0.0', 'b.0.0.0']);
+    const begun = world.targets.begun.filter(({ taskName }) => taskName === 'b.0.0.0');
+    expect(begun.map(({ targetId }) => targetId)).toEqual(['t2']);
+  });
+
   // A courier was sent twice: the home placed a task, its start got no answer, and the home was
   // killed. The start took effect seconds later, when the next home had given the task to another
   // target. Cause: an order without an answer was taken for one that did not happen.
