Start nothing on a target that has announced its leave while the placement was stored

Cause: a start was sent once its placement was stored, whatever the target had announced meanwhile; only repeats looked at that. Change: a run that was never sent is withdrawn and its task waits again, with a log line (startWithdrawn). Ruled out: a stop at the target, as for repeats; nothing was sent, and a stop costs up to two reports.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -40,6 +40,11 @@
   tasksWait: { number: 6036, level: 'info', text: 'Tasks of a pool wait for room.' },
   tasksFit: { number: 6037, level: 'info', text: 'No task of a pool waits for room any more.' },
   relayFailed: { number: 6038, level: 'warn', text: 'A call to a target through a peer failed.' },
+  startWithdrawn: {
+    number: 6039,
+    level: 'info',
+    text: 'A target leaves, so a start was not sent there.',
+  },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -8,7 +8,7 @@
   type StepSpec,
 } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
-import type { RunKey } from './TaskOrders.js';
+import type { RunKey } from './RunKey.js';
 
 /** A task that is placed, by its job and its place there. */
 export interface PlacedTask {
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -3,7 +3,7 @@
 import type { Metrics } from '../metrics/index.js';
 import type { PoolDemand } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
-import type { RunKey } from './TaskOrders.js';
+import type { RunKey } from './RunKey.js';
 
 /** Options of {@link JobTelemetry}. */
 export interface JobTelemetryOptions {
--- /dev/null
+++ b/src/taskHome/RunKey.ts
@@ -0,0 +1,6 @@
+/** One run of a task on a target. */
+export interface RunKey {
+  readonly taskName: string;
+  readonly run: number;
+  readonly targetId: string;
+}
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -1,21 +1,12 @@
-import type { EventLog } from '../logging/index.js';
 import type {
-  LeasedTargetAddress,
-  LeasedTargetPort,
   OrderAnswer,
   RunningTaskReport,
   StartAnswer,
   StartRefusal,
-  TaskStart,
 } from '../targets/index.js';
-import { assertNever, type Clock } from '../utils/index.js';
-
-/** One run of a task on a target. */
-export interface RunKey {
-  readonly taskName: string;
-  readonly run: number;
-  readonly targetId: string;
-}
+import { assertNever } from '../utils/index.js';
+import type { RunKey } from './RunKey.js';
+import type { TaskOrdersOptions } from './TaskOrdersOptions.js';
 
 /**
  * How far an order is. `unanswered` means that the target may have acted, or may act later;
@@ -29,27 +20,6 @@
   answeredAtMs: number;
 }
 
-/** Options of {@link TaskOrders}. */
-export interface TaskOrdersOptions {
-  readonly port: Pick<LeasedTargetPort, 'start' | 'stop'>;
-  readonly term: number;
-  readonly clock: Clock;
-  readonly events: EventLog;
-  readonly getAddress: (targetId: string) => LeasedTargetAddress | undefined;
-  /** Whether a target has announced that it leaves; it must be given no start any more. */
-  readonly isLeaving: (targetId: string) => boolean;
-  /** Builds the start of a run; undefined where the run is not wanted any more. */
-  readonly createStart: (key: RunKey) => TaskStart | undefined;
-  /** Reading of a target's clock that came with an answer. */
-  readonly onClock: (targetId: string, targetClockMs: number) => void;
-  /** The target did not start the run, and never will. */
-  readonly onRefused: (key: RunKey, reason: StartRefusal) => void;
-  /** The run is over without an end of its own in a report. */
-  readonly onVanished: (key: RunKey) => void;
-  readonly onOtherLifetime: (targetId: string) => void;
-  readonly onStaleTerm: () => void;
-}
-
 /**
  * Starts and stops runs on targets, and finds out what became of orders without an answer.
  *
@@ -152,7 +122,10 @@
    */
   start(taskName: string): void {
     const order = this.orders.get(taskName);
-    if (order?.phase === 'unsent' || order?.phase === 'unanswered') void this.sendStart(order);
+    if (order?.phase === 'unanswered') this.startAgain(order);
+    if (order?.phase !== 'unsent') return;
+    if (this.options.isLeaving(order.targetId)) this.withdraw(order);
+    else void this.sendStart(order);
   }
 
   /**
@@ -232,6 +205,19 @@
     else void this.sendStart(order);
   }
 
+  /**
+   * Guards against a first start on a target that has announced its leave while the placement was
+   * on its way to the store: a slow store would put the task on a target that takes none. Nothing
+   * was sent, so the task waits again at once.
+   */
+  private withdraw(order: Order): void {
+    const { events, term, onWithdrawn } = this.options;
+    const { taskName, run, targetId } = order;
+    events.write('startWithdrawn', { taskName, run, targetId, term });
+    this.forget(taskName);
+    onWithdrawn(order);
+  }
+
   private settle(order: Order, phase: OrderPhase): void {
     Object.assign(order, { phase, answeredAtMs: this.options.clock.monotonicMs() });
   }
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -10,48 +10,24 @@
   type TaskRow,
   unplaceTask,
 } from '../jobs/index.js';
-import type { EventLog } from '../logging/index.js';
-import {
-  type Mechanisms,
-  planEvacuations,
-  type RunTimes,
-  type TaskPlacement,
-} from '../systems/index.js';
+import { planEvacuations, type RunTimes, type TaskPlacement } from '../systems/index.js';
 import type {
   EndedTaskReport,
-  LeasedTargetPort,
   RunningTaskReport,
   StartRefusal,
   TaskStart,
 } from '../targets/index.js';
-import type { Clock } from '../utils/index.js';
 import { createTaskStart } from './createTaskStart.js';
 import type { JobTable } from './JobTable.js';
-import type { JobTelemetry } from './JobTelemetry.js';
+import type { RunKey } from './RunKey.js';
 import { RunTimer } from './RunTimer.js';
 import { TargetHealth } from './TargetHealth.js';
 import type { TargetReport } from './TargetSession.js';
 import type { TargetLoss, TargetSessions } from './TargetSessions.js';
-import { type RunKey, TaskOrders } from './TaskOrders.js';
+import { TaskOrders } from './TaskOrders.js';
 import { TaskPacer } from './TaskPacer.js';
 import { TaskProgress } from './TaskProgress.js';
-
-/** Options of {@link TaskRuns}. */
-export interface TaskRunsOptions {
-  readonly targets: LeasedTargetPort;
-  readonly term: number;
-  readonly table: JobTable;
-  /** Sessions with the targets, which are created after the runs. */
-  readonly getSessions: () => TargetSessions;
-  readonly clock: Clock;
-  readonly events: EventLog;
-  readonly telemetry: JobTelemetry;
-  readonly mechanisms: Mechanisms;
-  /** Called where a job has changed, so that it is stored and what has room is placed. */
-  readonly onChanged: () => void;
-  /** Called where a target has seen a later term. */
-  readonly onStaleTerm: () => void;
-}
+import type { TaskRunsOptions } from './TaskRunsOptions.js';
 
 /** The runs of a home's tasks: from their placement to their end, with all that can go wrong. */
 export class TaskRuns {
@@ -95,6 +71,7 @@
       isLeaving: (targetId) => this.sessions.isDraining(targetId),
       createStart: (key) => this.createStart(key),
       onClock: (targetId, targetClockMs) => this.sessions.noteClock(targetId, targetClockMs),
+      onWithdrawn: (key) => this.takeBack(key),
       onRefused: (key, reason) => this.takeRefusal(key, reason),
       onVanished: (key) => this.endRun(key, { end: 'lapsed', checkpoint: undefined }, 'vanished'),
       onOtherLifetime: (targetId) => this.loseTarget(targetId, 'other-lifetime'),
@@ -265,6 +242,11 @@
       return;
     }
     if (reason !== 'lease-past') this.health.noteRefusal(key.targetId);
+    this.takeBack(key);
+  }
+
+  /** Lets a task wait again whose run has not begun and never will. */
+  private takeBack(key: RunKey): void {
     const found = this.table.findPlaced(key);
     if (found !== undefined) {
       this.stopGangMates(found.row, found.position);
--- /dev/null
+++ b/src/taskHome/TaskRunsOptions.ts
@@ -0,0 +1,24 @@
+import type { EventLog } from '../logging/index.js';
+import type { Mechanisms } from '../systems/index.js';
+import type { LeasedTargetPort } from '../targets/index.js';
+import type { Clock } from '../utils/index.js';
+import type { JobTable } from './JobTable.js';
+import type { JobTelemetry } from './JobTelemetry.js';
+import type { TargetSessions } from './TargetSessions.js';
+
+/** Options of `TaskRuns`. */
+export interface TaskRunsOptions {
+  readonly targets: LeasedTargetPort;
+  readonly term: number;
+  readonly table: JobTable;
+  /** Sessions with the targets, which are created after the runs. */
+  readonly getSessions: () => TargetSessions;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly telemetry: JobTelemetry;
+  readonly mechanisms: Mechanisms;
+  /** Called where a job has changed, so that it is stored and what has room is placed. */
+  readonly onChanged: () => void;
+  /** Called where a target has seen a later term. */
+  readonly onStaleTerm: () => void;
+}
--- a/src/taskHome/createTaskStart.ts
+++ b/src/taskHome/createTaskStart.ts
@@ -1,6 +1,6 @@
 import type { TaskStart } from '../targets/index.js';
 import type { PlacedTask } from './JobTable.js';
-import type { RunKey } from './TaskOrders.js';
+import type { RunKey } from './RunKey.js';
 
 /** What a start takes from the home that sends it. */
 export interface StartTerms {
