Count a VM as away until its order is known not to be carried out

Change: an order that was given before stands where its repeat is refused or not sent; only the answers that the VM is not of the wave, or that the order is impossible, take it back. Ruled out: keeping every refused order, which would hold VMs that nobody has ordered.

--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -32,6 +32,9 @@
 export type VmOrderOutcome =
   'accepted' | VmOrderRefusal | 'unanswered' | 'too-early' | 'unrecorded' | 'outdated';
 
+/** Refusals after which the order, sent once or twice, will never be carried out. */
+const NEVER_CARRIED_OUT: ReadonlySet<VmOrderOutcome> = new Set(['not-in-wave', 'impossible']);
+
 interface Away {
   readonly order: VmOrder;
   readonly targetIdBefore: string | undefined;
@@ -132,14 +135,26 @@
   async give(order: VmOrder, targetId: string | undefined): Promise<VmOrderOutcome> {
     const orderedAtMs = this.options.clock.monotonicMs();
     if (orderedAtMs < (this.notBeforeMs.get(order.vm) ?? 0)) return 'too-early';
-    const targetIdBefore = this.away.get(order.vm)?.targetIdBefore ?? targetId;
+    const before = this.away.get(order.vm);
+    const targetIdBefore = before?.targetIdBefore ?? targetId;
     this.away.set(order.vm, { order, targetIdBefore, orderedAtMs });
     const outcome = (await this.record(order.vm, orderedAtMs)) ?? (await this.send(order));
-    if (outcome !== 'accepted' && outcome !== 'unanswered') this.away.delete(order.vm);
+    const mayBeAway = outcome === 'accepted' || outcome === 'unanswered';
+    if (!mayBeAway) this.takeBack(order.vm, outcome, before);
     this.report(order, outcome);
     return outcome;
   }
 
+  /**
+   * Guards against one VM too many: an order without an answer may be carried out after a repeat
+   * of it was refused or not sent. Taken back with the repeat, it would count no more, and another
+   * VM would take its place.
+   */
+  private takeBack(vm: string, outcome: VmOrderOutcome, before: Away | undefined): void {
+    if (before === undefined || NEVER_CARRIED_OUT.has(outcome)) this.away.delete(vm);
+    else this.away.set(vm, before);
+  }
+
   /** Stores that an order is about to be given; tells why it must not be given, if so. */
   private async record(
     vm: string,
