--- a/standins/store/StoreStandIn.ts
+++ b/standins/store/StoreStandIn.ts
@@ -37,6 +37,8 @@
 /** Options of {@link StoreStandIn}. */
 export interface StoreStandInOptions {
   readonly partitionCount: number;
+  /** Most records in one answer to a reading; absent means no limit. */
+  readonly maxReadCount?: number;
 }
 
 /** Stands in for the platform's store: keyed records, fenced appends and groups, in memory. */
@@ -50,12 +52,15 @@
 
   private readonly groups: GroupStandIn;
 
+  private readonly maxReadCount: number;
+
   /**
    * Creates an empty store.
-   * @param options - Count of partitions of a topic.
+   * @param options - Count of partitions of a topic, and how much one reading gives.
    */
-  constructor({ partitionCount }: StoreStandInOptions) {
+  constructor({ partitionCount, maxReadCount }: StoreStandInOptions) {
     this.groups = new GroupStandIn(partitionCount);
+    this.maxReadCount = maxReadCount ?? Infinity;
   }
 
   /** {@inheritDoc KeyedLogPort.append} */
@@ -82,8 +87,10 @@
     this.throwIfAway();
     const { records, firstOffset, endOffset } = this.getPartition(topic, partition);
     if (fromOffset < firstOffset) return { type: 'expired', firstOffset };
-    const found = records.filter(({ offset }) => offset >= fromOffset);
-    return { type: 'records', records: found, nextOffset: endOffset };
+    const kept = records.filter(({ offset }) => offset >= fromOffset);
+    const found = kept.slice(0, this.maxReadCount);
+    const nextOffset = found.length < kept.length ? fromOffset + found.length : endOffset;
+    return { type: 'records', records: found, nextOffset };
   }
 
   /** {@inheritDoc GroupPort.join} */
