Read a partition to its end with each refresh

Change: an answer tells where the partition ends, and a follower reads on until it is there. Ruled out: a higher limit of one answer; the store's own is 1,024.

--- a/src/store/KeyedFollower.ts
+++ b/src/store/KeyedFollower.ts
@@ -27,23 +27,34 @@
 
   /**
    * Reads what has changed since the last call: everything at first, and after a gap.
+   *
+   * Guards against entries that are behind: one answer holds a limited number of changes, so a
+   * follower that has not read for long goes on until it has met the end.
    * @param waitMs - How long the store may wait for a change, in milliseconds.
-   * @throws Error Where the store did not answer; the next call continues where this one began.
+   * @throws Error Where the store did not answer; the next call continues behind what was read.
    */
   async read(waitMs: number): Promise<void> {
+    let hasMore = await this.readOnce(waitMs);
+    // eslint-disable-next-line no-await-in-loop -- an answer tells where the next one begins
+    while (hasMore) hasMore = await this.readOnce(0);
+  }
+
+  /** Reads one answer's worth of changes; tells whether there are more at this moment. */
+  private async readOnce(waitMs: number): Promise<boolean> {
     const { store, topic, partition } = this.options;
-    if (this.nextOffset === undefined) {
+    const fromOffset = this.nextOffset;
+    if (fromOffset === undefined) {
       await this.reload();
-      return;
+      return false;
     }
-    const fromOffset = this.nextOffset;
     const result = await store.readFrom({ topic, partition, fromOffset, waitMs });
     if (result.type === 'expired') {
       await this.reload();
-      return;
+      return false;
     }
     result.records.forEach((record) => this.take(record));
     this.nextOffset = Math.max(fromOffset, result.nextOffset);
+    return result.records.length > 0 && this.nextOffset < result.endOffset;
   }
 
   /**
--- a/src/store/KeyedLogPort.ts
+++ b/src/store/KeyedLogPort.ts
@@ -53,6 +53,8 @@
       readonly records: readonly StoredRecord[];
       /** Offset to continue from. */
       readonly nextOffset: number;
+      /** End of the partition; where it lies behind the next offset, there is more to read now. */
+      readonly endOffset: number;
     }
   | { readonly type: 'expired'; readonly firstOffset: number };
 
--- a/standins/store/StoreStandIn.ts
+++ b/standins/store/StoreStandIn.ts
@@ -90,7 +90,7 @@
     const kept = records.filter(({ offset }) => offset >= fromOffset);
     const found = kept.slice(0, this.maxReadCount);
     const nextOffset = found.length < kept.length ? fromOffset + found.length : endOffset;
-    return { type: 'records', records: found, nextOffset };
+    return { type: 'records', records: found, nextOffset, endOffset };
   }
 
   /** {@inheritDoc GroupPort.join} */
