Show a VM that counts as away for good after a repeated order

Cause: a home that takes over repeats the order for a VM whose maintenance the earlier one did not note; the platform accepts it as done already, and VmOrders waits for another lifetime that never comes. The wave has one place less until the next change of homes, and the VM is never moved.

--- a/tests/fleetHome/VmOrders.test.ts
+++ b/tests/fleetHome/VmOrders.test.ts
@@ -175,7 +175,7 @@
     },
   );
 
-  it('takes an order back that was never carried out, also after one without an answer', async () => {
+  it('takes an order back that is never carried out, also after one without answer', async () => {
     const world = new OrderWorld();
     const orders = world.open(1);
     const maintainVm = vi.spyOn(world.fleet, 'maintainVm');
@@ -185,6 +185,36 @@
     expect(await orders.give(maintenanceOf('vm-1'), undefined)).toBe('not-in-wave');
     expect(orders.isAway('vm-1')).toBe(false);
   });
+
+  // A wave went on with one place less than it may have: a new home had repeated the order for a
+  // VM whose maintenance was done, the platform said so, and the VM counted as away for good, since
+  // its lifetime never changed.
+  it('counts a VM as back that an accepted order has not changed', async () => {
+    const world = new OrderWorld();
+    const orders = world.open(1);
+    const vm: FleetVm = { vm: 'vm-1', pool: 'pages', state: 'up', targetId: 'lifetime-1' };
+    const maintainVm = vi.spyOn(world.fleet, 'maintainVm');
+    maintainVm.mockResolvedValueOnce({ type: 'accepted' });
+    await orders.give(maintenanceOf('vm-1'), vm.targetId);
+    world.clock.advance(1_000);
+    orders.noteList([vm], world.clock.monotonicMs());
+    expect(orders.isAway('vm-1')).toBe(true);
+    world.clock.advance(1_000);
+    orders.noteList([vm], world.clock.monotonicMs());
+    expect(orders.isAway('vm-1')).toBe(false);
+  });
+
+  it('counts a VM as away that an order without an answer has not changed yet', async () => {
+    const world = new OrderWorld();
+    const orders = world.open(1);
+    const vm: FleetVm = { vm: 'vm-1', pool: 'pages', state: 'up', targetId: 'lifetime-1' };
+    const maintainVm = vi.spyOn(world.fleet, 'maintainVm');
+    maintainVm.mockRejectedValueOnce(new Error('no answer'));
+    await orders.give(maintenanceOf('vm-1'), vm.targetId);
+    world.clock.advance(10_000);
+    orders.noteList([vm], world.clock.monotonicMs());
+    expect(orders.isAway('vm-1')).toBe(true);
+  });
 });
 
 describe('FleetHome', () => {
