Count a VM as back that an accepted order has not changed

Change: a VM that the list shows as it was, 1.5 s and more after its order was accepted, is back; one without an answer stays away. Ruled out: taking an accepted repeat for done at once, as the same answer comes to an order that is carried out now, and the list may be a moment behind. The test fails without this and passes with it; 21 tests of fleetHome and jobNode pass.

--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -39,6 +39,8 @@
   readonly order: VmOrder;
   readonly targetIdBefore: string | undefined;
   readonly orderedAtMs: number;
+  /** When the order was accepted, by the monotonic clock; absent while it has no answer. */
+  readonly acceptedAtMs?: number;
 }
 
 /** Margin on the time between the orders of two holders, in milliseconds. */
@@ -52,6 +54,11 @@
 const OUTDATED_AFTER_MS = 1_000;
 /** Time after an order before which the list of VMs may not show it yet, in milliseconds. */
 const SETTLE_MS = 700;
+/**
+ * Time after an accepted order by which the list shows its VM away or in another lifetime, in
+ * milliseconds; one that it shows as it was before has not been changed.
+ */
+const UNCHANGED_AFTER_MS = 1_500;
 
 /**
  * Gives orders for VMs, and knows which VMs are away because of them.
@@ -120,11 +127,20 @@
     vms.forEach(({ vm, state, targetId }) => {
       const away = this.away.get(vm);
       if (away === undefined || askedAtMs - away.orderedAtMs < SETTLE_MS) return;
-      const isBack = state === 'up' && (targetId === undefined || targetId !== away.targetIdBefore);
-      if (isBack) this.away.delete(vm);
+      const hasChanged = targetId === undefined || targetId !== away.targetIdBefore;
+      const isBack = hasChanged || VmOrders.hasChangedNothing(away, askedAtMs);
+      if (state === 'up' && isBack) this.away.delete(vm);
     });
   }
 
+  /**
+   * Guards against a VM that counts as away for good: the platform also accepts an order that is
+   * done already, as a new home repeats it, and then the VM's lifetime stays the same.
+   */
+  private static hasChangedNothing({ acceptedAtMs }: Away, askedAtMs: number): boolean {
+    return acceptedAtMs !== undefined && askedAtMs - acceptedAtMs >= UNCHANGED_AFTER_MS;
+  }
+
   /**
    * Gives an order. The VM counts as away from before the order is sent, since an order without an
    * answer may have been carried out; a refused one takes that back.
@@ -137,10 +153,10 @@
     if (orderedAtMs < (this.notBeforeMs.get(order.vm) ?? 0)) return 'too-early';
     const before = this.away.get(order.vm);
     const targetIdBefore = before?.targetIdBefore ?? targetId;
-    this.away.set(order.vm, { order, targetIdBefore, orderedAtMs });
+    const away: Away = { order, targetIdBefore, orderedAtMs };
+    this.away.set(order.vm, away);
     const outcome = (await this.record(order.vm, orderedAtMs)) ?? (await this.send(order));
-    const mayBeAway = outcome === 'accepted' || outcome === 'unanswered';
-    if (!mayBeAway) this.takeBack(order.vm, outcome, before);
+    this.noteOutcome(away, outcome, before);
     this.report(order, outcome);
     return outcome;
   }
@@ -150,8 +166,12 @@
    * of it was refused or not sent. Taken back with the repeat, it would count no more, and another
    * VM would take its place.
    */
-  private takeBack(vm: string, outcome: VmOrderOutcome, before: Away | undefined): void {
-    if (before === undefined || NEVER_CARRIED_OUT.has(outcome)) this.away.delete(vm);
+  private noteOutcome(away: Away, outcome: VmOrderOutcome, before: Away | undefined): void {
+    const { vm } = away.order;
+    if (outcome === 'unanswered') return;
+    if (outcome === 'accepted') {
+      this.away.set(vm, { ...away, acceptedAtMs: this.options.clock.monotonicMs() });
+    } else if (before === undefined || NEVER_CARRIED_OUT.has(outcome)) this.away.delete(vm);
     else this.away.set(vm, before);
   }
 
