Show a wave that gives away the place of a VM ordered by an earlier home

Cause: an order without an answer may be carried out seconds later. The next home leaves its VM alone for the order lease and 0.3 s, and then counts it no more; with another VM in its place, one too many is down once the order is carried out.

--- a/tests/fleetHome/WaveDesk.test.ts
+++ b/tests/fleetHome/WaveDesk.test.ts
@@ -1,13 +1,33 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
+import { decodeVmOrderRecord } from '../../src/fleetHome/VmOrderRecord.js';
+import { type VmOrder, VmOrders } from '../../src/fleetHome/VmOrders.js';
 import { WaveDesk } from '../../src/fleetHome/WaveDesk.js';
-import type { VmOrder, VmOrders } from '../../src/fleetHome/VmOrders.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
-import { ManualClock } from '../../src/utils/index.js';
+import type { KeyedRecord } from '../../src/store/index.js';
+import { type Clock, ManualClock } from '../../src/utils/index.js';
 import type { FleetVm } from '../../src/vms/index.js';
+import { FleetStandIn } from '../../standins/vms/index.js';
 
+const ORDER_LEASE_MS = 3_000;
+const IDLE = { runCount: 0, longRunningCount: 0, usedCpuMillicores: 0, cpuMillicores: 4_000 };
 const ORDER = { wave: 1, vms: ['m1', 'm2'], withinMs: 20_000, maxDownCount: 1 };
 
+/** A desk that has taken a wave over from an earlier home. */
+function createDesk(orders: VmOrders, clock: Clock, doneVms: readonly string[] = []): WaveDesk {
+  const deadlineAtMs = clock.wallMs() + ORDER.withinMs;
+  return new WaveDesk({
+    orders,
+    records: [{ wave: 1, deadlineAtMs, doneVms, status: 'running' }],
+    listWaveOrders: () => [ORDER],
+    store: async () => undefined,
+    publishStatus: async () => undefined,
+    clock,
+    events: new MemoryEventLog(),
+    mechanisms: ALL_MECHANISMS,
+  });
+}
+
 /** Leads a wave over two VMs of which an earlier home has taken the first one down. */
 async function leadWave(first: FleetVm, tooEarly: readonly string[]): Promise<readonly string[]> {
   const given: string[] = [];
@@ -21,17 +41,7 @@
     },
   };
   const clock = new ManualClock(1_000_000);
-  const deadlineAtMs = clock.wallMs() + ORDER.withinMs;
-  const desk = new WaveDesk({
-    orders: orders as VmOrders,
-    records: [{ wave: 1, deadlineAtMs, doneVms: ['m1'], status: 'running' }],
-    listWaveOrders: () => [ORDER],
-    store: async () => undefined,
-    publishStatus: async () => undefined,
-    clock,
-    events: new MemoryEventLog(),
-    mechanisms: ALL_MECHANISMS,
-  });
+  const desk = createDesk(orders as VmOrders, clock, ['m1']);
   const vms: readonly FleetVm[] = [first, { vm: 'm2', pool: 'pages', state: 'up' }];
   await desk.advance(vms, new Map());
   await desk.advance(vms, new Map());
@@ -48,4 +58,38 @@
     expect(await leadWave(up, ['m1'])).toEqual([]);
     expect(await leadWave(up, [])).toEqual(['m2']);
   });
+
+  // Two VMs of a wave were down where one was allowed: an order of the earlier home had no answer
+  // and was carried out seconds later, when the next home had taken another VM down. An order of
+  // the next home for that VM would have kept the late one from being carried out.
+  it('orders the VMs first that an earlier home may have ordered without an answer', async () => {
+    const clock = new ManualClock(1_000_000);
+    const events = new MemoryEventLog();
+    const busy: FleetVm = { vm: 'm1', pool: 'pages', state: 'up', targetId: 't1', rack: 'r1' };
+    const idle: FleetVm = { ...busy, vm: 'm2', targetId: 't2' };
+    const fleet = new FleetStandIn({ vms: [busy, idle], onLifetime: () => undefined });
+    const stored: KeyedRecord[] = [];
+    const onStaleTerm = () => undefined;
+    const common = { port: fleet, clock, events, orderLeaseMs: ORDER_LEASE_MS, onStaleTerm };
+    const store = async (records: readonly KeyedRecord[]) => {
+      stored.push(...records);
+    };
+    const first = new VmOrders({ ...common, holder: 'a', term: 1, orderRecords: [], store });
+    vi.spyOn(fleet, 'maintainVm').mockRejectedValueOnce(new Error('no answer'));
+    await first.give({ type: 'maintain', vm: 'm1', wave: 1 }, 't1');
+    clock.advance(2 * ORDER_LEASE_MS);
+    const orderRecords = stored.map((record) => decodeVmOrderRecord(record)!);
+    const orders = new VmOrders({ ...common, holder: 'b', term: 2, orderRecords, store });
+    const desk = createDesk(orders, clock);
+    const loads = new Map([
+      ['t1', { ...IDLE, targetId: 't1', runCount: 1 }],
+      ['t2', { ...IDLE, targetId: 't2' }],
+    ]);
+    await desk.advance([busy, idle], loads);
+    await desk.advance([busy, idle], loads);
+    expect(fleet.orders).toEqual([]);
+    loads.set('t1', { ...IDLE, targetId: 't1' });
+    await desk.advance([busy, idle], loads);
+    expect(fleet.orders).toMatchObject([{ vm: 'm1', holder: 'b' }]);
+  });
 });
