Order first what an earlier home of the fleet may have ordered without an answer

Change: the record of an order names the wave; the next home counts such a VM as down until it has an answer to an order of its own, empties it first, and may order it however many are down, as it counts already. VMs that an earlier home has just ordered count as in progress when the next are chosen. Ruled out: a longer order lease, which holds all VMs that were ordered, also those whose order was answered.

--- a/src/fleetHome/VmOrderRecord.ts
+++ b/src/fleetHome/VmOrderRecord.ts
@@ -6,11 +6,17 @@
   readonly vm: string;
   /** Wall-clock time of the order in milliseconds since the Unix epoch, by its holder's clock. */
   readonly orderedAtMs: number;
+  /** Wave of a maintenance; absent for a move. */
+  readonly wave?: number;
 }
 
 const PREFIX = 'vm-order/';
 
-const recordSchema = z.looseObject({ vm: z.string(), orderedAtMs: z.number() });
+const recordSchema = z.looseObject({
+  vm: z.string(),
+  orderedAtMs: z.number(),
+  wave: z.number().optional(),
+});
 
 /**
  * Encodes the latest order for a VM.
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -73,6 +73,9 @@
 
   private readonly away = new Map<string, Away>();
 
+  /** Waves of the VMs for whose maintenance by an earlier holder this one has no answer yet. */
+  private readonly inDoubt: Map<string, number>;
+
   /** Monotonic times before which VMs that an earlier holder has ordered are left alone. */
   private readonly notBeforeMs: ReadonlyMap<string, number>;
 
@@ -90,6 +93,9 @@
         .filter(({ orderedAtMs }) => orderedAtMs > oldestAtMs)
         .map(({ vm }) => [vm, clock.monotonicMs() + waitMs]),
     );
+    this.inDoubt = new Map(
+      orderRecords.flatMap(({ vm, wave }) => (wave === undefined ? [] : [[vm, wave]])),
+    );
   }
 
   /**
@@ -118,6 +124,16 @@
     return [...this.notBeforeMs].filter(([, atMs]) => nowMs < atMs).map(([vm]) => vm);
   }
 
+  /**
+   * Lists the VMs of a wave whose maintenance an earlier holder has ordered. Without an answer it
+   * may be carried out as long as this holder has not ordered it too.
+   * @param wave - Number of the wave.
+   * @returns Their names, also of those whose maintenance is done.
+   */
+  listInDoubt(wave: number): readonly string[] {
+    return [...this.inDoubt].filter(([, ofWave]) => ofWave === wave).map(([vm]) => vm);
+  }
+
   /**
    * Takes note of which VMs are back.
    * @param vms - The VMs as listed.
@@ -155,7 +171,7 @@
     const targetIdBefore = before?.targetIdBefore ?? targetId;
     const away: Away = { order, targetIdBefore, orderedAtMs };
     this.away.set(order.vm, away);
-    const outcome = (await this.record(order.vm, orderedAtMs)) ?? (await this.send(order));
+    const outcome = (await this.record(order, orderedAtMs)) ?? (await this.send(order));
     this.noteOutcome(away, outcome, before);
     this.report(order, outcome);
     return outcome;
@@ -169,6 +185,7 @@
   private noteOutcome(away: Away, outcome: VmOrderOutcome, before: Away | undefined): void {
     const { vm } = away.order;
     if (outcome === 'unanswered') return;
+    if (outcome === 'accepted' || NEVER_CARRIED_OUT.has(outcome)) this.inDoubt.delete(vm);
     if (outcome === 'accepted') {
       this.away.set(vm, { ...away, acceptedAtMs: this.options.clock.monotonicMs() });
     } else if (before === undefined || NEVER_CARRIED_OUT.has(outcome)) this.away.delete(vm);
@@ -177,12 +194,14 @@
 
   /** Stores that an order is about to be given; tells why it must not be given, if so. */
   private async record(
-    vm: string,
+    order: VmOrder,
     orderedAtMs: number,
   ): Promise<'unrecorded' | 'outdated' | undefined> {
     const { clock, store } = this.options;
     try {
-      await store([encodeVmOrderRecord({ vm, orderedAtMs: clock.wallMs() })]);
+      const { vm } = order;
+      const wave = order.type === 'maintain' ? order.wave : undefined;
+      await store([encodeVmOrderRecord({ vm, orderedAtMs: clock.wallMs(), wave })]);
     } catch {
       // The writer has told why; this holder has been replaced.
       return 'unrecorded';
--- a/src/fleetHome/WaveDesk.ts
+++ b/src/fleetHome/WaveDesk.ts
@@ -100,11 +100,14 @@
       wave: { ...order, ...record, doneVms: new Set(record.doneVms) },
       vms,
       loads,
-      inProgress: this.listInProgress(order),
+      inProgress: new Set([...this.listInProgress(order), ...this.listMaybeDown(order, vms)]),
       nowMs: clock.wallMs(),
       stepMs: hasObserved ? this.steps.expectedMs : undefined,
     });
-    next.forEach((vm) => {
+    const inDoubt = this.listInDoubt(order, vms)
+      .filter(({ vm, state }) => state === 'up' && !this.draining.has(vm))
+      .map(({ vm }) => vm);
+    new Set([...inDoubt, ...next]).forEach((vm) => {
       this.draining.set(vm, order.wave);
       this.steps.begin(vm);
       events.write('vmDraining', { vm, wave: order.wave, doneCount: record.doneVms.length });
@@ -117,17 +120,26 @@
   }
 
   /**
-   * Counts the VMs of a wave that are down, whoever ordered it.
+   * Lists the VMs of a wave that are or may be down, whoever ordered it.
    *
    * Guards against one VM too many after a change of homes: those that the earlier home took down
-   * are not among this one's orders. They show in the list, or their orders are stored and recent.
+   * are not among this one's orders. They show in the list, or their orders are stored and recent,
+   * or they had no answer and may be carried out yet.
    */
-  private countDown({ wave, vms: waveVms }: WaveOrder, vms: readonly FleetVm[]): number {
-    const ofWave = new Set(waveVms);
+  private listMaybeDown(order: WaveOrder, vms: readonly FleetVm[]): ReadonlySet<string> {
+    const ofWave = new Set(order.vms);
     const listed = vms.filter(({ state }) => state === 'in-maintenance').map(({ vm }) => vm);
     const ordered = this.options.orders.listTooEarly();
     const foreign = [...listed, ...ordered].filter((vm) => ofWave.has(vm));
-    return new Set([...this.listDown(wave), ...foreign]).size;
+    const inDoubt = this.listInDoubt(order, vms).map(({ vm }) => vm);
+    return new Set([...this.listDown(order.wave), ...foreign, ...inDoubt]);
+  }
+
+  /** VMs whose maintenance an earlier home has ordered, and nobody knows whether it was done. */
+  private listInDoubt({ wave }: WaveOrder, vms: readonly FleetVm[]): readonly FleetVm[] {
+    const done = new Set(this.records.get(wave)!.doneVms);
+    const inDoubt = new Set(this.options.orders.listInDoubt(wave));
+    return vms.filter(({ vm }) => inDoubt.has(vm) && !done.has(vm));
   }
 
   private listDown(wave: number): readonly string[] {
@@ -142,17 +154,18 @@
     vms: readonly FleetVm[],
     loads: ReadonlyMap<string, TargetLoad>,
   ): Promise<void> {
-    const freeCount = order.maxDownCount - this.countDown(order, vms);
+    const maybeDown = this.listMaybeDown(order, vms);
+    const freeCount = Math.max(0, order.maxDownCount - maybeDown.size);
     const ready = vms
       .filter(({ vm }) => this.draining.get(vm) === order.wave)
       .filter(({ state, targetId }) => {
         const isEmpty = targetId === undefined || loads.get(targetId)?.runCount === 0;
         return state === 'up' && isEmpty;
       });
+    const counted = ready.filter(({ vm }) => maybeDown.has(vm));
+    const further = ready.filter(({ vm }) => !maybeDown.has(vm)).slice(0, freeCount);
     const outcomes = await Promise.all(
-      ready
-        .filter(({ vm }, place) => place < freeCount || this.options.orders.isAway(vm))
-        .map((vm) => this.takeDown(order, vm)),
+      [...counted, ...further].map((vm) => this.takeDown(order, vm)),
     );
     if (outcomes.includes(true)) await this.store(order.wave);
   }
--- a/tests/fleetHome/WaveDesk.test.ts
+++ b/tests/fleetHome/WaveDesk.test.ts
@@ -31,10 +31,10 @@
 /** Leads a wave over two VMs of which an earlier home has taken the first one down. */
 async function leadWave(first: FleetVm, tooEarly: readonly string[]): Promise<readonly string[]> {
   const given: string[] = [];
-  const orders: Pick<VmOrders, 'listAway' | 'listTooEarly' | 'isAway' | 'give'> = {
+  const orders: Pick<VmOrders, 'listAway' | 'listTooEarly' | 'listInDoubt' | 'give'> = {
     listAway: () => [],
     listTooEarly: () => tooEarly,
-    isAway: () => false,
+    listInDoubt: () => [],
     give: async ({ vm }: VmOrder) => {
       given.push(vm);
       return 'accepted';
