Keep the tasks of a leaving target until its lease has lapsed

Change: a target that has announced its leave is gone by the same signs as any other: another lifetime answers, the list of VMs shows it gone, or its lease has lapsed and nobody lists it. Ruled out: waiting for several renewals without an answer, as a cut lasts longer than any such wait.

--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -186,11 +186,11 @@
   /**
    * Tells whether nothing can run on a target any more: its lease is over by the slowest clock, and
    * the platform does not list it. Silence alone says nothing, as a target that is cut off runs on.
+   * Guards against a task that runs twice: a target that has announced its leave, too, runs on for
+   * seconds, and its entry may expire meanwhile. One that has left shows sooner in the list of VMs.
    */
-  private static isSurelyGone({ session, entry, isListed }: Known, nowMs: number): boolean {
+  private static isSurelyGone({ session, isListed }: Known, nowMs: number): boolean {
     if (isListed || session.isReachable) return false;
-    // One that had announced its leave, is silent and is no longer listed has left.
-    if (entry.isDraining) return true;
     return nowMs > session.surelyLapsedAtMs + LAPSE_MARGIN_MS;
   }
 
