--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -208,7 +208,7 @@
   /**
    * Guards against a first start on a target that has announced its leave while the placement was
    * on its way to the store: a slow store would put the task on a target that takes none. Nothing
-   * was sent, so the task waits again at once.
+   * was sent, so the task waits again for the next round.
    */
   private withdraw(order: Order): void {
     const { events, term, onWithdrawn } = this.options;
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -243,16 +243,18 @@
     }
     if (reason !== 'lease-past') this.health.noteRefusal(key.targetId);
     this.takeBack(key);
+    this.options.onChanged();
   }
 
-  /** Lets a task wait again whose run has not begun and never will. */
+  /**
+   * Lets a task wait again whose run has not begun and never will. The caller tells of the change,
+   * or leaves it to the next round: a task that is withdrawn at once would be placed again at once.
+   */
   private takeBack(key: RunKey): void {
     const found = this.table.findPlaced(key);
-    if (found !== undefined) {
-      this.stopGangMates(found.row, found.position);
-      this.table.put(unplaceTask(found.row, found.position));
-    }
-    this.options.onChanged();
+    if (found === undefined) return;
+    this.stopGangMates(found.row, found.position);
+    this.table.put(unplaceTask(found.row, found.position));
   }
 
   /** Stops tasks that stand still, so that they start again on another target. */
