--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -32,10 +32,15 @@
 export type VmOrderOutcome =
   'accepted' | VmOrderRefusal | 'unanswered' | 'too-early' | 'unrecorded' | 'outdated';
 
+/** Refusals after which the order, sent once or twice, will never be carried out. */
+const NEVER_CARRIED_OUT: ReadonlySet<VmOrderOutcome> = new Set(['not-in-wave', 'impossible']);
+
 interface Away {
   readonly order: VmOrder;
   readonly targetIdBefore: string | undefined;
   readonly orderedAtMs: number;
+  /** When the order was accepted, by the monotonic clock; absent while it has no answer. */
+  readonly acceptedAtMs?: number;
 }
 
 /** Margin on the time between the orders of two holders, in milliseconds. */
@@ -49,6 +54,11 @@
 const OUTDATED_AFTER_MS = 1_000;
 /** Time after an order before which the list of VMs may not show it yet, in milliseconds. */
 const SETTLE_MS = 700;
+/**
+ * Time after an accepted order by which the list shows its VM away or in another lifetime, in
+ * milliseconds; one that it shows as it was before has not been changed.
+ */
+const UNCHANGED_AFTER_MS = 1_500;
 
 /**
  * Gives orders for VMs, and knows which VMs are away because of them.
@@ -63,6 +73,9 @@
 
   private readonly away = new Map<string, Away>();
 
+  /** Waves of the VMs for whose maintenance by an earlier holder this one has no answer yet. */
+  private readonly inDoubt: Map<string, number>;
+
   /**
    * Monotonic times before which VMs that an earlier holder has ordered are left alone. The time
    * since the order counts, less what the clocks may be apart: with the whole wait for each, 130
@@ -87,6 +100,9 @@
           clock.monotonicMs() + Math.min(waitMs, orderedAtMs - oldestAtMs),
         ]),
     );
+    this.inDoubt = new Map(
+      orderRecords.flatMap(({ vm, wave }) => (wave === undefined ? [] : [[vm, wave]])),
+    );
   }
 
   /**
@@ -115,6 +131,16 @@
     return [...this.notBeforeMs].filter(([, atMs]) => nowMs < atMs).map(([vm]) => vm);
   }
 
+  /**
+   * Lists the VMs of a wave whose maintenance an earlier holder has ordered. Without an answer it
+   * may be carried out as long as this holder has not ordered it too.
+   * @param wave - Number of the wave.
+   * @returns Their names, also of those whose maintenance is done.
+   */
+  listInDoubt(wave: number): readonly string[] {
+    return [...this.inDoubt].filter(([, ofWave]) => ofWave === wave).map(([vm]) => vm);
+  }
+
   /**
    * Takes note of which VMs are back.
    * @param vms - The VMs as listed.
@@ -124,11 +150,20 @@
     vms.forEach(({ vm, state, targetId }) => {
       const away = this.away.get(vm);
       if (away === undefined || askedAtMs - away.orderedAtMs < SETTLE_MS) return;
-      const isBack = state === 'up' && (targetId === undefined || targetId !== away.targetIdBefore);
-      if (isBack) this.away.delete(vm);
+      const hasChanged = targetId === undefined || targetId !== away.targetIdBefore;
+      const isBack = hasChanged || VmOrders.hasChangedNothing(away, askedAtMs);
+      if (state === 'up' && isBack) this.away.delete(vm);
     });
   }
 
+  /**
+   * Guards against a VM that counts as away for good: the platform also accepts an order that is
+   * done already, as a new home repeats it, and then the VM's lifetime stays the same.
+   */
+  private static hasChangedNothing({ acceptedAtMs }: Away, askedAtMs: number): boolean {
+    return acceptedAtMs !== undefined && askedAtMs - acceptedAtMs >= UNCHANGED_AFTER_MS;
+  }
+
   /**
    * Gives an order. The VM counts as away from before the order is sent, since an order without an
    * answer may have been carried out; a refused one takes that back.
@@ -139,22 +174,41 @@
   async give(order: VmOrder, targetId: string | undefined): Promise<VmOrderOutcome> {
     const orderedAtMs = this.options.clock.monotonicMs();
     if (orderedAtMs < (this.notBeforeMs.get(order.vm) ?? 0)) return 'too-early';
-    const targetIdBefore = this.away.get(order.vm)?.targetIdBefore ?? targetId;
-    this.away.set(order.vm, { order, targetIdBefore, orderedAtMs });
-    const outcome = (await this.record(order.vm, orderedAtMs)) ?? (await this.send(order));
-    if (outcome !== 'accepted' && outcome !== 'unanswered') this.away.delete(order.vm);
+    const before = this.away.get(order.vm);
+    const targetIdBefore = before?.targetIdBefore ?? targetId;
+    const away: Away = { order, targetIdBefore, orderedAtMs };
+    this.away.set(order.vm, away);
+    const outcome = (await this.record(order, orderedAtMs)) ?? (await this.send(order));
+    this.noteOutcome(away, outcome, before);
     this.report(order, outcome);
     return outcome;
   }
 
+  /**
+   * Guards against one VM too many: an order without an answer may be carried out after a repeat
+   * of it was refused or not sent. Taken back with the repeat, it would count no more, and another
+   * VM would take its place.
+   */
+  private noteOutcome(away: Away, outcome: VmOrderOutcome, before: Away | undefined): void {
+    const { vm } = away.order;
+    if (outcome === 'unanswered') return;
+    if (outcome === 'accepted' || NEVER_CARRIED_OUT.has(outcome)) this.inDoubt.delete(vm);
+    if (outcome === 'accepted') {
+      this.away.set(vm, { ...away, acceptedAtMs: this.options.clock.monotonicMs() });
+    } else if (before === undefined || NEVER_CARRIED_OUT.has(outcome)) this.away.delete(vm);
+    else this.away.set(vm, before);
+  }
+
   /** Stores that an order is about to be given; tells why it must not be given, if so. */
   private async record(
-    vm: string,
+    order: VmOrder,
     orderedAtMs: number,
   ): Promise<'unrecorded' | 'outdated' | undefined> {
     const { clock, store } = this.options;
     try {
-      await store([encodeVmOrderRecord({ vm, orderedAtMs: clock.wallMs() })]);
+      const { vm } = order;
+      const wave = order.type === 'maintain' ? order.wave : undefined;
+      await store([encodeVmOrderRecord({ vm, orderedAtMs: clock.wallMs(), wave })]);
     } catch {
       // The writer has told why; this holder has been replaced.
       return 'unrecorded';
--- a/src/fleetHome/WaveCoordinator.ts
+++ b/src/fleetHome/WaveCoordinator.ts
@@ -95,9 +95,15 @@
     vms: readonly FleetVm[],
     loads: ReadonlyMap<string, TargetLoad>,
   ): void {
-    const { clock, events } = this.options;
+    const { clock } = this.options;
     const record = this.records.get(order.wave)!;
     const hasObserved = this.options.mechanisms.has('observed-wave-steps');
+    this.drain(
+      order,
+      this.listInDoubt(order, vms)
+        .filter(({ vm, state }) => state === 'up' && !this.draining.has(vm))
+        .map(({ vm }) => vm),
+    );
     const next = planMaintenance({
       wave: { ...order, ...record, doneVms: new Set(record.doneVms) },
       vms,
@@ -106,10 +112,15 @@
       nowMs: clock.wallMs(),
       stepMs: hasObserved ? this.stepTimer.expectedMs : undefined,
     });
-    next.forEach((vm) => {
-      this.draining.set(vm, order.wave);
+    this.drain(order, next);
+  }
+
+  private drain({ wave }: WaveOrder, vms: readonly string[]): void {
+    const { doneVms } = this.records.get(wave)!;
+    vms.forEach((vm) => {
+      this.draining.set(vm, wave);
       this.stepTimer.begin(vm);
-      events.write('vmDraining', { vm, wave: order.wave, doneCount: record.doneVms.length });
+      this.options.events.write('vmDraining', { vm, wave, doneCount: doneVms.length });
     });
   }
 
@@ -119,17 +130,26 @@
   }
 
   /**
-   * Counts the VMs of a wave that are down, whoever ordered it.
+   * Lists the VMs of a wave that are or may be down, whoever ordered it.
    *
    * Guards against one VM too many after a change of homes: those that the earlier home took down
-   * are not among this one's orders. They show in the list, or their orders are stored and recent.
+   * are not among this one's orders. They show in the list, or their orders are stored and recent,
+   * or they had no answer and may be carried out yet.
    */
-  private countDown({ wave, vms: waveVms }: WaveOrder, vms: readonly FleetVm[]): number {
-    const ofWave = new Set(waveVms);
+  private listMaybeDown(order: WaveOrder, vms: readonly FleetVm[]): ReadonlySet<string> {
+    const ofWave = new Set(order.vms);
     const listed = vms.filter(({ state }) => state === 'in-maintenance').map(({ vm }) => vm);
     const ordered = this.options.orders.listTooEarly();
     const foreign = [...listed, ...ordered].filter((vm) => ofWave.has(vm));
-    return new Set([...this.listDown(wave), ...foreign]).size;
+    const inDoubt = this.listInDoubt(order, vms).map(({ vm }) => vm);
+    return new Set([...this.listDown(order.wave), ...foreign, ...inDoubt]);
+  }
+
+  /** VMs whose maintenance an earlier home has ordered, and nobody knows whether it was done. */
+  private listInDoubt({ wave }: WaveOrder, vms: readonly FleetVm[]): readonly FleetVm[] {
+    const done = new Set(this.records.get(wave)!.doneVms);
+    const inDoubt = new Set(this.options.orders.listInDoubt(wave));
+    return vms.filter(({ vm }) => inDoubt.has(vm) && !done.has(vm));
   }
 
   private listDown(wave: number): readonly string[] {
@@ -144,14 +164,15 @@
     vms: readonly FleetVm[],
     loads: ReadonlyMap<string, TargetLoad>,
   ): Promise<void> {
-    const freeCount = order.maxDownCount - this.countDown(order, vms);
+    const maybeDown = this.listMaybeDown(order, vms);
+    const freeCount = Math.max(0, order.maxDownCount - maybeDown.size);
     const ready = vms
       .filter(({ vm }) => this.draining.get(vm) === order.wave)
       .filter((vm) => vm.state === 'up' && isEmpty(vm, loads));
+    const counted = ready.filter(({ vm }) => maybeDown.has(vm));
+    const further = ready.filter(({ vm }) => !maybeDown.has(vm)).slice(0, freeCount);
     const outcomes = await Promise.all(
-      ready
-        .filter(({ vm }, place) => place < freeCount || this.options.orders.isAway(vm))
-        .map((vm) => this.takeDown(order, vm)),
+      [...counted, ...further].map((vm) => this.takeDown(order, vm)),
     );
     if (outcomes.includes(true)) await this.store(order.wave);
   }
--- a/src/taskHome/PartitionOpening.ts
+++ b/src/taskHome/PartitionOpening.ts
@@ -137,7 +137,7 @@
    * @throws Error Where the store did not answer; the next attempt continues from here.
    */
   async attempt(): Promise<OpenedPartition | undefined> {
-    await this.catchUp();
+    await this.follower.read(NO_WAIT_MS);
     const { store, topic, partition, instance } = this.options;
     const records = [...this.newest.values()];
     const term = readTerm(records) + 1;
@@ -156,14 +156,6 @@
     return { term, sequence, jobs, records };
   }
 
-  private async catchUp(): Promise<void> {
-    let hasMore = true;
-    while (hasMore) {
-      // eslint-disable-next-line no-await-in-loop -- a reading begins where the one before it ended
-      hasMore = await this.follower.read(NO_WAIT_MS);
-    }
-  }
-
   private take(record: KeyedRecord): void {
     if (record.value === undefined) this.newest.delete(record.key);
     else this.newest.set(record.key, record);
