--- a/tests/promises/stops.test.ts
+++ b/tests/promises/stops.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { operate, send } from '../daemon/support/callDaemon.js';
-import { World } from '../daemon/support/World.js';
+import { WIKI_SETTINGS, World } from '../daemon/support/World.js';
 
 let world: World;
 
@@ -13,6 +13,7 @@
 
 interface ControlBody {
   readonly type: string;
+  readonly settlements?: readonly { readonly requestId: string; readonly outcome: string }[];
 }
 
 /** How the records of a daemon end that is the last one and had `save-1` in progress. */
@@ -92,6 +93,34 @@
   });
 });
 
+describe('the stop of all daemons at once', () => {
+  // Story: every daemon is told to stop at the same moment, and each has a save in progress. Each
+  // saw the other one as joined, left the pool to it and waited its whole limit for a home that
+  // would take the outcome. The processes ended, and repeats of both saves were told "unknown".
+  it('records the outcomes of all saves, though each leaves the pool to the other', async () => {
+    const names = ['entry-1', 'entry-2'];
+    const extra = { stopWaitMs: 20_000 };
+    await Promise.all(names.map((name) => world.startDaemon(name, world.logPort, extra)));
+    await world.publish(WIKI_SETTINGS, 0);
+    await world.waitForHomes(names.length);
+    const saves = world.daemons.map((daemon) =>
+      send(daemon, { kind: 'save', requestId: `save-${daemon.name}`, body: { runMs: 1_000 } }),
+    );
+    await world.waitFor(() => world.targets.listStarts().length === saves.length);
+    // With this delay neither hears in time that the other one stops as well.
+    world.platform.setFaults({ logDelayMs: 200 });
+    world.daemons.forEach((daemon) => daemon.process.signal('SIGTERM'));
+    const answers = await Promise.all(saves);
+    expect(answers.map(({ outcome }) => outcome)).toEqual(['run', 'run']);
+    const ends = await Promise.all(world.daemons.map((daemon) => daemon.process.ended));
+    expect(ends).toEqual(names.map(() => ({ code: 0, signal: null })));
+    const settled = listFacts().flatMap(({ settlements = [] }) => settlements);
+    const outcomes = settled.map(({ requestId, outcome }) => `${requestId} ${outcome}`);
+    expect(new Set(outcomes)).toEqual(new Set(['save-entry-1 run', 'save-entry-2 run']));
+    expect(listFacts().at(-1)).toMatchObject({ type: 'instance-left' });
+  });
+});
+
 describe('a target that is leaving', () => {
   // Story: the platform tells that a VM is leaving while the log has been out for longer than any
   // lease lasts. The list of VMs is all that is left to go by.
