Extend no lease by a renewal that was sent before the leave

Cause: Membership.leave drops the lease, but a renewal that is under way extends it when it is read back after that. The instance then held its lease for up to 4.75 s while others took its homes over at once; the guard before each reboot in a wave asks that lease.

Ruled out: nothing else extends a lease. The harm was bounded, as the homes are closed by then and start nothing new; a look at a drained VM that was under way could still have ended in a reboot.

Change: each leave is counted, and what was sent before the last one extends nothing. A count and not the mark of leaving, so that it also holds for an instance that joins again.

--- a/scripts/mutantList.ts
+++ b/scripts/mutantList.ts
@@ -4,6 +4,7 @@
 const WAVE_TEST = 'tests/home/WaveRunner.test.ts';
 const FOLD_TEST = 'tests/log/applyEntry.test.ts';
 const LEASE_TEST = 'tests/membership/HeldLease.test.ts';
+const MEMBERSHIP_TEST = 'tests/membership/Membership.test.ts';
 const LAPSE_TEST = 'tests/membership/LapseWatch.test.ts';
 const RUN_TEST = 'tests/entry/JobRun.test.ts';
 const CHECK_TEST = 'tests/entry/NotRunCheck.test.ts';
@@ -110,6 +111,14 @@
     test: LEASE_TEST,
     name: 'counts from before the renewal was sent',
   },
+  {
+    failure: 'a lease that holds again after its instance has left',
+    file: 'src/membership/Membership.ts',
+    find: ' || leaveCount !== this.leaveCount',
+    replace: '',
+    test: MEMBERSHIP_TEST,
+    name: 'holds no lease once it has left',
+  },
   {
     failure: 'leases ended by an instance that has not read the log to its end',
     file: 'src/membership/LapseWatch.ts',
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -33,6 +33,8 @@
 
   private isLeaving = false;
 
+  private leaveCount = 0;
+
   private wasHeld = false;
 
   private renewAtMs = Number.NEGATIVE_INFINITY;
@@ -70,6 +72,7 @@
    */
   async leave(deadlineMs: number): Promise<void> {
     this.isLeaving = true;
+    this.leaveCount += 1;
     this.lease.drop();
     const { instance } = this.options.self;
     if (!this.options.tables.instances.has(instance)) return;
@@ -93,8 +96,14 @@
     this.writes.start(this.options.self.instance, () => this.joinOrRenew());
   }
 
+  /**
+   * Failure: this instance leaves while a renewal is on its way, and the lease comes to life again
+   * when the renewal is read back, though another instance may have the homes by then. What was
+   * sent before a leave extends no lease after it.
+   */
   private async joinOrRenew(): Promise<void> {
     const { self, tables, writer, clock, timing, events } = this.options;
+    const { leaveCount } = this;
     const sentAt = this.lease.readClocks();
     const isJoined = tables.instances.get(self.instance)?.state === 'joined';
     const body = isJoined
@@ -102,7 +111,7 @@
       : ({ type: 'instance-joined', ...self } as const);
     const deadlineMs = clock.monotonicMs() + timing.leaseMs;
     const result = await writer.write(body, { deadlineMs });
-    if (result.type !== 'accepted') return;
+    if (result.type !== 'accepted' || leaveCount !== this.leaveCount) return;
     this.lease.extend(sentAt);
     if (!isJoined) events.write('instanceJoined', { joinedInstance: self.instance });
   }
