Take the pools back where all daemons are stopped at once and outcomes are still open

Cause: an instance that stops keeps its homes only if nobody else is joined at that moment. Instances that are stopped at once see each other as joined, so all of them give their homes up and leave. The outcome of a save in progress then has no home that records it: the daemon waits its whole limit (60 s by default) and ends, and a repeat of the save is told "unknown".

Ruled out: a slow machine or log as the cause; it failed each time on a fast log too, with the save at the home or at the other daemon. Weighed: a record that an instance is stopping, which needs a new record type and can still cross another one's. The log has the order of the leaves already.

Change: an instance that has left and still has work waits until it is done or nobody else is joined. In the latter case it joins again, claims the homes, and keeps them until its outcomes are recorded; then it leaves for good. Its lease and term are new ones by the usual records. The two tests of the last daemon also count one leave now: with this change they would otherwise pass without the wait of the last instance.

Open: an instance that was killed stays joined on the log when all others have left, as nobody ends its lease; the daemon that waits for it then still waits its whole limit.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -76,9 +76,8 @@
     // Failure: the last instance gives its homes up first, and then waits in vain for a home that
     // takes the outcomes of its jobs. With nobody to hand over to, it keeps them to the end.
     if (!this.hasOthers()) await this.waitForUnfinished(deadlineMs);
-    this.parts.homes.stop();
-    await this.membership?.leave(this.parts.clock.monotonicMs() + LEAVE_WAIT_MS);
-    await this.waitForUnfinished(deadlineMs);
+    await this.handOver();
+    await this.finishAfterLeave(deadlineMs);
     clearInterval(this.ticker);
     await closing;
     this.parts.writer.close();
@@ -152,10 +151,37 @@
       .some((row) => row.state === 'joined' && row.instance !== instance);
   }
 
-  private async waitForUnfinished(deadlineMs: number): Promise<void> {
-    const isDone = this.parts.entry.unfinishedCount === 0 && this.parts.reporter.size === 0;
-    if (isDone || this.parts.clock.monotonicMs() >= deadlineMs) return;
-    await sleep(TICK_MS);
+  private async handOver(): Promise<void> {
+    this.parts.homes.stop();
+    await this.membership?.leave(this.parts.clock.monotonicMs() + LEAVE_WAIT_MS);
+  }
+
+  /**
+   * Failure: all instances are stopped at once. Each sees the others as joined, leaves its homes to
+   * them and waits for its whole limit, and no outcome of a save in progress is recorded. The log
+   * shows when nobody is joined any more; whoever has work left then joins again, claims the homes
+   * and keeps them until its outcomes are recorded.
+   */
+  private async finishAfterLeave(deadlineMs: number): Promise<void> {
+    await this.waitUntil(() => this.isFinished() || !this.hasOthers(), deadlineMs);
+    if (this.isFinished() || this.parts.clock.monotonicMs() >= deadlineMs) return;
+    this.parts.homes.resume();
+    this.membership?.rejoin();
     await this.waitForUnfinished(deadlineMs);
+    await this.handOver();
+  }
+
+  private isFinished(): boolean {
+    return this.parts.entry.unfinishedCount === 0 && this.parts.reporter.size === 0;
+  }
+
+  private waitForUnfinished(deadlineMs: number): Promise<void> {
+    return this.waitUntil(() => this.isFinished(), deadlineMs);
+  }
+
+  private async waitUntil(condition: () => boolean, deadlineMs: number): Promise<void> {
+    if (condition() || this.parts.clock.monotonicMs() >= deadlineMs) return;
+    await sleep(TICK_MS);
+    await this.waitUntil(condition, deadlineMs);
   }
 }
--- a/src/daemon/HomeManager.ts
+++ b/src/daemon/HomeManager.ts
@@ -92,6 +92,11 @@
     this.homes.clear();
   }
 
+  /** Claims and opens homes again after {@link stop}. */
+  resume(): void {
+    this.isStopping = false;
+  }
+
   /**
    * Opens a stand-in for the home of a pool while the log is out. It holds no lease, so it places
    * idempotent jobs and does nothing else; it is closed when the log answers again.
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -79,6 +79,12 @@
     await this.options.writer.write({ type: 'instance-left', instance }, { deadlineMs });
   }
 
+  /** Takes part again after {@link leave}: joins at the next tick. */
+  rejoin(): void {
+    this.isLeaving = false;
+    this.renewAtMs = Number.NEGATIVE_INFINITY;
+  }
+
   private reportLoss(): void {
     const isHeld = this.lease.isHeld();
     if (this.wasHeld && !isHeld) {
--- a/tests/promises/stops.test.ts
+++ b/tests/promises/stops.test.ts
@@ -72,6 +72,7 @@
     expect(await save).toMatchObject({ status: 200, outcome: 'run' });
     expect(await only!.process.ended).toEqual({ code: 0, signal: null });
     expect(listFacts().slice(-2)).toMatchObject(SETTLED_THEN_LEFT);
+    expect(listFacts().filter(({ type }) => type === 'instance-left')).toHaveLength(1);
   });
 
   // Story: the last daemon stops with a save in progress that outlasts its lease, and the log takes
@@ -87,6 +88,7 @@
     expect(await save).toMatchObject({ status: 200, outcome: 'run' });
     expect(await only!.process.ended).toEqual({ code: 0, signal: null });
     expect(listFacts().slice(-2)).toMatchObject(SETTLED_THEN_LEFT);
+    expect(listFacts().filter(({ type }) => type === 'instance-left')).toHaveLength(1);
     const events = only!.process.logLines.map(({ event }) => event);
     const ends = events.filter((event) => event === 'homeClosed' || event === 'leaseLost');
     expect(ends).toEqual(['homeClosed', 'leaseLost']);
