--- a/tests/taskHome/JobTable.test.ts
+++ b/tests/taskHome/JobTable.test.ts
@@ -3,6 +3,17 @@
 import { JobTable } from '../../src/taskHome/JobTable.js';
 import { makeJob } from './HomeWorld.js';
 
+/** Jobs of one pool that end within the 120 s for which callers may ask: 14.6 a second. */
+const JOBS_KEPT = 1_752;
+const PAYLOAD_BYTES = 2_400;
+/** The store answers with values in base64. */
+const BASE64_FACTOR = 4 / 3;
+const BITS = 8;
+/** 7 Mbit/s, the narrowest link of an instance. */
+const LINK_BITS_PER_MS = 7_000;
+/** A lease is to outlast a takeover. */
+const TARGET_LEASE_MS = 5_000;
+
 const listIds = (table: JobTable): readonly string[] =>
   table.listActive().map(({ spec }) => spec.jobId);
 
@@ -32,4 +43,25 @@
     table.remove('j1');
     expect(table.list()).toEqual([]);
   });
+
+  // Long-running services were down for 12 s after a loss of power: their pool was without a home for
+  // 13.6 s while an instance on a narrow link opened its partition, and leases of 5 s lapsed. Nearly
+  // all that it read were specifications of jobs that had ended, kept whole for callers who ask for
+  // the state. Evidence: `taskHomeClosed` and `taskHomeOpened` of a partition of 600 jobs.
+  it('keeps so little of jobs that have ended that a narrow link reads it within a lease', () => {
+    const table = new JobTable();
+    const newest = new Map<string, number>();
+    const note = (): void =>
+      table.takeChanges().forEach(({ key, value }) => newest.set(key, value?.length ?? 0));
+    Array.from({ length: JOBS_KEPT }, (_j, number) => `job-${number}`).forEach((jobId) => {
+      const row = createJobRow({ ...makeJob(jobId), payload: 'x'.repeat(PAYLOAD_BYTES) });
+      table.add(row);
+      note();
+      table.put(cancelJob(row, 1_000));
+      note();
+    });
+    const sizeBytes = [...newest.values()].reduce((sum, bytes) => sum + bytes, 0);
+    const readMs = (sizeBytes * BASE64_FACTOR * BITS) / LINK_BITS_PER_MS;
+    expect(readMs).toBeLessThan(TARGET_LEASE_MS);
+  });
 });
