--- a/tests/taskHome/JobTable.test.ts
+++ b/tests/taskHome/JobTable.test.ts
@@ -44,10 +44,10 @@
     expect(table.list()).toEqual([]);
   });
 
-  // Long-running services were down for 12 s after a loss of power: their pool had no home for 13.6 s
-  // while an instance on a narrow link opened its partition, and leases of 5 s lapsed. Nearly all
-  // that it read were specifications of jobs that had ended, kept whole for callers who ask for the
-  // state. Evidence: `taskHomeClosed` and `taskHomeOpened` of a partition of 600 jobs.
+  // Long-running services were down for 12 s after a loss of power: their pool had no home while an
+  // instance on a narrow link took 13.6 s to open its partition, and leases of 5 s lapsed. Nearly
+  // all that it read were specifications of jobs that had ended, kept whole for callers who ask for
+  // the state. Evidence: `taskHomeClosed` and `taskHomeOpened` of a partition of 600 jobs.
   it('keeps so little of jobs that have ended that a narrow link reads it within a lease', () => {
     const table = new JobTable();
     const newest = new Map<string, number>();
