--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -319,8 +319,8 @@
   {
     failure: 'a partition that nobody opens: its page takes longer than the time-out',
     file: 'platform/PlatformStore.ts',
-    find: '      timeoutMs: PAGE_TIMEOUT_MS,\n      silenceTimeoutMs',
-    replace: '      timeoutMs: SILENCE_TIMEOUT_MS,\n      silenceTimeoutMs',
+    find: '  timeoutMs: PAGE_TIMEOUT_MS,\n  silenceTimeoutMs',
+    replace: '  timeoutMs: SILENCE_TIMEOUT_MS,\n  silenceTimeoutMs',
     test: 'tests/platformAdapter/PlatformStore.test.ts',
     name: 'reads a page that takes long as long as it keeps arriving',
   },
--- a/src/store/KeyedFollower.ts
+++ b/src/store/KeyedFollower.ts
@@ -73,14 +73,13 @@
     const result = await store.readFrom({ topic, partition, fromOffset, waitMs });
     if (result.type === 'expired') {
       this.nextOffset = undefined;
-      await this.readAll();
       return true;
     }
     result.records.forEach((record) => this.take(record));
     this.nextOffset = Math.max(fromOffset, result.nextOffset);
     // The newest records are far fewer than all that were written meanwhile.
     if (result.endOffset - this.nextOffset > MAX_BEHIND_COUNT) {
-      await this.readAll();
+      this.nextOffset = undefined;
       return true;
     }
     return result.records.length > 0 && this.nextOffset < result.endOffset;
--- a/src/taskHome/PartitionOpening.ts
+++ b/src/taskHome/PartitionOpening.ts
@@ -16,6 +16,7 @@
   type KeyedLogPort,
   type KeyedRecord,
 } from '../store/index.js';
+import { decodeReadable } from './decodeReadable.js';
 
 /** Key under which a partition keeps the term of its home. */
 const TERM_KEY = 'term';
@@ -51,18 +52,6 @@
   readonly events: EventLog;
 }
 
-function decodeOrLog(
-  record: KeyedRecord,
-  { partition, events }: PartitionOpeningOptions,
-): JobRecord {
-  try {
-    return decodeJobRecord(record);
-  } catch (thrown) {
-    events.write('recordUnreadable', { key: record.key, partition, reason: String(thrown) });
-    return { type: 'other' };
-  }
-}
-
 /** A job whose progress cannot be read begins anew: dropped, it would be lost to its caller. */
 function restoreOrLog(
   spec: DurableJobSpec,
@@ -156,7 +145,7 @@
       timeoutMs: APPEND_TIMEOUT_MS,
     });
     if (result.type !== 'appended') return undefined;
-    const decoded = records.map((record) => decodeOrLog(record, this.options));
+    const decoded = decodeReadable(records, decodeJobRecord, this.options);
     const jobs = joinRecords(decoded, this.options);
     return { term, sequence, jobs, records };
   }
--- a/src/taskHome/RecordWriter.ts
+++ b/src/taskHome/RecordWriter.ts
@@ -110,7 +110,7 @@
     if (this.isClosed) return Promise.reject(this.createError('home-unavailable'));
     if (records.length === 0 && this.waiters.length === 0) return this.lastBatch;
     const numbers = records.map((record) => this.add(record));
-    const firstNumber = Math.min(...(numbers.length > 0 ? numbers : [0]));
+    const firstNumber = numbers.length === 0 ? 0 : Math.min(...numbers);
     return new Promise((resolve, reject) => {
       const { lastNumber } = this;
       this.waiters = [...this.waiters, { firstNumber, lastNumber, resolve, reject }];
--- a/src/taskHome/decodeReadable.ts
+++ b/src/taskHome/decodeReadable.ts
@@ -9,7 +9,7 @@
 
 /**
  * Decodes the records of one kind. One that cannot be read is told and passed over: it must not
- * keep the fleet without a home.
+ * keep a partition without a home.
  * @param records - Records of any kind.
  * @param decode - Decodes one; undefined for one of another kind. It may throw.
  * @param options - Where the records were read.
