Trust no time of day that another machine stored: orders, waves, peaks and ages of jobs

Cause, by reading, with tests that failed first: the time of day of a machine may jump by 40 minutes. A successor took a stored order for a VM for old, and two holders ordered one VM within the order lease; a wave was rushed or left for later, also within one home; all peaks of pools were forgotten; jobs that waited at a takeover came after all new ones. The test that took an order for recent where clocks are seconds apart is replaced by a stricter one (40 minutes either way); its last line, an order a minute old by all clocks, is now 'whose order lease an earlier holder has seen end', as no clock is shared. Ruled out: judging orders by the term and steady time of their holder alone: every change of homes would hold the VMs that were ordered last, however long ago. Open: occurrences with a due time start by the clock of their home as it is. Guards of the fleet's home stand in a list of mutants of their own.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -1,7 +1,6 @@
 import type { Mutant } from './Mutant.js';
 
 const HOME_TEST = 'tests/taskHome/TaskHome.test.ts';
-const ORDERS_TEST = 'tests/fleetHome/VmOrders.test.ts';
 const PLACE_TEST = 'tests/systems/placeTasks.test.ts';
 const FLEET_TEST = 'tests/systems/planFleet.test.ts';
 const WRITER_TEST = 'tests/taskHome/RecordWriter.test.ts';
@@ -9,7 +8,7 @@
 const CONFIGURATION_TEST = 'tests/queues/ConfigurationFollower.test.ts';
 const LINES_TEST = 'tests/logging/BoundedLineWriter.test.ts';
 
-/** Guards of durable jobs, their homes and the fleet that have a test of their own. */
+/** Guards of durable jobs and their homes that have a test of their own. */
 export const DURABLE_JOB_MUTANTS: readonly Mutant[] = [
   {
     failure: 'a task that runs again, as its end was forgotten before it was stored',
@@ -75,46 +74,6 @@
     test: 'tests/taskHome/TaskProgress.test.ts',
     name: 'does not go by an old report',
   },
-  {
-    failure: 'two holders that take turns on one VM',
-    file: 'src/fleetHome/VmOrders.ts',
-    find: "if (orderedAtMs < (this.notBeforeMs.get(order.vm) ?? 0)) return 'too-early';",
-    replace: '',
-    test: ORDERS_TEST,
-    name: 'leaves a VM alone that an earlier holder has just ordered',
-  },
-  {
-    failure: 'an order of a holder that was replaced',
-    file: 'src/fleetHome/VmOrders.ts',
-    find: '(await this.record(order, orderedAtMs)) ?? (await this.send(order))',
-    replace: 'await this.send(order)',
-    test: ORDERS_TEST,
-    name: 'gives no order that could not be stored',
-  },
-  {
-    failure: 'a VM taken down with tasks that it got while its order waited for the store',
-    file: 'src/fleetHome/VmOrders.ts',
-    find: "clock.monotonicMs() - orderedAtMs < OUTDATED_AFTER_MS ? undefined : 'outdated'",
-    replace: 'undefined',
-    test: ORDERS_TEST,
-    name: 'gives no order whose record was stored too late',
-  },
-  {
-    failure: 'an order taken for old by a clock that is ahead',
-    file: 'src/fleetHome/VmOrders.ts',
-    find: 'clock.wallMs() - waitMs - MAX_CLOCK_DIFFERENCE_MS',
-    replace: 'clock.wallMs() - waitMs',
-    test: ORDERS_TEST,
-    name: 'takes an order for recent even where the clocks of the holders are seconds apart',
-  },
-  {
-    failure: 'VMs that may not be ordered yet in the places of others',
-    file: 'src/fleetHome/FleetHome.ts',
-    find: '...away, ...this.orders.listTooEarly()]',
-    replace: '...away]',
-    test: ORDERS_TEST,
-    name: 'chooses no VM that it may not order yet',
-  },
   {
     failure: 'a step that begins before those it comes after',
     file: 'src/systems/listReadyTasks.ts',
@@ -235,14 +194,6 @@
     test: 'tests/platformAdapter/decode.test.ts',
     name: 'reads on behind bytes that are no key and value',
   },
-  {
-    failure: 'the pool of the last rush keeps VMs for jobs that are late already',
-    file: 'src/systems/estimateNeededCpu.ts',
-    find: "mechanisms.has('late-work-yields') && nowMs > estimateStartByMs(row, runTimes);",
-    replace: 'nowMs < 0;',
-    test: 'tests/systems/estimateNeededCpu.test.ts',
-    name: 'asks for little to catch up with work that is too late for its objective',
-  },
   {
     failure: 'a first start on a target that has announced its leave meanwhile',
     file: 'src/taskHome/TaskOrders.ts',
@@ -283,39 +234,6 @@
     test: 'tests/taskHome/PartitionOpening.test.ts',
     name: 'lets one of two instances open a partition that have read it at the same moment',
   },
-  {
-    failure: 'one VM too many down, as a repeat took an order without an answer back',
-    file: 'src/fleetHome/VmOrders.ts',
-    find: 'if (before === undefined || NEVER_CARRIED_OUT.has(outcome)) this.away.delete(vm);',
-    replace: 'if (before !== undefined || outcome.length > 0) this.away.delete(vm);',
-    test: ORDERS_TEST,
-    name: 'counts a VM as away whose order has no answer, also where a repeat is',
-  },
-  {
-    failure: 'a VM that counts as away for good, as its order was done already',
-    file: 'src/fleetHome/VmOrders.ts',
-    find: 'hasChanged || VmOrders.hasChangedNothing(away, askedAtMs)',
-    replace: 'hasChanged',
-    test: ORDERS_TEST,
-    name: 'counts a VM as back that an accepted order has not changed',
-  },
-  {
-    failure: 'one VM of a wave too many down after a change of homes',
-    file: 'src/fleetHome/WaveCoordinator.ts',
-    find: 'const foreign = [...listed, ...ordered].filter((vm) => ofWave.has(vm));',
-    replace:
-      'const foreign = [...listed, ...ordered].filter((vm) => !ofWave.has(vm) && vm === "");',
-    test: 'tests/fleetHome/WaveCoordinator.test.ts',
-    name: 'counts the VMs that an earlier home has taken down',
-  },
-  {
-    failure: 'one VM of a wave too many down by an order of the home before that had no answer',
-    file: 'src/fleetHome/WaveCoordinator.ts',
-    find: '...foreign, ...inDoubt]',
-    replace: '...foreign]',
-    test: 'tests/fleetHome/WaveCoordinator.test.ts',
-    name: 'orders the VMs first that an earlier home may have ordered without an answer',
-  },
   {
     failure: 'a partition that nobody opens: its page takes longer than the time-out',
     file: 'platform/PlatformStore.ts',
@@ -357,19 +275,43 @@
     name: 'keep the homes of larger ones where they are when a small one starts',
   },
   {
-    failure: "VMs that are ordered twice after a change of the fleet's home",
-    file: 'src/systems/planMoves.ts',
-    find: 'upVms.length + stayingCount +',
-    replace: 'upVms.length +',
-    test: 'tests/systems/planFleet.test.ts',
-    name: 'counts the VMs that an earlier home has just moved and that work',
+    failure: 'a job that begins anew after its end, as its specification is still stored',
+    file: 'src/taskHome/PartitionOpening.ts',
+    find: '.filter(({ jobId }) => !ended.has(jobId))',
+    replace: '',
+    test: 'tests/taskHome/endedJobs.test.ts',
+    name: 'do not begin anew where their specification is still stored',
   },
   {
-    failure: "a pool that keeps three VMs after a change of the fleet's home",
-    file: 'src/systems/PoolPeaks.ts',
-    find: 'this.peaks = new Map(known.map((peak) => [peak.pool, peak]));',
-    replace: 'this.peaks = new Map();',
-    test: 'tests/systems/PoolPeaks.test.ts',
-    name: 'goes on with the peaks of an earlier home',
+    failure: 'an ended job that is denied, as homes tell its age by clocks that are apart',
+    file: 'src/taskHome/JobTable.ts',
+    find: 'knownSinceMs: this.clock.monotonicMs() });',
+    replace: 'knownSinceMs: 0 });',
+    test: 'tests/taskHome/endedJobs.test.ts',
+    name: 'are forgotten once their home has known their end',
+  },
+  {
+    failure: 'jobs of the home before that come last, as its clock was behind',
+    file: 'src/systems/alignSubmissions.ts',
+    find: 'times.length > 0 && newestAgeMs > MAX_NEWEST_AGE_MS ? newestAgeMs : 0',
+    replace: 'times.length > 0 && newestAgeMs > Infinity ? MAX_NEWEST_AGE_MS : 0',
+    test: 'tests/systems/alignSubmissions.test.ts',
+    name: 'counts the newest job as just submitted where all look far too old',
+  },
+  {
+    failure: 'a call that is given up late, as it waits behind one that hangs',
+    file: 'src/utils/HttpExchange.ts',
+    find: '      reject(error);\n    }, waitMs);',
+    replace: '    }, waitMs);',
+    test: 'tests/utils/HttpClient.test.ts',
+    name: 'gives a request up in time that waits for a connection behind one that hangs',
+  },
+  {
+    failure: 'a program that does not start, as its compiled code is of another engine',
+    file: 'src/launcher/ProgramBundle.ts',
+    find: 'return this.script.cachedDataRejected === true;',
+    replace: 'return false;',
+    test: 'tests/launcher/ProgramBundle.test.ts',
+    name: 'compiles the program anew where what was compiled is of no use',
   },
 ];
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { DURABLE_JOB_MUTANTS } from './durableJobMutants.js';
+import { FLEET_MUTANTS } from './fleetMutants.js';
 import { MUTANTS as ONE_SHOT_MUTANTS } from './mutantList.js';
 import type { Mutant } from './Mutant.js';
 
@@ -50,9 +51,11 @@
 
 /** Parts of file names; only the guards of such files are taken out, where any is given. */
 const wantedFiles = process.argv.slice(2);
-const MUTANTS: readonly Mutant[] = [...ONE_SHOT_MUTANTS, ...DURABLE_JOB_MUTANTS].filter(
-  ({ file }) => wantedFiles.length === 0 || wantedFiles.some((part) => file.includes(part)),
-);
+const MUTANTS: readonly Mutant[] = [
+  ...ONE_SHOT_MUTANTS,
+  ...DURABLE_JOB_MUTANTS,
+  ...FLEET_MUTANTS,
+].filter(({ file }) => wantedFiles.length === 0 || wantedFiles.some((part) => file.includes(part)));
 
 const copy = createCopy();
 const verdicts = MUTANTS.map((mutant, index) => {
--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -148,6 +148,7 @@
     const vms = await this.listVms();
     if (vms === undefined || this.isClosed) return;
     this.orders.noteList(vms, askedAtMs);
+    void this.orders.settle();
     this.demands = await this.syncPools(vms, this.options.listPools());
     if (this.isClosed) return;
     this.poolReporter.note(this.demands, vms, this.listHeld());
--- a/src/fleetHome/PoolPeakRecord.ts
+++ b/src/fleetHome/PoolPeakRecord.ts
@@ -7,7 +7,6 @@
 const recordSchema = z.looseObject({
   pool: z.string(),
   vmCount: z.number(),
-  seenAtMs: z.number(),
 });
 
 /**
--- a/src/fleetHome/VmOrderRecord.ts
+++ b/src/fleetHome/VmOrderRecord.ts
@@ -4,18 +4,18 @@
 /** What is stored of the latest order for a VM, before the order is given. */
 export interface VmOrderRecord {
   readonly vm: string;
-  /** Wall-clock time of the order in milliseconds since the Unix epoch, by its holder's clock. */
-  readonly orderedAtMs: number;
   /** Wave of a maintenance; absent for a move. */
   readonly wave?: number;
+  /** Whether a holder has waited its lease out since; absent counts as no. */
+  readonly isSettled?: boolean;
 }
 
 const PREFIX = 'vm-order/';
 
 const recordSchema = z.looseObject({
   vm: z.string(),
-  orderedAtMs: z.number(),
   wave: z.number().optional(),
+  isSettled: z.boolean().optional(),
 });
 
 /**
@@ -27,6 +27,15 @@
   return { key: `${PREFIX}${record.vm}`, value: encodeRecordValue(record) };
 }
 
+/**
+ * Encodes that of the latest order for a VM nothing is kept.
+ * @param vm - The VM.
+ * @returns Its key without a value.
+ */
+export function encodeVmOrderRemoval(vm: string): KeyedRecord {
+  return { key: `${PREFIX}${vm}`, value: undefined };
+}
+
 /**
  * Decodes the latest order for a VM.
  * @param record - A record of the partition of the fleet's home.
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -1,8 +1,7 @@
 import type { EventLog } from '../logging/index.js';
-import type { KeyedRecord } from '../store/index.js';
-import type { Clock } from '../utils/index.js';
 import type { FleetVm, VmFleetPort, VmOrderAnswer, VmOrderRefusal } from '../vms/index.js';
-import { encodeVmOrderRecord, type VmOrderRecord } from './VmOrderRecord.js';
+import { RecentOrders, type RecentOrdersOptions } from './RecentOrders.js';
+import { encodeVmOrderRecord } from './VmOrderRecord.js';
 
 /** Something that is to be done to a VM. */
 export type VmOrder =
@@ -10,18 +9,11 @@
   | { readonly type: 'maintain'; readonly vm: string; readonly wave: number };
 
 /** Options of {@link VmOrders}. */
-export interface VmOrdersOptions {
+export interface VmOrdersOptions extends RecentOrdersOptions {
   readonly port: VmFleetPort;
   readonly holder: string;
   readonly term: number;
-  readonly clock: Clock;
   readonly events: EventLog;
-  /** Time that has to pass between the orders of two holders for one VM, in milliseconds. */
-  readonly orderLeaseMs: number;
-  /** Latest orders of earlier holders, as they were stored when this one began. */
-  readonly orderRecords: readonly VmOrderRecord[];
-  /** Stores records; rejects where this holder has been replaced. */
-  readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
   readonly onStaleTerm: () => void;
 }
 
@@ -43,13 +35,6 @@
   readonly acceptedAtMs?: number;
 }
 
-/** Margin on the time between the orders of two holders, in milliseconds. */
-const ORDER_MARGIN_MS = 300;
-/**
- * How far the clocks of two holders may be apart, in milliseconds: the platform lets a clock jump
- * by 2 s.
- */
-const MAX_CLOCK_DIFFERENCE_MS = 2_500;
 /** Age from which the reasons of an order do not hold any more, in milliseconds: five looks. */
 const OUTDATED_AFTER_MS = 1_000;
 /** Time after an order before which the list of VMs may not show it yet, in milliseconds. */
@@ -76,12 +61,7 @@
   /** Waves of the VMs for whose maintenance by an earlier holder this one has no answer yet. */
   private readonly inDoubt: Map<string, number>;
 
-  /**
-   * Monotonic times before which VMs that an earlier holder has ordered are left alone: a whole
-   * order lease from the opening on, however old the order. An order may be carried out 2 s after
-   * its record, and clocks may be 2 s apart, so the time since the record says too little.
-   */
-  private readonly notBeforeMs: ReadonlyMap<string, number>;
+  private readonly recent: RecentOrders;
 
   /**
    * Starts without orders.
@@ -89,16 +69,9 @@
    */
   constructor(options: VmOrdersOptions) {
     this.options = options;
-    const { clock, orderLeaseMs, orderRecords } = options;
-    const waitMs = orderLeaseMs + ORDER_MARGIN_MS;
-    const oldestAtMs = clock.wallMs() - waitMs - MAX_CLOCK_DIFFERENCE_MS;
-    this.notBeforeMs = new Map(
-      orderRecords
-        .filter(({ orderedAtMs }) => orderedAtMs > oldestAtMs)
-        .map(({ vm }) => [vm, clock.monotonicMs() + waitMs]),
-    );
+    this.recent = new RecentOrders(options);
     this.inDoubt = new Map(
-      orderRecords.flatMap(({ vm, wave }) => (wave === undefined ? [] : [[vm, wave]])),
+      options.orderRecords.flatMap(({ vm, wave }) => (wave === undefined ? [] : [[vm, wave]])),
     );
   }
 
@@ -124,8 +97,7 @@
    * @returns Their names.
    */
   listTooEarly(): readonly string[] {
-    const nowMs = this.options.clock.monotonicMs();
-    return [...this.notBeforeMs].filter(([, atMs]) => nowMs < atMs).map(([vm]) => vm);
+    return this.recent.listHeld();
   }
 
   /**
@@ -138,6 +110,18 @@
     return [...this.inDoubt].filter(([, ofWave]) => ofWave === wave).map(([vm]) => vm);
   }
 
+  /**
+   * Lets successors know of the orders that are no longer recent.
+   * @returns Resolves once that is stored, or was given up until the next call.
+   */
+  settle(): Promise<void> {
+    return this.recent.settle();
+  }
+
+  private static getWave(order: VmOrder): number | undefined {
+    return order.type === 'maintain' ? order.wave : undefined;
+  }
+
   /**
    * Takes note of which VMs are back.
    * @param vms - The VMs as listed.
@@ -170,12 +154,14 @@
    */
   async give(order: VmOrder, targetId: string | undefined): Promise<VmOrderOutcome> {
     const orderedAtMs = this.options.clock.monotonicMs();
-    if (orderedAtMs < (this.notBeforeMs.get(order.vm) ?? 0)) return 'too-early';
+    if (this.recent.isHeld(order.vm)) return 'too-early';
     const before = this.away.get(order.vm);
     const targetIdBefore = before?.targetIdBefore ?? targetId;
     const away: Away = { order, targetIdBefore, orderedAtMs };
     this.away.set(order.vm, away);
+    this.recent.note(order.vm, VmOrders.getWave(order));
     const outcome = (await this.record(order, orderedAtMs)) ?? (await this.send(order));
+    this.recent.note(order.vm, VmOrders.getWave(order));
     this.noteOutcome(away, outcome, before);
     this.report(order, outcome);
     return outcome;
@@ -203,9 +189,7 @@
   ): Promise<'unrecorded' | 'outdated' | undefined> {
     const { clock, store } = this.options;
     try {
-      const { vm } = order;
-      const wave = order.type === 'maintain' ? order.wave : undefined;
-      await store([encodeVmOrderRecord({ vm, orderedAtMs: clock.wallMs(), wave })]);
+      await store([encodeVmOrderRecord({ vm: order.vm, wave: VmOrders.getWave(order) })]);
     } catch {
       // The writer has told why; this holder has been replaced.
       return 'unrecorded';
--- a/src/fleetHome/WaveCoordinator.ts
+++ b/src/fleetHome/WaveCoordinator.ts
@@ -3,6 +3,7 @@
 import { type Mechanisms, planMaintenance, type TargetLoad } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm } from '../vms/index.js';
+import { estimateLeftMs } from './estimateLeftMs.js';
 import { isEmpty } from './isEmpty.js';
 import type { VmOrderOutcome, VmOrders } from './VmOrders.js';
 import type { WaveOrder } from './WaveOrder.js';
@@ -22,6 +23,14 @@
   readonly mechanisms: Mechanisms;
 }
 
+interface WaveProgress {
+  readonly wave: number;
+  /** Monotonic time by which every VM has to have begun. */
+  readonly deadlineMs: number;
+  readonly doneVms: readonly string[];
+  readonly status: WaveStatus;
+}
+
 /** Answers that end a VM's part in a wave without a maintenance. */
 const SKIPPED: ReadonlySet<VmOrderOutcome> = new Set(['not-in-wave', 'impossible']);
 
@@ -29,7 +38,7 @@
 export class WaveCoordinator {
   private readonly options: WaveCoordinatorOptions;
 
-  private readonly records = new Map<number, WaveRecord>();
+  private readonly progress = new Map<number, WaveProgress>();
 
   private readonly published = new Map<number, WaveStatus>();
 
@@ -45,7 +54,7 @@
   constructor(options: WaveCoordinatorOptions) {
     this.options = options;
     this.stepTimer = new WaveStepTimer(options.clock);
-    options.records.forEach((record) => this.records.set(record.wave, record));
+    options.records.forEach((record) => this.progress.set(record.wave, this.takeOver(record)));
   }
 
   /**
@@ -72,8 +81,7 @@
     vms: readonly FleetVm[],
     loads: ReadonlyMap<string, TargetLoad>,
   ): Promise<void> {
-    const record = this.getRecord(order);
-    if (record.status === 'running') {
+    if (this.getProgress(order).status === 'running') {
       await this.takeDownEmpty(order, vms, loads);
       this.drainNext(order, vms, loads);
       await this.finish(order, vms);
@@ -81,13 +89,20 @@
     await this.publish(order.wave);
   }
 
-  private getRecord({ wave, withinMs }: WaveOrder): WaveRecord {
-    const known = this.records.get(wave);
+  private takeOver(record: WaveRecord): WaveProgress {
+    const { clock } = this.options;
+    const { wave, doneVms, status } = record;
+    const leftMs = estimateLeftMs(record, clock.wallMs());
+    return { wave, deadlineMs: clock.monotonicMs() + leftMs, doneVms, status };
+  }
+
+  private getProgress({ wave, withinMs }: WaveOrder): WaveProgress {
+    const known = this.progress.get(wave);
     if (known !== undefined) return known;
-    const deadlineAtMs = this.options.clock.wallMs() + withinMs;
-    const record: WaveRecord = { wave, deadlineAtMs, doneVms: [], status: 'running' };
-    this.records.set(wave, record);
-    return record;
+    const deadlineMs = this.options.clock.monotonicMs() + withinMs;
+    const begun: WaveProgress = { wave, deadlineMs, doneVms: [], status: 'running' };
+    this.progress.set(wave, begun);
+    return begun;
   }
 
   private drainNext(
@@ -96,7 +111,7 @@
     loads: ReadonlyMap<string, TargetLoad>,
   ): void {
     const { clock } = this.options;
-    const record = this.records.get(order.wave)!;
+    const progress = this.progress.get(order.wave)!;
     const hasObserved = this.options.mechanisms.has('observed-wave-steps');
     this.drain(
       order,
@@ -105,18 +120,18 @@
         .map(({ vm }) => vm),
     );
     const next = planMaintenance({
-      wave: { ...order, ...record, doneVms: new Set(record.doneVms) },
+      wave: { ...order, ...progress, doneVms: new Set(progress.doneVms) },
       vms,
       loads,
       inProgress: this.listInProgress(order),
-      nowMs: clock.wallMs(),
+      nowMs: clock.monotonicMs(),
       stepMs: hasObserved ? this.stepTimer.expectedMs : undefined,
     });
     this.drain(order, next);
   }
 
   private drain({ wave }: WaveOrder, vms: readonly string[]): void {
-    const { doneVms } = this.records.get(wave)!;
+    const { doneVms } = this.progress.get(wave)!;
     vms.forEach((vm) => {
       this.draining.set(vm, wave);
       this.stepTimer.begin(vm);
@@ -147,7 +162,7 @@
 
   /** VMs whose maintenance an earlier home has ordered, and nobody knows whether it was done. */
   private listInDoubt({ wave }: WaveOrder, vms: readonly FleetVm[]): readonly FleetVm[] {
-    const done = new Set(this.records.get(wave)!.doneVms);
+    const done = new Set(this.progress.get(wave)!.doneVms);
     const inDoubt = new Set(this.options.orders.listInDoubt(wave));
     return vms.filter(({ vm }) => inDoubt.has(vm) && !done.has(vm));
   }
@@ -183,29 +198,33 @@
     const outcome = await orders.give({ type: 'maintain', vm, wave }, targetId);
     if (outcome !== 'accepted' && !SKIPPED.has(outcome)) return false;
     this.draining.delete(vm);
-    const record = this.records.get(wave)!;
-    this.records.set(wave, { ...record, doneVms: [...record.doneVms, vm] });
+    const progress = this.progress.get(wave)!;
+    this.progress.set(wave, { ...progress, doneVms: [...progress.doneVms, vm] });
     return true;
   }
 
   /** Ends a wave once each of its VMs that the platform still lists has begun its maintenance. */
   private async finish({ wave, vms: waveVms }: WaveOrder, vms: readonly FleetVm[]): Promise<void> {
-    const record = this.records.get(wave)!;
-    const done = new Set(record.doneVms);
+    const progress = this.progress.get(wave)!;
+    const done = new Set(progress.doneVms);
     const listed = new Set(vms.map(({ vm }) => vm));
     if (!waveVms.every((vm) => done.has(vm) || !listed.has(vm))) return;
-    this.records.set(wave, { ...record, status: 'completed' });
+    this.progress.set(wave, { ...progress, status: 'completed' });
     this.options.events.write('waveFinished', { wave, doneCount: done.size });
     await this.store(wave);
   }
 
   private store(wave: number): Promise<void> {
-    return this.options.store([encodeWaveRecord(this.records.get(wave)!)]);
+    const { clock, store } = this.options;
+    const { deadlineMs, ...progress } = this.progress.get(wave)!;
+    const leftMs = deadlineMs - clock.monotonicMs();
+    const deadlineAtMs = clock.wallMs() + leftMs;
+    return store([encodeWaveRecord({ ...progress, deadlineAtMs, leftMs })]);
   }
 
   /** Tells operators of a wave; a wave is stored before it is first told, and when it ends. */
   private async publish(wave: number): Promise<void> {
-    const { status } = this.records.get(wave)!;
+    const { status } = this.progress.get(wave)!;
     if (this.published.get(wave) === status) return;
     if (status === 'running') await this.store(wave);
     await this.options.publishStatus(wave, status);
--- a/src/fleetHome/WaveRecord.ts
+++ b/src/fleetHome/WaveRecord.ts
@@ -7,8 +7,13 @@
 /** What is stored of a wave's progress. */
 export interface WaveRecord {
   readonly wave: number;
-  /** Wall-clock time by which every VM has to have begun, in milliseconds since the Unix epoch. */
+  /**
+   * Wall-clock time by which every VM has to have begun, in milliseconds since the Unix epoch, by
+   * the clock of the home that stored it.
+   */
   readonly deadlineAtMs: number;
+  /** Time left until then when the record was written, in milliseconds. */
+  readonly leftMs: number;
   readonly doneVms: readonly string[];
   readonly status: WaveStatus;
 }
@@ -18,6 +23,7 @@
 const recordSchema = z.looseObject({
   wave: z.number(),
   deadlineAtMs: z.number(),
+  leftMs: z.number(),
   doneVms: z.array(z.string()),
   status: z.enum(['running', 'completed']),
 });
--- a/src/jobs/EndedJob.ts
+++ b/src/jobs/EndedJob.ts
@@ -14,15 +14,6 @@
 /** A job as its home knows it: whole while something of it may run. */
 export type KnownJob = DurableJobRow | EndedJob;
 
-/**
- * Tells whether a job is kept as one that has ended.
- * @param job - The job.
- * @returns Whether only its end is known.
- */
-export function isEndedJob(job: KnownJob): job is EndedJob {
-  return !('tasks' in job);
-}
-
 /**
  * Reduces a job to its end, where nothing of it is to run and nothing runs.
  * @param row - The job.
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -14,7 +14,7 @@
   Schedule,
   StepSpec,
 } from './DurableJobSpec.js';
-export { type EndedJob, isEndedJob, type KnownJob, summarizeEnded } from './EndedJob.js';
+export { type EndedJob, type KnownJob, summarizeEnded } from './EndedJob.js';
 export {
   decodeJobRecord,
   durableJobSpecSchema,
--- a/src/systems/PoolPeaks.ts
+++ b/src/systems/PoolPeaks.ts
@@ -18,7 +18,10 @@
 export interface PoolPeak {
   readonly pool: string;
   readonly vmCount: number;
-  /** Wall-clock time in milliseconds since the Unix epoch; a jump of the clock fades little. */
+}
+
+interface SeenPeak extends PoolPeak {
+  /** Monotonic time at which the pool was seen last. */
   readonly seenAtMs: number;
 }
 
@@ -27,14 +30,15 @@
  *
  * Guards against a takeover in the midst of a rush: what a pool has at that moment says nothing of
  * what operators gave it, and a pool that others had just been served from would keep three VMs
- * for its own rush. So an earlier home's peaks are taken over.
+ * for its own rush. So an earlier home's peaks are taken over, as seen at that moment: it stored
+ * each as it changed, and by a time of day that jumps by 40 minutes all would have faded.
  */
 export class PoolPeaks {
   private readonly clock: Clock;
 
-  private readonly peaks: Map<string, PoolPeak>;
+  private readonly peaks: Map<string, SeenPeak>;
 
-  /** When each pool without a known peak was seen first, in wall-clock milliseconds. */
+  /** When each pool without a known peak was seen first, by the monotonic clock. */
   private readonly firstSeenAtMs = new Map<string, number>();
 
   /**
@@ -44,7 +48,8 @@
    */
   constructor(clock: Clock, known: readonly PoolPeak[] = []) {
     this.clock = clock;
-    this.peaks = new Map(known.map((peak) => [peak.pool, peak]));
+    const seenAtMs = clock.monotonicMs();
+    this.peaks = new Map(known.map((peak) => [peak.pool, { ...peak, seenAtMs }]));
     known.forEach(({ pool }) => this.firstSeenAtMs.set(pool, Number.NEGATIVE_INFINITY));
   }
 
@@ -57,7 +62,7 @@
     const usedVms = targets
       .map(({ usedCpuMillicores, cpuMillicores }) => usedCpuMillicores / Math.max(1, cpuMillicores))
       .reduce((sum, share) => sum + share, 0);
-    const seenAtMs = this.clock.wallMs();
+    const seenAtMs = this.clock.monotonicMs();
     const firstSeenAtMs = this.firstSeenAtMs.get(pool) ?? seenAtMs;
     this.firstSeenAtMs.set(pool, firstSeenAtMs);
     const allottedCount = seenAtMs - firstSeenAtMs < ALLOTMENT_WINDOW_MS ? targets.length : 0;
@@ -70,7 +75,7 @@
    * @returns One for each pool that has been seen.
    */
   list(): readonly PoolPeak[] {
-    return [...this.peaks.values()];
+    return [...this.peaks.values()].map(({ pool, vmCount }) => ({ pool, vmCount }));
   }
 
   /**
@@ -89,7 +94,7 @@
   private getPeak(pool: string): number | undefined {
     const peak = this.peaks.get(pool);
     if (peak === undefined) return undefined;
-    const ageMs = Math.max(0, this.clock.wallMs() - peak.seenAtMs);
+    const ageMs = this.clock.monotonicMs() - peak.seenAtMs;
     return peak.vmCount * 0.5 ** (ageMs / HALF_LIFE_MS);
   }
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -1,3 +1,4 @@
+export { alignSubmissions } from './alignSubmissions.js';
 export { checkBudget, type CheckBudgetOptions } from './checkBudget.js';
 export type {
   BudgetVerdict,
--- a/src/systems/planMaintenance.ts
+++ b/src/systems/planMaintenance.ts
@@ -8,8 +8,8 @@
   readonly vms: readonly string[];
   /** Most VMs of the wave that may be down for it at the same time. */
   readonly maxDownCount: number;
-  /** Wall-clock time by which every VM has to have begun, in milliseconds since the Unix epoch. */
-  readonly deadlineAtMs: number;
+  /** Monotonic time by which every VM has to have begun, in milliseconds. */
+  readonly deadlineMs: number;
   /** VMs whose maintenance has begun, or that need none any more. */
   readonly doneVms: ReadonlySet<string>;
 }
@@ -22,7 +22,7 @@
   readonly loads: ReadonlyMap<string, TargetLoad>;
   /** VMs that are being drained for the wave or are down for it. */
   readonly inProgress: ReadonlySet<string>;
-  /** Wall-clock time in milliseconds since the Unix epoch. */
+  /** Monotonic time in milliseconds. */
   readonly nowMs: number;
   /** Time that a VM is out, in milliseconds, as seen; {@link STEP_MS} where it is absent. */
   readonly stepMs?: number;
@@ -54,7 +54,7 @@
     ({ vm, state }) =>
       inWave.has(vm) && !wave.doneVms.has(vm) && !inProgress.has(vm) && state === 'up',
   );
-  const leftMs = wave.deadlineAtMs - SPARE_MS - nowMs;
+  const leftMs = wave.deadlineMs - SPARE_MS - nowMs;
   const neededCount = countNeededAtOnce(remaining.length + inProgress.size, leftMs, stepMs);
   const isLate = neededCount > wave.maxDownCount;
   const freeCount = Math.min(wave.maxDownCount, neededCount + 1) - inProgress.size;
--- a/src/taskHome/PartitionOpening.ts
+++ b/src/taskHome/PartitionOpening.ts
@@ -7,7 +7,6 @@
   type EndedJob,
   type JobProgress,
   type JobRecord,
-  type KnownJob,
   restoreJobRow,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
@@ -37,7 +36,9 @@
   readonly term: number;
   /** Number of the append that opened it; later ones follow. */
   readonly sequence: number;
-  readonly jobs: readonly KnownJob[];
+  readonly jobs: readonly DurableJobRow[];
+  /** Jobs of which nothing runs any more. */
+  readonly endedJobs: readonly EndedJob[];
   /** All records of the partition, for what else is kept there. */
   readonly records: readonly KeyedRecord[];
 }
@@ -77,7 +78,7 @@
 function joinRecords(
   records: readonly JobRecord[],
   options: PartitionOpeningOptions,
-): readonly KnownJob[] {
+): Pick<OpenedPartition, 'jobs' | 'endedJobs'> {
   const specs = new Map<string, DurableJobSpec>();
   const progresses = new Map<string, JobProgress>();
   const ended = new Map<string, EndedJob>();
@@ -86,11 +87,11 @@
     if (record.type === 'progress') progresses.set(record.jobId, record.progress);
     if (record.type === 'ended') ended.set(record.jobId, record.ended);
   });
-  const rows = [...specs.values()]
+  const jobs = [...specs.values()]
     .filter(({ jobId }) => !ended.has(jobId))
     .map((spec) => restoreOrLog(spec, progresses.get(spec.jobId), options))
     .toSorted((a, b) => a.spec.submittedAtMs - b.spec.submittedAtMs);
-  return [...ended.values(), ...rows];
+  return { jobs, endedJobs: [...ended.values()] };
 }
 
 function readTerm(records: readonly KeyedRecord[]): number {
@@ -158,8 +159,7 @@
     });
     if (result.type !== 'appended') return undefined;
     const decoded = decodeReadable(records, decodeJobRecord, this.options);
-    const jobs = joinRecords(decoded, this.options);
-    return { term, sequence, jobs, records };
+    return { term, sequence, records, ...joinRecords(decoded, this.options) };
   }
 
   private take(record: KeyedRecord): void {
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -3,18 +3,18 @@
 import {
   cancelJob,
   createJobRow,
+  type DurableJobRow,
   type DurableJobSpec,
   type DurableJobState,
   encodeJobRemoval,
-  isEndedJob,
+  type EndedJob,
   isFinished,
-  type KnownJob,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { DurableJobRequest } from '../peers/index.js';
 import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
-import type { Mechanisms, PoolDemand } from '../systems/index.js';
+import { alignSubmissions, type Mechanisms, type PoolDemand } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
 import { describeDemand } from './describeDemand.js';
@@ -40,7 +40,8 @@
   readonly term: number;
   /** Number of the append that opened the partition. */
   readonly lastSequence: number;
-  readonly jobs: readonly KnownJob[];
+  readonly jobs: readonly DurableJobRow[];
+  readonly endedJobs: readonly EndedJob[];
   readonly timing: TaskHomeTiming;
   readonly clock: Clock;
   readonly events: EventLog;
@@ -93,7 +94,7 @@
    * @param options - Jobs as they are stored, the term, and the ports.
    */
   constructor(options: TaskHomeOptions) {
-    const { jobs } = options;
+    const { jobs, endedJobs } = options;
     const clock = new SteadyClock(options.clock);
     this.options = { ...options, clock };
     this.wallClock = options.clock;
@@ -126,7 +127,11 @@
       drains: this.drains,
       dueClock: this.wallClock,
     });
-    jobs.forEach((job) => this.restore(job));
+    endedJobs.forEach((job) => this.table.restoreEnded(job));
+    alignSubmissions(jobs, clock.wallMs()).forEach((row) => {
+      this.table.restore(row);
+      this.runs.restore(row);
+    });
   }
 
   /** Term under which this home writes and orders. */
@@ -276,15 +281,6 @@
     this.sessions.close();
   }
 
-  private restore(job: KnownJob): void {
-    if (isEndedJob(job)) {
-      this.table.restoreEnded(job);
-      return;
-    }
-    this.table.restore(job);
-    this.runs.restore(job);
-  }
-
   private replace(): void {
     if (this.isClosed) return;
     this.close();
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -155,7 +155,7 @@
 
   private add(
     partition: number,
-    { term, sequence: lastSequence, jobs, records }: OpenedPartition,
+    { term, sequence: lastSequence, jobs, endedJobs, records }: OpenedPartition,
   ): void {
     const { partitions, directory, homeTiming, events } = this.options;
     const home = new TaskHome({
@@ -165,6 +165,7 @@
       term,
       lastSequence,
       jobs,
+      endedJobs,
       timing: homeTiming,
       getEntries: () => partitions.filterEntries(partition, directory.list()),
       isCertain: () => this.membership.isCertain(),
@@ -172,7 +173,8 @@
     });
     this.homes.set(partition, home);
     if (partitions.isOfFleet(partition)) this.openFleet(partition, home, records);
-    events.write('taskHomeOpened', { partition, term, jobCount: jobs.length });
+    const jobCount = jobs.length + endedJobs.length;
+    events.write('taskHomeOpened', { partition, term, jobCount });
     home.tick();
   }
 
--- a/src/utils/ManualClock.ts
+++ b/src/utils/ManualClock.ts
@@ -4,6 +4,8 @@
 export class ManualClock implements Clock {
   private nowMs: number;
 
+  private wallAheadMs = 0;
+
   /**
    * Starts the clock at a given time.
    * @param startMs - Reading of both clocks at the start, in milliseconds.
@@ -19,7 +21,7 @@
 
   /** {@inheritDoc Clock.wallMs} */
   wallMs(): number {
-    return this.nowMs;
+    return this.nowMs + this.wallAheadMs;
   }
 
   /**
@@ -29,4 +31,12 @@
   advance(byMs: number): void {
     this.nowMs += byMs;
   }
+
+  /**
+   * Lets the time of day alone jump.
+   * @param byMs - Milliseconds to add; negative to jump back.
+   */
+  jump(byMs: number): void {
+    this.wallAheadMs += byMs;
+  }
 }
--- a/tests/fleetHome/VmOrders.test.ts
+++ b/tests/fleetHome/VmOrders.test.ts
@@ -29,7 +29,10 @@
   readonly stored = new Map<string, KeyedRecord>();
 
   store = async (records: readonly KeyedRecord[]): Promise<void> => {
-    records.forEach((record) => this.stored.set(record.key, record));
+    records.forEach((record) => {
+      if (record.value === undefined) this.stored.delete(record.key);
+      else this.stored.set(record.key, record);
+    });
   };
 
   get orderRecords(): readonly VmOrderRecord[] {
@@ -117,15 +120,73 @@
     ]);
   });
 
-  // The successor's clock was two seconds ahead, so that an order half a second old looked older
-  // than the lease, and both holders ordered the same VM.
-  it('takes an order for recent even where the clocks of the holders are seconds apart', async () => {
+  // The successor's clock was 40 minutes ahead, so that an order half a second old looked older
+  // than the lease, and both holders ordered the same VM. Clocks may also be far behind.
+  it.each([40, -40])(
+    'takes an order for recent where the clock of its holder is %i minutes off',
+    async (minutes) => {
+      const world = new OrderWorld();
+      await world.open(1).give(moveOf('vm-1'), undefined);
+      world.clock.advance(500);
+      world.clock.jump(minutes * 60_000);
+      expect(await world.open(2).give(moveOf('vm-1'), undefined)).toBe('too-early');
+    },
+  );
+
+  // Each change of homes cost 3.3 s without the VMs that had been ordered last, however long ago:
+  // without a clock that two holders share, a stored order looks recent for ever.
+  it.each([moveOf, maintenanceOf])(
+    'orders a VM at once whose order lease an earlier holder has seen end (%s)',
+    async (orderOf) => {
+      const world = new OrderWorld();
+      const first = world.open(1);
+      await first.give(orderOf('vm-1'), undefined);
+      world.clock.advance(ORDER_LEASE_MS);
+      await first.settle();
+      expect(world.open(2).listTooEarly()).toEqual(['vm-1']);
+      world.clock.advance(400);
+      await first.settle();
+      expect(await world.open(2).give(orderOf('vm-1'), undefined)).toBe('accepted');
+    },
+  );
+
+  it('sees the lease of an order end that an earlier holder gave', async () => {
     const world = new OrderWorld();
     await world.open(1).give(moveOf('vm-1'), undefined);
-    world.clock.advance(ORDER_LEASE_MS + 2_000);
-    expect(await world.open(2).give(moveOf('vm-1'), undefined)).toBe('too-early');
-    world.clock.advance(60_000);
-    expect(await world.open(3).give(moveOf('vm-1'), undefined)).toBe('accepted');
+    const second = world.open(2);
+    world.clock.advance(ORDER_LEASE_MS + 400);
+    await second.settle();
+    expect(world.open(3).listTooEarly()).toEqual([]);
+  });
+
+  // A VM was ordered by two holders: while the end of an earlier order's lease was on its way to
+  // the store, the holder ordered the VM once more, and the new order passed for settled too.
+  it('takes an order for recent that was given while an earlier one was being settled', async () => {
+    const world = new OrderWorld();
+    const first = world.open(1);
+    await first.give(moveOf('vm-1'), undefined);
+    world.clock.advance(ORDER_LEASE_MS + 400);
+    const settling = first.settle();
+    await first.give(moveOf('vm-1'), undefined);
+    await settling;
+    expect(world.open(2).listTooEarly()).toEqual(['vm-1']);
+    world.clock.advance(ORDER_LEASE_MS + 400);
+    await first.settle();
+    expect(world.open(3).listTooEarly()).toEqual([]);
+  });
+
+  it('settles an order later where the store did not take it', async () => {
+    const world = new OrderWorld();
+    const first = world.open(1);
+    await first.give(moveOf('vm-1'), undefined);
+    world.clock.advance(ORDER_LEASE_MS + 400);
+    const { store } = world;
+    world.store = () => Promise.reject(new Error('away'));
+    await first.settle();
+    world.store = store;
+    expect(world.open(2).listTooEarly()).toEqual(['vm-1']);
+    await first.settle();
+    expect(world.open(2).listTooEarly()).toEqual([]);
   });
 
   // Two holders ordered one VM within the order lease: the successor had counted the lease from the
--- a/tests/fleetHome/WaveCoordinator.test.ts
+++ b/tests/fleetHome/WaveCoordinator.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it, vi } from 'vitest';
+import { estimateLeftMs } from '../../src/fleetHome/estimateLeftMs.js';
 import { decodeVmOrderRecord } from '../../src/fleetHome/VmOrderRecord.js';
 import { type VmOrder, VmOrders } from '../../src/fleetHome/VmOrders.js';
 import { WaveCoordinator } from '../../src/fleetHome/WaveCoordinator.js';
@@ -22,7 +23,7 @@
   const deadlineAtMs = clock.wallMs() + ORDER.withinMs;
   return new WaveCoordinator({
     orders,
-    records: [{ wave: 1, deadlineAtMs, doneVms, status: 'running' }],
+    records: [{ wave: 1, deadlineAtMs, leftMs: ORDER.withinMs, doneVms, status: 'running' }],
     listWaveOrders: () => [ORDER],
     store: async () => undefined,
     publishStatus: async () => undefined,
@@ -52,7 +53,54 @@
   return given;
 }
 
+/** Counts the VMs that a coordinator drains of a large wave while the time of day jumps. */
+async function countDrained(jumpMs: number): Promise<number> {
+  const clock = new ManualClock(1_000_000);
+  const names = Array.from({ length: 40 }, (_vm, number) => `m${number}`);
+  const order = { wave: 1, vms: names, withinMs: 120_000, maxDownCount: 20 };
+  const vms = names.map((vm): FleetVm => ({ vm, pool: 'pages', state: 'up', targetId: vm }));
+  const orders: Pick<VmOrders, 'listAway' | 'listTooEarly' | 'listInDoubt'> = {
+    listAway: () => [],
+    listTooEarly: () => [],
+    listInDoubt: () => [],
+  };
+  const events = new MemoryEventLog();
+  const coordinator = new WaveCoordinator({
+    orders: orders as VmOrders,
+    records: [],
+    listWaveOrders: () => [order],
+    store: async () => undefined,
+    publishStatus: async () => undefined,
+    clock,
+    events,
+    mechanisms: ALL_MECHANISMS,
+  });
+  const loads = new Map(names.map((vm) => [vm, { ...IDLE, targetId: vm, runCount: 1 }]));
+  await coordinator.advance(vms, loads);
+  clock.jump(jumpMs);
+  await coordinator.advance(vms, loads);
+  return events.events.filter(({ event }) => event === 'vmDraining').length;
+}
+
+describe('estimateLeftMs', () => {
+  const record = { deadlineAtMs: 1_100_000, leftMs: 100_000 };
+
+  it('counts the time since the record by the clocks', () => {
+    expect(estimateLeftMs(record, 1_005_000)).toBe(95_000);
+  });
+
+  it.each([40, -40])('takes what was left where the clocks are %i minutes apart', (minutes) => {
+    expect(estimateLeftMs(record, 1_005_000 + minutes * 60_000)).toBe(100_000);
+  });
+});
+
 describe('WaveCoordinator', () => {
+  // Half of a pool was emptied at once for a wave that had minutes left: the clock of its home had
+  // jumped ahead by 40 minutes, and the wave looked late.
+  it.each([40, -40])('goes on as planned while the clock jumps by %i minutes', async (minutes) => {
+    expect(await countDrained(minutes * 60_000)).toBe(await countDrained(0));
+  });
+
   // Ten VMs of a wave were down where nine were allowed: the home of the fleet had changed, and the
   // next one counted its own orders alone.
   it('counts the VMs that an earlier home has taken down', async () => {
@@ -82,7 +130,8 @@
     vi.spyOn(fleet, 'maintainVm').mockRejectedValueOnce(new Error('no answer'));
     await first.give({ type: 'maintain', vm: 'm1', wave: 1 }, 't1');
     clock.advance(2 * ORDER_LEASE_MS);
-    const orderRecords = stored.map((record) => decodeVmOrderRecord(record)!);
+    await first.settle();
+    const orderRecords = stored.slice(-1).map((record) => decodeVmOrderRecord(record)!);
     const orders = new VmOrders({ ...common, holder: 'b', term: 2, orderRecords, store });
     const coordinator = createCoordinator(orders, clock);
     const loads = new Map([
--- a/tests/systems/PoolPeaks.test.ts
+++ b/tests/systems/PoolPeaks.test.ts
@@ -51,6 +51,20 @@
     ]);
   });
 
+  // The pools of a whole fleet kept three VMs each after the clock of its home had jumped ahead by
+  // 40 minutes for six seconds: every peak was forgotten as if nobody had used it for as long.
+  it('keeps a peak while the time of day jumps, also over a change of homes', () => {
+    const clock = new ManualClock();
+    const earlier = new PoolPeaks(clock);
+    earlier.note(makeDemand('a', fill(40, VM_CORES)));
+    clock.jump(2_400_000);
+    earlier.note(makeDemand('a', fill(4, 0)));
+    expect(earlier.getKeptCounts().get('a')).toBe(10);
+    const peaks = new PoolPeaks(clock, earlier.list());
+    clock.jump(2_400_000);
+    expect(peaks.getKeptCounts().get('a')).toBe(10);
+  });
+
   it('forgets a peak slowly', () => {
     const clock = new ManualClock();
     const peaks = new PoolPeaks(clock);
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -45,7 +45,7 @@
     wave: 1,
     vms: names,
     maxDownCount,
-    deadlineAtMs: NOW_MS + leftMs,
+    deadlineMs: NOW_MS + leftMs,
     doneVms: new Set(doneVms),
   });
   const plan = (
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -115,6 +115,7 @@
       term: opened!.term,
       lastSequence: opened!.sequence,
       jobs: opened!.jobs,
+      endedJobs: opened!.endedJobs,
       timing: {
         targetLeaseMs: this.leaseMs,
         targetWaitMs: 10,
