Let no heartbeat hide what tests of silent connections look for

The mutants of the two guards in PeerLink were not caught: the server's own heartbeats of 10 ms ended or kept the connection. Both ends now have rare ones there. The mutant of an ended job's age is made certain (by the process's first 300 ms it was not).

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -286,7 +286,7 @@
     failure: 'an ended job that is denied, as homes tell its age by clocks that are apart',
     file: 'src/taskHome/JobTable.ts',
     find: 'knownSinceMs: this.clock.monotonicMs() });',
-    replace: 'knownSinceMs: 0 });',
+    replace: 'knownSinceMs: Number.NEGATIVE_INFINITY });',
     test: 'tests/taskHome/endedJobs.test.ts',
     name: 'are forgotten once their home has known their end',
   },
--- a/tests/peers/PeerClient.test.ts
+++ b/tests/peers/PeerClient.test.ts
@@ -14,6 +14,8 @@
 const HOST = '127.0.0.1';
 const LONG_MS = 30_000;
 const heartbeat = { heartbeatMs: 10, silentHeartbeatLimit: 10 };
+/** So rare that no test meets one. */
+const rareHeartbeat = { heartbeatMs: 60_000, silentHeartbeatLimit: 2 };
 const reopen = { reopenMinMs: 5, reopenMaxMs: 20 };
 const cleanups: (() => unknown)[] = [];
 
@@ -24,17 +26,22 @@
 
 const explain = (subject: string): PeerRequest => ({ type: 'explain', subject });
 
-async function startServer(handler: PeerHandler = echo, instance = 'b', port = 0) {
+async function startServer(
+  handler: PeerHandler = echo,
+  instance = 'b',
+  port = 0,
+  options = { heartbeat },
+) {
   const events = new MemoryEventLog();
-  const server = new PeerServer({ instance, host: HOST, port, handler, events, heartbeat });
+  const server = new PeerServer({ instance, host: HOST, port, handler, events, ...options });
   const address = await server.start();
   cleanups.push(() => server.stop());
   return { server, events, peer: { instance, host: HOST, port: address.port } };
 }
 
-function createClient() {
+function createClient(options = { heartbeat }) {
   const events = new MemoryEventLog();
-  const client = new PeerClient({ instance: 'a', events, heartbeat, reopen });
+  const client = new PeerClient({ instance: 'a', events, reopen, ...options });
   cleanups.push(() => client.close());
   return { client, events };
 }
@@ -188,14 +195,12 @@
   // After all connections between instances had gone silent, callers waited on each entry for 4 s:
   // one call after the other was sent on the dead connection, until heartbeats had found that out.
   it('leaves a connection on which a call met silence, before heartbeats find it', async () => {
-    const { peer } = await startServer();
+    const options = { heartbeat: rareHeartbeat };
+    const { peer } = await startServer(echo, 'b', 0, options);
     const forwarder = new TcpForwarder(peer.port);
     const port = await forwarder.start();
     cleanups.push(() => forwarder.stop());
-    const rare = { heartbeatMs: 60_000, silentHeartbeatLimit: 2 };
-    const events = new MemoryEventLog();
-    const client = new PeerClient({ instance: 'a', events, heartbeat: rare, reopen });
-    cleanups.push(() => client.close());
+    const { client, events } = createClient(options);
     const through = { ...peer, port };
     await client.call(through, explain('before'), LONG_MS);
     forwarder.forgetConnections();
@@ -206,12 +211,13 @@
 
   // A home that waits for the store answers no call in time, and is not gone: its connections stay.
   it('keeps a connection whose peer answers pings while a call gets no reply', async () => {
-    const { peer } = await startServer((from, request) =>
+    const options = { heartbeat: rareHeartbeat };
+    const handler: PeerHandler = (from, request) =>
       request.type === 'explain' && request.subject === 'never'
         ? new Promise(() => {})
-        : echo(from, request),
-    );
-    const { client, events } = createClient();
+        : echo(from, request);
+    const { peer } = await startServer(handler, 'b', 0, options);
+    const { client, events } = createClient(options);
     await expect(client.call(peer, explain('never'), 1_250)).rejects.toThrow('in time');
     await client.call(peer, explain('after'), 1_250);
     expect(events.events.map(({ event }) => event)).not.toContain('peerLost');
