--- a/tests/peers/PeerClient.test.ts
+++ b/tests/peers/PeerClient.test.ts
@@ -218,6 +218,7 @@
         : echo(from, request);
     const { peer } = await startServer(handler, 'b', 0, options);
     const { client, events } = createClient(options);
+    await client.call(peer, explain('before'), 1_250);
     await expect(client.call(peer, explain('never'), 1_250)).rejects.toThrow('in time');
     await client.call(peer, explain('after'), 1_250);
     expect(events.events.map(({ event }) => event)).not.toContain('peerLost');
