--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -326,7 +326,7 @@
     failure: 'a connection that is left though its peer only waits for the store',
     file: 'src/peers/PeerLink.ts',
     find: 'PeerLink.findSilent(call)?.ping();',
-    replace: '',
+    replace: '{}',
     test: 'tests/peers/PeerClient.test.ts',
     name: 'keeps a connection whose peer answers pings while a call gets no reply',
   },
