--- a/src/fleetHome/WaveRecord.ts
+++ b/src/fleetHome/WaveRecord.ts
@@ -12,8 +12,8 @@
    * the clock of the home that stored it.
    */
   readonly deadlineAtMs: number;
-  /** Time left until then when the record was written, in milliseconds. */
-  readonly leftMs: number;
+  /** Time left until then when the record was written, in milliseconds; absent in older records. */
+  readonly leftMs?: number;
   readonly doneVms: readonly string[];
   readonly status: WaveStatus;
 }
@@ -23,7 +23,7 @@
 const recordSchema = z.looseObject({
   wave: z.number(),
   deadlineAtMs: z.number(),
-  leftMs: z.number(),
+  leftMs: z.number().optional(),
   doneVms: z.array(z.string()),
   status: z.enum(['running', 'completed']),
 });
--- a/src/fleetHome/estimateLeftMs.ts
+++ b/src/fleetHome/estimateLeftMs.ts
@@ -18,6 +18,7 @@
   nowMs: number,
 ): number {
   const byClocksMs = deadlineAtMs - nowMs;
+  if (leftMs === undefined) return byClocksMs;
   const sinceRecordMs = leftMs - byClocksMs;
   return sinceRecordMs >= 0 && sinceRecordMs <= MAX_GAP_MS ? byClocksMs : leftMs;
 }
--- a/src/store/KeyedFollower.ts
+++ b/src/store/KeyedFollower.ts
@@ -72,10 +72,8 @@
       await this.readAll();
       return true;
     }
-    const result = await store.readFrom({
-      ...{ topic, partition, fromOffset, waitMs },
-      maxCount: maxBehindCount,
-    });
+    const maxCount = maxBehindCount;
+    const result = await store.readFrom({ topic, partition, fromOffset, waitMs, maxCount });
     if (result.type === 'expired') {
       this.nextOffset = undefined;
       return true;
--- a/tests/fleetHome/WaveCoordinator.test.ts
+++ b/tests/fleetHome/WaveCoordinator.test.ts
@@ -89,6 +89,10 @@
     expect(estimateLeftMs(record, 1_005_000)).toBe(95_000);
   });
 
+  it('goes by the clocks where the record says nothing else', () => {
+    expect(estimateLeftMs({ deadlineAtMs: 1_100_000 }, 1_000_000)).toBe(100_000);
+  });
+
   it.each([40, -40])('takes what was left where the clocks are %i minutes apart', (minutes) => {
     expect(estimateLeftMs(record, 1_005_000 + minutes * 60_000)).toBe(100_000);
   });
