--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -3,19 +3,14 @@
 import {
   cancelJob,
   createJobRow,
-  type DurableJobRow,
   type DurableJobSpec,
   type DurableJobState,
   encodeJobRemoval,
-  type EndedJob,
   isFinished,
 } from '../jobs/index.js';
-import type { EventLog } from '../logging/index.js';
-import type { Metrics } from '../metrics/index.js';
 import type { DurableJobRequest } from '../peers/index.js';
-import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
-import { alignSubmissions, type Mechanisms, type PoolDemand } from '../systems/index.js';
-import type { LeasedTargetPort } from '../targets/index.js';
+import type { KeyedRecord } from '../store/index.js';
+import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
 import { describeDemand } from './describeDemand.js';
 import { JobTable } from './JobTable.js';
@@ -24,36 +19,11 @@
 import { PoolArrivals } from './PoolArrivals.js';
 import { RecordWriter } from './RecordWriter.js';
 import { TargetDrains } from './TargetDrains.js';
-import type { TargetEntries } from './TargetEntry.js';
 import type { TargetReport } from './TargetSession.js';
 import { TargetSessions } from './TargetSessions.js';
-import type { TaskHomeTiming } from './TaskHomeTiming.js';
+import type { TaskHomeOptions } from './TaskHomeOptions.js';
 import { TaskRuns } from './TaskRuns.js';
 
-/** Options of {@link TaskHome}. */
-export interface TaskHomeOptions {
-  readonly store: KeyedLogPort;
-  readonly targets: LeasedTargetPort;
-  readonly topic: string;
-  readonly partition: number;
-  readonly producer: string;
-  readonly term: number;
-  /** Number of the append that opened the partition. */
-  readonly lastSequence: number;
-  readonly jobs: readonly DurableJobRow[];
-  readonly endedJobs: readonly EndedJob[];
-  readonly timing: TaskHomeTiming;
-  readonly clock: Clock;
-  readonly events: EventLog;
-  readonly metrics: Metrics;
-  readonly mechanisms: Mechanisms;
-  readonly getEntries: () => TargetEntries;
-  /** Whether this instance certainly still is the home at this moment. */
-  readonly isCertain: () => boolean;
-  /** Called once where another home has taken over. */
-  readonly onReplaced: () => void;
-}
-
 /** What the fleet's home tells and asks about a pool. */
 type PoolSync = Omit<Extract<DurableJobRequest, { readonly type: 'sync-pool' }>, 'type'>;
 
--- /dev/null
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -0,0 +1,33 @@
+import type { DurableJobRow, EndedJob } from '../jobs/index.js';
+import type { EventLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
+import type { KeyedLogPort } from '../store/index.js';
+import type { Mechanisms } from '../systems/index.js';
+import type { LeasedTargetPort } from '../targets/index.js';
+import type { Clock } from '../utils/index.js';
+import type { TargetEntries } from './TargetEntry.js';
+import type { TaskHomeTiming } from './TaskHomeTiming.js';
+
+/** What a home of a partition takes over, and the ports that it works through. */
+export interface TaskHomeOptions {
+  readonly store: KeyedLogPort;
+  readonly targets: LeasedTargetPort;
+  readonly topic: string;
+  readonly partition: number;
+  readonly producer: string;
+  readonly term: number;
+  /** Number of the append that opened the partition. */
+  readonly lastSequence: number;
+  readonly jobs: readonly DurableJobRow[];
+  readonly endedJobs: readonly EndedJob[];
+  readonly timing: TaskHomeTiming;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly mechanisms: Mechanisms;
+  readonly getEntries: () => TargetEntries;
+  /** Whether this instance certainly still is the home at this moment. */
+  readonly isCertain: () => boolean;
+  /** Called once where another home has taken over. */
+  readonly onReplaced: () => void;
+}
--- a/src/utils/HttpExchange.ts
+++ b/src/utils/HttpExchange.ts
@@ -1,4 +1,9 @@
-import { type Agent, type ClientRequest, type IncomingMessage, request as open } from 'node:http';
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request as openRequest,
+} from 'node:http';
 import type { HttpAnswer, HttpRequest } from './HttpClient.js';
 
 /** Options of {@link HttpExchange}. */
@@ -27,7 +32,7 @@
     this.options = options;
     const { agent, host, port, request } = options;
     const { method, path, headers = {} } = request;
-    this.outgoing = open({ agent, host, port, method, path, headers });
+    this.outgoing = openRequest({ agent, host, port, method, path, headers });
   }
 
   /**
