--- a/scripts/buildDaemon.ts
+++ b/scripts/buildDaemon.ts
@@ -1,12 +1,14 @@
+/**
+ * Builds the daemon of the users' platform into the folder that is named: the program in one file,
+ * what the engine has compiled of it, and the launcher that starts it from both. The engine has to
+ * run under the flags under which the daemon will.
+ */
 import { rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { build, type BuildOptions } from 'esbuild';
 import { BUNDLE_FILE, COMPILED_FILE, LAUNCHER_FILE } from '../src/launcher/files.js';
 import { ProgramBundle } from '../src/launcher/index.js';
 
-// Builds the daemon of the users' platform into one folder: the program in one file, what the
-// engine has compiled of it, and the launcher that starts it from both.
-
 const OPTIONS: BuildOptions = {
   bundle: true,
   platform: 'node',
@@ -17,7 +19,7 @@
   minifySyntax: true,
   minifyWhitespace: true,
   legalComments: 'none',
-  // Finds its compiled part by its own folder.
+  // A native part that is found from the folder of its own package.
   external: ['cbor-extract'],
   logLevel: 'warning',
 };
--- a/tests/launcher/builtDaemon.test.ts
+++ b/tests/launcher/builtDaemon.test.ts
@@ -41,13 +41,23 @@
     const { port } = store.address() as AddressInfo;
     const [peerPort, metricsPort] = await Promise.all([findFreePort(), findFreePort()]);
     const settings = {
-      ...{ name: 'entry-1', host: '127.0.0.1', dataCentre: 'north' },
-      ...{ coreShare: 0.3, coreSpeed: 1, linkMbps: 10, peerPort, metricsPort },
+      name: 'entry-1',
+      host: '127.0.0.1',
+      dataCentre: 'north',
+      coreShare: 0.3,
+      coreSpeed: 1,
+      linkMbps: 10,
+      peerPort,
+      metricsPort,
       callersAddress: '127.0.0.1:0',
       readyAddress: '127.0.0.1:0',
-      ...{ storeAddress: `127.0.0.1:${port}`, storePartitionCount: 4, storeMinTtlMs: 1_000 },
-      ...{ vmsAddress: `127.0.0.1:${port}`, longestTargetLeaseMs: 6_000 },
-      ...{ keepFinishedS: 120, orderLeaseMs: 3_000 },
+      storeAddress: `127.0.0.1:${port}`,
+      storePartitionCount: 4,
+      storeMinTtlMs: 1_000,
+      vmsAddress: `127.0.0.1:${port}`,
+      longestTargetLeaseMs: 6_000,
+      keepFinishedS: 120,
+      orderLeaseMs: 3_000,
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
   });
