Let one piece tell long-running jobs, refused VM orders and the fixtures of tests

Cause: read again, the change said four things a second time. alignSubmissions had the opposite of the test for long-running jobs that orderJobs has; WaveCoordinator had the set of refusals that VmOrders has; an order's wave was worked out three times; three tests of task homes, and two of entries, set up the same world and the same job. Change: isLongRunning stands in src/jobs and both systems call it; NEVER_CARRIED_OUT of VmOrders serves the waves; an order's record is made once and stored as noted; a call's ping timer is a field of its own, where the length of a list told of it. Tests share useHomeWorld and makeJob; their assertions are the same, also the one after each test. Ruled out: one piece for the options of task homes, orders and memberships, which only look alike; the lists of imports of the store's ports; the mutants, which are data.

--- a/scripts/fleetMutants.ts
+++ b/scripts/fleetMutants.ts
@@ -15,7 +15,7 @@
   {
     failure: 'an order of a holder that was replaced',
     file: 'src/fleetHome/VmOrders.ts',
-    find: '(await this.record(order, orderedAtMs)) ?? (await this.send(order))',
+    find: '(await this.record(record, orderedAtMs)) ?? (await this.send(order))',
     replace: 'await this.send(order)',
     test: ORDERS_TEST,
     name: 'gives no order that could not be stored',
--- a/src/fleetHome/RecentOrders.ts
+++ b/src/fleetHome/RecentOrders.ts
@@ -74,10 +74,9 @@
   /**
    * Takes note that an order may be carried out from now on; called before it is stored, and once
    * more when its call has ended.
-   * @param vm - The VM.
-   * @param wave - Wave of a maintenance; undefined for a move.
+   * @param order - The order as it is stored.
    */
-  note(vm: string, wave: number | undefined): void {
+  note({ vm, wave }: VmOrderRecord): void {
     this.recent.set(vm, { wave, givenAtMs: this.options.clock.monotonicMs() });
   }
 
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -1,7 +1,7 @@
 import type { EventLog } from '../logging/index.js';
 import type { FleetVm, VmFleetPort, VmOrderAnswer, VmOrderRefusal } from '../vms/index.js';
 import { RecentOrders, type RecentOrdersOptions } from './RecentOrders.js';
-import { encodeVmOrderRecord } from './VmOrderRecord.js';
+import { encodeVmOrderRecord, type VmOrderRecord } from './VmOrderRecord.js';
 
 /** Something that is to be done to a VM. */
 export type VmOrder =
@@ -25,7 +25,10 @@
   'accepted' | VmOrderRefusal | 'unanswered' | 'too-early' | 'unrecorded' | 'outdated';
 
 /** Refusals after which the order, sent once or twice, will never be carried out. */
-const NEVER_CARRIED_OUT: ReadonlySet<VmOrderOutcome> = new Set(['not-in-wave', 'impossible']);
+export const NEVER_CARRIED_OUT: ReadonlySet<VmOrderOutcome> = new Set([
+  'not-in-wave',
+  'impossible',
+]);
 
 interface Away {
   readonly order: VmOrder;
@@ -118,10 +121,6 @@
     return this.recent.settle();
   }
 
-  private static getWave(order: VmOrder): number | undefined {
-    return order.type === 'maintain' ? order.wave : undefined;
-  }
-
   /**
    * Takes note of which VMs are back.
    * @param vms - The VMs as listed.
@@ -159,9 +158,10 @@
     const targetIdBefore = before?.targetIdBefore ?? targetId;
     const away: Away = { order, targetIdBefore, orderedAtMs };
     this.away.set(order.vm, away);
-    this.recent.note(order.vm, VmOrders.getWave(order));
-    const outcome = (await this.record(order, orderedAtMs)) ?? (await this.send(order));
-    this.recent.note(order.vm, VmOrders.getWave(order));
+    const record = { vm: order.vm, wave: order.type === 'maintain' ? order.wave : undefined };
+    this.recent.note(record);
+    const outcome = (await this.record(record, orderedAtMs)) ?? (await this.send(order));
+    this.recent.note(record);
     this.noteOutcome(away, outcome, before);
     this.report(order, outcome);
     return outcome;
@@ -184,12 +184,12 @@
 
   /** Stores that an order is about to be given; tells why it must not be given, if so. */
   private async record(
-    order: VmOrder,
+    record: VmOrderRecord,
     orderedAtMs: number,
   ): Promise<'unrecorded' | 'outdated' | undefined> {
     const { clock, store } = this.options;
     try {
-      await store([encodeVmOrderRecord({ vm: order.vm, wave: VmOrders.getWave(order) })]);
+      await store([encodeVmOrderRecord(record)]);
     } catch {
       // The writer has told why; this holder has been replaced.
       return 'unrecorded';
--- a/src/fleetHome/WaveCoordinator.ts
+++ b/src/fleetHome/WaveCoordinator.ts
@@ -5,7 +5,7 @@
 import type { FleetVm } from '../vms/index.js';
 import { estimateLeftMs } from './estimateLeftMs.js';
 import { isEmpty } from './isEmpty.js';
-import type { VmOrderOutcome, VmOrders } from './VmOrders.js';
+import { NEVER_CARRIED_OUT, type VmOrders } from './VmOrders.js';
 import type { WaveOrder } from './WaveOrder.js';
 import { encodeWaveRecord, type WaveRecord, type WaveStatus } from './WaveRecord.js';
 import { WaveStepTimer } from './WaveStepTimer.js';
@@ -31,9 +31,6 @@
   readonly status: WaveStatus;
 }
 
-/** Answers that end a VM's part in a wave without a maintenance. */
-const SKIPPED: ReadonlySet<VmOrderOutcome> = new Set(['not-in-wave', 'impossible']);
-
 /** Leads waves of maintenance: empties VMs, takes them down, and tells how far the waves are. */
 export class WaveCoordinator {
   private readonly options: WaveCoordinatorOptions;
@@ -192,11 +189,11 @@
     if (outcomes.includes(true)) await this.store(order.wave);
   }
 
-  /** Takes a VM down; tells whether its part in the wave is done. */
+  /** Takes a VM down; tells whether its part in the wave is done, or never comes. */
   private async takeDown({ wave }: WaveOrder, { vm, targetId }: FleetVm): Promise<boolean> {
     const { orders } = this.options;
     const outcome = await orders.give({ type: 'maintain', vm, wave }, targetId);
-    if (outcome !== 'accepted' && !SKIPPED.has(outcome)) return false;
+    if (outcome !== 'accepted' && !NEVER_CARRIED_OUT.has(outcome)) return false;
     this.draining.delete(vm);
     const progress = this.progress.get(wave)!;
     this.progress.set(wave, { ...progress, doneVms: [...progress.doneVms, vm] });
--- a/src/jobs/DurableJobRow.ts
+++ b/src/jobs/DurableJobRow.ts
@@ -70,3 +70,12 @@
 export function isFinished(row: DurableJobRow): boolean {
   return row.state === 'completed' || row.state === 'failed' || row.state === 'cancelled';
 }
+
+/**
+ * Tells whether a job has tasks that run until it is cancelled.
+ * @param row - The job.
+ * @returns Whether one of its steps is of that kind.
+ */
+export function isLongRunning({ spec }: DurableJobRow): boolean {
+  return spec.steps.some((step) => step.isLongRunning);
+}
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -2,6 +2,7 @@
   createJobRow,
   type DurableJobRow,
   isFinished,
+  isLongRunning,
   listPlacedTasks,
   nameTask,
   type TaskAt,
--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -43,7 +43,9 @@
   readonly request: PeerRequest;
   readonly resolve: (reply: PeerReply) => void;
   readonly reject: (error: Error) => void;
-  readonly timers: readonly NodeJS.Timeout[];
+  readonly timer: NodeJS.Timeout;
+  /** Asks for a sign of life; absent where the wait is too short for an answer to that. */
+  readonly pingTimer: NodeJS.Timeout | undefined;
   /** What had arrived on the connection when the call was sent on it. */
   sentAfter?: { readonly connection: PeerConnection; readonly arrivalCount: number };
 }
@@ -103,11 +105,12 @@
     this.lastCallNumber += 1;
     const number = this.lastCallNumber;
     return new Promise((resolve, reject) => {
-      const timers = [setTimeout(() => this.expire(number), Math.min(waitMs, MAX_TIMER_MS))];
-      if (waitMs >= PING_AFTER_MS + MIN_PONG_WAIT_MS) {
-        timers.push(setTimeout(() => this.pingSilent(number), PING_AFTER_MS));
-      }
-      this.calls.set(number, { request, resolve, reject, timers });
+      const timer = setTimeout(() => this.expire(number), Math.min(waitMs, MAX_TIMER_MS));
+      const mayPing = waitMs >= PING_AFTER_MS + MIN_PONG_WAIT_MS;
+      const pingTimer = mayPing
+        ? setTimeout(() => this.pingSilent(number), PING_AFTER_MS)
+        : undefined;
+      this.calls.set(number, { request, resolve, reject, timer, pingTimer });
       this.unsent.add(number);
       if (this.connected) this.sendAll();
       else if (!this.connection && !this.reopenTimer) this.open();
@@ -165,7 +168,8 @@
     this.calls.delete(number);
     this.parts.delete(number);
     this.unsent.delete(number);
-    call.timers.forEach((timer) => clearTimeout(timer));
+    clearTimeout(call.timer);
+    clearTimeout(call.pingTimer);
     return call;
   }
 
@@ -218,7 +222,7 @@
     const call = this.take(number);
     call.reject(this.createError(`did not reply to ${call.request.type} in time`));
     // What came while this process was held up is read within this turn, and shows a live peer.
-    if (call.timers.length > 1) setImmediate(() => PeerLink.leaveSilent(call));
+    if (call.pingTimer !== undefined) setImmediate(() => PeerLink.leaveSilent(call));
   }
 
   private pingSilent(number: number): void {
--- a/src/systems/alignSubmissions.ts
+++ b/src/systems/alignSubmissions.ts
@@ -1,12 +1,8 @@
-import type { DurableJobRow } from '../jobs/index.js';
+import { type DurableJobRow, isLongRunning } from '../jobs/index.js';
 
 /** Age of the newest job of a pool at a takeover from which two clocks disagree, in ms. */
 const MAX_NEWEST_AGE_MS = 60_000;
 
-function isBounded({ spec }: DurableJobRow): boolean {
-  return spec.steps.every(({ isLongRunning }) => !isLongRunning);
-}
-
 function submitAt(row: DurableJobRow, submittedAtMs: number): DurableJobRow {
   return { ...row, spec: { ...row.spec, submittedAtMs } };
 }
@@ -26,12 +22,14 @@
   rows: readonly DurableJobRow[],
   nowMs: number,
 ): readonly DurableJobRow[] {
-  const times = rows.filter(isBounded).map(({ spec }) => Math.min(nowMs, spec.submittedAtMs));
+  const times = rows
+    .filter((row) => !isLongRunning(row))
+    .map(({ spec }) => Math.min(nowMs, spec.submittedAtMs));
   const newestAgeMs = nowMs - Math.max(...times);
   const shiftMs = times.length > 0 && newestAgeMs > MAX_NEWEST_AGE_MS ? newestAgeMs : 0;
   return rows.map((row) => {
     const { submittedAtMs } = row.spec;
-    const alignedMs = Math.min(nowMs, submittedAtMs + (isBounded(row) ? shiftMs : 0));
+    const alignedMs = Math.min(nowMs, submittedAtMs + (isLongRunning(row) ? 0 : shiftMs));
     return alignedMs === submittedAtMs ? row : submitAt(row, alignedMs);
   });
 }
--- a/src/systems/orderJobs.ts
+++ b/src/systems/orderJobs.ts
@@ -1,12 +1,8 @@
-import { type DurableJobRow, isFinished } from '../jobs/index.js';
+import { type DurableJobRow, isFinished, isLongRunning } from '../jobs/index.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
 import type { RunTimes } from './RunTimes.js';
 
-function isLongRunning({ spec }: DurableJobRow): boolean {
-  return spec.steps.some((step) => step.isLongRunning);
-}
-
 /** Options of {@link orderJobs}. */
 export interface OrderJobsOptions {
   readonly runTimes: RunTimes;
--- a/tests/entry/GrantAsker.test.ts
+++ b/tests/entry/GrantAsker.test.ts
@@ -3,25 +3,12 @@
 import { RattanliftError } from '../../src/errors/index.js';
 import type { PeerReply, PeerRequest } from '../../src/peers/index.js';
 import { ManualClock } from '../../src/utils/index.js';
+import { makeJob } from './makeJob.js';
 
 const DEADLINE_MS = 3_000;
 const GRACE_MS = 500;
 
-const JOB = {
-  requestId: 'r1',
-  pool: 'team/pool',
-  team: 'team',
-  jobKind: 'save',
-  idempotent: true,
-  urgency: 'urgent',
-  coreCount: 1,
-  memoryMb: 1,
-  deadlineAtMs: DEADLINE_MS,
-  isRepeat: false,
-  contentType: 'text/plain',
-  body: Buffer.from(''),
-  fingerprint: 'f',
-} as const;
+const JOB = makeJob({ deadlineAtMs: DEADLINE_MS });
 
 function setUp(answer: (request: PeerRequest) => Promise<PeerReply>) {
   const asked: { readonly type: string; readonly waitMs: number }[] = [];
--- a/tests/entry/JobRun.test.ts
+++ b/tests/entry/JobRun.test.ts
@@ -13,6 +13,7 @@
 import type { PeerReply, PeerRequest } from '../../src/peers/index.js';
 import type { TargetPort, TaskRequest, TaskResult } from '../../src/targets/index.js';
 import { ManualClock } from '../../src/utils/index.js';
+import { makeJob } from './makeJob.js';
 
 const DEADLINE_MS = 60_000;
 
@@ -79,21 +80,7 @@
       createAttemptId: () => `attempt-${grantCount}`,
       waitForHome: async () => clock.advance(500),
     },
-    {
-      requestId: 'r1',
-      pool: 'team/pool',
-      team: 'team',
-      jobKind: 'save',
-      idempotent: script.idempotent,
-      urgency: 'urgent',
-      coreCount: 1,
-      memoryMb: 1,
-      deadlineAtMs: DEADLINE_MS,
-      isRepeat: false,
-      contentType: 'text/plain',
-      body: Buffer.from(''),
-      fingerprint: 'f',
-    },
+    makeJob({ idempotent: script.idempotent, deadlineAtMs: DEADLINE_MS }),
     new AbortController().signal,
   );
   const result = await run.run();
--- /dev/null
+++ b/tests/entry/makeJob.ts
@@ -0,0 +1,21 @@
+import type { Job } from '../../src/entry/Job.js';
+
+/** A job as its entry keeps it; a test changes what it is about. */
+export function makeJob(changes: Partial<Job> = {}): Job {
+  return {
+    requestId: 'r1',
+    pool: 'team/pool',
+    team: 'team',
+    jobKind: 'save',
+    idempotent: true,
+    urgency: 'urgent',
+    coreCount: 1,
+    memoryMb: 1,
+    deadlineAtMs: 3_000,
+    isRepeat: false,
+    contentType: 'text/plain',
+    body: Buffer.from(''),
+    fingerprint: 'f',
+    ...changes,
+  };
+}
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -1,4 +1,4 @@
-import { vi } from 'vitest';
+import { afterEach, beforeEach, expect, vi } from 'vitest';
 import type { DurableJobSpec, StepSpec } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
@@ -160,3 +160,21 @@
     return this.events.events.filter((kept) => kept.event === event).length;
   }
 }
+
+/**
+ * Gives each test of a group a world of its own, and checks after it that no task ran twice.
+ * @param take - Takes the world before the test.
+ */
+export function useHomeWorld(take: (world: HomeWorld) => void): void {
+  let world: HomeWorld;
+
+  beforeEach(() => {
+    world = new HomeWorld();
+    take(world);
+  });
+
+  afterEach(() => {
+    world.close();
+    expect(world.targets.violations).toEqual([]);
+  });
+}
--- a/tests/taskHome/TargetSessions.test.ts
+++ b/tests/taskHome/TargetSessions.test.ts
@@ -1,16 +1,11 @@
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { HomeWorld, makeEntry, makeJob } from './HomeWorld.js';
+import { describe, expect, it, vi } from 'vitest';
+import { type HomeWorld, makeEntry, makeJob, useHomeWorld } from './HomeWorld.js';
 
 describe('TargetSessions', () => {
   let world: HomeWorld;
 
-  beforeEach(() => {
-    world = new HomeWorld();
-  });
-
-  afterEach(() => {
-    world.close();
-    expect(world.targets.violations).toEqual([]);
+  useHomeWorld((created) => {
+    world = created;
   });
 
   // A settlement ran twice: its target had announced its leave and was then cut off from the home
--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -1,16 +1,11 @@
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { HomeWorld, makeEntry, makeJob, makeStep } from './HomeWorld.js';
+import { describe, expect, it, vi } from 'vitest';
+import { type HomeWorld, makeEntry, makeJob, makeStep, useHomeWorld } from './HomeWorld.js';
 
 describe('TaskHome', () => {
   let world: HomeWorld;
 
-  beforeEach(() => {
-    world = new HomeWorld();
-  });
-
-  afterEach(() => {
-    world.close();
-    expect(world.targets.violations).toEqual([]);
+  useHomeWorld((created) => {
+    world = created;
   });
 
   it('runs the steps of a job in their order and tells when it is completed', async () => {
--- a/tests/taskHome/endedJobs.test.ts
+++ b/tests/taskHome/endedJobs.test.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import {
   cancelJob,
   createJobRow,
@@ -9,20 +9,15 @@
 } from '../../src/jobs/index.js';
 import type { KeyedRecord } from '../../src/store/index.js';
 import { SystemClock } from '../../src/utils/index.js';
-import { HomeWorld, makeJob } from './HomeWorld.js';
+import { type HomeWorld, makeJob, useHomeWorld } from './HomeWorld.js';
 
 const END = { jobId: 'a', state: 'completed' } as const;
 
 describe('jobs that have ended', () => {
   let world: HomeWorld;
 
-  beforeEach(() => {
-    world = new HomeWorld();
-  });
-
-  afterEach(() => {
-    world.close();
-    expect(world.targets.violations).toEqual([]);
+  useHomeWorld((created) => {
+    world = created;
   });
 
   const store = (records: readonly KeyedRecord[]) =>
