Bring a VM for tasks that fit beside the long-running ones of no target

Cause: a pool's need was a sum of processor. Five tasks of 29 cores waited, each of the 16 VMs carried a long-running task, and the pool had more than the 106 cores that it needed, so no VM was brought.

Evidence: poolSeen with neededCores=106 waitingCores=145 usedCores=75, unchanged from 43 s on, and the last taskPlaced with 28,700 and 25,000 of 32,000 millicores free. Ruled out: a home that lags (reports 4 ms old), silent or avoided targets (none).

Change: homes tell how many VMs without long-running tasks such tasks need; the fleet's home brings those first, and keeps them. Elsewhere: TargetRoom is the only other judge of room, and goes by target.

--- a/scripts/fleetMutants.ts
+++ b/scripts/fleetMutants.ts
@@ -117,4 +117,12 @@
     test: 'tests/fleetHome/WaveCoordinator.test.ts',
     name: 'takes what was left where the clocks are',
   },
+  {
+    failure: 'a task that waits for good, as each VM of its pool carries a long-running task',
+    file: 'src/systems/countWholeVms.ts',
+    find: 'return Math.ceil(vmShares.reduce((sum, share) => sum + share, 0));',
+    replace: 'return 0 * vmShares.length;',
+    test: 'tests/jobNode/wideTasks.test.ts',
+    name: 'gets a VM without long-running tasks',
+  },
 ];
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -119,6 +119,8 @@
       ),
       waitingCpuMillicores: z.number(),
       neededCpuMillicores: z.number(),
+      // Absent where an instance of an earlier version is asked.
+      wholeVmCount: count.default(0),
       jobCount: count,
     }),
   }),
--- a/src/systems/PoolDemand.ts
+++ b/src/systems/PoolDemand.ts
@@ -19,6 +19,8 @@
    * core; long-running tasks count with what they occupy.
    */
   readonly neededCpuMillicores: number;
+  /** VMs without long-running tasks for tasks that fit beside those of no target. */
+  readonly wholeVmCount: number;
   /** Unfinished jobs. */
   readonly jobCount: number;
 }
--- /dev/null
+++ b/src/systems/countWholeVms.ts
@@ -0,0 +1,67 @@
+import { type DurableJobRow, isFinished, type StepSpec } from '../jobs/index.js';
+import { CATCH_UP_MS, LATE_CATCH_UP_MS } from './catchUpTimes.js';
+import { estimateStartByMs } from './estimateStartByMs.js';
+import { listReadyTasks } from './listReadyTasks.js';
+import type { RunTimes } from './RunTimes.js';
+import { getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
+
+/** What {@link countWholeVms} decides over. */
+export interface CountWholeVmsInput {
+  /** Jobs of one pool. */
+  readonly rows: readonly DurableJobRow[];
+  /** Targets of the pool. */
+  readonly targets: readonly PlacementTarget[];
+  readonly runTimes: RunTimes;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly nowMs: number;
+}
+
+/** Room of each target once all tasks with an end of their own have ended. */
+function listLastingRooms({ rows, targets }: CountWholeVmsInput): readonly TargetRoom[] {
+  const rooms = new Map(
+    targets.map((target) => [target.targetId, new TargetRoom({ ...target, takesTasks: true })]),
+  );
+  rows.forEach((row) =>
+    row.tasks
+      .filter(({ phase, step }) => phase === 'placed' && row.spec.steps[step]!.isLongRunning)
+      .forEach(({ occurrence, step, targetId }) =>
+        rooms.get(targetId!)?.take(getStepKey(row, occurrence, step), row.spec.steps[step]!),
+      ),
+  );
+  return [...rooms.values()];
+}
+
+/**
+ * Counts the VMs without long-running tasks that a pool needs for waiting tasks which fit beside
+ * the long-running ones of no target.
+ *
+ * Guards against an accepted job that never runs: a task of 29 of 32 cores waits for good where
+ * each VM carries a long-running task, and the pool gets no VM as it has processor enough in sum.
+ * Tasks that fit on no empty target either, or that need a label, are left out: another VM may not
+ * help them.
+ * @param input - Jobs and targets of the pool.
+ * @returns How many catch up with such tasks in time.
+ */
+export function countWholeVms(input: CountWholeVmsInput): number {
+  const { rows, targets, runTimes, nowMs } = input;
+  const lastingRooms = listLastingRooms(input);
+  const emptyRooms = targets.map((target) => new TargetRoom({ ...target, takesTasks: true }));
+  const fits = (rooms: readonly TargetRoom[], stepKey: string, step: StepSpec): boolean =>
+    rooms.some((room) => room.accepts(stepKey, step));
+  const vmShares = rows
+    .filter((row) => !isFinished(row))
+    .flatMap((row) => {
+      const isLate = nowMs > estimateStartByMs(row, runTimes);
+      const withinMs = isLate ? LATE_CATCH_UP_MS : CATCH_UP_MS;
+      return listReadyTasks(row, nowMs).map(({ occurrence, step: index, positions }) => {
+        const step = row.spec.steps[index]!;
+        const stepKey = getStepKey(row, occurrence, index);
+        const needsWhole =
+          step.requiredLabel === undefined &&
+          !fits(lastingRooms, stepKey, step) &&
+          fits(emptyRooms, stepKey, step);
+        return needsWhole ? (positions.length * runTimes.estimateMs(row, index)) / withinMs : 0;
+      });
+    });
+  return Math.ceil(vmShares.reduce((sum, share) => sum + share, 0));
+}
--- a/src/systems/estimateNeededCpu.ts
+++ b/src/systems/estimateNeededCpu.ts
@@ -1,4 +1,5 @@
 import { type DurableJobRow, isFinished } from '../jobs/index.js';
+import { CATCH_UP_MS, LATE_CATCH_UP_MS } from './catchUpTimes.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
 import type { RunTimes } from './RunTimes.js';
@@ -21,13 +22,6 @@
 
 /** Time from the order of a VM to its first task, in milliseconds: moving takes 1.5 s of it. */
 const VM_LEAD_MS = 2_000;
-/** Time in which work that was left behind is caught up, in ms: objectives allow 1 to 2 s. */
-const CATCH_UP_MS = 2_000;
-/**
- * Time in which work is caught up that is too late for its objective, in ms. It is worth a tenth by
- * then; with 2 s it held 20 VMs in a pool whose rush was over, for 4 s of the next rush.
- */
-const LATE_CATCH_UP_MS = 10_000;
 
 /** Processor of the tasks of some jobs, in thousandths of a core. */
 interface TaskCpu {
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -7,6 +7,7 @@
   RunVerdict,
   WaveDecision,
 } from './decisions.js';
+export { countWholeVms, type CountWholeVmsInput } from './countWholeVms.js';
 export { estimateNeededCpu, type NeededCpuInput } from './estimateNeededCpu.js';
 export { getFailureDomain } from './getFailureDomain.js';
 export { type JobSize, learnedSize } from './learnedSize.js';
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -55,6 +55,20 @@
   readonly needCount: number;
   /** VMs that the pool does not give away. */
   readonly keptCount: number;
+  /** VMs without long-running tasks, there or on their way, beyond those that tasks need whole. */
+  readonly spareWholeCount: number;
+}
+
+function getLoad(
+  loads: ReadonlyMap<string, TargetLoad>,
+  { targetId }: FleetVm,
+): TargetLoad | undefined {
+  return targetId === undefined ? undefined : loads.get(targetId);
+}
+
+/** Tells whether a VM is known to carry no long-running task. */
+function isWhole(vm: FleetVm, loads: ReadonlyMap<string, TargetLoad>): boolean {
+  return getLoad(loads, vm)?.longRunningCount === 0;
 }
 
 /**
@@ -64,12 +78,18 @@
  * left alone for a while, and not counted they would be missed the moment they are up. A pool with
  * a need of 124 had 182 VMs then, and the next one began its rush with 3.
  */
-function balancePool(demand: PoolDemand, input: PlanMovesInput): PoolBalance {
+function balancePool(
+  demand: PoolDemand,
+  input: PlanMovesInput,
+  loads: ReadonlyMap<string, TargetLoad>,
+): PoolBalance {
   const { vms, heldVms, stayingVms = NO_VMS, arrivingByPool, keptCounts } = input;
-  const { pool, targets, neededCpuMillicores, waitingCpuMillicores } = demand;
+  const { pool, targets, neededCpuMillicores, waitingCpuMillicores, wholeVmCount } = demand;
   const upInPool = vms.filter((vm) => vm.pool === pool && vm.state === 'up');
   const upVms = upInPool.filter(({ vm }) => !heldVms.has(vm));
   const stayingCount = upInPool.filter(({ vm }) => stayingVms.has(vm)).length;
+  const comingCount = stayingCount + (arrivingByPool.get(pool) ?? 0);
+  const wholeCount = upVms.filter((vm) => isWhole(vm, loads)).length + comingCount;
   const vmMillicores = targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
   const needCount = Math.ceil(neededCpuMillicores / vmMillicores);
   const usedCpuMillicores = targets.reduce((sum, target) => sum + target.usedCpuMillicores, 0);
@@ -77,10 +97,11 @@
   return {
     demand,
     upVms,
-    haveCount: upVms.length + stayingCount + (arrivingByPool.get(pool) ?? 0),
+    haveCount: upVms.length + comingCount,
     presentCount: Math.min(needCount, presentCount),
     needCount,
     keptCount: Math.max(needCount, keptCounts?.get(pool) ?? MIN_KEPT_COUNT),
+    spareWholeCount: wholeCount - wholeVmCount,
   };
 }
 
@@ -90,13 +111,6 @@
   readonly count: number;
 }
 
-function getLoad(
-  loads: ReadonlyMap<string, TargetLoad>,
-  { targetId }: FleetVm,
-): TargetLoad | undefined {
-  return targetId === undefined ? undefined : loads.get(targetId);
-}
-
 /** Puts the VMs with the fewest tasks first, and those of which nothing is known last. */
 function byRunCount(loads: ReadonlyMap<string, TargetLoad>): (a: FleetVm, b: FleetVm) => number {
   const getRunCount = (vm: FleetVm): number => getLoad(loads, vm)?.runCount ?? Infinity;
@@ -108,42 +122,50 @@
  * works is emptied first. VMs with long-running tasks stay.
  */
 function listSpareVms(
-  { upVms, haveCount }: PoolBalance,
+  { upVms, haveCount, spareWholeCount }: PoolBalance,
   keptCount: number,
   loads: ReadonlyMap<string, TargetLoad>,
 ): readonly FleetVm[] {
+  const spareCount = Math.min(haveCount - keptCount, spareWholeCount);
   return upVms
-    .filter((vm) => getLoad(loads, vm)?.longRunningCount === 0)
+    .filter((vm) => isWhole(vm, loads))
     .toSorted(byRunCount(loads))
-    .slice(0, Math.max(0, haveCount - keptCount));
+    .slice(0, Math.max(0, spareCount));
+}
+
+/** Limits the VMs that a pool misses to those that are ordered at once. */
+function limitMoves(missingCount: number): number {
+  return Math.min(MAX_MOVES_PER_POOL, Math.max(0, missingCount));
 }
 
-/** Pools that have fewer VMs than they should, those that miss most first. */
+/** Pools that miss VMs, those that miss most first. */
 function listWanted(
   balances: readonly PoolBalance[],
-  getCount: (balance: PoolBalance) => number,
+  getMissingCount: (balance: PoolBalance) => number,
 ): readonly WantedVms[] {
   return balances
-    .map((balance) => ({
-      pool: balance.demand.pool,
-      count: Math.min(MAX_MOVES_PER_POOL, getCount(balance) - balance.haveCount),
-    }))
+    .map((balance) => ({ pool: balance.demand.pool, count: getMissingCount(balance) }))
     .filter(({ count }) => count > 0)
     .toSorted((a, b) => b.count - a.count);
 }
 
 /**
- * Lists what pools miss for what runs and waits now, and after that what they miss for what is
- * foreseen. A foreseen need may be off by far: one of four times the fleet took every VM that was
- * free, while tasks of the pool whose rush had begun waited with three VMs.
+ * Lists what pools miss for tasks that fit on none of their VMs, then for all that runs and waits
+ * now, and after that for what is foreseen. A foreseen need may be off by far: one of four times
+ * the fleet took every VM that was free, while tasks of the pool whose rush had begun waited with
+ * three VMs.
  */
 function listNeeded(balances: readonly PoolBalance[]): readonly WantedVms[] {
-  const present = listWanted(balances, ({ presentCount }) => presentCount);
-  const presentByPool = new Map(present.map(({ pool, count }) => [pool, count]));
-  const foreseen = listWanted(balances, ({ needCount }) => needCount)
-    .map(({ pool, count }) => ({ pool, count: count - (presentByPool.get(pool) ?? 0) }))
-    .filter(({ count }) => count > 0);
-  return [...present, ...foreseen];
+  const getWhole = ({ spareWholeCount }: PoolBalance): number => limitMoves(-spareWholeCount);
+  const getPresent = (balance: PoolBalance): number =>
+    Math.max(getWhole(balance), limitMoves(balance.presentCount - balance.haveCount));
+  const getForeseen = (balance: PoolBalance): number =>
+    Math.max(getPresent(balance), limitMoves(balance.needCount - balance.haveCount));
+  return [
+    ...listWanted(balances, getWhole),
+    ...listWanted(balances, (balance) => getPresent(balance) - getWhole(balance)),
+    ...listWanted(balances, (balance) => getForeseen(balance) - getPresent(balance)),
+  ];
 }
 
 function giveVms(wanted: readonly WantedVms[], available: readonly FleetVm[]): readonly VmMove[] {
@@ -170,10 +192,10 @@
   const standby = vms.filter(
     ({ vm, pool, state }) => standbyPools.has(pool) && state === 'up' && !heldVms.has(vm),
   );
+  const loads = indexLoads(demands);
   const balances = demands
     .filter(({ pool }) => !standbyPools.has(pool))
-    .map((demand) => balancePool(demand, input));
-  const loads = indexLoads(demands);
+    .map((demand) => balancePool(demand, input, loads));
   const listSpare = (count: (balance: PoolBalance) => number): readonly FleetVm[] =>
     balances
       .flatMap((balance) => listSpareVms(balance, count(balance), loads))
@@ -189,7 +211,9 @@
   const moves = giveVms(wanted, available);
   if (moves.length > 0) return moves;
   return giveVms(
-    listWanted(balances, ({ demand }) => keptCounts?.get(demand.pool) ?? 0),
+    listWanted(balances, ({ demand, haveCount }) =>
+      limitMoves((keptCounts?.get(demand.pool) ?? 0) - haveCount),
+    ),
     [...spare, ...standby],
   );
 }
--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -1,5 +1,6 @@
 import { type DurableJobRow, isFinished } from '../jobs/index.js';
 import {
+  countWholeVms,
   estimateNeededCpu,
   getOccupied,
   listReadyTasks,
@@ -83,6 +84,12 @@
       nowMs,
       mechanisms,
     }),
+    wholeVmCount: countWholeVms({
+      rows: ofPool,
+      targets: targets.filter((target) => target.pool === pool),
+      runTimes,
+      nowMs,
+    }),
     jobCount: ofPool.filter((row) => !isFinished(row)).length,
   };
 }
--- a/tests/systems/PoolPeaks.test.ts
+++ b/tests/systems/PoolPeaks.test.ts
@@ -12,7 +12,14 @@
     usedCpuMillicores: cores * 1_000,
     cpuMillicores: VM_CORES * 1_000,
   }));
-  return { pool, targets, waitingCpuMillicores: 0, neededCpuMillicores: 0, jobCount: 0 };
+  return {
+    pool,
+    targets,
+    waitingCpuMillicores: 0,
+    neededCpuMillicores: 0,
+    wholeVmCount: 0,
+    jobCount: 0,
+  };
 }
 
 const fill = (count: number, cores: number): readonly number[] => Array(count).fill(cores);
--- /dev/null
+++ b/tests/systems/countWholeVms.test.ts
@@ -0,0 +1,46 @@
+import { describe, expect, it } from 'vitest';
+import { createJobRow, type DurableJobRow, placeTask } from '../../src/jobs/index.js';
+import { countWholeVms, RunTimes } from '../../src/systems/index.js';
+import { makeEntry, makeJob, makeStep } from '../taskHome/HomeWorld.js';
+
+const NEARLY_WHOLE = { cpuMillicores: 3_500, memoryMb: 100, gpuCount: 0 };
+const TARGETS = ['t1', 't2'].map((targetId) => ({ ...makeEntry(targetId), takesTasks: true }));
+
+/** A service with a task on each target. */
+function makeService(): DurableJobRow {
+  const row = createJobRow(makeJob('service', [makeStep({ taskCount: 2, isLongRunning: true })]));
+  return placeTask(placeTask(row, 0, 't1'), 1, 't2');
+}
+
+function makeWide(changes: Parameters<typeof makeStep>[0] = {}): DurableJobRow {
+  const step = makeStep({ demand: NEARLY_WHOLE, estimatedRunMs: 1_000, ...changes });
+  return createJobRow(makeJob('wide', [step]));
+}
+
+function count(rows: readonly DurableJobRow[], nowMs = 0): number {
+  return countWholeVms({ rows, targets: TARGETS, runTimes: new RunTimes(), nowMs });
+}
+
+describe('countWholeVms', () => {
+  // Guards against a task that waits for good, as each target carries a long-running one.
+  it('counts the VMs that catch up with tasks that fit beside no long-running one', () => {
+    expect(count([makeService(), makeWide()])).toBe(1);
+    expect(count([makeService(), makeWide({ taskCount: 5 })])).toBe(3);
+  });
+
+  it('counts fewer where the job is too late already', () => {
+    const isLateMs = Date.now() + 60_000;
+    expect(count([makeService(), makeWide({ taskCount: 5 })], isLateMs)).toBe(1);
+  });
+
+  it('counts none for tasks that only wait for others to end', () => {
+    const busy = placeTask(createJobRow(makeJob('busy', [makeStep()])), 0, 't1');
+    expect(count([busy, makeWide()])).toBe(0);
+  });
+
+  it('counts none for tasks that another VM may not help', () => {
+    const tooLarge = { ...NEARLY_WHOLE, cpuMillicores: 5_000 };
+    expect(count([makeService(), makeWide({ demand: tooLarge })])).toBe(0);
+    expect(count([makeService(), makeWide({ requiredLabel: 'a' })])).toBe(0);
+  });
+});
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -34,6 +34,7 @@
     targets: loads,
     waitingCpuMillicores: cpuMillicores,
     neededCpuMillicores: used + cpuMillicores,
+    wholeVmCount: 0,
     jobCount: 1,
   };
 }
@@ -178,6 +179,26 @@
     expect(planMoves({ ...input, demands: rush, vms: [...many, ...busy] })).toHaveLength(20);
   });
 
+  // Guards against a VM that is brought for a task which needs it whole, and given away again.
+  it('brings and keeps VMs without long-running tasks as far as tasks need them whole', () => {
+    const held = ['p1', 'p2', 'p3', 'p4'];
+    const loads = held.map((vm) => ({ ...makeLoad(vm, 1), longRunningCount: 1 }));
+    const wide = { ...makeDemand('pages', 0, loads), wholeVmCount: 1 };
+    const vms = held.map((vm) => makeVm(vm, 'pages'));
+    const plan = (demand: PoolDemand, pageVms: readonly FleetVm[]) =>
+      planMoves({ ...input, demands: [demand], vms: [...pageVms, off] }).map(({ vm }) => vm);
+    expect(plan(wide, vms)).toEqual(['s1']);
+    const brought = { ...wide, targets: [...loads, makeLoad('p5')] };
+    expect(plan(brought, [...vms, makeVm('p5', 'pages')])).toEqual([]);
+    const rush = makeDemand('media', 640, []);
+    const moves = planMoves({
+      ...input,
+      demands: [brought, rush],
+      vms: [...vms, makeVm('p5', 'pages')],
+    });
+    expect(moves).toEqual([]);
+  });
+
   it('leaves VMs alone that carry long-running tasks or are held', () => {
     const loads = idle.map(({ vm }) => ({ ...makeLoad(vm, 1), longRunningCount: 1 }));
     const working = [makeDemand('archive', 0, loads), demands[1]!];
