Repeat a stop without an answer, and count its run as on its way out until there is one

What callers would see: two tasks of a service away at once though it may miss one (AVAIL).

Cause: a stop without an answer made its order one that may have been started, and the next report, which still lists the run, made it a started one. The run counted as at work, so maintenance could stop a second task of the step; the first stop may take effect seconds later, and nobody asked again.

Change: such an order keeps to its stop, counts as stopping, and is sent again with each report.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -338,4 +338,12 @@
     test: CONFIGURATION_TEST,
     name: 'reads the newest configuration alone after a burst of changes that it has missed',
   },
+  {
+    failure: 'two tasks of a step away at once, as a stop had no answer',
+    file: 'src/taskHome/TaskOrders.ts',
+    find: "if (this.isCurrent(order)) this.settle(order, 'stop-unanswered');",
+    replace: "if (this.isCurrent(order)) this.settle(order, 'unanswered');",
+    test: 'tests/taskHome/TaskOrders.test.ts',
+    name: 'counts as on its way, so that no second task of the step is stopped',
+  },
 ];
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -9,10 +9,18 @@
 import type { TaskOrdersOptions } from './TaskOrdersOptions.js';
 
 /**
- * How far an order is. `unanswered` means that the target may have acted, or may act later;
- * `stopped` that the target has accepted the stop, so that a late start is refused there.
+ * How far an order is. `unanswered` means that the target may have started the run, or may do so
+ * later; `stop-unanswered` the same of a stop; `stopped` that the target has accepted the stop, so
+ * that a late start is refused there.
  */
-type OrderPhase = 'unsent' | 'starting' | 'unanswered' | 'started' | 'stopping' | 'stopped';
+type OrderPhase =
+  'unsent' | 'starting' | 'unanswered' | 'started' | 'stopping' | 'stop-unanswered' | 'stopped';
+
+const STOP_PHASES: ReadonlySet<OrderPhase | undefined> = new Set([
+  'stopping',
+  'stop-unanswered',
+  'stopped',
+]);
 
 interface Order extends RunKey {
   phase: OrderPhase;
@@ -83,11 +91,10 @@
   /**
    * Tells whether a run is being stopped; its target may still report it for a moment.
    * @param taskName - Name of the task.
-   * @returns Whether a stop was sent and its end was not reported yet.
+   * @returns Whether a stop was sent, with or without an answer, and its end was not reported yet.
    */
   isStopping(taskName: string): boolean {
-    const phase = this.orders.get(taskName)?.phase;
-    return phase === 'stopping' || phase === 'stopped';
+    return STOP_PHASES.has(this.orders.get(taskName)?.phase);
   }
 
   /**
@@ -134,7 +141,7 @@
    */
   stop(taskName: string): void {
     const order = this.orders.get(taskName);
-    if (order === undefined || order.phase === 'stopping' || order.phase === 'stopped') return;
+    if (order === undefined || STOP_PHASES.has(order.phase)) return;
     void this.sendStop(order);
   }
 
@@ -170,6 +177,7 @@
   }
 
   private noteRunning(order: Order): void {
+    if (order.phase === 'stop-unanswered') void this.sendStop(order);
     if (order.phase !== 'unanswered' && order.phase !== 'starting') return;
     const isWanted = this.options.createStart(order) !== undefined;
     this.settle(order, 'started');
@@ -185,6 +193,9 @@
       case 'unanswered':
         this.startAgain(order);
         return;
+      case 'stop-unanswered':
+        void this.sendStop(order);
+        return;
       case 'started':
       case 'stopped':
         this.forget(order.taskName);
@@ -277,6 +288,12 @@
     }
   }
 
+  /**
+   * Sends a stop; one without an answer is repeated with each report until the target has answered.
+   *
+   * Guards against two tasks of a step that are away at once: taken for at work again, the run
+   * would let a second task of its step go, and then its stop takes effect after all.
+   */
   private async sendStop(order: Order): Promise<void> {
     const { port, events, term } = this.options;
     const address = this.options.getAddress(order.targetId);
@@ -288,8 +305,7 @@
       if (this.isCurrent(order)) this.takeStopAnswer(order, answer);
     } catch (thrown) {
       events.write('stopUnanswered', { taskName, run, targetId, term, reason: String(thrown) });
-      // The next report shows whether it still runs, or asks for the start, which then stops it.
-      if (this.isCurrent(order)) this.settle(order, 'unanswered');
+      if (this.isCurrent(order)) this.settle(order, 'stop-unanswered');
     }
   }
 
@@ -304,7 +320,7 @@
         return;
       case 'refused':
         if (answer.reason === 'stale-term') onStaleTerm();
-        else this.settle(order, 'unanswered');
+        else this.settle(order, 'stop-unanswered');
         return;
       default:
         assertNever(answer);
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -19,6 +19,8 @@
   appliesStartsLate: boolean;
   /** Stops are accepted, and what they stop goes on. */
   stopsSlowly: boolean;
+  /** Stops get no answer, and what they stop goes on. */
+  losesStops: boolean;
 }
 
 /** A run that has begun on a target. */
@@ -72,6 +74,7 @@
       isCutOff: false,
       appliesStartsLate: false,
       stopsSlowly: false,
+      losesStops: false,
     });
     return target;
   }
@@ -148,6 +151,9 @@
   ): Promise<OrderAnswer> {
     this.throwIfCutOff(targetId);
     this.stops.push(taskName);
+    if (this.faults.get(targetId)?.losesStops === true) {
+      throw new Error('The stop was not answered.');
+    }
     if (this.faults.get(targetId)?.stopsSlowly === true) return { type: 'accepted' };
     return this.targets.get(targetId)?.stop(taskName, run, term) ?? { type: 'other-lifetime' };
   }
