Leave most of a home's time to leases and callers, however much waits

What callers saw: services whose tasks lapsed though nothing had failed (AVAIL), accepted jobs that ran nothing with most of the room free (LOST), half of the jobs late, in the small twin of the large site.

Cause: each report and each job asks for a round of placement, and a round takes the longer the more waits: 1.3 ms on a whole core for 110 jobs and 50 targets, ten times that on the twin's 0.12 cores. Rounds left no time to renew leases; what lapsed waited as well, so that rounds took longer still.

Change: after a round that took some time, the next begins three times that later, 250 ms at most, so rounds take a quarter of the time. What is left of a job's tasks is counted once for each row.

--- a/src/systems/RunTimes.ts
+++ b/src/systems/RunTimes.ts
@@ -1,4 +1,5 @@
 import type { DurableJobRow } from '../jobs/index.js';
+import { memoizeByObject } from '../utils/index.js';
 
 /** What a task was, and how long it ran. */
 export interface MeasuredRun {
@@ -33,6 +34,16 @@
 const NO_MEAN: Mean = { count: 0, value: 0 };
 const NO_ERRORS: Errors = { declared: NO_MEAN, byQueue: NO_MEAN, byImage: NO_MEAN };
 
+/** Counts the tasks of each step that are not done. */
+const countOpenTasks = memoizeByObject(({ spec, tasks }: DurableJobRow): readonly number[] =>
+  tasks
+    .filter(({ phase }) => phase !== 'done')
+    .reduce(
+      (counts, { step }) => counts.with(step, counts[step]! + 1),
+      spec.steps.map(() => 0),
+    ),
+);
+
 function addTo({ count, value }: Mean, added: number): Mean {
   const weight = Math.max(LEARNING_RATE, 1 / (count + 1));
   return { count: count + 1, value: value + weight * (added - value) };
@@ -123,10 +134,8 @@
    * @returns The estimate in milliseconds.
    */
   estimateRestMs(row: DurableJobRow): number {
-    const openSteps = new Set(
-      row.tasks.filter(({ phase }) => phase !== 'done').map(({ step }) => step),
-    );
-    return this.sumLongestChain(row, (step) => openSteps.has(step));
+    const openCounts = countOpenTasks(row);
+    return this.sumLongestChain(row, (step) => openCounts[step]! > 0);
   }
 
   /**
@@ -135,12 +144,13 @@
    * @returns Thousandths of a core times milliseconds.
    */
   estimateWork(row: DurableJobRow): number {
-    return row.tasks
-      .filter(({ phase }) => phase !== 'done')
-      .reduce((sum, { step }) => {
-        const { isLongRunning, demand } = row.spec.steps[step]!;
-        return sum + (isLongRunning ? 0 : demand.cpuMillicores * this.estimateMs(row, step));
-      }, 0);
+    const openCounts = countOpenTasks(row);
+    return row.spec.steps
+      .map(({ isLongRunning, demand }, step) => {
+        const openCount = isLongRunning ? 0 : openCounts[step]!;
+        return openCount === 0 ? 0 : openCount * demand.cpuMillicores * this.estimateMs(row, step);
+      })
+      .reduce((sum, work) => sum + work, 0);
   }
 
   private static getImageKey(queue: string, image: string): string {
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Metrics } from '../metrics/index.js';
 import { listReadyTasks, type Mechanisms, orderJobs, placeTasks } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
@@ -22,6 +23,11 @@
   readonly dueClock: Clock;
 }
 
+/** Pause after a round, as a multiple of the time that it took: rounds take a quarter at most. */
+const PAUSE_FACTOR = 3;
+/** Longest pause between two rounds, in milliseconds: that of looks at targets. */
+const MAX_PAUSE_MS = 250;
+
 /** Rounds of placement: each gives waiting tasks to targets, stores that, and starts them. */
 export class PlacementRounds {
   private readonly options: PlacementRoundsOptions;
@@ -30,6 +36,9 @@
 
   private isClosed = false;
 
+  /** Monotonic time before which no further round begins. */
+  private nextAtMs = 0;
+
   /**
    * Creates rounds of which none has run.
    * @param options - Jobs, targets, and where placements are stored.
@@ -57,15 +66,28 @@
     const { clock, metrics, runs, table, writer } = this.options;
     // What is placed during an append is stored only after it: one round does for all that came.
     await writer.whenIdle();
+    await this.pause();
     this.waiting = undefined;
     const startedAtMs = clock.monotonicMs();
     const placed = this.isClosed ? [] : this.place();
     const records = table.takeChanges();
-    metrics.timing('placement_round_ms', clock.monotonicMs() - startedAtMs);
+    const tookMs = clock.monotonicMs() - startedAtMs;
+    this.nextAtMs = startedAtMs + tookMs + Math.min(MAX_PAUSE_MS, PAUSE_FACTOR * tookMs);
+    metrics.timing('placement_round_ms', tookMs);
     await writer.write(records);
     if (!this.isClosed) placed.forEach((taskName) => runs.start(taskName));
   }
 
+  /**
+   * Guards against a home that falls further behind with each job that waits: every report asks for
+   * a round, rounds take longer the more waits, and on a slow processor they left no time to renew
+   * leases. It shows as `taskEnded` with `lapsed`, and as minutes without `taskPlaced`.
+   */
+  private async pause(): Promise<void> {
+    const pauseMs = this.nextAtMs - this.options.clock.monotonicMs();
+    if (pauseMs > 0) await sleep(pauseMs);
+  }
+
   private place(): readonly string[] {
     const { clock, dueClock, drains, mechanisms, runs, sessions, table } = this.options;
     const { runTimes } = runs;
