Have an instance call no more targets itself than its processor bears

Cause: each home called its first 16 targets itself whatever it runs on. Calls to a target in a rush take 1.5 % of a core, so 16 take a quarter of a core: twice what an instance of 0.12 cores has.

Change: calls to targets of its own take two fifths of its processor at most: 3 targets on 0.12 cores, 16 from 0.6 cores on, as before. The others are called by instances that hold no home.

The test failed before: all 10 targets were called by the home itself.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -170,11 +170,13 @@
   }
 
   private createTargets(): RelayedTargets {
-    const { clock, events, ports } = this.options;
+    const { capacity, clock, events, ports } = this.options;
+    const { coreCount } = capacity;
     const { peers } = this;
     const listRelays = (): readonly PeerAddress[] =>
       this.homeDirectory.listOthers(this.partitions.listUsed());
-    return new RelayedTargets({ targets: ports.targets, peers, listRelays, clock, events });
+    const { targets } = ports;
+    return new RelayedTargets({ targets, peers, coreCount, listRelays, clock, events });
   }
 
   private createHomes(member: string): TaskHomes {
--- a/src/taskHome/RelayedTargets.ts
+++ b/src/taskHome/RelayedTargets.ts
@@ -20,6 +20,8 @@
   /** The targets as this instance reaches them itself. */
   readonly targets: LeasedTargetPort;
   readonly peers: PeerPort;
+  /** Processor that this instance may use, in cores. */
+  readonly coreCount: number;
   /** Instances that may make calls for this one. */
   readonly listRelays: () => readonly PeerAddress[];
   readonly clock: Clock;
@@ -27,10 +29,14 @@
 }
 
 /**
- * Targets that an instance calls itself. A target in a rush takes about 1.5 % of a core in calls
- * (25 starts and 20 looks a second of 0.3 ms each), so 16 take a quarter of a core.
+ * Processor that calls to a target in a rush take, in cores: 25 starts and 20 looks a second of 0.3
+ * ms each.
  */
-const OWN_TARGET_COUNT = 16;
+const CORES_PER_TARGET = 0.015;
+/** Share of its processor that an instance spends on calls to targets of its own. */
+const OWN_CALLS_SHARE = 0.4;
+/** Most targets that an instance calls itself, whatever it can carry: a quarter of a core. */
+const MAX_OWN_TARGET_COUNT = 16;
 /** Time after which a target that is not called any more frees its place, in ms: two leases. */
 const FORGET_AFTER_MS = 10_000;
 /** Longest wait for a relay's reply beyond the target's own, in ms: above an order's 1 s. */
@@ -40,6 +46,19 @@
 /** How long a relay, or the relay of a target, is not used after a failure, in milliseconds. */
 const AVOID_MS = 5_000;
 
+/**
+ * Counts the targets that an instance calls itself.
+ *
+ * Guards against a home on a tenth of a core that takes on as many as one on a whole core: the
+ * calls alone are then twice its processor, and leases lapse that it cannot renew in time.
+ * @param coreCount - Processor of the instance, in cores.
+ * @returns How many; one at least.
+ */
+export function countOwnTargets(coreCount: number): number {
+  const affordableCount = Math.floor((OWN_CALLS_SHARE * coreCount) / CORES_PER_TARGET);
+  return Math.min(MAX_OWN_TARGET_COUNT, Math.max(1, affordableCount));
+}
+
 /**
  * Calls targets through other instances where there are many.
  *
@@ -52,6 +71,8 @@
 export class RelayedTargets implements LeasedTargetPort {
   private readonly options: RelayedTargetsOptions;
 
+  private readonly ownTargetCount: number;
+
   /** Targets that this instance calls itself, with the monotonic time of their last call. */
   private readonly own = new Map<string, number>();
 
@@ -71,6 +92,7 @@
    */
   constructor(options: RelayedTargetsOptions) {
     this.options = options;
+    this.ownTargetCount = countOwnTargets(options.coreCount);
   }
 
   /** {@inheritDoc LeasedTargetPort.start} */
@@ -126,8 +148,8 @@
       this.own.set(targetId, nowMs);
       return true;
     }
-    if (this.own.size >= OWN_TARGET_COUNT) this.forgetUnused(nowMs);
-    if (this.own.size >= OWN_TARGET_COUNT) return false;
+    if (this.own.size >= this.ownTargetCount) this.forgetUnused(nowMs);
+    if (this.own.size >= this.ownTargetCount) return false;
     this.own.set(targetId, nowMs);
     return true;
   }
--- a/tests/taskHome/RelayedTargets.test.ts
+++ b/tests/taskHome/RelayedTargets.test.ts
@@ -7,6 +7,8 @@
 import { ManualClock } from '../../src/utils/index.js';
 
 const OWN_COUNT = 16;
+/** Processor of an instance that can call the most targets that it may. */
+const ENOUGH_CORES = 1;
 const RELAYS: readonly PeerAddress[] = [
   { instance: 'relay-1', host: '10.0.0.1', port: 1 },
   { instance: 'relay-2', host: '10.0.0.2', port: 1 },
@@ -60,17 +62,21 @@
     targets.stop(makeTarget(number), 'a.0.0.0', 1, 3);
   const callers = (): readonly string[] => log.calls.map((call) => call.split(' ')[0]!);
 
-  beforeEach(async () => {
-    log = new CallLog();
-    clock = new ManualClock();
-    events = new MemoryEventLog();
-    targets = new RelayedTargets({
+  const open = (coreCount: number): RelayedTargets =>
+    new RelayedTargets({
       targets: log.createPort('home'),
       peers: { call: (peer, request) => log.callPeer(peer, request) },
+      coreCount,
       listRelays: () => RELAYS,
       clock,
       events,
     });
+
+  beforeEach(async () => {
+    log = new CallLog();
+    clock = new ManualClock();
+    events = new MemoryEventLog();
+    targets = open(ENOUGH_CORES);
     await Promise.all(Array.from({ length: OWN_COUNT }, (_t, number) => stop(number)));
   });
 
@@ -82,6 +88,18 @@
     expect(new Set(callers().slice(OWN_COUNT))).toEqual(new Set(['relay-1', 'relay-2']));
   });
 
+  // Guards against a home on a tenth of a core whose calls alone take twice its processor: leases
+  // lapsed that it could not renew in time.
+  it('calls no more targets itself than its processor bears', async () => {
+    targets = open(0.12);
+    log.calls.splice(0);
+    await Array.from({ length: 10 }, (_t, number) => number).reduce(async (before, number) => {
+      await before;
+      await stop(number);
+    }, Promise.resolve());
+    expect(callers().filter((caller) => caller === 'home')).toHaveLength(3);
+  });
+
   it('passes every kind of call and answer on', async () => {
     const target = makeTarget(30);
     const start = { taskName: 'a.0.0.0', run: 1, payload: '', leaseUntilTargetMs: 5, term: 3 };
