Give VMs that work only for late jobs to pools whose jobs can still come in time

Cause: the need of a pool for late work, spread over 10 s, counted like its need for work in time, so a pool that was far behind kept its VMs, and each job of the next rush came late in its turn.

Evidence: poolSeen at 17.2 s: cupu32d up 52, needs 1,402 cores, all of them for late work; lolo8b up 6, needs 18,278, with 9,057 waiting.

Change: pools tell the late part of their need; where work in time still misses VMs after all that is spare was given, VMs beyond what a pool needs in time are taken too. Late work takes none that way.

--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -119,7 +119,8 @@
       ),
       waitingCpuMillicores: z.number(),
       neededCpuMillicores: z.number(),
-      // Absent where an instance of an earlier version is asked.
+      // An instance of an earlier version does not tell these two.
+      lateCpuMillicores: z.number().default(0),
       wholeVmCount: count.default(0),
       jobCount: count,
     }),
--- a/src/systems/PoolDemand.ts
+++ b/src/systems/PoolDemand.ts
@@ -19,6 +19,8 @@
    * core; long-running tasks count with what they occupy.
    */
   readonly neededCpuMillicores: number;
+  /** The part of it for work that is too late for its objective, which yields to work in time. */
+  readonly lateCpuMillicores: number;
   /** VMs without long-running tasks for tasks that fit beside those of no target. */
   readonly wholeVmCount: number;
   /** Unfinished jobs. */
--- a/src/systems/estimateNeededCpu.ts
+++ b/src/systems/estimateNeededCpu.ts
@@ -23,6 +23,13 @@
 /** Time from the order of a VM to its first task, in milliseconds: moving takes 1.5 s of it. */
 const VM_LEAD_MS = 2_000;
 
+/** What a pool needs, in thousandths of a core. */
+export interface NeededCpu {
+  readonly neededCpuMillicores: number;
+  /** The part of it for work that is too late for its objective. */
+  readonly lateCpuMillicores: number;
+}
+
 /** Processor of the tasks of some jobs, in thousandths of a core. */
 interface TaskCpu {
   readonly longRunning: number;
@@ -57,9 +64,9 @@
  * for nothing; counted in full, it kept ten idle VMs in a pool whose rush was nearly over while the
  * next one waited. Where it does not keep up, it gets VMs before its queue has grown.
  * @param input - Jobs and capacity of the pool, and what arrives.
- * @returns Thousandths of a core.
+ * @returns The need, and which part of it can wait.
  */
-export function estimateNeededCpu(input: NeededCpuInput): number {
+export function estimateNeededCpu(input: NeededCpuInput): NeededCpu {
   const { rows, runTimes, capacityCpuMillicores, arrivingCpuMillicores, nowMs } = input;
   const { mechanisms = ALL_MECHANISMS } = input;
   const open = rows.filter((row) => !isFinished(row));
@@ -70,12 +77,14 @@
   const { longRunning } = sumTaskCpu(open);
   const { placed } = sumTaskCpu(timely);
   const backlog = sumWork(timely, runTimes);
-  const lateWork = sumWork([...late], runTimes) / LATE_CATCH_UP_MS;
-  if (!mechanisms.has('arriving-demand')) {
-    return longRunning + lateWork + Math.max(placed, backlog / CATCH_UP_MS);
-  }
+  const lateCpuMillicores = sumWork([...late], runTimes) / LATE_CATCH_UP_MS;
+  const toNeed = (forJobs: number): NeededCpu => ({
+    neededCpuMillicores: longRunning + lateCpuMillicores + Math.max(placed, forJobs),
+    lateCpuMillicores,
+  });
+  if (!mechanisms.has('arriving-demand')) return toNeed(backlog / CATCH_UP_MS);
   const shareForJobs = Math.max(0, capacityCpuMillicores - longRunning);
   const leftBehind = backlog + (arrivingCpuMillicores - shareForJobs) * VM_LEAD_MS;
   const catchUp = Math.max(0, leftBehind) / CATCH_UP_MS;
-  return longRunning + lateWork + Math.max(placed, arrivingCpuMillicores + catchUp);
+  return toNeed(arrivingCpuMillicores + catchUp);
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -8,7 +8,7 @@
   WaveDecision,
 } from './decisions.js';
 export { countWholeVms, type CountWholeVmsInput } from './countWholeVms.js';
-export { estimateNeededCpu, type NeededCpuInput } from './estimateNeededCpu.js';
+export { estimateNeededCpu, type NeededCpu, type NeededCpuInput } from './estimateNeededCpu.js';
 export { getFailureDomain } from './getFailureDomain.js';
 export { type JobSize, learnedSize } from './learnedSize.js';
 export { placeQueuedJobs, type PlaceQueuedJobsOptions } from './placeQueuedJobs.js';
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -53,6 +53,10 @@
   readonly presentCount: number;
   /** VMs that are needed by the time at which one that is ordered now is there. */
   readonly needCount: number;
+  /** Those of them that work in time needs. */
+  readonly timelyCount: number;
+  /** VMs that the pool keeps without a need. */
+  readonly idleCount: number;
   /** VMs that the pool does not give away. */
   readonly keptCount: number;
   /** VMs without long-running tasks, there or on their way, beyond those that tasks need whole. */
@@ -84,10 +88,11 @@
   loads: ReadonlyMap<string, TargetLoad>,
 ): PoolBalance {
   const { vms, heldVms, stayingVms = NO_VMS, arrivingByPool, keptCounts } = input;
-  const { pool, targets, neededCpuMillicores, waitingCpuMillicores, wholeVmCount } = demand;
+  const { pool, targets, neededCpuMillicores, lateCpuMillicores, waitingCpuMillicores } = demand;
   const upInPool = vms.filter((vm) => vm.pool === pool && vm.state === 'up');
   const upVms = upInPool.filter(({ vm }) => !heldVms.has(vm));
   const stayingCount = upInPool.filter(({ vm }) => stayingVms.has(vm)).length;
+  const idleCount = keptCounts?.get(pool) ?? MIN_KEPT_COUNT;
   const comingCount = stayingCount + (arrivingByPool.get(pool) ?? 0);
   const wholeCount = upVms.filter((vm) => isWhole(vm, loads)).length + comingCount;
   const vmMillicores = targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
@@ -100,8 +105,10 @@
     haveCount: upVms.length + comingCount,
     presentCount: Math.min(needCount, presentCount),
     needCount,
-    keptCount: Math.max(needCount, keptCounts?.get(pool) ?? MIN_KEPT_COUNT),
-    spareWholeCount: wholeCount - wholeVmCount,
+    timelyCount: Math.ceil((neededCpuMillicores - lateCpuMillicores) / vmMillicores),
+    idleCount,
+    keptCount: Math.max(needCount, idleCount),
+    spareWholeCount: wholeCount - demand.wholeVmCount,
   };
 }
 
@@ -175,6 +182,35 @@
   );
 }
 
+/**
+ * Takes VMs from work that is too late for its objective and gives them to work in time that still
+ * misses some.
+ *
+ * Answers rushes that ask for more than the fleet, one pool after the other: the first pool held 44
+ * of 70 VMs for jobs that were worth a tenth by then, and in the next one, with six VMs, every job
+ * came late in its turn.
+ */
+function planYields(
+  balances: readonly PoolBalance[],
+  given: readonly VmMove[],
+  loads: ReadonlyMap<string, TargetLoad>,
+  yieldsKept: boolean,
+): readonly VmMove[] {
+  const countGiven = (pool: string): number => given.filter(({ toPool }) => toPool === pool).length;
+  const wanted = listWanted(balances, ({ demand, timelyCount, haveCount }) =>
+    limitMoves(timelyCount - haveCount - countGiven(demand.pool)),
+  );
+  const taken = new Set(given.map(({ vm }) => vm));
+  const yielding = balances
+    .flatMap((balance) => {
+      const idleCount = yieldsKept ? MIN_KEPT_IN_SHORTAGE : balance.idleCount;
+      const keptCount = Math.max(balance.timelyCount, idleCount);
+      return listSpareVms(balance, keptCount, loads);
+    })
+    .filter(({ vm }) => !taken.has(vm));
+  return giveVms(wanted, yielding.toSorted(byRunCount(loads)));
+}
+
 /**
  * Gives VMs to pools that need more than they have: those that are switched off first, then those
  * that another pool does not need, with the fewest tasks first. Once needs are met, pools get back
@@ -208,7 +244,8 @@
       : [];
   // The first ones are given first, so what is kept goes only where nothing else is left.
   const available = [...new Set([...standby, ...spare, ...kept])];
-  const moves = giveVms(wanted, available);
+  const given = giveVms(wanted, available);
+  const moves = [...given, ...planYields(balances, given, loads, yieldsKept)];
   if (moves.length > 0) return moves;
   return giveVms(
     listWanted(balances, ({ demand, haveCount }) =>
--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -76,7 +76,7 @@
         };
       }),
     waitingCpuMillicores,
-    neededCpuMillicores: estimateNeededCpu({
+    ...estimateNeededCpu({
       rows: ofPool,
       runTimes,
       capacityCpuMillicores: sumCapacity(targets, pool),
--- a/tests/fleetHome/VmOrders.test.ts
+++ b/tests/fleetHome/VmOrders.test.ts
@@ -81,6 +81,7 @@
       targets: [],
       waitingCpuMillicores: 64_000,
       neededCpuMillicores: 64_000,
+      lateCpuMillicores: 0,
       wholeVmCount: 0,
       jobCount: 3,
     }),
--- a/tests/systems/PoolPeaks.test.ts
+++ b/tests/systems/PoolPeaks.test.ts
@@ -17,6 +17,7 @@
     targets,
     waitingCpuMillicores: 0,
     neededCpuMillicores: 0,
+    lateCpuMillicores: 0,
     wholeVmCount: 0,
     jobCount: 0,
   };
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -34,6 +34,7 @@
     targets: loads,
     waitingCpuMillicores: cpuMillicores,
     neededCpuMillicores: used + cpuMillicores,
+    lateCpuMillicores: 0,
     wholeVmCount: 0,
     jobCount: 1,
   };
@@ -199,6 +200,20 @@
     expect(moves).toEqual([]);
   });
 
+  // Guards against a fleet that works for jobs that are worth little by now, while each job of the
+  // next rush comes late in its turn.
+  it('takes VMs from work that is too late for work in time, but not for other late work', () => {
+    const names = ['m1', 'm2', 'm3', 'm4', 'm5'];
+    const loads = names.map((vm) => makeLoad(vm, 20));
+    const late = { ...makeDemand('media', 100, loads), lateCpuMillicores: 200_000 };
+    const rush = makeDemand('pages', 90, [makeLoad('p1', 20)]);
+    const vms = [...names.map((vm) => makeVm(vm, 'media')), ...busy];
+    const plan = (pages: PoolDemand) =>
+      planMoves({ ...input, demands: [late, pages], vms }).map(({ vm }) => vm);
+    expect(plan(rush)).toEqual(['m1', 'm2']);
+    expect(plan({ ...rush, lateCpuMillicores: 90_000 })).toEqual([]);
+  });
+
   it('leaves VMs alone that carry long-running tasks or are held', () => {
     const loads = idle.map(({ vm }) => ({ ...makeLoad(vm, 1), longRunningCount: 1 }));
     const working = [makeDemand('archive', 0, loads), demands[1]!];
--- a/tests/taskHome/JobTelemetry.test.ts
+++ b/tests/taskHome/JobTelemetry.test.ts
@@ -6,7 +6,14 @@
 import { ManualClock } from '../../src/utils/index.js';
 import { makeJob } from './HomeWorld.js';
 
-const DEMAND = { pool: 'pages', targets: [], neededCpuMillicores: 0, wholeVmCount: 0, jobCount: 4 };
+const DEMAND = {
+  pool: 'pages',
+  targets: [],
+  neededCpuMillicores: 0,
+  lateCpuMillicores: 0,
+  wholeVmCount: 0,
+  jobCount: 4,
+};
 
 function createTelemetry(submittedAtMs = 0) {
   const events = new MemoryEventLog();
