Repeat a move of a VM without an answer, and keep tasks off that VM until then

What callers would see: a pool short of VMs while one stands still until the next change of homes, and tasks that a move ends which is carried out seconds after its time.

Cause: a move without an answer that is never carried out leaves no trace in the list of VMs, so its VM counted as on its way for good; nobody ordered it again, as maintenance is. Meanwhile the VM got tasks.

Change: such a VM gets no new task, and its move is repeated once it is empty and a list that was asked for 1.5 s after the order shows it unchanged. A repeat of a move that was carried out changes nothing. Elsewhere: maintenance without an answer is repeated already, and its VM stays drained.

The world of VMs and orders of these tests has a file of its own now.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -265,16 +265,30 @@
     });
   }
 
+  /**
+   * Orders the moves whose VMs are empty, once more those without an answer.
+   *
+   * Guards against a VM that stands still until the next change of homes: a move that got no answer
+   * and was never carried out counted as on its way for good. A repeat of one that was carried out
+   * changes nothing.
+   */
   private async orderMoves(
     vms: readonly FleetVm[],
     loads: ReadonlyMap<string, TargetLoad>,
   ): Promise<void> {
     const nowMs = this.options.clock.monotonicMs();
-    const empty = vms.filter(({ vm }) => this.leaving.has(vm)).filter((vm) => isEmpty(vm, loads));
-    const ordered = empty.map(({ vm, targetId }) => {
-      const { toPool } = this.leaving.get(vm)!;
-      return this.orders.give({ type: 'move', vm, toPool }, targetId);
-    });
+    const unanswered = this.orders
+      .listUnansweredMoves()
+      .filter((order) => this.orders.isDueAgain(order));
+    const moves = new Map(
+      [...this.leaving.values(), ...unanswered].map(({ vm, toPool }) => [vm, toPool]),
+    );
+    const empty = vms
+      .filter(({ vm, state }) => state === 'up' && moves.has(vm))
+      .filter((vm) => isEmpty(vm, loads));
+    const ordered = empty.map(({ vm, targetId }) =>
+      this.orders.give({ type: 'move', vm, toPool: moves.get(vm)! }, targetId),
+    );
     empty.forEach(({ vm }) => this.leaving.delete(vm));
     // One that does not fall idle in time stays; it may be chosen again.
     [...this.leaving]
@@ -293,9 +307,10 @@
     return indexLoads(await this.syncPools(vms, pools));
   }
 
-  /** VMs that get no new task: a wave is about to take them, or they leave their pool. */
+  /** VMs that get no new task: a wave is about to take them, or they leave, or may yet leave. */
   private listDrained(): ReadonlySet<string> {
-    return new Set([...this.waves.listDrained(), ...this.leaving.keys()]);
+    const mayLeave = this.orders.listUnansweredMoves().map(({ vm }) => vm);
+    return new Set([...this.waves.listDrained(), ...this.leaving.keys(), ...mayLeave]);
   }
 
   /** VMs that are not to be moved: drained already, away, or just ordered by an earlier home. */
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -3,10 +3,16 @@
 import { RecentOrders, type RecentOrdersOptions } from './RecentOrders.js';
 import { encodeVmOrderRecord, type VmOrderRecord } from './VmOrderRecord.js';
 
+/** A change of a VM's pool. */
+export interface VmMoveOrder {
+  readonly type: 'move';
+  readonly vm: string;
+  readonly toPool: string;
+}
+
 /** Something that is to be done to a VM. */
 export type VmOrder =
-  | { readonly type: 'move'; readonly vm: string; readonly toPool: string }
-  | { readonly type: 'maintain'; readonly vm: string; readonly wave: number };
+  VmMoveOrder | { readonly type: 'maintain'; readonly vm: string; readonly wave: number };
 
 /** Options of {@link VmOrders}. */
 export interface VmOrdersOptions extends RecentOrdersOptions {
@@ -43,8 +49,8 @@
 /** Time after an order before which the list of VMs may not show it yet, in milliseconds. */
 const SETTLE_MS = 700;
 /**
- * Time after an accepted order by which the list shows its VM away or in another lifetime, in
- * milliseconds; one that it shows as it was before has not been changed.
+ * Time after an order by which the list shows its VM away or in another lifetime, in milliseconds;
+ * one that it shows as it was before has not been changed yet.
  */
 const UNCHANGED_AFTER_MS = 1_500;
 
@@ -95,6 +101,28 @@
     return this.away.has(vm);
   }
 
+  /**
+   * Lists the moves that had no answer. They may be carried out yet, or never.
+   * @returns The orders that no list of VMs has shown to be carried out.
+   */
+  listUnansweredMoves(): readonly VmMoveOrder[] {
+    return [...this.away.values()]
+      .filter(({ acceptedAtMs }) => acceptedAtMs === undefined)
+      .map(({ order }) => order)
+      .filter((order) => order.type === 'move');
+  }
+
+  /**
+   * Tells whether an order without an answer can be repeated: a list that was asked for now would
+   * show it if it had been carried out.
+   * @param order - The order.
+   * @returns Whether its time has come.
+   */
+  isDueAgain({ vm }: VmOrder): boolean {
+    const orderedAtMs = this.away.get(vm)?.orderedAtMs ?? Infinity;
+    return this.options.clock.monotonicMs() - orderedAtMs >= UNCHANGED_AFTER_MS;
+  }
+
   /**
    * Lists the VMs that must be left alone for now, since an earlier holder has just ordered them.
    * @returns Their names.
--- /dev/null
+++ b/tests/fleetHome/OrderWorld.ts
@@ -0,0 +1,121 @@
+import { FleetHome } from '../../src/fleetHome/index.js';
+import { decodeVmOrderRecord, type VmOrderRecord } from '../../src/fleetHome/VmOrderRecord.js';
+import { VmOrders } from '../../src/fleetHome/VmOrders.js';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import type { KeyedRecord } from '../../src/store/index.js';
+import { ALL_MECHANISMS, type PoolDemand } from '../../src/systems/index.js';
+import { ManualClock } from '../../src/utils/index.js';
+import type { FleetVm } from '../../src/vms/index.js';
+import { FleetStandIn } from '../../standins/vms/index.js';
+
+/** Time that has to pass between the orders of two holders, in milliseconds. */
+export const ORDER_LEASE_MS = 3_000;
+const VMS: readonly FleetVm[] = ['vm-1', 'vm-2'].map((vm) => ({
+  vm,
+  pool: 'spares',
+  state: 'up',
+  targetId: undefined,
+  rack: 'r1',
+}));
+
+/** Makes the demand of a pool, with targets that run nothing. */
+export function makeDemand(
+  pool: string,
+  neededCpuMillicores: number,
+  targetIds: readonly string[] = [],
+): PoolDemand {
+  return {
+    pool,
+    targets: targetIds.map((targetId) => ({
+      targetId,
+      runCount: 0,
+      longRunningCount: 0,
+      usedCpuMillicores: 0,
+      cpuMillicores: 32_000,
+    })),
+    waitingCpuMillicores: neededCpuMillicores,
+    neededCpuMillicores,
+    lateCpuMillicores: 0,
+    wholeVmCount: 0,
+    jobCount: 3,
+  };
+}
+
+/** VMs, a store of orders, and the holders that a test opens over them. */
+export class OrderWorld {
+  readonly clock = new ManualClock(50_000);
+
+  readonly events = new MemoryEventLog();
+
+  readonly fleet: FleetStandIn;
+
+  /** What the homes of pools tell, by pool. */
+  readonly demands = new Map<string, PoolDemand>([['pages', makeDemand('pages', 64_000)]]);
+
+  /** Targets that homes of pools were told to give no task, call by call. */
+  readonly drained: (readonly string[])[] = [];
+
+  /** Records as a store keeps them: the newest of each key. */
+  readonly stored = new Map<string, KeyedRecord>();
+
+  constructor(vms: readonly FleetVm[] = VMS) {
+    this.fleet = new FleetStandIn({ vms, onLifetime: () => undefined });
+  }
+
+  store = async (records: readonly KeyedRecord[]): Promise<void> => {
+    records.forEach((record) => {
+      if (record.value === undefined) this.stored.delete(record.key);
+      else this.stored.set(record.key, record);
+    });
+  };
+
+  get orderRecords(): readonly VmOrderRecord[] {
+    return [...this.stored.values()].map((record) => decodeVmOrderRecord(record)!);
+  }
+
+  open(term: number, holder = `holder-${term}`): VmOrders {
+    const { clock, events, fleet, orderRecords } = this;
+    return new VmOrders({
+      port: fleet,
+      holder,
+      term,
+      clock,
+      events,
+      orderLeaseMs: ORDER_LEASE_MS,
+      orderRecords,
+      store: (records) => this.store(records),
+      onStaleTerm: () => undefined,
+    });
+  }
+
+  listOrders(): readonly string[] {
+    return this.fleet.orders.map(({ vm, holder }) => `${vm} by ${holder}`);
+  }
+}
+
+/** Opens a home of the fleet over the pools of which the world tells. */
+export function openHome(world: OrderWorld): FleetHome {
+  const { clock, events, fleet, orderRecords } = world;
+  return new FleetHome({
+    port: fleet,
+    holder: 'holder-2',
+    term: 2,
+    clock,
+    events,
+    mechanisms: ALL_MECHANISMS,
+    orderLeaseMs: ORDER_LEASE_MS,
+    waveRecords: [],
+    peakRecords: [],
+    orderRecords,
+    listWaveOrders: () => [],
+    listPools: () => [...world.demands.keys()],
+    listStandbyPools: () => ['spares'],
+    syncPool: async (pool, drained) => {
+      world.drained.push(drained);
+      return world.demands.get(pool);
+    },
+    store: (records) => world.store(records),
+    publishStatus: async () => undefined,
+    onReplaced: () => undefined,
+  });
+}
