Give no order for a VM by loads that are older than the drain that keeps it empty

What callers would see: tasks, of services too, that a move or maintenance ends (AVAIL), where the fleet's home is slow.

Cause: a pool's home keeps tasks off a VM for 3 s after it has told that the VM is empty.

Change: an order rests on loads of the last 2 s, or is not sent; the next look decides anew. The test failed before: the order was given.

--- a/scripts/fleetMutants.ts
+++ b/scripts/fleetMutants.ts
@@ -23,8 +23,8 @@
   {
     failure: 'a VM taken down with tasks that it got while its order waited for the store',
     file: 'src/fleetHome/VmOrders.ts',
-    find: "clock.monotonicMs() - orderedAtMs < OUTDATED_AFTER_MS ? undefined : 'outdated'",
-    replace: 'undefined',
+    find: "return isOutdated ? 'outdated' : undefined;",
+    replace: 'return undefined;',
     test: ORDERS_TEST,
     name: 'gives no order whose record was stored too late',
   },
--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -213,6 +213,7 @@
     pools: readonly string[],
   ): Promise<readonly PoolDemand[]> {
     const drained = this.listDrained();
+    this.orders.noteLoads(this.options.clock.monotonicMs());
     const answers = await Promise.all(pools.map((pool) => this.syncPool(vms, pool, drained)));
     return answers.filter((demand) => demand !== undefined);
   }
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -46,6 +46,11 @@
 
 /** Age from which the reasons of an order do not hold any more, in milliseconds: five looks. */
 const OUTDATED_AFTER_MS = 1_000;
+/**
+ * Age from which the loads do not hold any more by which a VM is empty, in milliseconds: the homes
+ * of pools keep tasks off it for 3 s, and the call of the order takes 1 s at most.
+ */
+const LOADS_OUTDATED_AFTER_MS = 2_000;
 /** Time after an order before which the list of VMs may not show it yet, in milliseconds. */
 const SETTLE_MS = 700;
 /**
@@ -72,6 +77,9 @@
 
   private readonly recent: RecentOrders;
 
+  /** When the loads were asked for by which VMs are empty, by the monotonic clock. */
+  private loadsAskedAtMs = Infinity;
+
   /**
    * Starts without orders.
    * @param options - The port, and who orders.
@@ -149,6 +157,14 @@
     return this.recent.settle();
   }
 
+  /**
+   * Takes note of the loads on which orders rest from now on.
+   * @param askedAtMs - When they were asked for, by the monotonic clock.
+   */
+  noteLoads(askedAtMs: number): void {
+    this.loadsAskedAtMs = askedAtMs;
+  }
+
   /**
    * Takes note of which VMs are back.
    * @param vms - The VMs as listed.
@@ -210,7 +226,12 @@
     else this.away.set(vm, before);
   }
 
-  /** Stores that an order is about to be given; tells why it must not be given, if so. */
+  /**
+   * Stores that an order is about to be given; tells why it must not be given, if so.
+   *
+   * Guards against tasks that an order ends: a pool's home keeps them off a VM for 3 s after it has
+   * told that the VM is empty, and a slow store or a slow processor may take longer.
+   */
   private async record(
     record: VmOrderRecord,
     orderedAtMs: number,
@@ -222,7 +243,11 @@
       // The writer has told why; this holder has been replaced.
       return 'unrecorded';
     }
-    return clock.monotonicMs() - orderedAtMs < OUTDATED_AFTER_MS ? undefined : 'outdated';
+    const nowMs = clock.monotonicMs();
+    const isOutdated =
+      nowMs - orderedAtMs >= OUTDATED_AFTER_MS ||
+      nowMs - this.loadsAskedAtMs >= LOADS_OUTDATED_AFTER_MS;
+    return isOutdated ? 'outdated' : undefined;
   }
 
   private async send(order: VmOrder): Promise<VmOrderOutcome> {
--- a/tests/fleetHome/VmOrders.test.ts
+++ b/tests/fleetHome/VmOrders.test.ts
@@ -152,6 +152,17 @@
     expect(orders.isAway('vm-1')).toBe(false);
   });
 
+  // Guards against tasks that an order ends: they were kept off the VM for 3 s after it was empty.
+  it('gives no order by loads that were asked for too long ago', async () => {
+    const world = new OrderWorld();
+    const orders = world.open(1);
+    orders.noteLoads(world.clock.monotonicMs());
+    world.clock.advance(2_500);
+    expect(await orders.give(moveOf('vm-1'), undefined)).toBe('outdated');
+    orders.noteLoads(world.clock.monotonicMs());
+    expect(await orders.give(moveOf('vm-1'), undefined)).toBe('accepted');
+  });
+
   // A wave took one VM more down than it may: the order for a VM got no answer, its repeat was not
   // sent as the store was slow, and another VM took the place of the first one. Then the first
   // order was carried out after all. Cause: a repeat that was not carried out took the order back.
