--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -183,8 +183,9 @@
 }
 
 /**
- * Takes VMs from work that is too late for its objective and gives them to work in time that still
- * misses some.
+ * Takes VMs from work that is too late for its objective and gives them to work in time that runs
+ * or waits now and still misses some. What is only foreseen takes none: it may be off by far, and
+ * late work that stands still meanwhile is soon worth nothing.
  *
  * Answers rushes that ask for more than the fleet, one pool after the other: the first pool held 44
  * of 70 VMs for jobs that were worth a tenth by then, and in the next one, with six VMs, every job
@@ -197,8 +198,8 @@
   yieldsKept: boolean,
 ): readonly VmMove[] {
   const countGiven = (pool: string): number => given.filter(({ toPool }) => toPool === pool).length;
-  const wanted = listWanted(balances, ({ demand, timelyCount, haveCount }) =>
-    limitMoves(timelyCount - haveCount - countGiven(demand.pool)),
+  const wanted = listWanted(balances, ({ demand, timelyCount, presentCount, haveCount }) =>
+    limitMoves(Math.min(timelyCount, presentCount) - haveCount - countGiven(demand.pool)),
   );
   const taken = new Set(given.map(({ vm }) => vm));
   const yielding = balances
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -212,6 +212,7 @@
       planMoves({ ...input, demands: [late, pages], vms }).map(({ vm }) => vm);
     expect(plan(rush)).toEqual(['m1', 'm2']);
     expect(plan({ ...rush, lateCpuMillicores: 90_000 })).toEqual([]);
+    expect(plan({ ...rush, waitingCpuMillicores: 0 })).toEqual([]);
   });
 
   it('leaves VMs alone that carry long-running tasks or are held', () => {
