Forget members that told of themselves long ago, and list due moves in a place of their own

Cause: an entry stayed for each instance that ever told of itself, and restarts have new names. The test of how long a member counts is new; that old entries go is by reading.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -278,12 +278,7 @@
     loads: ReadonlyMap<string, TargetLoad>,
   ): Promise<void> {
     const nowMs = this.options.clock.monotonicMs();
-    const unanswered = this.orders
-      .listUnansweredMoves()
-      .filter((order) => this.orders.isDueAgain(order));
-    const moves = new Map(
-      [...this.leaving.values(), ...unanswered].map(({ vm, toPool }) => [vm, toPool]),
-    );
+    const moves = this.listDueMoves();
     const empty = vms
       .filter(({ vm, state }) => state === 'up' && moves.has(vm))
       .filter((vm) => isEmpty(vm, loads));
@@ -298,6 +293,13 @@
     await Promise.all(ordered);
   }
 
+  /** Pools of the VMs that are to leave, or may have to be ordered once more. */
+  private listDueMoves(): ReadonlyMap<string, string> {
+    const { orders, leaving } = this;
+    const unanswered = orders.listUnansweredMoves().filter((order) => orders.isDueAgain(order));
+    return new Map([...leaving.values(), ...unanswered].map(({ vm, toPool }) => [vm, toPool]));
+  }
+
   /** Asks again after new tasks are kept off: only then does an empty target stay empty. */
   private async askLeaving(
     vms: readonly FleetVm[],
--- a/src/taskHome/HomeDirectory.ts
+++ b/src/taskHome/HomeDirectory.ts
@@ -150,17 +150,22 @@
    * @returns The capacity of each other.
    */
   listCapacities(instance: string): readonly HomeCapacity[] {
-    const nowMs = this.options.clock.monotonicMs();
-    const announced = [...this.announced.values()]
-      .filter(({ untilMs }) => nowMs < untilMs)
-      .map(({ member }) => member);
-    const members = [...announced, ...this.listMembers()];
+    const members = [...this.listAnnounced(), ...this.listMembers()];
     const byInstance = new Map(members.map((member) => [member.address.instance, member]));
     return [...byInstance.values()]
       .filter(({ address }) => address.instance !== instance)
       .map(({ capacity }) => capacity);
   }
 
+  /** Members that have told of themselves lately; the others are forgotten. */
+  private listAnnounced(): readonly GroupMember[] {
+    const nowMs = this.options.clock.monotonicMs();
+    [...this.announced]
+      .filter(([, { untilMs }]) => untilMs <= nowMs)
+      .forEach(([instance]) => this.announced.delete(instance));
+    return [...this.announced.values()].map(({ member }) => member);
+  }
+
   /**
    * Takes note of a member that has told of itself.
    * @param name - Its name, as the group would tell it.
--- a/tests/taskHome/HomeDirectory.test.ts
+++ b/tests/taskHome/HomeDirectory.test.ts
@@ -28,6 +28,25 @@
 }
 
 describe('HomeDirectory', () => {
+  // Guards against a small instance that leaves the homes to a larger one that is gone by now.
+  it('counts a member that has told of itself for a while only', () => {
+    const clock = new ManualClock();
+    const directory = new HomeDirectory({
+      groups: { listOwners: async () => [] },
+      group: 'homes',
+      instance: 'asker',
+      peers: { call: async () => ({ type: 'done' }) },
+      clock,
+      events: new MemoryEventLog(),
+    });
+    directory.noteMember('other@10.0.0.1:7/1.35,140');
+    directory.noteMember('no name of a member');
+    expect(directory.listCapacities('asker')).toEqual([{ coreCount: 1.35, linkMbps: 140 }]);
+    expect(directory.listCapacities('other')).toEqual([]);
+    clock.advance(3_000);
+    expect(directory.listCapacities('asker')).toEqual([]);
+  });
+
   it('reads from a name what was written into it, and nothing from other names', () => {
     const member = makeMember('frontend-1-abc', 0.675);
     expect(parseMember(formatMember(member))).toEqual(member);
