Let a forwarder that forgets a connection forget its end as well

Cause: both ends of a connection watch it with the same heartbeat. Where the serving end found the silence first, it closed its side, and the forwarder passed that on, although it stands for a middlebox that passes nothing on.

Change: the forwarder of that test passes no end on either once it has forgotten a connection. The check stays as it is, and no end helps the client now.

--- a/tests/peers/TcpForwarder.ts
+++ b/tests/peers/TcpForwarder.ts
@@ -21,10 +21,11 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  /** Lets the bytes of every present connection vanish from now on. */
+  /** Lets the bytes of every present connection vanish from now on, and its end as well. */
   forgetConnections(): void {
     this.sockets.forEach((socket) => {
       socket.removeAllListeners('data');
+      socket.removeAllListeners('close');
       socket.on('data', () => {});
     });
   }
