Call one piece for occupants, spare VMs and members listed once

Cause: found by reading the change once more. countWholeVms walked the placed tasks of every row itself, beside the memoized list that placement uses; planYields wrote the listing of spare VMs again that planMoves has; the directory listed members once each in two places. countWholeVms also estimated for each job whether it is late, at each look at the fleet, though only jobs with tasks that need a whole VM are asked that.

Change: listOccupants has a file of its own and serves both; listAllSpareVms serves the three listings; listOnce serves both lists of members; lateness is estimated where it counts.

--- a/src/systems/countWholeVms.ts
+++ b/src/systems/countWholeVms.ts
@@ -1,7 +1,8 @@
-import { type DurableJobRow, isFinished, type StepSpec } from '../jobs/index.js';
+import type { DurableJobRow, StepSpec } from '../jobs/index.js';
 import { CATCH_UP_MS, LATE_CATCH_UP_MS } from './catchUpTimes.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
-import { listReadyTasks } from './listReadyTasks.js';
+import { listOccupants } from './listOccupants.js';
+import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import type { RunTimes } from './RunTimes.js';
 import { getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
 
@@ -21,13 +22,10 @@
   const rooms = new Map(
     targets.map((target) => [target.targetId, new TargetRoom({ ...target, takesTasks: true })]),
   );
-  rows.forEach((row) =>
-    row.tasks
-      .filter(({ phase, step }) => phase === 'placed' && row.spec.steps[step]!.isLongRunning)
-      .forEach(({ occurrence, step, targetId }) =>
-        rooms.get(targetId!)?.take(getStepKey(row, occurrence, step), row.spec.steps[step]!),
-      ),
-  );
+  rows
+    .flatMap((row) => listOccupants(row))
+    .filter(({ step }) => step.isLongRunning)
+    .forEach(({ targetId, stepKey, step }) => rooms.get(targetId)?.take(stepKey, step));
   return [...rooms.values()];
 }
 
@@ -48,20 +46,20 @@
   const emptyRooms = targets.map((target) => new TargetRoom({ ...target, takesTasks: true }));
   const fits = (rooms: readonly TargetRoom[], stepKey: string, step: StepSpec): boolean =>
     rooms.some((room) => room.accepts(stepKey, step));
-  const vmShares = rows
-    .filter((row) => !isFinished(row))
-    .flatMap((row) => {
-      const isLate = nowMs > estimateStartByMs(row, runTimes);
-      const withinMs = isLate ? LATE_CATCH_UP_MS : CATCH_UP_MS;
-      return listReadyTasks(row, nowMs).map(({ occurrence, step: index, positions }) => {
-        const step = row.spec.steps[index]!;
-        const stepKey = getStepKey(row, occurrence, index);
-        const needsWhole =
-          step.requiredLabel === undefined &&
-          !fits(lastingRooms, stepKey, step) &&
-          fits(emptyRooms, stepKey, step);
-        return needsWhole ? (positions.length * runTimes.estimateMs(row, index)) / withinMs : 0;
-      });
-    });
+  const countFor = (row: DurableJobRow, ready: ReadyTasks): number => {
+    const step = row.spec.steps[ready.step]!;
+    const stepKey = getStepKey(row, ready.occurrence, ready.step);
+    const needsWhole =
+      step.requiredLabel === undefined &&
+      !fits(lastingRooms, stepKey, step) &&
+      fits(emptyRooms, stepKey, step);
+    if (!needsWhole) return 0;
+    const isLate = nowMs > estimateStartByMs(row, runTimes);
+    const withinMs = isLate ? LATE_CATCH_UP_MS : CATCH_UP_MS;
+    return (ready.positions.length * runTimes.estimateMs(row, ready.step)) / withinMs;
+  };
+  const vmShares = rows.flatMap((row) =>
+    listReadyTasks(row, nowMs).map((ready) => countFor(row, ready)),
+  );
   return Math.ceil(vmShares.reduce((sum, share) => sum + share, 0));
 }
--- /dev/null
+++ b/src/systems/listOccupants.ts
@@ -0,0 +1,25 @@
+import type { DurableJobRow, StepSpec } from '../jobs/index.js';
+import { memoizeByObject } from '../utils/index.js';
+import { getStepKey } from './TargetRoom.js';
+
+/** A task that takes room on a target. */
+export interface Occupant {
+  readonly targetId: string;
+  readonly stepKey: string;
+  readonly step: StepSpec;
+}
+
+/**
+ * Lists the tasks of a job that take room on targets.
+ * @param row - The job.
+ * @returns One for each placed task.
+ */
+export const listOccupants = memoizeByObject((row: DurableJobRow): readonly Occupant[] =>
+  row.tasks
+    .filter(({ phase }) => phase === 'placed')
+    .map(({ occurrence, step, targetId }) => ({
+      targetId: targetId!,
+      stepKey: getStepKey(row, occurrence, step),
+      step: row.spec.steps[step]!,
+    })),
+);
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -1,5 +1,6 @@
 import type { DurableJobRow, StepSpec } from '../jobs/index.js';
-import { groupBy, memoizeByObject } from '../utils/index.js';
+import { groupBy } from '../utils/index.js';
+import { listOccupants } from './listOccupants.js';
 import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
 import { getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
@@ -31,23 +32,6 @@
 
 const NONE: ReadonlySet<string> = new Set();
 
-/** A task that takes room on a target. */
-interface Occupant {
-  readonly targetId: string;
-  readonly stepKey: string;
-  readonly step: StepSpec;
-}
-
-const listOccupants = memoizeByObject((row: DurableJobRow): readonly Occupant[] =>
-  row.tasks
-    .filter(({ phase }) => phase === 'placed')
-    .map(({ occurrence, step, targetId }) => ({
-      targetId: targetId!,
-      stepKey: getStepKey(row, occurrence, step),
-      step: row.spec.steps[step]!,
-    })),
-);
-
 function occupy(rooms: ReadonlyMap<string, TargetRoom>, row: DurableJobRow): void {
   listOccupants(row).forEach(({ targetId, stepKey, step }) =>
     rooms.get(targetId)?.take(stepKey, step),
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -140,6 +140,17 @@
     .slice(0, Math.max(0, spareCount));
 }
 
+/** Spare VMs of all pools, given what each keeps; those with the fewest tasks first. */
+function listAllSpareVms(
+  balances: readonly PoolBalance[],
+  getKeptCount: (balance: PoolBalance) => number,
+  loads: ReadonlyMap<string, TargetLoad>,
+): readonly FleetVm[] {
+  return balances
+    .flatMap((balance) => listSpareVms(balance, getKeptCount(balance), loads))
+    .toSorted(byRunCount(loads));
+}
+
 /** Limits the VMs that a pool misses to those that are ordered at once. */
 function limitMoves(missingCount: number): number {
   return Math.min(MAX_MOVES_PER_POOL, Math.max(0, missingCount));
@@ -202,14 +213,13 @@
     limitMoves(Math.min(timelyCount, presentCount) - haveCount - countGiven(demand.pool)),
   );
   const taken = new Set(given.map(({ vm }) => vm));
-  const yielding = balances
-    .flatMap((balance) => {
-      const idleCount = yieldsKept ? MIN_KEPT_IN_SHORTAGE : balance.idleCount;
-      const keptCount = Math.max(balance.timelyCount, idleCount);
-      return listSpareVms(balance, keptCount, loads);
-    })
-    .filter(({ vm }) => !taken.has(vm));
-  return giveVms(wanted, yielding.toSorted(byRunCount(loads)));
+  const getKeptCount = ({ timelyCount, idleCount }: PoolBalance): number =>
+    Math.max(timelyCount, yieldsKept ? MIN_KEPT_IN_SHORTAGE : idleCount);
+  const yielding = listAllSpareVms(balances, getKeptCount, loads);
+  return giveVms(
+    wanted,
+    yielding.filter(({ vm }) => !taken.has(vm)),
+  );
 }
 
 /**
@@ -233,15 +243,15 @@
   const balances = demands
     .filter(({ pool }) => !standbyPools.has(pool))
     .map((demand) => balancePool(demand, input, loads));
-  const listSpare = (count: (balance: PoolBalance) => number): readonly FleetVm[] =>
-    balances
-      .flatMap((balance) => listSpareVms(balance, count(balance), loads))
-      .toSorted(byRunCount(loads));
-  const spare = listSpare(({ keptCount }) => keptCount);
+  const spare = listAllSpareVms(balances, ({ keptCount }) => keptCount, loads);
   const wanted = listNeeded(balances);
   const kept =
     yieldsKept && wanted.length > 0
-      ? listSpare(({ needCount }) => Math.max(needCount, MIN_KEPT_IN_SHORTAGE))
+      ? listAllSpareVms(
+          balances,
+          ({ needCount }) => Math.max(needCount, MIN_KEPT_IN_SHORTAGE),
+          loads,
+        )
       : [];
   // The first ones are given first, so what is kept goes only where nothing else is left.
   const available = [...new Set([...standby, ...spare, ...kept])];
--- a/src/taskHome/HomeDirectory.ts
+++ b/src/taskHome/HomeDirectory.ts
@@ -78,6 +78,11 @@
   return new Map(known);
 }
 
+/** Lists the members of a list once each; the last one of an instance stands. */
+function listOnce(members: readonly GroupMember[]): readonly GroupMember[] {
+  return [...new Map(members.map((member) => [member.address.instance, member])).values()];
+}
+
 /**
  * Where the home of each partition is, as the platform's group tells it, or a peer that has heard
  * from the group since.
@@ -150,9 +155,7 @@
    * @returns The capacity of each other.
    */
   listCapacities(instance: string): readonly HomeCapacity[] {
-    const members = [...this.listAnnounced(), ...this.listMembers()];
-    const byInstance = new Map(members.map((member) => [member.address.instance, member]));
-    return [...byInstance.values()]
+    return listOnce([...this.listAnnounced(), ...this.listMembers()])
       .filter(({ address }) => address.instance !== instance)
       .map(({ capacity }) => capacity);
   }
@@ -182,8 +185,7 @@
    * @returns Each once.
    */
   listMembers(): readonly GroupMember[] {
-    const members = [...this.owners.values()];
-    return [...new Map(members.map((member) => [member.address.instance, member])).values()];
+    return listOnce([...this.owners.values()]);
   }
 
   /**
