Tell of each run that was lost with its target, and which VMs are away by order

The logs told how many runs a lost target had, not which, how long each had worked, nor whether the VM had been ordered away: not enough to tell a task that crashes its targets from one that is only there when they crash. runLost names each run with the time for which it is known to have worked; vmChanged tells isOrdered; lost_runs counts by pool and reason. No decision changes.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -179,7 +179,9 @@
     if (known.targetId !== undefined && known.targetId !== targetId) {
       this.ended.set(known.targetId, this.options.clock.monotonicMs());
     }
-    this.options.events.write('vmChanged', { vm, pool, state, targetId, stateBefore: known.state });
+    const isOrdered = this.orders.isAway(vm);
+    const stateBefore = known.state;
+    this.options.events.write('vmChanged', { vm, pool, state, targetId, stateBefore, isOrdered });
   }
 
   /** Lifetimes that were listed and are not any more; told for long enough to reach every home. */
--- a/src/logging/BoundedLineWriter.ts
+++ b/src/logging/BoundedLineWriter.ts
@@ -31,6 +31,7 @@
   'startRefused',
   'taskPaced',
   'vmChanged',
+  'runLost',
 ]);
 
 /**
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -45,6 +45,7 @@
     level: 'info',
     text: 'A target leaves, so a start was not sent there.',
   },
+  runLost: { number: 6040, level: 'warn', text: 'A run of a task was lost with its target.' },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -106,6 +106,12 @@
     meaning: "From a durable job's submission to its final state.",
     tags: ['pool', 'state'],
   },
+  lost_runs: {
+    type: 'counter',
+    unit: 'runs',
+    meaning: 'Runs of tasks that were lost with their targets, by how the loss became known.',
+    tags: ['pool', 'reason'],
+  },
   placement_round_ms: {
     type: 'timer',
     unit: 'ms',
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -21,6 +21,18 @@
   readonly reportAgeMs: number | undefined;
 }
 
+/** How a run was lost with its target. */
+export interface RunLoss {
+  /** How the end of the target is known. */
+  readonly reason: string;
+  /** Whether its start was sent. */
+  readonly isSent: boolean;
+  /** For how long the run is known to have worked, in milliseconds. */
+  readonly survivedMs: number;
+  /** Runs that were lost with the target, this one among them. */
+  readonly runCount: number;
+}
+
 /** Log lines and measurements of the jobs of one home. */
 export class JobTelemetry {
   private readonly options: JobTelemetryOptions;
@@ -56,8 +68,26 @@
    * @param end - How it ended.
    * @param source - How that became known.
    */
-  noteEnded(jobId: string, key: RunKey, { end }: RunEnd, source: string): void {
-    this.options.events.write('taskEnded', { jobId, ...key, end, source });
+  noteEnded(
+    jobId: string,
+    { taskName, run, targetId }: RunKey,
+    { end }: RunEnd,
+    source: string,
+  ): void {
+    this.options.events.write('taskEnded', { jobId, taskName, run, targetId, end, source });
+  }
+
+  /**
+   * Tells of a run that was lost with its target; its end is told of as any other.
+   * @param row - Its job.
+   * @param key - The run.
+   * @param loss - How long the run is known to have worked there, and how its target was lost.
+   */
+  noteLost({ spec }: DurableJobRow, { taskName, run, targetId }: RunKey, loss: RunLoss): void {
+    const { events, metrics, term } = this.options;
+    const { jobId, terms } = spec;
+    metrics.increment('lost_runs', { pool: terms.pool, reason: loss.reason });
+    events.write('runLost', { jobId, taskName, run, targetId, term, ...loss });
   }
 
   /**
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -77,6 +77,11 @@
     return Math.round(this.options.clock.monotonicMs() - this.readTargetClock.atMs);
   }
 
+  /** When the target last answered, by the monotonic clock; undefined before the first answer. */
+  get answeredAtMs(): number | undefined {
+    return this.readTargetClock?.atMs;
+  }
+
   /**
    * Time from which on everything that ran on the target has certainly been killed, by the
    * monotonic clock. Before the first answer an earlier home's lease may still run.
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -110,6 +110,15 @@
     return this.known.get(targetId)?.session.answerAgeMs;
   }
 
+  /**
+   * Tells when a target last answered.
+   * @param targetId - Id of the target.
+   * @returns The time by the monotonic clock, or undefined where the target has not answered yet.
+   */
+  getAnsweredAtMs(targetId: string): number | undefined {
+    return this.known.get(targetId)?.session.answeredAtMs;
+  }
+
   /**
    * Extends a target's lease for an order that carries it.
    * @param targetId - Id of the target.
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -22,8 +22,17 @@
   'stopped',
 ]);
 
+/** A run that was ordered of a target. */
+export interface OrderedRun extends RunKey {
+  /** Whether its start was sent, so that the target may have begun it. */
+  readonly isSent: boolean;
+  /** Since when the target is known to run it, by the monotonic clock. */
+  readonly begunAtMs: number | undefined;
+}
+
 interface Order extends RunKey {
   phase: OrderPhase;
+  begunAtMs: number | undefined;
   /** When the last answer came, by the monotonic clock: a report asked for later shows the run. */
   answeredAtMs: number;
 }
@@ -57,7 +66,7 @@
    * @param key - The run.
    */
   reserve(key: RunKey): void {
-    this.add({ ...key, phase: 'unsent', answeredAtMs: 0 });
+    this.add({ ...key, phase: 'unsent', begunAtMs: undefined, answeredAtMs: 0 });
   }
 
   /**
@@ -65,7 +74,7 @@
    * @param key - The run.
    */
   adopt(key: RunKey): void {
-    this.add({ ...key, phase: 'unanswered', answeredAtMs: 0 });
+    this.add({ ...key, phase: 'unanswered', begunAtMs: undefined, answeredAtMs: 0 });
   }
 
   /**
@@ -102,8 +111,16 @@
    * @param targetId - Id of the target.
    * @returns The runs, started or not.
    */
-  listOn(targetId: string): readonly RunKey[] {
-    return [...(this.byTarget.get(targetId) ?? [])];
+  listOn(targetId: string): readonly OrderedRun[] {
+    return [...(this.byTarget.get(targetId) ?? [])].map(
+      ({ taskName, run, phase, begunAtMs }): OrderedRun => ({
+        taskName,
+        run,
+        targetId,
+        isSent: phase !== 'unsent',
+        begunAtMs,
+      }),
+    );
   }
 
   /**
@@ -230,7 +247,9 @@
   }
 
   private settle(order: Order, phase: OrderPhase): void {
-    Object.assign(order, { phase, answeredAtMs: this.options.clock.monotonicMs() });
+    const answeredAtMs = this.options.clock.monotonicMs();
+    const begunAtMs = order.begunAtMs ?? (phase === 'started' ? answeredAtMs : undefined);
+    Object.assign(order, { phase, answeredAtMs, begunAtMs });
   }
 
   private isCurrent(order: Order): boolean {
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -18,11 +18,19 @@
 import { TargetHealth } from './TargetHealth.js';
 import type { TargetReport } from './TargetSession.js';
 import type { TargetLoss, TargetSessions } from './TargetSessions.js';
-import { TaskOrders } from './TaskOrders.js';
+import { type OrderedRun, TaskOrders } from './TaskOrders.js';
 import { TaskPacer } from './TaskPacer.js';
 import { TaskProgress } from './TaskProgress.js';
 import type { TaskRunsOptions } from './TaskRunsOptions.js';
 
+/** How a target was lost. */
+interface TargetEnd {
+  readonly reason: TargetLoss;
+  /** When it last answered, by the monotonic clock. */
+  readonly answeredAtMs: number | undefined;
+  readonly runCount: number;
+}
+
 /** The runs of a home's tasks: from their placement to their end, with all that can go wrong. */
 export class TaskRuns {
   private readonly options: TaskRunsOptions;
@@ -200,10 +208,11 @@
    * @param reason - How that is known.
    */
   loseTarget(targetId: string, reason: TargetLoss): void {
-    const keys = this.orders.listOn(targetId);
+    const runs = this.orders.listOn(targetId);
+    const answeredAtMs = this.sessions.getAnsweredAtMs(targetId);
     this.sessions.remove(targetId, reason === 'lapsed');
-    this.options.events.write('targetGone', { targetId, reason, runCount: keys.length });
-    keys.forEach((key) => this.endRun(key, { end: 'lapsed', checkpoint: undefined }, reason));
+    this.options.events.write('targetGone', { targetId, reason, runCount: runs.length });
+    runs.forEach((run) => this.loseRun(run, { reason, answeredAtMs, runCount: runs.length }));
     this.orders.forgetTarget(targetId);
     this.options.onChanged();
   }
@@ -246,6 +255,15 @@
     this.endRun({ taskName, run, targetId }, { end, checkpoint }, 'reported');
   }
 
+  private loseRun(run: OrderedRun, { reason, answeredAtMs, runCount }: TargetEnd): void {
+    const { isSent, begunAtMs } = run;
+    const found = this.table.findPlaced(run);
+    if (found === undefined) return;
+    const survivedMs = Math.max(0, (answeredAtMs ?? 0) - (begunAtMs ?? answeredAtMs ?? 0));
+    this.options.telemetry.noteLost(found.row, run, { reason, isSent, survivedMs, runCount });
+    this.endRun(run, { end: 'lapsed', checkpoint: undefined }, reason);
+  }
+
   private endRun(key: RunKey, runEnd: RunEnd, source: string): void {
     const { clock, telemetry } = this.options;
     const found = this.table.findPlaced(key);
