Show on the stand-ins a task that crashes every target that starts it

tests/jobNode/crashingTasks.test.ts fails: 31 starts within 6 s where the sixth is one too many, and the job is shown as running.

--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -86,6 +86,7 @@
       vms: options.vms,
       onLifetime: (ended, begun) => this.changeLifetime(ended, begun),
     });
+    this.targets.onCrash = (targetId) => this.fleet.crash(targetId);
   }
 
   /** Publishes the configuration and the targets, and starts the instances. */
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -41,6 +41,12 @@
   /** Names of the tasks that were to be stopped, in order. */
   readonly stops: string[] = [];
 
+  /** Names of the tasks that crash each target that starts them. */
+  readonly crashingTasks = new Set<string>();
+
+  /** Called with the id of a lifetime that a task has crashed. */
+  onCrash: (targetId: string) => void = () => undefined;
+
   /** Tasks that ran twice at the same time, or again after an acknowledged end. */
   readonly violations: string[] = [];
 
@@ -87,6 +93,16 @@
     this.targets.delete(targetId);
   }
 
+  /**
+   * Crashes a target: nothing runs there any more, and no call is answered.
+   * @param targetId - Id of the lifetime.
+   */
+  crash(targetId: string): void {
+    this.targets.delete(targetId);
+    this.setFaults(targetId, { isCutOff: true });
+    this.onCrash(targetId);
+  }
+
   /**
    * Gets a target.
    * @param targetId - Id of the lifetime.
@@ -186,6 +202,10 @@
     this.begun.push({ targetId, taskName, run });
     if (isRunning) this.violations.push(`${taskName} runs twice`);
     if (this.done.has(taskName)) this.violations.push(`${taskName} began again after its end`);
+    if (this.crashingTasks.has(taskName)) {
+      this.crash(targetId);
+      throw new Error('The target crashed.');
+    }
     return answer;
   }
 
--- a/standins/vms/FleetStandIn.ts
+++ b/standins/vms/FleetStandIn.ts
@@ -15,6 +15,9 @@
   readonly onLifetime: (ended: string | undefined, begun: FleetVm) => void;
 }
 
+/** Time after which a VM is back whose target has crashed, in milliseconds. */
+const BACK_AFTER_MS = 500;
+
 /** Stands in for the platform's VMs: moves and maintenance take effect at once. */
 export class FleetStandIn implements VmFleetPort {
   /** Orders in the sequence in which they were carried out. */
@@ -52,6 +55,33 @@
     return this.carryOut(vm, 'maintain', issuer, this.vms.get(vm)?.pool ?? '');
   }
 
+  /**
+   * Crashes the target on a VM; it is back a little later, in another lifetime.
+   * @param targetId - Lifetime of the target.
+   */
+  crash(targetId: string): void {
+    const vm = [...this.vms.values()].find((known) => known.targetId === targetId);
+    if (vm === undefined) return;
+    this.vms.set(vm.vm, { ...vm, state: 'down', targetId: undefined });
+    setTimeout(() => this.bringBack(vm), BACK_AFTER_MS).unref();
+  }
+
+  private bringBack({ vm, targetId }: FleetVm): void {
+    const { pool, state, rack } = this.vms.get(vm)!;
+    // An order has begun a lifetime meanwhile.
+    if (state !== 'down') return;
+    this.lifetimeCount += 1;
+    const begun: FleetVm = {
+      vm,
+      pool,
+      rack,
+      state: 'up',
+      targetId: `${vm}-${this.lifetimeCount}`,
+    };
+    this.vms.set(vm, begun);
+    this.options.onLifetime(targetId, begun);
+  }
+
   private carryOut(
     name: string,
     order: 'move' | 'maintain',
