--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -12,7 +12,8 @@
   type VmMove,
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
-import type { FleetVm, VmFleetPort } from '../vms/index.js';
+import type { EndedTargets, FleetVm, VmFleetPort } from '../vms/index.js';
+import { EndedLifetimes } from './EndedLifetimes.js';
 import { isEmpty } from './isEmpty.js';
 import { encodePoolPeakRecord } from './PoolPeakRecord.js';
 import { PoolReporter } from './PoolReporter.js';
@@ -51,7 +52,7 @@
   readonly syncPool: (
     pool: string,
     drainedTargets: readonly string[],
-    endedTargets: readonly string[],
+    ended: EndedTargets,
   ) => Promise<PoolDemand | undefined>;
   /** Stores records of this home; rejects where it has been replaced. */
   readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
@@ -61,8 +62,6 @@
 
 /** Pause between two looks at the fleet, in milliseconds: a move takes 1.5 s, a rush lasts 5. */
 const LOOK_EVERY_MS = 200;
-/** How long homes are told of a lifetime that is over, in milliseconds: a takeover takes 2.5 s. */
-const TELL_ENDED_MS = 10_000;
 
 /** Time within which a VM has to be empty to move, in milliseconds: tasks last one or two s. */
 const EMPTY_WITHIN_MS = 3_000;
@@ -80,14 +79,10 @@
 
   private readonly waves: WaveCoordinator;
 
-  /** VMs as listed last. */
-  private readonly known = new Map<string, FleetVm>();
-
   /** VMs that are emptied before they move. */
   private readonly leaving = new Map<string, LeavingVm>();
 
-  /** Lifetimes that are over, with the monotonic time of the list that showed it. */
-  private readonly ended = new Map<string, number>();
+  private readonly lifetimes: EndedLifetimes;
 
   private demands: readonly PoolDemand[] = [];
 
@@ -119,6 +114,8 @@
     this.storedKeptCounts = this.peaks.getKeptCounts();
     const onStaleTerm = (): void => this.options.onReplaced();
     this.orders = new VmOrders({ ...options, onStaleTerm });
+    const isAway = (vm: string): boolean => this.orders.isAway(vm);
+    this.lifetimes = new EndedLifetimes({ ...options, isAway });
     this.waves = new WaveCoordinator({ ...options, orders: this.orders, records: waveRecords });
   }
 
@@ -162,7 +159,7 @@
     try {
       const vms = await this.options.port.listVms();
       this.listOutage.noteSuccess();
-      vms.forEach((vm) => this.noteVm(vm));
+      this.lifetimes.note(vms);
       return vms;
     } catch (thrown) {
       this.listOutage.noteFailure({ reason: String(thrown) });
@@ -170,29 +167,6 @@
     }
   }
 
-  private noteVm(listed: FleetVm): void {
-    const { vm, pool, state, targetId } = listed;
-    const known = this.known.get(vm);
-    this.known.set(vm, listed);
-    const isSame = known?.pool === pool && known.state === state && known.targetId === targetId;
-    if (known === undefined || isSame) return;
-    if (known.targetId !== undefined && known.targetId !== targetId) {
-      this.ended.set(known.targetId, this.options.clock.monotonicMs());
-    }
-    const isOrdered = this.orders.isAway(vm);
-    const stateBefore = known.state;
-    this.options.events.write('vmChanged', { vm, pool, state, targetId, stateBefore, isOrdered });
-  }
-
-  /** Lifetimes that were listed and are not any more; told for long enough to reach every home. */
-  private listEnded(): readonly string[] {
-    const nowMs = this.options.clock.monotonicMs();
-    [...this.ended]
-      .filter(([, endedAtMs]) => nowMs - endedAtMs > TELL_ENDED_MS)
-      .forEach(([targetId]) => this.ended.delete(targetId));
-    return [...this.ended.keys()];
-  }
-
   /** Stores the peaks of pools that keep another count of VMs than those stored say. */
   private storePeaks(): void {
     const keptCounts = this.peaks.getKeptCounts();
@@ -226,7 +200,7 @@
     drained: ReadonlySet<string>,
   ): Promise<PoolDemand | undefined> {
     const targets = FleetHome.listTargets(vms, pool, drained);
-    return this.options.syncPool(pool, targets, this.listEnded());
+    return this.options.syncPool(pool, targets, this.lifetimes.list());
   }
 
   private static listTargets(
--- a/src/jobs/DurableJobRow.ts
+++ b/src/jobs/DurableJobRow.ts
@@ -28,6 +28,7 @@
         run: 0,
         targetId: undefined,
         failureCount: 0,
+        crashCount: 0,
         checkpoint: undefined,
       })),
     ),
--- a/src/jobs/TaskRow.ts
+++ b/src/jobs/TaskRow.ts
@@ -13,6 +13,8 @@
   readonly targetId?: string;
   /** Runs that ended by a failure. */
   readonly failureCount: number;
+  /** Crashes of targets that this task may have caused. */
+  readonly crashCount: number;
   /** Latest saved progress, from which a start can resume. */
   readonly checkpoint?: string;
 }
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -40,7 +40,9 @@
   endRun,
   findTask,
   listGangMates,
+  noteCrash,
   placeTask,
   type RunEnd,
+  type TaskCrash,
   unplaceTask,
 } from './progressJob.js';
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -29,6 +29,8 @@
   targetOf: z.array(count),
   /** Place and failures of each task that has failed. */
   failures: z.array(z.tuple([count, count])),
+  /** Place and crashes of each task that may have crashed a target. */
+  crashes: z.array(z.tuple([count, count])).default([]),
   /** Place and saved progress of each task that has saved some. */
   checkpoints: z.array(z.tuple([count, z.string()])),
 });
@@ -69,6 +71,7 @@
     targetIds,
     targetOf: used.map((targetId) => targetIds.indexOf(targetId)),
     failures: listKept(tasks, ({ failureCount }) => failureCount || undefined),
+    crashes: listKept(tasks, ({ crashCount }) => crashCount || undefined),
     checkpoints: listKept(tasks, ({ checkpoint }) => checkpoint),
   };
 }
@@ -91,6 +94,7 @@
     throwError('internal', `Progress of ${spec.jobId} has ${phases.length} tasks.`);
   }
   const failures = new Map(progress.failures);
+  const crashes = new Map(progress.crashes);
   const checkpoints = new Map(progress.checkpoints);
   const targets = targetOf.map((place) => targetIds[place]).values();
   const tasks = row.tasks.map((task, place): TaskRow => {
@@ -101,6 +105,7 @@
       run: runs[place]!,
       targetId: phase === 'placed' ? targets.next().value : undefined,
       failureCount: failures.get(place) ?? 0,
+      crashCount: crashes.get(place) ?? 0,
       checkpoint: checkpoints.get(place),
     };
   });
--- a/src/jobs/progressJob.ts
+++ b/src/jobs/progressJob.ts
@@ -93,6 +93,33 @@
   return settle({ ...ended, tasks }, position, nowMs);
 }
 
+/** What follows for a task from the crash of a target that it was on. */
+export interface TaskCrash {
+  /** Crashes that the task may have caused, with this one where it may have caused it. */
+  readonly crashCount: number;
+  /** Whether the task is not to be started again, so that its job fails. */
+  readonly isTaskGivenUp: boolean;
+}
+
+/**
+ * Takes note of what the crash of a target says of a task.
+ * @param row - The job.
+ * @param position - Place of the task among the job's tasks.
+ * @param crash - What follows for the task.
+ * @param nowMs - Wall-clock time in milliseconds since the Unix epoch.
+ * @returns The job, failed where the task is given up.
+ */
+export function noteCrash(
+  row: DurableJobRow,
+  position: number,
+  { crashCount, isTaskGivenUp }: TaskCrash,
+  nowMs: number,
+): DurableJobRow {
+  const noted = replaceTask(row, position, { ...row.tasks[position]!, crashCount });
+  if (!isTaskGivenUp || isFinished(row)) return noted;
+  return { ...noted, state: 'failed', finishedAtMs: nowMs };
+}
+
 /**
  * Lists the placed tasks that cannot work without a task, because they are one gang with it.
  * @param row - The job.
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -46,6 +46,11 @@
     text: 'A target leaves, so a start was not sent there.',
   },
   runLost: { number: 6040, level: 'warn', text: 'A run of a task was lost with its target.' },
+  taskGivenUp: {
+    number: 6041,
+    level: 'warn',
+    text: 'A task crashes the targets that start it; its job fails.',
+  },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -112,6 +112,12 @@
     meaning: 'Runs of tasks that were lost with their targets, by how the loss became known.',
     tags: ['pool', 'reason'],
   },
+  tasks_given_up: {
+    type: 'counter',
+    unit: 'tasks',
+    meaning: 'Tasks that are not started again, as they crash the targets that start them.',
+    tags: ['pool'],
+  },
   placement_round_ms: {
     type: 'timer',
     unit: 'ms',
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -45,6 +45,8 @@
       readonly drainedForMs: number;
       /** Lifetimes of targets that are over by the platform's list of VMs. */
       readonly endedTargets: readonly string[];
+      /** Those of them that crashed by themselves. */
+      readonly crashedTargets: readonly string[];
     };
 
 /** A call to a target that another instance is to make for the target's home. */
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -62,6 +62,8 @@
     drainedTargets: z.array(id),
     drainedForMs: z.number().nonnegative(),
     endedTargets: z.array(id),
+    // A peer of an earlier version does not tell.
+    crashedTargets: z.array(id).default([]),
   }),
   z.looseObject({ type: z.literal('list-homes') }),
   z.looseObject({ type: z.literal('announce-member'), member: text }),
--- a/src/systems/TargetRoom.ts
+++ b/src/systems/TargetRoom.ts
@@ -9,6 +9,8 @@
   readonly capacity: Resources;
   /** Whether the target may get new tasks; false while it drains, is unheard of or fails tasks. */
   readonly takesTasks: boolean;
+  /** Whether a task that may have crashed a target has just begun there. */
+  readonly holdsSuspect?: boolean;
 }
 
 /**
@@ -32,6 +34,10 @@
 
   private longRunningCount = 0;
 
+  private taskCount = 0;
+
+  private holdsSuspect: boolean;
+
   private readonly countsByStep = new Map<string, number>();
 
   /**
@@ -40,6 +46,7 @@
    */
   constructor(target: PlacementTarget) {
     this.target = target;
+    this.holdsSuspect = target.holdsSuspect === true;
     ({
       cpuMillicores: this.cpuMillicores,
       memoryMb: this.memoryMb,
@@ -52,6 +59,21 @@
     return this.longRunningCount > 0;
   }
 
+  /** Tasks that work here and would be lost if the target crashed, those that last above all. */
+  get stake(): readonly number[] {
+    return [this.longRunningCount, this.taskCount];
+  }
+
+  /**
+   * Keeps others out from now on, for a task that may have crashed a target.
+   *
+   * Guards against neighbours that lose their work with the next crash, and against a crash of
+   * which nobody can tell which of two such tasks caused it.
+   */
+  reserve(): void {
+    this.holdsSuspect = true;
+  }
+
   /** Processor that no task occupies, in thousandths of a core. */
   get freeCpuMillicores(): number {
     return this.cpuMillicores;
@@ -68,6 +90,7 @@
     this.memoryMb -= occupied.memoryMb;
     this.gpuCount -= occupied.gpuCount;
     this.longRunningCount += step.isLongRunning ? 1 : 0;
+    this.taskCount += 1;
     this.countsByStep.set(stepKey, this.countOf(stepKey) + 1);
   }
 
@@ -82,6 +105,7 @@
     this.memoryMb += occupied.memoryMb;
     this.gpuCount += occupied.gpuCount;
     this.longRunningCount -= step.isLongRunning ? 1 : 0;
+    this.taskCount -= 1;
     this.countsByStep.set(stepKey, this.countOf(stepKey) - 1);
   }
 
@@ -105,6 +129,7 @@
     const occupied = getOccupied(step);
     return (
       takesTasks &&
+      !this.holdsSuspect &&
       occupied.cpuMillicores <= this.cpuMillicores &&
       occupied.memoryMb <= this.memoryMb &&
       occupied.gpuCount <= this.gpuCount &&
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -1,3 +1,5 @@
+export { blameCrash, type CrashBlame, type CrashedRun, isProvenRun } from './blameCrash.js';
+export { isSuspect, listSuspects, type PlacedSuspect } from './listSuspects.js';
 export { alignSubmissions } from './alignSubmissions.js';
 export { checkBudget, type CheckBudgetOptions } from './checkBudget.js';
 export type {
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -1,7 +1,8 @@
-import type { DurableJobRow, StepSpec } from '../jobs/index.js';
+import type { DurableJobRow, StepSpec, TaskRow } from '../jobs/index.js';
 import { groupBy } from '../utils/index.js';
 import { listOccupants } from './listOccupants.js';
 import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
+import { isSuspect } from './listSuspects.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
 import { getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
 
@@ -43,17 +44,20 @@
  * With tasks spread evenly, a pool whose rush is over keeps every VM until its last task ends. A
  * target that long-running tasks hold anyway comes first. The rack of the data goes before that:
  * elsewhere the task takes longer. A task of a step that may lose only some tasks at a time goes
- * where the step has fewest, so that maintenance meets few of them.
+ * where the step has fewest, so that maintenance meets few of them. A task that may have crashed a
+ * target goes where least is lost if it crashes the next one.
  */
 function chooseRoom(
   rooms: readonly TargetRoom[],
   step: StepSpec,
   stepKey: string,
+  task: TaskRow,
   failed: ReadonlySet<string>,
   isFullestFirst: boolean,
 ): TargetRoom | undefined {
   const preference = (room: TargetRoom): readonly number[] => [
     failed.has(room.target.targetId) ? 1 : 0,
+    ...(isSuspect(task) ? room.stake : []),
     step.dataRack !== undefined && room.target.rack !== step.dataRack ? 1 : 0,
     step.maxUnavailableCount === undefined ? 0 : room.countOf(stepKey),
     isFullestFirst && !room.isHeld ? 1 : 0,
@@ -91,13 +95,14 @@
   let isFull = false;
   return ready.positions.flatMap((position): readonly TaskPlacement[] => {
     if (isFull) return [];
-    const hasFailed = row.tasks[position]!.failureCount > 0;
-    const failed = hasFailed ? failedOn(jobId, position) : NONE;
-    const room = chooseRoom(rooms, step, stepKey, failed, isFullestFirst);
+    const task = row.tasks[position]!;
+    const failed = task.failureCount > 0 ? failedOn(jobId, position) : NONE;
+    const room = chooseRoom(rooms, step, stepKey, task, failed, isFullestFirst);
     isFull = room === undefined;
     if (room === undefined) return [];
     const { freeCpuMillicores, target } = room;
     room.take(stepKey, step);
+    if (isSuspect(task) && !step.isGang) room.reserve();
     return [{ jobId, position, targetId: target.targetId, freeCpuMillicores }];
   });
 }
@@ -109,11 +114,16 @@
 ): readonly TaskPlacement[] {
   const { step, stepKey } = placement;
   const members = placeInTurn(placement, rooms);
-  if (members.length === step.taskCount) return members;
-  members.forEach(({ targetId }) =>
-    rooms.find(({ target }) => target.targetId === targetId)!.release(stepKey, step),
-  );
-  return [];
+  const getRoom = ({ targetId }: TaskPlacement): TargetRoom =>
+    rooms.find(({ target }) => target.targetId === targetId)!;
+  if (members.length < step.taskCount) {
+    members.forEach((member) => getRoom(member).release(stepKey, step));
+    return [];
+  }
+  members
+    .filter(({ position }) => isSuspect(placement.row.tasks[position]!))
+    .forEach((member) => getRoom(member).reserve());
+  return members;
 }
 
 /**
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -5,6 +5,7 @@
 import type { DurableJobRequest, PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
 import type { PoolDemand } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
+import type { EndedTargets } from '../vms/index.js';
 import type { HomeDirectory } from './HomeDirectory.js';
 import type { PoolPartitions } from './PoolPartitions.js';
 
@@ -115,15 +116,15 @@
    * pool needs.
    * @param pool - The pool.
    * @param drainedTargets - Ids of the targets that get no new task.
-   * @param endedTargets - Ids of those whose lifetimes are over.
+   * @param ended - Those whose lifetimes are over.
    * @returns The demand, or undefined where no home answers at this moment.
    */
   async syncPool(
     pool: string,
     drainedTargets: readonly string[],
-    endedTargets: readonly string[],
+    ended: EndedTargets,
   ): Promise<PoolDemand | undefined> {
-    const lists = { drainedTargets, drainedForMs: DRAINED_FOR_MS, endedTargets };
+    const lists = { drainedTargets, drainedForMs: DRAINED_FOR_MS, ...ended };
     const request = { type: 'sync-pool', pool, ...lists } as const;
     const outcome = await this.tryOnce(request, pool).catch(() => undefined);
     if (outcome?.type !== 'reply' || outcome.reply.type !== 'pool-demand') return undefined;
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -11,6 +11,7 @@
   parseTaskName,
   type StepSpec,
   summarizeEnded,
+  type TaskRow,
 } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import { type Clock, SystemClock } from '../utils/index.js';
@@ -22,6 +23,11 @@
   readonly position: number;
 }
 
+/** A task with its job and its place there. */
+export interface FoundTask extends PlacedTask {
+  readonly task: TaskRow;
+}
+
 interface KeptEnd {
   readonly job: EndedJob;
   /** Since when this home has known the end, by the monotonic clock. */
@@ -184,19 +190,29 @@
   }
 
   /**
-   * Finds the task that a run belongs to.
-   * @param key - The run.
-   * @returns Its job and its place there; undefined where the run is not the task's current one.
+   * Finds a task of a job that is not finished, or has tasks on targets.
+   * @param taskName - Name of the task.
+   * @returns The task with its job and its place there; undefined where there is none.
    */
-  findPlaced(key: RunKey): PlacedTask | undefined {
-    const name = parseTaskName(key.taskName);
+  findTask(taskName: string): FoundTask | undefined {
+    const name = parseTaskName(taskName);
     const row = name && this.getActive(name.jobId);
     if (name === undefined || row === undefined) return undefined;
     const position = findTask(row, name);
     const task = row.tasks[position];
-    const isCurrent =
-      task?.phase === 'placed' && task.run === key.run && task.targetId === key.targetId;
-    return isCurrent ? { row, position } : undefined;
+    return task && { row, position, task };
+  }
+
+  /**
+   * Finds the task that a run belongs to.
+   * @param key - The run.
+   * @returns Its job and its place there; undefined where the run is not the task's current one.
+   */
+  findPlaced(key: RunKey): PlacedTask | undefined {
+    const found = this.findTask(key.taskName);
+    const { phase, run, targetId } = found?.task ?? {};
+    const isCurrent = phase === 'placed' && run === key.run && targetId === key.targetId;
+    return isCurrent ? found : undefined;
   }
 
   /**
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -1,4 +1,4 @@
-import type { DurableJobRow, RunEnd } from '../jobs/index.js';
+import type { DurableJobRow, RunEnd, TaskCrash } from '../jobs/index.js';
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { PoolDemand } from '../systems/index.js';
@@ -90,6 +90,23 @@
     events.write('runLost', { jobId, taskName, run, targetId, term, ...loss });
   }
 
+  /**
+   * Tells of a task that is not started again, as it crashes the targets that start it.
+   * @param row - Its job.
+   * @param key - Its last run.
+   * @param crash - How many targets it has crashed.
+   */
+  noteGivenUp(
+    { spec }: DurableJobRow,
+    { taskName, run, targetId }: RunKey,
+    { crashCount }: TaskCrash,
+  ): void {
+    const { events, metrics, term } = this.options;
+    const { jobId, terms } = spec;
+    metrics.increment('tasks_given_up', { pool: terms.pool });
+    events.write('taskGivenUp', { jobId, taskName, run, targetId, term, crashCount });
+  }
+
   /**
    * Tells of a job that has its final state.
    * @param row - The job.
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -1,6 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Metrics } from '../metrics/index.js';
-import { listReadyTasks, type Mechanisms, orderJobs, placeTasks } from '../systems/index.js';
+import type { DurableJobRow } from '../jobs/index.js';
+import {
+  listReadyTasks,
+  listSuspects,
+  type Mechanisms,
+  orderJobs,
+  type PlacementTarget,
+  placeTasks,
+} from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
 import type { RecordWriter } from './RecordWriter.js';
@@ -88,8 +96,18 @@
     if (pauseMs > 0) await sleep(pauseMs);
   }
 
+  private listTargets(rows: readonly DurableJobRow[]): readonly PlacementTarget[] {
+    const { drains, runs, sessions } = this.options;
+    const holding = runs.listHoldingSuspects(rows.flatMap(listSuspects));
+    const isAvoided = (targetId: string): boolean =>
+      runs.isAvoided(targetId) || drains.has(targetId);
+    return sessions
+      .listForPlacement(isAvoided)
+      .map((target) => ({ ...target, holdsSuspect: holding.has(target.targetId) }));
+  }
+
   private place(): readonly string[] {
-    const { clock, dueClock, drains, mechanisms, runs, sessions, table } = this.options;
+    const { clock, dueClock, mechanisms, runs, table } = this.options;
     const { runTimes } = runs;
     const dueAtMs = dueClock.wallMs();
     const rows = table.listActive();
@@ -99,9 +117,7 @@
       jobs: orderJobs(waiting, { runTimes, mechanisms, nowMs: clock.wallMs() }),
       mechanisms,
       occupants: rows,
-      targets: sessions.listForPlacement(
-        (targetId) => runs.isAvoided(targetId) || drains.has(targetId),
-      ),
+      targets: this.listTargets(rows),
       failedOn: (jobId, position) => runs.getFailedTargets(jobId, position),
       nowMs: dueAtMs,
     });
--- /dev/null
+++ b/src/taskHome/RunLosses.ts
@@ -0,0 +1,132 @@
+import { parseTaskName, type TaskCrash } from '../jobs/index.js';
+import { blameCrash, type CrashedRun, isProvenRun } from '../systems/index.js';
+import type { Clock } from '../utils/index.js';
+import type { JobTable } from './JobTable.js';
+import type { JobTelemetry } from './JobTelemetry.js';
+import type { OrderedRun } from './RunOrder.js';
+import type { TargetLoss, TargetSessions } from './TargetSessions.js';
+import type { TaskOrders } from './TaskOrders.js';
+
+/** Options of {@link RunLosses}. */
+export interface RunLossesOptions {
+  readonly table: JobTable;
+  readonly orders: Pick<TaskOrders, 'getBegunAtMs' | 'listOn'>;
+  /** Sessions with the targets, which are created after the runs. */
+  readonly getSessions: () => Pick<TargetSessions, 'getAnsweredAtMs' | 'isDraining'>;
+  readonly telemetry: JobTelemetry;
+  readonly clock: Clock;
+}
+
+/** What a crash says of the task of a run. */
+export interface RunBlame {
+  readonly run: OrderedRun;
+  readonly crash: TaskCrash;
+}
+
+/** A run that was lost, and for how long its target is known to have borne it. */
+interface LostRun {
+  readonly run: OrderedRun;
+  readonly survivedMs: number;
+}
+
+interface Loss {
+  readonly runs: readonly LostRun[];
+  /** Monotonic time from which on it says nothing any more. */
+  readonly forgottenAtMs: number;
+}
+
+/**
+ * Time for which a loss is remembered whose cause is not known, in milliseconds: the list of VMs
+ * shows a crash for 10 s.
+ */
+const REMEMBERED_MS = 15_000;
+
+/** Decides what the loss of a target says of the tasks that were on it. */
+export class RunLosses {
+  private readonly options: RunLossesOptions;
+
+  /** Losses that may turn out to be crashes, by target. */
+  private readonly losses = new Map<string, Loss>();
+
+  /**
+   * Knows of no loss.
+   * @param options - Jobs, runs, and what targets have answered.
+   */
+  constructor(options: RunLossesOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Tells whether a target has borne a run for long enough that its start does not crash it.
+   * @param taskName - Name of the task.
+   * @param targetId - The target.
+   * @returns Whether it has.
+   */
+  isProven(taskName: string, targetId: string): boolean {
+    const begunAtMs = this.options.orders.getBegunAtMs(taskName);
+    return isProvenRun(this.getSurvivedMs(begunAtMs, targetId));
+  }
+
+  /**
+   * Takes note of the loss of a target whose session is still open.
+   *
+   * Guards against an innocent task that is given up: one that leaves by itself is lost as well.
+   * @param targetId - The target.
+   * @param reason - How the loss is known.
+   * @returns All runs that were on it.
+   */
+  note(targetId: string, reason: TargetLoss): readonly OrderedRun[] {
+    const runs = this.options.orders.listOn(targetId);
+    const lost = runs.map((run): LostRun => {
+      const survivedMs = this.getSurvivedMs(run.begunAtMs, targetId);
+      return { run, survivedMs };
+    });
+    lost.forEach((loss) => this.report(loss, reason, runs.length));
+    const nowMs = this.options.clock.monotonicMs();
+    [...this.losses]
+      .filter(([, { forgottenAtMs }]) => forgottenAtMs <= nowMs)
+      .forEach(([known]) => this.losses.delete(known));
+    if (runs.length > 0 && !this.options.getSessions().isDraining(targetId)) {
+      this.losses.set(targetId, { runs: lost, forgottenAtMs: nowMs + REMEMBERED_MS });
+    }
+    return runs;
+  }
+
+  /**
+   * Decides what the crash of a target says of the tasks that were lost with it.
+   * @param targetId - The target; its loss may have been noted some seconds ago.
+   * @returns What follows for the tasks; none where the crash was told of before.
+   */
+  blame(targetId: string): readonly RunBlame[] {
+    const { runs = [] } = this.losses.get(targetId) ?? {};
+    this.losses.delete(targetId);
+    const blames = blameCrash(runs.map((lost) => this.describe(lost)));
+    return runs.map(({ run }, place): RunBlame => {
+      const { crashCount, isToBlame } = blames[place]!;
+      return { run, crash: { crashCount, isTaskGivenUp: isToBlame } };
+    });
+  }
+
+  /** A task whose job has ended meanwhile still counts beside the others. */
+  private describe({ run, survivedMs }: LostRun): CrashedRun {
+    const { table } = this.options;
+    const { taskName, isSent } = run;
+    const jobId = parseTaskName(taskName)?.jobId ?? taskName;
+    const crashCount = table.findTask(taskName)?.task.crashCount ?? 0;
+    const isLongRunning = table.getStep(taskName)?.isLongRunning === true;
+    return { jobId, crashCount, isLongRunning, isSent, survivedMs };
+  }
+
+  private getSurvivedMs(begunAtMs: number | undefined, targetId: string): number {
+    const answeredAtMs = this.options.getSessions().getAnsweredAtMs(targetId);
+    if (begunAtMs === undefined || answeredAtMs === undefined) return 0;
+    return Math.max(0, answeredAtMs - begunAtMs);
+  }
+
+  private report({ run, survivedMs }: LostRun, reason: TargetLoss, runCount: number): void {
+    const { table, telemetry } = this.options;
+    const row = table.findPlaced(run)?.row;
+    const { isSent } = run;
+    if (row !== undefined) telemetry.noteLost(row, run, { reason, isSent, survivedMs, runCount });
+  }
+}
--- /dev/null
+++ b/src/taskHome/RunOrder.ts
@@ -0,0 +1,42 @@
+import type { RunKey } from './RunKey.js';
+
+/**
+ * How far an order is. `unanswered` means that the target may have started the run, or may do so
+ * later; `stop-unanswered` the same of a stop; `stopped` that the target has accepted the stop, so
+ * that a late start is refused there.
+ */
+export type OrderPhase =
+  'unsent' | 'starting' | 'unanswered' | 'started' | 'stopping' | 'stop-unanswered' | 'stopped';
+
+/** Phases of a run that is being stopped. */
+export const STOP_PHASES: ReadonlySet<OrderPhase | undefined> = new Set([
+  'stopping',
+  'stop-unanswered',
+  'stopped',
+]);
+
+/** A run that was ordered of a target. */
+export interface OrderedRun extends RunKey {
+  /** Whether its start was sent, so that the target may have begun it. */
+  readonly isSent: boolean;
+  /** Since when the target is known to run it, by the monotonic clock. */
+  readonly begunAtMs: number | undefined;
+}
+
+/** An order for a run, from its placement to its end. */
+export interface RunOrder extends RunKey {
+  phase: OrderPhase;
+  /** Since when the target is known to run it, by the monotonic clock. */
+  begunAtMs: number | undefined;
+  /** When the last answer came, by the monotonic clock: a report asked for later shows the run. */
+  answeredAtMs: number;
+}
+
+/**
+ * Describes an order to those who only look at it.
+ * @param order - The order.
+ * @returns The run, and how far it is known to be.
+ */
+export function describeOrder({ taskName, run, targetId, phase, begunAtMs }: RunOrder): OrderedRun {
+  return { taskName, run, targetId, isSent: phase !== 'unsent', begunAtMs };
+}
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -7,7 +7,7 @@
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
 
 /** Why nothing of a target runs any more; after a lapse the same lifetime may come back. */
-export type TargetLoss = 'other-lifetime' | 'unlisted' | 'lapsed';
+export type TargetLoss = 'other-lifetime' | 'crashed' | 'unlisted' | 'lapsed';
 
 /** Options of {@link TargetSessions}. */
 export interface TargetSessionsOptions {
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -192,9 +192,10 @@
     drainedTargets,
     drainedForMs,
     endedTargets,
+    crashedTargets,
   }: PoolSync): Promise<PoolDemand> {
     this.assertCertain();
-    this.runs.loseEnded(endedTargets);
+    this.runs.loseEnded({ endedTargets, crashedTargets });
     this.drains.replace(pool, drainedTargets, drainedForMs);
     this.runs.evacuate(this.listEmptied());
     // What was placed before this call is counted below; nothing is placed there after it.
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -6,37 +6,15 @@
 } from '../targets/index.js';
 import { assertNever } from '../utils/index.js';
 import type { RunKey } from './RunKey.js';
+import {
+  describeOrder,
+  type OrderedRun,
+  type OrderPhase,
+  type RunOrder,
+  STOP_PHASES,
+} from './RunOrder.js';
 import type { TaskOrdersOptions } from './TaskOrdersOptions.js';
 
-/**
- * How far an order is. `unanswered` means that the target may have started the run, or may do so
- * later; `stop-unanswered` the same of a stop; `stopped` that the target has accepted the stop, so
- * that a late start is refused there.
- */
-type OrderPhase =
-  'unsent' | 'starting' | 'unanswered' | 'started' | 'stopping' | 'stop-unanswered' | 'stopped';
-
-const STOP_PHASES: ReadonlySet<OrderPhase | undefined> = new Set([
-  'stopping',
-  'stop-unanswered',
-  'stopped',
-]);
-
-/** A run that was ordered of a target. */
-export interface OrderedRun extends RunKey {
-  /** Whether its start was sent, so that the target may have begun it. */
-  readonly isSent: boolean;
-  /** Since when the target is known to run it, by the monotonic clock. */
-  readonly begunAtMs: number | undefined;
-}
-
-interface Order extends RunKey {
-  phase: OrderPhase;
-  begunAtMs: number | undefined;
-  /** When the last answer came, by the monotonic clock: a report asked for later shows the run. */
-  answeredAtMs: number;
-}
-
 /**
  * Starts and stops runs on targets, and finds out what became of orders without an answer.
  *
@@ -48,10 +26,10 @@
 export class TaskOrders {
   private readonly options: TaskOrdersOptions;
 
-  private readonly orders = new Map<string, Order>();
+  private readonly orders = new Map<string, RunOrder>();
 
   /** The same orders by target: each report of a target asks for its own. */
-  private readonly byTarget = new Map<string, Set<Order>>();
+  private readonly byTarget = new Map<string, Set<RunOrder>>();
 
   /**
    * Creates an empty set of orders.
@@ -106,21 +84,22 @@
     return STOP_PHASES.has(this.orders.get(taskName)?.phase);
   }
 
+  /**
+   * Tells since when a target is known to run a task.
+   * @param taskName - Name of the task.
+   * @returns The time by the monotonic clock; undefined where its start has no answer yet.
+   */
+  getBegunAtMs(taskName: string): number | undefined {
+    return this.orders.get(taskName)?.begunAtMs;
+  }
+
   /**
    * Lists the runs on a target.
    * @param targetId - Id of the target.
    * @returns The runs, started or not.
    */
   listOn(targetId: string): readonly OrderedRun[] {
-    return [...(this.byTarget.get(targetId) ?? [])].map(
-      ({ taskName, run, phase, begunAtMs }): OrderedRun => ({
-        taskName,
-        run,
-        targetId,
-        isSent: phase !== 'unsent',
-        begunAtMs,
-      }),
-    );
+    return [...(this.byTarget.get(targetId) ?? [])].map(describeOrder);
   }
 
   /**
@@ -181,7 +160,7 @@
       .forEach(({ taskName, run }) => this.stopStray({ taskName, run, targetId }));
   }
 
-  private add(order: Order): void {
+  private add(order: RunOrder): void {
     this.forget(order.taskName);
     this.orders.set(order.taskName, order);
     const onTarget = this.byTarget.get(order.targetId) ?? new Set();
@@ -193,7 +172,7 @@
     return order?.targetId === targetId && order.run === run;
   }
 
-  private noteRunning(order: Order): void {
+  private noteRunning(order: RunOrder): void {
     if (order.phase === 'stop-unanswered') void this.sendStop(order);
     if (order.phase !== 'unanswered' && order.phase !== 'starting') return;
     const isWanted = this.options.createStart(order) !== undefined;
@@ -201,7 +180,7 @@
     if (!isWanted) void this.sendStop(order);
   }
 
-  private noteAbsent(order: Order): void {
+  private noteAbsent(order: RunOrder): void {
     switch (order.phase) {
       case 'unsent':
       case 'starting':
@@ -228,7 +207,7 @@
    * no answer, and repeated seconds later it would put a task on a target that takes none. Stopped
    * there, the run can go elsewhere.
    */
-  private startAgain(order: Order): void {
+  private startAgain(order: RunOrder): void {
     if (this.options.isLeaving(order.targetId)) void this.sendStop(order);
     else void this.sendStart(order);
   }
@@ -238,7 +217,7 @@
    * on its way to the store: a slow store would put the task on a target that takes none. Nothing
    * was sent, so the task waits again for the next round.
    */
-  private withdraw(order: Order): void {
+  private withdraw(order: RunOrder): void {
     const { events, term, onWithdrawn } = this.options;
     const { taskName, run, targetId } = order;
     events.write('startWithdrawn', { taskName, run, targetId, term });
@@ -246,17 +225,17 @@
     onWithdrawn(order);
   }
 
-  private settle(order: Order, phase: OrderPhase): void {
+  private settle(order: RunOrder, phase: OrderPhase): void {
     const answeredAtMs = this.options.clock.monotonicMs();
     const begunAtMs = order.begunAtMs ?? (phase === 'started' ? answeredAtMs : undefined);
     Object.assign(order, { phase, answeredAtMs, begunAtMs });
   }
 
-  private isCurrent(order: Order): boolean {
+  private isCurrent(order: RunOrder): boolean {
     return this.orders.get(order.taskName) === order;
   }
 
-  private async sendStart(order: Order): Promise<void> {
+  private async sendStart(order: RunOrder): Promise<void> {
     const { port, events, term } = this.options;
     const start = this.options.createStart(order);
     const address = this.options.getAddress(order.targetId);
@@ -275,7 +254,7 @@
     }
   }
 
-  private takeStartAnswer(order: Order, answer: StartAnswer): void {
+  private takeStartAnswer(order: RunOrder, answer: StartAnswer): void {
     const { onClock, onOtherLifetime } = this.options;
     switch (answer.type) {
       case 'started':
@@ -294,7 +273,7 @@
     }
   }
 
-  private takeRefusal(order: Order, reason: StartRefusal): void {
+  private takeRefusal(order: RunOrder, reason: StartRefusal): void {
     const { events, term, onRefused, onStaleTerm } = this.options;
     const { taskName, run, targetId } = order;
     events.write('startRefused', { taskName, run, targetId, term, reason });
@@ -313,7 +292,7 @@
    * Guards against two tasks of a step that are away at once: taken for at work again, the run
    * would let a second task of its step go, and then its stop takes effect after all.
    */
-  private async sendStop(order: Order): Promise<void> {
+  private async sendStop(order: RunOrder): Promise<void> {
     const { port, events, term } = this.options;
     const address = this.options.getAddress(order.targetId);
     if (address === undefined) return;
@@ -328,7 +307,7 @@
     }
   }
 
-  private takeStopAnswer(order: Order, answer: OrderAnswer): void {
+  private takeStopAnswer(order: RunOrder, answer: OrderAnswer): void {
     const { onOtherLifetime, onStaleTerm } = this.options;
     switch (answer.type) {
       case 'accepted':
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -4,33 +4,28 @@
   isFinished,
   listPlacedTasks,
   nameTask,
+  noteCrash,
   placeTask,
   type RunEnd,
   unplaceTask,
 } from '../jobs/index.js';
-import type { RunTimes, TaskPlacement } from '../systems/index.js';
+import type { PlacedSuspect, RunTimes, TaskPlacement } from '../systems/index.js';
 import type { EndedTaskReport, StartRefusal, TaskStart } from '../targets/index.js';
+import type { EndedTargets } from '../vms/index.js';
 import { createTaskStart } from './createTaskStart.js';
 import type { JobTable } from './JobTable.js';
 import type { RunKey } from './RunKey.js';
+import { type RunBlame, RunLosses } from './RunLosses.js';
 import { RunStops } from './RunStops.js';
 import { RunTimer } from './RunTimer.js';
 import { TargetHealth } from './TargetHealth.js';
 import type { TargetReport } from './TargetSession.js';
 import type { TargetLoss, TargetSessions } from './TargetSessions.js';
-import { type OrderedRun, TaskOrders } from './TaskOrders.js';
+import { TaskOrders } from './TaskOrders.js';
 import { TaskPacer } from './TaskPacer.js';
 import { TaskProgress } from './TaskProgress.js';
 import type { TaskRunsOptions } from './TaskRunsOptions.js';
 
-/** How a target was lost. */
-interface TargetEnd {
-  readonly reason: TargetLoss;
-  /** When it last answered, by the monotonic clock. */
-  readonly answeredAtMs: number | undefined;
-  readonly runCount: number;
-}
-
 /** The runs of a home's tasks: from their placement to their end, with all that can go wrong. */
 export class TaskRuns {
   private readonly options: TaskRunsOptions;
@@ -49,6 +44,8 @@
 
   private readonly stops: RunStops;
 
+  private readonly losses: RunLosses;
+
   /**
    * Starts without runs.
    * @param options - Jobs, targets and what happens with changes.
@@ -81,6 +78,7 @@
       onOtherLifetime: (targetId) => this.loseTarget(targetId, 'other-lifetime'),
       onStaleTerm: () => this.options.onStaleTerm(),
     });
+    this.losses = new RunLosses({ ...options, orders: this.orders });
     this.stops = new RunStops({
       table,
       orders: this.orders,
@@ -194,12 +192,29 @@
   /**
    * Takes note of lifetimes that are over by the platform's list of VMs, which shows a crash at
    * once. A target that falls silent would else keep its tasks until its lease has lapsed.
-   * @param endedTargets - Ids of the lifetimes.
+   * @param ended - The lifetimes, and which of them crashed.
    */
-  loseEnded(endedTargets: readonly string[]): void {
+  loseEnded({ endedTargets, crashedTargets }: EndedTargets): void {
+    const crashed = new Set(crashedTargets);
+    crashedTargets.filter((targetId) => !this.isKnown(targetId)).forEach((id) => this.blame(id));
     endedTargets
-      .filter((targetId) => this.sessions.has(targetId) || this.orders.countOn(targetId) > 0)
-      .forEach((targetId) => this.loseTarget(targetId, 'unlisted'));
+      .filter((targetId) => this.isKnown(targetId))
+      .forEach((targetId) =>
+        this.loseTarget(targetId, crashed.has(targetId) ? 'crashed' : 'unlisted'),
+      );
+  }
+
+  /**
+   * Lists the targets on which a task that may have crashed another target has just begun.
+   * @param suspects - The placed tasks of that kind.
+   * @returns Ids of the targets.
+   */
+  listHoldingSuspects(suspects: readonly PlacedSuspect[]): ReadonlySet<string> {
+    return new Set(
+      suspects
+        .filter(({ taskName, targetId }) => !this.losses.isProven(taskName, targetId))
+        .map(({ targetId }) => targetId),
+    );
   }
 
   /**
@@ -208,11 +223,11 @@
    * @param reason - How that is known.
    */
   loseTarget(targetId: string, reason: TargetLoss): void {
-    const runs = this.orders.listOn(targetId);
-    const answeredAtMs = this.sessions.getAnsweredAtMs(targetId);
+    const lost = this.losses.note(targetId, reason);
     this.sessions.remove(targetId, reason === 'lapsed');
-    this.options.events.write('targetGone', { targetId, reason, runCount: runs.length });
-    runs.forEach((run) => this.loseRun(run, { reason, answeredAtMs, runCount: runs.length }));
+    this.options.events.write('targetGone', { targetId, reason, runCount: lost.length });
+    lost.forEach((run) => this.endRun(run, { end: 'lapsed', checkpoint: undefined }, reason));
+    if (reason === 'crashed') this.blame(targetId);
     this.orders.forgetTarget(targetId);
     this.options.onChanged();
   }
@@ -222,6 +237,26 @@
     this.stops.stopFinished();
   }
 
+  /** Takes note of the crash of a target that was lost, now or some seconds ago. */
+  private blame(targetId: string): void {
+    this.losses.blame(targetId).forEach((blame) => this.takeBlame(blame));
+  }
+
+  private takeBlame({ run, crash }: RunBlame): void {
+    const { clock, telemetry } = this.options;
+    const found = this.table.findTask(run.taskName);
+    if (found === undefined || found.task.phase === 'done') return;
+    const row = noteCrash(found.row, found.position, crash, clock.wallMs());
+    this.table.put(row);
+    if (!isFinished(row) || isFinished(found.row)) return;
+    telemetry.noteGivenUp(row, run, crash);
+    telemetry.noteFinished(row);
+  }
+
+  private isKnown(targetId: string): boolean {
+    return this.sessions.has(targetId) || this.orders.countOn(targetId) > 0;
+  }
+
   private createStart(key: RunKey): TaskStart | undefined {
     const found = this.table.findPlaced(key);
     if (found === undefined || isFinished(found.row)) return undefined;
@@ -255,15 +290,6 @@
     this.endRun({ taskName, run, targetId }, { end, checkpoint }, 'reported');
   }
 
-  private loseRun(run: OrderedRun, { reason, answeredAtMs, runCount }: TargetEnd): void {
-    const { isSent, begunAtMs } = run;
-    const found = this.table.findPlaced(run);
-    if (found === undefined) return;
-    const survivedMs = Math.max(0, (answeredAtMs ?? 0) - (begunAtMs ?? answeredAtMs ?? 0));
-    this.options.telemetry.noteLost(found.row, run, { reason, isSent, survivedMs, runCount });
-    this.endRun(run, { end: 'lapsed', checkpoint: undefined }, reason);
-  }
-
   private endRun(key: RunKey, runEnd: RunEnd, source: string): void {
     const { clock, telemetry } = this.options;
     const found = this.table.findPlaced(key);
--- a/src/vms/index.ts
+++ b/src/vms/index.ts
@@ -1,3 +1,4 @@
+export type { EndedTargets } from './EndedTargets.js';
 export type {
   FleetVm,
   VmFleetPort,
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -45,7 +45,7 @@
   readonly crashingTasks = new Set<string>();
 
   /** Called with the id of a lifetime that a task has crashed. */
-  onCrash: (targetId: string) => void = () => undefined;
+  onCrash: ((targetId: string) => void) | undefined;
 
   /** Tasks that ran twice at the same time, or again after an acknowledged end. */
   readonly violations: string[] = [];
@@ -100,7 +100,7 @@
   crash(targetId: string): void {
     this.targets.delete(targetId);
     this.setFaults(targetId, { isCutOff: true });
-    this.onCrash(targetId);
+    this.onCrash?.(targetId);
   }
 
   /**
--- /dev/null
+++ b/tests/fleetHome/EndedLifetimes.test.ts
@@ -0,0 +1,58 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { EndedLifetimes } from '../../src/fleetHome/EndedLifetimes.js';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import { SystemClock } from '../../src/utils/index.js';
+import type { FleetVm } from '../../src/vms/index.js';
+
+const NAMES = ['v1', 'v2', 'v3', 'v4'];
+
+function makeVm(vm: string, changes: Partial<FleetVm> = {}): FleetVm {
+  return { vm, pool: 'pages', state: 'up', targetId: `t-${vm}`, rack: 'r1', ...changes };
+}
+
+describe('EndedLifetimes', () => {
+  let away: Set<string>;
+  let lifetimes: EndedLifetimes;
+
+  beforeEach(() => {
+    away = new Set();
+    const isAway = (vm: string): boolean => away.has(vm);
+    lifetimes = new EndedLifetimes({
+      clock: new SystemClock(),
+      events: new MemoryEventLog(),
+      isAway,
+    });
+    lifetimes.note(NAMES.map((vm) => makeVm(vm)));
+  });
+
+  it('takes a VM that goes down, or comes back in another lifetime, for crashed', () => {
+    const down = makeVm('v1', { state: 'down', targetId: undefined });
+    lifetimes.note([down, makeVm('v2', { targetId: 't-new' })]);
+    expect(lifetimes.list()).toEqual({
+      endedTargets: ['t-v1', 't-v2'],
+      crashedTargets: ['t-v1', 't-v2'],
+    });
+  });
+
+  // Guards against innocent tasks that are given up for moves and maintenance.
+  it('takes a VM for ended, not for crashed, that was ordered away', () => {
+    away.add('v4');
+    lifetimes.note([
+      makeVm('v1', { state: 'moving', pool: 'archive', targetId: undefined }),
+      makeVm('v2', { state: 'in-maintenance', targetId: undefined }),
+      makeVm('v3', { pool: 'archive', targetId: 't-new' }),
+      makeVm('v4', { targetId: 't-back' }),
+    ]);
+    expect(lifetimes.list()).toEqual({
+      endedTargets: ['t-v1', 't-v2', 't-v3', 't-v4'],
+      crashedTargets: [],
+    });
+  });
+
+  // Guards against innocent tasks that are given up for the loss of a rack or of power.
+  it('blames no task where several VMs of a rack are lost at once', () => {
+    lifetimes.note(NAMES.map((vm) => makeVm(vm, { state: 'down', targetId: undefined })));
+    expect(lifetimes.list().endedTargets).toHaveLength(4);
+    expect(lifetimes.list().crashedTargets).toEqual([]);
+  });
+});
--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -196,7 +196,12 @@
     const { targetId } = world.targets.begun[0]!;
     world.targets.get(targetId).end('a.0.0.0', 'stopped');
     world.targets.setFaults(targetId, { isCutOff: true });
-    const lists = { drainedTargets: [], drainedForMs: 1_000, endedTargets: [targetId] };
+    const lists = {
+      drainedTargets: [],
+      drainedForMs: 1_000,
+      endedTargets: [targetId],
+      crashedTargets: [],
+    };
     await home.syncPool({ pool: 'pages', ...lists });
     await vi.waitFor(() => expect(world.targets.begun).toHaveLength(2));
     expect(world.targets.begun[1]).toMatchObject({ taskName: 'a.0.0.0', run: 2 });
@@ -307,6 +312,7 @@
         drainedTargets: ['t1', 't2'],
         drainedForMs: 1_000,
         endedTargets: [],
+        crashedTargets: [],
       });
       const counts = targets.filter(({ targetId }) => targetId !== 't3');
       expect(counts.map(({ runCount }) => runCount)).toEqual([0, 0]);
@@ -325,7 +331,7 @@
     await home.submit(makeJob('a', [step]));
     await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
     ['t1', 't2'].forEach((id) => world.targets.setFaults(id, { stopsSlowly: true }));
-    const lists = { pool: 'pages', drainedForMs: 5_000, endedTargets: [] };
+    const lists = { pool: 'pages', drainedForMs: 5_000, endedTargets: [], crashedTargets: [] };
     // The second task of the step is the first one to go.
     const { targetId } = world.targets.begun.find(({ taskName }) => taskName === 'a.0.0.1')!;
     await vi.waitFor(async () => {
--- /dev/null
+++ b/tests/taskHome/crashes.test.ts
@@ -0,0 +1,158 @@
+import { describe, expect, it, vi } from 'vitest';
+import type { TaskHome } from '../../src/taskHome/index.js';
+import { type HomeWorld, makeEntry, makeJob, makeStep, useHomeWorld } from './HomeWorld.js';
+
+const DRAINS = { pool: 'pages', drainedTargets: [], drainedForMs: 1_000 };
+const CULPRIT = 'bad.0.0.0';
+
+describe('crashes of targets', () => {
+  let world: HomeWorld;
+  let crashed: string[];
+
+  useHomeWorld((created) => {
+    world = created;
+    crashed = [];
+    world.targets.onCrash = (targetId) => crashed.push(targetId);
+    world.targets.crashingTasks.add(CULPRIT);
+  });
+
+  /** Tells a home of the targets that have crashed, each of which is back in another lifetime. */
+  async function tellCrashes(home: TaskHome, areBlamed = true): Promise<void> {
+    const ended = crashed.splice(0);
+    ended.forEach((targetId) => {
+      world.entries.delete(targetId);
+      world.addTarget(makeEntry(`${targetId}+`));
+    });
+    await home.syncPool({
+      ...DRAINS,
+      endedTargets: ended,
+      crashedTargets: areBlamed ? ended : [],
+    });
+  }
+
+  async function waitForCrash(): Promise<void> {
+    await vi.waitFor(() => expect(crashed.length).toBeGreaterThan(0), 3_000);
+  }
+
+  function countStarts(taskName: string): number {
+    return world.targets.begun.filter((run) => run.taskName === taskName).length;
+  }
+
+  it('gives a task up under which two targets crash, and finishes those that were beside it', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('good', [makeStep({ taskCount: 3 })]));
+    await home.submit(makeJob('bad'));
+    await waitForCrash();
+    await tellCrashes(home);
+    await waitForCrash();
+    await tellCrashes(home);
+    expect(home.getState('bad')).toBe('failed');
+    expect(world.countEvents('taskGivenUp')).toBe(1);
+    const tasks = ['good.0.0.0', 'good.0.0.1', 'good.0.0.2'];
+    await world.waitForRunning(tasks);
+    tasks.forEach((taskName) => world.targets.finish(taskName, 'done'));
+    await vi.waitFor(() => expect(home.getState('good')).toBe('completed'));
+    expect(countStarts(CULPRIT)).toBe(2);
+  });
+
+  // Guards against a count that begins anew with each home: the task would never be given up.
+  it('remembers the crashes of a task in the next home', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('bad'));
+    await waitForCrash();
+    await tellCrashes(home);
+    await waitForCrash();
+    world.kill(home);
+    const next = await world.open();
+    await tellCrashes(next);
+    await vi.waitFor(() => expect(next.getState('bad')).toBe('failed'));
+    expect(countStarts(CULPRIT)).toBe(2);
+  });
+
+  // Guards against a crash that is counted by no home: the first one died before it was stored.
+  it('counts a crash that the earlier home could not store', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('bad'));
+    await waitForCrash();
+    await tellCrashes(home);
+    await waitForCrash();
+    const ended = [...crashed];
+    world.store.faults.rejects = true;
+    void home.syncPool({ ...DRAINS, endedTargets: ended, crashedTargets: ended });
+    await vi.waitFor(() => expect(world.countEvents('appendRejected')).toBeGreaterThan(0));
+    world.kill(home);
+    world.store.faults.rejects = false;
+    const next = await world.open();
+    await tellCrashes(next);
+    await vi.waitFor(() => expect(next.getState('bad')).toBe('failed'));
+    expect(countStarts(CULPRIT)).toBe(2);
+  });
+
+  // Guards against innocent tasks that are given up for lost racks, moves, maintenance and lapses.
+  it('gives no task up whose targets are lost for other reasons', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('bad'));
+    for (let loss = 0; loss < 6; loss += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one loss follows the other
+      await waitForCrash();
+      // eslint-disable-next-line no-await-in-loop -- one loss follows the other
+      await tellCrashes(home, false);
+    }
+    expect(home.getState('bad')).toBe('running');
+  });
+
+  // Guards against a crash without blame: the target's next lifetime answered before it was told.
+  it('blames a task for a crash that becomes known after the loss', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('bad'));
+    await waitForCrash();
+    await tellCrashes(home, false);
+    const first = world.targets.begun[0]!.targetId;
+    await home.syncPool({ ...DRAINS, endedTargets: [first], crashedTargets: [first] });
+    await waitForCrash();
+    await tellCrashes(home);
+    await vi.waitFor(() => expect(home.getState('bad')).toBe('failed'));
+    expect(countStarts(CULPRIT)).toBe(2);
+  });
+
+  // Guards against neighbours that lose their work with the second crash of a task.
+  it('keeps other tasks off a target on which a task under suspicion has just begun', async () => {
+    world.targets.crashingTasks.clear();
+    const home = await world.open();
+    await home.submit(makeJob('bad'));
+    await world.waitForRunning([CULPRIT]);
+    const { targetId } = world.targets.begun[0]!;
+    world.targets.crash(targetId);
+    await tellCrashes(home);
+    await vi.waitFor(() => expect(countStarts(CULPRIT)).toBe(2));
+    await home.submit(makeJob('good', [makeStep({ taskCount: 4 })]));
+    await vi.waitFor(() => expect(world.targets.listRunning()).toHaveLength(5));
+    const held = world.targets.begun.find(({ taskName, run }) => taskName === CULPRIT && run === 2);
+    const beside = world.targets.begun.filter(
+      ({ taskName, targetId: id }) => taskName !== CULPRIT && id === held!.targetId,
+    );
+    expect(beside).toEqual([]);
+  });
+
+  it('gives up a gang of which one member crashes its targets', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('bad', [makeStep({ taskCount: 2, isGang: true })]));
+    await waitForCrash();
+    await tellCrashes(home);
+    await waitForCrash();
+    await tellCrashes(home);
+    await vi.waitFor(() => expect(home.getState('bad')).toBe('failed'));
+    await world.waitForRunning([]);
+  });
+
+  it('gives up a long-running task that crashes its targets', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('bad', [makeStep({ taskCount: 2, isLongRunning: true })]));
+    await waitForCrash();
+    await tellCrashes(home);
+    await waitForCrash();
+    await tellCrashes(home);
+    await vi.waitFor(() => expect(home.getState('bad')).toBe('failed'));
+    await world.waitForRunning([]);
+  });
+});
