Start nothing on a target whose room has shrunk below what was placed there

Three ways, each shown by a test that failed before: a placement that was being stored when the target said that it has less room; a start without an answer that was repeated afterwards, by the same home or the next one; and room that was counted as free though the target ran what nobody had ordered. A start that does not fit any more is withdrawn, or stopped where it may have been carried out, and waits for room; a target with a stray run takes no task until its end is reported. Placement itself already went by what targets say of themselves at the moment.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -43,7 +43,7 @@
   startWithdrawn: {
     number: 6039,
     level: 'info',
-    text: 'A target leaves, so a start was not sent there.',
+    text: 'A start was not sent, as its target leaves or has shrunk.',
   },
   runLost: { number: 6040, level: 'warn', text: 'A run of a task was lost with its target.' },
   taskGivenUp: {
--- a/src/systems/TargetRoom.ts
+++ b/src/systems/TargetRoom.ts
@@ -22,6 +22,22 @@
   return step.isBestEffort ? { ...step.demand, cpuMillicores: 0 } : step.demand;
 }
 
+/**
+ * Tells whether tasks need more than a target has.
+ * @param steps - Their steps, one for each task.
+ * @param capacity - What the target has in all.
+ * @returns Whether one of the resources is exceeded.
+ */
+export function exceedsCapacity(steps: readonly StepSpec[], capacity: Resources): boolean {
+  const sum = (read: (occupied: Resources) => number): number =>
+    steps.reduce((total, step) => total + read(getOccupied(step)), 0);
+  return (
+    sum(({ cpuMillicores }) => cpuMillicores) > capacity.cpuMillicores ||
+    sum(({ memoryMb }) => memoryMb) > capacity.memoryMb ||
+    sum(({ gpuCount }) => gpuCount) > capacity.gpuCount
+  );
+}
+
 /** Room of one target during a round of placement. */
 export class TargetRoom {
   readonly target: PlacementTarget;
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -31,7 +31,13 @@
 export { type MeasuredRun, RunTimes } from './RunTimes.js';
 export { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 export { placeTasks, type PlaceTasksInput, type TaskPlacement } from './placeTasks.js';
-export { getOccupied, getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
+export {
+  exceedsCapacity,
+  getOccupied,
+  getStepKey,
+  type PlacementTarget,
+  TargetRoom,
+} from './TargetRoom.js';
 export { indexLoads, type PoolDemand, type TargetLoad } from './PoolDemand.js';
 export { type Evacuation, planEvacuations, type PlanEvacuationsInput } from './planEvacuations.js';
 export {
--- /dev/null
+++ b/src/taskHome/StrayRuns.ts
@@ -0,0 +1,64 @@
+import type { EventLog } from '../logging/index.js';
+import type { LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
+import type { RunKey } from './RunKey.js';
+
+/** Options of {@link StrayRuns}. */
+export interface StrayRunsOptions {
+  readonly port: Pick<LeasedTargetPort, 'stop'>;
+  readonly term: number;
+  readonly events: EventLog;
+  readonly getAddress: (targetId: string) => LeasedTargetAddress | undefined;
+}
+
+/** Runs that targets report although this home has not ordered them, such as late starts. */
+export class StrayRuns {
+  private readonly options: StrayRunsOptions;
+
+  private readonly targetIds = new Set<string>();
+
+  /**
+   * Knows of none.
+   * @param options - The port to targets.
+   */
+  constructor(options: StrayRunsOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Stops the strays on a target.
+   * @param targetId - The target.
+   * @param strays - Those in its latest report.
+   */
+  take(targetId: string, strays: readonly RunKey[]): void {
+    if (strays.length === 0) this.targetIds.delete(targetId);
+    else this.targetIds.add(targetId);
+    strays.forEach((stray) => this.stop(stray));
+  }
+
+  /**
+   * Tells whether a target runs what nobody ordered: it takes room until its end is reported.
+   * @param targetId - The target.
+   * @returns Whether its latest report says so.
+   */
+  areOn(targetId: string): boolean {
+    return this.targetIds.has(targetId);
+  }
+
+  /**
+   * Forgets a target whose lifetime is over.
+   * @param targetId - The target.
+   */
+  forgetTarget(targetId: string): void {
+    this.targetIds.delete(targetId);
+  }
+
+  private stop({ taskName, run, targetId }: RunKey): void {
+    const { events, term, port, getAddress } = this.options;
+    const address = getAddress(targetId);
+    events.write('strayTask', { taskName, run, targetId, term });
+    if (address === undefined) return;
+    port.stop(address, taskName, run, term).catch((thrown: unknown) => {
+      events.write('stopUnanswered', { taskName, run, targetId, term, reason: String(thrown) });
+    });
+  }
+}
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -1,3 +1,4 @@
+import type { Resources } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { PlacementTarget } from '../systems/index.js';
 import type { EndedTaskReport, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
@@ -29,12 +30,22 @@
   entry: TargetEntry;
   /** Whether the platform still lists the target. */
   isListed: boolean;
+  /** Whether the target has had more room in this lifetime than it says to have now. */
+  hasShrunk: boolean;
   takenEndNumber: number;
 }
 
 /** Time after the end of a lease from which its target counts as empty, in milliseconds. */
 const LAPSE_MARGIN_MS = 300;
 
+function isSmaller(now: Resources, before: Resources): boolean {
+  return (
+    now.cpuMillicores < before.cpuMillicores ||
+    now.memoryMb < before.memoryMb ||
+    now.gpuCount < before.gpuCount
+  );
+}
+
 /** The targets of one home: a session with each, and what the platform says of it. */
 export class TargetSessions {
   private readonly options: TargetSessionsOptions;
@@ -83,6 +94,25 @@
     return this.known.get(targetId)?.entry.isDraining === true;
   }
 
+  /**
+   * Gets what a target has in all, as it said last.
+   * @param targetId - Id of the target.
+   * @returns Its capacity, or undefined where the target is not known.
+   */
+  getCapacity(targetId: string): Resources | undefined {
+    return this.known.get(targetId)?.entry.capacity;
+  }
+
+  /**
+   * Tells whether a target has had more room in its lifetime, so that what was placed there may not
+   * fit any more.
+   * @param targetId - Id of the target.
+   * @returns Whether it is known to have shrunk.
+   */
+  hasShrunk(targetId: string): boolean {
+    return this.known.get(targetId)?.hasShrunk === true;
+  }
+
   /**
    * Tells whether there is a session with a target.
    * @param targetId - Id of the target.
@@ -213,6 +243,7 @@
     if (entry.isDraining && !known.entry.isDraining) {
       events.write('targetDraining', { targetId: entry.targetId, pool: entry.pool, term });
     }
+    known.hasShrunk ||= isSmaller(entry.capacity, known.entry.capacity);
     known.entry = entry;
   }
 
@@ -230,7 +261,13 @@
       onReport: (report) => onReport(targetId, report),
       onEnd: (end) => (end === 'stale-term' ? onStaleTerm() : onGone(targetId, end)),
     });
-    this.known.set(targetId, { session, entry, isListed: true, takenEndNumber: 0 });
+    this.known.set(targetId, {
+      session,
+      entry,
+      isListed: true,
+      hasShrunk: false,
+      takenEndNumber: 0,
+    });
     events.write('targetAppeared', { targetId, pool, rack, term, ...entry.capacity });
     session.start();
   }
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -13,6 +13,7 @@
   type RunOrder,
   STOP_PHASES,
 } from './RunOrder.js';
+import { StrayRuns } from './StrayRuns.js';
 import type { TaskOrdersOptions } from './TaskOrdersOptions.js';
 
 /**
@@ -31,12 +32,15 @@
   /** The same orders by target: each report of a target asks for its own. */
   private readonly byTarget = new Map<string, Set<RunOrder>>();
 
+  private readonly strays: StrayRuns;
+
   /**
    * Creates an empty set of orders.
    * @param options - The port to targets and what happens with their answers.
    */
   constructor(options: TaskOrdersOptions) {
     this.options = options;
+    this.strays = new StrayRuns(options);
   }
 
   /**
@@ -111,11 +115,21 @@
     return this.byTarget.get(targetId)?.size ?? 0;
   }
 
+  /**
+   * Tells whether a target runs what nobody ordered: it takes room until its end is reported.
+   * @param targetId - Id of the target.
+   * @returns Whether its latest report says so.
+   */
+  hasStrays(targetId: string): boolean {
+    return this.strays.areOn(targetId);
+  }
+
   /**
    * Forgets a target whose lifetime is over, once nothing is ordered there any more.
    * @param targetId - Id of the target.
    */
   forgetTarget(targetId: string): void {
+    this.strays.forgetTarget(targetId);
     if (this.countOn(targetId) === 0) this.byTarget.delete(targetId);
   }
 
@@ -127,7 +141,7 @@
     const order = this.orders.get(taskName);
     if (order?.phase === 'unanswered') this.startAgain(order);
     if (order?.phase !== 'unsent') return;
-    if (this.options.isLeaving(order.targetId)) this.withdraw(order);
+    if (this.options.refusesStarts(order.targetId)) this.withdraw(order);
     else void this.sendStart(order);
   }
 
@@ -155,9 +169,10 @@
       if (isRunning) this.noteRunning(order);
       else if (order.answeredAtMs < askedAtMs) this.noteAbsent(order);
     });
-    running
+    const strays = running
       .filter(({ taskName, run }) => !this.isOrdered(targetId, taskName, run))
-      .forEach(({ taskName, run }) => this.stopStray({ taskName, run, targetId }));
+      .map(({ taskName, run }): RunKey => ({ taskName, run, targetId }));
+    this.strays.take(targetId, strays);
   }
 
   private add(order: RunOrder): void {
@@ -203,19 +218,19 @@
   }
 
   /**
-   * Guards against a start on a target that has announced its leave meanwhile: the start before had
-   * no answer, and repeated seconds later it would put a task on a target that takes none. Stopped
-   * there, the run can go elsewhere.
+   * Guards against a start on a target that has announced its leave meanwhile, or whose room has
+   * shrunk: the start before had no answer, and repeated seconds later it would put a task on a
+   * target that takes none. Stopped there, the run can go elsewhere.
    */
   private startAgain(order: RunOrder): void {
-    if (this.options.isLeaving(order.targetId)) void this.sendStop(order);
+    if (this.options.refusesStarts(order.targetId)) void this.sendStop(order);
     else void this.sendStart(order);
   }
 
   /**
-   * Guards against a first start on a target that has announced its leave while the placement was
-   * on its way to the store: a slow store would put the task on a target that takes none. Nothing
-   * was sent, so the task waits again for the next round.
+   * Guards against a first start on a target that has announced its leave, or whose room has
+   * shrunk, while the placement was on its way to the store: a slow store would put the task on a
+   * target that takes none. Nothing was sent, so the task waits again for the next round.
    */
   private withdraw(order: RunOrder): void {
     const { events, term, onWithdrawn } = this.options;
@@ -324,15 +339,4 @@
         assertNever(answer);
     }
   }
-
-  private stopStray(key: RunKey): void {
-    const { events, term, port, getAddress } = this.options;
-    const { taskName, run, targetId } = key;
-    const address = getAddress(targetId);
-    events.write('strayTask', { taskName, run, targetId, term });
-    if (address === undefined) return;
-    port.stop(address, taskName, run, term).catch((thrown: unknown) => {
-      events.write('stopUnanswered', { taskName, run, targetId, term, reason: String(thrown) });
-    });
-  }
 }
--- a/src/taskHome/TaskOrdersOptions.ts
+++ b/src/taskHome/TaskOrdersOptions.ts
@@ -15,8 +15,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly getAddress: (targetId: string) => LeasedTargetAddress | undefined;
-  /** Whether a target has announced that it leaves; it must be given no start any more. */
-  readonly isLeaving: (targetId: string) => boolean;
+  /** Whether a target must be given no start any more: it leaves, or its room has shrunk. */
+  readonly refusesStarts: (targetId: string) => boolean;
   /** Builds the start of a run; undefined where the run is not wanted any more. */
   readonly createStart: (key: RunKey) => TaskStart | undefined;
   /** Reading of a target's clock that came with an answer. */
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -9,7 +9,12 @@
   type RunEnd,
   unplaceTask,
 } from '../jobs/index.js';
-import type { PlacedSuspect, RunTimes, TaskPlacement } from '../systems/index.js';
+import {
+  exceedsCapacity,
+  type PlacedSuspect,
+  type RunTimes,
+  type TaskPlacement,
+} from '../systems/index.js';
 import type { EndedTaskReport, StartRefusal, TaskStart } from '../targets/index.js';
 import type { EndedTargets } from '../vms/index.js';
 import { createTaskStart } from './createTaskStart.js';
@@ -44,6 +49,9 @@
 
   private readonly stops: RunStops;
 
+  /** Targets on which an earlier home has placed runs. */
+  private readonly adoptedTargets = new Set<string>();
+
   private readonly losses: RunLosses;
 
   /**
@@ -69,7 +77,7 @@
       clock,
       events,
       getAddress: (targetId) => this.sessions.getAddress(targetId),
-      isLeaving: (targetId) => this.sessions.isDraining(targetId),
+      refusesStarts: (targetId) => this.refusesStarts(targetId),
       createStart: (key) => this.createStart(key),
       onClock: (targetId, targetClockMs) => this.sessions.noteClock(targetId, targetClockMs),
       onWithdrawn: (key) => this.takeBack(key),
@@ -105,6 +113,7 @@
     listPlacedTasks(row).forEach(({ task }) => {
       const { run, targetId } = task;
       this.orders.adopt({ taskName: nameTask(row, task), run, targetId: targetId! });
+      this.adoptedTargets.add(targetId!);
     });
   }
 
@@ -153,6 +162,7 @@
    */
   isAvoided(targetId: string): boolean {
     const { mechanisms } = this.options;
+    if (this.orders.hasStrays(targetId)) return true;
     return mechanisms.has('failing-targets-avoided') && this.health.isAvoided(targetId);
   }
 
@@ -257,6 +267,25 @@
     return this.sessions.has(targetId) || this.orders.countOn(targetId) > 0;
   }
 
+  private refusesStarts(targetId: string): boolean {
+    return this.sessions.isDraining(targetId) || this.isOverfull(targetId);
+  }
+
+  /**
+   * Guards against a start that overfills a target which does not look after its room itself: the
+   * room has shrunk while the placement was stored, or before the home that repeats the start.
+   */
+  private isOverfull(targetId: string): boolean {
+    const mayBe = this.sessions.hasShrunk(targetId) || this.adoptedTargets.has(targetId);
+    const capacity = this.sessions.getCapacity(targetId);
+    if (!mayBe || capacity === undefined) return false;
+    const steps = this.orders
+      .listOn(targetId)
+      .map(({ taskName }) => this.table.getStep(taskName))
+      .filter((step) => step !== undefined);
+    return exceedsCapacity(steps, capacity);
+  }
+
   private createStart(key: RunKey): TaskStart | undefined {
     const found = this.table.findPlaced(key);
     if (found === undefined || isFinished(found.row)) return undefined;
