--- a/tests/taskHome/shrinkingRoom.test.ts
+++ b/tests/taskHome/shrinkingRoom.test.ts
@@ -19,8 +19,8 @@
   }
 
   it('get tasks by what they say of themselves now', async () => {
-    const home = await world.open();
     setRoom('t1', ONE_TASK);
+    const home = await world.open();
     await home.submit(makeJob('a', [makeStep({ taskCount: 4 })]));
     await world.waitForRunning(['a.0.0.0']);
     setRoom('t1', FOUR_TASKS);
