Judge a crash by what it is worth as evidence, and confirm suspects soon

Traced with the new runLost lines: suspects were put on the emptiest target, which is one that has just come back, and one VM crashed again and again whatever it ran; a rack of which some VMs were away already was not taken for a rack; and a suspect waited for up to a second until a report proved it, so that crashes by chance fell into that time.

Change: a crash is weak evidence where the target was lost with its rack or has just started; it counts for what had just begun, and only the fourth one decides. Suspects go to targets that have not just started. Their start is repeated after 0.2 s, which changes nothing there and whose answer proves them, so that others may come beside them. One task of a job stands for all of them.

The stand-in lets a task begin again whose end was lost with its target before anyone had acknowledged it: nobody can know of that end.

--- /dev/null
+++ b/scripts/crashMutants.ts
@@ -0,0 +1,82 @@
+import type { Mutant } from './Mutant.js';
+
+const BLAME_TEST = 'tests/systems/blameCrash.test.ts';
+const CRASH_TEST = 'tests/taskHome/crashes.test.ts';
+const LIFETIME_TEST = 'tests/fleetHome/EndedLifetimes.test.ts';
+const ROOM_TEST = 'tests/taskHome/shrinkingRoom.test.ts';
+
+/** Guards against tasks that crash their targets, and against targets whose room shrinks. */
+export const CRASH_MUTANTS: readonly Mutant[] = [
+  {
+    failure: 'a task that takes one target after the other down',
+    file: 'src/taskHome/TaskRuns.ts',
+    find: 'blames.forEach((blame) => this.takeBlame(blame));',
+    replace: '',
+    test: CRASH_TEST,
+    name: 'gives a task up under which two targets crash',
+  },
+  {
+    failure: 'a count of crashes that begins anew with each home',
+    file: 'src/jobs/jobProgress.ts',
+    find: 'crashCount: crashes.get(place) ?? 0,',
+    replace: 'crashCount: 0,',
+    test: CRASH_TEST,
+    name: 'remembers the crashes of a task in the next home',
+  },
+  {
+    failure: 'an innocent task that is given up for another one that began beside it',
+    file: 'src/systems/blameCrash.ts',
+    find: '&& recentJobs.size === 1',
+    replace: '',
+    test: BLAME_TEST,
+    name: 'blames no task for a second crash where another one had just begun too',
+  },
+  {
+    failure: 'a task without a bound that crashes its targets only after it has begun',
+    file: 'src/systems/blameCrash.ts',
+    find: '(isAlone ? MIN_CRASHES : MAX_CRASHES)',
+    replace: '(isAlone ? MIN_CRASHES : Infinity)',
+    test: BLAME_TEST,
+    name: 'blames the worst task for the fourth crash though it was never alone',
+  },
+  {
+    failure: 'an innocent task that is given up for a sick target or for a lost rack',
+    file: 'src/systems/blameCrash.ts',
+    find: "evidence === 'strong' && isRecent(run)",
+    replace: 'isRecent(run)',
+    test: BLAME_TEST,
+    name: 'counts a weak crash for what had just begun',
+  },
+  {
+    failure: 'innocent tasks that are given up for moves and maintenance',
+    file: 'src/fleetHome/EndedLifetimes.ts',
+    find: '!looksOrdered(change) && !this.options.isAway(change.now.vm)',
+    replace: 'true',
+    test: LIFETIME_TEST,
+    name: 'takes a VM for ended, not for crashed, that was ordered away',
+  },
+  {
+    failure: 'neighbours that lose their work with the second crash of a task',
+    file: 'src/systems/TargetRoom.ts',
+    find: '!this.holdsSuspect &&',
+    replace: '',
+    test: CRASH_TEST,
+    name: 'keeps other tasks off a target on which a task under suspicion has just begun',
+  },
+  {
+    failure: 'a start on a target whose room has shrunk',
+    file: 'src/taskHome/StartGuard.ts',
+    find: '|| this.isOverfull(targetId)',
+    replace: '',
+    test: ROOM_TEST,
+    name: 'get no start that was placed when they had more room',
+  },
+  {
+    failure: 'room that counts as free though something runs there that nobody ordered',
+    file: 'src/taskHome/TaskRuns.ts',
+    find: 'if (this.orders.hasStrays(targetId)) return true;',
+    replace: '',
+    test: ROOM_TEST,
+    name: 'get no task while they run what was not ordered',
+  },
+];
--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -197,7 +197,7 @@
   {
     failure: 'a first start on a target that has announced its leave meanwhile',
     file: 'src/taskHome/TaskOrders.ts',
-    find: 'if (this.options.isLeaving(order.targetId)) this.withdraw(order);\n    else void',
+    find: 'if (this.options.refusesStarts(order.targetId)) this.withdraw(order);\n    else void',
     replace: 'void',
     test: HOME_TEST,
     name: 'does not start a task whose target has announced its leave while it was stored',
@@ -205,7 +205,7 @@
   {
     failure: 'a start repeated on a target that has announced its leave meanwhile',
     file: 'src/taskHome/TaskOrders.ts',
-    find: 'if (this.options.isLeaving(order.targetId)) void this.sendStop(order);\n    else void',
+    find: 'if (this.options.refusesStarts(order.targetId)) void this.sendStop(order);\n    else void',
     replace: 'void',
     test: HOME_TEST,
     name: 'does not repeat a start on a target that has announced its leave meanwhile',
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -2,6 +2,7 @@
 import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
+import { CRASH_MUTANTS } from './crashMutants.js';
 import { DURABLE_JOB_MUTANTS } from './durableJobMutants.js';
 import { FLEET_MUTANTS } from './fleetMutants.js';
 import { MUTANTS as ONE_SHOT_MUTANTS } from './mutantList.js';
@@ -54,6 +55,7 @@
 const MUTANTS: readonly Mutant[] = [
   ...ONE_SHOT_MUTANTS,
   ...DURABLE_JOB_MUTANTS,
+  ...CRASH_MUTANTS,
   ...FLEET_MUTANTS,
 ].filter(({ file }) => wantedFiles.length === 0 || wantedFiles.some((part) => file.includes(part)));
 
--- a/src/fleetHome/EndedLifetimes.ts
+++ b/src/fleetHome/EndedLifetimes.ts
@@ -15,6 +15,8 @@
 const TELL_ENDED_MS = 10_000;
 /** VMs of one rack that are lost in one look from which on the rack is to blame, not the tasks. */
 const LOST_WITH_RACK = 3;
+/** The same where no VM of the rack is left. */
+const LOST_AS_LAST = 2;
 
 /** A VM before and after a look. */
 interface VmChange {
@@ -26,6 +28,7 @@
   /** Monotonic time of the list that showed the end. */
   readonly endedAtMs: number;
   readonly isCrash: boolean;
+  readonly isWithRack: boolean;
 }
 
 function hasEnded({ before, now }: VmChange): boolean {
@@ -66,7 +69,7 @@
       return before === undefined ? [] : [{ before, now }];
     });
     changes.forEach((change) => this.report(change));
-    this.noteEnds(changes.filter(hasEnded));
+    this.noteEnds(changes.filter(hasEnded), vms);
   }
 
   /**
@@ -78,10 +81,12 @@
     [...this.ended]
       .filter(([, { endedAtMs }]) => nowMs - endedAtMs > TELL_ENDED_MS)
       .forEach(([targetId]) => this.ended.delete(targetId));
-    const crashed = [...this.ended].filter(([, { isCrash }]) => isCrash);
+    const list = (isListed: (end: Ended) => boolean): readonly string[] =>
+      [...this.ended].filter(([, end]) => isListed(end)).map(([targetId]) => targetId);
     return {
       endedTargets: [...this.ended.keys()],
-      crashedTargets: crashed.map(([targetId]) => targetId),
+      crashedTargets: list(({ isCrash }) => isCrash),
+      lostWithRack: list(({ isWithRack }) => isWithRack),
     };
   }
 
@@ -89,8 +94,9 @@
    * Guards against tasks that are given up for the loss of a rack or of power: their targets crash
    * again and again, yet not under them alone.
    */
-  private noteEnds(changes: readonly VmChange[]): void {
+  private noteEnds(changes: readonly VmChange[], vms: readonly FleetVm[]): void {
     const endedAtMs = this.options.clock.monotonicMs();
+    const upRacks = new Set(vms.filter(({ state }) => state === 'up').map(({ rack }) => rack));
     const unordered = changes.filter(
       (change) => !looksOrdered(change) && !this.options.isAway(change.now.vm),
     );
@@ -98,8 +104,10 @@
     changes.forEach((change) => {
       const { rack, targetId } = change.before;
       const lostWithRack = rack === undefined ? 1 : (byRack.get(rack)?.length ?? 0);
-      const isCrash = unordered.includes(change) && lostWithRack < LOST_WITH_RACK;
-      this.ended.set(targetId!, { endedAtMs, isCrash });
+      const enough = upRacks.has(rack) ? LOST_WITH_RACK : LOST_AS_LAST;
+      const isCrash = unordered.includes(change);
+      const isWithRack = isCrash && lostWithRack >= enough;
+      this.ended.set(targetId!, { endedAtMs, isCrash, isWithRack });
     });
   }
 
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -45,8 +45,10 @@
       readonly drainedForMs: number;
       /** Lifetimes of targets that are over by the platform's list of VMs. */
       readonly endedTargets: readonly string[];
-      /** Those of them that crashed by themselves. */
+      /** Those of them that crashed. */
       readonly crashedTargets: readonly string[];
+      /** Those of them that crashed together with others of their rack. */
+      readonly lostWithRack: readonly string[];
     };
 
 /** A call to a target that another instance is to make for the target's home. */
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -64,6 +64,7 @@
     endedTargets: z.array(id),
     // A peer of an earlier version does not tell.
     crashedTargets: z.array(id).default([]),
+    lostWithRack: z.array(id).default([]),
   }),
   z.looseObject({ type: z.literal('list-homes') }),
   z.looseObject({ type: z.literal('announce-member'), member: text }),
--- a/src/systems/TargetRoom.ts
+++ b/src/systems/TargetRoom.ts
@@ -9,6 +9,8 @@
   readonly capacity: Resources;
   /** Whether the target may get new tasks; false while it drains, is unheard of or fails tasks. */
   readonly takesTasks: boolean;
+  /** Whether it has started a short while ago, perhaps after a crash. */
+  readonly hasJustStarted?: boolean;
   /** Whether a task that may have crashed a target has just begun there. */
   readonly holdsSuspect?: boolean;
 }
@@ -75,9 +77,12 @@
     return this.longRunningCount > 0;
   }
 
-  /** Tasks that work here and would be lost if the target crashed, those that last above all. */
+  /**
+   * What a crash here would cost, the worst first: tasks that last; doubt about its cause, where
+   * the target may be one that crashes whatever it runs; other tasks.
+   */
   get stake(): readonly number[] {
-    return [this.longRunningCount, this.taskCount];
+    return [this.longRunningCount, this.target.hasJustStarted === true ? 1 : 0, this.taskCount];
   }
 
   /**
--- a/src/systems/blameCrash.ts
+++ b/src/systems/blameCrash.ts
@@ -20,9 +20,9 @@
 
 /**
  * Time after which a target has borne a run, in milliseconds: a task that crashes the targets which
- * start it does so at once, and answers take some hundred milliseconds.
+ * start it does so at once, and the longer this is, the more crashes by chance fall into it.
  */
-const PROVEN_MS = 500;
+export const PROVEN_MS = 150;
 /** Time after which earlier crashes say nothing of a task any more, in milliseconds. */
 const CLEARED_MS = 30_000;
 /** Crashes after which a task is to blame that was never the only one to have just begun. */
@@ -43,17 +43,19 @@
   return isSent && !isProvenRun(survivedMs);
 }
 
+/**
+ * What a crash is worth as evidence. It is weak where the target was lost with others of its rack,
+ * or may be one that crashes again and again whatever it runs.
+ */
+export type CrashEvidence = 'strong' | 'weak';
+
 /** A long-running task is on many targets that crash under others that have just begun there. */
-function mayHaveCaused(run: CrashedRun, hasRecent: boolean): boolean {
+function mayHaveCaused(run: CrashedRun, evidence: CrashEvidence, hasRecent: boolean): boolean {
   if (!run.isSent || run.survivedMs >= CLEARED_MS) return false;
+  if (evidence === 'weak') return isRecent(run);
   return isRecent(run) || !run.isLongRunning || !hasRecent;
 }
 
-function countCrashes(run: CrashedRun, hasRecent: boolean): number {
-  if (run.isSent && run.survivedMs >= CLEARED_MS) return 0;
-  return run.crashCount + (mayHaveCaused(run, hasRecent) ? 1 : 0);
-}
-
 /**
  * Decides which of the runs on a target that has crashed may have caused that, and which of their
  * tasks is to blame for certain enough that it is given up.
@@ -62,21 +64,24 @@
  * which task of a job it is changes nothing for the job. One that crashes its targets later, or is
  * never the only one, is to blame after some more crashes.
  * @param runs - All runs that were on the target, sent or not.
+ * @param evidence - What the crash is worth; a weak one counts only for what had just begun.
  * @returns What follows for the task of each run, in the same order.
  */
-export function blameCrash(runs: readonly CrashedRun[]): readonly CrashBlame[] {
+export function blameCrash(
+  runs: readonly CrashedRun[],
+  evidence: CrashEvidence,
+): readonly CrashBlame[] {
   const recentJobs = new Set(runs.filter(isRecent).map(({ jobId }) => jobId));
   const hasRecent = recentJobs.size > 0;
   return runs.map((run) => {
-    const crashCount = countCrashes(run, hasRecent);
+    const isCause = mayHaveCaused(run, evidence, hasRecent);
+    const isCleared = run.isSent && run.survivedMs >= CLEARED_MS;
+    const crashCount = isCleared ? 0 : run.crashCount + (isCause ? 1 : 0);
     const isWorst = runs
       .filter((other) => other.isSent)
       .every((other) => other.crashCount <= run.crashCount);
-    const isAlone = isRecent(run) && recentJobs.size === 1;
-    const isToBlame =
-      mayHaveCaused(run, hasRecent) &&
-      isWorst &&
-      crashCount >= (isAlone ? MIN_CRASHES : MAX_CRASHES);
+    const isAlone = evidence === 'strong' && isRecent(run) && recentJobs.size === 1;
+    const isToBlame = isCause && isWorst && crashCount >= (isAlone ? MIN_CRASHES : MAX_CRASHES);
     return { crashCount, isToBlame };
   });
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -1,4 +1,11 @@
-export { blameCrash, type CrashBlame, type CrashedRun, isProvenRun } from './blameCrash.js';
+export {
+  blameCrash,
+  type CrashBlame,
+  type CrashEvidence,
+  type CrashedRun,
+  isProvenRun,
+  PROVEN_MS,
+} from './blameCrash.js';
 export { isSuspect, listSuspects, type PlacedSuspect } from './listSuspects.js';
 export { alignSubmissions } from './alignSubmissions.js';
 export { checkBudget, type CheckBudgetOptions } from './checkBudget.js';
--- a/src/taskHome/RunLosses.ts
+++ b/src/taskHome/RunLosses.ts
@@ -10,9 +10,12 @@
 /** Options of {@link RunLosses}. */
 export interface RunLossesOptions {
   readonly table: JobTable;
-  readonly orders: Pick<TaskOrders, 'getBegunAtMs' | 'listOn'>;
+  readonly orders: Pick<TaskOrders, 'find' | 'listOn'>;
   /** Sessions with the targets, which are created after the runs. */
-  readonly getSessions: () => Pick<TargetSessions, 'getAnsweredAtMs' | 'isDraining'>;
+  readonly getSessions: () => Pick<
+    TargetSessions,
+    'getAnsweredAtMs' | 'hasJustStarted' | 'isDraining'
+  >;
   readonly telemetry: JobTelemetry;
   readonly clock: Clock;
 }
@@ -31,6 +34,8 @@
 
 interface Loss {
   readonly runs: readonly LostRun[];
+  /** Whether the target had started a short while before. */
+  readonly hasJustStarted: boolean;
   /** Monotonic time from which on it says nothing any more. */
   readonly forgottenAtMs: number;
 }
@@ -63,7 +68,7 @@
    * @returns Whether it has.
    */
   isProven(taskName: string, targetId: string): boolean {
-    const begunAtMs = this.options.orders.getBegunAtMs(taskName);
+    const begunAtMs = this.options.orders.find(taskName)?.begunAtMs;
     return isProvenRun(this.getSurvivedMs(begunAtMs, targetId));
   }
 
@@ -86,8 +91,11 @@
     [...this.losses]
       .filter(([, { forgottenAtMs }]) => forgottenAtMs <= nowMs)
       .forEach(([known]) => this.losses.delete(known));
-    if (runs.length > 0 && !this.options.getSessions().isDraining(targetId)) {
-      this.losses.set(targetId, { runs: lost, forgottenAtMs: nowMs + REMEMBERED_MS });
+    const sessions = this.options.getSessions();
+    if (runs.length > 0 && !sessions.isDraining(targetId)) {
+      const hasJustStarted = sessions.hasJustStarted(targetId);
+      const forgottenAtMs = nowMs + REMEMBERED_MS;
+      this.losses.set(targetId, { runs: lost, hasJustStarted, forgottenAtMs });
     }
     return runs;
   }
@@ -95,12 +103,14 @@
   /**
    * Decides what the crash of a target says of the tasks that were lost with it.
    * @param targetId - The target; its loss may have been noted some seconds ago.
+   * @param isWithRack - Whether others of its rack crashed together with it.
    * @returns What follows for the tasks; none where the crash was told of before.
    */
-  blame(targetId: string): readonly RunBlame[] {
-    const { runs = [] } = this.losses.get(targetId) ?? {};
+  blame(targetId: string, isWithRack: boolean): readonly RunBlame[] {
+    const { runs = [], hasJustStarted = false } = this.losses.get(targetId) ?? {};
     this.losses.delete(targetId);
-    const blames = blameCrash(runs.map((lost) => this.describe(lost)));
+    const crashed = runs.map((lost) => this.describe(lost));
+    const blames = blameCrash(crashed, isWithRack || hasJustStarted ? 'weak' : 'strong');
     return runs.map(({ run }, place): RunBlame => {
       const { crashCount, isToBlame } = blames[place]!;
       return { run, crash: { crashCount, isTaskGivenUp: isToBlame } };
--- a/src/taskHome/RunOrder.ts
+++ b/src/taskHome/RunOrder.ts
@@ -19,6 +19,8 @@
 export interface OrderedRun extends RunKey {
   /** Whether its start was sent, so that the target may have begun it. */
   readonly isSent: boolean;
+  /** Whether the target is known to run it, and it is not being stopped. */
+  readonly isRunning: boolean;
   /** Since when the target is known to run it, by the monotonic clock. */
   readonly begunAtMs: number | undefined;
 }
@@ -38,5 +40,6 @@
  * @returns The run, and how far it is known to be.
  */
 export function describeOrder({ taskName, run, targetId, phase, begunAtMs }: RunOrder): OrderedRun {
-  return { taskName, run, targetId, isSent: phase !== 'unsent', begunAtMs };
+  const isSent = phase !== 'unsent';
+  return { taskName, run, targetId, isSent, isRunning: phase === 'started', begunAtMs };
 }
--- a/src/taskHome/StrayRuns.ts
+++ b/src/taskHome/StrayRuns.ts
@@ -1,14 +1,8 @@
-import type { EventLog } from '../logging/index.js';
-import type { LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
 import type { RunKey } from './RunKey.js';
+import type { TargetCalls } from './TargetCalls.js';
 
 /** Options of {@link StrayRuns}. */
-export interface StrayRunsOptions {
-  readonly port: Pick<LeasedTargetPort, 'stop'>;
-  readonly term: number;
-  readonly events: EventLog;
-  readonly getAddress: (targetId: string) => LeasedTargetAddress | undefined;
-}
+export type StrayRunsOptions = Pick<TargetCalls, 'events' | 'getAddress' | 'port' | 'term'>;
 
 /** Runs that targets report although this home has not ordered them, such as late starts. */
 export class StrayRuns {
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -30,11 +30,17 @@
   entry: TargetEntry;
   /** Whether the platform still lists the target. */
   isListed: boolean;
+  /** When this home first saw the target, by the monotonic clock. */
+  readonly appearedAtMs: number;
   /** Whether the target has had more room in this lifetime than it says to have now. */
   hasShrunk: boolean;
   takenEndNumber: number;
 }
 
+/** Time within which a new home has met the targets that were there before, in milliseconds. */
+const TARGETS_MET_MS = 1_000;
+/** Age up to which a target has just started, in milliseconds: a sick one crashes every few s. */
+const JUST_STARTED_MS = 10_000;
 /** Time after the end of a lease from which its target counts as empty, in milliseconds. */
 const LAPSE_MARGIN_MS = 300;
 
@@ -54,12 +60,15 @@
 
   private readonly ended = new Set<string>();
 
+  private readonly openedAtMs: number;
+
   /**
    * Starts without targets.
    * @param options - Where targets come from and what happens with their reports.
    */
   constructor(options: TargetSessionsOptions) {
     this.options = options;
+    this.openedAtMs = options.clock.monotonicMs();
   }
 
   /** Opens sessions with new targets, and ends those of targets that are gone for certain. */
@@ -113,6 +122,18 @@
     return this.known.get(targetId)?.hasShrunk === true;
   }
 
+  /**
+   * Tells whether a target has started a short while ago. It may be one that crashes again and
+   * again, whatever it runs.
+   * @param targetId - Id of the target.
+   * @returns Whether it has; false for those that were there when this home opened.
+   */
+  hasJustStarted(targetId: string): boolean {
+    const { appearedAtMs = -Infinity } = this.known.get(targetId) ?? {};
+    if (appearedAtMs < this.openedAtMs + TARGETS_MET_MS) return false;
+    return this.options.clock.monotonicMs() - appearedAtMs < JUST_STARTED_MS;
+  }
+
   /**
    * Tells whether there is a session with a target.
    * @param targetId - Id of the target.
@@ -201,6 +222,7 @@
   listForPlacement(isAvoided: (targetId: string) => boolean): readonly PlacementTarget[] {
     return [...this.known.values()].map(({ entry, session }) => ({
       ...entry,
+      hasJustStarted: this.hasJustStarted(entry.targetId),
       takesTasks: !entry.isDraining && session.isReachable && !isAvoided(entry.targetId),
     }));
   }
@@ -265,6 +287,7 @@
       session,
       entry,
       isListed: true,
+      appearedAtMs: clock.monotonicMs(),
       hasShrunk: false,
       takenEndNumber: 0,
     });
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -187,15 +187,9 @@
    * @returns Load and demand of the pool.
    * @throws RattanliftError Of kind `home-unavailable` where this home cannot be sure.
    */
-  async syncPool({
-    pool,
-    drainedTargets,
-    drainedForMs,
-    endedTargets,
-    crashedTargets,
-  }: PoolSync): Promise<PoolDemand> {
+  async syncPool({ pool, drainedTargets, drainedForMs, ...ended }: PoolSync): Promise<PoolDemand> {
     this.assertCertain();
-    this.runs.loseEnded({ endedTargets, crashedTargets });
+    this.runs.loseEnded(ended);
     this.drains.replace(pool, drainedTargets, drainedForMs);
     this.runs.evacuate(this.listEmptied());
     // What was placed before this call is counted below; nothing is placed there after it.
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -89,12 +89,13 @@
   }
 
   /**
-   * Tells since when a target is known to run a task.
+   * Finds the order for a task.
    * @param taskName - Name of the task.
-   * @returns The time by the monotonic clock; undefined where its start has no answer yet.
+   * @returns Its run, or undefined where none is ordered.
    */
-  getBegunAtMs(taskName: string): number | undefined {
-    return this.orders.get(taskName)?.begunAtMs;
+  find(taskName: string): OrderedRun | undefined {
+    const order = this.orders.get(taskName);
+    return order && describeOrder(order);
   }
 
   /**
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -10,7 +10,7 @@
   unplaceTask,
 } from '../jobs/index.js';
 import {
-  exceedsCapacity,
+  isSuspect,
   type PlacedSuspect,
   type RunTimes,
   type TaskPlacement,
@@ -21,11 +21,14 @@
 import type { JobTable } from './JobTable.js';
 import type { RunKey } from './RunKey.js';
 import { type RunBlame, RunLosses } from './RunLosses.js';
+import { RunConfirmations } from './RunConfirmations.js';
 import { RunStops } from './RunStops.js';
 import { RunTimer } from './RunTimer.js';
+import { StartGuard } from './StartGuard.js';
 import { TargetHealth } from './TargetHealth.js';
 import type { TargetReport } from './TargetSession.js';
 import type { TargetLoss, TargetSessions } from './TargetSessions.js';
+import type { TargetCalls } from './TargetCalls.js';
 import { TaskOrders } from './TaskOrders.js';
 import { TaskPacer } from './TaskPacer.js';
 import { TaskProgress } from './TaskProgress.js';
@@ -49,8 +52,9 @@
 
   private readonly stops: RunStops;
 
-  /** Targets on which an earlier home has placed runs. */
-  private readonly adoptedTargets = new Set<string>();
+  private readonly guard: StartGuard;
+
+  private readonly confirmations: RunConfirmations;
 
   private readonly losses: RunLosses;
 
@@ -71,15 +75,18 @@
       events,
       getStep: (taskName) => table.getStep(taskName),
     });
-    this.orders = new TaskOrders({
+    const calls: TargetCalls = {
       port: targets,
       term,
-      clock,
       events,
       getAddress: (targetId) => this.sessions.getAddress(targetId),
-      refusesStarts: (targetId) => this.refusesStarts(targetId),
       createStart: (key) => this.createStart(key),
       onClock: (targetId, targetClockMs) => this.sessions.noteClock(targetId, targetClockMs),
+    };
+    this.orders = new TaskOrders({
+      ...calls,
+      clock,
+      refusesStarts: (targetId) => this.guard.refusesStarts(targetId),
       onWithdrawn: (key) => this.takeBack(key),
       onRefused: (key, reason) => this.takeRefusal(key, reason),
       onVanished: (key) => this.endRun(key, { end: 'lapsed', checkpoint: undefined }, 'vanished'),
@@ -87,6 +94,12 @@
       onStaleTerm: () => this.options.onStaleTerm(),
     });
     this.losses = new RunLosses({ ...options, orders: this.orders });
+    this.guard = new StartGuard({ ...options, orders: this.orders });
+    this.confirmations = new RunConfirmations({
+      ...calls,
+      find: (taskName) => this.orders.find(taskName),
+      onConfirmed: () => this.options.onChanged(),
+    });
     this.stops = new RunStops({
       table,
       orders: this.orders,
@@ -113,7 +126,7 @@
     listPlacedTasks(row).forEach(({ task }) => {
       const { run, targetId } = task;
       this.orders.adopt({ taskName: nameTask(row, task), run, targetId: targetId! });
-      this.adoptedTargets.add(targetId!);
+      this.guard.noteAdopted(targetId!);
     });
   }
 
@@ -142,6 +155,8 @@
    */
   start(taskName: string): void {
     this.orders.start(taskName);
+    const task = this.table.findTask(taskName)?.task;
+    if (task !== undefined && isSuspect(task)) void this.confirmations.confirmSoon(taskName);
   }
 
   /**
@@ -204,14 +219,15 @@
    * once. A target that falls silent would else keep its tasks until its lease has lapsed.
    * @param ended - The lifetimes, and which of them crashed.
    */
-  loseEnded({ endedTargets, crashedTargets }: EndedTargets): void {
+  loseEnded({ endedTargets, crashedTargets, lostWithRack }: EndedTargets): void {
     const crashed = new Set(crashedTargets);
-    crashedTargets.filter((targetId) => !this.isKnown(targetId)).forEach((id) => this.blame(id));
     endedTargets
       .filter((targetId) => this.isKnown(targetId))
       .forEach((targetId) =>
         this.loseTarget(targetId, crashed.has(targetId) ? 'crashed' : 'unlisted'),
       );
+    const withRack = new Set(lostWithRack);
+    crashedTargets.forEach((targetId) => this.blame(targetId, withRack.has(targetId)));
   }
 
   /**
@@ -237,7 +253,6 @@
     this.sessions.remove(targetId, reason === 'lapsed');
     this.options.events.write('targetGone', { targetId, reason, runCount: lost.length });
     lost.forEach((run) => this.endRun(run, { end: 'lapsed', checkpoint: undefined }, reason));
-    if (reason === 'crashed') this.blame(targetId);
     this.orders.forgetTarget(targetId);
     this.options.onChanged();
   }
@@ -248,8 +263,10 @@
   }
 
   /** Takes note of the crash of a target that was lost, now or some seconds ago. */
-  private blame(targetId: string): void {
-    this.losses.blame(targetId).forEach((blame) => this.takeBlame(blame));
+  private blame(targetId: string, isWithRack: boolean): void {
+    const blames = this.losses.blame(targetId, isWithRack);
+    blames.forEach((blame) => this.takeBlame(blame));
+    if (blames.length > 0) this.options.onChanged();
   }
 
   private takeBlame({ run, crash }: RunBlame): void {
@@ -267,25 +284,6 @@
     return this.sessions.has(targetId) || this.orders.countOn(targetId) > 0;
   }
 
-  private refusesStarts(targetId: string): boolean {
-    return this.sessions.isDraining(targetId) || this.isOverfull(targetId);
-  }
-
-  /**
-   * Guards against a start that overfills a target which does not look after its room itself: the
-   * room has shrunk while the placement was stored, or before the home that repeats the start.
-   */
-  private isOverfull(targetId: string): boolean {
-    const mayBe = this.sessions.hasShrunk(targetId) || this.adoptedTargets.has(targetId);
-    const capacity = this.sessions.getCapacity(targetId);
-    if (!mayBe || capacity === undefined) return false;
-    const steps = this.orders
-      .listOn(targetId)
-      .map(({ taskName }) => this.table.getStep(taskName))
-      .filter((step) => step !== undefined);
-    return exceedsCapacity(steps, capacity);
-  }
-
   private createStart(key: RunKey): TaskStart | undefined {
     const found = this.table.findPlaced(key);
     if (found === undefined || isFinished(found.row)) return undefined;
--- a/src/vms/EndedTargets.ts
+++ b/src/vms/EndedTargets.ts
@@ -2,6 +2,8 @@
 export interface EndedTargets {
   /** Ids of all of them. */
   readonly endedTargets: readonly string[];
-  /** Ids of those that crashed by themselves: without an order, and not with their whole rack. */
+  /** Ids of those that crashed: that ended without an order. */
   readonly crashedTargets: readonly string[];
+  /** Ids of those that crashed together with others of their rack. */
+  readonly lostWithRack: readonly string[];
 }
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -94,10 +94,13 @@
   }
 
   /**
-   * Crashes a target: nothing runs there any more, and no call is answered.
+   * Crashes a target: nothing runs there any more, no call is answered, and the ends that nobody
+   * has acknowledged are lost, so that their tasks may begin again.
    * @param targetId - Id of the lifetime.
    */
   crash(targetId: string): void {
+    const lost = this.targets.get(targetId)?.unacknowledged ?? [];
+    lost.forEach(({ taskName }) => this.done.delete(taskName));
     this.targets.delete(targetId);
     this.setFaults(targetId, { isCutOff: true });
     this.onCrash?.(targetId);
--- a/standins/vms/FleetStandIn.ts
+++ b/standins/vms/FleetStandIn.ts
@@ -40,6 +40,18 @@
     options.vms.forEach((vm) => this.vms.set(vm.vm, vm));
   }
 
+  /**
+   * Lists the targets that are on.
+   * @param rack - Only those of this rack; all where it is absent.
+   * @returns Ids of their lifetimes.
+   */
+  listTargets(rack?: string): readonly string[] {
+    return [...this.vms.values()]
+      .filter((vm) => rack === undefined || vm.rack === rack)
+      .map(({ targetId }) => targetId)
+      .filter((targetId) => targetId !== undefined);
+  }
+
   /** {@inheritDoc VmFleetPort.listVms} */
   async listVms(): Promise<readonly FleetVm[]> {
     return [...this.vms.values()];
