--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -57,19 +57,23 @@
 ): TargetRoom | undefined {
   const preference = (room: TargetRoom): readonly number[] => [
     failed.has(room.target.targetId) ? 1 : 0,
-    ...(isSuspect(task) ? room.stake : []),
     step.dataRack !== undefined && room.target.rack !== step.dataRack ? 1 : 0,
     step.maxUnavailableCount === undefined ? 0 : room.countOf(stepKey),
     isFullestFirst && !room.isHeld ? 1 : 0,
     isFullestFirst ? room.freeCpuMillicores : -room.freeCpuMillicores,
   ];
+  const preferenceOfSuspect = (room: TargetRoom): readonly number[] => [
+    ...room.stake,
+    ...preference(room),
+  ];
+  const rankRoom = isSuspect(task) ? preferenceOfSuspect : preference;
   const isBetter = (a: readonly number[], b: readonly number[]): boolean => {
     const place = a.findIndex((value, index) => value !== b[index]);
     return place >= 0 && a[place]! < b[place]!;
   };
   return rooms
     .filter((room) => room.accepts(stepKey, step))
-    .map((room) => ({ room, rank: preference(room) }))
+    .map((room) => ({ room, rank: rankRoom(room) }))
     .reduce<{ readonly room: TargetRoom; readonly rank: readonly number[] } | undefined>(
       (best, next) => (best === undefined || isBetter(next.rank, best.rank) ? next : best),
       undefined,
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -101,9 +101,9 @@
     const holding = runs.listHoldingSuspects(rows.flatMap(listSuspects));
     const isAvoided = (targetId: string): boolean =>
       runs.isAvoided(targetId) || drains.has(targetId);
-    return sessions
-      .listForPlacement(isAvoided)
-      .map((target) => ({ ...target, holdsSuspect: holding.has(target.targetId) }));
+    const targets = sessions.listForPlacement(isAvoided);
+    if (holding.size === 0) return targets;
+    return targets.map((target) => ({ ...target, holdsSuspect: holding.has(target.targetId) }));
   }
 
   private place(): readonly string[] {
