Compare a target's report with its orders as they stand

A report asked for a description of each order of its target since runLost was added; homes take many reports a second, and only losses need descriptions. An order that ended with another of its gang while the report is read is passed over: it was read as absent from a map before.

--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -164,9 +164,11 @@
    */
   reconcile(targetId: string, running: readonly RunningTaskReport[], askedAtMs: number): void {
     const runningNames = new Map(running.map((task) => [task.taskName, task]));
-    this.listOn(targetId).forEach(({ taskName }) => {
-      const order = this.orders.get(taskName)!;
-      const isRunning = runningNames.get(taskName)?.run === order.run;
+    const onTarget = this.byTarget.get(targetId) ?? [];
+    [...onTarget].forEach((order) => {
+      // The end of a run before it may have ended this one too, as one of its gang.
+      if (!this.isCurrent(order)) return;
+      const isRunning = runningNames.get(order.taskName)?.run === order.run;
       if (isRunning) this.noteRunning(order);
       else if (order.answeredAtMs < askedAtMs) this.noteAbsent(order);
     });
