Let tests of crashes call the job, the terms and the sync that the home's world has

Cause: the tests of crashing tasks wrote jobs, terms of a queue and the fleet's home's message again, and two steps of a crash stood in each test. Change: HomeWorld has TERMS and QUIET_SYNC, and both tests on a cluster take makeJob from there; crashTwice stands once. Every assertion and bound is the same. No source of the daemon changes.

--- a/tests/jobNode/crashSoak.test.ts
+++ b/tests/jobNode/crashSoak.test.ts
@@ -1,10 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it, vi } from 'vitest';
-import { type DurableJobSpec, type DurableJobState, parseTaskName } from '../../src/jobs/index.js';
+import { type DurableJobState, parseTaskName } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { SeededRng } from '../../src/utils/index.js';
 import { JobsCluster } from '../../standins/jobs/index.js';
-import { makeStep } from '../taskHome/HomeWorld.js';
+import { makeJob, makeStep, TERMS } from '../taskHome/HomeWorld.js';
 
 /** By hand: `CRASH_SOAK_SEEDS=50 npx vitest run tests/jobNode/crashSoak.test.ts`. */
 const SEED_COUNT = Number(process.env.CRASH_SOAK_SEEDS ?? 2);
@@ -23,14 +23,7 @@
 const STARTS_TOO_MANY = 6;
 /** Targets that crash under a task before it may be given up, by the users' pages. */
 const CRASHES_ALLOWED = 2;
-const TERMS = {
-  queue: 'saves',
-  pool: 'pages',
-  priority: 0,
-  maxAttempts: 2,
-  stretch: 2,
-  targetDurationMs: 600,
-};
+const DEMAND = { cpuMillicores: 3_000, memoryMb: 2_000, gpuCount: 0 };
 const VMS = Array.from({ length: 12 }, (_unused, place) => ({
   vm: `p${place}`,
   pool: 'pages',
@@ -39,17 +32,6 @@
   rack: `r${place % 3}`,
 }));
 
-function describeJob(jobId: string, taskCount: number, isLongRunning: boolean): DurableJobSpec {
-  const demand = { cpuMillicores: 3_000, memoryMb: 2_000, gpuCount: 0 };
-  return {
-    jobId,
-    terms: TERMS,
-    payload: 'payload',
-    steps: [makeStep({ taskCount, isLongRunning, demand })],
-    submittedAtMs: Date.now(),
-  };
-}
-
 function getJobId(taskName: string): string {
   return parseTaskName(taskName)!.jobId;
 }
@@ -175,7 +157,7 @@
     this.jobIds.push(jobId);
     if (isLongRunning) this.lastingJobs.add(jobId);
     const entry = this.cluster.nodes[this.draw(3)]!;
-    const job = describeJob(jobId, taskCount, isLongRunning);
+    const job = makeJob(jobId, [makeStep({ taskCount, isLongRunning, demand: DEMAND })]);
     await vi.waitFor(() => entry.node.gateway.submit(job), 10_000);
   }
 
--- a/tests/jobNode/crashingTasks.test.ts
+++ b/tests/jobNode/crashingTasks.test.ts
@@ -1,20 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import type { DurableJobSpec } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { JobsCluster } from '../../standins/jobs/index.js';
-import { makeStep } from '../taskHome/HomeWorld.js';
+import { makeJob, makeStep, TERMS } from '../taskHome/HomeWorld.js';
 
 /** Starts after the third crash from which the users count a task as started too often. */
 const STARTS_TOO_MANY = 6;
-const TERMS = {
-  queue: 'pages-queue',
-  pool: 'pages',
-  priority: 0,
-  maxAttempts: 2,
-  stretch: 2,
-  targetDurationMs: 600,
-};
 const VMS = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7', 'p8'].map((vm, place) => ({
   vm,
   pool: 'pages',
@@ -23,11 +14,6 @@
   rack: `r${place % 4}`,
 }));
 
-function makeJob(jobId: string, taskCount: number): DurableJobSpec {
-  const steps = [makeStep({ taskCount })];
-  return { jobId, terms: TERMS, payload: 'payload', steps, submittedAtMs: Date.now() };
-}
-
 describe('tasks that crash their targets', () => {
   let cluster: JobsCluster;
 
@@ -56,7 +42,7 @@
   it('gives up a task that crashes each target that starts it, before a sixth start', async () => {
     cluster.targets.crashingTasks.add('bad.0.0.1');
     const { gateway } = cluster.nodes[0]!.node;
-    await gateway.submit(makeJob('bad', 3));
+    await gateway.submit(makeJob('bad', [makeStep({ taskCount: 3 })]));
     await vi.waitFor(() => expect(countStarts('bad.0.0.1')).toBeGreaterThan(1), 10_000);
     await sleep(6_000);
     expect(countStarts('bad.0.0.1')).toBeLessThan(STARTS_TOO_MANY);
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, vi } from 'vitest';
-import type { DurableJobSpec, StepSpec } from '../../src/jobs/index.js';
+import type { DurableJobSpec, QueueTerms, StepSpec } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
 import { type Clock, SystemClock } from '../../src/utils/index.js';
@@ -30,18 +30,31 @@
   };
 }
 
+/** Terms of the one queue of the pool `pages`. */
+export const TERMS: QueueTerms = {
+  queue: 'saves',
+  pool: 'pages',
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 2,
+  targetDurationMs: 600,
+};
+
+/** What the fleet's home tells the pool `pages` where nothing is drained or lost. */
+export const QUIET_SYNC = {
+  pool: 'pages',
+  drainedTargets: [],
+  drainedForMs: 5_000,
+  endedTargets: [],
+  crashedTargets: [],
+  lostWithRack: [],
+} as const;
+
 /** A job of the pool `pages`. */
 export function makeJob(jobId: string, steps: readonly StepSpec[] = [makeStep()]): DurableJobSpec {
   return {
     jobId,
-    terms: {
-      queue: 'saves',
-      pool: 'pages',
-      priority: 0,
-      maxAttempts: 2,
-      stretch: 2,
-      targetDurationMs: 600,
-    },
+    terms: TERMS,
     payload: 'payload',
     steps,
     submittedAtMs: Date.now(),
--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -1,5 +1,12 @@
 import { describe, expect, it, vi } from 'vitest';
-import { type HomeWorld, makeEntry, makeJob, makeStep, useHomeWorld } from './HomeWorld.js';
+import {
+  type HomeWorld,
+  makeEntry,
+  makeJob,
+  makeStep,
+  QUIET_SYNC,
+  useHomeWorld,
+} from './HomeWorld.js';
 
 describe('TaskHome', () => {
   let world: HomeWorld;
@@ -309,12 +316,9 @@
     world.addTarget(makeEntry('t3'));
     await vi.waitFor(async () => {
       const { targets } = await home.syncPool({
-        pool: 'pages',
+        ...QUIET_SYNC,
         drainedTargets: ['t1', 't2'],
         drainedForMs: 1_000,
-        endedTargets: [],
-        crashedTargets: [],
-        lostWithRack: [],
       });
       const counts = targets.filter(({ targetId }) => targetId !== 't3');
       expect(counts.map(({ runCount }) => runCount)).toEqual([0, 0]);
@@ -333,17 +337,10 @@
     await home.submit(makeJob('a', [step]));
     await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
     ['t1', 't2'].forEach((id) => world.targets.setFaults(id, { stopsSlowly: true }));
-    const lists = {
-      pool: 'pages',
-      drainedForMs: 5_000,
-      endedTargets: [],
-      crashedTargets: [],
-      lostWithRack: [],
-    };
     // The second task of the step is the first one to go.
     const { targetId } = world.targets.begun.find(({ taskName }) => taskName === 'a.0.0.1')!;
     await vi.waitFor(async () => {
-      await home.syncPool({ ...lists, drainedTargets: [targetId] });
+      await home.syncPool({ ...QUIET_SYNC, drainedTargets: [targetId] });
       expect(world.targets.stops).toEqual(['a.0.0.1']);
     });
     await Array.from({ length: 10 }).reduce<Promise<void>>(async (before) => {
@@ -351,7 +348,7 @@
       await new Promise((resolve) => {
         setTimeout(resolve, 20);
       });
-      await home.syncPool({ ...lists, drainedTargets: ['t1', 't2'] });
+      await home.syncPool({ ...QUIET_SYNC, drainedTargets: ['t1', 't2'] });
     }, Promise.resolve());
     expect(world.targets.stops).not.toContain('a.0.0.0');
   });
--- a/tests/taskHome/TaskOrders.test.ts
+++ b/tests/taskHome/TaskOrders.test.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it, vi } from 'vitest';
-import { type HomeWorld, makeJob, makeStep, useHomeWorld } from './HomeWorld.js';
+import { type HomeWorld, makeJob, makeStep, QUIET_SYNC, useHomeWorld } from './HomeWorld.js';
 
 /** Time in which several reports and looks at the fleet come, in milliseconds. */
 const SEVERAL_REPORTS_MS = 200;
@@ -22,14 +22,7 @@
     await world.waitForRunning(['a.0.0.0', 'a.0.0.1']);
     secondTargetId = world.targets.begun.find(({ taskName }) => taskName === 'a.0.0.1')!.targetId;
     world.targets.setFaults(secondTargetId, { losesStops: true });
-    const lists = {
-      pool: 'pages',
-      drainedForMs: 5_000,
-      endedTargets: [],
-      crashedTargets: [],
-      lostWithRack: [],
-    };
-    syncPool = (drainedTargets) => home.syncPool({ ...lists, drainedTargets });
+    syncPool = (drainedTargets) => home.syncPool({ ...QUIET_SYNC, drainedTargets });
     await vi.waitFor(async () => {
       await syncPool([secondTargetId]);
       expect(world.targets.stops).toContain('a.0.0.1');
--- a/tests/taskHome/crashes.test.ts
+++ b/tests/taskHome/crashes.test.ts
@@ -1,8 +1,14 @@
 import { describe, expect, it, vi } from 'vitest';
 import type { TaskHome } from '../../src/taskHome/index.js';
-import { type HomeWorld, makeEntry, makeJob, makeStep, useHomeWorld } from './HomeWorld.js';
+import {
+  type HomeWorld,
+  makeEntry,
+  makeJob,
+  makeStep,
+  QUIET_SYNC,
+  useHomeWorld,
+} from './HomeWorld.js';
 
-const DRAINS = { pool: 'pages', drainedTargets: [], drainedForMs: 1_000, lostWithRack: [] };
 const CULPRIT = 'bad.0.0.0';
 
 describe('crashes of targets', () => {
@@ -24,7 +30,7 @@
       world.addTarget(makeEntry(`${targetId}+`));
     });
     await home.syncPool({
-      ...DRAINS,
+      ...QUIET_SYNC,
       endedTargets: ended,
       crashedTargets: areBlamed ? ended : [],
     });
@@ -34,6 +40,13 @@
     await vi.waitFor(() => expect(crashed.length).toBeGreaterThan(0), 3_000);
   }
 
+  async function crashTwice(home: TaskHome): Promise<void> {
+    await waitForCrash();
+    await tellCrashes(home);
+    await waitForCrash();
+    await tellCrashes(home);
+  }
+
   function countStarts(taskName: string): number {
     return world.targets.begun.filter((run) => run.taskName === taskName).length;
   }
@@ -42,10 +55,7 @@
     const home = await world.open();
     await home.submit(makeJob('good', [makeStep({ taskCount: 3 })]));
     await home.submit(makeJob('bad'));
-    await waitForCrash();
-    await tellCrashes(home);
-    await waitForCrash();
-    await tellCrashes(home);
+    await crashTwice(home);
     expect(home.getState('bad')).toBe('failed');
     expect(world.countEvents('taskGivenUp')).toBe(1);
     const tasks = ['good.0.0.0', 'good.0.0.1', 'good.0.0.2'];
@@ -78,7 +88,7 @@
     await waitForCrash();
     const ended = [...crashed];
     world.store.faults.rejects = true;
-    void home.syncPool({ ...DRAINS, endedTargets: ended, crashedTargets: ended });
+    void home.syncPool({ ...QUIET_SYNC, endedTargets: ended, crashedTargets: ended });
     await vi.waitFor(() => expect(world.countEvents('appendRejected')).toBeGreaterThan(0));
     world.kill(home);
     world.store.faults.rejects = false;
@@ -108,7 +118,7 @@
     await waitForCrash();
     await tellCrashes(home, false);
     const first = world.targets.begun[0]!.targetId;
-    await home.syncPool({ ...DRAINS, endedTargets: [first], crashedTargets: [first] });
+    await home.syncPool({ ...QUIET_SYNC, endedTargets: [first], crashedTargets: [first] });
     await waitForCrash();
     await tellCrashes(home);
     await vi.waitFor(() => expect(home.getState('bad')).toBe('failed'));
@@ -137,10 +147,7 @@
   it('gives up a gang of which one member crashes its targets', async () => {
     const home = await world.open();
     await home.submit(makeJob('bad', [makeStep({ taskCount: 2, isGang: true })]));
-    await waitForCrash();
-    await tellCrashes(home);
-    await waitForCrash();
-    await tellCrashes(home);
+    await crashTwice(home);
     await vi.waitFor(() => expect(home.getState('bad')).toBe('failed'));
     await world.waitForRunning([]);
   });
@@ -148,10 +155,7 @@
   it('gives up a long-running task that crashes its targets', async () => {
     const home = await world.open();
     await home.submit(makeJob('bad', [makeStep({ taskCount: 2, isLongRunning: true })]));
-    await waitForCrash();
-    await tellCrashes(home);
-    await waitForCrash();
-    await tellCrashes(home);
+    await crashTwice(home);
     await vi.waitFor(() => expect(home.getState('bad')).toBe('failed'));
     await world.waitForRunning([]);
   });
