Ask only long-running tasks whether they may leave an emptied target

Change: jobs without long-running steps are left out before their tasks are walked. The test failed before: it asked for each of three short tasks.

--- /dev/null
+++ b/bench/jobs/HeldTargets.ts
@@ -0,0 +1,87 @@
+import type {
+  LeaseAnswer,
+  LeasedTargetAddress,
+  LeasedTargetPort,
+  LeaseRenewal,
+  OrderAnswer,
+  StartAnswer,
+  TaskStart,
+} from '../../src/targets/index.js';
+import type { Clock } from '../../src/utils/index.js';
+import { HeldTarget } from './HeldTarget.js';
+
+/** Targets in memory that hold renewals back until a task ends, as real ones do. */
+export class HeldTargets implements LeasedTargetPort {
+  /** Starts that were carried out. */
+  startCount = 0;
+
+  /** Other orders that were accepted, and change nothing here. */
+  orderCount = 0;
+
+  private readonly clock: Clock;
+
+  /** How long each task runs, in milliseconds. */
+  private readonly runMs: number;
+
+  private readonly targets = new Map<string, HeldTarget>();
+
+  /**
+   * Creates the targets; one appears with the first call to it.
+   * @param clock - Clock of the targets.
+   * @param runMs - How long each task runs, in milliseconds.
+   */
+  constructor(clock: Clock, runMs: number) {
+    this.clock = clock;
+    this.runMs = runMs;
+  }
+
+  /** {@inheritDoc LeasedTargetPort.start} */
+  async start({ targetId }: LeasedTargetAddress, start: TaskStart): Promise<StartAnswer> {
+    const { taskName, run } = start;
+    const target = this.get(targetId);
+    const report = { taskName, run, progressPercent: 0, checkpoint: undefined };
+    target.running.set(taskName, { ...report, loadFigure: undefined });
+    this.startCount += 1;
+    setTimeout(() => target.end(taskName, run), this.runMs);
+    return { type: 'started', targetClockMs: this.clock.monotonicMs() };
+  }
+
+  /** {@inheritDoc LeasedTargetPort.stop} */
+  async stop(): Promise<OrderAnswer> {
+    return this.accept();
+  }
+
+  /** {@inheritDoc LeasedTargetPort.pace} */
+  async pace(): Promise<OrderAnswer> {
+    return this.accept();
+  }
+
+  /** {@inheritDoc LeasedTargetPort.renew} */
+  async renew({ targetId }: LeasedTargetAddress, renewal: LeaseRenewal): Promise<LeaseAnswer> {
+    const target = this.get(targetId);
+    const { acknowledgedEndNumber, waitMs } = renewal;
+    target.ended = target.ended.filter(({ endNumber }) => endNumber > acknowledgedEndNumber);
+    if (target.ended.length === 0) await target.waitForEnd(waitMs);
+    const running = [...target.running.values()];
+    const targetClockMs = this.clock.monotonicMs();
+    return { type: 'report', targetClockMs, running, ended: target.ended };
+  }
+
+  /** {@inheritDoc LeasedTargetPort.forget} */
+  forget(targetId: string): void {
+    this.targets.delete(targetId);
+  }
+
+  private accept(): OrderAnswer {
+    this.orderCount += 1;
+    return { type: 'accepted' };
+  }
+
+  private get(targetId: string): HeldTarget {
+    const known = this.targets.get(targetId);
+    if (known !== undefined) return known;
+    const created = new HeldTarget();
+    this.targets.set(targetId, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/bench/jobs/homeLoad.ts
@@ -0,0 +1,143 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { DurableJobSpec } from '../../src/jobs/index.js';
+import { TslogEventLog } from '../../src/logging/index.js';
+import { ScrapedMetrics } from '../../src/metrics/index.js';
+import { ALL_MECHANISMS } from '../../src/systems/index.js';
+import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
+import { HOME_PRODUCER, PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
+import { SystemClock } from '../../src/utils/index.js';
+import { StoreStandIn } from '../../standins/store/index.js';
+import { HeldTargets } from './HeldTargets.js';
+
+const POOL = 'pages';
+const RUN_MS = 800;
+const TASKS_PER_STEP = 8;
+const CPU_MILLICORES = 4_500;
+const TARGET_MILLICORES = 32_000;
+const TICK_EVERY_MS = 250;
+const LOOK_EVERY_MS = 220;
+const SPAN_MS = 8_000;
+const MS_PER_S = 1_000;
+/** Targets that are being emptied while the others work. */
+const DRAINED_COUNT = 4;
+
+const clock = new SystemClock();
+const events = new TslogEventLog({ instance: 'home', level: 'info', writeLine: () => undefined });
+
+function makeTarget(number: number): TargetEntry {
+  return {
+    targetId: `target-${number}`,
+    pool: POOL,
+    host: '127.0.0.1',
+    port: 1,
+    dataCentre: 'north',
+    rack: `rack-${number % DRAINED_COUNT}`,
+    labels: [],
+    capacity: { cpuMillicores: TARGET_MILLICORES, memoryMb: 131_072, gpuCount: 0 },
+    isDraining: false,
+  };
+}
+
+function makeJob(jobId: string): DurableJobSpec {
+  const step = {
+    taskCount: TASKS_PER_STEP,
+    demand: { cpuMillicores: CPU_MILLICORES, memoryMb: 1_000, gpuCount: 0 },
+    estimatedRunMs: RUN_MS,
+    isCheckpointing: false,
+    isGang: false,
+    wantsSameRack: false,
+    mayRunCopies: false,
+    isLongRunning: false,
+    isBestEffort: false,
+  };
+  const terms = { queue: 'saves', pool: POOL, priority: 0, maxAttempts: 4 };
+  return {
+    jobId,
+    terms: { ...terms, stretch: 1.6, targetDurationMs: 600 },
+    payload: 'payload',
+    steps: [
+      { ...step, afterSteps: [] },
+      { ...step, afterSteps: [0] },
+    ],
+    submittedAtMs: clock.wallMs(),
+  };
+}
+
+async function openHome(
+  targets: HeldTargets,
+  entries: ReadonlyMap<string, TargetEntry>,
+): Promise<TaskHome> {
+  const place = { store: new StoreStandIn({ partitionCount: 1 }), topic: 'jobs', partition: 0 };
+  const isWanted = (): boolean => true;
+  const opening = new PartitionOpening({ ...place, instance: 'home', isWanted, events });
+  const { term, sequence, jobs, endedJobs } = (await opening.attempt())!;
+  return new TaskHome({
+    ...place,
+    targets,
+    producer: HOME_PRODUCER,
+    term,
+    lastSequence: sequence,
+    jobs,
+    endedJobs,
+    timing: { targetLeaseMs: 5_000, targetWaitMs: 1_000, keepFinishedMs: 120_000 },
+    clock,
+    events,
+    mechanisms: ALL_MECHANISMS,
+    metrics: new ScrapedMetrics({ clock }),
+    getEntries: () => entries,
+    isCertain: () => true,
+    onReplaced: () => undefined,
+  });
+}
+
+/** Processor time of this process, in milliseconds. */
+function usedMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MS_PER_S;
+}
+
+/** Lets a home work for a while, and tells what that costs. */
+async function measureHome(targetCount: number, jobsPerS: number): Promise<string> {
+  const targets = new HeldTargets(clock, RUN_MS);
+  const list = Array.from({ length: targetCount }, (_t, number) => makeTarget(number));
+  const home = await openHome(targets, new Map(list.map((entry) => [entry.targetId, entry])));
+  const lists = { endedTargets: [], crashedTargets: [], lostWithRack: [] };
+  const drainedTargets = list.slice(0, DRAINED_COUNT).map(({ targetId }) => targetId);
+  const sync = { pool: POOL, drainedTargets, drainedForMs: 3_000, ...lists };
+  const timers = [
+    setInterval(() => home.tick(), TICK_EVERY_MS),
+    setInterval(() => home.syncPool(sync), LOOK_EVERY_MS),
+  ];
+  home.tick();
+  await sleep(MS_PER_S);
+  let jobCount = 0;
+  const submit = (): Promise<void> => {
+    jobCount += 1;
+    return home.submit(makeJob(`job-${jobCount}`));
+  };
+  const submitting = setInterval(submit, MS_PER_S / Math.max(1, jobsPerS));
+  if (jobsPerS === 0) clearInterval(submitting);
+  const before = usedMs();
+  await sleep(SPAN_MS);
+  const tookMs = usedMs() - before;
+  [...timers, submitting].forEach((timer) => clearInterval(timer));
+  home.close();
+  const perS = (tookMs * MS_PER_S) / SPAN_MS;
+  const perTask =
+    targets.startCount === 0
+      ? ''
+      : `, ${(tookMs / targets.startCount).toFixed(3)} ms a placed task`;
+  return `${targetCount} targets, ${jobsPerS} jobs a second: ${perS.toFixed(1)} ms a second, ${targets.startCount} tasks${perTask}`;
+}
+
+// Idle, a rush that the targets carry, and one of twice what they carry.
+const CASES: readonly (readonly [targetCount: number, jobsPerS: number])[] = [
+  [50, 0],
+  [50, 13],
+  [25, 13],
+];
+await CASES.reduce<Promise<void>>(async (before, [targetCount, jobsPerS]) => {
+  await before;
+  console.log(await measureHome(targetCount, jobsPerS));
+}, Promise.resolve());
+process.exit(0);
--- a/src/systems/planEvacuations.ts
+++ b/src/systems/planEvacuations.ts
@@ -1,4 +1,4 @@
-import { type DurableJobRow, isFinished } from '../jobs/index.js';
+import { type DurableJobRow, isFinished, isLongRunning } from '../jobs/index.js';
 import { getStepKey } from './TargetRoom.js';
 
 /** A task that is to be stopped so that it starts again elsewhere. */
@@ -29,7 +29,7 @@
 export function planEvacuations(input: PlanEvacuationsInput): readonly Evacuation[] {
   const { jobs, drainedTargets, isAtWork } = input;
   return jobs
-    .filter((row) => !isFinished(row))
+    .filter((row) => isLongRunning(row) && !isFinished(row))
     .flatMap((row) => {
       const awayByStep = new Map<string, number>();
       row.tasks.forEach(({ occurrence, step }, position) => {
@@ -38,9 +38,9 @@
         awayByStep.set(key, (awayByStep.get(key) ?? 0) + (isAway ? 1 : 0));
       });
       return row.tasks.flatMap(({ occurrence, step, phase, targetId }, position) => {
-        const { isLongRunning, maxUnavailableCount = 1 } = row.spec.steps[step]!;
+        const { isLongRunning: isLasting, maxUnavailableCount = 1 } = row.spec.steps[step]!;
         const isConcerned = phase === 'placed' && drainedTargets.has(targetId!);
-        if (!isLongRunning || !isConcerned || !isAtWork(row, position)) return [];
+        if (!isLasting || !isConcerned || !isAtWork(row, position)) return [];
         const key = getStepKey(row, occurrence, step);
         const awayCount = awayByStep.get(key)!;
         if (awayCount >= maxUnavailableCount) return [];
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { createJobRow } from '../../src/jobs/index.js';
 import {
   planEvacuations,
@@ -246,6 +246,15 @@
     expect(planEvacuations({ jobs: [placed], drainedTargets, isAtWork })).toEqual([]);
   });
 
+  // Guards against an emptied target that takes the processor of a small home: each look asked of
+  // every task of every job whether it is at work.
+  it('asks of no task with an end of its own whether it is at work', () => {
+    const short = createJobRow(makeJob('b', [makeStep({ taskCount: 3 })]));
+    const isAtWork = vi.fn(() => true);
+    expect(planEvacuations({ jobs: [short], drainedTargets, isAtWork })).toEqual([]);
+    expect(isAtWork).not.toHaveBeenCalled();
+  });
+
   it('leaves a step alone that can spare none', () => {
     const steps = [{ ...step, maxUnavailableCount: 0 }];
     const strict = { ...placed, spec: { ...placed.spec, steps } };
