Look through a full pool once a round, not once for each job that waits

Cause: each round of placement asked every target of the pool again for each step that waited, and copied what is known of each target. Where a rush asks for more than its pool holds, a hundred steps wait at each of the rounds.

Change: the most processor that is free in an open room is kept until room is taken, and a step that needs more is not looked at further. What is placed stays the same: it is a bound that each room would have checked. Targets are passed on with the fields that placement reads.

--- a/src/systems/TargetRoom.ts
+++ b/src/systems/TargetRoom.ts
@@ -95,6 +95,11 @@
     this.holdsSuspect = true;
   }
 
+  /** Whether the target takes tasks at all, and no suspect keeps others out. */
+  get isOpen(): boolean {
+    return this.target.takesTasks && !this.holdsSuspect;
+  }
+
   /** Processor that no task occupies, in thousandths of a core. */
   get freeCpuMillicores(): number {
     return this.cpuMillicores;
@@ -146,11 +151,10 @@
    * @returns Whether there is room and the step's own limits allow it.
    */
   accepts(stepKey: string, step: StepSpec): boolean {
-    const { takesTasks, labels } = this.target;
+    const { labels } = this.target;
     const occupied = getOccupied(step);
     return (
-      takesTasks &&
-      !this.holdsSuspect &&
+      this.isOpen &&
       occupied.cpuMillicores <= this.cpuMillicores &&
       occupied.memoryMb <= this.memoryMb &&
       occupied.gpuCount <= this.gpuCount &&
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -4,6 +4,7 @@
 import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import { isSuspect } from './listSuspects.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
+import { PoolRooms } from './PoolRooms.js';
 import { getStepKey, type PlacementTarget, TargetRoom } from './TargetRoom.js';
 
 /** A task that is to start on a target. */
@@ -157,14 +158,20 @@
   const isFullestFirst = mechanisms.has('fullest-target-first');
   const rooms = new Map(targets.map((target) => [target.targetId, new TargetRoom(target)]));
   occupants.forEach((row) => occupy(rooms, row));
-  const roomsByPool = groupBy([...rooms.values()], (room) => room.target.pool);
+  const byPool = groupBy([...rooms.values()], (room) => room.target.pool);
+  const pools = new Map([...byPool].map(([pool, ofPool]) => [pool, new PoolRooms(ofPool)]));
   return jobs.flatMap((row) => {
-    const poolRooms = roomsByPool.get(row.spec.terms.pool) ?? [];
+    const pool = pools.get(row.spec.terms.pool);
+    if (pool === undefined) return [];
     return listReadyTasks(row, nowMs).flatMap((ready) => {
       const step = row.spec.steps[ready.step]!;
+      if (!pool.mayTake(step)) return [];
       const stepKey = getStepKey(row, ready.occurrence, ready.step);
       const placement = { row, ready, step, stepKey, failedOn, isFullestFirst };
-      return step.isGang ? placeGang(placement, poolRooms) : placeInTurn(placement, poolRooms);
+      const place = step.isGang ? placeGang : placeInTurn;
+      const placed = place(placement, pool.rooms);
+      if (placed.length > 0) pool.noteTaken();
+      return placed;
     });
   });
 }
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -221,7 +221,11 @@
    */
   listForPlacement(isAvoided: (targetId: string) => boolean): readonly PlacementTarget[] {
     return [...this.known.values()].map(({ entry, session }) => ({
-      ...entry,
+      targetId: entry.targetId,
+      pool: entry.pool,
+      rack: entry.rack,
+      labels: entry.labels,
+      capacity: entry.capacity,
       hasJustStarted: this.hasJustStarted(entry.targetId),
       takesTasks: !entry.isDraining && session.isReachable && !isAvoided(entry.targetId),
     }));
