Keep the targets of a job with its row, and copy a row once for each end

Cause: each tick of a home listed the targets of every task of every job to find those that no session knows, 13 to 20 ms in 8.5 s of a home on 0.12 cores; an end of a run copied the tasks of its job twice, 48 ms for 595 ends.

Change: the targets of a row are computed once for each row, as its other figures are, and an end replaces only the tasks that it concerns.

--- a/src/jobs/progressJob.ts
+++ b/src/jobs/progressJob.ts
@@ -82,15 +82,18 @@
   { end, checkpoint }: RunEnd,
   nowMs: number,
 ): DurableJobRow {
-  const ended = replaceTask(row, position, endTask(row, position, end));
-  const together = new Set(listTogether(row, position));
-  const tasks = ended.tasks.map((task, place): TaskRow => {
-    if (!together.has(place)) return task;
+  const ended = endTask(row, position, end);
+  const settleMember = (task: TaskRow): TaskRow => {
     const saved = { ...task, checkpoint: checkpoint ?? task.checkpoint };
     // The members of a gang are done together, and one end stands for all of them.
-    return ended.tasks[position]!.phase === 'done' ? { ...freeTask(saved), phase: 'done' } : saved;
-  });
-  return settle({ ...ended, tasks }, position, nowMs);
+    return ended.phase === 'done' ? { ...freeTask(saved), phase: 'done' } : saved;
+  };
+  const tasks = listTogether(row, position).reduce<readonly TaskRow[]>(
+    (before, place) =>
+      before.with(place, settleMember(place === position ? ended : before[place]!)),
+    row.tasks,
+  );
+  return settle({ ...row, tasks }, position, nowMs);
 }
 
 /** What follows for a task from the crash of a target that it was on. */
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -8,15 +8,20 @@
   findTask,
   isFinished,
   type KnownJob,
+  listPlacedTasks,
   parseTaskName,
   type StepSpec,
   summarizeEnded,
   type TaskRow,
 } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
-import { type Clock, SystemClock } from '../utils/index.js';
+import { type Clock, memoizeByObject, SystemClock } from '../utils/index.js';
 import type { RunKey } from './RunKey.js';
 
+const listTargetIds = memoizeByObject((row: DurableJobRow): readonly string[] =>
+  listPlacedTasks(row).map(({ task }) => task.targetId!),
+);
+
 /** A task that is placed, by its job and its place there. */
 export interface PlacedTask {
   readonly row: DurableJobRow;
@@ -96,10 +101,7 @@
    * @returns Their ids.
    */
   listUsedTargets(): ReadonlySet<string> {
-    const targetIds = this.listActive()
-      .flatMap(({ tasks }) => tasks.map(({ targetId }) => targetId))
-      .filter((targetId) => targetId !== undefined);
-    return new Set(targetIds);
+    return new Set(this.listActive().flatMap(listTargetIds));
   }
 
   /**
