Write appends that suit the link of the instance

Cause: an append had up to 128,000 bytes on any link. That is 0.5 s of 2 Mbit/s, where the first wait for an answer is 0.25 s: what gathers while a home opens went out, was given up and repeated as a whole. Its class is known: waits that do not grow with what they wait for.

Change: an append takes a tenth of a second of the link that the instance is told to have, 128,000 bytes at most. The test failed before, with 0.5 s for the largest of the appends. Looked for elsewhere: pages that are read are waited for as long as they arrive; a first report of a target is waited for 1 s as a whole, which stays open.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -14,6 +14,7 @@
   announceMember,
   type FleetHomeBasis,
   formatMember,
+  getMaxAppendBytes,
   type GroupMember,
   handleJobRequest,
   HomeDirectory,
@@ -191,8 +192,9 @@
   }
 
   private createHomes(member: string): TaskHomes {
-    const { bounds, clock, events, mechanisms, metrics, ports, records } = this.options;
+    const { bounds, capacity, clock, events, mechanisms, metrics, ports, records } = this.options;
     return new TaskHomes({
+      maxAppendBytes: getMaxAppendBytes(capacity.linkMbps),
       mechanisms,
       ...ports,
       targets: this.createTargets(),
--- a/src/taskHome/RecordWriter.ts
+++ b/src/taskHome/RecordWriter.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '../logging/index.js';
 import type { AppendResult, KeyedLogPort, KeyedRecord } from '../store/index.js';
 import { AdaptiveTimeout, assertNever, type Clock } from '../utils/index.js';
+import { getMaxAppendBytes } from './getMaxAppendBytes.js';
 
 /** Options of {@link RecordWriter}. */
 export interface RecordWriterOptions {
@@ -13,6 +14,8 @@
   readonly term: number;
   /** Number of the latest append in this term, after which the writer goes on; 0 where absent. */
   readonly lastSequence?: number;
+  /** Most bytes of an append, in values; a larger record goes alone. */
+  readonly maxAppendBytes?: number | undefined;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Called once where another writer has taken the partition over. */
@@ -25,12 +28,9 @@
 const RETRY_PAUSE_MS = 50;
 /** Time without an answer from which new work is turned away: the store is slow or away. */
 const STALLED_AFTER_MS = 500;
-
-/**
- * Most bytes of an append, in values; a larger record goes alone. They take 0.1 s on 10 Mbit/s,
- * well within the shortest wait for an answer.
- */
-const MAX_APPEND_BYTES = 128_000;
+/** Speed that a link is taken to have where nothing is said of it, in megabits a second. */
+const USUAL_LINK_MBPS = 10;
+const DEFAULT_MAX_APPEND_BYTES = getMaxAppendBytes(USUAL_LINK_MBPS);
 
 /** A record with its place in the order of appends. */
 interface NumberedRecord {
@@ -190,11 +190,12 @@
    * without end after the store is back.
    */
   private takeBatch(): readonly NumberedRecord[] {
+    const { maxAppendBytes = DEFAULT_MAX_APPEND_BYTES } = this.options;
     let sizeBytes = 0;
     const waiting = [...this.pending.values()];
     const endsAt = waiting.findIndex(({ record }) => {
       sizeBytes += record.value?.length ?? 0;
-      return sizeBytes > MAX_APPEND_BYTES;
+      return sizeBytes > maxAppendBytes;
     });
     const batch = endsAt < 0 ? waiting : waiting.slice(0, Math.max(1, endsAt));
     batch.forEach(({ record }) => this.pending.delete(record.key));
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -18,6 +18,8 @@
   readonly term: number;
   /** Number of the append that opened the partition. */
   readonly lastSequence: number;
+  /** Most bytes of an append, in values; absent on a link of the usual speed. */
+  readonly maxAppendBytes?: number;
   readonly jobs: readonly DurableJobRow[];
   readonly endedJobs: readonly EndedJob[];
   readonly timing: TaskHomeTiming;
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -27,6 +27,8 @@
   readonly directory: TargetDirectory;
   readonly partitions: PoolPartitions;
   readonly homeTiming: TaskHomeTiming;
+  /** Most bytes of an append, in values. */
+  readonly maxAppendBytes: number;
   readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
   /** Creates the home of the fleet, on the instance that is the home of its partition. */
--- a/src/taskHome/index.ts
+++ b/src/taskHome/index.ts
@@ -16,6 +16,7 @@
 export type { TaskHomeOptions } from './TaskHomeOptions.js';
 export { type FleetHomeBasis, TaskHomes, type TaskHomesOptions } from './TaskHomes.js';
 export type { TaskHomeTiming } from './TaskHomeTiming.js';
+export { getMaxAppendBytes } from './getMaxAppendBytes.js';
 export { RecordWriter, type RecordWriterOptions } from './RecordWriter.js';
 export { RelayedTargets, type RelayedTargetsOptions } from './RelayedTargets.js';
 export { relayTargetCall } from './relayTargetCall.js';
--- a/tests/taskHome/RecordWriter.test.ts
+++ b/tests/taskHome/RecordWriter.test.ts
@@ -1,14 +1,23 @@
 import { describe, expect, it, vi } from 'vitest';
 import { MemoryEventLog } from '../../src/logging/index.js';
-import { RecordWriter } from '../../src/taskHome/index.js';
+import { getMaxAppendBytes, RecordWriter } from '../../src/taskHome/index.js';
 import { SystemClock } from '../../src/utils/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
 
 /** What 10 Mbit/s carry in 0.2 s, a fifth of the longest wait for an answer. */
 const LARGEST_APPEND_BYTES = 250_000;
 
-function createWriter(store: StoreStandIn, term: number, onFenced = vi.fn()): RecordWriter {
+/** Shortest wait for the answer of an append, in milliseconds. */
+const SHORTEST_WAIT_MS = 250;
+
+function createWriter(
+  store: StoreStandIn,
+  term: number,
+  onFenced = vi.fn(),
+  maxAppendBytes?: number,
+): RecordWriter {
   return new RecordWriter({
+    maxAppendBytes,
     store,
     topic: 'jobs',
     partition: 0,
@@ -98,6 +107,27 @@
     expect(stored).toHaveLength(1_000);
   });
 
+  // Guards against appends that are given up and repeated on a link of 2 Mbit/s: one that suits a
+  // link of 10 takes half a second there, and the first wait for an answer is a quarter.
+  it('writes smaller appends where its link is narrower', async () => {
+    const store = new StoreStandIn({ partitionCount: 1 });
+    const append = vi.spyOn(store, 'append');
+    const linkMbps = 2;
+    const writer = createWriter(store, 1, vi.fn(), getMaxAppendBytes(linkMbps));
+    await writer.write(
+      Array.from({ length: 100 }, (_r, number) => ({
+        key: `spec/job-${number}`,
+        value: Buffer.alloc(2_000),
+      })),
+    );
+    const sizesBytes = append.mock.calls.map(([request]) =>
+      request.records.reduce((sum, { value }) => sum + value!.length, 0),
+    );
+    expect(sizesBytes.reduce((sum, bytes) => sum + bytes, 0)).toBe(200_000);
+    const longestMs = (Math.max(...sizesBytes) * 8) / (linkMbps * 1_000);
+    expect(longestMs).toBeLessThanOrEqual(SHORTEST_WAIT_MS / 2);
+  });
+
   // A caller was told that its job had not run, and it ran: 40 jobs had come together, went out in
   // several appends, and the home was replaced between the first, which was stored, and the others.
   it('leaves the outcome of records open of which some were sent', async () => {
