Read what has come before a wait counts as over

Cause: a process that is held up finds its timers due before it reads what has come meanwhile; the engine runs timers first in each turn. An answer of the store or of a peer that lay there in time counted as none: a renewal of the membership was put off, an append was sent once more, a call to a target went elsewhere.

Ruled out: the store (it answered the same call of the others), the link (nothing was being read yet).

Change: once a wait has ended, what can be read is read first, within the same turn, and only then the call is given up. HTTP calls and calls between instances alike; the wait of a connection for a ping did so already. Two tests failed before: each holds the process up between an answer and its reading. That a call without an answer is given up all the same has a test too.

--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -105,7 +105,9 @@
     this.lastCallNumber += 1;
     const number = this.lastCallNumber;
     return new Promise((resolve, reject) => {
-      const timer = setTimeout(() => this.expire(number), Math.min(waitMs, MAX_TIMER_MS));
+      // What came while this process was held up is read within this turn, before it is given up.
+      const expire = (): unknown => setImmediate(() => this.expire(number));
+      const timer = setTimeout(expire, Math.min(waitMs, MAX_TIMER_MS));
       const mayPing = waitMs >= PING_AFTER_MS + MIN_PONG_WAIT_MS;
       const pingTimer = mayPing
         ? setTimeout(() => this.pingSilent(number), PING_AFTER_MS)
@@ -219,10 +221,10 @@
   }
 
   private expire(number: number): void {
+    if (!this.calls.has(number)) return;
     const call = this.take(number);
     call.reject(this.createError(`did not reply to ${call.request.type} in time`));
-    // What came while this process was held up is read within this turn, and shows a live peer.
-    if (call.pingTimer !== undefined) setImmediate(() => PeerLink.leaveSilent(call));
+    if (call.pingTimer !== undefined) PeerLink.leaveSilent(call);
   }
 
   private pingSilent(number: number): void {
--- a/src/utils/HttpExchange.ts
+++ b/src/utils/HttpExchange.ts
@@ -16,6 +16,9 @@
   readonly request: HttpRequest;
 }
 
+/** What a request waits for. */
+type Wait = 'connection' | 'further byte' | 'whole answer';
+
 /** One request on its way, until its whole answer is here or one of its waits has ended. */
 export class HttpExchange {
   private readonly options: HttpExchangeOptions;
@@ -24,6 +27,11 @@
 
   private readonly outgoing: ClientRequest;
 
+  /** How often the connection or a piece of the answer has come. */
+  private arrivalCount = 0;
+
+  private isOver = false;
+
   /**
    * Prepares a request; nothing is sent yet.
    * @param options - Connection, request and waits.
@@ -46,6 +54,7 @@
         this.exchange(resolve, reject);
       });
     } finally {
+      this.isOver = true;
       this.timers.forEach((timer) => clearTimeout(timer));
     }
   }
@@ -62,24 +71,31 @@
     this.outgoing.on('socket', (socket) => {
       if (!socket.connecting) return;
       const timer = this.failAfter(connectTimeoutMs, 'connection', reject);
-      socket.once('connect', () => clearTimeout(timer));
+      socket.once('connect', () => {
+        this.arrivalCount += 1;
+        clearTimeout(timer);
+      });
     });
     this.outgoing.on('response', (incoming) => {
       incoming.on('error', reject);
-      HttpExchange.collect(incoming, silence, resolve);
+      this.collect(incoming, silence, resolve);
     });
     this.outgoing.end(body);
   }
 
-  private static collect(
+  private collect(
     incoming: IncomingMessage,
     silence: NodeJS.Timeout | undefined,
     resolve: (answer: HttpAnswer) => void,
   ): void {
     const chunks: Buffer[] = [];
-    silence?.refresh();
-    incoming.on('data', (chunk: Buffer) => {
+    const noteArrival = (): void => {
+      this.arrivalCount += 1;
       silence?.refresh();
+    };
+    noteArrival();
+    incoming.on('data', (chunk: Buffer) => {
+      noteArrival();
       chunks.push(chunk);
     });
     incoming.on('end', () =>
@@ -88,16 +104,28 @@
   }
 
   /**
-   * Rejects beside the request's own error: a request that still waits for a connection tells of
-   * its end only once it has one, after the request that hangs there.
+   * Guards against an answer in time that counts as none: a process that was held up finds its
+   * timers due before it reads what has come meanwhile, which it does within the same turn.
    */
-  private failAfter(waitMs: number, what: string, reject: (error: Error) => void): NodeJS.Timeout {
+  private failAfter(waitMs: number, what: Wait, reject: (error: Error) => void): NodeJS.Timeout {
     const timer = setTimeout(() => {
-      const error = new Error(`There was no ${what} within ${waitMs} ms.`);
-      this.outgoing.destroy(error);
-      reject(error);
+      const { arrivalCount } = this;
+      setImmediate(() => {
+        const hasCome = what !== 'whole answer' && this.arrivalCount > arrivalCount;
+        if (!this.isOver && !hasCome) this.fail(waitMs, what, reject);
+      });
     }, waitMs);
     this.timers.push(timer);
     return timer;
   }
+
+  /**
+   * Rejects beside the request's own error: a request that still waits for a connection tells of
+   * its end only once it has one, after the request that hangs there.
+   */
+  private fail(waitMs: number, what: Wait, reject: (error: Error) => void): void {
+    const error = new Error(`There was no ${what} within ${waitMs} ms.`);
+    this.outgoing.destroy(error);
+    reject(error);
+  }
 }
--- a/tests/peers/PeerClient.test.ts
+++ b/tests/peers/PeerClient.test.ts
@@ -9,6 +9,7 @@
   type PeerRequest,
   PeerServer,
 } from '../../src/peers/index.js';
+import { holdUp } from '../support/index.js';
 import { TcpForwarder } from './TcpForwarder.js';
 
 const HOST = '127.0.0.1';
@@ -53,7 +54,24 @@
   await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
 });
 
+const MICROTASKS_OF_A_REPLY = 50;
+
+const afterMicrotasks = (count: number): Promise<void> =>
+  count === 0 ? Promise.resolve() : Promise.resolve().then(() => afterMicrotasks(count - 1));
+
 describe('PeerClient.call', () => {
+  // Guards against a busy home that takes replies for lost which came in time: it found the wait
+  // over before it had read them.
+  it('takes a reply that came while the process was held up', async () => {
+    const { peer } = await startServer(async (from, request) => {
+      void afterMicrotasks(MICROTASKS_OF_A_REPLY).then(() => setImmediate(() => holdUp(200)));
+      return echo(from, request);
+    });
+    const { client } = createClient();
+    const reply = await client.call(peer, explain('late'), 100);
+    expect(reply).toEqual({ type: 'state', json: 'a late' });
+  });
+
   it('gives each of one thousand concurrent calls its own reply', async () => {
     const held: { subject: string; resolve: (reply: PeerReply) => void }[] = [];
     const { peer } = await startServer(
--- a/tests/support/index.ts
+++ b/tests/support/index.ts
@@ -8,3 +8,4 @@
 } from './startProcess.js';
 export { TcpForwarder } from './TcpForwarder.js';
 export { findFreePort } from './findFreePort.js';
+export { holdUp } from './holdUp.js';
--- a/tests/utils/HttpClient.test.ts
+++ b/tests/utils/HttpClient.test.ts
@@ -1,11 +1,22 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type AddressInfo, createServer as createTcpServer, type Socket } from 'node:net';
+import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Worker } from 'node:worker_threads';
 import { afterEach, describe, expect, it } from 'vitest';
 import { HttpClient, type HttpClientOptions } from '../../src/utils/index.js';
+import { holdUp } from '../support/index.js';
 
 const GET = { method: 'GET', path: '/', timeoutMs: 1_000 } as const;
 
+/** A server on a thread of its own, which goes on while this one is held up. */
+const ANSWERING_SERVER = `
+  const { createServer } = require('node:http');
+  const { parentPort } = require('node:worker_threads');
+  const server = createServer((request, response) => setTimeout(() => response.end('here'), 50));
+  server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+`;
+
 type Answer = (request: IncomingMessage, response: ServerResponse) => void;
 
 describe('HttpClient', () => {
@@ -38,6 +49,29 @@
     return client;
   };
 
+  // Guards against a home on a tenth of a core that takes answers for lost which came in time: it
+  // found the wait over before it had read them, lost its place among the others, and wrote again.
+  it('takes an answer that came while the process was held up', async () => {
+    const worker = new Worker(ANSWERING_SERVER, { eval: true });
+    const [port] = (await once(worker, 'message')) as [number];
+    const client = new HttpClient({ host: '127.0.0.1', port });
+    clients.push(client);
+    await client.send(GET);
+    const answered = client.send({ ...GET, timeoutMs: 200, silenceTimeoutMs: 200 });
+    await sleep(20);
+    setImmediate(() => holdUp(400));
+    await expect(answered).resolves.toMatchObject({ httpStatus: 200 });
+    await worker.terminate();
+  });
+
+  it('gives up an answer that has not come when the process goes on', async () => {
+    const client = await connect(() => undefined);
+    const answered = client.send({ ...GET, timeoutMs: 100 });
+    const failed = expect(answered).rejects.toThrow('no whole answer');
+    holdUp(200);
+    await failed;
+  });
+
   it('sends method, path, headers and body, and reads the whole answer', async () => {
     const client = await connect((request, response) => {
       const { method, url, headers } = request;
