--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -91,11 +91,29 @@
 }
 
 /** Processor time of this process, in milliseconds. */
-function usedMs(): number {
+function readUsedMs(): number {
   const { user, system } = process.cpuUsage();
   return (user + system) / MS_PER_S;
 }
 
+/** Submits jobs at a steady rate, until the timer is cleared. */
+function submitJobs(home: TaskHome, jobsPerS: number): NodeJS.Timeout | undefined {
+  if (jobsPerS === 0) return undefined;
+  let jobCount = 0;
+  const submit = (): Promise<void> => {
+    jobCount += 1;
+    return home.submit(makeJob(`job-${jobCount}`));
+  };
+  return setInterval(submit, MS_PER_S / jobsPerS);
+}
+
+/** Tells what the work of a home has cost. */
+function describeCost(usedMs: number, startCount: number): string {
+  const perS = `${((usedMs * MS_PER_S) / SPAN_MS).toFixed(1)} ms a second`;
+  if (startCount === 0) return perS;
+  return `${perS}, ${startCount} tasks, ${(usedMs / startCount).toFixed(3)} ms a placed task`;
+}
+
 /** Lets a home work for a while, and tells what that costs. */
 async function measureHome(targetCount: number, jobsPerS: number): Promise<string> {
   const targets = new HeldTargets(clock, RUN_MS);
@@ -110,24 +128,14 @@
   ];
   home.tick();
   await sleep(MS_PER_S);
-  let jobCount = 0;
-  const submit = (): Promise<void> => {
-    jobCount += 1;
-    return home.submit(makeJob(`job-${jobCount}`));
-  };
-  const submitting = setInterval(submit, MS_PER_S / Math.max(1, jobsPerS));
-  if (jobsPerS === 0) clearInterval(submitting);
-  const before = usedMs();
+  const submitting = submitJobs(home, jobsPerS);
+  const beforeMs = readUsedMs();
   await sleep(SPAN_MS);
-  const tookMs = usedMs() - before;
+  const usedMs = readUsedMs() - beforeMs;
   [...timers, submitting].forEach((timer) => clearInterval(timer));
   home.close();
-  const perS = (tookMs * MS_PER_S) / SPAN_MS;
-  const perTask =
-    targets.startCount === 0
-      ? ''
-      : `, ${(tookMs / targets.startCount).toFixed(3)} ms a placed task`;
-  return `${targetCount} targets, ${jobsPerS} jobs a second: ${perS.toFixed(1)} ms a second, ${targets.startCount} tasks${perTask}`;
+  const cost = describeCost(usedMs, targets.startCount);
+  return `${targetCount} targets, ${jobsPerS} jobs a second: ${cost}`;
 }
 
 // Idle, a rush that the targets carry, and one of twice what they carry.
