Renew a membership no sooner than usual where the store turns it away

Change: the pause after a renewal without an answer is what is left of the usual one, counted from when it was sent.

--- a/src/taskHome/GroupMembership.ts
+++ b/src/taskHome/GroupMembership.ts
@@ -108,20 +108,31 @@
   private async renewAll(): Promise<void> {
     while (!this.isStopped) {
       const { generation } = this;
+      const begunAtMs = this.options.clock.monotonicMs();
       // eslint-disable-next-line no-await-in-loop -- one renewal follows the other
-      const isUnanswered = !(await this.takePart());
+      const isAnswered = await this.takePart();
       // A partition changes hands only once its holder has joined with the new generation, and its
       // next holder learns of it by joining again; until then it has no home.
       const isChanging = generation !== this.generation;
-      // Guards against a member whose share goes to others for two answers that came late: a wait
-      // and a pause for each of them take most of the time that its membership lasts.
-      const isUrgent = isChanging || isUnanswered;
-      const pauseMs = isUrgent ? SHORT_PAUSE_MS : this.options.groupTiming.renewEveryMs;
+      const pauseMs = isAnswered
+        ? this.options.groupTiming.renewEveryMs
+        : this.getPauseAfterLossMs(begunAtMs);
       // eslint-disable-next-line no-await-in-loop -- the pause belongs between two renewals
-      await sleep(pauseMs);
+      await sleep(isChanging ? SHORT_PAUSE_MS : pauseMs);
     }
   }
 
+  /**
+   * Guards against a member whose share goes to others for two answers that came late: a wait and a
+   * whole pause for each of them take most of the time that its membership lasts. One that is
+   * turned away at once waits as long as usual.
+   */
+  private getPauseAfterLossMs(begunAtMs: number): number {
+    const { clock, groupTiming } = this.options;
+    const waitedMs = clock.monotonicMs() - begunAtMs;
+    return Math.max(SHORT_PAUSE_MS, groupTiming.renewEveryMs - waitedMs);
+  }
+
   /**
    * Stays in the group, or out of it where others are to hold the partitions.
    * @returns Whether the group has answered a renewal, if there was one.
--- a/tests/taskHome/GroupMembership.test.ts
+++ b/tests/taskHome/GroupMembership.test.ts
@@ -152,4 +152,26 @@
     expect(answersMs).toEqual([]);
     expect(certain).not.toContain(false);
   });
+
+  // Guards against a store that is asked again and again by every member that it turns away.
+  it('waits as usual where a renewal is turned away at once', async () => {
+    const timing = { ttlMs: 1_500, renewEveryMs: 400, shortestWaitMs: 300, longestWaitMs: 1_000 };
+    const join = vi.fn(() => Promise.reject(new Error('The store turns this one away.')));
+    const member = new GroupMembership({
+      groups: { join, leave: () => Promise.resolve(), listOwners: () => Promise.resolve([]) },
+      group: 'homes',
+      topic: 'jobs',
+      member: 'm3',
+      groupTiming: timing,
+      clock: new SystemClock(),
+      events: new MemoryEventLog(),
+      shouldHold: () => true,
+      onRenewed: () => undefined,
+      onLeaving: () => undefined,
+    });
+    member.start();
+    await sleep(2.5 * timing.renewEveryMs);
+    await member.stop();
+    expect(join.mock.calls.length).toBeLessThanOrEqual(3);
+  });
 });
