Hold the optimizer of the engine back on small instances alone

On 0.675 cores the optimizer does not take what a rush needs, and slower code serves it later. Ruled out: the looks through full pools and the ends of runs, by a replay with the same placements before and after.

--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -5,7 +5,7 @@
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
 import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
 import { HOME_PRODUCER, PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
-import { SystemClock } from '../../src/utils/index.js';
+import { holdBackOptimizer, SystemClock } from '../../src/utils/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
 import { HeldTargets } from './HeldTargets.js';
 
@@ -21,6 +21,10 @@
 /** Targets that are being emptied while the others work. */
 const DRAINED_COUNT = 4;
 
+/** Processor of the instance that the home is on, in cores. */
+const CORE_COUNT = 0.12;
+
+holdBackOptimizer(CORE_COUNT);
 const clock = new SystemClock();
 const events = new TslogEventLog({ instance: 'home', level: 'info', writeLine: () => undefined });
 
