--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -4,7 +4,8 @@
 import { ScrapedMetrics } from '../../src/metrics/index.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
 import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
-import { HOME_PRODUCER, PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
+import { PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
+import { HOME_PRODUCER } from '../../src/taskHome/PartitionTerms.js';
 import { holdBackOptimizer, SystemClock } from '../../src/utils/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
 import { readUsedUs } from '../slopes/readUsedUs.js';
@@ -55,18 +56,24 @@
   targets: HeldTargets,
   entries: ReadonlyMap<string, TargetEntry>,
 ): Promise<TaskHome> {
-  const place = { store: new StoreStandIn({ partitionCount: 1 }), topic: 'jobs', partition: 0 };
+  const store = new StoreStandIn({ partitionCount: 1 });
+  const place = { store, topic: 'jobs', partition: 0 };
   const isWanted = (): boolean => true;
-  const opening = new PartitionOpening({ ...place, instance: 'home', isWanted, events });
-  const { term, sequence, jobs, endedJobs } = (await opening.attempt())!;
-  return new TaskHome({
+  const opening = new PartitionOpening({
+    ...place,
+    termsTopic: 'terms',
+    pages: store,
+    instance: 'home',
+    isWanted,
+    events,
+  });
+  const { term, sequence } = (await opening.claim())!;
+  const home = new TaskHome({
     ...place,
     targets,
     producer: HOME_PRODUCER,
     term,
     lastSequence: sequence,
-    jobs,
-    endedJobs,
     timing: { targetLeaseMs: 5_000, targetWaitMs: 1_000, keepFinishedMs: 120_000 },
     clock,
     events,
@@ -76,6 +83,8 @@
     isGroupLeaseHeld: () => true,
     onReplaced: () => undefined,
   });
+  home.load(await opening.read());
+  return home;
 }
 
 /** Submits jobs at a steady rate, until the timer is cleared. */
--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -12,9 +12,9 @@
 export const DURABLE_JOB_MUTANTS: readonly Mutant[] = [
   {
     failure: 'a task that runs again, as its end was forgotten before it was stored',
-    file: 'src/taskHome/TaskHome.ts',
-    find: 'const stored = this.flush()\n      .then(() => this.sessions.acknowledge(targetId, lastEndNumber))',
-    replace: 'this.sessions.acknowledge(targetId, lastEndNumber);\n    const stored = this.flush()',
+    file: 'src/taskHome/TargetReports.ts',
+    find: 'const stored = flush()\n      .then(() => getSessions().acknowledge(targetId, lastEndNumber))',
+    replace: 'getSessions().acknowledge(targetId, lastEndNumber);\n    const stored = flush()',
     test: HOME_TEST,
     name: 'lets a target forget an end only once it is stored',
   },
@@ -53,7 +53,7 @@
   {
     failure: 'a stored job that is denied by a home that was replaced',
     file: 'src/taskHome/TaskHome.ts',
-    find: 'if (this.isClosed || !this.options.isGroupLeaseHeld()) {',
+    find: 'if (!this.options.isGroupLeaseHeld()) {',
     replace: 'if (this.isClosed) {',
     test: HOME_TEST,
     name: 'does not deny a job while it may have been replaced',
@@ -228,12 +228,37 @@
   },
   {
     failure: 'two homes of one partition in the same term',
-    file: 'src/taskHome/PartitionOpening.ts',
-    find: 'const sequence = randomInt(FIRST_SEQUENCE_LIMIT);',
-    replace: 'const sequence = 0;',
+    file: 'src/taskHome/PartitionTerms.ts',
+    find: 'sequence: randomInt(FIRST_SEQUENCE_LIMIT)',
+    replace: 'sequence: Math.min(0, randomInt(FIRST_SEQUENCE_LIMIT))',
     test: 'tests/taskHome/PartitionOpening.test.ts',
     name: 'lets one of two instances open a partition that have read it at the same moment',
   },
+  {
+    failure: 'long-running tasks that are killed while their new home reads its jobs',
+    file: 'src/taskHome/TargetReports.ts',
+    find: 'if (!this.isLoaded || this.options.isClosed()) return;',
+    replace: 'if (this.options.isClosed()) return;',
+    test: 'tests/taskHome/takeover.test.ts',
+    name: 'keeps the leases of its targets, and stops none of their tasks',
+  },
+  {
+    failure:
+      'a partition that nobody opens after an update, as its term is not in the topic of terms',
+    file: 'src/taskHome/PartitionOpening.ts',
+    find: 'this.terms.exceed(findTerm([...this.newestRecords.values()]));',
+    replace: '',
+    test: 'tests/taskHome/PartitionOpening.test.ts',
+    name: 'claims a term above one that is recorded among the jobs alone',
+  },
+  {
+    failure: 'leases that lapse behind a page of records on a narrow link',
+    file: 'src/taskHome/PacedPages.ts',
+    find: 'await whenLeasesFresh();',
+    replace: 'void whenLeasesFresh;',
+    test: 'tests/taskHome/PacedPages.test.ts',
+    name: 'begins a page only once the leases are fresh',
+  },
   {
     failure: 'a partition that nobody opens: its page takes longer than the time-out',
     file: 'platform/PlatformStore.ts',
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -195,6 +195,7 @@
     const { bounds, capacity, clock, events, mechanisms, metrics, ports, records } = this.options;
     return new TaskHomes({
       maxAppendBytes: getMaxAppendBytes(capacity.linkMbps),
+      linkMbps: capacity.linkMbps,
       mechanisms,
       ...ports,
       targets: this.createTargets(),
@@ -208,6 +209,7 @@
       partitions: this.partitions,
       group: GROUP,
       topic: records.jobsTopic,
+      termsTopic: records.termsTopic,
       member,
       groupTiming: {
         ...GROUP_TIMING,
--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -22,6 +22,8 @@
 export interface JobNodeRecords {
   /** Topic of jobs; each pool has one of its partitions. */
   readonly jobsTopic: string;
+  /** Topic of the terms in which homes write the topic of jobs, with as many partitions. */
+  readonly termsTopic: string;
   readonly partitionCount: number;
   /** Topic in which operators publish, with the key of the configuration. */
   readonly operatorsTopic: string;
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -18,6 +18,11 @@
   targetSilent: { number: 6014, level: 'warn', text: 'A target does not answer.' },
   targetHeardAgain: { number: 6015, level: 'info', text: 'A silent target answers again.' },
   targetAvoided: { number: 6016, level: 'warn', text: 'A target gets no new task for a while.' },
+  leasesTakenOver: {
+    number: 6042,
+    level: 'info',
+    text: 'A new home renews the leases of its targets.',
+  },
   taskHomeOpened: { number: 6017, level: 'info', text: 'This instance decides for a partition.' },
   taskHomeClosed: { number: 6018, level: 'info', text: 'This instance gave a partition up.' },
   taskHomeOpenFailed: { number: 6019, level: 'warn', text: 'A partition could not be opened.' },
--- a/src/taskHome/PartitionOpening.ts
+++ b/src/taskHome/PartitionOpening.ts
@@ -1,5 +1,3 @@
-import { randomInt } from 'node:crypto';
-import { z } from 'zod';
 import {
   decodeJobRecord,
   type DurableJobRow,
@@ -10,32 +8,20 @@
   restoreJobRow,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
-import {
-  decodeRecordValue,
-  encodeRecordValue,
-  KeyedFollower,
-  type KeyedLogPort,
-  type KeyedRecord,
-} from '../store/index.js';
+import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
 import { decodeReadable } from './decodeReadable.js';
+import {
+  type ClaimedTerm,
+  findTerm,
+  PartitionTerms,
+  type PartitionTermsOptions,
+} from './PartitionTerms.js';
 
-/** Key under which a partition keeps the term of its home. */
-const TERM_KEY = 'term';
-/** Producer name under which homes append; the store fences earlier terms of the same producer. */
-export const HOME_PRODUCER = 'home';
-const APPEND_TIMEOUT_MS = 1_000;
 /** A read at the end of a partition returns at once. */
 const NO_WAIT_MS = 0;
-/** Exclusive limit of the random first append number: two openings collide once in a billion. */
-const FIRST_SEQUENCE_LIMIT = 2 ** 30;
-
-const termSchema = z.looseObject({ term: z.int().positive() });
 
 /** State that a home takes over with its partition. */
 export interface OpenedPartition {
-  readonly term: number;
-  /** Number of the append that opened the partition; later appends continue from it. */
-  readonly sequence: number;
   readonly jobs: readonly DurableJobRow[];
   /** Finished jobs that have no tasks on targets. */
   readonly endedJobs: readonly EndedJob[];
@@ -44,14 +30,9 @@
 }
 
 /** Options of {@link PartitionOpening}. */
-export interface PartitionOpeningOptions {
-  readonly store: KeyedLogPort;
-  readonly topic: string;
-  readonly partition: number;
-  /** Instance that becomes the home. */
-  readonly instance: string;
-  /** Whether the partition is still to be opened on this instance. */
-  readonly isWanted: () => boolean;
+export interface PartitionOpeningOptions extends PartitionTermsOptions {
+  /** Store through which the records of the partition are read. */
+  readonly pages: Pick<KeyedLogPort, 'readNewest' | 'readFrom'>;
   readonly events: EventLog;
 }
 
@@ -95,31 +76,23 @@
   return { jobs, endedJobs: [...ended.values()] };
 }
 
-function readTerm(records: readonly KeyedRecord[]): number {
-  const record = records.find(({ key, value }) => key === TERM_KEY && value !== undefined);
-  return record === undefined ? 0 : decodeRecordValue(termSchema, record).term;
-}
-
 /**
- * Makes an instance the home of a partition: reads the partition's jobs and raises the term.
- *
- * The record of the new term is appended only if the end offset of the partition has not moved
- * since the read. Otherwise an append of the earlier home in between could be missed, and a task
- * that it placed would run a second time. From then on the store rejects the earlier home by its
- * term.
+ * Makes an instance the home of a partition: claims a term, then reads the partition's jobs.
  *
- * The number of the append is random. Two instances that read the partition at the same moment
- * would otherwise open it in the same term under the same number. The store would treat the second
- * append as a repeat of the first, both instances would be the home, and the records of each would
- * count as repeats of the other's.
+ * The claim comes first. It fences the earlier home, so that the partition no longer changes and a
+ * read that begins afterwards misses nothing: a task placed by an append in between would run a
+ * second time. And with the term, the leases of the targets can be renewed during the read, whose
+ * length grows with the stored records.
  *
  * Records that were read are kept between attempts. On a slow link the pages of a partition take
- * seconds, and an attempt that started over after a lost page, or after an append of the earlier
- * home, would never complete: the partition would have no home.
+ * seconds, and an attempt that started over after a lost page would never complete: the partition
+ * would have no home.
  */
 export class PartitionOpening {
   private readonly options: PartitionOpeningOptions;
 
+  private readonly terms: PartitionTerms;
+
   private readonly newestRecords = new Map<string, KeyedRecord>();
 
   private readonly follower: KeyedFollower;
@@ -130,8 +103,10 @@
    */
   constructor(options: PartitionOpeningOptions) {
     this.options = options;
+    this.terms = new PartitionTerms(options);
     this.follower = new KeyedFollower({
       ...options,
+      store: options.pages,
       onRecord: (record) => this.applyRecord(record),
     });
   }
@@ -142,31 +117,29 @@
   }
 
   /**
-   * Reads the missing records, and raises the term.
-   * @returns Term and jobs, or undefined if the partition is no longer wanted or the append was
-   * rejected; the caller decides on another attempt.
-   * @throws Error If the store did not answer; the next attempt continues from here.
+   * Claims a new term of the partition, however many records it has.
+   * @returns The term, or undefined if the partition is no longer wanted or another claim is
+   * needed; the caller decides on it.
+   * @throws Error If the store did not answer.
    */
-  async attempt(): Promise<OpenedPartition | undefined> {
+  async claim(): Promise<ClaimedTerm | undefined> {
+    const claim = await this.terms.claim();
+    if (claim !== 'superseded') return claim;
+    await this.follower.read(NO_WAIT_MS);
+    this.terms.exceed(findTerm([...this.newestRecords.values()]));
+    return undefined;
+  }
+
+  /**
+   * Reads the missing records of the claimed partition.
+   * @returns The jobs and the other records.
+   * @throws Error If the store did not answer; the next call continues from here.
+   */
+  async read(): Promise<OpenedPartition> {
     await this.follower.read(NO_WAIT_MS);
-    // If this instance lost the partition while it was reading, its higher term would fence the
-    // home that has opened meanwhile, and the partition would have no home.
-    if (!this.options.isWanted()) return undefined;
-    const { store, topic, partition, instance } = this.options;
     const records = [...this.newestRecords.values()];
-    const term = readTerm(records) + 1;
-    const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
-    const result = await store.append({
-      topic,
-      partition,
-      records: [{ key: TERM_KEY, value: encodeRecordValue({ term, instance }) }],
-      fence: { producer: HOME_PRODUCER, term, sequence },
-      expectedEndOffset: this.follower.endOffset!,
-      timeoutMs: APPEND_TIMEOUT_MS,
-    });
-    if (result.type !== 'appended') return undefined;
     const decoded = decodeReadable(records, decodeJobRecord, this.options);
-    return { term, sequence, records, ...combineJobRecords(decoded, this.options) };
+    return { records, ...combineJobRecords(decoded, this.options) };
   }
 
   private applyRecord(record: KeyedRecord): void {
--- /dev/null
+++ b/src/taskHome/PartitionTerms.ts
@@ -0,0 +1,128 @@
+import { randomInt } from 'node:crypto';
+import { z } from 'zod';
+import {
+  type AppendResult,
+  decodeRecordValue,
+  encodeRecordValue,
+  type KeyedLogPort,
+  type KeyedRecord,
+} from '../store/index.js';
+
+/** Producer name under which homes append; the store fences earlier terms of the same producer. */
+export const HOME_PRODUCER = 'home';
+/** Key under which a partition keeps the term of its home, in either topic. */
+const TERM_KEY = 'term';
+const APPEND_TIMEOUT_MS = 1_000;
+/** Exclusive limit of the random first append number: two claims collide once in a billion. */
+const FIRST_SEQUENCE_LIMIT = 2 ** 30;
+
+const termSchema = z.looseObject({ term: z.int().positive() });
+
+/** A term in which an instance alone writes a partition. */
+export interface ClaimedTerm {
+  readonly term: number;
+  /** Number of the append that claimed the term; later appends continue from it. */
+  readonly sequence: number;
+}
+
+/** Options of {@link PartitionTerms}. */
+export interface PartitionTermsOptions {
+  readonly store: Pick<KeyedLogPort, 'append' | 'readNewest'>;
+  /** Topic with the records of the partition. */
+  readonly topic: string;
+  /** Topic with the latest claimed term of each partition, and nothing else. */
+  readonly termsTopic: string;
+  readonly partition: number;
+  /** Instance that becomes the home. */
+  readonly instance: string;
+  /** Whether the partition is still to be opened on this instance. */
+  readonly isWanted: () => boolean;
+}
+
+/**
+ * Gets the term that the records of a partition contain.
+ * @param records - The records.
+ * @returns The term; 0 if there is none.
+ * @throws RattanliftError Of kind `internal` if the record of the term is unreadable.
+ */
+export function findTerm(records: readonly KeyedRecord[]): number {
+  const record = records.find(({ key, value }) => key === TERM_KEY && value !== undefined);
+  return record === undefined ? 0 : decodeRecordValue(termSchema, record).term;
+}
+
+/**
+ * Claims a new term of a partition, which fences its earlier home, without reading the partition.
+ *
+ * The latest term is kept in a topic of its own as well. If it had to be found among the records of
+ * the partition, nobody could renew the leases of its targets until all of them were read; with
+ * many jobs or on a narrow link this takes longer than a lease lasts.
+ *
+ * The number of the append is random. Two instances that read the same latest term would otherwise
+ * claim the next one under the same number. The store would treat the second append as a repeat of
+ * the first, both instances would be the home, and the records of each would count as repeats of
+ * the other's.
+ */
+export class PartitionTerms {
+  private readonly options: PartitionTermsOptions;
+
+  /** Term that the next claim has to exceed, whatever the topic of terms contains. */
+  private exceededTerm = 0;
+
+  /**
+   * Creates the terms of one partition; nothing is claimed yet.
+   * @param options - The partition, and the instance that claims it.
+   */
+  constructor(options: PartitionTermsOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Sets a term that the next claim has to exceed. A home that does not know the topic of terms
+   * keeps its term only among the records of the partition.
+   * @param term - The term.
+   */
+  exceed(term: number): void {
+    this.exceededTerm = Math.max(this.exceededTerm, term);
+  }
+
+  /**
+   * Claims the next term. From then on the store rejects appends of earlier homes, so the partition
+   * changes only by appends of this term.
+   * @returns The term; `superseded` if the partition has had a home in this term or a later one
+   * that the topic of terms does not contain; undefined if the partition is no longer wanted, or
+   * another claim is needed.
+   * @throws Error If the store did not answer; the next claim is for a later term.
+   */
+  async claim(): Promise<ClaimedTerm | 'superseded' | undefined> {
+    const { topic, termsTopic, isWanted } = this.options;
+    const latestTerm = Math.max(await this.readLatest(), this.exceededTerm);
+    const claim = { term: latestTerm + 1, sequence: randomInt(FIRST_SEQUENCE_LIMIT) };
+    // If this instance has lost the partition meanwhile, its higher term would fence the home that
+    // has opened on another instance, and the partition would have no home.
+    if (!isWanted()) return undefined;
+    const recorded = await this.append(termsTopic, claim);
+    if (recorded.type !== 'appended' || !isWanted()) return undefined;
+    const fenced = await this.append(topic, claim);
+    if (fenced.type === 'appended') return claim;
+    if (fenced.type !== 'fenced' && fenced.type !== 'out-of-sequence') return undefined;
+    const isLatest = (await this.readLatest()) === claim.term;
+    return isLatest ? 'superseded' : undefined;
+  }
+
+  private async readLatest(): Promise<number> {
+    const { store, termsTopic, partition } = this.options;
+    const { records } = await store.readNewest(termsTopic, partition);
+    return findTerm(records);
+  }
+
+  private append(topic: string, { term, sequence }: ClaimedTerm): Promise<AppendResult> {
+    const { store, partition, instance } = this.options;
+    return store.append({
+      topic,
+      partition,
+      records: [{ key: TERM_KEY, value: encodeRecordValue({ term, instance }) }],
+      fence: { producer: HOME_PRODUCER, term, sequence },
+      timeoutMs: APPEND_TIMEOUT_MS,
+    });
+  }
+}
--- /dev/null
+++ b/src/taskHome/TargetReports.ts
@@ -0,0 +1,112 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { TargetReport } from './TargetSession.js';
+import type { TargetLossReason, TargetSessions } from './TargetSessions.js';
+import type { TaskRuns } from './TaskRuns.js';
+
+/** Options of {@link TargetReports}. */
+export interface TargetReportsOptions {
+  readonly runs: Pick<TaskRuns, 'handleLostTarget' | 'handleReport'>;
+  /** Gets the sessions, which are created after the handler of their reports. */
+  readonly getSessions: () => Pick<TargetSessions, 'acknowledge' | 'remove' | 'takeNewEnds'>;
+  /**
+   * Places ready tasks and stores all changes.
+   * @throws RattanliftError If this home has been replaced.
+   */
+  readonly flush: () => Promise<void>;
+  readonly flushInBackground: () => void;
+  readonly isClosed: () => boolean;
+}
+
+/** Interval between the renewals of a target's lease while the jobs are read, in milliseconds. */
+const LOADING_RENEWAL_PAUSE_MS = 500;
+/** Longest wait for the ends in a report to be stored before the lease is renewed. */
+const STORE_WAIT_MS = 400;
+
+/** A target whose lifetime ended before its runs were known. */
+interface EarlyLoss {
+  readonly targetId: string;
+  readonly reason: TargetLossReason;
+}
+
+/** Handles the reports and losses of a home's targets, as soon as the home has its jobs. */
+export class TargetReports {
+  private readonly options: TargetReportsOptions;
+
+  private readonly earlyLosses: EarlyLoss[] = [];
+
+  /** Aborts the waits for the jobs. */
+  private readonly loading = new AbortController();
+
+  /**
+   * Creates a handler that keeps losses until the jobs are known.
+   * @param options - Runs and sessions of the home.
+   */
+  constructor(options: TargetReportsOptions) {
+    this.options = options;
+  }
+
+  /** Whether the home has its jobs. */
+  get isLoaded(): boolean {
+    return this.loading.signal.aborted;
+  }
+
+  /** Begins to handle reports, after the losses that came before. */
+  handleLoaded(): void {
+    this.loading.abort();
+    this.earlyLosses.forEach((loss) =>
+      this.options.runs.handleLostTarget(loss.targetId, loss.reason),
+    );
+  }
+
+  /**
+   * Handles the loss of a target on which nothing runs any more.
+   * @param targetId - Id of the target.
+   * @param reason - How the loss became known.
+   */
+  handleGone(targetId: string, reason: TargetLossReason): void {
+    if (this.isLoaded) {
+      this.options.runs.handleLostTarget(targetId, reason);
+      return;
+    }
+    this.options.getSessions().remove(targetId, reason === 'lapsed');
+    this.earlyLosses.push({ targetId, reason });
+  }
+
+  /**
+   * Handles a report. Until the jobs are known it only paces the renewals that extend the lease:
+   * every run would look like a stray one and be stopped.
+   * @param targetId - Id of the target.
+   * @param report - The report.
+   * @returns Resolves once the lease may be renewed again.
+   */
+  async handleReport(targetId: string, report: TargetReport): Promise<void> {
+    if (!this.isLoaded && report.hasExtendedLease) await this.waitForJobs();
+    if (!this.isLoaded || this.options.isClosed()) return;
+    const { runs, getSessions, flushInBackground } = this.options;
+    const { ended } = report.answer;
+    runs.handleReport(targetId, getSessions().takeNewEnds(targetId, ended), report);
+    if (ended.length === 0) {
+      flushInBackground();
+      return;
+    }
+    await this.storeEnds(targetId, Math.max(...ended.map(({ endNumber }) => endNumber)));
+  }
+
+  private async waitForJobs(): Promise<void> {
+    const { signal } = this.loading;
+    // The pause rejects when it is aborted, which only means that the jobs are known.
+    await sleep(LOADING_RENEWAL_PAUSE_MS, undefined, { signal }).catch(() => undefined);
+  }
+
+  /**
+   * Stores ends and acknowledges them. The target may discard them only once they are stored, but
+   * an unavailable store must not prevent the lease from being renewed.
+   */
+  private async storeEnds(targetId: string, lastEndNumber: number): Promise<void> {
+    const { flush, getSessions } = this.options;
+    const stored = flush()
+      .then(() => getSessions().acknowledge(targetId, lastEndNumber))
+      .catch(() => undefined);
+    await Promise.race([stored, sleep(STORE_WAIT_MS)]);
+  }
+}
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -8,6 +8,8 @@
   readonly answer: Extract<LeaseAnswer, { readonly type: 'report' }>;
   /** Monotonic time at which the renewal was sent; the report may not contain later orders. */
   readonly askedAtMs: number;
+  /** Whether the renewal extended the lease; the first one and those to a silent target do not. */
+  readonly hasExtendedLease: boolean;
 }
 
 /** Why a session has ended. */
@@ -20,8 +22,8 @@
   readonly term: number;
   /** Length of the lease that each renewal asks for, in milliseconds. */
   readonly leaseMs: number;
-  /** Longest time for which the target may delay its answer until a run ends, in milliseconds. */
-  readonly waitMs: number;
+  /** Gets how long the target may delay its answer until a run ends, in milliseconds. */
+  readonly getWaitMs: () => number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Handles a report; the next renewal is sent once this has resolved. */
@@ -48,6 +50,8 @@
 
   private leaseUntilTargetMs = 0;
 
+  private leaseExtendedAtMs = Number.NEGATIVE_INFINITY;
+
   private hasAnswered = false;
 
   private readonly outage: OutageLog;
@@ -82,6 +86,11 @@
     return this.clockReading?.atMs;
   }
 
+  /** Age of the latest request that extends the lease, in milliseconds; infinite before it. */
+  get leaseAgeMs(): number {
+    return this.options.clock.monotonicMs() - this.leaseExtendedAtMs;
+  }
+
   /**
    * Monotonic time by which everything that ran on the target has certainly been killed. Before the
    * first answer, a lease of an earlier home may still be valid.
@@ -128,9 +137,11 @@
   extendLease(): number {
     const { clockReading } = this;
     if (clockReading === undefined) return this.leaseUntilTargetMs;
-    const elapsedMs = this.options.clock.monotonicMs() - clockReading.atMs;
+    const nowMs = this.options.clock.monotonicMs();
+    const elapsedMs = nowMs - clockReading.atMs;
     const untilMs = Math.floor(clockReading.targetMs + elapsedMs + this.options.leaseMs);
     this.leaseUntilTargetMs = Math.max(this.leaseUntilTargetMs, untilMs);
+    this.leaseExtendedAtMs = nowMs;
     return this.leaseUntilTargetMs;
   }
 
@@ -142,7 +153,7 @@
   }
 
   private async renew(): Promise<void> {
-    const { port, address, term, waitMs, clock } = this.options;
+    const { port, address, term, getWaitMs, clock } = this.options;
     const askedAtMs = clock.monotonicMs();
     // The first renewal only raises the term and reads the clock on which the lease is counted.
     // While the target is silent, renewals do not extend its lease either: an unanswered renewal
@@ -154,9 +165,10 @@
         term,
         acknowledgedEndNumber: this.acknowledgedEndNumber,
         leaseUntilTargetMs: isProbe ? undefined : this.extendLease(),
-        waitMs: isProbe ? 0 : waitMs,
+        waitMs: isProbe ? 0 : getWaitMs(),
       });
-      if (!this.isClosed) await this.handleAnswer(answer, askedAtMs);
+      const renewal = { askedAtMs, hasExtendedLease: !isProbe };
+      if (!this.isClosed) await this.handleAnswer(answer, renewal);
     } catch (thrown) {
       const { targetId } = address;
       this.outage.noteFailure({ targetId, term, reason: String(thrown) });
@@ -164,7 +176,10 @@
     }
   }
 
-  private async handleAnswer(answer: LeaseAnswer, askedAtMs: number): Promise<void> {
+  private async handleAnswer(
+    answer: LeaseAnswer,
+    renewal: Omit<TargetReport, 'answer'>,
+  ): Promise<void> {
     const { term, address } = this.options;
     const { targetId } = address;
     switch (answer.type) {
@@ -172,7 +187,7 @@
         this.noteClock(answer.targetClockMs);
         this.hasAnswered = true;
         this.outage.noteSuccess({ targetId, term });
-        await this.options.onReport({ answer, askedAtMs });
+        await this.options.onReport({ ...renewal, answer });
         return;
       case 'unhealthy':
         this.outage.noteFailure({ targetId, term, reason: answer.type });
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Resources } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { PlacementTarget } from '../systems/index.js';
@@ -14,7 +15,9 @@
 export interface TargetSessionsOptions {
   readonly targets: LeasedTargetPort;
   readonly term: number;
-  readonly timing: TaskHomeTiming;
+  readonly timing: Pick<TaskHomeTiming, 'targetLeaseMs'>;
+  /** Gets how long a target may delay its answer until a run ends, in milliseconds. */
+  readonly getTargetWaitMs: () => number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Targets of this home's pools as the platform lists them. */
@@ -43,6 +46,10 @@
 const INITIAL_DISCOVERY_MS = 1_000;
 /** Age up to which a target has just started, in milliseconds; a faulty one crashes every few s. */
 const JUST_STARTED_MS = 10_000;
+/** Age up to which a renewal is fresh, in milliseconds: renewals come about once a second. */
+const FRESH_LEASE_MAX_AGE_MS = 1_500;
+const FRESHNESS_CHECK_MS = 20;
+const FRESH_LEASES_WAIT_MS = 500;
 /** Margin after the end of a lease until its target counts as empty, in milliseconds. */
 const LAPSE_MARGIN_MS = 300;
 
@@ -86,6 +93,31 @@
     });
   }
 
+  /**
+   * Waits until every target has been sent a renewal of its lease within the last moment; for a
+   * limited time, as some of them may be silent.
+   */
+  async whenLeasesFresh(): Promise<void> {
+    const { clock } = this.options;
+    const deadlineMs = clock.monotonicMs() + FRESH_LEASES_WAIT_MS;
+    while (this.freshLeaseCount < this.targetCount && clock.monotonicMs() < deadlineMs) {
+      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two checks
+      await sleep(FRESHNESS_CHECK_MS);
+    }
+  }
+
+  /** Number of targets that have been sent a renewal of their lease within the last moment. */
+  get freshLeaseCount(): number {
+    return [...this.tracked.values()].filter(
+      ({ session }) => session.leaseAgeMs <= FRESH_LEASE_MAX_AGE_MS,
+    ).length;
+  }
+
+  /** Number of targets. */
+  get targetCount(): number {
+    return this.tracked.size;
+  }
+
   /**
    * Lists the targets that have announced that they leave.
    * @returns Their ids.
@@ -279,14 +311,15 @@
   }
 
   private open(entry: TargetEntry): void {
-    const { targets, term, timing, clock, events, onReport, onGone, onStaleTerm } = this.options;
+    const { targets, term, timing, getTargetWaitMs, clock, events } = this.options;
+    const { onReport, onGone, onStaleTerm } = this.options;
     const { targetId, pool, rack } = entry;
     const session = new TargetSession({
       port: targets,
       address: entry,
       term,
       leaseMs: timing.targetLeaseMs,
-      waitMs: timing.targetWaitMs,
+      getWaitMs: getTargetWaitMs,
       clock,
       events,
       onReport: (report) => onReport(targetId, report),
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { RattanliftError, throwError } from '../errors/index.js';
 import {
   cancelJob,
@@ -12,14 +11,15 @@
 import type { KeyedRecord } from '../store/index.js';
 import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
-import { describeDemand } from './describeDemand.js';
 import { JobTable } from './JobTable.js';
 import { JobTelemetry } from './JobTelemetry.js';
+import type { OpenedPartition } from './PartitionOpening.js';
 import { PlacementRounds } from './PlacementRounds.js';
 import { PoolArrivals } from './PoolArrivals.js';
+import { PoolDemands } from './PoolDemands.js';
 import { RecordWriter } from './RecordWriter.js';
 import { TargetDrains } from './TargetDrains.js';
-import type { TargetReport } from './TargetSession.js';
+import { TargetReports } from './TargetReports.js';
 import { TargetSessions } from './TargetSessions.js';
 import type { TaskHomeOptions } from './TaskHomeOptions.js';
 import { TaskRuns } from './TaskRuns.js';
@@ -27,14 +27,18 @@
 /** Parameters of a `sync-pool` request, which the fleet's home sends for each pool. */
 type SyncPoolParameters = Omit<Extract<DurableJobRequest, { readonly type: 'sync-pool' }>, 'type'>;
 
-/** Longest wait for the ends in a report to be stored before the lease is renewed. */
-const STORE_WAIT_MS = 400;
 /**
  * Leases of an earlier home count as lapsed after their length, 2 % for clock drift, and a margin.
  */
 const INHERITED_LEASE_FACTOR = 1.1;
 
-/** The home of one partition, which alone schedules the jobs and targets of the pools in it. */
+/**
+ * The home of one partition, which alone schedules the jobs and targets of the pools in it.
+ *
+ * It renews the leases of the targets from the start, and everything else begins with
+ * {@link TaskHome.load}. The partition may take longer to read than a lease lasts, and the tasks on
+ * the targets would be killed meanwhile.
+ */
 export class TaskHome {
   private readonly options: TaskHomeOptions;
 
@@ -50,6 +54,8 @@
 
   private readonly arrivals: PoolArrivals;
 
+  private readonly demands: PoolDemands;
+
   private readonly drains: TargetDrains;
 
   private readonly rounds: PlacementRounds;
@@ -57,21 +63,21 @@
   /** Clock that determines which tasks are due; ages are measured by the options' steady clock. */
   private readonly wallClock: Clock;
 
-  private readonly openedAtMs: number;
+  private readonly reports: TargetReports;
+
+  private loadedAtMs = Number.POSITIVE_INFINITY;
 
   private isClosed = false;
 
   /**
-   * Takes over the jobs of a partition; starts and stops are sent once targets have answered.
-   * @param options - Stored jobs, the term, and the ports.
+   * Creates the home of a partition, without its jobs.
+   * @param options - The claimed term, and the ports.
    */
   constructor(options: TaskHomeOptions) {
-    const { jobs, endedJobs } = options;
     const clock = new SteadyClock(options.clock);
     this.options = { ...options, clock };
     this.wallClock = options.clock;
     this.table = new JobTable(clock);
-    this.openedAtMs = clock.monotonicMs();
     this.writer = new RecordWriter({ ...this.options, onFenced: () => this.handleReplaced() });
     this.drains = new TargetDrains(clock);
     this.arrivals = new PoolArrivals(clock);
@@ -84,10 +90,18 @@
       onChanged: () => this.flushInBackground(),
       onStaleTerm: () => this.handleReplaced(),
     });
+    this.reports = new TargetReports({
+      runs: this.runs,
+      getSessions: () => this.sessions,
+      flush: () => this.flush(),
+      flushInBackground: () => this.flushInBackground(),
+      isClosed: () => this.isClosed,
+    });
     this.sessions = new TargetSessions({
       ...this.options,
-      onReport: (targetId, report) => this.handleReport(targetId, report),
-      onGone: (targetId, reason) => this.runs.handleLostTarget(targetId, reason),
+      getTargetWaitMs: () => (this.isLoaded ? options.timing.targetWaitMs : 0),
+      onReport: (targetId, report) => this.reports.handleReport(targetId, report),
+      onGone: (targetId, reason) => this.reports.handleGone(targetId, reason),
       onStaleTerm: () => this.handleReplaced(),
     });
     this.rounds = new PlacementRounds({
@@ -99,16 +113,45 @@
       drains: this.drains,
       dueClock: this.wallClock,
     });
+    this.demands = new PoolDemands({
+      ...this.options,
+      table: this.table,
+      runs: this.runs,
+      sessions: this.sessions,
+      arrivals: this.arrivals,
+      telemetry: this.telemetry,
+      dueClock: this.wallClock,
+    });
+  }
+
+  /** Term under which this home writes records and commands targets. */
+  get term(): number {
+    return this.options.term;
+  }
+
+  /** Whether this home has its jobs and can serve requests. */
+  get isLoaded(): boolean {
+    return this.reports.isLoaded;
+  }
+
+  /**
+   * Takes over the jobs of the partition; starts and stops are sent once targets have answered.
+   * @param opened - The stored jobs.
+   */
+  load({ jobs, endedJobs }: Pick<OpenedPartition, 'jobs' | 'endedJobs'>): void {
+    const { clock } = this.options;
     endedJobs.forEach((job) => this.table.restoreEnded(job));
     alignSubmissions(jobs, clock.wallMs()).forEach((row) => {
       this.table.restore(row);
       this.runs.restore(row);
     });
+    this.loadedAtMs = clock.monotonicMs();
+    this.reports.handleLoaded();
   }
 
-  /** Term under which this home writes records and commands targets. */
-  get term(): number {
-    return this.options.term;
+  /** The leases of the targets, which this home renews with or without its jobs. */
+  get leases(): Pick<TargetSessions, 'freshLeaseCount' | 'targetCount' | 'whenLeasesFresh'> {
+    return this.sessions;
   }
 
   /**
@@ -120,7 +163,7 @@
    */
   async submit(spec: DurableJobSpec): Promise<void> {
     const { jobId } = spec;
-    if (this.isClosed) throwError('home-unavailable', 'This home is closed.');
+    this.assertIsOpen();
     if (this.table.get(jobId) !== undefined) {
       // The first submission may not be stored yet; an empty write waits for it.
       await this.writer.write([]);
@@ -202,22 +245,7 @@
     this.runs.evacuate(this.listTargetsToEvacuate());
     // Tasks placed on drained targets before this call are counted below; no more are placed there.
     await this.flush().catch(() => undefined);
-    const { mechanisms } = this.options;
-    const arrivals = this.arrivals.get(pool);
-    const demand = describeDemand({
-      pool,
-      rows: this.table.listActive(),
-      targets: this.sessions.listForPlacement(() => false),
-      countRuns: (targetId) => this.runs.countOn(targetId),
-      runTimes: this.runs.runTimes,
-      arrivingCpuMillicores: mechanisms.has('rise-foreseen')
-        ? arrivals.forecastCpuMillicores
-        : arrivals.cpuMillicores,
-      mechanisms,
-      nowMs: this.wallClock.wallMs(),
-    });
-    this.telemetry.noteDemand(demand);
-    return demand;
+    return this.demands.describe(pool);
   }
 
   /** Opens sessions with newly listed targets. */
@@ -229,6 +257,7 @@
   tick(): void {
     if (this.isClosed) return;
     this.sessions.sync();
+    if (!this.isLoaded) return;
     this.loseUnknownTargets();
     this.runs.evacuate(this.listTargetsToEvacuate());
     this.runs.stopFinished();
@@ -260,8 +289,14 @@
     this.options.onReplaced();
   }
 
+  private assertIsOpen(): void {
+    if (this.isClosed) throwError('home-unavailable', 'This home is closed.');
+    if (!this.isLoaded) throwError('home-unavailable', 'This home is still reading its jobs.');
+  }
+
   private assertIsHome(): void {
-    if (this.isClosed || !this.options.isGroupLeaseHeld()) {
+    this.assertIsOpen();
+    if (!this.options.isGroupLeaseHeld()) {
       throwError('home-unavailable', 'This instance may not be the home any more.');
     }
   }
@@ -279,24 +314,6 @@
     return this.rounds.run();
   }
 
-  private async handleReport(targetId: string, report: TargetReport): Promise<void> {
-    if (this.isClosed) return;
-    const { answer } = report;
-    const newEnds = this.sessions.takeNewEnds(targetId, answer.ended);
-    this.runs.handleReport(targetId, newEnds, report);
-    if (answer.ended.length === 0) {
-      this.flushInBackground();
-      return;
-    }
-    const lastEndNumber = Math.max(...answer.ended.map(({ endNumber }) => endNumber));
-    // The target may discard ends only once they are stored, but an unavailable store must not
-    // prevent the lease from being renewed.
-    const stored = this.flush()
-      .then(() => this.sessions.acknowledge(targetId, lastEndNumber))
-      .catch(() => undefined);
-    await Promise.race([stored, sleep(STORE_WAIT_MS)]);
-  }
-
   /** Lists targets to evacuate: the fleet's home takes their VMs, or they announced their leave. */
   private listTargetsToEvacuate(): ReadonlySet<string> {
     return new Set([...this.drains.list(), ...this.sessions.listDraining()]);
@@ -306,7 +323,7 @@
   private loseUnknownTargets(): void {
     const { clock, timing } = this.options;
     const leaseMs = timing.targetLeaseMs * INHERITED_LEASE_FACTOR;
-    if (clock.monotonicMs() < this.openedAtMs + leaseMs) return;
+    if (clock.monotonicMs() < this.loadedAtMs + leaseMs) return;
     [...this.table.listUsedTargets()]
       .filter((targetId) => !this.sessions.has(targetId))
       .forEach((targetId) => this.runs.handleLostTarget(targetId, 'lapsed'));
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -1,4 +1,3 @@
-import type { DurableJobRow, EndedJob } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { KeyedLogPort } from '../store/index.js';
@@ -8,7 +7,7 @@
 import type { TargetEntries } from './TargetEntry.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
 
-/** State that the home of a partition takes over, and the ports that it uses. */
+/** The partition of a home, its claimed term, and the ports that it uses. */
 export interface TaskHomeOptions {
   readonly store: KeyedLogPort;
   readonly targets: LeasedTargetPort;
@@ -16,12 +15,10 @@
   readonly partition: number;
   readonly producer: string;
   readonly term: number;
-  /** Number of the append that opened the partition. */
+  /** Number of the append that claimed the term. */
   readonly lastSequence: number;
   /** Maximum size of an append, in bytes of record values; absent on a link of default speed. */
   readonly maxAppendBytes?: number;
-  readonly jobs: readonly DurableJobRow[];
-  readonly endedJobs: readonly EndedJob[];
   readonly timing: TaskHomeTiming;
   readonly clock: Clock;
   readonly events: EventLog;
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -11,10 +11,13 @@
 import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { Mechanisms, PoolPeak } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
-import { KeyedOnce } from '../utils/index.js';
+import { ConcurrencyLimit, KeyedOnce } from '../utils/index.js';
+import { countPagesAtOnce } from './countPagesAtOnce.js';
 import { decodeReadable } from './decodeReadable.js';
 import { GroupMembership, type GroupMembershipOptions } from './GroupMembership.js';
-import { HOME_PRODUCER, type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
+import { PacedPages } from './PacedPages.js';
+import { type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
+import { type ClaimedTerm, HOME_PRODUCER } from './PartitionTerms.js';
 import type { PoolPartitions } from './PoolPartitions.js';
 import type { TargetDirectory } from './TargetDirectory.js';
 import { TaskHome } from './TaskHome.js';
@@ -27,8 +30,12 @@
   readonly directory: TargetDirectory;
   readonly partitions: PoolPartitions;
   readonly homeTiming: TaskHomeTiming;
+  /** Topic with the latest claimed term of each partition of the topic of jobs. */
+  readonly termsTopic: string;
   /** Maximum size of an append, in bytes of record values. */
   readonly maxAppendBytes: number;
+  /** Speed of this instance's link, in megabits per second. */
+  readonly linkMbps: number;
   readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
   /** Creates the fleet's home on the instance that is the home of the fleet's partition. */
@@ -64,6 +71,8 @@
 
   private readonly openings = new KeyedOnce();
 
+  private readonly pages: PacedPages;
+
   private readonly membership: GroupMembership;
 
   private isStopped = false;
@@ -78,6 +87,11 @@
    */
   constructor(options: TaskHomesOptions) {
     this.options = options;
+    this.pages = new PacedPages({
+      store: options.store,
+      limit: new ConcurrencyLimit(countPagesAtOnce(options.linkMbps)),
+      whenLeasesFresh: () => this.whenLeasesFresh(),
+    });
     this.membership = new GroupMembership({
       ...options,
       onRenewed: () => this.updateHomes(),
@@ -111,12 +125,17 @@
   /**
    * Gets the home of a pool.
    * @param pool - Name of the pool.
-   * @returns The home, or undefined if it is on another instance or not open yet.
+   * @returns The home, which may still be reading its jobs; undefined if it is on another instance
+   * or not open yet.
    */
   get(pool: string): TaskHome | undefined {
     return this.homes.get(this.options.partitions.getPartition(pool));
   }
 
+  private async whenLeasesFresh(): Promise<void> {
+    await Promise.all([...this.homes.values()].map(({ leases }) => leases.whenLeasesFresh()));
+  }
+
   /** Opens sessions with new targets as soon as they are listed instead of at the next tick. */
   private async refreshTargets(): Promise<void> {
     await this.options.directory.refresh();
@@ -137,7 +156,7 @@
       .forEach((partition) => this.closeHome(partition, 'reassigned'));
     this.options.partitions
       .listUsedPartitions()
-      .filter((partition) => this.membership.holds(partition) && !this.homes.has(partition))
+      .filter((partition) => this.membership.holds(partition) && !this.isOpen(partition))
       .forEach((partition) => this.openings.start(`${partition}`, () => this.openHome(partition)));
   }
 
@@ -145,47 +164,88 @@
     return !this.isStopped && this.membership.holds(partition);
   }
 
+  private isOpen(partition: number): boolean {
+    return this.homes.get(partition)?.isLoaded === true;
+  }
+
   private async openHome(partition: number): Promise<void> {
-    const { store, topic, member, events, directory } = this.options;
-    const isWanted = (): boolean => this.isWanted(partition);
-    const location = { topic, partition, instance: member, isWanted };
-    const opening = new PartitionOpening({ ...location, store, events });
-    while (this.isWanted(partition) && !this.homes.has(partition)) {
+    const opening = this.createOpening(partition);
+    while (this.isWanted(partition) && !this.isOpen(partition)) {
       try {
         // eslint-disable-next-line no-await-in-loop -- an attempt follows the one before it
-        const [opened] = await Promise.all([opening.attempt(), directory.refresh()]);
-        if (opened !== undefined && this.isWanted(partition)) this.addHome(partition, opened);
+        await this.attemptOpening(partition, opening);
       } catch (thrown) {
         const { recordCount } = opening;
-        events.write('taskHomeOpenFailed', { partition, recordCount, reason: String(thrown) });
+        const reason = String(thrown);
+        this.options.events.write('taskHomeOpenFailed', { partition, recordCount, reason });
       }
       // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
       await sleep(REOPEN_PAUSE_MS);
     }
   }
 
-  private addHome(
+  private createOpening(partition: number): PartitionOpening {
+    const { member: instance } = this.options;
+    const isWanted = (): boolean => this.isWanted(partition);
+    return new PartitionOpening({
+      ...this.options,
+      partition,
+      instance,
+      isWanted,
+      pages: this.pages,
+    });
+  }
+
+  /** Claims the partition unless this instance has done so, then reads its jobs. */
+  private async attemptOpening(partition: number, opening: PartitionOpening): Promise<void> {
+    const home = this.homes.get(partition) ?? (await this.claimHome(partition, opening));
+    if (home === undefined) return;
+    const opened = await opening.read();
+    if (this.homes.get(partition) === home) this.loadHome(partition, home, opened);
+  }
+
+  /** Claims the partition, and has the leases of its targets renewed. */
+  private async claimHome(
     partition: number,
-    { term, sequence: lastSequence, jobs, endedJobs, records }: OpenedPartition,
-  ): void {
-    const { partitions, directory, homeTiming, events } = this.options;
-    const home = new TaskHome({
+    opening: PartitionOpening,
+  ): Promise<TaskHome | undefined> {
+    const [claimed] = await Promise.all([opening.claim(), this.options.directory.refresh()]);
+    if (claimed === undefined || !this.isWanted(partition)) return undefined;
+    const home = this.createHome(partition, claimed);
+    this.homes.set(partition, home);
+    home.tick();
+    const { leases, term } = home;
+    await leases.whenLeasesFresh();
+    const { targetCount, freshLeaseCount: renewedCount } = leases;
+    this.options.events.write('leasesTakenOver', { partition, term, targetCount, renewedCount });
+    return home;
+  }
+
+  private createHome(partition: number, { term, sequence }: ClaimedTerm): TaskHome {
+    const { partitions, directory, homeTiming } = this.options;
+    return new TaskHome({
       ...this.options,
       partition,
       producer: HOME_PRODUCER,
       term,
-      lastSequence,
-      jobs,
-      endedJobs,
+      lastSequence: sequence,
       timing: homeTiming,
       getEntries: () => partitions.filterEntries(partition, directory.list()),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
       onReplaced: () => this.closeHome(partition, 'replaced'),
     });
-    this.homes.set(partition, home);
+  }
+
+  private loadHome(
+    partition: number,
+    home: TaskHome,
+    { jobs, endedJobs, records }: OpenedPartition,
+  ): void {
+    const { partitions, events } = this.options;
+    home.load({ jobs, endedJobs });
     if (partitions.isFleetPartition(partition)) this.openFleetHome(partition, home, records);
     const jobCount = jobs.length + endedJobs.length;
-    events.write('taskHomeOpened', { partition, term, jobCount });
+    events.write('taskHomeOpened', { partition, term: home.term, jobCount });
     home.tick();
   }
 
--- /dev/null
+++ b/src/taskHome/countPagesAtOnce.ts
@@ -0,0 +1,16 @@
+/** Size of the largest page of newest records, in megabits. */
+const PAGE_MEGABITS = 8;
+/** Longest time for which pages may occupy a link, in seconds: a fraction of a target's lease. */
+const MAX_OCCUPIED_S = 1;
+
+/**
+ * Computes how many pages of records an instance may read at the same time.
+ *
+ * Renewals of leases share the link with the pages. On a narrow link, the pages of several
+ * partitions at once would hold renewals up for longer than a lease lasts.
+ * @param linkMbps - Speed of the instance's link, in megabits per second.
+ * @returns The number of pages; at least one.
+ */
+export function countPagesAtOnce(linkMbps: number): number {
+  return Math.max(1, Math.floor((linkMbps * MAX_OCCUPIED_S) / PAGE_MEGABITS));
+}
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -14,6 +14,7 @@
   type JsonAnswer,
   type JsonRequest,
 } from './HttpJsonClient.js';
+export { ConcurrencyLimit } from './ConcurrencyLimit.js';
 export { followMean } from './followMean.js';
 export { groupBy } from './groupBy.js';
 export { hashText } from './hashText.js';
--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -160,6 +160,7 @@
       ports: { store: storeAccess, groups: storeAccess, targets, vms: this.fleet },
       records: {
         jobsTopic: 'jobs',
+        termsTopic: 'terms',
         partitionCount: PARTITION_COUNT,
         operatorsTopic: OPERATORS_TOPIC,
         configurationKey: CONFIGURATION_KEY,
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -10,6 +10,7 @@
 import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
 
 const TOPIC = 'jobs';
+const TERMS_TOPIC = 'terms';
 const PARTITION = 0;
 const TICK_MS = 10;
 
@@ -113,22 +114,33 @@
 
   /** Opens a home in the next term, as an instance does that takes over. */
   async open(clock: Clock = new SystemClock()): Promise<TaskHome> {
+    const { home, opening } = await this.claim(clock);
+    home.load(await opening.read());
+    home.tick();
+    return home;
+  }
+
+  /** Creates a home in the next term that has not read its jobs yet. */
+  async claim(
+    clock: Clock = new SystemClock(),
+  ): Promise<{ readonly home: TaskHome; readonly opening: PartitionOpening }> {
     const { store, targets, events } = this;
     const place = { store, topic: TOPIC, partition: PARTITION };
-    const opened = await new PartitionOpening({
+    const opening = new PartitionOpening({
       ...place,
+      termsTopic: TERMS_TOPIC,
+      pages: store,
       instance: 'test',
       isWanted: () => true,
       events,
-    }).attempt();
+    });
+    const claimed = await opening.claim();
     const home: TaskHome = new TaskHome({
       ...place,
       targets,
       producer: 'home',
-      term: opened!.term,
-      lastSequence: opened!.sequence,
-      jobs: opened!.jobs,
-      endedJobs: opened!.endedJobs,
+      term: claimed!.term,
+      lastSequence: claimed!.sequence,
       timing: {
         targetLeaseMs: this.leaseMs,
         targetWaitMs: 10,
@@ -145,7 +157,7 @@
     this.homes.push(home);
     home.tick();
     this.timers.push(setInterval(() => home.tick(), TICK_MS));
-    return home;
+    return { home, opening };
   }
 
   /** Ends a home like a kill of its process: it takes no further action. */
--- /dev/null
+++ b/tests/taskHome/PacedPages.test.ts
@@ -0,0 +1,39 @@
+import { describe, expect, it } from 'vitest';
+import type { NewestRecords } from '../../src/store/index.js';
+import { countPagesAtOnce } from '../../src/taskHome/countPagesAtOnce.js';
+import { PacedPages } from '../../src/taskHome/PacedPages.js';
+import { ConcurrencyLimit } from '../../src/utils/index.js';
+import { StoreStandIn } from '../../standins/store/index.js';
+
+const EMPTY_PAGE: NewestRecords = { records: [], endOffset: 0, nextAfterKey: undefined };
+
+describe('PacedPages', () => {
+  // Guards against leases that lapse while a page occupies the link: answers to renewals wait
+  // behind it.
+  it('begins a page only once the leases are fresh', async () => {
+    const steps: string[] = [];
+    const pages = new PacedPages({
+      store: {
+        readNewest: async () => {
+          steps.push('page');
+          return EMPTY_PAGE;
+        },
+        readFrom: (request) => new StoreStandIn({ partitionCount: 1 }).readFrom(request),
+      },
+      limit: new ConcurrencyLimit(1),
+      whenLeasesFresh: async () => {
+        steps.push('leases');
+      },
+    });
+    await Promise.all([pages.readNewest('jobs', 0), pages.readNewest('jobs', 1)]);
+    expect(steps).toEqual(['leases', 'page', 'leases', 'page']);
+  });
+
+  it.each([
+    { linkMbps: 2, pageCount: 1 },
+    { linkMbps: 7, pageCount: 1 },
+    { linkMbps: 140, pageCount: 17 },
+  ])('reads $pageCount pages at once on $linkMbps Mbit/s', ({ linkMbps, pageCount }) => {
+    expect(countPagesAtOnce(linkMbps)).toBe(pageCount);
+  });
+});
--- a/tests/taskHome/PartitionOpening.test.ts
+++ b/tests/taskHome/PartitionOpening.test.ts
@@ -1,9 +1,22 @@
 import { expect, it, vi } from 'vitest';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
+import { encodeRecordValue } from '../../src/store/index.js';
+import { HOME_PRODUCER } from '../../src/taskHome/PartitionTerms.js';
 import { StoreStandIn } from '../../standins/store/index.js';
 
 const isWanted = () => true;
+const PLACE = { topic: 'jobs', termsTopic: 'terms', partition: 0 };
+
+const makeOpening = (store: StoreStandIn, instance: string): PartitionOpening =>
+  new PartitionOpening({
+    ...PLACE,
+    store,
+    pages: store,
+    instance,
+    isWanted,
+    events: new MemoryEventLog(),
+  });
 
 // Guards against a task that runs twice: two instances read a partition at the same moment, while
 // the store is slow, and both open it in the same term. If both appends have the same number, the
@@ -11,16 +24,7 @@
 // instance then count as repeats of the other's, so ends are acknowledged but never stored.
 it('lets one of two instances open a partition that have read it at the same moment', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
-  const events = new MemoryEventLog();
-  const open = (instance: string) =>
-    new PartitionOpening({
-      store,
-      topic: 'jobs',
-      partition: 0,
-      instance,
-      isWanted,
-      events,
-    }).attempt();
+  const open = (instance: string) => makeOpening(store, instance).claim();
   const opened = await Promise.all([open('a'), open('b')]);
   expect(opened.filter((partition) => partition !== undefined)).toHaveLength(1);
   const next = await open('c');
@@ -28,40 +32,94 @@
 });
 
 // Guards against a pool that has no home while the earlier home is still active: reading the
-// partition takes longer than the earlier home's pause between two appends, so its end offset has
-// moved at each attempt, and each attempt reads everything again.
-it('reads only new records after an append of the earlier home', async () => {
+// partition takes longer than the earlier home's pause between two appends, so its end offset would
+// move again and again. The claim fixes the end, and what came before it is not missed.
+it('reads what the earlier home appends up to the claim, and ends its appends', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
-  const append = (key: string) =>
+  const earlier = await makeOpening(store, 'earlier').claim();
+  const append = (key: string, sequence: number) =>
     store.append({
-      topic: 'jobs',
+      topic: PLACE.topic,
       partition: 0,
       records: [{ key, value: Buffer.from(key) }],
+      fence: {
+        producer: HOME_PRODUCER,
+        term: earlier!.term,
+        sequence: earlier!.sequence + sequence,
+      },
       timeoutMs: 1_000,
     });
-  await append('other/1');
-  const readNewest = vi.spyOn(store, 'readNewest');
-  const events = new MemoryEventLog();
-  const place = { topic: 'jobs', partition: 0 };
-  const opening = new PartitionOpening({ ...place, store, instance: 'a', isWanted, events });
+  await append('other/1', 1);
   vi.spyOn(store, 'append').mockImplementationOnce(async (request) => {
-    await append('other/2');
+    await append('other/2', 2);
     return store.append(request);
   });
-  expect(await opening.attempt()).toBeUndefined();
-  const opened = await opening.attempt();
-  expect(opened?.records.map(({ key }) => key)).toEqual(['other/1', 'other/2']);
-  expect(readNewest).toHaveBeenCalledOnce();
+  const opening = makeOpening(store, 'later');
+  expect((await opening.claim())?.term).toBe(2);
+  expect(await append('other/3', 3)).toEqual({ type: 'fenced' });
+  const { records } = await opening.read();
+  expect(records.map(({ key }) => key)).toEqual(['term', 'other/1', 'other/2']);
 });
 
-// Guards against a pool that loses its home for seconds: the platform assigns its partition to
-// another instance while a slow one is still reading it, and the slow one then raises the term
-// above that of the new home.
-it('raises no term once the partition has gone to another instance', async () => {
+// Guards against a partition that is read from its first page after each change of homes: on a slow
+// link, an opening that starts over never completes.
+it('reads only new records after a claim of another home', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
-  const append = vi.spyOn(store, 'append');
-  const events = new MemoryEventLog();
-  const place = { topic: 'jobs', partition: 0, instance: 'slow', isWanted: () => false };
-  expect(await new PartitionOpening({ ...place, store, events }).attempt()).toBeUndefined();
-  expect(append).not.toHaveBeenCalled();
+  const readNewest = vi.spyOn(store, 'readNewest');
+  const opening = makeOpening(store, 'a');
+  await opening.claim();
+  await opening.read();
+  await makeOpening(store, 'b').claim();
+  expect((await opening.claim())?.term).toBe(3);
+  await opening.read();
+  const pages = readNewest.mock.calls.filter(([topic]) => topic === PLACE.topic);
+  expect(pages).toHaveLength(1);
 });
+
+// Guards against targets whose leases lapse before their new home can renew them: the term was
+// found only by reading the whole partition, which grows with its jobs.
+it('claims a term without reading the partition', async () => {
+  const store = new StoreStandIn({ partitionCount: 1 });
+  await makeOpening(store, 'a').claim();
+  const readNewest = vi.spyOn(store, 'readNewest');
+  expect((await makeOpening(store, 'b').claim())?.term).toBe(2);
+  expect(readNewest.mock.calls.map(([topic]) => topic)).toEqual([PLACE.termsTopic]);
+});
+
+// Guards against a partition that nobody opens after an update: a home of the version before has
+// recorded its term among the jobs alone, and the store rejects every claim of the topic of terms.
+it('claims a term above one that is recorded among the jobs alone', async () => {
+  const store = new StoreStandIn({ partitionCount: 1 });
+  await store.append({
+    topic: PLACE.topic,
+    partition: 0,
+    records: [{ key: 'term', value: encodeRecordValue({ term: 7, instance: 'earlier' }) }],
+    fence: { producer: HOME_PRODUCER, term: 7, sequence: 1 },
+    timeoutMs: 1_000,
+  });
+  const opening = makeOpening(store, 'a');
+  expect(await opening.claim()).toBeUndefined();
+  expect((await opening.claim())?.term).toBe(8);
+});
+
+// Guards against a pool that loses its home for seconds: the platform assigns its partition to
+// another instance while a slow one is still claiming it, and the slow one then raises the term
+// above that of the new home.
+it.each([0, 1])(
+  'raises no term of the jobs once the partition has gone elsewhere after %i appends',
+  async (appendCount) => {
+    const store = new StoreStandIn({ partitionCount: 1 });
+    const append = vi.spyOn(store, 'append');
+    const opening = new PartitionOpening({
+      ...PLACE,
+      store,
+      pages: store,
+      instance: 'slow',
+      isWanted: () => append.mock.calls.length < appendCount,
+      events: new MemoryEventLog(),
+    });
+    expect(await opening.claim()).toBeUndefined();
+    expect(append.mock.calls.every(([{ topic }]) => topic === PLACE.termsTopic)).toBe(true);
+    expect(append).toHaveBeenCalledTimes(appendCount);
+  },
+);
