Ask for a longer membership while pages are read

A membership lasts 1.5 s, and answers to its renewals wait behind a page of up to 1 MB: 1.1 s of 7 Mbit/s, 4 s of 2 Mbit/s. A renewal that is given up closes its connection, and the next one needs an answer of the store before it can even be sent.

Ruled out: that renewals arrive all the same (true only while no connection has to be opened; with that in the stand-in of the link, the partition goes to a third instance at 3.2 s over 2 and 3.5 Mbit/s); processor time alone.

Change: while an instance opens partitions, its renewals ask for a time to live that is longer by the time of a page, and are waited for as long. An instance that dies in this time is noticed later by as much.

--- a/src/taskHome/GroupMembership.ts
+++ b/src/taskHome/GroupMembership.ts
@@ -27,6 +27,12 @@
   readonly events: EventLog;
   /** Whether this instance should hold partitions, given whether it is a member now. */
   readonly shouldHold: (isMember: boolean) => boolean;
+  /**
+   * Gets how long an answer may wait behind other answers to this instance, in milliseconds; a
+   * renewal asks for a longer time to live by as much. On a narrow link, a page of records takes as
+   * long as a membership lasts, and the partition would go to others while it is being read.
+   */
+  readonly getAnswerDelayMs: () => number;
   /** Called after each renewal, which may have added or removed partitions. */
   readonly onRenewed: () => void;
   /** Called when this member gives up all partitions, before it leaves the group. */
@@ -163,10 +169,11 @@
     const { groups, group, member, topic, groupTiming, clock, onRenewed } = this.options;
     const sentAt = this.lease.readClocks();
     const { generation } = this;
-    const { ttlMs } = groupTiming;
+    const delayMs = this.options.getAnswerDelayMs();
+    const request = { group, member, topic, generation, ttlMs: groupTiming.ttlMs + delayMs };
     try {
       const share = await this.renewTimeout.run(clock, (timeoutMs) =>
-        groups.join({ group, member, topic, ttlMs, timeoutMs, generation }),
+        groups.join({ ...request, timeoutMs: timeoutMs + delayMs }),
       );
       if (this.isStopped) return true;
       this.lease.extend(sentAt);
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -12,19 +12,22 @@
 import type { Mechanisms, PoolPeak } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import { ConcurrencyLimit, KeyedOnce } from '../utils/index.js';
-import { countPagesAtOnce } from './countPagesAtOnce.js';
 import { decodeReadable } from './decodeReadable.js';
 import { GroupMembership, type GroupMembershipOptions } from './GroupMembership.js';
 import { PacedPages } from './PacedPages.js';
 import { type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
 import { type ClaimedTerm, HOME_PRODUCER } from './PartitionTerms.js';
+import { countPagesAtOnce, getLongestPageDelayMs } from './pageTransfer.js';
 import type { PoolPartitions } from './PoolPartitions.js';
 import type { TargetDirectory } from './TargetDirectory.js';
 import { TaskHome } from './TaskHome.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
 
 /** Options of {@link TaskHomes}. */
-export interface TaskHomesOptions extends Omit<GroupMembershipOptions, 'onRenewed' | 'onLeaving'> {
+export interface TaskHomesOptions extends Omit<
+  GroupMembershipOptions,
+  'getAnswerDelayMs' | 'onRenewed' | 'onLeaving'
+> {
   readonly store: KeyedLogPort;
   readonly targets: LeasedTargetPort;
   readonly directory: TargetDirectory;
@@ -94,6 +97,7 @@
     });
     this.membership = new GroupMembership({
       ...options,
+      getAnswerDelayMs: () => this.getAnswerDelayMs(),
       onRenewed: () => this.updateHomes(),
       onLeaving: (reason) => this.closeAllHomes(reason),
     });
@@ -164,6 +168,11 @@
     return !this.isStopped && this.membership.holds(partition);
   }
 
+  /** Gets how long an answer may wait behind the pages that this instance reads. */
+  private getAnswerDelayMs(): number {
+    return this.openings.isIdle ? 0 : getLongestPageDelayMs(this.options.linkMbps);
+  }
+
   private isOpen(partition: number): boolean {
     return this.homes.get(partition)?.isLoaded === true;
   }
--- a/src/taskHome/countPagesAtOnce.ts
+++ b/src/taskHome/pageTransfer.ts
@@ -1,7 +1,8 @@
 /** Size of the largest page of newest records, in megabits. */
 const PAGE_MEGABITS = 8;
-/** Longest time for which pages may occupy a link, in seconds: a fraction of a target's lease. */
-const MAX_OCCUPIED_S = 1;
+/** Longest time for which several pages at once may occupy a link, in seconds. */
+const MAX_OCCUPIED_S = 0.5;
+const MS_PER_S = 1_000;
 
 /**
  * Computes how many pages of records an instance may read at the same time.
@@ -14,3 +15,12 @@
 export function countPagesAtOnce(linkMbps: number): number {
   return Math.max(1, Math.floor((linkMbps * MAX_OCCUPIED_S) / PAGE_MEGABITS));
 }
+
+/**
+ * Computes how long an answer may wait behind the pages that an instance reads.
+ * @param linkMbps - Speed of the instance's link, in megabits per second.
+ * @returns The time, in milliseconds.
+ */
+export function getLongestPageDelayMs(linkMbps: number): number {
+  return Math.ceil(Math.max(MAX_OCCUPIED_S, PAGE_MEGABITS / linkMbps) * MS_PER_S);
+}
--- a/src/utils/KeyedOnce.ts
+++ b/src/utils/KeyedOnce.ts
@@ -15,6 +15,11 @@
     return true;
   }
 
+  /** Whether no action is under way. */
+  get isIdle(): boolean {
+    return this.running.size === 0;
+  }
+
   /**
    * Tells whether an action of a key is under way.
    * @param key - What the action is about.
