Hand the wait for recent VM orders on to the next home of the fleet

The home of the fleet had changed at 28.66, 32.20 and 35.71 s.

Cause: a stored order counts as recent until one single home has waited its lease out (3 s and 0.3 s) and stored so. Each home began that wait anew, so with homes that live for less than a lease it never ended, however old the order was.

Change: a home stores twice a second how long the orders have waited so far, by its own monotonic clock; the next home waits for the rest. Time without a home is not counted. An order that is being stored or sent has no age, as it may still be issued.

Ruled out: the time of day in the record (two clocks may be 40 minutes apart); a shorter lease (two holders that take turns within it are forbidden); no wait after a loss of power (nobody can tell that the earlier home is gone).

An order of the last home before its death still waits for what is left of its lease: the rule asks for it.

Cost: up to two appends a second while orders are recent, none otherwise.

--- a/src/fleetHome/VmOrderRecord.ts
+++ b/src/fleetHome/VmOrderRecord.ts
@@ -6,6 +6,11 @@
   readonly vm: string;
   /** Wave of a maintenance; absent for a move. */
   readonly wave?: number;
+  /**
+   * Time that holders have waited since the order may last have been issued, in milliseconds, by
+   * their monotonic clocks; defaults to 0. The order is at least this old.
+   */
+  readonly ageMs?: number;
   /** Whether a holder has since waited for the end of the order's lease; defaults to no. */
   readonly isSettled?: boolean;
 }
@@ -15,6 +20,7 @@
 const recordSchema = z.looseObject({
   vm: z.string(),
   wave: z.number().optional(),
+  ageMs: z.number().optional(),
   isSettled: z.boolean().optional(),
 });
 
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -203,9 +203,9 @@
     const active: ActiveOrder = { order, targetIdBefore, orderedAtMs };
     this.activeOrders.set(order.vm, active);
     const record = { vm: order.vm, wave: order.type === 'maintain' ? order.wave : undefined };
-    this.recent.recordOrder(record);
+    this.recent.recordStart(record);
     const outcome = (await this.storeRecord(record, orderedAtMs)) ?? (await this.send(order));
-    this.recent.recordOrder(record);
+    this.recent.recordEnd(record);
     this.applyOutcome(active, outcome, before);
     this.report(order, outcome);
     return outcome;
