Tell each pool's home only of ended lifetimes of its own pool

What callers would see: after a large loss no VM is moved or maintained for 10 s while pools lack room, as no home of a pool answers the home of the fleet in time.

Cause: every pass (0.2 s) told the home of every pool of all lifetimes that had ended anywhere within the last 10 s. What is sent grows with the product of ended lifetimes and pools; a reply is awaited for 1.2 s, whatever has to be sent first, and a pool without a reply takes part in no plan of that pass.

Change: an ended lifetime is told to the pools in which it was listed and to the pool of its VM now. A home acts only on targets that its own pool's entries have shown, so nobody else needs it.

Evidence: tests/fleetHome/FleetHome.test.ts, 65 pools and 2,000 VMs, requests encoded as peers send them.

Ruled out: a longer wait for replies, which would hold every pass up for one silent home; a shorter time for which ends are told, which has to outlast a takeover of 2.5 s.

Why it holds: what is sent grows with the ended lifetimes alone. A VM that the list shows in its next pool before its lifetime ends is told to both pools (a test that fails without).

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -45,7 +45,7 @@
   /** Lists the pools whose VMs are switched off until they are moved to another pool. */
   readonly listStandbyPools: () => readonly string[];
   /**
-   * Sends the drained targets and the ended lifetimes to the home of a pool and requests the pool's
+   * Sends the drained targets and the ended lifetimes of a pool to its home and requests the pool's
    * demand.
    * @returns The demand, or undefined if no home answered.
    */
@@ -200,7 +200,7 @@
     drained: ReadonlySet<string>,
   ): Promise<PoolDemand | undefined> {
     const targets = FleetHome.listTargets(vms, pool, drained);
-    return this.options.syncPool(pool, targets, this.lifetimeEndDetector.list());
+    return this.options.syncPool(pool, targets, this.lifetimeEndDetector.list(pool));
   }
 
   private static listTargets(
--- a/src/fleetHome/LifetimeEndDetector.ts
+++ b/src/fleetHome/LifetimeEndDetector.ts
@@ -18,13 +18,24 @@
 /** Same as {@link MIN_CRASHES_OF_RACK_LOSS} for a rack in which no VM is up any more. */
 const MIN_CRASHES_WITHOUT_UP_VM = 2;
 
+/** A VM of the latest list. */
+interface KnownVm {
+  readonly vm: FleetVm;
+  /** Pools in which the current lifetime of the VM's target has been listed. */
+  readonly pools: ReadonlySet<string>;
+}
+
 /** A VM in the previous and in the current list. */
 interface VmChange {
   readonly before: FleetVm;
   readonly now: FleetVm;
+  /** Pools in which the previous lifetime has been listed, and the current pool. */
+  readonly pools: ReadonlySet<string>;
 }
 
 interface LifetimeEnd {
+  /** Pools whose homes may know the target. */
+  readonly pools: ReadonlySet<string>;
   /** Monotonic time at which the end was found. */
   readonly endedAtMs: number;
   readonly isCrash: boolean;
@@ -46,7 +57,7 @@
   private readonly options: LifetimeEndDetectorOptions;
 
   /** VMs of the latest list, by name. */
-  private readonly latestVms = new Map<string, FleetVm>();
+  private readonly latestVms = new Map<string, KnownVm>();
 
   private readonly ended = new Map<string, LifetimeEnd>();
 
@@ -64,27 +75,35 @@
    */
   compare(vms: readonly FleetVm[]): void {
     const changes = vms.flatMap((now): readonly VmChange[] => {
-      const before = this.latestVms.get(now.vm);
-      this.latestVms.set(now.vm, now);
-      return before === undefined ? [] : [{ before, now }];
+      const known = this.latestVms.get(now.vm);
+      const pools = new Set([...(known?.pools ?? []), now.pool]);
+      const isSameLifetime = known?.vm.targetId === now.targetId;
+      this.latestVms.set(now.vm, { vm: now, pools: isSameLifetime ? pools : new Set([now.pool]) });
+      return known === undefined ? [] : [{ before: known.vm, now, pools }];
     });
     changes.forEach((change) => this.report(change));
     this.recordEnds(changes.filter(hasLifetimeEnded), vms);
   }
 
   /**
-   * Lists the lifetimes that have ended.
+   * Lists the lifetimes that have ended in a pool.
+   *
+   * Guards against a pass that no home answers in time: if every home were told of the lifetimes of
+   * all pools, the size of a pass would grow with the product of ended lifetimes and pools, and
+   * after the loss of a data centre it would take longer to send than replies are waited for.
+   * @param pool - The pool; a lifetime that was listed in several pools counts for each of them.
    * @returns The lifetimes; each is listed for 10 s, long enough to reach every home.
    */
-  list(): EndedTargets {
+  list(pool: string): EndedTargets {
     const nowMs = this.options.clock.monotonicMs();
     [...this.ended]
       .filter(([, { endedAtMs }]) => nowMs - endedAtMs > ENDED_RETENTION_MS)
       .forEach(([targetId]) => this.ended.delete(targetId));
+    const ofPool = [...this.ended].filter(([, { pools }]) => pools.has(pool));
     const list = (isListed: (end: LifetimeEnd) => boolean): readonly string[] =>
-      [...this.ended].filter(([, end]) => isListed(end)).map(([targetId]) => targetId);
+      ofPool.filter(([, end]) => isListed(end)).map(([targetId]) => targetId);
     return {
-      endedTargets: [...this.ended.keys()],
+      endedTargets: list(() => true),
       crashedTargets: list(({ isCrash }) => isCrash),
       lostWithRack: list(({ isRackLoss: isWithRack }) => isWithRack),
     };
@@ -103,6 +122,7 @@
     );
     const crashesByRack = groupBy(crashes, ({ before }) => before.rack);
     changes.forEach((change) => {
+      const { pools } = change;
       const { rack, targetId } = change.before;
       const rackCrashCount = rack === undefined ? 1 : (crashesByRack.get(rack)?.length ?? 0);
       const minCrashCount = upRacks.has(rack)
@@ -110,7 +130,7 @@
         : MIN_CRASHES_WITHOUT_UP_VM;
       const isCrash = crashes.includes(change);
       const isRackLoss = isCrash && rackCrashCount >= minCrashCount;
-      this.ended.set(targetId!, { endedAtMs, isCrash, isRackLoss });
+      this.ended.set(targetId!, { pools, endedAtMs, isCrash, isRackLoss });
     });
   }
 
--- a/tests/fleetHome/FleetHome.test.ts
+++ b/tests/fleetHome/FleetHome.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { FleetHome } from '../../src/fleetHome/index.js';
+import { encodeCbor } from '../../src/peers/frameCodec.js';
 import { makeDemand, createFleetHome, OrderWorld } from './OrderWorld.js';
 
 /** Time after which the list of VMs shows the effect of an order, in milliseconds. */
@@ -46,3 +47,46 @@
     expect(world.drainedByCall.slice(-2).flat()).toEqual([`t-${vm}`]);
   });
 });
+
+/** How long a home's reply is awaited, in milliseconds. */
+const REPLY_WAIT_MS = 1_200;
+
+describe('FleetHome of a large fleet', () => {
+  const POOLS = Array.from({ length: 65 }, (_none, index) => `pool-${index}`);
+  const VMS = Array.from({ length: 2_000 }, (_none, index) => {
+    const pool = POOLS[index % POOLS.length]!;
+    const targetId = index.toString(16).padStart(16, '0');
+    const rack = `rack-${Math.floor(index / 20)}`;
+    return { vm: `vm-${index}`, pool, state: 'up', targetId, rack } as const;
+  });
+
+  // Guards against a fleet that nobody manages for 10 s after a large loss: what one pass tells the
+  // homes of all pools takes longer to send than their replies are awaited.
+  it.each([
+    ['one of seven data centres', 286, 2],
+    ['one of two regions', 1_000, 7],
+  ])('tells all homes of the loss of %s (%i VMs) in time on %i Mbit/s', async (...row) => {
+    const [, lostCount, linkMbps] = row;
+    const lost = VMS.slice(0, lostCount).map(({ targetId }) => targetId);
+    const world = new OrderWorld(VMS);
+    world.demands.clear();
+    POOLS.forEach((pool) => world.demands.set(pool, makeDemand(pool, 0)));
+    const home = createFleetHome(world);
+    home.start();
+    await vi.waitFor(() => expect(world.endedByCall.length).toBeGreaterThan(POOLS.length));
+    lost.forEach((targetId) => world.fleet.crash(targetId));
+    const listLosses = () =>
+      world.endedByCall.filter(({ ended }) => ended.crashedTargets.length > 0);
+    await vi.waitFor(() => expect(listLosses().length).toBeGreaterThanOrEqual(POOLS.length));
+    home.close();
+    const pass = listLosses().slice(0, POOLS.length);
+    const told = pass.flatMap(({ ended }) => ended.crashedTargets);
+    expect(new Set(told)).toEqual(new Set(lost));
+    const sizes = pass.map(({ pool, ended }) => {
+      const request = { type: 'sync-pool', pool, drainedTargets: [], drainedForMs: 0, ...ended };
+      return encodeCbor(request).length;
+    });
+    const passBits = 8 * sizes.reduce((sum, size) => sum + size, 0);
+    expect(passBits / (linkMbps * 1_000)).toBeLessThan(REPLY_WAIT_MS);
+  });
+});
--- a/tests/fleetHome/LifetimeEndDetector.test.ts
+++ b/tests/fleetHome/LifetimeEndDetector.test.ts
@@ -28,7 +28,7 @@
   it('reports a VM as crashed that goes down or comes back in another lifetime', () => {
     const down = makeVm('v1', { state: 'down', targetId: undefined });
     detector.compare([down, makeVm('v2', { targetId: 't-new' })]);
-    expect(detector.list()).toEqual({
+    expect(detector.list('pages')).toEqual({
       endedTargets: ['t-v1', 't-v2'],
       crashedTargets: ['t-v1', 't-v2'],
       lostWithRack: [],
@@ -44,7 +44,7 @@
       makeVm('v3', { pool: 'archive', targetId: 't-new' }),
       makeVm('v4', { targetId: 't-back' }),
     ]);
-    expect(detector.list()).toEqual({
+    expect(detector.list('pages')).toEqual({
       endedTargets: ['t-v1', 't-v2', 't-v3', 't-v4'],
       crashedTargets: [],
       lostWithRack: [],
@@ -59,7 +59,20 @@
   ])('classifies the simultaneous loss of %s', (_what, lost, withRackCount) => {
     const down: Partial<FleetVm> = { state: 'down', targetId: undefined };
     detector.compare(NAMES.map((vm) => makeVm(vm, lost.includes(vm) ? down : {})));
-    expect(detector.list().crashedTargets).toHaveLength(lost.length);
-    expect(detector.list().lostWithRack).toHaveLength(withRackCount);
+    expect(detector.list('pages').crashedTargets).toHaveLength(lost.length);
+    expect(detector.list('pages').lostWithRack).toHaveLength(withRackCount);
+  });
+
+  // Guards against tasks that count as running on a target whose VM was listed in its next pool
+  // before its lifetime ended.
+  it('lists an ended lifetime for each pool in which it was listed, and for no other', () => {
+    detector.compare([makeVm('v1', { state: 'moving', pool: 'archive' })]);
+    detector.compare([makeVm('v1', { state: 'moving', pool: 'archive' })]);
+    detector.compare([makeVm('v1', { state: 'moving', pool: 'search', targetId: undefined })]);
+    detector.compare([makeVm('v1', { pool: 'search', targetId: 't-new' })]);
+    const listedIn = ['pages', 'archive', 'search', 'previews'].filter((pool) =>
+      detector.list(pool).endedTargets.includes('t-v1'),
+    );
+    expect(listedIn).toEqual(['pages', 'archive', 'search']);
   });
 });
--- a/tests/fleetHome/OrderWorld.ts
+++ b/tests/fleetHome/OrderWorld.ts
@@ -5,7 +5,7 @@
 import type { KeyedRecord } from '../../src/store/index.js';
 import { ALL_MECHANISMS, type PoolDemand } from '../../src/systems/index.js';
 import { ManualClock } from '../../src/utils/index.js';
-import type { FleetVm } from '../../src/vms/index.js';
+import type { EndedTargets, FleetVm } from '../../src/vms/index.js';
 import { FleetStandIn } from '../../standins/vms/index.js';
 
 /** Minimum time between the orders of two holders for one VM, in milliseconds. */
@@ -55,6 +55,9 @@
   /** Drained targets that were sent to the homes of pools, one element per call. */
   readonly drainedByCall: (readonly string[])[] = [];
 
+  /** Ended lifetimes that were sent to the homes of pools, one element per call. */
+  readonly endedByCall: { readonly pool: string; readonly ended: EndedTargets }[] = [];
+
   /** Stored records: the newest of each key. */
   readonly stored = new Map<string, KeyedRecord>();
 
@@ -110,8 +113,9 @@
     listWaveOrders: () => [],
     listPools: () => [...world.demands.keys()],
     listStandbyPools: () => ['spares'],
-    syncPool: async (pool, drained) => {
+    syncPool: async (pool, drained, ended) => {
       world.drainedByCall.push(drained);
+      world.endedByCall.push({ pool, ended });
       return world.demands.get(pool);
     },
     store: (records) => world.store(records),
