End a read of changes at the end that it found, not at one that moves

What callers would see: a pool without a home. An instance that opens a partition waits for the list of targets, and that reading returned only once it had caught up with the list as it was at that moment.

Cause: KeyedFollower.read went on while the partition's end lay ahead, and the end moves with each report of a target. What arrives grows with the targets (one report in 1.5 s each, 280 B): 350 targets are 65 kB/s, 2,000 are 373 kB/s, where a link of 2 Mbit/s carries 250. There the reading never returns, and on wider links not for as long as pages of partitions take the rest.

Evidence: tests/store/KeyedFollower.test.ts, a store in which 60 records arrive with each answer of 10: more than 100 answers before (until the arrivals stopped), fewer than 10 now, a little behind and far behind. The sizes are worked out; no home was opened on such a link.

Ruled out: a bound in time, which would return a list that has never been read whole; no wait for the list at the opening, as the new home would take listed targets for gone.

Why it holds: the goal is fixed with the first answer, and a reload of the newest records ends beyond it.

--- a/src/store/KeyedFollower.ts
+++ b/src/store/KeyedFollower.ts
@@ -56,37 +56,49 @@
    *
    * Guards against entries that lag behind: an answer holds a limited number of changes, so a
    * follower that has not read for a long time continues until it reaches the end.
+   *
+   * Guards also against a read that never returns, which shows as a partition without a home: the
+   * end moves on while changes are read, on a narrow link as fast as they arrive. So the read
+   * returns at the end that its first answer named; later changes are left to the next call.
    * @param waitMs - Longest time that the store may wait for a change, in milliseconds.
    * @throws Error If the store does not answer; the next call continues where this one stopped.
    */
   async read(waitMs: number): Promise<void> {
-    let hasMore = await this.readOnce(waitMs);
-    // eslint-disable-next-line no-await-in-loop -- each answer gives the offset of the next one
-    while (hasMore) hasMore = await this.readOnce(0);
+    let goalOffset = await this.readOnce(waitMs);
+    while (!this.hasReached(goalOffset)) {
+      // eslint-disable-next-line no-await-in-loop -- each answer gives the offset of the next one
+      goalOffset = Math.min(goalOffset, await this.readOnce(0));
+    }
   }
 
-  /** Reads the changes of one answer; returns whether more are available now. */
-  private async readOnce(waitMs: number): Promise<boolean> {
+  private hasReached(offset: number): boolean {
+    return this.nextOffset !== undefined && this.nextOffset >= offset;
+  }
+
+  /**
+   * Reads the changes of one answer, or the whole partition. Returns the offset at which a call may
+   * stop: infinite as long as the end of the partition is not known.
+   */
+  private async readOnce(waitMs: number): Promise<number> {
     const { store, topic, partition, maxLagCount: maxLag } = this.options;
     const fromOffset = this.nextOffset;
     if (fromOffset === undefined) {
       await this.readAll();
-      return true;
+      return Infinity;
     }
     const maxCount = maxLag;
     const result = await store.readFrom({ topic, partition, fromOffset, waitMs, maxCount });
     if (result.type === 'expired') {
       this.nextOffset = undefined;
-      return true;
+      return Infinity;
     }
-    result.records.forEach((record) => this.apply(record));
+    const { records, endOffset } = result;
+    records.forEach((record) => this.apply(record));
     this.nextOffset = Math.max(fromOffset, result.nextOffset);
     // A reload is shorter: the newest records are far fewer than the unread changes.
-    if (result.endOffset - this.nextOffset > (maxLag ?? DEFAULT_MAX_LAG_COUNT)) {
-      this.nextOffset = undefined;
-      return true;
-    }
-    return result.records.length > 0 && this.nextOffset < result.endOffset;
+    const isFarBehind = endOffset - this.nextOffset > (maxLag ?? DEFAULT_MAX_LAG_COUNT);
+    if (isFarBehind) this.nextOffset = undefined;
+    return records.length === 0 && !isFarBehind ? fromOffset : endOffset;
   }
 
   /**
--- a/tests/store/KeyedFollower.test.ts
+++ b/tests/store/KeyedFollower.test.ts
@@ -82,3 +82,51 @@
   expect(follower.endOffset).toBe(14_001);
   expect(readFrom.mock.calls.length).toBeLessThanOrEqual(2);
 });
+
+// Guards against a partition that has no home for as long as targets report themselves as fast as a
+// narrow link carries their reports: the end of their list moves on with each answer.
+it.each([
+  ['a little', 25],
+  ['far', 100],
+])(
+  'returns from a read that is %s behind while records arrive as it reads',
+  async (_how, count) => {
+    const store = new StoreStandIn({ partitionCount: 1, maxReadCount: 10 });
+    const place = { topic: 'targets', partition: 0 };
+    const append = (recordCount: number) =>
+      store.append({
+        ...place,
+        records: Array.from({ length: recordCount }, () => ({
+          key: 'a',
+          value: Buffer.from('up'),
+        })),
+        timeoutMs: 1_000,
+      });
+    await append(1);
+    const follower = new KeyedFollower({
+      ...place,
+      store,
+      onRecord: () => undefined,
+      maxLagCount: 40,
+    });
+    await follower.read(0);
+    await append(count);
+    const { readFrom, readNewest } = store;
+    let answerCount = 0;
+    const growAfter = async <Answer>(answer: Promise<Answer>): Promise<Answer> => {
+      const answered = await answer;
+      answerCount += 1;
+      if (answerCount < 100) await append(60);
+      return answered;
+    };
+    vi.spyOn(store, 'readFrom').mockImplementation((request) =>
+      growAfter(readFrom.call(store, request)),
+    );
+    vi.spyOn(store, 'readNewest').mockImplementation((topic, partition) =>
+      growAfter(readNewest.call(store, topic, partition)),
+    );
+    await follower.read(0);
+    expect(answerCount).toBeLessThan(10);
+    expect(follower.endOffset).toBeGreaterThanOrEqual(1 + count);
+  },
+);
