Accept the repeat of a submission only once the job is stored

Cause: an entry repeats a submission that has no answer after 1.2 s, as happens when an append takes long on a narrow link. The home answered the repeat once the append in flight was done. The first submission was not part of that append: it waited for the round after it. When the home then lost its partition, nobody knew the job.

Evidence: tests/taskHome/repeatedSubmissions.test.ts holds the appends back one by one; the repeat was accepted with the first of two appends, before the one with the job was sent.

Ruled out: a wait for all records that are queued, as the job is not queued before its round.

Change: the repeat waits for a round of its own. A round after the first submission's takes what that one left, and its write waits for all earlier ones. Submissions that a home sees first were not concerned, nor were ends and cancels.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -259,6 +259,14 @@
     test: 'tests/taskHome/GroupMembership.test.ts',
     name: 'asks for a longer time to live while its answers may be delayed',
   },
+  {
+    failure: 'an accepted job that is unknown, as a repeat of its submission was answered first',
+    file: 'src/taskHome/TaskHome.ts',
+    find: 'so only a round after it tells.\n      await this.flush();',
+    replace: 'so only a round after it tells.\n      await this.writer.write([]);',
+    test: 'tests/taskHome/repeatedSubmissions.test.ts',
+    name: 'accepts the repeat of a submission only once the job is stored',
+  },
   {
     failure: 'leases that lapse behind a page of records on a narrow link',
     file: 'src/taskHome/PacedPages.ts',
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -172,8 +172,8 @@
     const { jobId } = spec;
     this.assertIsOpen();
     if (this.table.get(jobId) !== undefined) {
-      // The first submission may not be stored yet; an empty write waits for it.
-      await this.writer.write([]);
+      // The first submission may still wait for a round, so only a round after it tells.
+      await this.flush();
       return;
     }
     if (this.writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
