--- a/src/utils/HttpJsonClient.ts
+++ b/src/utils/HttpJsonClient.ts
@@ -11,6 +11,11 @@
   readonly body?: unknown;
   /** Longest time until the whole answer is here, in milliseconds. */
   readonly timeoutMs: number;
+  /**
+   * Longest time without a further piece of the answer, in milliseconds; absent means that only the
+   * whole counts.
+   */
+  readonly silenceTimeoutMs?: number;
 }
 
 /** A whole answer. */
@@ -47,6 +52,9 @@
       headers: { ...JSON_HEADERS, ...request.headers },
       ...(request.body === undefined ? {} : { body: JSON.stringify(request.body) }),
       timeoutMs: request.timeoutMs,
+      ...(request.silenceTimeoutMs === undefined
+        ? {}
+        : { silenceTimeoutMs: request.silenceTimeoutMs }),
     });
     const parsed: unknown = body.length === 0 ? undefined : JSON.parse(body.toString('utf8'));
     return { httpStatus, body: parsed };
