Count crashes of targets that no list of VMs has shown

Cause: a crash counts only where two lists of VMs show it. A target that is back and gets the task at once lives for 10 ms between two lists (0.2 s apart), so none shows it; and where the home of the fleet has just been killed, nobody compares lists. The home learns of the loss as the address answers as another lifetime, 3.3 s later, and counted nothing.

Ruled out: counts lost with a home (the sixth starts came seconds after the last kill).

Change: a target that answers as another lifetime counts as weak evidence: only for what had just begun, and the fourth crash decides. Why it holds: such a loss is told once, by whichever comes first; what is ordered (moves, maintenance) is ordered for empty VMs only.

Tests: counts the crashes of targets that no list of VMs has shown (failed before: running after four crashes); counts the crashes that no home lived to note; get nothing of a rush until what an earlier home placed fits again.

--- a/src/systems/attributeCrash.ts
+++ b/src/systems/attributeCrash.ts
@@ -45,7 +45,8 @@
 
 /**
  * Strength of a crash as evidence against the runs on the target. It is weak if other targets of
- * the rack were lost too, or if the target may be one that keeps crashing regardless of its runs.
+ * the rack were lost too, if the target may be one that keeps crashing regardless of its runs, or
+ * if only its next lifetime shows that it has crashed.
  */
 export type CrashEvidence = 'strong' | 'weak';
 
--- a/src/taskHome/CrashAttribution.ts
+++ b/src/taskHome/CrashAttribution.ts
@@ -1,5 +1,10 @@
 import { parseTaskName, type CrashOutcome } from '../jobs/index.js';
-import { attributeCrash, type CrashedRun, isStableRun } from '../systems/index.js';
+import {
+  attributeCrash,
+  type CrashedRun,
+  type CrashEvidence,
+  isStableRun,
+} from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
 import type { JobTelemetry } from './JobTelemetry.js';
@@ -104,14 +109,15 @@
   /**
    * Attributes the crash of a target to the tasks that were lost with it.
    * @param targetId - The target; its loss may have been recorded some seconds ago.
-   * @param isWithRack - Whether other targets of its rack crashed together with it.
+   * @param evidence - Strength of the crash as evidence; it is weak as well if the target had just
+   * started.
    * @returns The verdict for each task; empty if the crash was reported before.
    */
-  attributeCrash(targetId: string, isWithRack: boolean): readonly AttributedCrash[] {
+  attributeCrash(targetId: string, evidence: CrashEvidence): readonly AttributedCrash[] {
     const { runs = [], hasJustStarted = false } = this.losses.get(targetId) ?? {};
     this.losses.delete(targetId);
     const crashed = runs.map((lost) => this.describeCrashedRun(lost));
-    const verdicts = attributeCrash(crashed, isWithRack || hasJustStarted ? 'weak' : 'strong');
+    const verdicts = attributeCrash(crashed, hasJustStarted ? 'weak' : evidence);
     return runs.map(({ run }, index): AttributedCrash => {
       const { crashCount, isCause: isToBlame } = verdicts[index]!;
       return { run, crash: { crashCount, isTaskGivenUp: isToBlame } };
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -10,6 +10,7 @@
   unplaceTask,
 } from '../jobs/index.js';
 import {
+  type CrashEvidence,
   isSuspect,
   type PlacedSuspect,
   type RunTimes,
@@ -220,14 +221,14 @@
    * @param ended - The lifetimes, and which of them crashed.
    */
   handleEndedTargets({ endedTargets, crashedTargets, lostWithRack }: EndedTargets): void {
-    const crashed = new Set(crashedTargets);
     endedTargets
       .filter((targetId) => this.isKnown(targetId))
       .forEach((targetId) =>
-        this.handleLostTarget(targetId, crashed.has(targetId) ? 'crashed' : 'unlisted'),
+        this.handleLostTarget(targetId, crashedTargets.includes(targetId) ? 'crashed' : 'unlisted'),
       );
-    const withRack = new Set(lostWithRack);
-    crashedTargets.forEach((targetId) => this.attributeCrash(targetId, withRack.has(targetId)));
+    const getEvidence = (targetId: string): CrashEvidence =>
+      lostWithRack.includes(targetId) ? 'weak' : 'strong';
+    crashedTargets.forEach((targetId) => this.attributeCrash(targetId, getEvidence(targetId)));
   }
 
   /**
@@ -244,7 +245,8 @@
   }
 
   /**
-   * Ends the runs on a target on which nothing can run any more.
+   * Ends the runs on a target on which nothing can run any more. One that answers as another
+   * lifetime has crashed, though no list may show it: between two lists, or two homes of the fleet.
    * @param targetId - The target.
    * @param reason - How the loss became known.
    */
@@ -254,6 +256,7 @@
     this.options.events.write('targetGone', { targetId, reason, runCount: lost.length });
     lost.forEach((run) => this.endRun(run, { end: 'lapsed', checkpoint: undefined }, reason));
     this.orders.forgetTarget(targetId);
+    if (reason === 'other-lifetime') this.attributeCrash(targetId, 'weak');
     this.options.onChanged();
   }
 
@@ -263,8 +266,8 @@
   }
 
   /** Handles the crash of a target that was lost now or some seconds ago. */
-  private attributeCrash(targetId: string, isWithRack: boolean): void {
-    const crashes = this.crashAttribution.attributeCrash(targetId, isWithRack);
+  private attributeCrash(targetId: string, evidence: CrashEvidence): void {
+    const crashes = this.crashAttribution.attributeCrash(targetId, evidence);
     crashes.forEach((crash) => this.applyCrash(crash));
     if (crashes.length > 0) this.options.onChanged();
   }
--- a/tests/taskHome/crashes.test.ts
+++ b/tests/taskHome/crashes.test.ts
@@ -10,6 +10,8 @@
 } from './HomeWorld.js';
 
 const CULPRIT = 'bad.0.0.0';
+/** Lifetimes of one target, one after the other. */
+const LIFETIMES = ['t1-1', 't1-2', 't1-3', 't1-4'];
 
 describe('crashes of targets', () => {
   let world: HomeWorld;
@@ -98,6 +100,22 @@
     expect(countStarts(CULPRIT)).toBe(2);
   });
 
+  // Guards against a task that takes a target down in every home: none lives to note its crash.
+  it('counts the crashes that no home lived to note', async () => {
+    const first = await world.open();
+    await first.submit(makeJob('bad'));
+    await waitForCrash();
+    world.kill(first);
+    const second = await world.open();
+    await tellCrashes(second);
+    await waitForCrash();
+    world.kill(second);
+    const third = await world.open();
+    await tellCrashes(third);
+    await vi.waitFor(() => expect(third.getState('bad')).toBe('failed'));
+    expect(countStarts(CULPRIT)).toBe(2);
+  });
+
   // Guards against tasks that are given up because of lost racks, moves, maintenance or lapses.
   it('gives no task up whose targets are lost for other reasons', async () => {
     const home = await world.open();
@@ -126,6 +144,22 @@
     expect(countStarts(CULPRIT)).toBe(2);
   });
 
+  // Guards against a task that takes down a target each time it is back, before a list shows it up.
+  it('counts the crashes of targets that no list of VMs has shown', async () => {
+    world.entries.clear();
+    const home = await world.open();
+    await home.submit(makeJob('bad'));
+    await LIFETIMES.reduce(async (earlier, targetId) => {
+      await earlier;
+      world.addTarget(makeEntry(targetId));
+      await waitForCrash();
+      world.entries.delete(targetId);
+      world.targets.setFaults(crashed.pop()!, { isCutOff: false });
+    }, Promise.resolve());
+    await vi.waitFor(() => expect(home.getState('bad')).toBe('failed'));
+    expect(countStarts(CULPRIT)).toBe(LIFETIMES.length);
+  });
+
   // Guards against other tasks on the target that lose their work in the second crash of a task.
   it('keeps other tasks off a target on which a task under suspicion has just begun', async () => {
     world.targets.crashingTasks.clear();
--- a/tests/taskHome/shrinkingRoom.test.ts
+++ b/tests/taskHome/shrinkingRoom.test.ts
@@ -1,10 +1,14 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it, vi } from 'vitest';
 import type { Resources } from '../../src/jobs/index.js';
 import { type HomeWorld, makeEntry, makeJob, makeStep, useHomeWorld } from './HomeWorld.js';
 
-/** Capacity for one task, where there was capacity for four. */
+/** Capacity for one or two tasks, where there was capacity for four. */
 const ONE_TASK: Resources = { cpuMillicores: 1_000, memoryMb: 10_000, gpuCount: 0 };
+const TWO_TASKS: Resources = { ...ONE_TASK, cpuMillicores: 2_000 };
 const FOUR_TASKS: Resources = { ...ONE_TASK, cpuMillicores: 4_000 };
+/** Time in which a home places tasks more than once, in milliseconds. */
+const SEVERAL_ROUNDS_MS = 200;
 
 describe('targets whose room shrinks and grows', () => {
   let world: HomeWorld;
@@ -18,6 +22,15 @@
     world.entries.set(targetId, makeEntry(targetId, { capacity }));
   }
 
+  /** Ends tasks, with time after each in which a home could place others. */
+  async function endOneAfterAnother(taskNames: readonly string[]): Promise<void> {
+    await taskNames.reduce(async (earlier, taskName) => {
+      await earlier;
+      world.targets.finish(taskName, 'done');
+      await sleep(SEVERAL_ROUNDS_MS);
+    }, sleep(SEVERAL_ROUNDS_MS));
+  }
+
   it('get tasks by the capacity that they report now', async () => {
     setRoom('t1', ONE_TASK);
     const home = await world.open();
@@ -61,6 +74,25 @@
     expect(world.targets.begun.map(({ taskName }) => taskName)).toEqual(['a.0.0.0']);
   });
 
+  // Guards against an overcommitted target: a rush meets one with less than an earlier home used.
+  it('get nothing of a rush until what an earlier home placed fits again', async () => {
+    const home = await world.open();
+    await home.submit(makeJob('a', [makeStep({ taskCount: 4 })]));
+    const placed = ['a.0.0.0', 'a.0.0.1', 'a.0.0.2', 'a.0.0.3'];
+    await world.waitForRunning(placed);
+    world.kill(home);
+    setRoom('t1', TWO_TASKS);
+    const next = await world.open();
+    await next.submit(makeJob('rush', [makeStep({ taskCount: 6 })]));
+    await endOneAfterAnother(['a.0.0.0', 'a.0.0.1']);
+    expect(world.targets.listRunning().toSorted()).toEqual(['a.0.0.2', 'a.0.0.3']);
+    world.targets.finish('a.0.0.2', 'done');
+    await vi.waitFor(() => expect(world.targets.listRunning()).toHaveLength(2));
+    await sleep(SEVERAL_ROUNDS_MS);
+    expect(world.targets.listRunning()).toHaveLength(2);
+    expect(world.countEvents('startWithdrawn')).toBe(0);
+  });
+
   // Guards against an overcommitted target: a stray run takes up capacity until it has ended.
   it('get no task while they have a stray run', async () => {
     const home = await world.open();
