Show the end of a job only once it is stored

Cause: the answer to a question came from the home's memory, where an end counts at once, while its record goes with the next append. That append got no answer, the home lost the partition, the target died with the end still in its list, and the next home took the run as lost and started it again.

Ruled out: an end acknowledged before it is stored; two homes in one term; unreadable records; a forgotten job.

Change: the table keeps the state before an end until the append with the end has been answered, and callers are told that state. Holds for failed and cancelled jobs too. A job is shown as ended one append later: 10 ms, 1 s and more where the store is slow. The stub of the table in PlacementRounds.test.ts gets the two new methods; its bound is as it was.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -267,6 +267,14 @@
     test: 'tests/taskHome/repeatedSubmissions.test.ts',
     name: 'accepts the repeat of a submission only once the job is stored',
   },
+  {
+    failure: 'a job that runs again after it was shown as completed',
+    file: 'src/taskHome/TaskHome.ts',
+    find: 'this.table.getShownState(jobId);',
+    replace: 'this.table.get(jobId)?.state;',
+    test: 'tests/taskHome/shownStates.test.ts',
+    name: 'is shown as completed only if no later home starts the job again',
+  },
   {
     failure: 'leases that lapse behind a page of records on a narrow link',
     file: 'src/taskHome/PacedPages.ts',
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -1,5 +1,6 @@
 import {
   type DurableJobRow,
+  type DurableJobState,
   encodeEndedJob,
   encodeJobProgress,
   encodeJobSpec,
@@ -49,6 +50,9 @@
   /** Jobs whose specification is not stored yet. */
   private readonly unstoredSpecs = new Set<string>();
 
+  /** Jobs whose end is not stored yet, with the state that they had before it. */
+  private readonly unstoredEnds = new Map<string, DurableJobState>();
+
   /**
    * Creates an empty table.
    * @param clock - Clock that measures how long ends have been known.
@@ -151,8 +155,39 @@
    * @param row - The job.
    */
   put(row: DurableJobRow): void {
+    const { jobId } = row.spec;
+    const before = this.active.get(jobId);
+    if (before !== undefined && !isFinished(before) && isFinished(row)) {
+      this.unstoredEnds.set(jobId, before.state);
+    }
     this.restore(row);
-    this.changed.add(row.spec.jobId);
+    this.changed.add(jobId);
+  }
+
+  /**
+   * Gets the state of a job that its callers may be told: an end counts once it is stored. If this
+   * home is lost before, the next home continues the job.
+   * @param jobId - Id of the job.
+   * @returns The state, or undefined if the job is unknown.
+   */
+  getShownState(jobId: string): DurableJobState | undefined {
+    return this.unstoredEnds.get(jobId) ?? this.get(jobId)?.state;
+  }
+
+  /**
+   * Lists the jobs whose end is not stored yet.
+   * @returns Their ids.
+   */
+  listUnstoredEnds(): readonly string[] {
+    return [...this.unstoredEnds.keys()];
+  }
+
+  /**
+   * Records that the ends of jobs are stored.
+   * @param jobIds - Ids of the jobs.
+   */
+  noteEndsStored(jobIds: readonly string[]): void {
+    jobIds.forEach((jobId) => this.unstoredEnds.delete(jobId));
   }
 
   /**
@@ -164,6 +199,7 @@
     this.ended.delete(jobId);
     this.changed.delete(jobId);
     this.unstoredSpecs.delete(jobId);
+    this.unstoredEnds.delete(jobId);
   }
 
   /**
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -80,10 +80,12 @@
     const startedAtMs = clock.monotonicMs();
     const placed = this.isClosed ? [] : this.placeReadyTasks();
     const records = table.takeChanges();
+    const unstoredEnds = table.listUnstoredEnds();
     const tookMs = clock.monotonicMs() - startedAtMs;
     this.nextRoundAtMs = startedAtMs + tookMs + Math.min(MAX_PAUSE_MS, PAUSE_FACTOR * tookMs);
     metrics.timing('placement_round_ms', tookMs);
     await writer.write(records);
+    table.noteEndsStored(unstoredEnds);
     if (!this.isClosed) placed.forEach((taskName) => runs.start(taskName));
   }
 
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -191,11 +191,12 @@
   /**
    * Gets the state of a job.
    * @param jobId - Id of the job.
-   * @returns The state, or undefined if the job certainly does not exist.
+   * @returns The state, in which an end counts once it is stored; undefined if the job certainly
+   * does not exist.
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
   getState(jobId: string): DurableJobState | undefined {
-    const state = this.table.get(jobId)?.state;
+    const state = this.table.getShownState(jobId);
     if (state === undefined) this.assertIsHome();
     return state;
   }
--- a/tests/taskHome/PlacementRounds.test.ts
+++ b/tests/taskHome/PlacementRounds.test.ts
@@ -31,7 +31,12 @@
     };
     const clock = new SystemClock();
     const rounds = new PlacementRounds({
-      table: { listActive, takeChanges: () => [] },
+      table: {
+        listActive,
+        takeChanges: () => [],
+        listUnstoredEnds: () => [],
+        noteEndsStored: () => undefined,
+      },
       writer: { whenIdle: async () => undefined, write: async () => undefined },
       runs: {},
       mechanisms: ALL_MECHANISMS,
