--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -213,8 +213,8 @@
   {
     failure: 'starts on leaving targets by a list that is behind',
     file: 'src/store/KeyedFollower.ts',
-    find: 'while (hasMore) hasMore = await this.readOnce(0);',
-    replace: '',
+    find: 'while (!this.hasReached(goalOffset)) {',
+    replace: 'while (this.nextOffset === undefined) {',
     test: 'tests/taskHome/TargetDirectory.test.ts',
     name: 'reads all changes since its last refresh',
   },
--- a/scripts/fleetMutants.ts
+++ b/scripts/fleetMutants.ts
@@ -88,8 +88,8 @@
   {
     failure: "VMs that are ordered twice after a change of the fleet's home",
     file: 'src/systems/planMoves.ts',
-    find: 'upVms.length + stayingCount +',
-    replace: 'upVms.length +',
+    find: 'usableHeldCount + (arrivingByPool.get(pool) ?? 0);',
+    replace: '(arrivingByPool.get(pool) ?? 0);',
     test: 'tests/systems/planFleet.test.ts',
     name: 'counts the VMs that an earlier home has just moved and that work',
   },
