Let no opening wait for a home that was replaced, and keep what a loss needs

Found in a review of the takeover; what callers would see, by each:

- A partition that goes away and comes back while it is read, or whose home is replaced and that stays: nobody claimed it and renewed its leases before the old reading had gone through all pages (shown: no renewal for 3.1 s with a lease of 1.5 s; 0.5 s without the change of hands).
The reading of a closed home is no longer waited for; the next claim comes at once, and its reading begins after the page that is under way.
A partition that is elsewhere has no more pages read.
- Two instances that both believe in their share replaced each other in turns, now that a claim is quick (by reading).
After being replaced an instance claims again only once the group has renewed its membership.
- A target that was draining and left before the jobs were read counted as crashed (shown), as its session was gone when its runs became known.
Sessions stay until then.
- An instance without homes has not followed the list of targets, and read up to 4,096 reports before its first renewal: 1.2 MB, 1.4 s of 7 Mbit/s, 5 s of 2 (worked out).
Above 512 it reads the list itself.
- An unreadable record of the term, in either topic, no longer keeps a partition closed; claims find a higher term.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -246,8 +246,8 @@
     failure:
       'a partition that nobody opens after an update, as its term is not in the topic of terms',
     file: 'src/taskHome/PartitionOpening.ts',
-    find: 'this.terms.exceed(findTerm([...this.newestRecords.values()]));',
-    replace: 'findTerm([...this.newestRecords.values()]);',
+    find: 'this.terms.exceed(findTerm([...this.newestRecords.values()], this.options));',
+    replace: 'findTerm([...this.newestRecords.values()], this.options);',
     test: 'tests/taskHome/PartitionOpening.test.ts',
     name: 'claims a term above one that is recorded among the jobs alone',
   },
--- a/src/taskHome/PartitionOpening.ts
+++ b/src/taskHome/PartitionOpening.ts
@@ -1,3 +1,4 @@
+import { throwError } from '../errors/index.js';
 import {
   decodeJobRecord,
   type DurableJobRow,
@@ -7,7 +8,12 @@
   type JobRecord,
   restoreJobRow,
 } from '../jobs/index.js';
-import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
+import {
+  KeyedFollower,
+  type KeyedLogPort,
+  type KeyedRecord,
+  type NewestRecords,
+} from '../store/index.js';
 import { decodeReadable } from './decodeReadable.js';
 import {
   type ClaimedTerm,
@@ -95,6 +101,9 @@
 
   private readonly follower: KeyedFollower;
 
+  /** The latest read; the next one begins after it, as both would use the same follower. */
+  private latestRead: Promise<void> = Promise.resolve();
+
   /**
    * Creates an opening that has read no records yet.
    * @param options - The partition, and the instance that opens it.
@@ -104,7 +113,10 @@
     this.terms = new PartitionTerms(options);
     this.follower = new KeyedFollower({
       ...options,
-      store: options.pages,
+      store: {
+        readNewest: (...page) => this.readPage(...page),
+        readFrom: (request) => options.pages.readFrom(request),
+      },
       onRecord: (record) => this.applyRecord(record),
     });
   }
@@ -123,7 +135,7 @@
   async claim(): Promise<ClaimedTerm | undefined> {
     if (this.terms.isUnknown) {
       await this.follower.read(NO_WAIT_MS);
-      this.terms.exceed(findTerm([...this.newestRecords.values()]));
+      this.terms.exceed(findTerm([...this.newestRecords.values()], this.options));
     }
     return this.terms.claim();
   }
@@ -135,12 +147,20 @@
    * @throws Error If the store did not answer; the next call continues from here.
    */
   async read({ endOffset }: ClaimedTerm): Promise<OpenedPartition> {
-    await this.follower.readTo(endOffset);
+    const read = this.latestRead.then(() => this.follower.readTo(endOffset));
+    this.latestRead = read.catch(() => undefined);
+    await read;
     const records = [...this.newestRecords.values()];
     const decoded = decodeReadable(records, decodeJobRecord, this.options);
     return { records, ...combineJobRecords(decoded, this.options) };
   }
 
+  /** Reads a page unless the partition has gone to another instance, which needs no more of it. */
+  private async readPage(...page: Parameters<KeyedLogPort['readNewest']>): Promise<NewestRecords> {
+    if (!this.options.isWanted()) throwError('home-unavailable', 'The partition is elsewhere.');
+    return this.options.pages.readNewest(...page);
+  }
+
   private applyRecord(record: KeyedRecord): void {
     if (record.value === undefined) this.newestRecords.delete(record.key);
     else this.newestRecords.set(record.key, record);
--- a/src/taskHome/PartitionTerms.ts
+++ b/src/taskHome/PartitionTerms.ts
@@ -8,6 +8,7 @@
   type KeyedLogPort,
   type KeyedRecord,
 } from '../store/index.js';
+import { type DecodeReadableOptions, decodeReadable } from './decodeReadable.js';
 
 /** Producer name under which homes append; the store fences earlier terms of the same producer. */
 export const HOME_PRODUCER = 'home';
@@ -46,15 +47,19 @@
   readonly events: EventLog;
 }
 
+function decodeTerm(record: KeyedRecord): number | undefined {
+  if (record.key !== TERM_KEY || record.value === undefined) return undefined;
+  return decodeRecordValue(termSchema, record).term;
+}
+
 /**
- * Gets the term that the records of a partition contain.
+ * Gets the latest term that records contain.
  * @param records - The records.
- * @returns The term; 0 if there is none.
- * @throws RattanliftError Of kind `internal` if the record of the term is unreadable.
+ * @param source - Their partition, and the log for an unreadable record.
+ * @returns The term; 0 if there is none or it is unreadable, which later claims correct.
  */
-export function findTerm(records: readonly KeyedRecord[]): number {
-  const record = records.find(({ key, value }) => key === TERM_KEY && value !== undefined);
-  return record === undefined ? 0 : decodeRecordValue(termSchema, record).term;
+export function findTerm(records: readonly KeyedRecord[], source: DecodeReadableOptions): number {
+  return Math.max(0, ...decodeReadable(records, decodeTerm, source));
 }
 
 /**
@@ -137,7 +142,7 @@
   private async readLatest(): Promise<number> {
     const { store, termsTopic, partition } = this.options;
     const { records } = await store.readNewest(termsTopic, partition);
-    return findTerm(records);
+    return findTerm(records, this.options);
   }
 
   private append(
--- a/src/taskHome/TargetDirectory.ts
+++ b/src/taskHome/TargetDirectory.ts
@@ -12,6 +12,12 @@
   readonly events: EventLog;
 }
 
+/**
+ * Number of unread reports above which the whole list is read instead. An instance that becomes a
+ * home has not followed the list, and renews no lease before it has read it.
+ */
+const MAX_LAG_COUNT = 512;
+
 /** The targets that report themselves in the platform's store, as of the last refresh. */
 export class TargetDirectory {
   private readonly options: TargetDirectoryOptions;
@@ -37,6 +43,7 @@
     });
     this.follower = new KeyedFollower({
       ...options,
+      maxLagCount: MAX_LAG_COUNT,
       onRecord: (record) => this.applyRecord(record),
     });
   }
--- a/src/taskHome/TargetReports.ts
+++ b/src/taskHome/TargetReports.ts
@@ -7,7 +7,7 @@
 export interface TargetReportsOptions {
   readonly runs: Pick<TaskRuns, 'handleLostTarget' | 'handleReport'>;
   /** Gets the sessions, which are created after the handler of their reports. */
-  readonly getSessions: () => Pick<TargetSessions, 'acknowledge' | 'remove' | 'takeNewEnds'>;
+  readonly getSessions: () => Pick<TargetSessions, 'acknowledge' | 'takeNewEnds'>;
   /**
    * Places ready tasks and stores all changes.
    * @throws RattanliftError If this home has been replaced.
@@ -22,17 +22,12 @@
 /** Longest wait for the ends in a report to be stored before the lease is renewed. */
 const STORE_WAIT_MS = 400;
 
-/** A target whose lifetime ended before its runs were known. */
-interface EarlyLoss {
-  readonly targetId: string;
-  readonly reason: TargetLossReason;
-}
-
 /** Handles the reports and losses of a home's targets, as soon as the home has its jobs. */
 export class TargetReports {
   private readonly options: TargetReportsOptions;
 
-  private readonly earlyLosses: EarlyLoss[] = [];
+  /** Targets whose lifetimes ended before their runs were known, by id. */
+  private readonly earlyLosses = new Map<string, TargetLossReason>();
 
   /** Aborts the waits for the jobs. */
   private readonly loading = new AbortController();
@@ -53,8 +48,8 @@
   /** Begins to handle reports, after the losses that came before. */
   handleLoaded(): void {
     this.loading.abort();
-    this.earlyLosses.forEach((loss) =>
-      this.options.runs.handleLostTarget(loss.targetId, loss.reason),
+    this.earlyLosses.forEach((reason, targetId) =>
+      this.options.runs.handleLostTarget(targetId, reason),
     );
   }
 
@@ -64,12 +59,9 @@
    * @param reason - How the loss became known.
    */
   handleGone(targetId: string, reason: TargetLossReason): void {
-    if (this.isLoaded) {
-      this.options.runs.handleLostTarget(targetId, reason);
-      return;
-    }
-    this.options.getSessions().remove(targetId, reason === 'lapsed');
-    this.earlyLosses.push({ targetId, reason });
+    if (this.isLoaded) this.options.runs.handleLostTarget(targetId, reason);
+    // The session stays: whether the target was draining decides if its loss counts as a crash.
+    else if (!this.earlyLosses.has(targetId)) this.earlyLosses.set(targetId, reason);
   }
 
   /**
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -86,6 +86,11 @@
     return this.clockReading?.atMs;
   }
 
+  /** Whether the session has ended, by itself or because it was closed. */
+  get isOver(): boolean {
+    return this.isClosed;
+  }
+
   /** Age of the latest request that extends the lease, in milliseconds; infinite before it. */
   get leaseAgeMs(): number {
     return this.options.clock.monotonicMs() - this.leaseExtendedAtMs;
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -107,14 +107,12 @@
 
   /** Number of targets that have been sent a renewal of their lease within the last moment. */
   get freshLeaseCount(): number {
-    return [...this.tracked.values()].filter(
-      ({ session }) => session.leaseAgeMs <= FRESH_LEASE_MAX_AGE_MS,
-    ).length;
+    return this.listOpen().filter((session) => session.leaseAgeMs <= FRESH_LEASE_MAX_AGE_MS).length;
   }
 
-  /** Number of targets. */
+  /** Number of targets whose lifetime is not known to be over. */
   get targetCount(): number {
-    return this.tracked.size;
+    return this.listOpen().length;
   }
 
   /**
@@ -295,6 +293,10 @@
     return nowMs > session.latestLapseAtMs + LAPSE_MARGIN_MS;
   }
 
+  private listOpen(): readonly TargetSession[] {
+    return [...this.tracked.values()].map(({ session }) => session).filter(({ isOver }) => !isOver);
+  }
+
   private update(entry: TargetEntry): void {
     const target = this.tracked.get(entry.targetId);
     if (target === undefined) {
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -68,7 +68,7 @@
 
   private loadedAtMs = Number.POSITIVE_INFINITY;
 
-  private isClosed = false;
+  private readonly closing = new AbortController();
 
   /**
    * Creates the home of a partition, without its jobs.
@@ -97,7 +97,7 @@
       getSessions: () => this.sessions,
       flush: () => this.flush(),
       flushInBackground: () => this.flushInBackground(),
-      isClosed: () => this.isClosed,
+      isClosed: () => this.closed.aborted,
     });
     this.sessions = new TargetSessions({
       ...this.options,
@@ -136,6 +136,11 @@
     return this.claimed.term;
   }
 
+  /** Is aborted once this home has given up its partition. */
+  get closed(): AbortSignal {
+    return this.closing.signal;
+  }
+
   /** Whether this home has its jobs and can serve requests. */
   get isLoaded(): boolean {
     return this.reports.isLoaded;
@@ -258,12 +263,12 @@
 
   /** Opens sessions with newly listed targets. */
   syncTargets(): void {
-    if (!this.isClosed) this.sessions.sync();
+    if (!this.closed.aborted) this.sessions.sync();
   }
 
   /** Checks targets, places due tasks, stops runs and removes old jobs; called on each tick. */
   tick(): void {
-    if (this.isClosed) return;
+    if (this.closed.aborted) return;
     this.sessions.sync();
     if (!this.isLoaded) return;
     this.loseUnknownTargets();
@@ -285,20 +290,20 @@
 
   /** Gives up the partition; no more records are written and no more commands are sent. */
   close(): void {
-    this.isClosed = true;
+    this.closing.abort();
     this.rounds.close();
     this.writer.close();
     this.sessions.close();
   }
 
   private handleReplaced(): void {
-    if (this.isClosed) return;
+    if (this.closed.aborted) return;
     this.close();
     this.options.onReplaced();
   }
 
   private assertIsOpen(): void {
-    if (this.isClosed) throwError('home-unavailable', 'This home is closed.');
+    if (this.closed.aborted) throwError('home-unavailable', 'This home is closed.');
     if (!this.isLoaded) throwError('home-unavailable', 'This home is still reading its jobs.');
   }
 
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -11,7 +11,7 @@
 import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { Mechanisms, PoolPeak } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
-import { ConcurrencyLimit, KeyedOnce } from '../utils/index.js';
+import { ConcurrencyLimit, KeyedOnce, whenAborted } from '../utils/index.js';
 import { decodeReadable } from './decodeReadable.js';
 import { GroupMembership, type GroupMembershipOptions } from './GroupMembership.js';
 import { PacedPages } from './PacedPages.js';
@@ -82,6 +82,13 @@
 
   private readonly membership: GroupMembership;
 
+  /**
+   * Partitions whose home was replaced since the latest renewal of the membership. The group may
+   * have assigned them to others. Otherwise two instances that both believe in their share would
+   * replace each other in turns.
+   */
+  private readonly replaced = new Set<number>();
+
   private isStopped = false;
 
   private fleet: FleetHome | undefined;
@@ -160,17 +167,19 @@
    * group, and opens homes for new ones.
    */
   private updateHomes(): void {
+    this.replaced.clear();
     [...this.homes.keys()]
       .filter((partition) => !this.membership.holds(partition))
       .forEach((partition) => this.closeHome(partition, 'reassigned'));
     this.options.partitions
       .listUsedPartitions()
-      .filter((partition) => this.membership.holds(partition) && !this.isOpen(partition))
+      .filter((partition) => this.isWanted(partition) && !this.isOpen(partition))
       .forEach((partition) => this.openings.start(`${partition}`, () => this.openHome(partition)));
   }
 
   private isWanted(partition: number): boolean {
-    return !this.isStopped && this.membership.holds(partition);
+    if (this.isStopped || this.replaced.has(partition)) return false;
+    return this.membership.holds(partition);
   }
 
   /** Gets how long an answer may wait behind the pages that this instance reads. */
@@ -214,8 +223,11 @@
   private async attemptOpening(partition: number, opening: PartitionOpening): Promise<void> {
     const home = this.homes.get(partition) ?? (await this.claimHome(partition, opening));
     if (home === undefined) return;
-    const opened = await opening.read(home.claimed);
-    if (this.homes.get(partition) === home) this.loadHome(partition, home, opened);
+    // If this home is replaced and the partition stays here, the next claim must not wait for the
+    // rest of the pages: nobody would renew the leases meanwhile.
+    const opened = await Promise.race([opening.read(home.claimed), whenAborted(home.closed)]);
+    if (opened === undefined || this.homes.get(partition) !== home) return;
+    this.loadHome(partition, home, opened);
   }
 
   /** Claims the partition, and has the leases of its targets renewed. */
@@ -245,10 +257,15 @@
       timing: homeTiming,
       getEntries: () => partitions.filterEntries(partition, directory.list()),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
-      onReplaced: () => this.closeHome(partition, 'replaced'),
+      onReplaced: () => this.handleReplaced(partition),
     });
   }
 
+  private handleReplaced(partition: number): void {
+    this.replaced.add(partition);
+    this.closeHome(partition, 'replaced');
+  }
+
   private loadHome(
     partition: number,
     home: TaskHome,
@@ -271,7 +288,7 @@
       orderRecords: decodeReadable(records, decodeVmOrderRecord, source),
       peakRecords: decodeReadable(records, decodePoolPeakRecord, source),
       store: (changes) => home.store(changes),
-      onReplaced: () => this.closeHome(partition, 'replaced'),
+      onReplaced: () => this.handleReplaced(partition),
     });
     this.fleet.start();
   }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -27,3 +27,4 @@
 export { SeededRng } from './SeededRng.js';
 export { SteadyClock } from './SteadyClock.js';
 export { SystemClock } from './SystemClock.js';
+export { whenAborted } from './whenAborted.js';
