Force takeovers over a narrow link, which runs don't survive

Cause suspected: an instance that takes a partition over renews no lease before it has read all of it. The time of the reading grows with what is stored, a lease of 5 s doesn't. No stand-in had a link of limited width, so no test played it.

Change: stand-ins and tests alone. A link carries one transfer at a time, as a whole or in turns of a window; store and targets are reached over it, with the sizes of the platform's messages. The store's stand-in answers in pages and lets members of groups expire where it is asked to; a target tells which runs it has killed for their lease.

--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -9,10 +9,11 @@
 import type { KeyedRecord } from '../../src/store/index.js';
 import { ALL_MECHANISMS, type HomeCapacity } from '../../src/systems/index.js';
 import type { TargetEntry } from '../../src/taskHome/index.js';
-import { SystemClock } from '../../src/utils/index.js';
+import { type Clock, SystemClock } from '../../src/utils/index.js';
 import type { FleetVm } from '../../src/vms/index.js';
-import { LeasedTargetsStandIn } from '../leasedTargets/index.js';
-import { StoreAccess, StoreStandIn } from '../store/index.js';
+import { LeasedTargetsStandIn, TargetAccess } from '../leasedTargets/index.js';
+import { LinkedStore, LinkedTargets, type NarrowLink } from '../links/index.js';
+import { StoreAccess, StoreStandIn, type StoreStandInOptions } from '../store/index.js';
 import { FleetStandIn } from '../vms/index.js';
 
 const HOST = '127.0.0.1';
@@ -38,6 +39,8 @@
   readonly instance: string;
   /** Its way to the store. */
   readonly storeAccess: StoreAccess;
+  /** Its way to the targets. */
+  readonly targetAccess: TargetAccess;
 }
 
 /** Options of {@link JobsCluster}. */
@@ -49,6 +52,12 @@
   readonly nodeCount: number;
   /** What each instance can carry, in their order; all alike where it is absent. */
   readonly capacities?: readonly HomeCapacity[];
+  /** Links to store and targets of the instances, in their order; none where it is absent. */
+  readonly links?: readonly (NarrowLink | undefined)[];
+  /** Clock of the targets; that of the system where it is absent. */
+  readonly targetClock?: Clock;
+  /** How the store differs from the default one. */
+  readonly store?: Omit<StoreStandInOptions, 'partitionCount'>;
 }
 
 function decode<Value>(value: Uint8Array): Value {
@@ -61,9 +70,9 @@
 
 /** Instances of the engine in one process, over the stand-ins of the platform. */
 export class JobsCluster {
-  readonly store = new StoreStandIn({ partitionCount: PARTITION_COUNT });
+  readonly store: StoreStandIn;
 
-  readonly targets = new LeasedTargetsStandIn();
+  readonly targets: LeasedTargetsStandIn;
 
   readonly fleet: FleetStandIn;
 
@@ -82,6 +91,8 @@
    */
   constructor(options: JobsClusterOptions) {
     this.options = options;
+    this.store = new StoreStandIn({ ...options.store, partitionCount: PARTITION_COUNT });
+    this.targets = new LeasedTargetsStandIn(options.targetClock);
     this.fleet = new FleetStandIn({
       vms: options.vms,
       onLifetime: (ended, begun) => this.changeLifetime(ended, begun),
@@ -91,11 +102,11 @@
 
   /** Publishes the configuration and the targets, and starts the instances. */
   async start(): Promise<void> {
-    const { configuration, vms, nodeCount, capacities = [] } = this.options;
+    const { configuration, vms, nodeCount, capacities = [], links = [] } = this.options;
     await this.publish(CONFIGURATION_KEY, configuration);
     await Promise.all(vms.map((vm) => this.addTarget(vm)));
     const places = Array.from({ length: nodeCount }, (_unused, place) => place);
-    await Promise.all(places.map((place) => this.startNode(capacities[place])));
+    await Promise.all(places.map((place) => this.startNode(capacities[place], links[place])));
   }
 
   /**
@@ -145,11 +156,14 @@
   /**
    * Starts one more instance.
    * @param capacity - What it can carry; like the others where it is absent.
+   * @param link - Its link to store and targets; none where it is absent.
    */
-  async startNode(capacity: HomeCapacity = LIKE_OTHERS): Promise<void> {
+  async startNode(capacity: HomeCapacity = LIKE_OTHERS, link?: NarrowLink): Promise<void> {
     const { events } = this.options;
     const { targets, clock } = this;
     const storeAccess = new StoreAccess(this.store);
+    const targetAccess = new TargetAccess(targets);
+    const store = link === undefined ? storeAccess : new LinkedStore(storeAccess, link);
     this.startedCount += 1;
     const place = String(this.startedCount).padStart(3, '0');
     const instance = `node-${place}-${randomUUID().slice(0, 8)}`;
@@ -157,7 +171,12 @@
       address: { instance, host: HOST, port: 0 },
       capacity,
       holder: instance,
-      ports: { store: storeAccess, groups: storeAccess, targets, vms: this.fleet },
+      ports: {
+        store,
+        groups: store,
+        targets: link === undefined ? targetAccess : new LinkedTargets(targetAccess, link),
+        vms: this.fleet,
+      },
       records: {
         jobsTopic: 'jobs',
         partitionCount: PARTITION_COUNT,
@@ -189,7 +208,8 @@
     registerDurableJobRoutes(server, { port: node.gateway, getConfiguration, clock });
     await node.start();
     const url = await server.listen({ host: HOST, port: 0 });
-    this.nodes.push({ node, server, address: new URL(url).host, instance, storeAccess });
+    const { host: address } = new URL(url);
+    this.nodes.push({ node, server, address, instance, storeAccess, targetAccess });
   }
 
   private async append(topic: string, records: readonly KeyedRecord[]): Promise<void> {
--- a/standins/leasedTargets/LeasedTarget.ts
+++ b/standins/leasedTargets/LeasedTarget.ts
@@ -16,8 +16,19 @@
   progressPercent: number;
 }
 
+/** A run that was killed as nobody renewed the lease. */
+export interface LapsedRun {
+  readonly taskName: string;
+  readonly run: number;
+  /** When the lease ended, by the target's monotonic clock. */
+  readonly atMs: number;
+}
+
 /** One lifetime of a target: what it runs, what has ended, and which term it has seen. */
 export class LeasedTarget {
+  /** Runs that were killed for the lease, in order; those of others' questions count at once. */
+  readonly lapsedRuns: LapsedRun[] = [];
+
   private readonly clock: Clock;
 
   private readonly running = new Map<string, Running>();
@@ -40,6 +51,11 @@
     this.clock = clock;
   }
 
+  /** When the lease ends, by the target's monotonic clock. */
+  get leaseEndsAtMs(): number {
+    return this.leaseUntilMs;
+  }
+
   /** Tasks that run at this moment. */
   get runningNames(): readonly string[] {
     this.lapse();
@@ -124,6 +140,9 @@
 
   private lapse(): void {
     if (this.clock.monotonicMs() < this.leaseUntilMs) return;
-    [...this.running.keys()].forEach((taskName) => this.end(taskName, 'lapsed'));
+    [...this.running].forEach(([taskName, { start }]) => {
+      this.lapsedRuns.push({ taskName, run: start.run, atMs: this.leaseUntilMs });
+      this.end(taskName, 'lapsed');
+    });
   }
 }
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -30,7 +30,7 @@
   readonly run: number;
 }
 
-/** Time that a renewal with nothing to tell is held back, in milliseconds. */
+/** Time that a renewal with nothing to tell is held back by default, in milliseconds. */
 const HELD_BACK_MS = 5;
 
 /** Stands in for leased targets, and watches that no task runs twice at a time. */
@@ -44,6 +44,9 @@
   /** Names of the tasks that crash each target that starts them. */
   readonly crashingTasks = new Set<string>();
 
+  /** Longest time that a renewal is held back, where it asks for as much, in milliseconds. */
+  longestHoldMs = HELD_BACK_MS;
+
   /** Called with the id of a lifetime that a task has crashed. */
   onCrash: ((targetId: string) => void) | undefined;
 
@@ -185,7 +188,7 @@
 
   /** {@inheritDoc LeasedTargetPort.renew} */
   async renew({ targetId }: LeasedTargetAddress, renewal: LeaseRenewal): Promise<LeaseAnswer> {
-    await sleep(HELD_BACK_MS);
+    await this.holdBack(targetId, renewal);
     this.throwIfCutOff(targetId);
     return this.targets.get(targetId)?.renew(renewal) ?? { type: 'other-lifetime' };
   }
@@ -194,6 +197,15 @@
   // eslint-disable-next-line class-methods-use-this -- the port asks for a method
   forget(): void {}
 
+  /** Waits before a renewal is answered; one that is held back for longer counts as it arrives. */
+  private async holdBack(targetId: string, renewal: LeaseRenewal): Promise<void> {
+    const isHeld = this.longestHoldMs > HELD_BACK_MS;
+    this.throwIfCutOff(targetId);
+    if (isHeld) this.targets.get(targetId)?.renew(renewal);
+    const waitMs = Math.min(this.longestHoldMs, renewal.waitMs);
+    await sleep(isHeld ? waitMs : HELD_BACK_MS);
+  }
+
   private begin(targetId: string, start: TaskStart): StartAnswer {
     const { taskName, run } = start;
     const isRunning = this.listRunning().includes(taskName);
--- /dev/null
+++ b/standins/links/index.ts
@@ -0,0 +1,4 @@
+export { AttendedClock } from './AttendedClock.js';
+export { LinkedStore, measurePageRecord } from './LinkedStore.js';
+export { LinkedTargets } from './LinkedTargets.js';
+export { type LinkDirection, NarrowLink, type NarrowLinkOptions } from './NarrowLink.js';
--- a/standins/store/GroupStandIn.ts
+++ b/standins/store/GroupStandIn.ts
@@ -1,9 +1,17 @@
+import type { Clock } from '../../src/utils/index.js';
 import type { GroupAssignment, JoinRequest, PartitionOwner } from '../../src/store/index.js';
 
+interface Member {
+  /** Generation that the member has acted on. */
+  readonly generation: number;
+  /** When the member expires, by the monotonic clock. */
+  readonly untilMs: number;
+}
+
 interface Group {
   generation: number;
-  /** Members by name, with the generation that they have acted on. */
-  readonly members: Map<string, number>;
+  /** Members by name. */
+  readonly members: Map<string, Member>;
   /** Holder of each partition; one that was asked to give it up holds it until it confirms. */
   readonly holders: Map<number, string>;
 }
@@ -12,14 +20,19 @@
 export class GroupStandIn {
   private readonly partitionCount: number;
 
+  private readonly clock: Clock | undefined;
+
   private readonly groups = new Map<string, Group>();
 
   /**
    * Creates a stand-in without groups.
    * @param partitionCount - Partitions of a topic.
+   * @param expiry - Clock by which members expire that don't renew within their time to live; a
+   * test expires them itself if it is absent.
    */
-  constructor(partitionCount: number) {
+  constructor(partitionCount: number, expiry?: Clock) {
     this.partitionCount = partitionCount;
+    this.clock = expiry;
   }
 
   /**
@@ -27,10 +40,11 @@
    * @param request - Who joins what.
    * @returns The member's share.
    */
-  join({ group: name, member, generation }: JoinRequest): GroupAssignment {
+  join({ group: name, member, generation, ttlMs }: JoinRequest): GroupAssignment {
+    this.expireMembers(name);
     const group = this.getGroup(name);
     if (!group.members.has(member)) group.generation += 1;
-    group.members.set(member, generation);
+    group.members.set(member, { generation, untilMs: (this.clock?.monotonicMs() ?? 0) + ttlMs });
     this.handOver(group);
     const partitions = this.listPartitions().filter(
       (partition) =>
@@ -61,9 +75,19 @@
    * @returns Partitions and members.
    */
   listOwners(name: string): readonly PartitionOwner[] {
+    this.expireMembers(name);
     return [...this.getGroup(name).holders].map(([partition, member]) => ({ partition, member }));
   }
 
+  /** Removes the members that have sent nothing for their time to live. */
+  private expireMembers(name: string): void {
+    const nowMs = this.clock?.monotonicMs();
+    if (nowMs === undefined) return;
+    [...this.getGroup(name).members]
+      .filter(([, { untilMs }]) => untilMs <= nowMs)
+      .forEach(([member]) => this.leave(name, member));
+  }
+
   private listPartitions(): readonly number[] {
     return Array.from({ length: this.partitionCount }, (_p, partition) => partition);
   }
@@ -86,7 +110,7 @@
       const holder = group.holders.get(partition);
       const wanted = GroupStandIn.wantedHolder(group, partition);
       if (wanted === undefined || holder === wanted) return;
-      const confirmed = holder === undefined ? Infinity : (group.members.get(holder) ?? Infinity);
+      const { generation: confirmed = Infinity } = group.members.get(holder ?? '') ?? {};
       if (confirmed >= group.generation) group.holders.set(partition, wanted);
     });
   }
--- a/standins/store/StoreAccess.ts
+++ b/standins/store/StoreAccess.ts
@@ -33,8 +33,8 @@
   }
 
   /** {@inheritDoc KeyedLogPort.readNewest} */
-  async readNewest(topic: string, partition: number): Promise<NewestRecords> {
-    return this.open().readNewest(topic, partition);
+  async readNewest(topic: string, partition: number, afterKey?: string): Promise<NewestRecords> {
+    return this.open().readNewest(topic, partition, afterKey);
   }
 
   /** {@inheritDoc KeyedLogPort.readFrom} */
--- a/standins/store/StoreStandIn.ts
+++ b/standins/store/StoreStandIn.ts
@@ -6,17 +6,19 @@
   GroupAssignment,
   JoinRequest,
   KeyedLogPort,
+  KeyedRecord,
   NewestRecords,
   PartitionOwner,
   ReadRequest,
   ReadResult,
   StoredRecord,
 } from '../../src/store/index.js';
+import type { Clock } from '../../src/utils/index.js';
 import { GroupStandIn } from './GroupStandIn.js';
 import type { StoreFaults } from './StoreFaults.js';
 
 const REMEMBERED_APPENDS = 5;
-/** Readings at the end wait this long at most, so that a test sees changes soon. */
+/** Readings at the end wait this long by default, so that a test sees changes soon. */
 const LONGEST_WAIT_MS = 10;
 
 interface Producer {
@@ -34,11 +36,25 @@
   readonly producers: Map<string, Producer>;
 }
 
+/** Most that one page of the newest records holds. */
+export interface PageLimit {
+  readonly maxCount: number;
+  readonly maxBytes: number;
+  /** Measures a record in a page, in bytes. */
+  readonly measure: (record: KeyedRecord) => number;
+}
+
 /** Options of {@link StoreStandIn}. */
 export interface StoreStandInOptions {
   readonly partitionCount: number;
   /** Most records in one answer to a reading; absent means no limit. */
   readonly maxReadCount?: number;
+  /** Most that one page of the newest records holds; absent means one page for all. */
+  readonly maxPage?: PageLimit;
+  /** Longest wait of a reading at the end, in milliseconds. */
+  readonly longestWaitMs?: number;
+  /** Clock by which members of groups expire; if absent, a test expires them itself. */
+  readonly membershipClock?: Clock;
 }
 
 /** Stands in for the platform's store: keyed records, fenced appends and groups, in memory. */
@@ -54,13 +70,20 @@
 
   private readonly maxReadCount: number;
 
+  private readonly maxPage: PageLimit | undefined;
+
+  private readonly longestWaitMs: number;
+
   /**
    * Creates an empty store.
    * @param options - Count of partitions of a topic, and how much one reading gives.
    */
-  constructor({ partitionCount, maxReadCount }: StoreStandInOptions) {
-    this.groups = new GroupStandIn(partitionCount);
+  constructor(options: StoreStandInOptions) {
+    const { partitionCount, maxReadCount, maxPage, longestWaitMs, membershipClock } = options;
+    this.groups = new GroupStandIn(partitionCount, membershipClock);
     this.maxReadCount = maxReadCount ?? Infinity;
+    this.maxPage = maxPage;
+    this.longestWaitMs = longestWaitMs ?? LONGEST_WAIT_MS;
   }
 
   /** {@inheritDoc KeyedLogPort.append} */
@@ -73,10 +96,20 @@
   }
 
   /** {@inheritDoc KeyedLogPort.readNewest} */
-  async readNewest(topic: string, partition: number): Promise<NewestRecords> {
+  async readNewest(topic: string, partition: number, afterKey = ''): Promise<NewestRecords> {
     this.throwIfAway();
     const { newest, endOffset } = this.getPartition(topic, partition);
-    return { records: [...newest.values()], endOffset, nextAfterKey: undefined };
+    const { maxPage } = this;
+    if (maxPage === undefined) {
+      return { records: [...newest.values()], endOffset, nextAfterKey: undefined };
+    }
+    const left = [...newest.keys()].filter((key) => key > afterKey).toSorted();
+    const records = StoreStandIn.takePage(
+      left.slice(0, maxPage.maxCount).map((key) => newest.get(key)!),
+      maxPage,
+    );
+    const nextAfterKey = records.length < left.length ? records.at(-1)!.key : undefined;
+    return { records, endOffset, nextAfterKey };
   }
 
   /** {@inheritDoc KeyedLogPort.readFrom} */
@@ -89,7 +122,7 @@
   }: ReadRequest): Promise<ReadResult> {
     this.throwIfAway();
     const isAtEnd = fromOffset >= this.getPartition(topic, partition).endOffset;
-    if (isAtEnd && waitMs > 0) await sleep(Math.min(waitMs, LONGEST_WAIT_MS));
+    if (isAtEnd && waitMs > 0) await sleep(Math.min(waitMs, this.longestWaitMs));
     this.throwIfAway();
     const { records, firstOffset, endOffset } = this.getPartition(topic, partition);
     if (fromOffset < firstOffset) return { type: 'expired', firstOffset };
@@ -133,6 +166,19 @@
     });
   }
 
+  /** Takes the records that fit into one page, one at least. */
+  private static takePage(
+    records: readonly StoredRecord[],
+    { maxBytes, measure }: PageLimit,
+  ): readonly StoredRecord[] {
+    let pageBytes = 0;
+    const firstBeyond = records.findIndex((record) => {
+      pageBytes += measure(record);
+      return pageBytes > maxBytes;
+    });
+    return firstBeyond < 0 ? records : records.slice(0, Math.max(1, firstBeyond));
+  }
+
   private throwIfSilent(): void {
     if (this.faults.isSilent) throw new Error('The store did not answer.');
   }
--- a/standins/store/index.ts
+++ b/standins/store/index.ts
@@ -1,3 +1,3 @@
 export { StoreAccess } from './StoreAccess.js';
 export type { StoreFaults } from './StoreFaults.js';
-export { StoreStandIn, type StoreStandInOptions } from './StoreStandIn.js';
+export { type PageLimit, StoreStandIn, type StoreStandInOptions } from './StoreStandIn.js';
