Take the new guards out in the mutation check

The guard on the size of an append was not found any more, as its limit had become an option; it names the text again.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -213,11 +213,19 @@
   {
     failure: 'starts on leaving targets by a list that is behind',
     file: 'src/store/KeyedFollower.ts',
-    find: 'while (hasMore) hasMore = await this.readOnce(0);',
-    replace: '',
+    find: 'while (!this.hasReached(goalOffset)) {',
+    replace: 'while (waitMs < 0) {',
     test: 'tests/taskHome/TargetDirectory.test.ts',
     name: 'reads all changes since its last refresh',
   },
+  {
+    failure: 'a read that never returns, as its end moves on with each answer',
+    file: 'src/store/KeyedFollower.ts',
+    find: 'Math.min(goalOffset, await this.readOnce(0))',
+    replace: 'await this.readOnce(0)',
+    test: 'tests/store/KeyedFollower.test.ts',
+    name: 'returns from a read that is',
+  },
   {
     failure: 'a task that runs twice, as a leaving target was taken for gone',
     file: 'src/taskHome/TargetSessions.ts',
@@ -253,7 +261,7 @@
   {
     failure: 'an append that no attempt carries to its end',
     file: 'src/taskHome/RecordWriter.ts',
-    find: 'return sizeBytes > MAX_APPEND_BYTES;',
+    find: 'return sizeBytes > maxAppendBytes;',
     replace: 'return false;',
     test: 'tests/taskHome/RecordWriter.test.ts',
     name: 'writes what has gathered in appends that a narrow link carries in time',
--- a/scripts/fleetMutants.ts
+++ b/scripts/fleetMutants.ts
@@ -1,6 +1,7 @@
 import type { Mutant } from './Mutant.js';
 
 const ORDERS_TEST = 'tests/fleetHome/VmOrders.test.ts';
+const RECENT_TEST = 'tests/fleetHome/RecentOrders.test.ts';
 
 /** Guards of the home of the fleet and of the decisions about VMs. */
 export const FLEET_MUTANTS: readonly Mutant[] = [
@@ -36,6 +37,46 @@
     test: ORDERS_TEST,
     name: 'treats an order as recent that was issued while an earlier one was being settled',
   },
+  {
+    failure: 'a lease counted from before an order that is still being sent',
+    file: 'src/fleetHome/RecentOrders.ts',
+    find: '.filter(([, { isInProgress }]) => !isInProgress)',
+    replace: '',
+    test: RECENT_TEST,
+    name: 'stores no age of an order that is still being sent',
+  },
+  {
+    failure: 'two holders whose orders for one VM are closer than the lease',
+    file: 'src/fleetHome/RecentOrders.ts',
+    find: 'issuedAtMs: nowMs - ageMs',
+    replace: 'issuedAtMs: nowMs - ageMs - 500',
+    test: RECENT_TEST,
+    name: 'keeps the orders of two holders a lease apart',
+  },
+  {
+    failure: 'VMs that stand still while homes of the fleet live shorter than a lease',
+    file: 'src/fleetHome/RecentOrders.ts',
+    find: 'issuedAtMs: nowMs - ageMs',
+    replace: 'issuedAtMs: nowMs - 0 * ageMs',
+    test: RECENT_TEST,
+    name: 'waits for one lease in all while holders live shorter than it',
+  },
+  {
+    failure: 'a pass whose size grows with the product of ended lifetimes and pools',
+    file: 'src/fleetHome/LifetimeEndDetector.ts',
+    find: '.filter(([, { pools }]) => pools.has(pool))',
+    replace: '.filter(() => pool.length > 0)',
+    test: 'tests/fleetHome/FleetHome.test.ts',
+    name: 'tells all homes of the loss of',
+  },
+  {
+    failure: 'a list of VMs that no attempt reads to its end',
+    file: 'platform/PlatformVms.ts',
+    find: 'timeoutMs: PAGE_TIMEOUT_MS,',
+    replace: 'timeoutMs: TIMEOUT_MS,',
+    test: 'tests/platformAdapter/PlatformVms.test.ts',
+    name: 'lists 2,000 VMs on a narrow link',
+  },
   {
     failure: 'VMs that may not be ordered yet in the places of others',
     file: 'src/fleetHome/FleetHome.ts',
--- a/scripts/mutantList.ts
+++ b/scripts/mutantList.ts
@@ -271,4 +271,12 @@
     test: SNAPSHOT_TEST,
     name: 'ignores an incomplete snapshot and one whose checksum does not match',
   },
+  {
+    failure: 'an instance that never starts, as its link carries no whole read of a snapshot',
+    file: 'src/log/snapshot/readStream.ts',
+    find: 'export const MAX_READ_COUNT = 8;',
+    replace: 'export const MAX_READ_COUNT = 200;',
+    test: 'tests/log/snapshot.test.ts',
+    name: 'loads a snapshot of 3 MB on a link of 7 Mbit/s',
+  },
 ];
