Order VMs as soon as allowed in the seeded histories of homes

The mutation check showed that the histories did not notice a wait that was 0.5 s too short: orders were rare, passes long and homes never followed each other at once.

--- a/tests/fleetHome/RecentOrders.test.ts
+++ b/tests/fleetHome/RecentOrders.test.ts
@@ -109,19 +109,19 @@
     const { moveVm } = world.fleet;
     world.fleet.moveVm = async (vm, pool, issuer) => {
       sent.push({ vm, term: issuer.term, atMs: world.clock.monotonicMs() });
-      world.clock.advance(draw(900));
+      world.clock.advance(rng.next() < 0.5 ? 0 : draw(900));
       return moveVm.call(world.fleet, vm, pool, issuer);
     };
     const live = async (term: number): Promise<void> => {
-      world.clock.advance(draw(1_000));
+      world.clock.advance(rng.next() < 0.5 ? 0 : draw(1_000));
       const orders = world.createOrders(term);
-      const passCount = draw(25);
+      const passCount = draw(60);
       await Array.from({ length: passCount }).reduce<Promise<void>>(async (before) => {
         await before;
         await orders.settle();
         orders.setLoadsTime(world.clock.monotonicMs());
-        if (rng.next() < 0.4) await orders.issue(moveOf(`vm-${1 + draw(2)}`), undefined);
-        world.clock.advance(PASS_MS + draw(300));
+        if (rng.next() < 0.9) await orders.issue(moveOf(`vm-${1 + draw(2)}`), undefined);
+        world.clock.advance(draw(150));
       }, Promise.resolve());
     };
     await Array.from({ length: 20 }, (_none, index) => index + 1).reduce(
