Begin a page only behind a fresh membership, and claim only with a share that holds

- The membership still ended behind two pages in a row: a renewal that was given up needs a new connection, and its handshake waits behind the next page (shown: a third instance claimed the partition at 6.2 s over 3.5 Mbit/s, the stand-in of the link opening connections now).
A page begins only once the membership has just been renewed with the longer time to live. takeoverOverNarrowLink › leaves the partition with its reader: two claims without the longer membership, one with it.
- A home whose own lease on the share was over could claim, and so replace the one that had followed it (by reading).
A claim needs the lease; after a replacement the group has to answer first (TaskHomes.test.ts, 4 appends in 0.5 s without).
- A term far ahead of the topic of terms was looked for by reading the partition before any lease was renewed.
- A list of targets that could not be read counted as one of no targets, all with fresh leases; it is read again once.
- Losses of unlisted targets count from the claim, when the earlier home was fenced, not from the end of the reading.

Tests: TaskHomes.test.ts is new, with the change of hands while a partition is read (3.1 s without a renewal without the mend).

--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -65,6 +65,7 @@
     pages: store,
     instance: 'home',
     isWanted,
+    mayClaim: isWanted,
     events,
   });
   const claimed = (await opening.claim())!;
--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -214,10 +214,18 @@
     failure: 'starts on leaving targets by a list that is behind',
     file: 'src/store/KeyedFollower.ts',
     find: 'while (!this.hasReached(goalOffset)) {',
-    replace: 'while (this.nextOffset === undefined) {',
+    replace: 'while (waitMs < 0) {',
     test: 'tests/taskHome/TargetDirectory.test.ts',
     name: 'reads all changes since its last refresh',
   },
+  {
+    failure: 'a read that never returns, as its end moves on with each answer',
+    file: 'src/store/KeyedFollower.ts',
+    find: 'Math.min(goalOffset, await this.readOnce(0))',
+    replace: 'await this.readOnce(0)',
+    test: 'tests/store/KeyedFollower.test.ts',
+    name: 'returns from a read that is',
+  },
   {
     failure: 'a task that runs twice, as a leaving target was taken for gone',
     file: 'src/taskHome/TargetSessions.ts',
@@ -245,9 +253,9 @@
   {
     failure:
       'a partition that nobody opens after an update, as its term is not in the topic of terms',
-    file: 'src/taskHome/PartitionOpening.ts',
-    find: 'this.terms.exceed(findTerm([...this.newestRecords.values()], this.options));',
-    replace: 'findTerm([...this.newestRecords.values()], this.options);',
+    file: 'src/taskHome/PartitionTerms.ts',
+    find: 'this.highestKnownTerm += 2 ** this.rejectedCount - 1;',
+    replace: 'this.highestKnownTerm = 0;',
     test: 'tests/taskHome/PartitionOpening.test.ts',
     name: 'claims a term above one that is recorded among the jobs alone',
   },
@@ -278,8 +286,8 @@
   {
     failure: 'leases that lapse behind a page of records on a narrow link',
     file: 'src/taskHome/PacedPages.ts',
-    find: 'await whenLeasesFresh();',
-    replace: 'void whenLeasesFresh;',
+    find: 'await whenRenewed();',
+    replace: 'void whenRenewed;',
     test: 'tests/taskHome/PacedPages.test.ts',
     name: 'begins a page only once the leases are fresh',
   },
--- a/src/taskHome/GroupMembership.ts
+++ b/src/taskHome/GroupMembership.ts
@@ -41,6 +41,9 @@
 
 /** Pause before an early renewal, in milliseconds: a few round trips to the group. */
 const EARLY_RENEWAL_PAUSE_MS = 60;
+/** Time for which a renewal counts as just sent, in milliseconds: twice the usual interval. */
+const FRESH_FOR_MS = 800;
+const FRESHNESS_CHECK_MS = 5;
 /** Margin by which this member's own lease is shorter than the time to live, for clock drift. */
 const LEASE_MARGIN_MS = 200;
 
@@ -58,6 +61,9 @@
 
   private generation = 0;
 
+  /** When the latest renewal was sent that allows for delayed answers, by the monotonic clock. */
+  private allowedDelaysAtMs = Number.NEGATIVE_INFINITY;
+
   private isStopped = false;
 
   private isMember = false;
@@ -111,6 +117,20 @@
     return this.lease.isHeld();
   }
 
+  /**
+   * Waits until the membership has just been renewed in a way that allows for delayed answers.
+   * @param maxMs - Longest wait, in milliseconds.
+   */
+  async whenFresh(maxMs: number): Promise<void> {
+    const { clock } = this.options;
+    const deadlineMs = clock.monotonicMs() + maxMs;
+    const isFresh = (): boolean => clock.monotonicMs() < this.allowedDelaysAtMs + FRESH_FOR_MS;
+    while (!isFresh() && clock.monotonicMs() < deadlineMs) {
+      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two checks
+      await sleep(FRESHNESS_CHECK_MS);
+    }
+  }
+
   private async runRenewals(): Promise<void> {
     while (!this.isStopped) {
       const { generation } = this;
@@ -169,6 +189,7 @@
     const { groups, group, member, topic, groupTiming, clock, onRenewed } = this.options;
     const sentAt = this.lease.readClocks();
     const { generation } = this;
+    const sentAtMs = clock.monotonicMs();
     const delayMs = this.options.getAnswerDelayMs();
     const request = { group, member, topic, generation, ttlMs: groupTiming.ttlMs + delayMs };
     try {
@@ -177,6 +198,7 @@
       );
       if (this.isStopped) return true;
       this.lease.extend(sentAt);
+      if (delayMs > 0) this.allowedDelaysAtMs = sentAtMs;
       this.outage.noteSuccess({ group, member, generation });
       this.generation = share.generation;
       this.share = new Set(share.partitions);
--- a/src/taskHome/PacedPages.ts
+++ b/src/taskHome/PacedPages.ts
@@ -6,15 +6,16 @@
   readonly store: Pick<KeyedLogPort, 'readNewest' | 'readFrom'>;
   /** Limit of the pages that this instance reads at the same time, for all partitions together. */
   readonly limit: ConcurrencyLimit;
-  /** Waits until the targets of this instance's homes have been sent renewals of their leases. */
-  readonly whenLeasesFresh: () => Promise<void>;
+  /** Waits until this instance's membership and its targets' leases have just been renewed. */
+  readonly whenRenewed: () => Promise<void>;
 }
 
 /**
  * Reads pages of newest records without holding up the renewal of leases.
  *
  * A page takes seconds on a narrow link, and answers to renewals wait behind it. Each page
- * therefore begins only when all leases have just been renewed, so that they outlast the page.
+ * therefore begins only when all leases and the membership have just been renewed, so that they
+ * outlast the page.
  * Otherwise tasks are killed while the home that would renew their leases is still reading.
  */
 export class PacedPages implements Pick<KeyedLogPort, 'readNewest' | 'readFrom'> {
@@ -30,9 +31,9 @@
 
   /** {@inheritDoc KeyedLogPort.readNewest} */
   readNewest(topic: string, partition: number, afterKey?: string): Promise<NewestRecords> {
-    const { store, limit, whenLeasesFresh } = this.options;
+    const { store, limit, whenRenewed } = this.options;
     return limit.run(async () => {
-      await whenLeasesFresh();
+      await whenRenewed();
       return store.readNewest(topic, partition, afterKey);
     });
   }
--- a/src/taskHome/PartitionOpening.ts
+++ b/src/taskHome/PartitionOpening.ts
@@ -15,15 +15,7 @@
   type NewestRecords,
 } from '../store/index.js';
 import { decodeReadable } from './decodeReadable.js';
-import {
-  type ClaimedTerm,
-  findTerm,
-  PartitionTerms,
-  type PartitionTermsOptions,
-} from './PartitionTerms.js';
-
-/** A read at the end of a partition returns at once. */
-const NO_WAIT_MS = 0;
+import { type ClaimedTerm, PartitionTerms, type PartitionTermsOptions } from './PartitionTerms.js';
 
 /** State that a home takes over with its partition. */
 export interface OpenedPartition {
@@ -36,6 +28,8 @@
 
 /** Options of {@link PartitionOpening}. */
 export interface PartitionOpeningOptions extends PartitionTermsOptions {
+  /** Whether the partition is still to be opened on this instance. */
+  readonly isWanted: () => boolean;
   /** Store through which the records of the partition are read. */
   readonly pages: Pick<KeyedLogPort, 'readNewest' | 'readFrom'>;
 }
@@ -132,11 +126,7 @@
    * needed; the caller decides on it.
    * @throws Error If the store did not answer.
    */
-  async claim(): Promise<ClaimedTerm | undefined> {
-    if (this.terms.isUnknown) {
-      await this.follower.read(NO_WAIT_MS);
-      this.terms.exceed(findTerm([...this.newestRecords.values()], this.options));
-    }
+  claim(): Promise<ClaimedTerm | undefined> {
     return this.terms.claim();
   }
 
--- a/src/taskHome/PartitionTerms.ts
+++ b/src/taskHome/PartitionTerms.ts
@@ -8,7 +8,7 @@
   type KeyedLogPort,
   type KeyedRecord,
 } from '../store/index.js';
-import { type DecodeReadableOptions, decodeReadable } from './decodeReadable.js';
+import { decodeReadable } from './decodeReadable.js';
 
 /** Producer name under which homes append; the store fences earlier terms of the same producer. */
 export const HOME_PRODUCER = 'home';
@@ -18,9 +18,6 @@
 /** Exclusive limit of the random first append number: two claims collide once in a billion. */
 const FIRST_SEQUENCE_LIMIT = 2 ** 30;
 
-/** Number of rejected claims after which the term is looked for among the records. */
-const MAX_SUPERSEDED_COUNT = 3;
-
 const termSchema = z.looseObject({ term: z.int().positive() });
 
 /** A term in which an instance alone writes a partition. */
@@ -42,8 +39,8 @@
   readonly partition: number;
   /** Instance that becomes the home. */
   readonly instance: string;
-  /** Whether the partition is still to be opened on this instance. */
-  readonly isWanted: () => boolean;
+  /** Whether this instance certainly has the partition. */
+  readonly mayClaim: () => boolean;
   readonly events: EventLog;
 }
 
@@ -52,16 +49,6 @@
   return decodeRecordValue(termSchema, record).term;
 }
 
-/**
- * Gets the latest term that records contain.
- * @param records - The records.
- * @param source - Their partition, and the log for an unreadable record.
- * @returns The term; 0 if there is none or it is unreadable, which later claims correct.
- */
-export function findTerm(records: readonly KeyedRecord[], source: DecodeReadableOptions): number {
-  return Math.max(0, ...decodeReadable(records, decodeTerm, source));
-}
-
 /**
  * Claims a new term of a partition, which fences its earlier home, without reading the partition.
  *
@@ -77,10 +64,10 @@
 export class PartitionTerms {
   private readonly options: PartitionTermsOptions;
 
-  /** Term that the next claim has to exceed, whatever the topic of terms contains. */
-  private exceededTerm = 0;
+  /** Highest term that this instance knows to be taken, whatever the topic of terms contains. */
+  private highestKnownTerm = 0;
 
-  private supersededCount = 0;
+  private rejectedCount = 0;
 
   /**
    * Creates the terms of one partition; nothing is claimed yet.
@@ -90,22 +77,6 @@
     this.options = options;
   }
 
-  /**
-   * Sets a term that the next claim has to exceed.
-   * @param term - The term.
-   */
-  exceed(term: number): void {
-    this.exceededTerm = Math.max(this.exceededTerm, term);
-  }
-
-  /**
-   * Whether the term of the partition has to be found among its records: a home that does not know
-   * the topic of terms has kept it only there, and claims keep being rejected.
-   */
-  get isUnknown(): boolean {
-    return this.supersededCount >= MAX_SUPERSEDED_COUNT;
-  }
-
   /**
    * Claims the next term. From then on the store rejects appends of earlier homes, so the partition
    * changes only by appends of this term.
@@ -113,20 +84,29 @@
    * @throws Error If the store did not answer; the next claim is for a later term.
    */
   async claim(): Promise<ClaimedTerm | undefined> {
-    const { topic, isWanted } = this.options;
-    const term = Math.max(await this.readLatest(), this.exceededTerm) + 1;
+    const { topic, mayClaim } = this.options;
+    const term = Math.max(await this.readLatest(), this.highestKnownTerm) + 1;
     // If this instance has lost the partition meanwhile, its higher term would fence the home that
     // has opened on another instance, and the partition would have no home.
-    if (!isWanted()) return undefined;
+    if (!mayClaim()) return undefined;
     const sequence = randomInt(FIRST_SEQUENCE_LIMIT);
-    this.exceed(term);
+    this.highestKnownTerm = term;
     this.recordInBackground({ term, sequence });
     const fenced = await this.append(topic, { term, sequence });
     if (fenced.type === 'appended') return { term, sequence, endOffset: fenced.endOffset };
-    if (fenced.type !== 'rejected') this.supersededCount += 1;
+    if (fenced.type !== 'rejected') this.skipTerms();
     return undefined;
   }
 
+  /**
+   * Skips more terms with each rejected claim. Homes that do not know the topic of terms may have
+   * had many, and finding the latest among the records would take as long as reading them.
+   */
+  private skipTerms(): void {
+    this.highestKnownTerm += 2 ** this.rejectedCount - 1;
+    this.rejectedCount += 1;
+  }
+
   /**
    * Records a claim in the topic of terms, which only tells the next home where to begin: whether
    * the claim is valid depends on the partition alone.
@@ -139,10 +119,11 @@
     });
   }
 
+  /** Reads the latest recorded term; an unreadable record counts as none, as claims find a term. */
   private async readLatest(): Promise<number> {
     const { store, termsTopic, partition } = this.options;
     const { records } = await store.readNewest(termsTopic, partition);
-    return findTerm(records, this.options);
+    return Math.max(0, ...decodeReadable(records, decodeTerm, this.options));
   }
 
   private append(
--- a/src/taskHome/TargetDirectory.ts
+++ b/src/taskHome/TargetDirectory.ts
@@ -56,6 +56,11 @@
     return this.entries;
   }
 
+  /** Whether the list has been read at least once. */
+  get hasBeenRead(): boolean {
+    return this.follower.endOffset !== undefined;
+  }
+
   /** Reads the changes since the last refresh; if the store does not answer, the entries stay. */
   refresh(): Promise<void> {
     this.pendingRefresh ??= this.read().finally(() => {
--- a/src/taskHome/TargetReports.ts
+++ b/src/taskHome/TargetReports.ts
@@ -72,7 +72,7 @@
    * @returns Resolves once the lease may be renewed again.
    */
   async handleReport(targetId: string, report: TargetReport): Promise<void> {
-    if (!this.isLoaded && report.hasExtendedLease) await this.waitForJobs();
+    if (!this.isLoaded && report.hasExtendedLease) await this.pauseBeforeRenewal();
     if (!this.isLoaded || this.options.isClosed()) return;
     const { runs, getSessions, flushInBackground } = this.options;
     const { ended } = report.answer;
@@ -84,7 +84,7 @@
     await this.storeEnds(targetId, Math.max(...ended.map(({ endNumber }) => endNumber)));
   }
 
-  private async waitForJobs(): Promise<void> {
+  private async pauseBeforeRenewal(): Promise<void> {
     const { signal } = this.loading;
     // The pause rejects when it is aborted, which only means that the jobs are known.
     await sleep(LOADING_RENEWAL_PAUSE_MS, undefined, { signal }).catch(() => undefined);
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -66,7 +66,7 @@
 
   private readonly reports: TargetReports;
 
-  private loadedAtMs = Number.POSITIVE_INFINITY;
+  private readonly claimedAtMs: number;
 
   private readonly closing = new AbortController();
 
@@ -76,10 +76,11 @@
    */
   constructor(options: TaskHomeOptions) {
     const clock = new SteadyClock(options.clock);
-    const { claimed } = options;
-    this.options = { ...options, clock, term: claimed.term, lastSequence: claimed.sequence };
+    const { term, sequence: lastSequence } = options.claimed;
+    this.options = { ...options, clock, term, lastSequence };
     this.wallClock = options.clock;
     this.table = new JobTable(clock);
+    this.claimedAtMs = clock.monotonicMs();
     this.writer = new RecordWriter({ ...this.options, onFenced: () => this.handleReplaced() });
     this.drains = new TargetDrains(clock);
     this.arrivals = new PoolArrivals(clock);
@@ -157,7 +158,6 @@
       this.table.restore(row);
       this.runs.restore(row);
     });
-    this.loadedAtMs = clock.monotonicMs();
     this.reports.handleLoaded();
   }
 
@@ -196,8 +196,7 @@
   /**
    * Gets the state of a job.
    * @param jobId - Id of the job.
-   * @returns The state, in which an end counts once it is stored; undefined if the job certainly
-   * does not exist.
+   * @returns The state, in which an end counts once it is stored; undefined if there is no job.
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
   getState(jobId: string): DurableJobState | undefined {
@@ -256,7 +255,7 @@
     this.runs.handleEndedTargets(ended);
     this.drains.replace(pool, drainedTargets, drainedForMs);
     this.runs.evacuate(this.listTargetsToEvacuate());
-    // Tasks placed on drained targets before this call are counted below; no more are placed there.
+    // Tasks placed on drained targets before this are counted below; no more are placed there.
     await this.flush().catch(() => undefined);
     return this.demands.describe(pool);
   }
@@ -336,7 +335,7 @@
   private loseUnknownTargets(): void {
     const { clock, timing } = this.options;
     const leaseMs = timing.targetLeaseMs * INHERITED_LEASE_FACTOR;
-    if (clock.monotonicMs() < this.loadedAtMs + leaseMs) return;
+    if (clock.monotonicMs() < this.claimedAtMs + leaseMs) return;
     [...this.table.listUsedTargets()]
       .filter((targetId) => !this.sessions.has(targetId))
       .forEach((targetId) => this.runs.handleLostTarget(targetId, 'lapsed'));
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -104,7 +104,7 @@
     this.pages = new PacedPages({
       store: options.store,
       limit: new ConcurrencyLimit(countPagesAtOnce(options.linkMbps)),
-      whenLeasesFresh: () => this.whenLeasesFresh(),
+      whenRenewed: () => this.whenRenewed(),
     });
     this.membership = new GroupMembership({
       ...options,
@@ -147,9 +147,14 @@
     return this.homes.get(this.options.partitions.getPartition(pool));
   }
 
-  private async whenLeasesFresh(): Promise<void> {
+  /** Waits until the leases of all homes and the membership have just been renewed. */
+  private async whenRenewed(): Promise<void> {
     const maxMs = getLongestRenewalsWaitMs(this.options.linkMbps);
-    await Promise.all([...this.homes.values()].map(({ leases }) => leases.whenLeasesFresh(maxMs)));
+    const homes = [...this.homes.values()];
+    await Promise.all([
+      this.membership.whenFresh(maxMs),
+      ...homes.map(({ leases }) => leases.whenLeasesFresh(maxMs)),
+    ]);
   }
 
   /** Opens sessions with new targets as soon as they are listed instead of at the next tick. */
@@ -173,7 +178,7 @@
       .forEach((partition) => this.closeHome(partition, 'reassigned'));
     this.options.partitions
       .listUsedPartitions()
-      .filter((partition) => this.isWanted(partition) && !this.isOpen(partition))
+      .filter((partition) => this.isWanted(partition) && !this.isServing(partition))
       .forEach((partition) => this.openings.start(`${partition}`, () => this.openHome(partition)));
   }
 
@@ -187,13 +192,13 @@
     return this.openings.isIdle ? 0 : getLongestPageDelayMs(this.options.linkMbps);
   }
 
-  private isOpen(partition: number): boolean {
+  private isServing(partition: number): boolean {
     return this.homes.get(partition)?.isLoaded === true;
   }
 
   private async openHome(partition: number): Promise<void> {
     const opening = this.createOpening(partition);
-    while (this.isWanted(partition) && !this.isOpen(partition)) {
+    while (this.isWanted(partition) && !this.isServing(partition)) {
       try {
         // eslint-disable-next-line no-await-in-loop -- an attempt follows the one before it
         await this.attemptOpening(partition, opening);
@@ -210,11 +215,14 @@
   private createOpening(partition: number): PartitionOpening {
     const { member: instance } = this.options;
     const isWanted = (): boolean => this.isWanted(partition);
+    // After its own lease on the share, this instance would replace the home that has followed it.
+    const mayClaim = (): boolean => isWanted() && this.membership.isLeaseHeld();
     return new PartitionOpening({
       ...this.options,
       partition,
       instance,
       isWanted,
+      mayClaim,
       pages: this.pages,
     });
   }
@@ -226,8 +234,9 @@
     // If this home is replaced and the partition stays here, the next claim must not wait for the
     // rest of the pages: nobody would renew the leases meanwhile.
     const opened = await Promise.race([opening.read(home.claimed), whenAborted(home.closed)]);
-    if (opened === undefined || this.homes.get(partition) !== home) return;
-    this.loadHome(partition, home, opened);
+    if (opened === undefined) return;
+    await home.leases.whenLeasesFresh(getLongestRenewalsWaitMs(this.options.linkMbps));
+    if (this.homes.get(partition) === home) this.loadHome(partition, home, opened);
   }
 
   /** Claims the partition, and has the leases of its targets renewed. */
@@ -235,7 +244,10 @@
     partition: number,
     opening: PartitionOpening,
   ): Promise<TaskHome | undefined> {
-    const [claimed] = await Promise.all([opening.claim(), this.options.directory.refresh()]);
+    const { directory } = this.options;
+    const [claimed] = await Promise.all([opening.claim(), directory.refresh()]);
+    // Without a list of targets nothing would be renewed, and it would wait behind the first page.
+    if (!directory.hasBeenRead) await directory.refresh();
     if (claimed === undefined || !this.isWanted(partition)) return undefined;
     const home = this.createHome(partition, claimed);
     this.homes.set(partition, home);
--- a/standins/links/LinkedCalls.ts
+++ b/standins/links/LinkedCalls.ts
@@ -3,6 +3,8 @@
 
 /** Head of an HTTP request or answer, in bytes. */
 const HEAD_BYTES = 200;
+/** Packet that opens a connection, or its answer, in bytes. */
+const HANDSHAKE_BYTES = 60;
 
 /** A call that goes over a link. */
 export interface LinkedCall<Answer> {
@@ -20,6 +22,9 @@
 export class LinkedCalls {
   private readonly link: NarrowLink;
 
+  /** Open connections without a call; one on which a call was given up is not used again. */
+  private freeConnectionCount = 0;
+
   /**
    * Creates calls over a link.
    * @param link - The link of the instance that calls.
@@ -41,16 +46,30 @@
       throw new Error(`No answer over the link in ${call.timeoutMs} ms.`);
     });
     try {
-      return await Promise.race([this.carry(call), timeout]);
+      return await Promise.race([this.carry(call, giveUp.signal), timeout]);
     } finally {
       giveUp.abort();
     }
   }
 
-  private async carry<Answer>(call: LinkedCall<Answer>): Promise<Answer> {
+  private async carry<Answer>(call: LinkedCall<Answer>, isOver: AbortSignal): Promise<Answer> {
+    await this.connect();
+    // A call that was given up while it waited for its connection is never sent.
+    if (isOver.aborted) throw new Error('The call was given up.');
     await this.link.transfer('up', HEAD_BYTES + call.requestBytes);
     const answer = await call.run();
     await this.link.transfer('down', HEAD_BYTES + call.measure(answer));
+    if (!isOver.aborted) this.freeConnectionCount += 1;
     return answer;
   }
+
+  /** Takes a free connection or opens one, which needs an answer from the other end. */
+  private async connect(): Promise<void> {
+    if (this.freeConnectionCount > 0) {
+      this.freeConnectionCount -= 1;
+      return;
+    }
+    await this.link.transfer('up', HANDSHAKE_BYTES);
+    await this.link.transfer('down', HANDSHAKE_BYTES);
+  }
 }
--- a/tests/jobNode/TakeoverTrace.ts
+++ b/tests/jobNode/TakeoverTrace.ts
@@ -3,6 +3,7 @@
 
 /** Events of the log that tell how a takeover goes. */
 const TOLD_EVENTS: ReadonlySet<EventName> = new Set([
+  'leasesTakenOver',
   'taskHomeOpened',
   'taskHomeOpenFailed',
   'taskHomeClosed',
@@ -72,6 +73,16 @@
     return this.timesMs.has(what);
   }
 
+  /**
+   * Tells how often something has happened in the partition where it has happened most often.
+   * @param event - The event.
+   * @returns How often it was noted since the trace began; 0 if it was not.
+   */
+  getHighestCount(event: EventName): number {
+    const ofEvent = [...this.timesMs].filter(([what]) => what.startsWith(`${event} `));
+    return Math.max(0, ...ofEvent.map(([, times]) => times.length));
+  }
+
   /**
    * Tells the story.
    * @returns One line: of each kind its first and last time and its count, in milliseconds.
--- a/tests/jobNode/takeoverOverNarrowLink.test.ts
+++ b/tests/jobNode/takeoverOverNarrowLink.test.ts
@@ -116,6 +116,17 @@
     });
   });
 
+  // Guards against a partition that changes hands as its reader's membership ends behind a page.
+  it('leaves the partition with its reader, whose membership is renewed behind whole pages', ({
+    expect,
+  }) => {
+    const size = { jobCount: 600, linkMbps: 3.5, windowBytes: Infinity, hasThird: true };
+    return expectTakeover(expect, size, async (world) => {
+      await world.waitForHome(POOL, HOME_WITHIN_MS);
+      expect(world.trace.getHighestCount('leasesTakenOver'), world.trace.tell()).toBe(1);
+    });
+  });
+
   // Guards against leases that nobody has renewed when the partition goes on to a third instance.
   it('keeps what runs though the reader loses the partition', ({ expect }) =>
     expectTakeover(expect, { jobCount: 600, linkMbps: 2, hasThird: true }, (world) =>
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -132,6 +132,7 @@
       pages: store,
       instance: 'test',
       isWanted: () => true,
+      mayClaim: () => true,
       events,
     });
     const claimed = await opening.claim();
--- /dev/null
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -0,0 +1,143 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import { MemoryMetrics } from '../../src/metrics/index.js';
+import { encodeRecordValue, type GroupPort } from '../../src/store/index.js';
+import { ALL_MECHANISMS } from '../../src/systems/index.js';
+import { PoolPartitions, TargetDirectory, TaskHomes } from '../../src/taskHome/index.js';
+import { SystemClock } from '../../src/utils/index.js';
+import { LeasedTargetsStandIn } from '../../standins/leasedTargets/index.js';
+import { StoreStandIn } from '../../standins/store/index.js';
+import { makeEntry } from './HomeWorld.js';
+
+const LEASE_MS = 1_500;
+const JOBS_TOPIC = 'jobs';
+const TARGETS_TOPIC = 'targets';
+/** Pages of the partition, which together take two leases to read. */
+const PAGE_COUNT = 10;
+const PAGE_MS = 300;
+const LOADED_WITHIN_MS = 15_000;
+
+describe('TaskHomes', () => {
+  const events = new MemoryEventLog();
+  let store: StoreStandIn;
+  let targets: LeasedTargetsStandIn;
+  let homes: TaskHomes;
+  /** Whether the group assigns the partition to the instance, and whether it answers. */
+  let group: { isAssigned: boolean; answers: boolean };
+  let renewedAtMs: number[];
+
+  const groups: GroupPort = {
+    join: async ({ generation }) => {
+      if (!group.answers) throw new Error('The group did not answer.');
+      return { generation, partitions: group.isAssigned ? [0] : [] };
+    },
+    leave: async () => undefined,
+    listOwners: async () => [],
+  };
+
+  const append = (topic: string, keys: readonly string[]) =>
+    store.append({
+      topic,
+      partition: 0,
+      records: keys.map((key) => ({ key, value: encodeRecordValue({ key }) })),
+      timeoutMs: 1_000,
+    });
+
+  /** Lets the partition be read in pages that take long. */
+  function readSlowly(): void {
+    const { readNewest } = store;
+    let page = 0;
+    vi.spyOn(store, 'readNewest').mockImplementation(async (topic, partition) => {
+      const all = await readNewest.call(store, topic, partition);
+      if (topic !== JOBS_TOPIC) return all;
+      await sleep(PAGE_MS);
+      page += 1;
+      const records = all.records.slice(page - 1, page);
+      return { ...all, records, nextAfterKey: page >= PAGE_COUNT ? undefined : `${page}` };
+    });
+  }
+
+  beforeEach(async () => {
+    store = new StoreStandIn({ partitionCount: 1 });
+    targets = new LeasedTargetsStandIn();
+    group = { isAssigned: true, answers: true };
+    renewedAtMs = [];
+    targets.add('t1');
+    await append(TARGETS_TOPIC, ['t1']);
+    await append(
+      JOBS_TOPIC,
+      Array.from({ length: PAGE_COUNT }, (_none, index) => `other/${index}`),
+    );
+    const { renew } = targets;
+    vi.spyOn(targets, 'renew').mockImplementation((address, renewal) => {
+      if (renewal.leaseUntilTargetMs !== undefined) renewedAtMs.push(performance.now());
+      return renew.call(targets, address, renewal);
+    });
+    const clock = new SystemClock();
+    homes = new TaskHomes({
+      store,
+      targets,
+      directory: new TargetDirectory({
+        store,
+        topic: TARGETS_TOPIC,
+        partition: 0,
+        decode: ({ key }) => makeEntry(key),
+        events,
+      }),
+      partitions: new PoolPartitions({ partitionCount: 1, listPools: () => ['pages'] }),
+      homeTiming: { targetLeaseMs: LEASE_MS, targetWaitMs: 10, keepFinishedMs: 60_000 },
+      topic: JOBS_TOPIC,
+      termsTopic: 'terms',
+      maxAppendBytes: 100_000,
+      linkMbps: 7,
+      metrics: new MemoryMetrics(),
+      mechanisms: ALL_MECHANISMS,
+      createFleetHome: () => ({ start: () => undefined, close: () => undefined }) as never,
+      groups,
+      group: 'homes',
+      member: 'a',
+      groupTiming: { ttlMs: 1_000, renewEveryMs: 50, shortestWaitMs: 300, longestWaitMs: 1_000 },
+      clock,
+      events,
+      shouldHold: () => true,
+    });
+  });
+
+  afterEach(async () => {
+    await homes.stop();
+  });
+
+  // Guards against leases that lapse as a new claim waits for the reading of the home before.
+  it('renews leases though the partition goes away and comes back while it is read', async () => {
+    readSlowly();
+    homes.start();
+    await vi.waitFor(() => expect(renewedAtMs.length).toBeGreaterThan(0), 3_000);
+    group.isAssigned = false;
+    await sleep(200);
+    group.isAssigned = true;
+    await vi.waitFor(() => expect(homes.get('pages')?.isLoaded).toBe(true), LOADED_WITHIN_MS);
+    const gapsMs = renewedAtMs.slice(1).map((atMs, index) => atMs - renewedAtMs[index]!);
+    expect(Math.max(...gapsMs)).toBeLessThan(LEASE_MS);
+  });
+
+  // Guards against two instances that replace each other in turns, each by an outdated share.
+  it('claims nothing after a replacement until the group has answered', async () => {
+    homes.start();
+    await vi.waitFor(() => expect(homes.get('pages')?.isLoaded).toBe(true), LOADED_WITHIN_MS);
+    group.answers = false;
+    const { term } = homes.get('pages')!;
+    const fence = { producer: 'home', term: term + 1, sequence: 1 };
+    await store.append({ topic: JOBS_TOPIC, partition: 0, records: [], fence, timeoutMs: 1_000 });
+    await expect(homes.get('pages')!.store([])).resolves.toBeUndefined();
+    await homes
+      .get('pages')!
+      .store([{ key: 'other/x', value: undefined }])
+      .catch(() => undefined);
+    const claim = vi.spyOn(store, 'append');
+    await sleep(500);
+    expect(claim).not.toHaveBeenCalled();
+    group.answers = true;
+    await vi.waitFor(() => expect(homes.get('pages')?.term).toBeGreaterThan(term + 1), 3_000);
+  });
+});
--- a/tests/taskHome/takeover.test.ts
+++ b/tests/taskHome/takeover.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it, vi } from 'vitest';
-import { type HomeWorld, makeJob, makeStep, useHomeWorld } from './HomeWorld.js';
+import { decodeJobRecord } from '../../src/jobs/index.js';
+import { type HomeWorld, makeEntry, makeJob, makeStep, useHomeWorld } from './HomeWorld.js';
 
 const LEASE_MS = 1_200;
 const LASTING_STEP = makeStep({ taskCount: 2, isLongRunning: true });
@@ -63,6 +64,24 @@
     await world.waitForRunning(TASK_NAMES);
   });
 
+  // Guards against a job that is given up for targets that left by themselves before it was known.
+  it('counts no crash for a draining target that leaves meanwhile', async () => {
+    await runUnderEarlierHome();
+    const { targetId } = world.targets.begun[0]!;
+    world.entries.set(targetId, makeEntry(targetId, { isDraining: true }));
+    const { home, opening } = await world.claim();
+    await home.leases.whenLeasesFresh(LEASE_MS);
+    world.targets.remove(targetId);
+    await vi.waitFor(() => expect(home.leases.targetCount).toBe(1), 3_000);
+    home.load(await opening.read(home.claimed));
+    home.tick();
+    await world.waitForRunning(TASK_NAMES);
+    const { records } = await world.store.readNewest('jobs', 0);
+    const decoded = records.map((record) => decodeJobRecord(record));
+    const progress = decoded.find((record) => record.type === 'progress')!;
+    expect(progress.progress.crashes).toEqual([]);
+  });
+
   // Guards against a task that runs twice: its end was acknowledged before it was stored.
   it('acknowledges no end', async () => {
     await runUnderEarlierHome();
