Do not take a home for silent that is still reading its jobs

Cause: an entry whose home refuses, as it is still reading, counts it as silent; after 1.5 s of that a small instance joins the group, the partitions are assigned anew, it sees larger ones and leaves, and they are assigned anew once more.

Evidence: tests/taskHome/JobGateway.test.ts, a home that answers each call with "still reading" for 2.5 s counted as silent.

Ruled out: counting every refusal as an answer, as an instance that cannot open its partitions refuses too, and smaller ones have to help then.

Change: such a refusal says that the home is reading, and counts as heard.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -283,6 +283,14 @@
     test: 'tests/taskHome/shownStates.test.ts',
     name: 'is shown as completed only if no later home starts the job again',
   },
+  {
+    failure: 'homes that change hands as one that is still reading counts as silent',
+    file: 'src/taskHome/JobGateway.ts',
+    find: "outcome.type === 'reply' || outcome.isHomeLoading === true;",
+    replace: "outcome.type === 'reply';",
+    test: 'tests/taskHome/JobGateway.test.ts',
+    name: 'does not take a home for silent that is still reading its jobs',
+  },
   {
     failure: 'leases that lapse behind a page of records on a narrow link',
     file: 'src/taskHome/PacedPages.ts',
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -115,6 +115,8 @@
       readonly message: string;
       /** Wall-clock time at which to retry. */
       readonly retryAtMs?: number;
+      /** Whether the callee is the home but has not read its jobs yet. */
+      readonly isHomeLoading?: boolean;
     }
   | { readonly type: 'done' }
   /** State of a durable job; if absent, the home is certain that the job does not exist. */
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -16,7 +16,7 @@
   readonly peers: PeerPort;
   /** Handles a request for which this instance is the home. */
   readonly handleLocally: (request: DurableJobRequest) => Promise<PeerReply>;
-  readonly directory: HomeDirectory;
+  readonly directory: Pick<HomeDirectory, 'get' | 'refresh'>;
   readonly partitions: PoolPartitions;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -40,7 +40,7 @@
 /** Outcome of one attempt to call a home. */
 type CallOutcome =
   | { readonly type: 'reply'; readonly reply: PeerReply }
-  | { readonly type: 'again'; readonly error: RattanliftError };
+  | { readonly type: 'again'; readonly error: RattanliftError; readonly isHomeLoading?: boolean };
 
 /** Forwards requests about durable jobs from their entry to the homes of their pools. */
 export class JobGateway {
@@ -163,7 +163,10 @@
 
   private async attemptCall(request: DurableJobRequest, pool: string): Promise<CallOutcome> {
     const outcome = await this.callHome(request, pool);
-    if (outcome.type === 'reply') this.silentSinceMs = undefined;
+    // A home that is still reading is at work. If it counted as silent, small instances would join
+    // the group, and the partitions would be assigned anew before any of them has been read.
+    const isHeard = outcome.type === 'reply' || outcome.isHomeLoading === true;
+    if (isHeard) this.silentSinceMs = undefined;
     else this.silentSinceMs ??= this.options.clock.monotonicMs();
     return outcome;
   }
@@ -178,9 +181,9 @@
           ? await handleLocally(request)
           : await peers.call(home, request, CALL_WAIT_MS);
       const isRetryable = reply.type === 'refused' && RETRYABLE_KINDS.has(reply.kind);
-      return isRetryable
-        ? JobGateway.createRetry(reply.kind, reply.message)
-        : { type: 'reply', reply };
+      if (!isRetryable) return { type: 'reply', reply };
+      const { isHomeLoading = false } = reply;
+      return { ...JobGateway.createRetry(reply.kind, reply.message), isHomeLoading };
     } catch (thrown) {
       const error = toRattanliftError(thrown);
       if (!RETRYABLE_KINDS.has(error.kind)) throw error;
@@ -188,7 +191,10 @@
     }
   }
 
-  private static createRetry(kind: RattanliftError['kind'], message: string): CallOutcome {
+  private static createRetry(
+    kind: RattanliftError['kind'],
+    message: string,
+  ): Extract<CallOutcome, { readonly type: 'again' }> {
     return { type: 'again', error: new RattanliftError({ kind, message }) };
   }
 
--- a/src/taskHome/handleJobRequest.ts
+++ b/src/taskHome/handleJobRequest.ts
@@ -9,6 +9,13 @@
   message: 'This instance does not decide for the pool.',
 };
 
+const LOADING_REPLY: PeerReply = {
+  type: 'refused',
+  kind: 'home-unavailable',
+  message: 'This home is still reading its jobs.',
+  isHomeLoading: true,
+};
+
 async function dispatch(home: TaskHome, request: DurableJobRequest): Promise<PeerReply> {
   switch (request.type) {
     case 'submit-durable-job':
@@ -42,6 +49,7 @@
   request: DurableJobRequest,
 ): Promise<PeerReply> {
   if (home === undefined) return NOT_HOME_REPLY;
+  if (!home.isLoaded) return LOADING_REPLY;
   try {
     return await dispatch(home, request);
   } catch (thrown) {
