Keep what was read of a partition over a home that is replaced

An opening that waited for the group after its home had been replaced began anew from the first page, while the reading before went on beside it (by reading). It is kept until the partition is read or goes elsewhere, and then its reading ends after the current page.

Tests of a failure say it in one line.

--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -58,14 +58,12 @@
 ): Promise<TaskHome> {
   const store = new StoreStandIn({ partitionCount: 1 });
   const place = { store, topic: 'jobs', partition: 0 };
-  const isWanted = (): boolean => true;
   const opening = new PartitionOpening({
     ...place,
     termsTopic: 'terms',
     pages: store,
     instance: 'home',
-    isWanted,
-    mayClaim: isWanted,
+    mayClaim: () => true,
     events,
   });
   const claimed = (await opening.claim())!;
--- a/src/taskHome/PartitionOpening.ts
+++ b/src/taskHome/PartitionOpening.ts
@@ -28,8 +28,6 @@
 
 /** Options of {@link PartitionOpening}. */
 export interface PartitionOpeningOptions extends PartitionTermsOptions {
-  /** Whether the partition is still to be opened on this instance. */
-  readonly isWanted: () => boolean;
   /** Store through which the records of the partition are read. */
   readonly pages: Pick<KeyedLogPort, 'readNewest' | 'readFrom'>;
 }
@@ -98,6 +96,8 @@
   /** The latest read; the next one begins after it, as both would use the same follower. */
   private latestRead: Promise<void> = Promise.resolve();
 
+  private isCancelled = false;
+
   /**
    * Creates an opening that has read no records yet.
    * @param options - The partition, and the instance that opens it.
@@ -145,9 +145,14 @@
     return { records, ...combineJobRecords(decoded, this.options) };
   }
 
+  /** Ends the read after its current page; the partition is to be opened elsewhere. */
+  cancel(): void {
+    this.isCancelled = true;
+  }
+
   /** Reads a page unless the partition has gone to another instance, which needs no more of it. */
   private async readPage(...page: Parameters<KeyedLogPort['readNewest']>): Promise<NewestRecords> {
-    if (!this.options.isWanted()) throwError('home-unavailable', 'The partition is elsewhere.');
+    if (this.isCancelled) throwError('home-unavailable', 'The partition is elsewhere.');
     return this.options.pages.readNewest(...page);
   }
 
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -78,6 +78,9 @@
 
   private readonly openings = new KeyedOnce();
 
+  /** Openings that are not complete; they outlast a home that is replaced meanwhile. */
+  private readonly readings = new Map<number, PartitionOpening>();
+
   private readonly pages: PacedPages;
 
   private readonly membership: GroupMembership;
@@ -164,6 +167,7 @@
   }
 
   private closeAllHomes(reason: string): void {
+    [...this.readings.keys()].forEach((partition) => this.cancelReading(partition));
     [...this.homes.keys()].forEach((partition) => this.closeHome(partition, reason));
   }
 
@@ -176,12 +180,21 @@
     [...this.homes.keys()]
       .filter((partition) => !this.membership.holds(partition))
       .forEach((partition) => this.closeHome(partition, 'reassigned'));
+    [...this.readings.keys()]
+      .filter((partition) => !this.membership.holds(partition))
+      .forEach((partition) => this.cancelReading(partition));
     this.options.partitions
       .listUsedPartitions()
       .filter((partition) => this.isWanted(partition) && !this.isServing(partition))
       .forEach((partition) => this.openings.start(`${partition}`, () => this.openHome(partition)));
   }
 
+  /** Ends the reading of a partition that this instance no longer has. */
+  private cancelReading(partition: number): void {
+    this.readings.get(partition)?.cancel();
+    this.readings.delete(partition);
+  }
+
   private isWanted(partition: number): boolean {
     if (this.isStopped || this.replaced.has(partition)) return false;
     return this.membership.holds(partition);
@@ -197,7 +210,8 @@
   }
 
   private async openHome(partition: number): Promise<void> {
-    const opening = this.createOpening(partition);
+    const opening = this.readings.get(partition) ?? this.createOpening(partition);
+    this.readings.set(partition, opening);
     while (this.isWanted(partition) && !this.isServing(partition)) {
       try {
         // eslint-disable-next-line no-await-in-loop -- an attempt follows the one before it
@@ -214,14 +228,12 @@
 
   private createOpening(partition: number): PartitionOpening {
     const { member: instance } = this.options;
-    const isWanted = (): boolean => this.isWanted(partition);
     // After its own lease on the share, this instance would replace the home that has followed it.
-    const mayClaim = (): boolean => isWanted() && this.membership.isLeaseHeld();
+    const mayClaim = (): boolean => this.isWanted(partition) && this.membership.isLeaseHeld();
     return new PartitionOpening({
       ...this.options,
       partition,
       instance,
-      isWanted,
       mayClaim,
       pages: this.pages,
     });
@@ -285,6 +297,7 @@
   ): void {
     const { partitions, events } = this.options;
     home.load({ jobs, endedJobs });
+    this.readings.delete(partition);
     if (partitions.isFleetPartition(partition)) this.openFleetHome(partition, home, records);
     const jobCount = jobs.length + endedJobs.length;
     events.write('taskHomeOpened', { partition, term: home.term, jobCount });
--- a/tests/taskHome/GroupMembership.test.ts
+++ b/tests/taskHome/GroupMembership.test.ts
@@ -175,8 +175,7 @@
     expect(join.mock.calls.length).toBeLessThanOrEqual(3);
   });
 
-  // Guards against partitions that change hands while they are read: answers of the group wait
-  // behind a page of records, and the membership ends before the next renewal arrives.
+  // Guards against partitions that change hands while pages of them delay the group's answers.
   it('asks for a longer time to live while its answers may be delayed', async () => {
     const member = createMember({ getAnswerDelayMs: () => 700 });
     member.start();
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -131,7 +131,6 @@
       termsTopic: TERMS_TOPIC,
       pages: store,
       instance: 'test',
-      isWanted: () => true,
       mayClaim: () => true,
       events,
     });
--- a/tests/taskHome/PacedPages.test.ts
+++ b/tests/taskHome/PacedPages.test.ts
@@ -7,8 +7,7 @@
 const EMPTY_PAGE: NewestRecords = { records: [], endOffset: 0, nextAfterKey: undefined };
 
 describe('PacedPages', () => {
-  // Guards against leases that lapse while a page occupies the link: answers to renewals wait
-  // behind it.
+  // Guards against leases that lapse while a page of records occupies the link.
   it('begins a page only once the leases are fresh', async () => {
     const steps: string[] = [];
     const pages = new PacedPages({
--- a/tests/taskHome/PartitionOpening.test.ts
+++ b/tests/taskHome/PartitionOpening.test.ts
@@ -5,7 +5,6 @@
 import { HOME_PRODUCER } from '../../src/taskHome/PartitionTerms.js';
 import { StoreStandIn } from '../../standins/store/index.js';
 
-const isWanted = () => true;
 const PLACE = { topic: 'jobs', termsTopic: 'terms', partition: 0 };
 
 const makeOpening = (store: StoreStandIn, instance: string): PartitionOpening =>
@@ -14,8 +13,7 @@
     store,
     pages: store,
     instance,
-    isWanted,
-    mayClaim: isWanted,
+    mayClaim: () => true,
     events: new MemoryEventLog(),
   });
 
@@ -32,9 +30,7 @@
   expect(next?.term).toBe(2);
 });
 
-// Guards against a pool that has no home while the earlier home is still active: reading the
-// partition takes longer than the earlier home's pause between two appends, so its end offset would
-// move again and again. The claim fixes the end, and what came before it is not missed.
+// Guards against a pool without a home while the earlier one appends faster than it can be read.
 it('reads what the earlier home appends up to the claim, and ends its appends', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
   const earlier = await makeOpening(store, 'earlier').claim();
@@ -63,8 +59,7 @@
   expect(records.map(({ key }) => key)).toEqual(['term', 'other/1', 'other/2']);
 });
 
-// Guards against a partition that is read from its first page after each change of homes: on a slow
-// link, an opening that starts over never completes.
+// Guards against an opening that starts over after each change of homes and never completes.
 it('reads only new records after a claim of another home', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
   const readNewest = vi.spyOn(store, 'readNewest');
@@ -86,8 +81,7 @@
   expect(pages).toHaveLength(1);
 });
 
-// Guards against targets whose leases lapse before their new home can renew them: the term was
-// found only by reading the whole partition, which grows with its jobs.
+// Guards against leases that lapse while the term is looked for among all records of the jobs.
 it('claims a term without reading the partition', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
   await makeOpening(store, 'a').claim();
@@ -96,8 +90,7 @@
   expect(readNewest.mock.calls.map(([topic]) => topic)).toEqual([PLACE.termsTopic]);
 });
 
-// Guards against a partition that nobody opens after an update: a home of the version before has
-// recorded its term among the jobs alone, and the store rejects every claim of the topic of terms.
+// Guards against a partition that nobody opens after an update from a version without that topic.
 it('claims a term above one that is recorded among the jobs alone', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
   await store.append({
@@ -127,8 +120,7 @@
   expect((await makeOpening(store, 'a').claim())?.term).toBe(1);
 });
 
-// Guards against a partition that is read as a whole before anyone renews its leases, as the append
-// of the latest claim to the topic of terms was lost.
+// Guards against a partition without a home as the record of its latest claim was lost.
 it('claims the next term though the latest one was not recorded', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
   const append = store.append.bind(store);
@@ -144,9 +136,7 @@
   expect(readNewest.mock.calls.every(([topic]) => topic === PLACE.termsTopic)).toBe(true);
 });
 
-// Guards against a pool that loses its home for seconds: the platform assigns its partition to
-// another instance while a slow one is still claiming it, and the slow one then raises the term
-// above that of the new home.
+// Guards against a home that is fenced by a slow instance which has lost the partition to it.
 it('raises no term once the partition has gone to another instance', async () => {
   const store = new StoreStandIn({ partitionCount: 1 });
   const append = vi.spyOn(store, 'append');
@@ -155,7 +145,6 @@
     store,
     pages: store,
     instance: 'slow',
-    isWanted,
     mayClaim: () => false,
     events: new MemoryEventLog(),
   });
--- a/tests/taskHome/takeover.test.ts
+++ b/tests/taskHome/takeover.test.ts
@@ -23,8 +23,7 @@
     world.kill(home);
   }
 
-  // Guards against tasks that are killed at a takeover: their leases lapsed while the new home was
-  // still reading its jobs.
+  // Guards against tasks that are killed at a takeover while the new home is reading its jobs.
   it('keeps the leases of its targets, and stops none of their tasks', async () => {
     await runUnderEarlierHome();
     const { home, opening } = await world.claim();
@@ -39,7 +38,7 @@
     expect(world.targets.begun).toHaveLength(TASK_NAMES.length);
   });
 
-  // Guards against "no such job" for an accepted job: the home answered before it knew its jobs.
+  // Guards against "no such job" for an accepted job that the home has not read yet.
   it('answers nobody', async () => {
     await runUnderEarlierHome();
     const { home, opening } = await world.claim();
@@ -51,8 +50,7 @@
     expect(home.getState('a')).toBe('running');
   });
 
-  // Guards against a task that stays lost: its target's lifetime ended while the home did not know
-  // yet what had run there.
+  // Guards against a task that stays lost as its target ended before the home knew of the task.
   it('starts tasks anew whose target was lost meanwhile', async () => {
     await runUnderEarlierHome();
     const { targetId } = world.targets.begun[0]!;
@@ -82,7 +80,7 @@
     expect(progress.progress.crashes).toEqual([]);
   });
 
-  // Guards against a task that runs twice: its end was acknowledged before it was stored.
+  // Guards against a task that runs twice as its end was acknowledged before it was stored.
   it('acknowledges no end', async () => {
     await runUnderEarlierHome();
     const { targetId, taskName } = world.targets.begun[0]!;
