--- a/tests/jobNode/takeoverOverNarrowLink.test.ts
+++ b/tests/jobNode/takeoverOverNarrowLink.test.ts
@@ -31,7 +31,7 @@
   { jobCount: 600, linkMbps: 7, takenShare: 0.5 },
 ];
 
-/** The cases share one process: with more of them at once, its clock hardly moves when it is busy. */
+/** The cases share one process; with more of them at once its clock hardly moves. */
 vi.setConfig({ maxConcurrency: 6, testTimeout: 400_000 });
 
 /** Plays a takeover, and expects that callers and long-running tasks don't notice it. */
