Open a partition that goes away and comes back while it is claimed

What callers would see: a pool without a home for as long as its partition stays on the instance.

Cause: an opening ends when its partition goes elsewhere, but the loop that makes the attempts kept the opening it began with. If the partition came back before the loop had looked again, as while a claim waits for its answer, every read of that opening failed.

Change: each attempt takes the partition's current opening, a new one if the earlier one has ended.

--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -210,9 +210,9 @@
   }
 
   private async openHome(partition: number): Promise<void> {
-    const opening = this.readings.get(partition) ?? this.createOpening(partition);
-    this.readings.set(partition, opening);
     while (this.isWanted(partition) && !this.isServing(partition)) {
+      // An opening ends when the partition goes elsewhere, and it may be back by the next attempt.
+      const opening = this.getOpening(partition);
       try {
         // eslint-disable-next-line no-await-in-loop -- an attempt follows the one before it
         await this.attemptOpening(partition, opening);
@@ -226,6 +226,12 @@
     }
   }
 
+  private getOpening(partition: number): PartitionOpening {
+    const opening = this.readings.get(partition) ?? this.createOpening(partition);
+    this.readings.set(partition, opening);
+    return opening;
+  }
+
   private createOpening(partition: number): PartitionOpening {
     const { member: instance } = this.options;
     // After its own lease on the share, this instance would replace the home that has followed it.
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -121,6 +121,24 @@
     expect(Math.max(...gapsMs)).toBeLessThan(LEASE_MS);
   });
 
+  // Guards against a pool without a home as its partition was away while it was being claimed.
+  it('opens a partition that goes away and comes back while it is claimed', async () => {
+    const { append: appendRecords } = store;
+    let claimCount = 0;
+    vi.spyOn(store, 'append').mockImplementation(async (request) => {
+      claimCount += request.topic === JOBS_TOPIC ? 1 : 0;
+      if (request.topic === JOBS_TOPIC && claimCount === 1) {
+        group.isAssigned = false;
+        await sleep(200);
+        group.isAssigned = true;
+        await sleep(200);
+      }
+      return appendRecords.call(store, request);
+    });
+    homes.start();
+    await vi.waitFor(() => expect(homes.get('pages')?.isLoaded).toBe(true), 5_000);
+  });
+
   // Guards against two instances that replace each other in turns, each by an outdated share.
   it('claims nothing after a replacement until the group has answered', async () => {
     homes.start();
