Wait for a condition in one place, and drop the append condition that nothing uses

Change: src/utils/waitUntil.ts serves the daemon, the sessions and the membership. `expectedEndOffset` and `end-moved` are gone. Lifetimes are looked up in sets again. The time of a page and the wait for renewals each stand once. Behaviour is as it was.

Ruled out: one loop for KeyedFollower.read and readTo, as the first may stop at an empty answer and the second must not; a shared base of the two ways to targets in the stand-ins, whose common lines are the signatures of their port.

--- a/src/daemon/Daemon.ts
+++ b/src/daemon/Daemon.ts
@@ -4,7 +4,7 @@
 import { createHttpServer, registerCallerRoutes } from '../callers/index.js';
 import { DEFAULT_LEASE_TIMING, Membership } from '../membership/index.js';
 import { registerOperatorRoutes } from '../operators/index.js';
-import { KeyedOnce, rankByRendezvous } from '../utils/index.js';
+import { KeyedOnce, rankByRendezvous, waitUntil } from '../utils/index.js';
 import type { DaemonOptions } from './DaemonOptions.js';
 import { InstanceParts } from './InstanceParts.js';
 
@@ -179,9 +179,8 @@
     return this.waitUntil(() => this.isFinished(), deadlineMs);
   }
 
-  private async waitUntil(condition: () => boolean, deadlineMs: number): Promise<void> {
-    if (condition() || this.parts.clock.monotonicMs() >= deadlineMs) return;
-    await sleep(TICK_MS);
-    await this.waitUntil(condition, deadlineMs);
+  private waitUntil(condition: () => boolean, deadlineMs: number): Promise<void> {
+    const { clock } = this.parts;
+    return waitUntil(condition, { clock, deadlineMs, checkEveryMs: TICK_MS });
   }
 }
--- a/src/store/KeyedLogPort.ts
+++ b/src/store/KeyedLogPort.ts
@@ -25,8 +25,6 @@
   readonly partition: number;
   readonly records: readonly KeyedRecord[];
   readonly fence?: AppendFence;
-  /** If set, the append succeeds only if the partition ends at this offset. */
-  readonly expectedEndOffset?: number;
   /** Longest wait for the answer, in milliseconds. */
   readonly timeoutMs: number;
 }
@@ -34,7 +32,6 @@
 /** Result of an append; every type except `appended` means that nothing was appended. */
 export type AppendResult =
   | { readonly type: 'appended'; readonly endOffset: number }
-  | { readonly type: 'end-moved'; readonly endOffset: number }
   | { readonly type: 'fenced' }
   | { readonly type: 'out-of-sequence'; readonly expectedSequence: number | undefined }
   | { readonly type: 'rejected'; readonly reason: string };
--- a/src/taskHome/GroupMembership.ts
+++ b/src/taskHome/GroupMembership.ts
@@ -2,7 +2,7 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
 import { HeldLease } from '../membership/index.js';
 import type { GroupPort } from '../store/index.js';
-import { AdaptiveTimeout, type Clock } from '../utils/index.js';
+import { AdaptiveTimeout, type Clock, waitUntil } from '../utils/index.js';
 
 /** Timing by which the group of homes detects failed members. */
 export interface GroupTiming {
@@ -123,12 +123,9 @@
    */
   async whenFresh(maxMs: number): Promise<void> {
     const { clock } = this.options;
-    const deadlineMs = clock.monotonicMs() + maxMs;
     const isFresh = (): boolean => clock.monotonicMs() < this.allowedDelaysAtMs + FRESH_FOR_MS;
-    while (!isFresh() && clock.monotonicMs() < deadlineMs) {
-      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two checks
-      await sleep(FRESHNESS_CHECK_MS);
-    }
+    const deadlineMs = clock.monotonicMs() + maxMs;
+    await waitUntil(isFresh, { clock, deadlineMs, checkEveryMs: FRESHNESS_CHECK_MS });
   }
 
   private async runRenewals(): Promise<void> {
--- a/src/taskHome/RecordWriter.ts
+++ b/src/taskHome/RecordWriter.ts
@@ -240,7 +240,6 @@
         return undefined;
       case 'fenced':
       case 'out-of-sequence':
-      case 'end-moved':
         events.write('writerFenced', {
           topic,
           partition,
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -1,9 +1,8 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { Resources } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { PlacementTarget } from '../systems/index.js';
 import type { EndedTaskReport, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
-import type { Clock } from '../utils/index.js';
+import { type Clock, waitUntil } from '../utils/index.js';
 import type { TargetEntries, TargetEntry } from './TargetEntry.js';
 import { type TargetReport, TargetSession } from './TargetSession.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
@@ -98,11 +97,11 @@
    */
   async whenLeasesFresh(maxMs: number): Promise<void> {
     const { clock } = this.options;
-    const deadlineMs = clock.monotonicMs() + maxMs;
-    while (this.freshLeaseCount < this.targetCount && clock.monotonicMs() < deadlineMs) {
-      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two checks
-      await sleep(FRESHNESS_CHECK_MS);
-    }
+    await waitUntil(() => this.freshLeaseCount >= this.targetCount, {
+      clock,
+      deadlineMs: clock.monotonicMs() + maxMs,
+      checkEveryMs: FRESHNESS_CHECK_MS,
+    });
   }
 
   /** Number of targets that have been sent a renewal of their lease within the last moment. */
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -83,6 +83,9 @@
 
   private readonly pages: PacedPages;
 
+  /** Longest wait for renewals before a page, in milliseconds. */
+  private readonly renewalsWaitMs: number;
+
   private readonly membership: GroupMembership;
 
   /**
@@ -104,6 +107,7 @@
    */
   constructor(options: TaskHomesOptions) {
     this.options = options;
+    this.renewalsWaitMs = getLongestRenewalsWaitMs(options.linkMbps);
     this.pages = new PacedPages({
       store: options.store,
       limit: new ConcurrencyLimit(countPagesAtOnce(options.linkMbps)),
@@ -152,7 +156,7 @@
 
   /** Waits until the leases of all homes and the membership have just been renewed. */
   private async whenRenewed(): Promise<void> {
-    const maxMs = getLongestRenewalsWaitMs(this.options.linkMbps);
+    const maxMs = this.renewalsWaitMs;
     const homes = [...this.homes.values()];
     await Promise.all([
       this.membership.whenFresh(maxMs),
@@ -253,7 +257,7 @@
     // rest of the pages: nobody would renew the leases meanwhile.
     const opened = await Promise.race([opening.read(home.claimed), whenAborted(home.closed)]);
     if (opened === undefined) return;
-    await home.leases.whenLeasesFresh(getLongestRenewalsWaitMs(this.options.linkMbps));
+    await home.leases.whenLeasesFresh(this.renewalsWaitMs);
     if (this.homes.get(partition) === home) this.loadHome(partition, home, opened);
   }
 
@@ -271,7 +275,7 @@
     this.homes.set(partition, home);
     home.tick();
     const { leases, term } = home;
-    await leases.whenLeasesFresh(getLongestRenewalsWaitMs(this.options.linkMbps));
+    await leases.whenLeasesFresh(this.renewalsWaitMs);
     const { targetCount, freshLeaseCount: renewedCount } = leases;
     this.options.events.write('leasesTakenOver', { partition, term, targetCount, renewedCount });
     return home;
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -221,14 +221,15 @@
    * @param ended - The lifetimes, and which of them crashed.
    */
   handleEndedTargets({ endedTargets, crashedTargets, lostWithRack }: EndedTargets): void {
-    endedTargets
-      .filter((targetId) => this.isKnown(targetId))
-      .forEach((targetId) =>
-        this.handleLostTarget(targetId, crashedTargets.includes(targetId) ? 'crashed' : 'unlisted'),
-      );
-    const getEvidence = (targetId: string): CrashEvidence =>
-      lostWithRack.includes(targetId) ? 'weak' : 'strong';
-    crashedTargets.forEach((targetId) => this.attributeCrash(targetId, getEvidence(targetId)));
+    const crashed = new Set(crashedTargets);
+    const withRack = new Set(lostWithRack);
+    const known = endedTargets.filter((targetId) => this.isKnown(targetId));
+    known.forEach((targetId) =>
+      this.handleLostTarget(targetId, crashed.has(targetId) ? 'crashed' : 'unlisted'),
+    );
+    crashedTargets.forEach((targetId) =>
+      this.attributeCrash(targetId, withRack.has(targetId) ? 'weak' : 'strong'),
+    );
   }
 
   /**
@@ -306,8 +307,7 @@
 
   /**
    * Makes a task wait again whose run has not begun and never will. The caller reports the change,
-   * or leaves it to the next round: a task that is withdrawn at once would otherwise be placed
-   * again at once.
+   * or leaves it to the next round, so that a withdrawn task is not placed again at once.
    */
   private returnToWaiting(key: RunKey): void {
     const found = this.table.findPlaced(key);
--- a/src/taskHome/pageTransfer.ts
+++ b/src/taskHome/pageTransfer.ts
@@ -10,6 +10,10 @@
 const OTHER_ANSWERS_S = 0.5;
 const MS_PER_S = 1_000;
 
+function getPageS(linkMbps: number): number {
+  return PAGE_MEGABITS / linkMbps;
+}
+
 /**
  * Computes how many pages of records an instance may read at the same time.
  *
@@ -28,7 +32,7 @@
  * @returns The time, in milliseconds.
  */
 export function getLongestPageDelayMs(linkMbps: number): number {
-  return Math.ceil(Math.max(MAX_OCCUPIED_S, PAGE_MEGABITS / linkMbps) * MS_PER_S);
+  return Math.ceil(Math.max(MAX_OCCUPIED_S, getPageS(linkMbps)) * MS_PER_S);
 }
 
 /**
@@ -38,7 +42,7 @@
  * @returns The time, in milliseconds.
  */
 export function getLongestRenewalsWaitMs(linkMbps: number): number {
-  return Math.ceil(Math.min(MAX_RENEWALS_WAIT_S, PAGE_MEGABITS / linkMbps) * MS_PER_S);
+  return Math.ceil(Math.min(MAX_RENEWALS_WAIT_S, getPageS(linkMbps)) * MS_PER_S);
 }
 
 /**
@@ -51,6 +55,6 @@
  * @returns The time, in milliseconds.
  */
 export function getLongestPageSilenceMs(linkMbps: number): number {
-  const behindPageS = PAGE_MEGABITS / linkMbps + OTHER_ANSWERS_S;
+  const behindPageS = getPageS(linkMbps) + OTHER_ANSWERS_S;
   return Math.ceil(Math.max(STORE_SILENCE_S, behindPageS) * MS_PER_S);
 }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -27,4 +27,5 @@
 export { SeededRng } from './SeededRng.js';
 export { SteadyClock } from './SteadyClock.js';
 export { SystemClock } from './SystemClock.js';
+export { waitUntil, type WaitUntilOptions } from './waitUntil.js';
 export { whenAborted } from './whenAborted.js';
--- a/standins/store/StoreStandIn.ts
+++ b/standins/store/StoreStandIn.ts
@@ -205,13 +205,9 @@
 
   private apply(request: AppendRequest): AppendResult {
     const partition = this.getPartition(request.topic, request.partition);
-    const { fence, expectedEndOffset } = request;
+    const { fence } = request;
     const refusal = fence && StoreStandIn.checkFence(partition, fence);
     if (refusal !== undefined) return refusal;
-    const { endOffset } = partition;
-    if (expectedEndOffset !== undefined && expectedEndOffset !== endOffset) {
-      return { type: 'end-moved', endOffset };
-    }
     const result = this.add(partition, request);
     if (fence !== undefined) StoreStandIn.remember(partition, fence, result);
     return result;
--- a/tests/jobNode/TakeoverWorld.ts
+++ b/tests/jobNode/TakeoverWorld.ts
@@ -171,7 +171,7 @@
     const { sequence } = last.fence!;
     const fence = { ...last.fence!, sequence: sequence + 1 };
     const records = encodeAcceptedJob(job, targetId);
-    const request = { ...last, records, fence, expectedEndOffset: undefined };
+    const request = { ...last, records, fence };
     const { type } = await this.cluster.store.append(request);
     if (type === 'appended') this.addAccepted(job);
     return type === 'appended';
