Log which ends are ignored, where ends are stored, and which starts are repeats

Cause: a task was started again after its acknowledged end, and four facts that tell the six hypotheses apart left no line: an end that a home ignores, the offset and term of the append that holds an end, the offset to which a new home has read, and whether a refused start was a repeat. No logic has changed.

Change: - `endIgnored` (warn): a target reports the end of a run that is not the current one of its task, with `reason`, `phase` and `latestRun` of what the home has instead. Ends of tasks that are done at that run, and of jobs that are finished, are left out: they are common after a takeover, in a gang and after a cancel, and such a task does not run again. An unknown job is logged, as a target that runs its task may be what is left of a lost job; a cancelled job stays known while its tasks are on targets, so a cancel alone gives no such line. Each end is looked at once per session.

Ruled out: `endsStored` as a line of the job itself, as it follows `jobFinished`, which the summary of a story names as the last event; a line for each stored end, as one for a report is enough; a flag that each order carries from its creation, as the phase before a start tells it.

Measured: lint, format and types clean; tests of taskHome, logging, explain and docs pass (181). With `isRepeat` always false and the ordinary reasons logged, four of the new tests fail. The new tests of homes, reports and the writer passed in six further plays of six.

--- a/src/explain/tellJobStory.ts
+++ b/src/explain/tellJobStory.ts
@@ -41,6 +41,12 @@
   'writerFenced',
 ]);
 
+/** Tells whether a line lists a task of a job among those of others, as a target's report does. */
+function listsTaskOf(subject: string, { fields: { taskNames } }: LogLine): boolean {
+  if (!Array.isArray(taskNames)) return false;
+  return taskNames.some((taskName) => String(taskName).startsWith(`${subject}.`));
+}
+
 function isOwn({ fields }: LogLine, subject: string): boolean {
   const { jobId, requestId, taskName } = fields;
   const isOfTask = typeof taskName === 'string' && taskName.startsWith(`${subject}.`);
@@ -52,13 +58,15 @@
 }
 
 /** Keeps the lines of what happened around a job to what it had to do with. */
-function createContextFilter(own: readonly LogLine[]): (line: LogLine) => boolean {
+function createContextFilter(own: readonly LogLine[], subject: string): (line: LogLine) => boolean {
   const targetIds = listField(own, 'targetId');
   const pools = listField(own, 'pool');
   const instances = new Set(own.map(({ instance }) => instance));
   const fromMs = own[0]!.atMs - LEAD_MS;
   const untilMs = own.at(-1)!.atMs + TRAIL_MS;
-  return ({ atMs, event, instance, fields }) => {
+  return (line) => {
+    const { atMs, event, instance, fields } = line;
+    if (listsTaskOf(subject, line)) return true;
     if (atMs < fromMs || atMs > untilMs) return false;
     if (TARGET_EVENTS.has(event)) return targetIds.has(fields.targetId);
     if (POOL_EVENTS.has(event)) return pools.has(fields.pool);
@@ -96,7 +104,7 @@
   const own = sorted.filter((line) => isOwn(line, subject));
   const [first] = own;
   if (first === undefined) return undefined;
-  const isContext = createContextFilter(own);
+  const isContext = createContextFilter(own, subject);
   const ownSet = new Set(own);
   const story = sorted
     .filter((line) => ownSet.has(line) || isContext(line))
--- a/src/logging/BoundedLineWriter.ts
+++ b/src/logging/BoundedLineWriter.ts
@@ -28,6 +28,8 @@
 const DETAILS: ReadonlySet<EventName> = new Set<EventName>([
   'taskPlaced',
   'taskEnded',
+  'endIgnored',
+  'endsStored',
   'startRefused',
   'taskPaced',
   'vmChanged',
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -11,6 +11,8 @@
   startUnanswered: { number: 6007, level: 'warn', text: 'A start got no answer.' },
   stopUnanswered: { number: 6008, level: 'warn', text: 'A stop got no answer.' },
   taskEnded: { number: 6009, level: 'info', text: 'A run of a task has ended.' },
+  endIgnored: { number: 6043, level: 'warn', text: 'A home ignores the reported end of a run.' },
+  endsStored: { number: 6044, level: 'info', text: 'Ends that a target reported are stored.' },
   strayTask: { number: 6010, level: 'warn', text: 'A target runs what this home did not place.' },
   targetAppeared: { number: 6011, level: 'info', text: 'A target is known.' },
   targetDraining: { number: 6012, level: 'info', text: 'A target leaves and gets no new task.' },
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -2,7 +2,10 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { PoolDemand } from '../systems/index.js';
+import type { TaskEnd } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
+import { explainIgnoredEnd, isOrdinaryReason } from './explainIgnoredEnd.js';
+import type { JobTable } from './JobTable.js';
 import type { RunKey } from './RunKey.js';
 
 /** Options of {@link JobTelemetry}. */
@@ -77,6 +80,21 @@
     this.options.events.write('taskEnded', { jobId, taskName, run, targetId, end, source });
   }
 
+  /**
+   * Records the end of a run that a target has reported, if the home ignores it and the task could
+   * run again. An expected end is recorded once it is applied.
+   * @param table - The jobs, before the end is applied.
+   * @param key - The run.
+   * @param end - How it ended.
+   */
+  noteReportedEnd(table: Pick<JobTable, 'findTask' | 'get'>, key: RunKey, end: TaskEnd): void {
+    const { taskName, run, targetId } = key;
+    const ignored = explainIgnoredEnd(table, key);
+    if (ignored === undefined || isOrdinaryReason(ignored.reason)) return;
+    const { events, term } = this.options;
+    events.write('endIgnored', { taskName, run, targetId, term, end, ...ignored });
+  }
+
   /**
    * Records that a run was lost with its target. Its end is recorded separately, like any other.
    * @param row - Its job.
--- a/src/taskHome/RecordWriter.ts
+++ b/src/taskHome/RecordWriter.ts
@@ -79,6 +79,8 @@
 
   private busySinceMs: number | undefined;
 
+  private storedEndOffset: number | undefined;
+
   /**
    * Creates a writer for a term that the store already knows from the append that opened it.
    * @param options - Partition, term and store.
@@ -88,6 +90,11 @@
     this.sequence = options.lastSequence ?? 0;
   }
 
+  /** End of the partition after the latest stored append; undefined before the first one. */
+  get endOffset(): number | undefined {
+    return this.storedEndOffset;
+  }
+
   /** Whether the store has not answered the current append for some time. */
   get isStalled(): boolean {
     const { busySinceMs } = this;
@@ -234,6 +241,7 @@
     const { topic, partition, term, events, onFenced } = this.options;
     switch (result.type) {
       case 'appended':
+        this.storedEndOffset = result.endOffset;
         return true;
       case 'rejected':
         events.write('appendRejected', { topic, partition, term, reason: result.reason });
--- a/src/taskHome/RunOrder.ts
+++ b/src/taskHome/RunOrder.ts
@@ -32,6 +32,8 @@
   begunAtMs: number | undefined;
   /** Monotonic time of the last answer; a report that is requested later shows the run. */
   answeredAtMs: number;
+  /** Whether a start of this home, or perhaps of an earlier one, got no answer. */
+  hasUnansweredStart?: boolean;
 }
 
 /**
--- a/src/taskHome/TargetReports.ts
+++ b/src/taskHome/TargetReports.ts
@@ -1,4 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { EventLog } from '../logging/index.js';
+import type { EndedTaskReport } from '../targets/index.js';
+import type { RecordWriter } from './RecordWriter.js';
 import type { TargetReport } from './TargetSession.js';
 import type { TargetLossReason, TargetSessions } from './TargetSessions.js';
 import type { TaskRuns } from './TaskRuns.js';
@@ -15,6 +18,10 @@
   readonly flush: () => Promise<void>;
   readonly flushInBackground: () => void;
   readonly isClosed: () => boolean;
+  readonly writer: Pick<RecordWriter, 'endOffset'>;
+  readonly partition: number;
+  readonly term: number;
+  readonly events: EventLog;
 }
 
 /** Interval between the renewals of a target's lease while the jobs are read, in milliseconds. */
@@ -76,12 +83,14 @@
     if (!this.isLoaded || this.options.isClosed()) return;
     const { runs, getSessions, flushInBackground } = this.options;
     const { ended } = report.answer;
-    runs.handleReport(targetId, getSessions().takeNewEnds(targetId, ended), report);
+    const newEnds = getSessions().takeNewEnds(targetId, ended);
+    runs.handleReport(targetId, newEnds, report);
     if (ended.length === 0) {
       flushInBackground();
       return;
     }
-    await this.storeEnds(targetId, Math.max(...ended.map(({ endNumber }) => endNumber)));
+    const lastEndNumber = Math.max(...ended.map(({ endNumber }) => endNumber));
+    await this.storeEnds(targetId, lastEndNumber, newEnds);
   }
 
   private async pauseBeforeRenewal(): Promise<void> {
@@ -94,11 +103,35 @@
    * Stores ends and acknowledges them. The target may discard them only once they are stored, but
    * an unavailable store must not prevent the lease from being renewed.
    */
-  private async storeEnds(targetId: string, lastEndNumber: number): Promise<void> {
+  private async storeEnds(
+    targetId: string,
+    lastEndNumber: number,
+    newEnds: readonly EndedTaskReport[],
+  ): Promise<void> {
     const { flush, getSessions } = this.options;
     const stored = flush()
-      .then(() => getSessions().acknowledge(targetId, lastEndNumber))
+      .then(() => {
+        getSessions().acknowledge(targetId, lastEndNumber);
+        this.logStoredEnds(targetId, lastEndNumber, newEnds);
+      })
       .catch(() => undefined);
     await Promise.race([stored, sleep(STORE_WAIT_MS)]);
   }
+
+  /**
+   * Logs ends once, though a target repeats them until they are acknowledged: after an outage of
+   * the store, all reports that arrived meanwhile would log the same ends.
+   */
+  private logStoredEnds(
+    targetId: string,
+    lastEndNumber: number,
+    newEnds: readonly EndedTaskReport[],
+  ): void {
+    if (newEnds.length === 0) return;
+    const { events, partition, term, writer } = this.options;
+    const { endOffset } = writer;
+    const taskNames = newEnds.map(({ taskName }) => taskName);
+    const stored = { targetId, partition, term, lastEndNumber, endOffset };
+    events.write('endsStored', { ...stored, taskNames });
+  }
 }
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -28,9 +28,7 @@
 /** Parameters of a `sync-pool` request, which the fleet's home sends for each pool. */
 type SyncPoolParameters = Omit<Extract<DurableJobRequest, { readonly type: 'sync-pool' }>, 'type'>;
 
-/**
- * Leases of an earlier home count as lapsed after their length, 2 % for clock drift, and a margin.
- */
+/** An inherited lease counts as lapsed after its length, 2 % for clock drift, and a margin. */
 const INHERITED_LEASE_FACTOR = 1.1;
 
 /**
@@ -94,6 +92,8 @@
       onStaleTerm: () => this.handleReplaced(),
     });
     this.reports = new TargetReports({
+      ...this.options,
+      writer: this.writer,
       runs: this.runs,
       getSessions: () => this.sessions,
       flush: () => this.flush(),
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -310,7 +310,8 @@
     this.readings.delete(partition);
     if (partitions.isFleetPartition(partition)) this.openFleetHome(partition, home, records);
     const jobCount = jobs.length + endedJobs.length;
-    events.write('taskHomeOpened', { partition, term: home.term, jobCount });
+    const { term, endOffset } = home.claimed;
+    events.write('taskHomeOpened', { partition, term, jobCount, endOffset });
     home.tick();
   }
 
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -247,7 +247,8 @@
   private settle(order: RunOrder, phase: OrderPhase): void {
     const answeredAtMs = this.options.clock.monotonicMs();
     const begunAtMs = order.begunAtMs ?? (phase === 'started' ? answeredAtMs : undefined);
-    Object.assign(order, { phase, answeredAtMs, begunAtMs });
+    const hasUnansweredStart = order.hasUnansweredStart === true || order.phase === 'unanswered';
+    Object.assign(order, { phase, answeredAtMs, begunAtMs, hasUnansweredStart });
   }
 
   private isCurrent(order: RunOrder): boolean {
@@ -263,12 +264,13 @@
       return;
     }
     this.settle(order, 'starting');
-    const { taskName, run, targetId } = order;
+    const { taskName, run, targetId, hasUnansweredStart: isRepeat } = order;
+    const fields = { taskName, run, targetId, term, isRepeat };
     try {
       const answer = await port.start(address, start);
       if (this.isCurrent(order)) this.handleStartAnswer(order, answer);
     } catch (thrown) {
-      events.write('startUnanswered', { taskName, run, targetId, term, reason: String(thrown) });
+      events.write('startUnanswered', { ...fields, reason: String(thrown) });
       if (this.isCurrent(order) && order.phase === 'starting') this.settle(order, 'unanswered');
     }
   }
@@ -294,8 +296,8 @@
 
   private handleRefusal(order: RunOrder, reason: StartRefusal): void {
     const { events, term, onRefused, onStaleTerm } = this.options;
-    const { taskName, run, targetId } = order;
-    events.write('startRefused', { taskName, run, targetId, term, reason });
+    const { taskName, run, targetId, hasUnansweredStart: isRepeat } = order;
+    events.write('startRefused', { taskName, run, targetId, term, reason, isRepeat });
     if (reason === 'stale-term') onStaleTerm();
     // The run has already ended there; a report has its end, or the next one shows its absence.
     else if (reason === 'stale-run') this.settle(order, 'started');
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -199,7 +199,11 @@
    */
   handleReport(targetId: string, ended: readonly EndedTaskReport[], report: TargetReport): void {
     const { running } = report.answer;
-    ended.forEach((end) => this.handleReportedEnd(targetId, end));
+    ended.forEach(({ taskName, run, end, checkpoint }) => {
+      const key = { taskName, run, targetId };
+      this.options.telemetry.noteReportedEnd(this.table, key, end);
+      this.endRun(key, { end, checkpoint }, 'reported');
+    });
     this.progress.note(running);
     this.stopper.stopStalled(targetId, running);
     const address = this.sessions.getAddress(targetId);
@@ -316,11 +320,6 @@
     this.table.put(unplaceTask(found.row, found.position));
   }
 
-  private handleReportedEnd(targetId: string, ended: EndedTaskReport): void {
-    const { taskName, run, end, checkpoint } = ended;
-    this.endRun({ taskName, run, targetId }, { end, checkpoint }, 'reported');
-  }
-
   private endRun(key: RunKey, runEnd: RunEnd, source: string): void {
     const { clock, telemetry } = this.options;
     const found = this.table.findPlaced(key);
--- a/tests/explain/tellJobStory.test.ts
+++ b/tests/explain/tellJobStory.test.ts
@@ -75,6 +75,19 @@
     expect(formatJobStory(tell([...LINES, leftOut]))).toContain('the story may have holes');
   });
 
+  it('shows an ignored end of the job, and when its ends were stored, however late', () => {
+    const ignored = makeLine(5_500, 'endIgnored', { taskName: `${JOB}.0.0.0`, end: 'done' });
+    const stored = makeLine(9_000, 'endsStored', { taskNames: ['x.0.0.1', `${JOB}.0.0.0`] });
+    const others = makeLine(4_000, 'endsStored', { targetId: 't1', taskNames: [`${JOB}0.0.0.0`] });
+    const { lines } = tell([...LINES, stored, others, ignored]);
+    expect(lines.slice(-3).map(({ event, role }) => [event, role])).toEqual([
+      ['jobFinished', 'own'],
+      ['endIgnored', 'own'],
+      ['endsStored', 'context'],
+    ]);
+    expect(lines.filter(({ event }) => event === 'endsStored')).toHaveLength(1);
+  });
+
   it('knows nothing of a job that no line is about', () => {
     expect(tellJobStory(LINES, 'ffffffffffffffff')).toBeUndefined();
   });
--- a/tests/taskHome/JobTelemetry.test.ts
+++ b/tests/taskHome/JobTelemetry.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest';
-import { createJobRow, type DurableJobSpec, placeTask } from '../../src/jobs/index.js';
+import { cancelJob, createJobRow, type DurableJobSpec, placeTask } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
+import { JobTable } from '../../src/taskHome/JobTable.js';
 import { JobTelemetry } from '../../src/taskHome/JobTelemetry.js';
 import { ManualClock } from '../../src/utils/index.js';
 import { makeJob } from './HomeWorld.js';
@@ -25,6 +26,20 @@
 }
 
 describe('JobTelemetry', () => {
+  it('warns of an end that is ignored, unless its task does not run again', () => {
+    const { telemetry, events, row } = createTelemetry();
+    const key = { taskName: 'j1.0.0.0', run: 1, targetId: 't1' };
+    const table = new JobTable();
+    telemetry.noteReportedEnd(table, key, 'done');
+    table.restore(placeTask(row, 0, 't1'));
+    telemetry.noteReportedEnd(table, key, 'done');
+    table.restore(cancelJob(row, 0));
+    telemetry.noteReportedEnd(table, key, 'done');
+    expect(events.events).toEqual([
+      { event: 'endIgnored', fields: { ...key, term: 3, end: 'done', reason: 'unknown-job' } },
+    ]);
+  });
+
   it('logs the basis of each placement, and measures only the first of a job', () => {
     const { telemetry, events, metrics, clock, row } = createTelemetry();
     clock.advance(40);
--- a/tests/taskHome/RecordWriter.test.ts
+++ b/tests/taskHome/RecordWriter.test.ts
@@ -50,6 +50,22 @@
     expect((await store.readNewest('jobs', 0)).endOffset).toBe(1);
   });
 
+  it('knows where the partition ends after its latest stored append', async () => {
+    const store = new StoreStandIn({ partitionCount: 1 });
+    const writer = createWriter(store, 1);
+    expect(writer.endOffset).toBeUndefined();
+    await writer.write([record('a'), record('b')]);
+    expect(writer.endOffset).toBe(2);
+    const append = vi.spyOn(store, 'append');
+    store.faults.rejects = true;
+    const written = writer.write([record('c')]);
+    await vi.waitFor(() => expect(append.mock.calls.length).toBeGreaterThan(1));
+    expect(writer.endOffset).toBe(2);
+    store.faults.rejects = false;
+    await written;
+    expect(writer.endOffset).toBe(3);
+  });
+
   // Guards against a home that closes itself under load: it waits for earlier writes by an append
   // without records, which the store does not count, so its next number is out of sequence.
   it('waits for earlier writes without an append of its own', async () => {
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -121,6 +121,16 @@
     expect(Math.max(...gapsMs)).toBeLessThan(LEASE_MS);
   });
 
+  it('logs up to which offset a home has read its partition', async () => {
+    homes.start();
+    await vi.waitFor(() => expect(homes.get('pages')?.isLoaded).toBe(true), LOADED_WITHIN_MS);
+    const { claimed, term } = homes.get('pages')!;
+    const { endOffset } = await store.readNewest(JOBS_TOPIC, 0);
+    expect(claimed.endOffset).toBe(endOffset);
+    const opened = events.events.findLast(({ event }) => event === 'taskHomeOpened');
+    expect(opened?.fields).toMatchObject({ partition: 0, term, endOffset });
+  });
+
   // Guards against a pool without a home as its partition was away while it was being claimed.
   it('opens a partition that goes away and comes back while it is claimed', async () => {
     const { append: appendRecords } = store;
--- a/tests/taskHome/TaskOrders.test.ts
+++ b/tests/taskHome/TaskOrders.test.ts
@@ -11,6 +11,64 @@
 /** Time in which several reports arrive and the fleet is read several times, in milliseconds. */
 const SEVERAL_REPORTS_MS = 200;
 
+describe('the log of a start', () => {
+  let world: HomeWorld;
+
+  useHomeWorld((fresh) => {
+    world = fresh;
+  });
+
+  const listRepeats = (event: 'startRefused' | 'startUnanswered'): readonly unknown[] =>
+    world.events.events
+      .filter((kept) => kept.event === event)
+      .map(({ fields }) => [fields.run, fields.isRepeat]);
+
+  const loseStarts = (appliesStartsLate: boolean): void =>
+    ['t1', 't2'].forEach((id) => world.targets.setFaults(id, { appliesStartsLate }));
+
+  const refuseStarts = (): unknown =>
+    vi
+      .spyOn(world.targets, 'start')
+      .mockResolvedValue({ type: 'refused', reason: 'lease-past', targetClockMs: undefined });
+
+  it('tells that the first start of a run was refused', async () => {
+    refuseStarts();
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await vi.waitFor(() => expect(listRepeats('startRefused').length).toBeGreaterThan(1));
+    expect(listRepeats('startRefused').slice(0, 2)).toEqual([
+      [1, false],
+      [2, false],
+    ]);
+  });
+
+  it('tells that a repeat was unanswered or refused, after a start without an answer', async () => {
+    loseStarts(true);
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await vi.waitFor(() => expect(listRepeats('startUnanswered').length).toBeGreaterThan(1));
+    expect(listRepeats('startUnanswered').slice(0, 2)).toEqual([
+      [1, false],
+      [1, true],
+    ]);
+    refuseStarts();
+    await vi.waitFor(() => expect(listRepeats('startRefused')).not.toEqual([]));
+    expect(listRepeats('startRefused')[0]).toEqual([1, true]);
+  });
+
+  it('tells that a refused start may repeat one of an earlier home', async () => {
+    loseStarts(true);
+    const home = await world.open();
+    await home.submit(makeJob('a'));
+    await vi.waitFor(() => expect(world.countEvents('startUnanswered')).toBeGreaterThan(0));
+    world.kill(home);
+    refuseStarts();
+    await world.open();
+    await vi.waitFor(() => expect(listRepeats('startRefused')).not.toEqual([]));
+    expect(listRepeats('startRefused')[0]).toEqual([1, true]);
+  });
+});
+
 describe('a stop without an answer', () => {
   let world: HomeWorld;
   let syncPool: (drainedTargets: readonly string[]) => Promise<unknown>;
