Let the stand-in of targets refuse, delay and lose single calls

Cause: the orders of events behind a task that starts again after its end can't be forced on the stand-in. It can hold up all starts of a target or none, refuses none, and carries late starts out all at once; a late start to a lifetime that is gone throws.

Change: faults for each target: starts refused for a given reason, the first call of each run held up while its repeat is answered, starts neither answered nor carried out before a chosen moment, lost answers, late stops, acknowledgements without effect, late reports. What is held up is released for one target or all, and judged then by term, run and lease. A run that was already there no longer depends on the list of all begun runs, so a run number that begins on a second target counts as a second begin. A target may hold two runs of one task. An accepted stop of a run that is not there rejects its start also while stops are slow, and a start that is refused as old or for want of room extends the lease, as the protocol says.

Ends that a test gives to a target itself now count, and acknowledged ends outlast a crash.

Ruled out: forced refusals for late starts, which were admitted before.

--- a/standins/leasedTargets/LeasedTarget.ts
+++ b/standins/leasedTargets/LeasedTarget.ts
@@ -5,6 +5,7 @@
   CommandAnswer,
   RunningTaskReport,
   StartAnswer,
+  StartRefusal,
   TaskEnd,
   TaskStart,
 } from '../../src/targets/index.js';
@@ -31,12 +32,16 @@
 
   private readonly clock: Clock;
 
-  private readonly running = new Map<string, Running>();
+  /** What runs, the newest run last; a faulty home may start two runs of a task. */
+  private running: readonly Running[] = [];
 
   private ended: EndedTaskReport[] = [];
 
   private readonly highestEndedRuns = new Map<string, number>();
 
+  /** Tasks that were done, without those whose end may be lost. */
+  private readonly done = new Set<string>();
+
   private lastEndNumber = 0;
 
   private highestTerm = 0;
@@ -59,7 +64,7 @@
   /** Tasks that run at this moment. */
   get runningNames(): readonly string[] {
     this.lapse();
-    return [...this.running.keys()];
+    return this.running.map(({ start }) => start.taskName);
   }
 
   /** Ends that nobody has acknowledged. */
@@ -67,24 +72,58 @@
     return this.ended;
   }
 
-  /** Carries a start out. */
-  start(start: TaskStart): StartAnswer {
+  /**
+   * Lists the tasks that were done here. An end does not count whose target's lease lapsed before
+   * it was acknowledged, whatever comes later.
+   */
+  get doneNames(): readonly string[] {
+    this.lapse();
+    return [...this.done];
+  }
+
+  /** The tasks that were done here and whose ends were acknowledged in time. */
+  get acknowledgedDoneNames(): readonly string[] {
+    const open = new Set(this.ended.map(({ taskName }) => taskName));
+    return this.doneNames.filter((taskName) => !open.has(taskName));
+  }
+
+  /**
+   * Tells whether a run is there.
+   * @param taskName - Name of the task.
+   * @param run - Number of the run.
+   * @returns Whether it is running.
+   */
+  isRunning(taskName: string, run: number): boolean {
+    this.lapse();
+    return this.running.some(({ start }) => start.taskName === taskName && start.run === run);
+  }
+
+  /**
+   * Carries a start out.
+   * @param start - The start.
+   * @param refusal - Reason to refuse a start that would be carried out.
+   * @returns The answer.
+   */
+  start(start: TaskStart, refusal?: StartRefusal): StartAnswer {
     this.lapse();
     const targetClockMs = this.clock.monotonicMs();
-    const refuse = (reason: 'stale-term' | 'stale-run' | 'lease-past'): StartAnswer => ({
+    const refuse = (reason: StartRefusal): StartAnswer => ({
       type: 'refused',
       reason,
       targetClockMs,
     });
+    if (refusal === 'unhealthy' || refusal === 'malformed') return refuse(refusal);
     if (start.term < this.highestTerm) return refuse('stale-term');
     this.highestTerm = start.term;
-    if (this.running.get(start.taskName)?.start.run === start.run) {
-      return { type: 'started', targetClockMs };
+    if (this.isRunning(start.taskName, start.run)) return { type: 'started', targetClockMs };
+    const isStale = start.run <= (this.highestEndedRuns.get(start.taskName) ?? 0);
+    if (isStale || refusal === undefined || refusal === 'no-room') {
+      this.leaseUntilMs = Math.max(this.leaseUntilMs, start.leaseUntilTargetMs);
     }
-    if (start.run <= (this.highestEndedRuns.get(start.taskName) ?? 0)) return refuse('stale-run');
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, start.leaseUntilTargetMs);
+    if (isStale) return refuse('stale-run');
+    if (refusal !== undefined) return refuse(refusal);
     if (this.leaseUntilMs <= targetClockMs) return refuse('lease-past');
-    this.running.set(start.taskName, { start, progressPercent: 100 });
+    this.running = [...this.running, { start, progressPercent: 100 }];
     return { type: 'started', targetClockMs };
   }
 
@@ -93,7 +132,7 @@
     this.lapse();
     if (term < this.highestTerm) return { type: 'refused', reason: 'stale-term' };
     this.highestTerm = term;
-    if (this.running.get(taskName)?.start.run === run) this.end(taskName, 'stopped');
+    if (this.isRunning(taskName, run)) this.endRun({ taskName, run }, { end: 'stopped' });
     else this.noteEndedRun(taskName, run);
     return { type: 'accepted' };
   }
@@ -108,7 +147,7 @@
     return {
       type: 'report',
       targetClockMs: this.clock.monotonicMs(),
-      running: [...this.running.values()].map(({ start, progressPercent }): RunningTaskReport => ({
+      running: this.running.map(({ start, progressPercent }): RunningTaskReport => ({
         taskName: start.taskName,
         run: start.run,
         progressPercent,
@@ -126,11 +165,21 @@
    * @param checkpoint - What it has saved.
    */
   end(taskName: string, end: TaskEnd, checkpoint?: string): void {
-    const { run } = this.running.get(taskName)!.start;
-    this.running.delete(taskName);
+    const { start } = this.running.findLast((running) => running.start.taskName === taskName)!;
+    this.endRun(start, { end, checkpoint });
+  }
+
+  private endRun(
+    { taskName, run }: Pick<TaskStart, 'taskName' | 'run'>,
+    { end, checkpoint }: Pick<EndedTaskReport, 'end' | 'checkpoint'>,
+  ): void {
+    this.running = this.running.filter(
+      ({ start }) => start.taskName !== taskName || start.run !== run,
+    );
     this.noteEndedRun(taskName, run);
     this.lastEndNumber += 1;
     this.ended = [...this.ended, { endNumber: this.lastEndNumber, taskName, run, end, checkpoint }];
+    if (end === 'done') this.done.add(taskName);
   }
 
   private noteEndedRun(taskName: string, run: number): void {
@@ -140,9 +189,12 @@
 
   private lapse(): void {
     if (this.clock.monotonicMs() < this.leaseUntilMs) return;
-    [...this.running].forEach(([taskName, { start }]) => {
-      this.lapsedRuns.push({ taskName, run: start.run, atMs: this.leaseUntilMs });
-      this.end(taskName, 'lapsed');
+    this.ended
+      .filter(({ end }) => end === 'done')
+      .forEach(({ taskName }) => this.done.delete(taskName));
+    this.running.forEach(({ start: { taskName, run } }) => {
+      this.lapsedRuns.push({ taskName, run, atMs: this.leaseUntilMs });
+      this.endRun({ taskName, run }, { end: 'lapsed' });
     });
   }
 }
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -6,22 +6,13 @@
   LeaseRenewal,
   CommandAnswer,
   StartAnswer,
+  StartRefusal,
   TaskStart,
 } from '../../src/targets/index.js';
 import { type Clock, SystemClock } from '../../src/utils/index.js';
+import { LateCalls } from './LateCalls.js';
 import { LeasedTarget } from './LeasedTarget.js';
-
-/** What goes wrong at one target; each fault lasts until it is lifted. */
-export interface LeasedTargetFaults {
-  /** No call reaches the target. */
-  isCutOff: boolean;
-  /** Starts get no answer, and are carried out once this is lifted. */
-  appliesStartsLate: boolean;
-  /** Stops are accepted, and what they stop goes on. */
-  stopsSlowly: boolean;
-  /** Stops get no answer, and what they stop goes on. */
-  losesStops: boolean;
-}
+import { type LeasedTargetFaults, NO_FAULTS } from './LeasedTargetFaults.js';
 
 /** A run that has begun on a target. */
 export interface BegunRun {
@@ -59,8 +50,16 @@
 
   private readonly faults = new Map<string, LeasedTargetFaults>();
 
-  private readonly lateStarts: { readonly targetId: string; readonly start: TaskStart }[] = [];
+  private readonly lateStarts = new LateCalls();
+
+  private readonly lateStops = new LateCalls();
 
+  private readonly lateReports = new LateCalls();
+
+  /** Runs of which a first start was held up, by target, task and run. */
+  private readonly heldRuns = new Set<string>();
+
+  /** Tasks that were done on targets whose lifetime is over. */
   private readonly done = new Set<string>();
 
   /**
@@ -79,12 +78,7 @@
   add(targetId: string): LeasedTarget {
     const target = new LeasedTarget(this.clock);
     this.targets.set(targetId, target);
-    this.faults.set(targetId, {
-      isCutOff: false,
-      appliesStartsLate: false,
-      stopsSlowly: false,
-      losesStops: false,
-    });
+    this.faults.set(targetId, { ...NO_FAULTS });
     return target;
   }
 
@@ -93,6 +87,7 @@
    * @param targetId - Id of the lifetime.
    */
   remove(targetId: string): void {
+    this.targets.get(targetId)?.doneNames.forEach((taskName) => this.done.add(taskName));
     this.targets.delete(targetId);
   }
 
@@ -102,8 +97,8 @@
    * @param targetId - Id of the lifetime.
    */
   crash(targetId: string): void {
-    const lost = this.targets.get(targetId)?.unacknowledged ?? [];
-    lost.forEach(({ taskName }) => this.done.delete(taskName));
+    const kept = this.targets.get(targetId)?.acknowledgedDoneNames ?? [];
+    kept.forEach((taskName) => this.done.add(taskName));
     this.targets.delete(targetId);
     this.setFaults(targetId, { isCutOff: true });
     this.onCrash?.(targetId);
@@ -127,9 +122,57 @@
     Object.assign(this.faults.get(targetId)!, faults);
   }
 
-  /** Carries out the starts that were held up. */
-  applyLateStarts(): void {
-    this.lateStarts.splice(0).forEach(({ targetId, start }) => this.begin(targetId, start));
+  /**
+   * Carries out starts that were held up. Each is judged now, by term, run and lease; one whose
+   * lifetime is over has no effect.
+   * @param targetId - Id of the lifetime that has received them; all where it is absent.
+   */
+  applyLateStarts(targetId?: string): void {
+    this.lateStarts.release(targetId);
+  }
+
+  /**
+   * Carries out stops that were held up. Each is judged now; one whose lifetime is over has no
+   * effect.
+   * @param targetId - Id of the lifetime that has received them; all where it is absent.
+   */
+  applyLateStops(targetId?: string): void {
+    this.lateStops.release(targetId);
+  }
+
+  /**
+   * Delivers reports that were held up.
+   * @param targetId - Id of the lifetime that has made them; all where it is absent.
+   */
+  deliverLateReports(targetId?: string): void {
+    this.lateReports.release(targetId);
+  }
+
+  /**
+   * Counts the starts that are held up.
+   * @param targetId - Id of the lifetime that has received them.
+   * @returns How many there are.
+   */
+  countLateStarts(targetId: string): number {
+    return this.lateStarts.countAt(targetId);
+  }
+
+  /**
+   * Counts the stops that are held up.
+   * @param targetId - Id of the lifetime that has received them.
+   * @returns How many there are.
+   */
+  countLateStops(targetId: string): number {
+    return this.lateStops.countAt(targetId);
+  }
+
+  /**
+   * Counts the reports that are held up.
+   * @param targetId - Id of the lifetime that has made them.
+   * @returns How many there are.
+   */
+  countLateReports(targetId: string): number {
+    return this.lateReports.countAt(targetId);
   }
 
   /**
@@ -142,7 +185,6 @@
       runningNames.includes(taskName),
     );
     target!.end(taskName, end);
-    if (end === 'done') this.done.add(taskName);
   }
 
   /**
@@ -157,11 +199,15 @@
   async start({ targetId }: LeasedTargetAddress, start: TaskStart): Promise<StartAnswer> {
     this.throwIfCutOff(targetId);
     if (!this.targets.has(targetId)) return { type: 'other-lifetime' };
-    if (this.faults.get(targetId)!.appliesStartsLate) {
-      this.lateStarts.push({ targetId, start });
+    const { delaysStarts, losesStartAnswers, refusesStarts } = this.faults.get(targetId)!;
+    if (delaysStarts) return this.delayStart(targetId, start);
+    if (this.isStartLate(targetId, start)) {
+      this.lateStarts.hold(targetId, () => this.beginLate(targetId, start));
       throw new Error('The start was not answered.');
     }
-    return this.begin(targetId, start);
+    const answer = this.begin(targetId, start, refusesStarts);
+    if (losesStartAnswers) throw new Error('The start was not answered.');
+    return answer;
   }
 
   /** {@inheritDoc LeasedTargetPort.stop} */
@@ -173,11 +219,21 @@
   ): Promise<CommandAnswer> {
     this.throwIfCutOff(targetId);
     this.stops.push(taskName);
-    if (this.faults.get(targetId)?.losesStops === true) {
+    const { losesStops, appliesStopsLate, stopsSlowly } = this.faults.get(targetId) ?? NO_FAULTS;
+    if (losesStops) throw new Error('The stop was not answered.');
+    const target = this.targets.get(targetId);
+    const stopLate = (): void => {
+      this.targets.get(targetId)?.stop(taskName, run, term);
+    };
+    if (appliesStopsLate) {
+      this.lateStops.hold(targetId, stopLate);
       throw new Error('The stop was not answered.');
     }
-    if (this.faults.get(targetId)?.stopsSlowly === true) return { type: 'accepted' };
-    return this.targets.get(targetId)?.stop(taskName, run, term) ?? { type: 'other-lifetime' };
+    if (stopsSlowly && target?.isRunning(taskName, run) === true) {
+      this.lateStops.hold(targetId, stopLate);
+      return { type: 'accepted' };
+    }
+    return target?.stop(taskName, run, term) ?? { type: 'other-lifetime' };
   }
 
   /** {@inheritDoc LeasedTargetPort.pace} */
@@ -190,7 +246,11 @@
   async renew({ targetId }: LeasedTargetAddress, renewal: LeaseRenewal): Promise<LeaseAnswer> {
     await this.holdBack(targetId, renewal);
     this.throwIfCutOff(targetId);
-    return this.targets.get(targetId)?.renew(renewal) ?? { type: 'other-lifetime' };
+    const answer = this.renewNow(targetId, renewal);
+    if (this.faults.get(targetId)?.delaysReports !== true) return answer;
+    return new Promise((resolve) => {
+      this.lateReports.hold(targetId, () => resolve(answer));
+    });
   }
 
   /** {@inheritDoc LeasedTargetPort.forget} */
@@ -201,22 +261,56 @@
   private async holdBack(targetId: string, renewal: LeaseRenewal): Promise<void> {
     const isHeld = this.longestHoldMs > HELD_BACK_MS;
     this.throwIfCutOff(targetId);
-    if (isHeld) this.targets.get(targetId)?.renew(renewal);
+    if (isHeld) this.renewNow(targetId, renewal);
     const waitMs = Math.min(this.longestHoldMs, renewal.waitMs);
     await sleep(isHeld ? waitMs : HELD_BACK_MS);
   }
 
-  private begin(targetId: string, start: TaskStart): StartAnswer {
+  private renewNow(targetId: string, renewal: LeaseRenewal): LeaseAnswer {
+    const isIgnored = this.faults.get(targetId)?.ignoresAcknowledgements === true;
+    const received = isIgnored ? { ...renewal, acknowledgedEndNumber: 0 } : renewal;
+    return this.targets.get(targetId)?.renew(received) ?? { type: 'other-lifetime' };
+  }
+
+  private isStartLate(targetId: string, { taskName, run }: TaskStart): boolean {
+    const { appliesStartsLate, appliesFirstStartsLate } = this.faults.get(targetId)!;
+    if (appliesStartsLate) return true;
+    const key = `${targetId} ${taskName} ${run}`;
+    if (!appliesFirstStartsLate || this.heldRuns.has(key)) return false;
+    this.heldRuns.add(key);
+    return true;
+  }
+
+  private delayStart(targetId: string, start: TaskStart): Promise<StartAnswer> {
+    return new Promise((resolve, reject) => {
+      this.lateStarts.hold(targetId, () => {
+        const answer = this.beginLate(targetId, start);
+        if (answer === undefined) reject(new Error('The start was not answered.'));
+        else resolve(answer);
+      });
+    });
+  }
+
+  /** Carries a start out whose caller may be gone; undefined if the target is gone, too. */
+  private beginLate(targetId: string, start: TaskStart): StartAnswer | undefined {
+    if (!this.targets.has(targetId)) return undefined;
+    try {
+      return this.begin(targetId, start);
+    } catch {
+      return undefined;
+    }
+  }
+
+  private begin(targetId: string, start: TaskStart, refusal?: StartRefusal): StartAnswer {
     const { taskName, run } = start;
+    const target = this.targets.get(targetId)!;
+    const isThere = target.isRunning(taskName, run);
     const isRunning = this.listRunning().includes(taskName);
-    const answer = this.targets.get(targetId)!.start(start);
-    const hasBegun =
-      answer.type === 'started' &&
-      !this.begun.some((known) => known.taskName === taskName && known.run === run);
-    if (!hasBegun) return answer;
+    const answer = target.start(start, refusal);
+    if (answer.type !== 'started' || isThere) return answer;
     this.begun.push({ targetId, taskName, run });
     if (isRunning) this.violations.push(`${taskName} runs twice`);
-    if (this.done.has(taskName)) this.violations.push(`${taskName} began again after its end`);
+    if (this.isDone(taskName)) this.violations.push(`${taskName} began again after its end`);
     if (this.crashingTasks.has(taskName)) {
       this.crash(targetId);
       throw new Error('The target crashed.');
@@ -224,6 +318,11 @@
     return answer;
   }
 
+  private isDone(taskName: string): boolean {
+    if (this.done.has(taskName)) return true;
+    return [...this.targets.values()].some(({ doneNames }) => doneNames.includes(taskName));
+  }
+
   private throwIfCutOff(targetId: string): void {
     if (this.faults.get(targetId)?.isCutOff === true) throw new Error('The target is cut off.');
   }
--- a/standins/leasedTargets/index.ts
+++ b/standins/leasedTargets/index.ts
@@ -1,7 +1,4 @@
 export { LeasedTarget, type LapsedRun } from './LeasedTarget.js';
-export {
-  type BegunRun,
-  type LeasedTargetFaults,
-  LeasedTargetsStandIn,
-} from './LeasedTargetsStandIn.js';
+export type { LeasedTargetFaults } from './LeasedTargetFaults.js';
+export { type BegunRun, LeasedTargetsStandIn } from './LeasedTargetsStandIn.js';
 export { TargetAccess } from './TargetAccess.js';
