--- a/standins/leasedTargets/LeasedTarget.ts
+++ b/standins/leasedTargets/LeasedTarget.ts
@@ -61,6 +61,11 @@
     return this.leaseUntilMs;
   }
 
+  /** Highest term that has reached the target. */
+  get knownTerm(): number {
+    return this.highestTerm;
+  }
+
   /** Tasks that run at this moment. */
   get runningNames(): readonly string[] {
     this.lapse();
--- a/standins/leasedTargets/LeasedTargetFaults.ts
+++ b/standins/leasedTargets/LeasedTargetFaults.ts
@@ -6,7 +6,7 @@
   isCutOff: boolean;
   /** Starts get no answer, and are carried out by `applyLateStarts`. */
   appliesStartsLate: boolean;
-  /** Like `appliesStartsLate` for the first call of each run; repeats are answered. */
+  /** Like `appliesStartsLate` for the first call of each run by each home; repeats are answered. */
   appliesFirstStartsLate: boolean;
   /** Starts are neither answered nor carried out before `applyLateStarts`, which does both. */
   delaysStarts: boolean;
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -56,7 +56,7 @@
 
   private readonly lateReports = new LateCalls();
 
-  /** Runs of which a first start was held up, by target, task and run. */
+  /** Runs of which a first start was held up, by target, task, run and term. */
   private readonly heldRuns = new Set<string>();
 
   /** Tasks that were done on targets whose lifetime is over. */
@@ -272,10 +272,10 @@
     return this.targets.get(targetId)?.renew(received) ?? { type: 'other-lifetime' };
   }
 
-  private isStartLate(targetId: string, { taskName, run }: TaskStart): boolean {
+  private isStartLate(targetId: string, { taskName, run, term }: TaskStart): boolean {
     const { appliesStartsLate, appliesFirstStartsLate } = this.faults.get(targetId)!;
     if (appliesStartsLate) return true;
-    const key = `${targetId} ${taskName} ${run}`;
+    const key = `${targetId} ${taskName} ${run} ${term}`;
     if (!appliesFirstStartsLate || this.heldRuns.has(key)) return false;
     this.heldRuns.add(key);
     return true;
