--- a/tests/taskHome/StartScene.ts
+++ b/tests/taskHome/StartScene.ts
@@ -156,6 +156,8 @@
     entries.forEach((_entry, targetId) =>
       targets.setFaults(targetId, {
         appliesFirstStartsLate: false,
+        delaysStarts: false,
+        losesStartAnswers: false,
         refusesStarts: undefined,
         appliesStopsLate: false,
         stopsSlowly: false,
--- a/tests/taskHome/unexpectedEnds.test.ts
+++ b/tests/taskHome/unexpectedEnds.test.ts
@@ -31,8 +31,8 @@
     scene = new StartScene(world);
   });
 
-  /** Runs a job on `t1`, where its tasks end without anybody who hears of it. */
-  async function endUnheard(job: DurableJobSpec, end: 'done' | 'failed'): Promise<void> {
+  /** Runs a job on `t1`, where its tasks end, or go on, without anybody who hears of it. */
+  async function endUnheard(job: DurableJobSpec, end?: 'done' | 'failed'): Promise<void> {
     await scene.open(['t1']);
     await scene.waitForTargets();
     await scene.home.submit(job);
@@ -40,11 +40,12 @@
     await scene.until(() => world.targets.get('t1').runningNames.length === taskCount);
     await scene.placeOn([]);
     world.targets.setFaults('t1', { isCutOff: true });
+    if (end === undefined) return;
     world.targets.get('t1').runningNames.forEach((name) => world.targets.finish(name, end));
   }
 
-  /** Lets `t1` count as lost after its tasks have ended, so that they wait again. */
-  async function lose(loss: Loss, job: DurableJobSpec, end: 'done' | 'failed'): Promise<void> {
+  /** Lets `t1` count as lost after its tasks may have ended, so that they wait again. */
+  async function lose(loss: Loss, job: DurableJobSpec, end?: 'done' | 'failed'): Promise<void> {
     world.leaseMs = LEASE_MS[loss];
     await endUnheard(job, end);
     if (loss === 'lapsed') {
@@ -122,6 +123,19 @@
     expect(scene.describe('a')).toEqual({ violations: [], state: 'completed', beginCount: 3 });
   });
 
+  // Guards against a task that starts again after its end, which came before the stop of its run.
+  it.each(PLACES)('is the truth about a run that is being stopped (the task %s)', async (place) => {
+    await lose('unlisted', makeJob('a'));
+    await goTo(place);
+    world.targets.setFaults('t1', { isCutOff: false, appliesStopsLate: true });
+    await scene.until(() => world.targets.countLateStops('t1') > 0);
+    world.targets.finish(TASK_NAME, 'done');
+    await comeBack();
+    world.targets.applyLateStops('t1');
+    await scene.complete('a');
+    expect(scene.describe('a')).toEqual({ violations: [], state: 'completed', beginCount: 1 });
+  });
+
   // Guards against a run that goes on after the end of its task is known.
   it('stops a newer run of the task', async () => {
     await lose('lapsed', makeJob('a'), 'done');
