Play drawn histories of runs over real homes

Cause: a task started again after its acknowledged end, and no test drew the order of lost, late and refused calls that leads there.

Change: fast-check draws histories (jobs, fates of single calls, states of targets and of the store, crashes, entries that come and go, homes that are killed, frozen or go on beside the next one). They happen to real TaskHome objects in virtual time, which stands in for node:timers/promises, so that a seed gives the same history and the same verdict each time. RunWatch keeps every run with its end and the acknowledgement of its end, and tells runs side by side, starts after an acknowledged done or after maxAttempts failures, states shown too early, and jobs that never end.

Ruled out: fake timers, which do not cover the imported pauses; real time, where the same seed would not give the same order.

--- /dev/null
+++ b/standins/leasedTargets/UnsteadyTargets.ts
@@ -0,0 +1,301 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type {
+  CommandAnswer,
+  EndedTaskReport,
+  LeaseAnswer,
+  LeasedTargetAddress,
+  LeasedTargetPort,
+  LeaseRenewal,
+  StartAnswer,
+  TaskEnd,
+  TaskStart,
+} from '../../src/targets/index.js';
+import { assertNever, type Clock } from '../../src/utils/index.js';
+import { LeasedTarget } from './LeasedTarget.js';
+
+/** Calls whose fate can be chosen. */
+export type FatedCall = 'start' | 'stop' | 'renew';
+
+/**
+ * What happens to one call. `answer-lost` is carried out at once; `late` is carried out after the
+ * given time, is judged by the state of the target then, and has no answer either.
+ */
+export type CallFate =
+  | { readonly type: 'request-lost' }
+  | { readonly type: 'answer-lost' }
+  | { readonly type: 'late'; readonly afterMs: number }
+  | { readonly type: 'slow'; readonly afterMs: number }
+  | { readonly type: 'unhealthy' }
+  | { readonly type: 'no-room' };
+
+/** State of a target that lasts until it changes. */
+export type TargetCondition = 'well' | 'unhealthy' | 'full' | 'cut-off';
+
+/** Is told what happens on the targets, at the time by their clock at which it happens. */
+export interface TargetObserver {
+  readonly onBegun: (targetId: string, taskName: string, run: number) => void;
+  readonly onEnded: (targetId: string, ended: EndedTaskReport, atMs: number) => void;
+  /** Every end up to this number has been acknowledged, by a renewal that was carried out. */
+  readonly onAcknowledged: (targetId: string, endNumber: number) => void;
+  readonly onLapsed: (targetId: string, atMs: number) => void;
+  readonly onCrashed: (targetId: string) => void;
+}
+
+/** One lifetime of a target, with what is known of it outside. */
+interface Lifetime {
+  readonly target: LeasedTarget;
+  readonly runs: Map<string, number>;
+  readonly fates: Record<FatedCall, CallFate[]>;
+  condition: TargetCondition;
+  seenEndNumber: number;
+}
+
+/** Time that a call takes on its way, in milliseconds. */
+const WAY_MS = 1;
+/** Time after which a call counts as unanswered, in milliseconds. */
+const CALL_TIMEOUT_MS = 100;
+
+/** Stands in for leased targets whose calls are lost, late, overtaken or refused as told. */
+export class UnsteadyTargets implements LeasedTargetPort {
+  private readonly clock: Clock;
+
+  private readonly observer: TargetObserver;
+
+  private readonly lifetimes = new Map<string, Lifetime>();
+
+  /** Lifetimes that are over, and whether another lifetime answers at their address. */
+  private readonly ended = new Map<string, boolean>();
+
+  /**
+   * Creates the stand-in without targets.
+   * @param clock - Clock of the targets.
+   * @param observer - Is told what happens.
+   */
+  constructor(clock: Clock, observer: TargetObserver) {
+    this.clock = clock;
+    this.observer = observer;
+  }
+
+  /**
+   * Adds a target.
+   * @param targetId - Id of the lifetime.
+   */
+  add(targetId: string): void {
+    this.lifetimes.set(targetId, {
+      target: new LeasedTarget(this.clock),
+      runs: new Map(),
+      fates: { start: [], stop: [], renew: [] },
+      condition: 'well',
+      seenEndNumber: 0,
+    });
+  }
+
+  /** Ids of the lifetimes that are not over. */
+  get targetIds(): readonly string[] {
+    return [...this.lifetimes.keys()];
+  }
+
+  /**
+   * Ends a lifetime, with all that runs there and all ends that nobody has acknowledged.
+   * @param targetId - Id of the lifetime.
+   * @param isReplaced - Whether another lifetime answers at its address; otherwise nothing does.
+   */
+  crash(targetId: string, isReplaced: boolean): void {
+    this.observe();
+    this.lifetimes.delete(targetId);
+    this.ended.set(targetId, isReplaced);
+    this.observer.onCrashed(targetId);
+  }
+
+  /**
+   * Changes the state of a target.
+   * @param targetId - Id of the lifetime.
+   * @param condition - The state from now on.
+   */
+  setCondition(targetId: string, condition: TargetCondition): void {
+    this.lifetimes.get(targetId)!.condition = condition;
+  }
+
+  /**
+   * Chooses what happens to the next calls of a kind for which nothing is chosen yet.
+   * @param targetId - Id of the lifetime.
+   * @param call - Kind of the calls.
+   * @param fates - What happens to one after the other.
+   */
+  addFates(targetId: string, call: FatedCall, fates: readonly CallFate[]): void {
+    this.lifetimes.get(targetId)!.fates[call].push(...fates);
+  }
+
+  /** Lifts every fault; calls that are under way stay so. */
+  liftFaults(): void {
+    this.lifetimes.forEach((lifetime) => {
+      Object.assign(lifetime, { condition: 'well', fates: { start: [], stop: [], renew: [] } });
+    });
+  }
+
+  /**
+   * Finds the run of a task that goes on at this moment.
+   * @param targetId - Id of the lifetime.
+   * @param taskName - Name of the task.
+   * @returns Its number, or undefined if the task does not run there.
+   */
+  findRun(targetId: string, taskName: string): number | undefined {
+    this.observe();
+    return this.lifetimes.get(targetId)?.runs.get(taskName);
+  }
+
+  /**
+   * Ends a run by itself.
+   * @param targetId - Id of the lifetime.
+   * @param taskName - Name of the task, which runs there.
+   * @param end - How it ends.
+   */
+  end(targetId: string, taskName: string, end: TaskEnd): void {
+    this.observe();
+    this.lifetimes.get(targetId)!.target.end(taskName, end);
+    this.observe();
+  }
+
+  /** {@inheritDoc LeasedTargetPort.start} */
+  start({ targetId }: LeasedTargetAddress, start: TaskStart): Promise<StartAnswer> {
+    const refuse = (reason: 'unhealthy' | 'no-room'): StartAnswer => ({ type: 'refused', reason });
+    return this.call<StartAnswer>(targetId, 'start', {
+      refuse,
+      otherLifetime: { type: 'other-lifetime' },
+      carryOut: (lifetime) => {
+        const isThere = lifetime.runs.get(start.taskName) === start.run;
+        if (lifetime.condition === 'full' && !isThere) return refuse('no-room');
+        return this.begin(targetId, lifetime, start);
+      },
+    });
+  }
+
+  /** {@inheritDoc LeasedTargetPort.stop} */
+  stop(
+    { targetId }: LeasedTargetAddress,
+    taskName: string,
+    run: number,
+    term: number,
+  ): Promise<CommandAnswer> {
+    return this.call<CommandAnswer>(targetId, 'stop', {
+      refuse: (reason) => ({ type: 'refused', reason }),
+      otherLifetime: { type: 'other-lifetime' },
+      carryOut: ({ target }) => target.stop(taskName, run, term),
+    });
+  }
+
+  /** {@inheritDoc LeasedTargetPort.pace} */
+  async pace({ targetId }: LeasedTargetAddress): Promise<CommandAnswer> {
+    return { type: this.lifetimes.has(targetId) ? 'accepted' : 'other-lifetime' };
+  }
+
+  /** {@inheritDoc LeasedTargetPort.renew} */
+  async renew({ targetId }: LeasedTargetAddress, renewal: LeaseRenewal): Promise<LeaseAnswer> {
+    await sleep(Math.max(WAY_MS, renewal.waitMs));
+    return this.call<LeaseAnswer>(targetId, 'renew', {
+      refuse: () => ({ type: 'unhealthy' }),
+      otherLifetime: { type: 'other-lifetime' },
+      carryOut: ({ target }) => {
+        const answer = target.renew(renewal);
+        if (answer.type === 'report') {
+          this.observer.onAcknowledged(targetId, renewal.acknowledgedEndNumber);
+        }
+        return answer;
+      },
+    });
+  }
+
+  /** {@inheritDoc LeasedTargetPort.forget} */
+  // eslint-disable-next-line class-methods-use-this -- the port asks for a method
+  forget(): void {}
+
+  private begin(targetId: string, { target, runs }: Lifetime, start: TaskStart): StartAnswer {
+    const { taskName, run } = start;
+    const before = runs.get(taskName);
+    const answer = target.start(start);
+    if (answer.type !== 'started' || before === run) return answer;
+    this.observer.onBegun(targetId, taskName, run);
+    runs.set(taskName, run);
+    return answer;
+  }
+
+  private async call<Answer>(targetId: string, call: FatedCall, how: CallEffect<Answer>) {
+    const fate = this.lifetimes.get(targetId)?.fates[call].shift();
+    await sleep(WAY_MS);
+    if (fate === undefined) return this.carryOut(targetId, how);
+    switch (fate.type) {
+      case 'request-lost':
+        return UnsteadyTargets.timeOut();
+      case 'answer-lost':
+        await this.carryOut(targetId, how).catch(() => undefined);
+        return UnsteadyTargets.timeOut();
+      case 'late':
+        void this.carryOutLate(targetId, how, fate.afterMs);
+        return UnsteadyTargets.timeOut();
+      case 'slow':
+        await sleep(fate.afterMs);
+        return this.carryOut(targetId, how);
+      case 'unhealthy':
+      case 'no-room':
+        return this.lifetimes.has(targetId) ? how.refuse(fate.type) : how.otherLifetime;
+      default:
+        return assertNever(fate);
+    }
+  }
+
+  private async carryOutLate<Answer>(
+    targetId: string,
+    how: CallEffect<Answer>,
+    afterMs: number,
+  ): Promise<void> {
+    await sleep(afterMs);
+    await this.carryOut(targetId, how).catch(() => undefined);
+  }
+
+  /** Carries a call out as the target is at this moment. */
+  private async carryOut<Answer>(targetId: string, how: CallEffect<Answer>): Promise<Answer> {
+    const lifetime = this.lifetimes.get(targetId);
+    if (lifetime === undefined) {
+      return this.ended.get(targetId) === true ? how.otherLifetime : UnsteadyTargets.timeOut();
+    }
+    if (lifetime.condition === 'cut-off') return UnsteadyTargets.timeOut();
+    if (lifetime.condition === 'unhealthy') return how.refuse('unhealthy');
+    this.observe();
+    const answer = how.carryOut(lifetime);
+    this.observe();
+    return answer;
+  }
+
+  private static async timeOut(): Promise<never> {
+    await sleep(CALL_TIMEOUT_MS);
+    throw new Error('The call was not answered.');
+  }
+
+  /** Tells the observer what has ended since the last look. */
+  private observe(): void {
+    this.lifetimes.forEach((lifetime, targetId) => this.observeLifetime(targetId, lifetime));
+  }
+
+  private observeLifetime(targetId: string, lifetime: Lifetime): void {
+    const { target, runs } = lifetime;
+    const running = new Set(target.runningNames);
+    const { leaseEndsAtMs, unacknowledged } = target;
+    const nowMs = this.clock.monotonicMs();
+    unacknowledged
+      .filter(({ endNumber }) => endNumber > lifetime.seenEndNumber)
+      .forEach((ended) => {
+        const atMs = ended.end === 'lapsed' ? leaseEndsAtMs : nowMs;
+        Object.assign(lifetime, { seenEndNumber: ended.endNumber });
+        this.observer.onEnded(targetId, ended, atMs);
+        if (!running.has(ended.taskName)) runs.delete(ended.taskName);
+      });
+    if (leaseEndsAtMs <= nowMs) this.observer.onLapsed(targetId, leaseEndsAtMs);
+  }
+}
+
+/** How a call is carried out or refused. */
+interface CallEffect<Answer> {
+  readonly refuse: (reason: 'unhealthy' | 'no-room') => Answer;
+  readonly otherLifetime: Answer;
+  readonly carryOut: (lifetime: Lifetime) => Answer;
+}
--- /dev/null
+++ b/tests/taskHome/histories/HistoryHomes.ts
@@ -0,0 +1,169 @@
+import type { StoreStandIn } from '../../../standins/store/index.js';
+import type { MemoryEventLog } from '../../../src/logging/index.js';
+import { MemoryMetrics } from '../../../src/metrics/index.js';
+import { ALL_MECHANISMS } from '../../../src/systems/index.js';
+import type { LeasedTargetPort } from '../../../src/targets/index.js';
+import { PartitionOpening } from '../../../src/taskHome/PartitionOpening.js';
+import { type TargetEntry, TaskHome } from '../../../src/taskHome/index.js';
+import { HomeGate } from './HomeGate.js';
+import type { VirtualTime } from './VirtualTime.js';
+
+/** Options of {@link HistoryHomes}. */
+export interface HistoryHomesOptions {
+  readonly time: VirtualTime;
+  readonly store: StoreStandIn;
+  readonly targets: LeasedTargetPort;
+  readonly entries: ReadonlyMap<string, TargetEntry>;
+  readonly events: MemoryEventLog;
+}
+
+/** A process that is, was or wants to be the home. */
+interface HomeProcess {
+  readonly gate: HomeGate;
+  home: TaskHome | undefined;
+}
+
+const PLACE = { topic: 'jobs', termsTopic: 'terms', partition: 0 } as const;
+const TICK_MS = 50;
+/** Pause before a process that is not the home tries again, in milliseconds. */
+const REOPEN_PAUSE_MS = 100;
+const TIMING = {
+  /** Long enough for three renewals with their pauses, short enough to lapse within a history. */
+  targetLeaseMs: 1_200,
+  targetWaitMs: 30,
+  /** Longer than a history, so that each job can be asked for at its end. */
+  keepFinishedMs: 600_000,
+} as const;
+
+/** The homes of one partition, one after the other; an earlier one may still act. */
+export class HistoryHomes {
+  private readonly options: HistoryHomesOptions;
+
+  private readonly processes: HomeProcess[] = [];
+
+  /**
+   * Starts without a home.
+   * @param options - Time, store and targets.
+   */
+  constructor(options: HistoryHomesOptions) {
+    this.options = options;
+  }
+
+  /** The home that has the partition and its jobs; undefined while there is none. */
+  get current(): TaskHome | undefined {
+    const { gate, home } = this.processes.at(-1)!;
+    return gate.isOpen && home?.isLoaded === true && !home.closed.aborted ? home : undefined;
+  }
+
+  /** Every home that has its jobs and was not told that it is replaced. */
+  listActing(): readonly TaskHome[] {
+    return this.processes
+      .filter(({ gate, home }) => gate.isOpen && home?.isLoaded === true && !home.closed.aborted)
+      .map(({ home }) => home!);
+  }
+
+  /** Starts the next process, which becomes the home once the store lets it. */
+  openNext(): void {
+    const created: HomeProcess = { gate: new HomeGate(), home: undefined };
+    this.processes.push(created);
+    void this.run(created);
+    this.tick(created);
+  }
+
+  /** Kills the latest process; its calls that are under way go on. */
+  kill(): void {
+    const { gate, home } = this.processes.at(-1)!;
+    gate.kill();
+    home?.close();
+  }
+
+  /** Stops the latest process until it thaws. */
+  freeze(): void {
+    this.processes.at(-1)!.gate.freeze();
+  }
+
+  /** Lets every frozen process go on. */
+  thaw(): void {
+    this.processes.forEach(({ gate }) => gate.thaw());
+  }
+
+  /** Kills every process. */
+  close(): void {
+    this.processes.forEach(({ gate, home }) => {
+      gate.kill();
+      home?.close();
+    });
+  }
+
+  private isLatest(process: HomeProcess): boolean {
+    return this.processes.at(-1) === process;
+  }
+
+  private tick(process: HomeProcess): void {
+    if (!process.gate.isOpen && !process.gate.isFrozen) return;
+    if (process.gate.isOpen) process.home?.tick();
+    this.options.time.call(TICK_MS, () => this.tick(process));
+  }
+
+  /** Makes a process the home, again and again for as long as the partition is its own. */
+  private async run(process: HomeProcess): Promise<void> {
+    while (this.isLatest(process)) {
+      // eslint-disable-next-line no-await-in-loop -- one attempt follows the other
+      await this.open(process).catch(() => undefined);
+      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
+      await this.options.time.sleep(REOPEN_PAUSE_MS);
+    }
+  }
+
+  /** Opens a home; resolves once it is closed. */
+  private async open(process: HomeProcess): Promise<void> {
+    const { time, events } = this.options;
+    const store = process.gate.guardStore(this.options.store);
+    const opening = new PartitionOpening({
+      ...PLACE,
+      store,
+      pages: store,
+      instance: `instance-${this.processes.indexOf(process)}`,
+      mayClaim: () => this.isLatest(process),
+      events,
+    });
+    const claimed = await opening.claim();
+    if (claimed === undefined) return;
+    const home = new TaskHome({
+      ...this.options,
+      ...PLACE,
+      store,
+      targets: process.gate.guardTargets(this.options.targets),
+      producer: 'home',
+      claimed,
+      timing: TIMING,
+      clock: time,
+      mechanisms: ALL_MECHANISMS,
+      metrics: new MemoryMetrics(),
+      getEntries: () => this.options.entries,
+      isGroupLeaseHeld: () => this.isLatest(process),
+      onReplaced: () => undefined,
+    });
+    Object.assign(process, { home });
+    home.tick();
+    await HistoryHomes.load(home, opening, time);
+    await new Promise((resolve) => {
+      home.closed.addEventListener('abort', resolve);
+    });
+  }
+
+  private static async load(
+    home: TaskHome,
+    opening: PartitionOpening,
+    time: VirtualTime,
+  ): Promise<void> {
+    while (!home.isLoaded && !home.closed.aborted) {
+      // eslint-disable-next-line no-await-in-loop -- one attempt follows the other
+      const opened = await opening.read(home.claimed).catch(() => undefined);
+      if (opened !== undefined && !home.closed.aborted) home.load(opened);
+      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
+      else await time.sleep(REOPEN_PAUSE_MS);
+    }
+    home.tick();
+  }
+}
--- /dev/null
+++ b/tests/taskHome/histories/RunHistoryWorld.ts
@@ -0,0 +1,194 @@
+import { UnsteadyTargets } from '../../../standins/leasedTargets/UnsteadyTargets.js';
+import { StoreStandIn } from '../../../standins/store/index.js';
+import { MemoryEventLog } from '../../../src/logging/index.js';
+import type { TargetEntry } from '../../../src/taskHome/index.js';
+import { assertNever } from '../../../src/utils/index.js';
+import { EMPTY_SYNC_REQUEST, makeEntry, makeJob } from '../HomeWorld.js';
+import { HistoryHomes } from './HistoryHomes.js';
+import { HistoryJobs } from './HistoryJobs.js';
+import { type HistoryStep, makeSteps, type RunHistory, type StoreCondition } from './RunHistory.js';
+import { RunScript } from './RunScript.js';
+import { RunWatch } from './RunWatch.js';
+import type { VirtualTime } from './VirtualTime.js';
+
+const TARGET_COUNT = 2;
+/** Time after which the entry of a silent target is gone, in milliseconds. */
+const ENTRY_EXPIRES_MS = 1_500;
+/** Interval at which the list of VMs is told and states are read, in milliseconds. */
+const LOOK_EVERY_MS = 50;
+/** How long the list of VMs shows a lifetime that is over, in milliseconds. */
+const LISTED_AS_ENDED_MS = 10_000;
+/** Time for the last steps to take effect, in milliseconds: a lost call and its repeats. */
+const LAST_STEPS_MS = 400;
+/** Time without faults within which every job has to end, in milliseconds. */
+const SETTLES_WITHIN_MS = 40_000;
+/** Time after the last end in which nothing may begin again, in milliseconds. */
+const AFTERMATH_MS = 2_000;
+
+/** Real homes on stand-ins, in virtual time, to which the steps of a history happen. */
+export class RunHistoryWorld {
+  readonly events = new MemoryEventLog();
+
+  readonly watch: RunWatch;
+
+  private readonly time: VirtualTime;
+
+  private readonly store = new StoreStandIn({ partitionCount: 1 });
+
+  private readonly targets: UnsteadyTargets;
+
+  private readonly entries = new Map<string, TargetEntry>();
+
+  private readonly homes: HistoryHomes;
+
+  private readonly jobs: HistoryJobs;
+
+  /** Lifetimes that are over and shown so by the list of VMs, with the time of their end. */
+  private readonly endedTargets = new Map<string, number>();
+
+  private targetCount = 0;
+
+  private isOver = false;
+
+  /**
+   * Creates a world with two targets and a home that opens.
+   * @param time - Virtual time, which begins again.
+   */
+  constructor(time: VirtualTime) {
+    time.reset();
+    this.time = time;
+    this.watch = new RunWatch(time);
+    this.targets = new UnsteadyTargets(time, this.watch);
+    const { store, targets, entries, events, watch } = this;
+    this.homes = new HistoryHomes({ time, store, targets, entries, events });
+    this.jobs = new HistoryJobs({ watch, homes: this.homes });
+    const getJob = (jobId: string) => this.jobs.get(jobId);
+    const script = new RunScript({ time, targets, watch, getJob });
+    watch.onRun = (run) => script.begin(run);
+    Array.from({ length: TARGET_COUNT }, () => this.addTarget());
+    this.homes.openNext();
+    this.look();
+  }
+
+  /**
+   * Plays a history, lifts all faults, and waits for the jobs to end.
+   * @param history - The history.
+   * @returns What should not have happened, one sentence each.
+   */
+  async play(history: RunHistory): Promise<readonly string[]> {
+    await this.time.advance(LOOK_EVERY_MS);
+    await history.reduce(async (earlier, step) => {
+      await earlier;
+      await this.apply(step);
+    }, Promise.resolve());
+    await this.time.advance(LAST_STEPS_MS);
+    await this.settle();
+    this.isOver = true;
+    this.homes.close();
+    return this.jobs.listViolations();
+  }
+
+  /** Time since the beginning of the history, in milliseconds. */
+  get nowMs(): number {
+    return this.time.monotonicMs();
+  }
+
+  private async apply(step: HistoryStep): Promise<void> {
+    switch (step.type) {
+      case 'submit':
+        this.jobs.submit(step.job, (jobId) => makeJob(jobId, makeSteps(step.job.shape)));
+        return;
+      case 'wait':
+        await this.time.advance(step.forMs);
+        return;
+      case 'fates':
+        this.targets.addFates(this.pick(step.target), step.call, step.fates);
+        return;
+      case 'condition':
+        this.targets.setCondition(this.pick(step.target), step.condition);
+        return;
+      case 'store':
+        this.setStore(step.condition);
+        return;
+      case 'replace-home':
+        if (step.earlier === 'killed') this.homes.kill();
+        if (step.earlier === 'frozen') this.homes.freeze();
+        this.homes.openNext();
+        return;
+      case 'thaw':
+        this.homes.thaw();
+        return;
+      case 'crash':
+        this.crash(this.pick(step.target), step.shownBy);
+        return;
+      case 'unlist':
+        this.entries.delete(this.pick(step.target));
+        return;
+      case 'list-again':
+        this.listAgain();
+        return;
+      default:
+        assertNever(step);
+    }
+  }
+
+  private pick(target: number): string {
+    const { targetIds } = this.targets;
+    return targetIds[target % targetIds.length]!;
+  }
+
+  private addTarget(): void {
+    this.targetCount += 1;
+    const targetId = `t${this.targetCount}`;
+    this.targets.add(targetId);
+    this.entries.set(targetId, makeEntry(targetId));
+  }
+
+  private listAgain(): void {
+    this.targets.targetIds.forEach((targetId) => this.entries.set(targetId, makeEntry(targetId)));
+  }
+
+  private setStore(condition: StoreCondition): void {
+    Object.assign(this.store.faults, {
+      rejects: condition === 'rejects',
+      isSilent: condition === 'silent',
+      losesAnswers: condition === 'loses-answers',
+    });
+  }
+
+  /** Ends a lifetime; another target is there at once. */
+  private crash(targetId: string, shownBy: 'list' | 'next-lifetime' | 'nobody'): void {
+    this.targets.crash(targetId, shownBy === 'next-lifetime');
+    if (shownBy === 'list') this.endedTargets.set(targetId, this.nowMs);
+    this.time.call(ENTRY_EXPIRES_MS, () => this.entries.delete(targetId));
+    this.addTarget();
+  }
+
+  /** Tells the home what the list of VMs shows, and reads the states that it shows. */
+  private look(): void {
+    if (this.isOver) return;
+    const endedTargets = [...this.endedTargets]
+      .filter(([, endedAtMs]) => this.nowMs < endedAtMs + LISTED_AS_ENDED_MS)
+      .map(([targetId]) => targetId);
+    const home = this.homes.current;
+    if (endedTargets.length > 0) {
+      home?.syncPool({ ...EMPTY_SYNC_REQUEST, endedTargets }).catch(() => undefined);
+    }
+    this.jobs.look();
+    this.time.call(LOOK_EVERY_MS, () => this.look());
+  }
+
+  private async settle(): Promise<void> {
+    this.targets.liftFaults();
+    this.setStore('well');
+    this.homes.thaw();
+    this.listAgain();
+    const untilMs = this.nowMs + SETTLES_WITHIN_MS;
+    while (!this.jobs.haveEnded && this.nowMs < untilMs) {
+      this.jobs.submitMissing();
+      // eslint-disable-next-line no-await-in-loop -- one look follows the other
+      await this.time.advance(LOOK_EVERY_MS);
+    }
+    await this.time.advance(AFTERMATH_MS);
+  }
+}
