Take a refused repeat of a start for what it tells: nothing of the call before it

Cause: a start without an answer was repeated, and a refusal of the repeat counted as proof that nothing runs. The target may carry the first call out seconds later. By then the task waited, or ran elsewhere; the end of the late run was expected by nobody.

Change: one model of a run's life, src/systems/runLife.ts: each event (a call sent, answered, refused, without an answer; a report with or without the run) leads to what is known and what follows. A refusal settles a run only if no start of it is without an answer; otherwise it is stopped, and its task goes elsewhere once the stop is accepted and a later report lacks the run. A run of an earlier home needs no stop for that home's calls: a report, under the new term, precedes each start, and from then on the target refuses them. A run that is refused as old counts as over rather than as begun, and no late answer to a start overrides a stop.

Ruled out: waiting for a time instead of a stop, as PROTOCOL gives no bound for a late call; treating each inherited run as one with an unanswered call, as the new term refuses those.

Conclusion: the way is closed.

--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -63,3 +63,14 @@
   shouldHoldHomes,
   type ShouldHoldHomesInput,
 } from './shouldHoldHomes.js';
+export {
+  advanceRun,
+  INHERITED_RUN,
+  PLACED_RUN,
+  type RunEvent,
+  type RunLife,
+  type RunPhase,
+  type RunTransition,
+  type RunLifeVerdict,
+  STOP_PHASES,
+} from './runLife.js';
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -81,13 +81,13 @@
   }
 
   /**
-   * Records the end of a run that a target has reported, if the home ignores it and the task could
-   * run again. An expected end is recorded once it is applied.
-   * @param table - The jobs, before the end is applied.
+   * Records that the home ignores the end of a run that a target has reported, if the task could
+   * run again.
+   * @param table - The jobs of the home.
    * @param key - The run.
    * @param end - How it ended.
    */
-  noteReportedEnd(table: Pick<JobTable, 'findTask' | 'get'>, key: RunKey, end: TaskEnd): void {
+  noteIgnoredEnd(table: Pick<JobTable, 'findTask' | 'get'>, key: RunKey, end: TaskEnd): void {
     const { taskName, run, targetId } = key;
     const ignored = explainIgnoredEnd(table, key);
     if (ignored === undefined || isOrdinaryReason(ignored.reason)) return;
--- /dev/null
+++ b/src/taskHome/RunEnds.ts
@@ -0,0 +1,92 @@
+import { type DurableJobRow, endRun, isFinished, nameTask, type RunEnd } from '../jobs/index.js';
+import type { Clock } from '../utils/index.js';
+import type { JobTable, PlacedTask } from './JobTable.js';
+import type { JobTelemetry } from './JobTelemetry.js';
+import type { RunKey } from './RunKey.js';
+import type { RunTimer } from './RunTimer.js';
+import type { TargetHealth } from './TargetHealth.js';
+import type { TaskOrders } from './TaskOrders.js';
+import type { TaskProgress } from './TaskProgress.js';
+
+/** Options of {@link RunEnds}. */
+export interface RunEndsOptions {
+  readonly table: JobTable;
+  readonly orders: Pick<TaskOrders, 'forget' | 'isOrdered'>;
+  readonly health: TargetHealth;
+  readonly progress: TaskProgress;
+  readonly timer: RunTimer;
+  readonly telemetry: JobTelemetry;
+  readonly clock: Clock;
+}
+
+/** Applies the ends of runs to the jobs of a home. */
+export class RunEnds {
+  private readonly options: RunEndsOptions;
+
+  /**
+   * Creates a handler of ends.
+   * @param options - Jobs, orders, and what is learned from the ends of runs.
+   */
+  constructor(options: RunEndsOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Applies an end that a target has reported. The target discards it once this home has stored its
+   * changes.
+   * @param key - The run.
+   * @param runEnd - How it ended.
+   */
+  applyReported(key: RunKey, runEnd: RunEnd): void {
+    const { table, telemetry } = this.options;
+    const found = table.findPlaced(key);
+    if (found === undefined) telemetry.noteIgnoredEnd(table, key, runEnd.end);
+    this.applyTo(found, key, runEnd, 'reported');
+  }
+
+  /**
+   * Applies the end of a run, unless its task has another run by now.
+   * @param key - The run.
+   * @param runEnd - How it ended.
+   * @param source - How this home learned of the end.
+   */
+  apply(key: RunKey, runEnd: RunEnd, source: string): void {
+    this.applyTo(this.options.table.findPlaced(key), key, runEnd, source);
+  }
+
+  private applyTo(
+    found: PlacedTask | undefined,
+    key: RunKey,
+    runEnd: RunEnd,
+    source: string,
+  ): void {
+    const { table, orders, clock, telemetry } = this.options;
+    const { taskName } = key;
+    if (orders.isOrdered(key)) orders.forget(taskName);
+    if (found === undefined) return;
+    telemetry.noteEnded(found.row.spec.jobId, key, runEnd, source);
+    this.learn(found, key, runEnd);
+    const row = endRun(found.row, found.position, runEnd, clock.wallMs());
+    this.forgetOrdersOfDoneTasks(found.row, row);
+    table.put(row);
+    if (isFinished(row) && !isFinished(found.row)) telemetry.noteFinished(row);
+  }
+
+  private learn({ row, position }: PlacedTask, key: RunKey, { end }: RunEnd): void {
+    const { health, progress, timer } = this.options;
+    const { taskName, targetId } = key;
+    progress.forget(taskName);
+    timer.end(taskName, row, position, end === 'done');
+    if (end === 'done') health.noteSuccess(targetId);
+    if (end === 'failed') health.noteFailure(targetId, row.spec.jobId, taskName);
+  }
+
+  /** Forgets the orders of gang members that are done because another member has ended. */
+  private forgetOrdersOfDoneTasks(before: DurableJobRow, after: DurableJobRow): void {
+    before.tasks
+      .filter(
+        ({ phase }, position) => phase === 'placed' && after.tasks[position]!.phase === 'done',
+      )
+      .forEach((task) => this.options.orders.forget(nameTask(before, task)));
+  }
+}
--- a/src/taskHome/RunOrder.ts
+++ b/src/taskHome/RunOrder.ts
@@ -1,20 +1,6 @@
+import type { RunLife } from '../systems/index.js';
 import type { RunKey } from './RunKey.js';
 
-/**
- * State of an order. `unanswered` means that the target may have started the run, or may do so
- * later; `stop-unanswered` means the same for a stop. `stopped` means that the target has accepted
- * the stop, so that it refuses a late start.
- */
-export type OrderPhase =
-  'unsent' | 'starting' | 'unanswered' | 'started' | 'stopping' | 'stop-unanswered' | 'stopped';
-
-/** Phases of a run that is being stopped. */
-export const STOP_PHASES: ReadonlySet<OrderPhase | undefined> = new Set([
-  'stopping',
-  'stop-unanswered',
-  'stopped',
-]);
-
 /** A run that was ordered from a target. */
 export interface OrderedRun extends RunKey {
   /** Whether its start was sent, so that the target may have begun it. */
@@ -27,13 +13,12 @@
 
 /** An order for a run, from its placement to its end. */
 export interface RunOrder extends RunKey {
-  phase: OrderPhase;
+  /** What is known of the run. */
+  life: RunLife;
   /** Since when the target is known to run it, by the monotonic clock. */
   begunAtMs: number | undefined;
   /** Monotonic time of the last answer; a report that is requested later shows the run. */
   answeredAtMs: number;
-  /** Whether a start of this home, or perhaps of an earlier one, got no answer. */
-  hasUnansweredStart?: boolean;
 }
 
 /**
@@ -41,7 +26,8 @@
  * @param order - The order.
  * @returns The run and its known state.
  */
-export function describeOrder({ taskName, run, targetId, phase, begunAtMs }: RunOrder): OrderedRun {
-  const isSent = phase !== 'unsent';
-  return { taskName, run, targetId, isSent, isRunning: phase === 'started', begunAtMs };
+export function describeOrder({ taskName, run, targetId, life, begunAtMs }: RunOrder): OrderedRun {
+  const isSent = life.phase !== 'unsent';
+  const isRunning = life.phase === 'started';
+  return { taskName, run, targetId, isSent, isRunning, begunAtMs };
 }
--- a/src/taskHome/TaskOrdersOptions.ts
+++ b/src/taskHome/TaskOrdersOptions.ts
@@ -12,8 +12,10 @@
   readonly refusesStarts: (targetId: string) => boolean;
   /** Called when the start of a run was not sent and never will be. */
   readonly onWithdrawn: (key: RunKey) => void;
-  /** Called when the target did not start a run and never will. */
+  /** Called when a target has refused a start; an earlier start may still take effect. */
   readonly onRefused: (key: RunKey, reason: StartRefusal) => void;
+  /** Called when the target did not start a run and never will. */
+  readonly onNeverBegins: (key: RunKey, reason: StartRefusal) => void;
   /** Called when a run is over although no report has contained its end. */
   readonly onVanished: (key: RunKey) => void;
   readonly onOtherLifetime: (targetId: string) => void;
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -1,6 +1,5 @@
 import {
   type DurableJobRow,
-  endRun,
   isFinished,
   listPlacedTasks,
   nameTask,
@@ -23,6 +22,7 @@
 import type { RunKey } from './RunKey.js';
 import { type AttributedCrash, CrashAttribution } from './CrashAttribution.js';
 import { RunConfirmations } from './RunConfirmations.js';
+import { RunEnds } from './RunEnds.js';
 import { RunStopper } from './RunStopper.js';
 import { RunTimer } from './RunTimer.js';
 import { StartGuard } from './StartGuard.js';
@@ -35,6 +35,9 @@
 import { TaskProgress } from './TaskProgress.js';
 import type { TaskRunsOptions } from './TaskRunsOptions.js';
 
+/** End of a run whose target has not reported any. */
+const LAPSED: RunEnd = { end: 'lapsed', checkpoint: undefined };
+
 /** Manages the runs of a home's tasks from placement to end, including their failures. */
 export class TaskRuns {
   private readonly options: TaskRunsOptions;
@@ -59,6 +62,8 @@
 
   private readonly crashAttribution: CrashAttribution;
 
+  private readonly ends: RunEnds;
+
   /**
    * Starts without runs.
    * @param options - Jobs, targets, and callbacks for changes.
@@ -89,8 +94,9 @@
       clock,
       refusesStarts: (targetId) => this.startGuard.refusesStarts(targetId),
       onWithdrawn: (key) => this.returnToWaiting(key),
-      onRefused: (key, reason) => this.handleRefusal(key, reason),
-      onVanished: (key) => this.endRun(key, { end: 'lapsed', checkpoint: undefined }, 'vanished'),
+      onRefused: (key, reason) => this.noteRefusal(key, reason),
+      onNeverBegins: (key, reason) => this.handleNeverBegins(key, reason),
+      onVanished: (key) => this.ends.apply(key, LAPSED, 'vanished'),
       onOtherLifetime: (targetId) => this.handleLostTarget(targetId, 'other-lifetime'),
       onStaleTerm: () => this.options.onStaleTerm(),
     });
@@ -101,13 +107,9 @@
       find: (taskName) => this.orders.find(taskName),
       onConfirmed: () => this.options.onChanged(),
     });
-    this.stopper = new RunStopper({
-      table,
-      orders: this.orders,
-      health: this.health,
-      progress: this.progress,
-      events,
-    });
+    const { orders, health, progress, timer } = this;
+    this.stopper = new RunStopper({ table, orders, health, progress, events });
+    this.ends = new RunEnds({ ...options, orders, health, progress, timer });
   }
 
   /** The run times learned so far. */
@@ -199,11 +201,9 @@
    */
   handleReport(targetId: string, ended: readonly EndedTaskReport[], report: TargetReport): void {
     const { running } = report.answer;
-    ended.forEach(({ taskName, run, end, checkpoint }) => {
-      const key = { taskName, run, targetId };
-      this.options.telemetry.noteReportedEnd(this.table, key, end);
-      this.endRun(key, { end, checkpoint }, 'reported');
-    });
+    ended.forEach(({ taskName, run, end, checkpoint }) =>
+      this.ends.applyReported({ taskName, run, targetId }, { end, checkpoint }),
+    );
     this.progress.note(running);
     this.stopper.stopStalled(targetId, running);
     const address = this.sessions.getAddress(targetId);
@@ -259,7 +259,7 @@
     const lost = this.crashAttribution.noteLoss(targetId, reason);
     this.sessions.remove(targetId, reason === 'lapsed');
     this.options.events.write('targetGone', { targetId, reason, runCount: lost.length });
-    lost.forEach((run) => this.endRun(run, { end: 'lapsed', checkpoint: undefined }, reason));
+    lost.forEach((run) => this.ends.apply(run, LAPSED, reason));
     this.orders.forgetTarget(targetId);
     if (reason === 'other-lifetime') this.attributeCrash(targetId, 'weak');
     this.options.onChanged();
@@ -299,12 +299,19 @@
     return createTaskStart(key, found, { leaseUntilTargetMs, term: this.options.term });
   }
 
-  private handleRefusal(key: RunKey, reason: StartRefusal): void {
+  /** Records a refusal. Without this member the others of its gang can't work, begun or not. */
+  private noteRefusal(key: RunKey, reason: StartRefusal): void {
+    const isOfTarget = reason !== 'malformed' && reason !== 'lease-past';
+    if (isOfTarget) this.health.noteRefusal(key.targetId);
+    const found = this.table.findPlaced(key);
+    if (found !== undefined) this.stopper.stopGangMates(found.row, found.position);
+  }
+
+  private handleNeverBegins(key: RunKey, reason: StartRefusal): void {
     if (reason === 'malformed') {
-      this.endRun(key, { end: 'failed', checkpoint: undefined }, reason);
+      this.ends.apply(key, { end: 'failed', checkpoint: undefined }, reason);
       return;
     }
-    if (reason !== 'lease-past') this.health.noteRefusal(key.targetId);
     this.returnToWaiting(key);
     this.options.onChanged();
   }
@@ -319,31 +326,4 @@
     this.stopper.stopGangMates(found.row, found.position);
     this.table.put(unplaceTask(found.row, found.position));
   }
-
-  private endRun(key: RunKey, runEnd: RunEnd, source: string): void {
-    const { clock, telemetry } = this.options;
-    const found = this.table.findPlaced(key);
-    if (found === undefined) return;
-    const { taskName, targetId } = key;
-    const { jobId } = found.row.spec;
-    telemetry.noteEnded(jobId, key, runEnd, source);
-    this.orders.forget(taskName);
-    this.progress.forget(taskName);
-    this.timer.end(taskName, found.row, found.position, runEnd.end === 'done');
-    if (runEnd.end === 'done') this.health.noteSuccess(targetId);
-    if (runEnd.end === 'failed') this.health.noteFailure(targetId, jobId, taskName);
-    const row = endRun(found.row, found.position, runEnd, clock.wallMs());
-    this.forgetOrdersOfDoneTasks(found.row, row);
-    this.table.put(row);
-    if (isFinished(row) && !isFinished(found.row)) telemetry.noteFinished(row);
-  }
-
-  /** Forgets the orders of gang members that are done because another member has ended. */
-  private forgetOrdersOfDoneTasks(before: DurableJobRow, after: DurableJobRow): void {
-    before.tasks
-      .filter(
-        ({ phase }, position) => phase === 'placed' && after.tasks[position]!.phase === 'done',
-      )
-      .forEach((task) => this.orders.forget(nameTask(before, task)));
-  }
 }
--- a/tests/taskHome/JobTelemetry.test.ts
+++ b/tests/taskHome/JobTelemetry.test.ts
@@ -30,11 +30,11 @@
     const { telemetry, events, row } = createTelemetry();
     const key = { taskName: 'j1.0.0.0', run: 1, targetId: 't1' };
     const table = new JobTable();
-    telemetry.noteReportedEnd(table, key, 'done');
+    telemetry.noteIgnoredEnd(table, key, 'done');
     table.restore(placeTask(row, 0, 't1'));
-    telemetry.noteReportedEnd(table, key, 'done');
+    telemetry.noteIgnoredEnd(table, key, 'done');
     table.restore(cancelJob(row, 0));
-    telemetry.noteReportedEnd(table, key, 'done');
+    telemetry.noteIgnoredEnd(table, key, 'done');
     expect(events.events).toEqual([
       { event: 'endIgnored', fields: { ...key, term: 3, end: 'done', reason: 'unknown-job' } },
     ]);
