Store an end as done that nobody expects before it is acknowledged

What callers saw: a task ran again after it had ended, as its end was acknowledged to the target and not stored.

Cause: the end of a run that is not the task's current one was ignored, and acknowledged at once, as nothing had to be stored. That happens where a lease has lapsed by the slowest clock and the target comes back with an end from before, after a loss that was none, and wherever a run begins late.

Change: an end as done completes a task that waits or has another run; a newer run of it is stopped, and its target gets no task until that run has left it. Other ends are ignored as before, with `endIgnored`: they come again to each new home until one acknowledges them, so that a failure would count twice. Ends of long-running tasks complete nothing.

Ruled out: leaving such ends unacknowledged, as the target lists 500 at a time, and the end is the truth about the task.

--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -1,4 +1,11 @@
-import { type DurableJobRow, endRun, isFinished, nameTask, type RunEnd } from '../jobs/index.js';
+import {
+  type DurableJobRow,
+  endRun,
+  isFinished,
+  nameTask,
+  type RunEnd,
+  type TaskRow,
+} from '../jobs/index.js';
 import type { Clock } from '../utils/index.js';
 import type { JobTable, PlacedTask } from './JobTable.js';
 import type { JobTelemetry } from './JobTelemetry.js';
@@ -11,7 +18,7 @@
 /** Options of {@link RunEnds}. */
 export interface RunEndsOptions {
   readonly table: JobTable;
-  readonly orders: Pick<TaskOrders, 'forget' | 'isOrdered'>;
+  readonly orders: Pick<TaskOrders, 'abandon' | 'forget' | 'isOrdered'>;
   readonly health: TargetHealth;
   readonly progress: TaskProgress;
   readonly timer: RunTimer;
@@ -39,7 +46,7 @@
    */
   applyReported(key: RunKey, runEnd: RunEnd): void {
     const { table, telemetry } = this.options;
-    const found = table.findPlaced(key);
+    const found = table.findPlaced(key) ?? this.findCompleted(key, runEnd);
     if (found === undefined) telemetry.noteIgnoredEnd(table, key, runEnd.end);
     this.applyTo(found, key, runEnd, 'reported');
   }
@@ -54,6 +61,19 @@
     this.applyTo(this.options.table.findPlaced(key), key, runEnd, source);
   }
 
+  /**
+   * Finds a task that a run has completed although this home does not expect it, for example after
+   * the lease of the target had lapsed. If the end were ignored, the target would discard it, and
+   * the task would run again. Other ends say nothing that a later run does not say as well.
+   */
+  private findCompleted(key: RunKey, { end }: RunEnd): PlacedTask | undefined {
+    const { table } = this.options;
+    const found = table.findTask(key.taskName);
+    if (found === undefined || end !== 'done' || isFinished(found.row)) return undefined;
+    const { isLongRunning } = found.row.spec.steps[found.task.step]!;
+    return isLongRunning || found.task.phase === 'done' ? undefined : found;
+  }
+
   private applyTo(
     found: PlacedTask | undefined,
     key: RunKey,
@@ -67,7 +87,7 @@
     telemetry.noteEnded(found.row.spec.jobId, key, runEnd, source);
     this.learn(found, key, runEnd);
     const row = endRun(found.row, found.position, runEnd, clock.wallMs());
-    this.forgetOrdersOfDoneTasks(found.row, row);
+    this.dropOrdersOfDoneTasks(found.row, row, key);
     table.put(row);
     if (isFinished(row) && !isFinished(found.row)) telemetry.noteFinished(row);
   }
@@ -81,12 +101,19 @@
     if (end === 'failed') health.noteFailure(targetId, row.spec.jobId, taskName);
   }
 
-  /** Forgets the orders of gang members that are done because another member has ended. */
-  private forgetOrdersOfDoneTasks(before: DurableJobRow, after: DurableJobRow): void {
+  /** Drops the orders of tasks that this end has completed; members of a gang end together. */
+  private dropOrdersOfDoneTasks(before: DurableJobRow, after: DurableJobRow, ended: RunKey): void {
     before.tasks
       .filter(
         ({ phase }, position) => phase === 'placed' && after.tasks[position]!.phase === 'done',
       )
-      .forEach((task) => this.options.orders.forget(nameTask(before, task)));
+      .forEach((task) => this.dropOrder(nameTask(before, task), task, ended));
+  }
+
+  /** Drops the order for the current run of a task, and stops that run if it goes on by itself. */
+  private dropOrder(taskName: string, { run }: TaskRow, ended: RunKey): void {
+    const { orders } = this.options;
+    if (run === ended.run) orders.forget(taskName);
+    else orders.abandon(taskName);
   }
 }
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -28,6 +28,9 @@
 
   private readonly orders = new RunOrders();
 
+  /** Names of tasks that are done and whose orders stand until the run has left its target. */
+  private readonly abandoned = new Set<string>();
+
   private readonly strayRuns: StrayRuns;
 
   private readonly commands: RunCommands;
@@ -67,9 +70,24 @@
    * @param taskName - Name of the task.
    */
   forget(taskName: string): void {
+    this.abandoned.delete(taskName);
     this.orders.forget(taskName);
   }
 
+  /**
+   * Stops a run whose task is done. The order stands until the run has left its target, as the run
+   * takes up capacity there until then.
+   * @param taskName - Name of the task.
+   */
+  abandon(taskName: string): void {
+    if (this.isUnsent(taskName)) {
+      this.forget(taskName);
+      return;
+    }
+    this.abandoned.add(taskName);
+    this.stop(taskName);
+  }
+
   /**
    * Tells whether a run is ordered.
    * @param key - The run.
@@ -128,12 +146,14 @@
   }
 
   /**
-   * Tells whether a target has stray runs, which take up capacity until their end is reported.
+   * Tells whether a target has runs that are not wanted any more, which take up capacity until
+   * their end is reported.
    * @param targetId - Id of the target.
-   * @returns Whether its latest report shows any.
+   * @returns Whether its latest report shows stray runs, or abandoned runs have not left it.
    */
-  hasStrayRuns(targetId: string): boolean {
-    return this.strayRuns.hasRunsOn(targetId);
+  hasUnwantedRuns(targetId: string): boolean {
+    if (this.strayRuns.hasRunsOn(targetId)) return true;
+    return [...this.abandoned].some((name) => this.orders.get(name)?.targetId === targetId);
   }
 
   /**
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -180,7 +180,7 @@
    */
   isAvoided(targetId: string): boolean {
     const { mechanisms } = this.options;
-    if (this.orders.hasStrayRuns(targetId)) return true;
+    if (this.orders.hasUnwantedRuns(targetId)) return true;
     return mechanisms.has('failing-targets-avoided') && this.health.isAvoided(targetId);
   }
 
