--- a/src/taskHome/TaskOrdersOptions.ts
+++ b/src/taskHome/TaskOrdersOptions.ts
@@ -6,6 +6,8 @@
 /** Options of `TaskOrders`. */
 export interface TaskOrdersOptions extends TargetCallOptions {
   readonly clock: Clock;
+  /** Tells whether this instance is certain to be the home still. */
+  readonly isGroupLeaseHeld: () => boolean;
   /**
    * Tells whether a target must not receive a start: it is draining, or its capacity has shrunk.
    */
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -92,6 +92,7 @@
     this.orders = new TaskOrders({
       ...calls,
       clock,
+      isGroupLeaseHeld: () => options.isGroupLeaseHeld(),
       refusesStarts: (targetId) => this.startGuard.refusesStarts(targetId),
       onWithdrawn: (key) => this.returnToWaiting(key),
       onRefused: (key, reason) => this.noteRefusal(key, reason),
--- a/src/taskHome/TaskRunsOptions.ts
+++ b/src/taskHome/TaskRunsOptions.ts
@@ -17,6 +17,8 @@
   readonly events: EventLog;
   readonly telemetry: JobTelemetry;
   readonly mechanisms: Mechanisms;
+  /** Tells whether this instance is certain to be the home still. */
+  readonly isGroupLeaseHeld: () => boolean;
   /** Called when a job has changed, so that it is stored and the tasks that fit are placed. */
   readonly onChanged: () => void;
   /** Called when a target has seen a later term. */
