Forget a lapse of a lease that was found while the jobs were read

What callers saw: nothing yet; by a forced order (trial) a task ran twice.

Cause: a new home that can't reach an unlisted target for the length of a lease notes its loss, and applies it once the jobs are read. By then the target may be back, renewed and at work.

Change: a lapse is not kept; it is found again at the next look if the target is still away. Other losses are facts and are kept.

--- a/src/taskHome/TargetReports.ts
+++ b/src/taskHome/TargetReports.ts
@@ -67,8 +67,8 @@
    */
   handleGone(targetId: string, reason: TargetLossReason): void {
     if (this.isLoaded) this.options.runs.handleLostTarget(targetId, reason);
-    // The session stays: whether the target was draining decides if its loss counts as a crash.
-    else if (!this.earlyLosses.has(targetId)) this.earlyLosses.set(targetId, reason);
+    // A target whose lease has lapsed may be back by then; if it is not, the loss is found again.
+    else if (reason !== 'lapsed') this.noteEarlyLoss(targetId, reason);
   }
 
   /**
@@ -93,6 +93,11 @@
     await this.storeEnds(targetId, lastEndNumber, newEnds);
   }
 
+  /** The session stays: whether the target was draining decides if its loss counts as a crash. */
+  private noteEarlyLoss(targetId: string, reason: TargetLossReason): void {
+    if (!this.earlyLosses.has(targetId)) this.earlyLosses.set(targetId, reason);
+  }
+
   private async pauseBeforeRenewal(): Promise<void> {
     const { signal } = this.loading;
     // The pause rejects when it is aborted, which only means that the jobs are known.
