Start the run whose placement was stored, not a later one of its task

Cause: a round starts its tasks by name once its placements are stored, which may take several appends. If a target is lost meanwhile, the next round has placed the task elsewhere under the same name: that run was started before its placement was stored, and a home that takes over at that moment doesn't know of it.

Change: a round starts the run that it has placed; any other run of the task waits for its own round.

--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -12,6 +12,7 @@
 import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
 import type { RecordWriter } from './RecordWriter.js';
+import type { RunKey } from './RunKey.js';
 import type { TargetDrains } from './TargetDrains.js';
 import type { TargetSessions } from './TargetSessions.js';
 import type { TaskRuns } from './TaskRuns.js';
@@ -86,7 +87,7 @@
     metrics.timing('placement_round_ms', tookMs);
     await writer.write(records);
     table.noteEndsStored(unstoredEnds);
-    if (!this.isClosed) placed.forEach((taskName) => runs.start(taskName));
+    if (!this.isClosed) placed.forEach((key) => runs.start(key));
   }
 
   /**
@@ -113,7 +114,7 @@
     }));
   }
 
-  private placeReadyTasks(): readonly string[] {
+  private placeReadyTasks(): readonly RunKey[] {
     const { clock, dueClock, mechanisms, runs, table } = this.options;
     const { runTimes } = runs;
     const dueAtMs = dueClock.wallMs();
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -166,12 +166,13 @@
   }
 
   /**
-   * Starts a reserved run.
-   * @param taskName - Name of the task.
+   * Starts a reserved run, unless its task has another run by now, whose placement may not be
+   * stored yet.
+   * @param key - The run.
    */
-  start(taskName: string): void {
-    const order = this.orders.get(taskName);
-    if (order?.life.phase === 'unsent') this.startOrWithdraw(order);
+  start(key: RunKey): void {
+    const order = this.orders.get(key.taskName);
+    if (order?.life.phase === 'unsent' && this.orders.has(key)) this.startOrWithdraw(order);
   }
 
   /**
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -137,9 +137,9 @@
   /**
    * Places a task on a target; the start follows once the placement is stored.
    * @param placement - The task and its target.
-   * @returns Name of the task.
+   * @returns The run.
    */
-  reserve({ jobId, position, targetId, freeCpuMillicores }: TaskPlacement): string {
+  reserve({ jobId, position, targetId, freeCpuMillicores }: TaskPlacement): RunKey {
     const before = this.table.getActive(jobId)!;
     const row = placeTask(before, position, targetId);
     this.table.put(row);
@@ -150,15 +150,16 @@
     this.timer.begin(taskName);
     const reportAgeMs = this.sessions.getAnswerAgeMs(targetId);
     this.options.telemetry.notePlaced(before, key, { freeCpuMillicores, reportAgeMs });
-    return taskName;
+    return key;
   }
 
   /**
    * Starts a run whose placement is stored.
-   * @param taskName - Name of the task.
+   * @param key - The run.
    */
-  start(taskName: string): void {
-    this.orders.start(taskName);
+  start(key: RunKey): void {
+    const { taskName } = key;
+    this.orders.start(key);
     const task = this.table.findTask(taskName)?.task;
     if (task !== undefined && isSuspect(task)) void this.confirmations.confirmAfterDelay(taskName);
   }
