Conclude nothing from the absence of a run in a report that may leave ends out

Cause: a target lists 500 ends at a time.

Ruled out: asking again at once for the rest; the next renewal acknowledges the listed ends and so brings the others, within the same lease.

Change: a report tells whether it has all ends. Where it may not, what runs still counts, and nothing follows for a run that is not in it. Instances that relay reports pass this on; one of an earlier version that doesn't tell counts as before. The stand-in of the targets lists a settable number.

--- a/bench/jobs/HeldTargets.ts
+++ b/bench/jobs/HeldTargets.ts
@@ -64,7 +64,7 @@
     if (target.ended.length === 0) await target.waitForEnd(waitMs);
     const running = [...target.running.values()];
     const targetClockMs = this.clock.monotonicMs();
-    return { type: 'report', targetClockMs, running, ended: target.ended };
+    return { type: 'report', targetClockMs, running, ended: target.ended, hasAllEnds: true };
   }
 
   /** {@inheritDoc LeasedTargetPort.forget} */
--- a/src/targets/LeasedTargetPort.ts
+++ b/src/targets/LeasedTargetPort.ts
@@ -83,6 +83,11 @@
       readonly targetClockMs: number;
       readonly running: readonly RunningTaskReport[];
       readonly ended: readonly EndedTaskReport[];
+      /**
+       * Whether every end is listed that was not acknowledged. Otherwise a run that is not in the
+       * report may have ended.
+       */
+      readonly hasAllEnds: boolean;
     }
   | { readonly type: 'stale-term' }
   | { readonly type: 'other-lifetime' }
--- a/src/targets/targetCallSchemas.ts
+++ b/src/targets/targetCallSchemas.ts
@@ -65,5 +65,7 @@
     targetClockMs: number,
     running: z.array(runningTask),
     ended: z.array(endedTask),
+    // Instances of earlier versions don't tell.
+    hasAllEnds: z.boolean().default(true),
   }),
 ]);
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -7,13 +7,13 @@
   type RunLifeVerdict,
   STOP_PHASES,
 } from '../systems/index.js';
-import type { RunningTaskReport } from '../targets/index.js';
 import { assertNever } from '../utils/index.js';
 import { RunCommands } from './RunCommands.js';
 import type { RunKey } from './RunKey.js';
 import { describeOrder, type OrderedRun, type RunOrder } from './RunOrder.js';
 import { RunOrders } from './RunOrders.js';
 import { StrayRuns } from './StrayRuns.js';
+import type { TargetReport } from './TargetSession.js';
 import type { TaskOrdersOptions } from './TaskOrdersOptions.js';
 
 /**
@@ -186,19 +186,22 @@
   }
 
   /**
-   * Compares the runs on a target with its report.
+   * Compares the runs on a target with its report. One that may leave ends out shows only what
+   * runs: a run that is not in it may have ended, and its task must not start again.
    * @param targetId - Id of the target.
-   * @param running - What runs there.
-   * @param askedAtMs - When the report was requested, by the monotonic clock.
+   * @param report - The report.
    */
-  reconcile(targetId: string, running: readonly RunningTaskReport[], askedAtMs: number): void {
+  reconcile(targetId: string, { answer, askedAtMs }: TargetReport): void {
+    const { running, hasAllEnds } = answer;
     const runningByName = new Map(running.map((task) => [task.taskName, task]));
     this.orders.listOn(targetId).forEach((order) => {
       // An order handled earlier in this loop may have ended this run too, as one of its gang.
       if (!this.orders.isCurrent(order)) return;
       const isRunning = runningByName.get(order.taskName)?.run === order.run;
       if (isRunning) this.noteRunning(order);
-      else if (order.answeredAtMs < askedAtMs) this.apply(order, { type: 'reported-absent' });
+      else if (hasAllEnds && order.answeredAtMs < askedAtMs) {
+        this.apply(order, { type: 'reported-absent' });
+      }
     });
     const strays = running
       .map(({ taskName, run }): RunKey => ({ taskName, run, targetId }))
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -210,7 +210,7 @@
     this.stopper.stopStalled(targetId, running);
     const address = this.sessions.getAddress(targetId);
     if (address !== undefined) this.pacer.handleReport(address, running);
-    this.orders.reconcile(targetId, running, report.askedAtMs);
+    this.orders.reconcile(targetId, report);
   }
 
   /**
--- a/standins/leasedTargets/LeasedTarget.ts
+++ b/standins/leasedTargets/LeasedTarget.ts
@@ -25,11 +25,17 @@
   readonly atMs: number;
 }
 
+/** Most ends that a report lists, unless a test sets fewer. */
+const MAX_LISTED_END_COUNT = 500;
+
 /** One lifetime of a target: what it runs, what has ended, and which term it has seen. */
 export class LeasedTarget {
   /** Runs that were killed for the lease, in order; those of others' questions count at once. */
   readonly lapsedRuns: LapsedRun[] = [];
 
+  /** Most ends that a report lists, the oldest first. */
+  maxListedEndCount = MAX_LISTED_END_COUNT;
+
   private readonly clock: Clock;
 
   /** What runs, the newest run last; a faulty home may start two runs of a task. */
@@ -159,7 +165,8 @@
         checkpoint: undefined,
         loadFigure: undefined,
       })),
-      ended: this.ended,
+      ended: this.ended.slice(0, this.maxListedEndCount),
+      hasAllEnds: this.ended.length < this.maxListedEndCount,
     };
   }
 
--- /dev/null
+++ b/tests/platformAdapter/PlatformTargets.test.ts
@@ -0,0 +1,50 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { PlatformTargets } from '../../platform/PlatformTargets.js';
+
+const TARGET_ID = '00000000000000a1';
+const RENEWAL = { term: 1, acknowledgedEndNumber: 0, waitMs: 0 };
+
+describe('PlatformTargets', () => {
+  let server: Server;
+  let targets: PlatformTargets;
+  let endCount: number;
+
+  beforeEach(async () => {
+    server = createServer((_request, response) => {
+      const ended = Array.from({ length: endCount }, (_none, index) => [
+        index + 1,
+        `00000000000000ff.0.0.${index}`,
+        1,
+        'done',
+        '',
+      ]);
+      response.setHeader('content-type', 'application/json');
+      response.end(JSON.stringify({ clock_ms: 5, running: [], ended }));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    targets = new PlatformTargets();
+  });
+
+  afterEach(() => {
+    targets.forget(TARGET_ID);
+    server.closeAllConnections();
+    server.close();
+  });
+
+  // Guards against tasks that start again after their ends: a target lists 500 at a time.
+  it.each([
+    [0, true],
+    [499, true],
+    [500, false],
+  ])('tells of a report with %i ends whether it has all: %s', async (count, hasAllEnds) => {
+    endCount = count;
+    const { port } = server.address() as AddressInfo;
+    const answer = await targets.renew({ targetId: TARGET_ID, host: '127.0.0.1', port }, RENEWAL);
+    expect(answer).toMatchObject({ type: 'report', hasAllEnds });
+    expect(answer).toHaveProperty('ended.length', count);
+  });
+});
--- a/tests/taskHome/RelayedTargets.test.ts
+++ b/tests/taskHome/RelayedTargets.test.ts
@@ -3,7 +3,11 @@
 import { MemoryEventLog } from '../../src/logging/index.js';
 import type { PeerAddress, PeerReply, PeerRequest } from '../../src/peers/index.js';
 import { RelayedTargets, relayTargetCall } from '../../src/taskHome/index.js';
-import type { LeasedTargetAddress, LeasedTargetPort } from '../../src/targets/index.js';
+import type {
+  LeaseAnswer,
+  LeasedTargetAddress,
+  LeasedTargetPort,
+} from '../../src/targets/index.js';
 import { ManualClock } from '../../src/utils/index.js';
 
 const DIRECT_COUNT = 16;
@@ -14,6 +18,14 @@
   { instance: 'relay-2', host: '10.0.0.2', port: 1 },
 ];
 
+const REPORT: LeaseAnswer = {
+  type: 'report',
+  targetClockMs: 9,
+  running: [],
+  ended: [],
+  hasAllEnds: true,
+};
+
 const makeTarget = (number: number): LeasedTargetAddress => ({
   targetId: `t${number}`,
   host: '10.1.0.1',
@@ -40,7 +52,7 @@
       start: (target) => note(target, { type: 'started', targetClockMs: 7 }),
       stop: (target) => note(target, { type: 'accepted' }),
       pace: (target) => note(target, { type: 'accepted' }),
-      renew: (target) => note(target, { type: 'report', targetClockMs: 9, running: [], ended: [] }),
+      renew: (target) => note(target, REPORT),
       forget: () => undefined,
     };
   }
--- a/tests/taskHome/TargetReports.test.ts
+++ b/tests/taskHome/TargetReports.test.ts
@@ -30,7 +30,7 @@
   reports.handleLoaded();
   const report = (ended: readonly EndedTaskReport[]): Promise<void> =>
     reports.handleReport('t1', {
-      answer: { type: 'report', targetClockMs: 0, running: [], ended },
+      answer: { type: 'report', targetClockMs: 0, running: [], ended, hasAllEnds: true },
       askedAtMs: 0,
       hasExtendedLease: true,
     });
