Let a target that is back after a lapse accept stops of unanswered starts first

Cause: a start got no answer, its target fell silent until its lease had lapsed, and the task went elsewhere. Then the same lifetime came back, the session renewed its lease, and the start, which the target refuses as late only as long as nobody extends the lease, took effect: two runs.

Ruled out: relying on the deadline that the start carries, as the target judges a start by its lease, which may have been extended meanwhile; counting the target's lifetime as over, as that would lose it until it restarts.

Change: runs of which a start may have no answer when their target's lease lapses are kept in LapsedStarts. Once the lifetime is back, its renewals leave the lease as it is, and it gets no task, until it has accepted a stop of each of them. A lifetime that is over for good forgets them, and isn't opened again.

--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -65,6 +65,7 @@
 } from './shouldHoldHomes.js';
 export {
   advanceRun,
+  hasUnansweredStart,
   INHERITED_RUN,
   PLACED_RUN,
   type RunEvent,
--- a/src/systems/runLife.ts
+++ b/src/systems/runLife.ts
@@ -78,6 +78,17 @@
   'stopped',
 ]);
 
+/**
+ * Tells whether a start of a run may take effect later, without a further one.
+ * @param life - What is known of the run.
+ * @returns Whether a start is or may be without an answer, and the target has accepted no stop.
+ */
+export function hasUnansweredStart({ phase, hasOpenStart }: RunLife): boolean {
+  // A stop may have been sent while a start was under way.
+  const isOpen = phase === 'starting' || phase === 'stopping' || phase === 'stop-unanswered';
+  return hasOpenStart || isOpen;
+}
+
 function stay(life: RunLife, verdict: RunLifeVerdict = 'none'): RunTransition {
   return { life, verdict };
 }
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -24,6 +24,8 @@
   readonly leaseMs: number;
   /** Gets how long the target may delay its answer until a run ends, in milliseconds. */
   readonly getWaitMs: () => number;
+  /** Tells whether renewals may extend the lease; otherwise they only request reports. */
+  readonly mayExtendLease: () => boolean;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Handles a report; the next renewal is sent once this has resolved. */
@@ -164,7 +166,8 @@
     // While the target is silent, renewals do not extend its lease either: an unanswered renewal
     // may still take effect, so the lease would never be certain to have lapsed, and the target's
     // tasks would never run again.
-    const isProbe = this.clockReading === undefined || this.outage.isOut;
+    const isUnknown = this.clockReading === undefined || this.outage.isOut;
+    const isProbe = isUnknown || !this.options.mayExtendLease();
     try {
       const answer = await port.renew(address, {
         term,
@@ -193,6 +196,7 @@
         this.hasAnswered = true;
         this.outage.noteSuccess({ targetId, term });
         await this.options.onReport({ ...renewal, answer });
+        if (!this.options.mayExtendLease()) await sleep(RETRY_PAUSE_MS);
         return;
       case 'unhealthy':
         this.outage.noteFailure({ targetId, term, reason: answer.type });
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -1,46 +1,17 @@
 import type { Resources } from '../jobs/index.js';
-import type { EventLog } from '../logging/index.js';
 import type { PlacementTarget } from '../systems/index.js';
-import type { EndedTaskReport, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
-import { type Clock, waitUntil } from '../utils/index.js';
-import type { TargetEntries, TargetEntry } from './TargetEntry.js';
-import { type TargetReport, TargetSession } from './TargetSession.js';
-import type { TaskHomeTiming } from './TaskHomeTiming.js';
+import type { EndedTaskReport, LeasedTargetAddress } from '../targets/index.js';
+import { waitUntil } from '../utils/index.js';
+import { LapsedStarts } from './LapsedStarts.js';
+import type { RunKey } from './RunKey.js';
+import type { TargetEntry } from './TargetEntry.js';
+import { TargetSession } from './TargetSession.js';
+import type { TargetSessionsOptions } from './TargetSessionsOptions.js';
+import type { TrackedTarget } from './TrackedTarget.js';
 
 /** Why nothing runs on a target any more; after a lapse, the same lifetime may come back. */
 export type TargetLossReason = 'other-lifetime' | 'crashed' | 'unlisted' | 'lapsed';
 
-/** Options of {@link TargetSessions}. */
-export interface TargetSessionsOptions {
-  readonly targets: LeasedTargetPort;
-  readonly term: number;
-  readonly timing: Pick<TaskHomeTiming, 'targetLeaseMs'>;
-  /** Gets how long a target may delay its answer until a run ends, in milliseconds. */
-  readonly getTargetWaitMs: () => number;
-  readonly clock: Clock;
-  readonly events: EventLog;
-  /** Targets of this home's pools as the platform lists them. */
-  readonly getEntries: () => TargetEntries;
-  readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
-  /**
-   * Called when the lifetime of a target is certainly over, so that nothing runs there any more.
-   */
-  readonly onGone: (targetId: string, reason: TargetLossReason) => void;
-  readonly onStaleTerm: () => void;
-}
-
-interface TrackedTarget {
-  readonly session: TargetSession;
-  entry: TargetEntry;
-  /** Whether the platform still lists the target. */
-  isListed: boolean;
-  /** When this home first saw the target, by the monotonic clock. */
-  readonly appearedAtMs: number;
-  /** Whether the target had more capacity earlier in this lifetime than it reports now. */
-  hasShrunk: boolean;
-  takenEndNumber: number;
-}
-
 /** Time within which a new home has found the targets that existed before it, in milliseconds. */
 const INITIAL_DISCOVERY_MS = 1_000;
 /** Age up to which a target has just started, in milliseconds; a faulty one crashes every few s. */
@@ -67,6 +38,8 @@
 
   private readonly ended = new Set<string>();
 
+  private readonly lapsedStarts: LapsedStarts;
+
   private readonly openedAtMs: number;
 
   /**
@@ -75,6 +48,7 @@
    */
   constructor(options: TargetSessionsOptions) {
     this.options = options;
+    this.lapsedStarts = new LapsedStarts(options);
     this.openedAtMs = options.clock.monotonicMs();
   }
 
@@ -252,6 +226,8 @@
    * store.
    */
   listForPlacement(isAvoided: (targetId: string) => boolean): readonly PlacementTarget[] {
+    const mayTake = (targetId: string): boolean =>
+      !isAvoided(targetId) && !this.lapsedStarts.has(targetId);
     return [...this.tracked.values()].map(({ entry, session }) => ({
       targetId: entry.targetId,
       pool: entry.pool,
@@ -259,20 +235,36 @@
       labels: entry.labels,
       capacity: entry.capacity,
       hasJustStarted: this.hasJustStarted(entry.targetId),
-      takesTasks: !entry.isDraining && session.isReachable && !isAvoided(entry.targetId),
+      takesTasks: !entry.isDraining && session.isReachable && mayTake(entry.targetId),
     }));
   }
 
   /**
    * Ends the session with a target whose lifetime is over.
    * @param targetId - Id of the target.
-   * @param mayReturn - Whether the same lifetime may come back after its lease has lapsed.
    */
-  remove(targetId: string, mayReturn: boolean): void {
-    this.tracked.get(targetId)?.session.close();
-    this.tracked.delete(targetId);
-    if (!mayReturn) this.ended.add(targetId);
-    this.options.targets.forget(targetId);
+  remove(targetId: string): void {
+    this.end(targetId);
+    this.ended.add(targetId);
+    this.lapsedStarts.forget(targetId);
+  }
+
+  /**
+   * Ends the session with a target whose lease has lapsed, until the same lifetime is back.
+   * @param targetId - Id of the target.
+   * @param openStarts - Runs of which a start has no answer.
+   */
+  suspend(targetId: string, openStarts: readonly RunKey[]): void {
+    this.end(targetId);
+    this.lapsedStarts.add(targetId, openStarts);
+  }
+
+  /**
+   * Ends the wait for a target that was lost by a lapse, as its lifetime is over.
+   * @param targetId - Id of the target.
+   */
+  forgetLapse(targetId: string): void {
+    if (this.lapsedStarts.has(targetId)) this.remove(targetId);
   }
 
   /** Ends every session; the targets keep their leases until these lapse. */
@@ -292,6 +284,12 @@
     return nowMs > session.latestLapseAtMs + LAPSE_MARGIN_MS;
   }
 
+  private end(targetId: string): void {
+    this.tracked.get(targetId)?.session.close();
+    this.tracked.delete(targetId);
+    this.options.targets.forget(targetId);
+  }
+
   private listOpen(): readonly TargetSession[] {
     return [...this.tracked.values()].map(({ session }) => session).filter(({ isOver }) => !isOver);
   }
@@ -322,7 +320,11 @@
       getWaitMs: getTargetWaitMs,
       clock,
       events,
-      onReport: (report) => onReport(targetId, report),
+      mayExtendLease: () => !this.lapsedStarts.has(targetId),
+      onReport: async (report) => {
+        await onReport(targetId, report);
+        await this.lapsedStarts.stopOn(entry);
+      },
       onEnd: (end) => (end === 'stale-term' ? onStaleTerm() : onGone(targetId, end)),
     });
     this.tracked.set(targetId, {
--- /dev/null
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -0,0 +1,26 @@
+import type { EventLog } from '../logging/index.js';
+import type { LeasedTargetPort } from '../targets/index.js';
+import type { Clock } from '../utils/index.js';
+import type { TargetEntries } from './TargetEntry.js';
+import type { TargetReport } from './TargetSession.js';
+import type { TargetLossReason } from './TargetSessions.js';
+import type { TaskHomeTiming } from './TaskHomeTiming.js';
+
+/** Options of `TargetSessions`. */
+export interface TargetSessionsOptions {
+  readonly targets: LeasedTargetPort;
+  readonly term: number;
+  readonly timing: Pick<TaskHomeTiming, 'targetLeaseMs'>;
+  /** Gets how long a target may delay its answer until a run ends, in milliseconds. */
+  readonly getTargetWaitMs: () => number;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Targets of this home's pools as the platform lists them. */
+  readonly getEntries: () => TargetEntries;
+  readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
+  /**
+   * Called when the lifetime of a target is certainly over, so that nothing runs there any more.
+   */
+  readonly onGone: (targetId: string, reason: TargetLossReason) => void;
+  readonly onStaleTerm: () => void;
+}
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -1,5 +1,6 @@
 import {
   advanceRun,
+  hasUnansweredStart,
   INHERITED_RUN,
   PLACED_RUN,
   type RunEvent,
@@ -136,6 +137,16 @@
     return this.orders.listOn(targetId).map(describeOrder);
   }
 
+  /**
+   * Lists the runs on a target that it may begin later, by a start without an answer.
+   * @param targetId - Id of the target.
+   * @returns The runs.
+   */
+  listUnansweredStarts(targetId: string): readonly RunKey[] {
+    const orders = this.orders.listOn(targetId).filter(({ life }) => hasUnansweredStart(life));
+    return orders.map(describeOrder);
+  }
+
   /**
    * Counts the runs on a target.
    * @param targetId - Id of the target.
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -230,6 +230,7 @@
     const crashed = new Set(crashedTargets);
     const withRack = new Set(lostWithRack);
     const known = endedTargets.filter((targetId) => this.isKnown(targetId));
+    endedTargets.forEach((targetId) => this.sessions.forgetLapse(targetId));
     known.forEach((targetId) =>
       this.handleLostTarget(targetId, crashed.has(targetId) ? 'crashed' : 'unlisted'),
     );
@@ -259,7 +260,9 @@
    */
   handleLostTarget(targetId: string, reason: TargetLossReason): void {
     const lost = this.crashAttribution.noteLoss(targetId, reason);
-    this.sessions.remove(targetId, reason === 'lapsed');
+    if (reason === 'lapsed') {
+      this.sessions.suspend(targetId, this.orders.listUnansweredStarts(targetId));
+    } else this.sessions.remove(targetId);
     this.options.events.write('targetGone', { targetId, reason, runCount: lost.length });
     lost.forEach((run) => this.ends.apply(run, LAPSED, reason));
     this.orders.forgetTarget(targetId);
--- a/tests/systems/runLife.test.ts
+++ b/tests/systems/runLife.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import {
   advanceRun,
+  hasUnansweredStart,
   INHERITED_RUN,
   PLACED_RUN,
   type RunEvent,
@@ -84,3 +85,19 @@
     expect(play(started, 'reported-absent').verdict).toBe('is-over');
   });
 });
+
+describe('hasUnansweredStart', () => {
+  // Guards against a task that runs twice: a start or its stop was under way when the lease lapsed.
+  it.each<readonly [readonly RunEvent['type'][], boolean]>([
+    [[], false],
+    [['start-sent'], true],
+    [['start-sent', 'start-unanswered'], true],
+    [['start-sent', 'start-accepted'], false],
+    [['start-sent', 'start-refused-as-old'], false],
+    [['start-sent', 'stop-sent'], true],
+    [['start-sent', 'stop-sent', 'stop-failed'], true],
+    [['start-sent', 'stop-sent', 'stop-accepted'], false],
+  ])('tells whether a run may begin later (%s: %s)', (types, expected) => {
+    expect(hasUnansweredStart(play(PLACED, ...types).life)).toBe(expected);
+  });
+});
