--- a/scripts/crashMutants.ts
+++ b/scripts/crashMutants.ts
@@ -74,7 +74,7 @@
   {
     failure: 'room that counts as free though something runs there that nobody ordered',
     file: 'src/taskHome/TaskRuns.ts',
-    find: 'if (this.orders.hasStrayRuns(targetId)) return true;',
+    find: 'if (this.orders.hasUnwantedRuns(targetId)) return true;',
     replace: '',
     test: ROOM_TEST,
     name: 'get no task while they have a stray run',
@@ -82,8 +82,8 @@
   {
     failure: 'a crash that counts for nobody, as the home died before the start was answered',
     file: 'src/taskHome/RunOrder.ts',
-    find: "const isSent = phase !== 'unsent';",
-    replace: "const isSent = phase !== 'unsent' && phase !== 'unanswered';",
+    find: "const isSent = life.phase !== 'unsent';",
+    replace: "const isSent = life.phase !== 'unsent' && life.phase !== 'unanswered';",
     test: CRASH_TEST,
     name: 'counts the crashes that no home lived to note',
   },
--- a/tests/taskHome/TaskOrders.test.ts
+++ b/tests/taskHome/TaskOrders.test.ts
@@ -69,6 +69,25 @@
   });
 });
 
+describe('a start', () => {
+  let world: HomeWorld;
+
+  useHomeWorld((fresh) => {
+    world = fresh;
+  });
+
+  // Guards against a start of a home that was suspended since it stored the placement.
+  it('is withheld while another instance may be the home', async () => {
+    const home = await world.open();
+    world.isGroupLeaseHeld = false;
+    await home.submit(makeJob('a'));
+    await sleep(SEVERAL_REPORTS_MS);
+    expect(world.targets.begun).toEqual([]);
+    world.isGroupLeaseHeld = true;
+    await world.waitForRunning(['a.0.0.0']);
+  });
+});
+
 describe('a stop without an answer', () => {
   let world: HomeWorld;
   let syncPool: (drainedTargets: readonly string[]) => Promise<unknown>;
