Let a refusal that comes after the report of a run stop nothing

What callers saw: nothing yet; a gang would lose its other members while one works on alone.

Cause: a start without an answer was repeated; a report showed the run, as the first call had taken effect, and then the repeat was refused. The refusal counted for the target's health and stopped the other members of the gang, in whatever phase the run was.

Change: a refusal counts only while a start is awaited, as before.

Evidence: tests/taskHome/gangRefusals.test.ts: stops of a.0.0.1 before, none now.

--- a/src/taskHome/RunCommands.ts
+++ b/src/taskHome/RunCommands.ts
@@ -82,7 +82,7 @@
     const { apply, onRefused, onNeverBegins, onStaleTerm } = this.options;
     if (reason === 'stale-term') onStaleTerm();
     else if (reason === 'stale-run') apply(order, { type: 'start-refused-as-old' });
-    else {
+    else if (order.life.phase === 'starting') {
       onRefused(order, reason);
       const verdict = apply(order, { type: 'start-refused' });
       if (verdict === 'never-begins') onNeverBegins(order, reason);
