Send a withheld start as soon as this instance is certain to be the home again

Cause: a withheld start counted as one without an answer. It was never sent, so that a crash could be put down to it, and a target that leaves got a stop in place of nothing.

Change: the run stays unsent, and the next tick sends its start, or withdraws it. A repeated start is left to the next report, as before.

--- a/scripts/runLifeMutants.ts
+++ b/scripts/runLifeMutants.ts
@@ -40,9 +40,9 @@
   },
   {
     failure: 'a start of a home that was suspended and replaced meanwhile',
-    file: 'src/taskHome/RunCommands.ts',
-    find: 'if (!isGroupLeaseHeld()) {',
-    replace: 'if (term < 0) {',
+    file: 'src/taskHome/TaskOrders.ts',
+    find: 'if (!this.options.isGroupLeaseHeld()) this.withhold(order);\n    else if',
+    replace: 'if',
     test: 'tests/taskHome/TaskOrders.test.ts',
     name: 'is withheld while another instance may be the home',
   },
--- a/src/systems/runLife.ts
+++ b/src/systems/runLife.ts
@@ -31,8 +31,6 @@
 /** What a home does with a run, or learns of it. */
 export type RunEvent =
   | { readonly type: 'start-sent' }
-  /** The home may have been replaced, so it sends nothing until the next report. */
-  | { readonly type: 'start-withheld' }
   | { readonly type: 'start-accepted' }
   | { readonly type: 'start-unanswered' }
   /** The target did nothing for this call; an earlier one may still take effect. */
@@ -170,8 +168,6 @@
   switch (event.type) {
     case 'start-sent':
       return enter('starting', hasOpenStart);
-    case 'start-withheld':
-      return enter('unanswered', hasOpenStart);
     case 'start-accepted':
       return handleStartAnswer(life, 'accepted');
     case 'start-refused':
--- a/src/taskHome/RunCommands.ts
+++ b/src/taskHome/RunCommands.ts
@@ -26,17 +26,10 @@
 
   /**
    * Sends the start of a run, or a stop if the run is no longer wanted.
-   *
-   * A home that may have been replaced sends no start: it may have been suspended since it stored
-   * the placement, and the next home runs the task elsewhere if it could not reach the target.
    * @param order - The order for the run.
    */
   async start(order: RunOrder): Promise<void> {
-    const { port, events, term, isGroupLeaseHeld } = this.options;
-    if (!isGroupLeaseHeld()) {
-      this.options.apply(order, { type: 'start-withheld' });
-      return;
-    }
+    const { port, events, term } = this.options;
     const start = this.options.createStart(order);
     const address = this.options.getAddress(order.targetId);
     if (start === undefined || address === undefined) {
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -271,8 +271,7 @@
     this.sessions.sync();
     if (!this.isLoaded) return;
     this.loseUnknownTargets();
-    this.runs.evacuate(this.listTargetsToEvacuate());
-    this.runs.stopFinished();
+    this.runs.check(this.listTargetsToEvacuate());
     this.removeExpiredJobs();
     this.flushInBackground();
   }
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -32,6 +32,9 @@
   /** Names of tasks that are done and whose orders stand until the run has left its target. */
   private readonly abandoned = new Set<string>();
 
+  /** Orders whose first start waits until this instance is certain to be the home. */
+  private withheld: readonly RunOrder[] = [];
+
   private readonly strayRuns: StrayRuns;
 
   private readonly commands: RunCommands;
@@ -186,6 +189,15 @@
     if (order?.life.phase === 'unsent' && this.orders.has(key)) this.startOrWithdraw(order);
   }
 
+  /** Sends the starts that were withheld while another instance might be the home. */
+  startWithheld(): void {
+    const { withheld } = this;
+    this.withheld = [];
+    withheld
+      .filter((order) => this.orders.isCurrent(order) && order.life.phase === 'unsent')
+      .forEach((order) => this.startOrWithdraw(order));
+  }
+
   /**
    * Stops a run, whether or not it has begun.
    * @param taskName - Name of the task.
@@ -270,14 +282,23 @@
    * Sends a start, for the first time or once more. If the target has announced its leave
    * meanwhile, or its capacity has shrunk, the start would put a task on a target that takes none:
    * a run that no home has started waits again for the next round, and any other one is stopped, so
-   * that its task can go to another target.
+   * so that its task can go to another target.
+   *
+   * A home that may have been replaced sends no start: it may have been suspended since it stored
+   * the placement, and the next home runs the task elsewhere if it could not reach the target.
    */
   private startOrWithdraw(order: RunOrder): void {
-    if (!this.options.refusesStarts(order.targetId)) void this.commands.start(order);
+    if (!this.options.isGroupLeaseHeld()) this.withhold(order);
+    else if (!this.options.refusesStarts(order.targetId)) void this.commands.start(order);
     else if (order.life.phase === 'unsent') this.withdraw(order);
     else void this.commands.stop(order);
   }
 
+  /** Leaves a first start to the next tick, and a repeated one to the next report. */
+  private withhold(order: RunOrder): void {
+    if (order.life.phase === 'unsent') this.withheld = [...this.withheld, order];
+  }
+
   private withdraw(order: RunOrder): void {
     const { events, term, onWithdrawn } = this.options;
     const { taskName, run, targetId } = order;
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -275,6 +275,16 @@
     this.stopper.stopFinished();
   }
 
+  /**
+   * Stops what must not run on, and starts what was withheld; called on each tick.
+   * @param drainedTargets - Ids of the targets that are being drained.
+   */
+  check(drainedTargets: ReadonlySet<string>): void {
+    this.evacuate(drainedTargets);
+    this.stopFinished();
+    this.orders.startWithheld();
+  }
+
   /** Handles the crash of a target that was lost now or some seconds ago. */
   private attributeCrash(targetId: string, evidence: CrashEvidence): void {
     const crashes = this.crashAttribution.attributeCrash(targetId, evidence);
