Tell an unexpected end apart in the log, and learn no run time from it

An end as done that nobody expected was logged like any other, so that the log didn't show the way of the incident any more; its run time was measured from the placement of a later run. Its source is `reported-unexpected` now, and only the latest run is learned from.

--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -46,9 +46,10 @@
    */
   applyReported(key: RunKey, runEnd: RunEnd): void {
     const { table, telemetry } = this.options;
-    const found = table.findPlaced(key) ?? this.findCompleted(key, runEnd);
+    const expected = table.findPlaced(key);
+    const found = expected ?? this.findCompleted(key, runEnd);
     if (found === undefined) telemetry.noteIgnoredEnd(table, key, runEnd.end);
-    this.applyTo(found, key, runEnd, 'reported');
+    this.applyTo(found, key, runEnd, expected === undefined ? 'reported-unexpected' : 'reported');
   }
 
   /**
@@ -96,7 +97,9 @@
     const { health, progress, timer } = this.options;
     const { taskName, targetId } = key;
     progress.forget(taskName);
-    timer.end(taskName, row, position, end === 'done');
+    // The time was measured from the placement of the latest run.
+    const isMeasured = row.tasks[position]!.run === key.run;
+    timer.end(taskName, row, position, end === 'done' && isMeasured);
     if (end === 'done') health.noteSuccess(targetId);
     if (end === 'failed') health.noteFailure(targetId, row.spec.jobId, taskName);
   }
