--- a/tests/taskHome/unexpectedEnds.test.ts
+++ b/tests/taskHome/unexpectedEnds.test.ts
@@ -95,14 +95,26 @@
   });
 
   // Guards against a failure that counts twice, as each new home hears of it until acknowledged.
-  it.each(LOST_RUNS)('is no attempt if it failed (%s, and the task %s)', async (loss, place) => {
-    await lose(loss, makeJob('a'), 'failed');
+  it.each(PLACES)('is no attempt if it failed before a lapse (the task %s)', async (place) => {
+    await lose('lapsed', makeJob('a'), 'failed');
     await goTo(place);
     await comeBack();
     await scene.complete('a', 'failed');
     expect(scene.describe('a')).toEqual({ violations: [], state: 'failed', beginCount: 3 });
   });
 
+  // Guards against a task with too many attempts, as a failure was acknowledged and ignored.
+  it.each(PLACES)(
+    'counts as an attempt if it failed (unlisted, and the task %s)',
+    async (place) => {
+      await lose('unlisted', makeJob('a'), 'failed');
+      await goTo(place);
+      await comeBack();
+      await scene.complete('a', 'failed');
+      expect(scene.describe('a')).toEqual({ violations: [], state: 'failed', beginCount: 2 });
+    },
+  );
+
   // Guards against a gang that starts again after its acknowledged end.
   it.each(LOST_RUNS)('is the truth about a gang (%s, and the gang %s)', async (loss, place) => {
     await lose(loss, makeJob('a', [makeStep({ taskCount: 2, isGang: true })]), 'done');
