Test that a lapse before the jobs are known is not kept, and any other loss is

Cause: taking out the condition on 'lapsed' in TargetReports.handleGone failed no test.

Ruled out: a timing-dependent test with a whole home; the handler alone shows it.

Change: a test only; the source is as it was.

Evidence: the test fails with the condition taken out, and also where no early loss is kept (each tried once, then put back).

--- a/tests/taskHome/TargetReports.test.ts
+++ b/tests/taskHome/TargetReports.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it, vi } from 'vitest';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { TargetReports } from '../../src/taskHome/TargetReports.js';
+import type { TargetLossReason } from '../../src/taskHome/TargetSessions.js';
 import type { EndedTaskReport } from '../../src/targets/index.js';
 
 const END: EndedTaskReport = {
@@ -11,13 +12,14 @@
   checkpoint: undefined,
 };
 
-/** Creates a handler whose ends are taken once, and stored or not as the flush says. */
-function createReports(flush: () => Promise<void>) {
+/** Creates a handler without jobs whose ends are taken once, and stored as the flush says. */
+function createLoadingReports(flush: () => Promise<void>) {
   const events = new MemoryEventLog();
   const acknowledge = vi.fn();
   const takeNewEnds = vi.fn((_targetId: string, ended: readonly EndedTaskReport[]) => ended);
+  const handleLostTarget = vi.fn();
   const reports = new TargetReports({
-    runs: { handleReport: () => undefined, handleLostTarget: () => undefined },
+    runs: { handleReport: () => undefined, handleLostTarget },
     getSessions: () => ({ acknowledge, takeNewEnds }),
     flush,
     flushInBackground: () => undefined,
@@ -27,14 +29,20 @@
     term: 3,
     events,
   });
-  reports.handleLoaded();
   const report = (ended: readonly EndedTaskReport[]): Promise<void> =>
     reports.handleReport('t1', {
       answer: { type: 'report', targetClockMs: 0, running: [], ended, hasAllEnds: true },
       askedAtMs: 0,
       hasExtendedLease: true,
     });
-  return { events, acknowledge, takeNewEnds, report };
+  return { reports, events, acknowledge, takeNewEnds, handleLostTarget, report };
+}
+
+/** Creates such a handler that has the jobs. */
+function createReports(flush: () => Promise<void>) {
+  const created = createLoadingReports(flush);
+  created.reports.handleLoaded();
+  return created;
 }
 
 describe('TargetReports', () => {
@@ -70,4 +78,21 @@
     expect(acknowledge).not.toHaveBeenCalled();
     expect(events.events).toEqual([]);
   });
+
+  // Guards against tasks that start elsewhere although their target is back once jobs are known.
+  it('keeps no lapse until the jobs are known, but a loss for any other reason', () => {
+    const { reports, handleLostTarget } = createLoadingReports(async () => undefined);
+    const losses: readonly (readonly [string, TargetLossReason])[] = [
+      ['t1', 'lapsed'],
+      ['t2', 'unlisted'],
+      ['t3', 'lapsed'],
+      ['t3', 'other-lifetime'],
+    ];
+    losses.forEach(([targetId, reason]) => reports.handleGone(targetId, reason));
+    expect(handleLostTarget).not.toHaveBeenCalled();
+    reports.handleLoaded();
+    expect(handleLostTarget.mock.calls).toEqual([losses[1], losses[3]]);
+    reports.handleGone('t1', 'lapsed');
+    expect(handleLostTarget).toHaveBeenLastCalledWith('t1', 'lapsed');
+  });
 });
