--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -65,7 +65,8 @@
   /**
    * Finds a task that a run has completed although this home does not expect it, for example after
    * the lease of the target had lapsed. If the end were ignored, the target would discard it, and
-   * the task would run again. Other ends say nothing that a later run does not say as well.
+   * the task would run again. A failure is left out: each new home hears of it until one of them
+   * acknowledges it, so it would count more than once.
    */
   private findCompleted(key: RunKey, { end }: RunEnd): PlacedTask | undefined {
     const { table } = this.options;
