--- a/tests/taskHome/repeatedStartsOfEarlierHomes.test.ts
+++ b/tests/taskHome/repeatedStartsOfEarlierHomes.test.ts
@@ -29,6 +29,15 @@
     await scene.placeOn([]);
   }
 
+  /** Lets `t1` hold up a start of each of two homes, and refuse a further one of the second. */
+  async function refuseAfterSecondHold(reason: StartRefusal): Promise<void> {
+    await scene.submitHeld(makeJob('a'));
+    await replaceHome();
+    await scene.passReport();
+    await scene.until(() => world.targets.countLateStarts('t1') === 2);
+    await refuseTo(reason);
+  }
+
   // Guards against a task that starts again after its end: the refusal of the earlier home was
   // stored as a task that waits, and the next home ignored the end of its late run.
   it.each(REFUSED_RUNS)(
@@ -110,11 +119,7 @@
     'is held up again, and carried out after the refusal (%s), and its run is %s',
     async (...run) => {
       const [reason, ending] = run;
-      await scene.submitHeld(makeJob('a'));
-      await replaceHome();
-      await scene.passReport();
-      await scene.until(() => world.targets.countLateStarts('t1') === 2);
-      await refuseTo(reason);
+      await refuseAfterSecondHold(reason);
       await runLate(world, ending);
       await expectAllowedBegins(scene, world, run);
     },
@@ -125,11 +130,7 @@
     'is held up again, and carried out after a new placement (%s), and its run is %s',
     async (...run) => {
       const [reason, ending] = run;
-      await scene.submitHeld(makeJob('a'));
-      await replaceHome();
-      await scene.passReport();
-      await scene.until(() => world.targets.countLateStarts('t1') === 2);
-      await refuseTo(reason);
+      await refuseAfterSecondHold(reason);
       await scene.tryElsewhere();
       await runLate(world, ending);
       await expectAllowedBegins(scene, world, run);
