Ask callers for the key of their organisation

The configuration is decoded into organisations with digests of their keys, and queues that need none. Submit, read, cancel and the queue's page check the key at the entry; a home whose configuration is newer checks it once more, so that a withdrawn key has no effect through an entry that the store turns away. A job belongs to its organisation, also once it has ended and at the next home; for others it doesn't exist, and its id is taken.

An instance that reaches neither store nor peer goes on by what it knows unless operators ask for strict withdrawals; then calls with a key get 503 once the configuration is older than the bound.

Ruled out: refusing at once while the store is away (a third of the callers would be turned away on each outage), and a digest on the log of the store (an append for what peers know).

--- a/src/callers/parseDurableJob.ts
+++ b/src/callers/parseDurableJob.ts
@@ -51,6 +51,8 @@
 export interface DurableJobOrigin {
   readonly jobId: string;
   readonly terms: QueueTerms;
+  /** Organisation that submits it; undefined if the queue takes calls without a key. */
+  readonly organisation?: string;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
 }
@@ -63,6 +65,7 @@
  * @throws RattanliftError Of kind `bad-request` with the field at fault.
  */
 export function parseDurableJob(body: Buffer, origin: DurableJobOrigin): DurableJobSpec {
-  const { jobId, terms, nowMs: submittedAtMs } = origin;
-  return { jobId, terms, submittedAtMs, ...parseJsonBody(jobSchema, body) };
+  const { jobId, terms, organisation, nowMs: submittedAtMs } = origin;
+  const owner = organisation === undefined ? {} : { organisation };
+  return { jobId, terms, ...owner, submittedAtMs, ...parseJsonBody(jobSchema, body) };
 }
--- a/src/callers/registerDurableJobRoutes.ts
+++ b/src/callers/registerDurableJobRoutes.ts
@@ -1,7 +1,7 @@
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { throwError } from '../errors/index.js';
-import type { DurableJobSpec, DurableJobState, QueueTerms } from '../jobs/index.js';
-import type { QueueConfiguration } from '../queues/index.js';
+import type { CallerIdentity, DurableJobSpec, DurableJobState, QueueTerms } from '../jobs/index.js';
+import { authenticateCaller, type QueueConfiguration } from '../queues/index.js';
 import type { Clock } from '../utils/index.js';
 import { parseDurableJob } from './parseDurableJob.js';
 
@@ -13,13 +13,17 @@
 /** Takes durable jobs and tells of them; errors are RattanliftErrors. */
 export interface DurableJobPort {
   /** Stores a job; a repeat of one that is known changes nothing. */
-  submit(job: DurableJobSpec): Promise<void>;
+  submit(job: DurableJobSpec, caller?: CallerIdentity): Promise<void>;
   /** Gets the state of a job; undefined where there certainly is none. */
-  getState(pool: string, jobId: string): Promise<DurableJobState | undefined>;
+  getState(
+    pool: string,
+    jobId: string,
+    caller?: CallerIdentity,
+  ): Promise<DurableJobState | undefined>;
   /** Cancels a job; false where there certainly is none. */
-  cancel(pool: string, jobId: string): Promise<boolean>;
+  cancel(pool: string, jobId: string, caller?: CallerIdentity): Promise<boolean>;
   /** Counts the jobs of a queue that have not begun. */
-  countPending(pool: string, queue: string): Promise<number>;
+  countPending(pool: string, queue: string, caller?: CallerIdentity): Promise<number>;
 }
 
 /** Options of {@link registerDurableJobRoutes}. */
@@ -29,6 +33,15 @@
   readonly clock: Clock;
 }
 
+/** Form of the `Authorization` header, which carries the key of an organisation. */
+const BEARER_PATTERN = /^Bearer (.+)$/;
+
+/** The queue that a request is about, and whose request it is. */
+interface AddressedQueue {
+  readonly terms: QueueTerms;
+  readonly caller: CallerIdentity | undefined;
+}
+
 interface Parameters {
   readonly queue: string;
   readonly jobId?: string;
@@ -52,12 +65,14 @@
 ): void {
   const { port, clock } = options;
 
-  const findTerms = ({ params }: FastifyRequest): QueueTerms => {
+  const findQueue = ({ params, headers }: FastifyRequest): AddressedQueue => {
     const { queue } = params as Parameters;
     const configuration = options.getConfiguration();
     if (configuration === undefined) throwError('home-unavailable', 'No configuration is known.');
     const found = configuration.queues.find(({ terms }) => terms.queue === queue);
-    return found?.terms ?? throwError('unknown-pool', `There is no queue ${queue}.`);
+    if (found === undefined) return throwError('unknown-pool', `There is no queue ${queue}.`);
+    const key = BEARER_PATTERN.exec(headers.authorization ?? '')?.[1];
+    return { terms: found.terms, caller: authenticateCaller(configuration, found, key) };
   };
 
   const findJobId = ({ params }: FastifyRequest): string => {
@@ -75,31 +90,34 @@
   });
 
   server.post(JOB_PATH, async (request, reply) => {
-    const terms = findTerms(request);
+    const { terms, caller } = findQueue(request);
     const jobId = findJobId(request);
     const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
-    await port.submit(parseDurableJob(body, { jobId, terms, nowMs: clock.wallMs() }));
+    const organisation = caller?.organisation;
+    const origin = { jobId, terms, organisation, nowMs: clock.wallMs() };
+    await port.submit(parseDurableJob(body, origin), caller);
     return reply.code(STORED).send(view(terms, jobId, 'queued'));
   });
 
   server.get(JOB_PATH, async (request, reply) => {
-    const terms = findTerms(request);
+    const { terms, caller } = findQueue(request);
     const jobId = findJobId(request);
-    const state = await port.getState(terms.pool, jobId);
+    const state = await port.getState(terms.pool, jobId, caller);
     if (state === undefined) throwError('unknown-job', `There is no job ${jobId}.`);
     return reply.send(view(terms, jobId, state));
   });
 
   server.delete(JOB_PATH, async (request, reply) => {
-    const terms = findTerms(request);
+    const { terms, caller } = findQueue(request);
     const jobId = findJobId(request);
-    const isKnown = await port.cancel(terms.pool, jobId);
+    const isKnown = await port.cancel(terms.pool, jobId, caller);
     if (!isKnown) throwError('unknown-job', `There is no job ${jobId}.`);
     return reply.send(view(terms, jobId, 'cancelled'));
   });
 
   server.get(QUEUE_PATH, async (request, reply) => {
-    const { pool, queue } = findTerms(request);
-    return reply.send({ queue, pendingJobCount: await port.countPending(pool, queue) });
+    const { terms, caller } = findQueue(request);
+    const { pool, queue } = terms;
+    return reply.send({ queue, pendingJobCount: await port.countPending(pool, queue, caller) });
   });
 }
--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -98,6 +98,7 @@
       case 'sync-pool':
       case 'call-target':
       case 'list-homes':
+      case 'get-configuration':
       case 'announce-member':
         return NO_HOME;
       default:
--- a/src/errors/ErrorKind.ts
+++ b/src/errors/ErrorKind.ts
@@ -2,6 +2,7 @@
 export type ErrorKind =
   | 'bad-request'
   | 'body-too-large'
+  | 'key-rejected'
   | 'unknown-pool'
   | 'unknown-job'
   | 'unknown-vm'
--- a/src/errors/errorAnswers.ts
+++ b/src/errors/errorAnswers.ts
@@ -12,12 +12,14 @@
   unavailable: 6,
   jobFailed: 7,
   unknownOutcome: 8,
+  denied: 9,
 } as const;
 
 /** The closed table from error kind to answer. */
 export const ERROR_ANSWERS: Readonly<Record<ErrorKind, ErrorAnswer>> = {
   'bad-request': { httpStatus: 400, outcome: 'not-run', exitCode: EXIT_CODES.invalid },
   'body-too-large': { httpStatus: 413, outcome: 'not-run', exitCode: EXIT_CODES.invalid },
+  'key-rejected': { httpStatus: 401, outcome: 'not-run', exitCode: EXIT_CODES.denied },
   'unknown-pool': { httpStatus: 404, outcome: 'not-run', exitCode: EXIT_CODES.notFound },
   'unknown-job': { httpStatus: 404, outcome: 'unknown', exitCode: EXIT_CODES.notFound },
   'unknown-vm': { httpStatus: 404, outcome: 'not-run', exitCode: EXIT_CODES.notFound },
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -1,5 +1,6 @@
 import { FleetHome, type WaveOrder } from '../fleetHome/index.js';
 import {
+  type DurableJobRequest,
   type HeartbeatOptions,
   type PeerAddress,
   PeerClient,
@@ -7,7 +8,12 @@
   type PeerRequest,
   PeerServer,
 } from '../peers/index.js';
-import { ConfigurationFollower, type QueueConfiguration } from '../queues/index.js';
+import {
+  ConfigurationFollower,
+  ConfigurationPeers,
+  isKeyWithdrawn,
+  type QueueConfiguration,
+} from '../queues/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import { shouldHoldHomes } from '../systems/index.js';
 import {
@@ -62,6 +68,8 @@
 
   private readonly configuration: ConfigurationFollower;
 
+  private readonly configurationPeers: ConfigurationPeers;
+
   private readonly waveOrders = new Map<number, WaveOrder>();
 
   private readonly partitions: PoolPartitions;
@@ -102,13 +110,19 @@
       clock,
       events,
     });
+    this.configurationPeers = new ConfigurationPeers({
+      follower: this.configuration,
+      peers: this.peers,
+      listPeers: () => this.homeDirectory.listOtherMembers(),
+      clock,
+    });
     const handler = (_from: string, request: PeerRequest): Promise<PeerReply> =>
       this.handlePeer(request);
     this.peerServer = new PeerServer({ instance, host, port, handler, events, heartbeat });
     this.gateway = new JobGateway({
       instance,
       peers: this.peers,
-      handleLocally: (request) => handleJobRequest(this.homes?.get(request.pool), request),
+      handleLocally: (request) => this.handleJob(request),
       directory: this.homeDirectory,
       partitions: this.partitions,
       clock,
@@ -129,10 +143,16 @@
     return this.configuration.get();
   }
 
+  /** Time since the configuration was last known to be the newest one, in milliseconds. */
+  get configurationAgeMs(): number {
+    return this.configuration.ageMs;
+  }
+
   /** Starts to serve peers, to follow the configuration and to hold homes. */
   async start(): Promise<void> {
     const { port } = await this.peerServer.start();
     this.configuration.start();
+    this.configurationPeers.start();
     const { address, capacity } = this.options;
     const member = { address: { ...address, port }, capacity };
     this.homes = this.createHomes(formatMember(member));
@@ -155,6 +175,7 @@
   /** Ends everything else, after {@link handOver} and the last request. */
   async stop(): Promise<void> {
     clearInterval(this.homesTimer);
+    this.configurationPeers.stop();
     this.configuration.stop();
     this.peers.close();
     await this.peerServer.stop();
@@ -169,13 +190,14 @@
   }
 
   private createConfigurationFollower(): ConfigurationFollower {
-    const { ports, records, events } = this.options;
+    const { clock, ports, records, events } = this.options;
     return new ConfigurationFollower({
       store: ports.store,
       topic: records.operatorsTopic,
       partition: ONLY_PARTITION,
       key: records.configurationKey,
       decode: records.decodeConfiguration,
+      clock,
       events,
       onOtherRecord: (record) => this.takeWave(record),
     });
@@ -276,6 +298,14 @@
     });
   }
 
+  private async handleJob(request: DurableJobRequest): Promise<PeerReply> {
+    const caller = request.type === 'sync-pool' ? undefined : request.caller;
+    if (isKeyWithdrawn(caller, this.getConfiguration())) {
+      return { type: 'refused', kind: 'key-rejected', message: 'The key was withdrawn.' };
+    }
+    return handleJobRequest(this.homes?.get(request.pool), request);
+  }
+
   private async handlePeer(request: PeerRequest): Promise<PeerReply> {
     switch (request.type) {
       case 'submit-durable-job':
@@ -283,7 +313,9 @@
       case 'cancel-durable-job':
       case 'count-pending-jobs':
       case 'sync-pool':
-        return handleJobRequest(this.homes?.get(request.pool), request);
+        return this.handleJob(request);
+      case 'get-configuration':
+        return this.configuration.getReply(request.knownVersion);
       case 'list-homes':
         return this.homeDirectory.getOwnersReply();
       case 'announce-member':
--- a/src/jobs/DurableJobSpec.ts
+++ b/src/jobs/DurableJobSpec.ts
@@ -62,6 +62,8 @@
 export interface DurableJobSpec {
   readonly jobId: string;
   readonly terms: QueueTerms;
+  /** Organisation that the job belongs to; absent if its queue takes calls without a key. */
+  readonly organisation?: string;
   /** Opaque payload that is passed to the targets and defines what they run. */
   readonly payload: string;
   readonly steps: readonly StepSpec[];
--- a/src/jobs/EndedJob.ts
+++ b/src/jobs/EndedJob.ts
@@ -9,6 +9,8 @@
 export interface EndedJob {
   readonly jobId: string;
   readonly state: DurableJobState;
+  /** Organisation that the job belongs to, if any. */
+  readonly organisation?: string;
 }
 
 /** A job in its home: the complete row until the job is finished and has left all targets. */
@@ -22,5 +24,17 @@
 export function summarizeEndedJob(row: DurableJobRow): EndedJob | undefined {
   const { spec, state, tasks } = row;
   if (!isFinished(row) || tasks.some(({ phase }) => phase === 'placed')) return undefined;
-  return { jobId: spec.jobId, state };
+  const { jobId, organisation } = spec;
+  return organisation === undefined ? { jobId, state } : { jobId, state, organisation };
+}
+
+/**
+ * Tells whether a job may be shown to a caller, or cancelled by it.
+ * @param job - The job.
+ * @param organisation - Organisation of the caller; undefined if its call needs no key.
+ * @returns False if the job belongs to another organisation.
+ */
+export function isVisibleTo(job: TrackedJob, organisation: string | undefined): boolean {
+  const owner = 'spec' in job ? job.spec.organisation : job.organisation;
+  return organisation === undefined || owner === undefined || owner === organisation;
 }
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -1,3 +1,4 @@
+export type { CallerIdentity } from './CallerIdentity.js';
 export {
   createJobRow,
   type DurableJobRow,
@@ -15,7 +16,7 @@
   Schedule,
   StepSpec,
 } from './DurableJobSpec.js';
-export { type EndedJob, summarizeEndedJob, type TrackedJob } from './EndedJob.js';
+export { type EndedJob, isVisibleTo, summarizeEndedJob, type TrackedJob } from './EndedJob.js';
 export {
   decodeJobRecord,
   durableJobSpecSchema,
--- a/src/jobs/jobCodec.ts
+++ b/src/jobs/jobCodec.ts
@@ -41,6 +41,7 @@
     stretch: z.number(),
     targetDurationMs: z.number(),
   }),
+  organisation: z.string().optional(),
   payload: z.string(),
   steps: z.array(stepSchema),
   schedule: z
@@ -55,10 +56,11 @@
 const endedSchema = z.looseObject({
   type: z.literal(ENDED_TYPE),
   state: durableJobStateSchema.extract(['completed', 'failed', 'cancelled']),
+  organisation: z.string().optional(),
 });
 
 const progressOrEndedSchema = z.union([
-  endedSchema.transform(({ type, state }) => ({ type, state })),
+  endedSchema.transform(({ type, state, organisation }) => ({ type, state, organisation })),
   progressSchema.transform((progress) => ({ type: 'progress' as const, progress })),
 ]);
 
@@ -95,8 +97,9 @@
  * @param ended - The ended job.
  * @returns The record.
  */
-export function encodeEndedJob({ jobId, state }: EndedJob): KeyedRecord {
-  const value = encodeRecordValue({ type: ENDED_TYPE, state });
+export function encodeEndedJob({ jobId, state, organisation }: EndedJob): KeyedRecord {
+  const owner = organisation === undefined ? {} : { organisation };
+  const value = encodeRecordValue({ type: ENDED_TYPE, state, ...owner });
   return { key: `${PROGRESS_PREFIX}${jobId}`, value };
 }
 
@@ -135,7 +138,9 @@
     const jobId = key.slice(PROGRESS_PREFIX.length);
     const decoded = decodeRecordValue(progressOrEndedSchema, record);
     if (decoded.type === 'progress') return { ...decoded, jobId };
-    return { type: decoded.type, jobId, ended: { jobId, state: decoded.state } };
+    const { type, state, organisation } = decoded;
+    const owner = organisation === undefined ? {} : { organisation };
+    return { type, jobId, ended: { jobId, state, ...owner } };
   }
   return { type: 'other' };
 }
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,5 +1,5 @@
 import type { ErrorKind, Outcome } from '../errors/index.js';
-import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
+import type { CallerIdentity, DurableJobSpec, DurableJobState } from '../jobs/index.js';
 import type { LogEntry } from '../platform/index.js';
 import type { Urgency } from '../settings/index.js';
 import type { PartitionOwner } from '../store/GroupPort.js';
@@ -30,12 +30,19 @@
 /** How the use of a grant ended, as observed by its entry instance. */
 export type GrantResult = 'run' | 'failed' | 'not-started' | 'unknown' | 'cancelled';
 
+/** Fields of a request that an entry passes on to the home of a pool for its caller. */
+interface OfCaller {
+  readonly pool: string;
+  /** Whose call it is; absent if the call needs no key. */
+  readonly caller?: CallerIdentity;
+}
+
 /** Request about durable jobs to the home of their pool. */
 export type DurableJobRequest =
-  | { readonly type: 'submit-durable-job'; readonly pool: string; readonly job: DurableJobSpec }
-  | { readonly type: 'get-durable-job'; readonly pool: string; readonly jobId: string }
-  | { readonly type: 'cancel-durable-job'; readonly pool: string; readonly jobId: string }
-  | { readonly type: 'count-pending-jobs'; readonly pool: string; readonly queue: string }
+  | (OfCaller & { readonly type: 'submit-durable-job'; readonly job: DurableJobSpec })
+  | (OfCaller & { readonly type: 'get-durable-job'; readonly jobId: string })
+  | (OfCaller & { readonly type: 'cancel-durable-job'; readonly jobId: string })
+  | (OfCaller & { readonly type: 'count-pending-jobs'; readonly queue: string })
   /** From the fleet's home: drained and ended targets. The reply holds the pool's demand. */
   | {
       readonly type: 'sync-pool';
@@ -89,6 +96,8 @@
   | { readonly type: 'explain'; readonly subject: string }
   /** Requests the owners of the partitions, as the receiver has last read them. */
   | { readonly type: 'list-homes' }
+  /** Requests the configuration in force, if it is newer than a version. */
+  | { readonly type: 'get-configuration'; readonly knownVersion?: number }
   /** Announces an instance that can hold homes but holds none. */
   | { readonly type: 'announce-member'; readonly member: string }
   | TargetCallRequest
@@ -130,6 +139,13 @@
       /** Time since the owners were read; no timestamp, because clocks differ. */
       readonly ageMs: number;
     }
+  /** The configuration in force at the callee, and the time since it was known to be the newest. */
+  | {
+      readonly type: 'configuration';
+      readonly ageMs: number;
+      /** Its record as operators have published it; absent if the caller knows the version. */
+      readonly value?: Uint8Array;
+    }
   | { readonly type: 'grants'; readonly grants: readonly HeldGrant[] }
   | { readonly type: 'entries'; readonly entries: readonly LogEntry[] }
   | { readonly type: 'state'; readonly json: string };
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -10,6 +10,9 @@
 const urgency = z.enum(['urgent', 'normal', 'overnight']);
 const outcome = z.enum(['run', 'not-run', 'unknown']);
 const errorKind = z.enum(Object.keys(ERROR_ANSWERS) as [ErrorKind, ...ErrorKind[]]);
+const caller = z
+  .looseObject({ organisation: id, keyDigest: id, configurationVersion: z.number() })
+  .optional();
 const entries = z.array(z.looseObject({ offset: count, payload: z.unknown() }));
 
 // Objects are loose because a later version may send fields that this one does not know.
@@ -52,10 +55,15 @@
   z.looseObject({ type: z.literal('get-job'), jobId: id }),
   z.looseObject({ type: z.literal('cancel-job'), jobId: id }),
   z.looseObject({ type: z.literal('explain'), subject: text }),
-  z.looseObject({ type: z.literal('submit-durable-job'), pool: id, job: durableJobSpecSchema }),
-  z.looseObject({ type: z.literal('get-durable-job'), pool: id, jobId: id }),
-  z.looseObject({ type: z.literal('cancel-durable-job'), pool: id, jobId: id }),
-  z.looseObject({ type: z.literal('count-pending-jobs'), pool: id, queue: id }),
+  z.looseObject({
+    type: z.literal('submit-durable-job'),
+    pool: id,
+    job: durableJobSpecSchema,
+    caller,
+  }),
+  z.looseObject({ type: z.literal('get-durable-job'), pool: id, jobId: id, caller }),
+  z.looseObject({ type: z.literal('cancel-durable-job'), pool: id, jobId: id, caller }),
+  z.looseObject({ type: z.literal('count-pending-jobs'), pool: id, queue: id, caller }),
   z.looseObject({
     type: z.literal('sync-pool'),
     pool: id,
@@ -67,6 +75,7 @@
     lostWithRack: z.array(id).default([]),
   }),
   z.looseObject({ type: z.literal('list-homes') }),
+  z.looseObject({ type: z.literal('get-configuration'), knownVersion: z.number().optional() }),
   z.looseObject({ type: z.literal('announce-member'), member: text }),
   z.looseObject({
     type: z.literal('call-target'),
@@ -135,6 +144,11 @@
     owners: z.array(z.looseObject({ partition: count, member: text })),
     ageMs: z.number().nonnegative(),
   }),
+  z.looseObject({
+    type: z.literal('configuration'),
+    ageMs: z.number().nonnegative(),
+    value: z.instanceof(Uint8Array).optional(),
+  }),
   z.looseObject({ type: z.literal('grants'), grants: z.array(heldGrant) }),
   z.looseObject({ type: z.literal('entries'), entries }),
   z.looseObject({ type: z.literal('state'), json: text }),
--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -1,6 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { type EventLog, OutageLog } from '../logging/index.js';
+import type { PeerReply } from '../peers/index.js';
 import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
+import type { Clock } from '../utils/index.js';
 import type { QueueConfiguration } from './QueueConfiguration.js';
 
 /** Options of {@link ConfigurationFollower}. */
@@ -15,6 +17,7 @@
    * @throws RattanliftError Of kind `settings-invalid` with the invalid field.
    */
   readonly decode: (value: Uint8Array) => QueueConfiguration;
+  readonly clock: Clock;
   readonly events: EventLog;
   /** Receives the records of the topic that have another key. */
   readonly onOtherRecord?: (record: KeyedRecord) => void;
@@ -42,6 +45,12 @@
 
   private configuration: QueueConfiguration | undefined;
 
+  /** Record of the configuration in force, as operators have published it. */
+  private source: Uint8Array | undefined;
+
+  /** Monotonic time at which the configuration was last known to be the newest one. */
+  private confirmedAtMs = Number.NEGATIVE_INFINITY;
+
   private readonly outage: OutageLog;
 
   private isStopped = false;
@@ -72,6 +81,36 @@
     return this.configuration;
   }
 
+  /** Time since the configuration was last known to be the newest one, in milliseconds. */
+  get ageMs(): number {
+    return this.options.clock.monotonicMs() - this.confirmedAtMs;
+  }
+
+  /**
+   * Answers a peer that the store does not answer.
+   * @param knownVersion - Version that the peer knows; undefined if it knows none.
+   * @returns The configuration in force, if the peer doesn't know it, and its age.
+   */
+  getReply(knownVersion: number | undefined): PeerReply {
+    const { configuration, source, ageMs } = this;
+    if (configuration === undefined || ageMs === Infinity) {
+      const message = 'No configuration was read yet.';
+      return { type: 'refused', kind: 'home-unavailable', message };
+    }
+    const isNews = knownVersion === undefined || knownVersion < configuration.version;
+    return { type: 'configuration', ageMs, ...(isNews ? { value: source } : {}) };
+  }
+
+  /**
+   * Takes a configuration over from a peer, unless it is older than the one in force.
+   * @param value - Its record; undefined if the peer knows none that is newer.
+   * @param confirmedAtMs - Monotonic time at which the peer knew it to be the newest one.
+   */
+  takeFromPeer(value: Uint8Array | undefined, confirmedAtMs: number): void {
+    if (value !== undefined) this.decode(value);
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, confirmedAtMs);
+  }
+
   /** Starts to read configurations. */
   start(): void {
     void this.run();
@@ -90,8 +129,10 @@
   }
 
   private async read(): Promise<void> {
+    const { clock } = this.options;
     try {
       await this.follower.read(LONG_POLL_MS);
+      this.confirmedAtMs = clock.monotonicMs();
       this.outage.noteSuccess({ version: this.configuration?.version });
     } catch (thrown) {
       const { version } = this.configuration ?? {};
@@ -101,23 +142,28 @@
   }
 
   private handleRecord(record: KeyedRecord): void {
-    const { key, decode, events, onOtherRecord } = this.options;
+    const { key, onOtherRecord } = this.options;
     if (record.key !== key) {
       onOtherRecord?.(record);
       return;
     }
-    if (record.value === undefined) return;
+    if (record.value !== undefined) this.decode(record.value);
+  }
+
+  private decode(value: Uint8Array): void {
+    const { decode, events } = this.options;
     try {
-      this.accept(decode(record.value));
+      this.accept(decode(value), value);
     } catch (thrown) {
       events.write('configurationUnreadable', { reason: String(thrown) });
     }
   }
 
   /** Ignores versions that are not newer, since a reload may return an outdated record. */
-  private accept(next: QueueConfiguration): void {
+  private accept(next: QueueConfiguration, source: Uint8Array): void {
     if (this.configuration !== undefined && next.version <= this.configuration.version) return;
     this.configuration = next;
+    this.source = source;
     const { version, queues, pools } = next;
     this.options.events.write('configurationInForce', {
       version,
--- /dev/null
+++ b/src/queues/Organisation.ts
@@ -0,0 +1,15 @@
+import type { Resources } from '../jobs/index.js';
+
+/** A customer whose callers prove with a key that a call is theirs. */
+export interface Organisation {
+  readonly name: string;
+  /** Share of the organisation among the others when a pool is full. */
+  readonly weight: number;
+  /** Most that its tasks may have in use over all pools; 0 in a field is no limit there. */
+  readonly limit: Resources;
+  /** SHA-256 digests of its keys, in hexadecimal digits. */
+  readonly keyDigests: readonly string[];
+}
+
+/** Limit of an organisation that may use as much as there is. */
+export const NO_LIMIT: Resources = { cpuMillicores: 0, memoryMb: 0, gpuCount: 0 };
--- a/src/queues/QueueConfiguration.ts
+++ b/src/queues/QueueConfiguration.ts
@@ -1,4 +1,5 @@
 import type { QueueTerms } from '../jobs/index.js';
+import type { Organisation } from './Organisation.js';
 
 /** A queue and the host and path under which callers reach it. */
 export interface QueueRoute {
@@ -7,6 +8,8 @@
   /** Paths with this prefix belong to the queue unless a longer prefix also matches. */
   readonly pathPrefix: string;
   readonly terms: QueueTerms;
+  /** Whether calls need no key. */
+  readonly isPublic?: boolean;
 }
 
 /** A pool of targets. */
@@ -22,6 +25,8 @@
   readonly version: number;
   readonly queues: readonly QueueRoute[];
   readonly pools: readonly PoolDefinition[];
+  /** Organisations with keys; if absent, no call needs a key. */
+  readonly organisations?: readonly Organisation[];
 }
 
 /**
--- a/src/queues/index.ts
+++ b/src/queues/index.ts
@@ -1,7 +1,11 @@
+export { authenticateCaller, isKeyWithdrawn } from './authenticateCaller.js';
 export {
   ConfigurationFollower,
   type ConfigurationFollowerOptions,
 } from './ConfigurationFollower.js';
+export { ConfigurationPeers, type ConfigurationPeersOptions } from './ConfigurationPeers.js';
+export { digestKey, getKeyId, KeyRing } from './KeyRing.js';
+export { NO_LIMIT, type Organisation } from './Organisation.js';
 export {
   findQueue,
   type PoolDefinition,
--- a/src/taskHome/HomeDirectory.ts
+++ b/src/taskHome/HomeDirectory.ts
@@ -188,6 +188,16 @@
     return removeDuplicates([...this.owners.values()]);
   }
 
+  /**
+   * Lists the addresses of the other members that hold partitions.
+   * @returns The addresses, without duplicates.
+   */
+  listOtherMembers(): readonly PeerAddress[] {
+    return this.listMembers()
+      .map(({ address }) => address)
+      .filter(({ instance }) => instance !== this.options.instance);
+  }
+
   /**
    * Answers a peer's query for the owners, after reading the group if the last read is too old. It
    * queries no peers itself: two instances without an answer from the group would wait for each
@@ -256,10 +266,7 @@
 
   /** Adopts owners that peers have read more recently; each attempt queries the next peers. */
   private async askPeers(): Promise<void> {
-    const { instance } = this.options;
-    const others = this.listMembers()
-      .map(({ address }) => address)
-      .filter((address) => address.instance !== instance);
+    const others = this.listOtherMembers();
     const rotated = [...others.slice(this.nextPeerIndex), ...others.slice(0, this.nextPeerIndex)];
     this.nextPeerIndex = (this.nextPeerIndex + ASKED_PEER_COUNT) % Math.max(1, others.length);
     const asked = rotated.slice(0, ASKED_PEER_COUNT);
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ERROR_ANSWERS, RattanliftError, throwError, toRattanliftError } from '../errors/index.js';
-import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
+import type { CallerIdentity, DurableJobSpec, DurableJobState } from '../jobs/index.js';
 import { measureCall, type Metrics } from '../metrics/index.js';
 import type { DurableJobRequest, PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
 import type { PoolDemand } from '../systems/index.js';
@@ -67,23 +67,29 @@
   /**
    * Submits a job. A repeated submission refers to the same job.
    * @param job - The job.
+   * @param caller - Whose call it is; undefined if it needs no key.
    * @returns Resolves once it is stored.
    * @throws RattanliftError With an outcome of `not-run` only if the job is certainly not stored.
    */
-  async submit(job: DurableJobSpec): Promise<void> {
+  async submit(job: DurableJobSpec, caller?: CallerIdentity): Promise<void> {
     const { pool } = job.terms;
-    await this.call({ type: 'submit-durable-job', pool, job }, pool);
+    await this.call({ type: 'submit-durable-job', pool, job, caller }, pool);
   }
 
   /**
    * Gets the state of a job.
    * @param pool - Pool of the job's queue.
    * @param jobId - Id of the job.
-   * @returns The state, or undefined if the job certainly does not exist.
+   * @param caller - Whose call it is; undefined if it needs no key.
+   * @returns The state, or undefined if the caller certainly has no such job.
    * @throws RattanliftError If no home could answer.
    */
-  async getState(pool: string, jobId: string): Promise<DurableJobState | undefined> {
-    const reply = await this.call({ type: 'get-durable-job', pool, jobId }, pool);
+  async getState(
+    pool: string,
+    jobId: string,
+    caller?: CallerIdentity,
+  ): Promise<DurableJobState | undefined> {
+    const reply = await this.call({ type: 'get-durable-job', pool, jobId, caller }, pool);
     return reply.type === 'durable-job' ? reply.state : undefined;
   }
 
@@ -91,11 +97,12 @@
    * Cancels a job.
    * @param pool - Pool of the job's queue.
    * @param jobId - Id of the job.
-   * @returns Whether the job exists.
+   * @param caller - Whose call it is; undefined if it needs no key.
+   * @returns Whether the caller has such a job.
    * @throws RattanliftError If no home confirmed the cancellation.
    */
-  async cancel(pool: string, jobId: string): Promise<boolean> {
-    const reply = await this.call({ type: 'cancel-durable-job', pool, jobId }, pool);
+  async cancel(pool: string, jobId: string, caller?: CallerIdentity): Promise<boolean> {
+    const reply = await this.call({ type: 'cancel-durable-job', pool, jobId, caller }, pool);
     return reply.type === 'durable-job' && reply.state !== undefined;
   }
 
@@ -103,11 +110,12 @@
    * Counts the jobs of a queue that have not started.
    * @param pool - Pool of the queue.
    * @param queue - Name of the queue.
-   * @returns The number of jobs.
+   * @param caller - Whose call it is; undefined if it needs no key.
+   * @returns The number of jobs, of all organisations.
    * @throws RattanliftError If no home could answer.
    */
-  async countPending(pool: string, queue: string): Promise<number> {
-    const reply = await this.call({ type: 'count-pending-jobs', pool, queue }, pool);
+  async countPending(pool: string, queue: string, caller?: CallerIdentity): Promise<number> {
+    const reply = await this.call({ type: 'count-pending-jobs', pool, queue, caller }, pool);
     return reply.type === 'pending-jobs' ? reply.count : 0;
   }
 
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -6,6 +6,8 @@
   type DurableJobState,
   encodeJobRemoval,
   isFinished,
+  isVisibleTo,
+  type TrackedJob,
 } from '../jobs/index.js';
 import type { DurableJobRequest } from '../peers/index.js';
 import type { KeyedRecord } from '../store/index.js';
@@ -171,12 +173,17 @@
    * @param spec - The job.
    * @returns Resolves once the job is stored.
    * @throws RattanliftError Of kind `home-unavailable` or `log-unavailable` if the job was not
-   * stored and never will be, or `outcome-unknown`.
+   * stored and never will be, `request-id-reused` if another organisation's job has the id, or
+   * `outcome-unknown`.
    */
   async submit(spec: DurableJobSpec): Promise<void> {
     const { jobId } = spec;
     this.assertIsOpen();
-    if (this.table.get(jobId) !== undefined) {
+    const known = this.table.get(jobId);
+    if (known !== undefined) {
+      if (!isVisibleTo(known, spec.organisation)) {
+        throwError('request-id-reused', 'The job id is taken.');
+      }
       // The first submission may still wait for a round, so only a round after it tells.
       await this.flush();
       return;
@@ -196,24 +203,28 @@
   /**
    * Gets the state of a job.
    * @param jobId - Id of the job.
-   * @returns The state, in which an end counts once it is stored; undefined if there is no job.
+   * @param organisation - Organisation of the caller; undefined if its call needs no key.
+   * @returns The state, in which an end counts once it is stored; undefined if there is no job that
+   * the caller may see.
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
-  getState(jobId: string): DurableJobState | undefined {
-    const state = this.table.getShownState(jobId);
-    if (state === undefined) this.assertIsHome();
-    return state;
+  getState(jobId: string, organisation?: string): DurableJobState | undefined {
+    const job = this.findVisible(jobId, organisation);
+    if (job === undefined) this.assertIsHome();
+    return job && this.table.getShownState(jobId);
   }
 
   /**
    * Cancels a job.
    * @param jobId - Id of the job.
-   * @returns Whether the job exists; resolves once the cancellation is stored.
+   * @param organisation - Organisation of the caller; undefined if its call needs no key.
+   * @returns Whether there is a job that the caller may see; resolves once the cancellation is
+   * stored.
    * @throws RattanliftError If the cancellation could not be stored, or another instance may be
    * the home.
    */
-  async cancel(jobId: string): Promise<boolean> {
-    if (this.table.get(jobId) === undefined) {
+  async cancel(jobId: string, organisation?: string): Promise<boolean> {
+    if (this.findVisible(jobId, organisation) === undefined) {
       this.assertIsHome();
       return false;
     }
@@ -294,6 +305,11 @@
     this.sessions.close();
   }
 
+  private findVisible(jobId: string, organisation: string | undefined): TrackedJob | undefined {
+    const job = this.table.get(jobId);
+    return job !== undefined && isVisibleTo(job, organisation) ? job : undefined;
+  }
+
   private handleReplaced(): void {
     if (this.closed.aborted) return;
     this.close();
--- a/src/taskHome/handleJobRequest.ts
+++ b/src/taskHome/handleJobRequest.ts
@@ -22,11 +22,11 @@
       await home.submit(request.job);
       return { type: 'done' };
     case 'get-durable-job': {
-      const state = home.getState(request.jobId);
+      const state = home.getState(request.jobId, request.caller?.organisation);
       return state === undefined ? { type: 'durable-job' } : { type: 'durable-job', state };
     }
     case 'cancel-durable-job': {
-      const isKnown = await home.cancel(request.jobId);
+      const isKnown = await home.cancel(request.jobId, request.caller?.organisation);
       return isKnown ? { type: 'durable-job', state: 'cancelled' } : { type: 'durable-job' };
     }
     case 'count-pending-jobs':
--- a/tests/jobNode/cutFromStore.test.ts
+++ b/tests/jobNode/cutFromStore.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, expect, it, vi } from 'vitest';
 import { MemoryEventLog } from '../../src/logging/index.js';
+import { digestKey, NO_LIMIT } from '../../src/queues/index.js';
 import { PoolPartitions } from '../../src/taskHome/index.js';
 import { type ClusterNode, JobsCluster } from '../../standins/jobs/index.js';
 
@@ -71,3 +72,35 @@
   await vi.waitFor(async () => expect((await findHome()).home).not.toBe(home), 5_000);
   await expect(submit(entry!, 'third')).resolves.toBeUndefined();
 }, 20_000);
+
+// Failure: a call under a withdrawn key has an effect, as its entry is cut off from the store and
+// knows the earlier configuration alone. The home of the pool knows the newer one.
+it('refuses a withdrawn key that comes through an entry that the store turns away', async () => {
+  await vi.waitFor(() => submit(cluster.nodes[0]!, 'first'), 5_000);
+  await vi.waitFor(async () => {
+    const owners = await cluster.store.listOwners(GROUP);
+    expect(new Set(owners.map(({ member }) => member)).size).toBe(cluster.nodes.length);
+  }, 5_000);
+  await sleep(OWNERS_READ_EVERY_MS);
+  const { home } = await findHome();
+  const entry = cluster.nodes.find((node) => node !== home)!;
+  const keyDigest = digestKey('key-1');
+  const council = { name: 'council', weight: 1, limit: NO_LIMIT, keyDigests: [keyDigest] };
+  const pools = [{ pool: POOL, isStandby: false }];
+  const configure = (version: number, keyDigests: readonly string[]) =>
+    cluster.publish('configuration', {
+      ...{ version, queues: [], pools },
+      organisations: [{ ...council, keyDigests }],
+    });
+  await configure(2, [keyDigest]);
+  const getVersions = (): readonly unknown[] =>
+    [home, entry].map(({ node }) => node.getConfiguration()?.version);
+  await vi.waitFor(() => expect(getVersions()).toEqual([2, 2]), 5_000);
+  Object.assign(entry.storeAccess, { isCut: true });
+  await configure(3, []);
+  await vi.waitFor(() => expect(home.node.getConfiguration()?.version).toBe(3), 5_000);
+  const caller = { organisation: 'council', keyDigest, configurationVersion: 2 };
+  const read = entry.node.gateway.getState(POOL, 'first', caller);
+  await expect(read).rejects.toMatchObject({ kind: 'key-rejected' });
+  await vi.waitFor(() => expect(entry.node.getConfiguration()?.version).toBe(3), 3_000);
+}, 20_000);
--- a/tests/platformAdapter/createCallerEdge.test.ts
+++ b/tests/platformAdapter/createCallerEdge.test.ts
@@ -1,10 +1,10 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { type ErrorKind, RattanliftError } from '../../src/errors/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
-import type { QueueConfiguration } from '../../src/queues/index.js';
+import { digestKey, getKeyId, NO_LIMIT, type QueueConfiguration } from '../../src/queues/index.js';
 import type { JobGateway } from '../../src/taskHome/index.js';
 import { ManualClock } from '../../src/utils/index.js';
-import { createCallerEdge } from '../../platform/createCallerEdge.js';
+import { type CallerEdgeOptions, createCallerEdge } from '../../platform/createCallerEdge.js';
 
 const JOB_PATH = '/saves/5c0e7a21d94b36f8';
 const BODY = JSON.stringify({ spec: 's', steps: [{ count: 1 }] });
@@ -30,6 +30,7 @@
 function createEdge(
   gateway: Partial<Gateway> = {},
   configuration: QueueConfiguration | undefined = CONFIGURATION,
+  options: Partial<CallerEdgeOptions> = {},
 ) {
   const whole: Gateway = {
     submit: async () => undefined,
@@ -41,11 +42,14 @@
   const edge = createCallerEdge({
     gateway: whole as JobGateway,
     getConfiguration: () => configuration,
+    getConfigurationAgeMs: () => 0,
     clock: new ManualClock(),
     events: new MemoryEventLog(),
+    ...options,
   });
-  return async (method: 'GET' | 'POST' | 'DELETE', url: string, body = BODY) => {
-    const headers = { host: 'wiki.example', 'content-type': 'application/json' };
+  return async (method: 'GET' | 'POST' | 'DELETE', url: string, body = BODY, key?: string) => {
+    const credential = key === undefined ? {} : { credential: key };
+    const headers = { host: 'wiki.example', 'content-type': 'application/json', ...credential };
     const payload = method === 'POST' ? { payload: body } : {};
     const answer = await edge.inject({ method, url, headers, ...payload });
     return { status: answer.statusCode, body: answer.body, retry: answer.headers['retry-after'] };
@@ -88,6 +92,7 @@
     const edge = createCallerEdge({
       gateway: {} as JobGateway,
       getConfiguration: () => undefined,
+      getConfigurationAgeMs: () => Infinity,
       clock: new ManualClock(),
       events: new MemoryEventLog(),
     });
@@ -105,4 +110,94 @@
     const answer = await createEdge()('POST', '/advised/5c0e7a21d94b36f8');
     expect(answer).toMatchObject({ status: 503, retry: '5' });
   });
+
+  describe('with organisations', () => {
+    const organisations = [
+      { name: 'council', weight: 1, limit: NO_LIMIT, keyDigests: [digestKey('key-1')] },
+    ];
+    const configuration: QueueConfiguration = {
+      ...CONFIGURATION,
+      queues: [
+        ...CONFIGURATION.queues,
+        { host: 'wiki.example', pathPrefix: '/open/', terms, isPublic: true },
+      ],
+      organisations,
+    };
+
+    // Failure: a call without a valid key has an effect, or shows what is another's.
+    it('refuses each call without a valid key with 401, no hint to retry, and no effect', async () => {
+      const gateway = {
+        submit: vi.fn(async () => undefined),
+        getState: vi.fn(async () => 'running' as const),
+        cancel: vi.fn(async () => true),
+        countPending: vi.fn(async () => 12),
+      };
+      const send = createEdge(gateway, configuration);
+      const answers = [
+        await send('POST', JOB_PATH),
+        await send('POST', JOB_PATH, BODY, 'unknown'),
+        await send('GET', JOB_PATH, BODY, 'unknown'),
+        await send('GET', '/saves/', BODY, 'unknown'),
+        await send('DELETE', JOB_PATH, BODY, 'unknown'),
+      ];
+      answers.forEach(({ status, body, retry }) => {
+        expect([status, retry]).toEqual([401, undefined]);
+        expect(JSON.parse(body)).toMatchObject({ error: 'key-rejected' });
+        expect(body).not.toContain('unknown"');
+      });
+      Object.values(gateway).forEach((call) => expect(call).not.toHaveBeenCalled());
+    });
+
+    it('passes the organisation on with the job and each question', async () => {
+      const gateway = {
+        submit: vi.fn<Gateway['submit']>(async () => undefined),
+        getState: vi.fn<Gateway['getState']>(async () => 'running'),
+        cancel: vi.fn<Gateway['cancel']>(async () => true),
+        countPending: vi.fn<Gateway['countPending']>(async () => 12),
+      };
+      const send = createEdge(gateway, configuration);
+      const caller = expect.objectContaining({ organisation: 'council', configurationVersion: 1 });
+      expect(await send('POST', JOB_PATH, BODY, 'key-1')).toMatchObject({ status: 200 });
+      expect(gateway.submit.mock.calls[0]).toEqual([
+        expect.objectContaining({ organisation: 'council' }),
+        caller,
+      ]);
+      await send('GET', JOB_PATH, BODY, 'key-1');
+      expect(gateway.getState.mock.calls[0]?.[2]).toEqual(caller);
+      await send('DELETE', JOB_PATH, BODY, 'key-1');
+      expect(gateway.cancel.mock.calls[0]?.[2]).toEqual(caller);
+      await send('GET', '/saves/', BODY, 'key-1');
+      expect(gateway.countPending.mock.calls[0]?.[2]).toEqual(caller);
+    });
+
+    it('takes calls to a public queue with any key and with none', async () => {
+      const send = createEdge({}, configuration);
+      expect(await send('POST', '/open/5c0e7a21d94b36f8')).toMatchObject({ status: 200 });
+      expect(await send('GET', '/open/', BODY, 'unknown')).toMatchObject({ status: 200 });
+    });
+
+    // Failure: the key of a caller stands in the log of the instance that has refused it.
+    it('names a rejected key in the log by a short digest alone', async () => {
+      const events = new MemoryEventLog();
+      await createEdge({}, configuration, { events })('POST', JOB_PATH, BODY, 'secret-key');
+      const [line] = events.events.filter(({ event }) => event === 'jobTurnedAway');
+      expect(line?.fields).toMatchObject({
+        kind: 'key-rejected',
+        keyId: getKeyId(digestKey('secret-key')),
+        configurationVersion: 1,
+        configurationAgeMs: 0,
+      });
+      expect(JSON.stringify(events.events)).not.toContain('secret-key');
+    });
+
+    // Failure: keys pass for as long as an instance is alone, where operators don't want that.
+    it('takes no key on an instance that has been alone for longer than the bound', async () => {
+      const alone = { getConfigurationAgeMs: () => 5_001 };
+      const strict = createEdge({}, configuration, { ...alone, maxKeyAgeMs: 5_000 });
+      expect(await strict('POST', JOB_PATH, BODY, 'key-1')).toMatchObject({ status: 503 });
+      expect(await strict('GET', '/open/')).toMatchObject({ status: 200 });
+      const lenient = createEdge({}, configuration, alone);
+      expect(await lenient('POST', JOB_PATH, BODY, 'key-1')).toMatchObject({ status: 200 });
+    });
+  });
 });
--- a/tests/platformAdapter/readSettings.test.ts
+++ b/tests/platformAdapter/readSettings.test.ts
@@ -29,7 +29,10 @@
   edit: (text: string) => string = (text) => text,
 ): string {
   const values = { ...VALUES, ...changes };
-  const text = TEMPLATE.replaceAll(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name]!);
+  const text = TEMPLATE.replaceAll(
+    /\{\{#([^}]+)\}\}(.*?)\{\{\/\1\}\}/gs,
+    (_all, name: string, section: string) => (values[name] === 'true' ? section : ''),
+  ).replaceAll(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name]!);
   const file = join(mkdtempSync(join(tmpdir(), 'settings-')), 'entry.jsonc');
   writeFileSync(file, edit(text));
   return file;
@@ -49,6 +52,14 @@
     });
   });
 
+  it('bounds the age of keys only where the platform asks for strict withdrawals', () => {
+    expect(readSettings(fill()).maxKeyAgeMs).toBeUndefined();
+    const lenient = { 'bounds.strict_revocation': 'false', 'bounds.revoke_ms': '5000' };
+    expect(readSettings(fill(lenient)).maxKeyAgeMs).toBeUndefined();
+    const strict = { ...lenient, 'bounds.strict_revocation': 'true' };
+    expect(readSettings(fill(strict)).maxKeyAgeMs).toBe(5_000);
+  });
+
   it('takes only mechanisms that there are', () => {
     const off = (list: string): readonly string[] =>
       readSettings(
--- a/tests/queues/ConfigurationFollower.test.ts
+++ b/tests/queues/ConfigurationFollower.test.ts
@@ -6,6 +6,7 @@
   type QueueConfiguration,
 } from '../../src/queues/index.js';
 import type { KeyedLogPort, ReadResult } from '../../src/store/index.js';
+import { SystemClock } from '../../src/utils/index.js';
 import { StoreAccess, StoreStandIn } from '../../standins/store/index.js';
 
 const PLACE = { topic: 'op', partition: 0 };
@@ -28,6 +29,7 @@
       ...PLACE,
       key: 'config',
       decode: (value) => JSON.parse(Buffer.from(value).toString()) as QueueConfiguration,
+      clock: new SystemClock(),
       events,
     });
     followers.push(follower);
--- /dev/null
+++ b/tests/queues/ConfigurationPeers.test.ts
@@ -0,0 +1,119 @@
+import { afterEach, describe, expect, it, vi } from 'vitest';
+import { RattanliftError } from '../../src/errors/index.js';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import type { PeerAddress, PeerPort } from '../../src/peers/index.js';
+import {
+  ConfigurationFollower,
+  ConfigurationPeers,
+  type QueueConfiguration,
+} from '../../src/queues/index.js';
+import { SystemClock } from '../../src/utils/index.js';
+import { StoreAccess, StoreStandIn } from '../../standins/store/index.js';
+
+const PLACE = { topic: 'op', partition: 0 };
+const PEERS: readonly PeerAddress[] = ['a', 'b'].map((instance) => ({
+  instance,
+  host: '127.0.0.1',
+  port: 1,
+}));
+
+describe('ConfigurationPeers', () => {
+  const stops: (() => void)[] = [];
+
+  afterEach(() => stops.splice(0).forEach((stop) => stop()));
+
+  async function publish(store: StoreStandIn, version: number): Promise<void> {
+    const value = Buffer.from(JSON.stringify({ version, queues: [], pools: [] }));
+    await store.append({ ...PLACE, records: [{ key: 'config', value }], timeoutMs: 1_000 });
+  }
+
+  function follow(store: StoreAccess): ConfigurationFollower {
+    const follower = new ConfigurationFollower({
+      store,
+      ...PLACE,
+      key: 'config',
+      decode: (value) => JSON.parse(Buffer.from(value).toString()) as QueueConfiguration,
+      clock: new SystemClock(),
+      events: new MemoryEventLog(),
+    });
+    stops.push(() => follower.stop());
+    follower.start();
+    return follower;
+  }
+
+  function learn(follower: ConfigurationFollower, sources: readonly ConfigurationFollower[]) {
+    const call = vi.fn<PeerPort['call']>(async ({ instance }, request) => {
+      const source = sources[PEERS.findIndex((peer) => peer.instance === instance)];
+      if (source === undefined) {
+        throw new RattanliftError({ kind: 'peer-unavailable', message: '' });
+      }
+      if (request.type !== 'get-configuration') throw new Error(request.type);
+      return source.getReply(request.knownVersion);
+    });
+    const clock = new SystemClock();
+    const listPeers = (): readonly PeerAddress[] => PEERS;
+    const peers = new ConfigurationPeers({ follower, peers: { call }, listPeers, clock });
+    stops.push(() => peers.stop());
+    peers.start();
+    return call;
+  }
+
+  async function createCut(): Promise<{
+    readonly store: StoreStandIn;
+    readonly access: StoreAccess;
+    readonly cut: ConfigurationFollower;
+    readonly reached: ConfigurationFollower;
+  }> {
+    const store = new StoreStandIn({ partitionCount: 1 });
+    const access = new StoreAccess(store);
+    await publish(store, 1);
+    const cut = follow(access);
+    const reached = follow(new StoreAccess(store));
+    await vi.waitFor(() => expect([cut.get()?.version, reached.get()?.version]).toEqual([1, 1]));
+    return { store, access, cut, reached };
+  }
+
+  // Failure: calls pass under a withdrawn key at an instance that the store turns away.
+  it('learns a newer version from a peer while the store turns the instance away', async () => {
+    const { store, access, cut, reached } = await createCut();
+    learn(cut, [reached]);
+    access.isCut = true;
+    await publish(store, 2);
+    await vi.waitFor(() => expect(cut.get()?.version).toBe(2), 4_000);
+    await vi.waitFor(() => expect(cut.ageMs).toBeLessThan(1_300), 4_000);
+  }, 10_000);
+
+  // Failure: an instance falls back to an older version that a peer still has.
+  it('keeps its version where the peers are behind', async () => {
+    const { store, access, cut, reached } = await createCut();
+    const behindAccess = new StoreAccess(store);
+    const behind = follow(behindAccess);
+    await vi.waitFor(() => expect(behind.get()?.version).toBe(1));
+    behindAccess.isCut = true;
+    await publish(store, 2);
+    await vi.waitFor(() => expect([cut, reached].map((f) => f.get()?.version)).toEqual([2, 2]));
+    access.isCut = true;
+    const call = learn(cut, [behind, behind]);
+    await vi.waitFor(() => expect(call).toHaveBeenCalled(), 4_000);
+    expect(cut.get()?.version).toBe(2);
+  }, 10_000);
+
+  // Failure: an instance takes its keys for current because it hears of its peers, though none of
+  // them reaches the store either.
+  it('ages while no peer reaches the store', async () => {
+    const { access, cut, reached } = await createCut();
+    reached.stop();
+    access.isCut = true;
+    learn(cut, [reached]);
+    await vi.waitFor(() => expect(cut.ageMs).toBeGreaterThan(2_500), 6_000);
+  }, 10_000);
+
+  it('asks nobody while the store answers', async () => {
+    const { cut, reached } = await createCut();
+    const call = learn(cut, [reached]);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1_600);
+    });
+    expect(call).not.toHaveBeenCalled();
+  });
+});
