Keep each organisation within its limit over all pools

The fleet's home, which asks all pools 5 times a second anyway, divides each limit among them by what they use and want, the smallest want first, and deals out three quarters of the rest. A home starts nothing beyond its part. Nothing of it is stored: a part holds for the term of the pool's home, as the store rejects what an earlier one places; a new home of the pool has none until asked; a new home of the fleet asks all pools first, under a term that ends its predecessor's orders, and divides once all have told. What may be in force, as an order got no reply, counts. A home that knows a lower limit than the one divided starts nothing until the lower one is.

Ruled out: a fixed part for each home (rushes go from pool to pool, a quarter of the limit would bind where the whole is free), leases by time (a lapse would stop an organisation at each takeover of the fleet's home, and needs clocks), use told between homes with a margin (breaks by what starts within its age).

--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -78,6 +78,7 @@
     mechanisms: ALL_MECHANISMS,
     metrics: new ScrapedMetrics({ clock }),
     getEntries: () => entries,
+    listOrganisations: () => [],
     isGroupLeaseHeld: () => true,
     onReplaced: () => undefined,
   });
--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -3,6 +3,7 @@
 import type { KeyedRecord } from '../store/index.js';
 import {
   indexLoads,
+  type LimitOrder,
   type Mechanisms,
   type PoolDemand,
   type PoolPeak,
@@ -12,9 +13,11 @@
   type VmMove,
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
+import type { Organisation } from '../queues/index.js';
 import type { EndedTargets, FleetVm, VmFleetPort } from '../vms/index.js';
 import { LifetimeEndDetector } from './LifetimeEndDetector.js';
 import { isEmpty } from './isEmpty.js';
+import { OrganisationLimits } from './OrganisationLimits.js';
 import { encodePoolPeakRecord } from './PoolPeakRecord.js';
 import { PoolReporter } from './PoolReporter.js';
 import type { VmOrderRecord } from './VmOrderRecord.js';
@@ -44,15 +47,19 @@
   readonly listPools: () => readonly string[];
   /** Lists the pools whose VMs are switched off until they are moved to another pool. */
   readonly listStandbyPools: () => readonly string[];
+  readonly listOrganisations: () => readonly Organisation[];
+  /** Whether this instance is certain to be the fleet's home at this moment. */
+  readonly isGroupLeaseHeld: () => boolean;
   /**
-   * Sends the drained targets and the ended lifetimes of a pool to its home and requests the pool's
-   * demand.
+   * Sends the drained targets, the ended lifetimes and the parts of limits of a pool to its home
+   * and requests the pool's demand.
    * @returns The demand, or undefined if no home answered.
    */
   readonly syncPool: (
     pool: string,
     drainedTargets: readonly string[],
     ended: EndedTargets,
+    limits?: LimitOrder,
   ) => Promise<PoolDemand | undefined>;
   /** Stores records of this home; rejects if the home has been replaced. */
   readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
@@ -94,6 +101,8 @@
 
   private readonly peaks: PoolPeaks;
 
+  private readonly limits: OrganisationLimits;
+
   /** Number of VMs that each pool keeps according to the stored peaks. */
   private storedKeptCounts: ReadonlyMap<string, number>;
 
@@ -109,6 +118,7 @@
       lost: 'vmListUnreachable',
       regained: 'vmListReachable',
     });
+    this.limits = new OrganisationLimits(options);
     this.poolReporter = new PoolReporter(options);
     this.peaks = new PoolPeaks(options.clock, options.peakRecords);
     this.storedKeptCounts = this.peaks.getReserveCounts();
@@ -147,6 +157,7 @@
     this.orders.endCompletedOrders(vms, askedAtMs);
     void this.orders.settle();
     this.demands = await this.syncPools(vms, this.options.listPools());
+    await this.raiseLimits(vms);
     if (this.isClosed) return;
     this.poolReporter.report(this.demands, vms, this.listHeldVms());
     this.demands.forEach((demand) => this.peaks.record(demand));
@@ -190,17 +201,32 @@
   ): Promise<readonly PoolDemand[]> {
     const drained = this.listDrainedVms();
     this.orders.setLoadsTime(this.options.clock.monotonicMs());
-    const answers = await Promise.all(pools.map((pool) => this.syncPool(vms, pool, drained)));
+    const limits = this.limits.createOrders(pools, this.options.listPools());
+    const answers = await Promise.all(
+      pools.map((pool) => this.syncPool(vms, pool, drained, limits.get(pool))),
+    );
     return answers.filter((demand) => demand !== undefined);
   }
 
-  private syncPool(
+  private async syncPool(
     vms: readonly FleetVm[],
     pool: string,
     drained: ReadonlySet<string>,
+    limits: LimitOrder | undefined,
   ): Promise<PoolDemand | undefined> {
     const targets = FleetHome.listTargets(vms, pool, drained);
-    return this.options.syncPool(pool, targets, this.lifetimeEndDetector.list(pool));
+    const ended = this.lifetimeEndDetector.list(pool);
+    const demand = await this.options.syncPool(pool, targets, ended, limits);
+    if (demand !== undefined && limits !== undefined) {
+      this.limits.handleReport(pool, limits, demand);
+    }
+    return demand;
+  }
+
+  /** Raises parts of limits that tasks wait for, once others have given theirs up. */
+  private async raiseLimits(vms: readonly FleetVm[]): Promise<void> {
+    const pools = this.limits.listPoolsToRaise(this.options.listPools());
+    if (pools.length > 0) await this.syncPools(vms, pools);
   }
 
   private static listTargets(
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -12,6 +12,7 @@
   ConfigurationFollower,
   ConfigurationPeers,
   isKeyWithdrawn,
+  type Organisation,
   type QueueConfiguration,
 } from '../queues/index.js';
 import type { KeyedRecord } from '../store/index.js';
@@ -245,6 +246,7 @@
       clock,
       events,
       metrics,
+      listOrganisations: () => this.listOrganisations(),
       shouldHold: (isMember) => this.shouldHold(isMember),
       createFleetHome: (basis) => this.createFleetHome(basis),
     });
@@ -265,6 +267,10 @@
     if (order !== undefined) this.waveOrders.set(order.wave, order);
   }
 
+  private listOrganisations(): readonly Organisation[] {
+    return this.getConfiguration()?.organisations ?? [];
+  }
+
   private listPoolNames(isStandby: boolean): readonly string[] {
     const pools = this.getConfiguration()?.pools ?? [];
     return pools.filter((pool) => pool.isStandby === isStandby).map(({ pool }) => pool);
@@ -293,7 +299,9 @@
       listWaveOrders: () => [...this.waveOrders.values()],
       listPools: () => this.listPoolNames(false),
       listStandbyPools: () => this.listPoolNames(true),
-      syncPool: (pool, drained, ended) => this.gateway.syncPool(pool, drained, ended),
+      listOrganisations: () => this.listOrganisations(),
+      syncPool: (pool, drained, ended, limits) =>
+        this.gateway.syncPool(pool, drained, ended, limits),
       publishStatus: (wave, status) => statusWriter.write([records.encodeWaveStatus(wave, status)]),
     });
   }
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -58,6 +58,11 @@
     level: 'warn',
     text: 'A task crashes the targets that start it; its job fails.',
   },
+  startsWithheld: {
+    number: 6045,
+    level: 'info',
+    text: 'Tasks wait for the limit of their organisation.',
+  },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -112,6 +112,12 @@
     meaning: 'Runs of tasks that were lost with their targets, by how the loss became known.',
     tags: ['pool', 'reason'],
   },
+  starts_withheld: {
+    type: 'counter',
+    unit: 'seconds',
+    meaning: 'Seconds in which tasks of an organisation waited for its limit, in a pool.',
+    tags: ['pool'],
+  },
   tasks_given_up: {
     type: 'counter',
     unit: 'tasks',
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -3,6 +3,7 @@
 import type { LogEntry } from '../platform/index.js';
 import type { Urgency } from '../settings/index.js';
 import type { PartitionOwner } from '../store/GroupPort.js';
+import type { LimitOrder } from '../systems/LimitPart.js';
 import type { PoolDemand } from '../systems/PoolDemand.js';
 import type { LeasedTargetAddress, TargetAnswer, TargetCall } from '../targets/LeasedTargetPort.js';
 
@@ -56,6 +57,8 @@
       readonly crashedTargets: readonly string[];
       /** Ended targets that crashed together with other targets of their rack. */
       readonly lostWithRack: readonly string[];
+      /** Parts of the limits of organisations for the pool. */
+      readonly limits?: LimitOrder;
     };
 
 /** Request to call a target on behalf of the target's home. */
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -13,6 +13,25 @@
 const caller = z
   .looseObject({ organisation: id, keyDigest: id, configurationVersion: z.number() })
   .optional();
+const resources = z.looseObject({
+  cpuMillicores: z.number(),
+  memoryMb: z.number(),
+  gpuCount: z.number(),
+});
+const limitParts = z.array(z.looseObject({ organisation: id, limit: resources, part: resources }));
+const limitOrder = z.looseObject({
+  fleetTerm: count,
+  sequence: count,
+  homeTerm: count.optional(),
+  parts: limitParts,
+});
+const limitReport = z.looseObject({
+  homeTerm: count,
+  isApplied: z.boolean(),
+  isOutdated: z.boolean(),
+  parts: limitParts.optional(),
+});
+const organisationUse = z.looseObject({ organisation: id, used: resources, waiting: resources });
 const entries = z.array(z.looseObject({ offset: count, payload: z.unknown() }));
 
 // Objects are loose because a later version may send fields that this one does not know.
@@ -73,6 +92,7 @@
     // Peers of earlier versions do not send these two fields.
     crashedTargets: z.array(id).default([]),
     lostWithRack: z.array(id).default([]),
+    limits: limitOrder.optional(),
   }),
   z.looseObject({ type: z.literal('list-homes') }),
   z.looseObject({ type: z.literal('get-configuration'), knownVersion: z.number().optional() }),
@@ -136,6 +156,8 @@
       lateCpuMillicores: z.number().default(0),
       wholeVmCount: count.default(0),
       jobCount: count,
+      organisationUse: z.array(organisationUse).optional(),
+      limitReport: limitReport.optional(),
     }),
   }),
   z.looseObject({ type: z.literal('target-answer'), answer: targetAnswerSchema }),
--- a/src/systems/PoolDemand.ts
+++ b/src/systems/PoolDemand.ts
@@ -1,3 +1,6 @@
+import type { LimitReport } from './LimitPart.js';
+import type { OrganisationUse } from './OrganisationUse.js';
+
 /** Load of one target of a pool. */
 export interface TargetLoad {
   readonly targetId: string;
@@ -25,6 +28,10 @@
   readonly wholeVmCount: number;
   /** Number of unfinished jobs. */
   readonly jobCount: number;
+  /** What organisations use and wait for; absent if no job belongs to one. */
+  readonly organisationUse?: readonly OrganisationUse[];
+  /** What the home says to the parts of limits that it was given; absent if it was given none. */
+  readonly limitReport?: LimitReport;
 }
 
 /**
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -75,3 +75,19 @@
   type RunLifeVerdict,
   STOP_PHASES,
 } from './runLife.js';
+export { type GetOrganisationPart, OrganisationRooms } from './OrganisationRooms.js';
+export {
+  addResources,
+  listOrganisationUse,
+  mapResources,
+  NO_RESOURCES,
+  type OrganisationUse,
+  RESOURCE_NAMES,
+} from './OrganisationUse.js';
+export { type LimitClaim, shareLimit, type ShareLimitInput } from './shareLimit.js';
+export {
+  type LimitOrder,
+  type LimitPart,
+  type LimitReport,
+  UNLIMITED_AMOUNT,
+} from './LimitPart.js';
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -4,6 +4,7 @@
 import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import { isSuspect } from './listSuspects.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
+import { OrganisationRooms } from './OrganisationRooms.js';
 import { PoolCapacity } from './PoolCapacity.js';
 import { getStepKey, type PlacementTarget, TargetCapacity } from './TargetCapacity.js';
 
@@ -28,6 +29,8 @@
   readonly getFailedTargets: (jobId: string, position: number) => ReadonlySet<string>;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
+  /** What organisations may still take into use; without limits if absent. */
+  readonly rooms?: OrganisationRooms;
   /** Enabled mechanisms; all if absent. */
   readonly mechanisms?: Mechanisms;
 }
@@ -96,11 +99,12 @@
   readonly stepKey: string;
   readonly getFailedTargets: PlaceTasksInput['getFailedTargets'];
   readonly isFullestFirst: boolean;
+  readonly rooms: OrganisationRooms;
 }
 
 /** Places tasks one by one until one does not fit; the others of the step would not fit either. */
 function placeOneByOne(
-  { row, ready, step, stepKey, getFailedTargets, isFullestFirst }: StepPlacement,
+  { row, ready, step, stepKey, getFailedTargets, isFullestFirst, rooms }: StepPlacement,
   capacities: readonly TargetCapacity[],
 ): readonly TaskPlacement[] {
   const { jobId } = row.spec;
@@ -109,11 +113,14 @@
     if (isFull) return [];
     const task = row.tasks[position]!;
     const failedTargets = task.failureCount > 0 ? getFailedTargets(jobId, position) : NO_TARGETS;
-    const capacity = chooseTarget(capacities, step, stepKey, task, failedTargets, isFullestFirst);
+    const capacity = rooms.fits(row, step)
+      ? chooseTarget(capacities, step, stepKey, task, failedTargets, isFullestFirst)
+      : undefined;
     isFull = capacity === undefined;
     if (capacity === undefined) return [];
     const { freeCpuMillicores, target } = capacity;
     capacity.allocate(stepKey, step);
+    rooms.allocate(row, step);
     if (isSuspect(task) && !step.isGang) capacity.reserve();
     return [{ jobId, position, targetId: target.targetId, freeCpuMillicores }];
   });
@@ -124,16 +131,19 @@
   placement: StepPlacement,
   capacities: readonly TargetCapacity[],
 ): readonly TaskPlacement[] {
-  const { step, stepKey } = placement;
+  const { row, step, stepKey, rooms } = placement;
   const members = placeOneByOne(placement, capacities);
   const getCapacity = ({ targetId }: TaskPlacement): TargetCapacity =>
     capacities.find(({ target }) => target.targetId === targetId)!;
   if (members.length < step.taskCount) {
-    members.forEach((member) => getCapacity(member).release(stepKey, step));
+    members.forEach((member) => {
+      getCapacity(member).release(stepKey, step);
+      rooms.release(row, step);
+    });
     return [];
   }
   members
-    .filter(({ position }) => isSuspect(placement.row.tasks[position]!))
+    .filter(({ position }) => isSuspect(row.tasks[position]!))
     .forEach((member) => getCapacity(member).reserve());
   return members;
 }
@@ -169,6 +179,7 @@
     targets,
     getFailedTargets,
     nowMs,
+    rooms = new OrganisationRooms(allocatedJobs, () => undefined),
     mechanisms = ALL_MECHANISMS,
   } = input;
   const isFullestFirst = mechanisms.has('fullest-target-first');
@@ -194,6 +205,7 @@
         stepKey,
         getFailedTargets,
         isFullestFirst,
+        rooms,
       };
       const placeStep = step.isGang ? placeGang : placeOneByOne;
       const placed = placeStep(placement, pool.capacities);
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -3,7 +3,7 @@
 import type { CallerIdentity, DurableJobSpec, DurableJobState } from '../jobs/index.js';
 import { measureCall, type Metrics } from '../metrics/index.js';
 import type { DurableJobRequest, PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
-import type { PoolDemand } from '../systems/index.js';
+import type { LimitOrder, PoolDemand } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { EndedTargets } from '../vms/index.js';
 import type { HomeDirectory } from './HomeDirectory.js';
@@ -124,15 +124,17 @@
    * @param pool - The pool.
    * @param drainedTargets - Ids of the targets that get no new tasks.
    * @param ended - The targets whose lifetimes are over.
+   * @param limits - Parts of the limits of organisations for the pool, if any has a limit.
    * @returns The demand, or undefined if no home answers at this moment.
    */
   async syncPool(
     pool: string,
     drainedTargets: readonly string[],
     ended: EndedTargets,
+    limits?: LimitOrder,
   ): Promise<PoolDemand | undefined> {
     const lists = { drainedTargets, drainedForMs: DRAIN_DURATION_MS, ...ended };
-    const request = { type: 'sync-pool', pool, ...lists } as const;
+    const request = { type: 'sync-pool', pool, ...lists, limits } as const;
     const outcome = await this.attemptCall(request, pool).catch(() => undefined);
     if (outcome?.type !== 'reply' || outcome.reply.type !== 'pool-demand') return undefined;
     return outcome.reply.demand;
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -3,11 +3,14 @@
 import type { Metrics } from '../metrics/index.js';
 import type { PoolDemand } from '../systems/index.js';
 import type { TaskEnd } from '../targets/index.js';
-import type { Clock } from '../utils/index.js';
+import { type Clock, groupBy } from '../utils/index.js';
 import { explainIgnoredEnd, isOrdinaryReason } from './explainIgnoredEnd.js';
 import type { JobTable } from './JobTable.js';
 import type { RunKey } from './RunKey.js';
 
+/** Shortest time between two log lines of an organisation in a pool, in milliseconds. */
+const WITHHELD_INTERVAL_MS = 1_000;
+
 /** Options of {@link JobTelemetry}. */
 export interface JobTelemetryOptions {
   readonly events: EventLog;
@@ -42,6 +45,9 @@
 
   private readonly shortages = new Map<string, OutageLog>();
 
+  /** When the withheld starts of an organisation in a pool were logged last. */
+  private readonly withheldAtMs = new Map<string, number>();
+
   /**
    * Creates the telemetry of a home.
    * @param options - Event log and metrics to write to.
@@ -153,6 +159,24 @@
     else this.getShortage(pool).noteSuccess(fields);
   }
 
+  /**
+   * Records the jobs of which tasks were withheld in a round for the limits of their organisations.
+   * @param rows - The jobs.
+   */
+  noteWithheld(rows: readonly DurableJobRow[]): void {
+    const { events, metrics, clock, term } = this.options;
+    const nowMs = clock.monotonicMs();
+    const byLimit = groupBy(rows, ({ spec }) => `${spec.terms.pool}/${spec.organisation}`);
+    byLimit.forEach((jobs, key) => {
+      if (nowMs - (this.withheldAtMs.get(key) ?? -Infinity) < WITHHELD_INTERVAL_MS) return;
+      this.withheldAtMs.set(key, nowMs);
+      const { jobId, organisation, terms } = jobs[0]!.spec;
+      metrics.increment('starts_withheld', { pool: terms.pool });
+      const fields = { organisation, pool: terms.pool, jobId, jobCount: jobs.length, term };
+      events.write('startsWithheld', fields);
+    });
+  }
+
   private getShortage(pool: string): OutageLog {
     const known = this.shortages.get(pool);
     if (known !== undefined) return known;
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -5,12 +5,15 @@
   listReadyTasks,
   listSuspects,
   type Mechanisms,
+  OrganisationRooms,
   orderJobs,
   type PlacementTarget,
   placeTasks,
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
+import type { JobTelemetry } from './JobTelemetry.js';
+import type { LimitParts } from './LimitParts.js';
 import type { RecordWriter } from './RecordWriter.js';
 import type { RunKey } from './RunKey.js';
 import type { TargetDrains } from './TargetDrains.js';
@@ -24,6 +27,8 @@
   readonly runs: TaskRuns;
   readonly sessions: TargetSessions;
   readonly drains: TargetDrains;
+  readonly limitParts: LimitParts;
+  readonly telemetry: JobTelemetry;
   readonly mechanisms: Mechanisms;
   readonly metrics: Metrics;
   /** Steady clock, by which ages are measured. */
@@ -115,20 +120,23 @@
   }
 
   private placeReadyTasks(): readonly RunKey[] {
-    const { clock, dueClock, mechanisms, runs, table } = this.options;
+    const { clock, dueClock, limitParts, mechanisms, runs, table, telemetry } = this.options;
     const { runTimes } = runs;
     const dueAtMs = dueClock.wallMs();
     const rows = table.listActive();
     const readyJobs = rows.filter((row) => listReadyTasks(row, dueAtMs).length > 0);
     if (readyJobs.length === 0) return [];
+    const rooms = new OrganisationRooms(rows, (pool, name) => limitParts.get(pool, name));
     const placements = placeTasks({
       jobs: orderJobs(readyJobs, { runTimes, mechanisms, nowMs: clock.wallMs() }),
       mechanisms,
       allocatedJobs: rows,
+      rooms,
       targets: this.listTargets(rows),
       getFailedTargets: (jobId, position) => runs.getFailedTargets(jobId, position),
       nowMs: dueAtMs,
     });
+    telemetry.noteWithheld(rooms.withheld);
     return placements.map((placement) => runs.reserve(placement));
   }
 }
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -17,6 +17,7 @@
 import { JobTelemetry } from './JobTelemetry.js';
 import type { OpenedPartition } from './PartitionOpening.js';
 import type { ClaimedTerm } from './PartitionTerms.js';
+import { LimitParts } from './LimitParts.js';
 import { PlacementRounds } from './PlacementRounds.js';
 import { PoolArrivals } from './PoolArrivals.js';
 import { PoolDemands } from './PoolDemands.js';
@@ -61,6 +62,8 @@
 
   private readonly rounds: PlacementRounds;
 
+  private readonly limitParts: LimitParts;
+
   /** Clock that determines which tasks are due; ages are measured by the options' steady clock. */
   private readonly wallClock: Clock;
 
@@ -109,6 +112,7 @@
       onGone: (targetId, reason) => this.reports.handleGone(targetId, reason),
       onStaleTerm: () => this.handleReplaced(),
     });
+    this.limitParts = new LimitParts(this.options);
     this.rounds = new PlacementRounds({
       ...this.options,
       table: this.table,
@@ -117,6 +121,8 @@
       sessions: this.sessions,
       drains: this.drains,
       dueClock: this.wallClock,
+      limitParts: this.limitParts,
+      telemetry: this.telemetry,
     });
     this.demands = new PoolDemands({
       ...this.options,
@@ -252,7 +258,7 @@
   /**
    * Drains some targets for a limited time, and describes the load and demand of the pool.
    * @param request - The pool, its drained targets, which replace those of the previous request,
-   * and the targets whose lifetimes are over.
+   * the targets whose lifetimes are over, and parts of limits.
    * @returns Load and demand of the pool.
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
@@ -260,6 +266,7 @@
     pool,
     drainedTargets,
     drainedForMs,
+    limits,
     ...ended
   }: SyncPoolParameters): Promise<PoolDemand> {
     this.assertIsHome();
@@ -267,8 +274,10 @@
     this.drains.replace(pool, drainedTargets, drainedForMs);
     this.runs.evacuate(this.listTargetsToEvacuate());
     // Tasks placed on drained targets before this are counted below; no more are placed there.
+    const limitReport = limits && this.limitParts.follow(pool, limits);
     await this.flush().catch(() => undefined);
-    return this.demands.describe(pool);
+    const demand = this.demands.describe(pool);
+    return limitReport === undefined ? demand : { ...demand, limitReport };
   }
 
   /** Opens sessions with newly listed targets. */
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -1,5 +1,6 @@
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
+import type { Organisation } from '../queues/index.js';
 import type { KeyedLogPort } from '../store/index.js';
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
@@ -24,6 +25,8 @@
   readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
   readonly getEntries: () => TargetEntries;
+  /** Lists the organisations of the configuration in force. */
+  readonly listOrganisations: () => readonly Organisation[];
   /** Whether this instance is certain to be the home at this moment. */
   readonly isGroupLeaseHeld: () => boolean;
   /** Called once when another home has taken over. */
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -8,6 +8,7 @@
   type WaveRecord,
 } from '../fleetHome/index.js';
 import type { Metrics } from '../metrics/index.js';
+import type { Organisation } from '../queues/index.js';
 import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
 import type { Mechanisms, PoolPeak } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
@@ -45,6 +46,8 @@
   readonly linkMbps: number;
   readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
+  /** Lists the organisations of the configuration in force. */
+  readonly listOrganisations: () => readonly Organisation[];
   /** Creates the fleet's home on the instance that is the home of the fleet's partition. */
   readonly createFleetHome: (context: FleetHomeContext) => FleetHome;
 }
@@ -56,6 +59,8 @@
   readonly orderRecords: readonly VmOrderRecord[];
   readonly peakRecords: readonly PoolPeak[];
   readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
+  /** Whether this instance is certain to be the fleet's home at this moment. */
+  readonly isGroupLeaseHeld: () => boolean;
   readonly onReplaced: () => void;
 }
 
@@ -324,6 +329,7 @@
       orderRecords: decodeReadable(records, decodeVmOrderRecord, source),
       peakRecords: decodeReadable(records, decodePoolPeakRecord, source),
       store: (changes) => home.store(changes),
+      isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
       onReplaced: () => this.handleReplaced(partition),
     });
     this.fleet.start();
--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -3,6 +3,7 @@
   countWholeVms,
   estimateNeededCpu,
   getAllocatedResources,
+  listOrganisationUse,
   listReadyTasks,
   type Mechanisms,
   type PlacementTarget,
@@ -57,6 +58,7 @@
       .filter(({ phase }) => phase === 'placed')
       .map(({ targetId, step }) => ({ targetId: targetId!, step: row.spec.steps[step]! })),
   );
+  const organisationUse = listOrganisationUse(poolRows, nowMs);
   const placedByTarget = groupBy(placedTasks, ({ targetId }) => targetId);
   return {
     pool,
@@ -91,5 +93,6 @@
       nowMs,
     }),
     jobCount: poolRows.filter((row) => !isFinished(row)).length,
+    ...(organisationUse.length === 0 ? {} : { organisationUse }),
   };
 }
--- a/tests/fleetHome/OrderWorld.ts
+++ b/tests/fleetHome/OrderWorld.ts
@@ -113,6 +113,8 @@
     listWaveOrders: () => [],
     listPools: () => [...world.demands.keys()],
     listStandbyPools: () => ['spares'],
+    listOrganisations: () => [],
+    isGroupLeaseHeld: () => true,
     syncPool: async (pool, drained, ended) => {
       world.drainedByCall.push(drained);
       world.endedByCall.push({ pool, ended });
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -2,6 +2,7 @@
 import type { DurableJobSpec, QueueTerms, StepSpec } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
+import type { Organisation } from '../../src/queues/index.js';
 import { type Clock, SystemClock } from '../../src/utils/index.js';
 import { LeasedTargetsStandIn } from '../../standins/leasedTargets/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
@@ -96,6 +97,9 @@
   /** How long homes keep ended jobs, in milliseconds. */
   keepFinishedMs = 60_000;
 
+  /** Organisations of the configuration in force. */
+  organisations: readonly Organisation[] = [];
+
   /** Whether the homes are certain that they still are the home of their partition. */
   isGroupLeaseHeld = true;
 
@@ -150,6 +154,7 @@
       mechanisms: ALL_MECHANISMS,
       metrics: this.metrics,
       getEntries: () => this.entries,
+      listOrganisations: () => this.organisations,
       isGroupLeaseHeld: () => this.isGroupLeaseHeld,
       onReplaced: () => undefined,
     });
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -87,6 +87,7 @@
       }),
       partitions: new PoolPartitions({ partitionCount: 1, listPools: () => ['pages'] }),
       homeTiming: { targetLeaseMs: LEASE_MS, targetWaitMs: 10, keepFinishedMs: 60_000 },
+      listOrganisations: () => [],
       topic: JOBS_TOPIC,
       termsTopic: 'terms',
       maxAppendBytes: 100_000,
--- a/tests/taskHome/histories/HistoryHomes.ts
+++ b/tests/taskHome/histories/HistoryHomes.ts
@@ -141,6 +141,7 @@
       mechanisms: ALL_MECHANISMS,
       metrics: new MemoryMetrics(),
       getEntries: () => this.options.entries,
+      listOrganisations: () => [],
       isGroupLeaseHeld: () => this.isLatest(process),
       onReplaced: () => undefined,
     });
