--- a/.ci/verdict.mjs
+++ b/.ci/verdict.mjs
@@ -1,7 +1,7 @@
-// Runs the test command of the README and judges its report: a failure passes over only if
-// KNOWN-RED.txt names it. `--counts` prints "<passed> <failed>" of the last report, without those.
+// Runs the tests and judges their report: a failure passes over only if KNOWN-RED.txt names it in
+// full, and is printed. `--counts` prints "<passed> <failed>" of the last report, without those.
 import { spawnSync } from 'node:child_process';
-import { existsSync, readFileSync } from 'node:fs';
+import { existsSync, readFileSync, rmSync } from 'node:fs';
 
 const REPORT = '.vitest-results.json';
 const KNOWN_RED = 'KNOWN-RED.txt';
@@ -32,9 +32,13 @@
   const report = readReport();
   console.log(`${report?.passedCount ?? 0} ${report?.unknown.length ?? 1}`);
 } else {
-  spawnSync('npm', ['test', '--silent'], { stdio: 'inherit' });
+  rmSync(REPORT, { force: true });
+  const { status } = spawnSync('npx', ['vitest', 'run'], { stdio: 'inherit' });
   const report = readReport();
   report?.known.forEach((test) => console.log(`KNOWN RED: ${test.fullName}`));
-  const isGreen = report !== undefined && report.passedCount > 0 && report.unknown.length === 0;
+  const hasRun = report !== undefined && report.passedCount > 0;
+  // Without a known failure any other end than a clean one is an error outside of the tests.
+  const isEndExplained = status === 0 || (report?.known.length ?? 0) > 0;
+  const isGreen = hasRun && report.unknown.length === 0 && isEndExplained;
   process.exitCode = isGreen ? 0 : 1;
 }
--- a/src/fleetHome/MovePlanner.ts
+++ b/src/fleetHome/MovePlanner.ts
@@ -2,6 +2,7 @@
   countRetainedVms,
   type Mechanisms,
   planMoves,
+  type PlanMovesInput,
   planPowerOffs,
   type PoolDemand,
   type PoolPeaks,
@@ -62,28 +63,24 @@
     if (!mechanisms.has('vm-moves')) return [];
     const standbyPools = new Set(listStandbyPools());
     const isPoweringOff = mechanisms.has('idle-vms-off');
-    const moves = planMoves({
+    const input: PlanMovesInput = {
       ...state,
       standbyPools,
       releasesReserves: mechanisms.has('kept-yields-in-shortage'),
       takesIdleBeforeStandby: isPoweringOff,
       ...(mechanisms.has('kept-by-peak') ? { reserveCounts: peaks.getReserveCounts() } : {}),
-    });
-    return isPoweringOff ? [...moves, ...this.planPowerOffs(state, standbyPools, moves)] : moves;
+      ...(mechanisms.has('forecast-by-peak') ? { peakCounts: peaks.getCounts() } : {}),
+    };
+    const moves = planMoves(input);
+    return isPoweringOff ? [...moves, ...this.planPowerOffs(input, moves)] : moves;
   }
 
-  private planPowerOffs(
-    state: FleetState,
-    standbyPools: ReadonlySet<string>,
-    moves: readonly VmMove[],
-  ): readonly VmMove[] {
-    const reserveCounts = this.options.peaks.getReserveCounts();
-    const retainedCounts = countRetainedVms(state.demands, reserveCounts);
+  private planPowerOffs(input: PlanMovesInput, moves: readonly VmMove[]): readonly VmMove[] {
+    const retainedCounts = countRetainedVms(input);
     const retainedCount = [...retainedCounts.values()].reduce((sum, count) => sum + count, 0);
     return planPowerOffs({
-      ...state,
-      standbyPools,
-      heldVms: new Set([...state.heldVms, ...moves.map(({ vm }) => vm)]),
+      ...input,
+      heldVms: new Set([...input.heldVms, ...moves.map(({ vm }) => vm)]),
       retainedCounts,
       neededVmCount: this.needPeak.record(retainedCount),
     });
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -22,6 +22,8 @@
   readonly arrivingByPool: ReadonlyMap<string, number>;
   /** Reserve VMs that each pool keeps without load; {@link MIN_RESERVE_COUNT} if absent. */
   readonly reserveCounts?: ReadonlyMap<string, number>;
+  /** Most VMs that each pool has used; if absent, forecasts are not limited. */
+  readonly peakCounts?: ReadonlyMap<string, number>;
   /** Whether idle VMs of other pools move before VMs that are powered off. */
   readonly takesIdleBeforeStandby?: boolean;
   /** Whether idle pools give up part of their reserve if another pool is short of VMs. */
@@ -44,6 +46,9 @@
  */
 const MAX_MOVES_PER_POOL = 32;
 
+/** Most that a pool grows by a forecast, as a multiple of what runs and waits now. */
+const MAX_FORECAST_GROWTH = 2;
+
 const NO_VMS: ReadonlySet<string> = new Set();
 
 /** VMs that a pool has or is about to have, compared with its needs. */
@@ -82,6 +87,22 @@
   return getLoad(loads, vm)?.longRunningCount === 0;
 }
 
+/**
+ * Limits a forecast to twice what runs and waits now, or to the most that the pool has used.
+ *
+ * The load that it answers: few and large jobs at the start of a rush. Extrapolated from the first
+ * of them, a pool that came to use 81 VMs was to get 467, and took nearly the whole fleet.
+ */
+function limitForecast(
+  forecastCount: number,
+  currentNeedCount: number,
+  peakCount: number | undefined,
+): number {
+  if (peakCount === undefined) return forecastCount;
+  const limit = Math.ceil(Math.max(MAX_FORECAST_GROWTH * currentNeedCount, peakCount));
+  return Math.min(forecastCount, limit);
+}
+
 /**
  * Compares the VMs of a pool with its needs.
  *
@@ -95,6 +116,7 @@
   loads: ReadonlyMap<string, TargetLoad>,
 ): PoolBalance {
   const { vms, heldVms, usableHeldVms = NO_VMS, arrivingByPool, reserveCounts } = input;
+  const { peakCounts } = input;
   const { pool, targets, neededCpuMillicores, lateCpuMillicores, waitingCpuMillicores } = demand;
   const upInPool = vms.filter((vm) => vm.pool === pool && vm.state === 'up');
   const movableVms = upInPool.filter(({ vm }) => !heldVms.has(vm));
@@ -103,41 +125,26 @@
   const arrivingCount = usableHeldCount + (arrivingByPool.get(pool) ?? 0);
   const wholeCount = movableVms.filter((vm) => isWhole(vm, loads)).length + arrivingCount;
   const vmMillicores = getVmMillicores(demand);
-  const needCount = Math.ceil(neededCpuMillicores / vmMillicores);
+  const forecastCount = Math.ceil(neededCpuMillicores / vmMillicores);
   const usedCpuMillicores = targets.reduce((sum, target) => sum + target.usedCpuMillicores, 0);
   const currentNeedCount = Math.ceil((usedCpuMillicores + waitingCpuMillicores) / vmMillicores);
+  const needCount = limitForecast(forecastCount, currentNeedCount, peakCounts?.get(pool));
   return {
     demand,
     movableVms,
     availableCount: movableVms.length + arrivingCount,
     currentNeedCount: Math.min(needCount, currentNeedCount),
     needCount,
-    onTimeNeedCount: Math.ceil((neededCpuMillicores - lateCpuMillicores) / vmMillicores),
+    onTimeNeedCount: Math.min(
+      needCount,
+      Math.ceil((neededCpuMillicores - lateCpuMillicores) / vmMillicores),
+    ),
     reserveCount,
     retainedCount: Math.max(needCount, reserveCount),
     spareWholeCount: wholeCount - demand.wholeVmCount,
   };
 }
 
-/**
- * Counts the VMs that pools keep.
- * @param demands - Demand of the pools.
- * @param reserveCounts - Reserve VMs that each pool keeps without load.
- * @returns The larger of need and reserve of each pool.
- */
-export function countRetainedVms(
-  demands: readonly PoolDemand[],
-  reserveCounts: ReadonlyMap<string, number>,
-): ReadonlyMap<string, number> {
-  return new Map(
-    demands.map((demand) => {
-      const needCount = Math.ceil(demand.neededCpuMillicores / getVmMillicores(demand));
-      const reserveCount = reserveCounts.get(demand.pool) ?? MIN_RESERVE_COUNT;
-      return [demand.pool, Math.max(needCount, reserveCount)];
-    }),
-  );
-}
-
 /** Number of VMs that a pool lacks and is to get. */
 interface VmShortage {
   readonly pool: string;
@@ -317,3 +324,15 @@
     [...spare, ...standby],
   );
 }
+
+/**
+ * Counts the VMs that pools keep: the larger of need and reserve of each.
+ * @param input - Demand of the pools, and the VMs.
+ * @returns The numbers by pool.
+ */
+export function countRetainedVms(input: PlanMovesInput): ReadonlyMap<string, number> {
+  const loads = indexLoads(input.demands);
+  return new Map(
+    input.demands.map((demand) => [demand.pool, balancePool(demand, input, loads).retainedCount]),
+  );
+}
