--- a/src/queues/Organisation.ts
+++ b/src/queues/Organisation.ts
@@ -13,3 +13,16 @@
 
 /** Limit of an organisation that may use as much as there is. */
 export const NO_LIMIT: Resources = { cpuMillicores: 0, memoryMb: 0, gpuCount: 0 };
+
+/** Weight of an organisation that the configuration in force does not have. */
+const DEFAULT_WEIGHT = 1;
+
+/**
+ * Gets the weight of an organisation.
+ * @param organisations - Organisations of the configuration in force.
+ * @param name - Name of the organisation.
+ * @returns Its weight.
+ */
+export function getWeight(organisations: readonly Organisation[], name: string): number {
+  return organisations.find((organisation) => organisation.name === name)?.weight ?? DEFAULT_WEIGHT;
+}
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -54,9 +54,7 @@
   type PlanMaintenanceInput,
   DEFAULT_STEP_MS,
 } from './planMaintenance.js';
-export { countRetainedVms, planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
-export { planPowerOffs, type PlanPowerOffsInput } from './planPowerOffs.js';
-export { RecentPeak } from './RecentPeak.js';
+export { planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
 export { type PaceChange, type PacedTask, planPace, type ServingLoad } from './planPace.js';
 export { type PoolPeak, PoolPeaks } from './PoolPeaks.js';
 export {
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -27,8 +27,6 @@
   'vm-moves',
   /** A forecast orders at most the peak of a pool, or twice what it needs at the moment. */
   'forecast-by-peak',
-  /** Idle VMs that the fleet as a whole has lately not needed are powered off. */
-  'idle-vms-off',
   /** Idle pools keep a reserve of VMs relative to their observed peak, not a fixed number. */
   'kept-by-peak',
   /** Idle pools give up their reserve if another pool is short of VMs. */
--- a/src/systems/orderJobs.ts
+++ b/src/systems/orderJobs.ts
@@ -2,6 +2,7 @@
 import { groupBy } from '../utils/index.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
+import { listBeyondShare } from './listBeyondShare.js';
 import { type GetWeight, orderByShare } from './orderByShare.js';
 import type { RunTimes } from './RunTimes.js';
 
@@ -36,8 +37,6 @@
 const LATE_RANK_OFFSET = 1_000;
 /** Added to the priority of jobs beyond the share of their organisation; below the late ones. */
 const BEYOND_RANK_OFFSET = 2_000;
-/** Time over which the jobs of an organisation are counted against its weight, in milliseconds. */
-const SHARE_WINDOW_MS = 1_000;
 /**
  * Share of its allowed waiting time after which a waiting job indicates that its pool is
  * overloaded. Estimates are off by half, so with less time left about half of such jobs miss their
@@ -63,28 +62,6 @@
   return rank >= LATE_RANK_OFFSET;
 }
 
-/** Lists the unstarted jobs that organisations have sent beyond their weight, in jobs a second. */
-function listBeyondShare(
-  rows: readonly DurableJobRow[],
-  getWeight: GetWeight,
-): ReadonlySet<DurableJobRow> {
-  const owned = rows.filter(({ spec }) => spec.organisation !== undefined);
-  const byOrganisation = groupBy(
-    owned.toSorted((a, b) => a.spec.submittedAtMs - b.spec.submittedAtMs),
-    ({ spec }) => `${spec.terms.pool}/${spec.organisation}`,
-  );
-  return new Set(
-    [...byOrganisation.values()].flatMap((own) => {
-      const weight = getWeight(own[0]!.spec.organisation!);
-      return own.filter((row, index) => {
-        const earlier = own[index - Math.max(1, Math.floor(weight))];
-        if (earlier === undefined || row.state !== 'queued') return false;
-        return row.spec.submittedAtMs - earlier.spec.submittedAtMs < SHARE_WINDOW_MS;
-      });
-    }),
-  );
-}
-
 /** Lists the pools in which an unstarted job has waited too long to meet its objective safely. */
 function listOverloadedPools(ranked: readonly RankedJob[]): ReadonlySet<string> {
   return new Set(
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -24,8 +24,6 @@
   readonly reserveCounts?: ReadonlyMap<string, number>;
   /** Most VMs that each pool has used; if absent, forecasts are not limited. */
   readonly peakCounts?: ReadonlyMap<string, number>;
-  /** Whether idle VMs of other pools move before VMs that are powered off. */
-  readonly takesIdleBeforeStandby?: boolean;
   /** Whether idle pools give up part of their reserve if another pool is short of VMs. */
   readonly releasesReserves?: boolean;
 }
@@ -278,7 +276,9 @@
 /**
  * Plans moves of VMs to pools that need more than they have. VMs that are powered off move first,
  * then VMs that other pools don't need, those with the fewest runs first. Once all needs are met,
- * pools get back their reserves for the start of their next load peak.
+ * pools get back their reserves for the start of their next load peak. Idle VMs stay powered on:
+ * those that are off are as far from the next load peak as those of another pool, and each way
+ * costs as much as three idle seconds.
  *
  * A load peak moves from pool to pool and needs more VMs than one pool has, while the others idle.
  * While tasks wait for a VM, its work is worth about fifteen times its cost. Arriving work counts
@@ -287,8 +287,7 @@
  * @returns The moves.
  */
 export function planMoves(input: PlanMovesInput): readonly VmMove[] {
-  const { demands, vms, standbyPools, heldVms, reserveCounts } = input;
-  const { releasesReserves = false, takesIdleBeforeStandby = false } = input;
+  const { demands, vms, standbyPools, heldVms, reserveCounts, releasesReserves = false } = input;
   const standby = vms.filter(
     ({ vm, pool, state }) => standbyPools.has(pool) && state === 'up' && !heldVms.has(vm),
   );
@@ -307,10 +306,7 @@
         )
       : [];
   // VMs are assigned in this order, so reserves are used only when nothing else is left.
-  const idle = takesIdleBeforeStandby
-    ? spare.filter((vm) => getLoad(loads, vm)?.runCount === 0)
-    : [];
-  const available = [...new Set([...idle, ...standby, ...spare, ...reserves])];
+  const available = [...new Set([...standby, ...spare, ...reserves])];
   const assigned = assignVms(shortages, available);
   const moves = [
     ...assigned,
@@ -324,15 +320,3 @@
     [...spare, ...standby],
   );
 }
-
-/**
- * Counts the VMs that pools keep: the larger of need and reserve of each.
- * @param input - Demand of the pools, and the VMs.
- * @returns The numbers by pool.
- */
-export function countRetainedVms(input: PlanMovesInput): ReadonlyMap<string, number> {
-  const loads = indexLoads(input.demands);
-  return new Map(
-    input.demands.map((demand) => [demand.pool, balancePool(demand, input, loads).retainedCount]),
-  );
-}
--- a/src/taskHome/LimitParts.ts
+++ b/src/taskHome/LimitParts.ts
@@ -9,8 +9,6 @@
   RESOURCE_NAMES,
 } from '../systems/index.js';
 
-const DEFAULT_WEIGHT = 1;
-
 /** Options of {@link LimitParts}. */
 export interface LimitPartsOptions {
   /** Term of this home. */
@@ -102,16 +100,6 @@
     return [...(this.partsByPool.get(pool)?.parts.values() ?? [])];
   }
 
-  /**
-   * Gets the weight of an organisation.
-   * @param organisation - Name of the organisation.
-   * @returns Its weight; that of most organisations if the configuration does not have it.
-   */
-  getWeight(organisation: string): number {
-    const own = this.options.listOrganisations().find(({ name }) => name === organisation);
-    return own?.weight ?? DEFAULT_WEIGHT;
-  }
-
   /**
    * Gets what an organisation may have in use in a pool.
    * @param pool - Name of the pool.
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Metrics } from '../metrics/index.js';
 import type { DurableJobRow } from '../jobs/index.js';
+import { getWeight, type Organisation } from '../queues/index.js';
 import {
   listReadyTasks,
   listSuspects,
@@ -28,6 +29,8 @@
   readonly sessions: TargetSessions;
   readonly drains: TargetDrains;
   readonly limitParts: LimitParts;
+  /** Lists the organisations of the configuration in force. */
+  readonly listOrganisations: () => readonly Organisation[];
   readonly telemetry: JobTelemetry;
   readonly mechanisms: Mechanisms;
   readonly metrics: Metrics;
@@ -120,17 +123,19 @@
   }
 
   private placeReadyTasks(): readonly RunKey[] {
-    const { clock, dueClock, limitParts, mechanisms, runs, table, telemetry } = this.options;
+    const { clock, dueClock, mechanisms, runs, table, telemetry } = this.options;
+    const { limitParts, listOrganisations } = this.options;
     const { runTimes } = runs;
     const dueAtMs = dueClock.wallMs();
     const rows = table.listActive();
     const readyJobs = rows.filter((row) => listReadyTasks(row, dueAtMs).length > 0);
     if (readyJobs.length === 0) return [];
+    const organisations = listOrganisations();
     const rooms = new OrganisationRooms(rows, (pool, name) => limitParts.get(pool, name));
     const placements = placeTasks({
       jobs: orderJobs(readyJobs, {
         ...{ runTimes, mechanisms, allocatedJobs: rows },
-        getWeight: (name) => limitParts.getWeight(name),
+        getWeight: (name) => getWeight(organisations, name),
         nowMs: clock.wallMs(),
       }),
       mechanisms,
