--- a/src/fleetHome/MovePlanner.ts
+++ b/src/fleetHome/MovePlanner.ts
@@ -45,7 +45,6 @@
       standbyPools: new Set(listStandbyPools()),
       releasesReserves: mechanisms.has('kept-yields-in-shortage'),
       ...(mechanisms.has('kept-by-peak') ? { reserveCounts: peaks.getReserveCounts() } : {}),
-      ...(mechanisms.has('forecast-by-peak') ? { peakCounts: peaks.getCounts() } : {}),
     });
   }
 }
--- a/src/systems/PoolPeaks.ts
+++ b/src/systems/PoolPeaks.ts
@@ -79,14 +79,6 @@
     return [...this.peaks.values()].map(({ pool, vmCount }) => ({ pool, vmCount }));
   }
 
-  /**
-   * Gets the peaks.
-   * @returns The most VMs that each pool has used, by pool.
-   */
-  getCounts(): ReadonlyMap<string, number> {
-    return new Map([...this.peaks.keys()].map((pool) => [pool, this.getPeak(pool)!]));
-  }
-
   /**
    * Computes the number of reserve VMs that each pool keeps without load.
    * @returns The numbers by pool.
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -11,8 +11,6 @@
   'newest-first-in-overload',
   /** In a full pool, organisations are served by weight, and not by age and objective alone. */
   'shares-by-weight',
-  /** What an organisation sends beyond its weight, in jobs a second, is placed last. */
-  'beyond-share-last',
   /** Run times are estimated from measurements instead of the callers' declarations. */
   'learned-run-times',
   /** Tasks go to the fullest target with sufficient free capacity, so that others become idle. */
@@ -25,8 +23,6 @@
   'late-work-yields',
   /** VMs move between pools. */
   'vm-moves',
-  /** A forecast orders at most the peak of a pool, or twice what it needs at the moment. */
-  'forecast-by-peak',
   /** Idle pools keep a reserve of VMs relative to their observed peak, not a fixed number. */
   'kept-by-peak',
   /** Idle pools give up their reserve if another pool is short of VMs. */
--- a/src/systems/orderJobs.ts
+++ b/src/systems/orderJobs.ts
@@ -2,7 +2,6 @@
 import { groupBy } from '../utils/index.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
-import { listBeyondShare } from './listBeyondShare.js';
 import { type GetWeight, orderByShare } from './orderByShare.js';
 import type { RunTimes } from './RunTimes.js';
 
@@ -35,8 +34,6 @@
 const SERVICE_RANK = -1;
 /** Added to the priority of jobs that are too late for their objective; exceeds any priority. */
 const LATE_RANK_OFFSET = 1_000;
-/** Added to the priority of jobs beyond the share of their organisation; below the late ones. */
-const BEYOND_RANK_OFFSET = 2_000;
 /**
  * Share of its allowed waiting time after which a waiting job indicates that its pool is
  * overloaded. Estimates are off by half, so with less time left about half of such jobs miss their
@@ -99,12 +96,8 @@
     !job.isStarted && !isLate(job) && overloaded.has(job.row.spec.terms.pool);
   const getSortKey = (job: RankedJob): number =>
     isNewestFirst(job) ? -job.row.spec.submittedAtMs : job.startByMs;
-  const beyond = mechanisms.has('beyond-share-last')
-    ? listBeyondShare(jobs, getWeight)
-    : new Set<DurableJobRow>();
   const sorted = ranked
     .map((job) => ({ ...job, sortKey: getSortKey(job) }))
-    .map((job) => (beyond.has(job.row) ? { ...job, rank: job.rank + BEYOND_RANK_OFFSET } : job))
     .toSorted(
       (a, b) =>
         a.rank - b.rank ||
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -22,8 +22,6 @@
   readonly arrivingByPool: ReadonlyMap<string, number>;
   /** Reserve VMs that each pool keeps without load; {@link MIN_RESERVE_COUNT} if absent. */
   readonly reserveCounts?: ReadonlyMap<string, number>;
-  /** Most VMs that each pool has used; if absent, forecasts are not limited. */
-  readonly peakCounts?: ReadonlyMap<string, number>;
   /** Whether idle pools give up part of their reserve if another pool is short of VMs. */
   readonly releasesReserves?: boolean;
 }
@@ -44,9 +42,6 @@
  */
 const MAX_MOVES_PER_POOL = 32;
 
-/** Most that a pool grows by a forecast, as a multiple of what runs and waits now. */
-const MAX_FORECAST_GROWTH = 2;
-
 const NO_VMS: ReadonlySet<string> = new Set();
 
 /** VMs that a pool has or is about to have, compared with its needs. */
@@ -69,10 +64,6 @@
   readonly spareWholeCount: number;
 }
 
-function getVmMillicores({ targets }: PoolDemand): number {
-  return targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
-}
-
 function getLoad(
   loads: ReadonlyMap<string, TargetLoad>,
   { targetId }: FleetVm,
@@ -85,22 +76,6 @@
   return getLoad(loads, vm)?.longRunningCount === 0;
 }
 
-/**
- * Limits a forecast to twice what runs and waits now, or to the most that the pool has used.
- *
- * The load that it answers: few and large jobs at the start of a rush. Extrapolated from the first
- * of them, a pool that came to use 81 VMs was to get 467, and took nearly the whole fleet.
- */
-function limitForecast(
-  forecastCount: number,
-  currentNeedCount: number,
-  peakCount: number | undefined,
-): number {
-  if (peakCount === undefined) return forecastCount;
-  const limit = Math.ceil(Math.max(MAX_FORECAST_GROWTH * currentNeedCount, peakCount));
-  return Math.min(forecastCount, limit);
-}
-
 /**
  * Compares the VMs of a pool with its needs.
  *
@@ -114,7 +89,6 @@
   loads: ReadonlyMap<string, TargetLoad>,
 ): PoolBalance {
   const { vms, heldVms, usableHeldVms = NO_VMS, arrivingByPool, reserveCounts } = input;
-  const { peakCounts } = input;
   const { pool, targets, neededCpuMillicores, lateCpuMillicores, waitingCpuMillicores } = demand;
   const upInPool = vms.filter((vm) => vm.pool === pool && vm.state === 'up');
   const movableVms = upInPool.filter(({ vm }) => !heldVms.has(vm));
@@ -122,21 +96,17 @@
   const reserveCount = reserveCounts?.get(pool) ?? MIN_RESERVE_COUNT;
   const arrivingCount = usableHeldCount + (arrivingByPool.get(pool) ?? 0);
   const wholeCount = movableVms.filter((vm) => isWhole(vm, loads)).length + arrivingCount;
-  const vmMillicores = getVmMillicores(demand);
-  const forecastCount = Math.ceil(neededCpuMillicores / vmMillicores);
+  const vmMillicores = targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
+  const needCount = Math.ceil(neededCpuMillicores / vmMillicores);
   const usedCpuMillicores = targets.reduce((sum, target) => sum + target.usedCpuMillicores, 0);
   const currentNeedCount = Math.ceil((usedCpuMillicores + waitingCpuMillicores) / vmMillicores);
-  const needCount = limitForecast(forecastCount, currentNeedCount, peakCounts?.get(pool));
   return {
     demand,
     movableVms,
     availableCount: movableVms.length + arrivingCount,
     currentNeedCount: Math.min(needCount, currentNeedCount),
     needCount,
-    onTimeNeedCount: Math.min(
-      needCount,
-      Math.ceil((neededCpuMillicores - lateCpuMillicores) / vmMillicores),
-    ),
+    onTimeNeedCount: Math.ceil((neededCpuMillicores - lateCpuMillicores) / vmMillicores),
     reserveCount,
     retainedCount: Math.max(needCount, reserveCount),
     spareWholeCount: wholeCount - demand.wholeVmCount,
