Split what a home answers the fleet's home from the home itself

What the fleet's home asks for (drains, parts of limits, demand) and the targets that were gone before the claim are modules of their own; the table tells which jobs an organisation may see. No change of behaviour; the tests of the home are as before.

--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -8,6 +8,7 @@
   type EndedJob,
   findTask,
   isFinished,
+  isVisibleTo,
   type TrackedJob,
   parseTaskName,
   type StepSpec,
@@ -70,6 +71,17 @@
     return this.active.get(jobId) ?? this.ended.get(jobId)?.job;
   }
 
+  /**
+   * Gets a job that a caller may see.
+   * @param jobId - Id of the job.
+   * @param organisation - Organisation of the caller; undefined if its call needs no key.
+   * @returns The job, or undefined if it is unknown or belongs to another organisation.
+   */
+  getVisible(jobId: string, organisation: string | undefined): TrackedJob | undefined {
+    const job = this.get(jobId);
+    return job !== undefined && isVisibleTo(job, organisation) ? job : undefined;
+  }
+
   /**
    * Gets a job that is not finished, or still has tasks on targets.
    * @param jobId - Id of the job.
--- a/src/taskHome/PoolDemands.ts
+++ b/src/taskHome/PoolDemands.ts
@@ -1,4 +1,9 @@
-import type { Mechanisms, PoolDemand } from '../systems/index.js';
+import {
+  listOrganisationUse,
+  type Mechanisms,
+  type OrganisationUse,
+  type PoolDemand,
+} from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import { describeDemand } from './describeDemand.js';
 import type { JobTable } from './JobTable.js';
@@ -52,6 +57,17 @@
     return demand;
   }
 
+  /**
+   * Lists what organisations use and wait for in a pool.
+   * @param pool - Name of the pool.
+   * @returns One entry for each organisation with jobs in the pool.
+   */
+  listOrganisationUse(pool: string): readonly OrganisationUse[] {
+    const { dueClock, table } = this.options;
+    const rows = table.listActive().filter(({ spec }) => spec.terms.pool === pool);
+    return listOrganisationUse(rows, dueClock.wallMs());
+  }
+
   private getArrivingCpuMillicores(pool: string): number {
     const arrivals = this.options.arrivals.get(pool);
     const isForeseen = this.options.mechanisms.has('rise-foreseen');
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -7,33 +7,25 @@
   encodeJobRemoval,
   isFinished,
   isVisibleTo,
-  type TrackedJob,
 } from '../jobs/index.js';
-import type { DurableJobRequest } from '../peers/index.js';
 import type { KeyedRecord } from '../store/index.js';
-import { alignSubmissions, listOrganisationUse, type PoolDemand } from '../systems/index.js';
+import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
+import { InheritedTargets } from './InheritedTargets.js';
 import { JobTable } from './JobTable.js';
 import { JobTelemetry } from './JobTelemetry.js';
 import type { OpenedPartition } from './PartitionOpening.js';
 import type { ClaimedTerm } from './PartitionTerms.js';
-import { LimitParts, type PoolOrganisations } from './LimitParts.js';
+import type { PoolOrganisations } from './LimitParts.js';
 import { PlacementRounds } from './PlacementRounds.js';
 import { PoolArrivals } from './PoolArrivals.js';
-import { PoolDemands } from './PoolDemands.js';
+import { PoolSync, type SyncPoolParameters } from './PoolSync.js';
 import { RecordWriter, type RecordWriterOptions } from './RecordWriter.js';
-import { TargetDrains } from './TargetDrains.js';
 import { TargetReports } from './TargetReports.js';
 import { TargetSessions } from './TargetSessions.js';
 import type { TaskHomeOptions } from './TaskHomeOptions.js';
 import { TaskRuns } from './TaskRuns.js';
 
-/** Parameters of a `sync-pool` request, which the fleet's home sends for each pool. */
-type SyncPoolParameters = Omit<Extract<DurableJobRequest, { readonly type: 'sync-pool' }>, 'type'>;
-
-/** An inherited lease counts as lapsed after its length, 2 % for clock drift, and a margin. */
-const INHERITED_LEASE_FACTOR = 1.1;
-
 /**
  * The home of one partition, which alone schedules the jobs and targets of the pools in it.
  *
@@ -56,20 +48,16 @@
 
   private readonly arrivals: PoolArrivals;
 
-  private readonly demands: PoolDemands;
-
-  private readonly drains: TargetDrains;
+  private readonly poolSync: PoolSync;
 
   private readonly rounds: PlacementRounds;
 
-  private readonly limitParts: LimitParts;
-
   /** Clock that determines which tasks are due; ages are measured by the options' steady clock. */
   private readonly wallClock: Clock;
 
   private readonly reports: TargetReports;
 
-  private readonly claimedAtMs: number;
+  private readonly inheritedTargets: InheritedTargets;
 
   private readonly closing = new AbortController();
 
@@ -83,9 +71,7 @@
     this.options = { ...options, clock, term, lastSequence };
     this.wallClock = options.clock;
     this.table = new JobTable(clock);
-    this.claimedAtMs = clock.monotonicMs();
     this.writer = new RecordWriter({ ...this.options, onFenced: () => this.handleReplaced() });
-    this.drains = new TargetDrains(clock);
     this.arrivals = new PoolArrivals(clock);
     this.telemetry = new JobTelemetry(this.options);
     this.runs = new TaskRuns({
@@ -112,26 +98,31 @@
       onGone: (targetId, reason) => this.reports.handleGone(targetId, reason),
       onStaleTerm: () => this.handleReplaced(),
     });
-    this.limitParts = new LimitParts(this.options);
-    this.rounds = new PlacementRounds({
+    this.inheritedTargets = new InheritedTargets({
+      ...{ clock, table: this.table, sessions: this.sessions, runs: this.runs },
+      targetLeaseMs: options.timing.targetLeaseMs,
+    });
+    this.poolSync = new PoolSync({
       ...this.options,
       table: this.table,
-      writer: this.writer,
       runs: this.runs,
       sessions: this.sessions,
-      drains: this.drains,
-      dueClock: this.wallClock,
-      limitParts: this.limitParts,
+      arrivals: this.arrivals,
       telemetry: this.telemetry,
+      dueClock: this.wallClock,
+      evacuate: () => this.runs.evacuate(this.listTargetsToEvacuate()),
+      flush: () => this.flush(),
     });
-    this.demands = new PoolDemands({
+    this.rounds = new PlacementRounds({
       ...this.options,
       table: this.table,
+      writer: this.writer,
       runs: this.runs,
       sessions: this.sessions,
-      arrivals: this.arrivals,
-      telemetry: this.telemetry,
+      drains: this.poolSync.drains,
+      limitParts: this.poolSync.limitParts,
       dueClock: this.wallClock,
+      telemetry: this.telemetry,
     });
   }
 
@@ -215,7 +206,7 @@
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
   getState(jobId: string, organisation?: string): DurableJobState | undefined {
-    const job = this.findVisible(jobId, organisation);
+    const job = this.table.getVisible(jobId, organisation);
     if (job === undefined) this.assertIsHome();
     return job && this.table.getShownState(jobId);
   }
@@ -230,7 +221,7 @@
    * the home.
    */
   async cancel(jobId: string, organisation?: string): Promise<boolean> {
-    if (this.findVisible(jobId, organisation) === undefined) {
+    if (this.table.getVisible(jobId, organisation) === undefined) {
       this.assertIsHome();
       return false;
     }
@@ -262,22 +253,9 @@
    * @returns Load and demand of the pool.
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
-  async syncPool({
-    pool,
-    drainedTargets,
-    drainedForMs,
-    limits,
-    ...ended
-  }: SyncPoolParameters): Promise<PoolDemand> {
+  async syncPool(request: SyncPoolParameters): Promise<PoolDemand> {
     this.assertIsHome();
-    this.runs.handleEndedTargets(ended);
-    this.drains.replace(pool, drainedTargets, drainedForMs);
-    this.runs.evacuate(this.listTargetsToEvacuate());
-    // Tasks placed on drained targets before this are counted below; no more are placed there.
-    const limitReport = limits && this.limitParts.follow(pool, limits);
-    await this.flush().catch(() => undefined);
-    const demand = this.demands.describe(pool);
-    return limitReport === undefined ? demand : { ...demand, limitReport };
+    return this.poolSync.sync(request);
   }
 
   /**
@@ -288,9 +266,7 @@
    */
   getOrganisationUse(pool: string): PoolOrganisations {
     this.assertIsHome();
-    const rows = this.table.listActive().filter(({ spec }) => spec.terms.pool === pool);
-    const use = listOrganisationUse(rows, this.wallClock.wallMs());
-    return { use, parts: this.limitParts.list(pool) };
+    return this.poolSync.getOrganisations(pool);
   }
 
   /** Opens sessions with newly listed targets. */
@@ -303,7 +279,7 @@
     if (this.closed.aborted) return;
     this.sessions.sync();
     if (!this.isLoaded) return;
-    this.loseUnknownTargets();
+    this.inheritedTargets.loseUnknownTargets();
     this.runs.check(this.listTargetsToEvacuate());
     this.removeExpiredJobs();
     this.flushInBackground();
@@ -327,11 +303,6 @@
     this.sessions.close();
   }
 
-  private findVisible(jobId: string, organisation: string | undefined): TrackedJob | undefined {
-    const job = this.table.get(jobId);
-    return job !== undefined && isVisibleTo(job, organisation) ? job : undefined;
-  }
-
   private handleReplaced(): void {
     if (this.closed.aborted) return;
     this.close();
@@ -365,17 +336,7 @@
 
   /** Lists targets to evacuate: the fleet's home takes their VMs, or they announced their leave. */
   private listTargetsToEvacuate(): ReadonlySet<string> {
-    return new Set([...this.drains.list(), ...this.sessions.listDraining()]);
-  }
-
-  /** Marks runs of an earlier home as lost whose targets were gone before this home opened. */
-  private loseUnknownTargets(): void {
-    const { clock, timing } = this.options;
-    const leaseMs = timing.targetLeaseMs * INHERITED_LEASE_FACTOR;
-    if (clock.monotonicMs() < this.claimedAtMs + leaseMs) return;
-    [...this.table.listUsedTargets()]
-      .filter((targetId) => !this.sessions.has(targetId))
-      .forEach((targetId) => this.runs.handleLostTarget(targetId, 'lapsed'));
+    return new Set([...this.poolSync.drains.list(), ...this.sessions.listDraining()]);
   }
 
   private removeExpiredJobs(): void {
