--- a/src/systems/orderJobs.ts
+++ b/src/systems/orderJobs.ts
@@ -75,6 +75,8 @@
  * come last. Within a priority, started jobs come first: their work is lost to their callers if
  * they end late, and a step with many tasks is as late as its last one. Next comes the job that
  * must start soonest, or the newest job if the pool is overloaded.
+ * Jobs that have not begun are served by the weights of their organisations, in that order within
+ * each one.
  *
  * Newest-first order handles load peaks that exceed the capacity of a pool. Ordered by objective
  * alone, each job would be placed when it is just too late, and nearly all jobs of a peak would be
