Have the arithmetic of resources and shares once

Whether a limit counts anything was decided in four places, the key of an organisation's share of a pool in three, the CPU that ready tasks wait for in two (one of them older than the organisations), and amounts of no resource had two constants. Arithmetic over resources stands beside their type in src/jobs now; hasLimit, getShareKey and sumReadyCpu serve all.

A round of placement that has limits groups its jobs once, and no longer filters all of them for each organisation, nor sums up waiting tasks to learn what is in use. Rounds without limits do nothing, as before. Records and messages are unchanged: an ended job without an organisation is stored without that field.

--- a/src/cli/commands/organisationsCommand.ts
+++ b/src/cli/commands/organisationsCommand.ts
@@ -1,6 +1,12 @@
 import type { OrganisationPoolView, OrganisationView } from '../../callers/index.js';
-import type { Resources } from '../../jobs/index.js';
-import { addResources, NO_RESOURCES, RESOURCE_NAMES } from '../../systems/index.js';
+import {
+  addResources,
+  isEmptyResources,
+  NO_RESOURCES,
+  RESOURCE_NAMES,
+  type Resources,
+} from '../../jobs/index.js';
+import { hasLimit } from '../../queues/index.js';
 import type { CommandContext } from '../CommandContext.js';
 import { type CliCommand, defineCliCommand } from '../defineCliCommand.js';
 import { formatTable } from '../formatTable.js';
@@ -15,14 +21,13 @@
 }
 
 function formatLimit(limit: Resources): string {
-  return RESOURCE_NAMES.every((name) => limit[name] === 0) ? 'none' : formatAmounts(limit);
+  return hasLimit(limit) ? formatAmounts(limit) : 'none';
 }
 
 /** Tells why tasks of an organisation wait in a pool. */
 function explainWait({ used, waiting, part }: OrganisationPoolView, limit: Resources): string {
-  if (RESOURCE_NAMES.every((name) => waiting[name] === 0)) return '-';
-  const hasLimit = RESOURCE_NAMES.some((name) => limit[name] > 0);
-  if (!hasLimit) return 'room';
+  if (isEmptyResources(waiting)) return '-';
+  if (!hasLimit(limit)) return 'room';
   if (part === undefined) return 'limit not divided yet';
   const isAtLimit = RESOURCE_NAMES.some(
     (name) => limit[name] > 0 && used[name] + waiting[name] > part[name],
--- a/src/fleetHome/OrganisationLimits.ts
+++ b/src/fleetHome/OrganisationLimits.ts
@@ -1,13 +1,16 @@
-import type { Resources } from '../jobs/index.js';
-import type { Organisation } from '../queues/index.js';
 import {
-  type LimitOrder,
-  type LimitPart,
   mapResources,
   NO_RESOURCES,
+  RESOURCE_NAMES,
+  type ResourceName,
+  type Resources,
+} from '../jobs/index.js';
+import { hasLimit, type Organisation } from '../queues/index.js';
+import {
+  type LimitOrder,
+  type LimitPart,
   type OrganisationUse,
   type PoolDemand,
-  RESOURCE_NAMES,
   shareLimit,
   UNLIMITED_AMOUNT,
 } from '../systems/index.js';
@@ -94,10 +97,12 @@
       return;
     }
     const before = this.pools.get(pool);
-    const kept = report.isApplied ? [...(before?.confirmed.values() ?? [])] : (report.parts ?? []);
+    const inForce = report.isApplied
+      ? [...(before?.confirmed.values() ?? []), ...order.parts]
+      : (report.parts ?? []);
     this.pools.set(pool, {
       homeTerm: report.homeTerm,
-      confirmed: indexParts([...kept, ...(report.isApplied ? order.parts : [])]),
+      confirmed: indexParts(inForce),
       unconfirmed: new Map(),
       use: new Map(organisationUse.map((use) => [use.organisation, use])),
     });
@@ -116,9 +121,7 @@
   }
 
   private listLimited(): readonly Organisation[] {
-    return this.options
-      .listOrganisations()
-      .filter(({ limit }) => RESOURCE_NAMES.some((name) => limit[name] > 0));
+    return this.options.listOrganisations().filter(({ limit }) => hasLimit(limit));
   }
 
   private isRaiseWanted(pool: string, { organisation, part }: LimitPart): boolean {
@@ -180,9 +183,7 @@
   private divide({
     name: organisation,
     limit,
-  }: Organisation): Readonly<
-    Partial<Record<(typeof RESOURCE_NAMES)[number], ReadonlyMap<string, number>>>
-  > {
+  }: Organisation): Readonly<Partial<Record<ResourceName, ReadonlyMap<string, number>>>> {
     const limited = RESOURCE_NAMES.filter((name) => limit[name] > 0);
     return Object.fromEntries(
       limited.map((name) => [
--- a/src/jobs/EndedJob.ts
+++ b/src/jobs/EndedJob.ts
@@ -25,7 +25,7 @@
   const { spec, state, tasks } = row;
   if (!isFinished(row) || tasks.some(({ phase }) => phase === 'placed')) return undefined;
   const { jobId, organisation } = spec;
-  return organisation === undefined ? { jobId, state } : { jobId, state, organisation };
+  return { jobId, state, organisation };
 }
 
 /**
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -29,6 +29,14 @@
 } from './jobCodec.js';
 export { durableJobStateSchema } from './durableJobStateSchema.js';
 export { type JobProgress, restoreJobRow } from './jobProgress.js';
+export {
+  addResources,
+  isEmptyResources,
+  mapResources,
+  NO_RESOURCES,
+  RESOURCE_NAMES,
+  type ResourceName,
+} from './resources.js';
 export {
   formatTaskName,
   parseTaskName,
--- a/src/jobs/jobCodec.ts
+++ b/src/jobs/jobCodec.ts
@@ -139,8 +139,7 @@
     const decoded = decodeRecordValue(progressOrEndedSchema, record);
     if (decoded.type === 'progress') return { ...decoded, jobId };
     const { type, state, organisation } = decoded;
-    const owner = organisation === undefined ? {} : { organisation };
-    return { type, jobId, ended: { jobId, state, ...owner } };
+    return { type, jobId, ended: { jobId, state, organisation } };
   }
   return { type: 'other' };
 }
--- a/src/queues/Organisation.ts
+++ b/src/queues/Organisation.ts
@@ -1,4 +1,4 @@
-import type { Resources } from '../jobs/index.js';
+import { isEmptyResources, NO_RESOURCES, type Resources } from '../jobs/index.js';
 
 /** A customer whose callers prove with a key that a call is theirs. */
 export interface Organisation {
@@ -12,7 +12,16 @@
 }
 
 /** Limit of an organisation that may use as much as there is. */
-export const NO_LIMIT: Resources = { cpuMillicores: 0, memoryMb: 0, gpuCount: 0 };
+export const NO_LIMIT: Resources = NO_RESOURCES;
+
+/**
+ * Tells whether a limit counts any resource.
+ * @param limit - The limit.
+ * @returns False if the organisation may use as much as there is.
+ */
+export function hasLimit(limit: Resources): boolean {
+  return !isEmptyResources(limit);
+}
 
 /** Weight of an organisation that the configuration in force does not have. */
 const DEFAULT_WEIGHT = 1;
--- a/src/queues/index.ts
+++ b/src/queues/index.ts
@@ -5,7 +5,7 @@
 } from './ConfigurationFollower.js';
 export { ConfigurationPeers, type ConfigurationPeersOptions } from './ConfigurationPeers.js';
 export { digestKey, getKeyId, KeyRing } from './KeyRing.js';
-export { getWeight, NO_LIMIT, type Organisation } from './Organisation.js';
+export { getWeight, hasLimit, NO_LIMIT, type Organisation } from './Organisation.js';
 export {
   findQueue,
   type PoolDefinition,
--- a/src/systems/OrganisationRooms.ts
+++ b/src/systems/OrganisationRooms.ts
@@ -1,10 +1,12 @@
-import type { DurableJobRow, Resources, StepSpec } from '../jobs/index.js';
 import {
   addResources,
-  listOrganisationUse,
-  NO_RESOURCES,
+  type DurableJobRow,
   RESOURCE_NAMES,
-} from './OrganisationUse.js';
+  type Resources,
+  type StepSpec,
+} from '../jobs/index.js';
+import { groupBy } from '../utils/index.js';
+import { getShareKey, sumUsedResources } from './OrganisationUse.js';
 
 /** Gets what an organisation may have in use in a pool; undefined if it has no limit. */
 export type GetOrganisationPart = (pool: string, organisation: string) => Resources | undefined;
@@ -24,6 +26,9 @@
 
   private readonly rows: readonly DurableJobRow[];
 
+  /** Made once a limit is asked for: most rounds have none. */
+  private rowsByShare: ReadonlyMap<string, readonly DurableJobRow[]> | undefined;
+
   private readonly getPart: GetOrganisationPart;
 
   private readonly withheldRows = new Set<DurableJobRow>();
@@ -77,21 +82,18 @@
     if (room !== undefined) room.used = addResources(room.used, step.demand, -1);
   }
 
-  private getRoom({ spec }: DurableJobRow): Room | undefined {
-    const { organisation, terms } = spec;
-    if (organisation === undefined) return undefined;
-    const key = `${terms.pool}/${organisation}`;
-    if (!this.rooms.has(key)) this.rooms.set(key, this.createRoom(terms.pool, organisation));
+  private getRoom(row: DurableJobRow): Room | undefined {
+    if (row.spec.organisation === undefined) return undefined;
+    const key = getShareKey(row);
+    if (!this.rooms.has(key)) this.rooms.set(key, this.createRoom(row));
     return this.rooms.get(key);
   }
 
-  private createRoom(pool: string, organisation: string): Room | undefined {
-    const part = this.getPart(pool, organisation);
+  private createRoom(row: DurableJobRow): Room | undefined {
+    const { organisation, terms } = row.spec;
+    const part = this.getPart(terms.pool, organisation!);
     if (part === undefined) return undefined;
-    const rows = this.rows.filter(
-      ({ spec }) => spec.organisation === organisation && spec.terms.pool === pool,
-    );
-    const [use] = listOrganisationUse(rows, Number.NEGATIVE_INFINITY);
-    return { part, used: use?.used ?? NO_RESOURCES };
+    this.rowsByShare ??= groupBy(this.rows, getShareKey);
+    return { part, used: sumUsedResources(this.rowsByShare.get(getShareKey(row)) ?? []) };
   }
 }
--- a/src/systems/OrganisationUse.ts
+++ b/src/systems/OrganisationUse.ts
@@ -1,5 +1,6 @@
-import { type DurableJobRow, listPlacedTasks, type Resources } from '../jobs/index.js';
+import { addResources, type DurableJobRow, NO_RESOURCES, type Resources } from '../jobs/index.js';
 import { groupBy } from '../utils/index.js';
+import { listAllocations } from './listAllocations.js';
 import { listReadyTasks } from './listReadyTasks.js';
 
 /** What the tasks of an organisation use and wait for in one pool. */
@@ -11,45 +12,27 @@
   readonly waiting: Resources;
 }
 
-/** Names of the resources that a limit counts. */
-export const RESOURCE_NAMES = ['cpuMillicores', 'memoryMb', 'gpuCount'] as const;
-
-/** Amounts of no resource. */
-export const NO_RESOURCES: Resources = { cpuMillicores: 0, memoryMb: 0, gpuCount: 0 };
-
 /**
- * Computes each resource by itself.
- * @param compute - Computes the amount of a resource.
- * @returns The amounts.
+ * Gets the key by which jobs are grouped that have their share of a pool in common.
+ * @param row - A job.
+ * @returns The key, the same for all jobs of the organisation in the pool.
  */
-export function mapResources(
-  compute: (name: (typeof RESOURCE_NAMES)[number]) => number,
-): Resources {
-  return {
-    cpuMillicores: compute('cpuMillicores'),
-    memoryMb: compute('memoryMb'),
-    gpuCount: compute('gpuCount'),
-  };
+export function getShareKey({ spec }: DurableJobRow): string {
+  return `${spec.terms.pool}/${spec.organisation ?? ''}`;
 }
 
 /**
- * Adds a number of equal amounts.
- * @param sum - The amounts so far.
- * @param demand - What is added.
- * @param count - How many times it is added.
- * @returns The amounts with it.
+ * Sums up what jobs use. The sizes of tasks count as their jobs name them.
+ * @param rows - The jobs.
+ * @returns The resources of their placed tasks.
  */
-export function addResources(sum: Resources, demand: Resources, count = 1): Resources {
-  return mapResources((name) => sum[name] + demand[name] * count);
-}
-
-function sumUsed(rows: readonly DurableJobRow[]): Resources {
+export function sumUsedResources(rows: readonly DurableJobRow[]): Resources {
   return rows
-    .flatMap((row) => listPlacedTasks(row).map(({ task }) => row.spec.steps[task.step]!.demand))
-    .reduce<Resources>((sum, demand) => addResources(sum, demand), NO_RESOURCES);
+    .flatMap((row) => listAllocations(row))
+    .reduce<Resources>((sum, { step }) => addResources(sum, step.demand), NO_RESOURCES);
 }
 
-function sumWaiting(rows: readonly DurableJobRow[], nowMs: number): Resources {
+function sumWaitingResources(rows: readonly DurableJobRow[], nowMs: number): Resources {
   return rows
     .flatMap((row) => listReadyTasks(row, nowMs).map((ready) => ({ row, ready })))
     .reduce<Resources>(
@@ -72,7 +55,7 @@
   const owned = rows.filter(({ spec }) => spec.organisation !== undefined);
   return [...groupBy(owned, ({ spec }) => spec.organisation!)].map(([organisation, own]) => ({
     organisation,
-    used: sumUsed(own),
-    waiting: sumWaiting(own, nowMs),
+    used: sumUsedResources(own),
+    waiting: sumWaitingResources(own, nowMs),
   }));
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -76,14 +76,8 @@
   STOP_PHASES,
 } from './runLife.js';
 export { type GetOrganisationPart, OrganisationRooms } from './OrganisationRooms.js';
-export {
-  addResources,
-  listOrganisationUse,
-  mapResources,
-  NO_RESOURCES,
-  type OrganisationUse,
-  RESOURCE_NAMES,
-} from './OrganisationUse.js';
+export { getShareKey, listOrganisationUse, type OrganisationUse } from './OrganisationUse.js';
+export { sumReadyCpu } from './sumReadyCpu.js';
 export { type LimitClaim, shareLimit, type ShareLimitInput } from './shareLimit.js';
 export {
   type LimitOrder,
--- a/src/systems/orderByShare.ts
+++ b/src/systems/orderByShare.ts
@@ -1,8 +1,9 @@
 import type { DurableJobRow } from '../jobs/index.js';
 import { groupBy } from '../utils/index.js';
-import { getAllocatedResources } from './TargetCapacity.js';
 import { listAllocations } from './listAllocations.js';
-import { listReadyTasks } from './listReadyTasks.js';
+import { getShareKey } from './OrganisationUse.js';
+import { sumReadyCpu } from './sumReadyCpu.js';
+import { getAllocatedResources } from './TargetCapacity.js';
 
 /** Gets the weight of an organisation among the others. */
 export type GetWeight = (organisation: string) => number;
@@ -23,25 +24,12 @@
   readonly nowMs: number;
 }
 
-function getShareKey({ spec }: DurableJobRow): string {
-  return `${spec.terms.pool}/${spec.organisation ?? ''}`;
-}
-
 function sumAllocatedCpu(row: DurableJobRow): number {
   return listAllocations(row)
     .map(({ step }) => getAllocatedResources(step).cpuMillicores)
     .reduce((sum, cpuMillicores) => sum + cpuMillicores, 0);
 }
 
-function sumReadyCpu(row: DurableJobRow, nowMs: number): number {
-  return listReadyTasks(row, nowMs)
-    .map(
-      ({ step, positions }) =>
-        positions.length * getAllocatedResources(row.spec.steps[step]!).cpuMillicores,
-    )
-    .reduce((sum, cpuMillicores) => sum + cpuMillicores, 0);
-}
-
 /**
  * Orders jobs by start-time fair queueing: by what their organisation uses already in the pool and
  * would use with its jobs before them, in relation to its weight.
@@ -66,7 +54,7 @@
     let usedCpu = allocated.reduce((sum, row) => sum + sumAllocatedCpu(row), 0);
     own.forEach((row) => {
       startTimes.set(row, usedCpu / Math.max(MIN_WEIGHT, weight));
-      usedCpu += sumReadyCpu(row, nowMs);
+      usedCpu += sumReadyCpu([row], nowMs);
     });
   });
   return jobs.toSorted((a, b) => startTimes.get(a)! - startTimes.get(b)!);
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -1,7 +1,7 @@
 import type { DurableJobRow, RunEnd, CrashOutcome } from '../jobs/index.js';
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { PoolDemand } from '../systems/index.js';
+import { getShareKey, type PoolDemand } from '../systems/index.js';
 import type { TaskEnd } from '../targets/index.js';
 import { type Clock, groupBy } from '../utils/index.js';
 import { explainIgnoredEnd, isOrdinaryReason } from './explainIgnoredEnd.js';
@@ -166,7 +166,7 @@
   noteWithheld(rows: readonly DurableJobRow[]): void {
     const { events, metrics, clock, term } = this.options;
     const nowMs = clock.monotonicMs();
-    const byLimit = groupBy(rows, ({ spec }) => `${spec.terms.pool}/${spec.organisation}`);
+    const byLimit = groupBy(rows, getShareKey);
     byLimit.forEach((jobs, key) => {
       if (nowMs - (this.withheldAtMs.get(key) ?? -Infinity) < WITHHELD_INTERVAL_MS) return;
       this.withheldAtMs.set(key, nowMs);
--- a/src/taskHome/LimitParts.ts
+++ b/src/taskHome/LimitParts.ts
@@ -1,13 +1,6 @@
-import type { Resources } from '../jobs/index.js';
-import type { Organisation } from '../queues/index.js';
-import {
-  type LimitOrder,
-  type LimitPart,
-  type LimitReport,
-  NO_RESOURCES,
-  type OrganisationUse,
-  RESOURCE_NAMES,
-} from '../systems/index.js';
+import { NO_RESOURCES, RESOURCE_NAMES, type Resources } from '../jobs/index.js';
+import { hasLimit, type Organisation } from '../queues/index.js';
+import type { LimitOrder, LimitPart, LimitReport, OrganisationUse } from '../systems/index.js';
 
 /** Options of {@link LimitParts}. */
 export interface LimitPartsOptions {
@@ -33,10 +26,6 @@
   return order.sequence > known.sequence;
 }
 
-function hasLimit(limit: Resources): boolean {
-  return RESOURCE_NAMES.some((name) => limit[name] > 0);
-}
-
 /** Whether a limit allows less of a resource than another one; 0 is no limit. */
 function isLower(limit: Resources, other: Resources): boolean {
   return RESOURCE_NAMES.some(
--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -4,11 +4,11 @@
   estimateNeededCpu,
   getAllocatedResources,
   listOrganisationUse,
-  listReadyTasks,
   type Mechanisms,
   type PlacementTarget,
   type PoolDemand,
   type RunTimes,
+  sumReadyCpu,
 } from '../systems/index.js';
 import { groupBy } from '../utils/index.js';
 
@@ -26,17 +26,6 @@
   readonly nowMs: number;
 }
 
-function sumWaitingCpu(rows: readonly DurableJobRow[], nowMs: number): number {
-  return rows
-    .flatMap((row) =>
-      listReadyTasks(row, nowMs).map(
-        ({ step, positions }) =>
-          positions.length * getAllocatedResources(row.spec.steps[step]!).cpuMillicores,
-      ),
-    )
-    .reduce((sum, cpuMillicores) => sum + cpuMillicores, 0);
-}
-
 function sumCapacity(targets: readonly PlacementTarget[], pool: string): number {
   return targets
     .filter((target) => target.pool === pool && target.takesTasks)
@@ -52,7 +41,7 @@
   const { pool, rows, targets, countRuns, runTimes, arrivingCpuMillicores, nowMs } = input;
   const { mechanisms } = input;
   const poolRows = rows.filter((row) => row.spec.terms.pool === pool);
-  const waitingCpuMillicores = sumWaitingCpu(poolRows, nowMs);
+  const waitingCpuMillicores = sumReadyCpu(poolRows, nowMs);
   const placedTasks = poolRows.flatMap((row) =>
     row.tasks
       .filter(({ phase }) => phase === 'placed')
