Ask peers in turn in one place

An instance that the store turns away asks three peers at a time for the owners of partitions, and for the configuration; the rotation and the number stood twice. The set-up that two tests of cut-off instances share is a function, and the test of callers takes the terms of a queue from where the others do; their assertions are as they were.

--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -15,3 +15,4 @@
   TargetCallRequest,
 } from './PeerMessage.js';
 export { PeerServer, type PeerServerOptions } from './PeerServer.js';
+export { PeerRotation } from './PeerRotation.js';
--- a/src/queues/ConfigurationPeers.ts
+++ b/src/queues/ConfigurationPeers.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { PeerAddress, PeerPort } from '../peers/index.js';
+import { type PeerAddress, type PeerPort, PeerRotation } from '../peers/index.js';
 import type { Clock } from '../utils/index.js';
 import type { ConfigurationFollower } from './ConfigurationFollower.js';
 
@@ -19,8 +19,6 @@
 const MAX_AGE_MS = 1_300;
 /** Pause between two looks at the age, in milliseconds; a withdrawn key may pass for 3 s. */
 const CHECK_INTERVAL_MS = 300;
-/** Peers asked at a time: several may be cut off as well. */
-const ASKED_PEER_COUNT = 3;
 /** Longest wait for a peer's reply, in milliseconds; a configuration may have 256 KB. */
 const REPLY_WAIT_MS = 1_000;
 
@@ -34,7 +32,7 @@
 export class ConfigurationPeers {
   private readonly options: ConfigurationPeersOptions;
 
-  private nextPeerIndex = 0;
+  private readonly rotation = new PeerRotation();
 
   private isStopped = false;
 
@@ -66,10 +64,8 @@
   }
 
   private async askPeers(): Promise<void> {
-    const others = this.options.listPeers();
-    const rotated = [...others.slice(this.nextPeerIndex), ...others.slice(0, this.nextPeerIndex)];
-    this.nextPeerIndex = (this.nextPeerIndex + ASKED_PEER_COUNT) % Math.max(1, others.length);
-    await Promise.all(rotated.slice(0, ASKED_PEER_COUNT).map((peer) => this.askPeer(peer)));
+    const asked = this.rotation.takeNext(this.options.listPeers());
+    await Promise.all(asked.map((peer) => this.askPeer(peer)));
   }
 
   private async askPeer(peer: PeerAddress): Promise<void> {
--- a/src/taskHome/HomeDirectory.ts
+++ b/src/taskHome/HomeDirectory.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { type EventLog, OutageLog } from '../logging/index.js';
-import type { PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
+import { type PeerAddress, type PeerPort, type PeerReply, PeerRotation } from '../peers/index.js';
 import type { GroupPort, PartitionOwner } from '../store/index.js';
 import type { HomeCapacity } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
@@ -18,8 +18,6 @@
 
 /** Minimum time between two reads that calls request, in milliseconds: store calls are shared. */
 const MIN_READ_GAP_MS = 150;
-/** Peers queried concurrently if the group does not answer: several may be cut off as well. */
-const ASKED_PEER_COUNT = 3;
 /** Longest wait for the group before a peer's query is answered, in milliseconds. */
 const GROUP_WAIT_MS = 200;
 /** Longest wait for a peer's reply, which callers wait for, in milliseconds; usually it takes 5. */
@@ -107,8 +105,8 @@
   /** When the last read ended, with or without an answer, by the monotonic clock. */
   private lastAttemptAtMs = Number.NEGATIVE_INFINITY;
 
-  /** Index of the peer that is queried next, among the other members. */
-  private nextPeerIndex = 0;
+  /** Whom to ask next among the other members. */
+  private readonly rotation = new PeerRotation();
 
   private pendingRefresh: Promise<void> | undefined;
 
@@ -266,10 +264,7 @@
 
   /** Adopts owners that peers have read more recently; each attempt queries the next peers. */
   private async askPeers(): Promise<void> {
-    const others = this.listOtherMembers();
-    const rotated = [...others.slice(this.nextPeerIndex), ...others.slice(0, this.nextPeerIndex)];
-    this.nextPeerIndex = (this.nextPeerIndex + ASKED_PEER_COUNT) % Math.max(1, others.length);
-    const asked = rotated.slice(0, ASKED_PEER_COUNT);
+    const asked = this.rotation.takeNext(this.listOtherMembers());
     await Promise.all(asked.map((address) => this.askPeer(address)));
   }
 
--- a/tests/jobNode/cutFromStore.test.ts
+++ b/tests/jobNode/cutFromStore.test.ts
@@ -51,18 +51,23 @@
     submittedAtMs: Date.now(),
   });
 
-// Callers of a third of the instances were refused for eight seconds, though a home was there: the
-// store turned these instances away, and with them the home of a pool. Another instance took over
-// within two seconds; the entries among them could not read who holds the partition and went on
-// asking the earlier home, which answered that it does not decide. Evidence: `jobTurnedAway` with
-// that reason from entries of `groupUnreachable` alone, until the store took them back.
-it('reaches a new home through an entry that the store turns away', async () => {
+/** Submits a job, and waits until every instance holds a partition and knows who holds which. */
+async function startFirstJob(): Promise<void> {
   await vi.waitFor(() => submit(cluster.nodes[0]!, 'first'), 5_000);
   await vi.waitFor(async () => {
     const owners = await cluster.store.listOwners(GROUP);
     expect(new Set(owners.map(({ member }) => member)).size).toBe(cluster.nodes.length);
   }, 5_000);
   await sleep(OWNERS_READ_EVERY_MS);
+}
+
+// Callers of a third of the instances were refused for eight seconds, though a home was there: the
+// store turned these instances away, and with them the home of a pool. Another instance took over
+// within two seconds; the entries among them could not read who holds the partition and went on
+// asking the earlier home, which answered that it does not decide. Evidence: `jobTurnedAway` with
+// that reason from entries of `groupUnreachable` alone, until the store took them back.
+it('reaches a new home through an entry that the store turns away', async () => {
+  await startFirstJob();
   const { home, member } = await findHome();
   const [entry] = cluster.nodes.filter((node) => node !== home);
   await submit(entry!, 'second');
@@ -76,12 +81,7 @@
 // Failure: a call under a withdrawn key has an effect, as its entry is cut off from the store and
 // knows the earlier configuration alone. The home of the pool knows the newer one.
 it('refuses a withdrawn key that comes through an entry that the store turns away', async () => {
-  await vi.waitFor(() => submit(cluster.nodes[0]!, 'first'), 5_000);
-  await vi.waitFor(async () => {
-    const owners = await cluster.store.listOwners(GROUP);
-    expect(new Set(owners.map(({ member }) => member)).size).toBe(cluster.nodes.length);
-  }, 5_000);
-  await sleep(OWNERS_READ_EVERY_MS);
+  await startFirstJob();
   const { home } = await findHome();
   const entry = cluster.nodes.find((node) => node !== home)!;
   const keyDigest = digestKey('key-1');
--- a/tests/queues/authenticateCaller.test.ts
+++ b/tests/queues/authenticateCaller.test.ts
@@ -9,16 +9,9 @@
   type QueueConfiguration,
   type QueueRoute,
 } from '../../src/queues/index.js';
+import { TERMS } from '../taskHome/HomeWorld.js';
 
-const terms = {
-  queue: 'saves',
-  pool: 'pages',
-  priority: 0,
-  maxAttempts: 1,
-  stretch: 1,
-  targetDurationMs: 0,
-};
-const PRIVATE: QueueRoute = { host: 'wiki.example', pathPrefix: '/saves/', terms };
+const PRIVATE: QueueRoute = { host: 'wiki.example', pathPrefix: '/saves/', terms: TERMS };
 const PUBLIC: QueueRoute = { ...PRIVATE, isPublic: true };
 
 function configure(
