--- a/src/taskHome/RunStopper.ts
+++ b/src/taskHome/RunStopper.ts
@@ -24,6 +24,12 @@
   readonly events: EventLog;
 }
 
+interface ReportAges {
+  readonly reportAgeMs: number | undefined;
+  /** Age of the oldest report that says that a task of the same step is at work. */
+  readonly oldestReportAgeMs: number;
+}
+
 /**
  * Decides which runs of a home's tasks are stopped before they end by themselves, and stops them.
  */
@@ -55,7 +61,8 @@
       const task = row.tasks[position]!;
       const taskName = nameTask(row, task);
       const { targetId, run } = task;
-      events.write('taskEvacuated', { jobId, taskName, run, targetId });
+      const ages = this.getReportAges(row, task);
+      events.write('taskEvacuated', { jobId, taskName, run, targetId, ...ages });
       this.stopForRestart(taskName);
     });
   }
@@ -111,6 +118,18 @@
     return progress.isAtWork(taskName, task.run);
   }
 
+  /** Tells how old the reports may be by which a task of a step is stopped, in milliseconds. */
+  private getReportAges(row: DurableJobRow, task: TaskRow): ReportAges {
+    const { progress } = this.options;
+    const getAgeMs = (other: TaskRow): number | undefined =>
+      progress.getReportAgeMs(nameTask(row, other));
+    const agesMs = row.tasks
+      .filter(({ occurrence, step }) => occurrence === task.occurrence && step === task.step)
+      .filter((other) => this.isAtWork(row, other))
+      .map((other) => getAgeMs(other)!);
+    return { reportAgeMs: getAgeMs(task), oldestReportAgeMs: Math.max(...agesMs) };
+  }
+
   /** Stops a run whose task continues on another target; the next run starts with new progress. */
   private stopForRestart(taskName: string): void {
     this.options.progress.forget(taskName);
--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -1,5 +1,5 @@
-import type { RunningTaskReport } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
+import type { TargetReport } from './TargetSession.js';
 
 /** Progress at which a long-running task counts as at work. */
 const AT_WORK_PERCENT = 100;
@@ -23,6 +23,8 @@
   readonly sinceMs: number;
   /** When the report was taken, by the monotonic clock. */
   readonly notedAtMs: number;
+  /** When the report was asked for, by the monotonic clock; it tells of no earlier moment. */
+  readonly askedAtMs: number;
 }
 
 /** Tracks the progress of running tasks by the latest reports of their targets. */
@@ -41,15 +43,15 @@
 
   /**
    * Records the report of a target.
-   * @param running - What runs there.
+   * @param report - The report.
    */
-  note(running: readonly RunningTaskReport[]): void {
+  note({ answer, askedAtMs }: Pick<TargetReport, 'answer' | 'askedAtMs'>): void {
     const notedAtMs = this.clock.monotonicMs();
-    running.forEach(({ taskName, run, progressPercent: percent }) => {
+    answer.running.forEach(({ taskName, run, progressPercent: percent }) => {
       const known = this.byTask.get(taskName);
       const isSame = known?.run === run && known.percent === percent;
       const sinceMs = isSame ? known.sinceMs : notedAtMs;
-      this.byTask.set(taskName, { run, percent, sinceMs, notedAtMs });
+      this.byTask.set(taskName, { run, percent, sinceMs, notedAtMs, askedAtMs });
     });
   }
 
@@ -68,6 +70,16 @@
     return progress.notedAtMs - progress.sinceMs >= STALLED_MS;
   }
 
+  /**
+   * Tells how old the latest report of a task may be.
+   * @param taskName - Name of the task.
+   * @returns Time since it was asked for, in milliseconds; undefined if there is none.
+   */
+  getReportAgeMs(taskName: string): number | undefined {
+    const progress = this.byTask.get(taskName);
+    return progress && Math.round(this.clock.monotonicMs() - progress.askedAtMs);
+  }
+
   /**
    * Forgets a run that is over or about to be stopped.
    * @param taskName - Name of the task.
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -206,7 +206,7 @@
     ended.forEach(({ taskName, run, end, checkpoint }) =>
       this.ends.applyReported({ taskName, run, targetId }, { end, checkpoint }),
     );
-    this.progress.note(running);
+    this.progress.note(report);
     this.stopper.stopStalled(targetId, running);
     const address = this.sessions.getAddress(targetId);
     if (address !== undefined) this.pacer.handleReport(address, running);
--- a/tests/taskHome/RunStopper.test.ts
+++ b/tests/taskHome/RunStopper.test.ts
@@ -5,19 +5,13 @@
 import { RunStopper } from '../../src/taskHome/RunStopper.js';
 import { TargetHealth } from '../../src/taskHome/TargetHealth.js';
 import { TaskProgress } from '../../src/taskHome/TaskProgress.js';
+import type { RunningTaskReport } from '../../src/targets/index.js';
 import { ManualClock } from '../../src/utils/index.js';
 import { makeJob, makeStep } from './HomeWorld.js';
+import { makeProgressReport } from './makeProgressReport.js';
 
 const STALLED_MS = 2_000;
 
-const report = (taskName: string, progressPercent: number) => ({
-  taskName,
-  run: 1,
-  progressPercent,
-  checkpoint: undefined,
-  loadFigure: undefined,
-});
-
 /** Orders that only record the calls. */
 class FakeOrders {
   readonly unsent = new Set<string>();
@@ -61,6 +55,13 @@
     stopper = new RunStopper({ table, orders, health, progress, events });
   });
 
+  /** Notes a report that was asked for, made and read at this moment; returns what it shows. */
+  const note = (progressPercent: number): readonly RunningTaskReport[] => {
+    const report = makeProgressReport({ progressPercent, askedAtMs: clock.monotonicMs() });
+    progress.note(report);
+    return report.answer.running;
+  };
+
   it('stops the sent runs of a finished job and takes the unsent ones back', () => {
     const row = createJobRow(makeJob('a', [makeStep({ taskCount: 2 })]));
     table.add(cancelJob(placeTask(placeTask(row, 0, 't1'), 1, 't2'), 0));
@@ -79,13 +80,10 @@
 
   it('stops a stalled run, and avoids its target', () => {
     table.add(placeTask(createJobRow(makeJob('a')), 0, 't1'));
-    const running = [report('a.0.0.0', 30)];
-    progress.note(running);
-    stopper.stopStalled('t1', running);
+    stopper.stopStalled('t1', note(30));
     expect(orders.stopped).toEqual([]);
     clock.advance(STALLED_MS);
-    progress.note(running);
-    stopper.stopStalled('t1', running);
+    stopper.stopStalled('t1', note(30));
     expect(orders.stopped).toEqual(['a.0.0.0']);
     expect(health.isAvoided('t1')).toBe(true);
   });
@@ -93,11 +91,9 @@
   it('does not stop a stalled member of a gang', () => {
     const row = createJobRow(makeJob('a', [makeStep({ taskCount: 2, isGang: true })]));
     table.add(placeTask(placeTask(row, 0, 't1'), 1, 't2'));
-    const running = [report('a.0.0.0', 30)];
-    progress.note(running);
+    note(30);
     clock.advance(STALLED_MS);
-    progress.note(running);
-    stopper.stopStalled('t1', running);
+    stopper.stopStalled('t1', note(30));
     expect(orders.stopped).toEqual([]);
     expect(health.isAvoided('t1')).toBe(false);
   });
@@ -112,10 +108,10 @@
   it('stops a long-running task on a drained target only while it is at work', () => {
     const step = makeStep({ isLongRunning: true, maxUnavailableCount: 1 });
     table.add(placeTask(createJobRow(makeJob('a', [step])), 0, 't1'));
-    progress.note([report('a.0.0.0', 40)]);
+    note(40);
     stopper.evacuate(new Set(['t1']));
     expect(orders.stopped).toEqual([]);
-    progress.note([report('a.0.0.0', 100)]);
+    note(100);
     stopper.evacuate(new Set(['t2']));
     expect(orders.stopped).toEqual([]);
     stopper.evacuate(new Set(['t1']));
