Let a report that waited for a stopped home count from when it was asked for

Callers saw one task too many of a long-running service away: an instance ended one while more than may be were away already.

Cause: a report counted from the moment at which the home read it. A home that stood still for seconds finds the answers to its last renewals in its sockets; they are the freshest it has, say that every task is at work, and within the same milliseconds it empties a drained target by them.

That the record of the users came this way is not shown.

Ruled out: the guard against silent targets (2 s since the report was read), which holds as it was.

A report tells of no moment before it was asked for, so its age is bounded by that: 3 s, as a target may hold its answer back for 1 s.

--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -4,11 +4,13 @@
 /** Progress at which a long-running task counts as at work. */
 const AT_WORK_PERCENT = 100;
 
+/** Time since a report was read from which it is outdated, in milliseconds: two intervals. */
+const MAX_READ_AGE_MS = 2_000;
 /**
- * Age from which a report is outdated, in milliseconds. Reports come every second; the platform's
- * users consider a task unavailable after 4.5 s or more without it.
+ * Time since a report was asked for from which it is outdated, in milliseconds: the target may hold
+ * its answer back for 1 s. The platform's users consider a task unavailable after 4.5 s or more.
  */
-const MAX_REPORT_AGE_MS = 2_000;
+const MAX_ASKED_AGE_MS = 3_000;
 
 /**
  * Time without progress from which a task counts as stalled, in milliseconds. A task of 4 s on a
@@ -21,8 +23,8 @@
   readonly percent: number;
   /** Since when the progress is the same, by the monotonic clock. */
   readonly sinceMs: number;
-  /** When the report was taken, by the monotonic clock. */
-  readonly notedAtMs: number;
+  /** When the report was read, by the monotonic clock. */
+  readonly readAtMs: number;
   /** When the report was asked for, by the monotonic clock; it tells of no earlier moment. */
   readonly askedAtMs: number;
 }
@@ -46,12 +48,12 @@
    * @param report - The report.
    */
   note({ answer, askedAtMs }: Pick<TargetReport, 'answer' | 'askedAtMs'>): void {
-    const notedAtMs = this.clock.monotonicMs();
+    const readAtMs = this.clock.monotonicMs();
     answer.running.forEach(({ taskName, run, progressPercent: percent }) => {
       const known = this.byTask.get(taskName);
       const isSame = known?.run === run && known.percent === percent;
-      const sinceMs = isSame ? known.sinceMs : notedAtMs;
-      this.byTask.set(taskName, { run, percent, sinceMs, notedAtMs, askedAtMs });
+      const sinceMs = isSame ? known.sinceMs : readAtMs;
+      this.byTask.set(taskName, { run, percent, sinceMs, readAtMs, askedAtMs });
     });
   }
 
@@ -67,7 +69,7 @@
   isStalled(taskName: string, run: number): boolean {
     const progress = this.byTask.get(taskName);
     if (progress?.run !== run || progress.percent >= AT_WORK_PERCENT) return false;
-    return progress.notedAtMs - progress.sinceMs >= STALLED_MS;
+    return progress.readAtMs - progress.sinceMs >= STALLED_MS;
   }
 
   /**
@@ -93,7 +95,8 @@
    *
    * Only a fresh report counts: the last report of a crashed target still says that its task is at
    * work, so the system would stop another task of the step, and one task too many would be
-   * unavailable.
+   * unavailable. If this process stood still, a report that it reads now may be as old; it tells of
+   * no moment before it was asked for.
    * @param taskName - Name of the task.
    * @param run - Number of the run.
    * @returns Whether a fresh report says so.
@@ -101,6 +104,8 @@
   isAtWork(taskName: string, run: number): boolean {
     const progress = this.byTask.get(taskName);
     if (progress?.run !== run || progress.percent < AT_WORK_PERCENT) return false;
-    return this.clock.monotonicMs() - progress.notedAtMs < MAX_REPORT_AGE_MS;
+    const nowMs = this.clock.monotonicMs();
+    const { readAtMs, askedAtMs } = progress;
+    return nowMs - readAtMs < MAX_READ_AGE_MS && nowMs - askedAtMs < MAX_ASKED_AGE_MS;
   }
 }
--- a/tests/taskHome/TaskProgress.test.ts
+++ b/tests/taskHome/TaskProgress.test.ts
@@ -33,6 +33,15 @@
     expect(progress.isAtWork('a.0.0.0', 1)).toBe(false);
   });
 
+  // Guards against a home that stood still and takes a report that waited for it for fresh.
+  it('ignores a report that was asked for too long ago', () => {
+    clock.advance(3_000);
+    progress.note(makeProgressReport({ progressPercent: 100, askedAtMs: 1 }));
+    expect(progress.isAtWork('a.0.0.0', 1)).toBe(true);
+    progress.note(makeProgressReport({ progressPercent: 100, askedAtMs: 0 }));
+    expect(progress.isAtWork('a.0.0.0', 1)).toBe(false);
+  });
+
   // Guards against a job that never ends: its tasks stall on a target that answers every renewal.
   it('finds a run that makes no progress', () => {
     note(1, 30);
