Move no task while another instance may be the home

Callers saw one task too many of a long-running service away, ended by an instance that had not renewed any lease for 5 s before.

Cause, second way: only requests and starts asked whether this instance is certain to be the home. A home that stood still, or that the store doesn't answer, went on to empty drained targets and to stop stalled runs. The target accepts such a stop while no later term has reached it, and the same instance withholds the start that has to follow, so the task stays away.

Evidence: forced on HomeWorld, the lease on the share not held, reports fresh: before, a task was stopped, 2 of 2; 'wait until this instance is certain to be the home' in evacuations.test.ts, and the same of stalled runs in RunStopper.test.ts. Not shown: that the record came this way.

Stops of runs that no home wants (cancelled, done elsewhere, stray) are left as they are: they are right whoever sends them, and a later term fences them.

The lease on the share is asked for where the stop is decided, in the same turn in which it is sent.

--- a/src/taskHome/RunStopper.ts
+++ b/src/taskHome/RunStopper.ts
@@ -21,6 +21,8 @@
   readonly orders: Pick<TaskOrders, 'forget' | 'isStopping' | 'isUnsent' | 'stop'>;
   readonly health: TargetHealth;
   readonly progress: TaskProgress;
+  /** Whether this instance is certain to be the home at this moment. */
+  readonly isGroupLeaseHeld: () => boolean;
   readonly events: EventLog;
 }
 
@@ -46,11 +48,14 @@
 
   /**
    * Stops long-running tasks on targets that are being drained, as far as their steps allow.
+   *
+   * An instance that may not be the home stops none: it could not start them again, and the next
+   * home may have stopped others of their steps.
    * @param drainedTargets - Ids of the targets.
    */
   evacuate(drainedTargets: ReadonlySet<string>): void {
-    if (drainedTargets.size === 0) return;
-    const { table, events } = this.options;
+    const { table, events, isGroupLeaseHeld } = this.options;
+    if (drainedTargets.size === 0 || !isGroupLeaseHeld()) return;
     const evacuations = planEvacuations({
       jobs: table.listActive(),
       drainedTargets,
@@ -78,12 +83,14 @@
   }
 
   /**
-   * Stops stalled tasks, so that they start again on another target.
+   * Stops stalled tasks, so that they start again on another target. An instance that may not be
+   * the home stops none, as it could not start them again.
    * @param targetId - The target.
    * @param running - The tasks that it reports as running.
    */
   stopStalled(targetId: string, running: readonly RunningTaskReport[]): void {
-    const { table, progress, health, events } = this.options;
+    const { table, progress, health, events, isGroupLeaseHeld } = this.options;
+    if (!isGroupLeaseHeld()) return;
     running
       .filter(({ taskName, run }) => progress.isStalled(taskName, run))
       .filter(({ taskName }) => table.getStep(taskName)?.isGang === false)
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -109,7 +109,7 @@
       onConfirmed: () => this.options.onChanged(),
     });
     const { orders, health, progress, timer } = this;
-    this.stopper = new RunStopper({ table, orders, health, progress, events });
+    this.stopper = new RunStopper({ ...options, orders, health, progress });
     this.ends = new RunEnds({ ...options, orders, health, progress, timer });
   }
 
--- a/tests/taskHome/RunStopper.test.ts
+++ b/tests/taskHome/RunStopper.test.ts
@@ -44,6 +44,7 @@
   let health: TargetHealth;
   let progress: TaskProgress;
   let stopper: RunStopper;
+  let isHome: boolean;
 
   beforeEach(() => {
     clock = new ManualClock();
@@ -52,7 +53,9 @@
     orders = new FakeOrders();
     health = new TargetHealth({ clock, events });
     progress = new TaskProgress(clock);
-    stopper = new RunStopper({ table, orders, health, progress, events });
+    isHome = true;
+    const isGroupLeaseHeld = (): boolean => isHome;
+    stopper = new RunStopper({ table, orders, health, progress, events, isGroupLeaseHeld });
   });
 
   /** Notes a report that was asked for, made and read at this moment; returns what it shows. */
@@ -88,6 +91,19 @@
     expect(health.isAvoided('t1')).toBe(true);
   });
 
+  // Guards against a home that may have been replaced and stops a task that it can't start again.
+  it('leaves a stalled run alone while another instance may be the home', () => {
+    table.add(placeTask(createJobRow(makeJob('a')), 0, 't1'));
+    note(30);
+    clock.advance(STALLED_MS);
+    isHome = false;
+    stopper.stopStalled('t1', note(30));
+    expect(orders.stopped).toEqual([]);
+    isHome = true;
+    stopper.stopStalled('t1', note(30));
+    expect(orders.stopped).toEqual(['a.0.0.0']);
+  });
+
   it('does not stop a stalled member of a gang', () => {
     const row = createJobRow(makeJob('a', [makeStep({ taskCount: 2, isGang: true })]));
     table.add(placeTask(placeTask(row, 0, 't1'), 1, 't2'));
--- a/tests/taskHome/evacuations.test.ts
+++ b/tests/taskHome/evacuations.test.ts
@@ -85,6 +85,21 @@
       await vi.waitFor(() => expect(targets.stops).toHaveLength(1));
     });
 
+    // Guards against a home that may have been replaced: it stops a task that it can't start again.
+    it('wait until this instance is certain to be the home', async () => {
+      const { targets } = world;
+      await holdReports();
+      clock.advance(STANDSTILL_MS);
+      await drain('t3', by);
+      world.isGroupLeaseHeld = false;
+      setReportsDelayed(false);
+      deliverReports();
+      await sleep(SEVERAL_TICKS_MS);
+      expect(targets.stops).toEqual([]);
+      world.isGroupLeaseHeld = true;
+      await vi.waitFor(() => expect(targets.stops).toHaveLength(1));
+    });
+
     // Guards against a home that stood still and takes the answers in its sockets for fresh.
     it('do not rest on reports that were read late', async () => {
       const { targets } = world;
