Measure a stall by the clock of the target, not by when reports are read

A home that stood still for 2 s between two reports of a target stopped every run there whose progress the second report, made shortly after the first, shows unchanged, and avoided the target for 4 s.

Evidence: reports made 100 ms apart and read 5 s apart; before, the run counted as stalled ('measures a stall by the clock of the target').

Each report has the reading of the target's steady clock, so the time between two reports needs no clock of ours. A stall on a target that answers is found as soon as before.

--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -21,8 +21,10 @@
 interface Progress {
   readonly run: number;
   readonly percent: number;
-  /** Since when the progress is the same, by the monotonic clock. */
-  readonly sinceMs: number;
+  /** Since when the progress is the same, by the clock of the target. */
+  readonly sinceTargetMs: number;
+  /** When the target made the report, by its own clock. */
+  readonly reportedTargetMs: number;
   /** When the report was read, by the monotonic clock. */
   readonly readAtMs: number;
   /** When the report was asked for, by the monotonic clock; it tells of no earlier moment. */
@@ -49,11 +51,13 @@
    */
   note({ answer, askedAtMs }: Pick<TargetReport, 'answer' | 'askedAtMs'>): void {
     const readAtMs = this.clock.monotonicMs();
-    answer.running.forEach(({ taskName, run, progressPercent: percent }) => {
+    const { running, targetClockMs: reportedTargetMs } = answer;
+    const reading = { reportedTargetMs, readAtMs, askedAtMs };
+    running.forEach(({ taskName, run, progressPercent: percent }) => {
       const known = this.byTask.get(taskName);
       const isSame = known?.run === run && known.percent === percent;
-      const sinceMs = isSame ? known.sinceMs : readAtMs;
-      this.byTask.set(taskName, { run, percent, sinceMs, readAtMs, askedAtMs });
+      const sinceTargetMs = isSame ? known.sinceTargetMs : reportedTargetMs;
+      this.byTask.set(taskName, { run, percent, sinceTargetMs, ...reading });
     });
   }
 
@@ -61,7 +65,8 @@
    * Tells whether a run makes no progress although its target reports.
    *
    * If tasks on a target stall, its lease is still renewed and nothing fails, so the job would wait
-   * forever.
+   * forever. The time is measured by the target's clock: two reports that were made shortly after
+   * each other may be read far apart, if this process stood still in between.
    * @param taskName - Name of the task.
    * @param run - Number of the run.
    * @returns Whether it is stalled.
@@ -69,7 +74,7 @@
   isStalled(taskName: string, run: number): boolean {
     const progress = this.byTask.get(taskName);
     if (progress?.run !== run || progress.percent >= AT_WORK_PERCENT) return false;
-    return progress.readAtMs - progress.sinceMs >= STALLED_MS;
+    return progress.reportedTargetMs - progress.sinceTargetMs >= STALLED_MS;
   }
 
   /**
--- a/tests/taskHome/TaskProgress.test.ts
+++ b/tests/taskHome/TaskProgress.test.ts
@@ -54,4 +54,14 @@
     note(1, 31);
     expect(progress.isStalled('a.0.0.0', 1)).toBe(false);
   });
+
+  // Guards against a home that stood still between two reports and stops runs that go on.
+  it('measures a stall by the clock of the target', () => {
+    progress.note(makeProgressReport({ progressPercent: 30, askedAtMs: 0 }));
+    clock.advance(5_000);
+    progress.note(makeProgressReport({ progressPercent: 30, askedAtMs: 100 }));
+    expect(progress.isStalled('a.0.0.0', 1)).toBe(false);
+    progress.note(makeProgressReport({ progressPercent: 30, askedAtMs: 4_000 }));
+    expect(progress.isStalled('a.0.0.0', 1)).toBe(true);
+  });
 });
--- a/tests/taskHome/makeProgressReport.ts
+++ b/tests/taskHome/makeProgressReport.ts
@@ -7,17 +7,15 @@
   readonly progressPercent: number;
   /** When the report was asked for, and when the target made it: by the same clock here. */
   readonly askedAtMs: number;
-  readonly answeredAtMs?: number;
 }
 
 /** Creates the report of a target that runs one task. */
 export function makeProgressReport(fields: ProgressReportFields): TargetReport {
   const { taskName = 'a.0.0.0', run = 1, progressPercent, askedAtMs } = fields;
-  const { answeredAtMs: targetClockMs = askedAtMs } = fields;
   const running = [{ taskName, run, progressPercent }];
   return {
     askedAtMs,
     hasExtendedLease: true,
-    answer: { type: 'report', targetClockMs, running, ended: [], hasAllEnds: true },
+    answer: { type: 'report', targetClockMs: askedAtMs, running, ended: [], hasAllEnds: true },
   };
 }
