Count a lease from the best reading of the target's clock, not from the latest

Callers see long-running tasks lapse after an instance stood still for a moment: each renewal that follows an answer which was read late asks for a lease that is shorter by the delay. After 2.5 s it is half a lease, and the next pause of the same length ends what runs there.

Cause: the reading of the target's clock in an answer was dated by its arrival, like the reports.

A reading is kept until one comes that tells more, taking the slowest clock that the platform allows (2 % slow), by which the lapse of a lease is counted already; so a lease still never counts as lapsed before it is.

--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -48,6 +48,9 @@
 
   private acknowledgedEndNumber = 0;
 
+  private lastAnswerAtMs: number | undefined;
+
+  /** The reading of the target's clock that was the least out of date when it came. */
   private clockReading: { readonly targetMs: number; readonly atMs: number } | undefined;
 
   private leaseUntilTargetMs = 0;
@@ -79,13 +82,13 @@
 
   /** Age of the target's latest answer in milliseconds; undefined before the first. */
   get answerAgeMs(): number | undefined {
-    if (this.clockReading === undefined) return undefined;
-    return Math.round(this.options.clock.monotonicMs() - this.clockReading.atMs);
+    if (this.lastAnswerAtMs === undefined) return undefined;
+    return Math.round(this.options.clock.monotonicMs() - this.lastAnswerAtMs);
   }
 
   /** When the target last answered, by the monotonic clock; undefined before the first answer. */
   get answeredAtMs(): number | undefined {
-    return this.clockReading?.atMs;
+    return this.lastAnswerAtMs;
   }
 
   /** Whether the session has ended, by itself or because it was closed. */
@@ -130,11 +133,16 @@
   }
 
   /**
-   * Records the reading of the target's clock from an answer to an order.
+   * Records the reading of the target's clock from an answer.
+   *
+   * An answer that is read late, as this process stood still or was busy, tells less than an
+   * earlier one: counted from its reading, each lease would be shorter by the delay.
    * @param targetMs - Reading of the target's clock.
    */
   noteClock(targetMs: number): void {
-    this.clockReading = { targetMs, atMs: this.options.clock.monotonicMs() };
+    const nowMs = this.options.clock.monotonicMs();
+    this.lastAnswerAtMs = nowMs;
+    if (targetMs >= this.getEarliestTargetMs(nowMs)) this.clockReading = { targetMs, atMs: nowMs };
   }
 
   /**
@@ -152,6 +160,13 @@
     return this.leaseUntilTargetMs;
   }
 
+  /** Gets what the target's clock shows at least, by the readings so far. */
+  private getEarliestTargetMs(nowMs: number): number {
+    const { clockReading } = this;
+    if (clockReading === undefined) return Number.NEGATIVE_INFINITY;
+    return clockReading.targetMs + (nowMs - clockReading.atMs) * SLOWEST_TARGET_CLOCK_RATE;
+  }
+
   private async run(): Promise<void> {
     while (!this.isClosed) {
       // eslint-disable-next-line no-await-in-loop -- one renewal follows the other
--- /dev/null
+++ b/tests/taskHome/TargetSession.test.ts
@@ -0,0 +1,90 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { MemoryEventLog } from '../../src/logging/index.js';
+import type { LeaseAnswer, LeaseRenewal } from '../../src/targets/index.js';
+import { TargetSession } from '../../src/taskHome/TargetSession.js';
+import { ManualClock } from '../../src/utils/index.js';
+
+const LEASE_MS = 5_000;
+/** Reading of the target's clock when that of the home reads zero. */
+const TARGET_AHEAD_MS = 1_000;
+
+/** A renewal that waits for its answer. */
+interface OpenRenewal {
+  readonly renewal: LeaseRenewal;
+  readonly answer: (answer: LeaseAnswer) => void;
+}
+
+describe('TargetSession', () => {
+  let clock: ManualClock;
+  let renewals: OpenRenewal[];
+  let session: TargetSession;
+
+  /** Answers the latest renewal with a report that was made at a time of the home's clock. */
+  const answer = async (madeAtMs: number): Promise<LeaseRenewal> => {
+    const count = renewals.length;
+    renewals.at(-1)!.answer({
+      type: 'report',
+      targetClockMs: TARGET_AHEAD_MS + madeAtMs,
+      running: [],
+      ended: [],
+      hasAllEnds: true,
+    });
+    await vi.waitFor(() => expect(renewals).toHaveLength(count + 1));
+    return renewals.at(-1)!.renewal;
+  };
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    renewals = [];
+    session = new TargetSession({
+      port: {
+        renew: (_target, renewal) =>
+          new Promise((resolve) => {
+            renewals.push({ renewal, answer: resolve });
+          }),
+      },
+      address: { targetId: 't1', host: '10.0.0.1', port: 80 },
+      term: 1,
+      leaseMs: LEASE_MS,
+      getWaitMs: () => 0,
+      mayExtendLease: () => true,
+      clock,
+      events: new MemoryEventLog(),
+      onReport: async () => undefined,
+      onEnd: () => undefined,
+    });
+    session.start();
+  });
+
+  afterEach(() => session.close());
+
+  it('asks for a whole lease, counted on the clock of the target', async () => {
+    expect(renewals[0]!.renewal.leaseUntilTargetMs).toBeUndefined();
+    const { leaseUntilTargetMs } = await answer(0);
+    expect(leaseUntilTargetMs).toBe(TARGET_AHEAD_MS + LEASE_MS);
+  });
+
+  // Guards against leases that lapse after a home stood still: each was shorter by that time.
+  it('asks for a whole lease after it has read an answer late', async () => {
+    await answer(0);
+    clock.advance(2_600);
+    const { leaseUntilTargetMs } = await answer(100);
+    expect(leaseUntilTargetMs).toBe(TARGET_AHEAD_MS + 2_600 + LEASE_MS);
+  });
+
+  // Guards against a task that runs twice: the lease must not count as lapsed before it is.
+  it('counts the lease as lapsed once the slowest clock of a target has reached its end', async () => {
+    await answer(0);
+    expect(session.latestLapseAtMs).toBe(LEASE_MS / 0.98);
+    clock.advance(2_600);
+    await answer(100);
+    expect(session.latestLapseAtMs).toBe((2_600 + LEASE_MS) / 0.98);
+  });
+
+  it('follows a target whose clock is slow', async () => {
+    await answer(0);
+    clock.advance(10_000);
+    const { leaseUntilTargetMs } = await answer(9_800);
+    expect(leaseUntilTargetMs).toBe(TARGET_AHEAD_MS + 9_800 + LEASE_MS);
+  });
+});
