Describe no load of a pool as a home that was replaced meanwhile

Callers may see a long-running task away that nobody stopped: its VM was moved or maintained under it.

Cause, of the same class: a home asks whether it is the home when the fleet's home calls it, waits for the store, and describes its targets whatever became of that. A home that was replaced meanwhile calls a VM empty on which the next home has placed tasks; the next home does not know of the drain.

Evidence: forced on HomeWorld, the lease on the share lost or the home closed during the wait; before, both were answered with loads (syncPool.test.ts, 2 of 2 failed).

Asked again after the wait: the drains of the call hold tasks off for longer than the loads count.

--- a/src/taskHome/PoolSync.ts
+++ b/src/taskHome/PoolSync.ts
@@ -19,6 +19,8 @@
   readonly evacuate: () => void;
   /** Places ready tasks and stores all changes. */
   readonly flush: () => Promise<void>;
+  /** @throws RattanliftError If another instance may be the home. */
+  readonly assertIsHome: () => void;
 }
 
 /** Carries out what the fleet's home asks of a home, and tells it what the pools need. */
@@ -47,6 +49,7 @@
    * @param request - The pool, its drained targets, which replace those of the previous request,
    * the targets whose lifetimes are over, and parts of limits.
    * @returns Load and demand of the pool.
+   * @throws RattanliftError If another instance may be the home by the time of the answer.
    */
   async sync({
     pool,
@@ -55,13 +58,15 @@
     limits,
     ...ended
   }: SyncPoolParameters): Promise<PoolDemand> {
-    const { evacuate, flush, runs } = this.options;
+    const { evacuate, flush, runs, assertIsHome } = this.options;
     runs.handleEndedTargets(ended);
     this.drains.replace(pool, drainedTargets, drainedForMs);
     evacuate();
     // What was placed by the earlier parts and drains is counted below; no more is placed by them.
     const limitReport = limits && this.limitParts.follow(pool, limits);
     await flush().catch(() => undefined);
+    // Meanwhile the next home may have placed tasks on targets that are empty here.
+    assertIsHome();
     const demand = this.demands.describe(pool);
     return limitReport === undefined ? demand : { ...demand, limitReport };
   }
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -112,6 +112,7 @@
       dueClock: this.wallClock,
       evacuate: () => this.runs.evacuate(this.listTargetsToEvacuate()),
       flush: () => this.flush(),
+      assertIsHome: () => this.assertIsHome(),
     });
     this.rounds = new PlacementRounds({
       ...this.options,
