Play drawn histories of a service whose homes stand still

Real homes in virtual time, a service of four tasks on six targets, one or two of which may be away; drawn: homes that stand still, are killed, go on or are frozen beside the next one, targets that fail, crash or are cut off, lost and slow calls, drains of the fleet's home. Judged on the targets: no task is stopped while as many others as may be are away, that is stopped, lapsed, or not running for 4.5 s.

--- a/tests/taskHome/histories/HistoryHomes.ts
+++ b/tests/taskHome/histories/HistoryHomes.ts
@@ -5,6 +5,7 @@
 import type { LeasedTargetPort } from '../../../src/targets/index.js';
 import { PartitionOpening } from '../../../src/taskHome/PartitionOpening.js';
 import { type TargetEntry, TaskHome } from '../../../src/taskHome/index.js';
+import type { TaskHomeTiming } from '../../../src/taskHome/TaskHomeTiming.js';
 import { HomeGate } from './HomeGate.js';
 import type { VirtualTime } from './VirtualTime.js';
 
@@ -15,6 +16,8 @@
   readonly targets: LeasedTargetPort;
   readonly entries: ReadonlyMap<string, TargetEntry>;
   readonly events: MemoryEventLog;
+  /** Timing of the homes, unless it is the usual one of short leases. */
+  readonly timing?: TaskHomeTiming;
 }
 
 /** A process that is, was or wants to be the home. */
@@ -136,7 +139,7 @@
       targets: process.gate.guardTargets(this.options.targets),
       producer: 'home',
       claimed,
-      timing: TIMING,
+      timing: this.options.timing ?? TIMING,
       clock: time,
       mechanisms: ALL_MECHANISMS,
       metrics: new MemoryMetrics(),
--- /dev/null
+++ b/tests/taskHome/histories/ServiceHistoryWorld.ts
@@ -0,0 +1,184 @@
+import { UnsteadyTargets } from '../../../standins/leasedTargets/UnsteadyTargets.js';
+import { StoreStandIn } from '../../../standins/store/index.js';
+import { MemoryEventLog } from '../../../src/logging/index.js';
+import type { TargetEntry } from '../../../src/taskHome/index.js';
+import { assertNever } from '../../../src/utils/index.js';
+import { EMPTY_SYNC_REQUEST, makeEntry, makeJob, makeStep } from '../HomeWorld.js';
+import { HistoryHomes } from './HistoryHomes.js';
+import { listOverruns } from './listOverruns.js';
+import { RunWatch } from './RunWatch.js';
+import { SERVICE_TARGET_COUNT, type ServiceHistory, type ServiceStep } from './ServiceHistory.js';
+import type { VirtualTime } from './VirtualTime.js';
+
+const JOB_ID = 'a';
+const TASK_COUNT = 4;
+const TASK_NAMES = Array.from({ length: TASK_COUNT }, (_unused, index) => `${JOB_ID}.0.0.${index}`);
+/** As on the users' platform, since the ages of reports are counted against it. */
+const TIMING = { targetLeaseMs: 5_000, targetWaitMs: 1_000, keepFinishedMs: 600_000 } as const;
+/** Interval at which the fleet's home tells of drained targets, in milliseconds. */
+const SYNC_EVERY_MS = 200;
+const DRAINED_FOR_MS = 3_000;
+/** Time between the renewals of two targets, so that their leases end one after the other. */
+const RENEWAL_OFFSET_MS = 150;
+/** Time within which the service is at work before the first step, in milliseconds. */
+const START_MS = 3_000;
+/** Time after which reports that wait for a frozen home don't show an end, in milliseconds. */
+const FAILS_AFTER_MS = 1_100;
+/** Time for the last steps to take effect, in milliseconds. */
+const LAST_STEPS_MS = 3_000;
+
+type StandStillStep = Extract<ServiceStep, { readonly type: 'stand-still' }>;
+
+/** A service on real homes and stand-ins in virtual time, to which a history happens. */
+export class ServiceHistoryWorld {
+  readonly watch: RunWatch;
+
+  private readonly time: VirtualTime;
+
+  private readonly targets: UnsteadyTargets;
+
+  private readonly entries = new Map<string, TargetEntry>();
+
+  private readonly homes: HistoryHomes;
+
+  private drainedTargets: readonly string[] = [];
+
+  private targetCount = 0;
+
+  private isOver = false;
+
+  /**
+   * Creates a world with a home that opens.
+   * @param time - Virtual time, which begins again.
+   */
+  constructor(time: VirtualTime) {
+    time.reset();
+    this.time = time;
+    this.watch = new RunWatch(time);
+    this.targets = new UnsteadyTargets(time, this.watch);
+    const { targets, entries } = this;
+    const store = new StoreStandIn({ partitionCount: 1 });
+    const events = new MemoryEventLog();
+    this.homes = new HistoryHomes({ time, store, targets, entries, events, timing: TIMING });
+    Array.from({ length: SERVICE_TARGET_COUNT }, () => this.addTarget());
+    this.homes.openNext();
+    this.sync();
+  }
+
+  /**
+   * Plays a history.
+   * @param history - The history.
+   * @returns What should not have happened, one sentence each.
+   */
+  async play({ maxUnavailableCount, steps }: ServiceHistory): Promise<readonly string[]> {
+    await this.start(maxUnavailableCount);
+    await steps.reduce(async (earlier, step) => {
+      await earlier;
+      await this.apply(step);
+    }, Promise.resolve());
+    await this.time.advance(LAST_STEPS_MS);
+    this.homes.thaw();
+    await this.time.advance(LAST_STEPS_MS);
+    this.isOver = true;
+    this.homes.close();
+    const { runs } = this.watch;
+    return listOverruns({ runs, taskNames: TASK_NAMES, maxUnavailableCount });
+  }
+
+  private async start(maxUnavailableCount: number): Promise<void> {
+    const limits = { taskCount: TASK_COUNT, maxUnavailableCount, maxTasksPerTarget: 1 };
+    this.targets.targetIds.forEach((targetId, index) => {
+      const fate = { type: 'slow', afterMs: index * RENEWAL_OFFSET_MS } as const;
+      this.targets.addFates(targetId, 'renew', [fate]);
+    });
+    await this.time.advance(SYNC_EVERY_MS);
+    const step = makeStep({ ...limits, isLongRunning: true });
+    const submitted = this.homes.current!.submit(makeJob(JOB_ID, [step]));
+    await this.time.advance(START_MS);
+    await submitted;
+  }
+
+  private async apply(step: ServiceStep): Promise<void> {
+    switch (step.type) {
+      case 'wait':
+        await this.time.advance(step.forMs);
+        return;
+      case 'freeze':
+        this.homes.freeze();
+        return;
+      case 'thaw':
+        this.homes.thaw();
+        return;
+      case 'stand-still':
+        await this.standStill(step);
+        return;
+      case 'replace-home':
+        if (step.earlier === 'killed') this.homes.kill();
+        if (step.earlier === 'frozen') this.homes.freeze();
+        this.homes.openNext();
+        return;
+      case 'fail':
+        this.failOn(this.pick(step.target));
+        return;
+      case 'crash':
+        this.crash(this.pick(step.target));
+        return;
+      case 'cut-off':
+        this.targets.setCondition(this.pick(step.target), 'cut-off');
+        return;
+      case 'reconnect':
+        this.targets.setCondition(this.pick(step.target), 'well');
+        return;
+      case 'drain':
+        this.drainedTargets = step.targets.map((target) => this.pick(target));
+        return;
+      case 'fates':
+        this.targets.addFates(this.pick(step.target), step.call, step.fates);
+        return;
+      default:
+        assertNever(step);
+    }
+  }
+
+  private async standStill({ forMs, failing, drained }: StandStillStep): Promise<void> {
+    this.homes.freeze();
+    await this.time.advance(FAILS_AFTER_MS);
+    failing.forEach((target) => this.failOn(this.pick(target)));
+    await this.time.advance(forMs);
+    this.drainedTargets = drained.map((target) => this.pick(target));
+    this.homes.thaw();
+  }
+
+  private pick(target: number): string {
+    const { targetIds } = this.targets;
+    return targetIds[target % targetIds.length]!;
+  }
+
+  private addTarget(): void {
+    this.targetCount += 1;
+    const targetId = `t${this.targetCount}`;
+    this.targets.add(targetId);
+    this.entries.set(targetId, makeEntry(targetId));
+  }
+
+  private failOn(targetId: string): void {
+    TASK_NAMES.filter((taskName) => this.targets.findRun(targetId, taskName) !== undefined).forEach(
+      (taskName) => this.targets.end(targetId, taskName, 'failed'),
+    );
+  }
+
+  /** Ends a lifetime, which nothing shows; another target is there at once. */
+  private crash(targetId: string): void {
+    this.targets.crash(targetId, false);
+    this.addTarget();
+  }
+
+  /** Tells the home which targets are drained. */
+  private sync(): void {
+    if (this.isOver) return;
+    const { drainedTargets } = this;
+    const request = { ...EMPTY_SYNC_REQUEST, drainedTargets, drainedForMs: DRAINED_FOR_MS };
+    this.homes.current?.syncPool(request).catch(() => undefined);
+    this.time.call(SYNC_EVERY_MS, () => this.sync());
+  }
+}
