Count the age of loads from the call that requested them, not from a later one for limits

Callers may see tasks ended by a move or maintenance of their VM. A VM may be ordered only by loads of the last 2 s, as the homes of pools keep tasks off a drained VM for 3 s. Cause: a second call of the same pass, which raises parts of limits, set the time of the loads anew, though the loads of the first call were used.

The time is set where loads are requested, and nowhere else.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -159,7 +159,7 @@
     if (vms === undefined || this.isClosed) return;
     this.orders.endCompletedOrders(vms, askedAtMs);
     void this.orders.settle();
-    this.demands = await this.syncPools(vms, this.options.listPools());
+    this.demands = await this.requestLoads(vms, this.options.listPools());
     await this.raiseLimits(vms);
     if (this.isClosed) return;
     this.poolReporter.report(this.demands, vms, this.listHeldVms());
@@ -197,13 +197,21 @@
     return indexLoads(this.demands);
   }
 
+  /** Requests the loads by which VMs count as empty from now on. */
+  private requestLoads(
+    vms: readonly FleetVm[],
+    pools: readonly string[],
+  ): Promise<readonly PoolDemand[]> {
+    this.orders.setLoadsTime(this.options.clock.monotonicMs());
+    return this.syncPools(vms, pools);
+  }
+
   /** Sends the drained targets to the homes of pools; returns the demands of those that answer. */
   private async syncPools(
     vms: readonly FleetVm[],
     pools: readonly string[],
   ): Promise<readonly PoolDemand[]> {
     const drained = this.listDrainedVms();
-    this.orders.setLoadsTime(this.options.clock.monotonicMs());
     const limits = this.limits.createOrders(pools, this.options.listPools());
     const answers = await Promise.all(
       pools.map((pool) => this.syncPool(vms, pool, drained, limits.get(pool))),
@@ -307,7 +315,7 @@
   ): Promise<ReadonlyMap<string, TargetLoad>> {
     const sourcePools = new Set(moves.map(({ fromPool }) => fromPool));
     const pools = this.options.listPools().filter((pool) => sourcePools.has(pool));
-    return indexLoads(await this.syncPools(vms, pools));
+    return indexLoads(await this.requestLoads(vms, pools));
   }
 
   /** Lists VMs that get no new task: a wave or a move drains them, or a move is unanswered. */
--- a/tests/fleetHome/OrderWorld.ts
+++ b/tests/fleetHome/OrderWorld.ts
@@ -1,4 +1,4 @@
-import { FleetHome } from '../../src/fleetHome/index.js';
+import { FleetHome, type FleetHomeOptions } from '../../src/fleetHome/index.js';
 import { decodeVmOrderRecord, type VmOrderRecord } from '../../src/fleetHome/VmOrderRecord.js';
 import { VmOrders } from '../../src/fleetHome/VmOrders.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
@@ -97,7 +97,10 @@
 }
 
 /** Creates a home of the fleet whose pools have the demands of the environment. */
-export function createFleetHome(world: OrderWorld): FleetHome {
+export function createFleetHome(
+  world: OrderWorld,
+  changes: Partial<FleetHomeOptions> = {},
+): FleetHome {
   const { clock, events, fleet, orderRecords } = world;
   return new FleetHome({
     port: fleet,
@@ -123,5 +126,6 @@
     store: (records) => world.store(records),
     publishStatus: async () => undefined,
     onReplaced: () => undefined,
+    ...changes,
   });
 }
