Let the stand-in of targets extend a lease as a renewal arrives, also where the answer waits

A renewal that waits for an end extends the lease on arrival (PROTOCOL), not when it is answered. Waits of up to 100 ms, as in the other histories, are as they were.

--- a/standins/leasedTargets/UnsteadyTargets.ts
+++ b/standins/leasedTargets/UnsteadyTargets.ts
@@ -52,6 +52,8 @@
 
 /** Time that a call takes on its way, in milliseconds. */
 const WAY_MS = 1;
+/** Longest wait after which a renewal counts only as it is answered, in milliseconds. */
+const SHORT_WAIT_MS = 100;
 /** Time after which a call counts as unanswered, in milliseconds. */
 const CALL_TIMEOUT_MS = 100;
 
@@ -191,6 +193,7 @@
 
   /** {@inheritDoc LeasedTargetPort.renew} */
   async renew({ targetId }: LeasedTargetAddress, renewal: LeaseRenewal): Promise<LeaseAnswer> {
+    if (renewal.waitMs > SHORT_WAIT_MS) this.renewOnArrival(targetId, renewal);
     await sleep(Math.max(WAY_MS, renewal.waitMs));
     return this.call<LeaseAnswer>(targetId, 'renew', {
       refuse: () => ({ type: 'unhealthy' }),
@@ -209,6 +212,16 @@
   // eslint-disable-next-line class-methods-use-this -- the port asks for a method
   forget(): void {}
 
+  /** Extends the lease at once, unless something happens to the renewal. */
+  private renewOnArrival(targetId: string, renewal: LeaseRenewal): void {
+    const lifetime = this.lifetimes.get(targetId);
+    const isWell = lifetime?.condition === 'well' && lifetime.fates.renew.length === 0;
+    if (!isWell) return;
+    this.observe();
+    lifetime.target.renew(renewal);
+    this.observer.onAcknowledged(targetId, renewal.acknowledgedEndNumber);
+  }
+
   private begin(targetId: string, { target, runs }: Lifetime, start: TaskStart): StartAnswer {
     const { taskName, run } = start;
     const before = runs.get(taskName);
