--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -16,6 +16,7 @@
 import type { EndedTargets, FleetVm, VmFleetPort } from '../vms/index.js';
 import { LifetimeEndDetector } from './LifetimeEndDetector.js';
 import { isEmpty } from './isEmpty.js';
+import { listDrainedTargets } from './listDrainedTargets.js';
 import { MovePlanner } from './MovePlanner.js';
 import { OrganisationLimits } from './OrganisationLimits.js';
 import { encodePoolPeakRecord } from './PoolPeakRecord.js';
@@ -225,7 +226,7 @@
     drained: ReadonlySet<string>,
     limits: LimitOrder | undefined,
   ): Promise<PoolDemand | undefined> {
-    const targets = FleetHome.listTargets(vms, pool, drained);
+    const targets = listDrainedTargets(vms, pool, drained);
     const ended = this.lifetimeEndDetector.list(pool);
     const demand = await this.options.syncPool(pool, targets, ended, limits);
     if (demand !== undefined && limits !== undefined) {
@@ -240,17 +241,6 @@
     if (pools.length > 0) await this.syncPools(vms, pools);
   }
 
-  private static listTargets(
-    vms: readonly FleetVm[],
-    pool: string,
-    drained: ReadonlySet<string>,
-  ): readonly string[] {
-    return vms
-      .filter((vm) => vm.pool === pool && drained.has(vm.vm))
-      .map(({ targetId }) => targetId)
-      .filter((targetId) => targetId !== undefined);
-  }
-
   /** Plans further moves and orders the moves whose VMs are empty. */
   private async moveVms(vms: readonly FleetVm[]): Promise<void> {
     const { clock, events } = this.options;
