--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -67,14 +67,6 @@
     test: HOME_TEST,
     name: 'stops no second task of a step while the first one is still being stopped',
   },
-  {
-    failure: 'a task stopped too many, on the word of an old report',
-    file: 'src/taskHome/TaskProgress.ts',
-    find: 'return this.clock.monotonicMs() - progress.notedAtMs < MAX_REPORT_AGE_MS;',
-    replace: 'return true;',
-    test: 'tests/taskHome/TaskProgress.test.ts',
-    name: 'ignores an outdated report',
-  },
   {
     failure: 'a step that begins before those it comes after',
     file: 'src/systems/listReadyTasks.ts',
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -7,6 +7,7 @@
 import { FLEET_MUTANTS } from './fleetMutants.js';
 import { MUTANTS as ONE_SHOT_MUTANTS } from './mutantList.js';
 import type { Mutant } from './Mutant.js';
+import { OLD_KNOWLEDGE_MUTANTS } from './oldKnowledgeMutants.js';
 import { ORGANISATION_MUTANTS } from './organisationMutants.js';
 import { RUN_LIFE_MUTANTS } from './runLifeMutants.js';
 
@@ -59,6 +60,7 @@
   ...DURABLE_JOB_MUTANTS,
   ...CRASH_MUTANTS,
   ...FLEET_MUTANTS,
+  ...OLD_KNOWLEDGE_MUTANTS,
   ...ORGANISATION_MUTANTS,
   ...RUN_LIFE_MUTANTS,
 ].filter(({ file }) => wantedFiles.length === 0 || wantedFiles.some((part) => file.includes(part)));
--- /dev/null
+++ b/scripts/oldKnowledgeMutants.ts
@@ -0,0 +1,75 @@
+import type { Mutant } from './Mutant.js';
+
+const PROGRESS_TEST = 'tests/taskHome/TaskProgress.test.ts';
+const EVACUATION_TEST = 'tests/taskHome/evacuations.test.ts';
+const PROGRESS_FILE = 'src/taskHome/TaskProgress.ts';
+const STOPPER_FILE = 'src/taskHome/RunStopper.ts';
+
+/** Guards against decisions on old knowledge, and of instances that may not be the home. */
+export const OLD_KNOWLEDGE_MUTANTS: readonly Mutant[] = [
+  {
+    failure: 'a task stopped too many, on the word of a target that has fallen silent',
+    file: PROGRESS_FILE,
+    find: 'nowMs - readAtMs < MAX_READ_AGE_MS && ',
+    replace: '',
+    test: PROGRESS_TEST,
+    name: 'ignores an outdated report',
+  },
+  {
+    failure: 'a task stopped too many, on a report that waited for a home that stood still',
+    file: PROGRESS_FILE,
+    find: ' && nowMs - askedAtMs < MAX_ASKED_AGE_MS',
+    replace: '',
+    test: EVACUATION_TEST,
+    name: 'do not rest on reports that were read late',
+  },
+  {
+    failure: 'runs stopped as stalled by a home that stood still',
+    file: PROGRESS_FILE,
+    find: 'progress.reportedTargetMs - progress.sinceTargetMs',
+    replace: 'this.clock.monotonicMs()',
+    test: PROGRESS_TEST,
+    name: 'measures a stall by the clock of the target',
+  },
+  {
+    failure: 'a task stopped by an instance that can not start it again',
+    file: STOPPER_FILE,
+    find: 'drainedTargets.size === 0 || !isGroupLeaseHeld()',
+    replace: 'drainedTargets.size === 0',
+    test: EVACUATION_TEST,
+    name: 'wait until this instance is certain to be the home',
+  },
+  {
+    failure: 'a stalled run stopped by an instance that can not start it again',
+    file: STOPPER_FILE,
+    find: '    if (!isGroupLeaseHeld()) return;\n',
+    replace: '',
+    test: 'tests/taskHome/RunStopper.test.ts',
+    name: 'leaves a stalled run alone while another instance may be the home',
+  },
+  {
+    failure: 'leases that are shorter by the time for which a home stood still',
+    file: 'src/taskHome/TargetSession.ts',
+    find: 'if (targetMs >= this.getEarliestTargetMs(nowMs)) this',
+    replace: 'this',
+    test: 'tests/taskHome/TargetSession.test.ts',
+    name: 'asks for a whole lease after it has read an answer late',
+  },
+  {
+    failure: 'a VM moved under its tasks, on the word of a home that was replaced',
+    file: 'src/taskHome/PoolSync.ts',
+    find: '    assertIsHome();\n',
+    replace: '',
+    test: 'tests/taskHome/syncPool.test.ts',
+    name: 'describes no load once another instance may be the home',
+  },
+  {
+    failure: 'maintenance of a VM with tasks, as a later call made old loads look fresh',
+    file: 'src/fleetHome/FleetHome.ts',
+    find: 'const limits = this.limits.createOrders(',
+    replace:
+      'this.orders.setLoadsTime(this.options.clock.monotonicMs());\n    const limits = this.limits.createOrders(',
+    test: 'tests/fleetHome/oldLoads.test.ts',
+    name: 'orders no maintenance by loads from before the raise of limits',
+  },
+];
