Count the age of a configuration from when its answer was due, not from when it is read

Callers: a key that operators withdrew while an instance stood still was accepted until the next read, however old the answer in its socket was, and peers were told that the configuration is fresh.

The store answers a long poll within 1 s, so one that is read later speaks of that moment at best. In ordinary operation nothing changes.

--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -130,9 +130,11 @@
 
   private async read(): Promise<void> {
     const { clock } = this.options;
+    const askedAtMs = clock.monotonicMs();
     try {
       await this.follower.read(LONG_POLL_MS);
-      this.confirmedAtMs = clock.monotonicMs();
+      // An answer that is read later may have waited for a process that stood still.
+      this.confirmedAtMs = Math.min(clock.monotonicMs(), askedAtMs + LONG_POLL_MS);
       this.outage.noteSuccess({ version: this.configuration?.version });
     } catch (thrown) {
       const { version } = this.configuration ?? {};
--- a/tests/queues/ConfigurationFollower.test.ts
+++ b/tests/queues/ConfigurationFollower.test.ts
@@ -6,8 +6,9 @@
   type QueueConfiguration,
 } from '../../src/queues/index.js';
 import type { KeyedLogPort, ReadResult } from '../../src/store/index.js';
-import { SystemClock } from '../../src/utils/index.js';
+import { type Clock, SystemClock } from '../../src/utils/index.js';
 import { StoreAccess, StoreStandIn } from '../../standins/store/index.js';
+import { AdvancedClock } from '../support/AdvancedClock.js';
 
 const PLACE = { topic: 'op', partition: 0 };
 
@@ -23,13 +24,17 @@
 describe('ConfigurationFollower', () => {
   const followers: ConfigurationFollower[] = [];
 
-  function follow(store: KeyedLogPort, events = new MemoryEventLog()): ConfigurationFollower {
+  function follow(
+    store: KeyedLogPort,
+    events = new MemoryEventLog(),
+    clock: Clock = new SystemClock(),
+  ): ConfigurationFollower {
     const follower = new ConfigurationFollower({
       store,
       ...PLACE,
       key: 'config',
       decode: (value) => JSON.parse(Buffer.from(value).toString()) as QueueConfiguration,
-      clock: new SystemClock(),
+      clock,
       events,
     });
     followers.push(follower);
@@ -64,6 +69,29 @@
     expect(inForce.map(({ fields }) => fields.version)).toEqual([7, 8]);
   });
 
+  // Guards against an instance that stood still and accepts keys that were withdrawn meanwhile.
+  it('is as old as the answer that waited for this process', async () => {
+    const store = new StoreStandIn({ partitionCount: 1 });
+    const clock = new AdvancedClock();
+    const follower = follow(store, new MemoryEventLog(), clock);
+    await publish(store, 3);
+    await vi.waitFor(() => expect(follower.get()?.version).toBe(3));
+    const read = store.readFrom.bind(store);
+    const deliveries: (() => void)[] = [];
+    vi.spyOn(store, 'readFrom').mockImplementation(async (request) => {
+      const answer = await read(request);
+      await new Promise<void>((resolve) => {
+        deliveries.push(resolve);
+      });
+      return answer;
+    });
+    await vi.waitFor(() => expect(deliveries).toHaveLength(1));
+    clock.advance(5_000);
+    deliveries[0]!();
+    await vi.waitFor(() => expect(deliveries).toHaveLength(2));
+    expect(follower.ageMs).toBeGreaterThan(3_900);
+  });
+
   it('keeps the configuration in force if the next one cannot be decoded', async () => {
     const store = new StoreStandIn({ partitionCount: 1 });
     const events = new MemoryEventLog();
--- a/tests/taskHome/evacuations.test.ts
+++ b/tests/taskHome/evacuations.test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { beforeEach, describe, expect, it, vi } from 'vitest';
 import type { TaskHome } from '../../src/taskHome/index.js';
-import { AdvancedClock } from './AdvancedClock.js';
+import { AdvancedClock } from '../support/AdvancedClock.js';
 import {
   EMPTY_SYNC_REQUEST,
   type HomeWorld,
