--- a/scripts/oldKnowledgeMutants.ts
+++ b/scripts/oldKnowledgeMutants.ts
@@ -16,7 +16,7 @@
     name: 'ignores an outdated report',
   },
   {
-    failure: 'a task stopped too many, on a report that waited for a home that stood still',
+    failure: 'a task stopped too many, on a report that waited for a home that was paused',
     file: PROGRESS_FILE,
     find: ' && nowMs - askedAtMs < MAX_ASKED_AGE_MS',
     replace: '',
@@ -24,7 +24,7 @@
     name: 'do not rest on reports that were read late',
   },
   {
-    failure: 'runs stopped as stalled by a home that stood still',
+    failure: 'runs stopped as stalled by a home that was paused',
     file: PROGRESS_FILE,
     find: 'progress.reportedTargetMs - progress.sinceTargetMs',
     replace: 'this.clock.monotonicMs()',
@@ -48,7 +48,7 @@
     name: 'leaves a stalled run alone while another instance may be the home',
   },
   {
-    failure: 'leases that are shorter by the time for which a home stood still',
+    failure: 'leases that are shorter by the time for which a home was paused',
     file: 'src/taskHome/TargetSession.ts',
     find: 'if (targetMs >= this.getEarliestTargetMs(nowMs)) this',
     replace: 'this',
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -35,7 +35,7 @@
 } from '../taskHome/index.js';
 import type { JobNodeOptions } from './JobNodeOptions.js';
 import { measurePorts } from './measurePorts.js';
-import { StallLog } from './StallLog.js';
+import { PauseLog } from './PauseLog.js';
 
 /** Group in which the nodes share the partitions of jobs, and role of the fleet's home. */
 const GROUP = 'homes';
@@ -84,7 +84,7 @@
 
   private readonly peerServer: PeerServer;
 
-  private readonly stallLog: StallLog;
+  private readonly pauseLog: PauseLog;
 
   private homesTimer: NodeJS.Timeout | undefined;
 
@@ -96,7 +96,7 @@
    */
   constructor(options: JobNodeOptions) {
     const { address, clock, events, metrics, records } = options;
-    this.stallLog = new StallLog({ clock, events });
+    this.pauseLog = new PauseLog({ clock, events });
     const ports = measurePorts(options.ports, { metrics, clock });
     this.options = { ...options, ports };
     const { instance, host, port } = address;
@@ -155,7 +155,7 @@
 
   /** Starts to serve peers, to follow the configuration and to hold homes. */
   async start(): Promise<void> {
-    this.stallLog.start();
+    this.pauseLog.start();
     const { port } = await this.peerServer.start();
     this.configuration.start();
     this.configurationPeers.start();
@@ -181,7 +181,7 @@
   /** Ends everything else, after {@link handOver} and the last request. */
   async stop(): Promise<void> {
     clearInterval(this.homesTimer);
-    this.stallLog.stop();
+    this.pauseLog.stop();
     this.configurationPeers.stop();
     this.configuration.stop();
     this.peers.close();
--- a/src/jobNode/StallLog.ts
+++ b/src/jobNode/PauseLog.ts
@@ -1,8 +1,8 @@
 import type { EventLog } from '../logging/index.js';
 import type { Clock } from '../utils/index.js';
 
-/** Options of {@link StallLog}. */
-export interface StallLogOptions {
+/** Options of {@link PauseLog}. */
+export interface PauseLogOptions {
   readonly clock: Clock;
   readonly events: EventLog;
 }
@@ -13,8 +13,8 @@
 const LOGGED_DELAY_MS = 500;
 
 /** Logs how long the process did not run: it was stopped, or had no processor time. */
-export class StallLog {
-  private readonly options: StallLogOptions;
+export class PauseLog {
+  private readonly options: PauseLogOptions;
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -24,7 +24,7 @@
    * Creates a log that checks nothing until it is started.
    * @param options - Clock, and destination of the lines.
    */
-  constructor(options: StallLogOptions) {
+  constructor(options: PauseLogOptions) {
     this.options = options;
   }
 
@@ -45,6 +45,6 @@
     const nowMs = clock.monotonicMs();
     const delayMs = nowMs - this.checkedAtMs - CHECK_INTERVAL_MS;
     this.checkedAtMs = nowMs;
-    if (delayMs >= LOGGED_DELAY_MS) events.write('processStalled', { forMs: Math.round(delayMs) });
+    if (delayMs >= LOGGED_DELAY_MS) events.write('processPaused', { forMs: Math.round(delayMs) });
   }
 }
--- a/src/logging/events/daemonEvents.ts
+++ b/src/logging/events/daemonEvents.ts
@@ -17,5 +17,5 @@
     level: 'warn',
     text: 'The port of the metrics cannot be opened; work goes on without.',
   },
-  processStalled: { number: 9008, level: 'warn', text: 'The process did not run for a while.' },
+  processPaused: { number: 9008, level: 'warn', text: 'The process did not run for a while.' },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -133,7 +133,7 @@
     const askedAtMs = clock.monotonicMs();
     try {
       await this.follower.read(LONG_POLL_MS);
-      // An answer that is read later may have waited for a process that stood still.
+      // An answer that is read later may have waited for a process that was paused.
       this.confirmedAtMs = Math.min(clock.monotonicMs(), askedAtMs + LONG_POLL_MS);
       this.outage.noteSuccess({ version: this.configuration?.version });
     } catch (thrown) {
--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -66,7 +66,7 @@
    *
    * If tasks on a target stall, its lease is still renewed and nothing fails, so the job would wait
    * forever. The time is measured by the target's clock: two reports that were made shortly after
-   * each other may be read far apart, if this process stood still in between.
+   * each other may be read far apart, if this process was paused in between.
    * @param taskName - Name of the task.
    * @param run - Number of the run.
    * @returns Whether it is stalled.
@@ -100,7 +100,7 @@
    *
    * Only a fresh report counts: the last report of a crashed target still says that its task is at
    * work, so the system would stop another task of the step, and one task too many would be
-   * unavailable. If this process stood still, a report that it reads now may be as old; it tells of
+   * unavailable. If this process was paused, a report that it reads now may be as old; it tells of
    * no moment before it was asked for.
    * @param taskName - Name of the task.
    * @param run - Number of the run.
--- a/tests/jobNode/StallLog.test.ts
+++ b/tests/jobNode/PauseLog.test.ts
@@ -1,20 +1,20 @@
 import { describe, expect, it } from 'vitest';
-import { StallLog } from '../../src/jobNode/StallLog.js';
+import { PauseLog } from '../../src/jobNode/PauseLog.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { ManualClock } from '../../src/utils/index.js';
 
-describe('StallLog', () => {
+describe('PauseLog', () => {
   // Guards against decisions on old knowledge that no log line explains.
   it('logs that the process did not run, and not that it was busy', () => {
     const clock = new ManualClock();
     const events = new MemoryEventLog();
-    const log = new StallLog({ clock, events });
+    const log = new PauseLog({ clock, events });
     log.start();
     [250, 700, 250, 2_250].forEach((elapsedMs) => {
       clock.advance(elapsedMs);
       log.check();
     });
     log.stop();
-    expect(events.events).toMatchObject([{ event: 'processStalled', fields: { forMs: 2_000 } }]);
+    expect(events.events).toMatchObject([{ event: 'processPaused', fields: { forMs: 2_000 } }]);
   });
 });
--- a/tests/queues/ConfigurationFollower.test.ts
+++ b/tests/queues/ConfigurationFollower.test.ts
@@ -69,7 +69,7 @@
     expect(inForce.map(({ fields }) => fields.version)).toEqual([7, 8]);
   });
 
-  // Guards against an instance that stood still and accepts keys that were withdrawn meanwhile.
+  // Guards against an instance that was paused and accepts keys that were withdrawn meanwhile.
   it('is as old as the answer that waited for this process', async () => {
     const store = new StoreStandIn({ partitionCount: 1 });
     const clock = new AdvancedClock();
--- a/tests/support/AdvancedClock.ts
+++ b/tests/support/AdvancedClock.ts
@@ -1,6 +1,6 @@
 import { type Clock, SystemClock } from '../../src/utils/index.js';
 
-/** The system's clock, which a test moves forward as if the process had stood still meanwhile. */
+/** The system's clock, which a test moves forward as if the process had been paused meanwhile. */
 export class AdvancedClock implements Clock {
   private readonly clock = new SystemClock();
 
--- a/tests/taskHome/TargetSession.test.ts
+++ b/tests/taskHome/TargetSession.test.ts
@@ -64,7 +64,7 @@
     expect(leaseUntilTargetMs).toBe(TARGET_AHEAD_MS + LEASE_MS);
   });
 
-  // Guards against leases that lapse after a home stood still: each was shorter by that time.
+  // Guards against leases that lapse after a home was paused: each was shorter by that time.
   it('asks for a whole lease after it has read an answer late', async () => {
     await answer(0);
     clock.advance(2_600);
--- a/tests/taskHome/TaskProgress.test.ts
+++ b/tests/taskHome/TaskProgress.test.ts
@@ -33,7 +33,7 @@
     expect(progress.isAtWork('a.0.0.0', 1)).toBe(false);
   });
 
-  // Guards against a home that stood still and takes a report that waited for it for fresh.
+  // Guards against a home that was paused and takes a report that waited for it for fresh.
   it('ignores a report that was asked for too long ago', () => {
     clock.advance(3_000);
     progress.note(makeProgressReport({ progressPercent: 100, askedAtMs: 1 }));
@@ -55,7 +55,7 @@
     expect(progress.isStalled('a.0.0.0', 1)).toBe(false);
   });
 
-  // Guards against a home that stood still between two reports and stops runs that go on.
+  // Guards against a home that was paused between two reports and stops runs that go on.
   it('measures a stall by the clock of the target', () => {
     progress.note(makeProgressReport({ progressPercent: 30, askedAtMs: 0 }));
     clock.advance(5_000);
--- a/tests/taskHome/evacuations.test.ts
+++ b/tests/taskHome/evacuations.test.ts
@@ -20,7 +20,7 @@
   maxTasksPerTarget: 1,
 });
 /** Longer than any report counts. */
-const STANDSTILL_MS = 5_000;
+const PAUSE_MS = 5_000;
 /** Time in which a home checks its targets several times, in milliseconds. */
 const SEVERAL_TICKS_MS = 100;
 /** Longer than any test. */
@@ -89,7 +89,7 @@
     it('wait until this instance is certain to be the home', async () => {
       const { targets } = world;
       await holdReports();
-      clock.advance(STANDSTILL_MS);
+      clock.advance(PAUSE_MS);
       await drain('t3', by);
       world.isGroupLeaseHeld = false;
       setReportsDelayed(false);
@@ -100,26 +100,26 @@
       await vi.waitFor(() => expect(targets.stops).toHaveLength(1));
     });
 
-    // Guards against a home that stood still and takes the answers in its sockets for fresh.
+    // Guards against a home that was paused and takes the answers in its sockets for fresh.
     it('do not rest on reports that were read late', async () => {
       const { targets } = world;
       await holdReports();
       const targetId = endTwo();
-      clock.advance(STANDSTILL_MS);
+      clock.advance(PAUSE_MS);
       await drain(targetId, by);
       deliverReports();
       await sleep(SEVERAL_TICKS_MS);
       expect(targets.stops).toEqual([]);
     });
 
-    // Guards against a home that stood still after it had read the last reports.
-    it('do not rest on reports from before a standstill', async () => {
+    // Guards against a home that was paused after it had read the last reports.
+    it('do not rest on reports from before a pause', async () => {
       const { targets } = world;
       await holdReports();
       deliverReports();
       await holdReports();
       const targetId = endTwo();
-      clock.advance(STANDSTILL_MS);
+      clock.advance(PAUSE_MS);
       await drain(targetId, by);
       await sleep(SEVERAL_TICKS_MS);
       expect(targets.stops).toEqual([]);
--- a/tests/taskHome/histories/ServiceHistory.ts
+++ b/tests/taskHome/histories/ServiceHistory.ts
@@ -4,20 +4,20 @@
 /** One step of the history of a service. Targets are named by a number that picks one. */
 export type ServiceStep =
   | { readonly type: 'wait'; readonly forMs: number }
-  /** The home stands still until the next `thaw`, and keeps its partition. */
+  /** The home is paused until the next `thaw`, and keeps its partition. */
   | { readonly type: 'freeze' }
   | { readonly type: 'thaw' }
   /**
-   * The home stands still; meanwhile what runs on some targets ends by its own fault, and then the
+   * The home is paused; meanwhile what runs on some targets ends by its own fault, and then the
    * fleet's home drains others.
    */
   | {
-      readonly type: 'stand-still';
+      readonly type: 'pause';
       readonly forMs: number;
       readonly failing: readonly number[];
       readonly drained: readonly number[];
     }
-  /** The next home opens; the earlier one is killed, goes on, or stands still until it thaws. */
+  /** The next home opens; the earlier one is killed, goes on, or is paused until it thaws. */
   | { readonly type: 'replace-home'; readonly earlier: 'killed' | 'goes-on' | 'frozen' }
   /** What runs on a target ends by its own fault. */
   | { readonly type: 'fail'; readonly target: number }
@@ -74,7 +74,7 @@
   {
     weight: 4,
     arbitrary: fc.record({
-      type: fc.constant('stand-still'),
+      type: fc.constant('pause'),
       forMs: fc.constantFrom(900, 2_200, 3_600, 4_000, 4_300),
       failing: fc.array(target, { maxLength: 2 }),
       drained: fc.array(target, { maxLength: SERVICE_TARGET_COUNT }),
--- a/tests/taskHome/histories/ServiceHistoryWorld.ts
+++ b/tests/taskHome/histories/ServiceHistoryWorld.ts
@@ -26,7 +26,7 @@
 /** Time for the last steps to take effect, in milliseconds. */
 const LAST_STEPS_MS = 3_000;
 
-type StandStillStep = Extract<ServiceStep, { readonly type: 'stand-still' }>;
+type PauseStep = Extract<ServiceStep, { readonly type: 'pause' }>;
 
 /** A service on real homes and stand-ins in virtual time, to which a history happens. */
 export class ServiceHistoryWorld {
@@ -103,8 +103,8 @@
       case 'thaw':
         this.homes.thaw();
         return;
-      case 'stand-still':
-        await this.standStill(step);
+      case 'pause':
+        await this.pauseHome(step);
         return;
       case 'replace-home':
         if (step.earlier === 'killed') this.homes.kill();
@@ -135,7 +135,7 @@
     }
   }
 
-  private async standStill({ forMs, failing, drained }: StandStillStep): Promise<void> {
+  private async pauseHome({ forMs, failing, drained }: PauseStep): Promise<void> {
     this.homes.freeze();
     await this.time.advance(FAILS_AFTER_MS);
     failing.forEach((target) => this.failOn(this.targets.pick(target)));
--- a/tests/taskHome/serviceHistories.test.ts
+++ b/tests/taskHome/serviceHistories.test.ts
@@ -25,7 +25,7 @@
 }
 
 describe(`drawn histories of a service, seed ${SEED}`, () => {
-  // Guards against homes that stand still, or are replaced, and then stop a task too many.
+  // Guards against homes that are paused, or are replaced, and then stop a task too many.
   it(
     'has no more tasks of a step stopped than may be away',
     async () => {
