Let no late answer take back how fresh a peer has said the configuration is

Callers: an instance that the store answers late refuses keys as too old to check for up to one more read, although a peer has just told it that its configuration is the newest one.

Cause: since the age counts from when an answer was due, a read may set an earlier time than the one that is known, and read() wrote it as it came, beside takeFromPeer(), which keeps the later one.

Both go through one place now that only moves the time forward.

--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -108,7 +108,7 @@
    */
   takeFromPeer(value: Uint8Array | undefined, confirmedAtMs: number): void {
     if (value !== undefined) this.decode(value);
-    this.confirmedAtMs = Math.max(this.confirmedAtMs, confirmedAtMs);
+    this.noteConfirmed(confirmedAtMs);
   }
 
   /** Starts to read configurations. */
@@ -134,7 +134,7 @@
     try {
       await this.follower.read(LONG_POLL_MS);
       // An answer that is read later may have waited for a process that was paused.
-      this.confirmedAtMs = Math.min(clock.monotonicMs(), askedAtMs + LONG_POLL_MS);
+      this.noteConfirmed(Math.min(clock.monotonicMs(), askedAtMs + LONG_POLL_MS));
       this.outage.noteSuccess({ version: this.configuration?.version });
     } catch (thrown) {
       const { version } = this.configuration ?? {};
@@ -143,6 +143,11 @@
     }
   }
 
+  /** Records when the configuration was known to be the newest one; earlier times add nothing. */
+  private noteConfirmed(atMs: number): void {
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+  }
+
   private handleRecord(record: KeyedRecord): void {
     const { key, onOtherRecord } = this.options;
     if (record.key !== key) {
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -135,7 +135,7 @@
   /**
    * Records the reading of the target's clock from an answer.
    *
-   * An answer that is read late, as this process was paused or was busy, tells less than an
+   * An answer that is read late, as this process was paused or busy, tells less than an
    * earlier one: counted from its reading, each lease would be shorter by the delay.
    * @param targetMs - Reading of the target's clock.
    */
