--- a/tests/taskHome/crashes.test.ts
+++ b/tests/taskHome/crashes.test.ts
@@ -90,9 +90,11 @@
     await waitForCrash();
     const ended = [...crashed];
     world.store.faults.rejects = true;
-    void home.syncPool({ ...EMPTY_SYNC_REQUEST, endedTargets: ended, crashedTargets: ended });
+    const request = { ...EMPTY_SYNC_REQUEST, endedTargets: ended, crashedTargets: ended };
+    const refused = expect(home.syncPool(request)).rejects.toThrow(/closed/);
     await vi.waitFor(() => expect(world.countEvents('appendRejected')).toBeGreaterThan(0));
     world.kill(home);
+    await refused;
     world.store.faults.rejects = false;
     const next = await world.open();
     await tellCrashes(next);
