Log why ready tasks of a home are not placed

A caller sees a task of a service that runs nowhere, and the logs show only that its home knows of the loss: no line tells whether no target takes tasks, none has room, or a limit holds it back.

At most once a second, after a round that leaves ready tasks waiting, a home writes `tasksUnplaced`: counts by reason and by state of the targets, and the long-running task that has waited the longest. The reasons are found by a pure function after the round, so no placement changes.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -63,6 +63,7 @@
     level: 'info',
     text: 'Tasks wait for the limit of their organisation.',
   },
+  tasksUnplaced: { number: 6046, level: 'info', text: 'Ready tasks are not placed, and why.' },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/systems/TargetCapacity.ts
+++ b/src/systems/TargetCapacity.ts
@@ -152,15 +152,27 @@
    * @returns Whether the free capacity suffices and the constraints of the step are met.
    */
   accepts(stepKey: string, step: StepSpec): boolean {
+    return (
+      this.acceptsTasks &&
+      this.hasRoomFor(step) &&
+      this.countTasks(stepKey) < (step.maxTasksPerTarget ?? Infinity)
+    );
+  }
+
+  /**
+   * Tells whether the free capacity suffices for one more task of a step, and the target has the
+   * label that it needs.
+   * @param step - The step.
+   * @returns Whether it does, even if the target takes no tasks.
+   */
+  hasRoomFor(step: StepSpec): boolean {
     const { labels } = this.target;
     const needed = getAllocatedResources(step);
     return (
-      this.acceptsTasks &&
       needed.cpuMillicores <= this.cpuMillicores &&
       needed.memoryMb <= this.memoryMb &&
       needed.gpuCount <= this.gpuCount &&
-      (step.requiredLabel === undefined || labels.includes(step.requiredLabel)) &&
-      this.countTasks(stepKey) < (step.maxTasksPerTarget ?? Infinity)
+      (step.requiredLabel === undefined || labels.includes(step.requiredLabel))
     );
   }
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -38,6 +38,14 @@
 export { type MeasuredRun, RunTimes } from './RunTimes.js';
 export { listAllocations } from './listAllocations.js';
 export { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
+export {
+  explainUnplaced,
+  type ExplainUnplacedInput,
+  UNPLACED_REASONS,
+  type UnplacedExplanation,
+  type UnplacedReason,
+  type UnplacedTasks,
+} from './explainUnplaced.js';
 export { placeTasks, type PlaceTasksInput, type TaskPlacement } from './placeTasks.js';
 export {
   exceedsCapacity,
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { DurableJobRow } from '../jobs/index.js';
 import { getWeight, type Organisation } from '../queues/index.js';
@@ -20,6 +21,7 @@
 import type { TargetDrains } from './TargetDrains.js';
 import type { TargetSessions } from './TargetSessions.js';
 import type { TaskRuns } from './TaskRuns.js';
+import { UnplacedLog } from './UnplacedLog.js';
 
 /** Options of {@link PlacementRounds}. */
 export interface PlacementRoundsOptions {
@@ -34,6 +36,9 @@
   readonly telemetry: JobTelemetry;
   readonly mechanisms: Mechanisms;
   readonly metrics: Metrics;
+  readonly events: EventLog;
+  readonly partition: number;
+  readonly term: number;
   /** Steady clock, by which ages are measured. */
   readonly clock: Clock;
   /** Clock that determines which occurrences are due. */
@@ -49,6 +54,8 @@
 export class PlacementRounds {
   private readonly options: PlacementRoundsOptions;
 
+  private readonly unplaced: UnplacedLog;
+
   private waiting: Promise<void> | undefined;
 
   private isClosed = false;
@@ -62,6 +69,7 @@
    */
   constructor(options: PlacementRoundsOptions) {
     this.options = options;
+    this.unplaced = new UnplacedLog(options);
   }
 
   /**
@@ -146,6 +154,8 @@
       nowMs: dueAtMs,
     });
     telemetry.noteWithheld(rooms.withheld);
-    return placements.map((placement) => runs.reserve(placement));
+    const placed = placements.map((placement) => runs.reserve(placement));
+    this.unplaced.noteRound(rooms, () => this.listTargets(table.listActive()));
+    return placed;
   }
 }
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -88,6 +88,14 @@
     return this.listOpen().length;
   }
 
+  /**
+   * Lists the targets that there is a session with.
+   * @returns The targets.
+   */
+  listTracked(): readonly TrackedTarget[] {
+    return [...this.tracked.values()];
+  }
+
   /**
    * Lists the targets that have announced that they leave.
    * @returns Their ids.
