Log targets with runs that are silent past their leases

A caller sees a task that is down and not started elsewhere. The logs tell that its target fell silent, and nothing more until the target is given up: not how long ago its lease was certainly over, nor whether the platform still lists it, nor that a new home waits for a target that it does not know.

It decides nothing.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -64,6 +64,11 @@
     text: 'Tasks wait for the limit of their organisation.',
   },
   tasksUnplaced: { number: 6046, level: 'info', text: 'Ready tasks are not placed, and why.' },
+  targetsSilent: {
+    number: 6047,
+    level: 'warn',
+    text: 'Runs are on targets that have been silent past their leases.',
+  },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -21,6 +21,7 @@
 import { PoolArrivals } from './PoolArrivals.js';
 import { PoolSync, type SyncPoolParameters } from './PoolSync.js';
 import { RecordWriter, type RecordWriterOptions } from './RecordWriter.js';
+import { SilentTargetsLog } from './SilentTargetsLog.js';
 import { TargetReports } from './TargetReports.js';
 import { TargetSessions } from './TargetSessions.js';
 import type { TaskHomeOptions } from './TaskHomeOptions.js';
@@ -59,6 +60,8 @@
 
   private readonly inheritedTargets: InheritedTargets;
 
+  private readonly silentTargets: SilentTargetsLog;
+
   private readonly closing = new AbortController();
 
   /**
@@ -102,28 +105,23 @@
       ...{ clock, table: this.table, sessions: this.sessions, runs: this.runs },
       targetLeaseMs: options.timing.targetLeaseMs,
     });
+    const { arrivals, runs, sessions, table, telemetry, writer } = this;
+    const parts = { ...this.options, table, runs, sessions, telemetry };
+    this.silentTargets = new SilentTargetsLog(parts);
     this.poolSync = new PoolSync({
-      ...this.options,
-      table: this.table,
-      runs: this.runs,
-      sessions: this.sessions,
-      arrivals: this.arrivals,
-      telemetry: this.telemetry,
+      ...parts,
+      arrivals,
       dueClock: this.wallClock,
       evacuate: () => this.runs.evacuate(this.listTargetsToEvacuate()),
       flush: () => this.flush(),
       assertIsHome: () => this.assertIsHome(),
     });
     this.rounds = new PlacementRounds({
-      ...this.options,
-      table: this.table,
-      writer: this.writer,
-      runs: this.runs,
-      sessions: this.sessions,
+      ...parts,
+      writer,
       drains: this.poolSync.drains,
       limitParts: this.poolSync.limitParts,
       dueClock: this.wallClock,
-      telemetry: this.telemetry,
     });
   }
 
@@ -281,6 +279,7 @@
     this.sessions.sync();
     if (!this.isLoaded) return;
     this.inheritedTargets.loseUnknownTargets();
+    this.silentTargets.check();
     this.runs.check(this.listTargetsToEvacuate());
     this.removeExpiredJobs();
     this.flushInBackground();
