Log what a call to a home has waited for

A caller gets no answer about a job. The logs tell that the question was turned away, but not whether its time went to a search for a home, to a home that read its jobs, to a handler on the same instance, to a peer or to the list of homes. A call that never ends left no line at all.

Attempts and pauses are as before.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -132,6 +132,7 @@
       partitions: this.partitions,
       clock,
       metrics,
+      events,
     });
   }
 
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -69,6 +69,12 @@
     level: 'warn',
     text: 'Runs are on targets that have been silent past their leases.',
   },
+  homeCallWaited: {
+    number: 6048,
+    level: 'info',
+    text: 'A call to a home got no reply, or a late one.',
+  },
+  homeCallOpen: { number: 6049, level: 'warn', text: 'A call to a home does not end.' },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -1,11 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ERROR_ANSWERS, RattanliftError, throwError, toRattanliftError } from '../errors/index.js';
 import type { CallerIdentity, DurableJobSpec, DurableJobState } from '../jobs/index.js';
+import type { EventLog } from '../logging/index.js';
 import { measureCall, type Metrics } from '../metrics/index.js';
 import type { DurableJobRequest, PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
 import type { LimitOrder, PoolDemand } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { EndedTargets } from '../vms/index.js';
+import { HomeCallTrace } from './HomeCallTrace.js';
 import type { HomeDirectory } from './HomeDirectory.js';
 import type { PoolOrganisations } from './LimitParts.js';
 import type { PoolPartitions } from './PoolPartitions.js';
@@ -21,6 +23,7 @@
   readonly partitions: PoolPartitions;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly events: EventLog;
 }
 
 /** Pause before the next attempt to find a home, in milliseconds; a home opens in about 50. */
@@ -41,7 +44,12 @@
 /** Outcome of one attempt to call a home. */
 type CallOutcome =
   | { readonly type: 'reply'; readonly reply: PeerReply }
-  | { readonly type: 'again'; readonly error: RattanliftError; readonly isHomeLoading?: boolean };
+  | {
+      readonly type: 'again';
+      readonly error: RattanliftError;
+      /** What the pause before the next attempt is for. */
+      readonly wait: 'noHome' | 'loading' | 'refused' | 'unanswered';
+    };
 
 /** Forwards requests about durable jobs from their entry to the homes of their pools. */
 export class JobGateway {
@@ -159,67 +167,97 @@
       clock,
       timer: 'durable_answer_ms',
       call: request.type,
-      run: () => this.callWithRetries(request, pool),
+      run: () => this.callAndTrace(request, pool),
       describeError: (thrown) => toRattanliftError(thrown).kind,
     });
   }
 
+  private async callAndTrace(request: DurableJobRequest, pool: string): Promise<PeerReply> {
+    const { clock, events, partitions } = this.options;
+    const jobId = 'jobId' in request ? request.jobId : undefined;
+    const partition = partitions.getPartition(pool);
+    const fields = { call: request.type, pool, partition, jobId };
+    const trace = new HomeCallTrace({ clock, events, fields });
+    try {
+      return await this.callWithRetries(request, pool, trace);
+    } finally {
+      trace.end();
+    }
+  }
+
   /** Calls the home of a pool, and retries with the next home while a home is being replaced. */
-  private async callWithRetries(request: DurableJobRequest, pool: string): Promise<PeerReply> {
+  private async callWithRetries(
+    request: DurableJobRequest,
+    pool: string,
+    trace: HomeCallTrace,
+  ): Promise<PeerReply> {
     const { clock, directory } = this.options;
     const giveUpAtMs = clock.monotonicMs() + HOME_SEARCH_MS;
     let isInDoubt = false;
-    let last: CallOutcome = await this.attemptCall(request, pool);
+    let last: CallOutcome = await this.attemptCall(request, pool, trace);
     while (last.type === 'again' && clock.monotonicMs() < giveUpAtMs) {
       isInDoubt ||= ERROR_ANSWERS[last.error.kind].outcome !== 'not-run';
+      trace.begin(last.wait);
+      const paused = sleep(RETRY_PAUSE_MS).then(() => trace.begin('refresh'));
       // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
-      await Promise.all([directory.refresh(), sleep(RETRY_PAUSE_MS)]);
+      await Promise.all([directory.refresh(), paused]);
       // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
-      last = await this.attemptCall(request, pool);
+      last = await this.attemptCall(request, pool, trace);
+    }
+    if (last.type === 'reply') {
+      trace.noteReply();
+      return JobGateway.unwrapReply(last.reply, isInDoubt);
     }
-    if (last.type === 'reply') return JobGateway.unwrapReply(last.reply, isInDoubt);
     // `not-run` must be certain, but an earlier unanswered attempt may have stored the job.
     if (isInDoubt) throwError('outcome-unknown', 'No home has answered.', { cause: last.error });
     throw last.error;
   }
 
-  private async attemptCall(request: DurableJobRequest, pool: string): Promise<CallOutcome> {
-    const outcome = await this.callHome(request, pool);
+  private async attemptCall(
+    request: DurableJobRequest,
+    pool: string,
+    trace?: HomeCallTrace,
+  ): Promise<CallOutcome> {
+    trace?.noteAttempt();
+    const outcome = await this.callHome(request, pool, trace);
     // A home that is still reading is at work. If it counted as silent, small instances would join
     // the group, and the partitions would be assigned anew before any of them has been read.
-    const isHeard = outcome.type === 'reply' || outcome.isHomeLoading === true;
+    const isHeard = outcome.type === 'reply' || outcome.wait === 'loading';
     if (isHeard) this.silentSinceMs = undefined;
     else this.silentSinceMs ??= this.options.clock.monotonicMs();
     return outcome;
   }
 
-  private async callHome(request: DurableJobRequest, pool: string): Promise<CallOutcome> {
+  private async callHome(
+    request: DurableJobRequest,
+    pool: string,
+    trace?: HomeCallTrace,
+  ): Promise<CallOutcome> {
     const { instance, directory, partitions, handleLocally, peers } = this.options;
     const home: PeerAddress | undefined = directory.get(partitions.getPartition(pool));
-    if (home === undefined) return JobGateway.createRetry('home-unavailable', 'No home is known.');
+    if (home === undefined) {
+      const message = 'No home is known.';
+      const error = new RattanliftError({ kind: 'home-unavailable', message });
+      return { type: 'again', error, wait: 'noHome' };
+    }
+    const isLocal = home.instance === instance;
+    trace?.noteHome(home.instance, isLocal);
     try {
-      const reply =
-        home.instance === instance
-          ? await handleLocally(request)
-          : await peers.call(home, request, CALL_WAIT_MS);
+      const reply = isLocal
+        ? await handleLocally(request)
+        : await peers.call(home, request, CALL_WAIT_MS);
       const isRetryable = reply.type === 'refused' && RETRYABLE_KINDS.has(reply.kind);
       if (!isRetryable) return { type: 'reply', reply };
-      const { isHomeLoading = false } = reply;
-      return { ...JobGateway.createRetry(reply.kind, reply.message), isHomeLoading };
+      const { isHomeLoading = false, kind, message } = reply;
+      const error = new RattanliftError({ kind, message });
+      return { type: 'again', error, wait: isHomeLoading ? 'loading' : 'refused' };
     } catch (thrown) {
       const error = toRattanliftError(thrown);
       if (!RETRYABLE_KINDS.has(error.kind)) throw error;
-      return { type: 'again', error };
+      return { type: 'again', error, wait: 'unanswered' };
     }
   }
 
-  private static createRetry(
-    kind: RattanliftError['kind'],
-    message: string,
-  ): Extract<CallOutcome, { readonly type: 'again' }> {
-    return { type: 'again', error: new RattanliftError({ kind, message }) };
-  }
-
   private static unwrapReply(reply: PeerReply, isInDoubt: boolean): PeerReply {
     if (reply.type !== 'refused') return reply;
     const isNotRun = ERROR_ANSWERS[reply.kind].outcome === 'not-run';
--- a/tests/taskHome/JobGateway.test.ts
+++ b/tests/taskHome/JobGateway.test.ts
@@ -1,6 +1,7 @@
-import { expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
+import { type EventFields, type KeptEvent, MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
-import type { PeerPort, PeerReply } from '../../src/peers/index.js';
+import type { PeerAddress, PeerPort, PeerReply } from '../../src/peers/index.js';
 import { JobGateway, PoolPartitions } from '../../src/taskHome/index.js';
 import { SystemClock } from '../../src/utils/index.js';
 
@@ -8,16 +9,21 @@
 const HOME = { instance: 'home', host: '10.0.0.1', port: 7_700 };
 
 /** Asks a home that gives the same reply to every call, until the caller gives up. */
-async function ask(reply: PeerReply): Promise<JobGateway> {
+async function ask(
+  reply: PeerReply,
+  events = new MemoryEventLog(),
+  getHome: () => PeerAddress | undefined = () => HOME,
+): Promise<JobGateway> {
   const call: PeerPort['call'] = () => Promise.resolve(reply);
   const gateway = new JobGateway({
     instance: 'entry',
     peers: { call },
     handleLocally: () => Promise.resolve(REFUSAL),
-    directory: { get: () => HOME, refresh: () => Promise.resolve() },
+    directory: { get: getHome, refresh: () => Promise.resolve() },
     partitions: new PoolPartitions({ partitionCount: 1, listPools: () => ['pages'] }),
     clock: new SystemClock(),
     metrics: new MemoryMetrics(),
+    events,
   });
   await expect(gateway.getState('pages', 'a')).rejects.toMatchObject({ kind: REFUSAL.kind });
   return gateway;
@@ -28,3 +34,27 @@
   expect((await ask({ ...REFUSAL, isHomeLoading: true })).areHomesSilent).toBe(false);
   expect((await ask(REFUSAL)).areHomesSilent).toBe(true);
 });
+
+describe('the log of a call without a reply', () => {
+  const LOADING = { ...REFUSAL, isHomeLoading: true };
+  const ENTRY = { ...HOME, instance: 'entry' };
+
+  it.concurrent.each([
+    ['loadingMs', LOADING, HOME, HOME.instance],
+    ['refusedMs', REFUSAL, HOME, HOME.instance],
+    ['refusedMs', REFUSAL, ENTRY, ENTRY.instance],
+    ['noHomeMs', REFUSAL, undefined, undefined],
+  ])('shows %s as what it has waited for', async (waited, reply, known, home) => {
+    const events = new MemoryEventLog();
+    await ask(reply, events, () => known);
+    const [{ event, fields }] = events.events as [KeptEvent];
+    expect(event).toBe('homeCallWaited');
+    const call = { call: 'get-durable-job', pool: 'pages', partition: 0, jobId: 'a' };
+    expect(fields).toMatchObject({ ...call, home, isReplied: false });
+    const { loadingMs, refusedMs, noHomeMs, unansweredMs } = fields;
+    const waits: EventFields = { loadingMs, refusedMs, noHomeMs, unansweredMs };
+    const long = Object.keys(waits).filter((name) => Number(waits[name]) > 0);
+    expect(long).toEqual([waited]);
+    expect(fields.attemptCount).toBeGreaterThan(1);
+  });
+});
