Log appends that are repeated, and partitions that stay without a home

A caller finds no home of a pool, or one that stores nothing. `taskHomeOpened` tells when a home is at work, but a partition that is being claimed or read, or waits for the group after a replacement, left no line; and lines of single attempts do not tell how long one append has been tried.

`appendHeld` sums up an append that has been repeated for more than a second, `partitionsUnopened` the partitions that the group has assigned here and that have had no open home for more than 2 s; both once a second. The options of the homes move to files of their own.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -75,6 +75,12 @@
     text: 'A call to a home got no reply, or a late one.',
   },
   homeCallOpen: { number: 6049, level: 'warn', text: 'A call to a home does not end.' },
+  appendHeld: { number: 6050, level: 'warn', text: 'An append has been repeated for a while.' },
+  partitionsUnopened: {
+    number: 6051,
+    level: 'warn',
+    text: 'Partitions of this instance have no open home.',
+  },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/taskHome/RecordWriter.ts
+++ b/src/taskHome/RecordWriter.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '../logging/index.js';
 import type { AppendResult, KeyedLogPort, KeyedRecord } from '../store/index.js';
 import { AdaptiveTimeout, assertNever, type Clock } from '../utils/index.js';
+import { AppendRepeats } from './AppendRepeats.js';
 import { getMaxAppendBytes } from './getMaxAppendBytes.js';
 
 /** Options of {@link RecordWriter}. */
@@ -57,6 +58,8 @@
 export class RecordWriter {
   private readonly options: RecordWriterOptions;
 
+  private readonly repeats: AppendRepeats;
+
   private readonly timeout = new AdaptiveTimeout(APPEND_TIMEOUT);
 
   private sequence: number;
@@ -87,6 +90,7 @@
    */
   constructor(options: RecordWriterOptions) {
     this.options = options;
+    this.repeats = new AppendRepeats(options);
     this.sequence = options.lastSequence ?? 0;
   }
 
@@ -212,6 +216,7 @@
   }
 
   private async appendUntilAnswered(records: readonly KeyedRecord[]): Promise<void> {
+    this.repeats.begin(records.length);
     let isStored: boolean | undefined;
     while (isStored === undefined && !this.isClosed) {
       // eslint-disable-next-line no-await-in-loop -- a repeat follows the attempt before it
@@ -232,7 +237,9 @@
       );
       return this.handleResult(result);
     } catch (thrown) {
-      events.write('appendUnanswered', { topic, partition, term, reason: String(thrown) });
+      const reason = String(thrown);
+      events.write('appendUnanswered', { topic, partition, term, reason });
+      this.repeats.noteFailure(reason);
       return undefined;
     }
   }
@@ -245,6 +252,7 @@
         return true;
       case 'rejected':
         events.write('appendRejected', { topic, partition, term, reason: result.reason });
+        this.repeats.noteFailure(result.reason);
         return undefined;
       case 'fenced':
       case 'out-of-sequence':
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -4,17 +4,11 @@
   decodeVmOrderRecord,
   decodeWaveRecord,
   type FleetHome,
-  type VmOrderRecord,
-  type WaveRecord,
 } from '../fleetHome/index.js';
-import type { Metrics } from '../metrics/index.js';
-import type { Organisation } from '../queues/index.js';
-import type { KeyedLogPort, KeyedRecord } from '../store/index.js';
-import type { Mechanisms, PoolPeak } from '../systems/index.js';
-import type { LeasedTargetPort } from '../targets/index.js';
+import type { KeyedRecord } from '../store/index.js';
 import { ConcurrencyLimit, KeyedOnce, whenAborted } from '../utils/index.js';
 import { decodeReadable } from './decodeReadable.js';
-import { GroupMembership, type GroupMembershipOptions } from './GroupMembership.js';
+import { GroupMembership } from './GroupMembership.js';
 import { PacedPages } from './PacedPages.js';
 import { type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
 import { type ClaimedTerm, HOME_PRODUCER } from './PartitionTerms.js';
@@ -23,46 +17,9 @@
   getLongestPageDelayMs,
   getLongestRenewalsWaitMs,
 } from './pageTransfer.js';
-import type { PoolPartitions } from './PoolPartitions.js';
-import type { TargetDirectory } from './TargetDirectory.js';
 import { TaskHome } from './TaskHome.js';
-import type { TaskHomeTiming } from './TaskHomeTiming.js';
-
-/** Options of {@link TaskHomes}. */
-export interface TaskHomesOptions extends Omit<
-  GroupMembershipOptions,
-  'getAnswerDelayMs' | 'onRenewed' | 'onLeaving'
-> {
-  readonly store: KeyedLogPort;
-  readonly targets: LeasedTargetPort;
-  readonly directory: TargetDirectory;
-  readonly partitions: PoolPartitions;
-  readonly homeTiming: TaskHomeTiming;
-  /** Topic with the latest claimed term of each partition of the topic of jobs. */
-  readonly termsTopic: string;
-  /** Maximum size of an append, in bytes of record values. */
-  readonly maxAppendBytes: number;
-  /** Speed of this instance's link, in megabits per second. */
-  readonly linkMbps: number;
-  readonly metrics: Metrics;
-  readonly mechanisms: Mechanisms;
-  /** Lists the organisations of the configuration in force. */
-  readonly listOrganisations: () => readonly Organisation[];
-  /** Creates the fleet's home on the instance that is the home of the fleet's partition. */
-  readonly createFleetHome: (context: FleetHomeContext) => FleetHome;
-}
-
-/** State and callbacks that the fleet's home gets from the home of its partition. */
-export interface FleetHomeContext {
-  readonly term: number;
-  readonly waveRecords: readonly WaveRecord[];
-  readonly orderRecords: readonly VmOrderRecord[];
-  readonly peakRecords: readonly PoolPeak[];
-  readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
-  /** Whether this instance is certain to be the fleet's home at this moment. */
-  readonly isGroupLeaseHeld: () => boolean;
-  readonly onReplaced: () => void;
-}
+import type { TaskHomesOptions } from './TaskHomesOptions.js';
+import { UnopenedPartitions, type UnopenedPhase } from './UnopenedPartitions.js';
 
 /** Interval at which homes check their targets and due tasks, in milliseconds. */
 const TICK_MS = 250;
@@ -93,6 +50,8 @@
 
   private readonly membership: GroupMembership;
 
+  private readonly unopened: UnopenedPartitions;
+
   /**
    * Partitions whose home was replaced since the latest renewal of the membership. The group may
    * have assigned them to others. Otherwise two instances that both believe in their share would
@@ -124,6 +83,9 @@
       onRenewed: () => this.updateHomes(),
       onLeaving: (reason) => this.closeAllHomes(reason),
     });
+    const { clock, events } = options;
+    const isLeaseHeld = (): boolean => this.membership.isLeaseHeld();
+    this.unopened = new UnopenedPartitions({ clock, events, isLeaseHeld });
   }
 
   /** Joins the group and opens homes for the assigned partitions. */
@@ -131,6 +93,7 @@
     this.membership.start();
     this.timers.push(
       setInterval(() => this.homes.forEach((home) => home.tick()), TICK_MS),
+      setInterval(() => this.logUnopened(), TICK_MS),
       setInterval(() => {
         if (this.homes.size > 0) void this.refreshTargets();
       }, DIRECTORY_REFRESH_MS),
@@ -209,6 +172,22 @@
     return this.membership.holds(partition);
   }
 
+  private logUnopened(): void {
+    const unopened = this.options.partitions
+      .listUsedPartitions()
+      .filter((partition) => this.membership.holds(partition) && !this.isServing(partition))
+      .map((partition) => {
+        const { recordCount = 0 } = this.readings.get(partition) ?? {};
+        return { partition, phase: this.getPhase(partition), recordCount };
+      });
+    this.unopened.check(unopened);
+  }
+
+  private getPhase(partition: number): UnopenedPhase {
+    if (this.replaced.has(partition)) return 'replaced';
+    return this.homes.has(partition) ? 'reading' : 'claiming';
+  }
+
   /** Gets how long an answer may wait behind the pages that this instance reads. */
   private getAnswerDelayMs(): number {
     return this.openings.isIdle ? 0 : getLongestPageDelayMs(this.options.linkMbps);
--- a/tests/taskHome/RecordWriter.test.ts
+++ b/tests/taskHome/RecordWriter.test.ts
@@ -15,6 +15,7 @@
   term: number,
   onFenced = vi.fn(),
   maxAppendBytes?: number,
+  events = new MemoryEventLog(),
 ): RecordWriter {
   return new RecordWriter({
     maxAppendBytes,
@@ -24,7 +25,7 @@
     producer: 'home',
     term,
     clock: new SystemClock(),
-    events: new MemoryEventLog(),
+    events,
     onFenced,
   });
 }
@@ -50,6 +51,23 @@
     expect((await store.readNewest('jobs', 0)).endOffset).toBe(1);
   });
 
+  it('logs an append that has been repeated for more than a second', async () => {
+    const store = new StoreStandIn({ partitionCount: 1 });
+    const events = new MemoryEventLog();
+    const writer = createWriter(store, 1, undefined, undefined, events);
+    store.faults.rejects = true;
+    const written = writer.write([record('a'), record('b')]);
+    await vi.waitFor(
+      () => expect(events.events.map(({ event }) => event)).toContain('appendHeld'),
+      3_000,
+    );
+    store.faults.rejects = false;
+    await written;
+    const held = events.events.find(({ event }) => event === 'appendHeld');
+    expect(held?.fields).toMatchObject({ topic: 'jobs', partition: 0, term: 1, recordCount: 2 });
+    expect(held?.fields.attemptCount).toBeGreaterThan(1);
+  });
+
   it('knows where the partition ends after its latest stored append', async () => {
     const store = new StoreStandIn({ partitionCount: 1 });
     const writer = createWriter(store, 1);
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -132,6 +132,17 @@
     expect(opened?.fields).toMatchObject({ partition: 0, term, endOffset });
   });
 
+  it('logs a partition that takes long to open', async () => {
+    readSlowly();
+    homes.start();
+    await vi.waitFor(() => expect(homes.get('pages')?.isLoaded).toBe(true), LOADED_WITHIN_MS);
+    const fields = { partitionCount: 1, partitions: ['0'], phase: 'reading', isLeaseHeld: true };
+    expect(events.events).toContainEqual({
+      event: 'partitionsUnopened',
+      fields: expect.objectContaining(fields),
+    });
+  });
+
   // Guards against a pool without a home as its partition was away while it was being claimed.
   it('opens a partition that goes away and comes back while it is claimed', async () => {
     const { append: appendRecords } = store;
