Bound the time that a home spends on explaining why tasks wait

With 1,000 waiting jobs and 1,000 targets a look takes 3 to 26 ms of a busy processor (trials of the function alone), once a second. A home on a tenth of a core has 100 ms a second for everything. After a look the next one waits for a hundred times its duration, so the looks take 1 % at most.

--- a/src/taskHome/UnplacedLog.ts
+++ b/src/taskHome/UnplacedLog.ts
@@ -32,6 +32,8 @@
 
 /** Shortest time between two log lines of a home, in milliseconds. */
 const INTERVAL_MS = 1_000;
+/** Pause after a look, as a multiple of its duration: looks take at most 1 % of the time. */
+const PAUSE_FACTOR = 100;
 
 /** A ready task, and since when this home has known that it is not placed. */
 interface WaitingTask {
@@ -99,12 +101,13 @@
     const { clock, dueClock, table } = this.options;
     const nowMs = clock.monotonicMs();
     if (nowMs < this.nextAtMs) return;
-    this.nextAtMs = nowMs + INTERVAL_MS;
     const targets = listTargets();
     const jobs = table.listActive();
     const explanation = explainUnplaced({ jobs, targets, rooms, nowMs: dueClock.wallMs() });
     const waiting = this.takeNote(explanation.unplaced, nowMs);
     if (waiting.length > 0) this.write(explanation, waiting, targets);
+    const tookMs = clock.monotonicMs() - nowMs;
+    this.nextAtMs = nowMs + Math.max(INTERVAL_MS, PAUSE_FACTOR * tookMs);
   }
 
   /**
