--- a/standins/leasedTargets/LeasedTargetFaults.ts
+++ b/standins/leasedTargets/LeasedTargetFaults.ts
@@ -4,6 +4,8 @@
 export interface LeasedTargetFaults {
   /** No call reaches the target. */
   isCutOff: boolean;
+  /** Renewals, starts and stops are answered as by an unhealthy target, without effect. */
+  isUnhealthy: boolean;
   /** Starts get no answer, and are carried out by `applyLateStarts`. */
   appliesStartsLate: boolean;
   /** Like `appliesStartsLate` for the first call of each run by each home; repeats are answered. */
@@ -32,6 +34,7 @@
 /** Faults of a target that works. */
 export const NO_FAULTS: LeasedTargetFaults = {
   isCutOff: false,
+  isUnhealthy: false,
   appliesStartsLate: false,
   appliesFirstStartsLate: false,
   delaysStarts: false,
--- a/standins/leasedTargets/LeasedTargetsStandIn.ts
+++ b/standins/leasedTargets/LeasedTargetsStandIn.ts
@@ -44,7 +44,8 @@
   /** Tasks that ran twice at the same time, or again after an acknowledged end. */
   readonly violations: string[] = [];
 
-  private readonly clock: Clock;
+  /** Clock of the targets. */
+  readonly clock: Clock;
 
   private readonly targets = new Map<string, LeasedTarget>();
 
@@ -199,6 +200,7 @@
   async start({ targetId }: LeasedTargetAddress, start: TaskStart): Promise<StartAnswer> {
     this.throwIfCutOff(targetId);
     if (!this.targets.has(targetId)) return { type: 'other-lifetime' };
+    if (this.isUnhealthy(targetId)) return { type: 'refused', reason: 'unhealthy' };
     const { delaysStarts, losesStartAnswers, refusesStarts } = this.faults.get(targetId)!;
     if (delaysStarts) return this.delayStart(targetId, start);
     if (this.isStartLate(targetId, start)) {
@@ -218,6 +220,7 @@
     term: number,
   ): Promise<CommandAnswer> {
     this.throwIfCutOff(targetId);
+    if (this.isUnhealthy(targetId)) return { type: 'refused', reason: 'unhealthy' };
     this.stops.push(taskName);
     const { losesStops, appliesStopsLate, stopsSlowly } = this.faults.get(targetId) ?? NO_FAULTS;
     if (losesStops) throw new Error('The stop was not answered.');
@@ -267,6 +270,7 @@
   }
 
   private renewNow(targetId: string, renewal: LeaseRenewal): LeaseAnswer {
+    if (this.isUnhealthy(targetId)) return { type: 'unhealthy' };
     const isIgnored = this.faults.get(targetId)?.ignoresAcknowledgements === true;
     const received = isIgnored ? { ...renewal, acknowledgedEndNumber: 0 } : renewal;
     return this.targets.get(targetId)?.renew(received) ?? { type: 'other-lifetime' };
@@ -323,6 +327,10 @@
     return [...this.targets.values()].some(({ doneNames }) => doneNames.includes(taskName));
   }
 
+  private isUnhealthy(targetId: string): boolean {
+    return this.faults.get(targetId)?.isUnhealthy === true;
+  }
+
   private throwIfCutOff(targetId: string): void {
     if (this.faults.get(targetId)?.isCutOff === true) throw new Error('The target is cut off.');
   }
--- a/standins/leasedTargets/TargetAccess.ts
+++ b/standins/leasedTargets/TargetAccess.ts
@@ -13,6 +13,9 @@
   /** Whether no call reaches a target or is ever answered, as while a process is frozen. */
   isCut = false;
 
+  /** Ids of the targets to which calls from here fail, while others reach them. */
+  readonly unreachableTargets = new Set<string>();
+
   private readonly targets: LeasedTargetPort;
 
   /**
@@ -25,7 +28,7 @@
 
   /** {@inheritDoc LeasedTargetPort.start} */
   start(target: LeasedTargetAddress, start: TaskStart): Promise<StartAnswer> {
-    return this.call(() => this.targets.start(target, start));
+    return this.call(target, () => this.targets.start(target, start));
   }
 
   /** {@inheritDoc LeasedTargetPort.stop} */
@@ -35,7 +38,7 @@
     run: number,
     term: number,
   ): Promise<CommandAnswer> {
-    return this.call(() => this.targets.stop(target, taskName, run, term));
+    return this.call(target, () => this.targets.stop(target, taskName, run, term));
   }
 
   /** {@inheritDoc LeasedTargetPort.pace} */
@@ -46,12 +49,12 @@
     percent: number,
     term: number,
   ): Promise<CommandAnswer> {
-    return this.call(() => this.targets.pace(target, taskName, run, percent, term));
+    return this.call(target, () => this.targets.pace(target, taskName, run, percent, term));
   }
 
   /** {@inheritDoc LeasedTargetPort.renew} */
   renew(target: LeasedTargetAddress, renewal: LeaseRenewal): Promise<LeaseAnswer> {
-    return this.call(() => this.targets.renew(target, renewal));
+    return this.call(target, () => this.targets.renew(target, renewal));
   }
 
   /** {@inheritDoc LeasedTargetPort.forget} */
@@ -59,7 +62,12 @@
     this.targets.forget(targetId);
   }
 
-  private call<Answer>(run: () => Promise<Answer>): Promise<Answer> {
-    return this.isCut ? new Promise(() => {}) : run();
+  private call<Answer>(
+    { targetId }: LeasedTargetAddress,
+    run: () => Promise<Answer>,
+  ): Promise<Answer> {
+    if (this.isCut) return new Promise(() => {});
+    const isReachable = !this.unreachableTargets.has(targetId);
+    return isReachable ? run() : Promise.reject(new Error('The target is out of reach.'));
   }
 }
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -9,6 +9,7 @@
 import { PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
 import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
+import type { LeasedTargetPort } from '../../src/targets/index.js';
 
 const TOPIC = 'jobs';
 const TERMS_TOPIC = 'terms';
@@ -97,6 +98,9 @@
   /** How long homes keep ended jobs, in milliseconds. */
   keepFinishedMs = 60_000;
 
+  /** Way to the targets of the homes that are opened next. */
+  access: LeasedTargetPort = this.targets;
+
   /** Organisations of the configuration in force. */
   organisations: readonly Organisation[] = [];
 
@@ -128,7 +132,7 @@
   async claim(
     clock: Clock = new SystemClock(),
   ): Promise<{ readonly home: TaskHome; readonly opening: PartitionOpening }> {
-    const { store, targets, events } = this;
+    const { store, access, events } = this;
     const place = { store, topic: TOPIC, partition: PARTITION };
     const opening = new PartitionOpening({
       ...place,
@@ -141,7 +145,7 @@
     const claimed = await opening.claim();
     const home: TaskHome = new TaskHome({
       ...place,
-      targets,
+      targets: access,
       producer: 'home',
       claimed: claimed!,
       timing: {
