Let a home that the group does not confirm extend leases only for a while

What callers saw: a task that ran twice. A home that the store does not answer cannot learn that it was replaced.

Cause: the group's time to live bounded requests, starts and stops of a home, not the leases of its targets: what ended a home's renewals was a fence that only a target reached by both homes can show.

Change: a home extends leases for 0.3 of a lease (1.5 s) beyond the time to live of its membership, counted from the latest renewal that the group confirmed. The next home waits for as much longer than a lease before it counts a target that it does not hear as lapsed. Without an answer of the group renewals go on as questions, and a start carries the lease as it is. Its price: in an outage of the store of more than 6.4 s (worked out: 1.3 + 1.5 s less a renewal of the membership and one of the lease, and 5 s) leases lapse, which went on before. Weighed: no bound, but for peers that know the next home (a cut between data centres hides them, too); a majority of the targets on both sides (with most of a pool lost the next home would never give up).

Why it works: the next home can claim only once the time to live is over, so the last extension of the earlier one ends within the wait of the next one.

--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -80,6 +80,7 @@
     getEntries: () => entries,
     listOrganisations: () => [],
     isGroupLeaseHeld: () => true,
+    mayExtendLeases: () => true,
     onReplaced: () => undefined,
   });
   home.load(await opening.read(claimed));
--- a/scripts/oldKnowledgeMutants.ts
+++ b/scripts/oldKnowledgeMutants.ts
@@ -7,6 +7,14 @@
 
 /** Guards against decisions on old knowledge, and of instances that may not be the home. */
 export const OLD_KNOWLEDGE_MUTANTS: readonly Mutant[] = [
+  {
+    failure: 'a lease renewed by a home that was replaced and does not know',
+    file: 'src/taskHome/TargetSessions.ts',
+    find: 'mayExtendLeases() && ',
+    replace: '',
+    test: 'tests/taskHome/unlistedTargets.test.ts',
+    name: 'has ended before the task starts again',
+  },
   {
     failure: 'a task stopped too many, on the word of a target that has fallen silent',
     file: PROGRESS_FILE,
--- a/src/taskHome/GroupMembership.ts
+++ b/src/taskHome/GroupMembership.ts
@@ -23,6 +23,8 @@
   /** Name of this member, which contains its address. */
   readonly member: string;
   readonly groupTiming: GroupTiming;
+  /** How long after its time to live a member still extends leases of targets, in milliseconds. */
+  readonly extensionGraceMs: number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Whether this instance should hold partitions, given whether it is a member now. */
@@ -53,6 +55,9 @@
 
   private readonly lease: HeldLease;
 
+  /** Ends later than the lease on the share. */
+  private readonly extension: HeldLease;
+
   private readonly renewTimeout: AdaptiveTimeout;
 
   private readonly outage: OutageLog;
@@ -74,19 +79,12 @@
    */
   constructor(options: GroupMembershipOptions) {
     this.options = options;
-    const { clock, events, groupTiming } = options;
+    const { events, groupTiming, extensionGraceMs } = options;
     const { shortestWaitMs: shortestMs, longestWaitMs: longestMs } = groupTiming;
     this.renewTimeout = new AdaptiveTimeout({ shortestMs, longestMs });
     this.outage = new OutageLog({ events, lost: 'groupUnreachable', regained: 'groupReachable' });
-    this.lease = new HeldLease({
-      clock,
-      timing: {
-        leaseMs: groupTiming.ttlMs,
-        renewEveryMs: groupTiming.renewEveryMs,
-        marginMs: LEASE_MARGIN_MS,
-        contenderStepMs: 0,
-      },
-    });
+    this.lease = this.createLease(groupTiming.ttlMs);
+    this.extension = this.createLease(groupTiming.ttlMs + extensionGraceMs);
   }
 
   /** Joins the group, and renews the membership until it is stopped. */
@@ -117,6 +115,15 @@
     return this.lease.isHeld();
   }
 
+  /**
+   * Tells whether this member may still extend leases of targets, which do no harm for some time
+   * after the share was assigned to others.
+   * @returns Whether the group has confirmed the membership recently.
+   */
+  mayExtendLeases(): boolean {
+    return this.extension.isHeld();
+  }
+
   /**
    * Waits until the membership has just been renewed in a way that allows for delayed answers.
    * @param maxMs - Longest wait, in milliseconds.
@@ -128,6 +135,13 @@
     await waitUntil(isFresh, { clock, deadlineMs, checkEveryMs: FRESHNESS_CHECK_MS });
   }
 
+  private createLease(leaseMs: number): HeldLease {
+    const { clock, groupTiming } = this.options;
+    const { renewEveryMs } = groupTiming;
+    const timing = { leaseMs, renewEveryMs, marginMs: LEASE_MARGIN_MS, contenderStepMs: 0 };
+    return new HeldLease({ clock, timing });
+  }
+
   private async runRenewals(): Promise<void> {
     while (!this.isStopped) {
       const { generation } = this;
@@ -195,6 +209,7 @@
       );
       if (this.isStopped) return true;
       this.lease.extend(sentAt);
+      this.extension.extend(sentAt, delayMs);
       if (delayMs > 0) this.allowedDelaysAtMs = sentAtMs;
       this.outage.noteSuccess({ group, member, generation });
       this.generation = share.generation;
--- a/src/taskHome/InheritedTargets.ts
+++ b/src/taskHome/InheritedTargets.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
+import { getExtensionGraceMs, LAPSE_MARGIN_MS, SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
 import type { TargetSessions } from './TargetSessions.js';
 import type { TaskRuns } from './TaskRuns.js';
 
@@ -12,9 +13,6 @@
   readonly runs: Pick<TaskRuns, 'handleLostTarget'>;
 }
 
-/** An inherited lease counts as lapsed after its length, 2 % for clock drift, and a margin. */
-const LEASE_FACTOR = 1.1;
-
 /** Finds the targets of an earlier home that were gone before this home claimed the partition. */
 export class InheritedTargets {
   private readonly options: InheritedTargetsOptions;
@@ -32,8 +30,9 @@
 
   /** Marks the runs on such targets as lost once the leases have lapsed. */
   loseUnknownTargets(): void {
-    const { clock, runs, sessions, table, targetLeaseMs } = this.options;
-    if (clock.monotonicMs() < this.claimedAtMs + targetLeaseMs * LEASE_FACTOR) return;
+    const { clock, runs, sessions, table, targetLeaseMs: leaseMs } = this.options;
+    const longestMs = (leaseMs + getExtensionGraceMs(leaseMs)) / SLOWEST_TARGET_CLOCK_RATE;
+    if (clock.monotonicMs() < this.claimedAtMs + longestMs + LAPSE_MARGIN_MS) return;
     [...table.listUsedTargets()]
       .filter((targetId) => !sessions.has(targetId))
       .forEach((targetId) => runs.handleLostTarget(targetId, 'lapsed'));
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -2,6 +2,7 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { LeaseAnswer, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
 import { assertNever, type Clock } from '../utils/index.js';
+import { getExtensionGraceMs, SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
 
 /** A report of a target with the time at which it was requested. */
 export interface TargetReport {
@@ -24,7 +25,7 @@
   readonly leaseMs: number;
   /** Gets how long the target may delay its answer until a run ends, in milliseconds. */
   readonly getWaitMs: () => number;
-  /** Tells whether renewals may extend the lease; otherwise they only request reports. */
+  /** Tells whether renewals and starts may extend the lease; otherwise it stays as it is. */
   readonly mayExtendLease: () => boolean;
   readonly clock: Clock;
   readonly events: EventLog;
@@ -35,8 +36,6 @@
 
 /** Pause after an unanswered renewal, in milliseconds; allows several attempts within one lease. */
 const RETRY_PAUSE_MS = 200;
-/** Rate of the slowest clock that the platform's bounds allow a target: 2 % slow. */
-const SLOWEST_TARGET_CLOCK_RATE = 0.98;
 
 /** Renews the lease of one target and passes on its reports, one renewal at a time. */
 export class TargetSession {
@@ -108,7 +107,8 @@
   get latestLapseAtMs(): number {
     const { clockReading, leaseUntilTargetMs, createdAtMs } = this;
     if (clockReading === undefined) {
-      return createdAtMs + this.options.leaseMs / SLOWEST_TARGET_CLOCK_RATE;
+      const { leaseMs } = this.options;
+      return createdAtMs + (leaseMs + getExtensionGraceMs(leaseMs)) / SLOWEST_TARGET_CLOCK_RATE;
     }
     const remainingMs = leaseUntilTargetMs - clockReading.targetMs;
     return clockReading.atMs + Math.max(0, remainingMs) / SLOWEST_TARGET_CLOCK_RATE;
@@ -146,12 +146,13 @@
   }
 
   /**
-   * Extends the lease that renewals and starts ask for, counted from now.
+   * Extends the lease that renewals and starts ask for, counted from now, if it may be extended.
    * @returns Its end on the target's clock, in milliseconds.
    */
   extendLease(): number {
     const { clockReading } = this;
-    if (clockReading === undefined) return this.leaseUntilTargetMs;
+    const mayExtend = this.options.mayExtendLease();
+    if (clockReading === undefined || !mayExtend) return this.leaseUntilTargetMs;
     const nowMs = this.options.clock.monotonicMs();
     const elapsedMs = nowMs - clockReading.atMs;
     const untilMs = Math.floor(clockReading.targetMs + elapsedMs + this.options.leaseMs);
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -3,6 +3,7 @@
 import type { EndedTaskReport, LeasedTargetAddress } from '../targets/index.js';
 import { waitUntil } from '../utils/index.js';
 import { LapsedStarts } from './LapsedStarts.js';
+import { LAPSE_MARGIN_MS } from './leaseBounds.js';
 import type { RunKey } from './RunKey.js';
 import type { TargetEntry } from './TargetEntry.js';
 import { TargetSession } from './TargetSession.js';
@@ -19,8 +20,6 @@
 /** Age up to which a renewal is fresh, in milliseconds: renewals come about once a second. */
 const FRESH_LEASE_MAX_AGE_MS = 1_500;
 const FRESHNESS_CHECK_MS = 5;
-/** Margin after the end of a lease until its target counts as empty, in milliseconds. */
-const LAPSE_MARGIN_MS = 300;
 
 function hasLessCapacity(current: Resources, previous: Resources): boolean {
   return (
@@ -317,7 +316,7 @@
   }
 
   private open(entry: TargetEntry): void {
-    const { targets, term, timing, getTargetWaitMs, clock, events } = this.options;
+    const { targets, term, timing, getTargetWaitMs, mayExtendLeases, clock, events } = this.options;
     const { onReport, onGone, onStaleTerm } = this.options;
     const { targetId, pool, rack } = entry;
     const session = new TargetSession({
@@ -328,7 +327,7 @@
       getWaitMs: getTargetWaitMs,
       clock,
       events,
-      mayExtendLease: () => !this.lapsedStarts.has(targetId),
+      mayExtendLease: () => mayExtendLeases() && !this.lapsedStarts.has(targetId),
       onReport: async (report) => {
         await onReport(targetId, report);
         await this.lapsedStarts.stopOn(entry);
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -13,6 +13,8 @@
   readonly timing: Pick<TaskHomeTiming, 'targetLeaseMs'>;
   /** Gets how long a target may delay its answer until a run ends, in milliseconds. */
   readonly getTargetWaitMs: () => number;
+  /** Tells whether this home may extend leases of targets. */
+  readonly mayExtendLeases: () => boolean;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Targets of this home's pools as the platform lists them. */
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -29,6 +29,8 @@
   readonly listOrganisations: () => readonly Organisation[];
   /** Whether this instance is certain to be the home at this moment. */
   readonly isGroupLeaseHeld: () => boolean;
+  /** Whether this instance may extend leases of targets, for some time beyond that. */
+  readonly mayExtendLeases: () => boolean;
   /** Called once when another home has taken over. */
   readonly onReplaced: () => void;
 }
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -9,6 +9,7 @@
 import { ConcurrencyLimit, KeyedOnce, whenAborted } from '../utils/index.js';
 import { decodeReadable } from './decodeReadable.js';
 import { GroupMembership } from './GroupMembership.js';
+import { getExtensionGraceMs } from './leaseBounds.js';
 import { PacedPages } from './PacedPages.js';
 import { type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
 import { type ClaimedTerm, HOME_PRODUCER } from './PartitionTerms.js';
@@ -79,6 +80,7 @@
     });
     this.membership = new GroupMembership({
       ...options,
+      extensionGraceMs: getExtensionGraceMs(options.homeTiming.targetLeaseMs),
       getAnswerDelayMs: () => this.getAnswerDelayMs(),
       onRenewed: () => this.updateHomes(),
       onLeaving: (reason) => this.closeAllHomes(reason),
@@ -275,6 +277,7 @@
       timing: homeTiming,
       getEntries: () => partitions.filterEntries(partition, directory.list()),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
+      mayExtendLeases: () => this.membership.mayExtendLeases(),
       onReplaced: () => this.handleReplaced(partition),
     });
   }
--- a/src/taskHome/TaskHomesOptions.ts
+++ b/src/taskHome/TaskHomesOptions.ts
@@ -13,7 +13,7 @@
 /** Options of `TaskHomes`. */
 export interface TaskHomesOptions extends Omit<
   GroupMembershipOptions,
-  'getAnswerDelayMs' | 'onRenewed' | 'onLeaving'
+  'extensionGraceMs' | 'getAnswerDelayMs' | 'onRenewed' | 'onLeaving'
 > {
   readonly store: KeyedLogPort;
   readonly targets: LeasedTargetPort;
--- a/tests/taskHome/GroupMembership.test.ts
+++ b/tests/taskHome/GroupMembership.test.ts
@@ -6,10 +6,11 @@
   GroupMembership,
   type GroupMembershipOptions,
 } from '../../src/taskHome/GroupMembership.js';
-import { SystemClock } from '../../src/utils/index.js';
+import { ManualClock, SystemClock } from '../../src/utils/index.js';
 
 /** Timing as daemons use it. */
 const REAL_TIMING = { ttlMs: 1_500, renewEveryMs: 400, shortestWaitMs: 300, longestWaitMs: 1_000 };
+const EXTENSION_GRACE_MS = 500;
 const GROUP_TIMING = { ttlMs: 1_000, renewEveryMs: 10, shortestWaitMs: 100, longestWaitMs: 200 };
 
 /** A group that assigns the same share to the only member of a test. */
@@ -66,6 +67,7 @@
       topic: 'jobs',
       member: 'm1',
       groupTiming: GROUP_TIMING,
+      extensionGraceMs: EXTENSION_GRACE_MS,
       clock: new SystemClock(),
       events: new MemoryEventLog(),
       shouldHold: () => true,
@@ -175,6 +177,27 @@
     expect(join.mock.calls.length).toBeLessThanOrEqual(3);
   });
 
+  // Guards against a task that runs twice under a replaced home that the store does not answer.
+  it.each([0, 700])(
+    'lets leases of targets be extended for a while without the group (answers %i ms late)',
+    async (delayMs) => {
+      const clock = new ManualClock();
+      const member = createMember({ clock, getAnswerDelayMs: () => delayMs });
+      expect(member.mayExtendLeases()).toBe(false);
+      member.start();
+      await vi.waitFor(() => expect(member.isLeaseHeld()).toBe(true));
+      groups.holdsAnswers = true;
+      clock.advance(GROUP_TIMING.ttlMs);
+      expect(member.isLeaseHeld()).toBe(false);
+      expect(member.mayExtendLeases()).toBe(true);
+      clock.advance(delayMs);
+      expect(member.mayExtendLeases()).toBe(true);
+      clock.advance(EXTENSION_GRACE_MS);
+      expect(member.mayExtendLeases()).toBe(false);
+      await member.stop();
+    },
+  );
+
   // Guards against partitions that change hands while pages of them delay the group's answers.
   it('asks for a longer time to live while its answers may be delayed', async () => {
     const member = createMember({ getAnswerDelayMs: () => 700 });
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -10,6 +10,7 @@
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
 import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
 import type { LeasedTargetPort } from '../../src/targets/index.js';
+import { getExtensionGraceMs } from '../../src/taskHome/leaseBounds.js';
 
 const TOPIC = 'jobs';
 const TERMS_TOPIC = 'terms';
@@ -109,6 +110,9 @@
 
   private readonly homes: TaskHome[] = [];
 
+  /** When the group gave the partition to the next home, by home. */
+  private readonly replacedAtMs = new Map<TaskHome, number>();
+
   private readonly timers: NodeJS.Timeout[] = [];
 
   constructor(targetIds: readonly string[] = ['t1', 't2']) {
@@ -143,6 +147,8 @@
       events,
     });
     const claimed = await opening.claim();
+    const replaced = this.homes.at(-1);
+    if (replaced !== undefined) this.replacedAtMs.set(replaced, performance.now());
     const home: TaskHome = new TaskHome({
       ...place,
       targets: access,
@@ -160,6 +166,7 @@
       getEntries: () => this.entries,
       listOrganisations: () => this.organisations,
       isGroupLeaseHeld: () => this.isGroupLeaseHeld,
+      mayExtendLeases: () => this.mayExtendLeases(home),
       onReplaced: () => undefined,
     });
     this.homes.push(home);
@@ -188,6 +195,12 @@
     });
   }
 
+  /** Tells whether a home may extend leases: the group tells one that goes on nothing else. */
+  private mayExtendLeases(home: TaskHome): boolean {
+    const replacedAtMs = this.replacedAtMs.get(home) ?? Infinity;
+    return performance.now() < replacedAtMs + getExtensionGraceMs(this.leaseMs);
+  }
+
   /** Counts the logged events of a kind. */
   countEvents(event: string): number {
     return this.events.events.filter((kept) => kept.event === event).length;
