Give up the runs on a silent target once its lease has lapsed, listed or not

What callers saw: a task of a long-running service ran nowhere although there was room (LOST). Its target was silent and stayed in the platform's list of targets, so its home never gave the run up, however long ago the lease had certainly ended.

Cause: the end of a run on a silent target was taken from the list, which only the target and the store change. A target that the home cannot reach and the store can, and one that answers as unhealthy, stay listed for as long as that lasts. The lease alone tells when nothing runs there any more: while a target is silent, nothing extends it.

Change: the list no longer decides. Once the lease of a silent target is over by the slowest clock, with the margin as before, its runs are given up. The session goes on asking while the target is listed; it takes tasks again once it answers, after a stop of each run whose start has no answer, as after any lapse. Batch tasks, gangs and tasks with copies go the same way.

Why it works: what it waits for ends by the clock, whatever the target and the list do.

--- a/scripts/oldKnowledgeMutants.ts
+++ b/scripts/oldKnowledgeMutants.ts
@@ -7,6 +7,14 @@
 
 /** Guards against decisions on old knowledge, and of instances that may not be the home. */
 export const OLD_KNOWLEDGE_MUTANTS: readonly Mutant[] = [
+  {
+    failure: 'a task that runs nowhere while its silent target stays listed',
+    file: 'src/taskHome/TargetSessions.ts',
+    find: 'isListed && !this.options.hasRuns(entry.targetId)',
+    replace: 'isListed',
+    test: 'tests/taskHome/silentTargets.test.ts',
+    name: 'loses its long-running task in time (cut off, 0 changes of home)',
+  },
   {
     failure: 'a lease renewed by a home that was replaced and does not know',
     file: 'src/taskHome/TargetSessions.ts',
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -51,16 +51,14 @@
     this.openedAtMs = options.clock.monotonicMs();
   }
 
-  /** Opens sessions with new targets, and ends those of targets that are certainly gone. */
+  /** Opens sessions with new targets, and reports those whose leases have certainly lapsed. */
   sync(): void {
     const entries = this.options.getEntries();
     entries.forEach((entry) => this.update(entry));
     const nowMs = this.options.clock.monotonicMs();
     [...this.tracked].forEach(([targetId, target]) => {
       Object.assign(target, { isListed: entries.has(targetId) });
-      if (TargetSessions.isCertainlyGone(target, nowMs)) {
-        this.options.onGone(targetId, 'lapsed');
-      }
+      if (this.isToGiveUp(target, nowMs)) this.options.onGone(targetId, 'lapsed');
     });
   }
 
@@ -257,12 +255,13 @@
   }
 
   /**
-   * Ends the session with a target whose lease has lapsed, until the same lifetime is back.
+   * Takes note that the runs on a target are given up, as its lease has lapsed. The session goes on
+   * for as long as the target is listed; otherwise it ends until the same lifetime is back.
    * @param targetId - Id of the target.
    * @param openStarts - Runs of which a start has no answer.
    */
   suspend(targetId: string, openStarts: readonly RunKey[]): void {
-    this.end(targetId);
+    if (this.tracked.get(targetId)?.isListed !== true) this.end(targetId);
     this.lapsedStarts.add(targetId, openStarts);
   }
 
@@ -280,14 +279,15 @@
   }
 
   /**
-   * Tells whether nothing can run on a target any more: its lease is over even by the slowest
-   * clock, and the platform does not list it. Silence alone proves nothing, as a target that is cut
-   * off runs on. A target that has announced its leave also runs on for seconds, and its entry may
-   * expire meanwhile; if it counted as gone, its tasks would run twice. The list of VMs shows
-   * sooner that a target has left.
+   * Tells whether a target is to be given up: it is silent, and its lease is over even by the
+   * slowest clock, so nothing runs there any more. Silence alone proves nothing, as a target that
+   * is cut off or leaves runs on until then.
+   *
+   * A target that is still listed loses its runs like any other. It may stay listed for as long as
+   * only this home cannot reach it, and its tasks would run nowhere meanwhile.
    */
-  private static isCertainlyGone({ session, isListed }: TrackedTarget, nowMs: number): boolean {
-    if (isListed || session.isReachable) return false;
+  private isToGiveUp({ entry, session, isListed }: TrackedTarget, nowMs: number): boolean {
+    if (session.isReachable || (isListed && !this.options.hasRuns(entry.targetId))) return false;
     return nowMs > session.latestLapseAtMs + LAPSE_MARGIN_MS;
   }
 
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -19,10 +19,10 @@
   readonly events: EventLog;
   /** Targets of this home's pools as the platform lists them. */
   readonly getEntries: () => TargetEntries;
+  /** Tells whether runs are ordered on a target. */
+  readonly hasRuns: (targetId: string) => boolean;
   readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
-  /**
-   * Called when the lifetime of a target is certainly over, so that nothing runs there any more.
-   */
+  /** Called when nothing runs on a target any more, as its lease or its lifetime is over. */
   readonly onGone: (targetId: string, reason: TargetLossReason) => void;
   readonly onStaleTerm: () => void;
 }
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -97,6 +97,7 @@
     this.sessions = new TargetSessions({
       ...this.options,
       getTargetWaitMs: () => (this.isLoaded ? options.timing.targetWaitMs : 0),
+      hasRuns: (targetId) => this.runs.countOn(targetId) > 0,
       onReport: (targetId, report) => this.reports.handleReport(targetId, report),
       onGone: (targetId, reason) => this.reports.handleGone(targetId, reason),
       onStaleTerm: () => this.handleReplaced(),
