Let the next home wait for the rest of a lease instead of a whole one

What callers saw: a task of a service ran nowhere for longer than the platform allows (LOST), while homes followed one another: each counted the lease of a target that it did not hear from its own claim, though the homes before had not extended it either.

Cause: when a lease will have ended was known to one home alone. A wait that only time ends began anew with each home; the fleet's home passes such waits on (RecentOrders), the homes of tasks did not.

Change: while a target with runs is silent, its home stores every tenth of a lease by when the lease will have ended. The next home takes this over, counted from its claim, if its term follows that of the record: a home in between may have extended leases. A recorded lease is extended again only once a record without the target is stored; a target that answers has that done at once. A single lost renewal stores nothing: a lease is recorded once half of it is over. InheritedTargets is part of LeaseLapses now, which targets with a session share.

Weighed: the time of day in the record (clocks of instances differ by minutes); no record, and a shorter wait (tasks would run twice). Not counted is the time between two homes.

--- a/scripts/oldKnowledgeMutants.ts
+++ b/scripts/oldKnowledgeMutants.ts
@@ -1,5 +1,6 @@
 import type { Mutant } from './Mutant.js';
 
+const LAPSE_TEST = 'tests/taskHome/LeaseLapses.test.ts';
 const PROGRESS_TEST = 'tests/taskHome/TaskProgress.test.ts';
 const EVACUATION_TEST = 'tests/taskHome/evacuations.test.ts';
 const PROGRESS_FILE = 'src/taskHome/TaskProgress.ts';
@@ -7,6 +8,30 @@
 
 /** Guards against decisions on old knowledge, and of instances that may not be the home. */
 export const OLD_KNOWLEDGE_MUTANTS: readonly Mutant[] = [
+  {
+    failure: 'a lease extended that the next home takes for lapsed',
+    file: 'src/taskHome/LeaseLapses.ts',
+    find: ' && !this.recorded.has(targetId)',
+    replace: '',
+    test: LAPSE_TEST,
+    name: 'lets a recorded lease be extended only once a record without it is stored',
+  },
+  {
+    failure: 'a lease taken for lapsed that a home in between has extended',
+    file: 'src/taskHome/LeaseLapses.ts',
+    find: 'record?.term !== this.options.term - 1',
+    replace: 'record === undefined',
+    test: LAPSE_TEST,
+    name: 'takes nothing over that was recorded in term',
+  },
+  {
+    failure: 'a lease that each of several homes waits for anew',
+    file: 'src/taskHome/LeaseLapses.ts',
+    find: 'this.inheritedLapseAtMs.get(targetId) ?? ',
+    replace: '',
+    test: LAPSE_TEST,
+    name: 'waits only for what is left of a lease',
+  },
   {
     failure: 'a task that runs nowhere while its silent target stays listed',
     file: 'src/taskHome/TargetSessions.ts',
@@ -17,8 +42,8 @@
   },
   {
     failure: 'a lease renewed by a home that was replaced and does not know',
-    file: 'src/taskHome/TargetSessions.ts',
-    find: 'mayExtendLeases() && ',
+    file: 'src/taskHome/LeaseLapses.ts',
+    find: 'this.options.mayExtendLeases() && ',
     replace: '',
     test: 'tests/taskHome/unlistedTargets.test.ts',
     name: 'has ended before the task starts again',
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -18,6 +18,7 @@
 } from './decisions.js';
 export { countWholeVms, type CountWholeVmsInput } from './countWholeVms.js';
 export { estimateNeededCpu, type NeededCpu, type NeededCpuInput } from './estimateNeededCpu.js';
+export { hasLessCapacity } from './hasLessCapacity.js';
 export { getFailureDomain } from './getFailureDomain.js';
 export { type JobSize, estimateJobSize } from './estimateJobSize.js';
 export { placeQueuedJobs, type PlaceQueuedJobsOptions } from './placeQueuedJobs.js';
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -2,7 +2,7 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { LeaseAnswer, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
 import { assertNever, type Clock } from '../utils/index.js';
-import { getExtensionGraceMs, SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
+import { SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
 
 /** A report of a target with the time at which it was requested. */
 export interface TargetReport {
@@ -27,6 +27,8 @@
   readonly getWaitMs: () => number;
   /** Tells whether renewals and starts may extend the lease; otherwise it stays as it is. */
   readonly mayExtendLease: () => boolean;
+  /** Gets by when a lease of an earlier home has certainly ended, by the monotonic clock. */
+  readonly getInheritedLapseAtMs: () => number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Handles a report; the next renewal is sent once this has resolved. */
@@ -41,8 +43,6 @@
 export class TargetSession {
   private readonly options: TargetSessionOptions;
 
-  private readonly createdAtMs: number;
-
   private isClosed = false;
 
   private acknowledgedEndNumber = 0;
@@ -66,7 +66,6 @@
    */
   constructor(options: TargetSessionOptions) {
     this.options = options;
-    this.createdAtMs = options.clock.monotonicMs();
     this.outage = new OutageLog({
       events: options.events,
       lost: 'targetSilent',
@@ -105,11 +104,8 @@
    * first answer, a lease of an earlier home may still be valid.
    */
   get latestLapseAtMs(): number {
-    const { clockReading, leaseUntilTargetMs, createdAtMs } = this;
-    if (clockReading === undefined) {
-      const { leaseMs } = this.options;
-      return createdAtMs + (leaseMs + getExtensionGraceMs(leaseMs)) / SLOWEST_TARGET_CLOCK_RATE;
-    }
+    const { clockReading, leaseUntilTargetMs } = this;
+    if (clockReading === undefined) return this.options.getInheritedLapseAtMs();
     const remainingMs = leaseUntilTargetMs - clockReading.targetMs;
     return clockReading.atMs + Math.max(0, remainingMs) / SLOWEST_TARGET_CLOCK_RATE;
   }
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -1,5 +1,5 @@
 import type { Resources } from '../jobs/index.js';
-import type { PlacementTarget } from '../systems/index.js';
+import { hasLessCapacity, type PlacementTarget } from '../systems/index.js';
 import type { EndedTaskReport, LeasedTargetAddress } from '../targets/index.js';
 import { waitUntil } from '../utils/index.js';
 import { LapsedStarts } from './LapsedStarts.js';
@@ -21,14 +21,6 @@
 const FRESH_LEASE_MAX_AGE_MS = 1_500;
 const FRESHNESS_CHECK_MS = 5;
 
-function hasLessCapacity(current: Resources, previous: Resources): boolean {
-  return (
-    current.cpuMillicores < previous.cpuMillicores ||
-    current.memoryMb < previous.memoryMb ||
-    current.gpuCount < previous.gpuCount
-  );
-}
-
 /** The targets of one home: a session with each, and its latest entry in the platform. */
 export class TargetSessions {
   private readonly options: TargetSessionsOptions;
@@ -179,6 +171,15 @@
     return this.tracked.get(targetId)?.session.answeredAtMs;
   }
 
+  /**
+   * Gets the session with a target.
+   * @param targetId - Id of the target.
+   * @returns The session, or undefined if the target is not known.
+   */
+  getSession(targetId: string): TargetSession | undefined {
+    return this.tracked.get(targetId)?.session;
+  }
+
   /**
    * Extends a target's lease for an order that carries it.
    * @param targetId - Id of the target.
@@ -316,7 +317,7 @@
   }
 
   private open(entry: TargetEntry): void {
-    const { targets, term, timing, getTargetWaitMs, mayExtendLeases, clock, events } = this.options;
+    const { targets, term, timing, getTargetWaitMs, clock, events, lapses } = this.options;
     const { onReport, onGone, onStaleTerm } = this.options;
     const { targetId, pool, rack } = entry;
     const session = new TargetSession({
@@ -327,10 +328,11 @@
       getWaitMs: getTargetWaitMs,
       clock,
       events,
-      mayExtendLease: () => mayExtendLeases() && !this.lapsedStarts.has(targetId),
+      mayExtendLease: () => lapses.mayExtend(targetId) && !this.lapsedStarts.has(targetId),
+      getInheritedLapseAtMs: () => lapses.getInheritedLapseAtMs(targetId),
       onReport: async (report) => {
         await onReport(targetId, report);
-        await this.lapsedStarts.stopOn(entry);
+        await Promise.all([this.lapsedStarts.stopOn(entry), lapses.release(targetId)]);
       },
       onEnd: (end) => (end === 'stale-term' ? onStaleTerm() : onGone(targetId, end)),
     });
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '../logging/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
+import type { LeaseLapses } from './LeaseLapses.js';
 import type { TargetEntries } from './TargetEntry.js';
 import type { TargetReport } from './TargetSession.js';
 import type { TargetLossReason } from './TargetSessions.js';
@@ -13,12 +14,12 @@
   readonly timing: Pick<TaskHomeTiming, 'targetLeaseMs'>;
   /** Gets how long a target may delay its answer until a run ends, in milliseconds. */
   readonly getTargetWaitMs: () => number;
-  /** Tells whether this home may extend leases of targets. */
-  readonly mayExtendLeases: () => boolean;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Targets of this home's pools as the platform lists them. */
   readonly getEntries: () => TargetEntries;
+  /** What is known of leases that earlier homes have extended, and which may be extended now. */
+  readonly lapses: Pick<LeaseLapses, 'getInheritedLapseAtMs' | 'mayExtend' | 'release'>;
   /** Tells whether runs are ordered on a target. */
   readonly hasRuns: (targetId: string) => boolean;
   readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -4,16 +4,15 @@
   createJobRow,
   type DurableJobSpec,
   type DurableJobState,
-  encodeJobRemoval,
   isFinished,
   isVisibleTo,
 } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
-import { InheritedTargets } from './InheritedTargets.js';
 import { JobTable } from './JobTable.js';
 import { JobTelemetry } from './JobTelemetry.js';
+import { LeaseLapses } from './LeaseLapses.js';
 import type { OpenedPartition } from './PartitionOpening.js';
 import type { ClaimedTerm } from './PartitionTerms.js';
 import type { PoolOrganisations } from './LimitParts.js';
@@ -22,6 +21,7 @@
 import { PoolSync, type SyncPoolParameters } from './PoolSync.js';
 import { RecordWriter, type RecordWriterOptions } from './RecordWriter.js';
 import { SilentTargetsLog } from './SilentTargetsLog.js';
+import { removeExpiredJobs } from './removeExpiredJobs.js';
 import { TargetReports } from './TargetReports.js';
 import { TargetSessions } from './TargetSessions.js';
 import type { TaskHomeOptions } from './TaskHomeOptions.js';
@@ -58,7 +58,7 @@
 
   private readonly reports: TargetReports;
 
-  private readonly inheritedTargets: InheritedTargets;
+  private readonly lapses: LeaseLapses;
 
   private readonly silentTargets: SilentTargetsLog;
 
@@ -94,18 +94,21 @@
       flushInBackground: () => this.flushInBackground(),
       isClosed: () => this.closed.aborted,
     });
+    this.lapses = new LeaseLapses({
+      ...this.options,
+      ...{ table: this.table, writer: this.writer },
+      getSessions: () => this.sessions,
+      onLapsed: (targetId) => this.runs.handleLostTarget(targetId, 'lapsed'),
+    });
     this.sessions = new TargetSessions({
       ...this.options,
+      lapses: this.lapses,
       getTargetWaitMs: () => (this.isLoaded ? options.timing.targetWaitMs : 0),
       hasRuns: (targetId) => this.runs.countOn(targetId) > 0,
       onReport: (targetId, report) => this.reports.handleReport(targetId, report),
       onGone: (targetId, reason) => this.reports.handleGone(targetId, reason),
       onStaleTerm: () => this.handleReplaced(),
     });
-    this.inheritedTargets = new InheritedTargets({
-      ...{ clock, table: this.table, sessions: this.sessions, runs: this.runs },
-      targetLeaseMs: options.timing.targetLeaseMs,
-    });
     const { arrivals, runs, sessions, table, telemetry, writer } = this;
     const parts = { ...this.options, table, runs, sessions, telemetry };
     this.silentTargets = new SilentTargetsLog(parts);
@@ -148,10 +151,11 @@
 
   /**
    * Takes over the jobs of the partition; starts and stops are sent once targets have answered.
-   * @param opened - The stored jobs.
+   * @param opened - The stored jobs, and all records of the partition.
    */
-  load({ jobs, endedJobs }: Pick<OpenedPartition, 'jobs' | 'endedJobs'>): void {
+  load({ jobs, endedJobs, records }: OpenedPartition): void {
     const { clock } = this.options;
+    this.lapses.restore(records);
     endedJobs.forEach((job) => this.table.restoreEnded(job));
     alignSubmissions(jobs, clock.wallMs()).forEach((row) => {
       this.table.restore(row);
@@ -279,10 +283,13 @@
     if (this.closed.aborted) return;
     this.sessions.sync();
     if (!this.isLoaded) return;
-    this.inheritedTargets.loseUnknownTargets();
+    this.lapses.check();
     this.silentTargets.check();
     this.runs.check(this.listTargetsToEvacuate());
-    this.removeExpiredJobs();
+    removeExpiredJobs(
+      { table: this.table, writer: this.writer },
+      this.options.timing.keepFinishedMs,
+    );
     this.flushInBackground();
   }
 
@@ -339,11 +346,4 @@
   private listTargetsToEvacuate(): ReadonlySet<string> {
     return new Set([...this.poolSync.drains.list(), ...this.sessions.listDraining()]);
   }
-
-  private removeExpiredJobs(): void {
-    const jobIds = this.table.listEndedFor(this.options.timing.keepFinishedMs);
-    if (jobIds.length === 0 || this.writer.isStalled) return;
-    jobIds.forEach((jobId) => this.table.remove(jobId));
-    this.writer.write(jobIds.flatMap(encodeJobRemoval)).catch(() => undefined);
-  }
 }
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -287,13 +287,10 @@
     this.closeHome(partition, 'replaced');
   }
 
-  private loadHome(
-    partition: number,
-    home: TaskHome,
-    { jobs, endedJobs, records }: OpenedPartition,
-  ): void {
+  private loadHome(partition: number, home: TaskHome, opened: OpenedPartition): void {
     const { partitions, events } = this.options;
-    home.load({ jobs, endedJobs });
+    const { jobs, endedJobs, records } = opened;
+    home.load(opened);
     this.readings.delete(partition);
     if (partitions.isFleetPartition(partition)) this.openFleetHome(partition, home, records);
     const jobCount = jobs.length + endedJobs.length;
--- a/tests/taskHome/TargetSession.test.ts
+++ b/tests/taskHome/TargetSession.test.ts
@@ -7,6 +7,7 @@
 const LEASE_MS = 5_000;
 /** Reading of the target's clock when that of the home reads zero. */
 const TARGET_AHEAD_MS = 1_000;
+const INHERITED_LAPSE_AT_MS = 3_456;
 
 /** A renewal that waits for its answer. */
 interface OpenRenewal {
@@ -18,6 +19,7 @@
   let clock: ManualClock;
   let renewals: OpenRenewal[];
   let session: TargetSession;
+  let mayExtendLease: boolean;
 
   /** Answers the latest renewal with a report that was made at a time of the home's clock. */
   const answer = async (madeAtMs: number): Promise<LeaseRenewal> => {
@@ -36,6 +38,7 @@
   beforeEach(() => {
     clock = new ManualClock();
     renewals = [];
+    mayExtendLease = true;
     session = new TargetSession({
       port: {
         renew: (_target, renewal) =>
@@ -47,7 +50,8 @@
       term: 1,
       leaseMs: LEASE_MS,
       getWaitMs: () => 0,
-      mayExtendLease: () => true,
+      mayExtendLease: () => mayExtendLease,
+      getInheritedLapseAtMs: () => INHERITED_LAPSE_AT_MS,
       clock,
       events: new MemoryEventLog(),
       onReport: async () => undefined,
@@ -87,4 +91,21 @@
     const { leaseUntilTargetMs } = await answer(9_800);
     expect(leaseUntilTargetMs).toBe(TARGET_AHEAD_MS + 9_800 + LEASE_MS);
   });
+
+  it('takes the lease of an earlier home for lapsed when that one has left it to', async () => {
+    expect(session.latestLapseAtMs).toBe(INHERITED_LAPSE_AT_MS);
+    await answer(0);
+    expect(session.latestLapseAtMs).toBe(LEASE_MS / 0.98);
+  });
+
+  // Guards against a task that runs twice: the next home takes a recorded lease for lapsed.
+  it('extends no lease, by a renewal or a start, that may not be extended', async () => {
+    await answer(0);
+    mayExtendLease = false;
+    clock.advance(1_000);
+    expect(session.extendLease()).toBe(TARGET_AHEAD_MS + LEASE_MS);
+    const { leaseUntilTargetMs } = await answer(1_000);
+    expect(leaseUntilTargetMs).toBeUndefined();
+    expect(session.latestLapseAtMs).toBeLessThanOrEqual(1_000 + (LEASE_MS - 1_000) / 0.98);
+  });
 });
