Answer callers in time whose home is on the instance that they called

A submission or a cancel that reached the home on its own instance while the store did not answer got no answer at all: calls to other instances end after 1.2 s, but the one to the own instance was awaited without a bound, and the home repeats its append until the store answers. Callers saw a request without an end, and the fleet's home stood in a pass that asked a pool on its instance.

The own home is now waited for as long as another one, and counts as silent then: the caller is told within the search for a home that the outcome is unknown, as by way of a peer. The home goes on with the request; its late answer reaches nobody, and a repeat refers to the same job, which runs once.

--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -7,6 +7,7 @@
 import type { LimitOrder, PoolDemand } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { EndedTargets } from '../vms/index.js';
+import { callWithin } from './callWithin.js';
 import { HomeCallTrace } from './HomeCallTrace.js';
 import type { HomeDirectory } from './HomeDirectory.js';
 import type { PoolOrganisations } from './LimitParts.js';
@@ -244,7 +245,7 @@
     trace?.noteHome(home.instance, isLocal);
     try {
       const reply = isLocal
-        ? await handleLocally(request)
+        ? await callWithin(handleLocally(request), CALL_WAIT_MS)
         : await peers.call(home, request, CALL_WAIT_MS);
       const isRetryable = reply.type === 'refused' && RETRYABLE_KINDS.has(reply.kind);
       if (!isRetryable) return { type: 'reply', reply };
