Give up attempts to connect to another instance that stay without an answer

An attempt to connect whose packets a cut or a dead VM had swallowed was never given up by us: only the third heartbeat ended it, 9 s after its beginning, and the system repeats its first packet after 1, 3 and 7 s. All calls to that instance waited for it meanwhile. So for up to 4 s after a cut was over, an entry still told callers that no home answers, though a new connection would have worked.

An attempt now ends after 2 s, after which the next call opens a new one. The system repeats a lost packet after 1 s, so that a shorter wait would gain nothing, and slow links keep time to connect.

--- a/src/peers/PeerLink.ts
+++ b/src/peers/PeerLink.ts
@@ -12,6 +12,8 @@
 const PING_AFTER_MS = 400;
 /** Minimum time that a peer has to answer a ping, in milliseconds: a busy peer answers late. */
 const MIN_PONG_WAIT_MS = 800;
+/** Longest attempt to connect, in milliseconds; the system repeats a lost packet after 1 s. */
+const CONNECT_WAIT_MS = 2_000;
 /** Longest delay that a Node.js timer supports, in milliseconds. */
 const MAX_TIMER_MS = 2 ** 31 - 1;
 
@@ -69,6 +71,9 @@
 
   private reopenTimer: NodeJS.Timeout | undefined;
 
+  /** Ends the current attempt to connect. */
+  private connectTimer: NodeJS.Timeout | undefined;
+
   /** Number of the latest call; numbers increase across all connections of the link. */
   private lastCallNumber = 0;
 
@@ -126,15 +131,27 @@
     clearTimeout(this.reopenTimer);
   }
 
+  /**
+   * Opens a connection. Without a bound of its own, an attempt outlives a cut that has swallowed
+   * its packets: the system repeats them ever more rarely, and all calls meanwhile wait for it.
+   */
   private open(): void {
     const { peer, heartbeat } = this.options;
     const socket = connect({ host: peer.host, port: peer.port });
-    this.connection = new PeerConnection({
+    const connection = new PeerConnection({
       socket,
       heartbeat,
       onFrame: (frame) => this.receive(frame),
-      onClosed: (closure) => this.finish(closure),
+      onClosed: (closure) => {
+        clearTimeout(this.connectTimer);
+        this.finish(closure);
+      },
     });
+    this.connection = connection;
+    this.connectTimer = setTimeout(
+      () => connection.close('the peer did not accept a connection in time'),
+      CONNECT_WAIT_MS,
+    );
     socket.once('connect', () => this.sendHello());
   }
 
@@ -142,6 +159,7 @@
   private sendHello(): void {
     const { instance, peer } = this.options;
     const connection = this.connection!;
+    clearTimeout(this.connectTimer);
     this.connected = true;
     const number = connection.allocateNumber();
     connection.send({ kind: 'hello', number, from: instance, to: peer.instance });
--- a/tests/peers/PeerClient.test.ts
+++ b/tests/peers/PeerClient.test.ts
@@ -1,4 +1,4 @@
-import { connect } from 'node:net';
+import { connect, Socket } from 'node:net';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { throwError } from '../../src/errors/index.js';
 import { type EventName, MemoryEventLog } from '../../src/logging/index.js';
@@ -12,6 +12,11 @@
 import { holdUp } from '../support/index.js';
 import { TcpForwarder } from './TcpForwarder.js';
 
+vi.mock('node:net', async (importOriginal) => {
+  const net = await importOriginal<typeof import('node:net')>();
+  return { ...net, connect: vi.fn(net.connect) };
+});
+
 const HOST = '127.0.0.1';
 const LONG_MS = 30_000;
 const heartbeat = { heartbeatMs: 10, silentHeartbeatLimit: 10 };
@@ -227,6 +232,17 @@
     expect(await client.call(through, explain('after'), 1_250)).toMatchObject({ json: 'a after' });
   });
 
+  // Guards against calls that wait for a connection attempt whose packets a cut has swallowed.
+  it('gives up an attempt to connect that stays without an answer, and connects anew', async () => {
+    const options = { heartbeat: infrequentHeartbeat };
+    const { peer } = await startServer(echo, 'b', 0, options);
+    const { client } = createClient(options);
+    vi.mocked(connect).mockImplementationOnce(() => new Socket());
+    await expect(client.call(peer, explain('first'), 1_250)).rejects.toThrow();
+    await expect(client.call(peer, explain('second'), 1_250)).rejects.toThrow();
+    expect(await client.call(peer, explain('third'), 1_250)).toMatchObject({ json: 'a third' });
+  });
+
   // A home that waits for the store does not answer calls in time, but it is alive, so its
   // connections stay open.
   it('keeps a connection whose peer answers pings while a call gets no reply', async () => {
