Let no late answer to the fleet's home of an earlier term close its successor

When the fleet's partition left an instance and came back, a late answer to the closed fleet home there (a platform that refuses its term, or a status of a wave that is fenced) closed the home of the new term, which was at work. Callers of the pools of that partition met another change of homes: no home until the next renewal of the membership, a new claim, all jobs read once more, and what a home waits for of an earlier one counted from the beginning. An append of a status is repeated without end, so such an answer may come long after the change.

What an earlier home learns now concerns that home alone, as it does for the home of the pools.

--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -309,7 +309,10 @@
       peakRecords: decodeReadable(records, decodePoolPeakRecord, source),
       store: (changes) => home.store(changes),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
-      onReplaced: () => this.handleReplaced(partition),
+      // An answer to a closed home may come late, and this instance may be the home again by then.
+      onReplaced: () => {
+        if (!home.closed.aborted) this.handleReplaced(partition);
+      },
     });
     this.fleet.start();
   }
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -4,7 +4,12 @@
 import { MemoryMetrics } from '../../src/metrics/index.js';
 import { encodeRecordValue, type GroupPort } from '../../src/store/index.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
-import { PoolPartitions, TargetDirectory, TaskHomes } from '../../src/taskHome/index.js';
+import {
+  type FleetHomeContext,
+  PoolPartitions,
+  TargetDirectory,
+  TaskHomes,
+} from '../../src/taskHome/index.js';
 import { SystemClock } from '../../src/utils/index.js';
 import { LeasedTargetsStandIn } from '../../standins/leasedTargets/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
@@ -26,6 +31,8 @@
   /** Whether the group assigns the partition to the instance, and whether it answers. */
   let group: { isAssigned: boolean; answers: boolean };
   let renewedAtMs: number[];
+  /** What the homes of the fleet were given, in the order of their terms. */
+  let fleetContexts: FleetHomeContext[];
 
   const groups: GroupPort = {
     join: async ({ generation }) => {
@@ -63,6 +70,7 @@
     targets = new LeasedTargetsStandIn();
     group = { isAssigned: true, answers: true };
     renewedAtMs = [];
+    fleetContexts = [];
     targets.add('t1');
     await append(TARGETS_TOPIC, ['t1']);
     await append(
@@ -94,7 +102,10 @@
       linkMbps: 7,
       metrics: new MemoryMetrics(),
       mechanisms: ALL_MECHANISMS,
-      createFleetHome: () => ({ start: () => undefined, close: () => undefined }) as never,
+      createFleetHome: (context) => {
+        fleetContexts.push(context);
+        return { start: () => undefined, close: () => undefined } as never;
+      },
       groups,
       group: 'homes',
       member: 'a',
@@ -180,4 +191,19 @@
     group.answers = true;
     await vi.waitFor(() => expect(homes.get('pages')?.term).toBeGreaterThan(term + 1), 3_000);
   });
+
+  // Guards against a home that a late answer to the fleet's home of an earlier term closes.
+  it('keeps its home as the fleet home of an earlier term learns that it was replaced', async () => {
+    homes.start();
+    await vi.waitFor(() => expect(homes.get('pages')?.isLoaded).toBe(true), LOADED_WITHIN_MS);
+    group.isAssigned = false;
+    await vi.waitFor(() => expect(homes.get('pages')).toBeUndefined(), 3_000);
+    group.isAssigned = true;
+    await vi.waitFor(() => expect(homes.get('pages')?.isLoaded).toBe(true), LOADED_WITHIN_MS);
+    const home = homes.get('pages');
+    fleetContexts[0]!.onReplaced();
+    expect(homes.get('pages')).toBe(home);
+    fleetContexts[1]!.onReplaced();
+    expect(homes.get('pages')).toBeUndefined();
+  });
 });
