End the search for a home in time also while nobody tells where it is

Between two attempts a call waited for the list of homes without regard to the end of its search. A store that stays silent takes 1.2 s, and the peers asked then 0.4 s, each time anew. A caller whose home had just refused it twice, and then fell silent, got its answer after 4.4 s; callers wait 4 s.

The look for the home now lasts no longer than the search, so that a call ends 2.5 s and one attempt of 1.2 s after its beginning at the latest. The read of the list goes on for the calls that follow.

--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -192,7 +192,7 @@
     pool: string,
     trace: HomeCallTrace,
   ): Promise<PeerReply> {
-    const { clock, directory } = this.options;
+    const { clock } = this.options;
     const giveUpAtMs = clock.monotonicMs() + HOME_SEARCH_MS;
     let isInDoubt = false;
     let last: CallOutcome = await this.attemptCall(request, pool, trace);
@@ -201,7 +201,7 @@
       trace.begin(last.wait);
       const paused = sleep(RETRY_PAUSE_MS).then(() => trace.begin('refresh'));
       // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
-      await Promise.all([directory.refresh(), paused]);
+      await Promise.all([this.refreshUntil(giveUpAtMs), paused]);
       // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
       last = await this.attemptCall(request, pool, trace);
     }
@@ -214,6 +214,13 @@
     throw last.error;
   }
 
+  /** Looks for the home, for no longer than the search lasts; a silent store takes seconds. */
+  private async refreshUntil(giveUpAtMs: number): Promise<void> {
+    const { clock, directory } = this.options;
+    const leftMs = Math.max(0, giveUpAtMs - clock.monotonicMs());
+    await Promise.race([directory.refresh(), sleep(leftMs)]);
+  }
+
   private async attemptCall(
     request: DurableJobRequest,
     pool: string,
--- a/tests/taskHome/silentHomes.test.ts
+++ b/tests/taskHome/silentHomes.test.ts
@@ -1,7 +1,9 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, it } from 'vitest';
+import { throwError } from '../../src/errors/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
-import type { PeerReply } from '../../src/peers/index.js';
+import type { PeerPort, PeerReply } from '../../src/peers/index.js';
 import {
   handleJobRequest,
   JobGateway,
@@ -15,6 +17,8 @@
 const HOME = { instance: 'home', host: '10.0.0.1', port: 7_700 };
 /** How long callers wait for an answer, in milliseconds. */
 const CALLER_WAIT_MS = 4_000;
+/** Look for the home without an answer of the store and of peers, in milliseconds. */
+const SILENT_REFRESH_MS = 1_600;
 
 function createGateway(changes: Partial<JobGatewayOptions>): JobGateway {
   return new JobGateway({
@@ -45,6 +49,22 @@
   },
 );
 
+// Guards against callers without an answer, as each look for the home waits for a silent store.
+it('answers a question in time while nobody tells where the home is', async () => {
+  const refresh = (): Promise<void> => sleep(SILENT_REFRESH_MS);
+  const refusals = [REFUSAL, REFUSAL];
+  const call: PeerPort['call'] = async (_home, _request, waitMs) => {
+    const refusal = refusals.pop();
+    if (refusal !== undefined) return refusal;
+    await sleep(waitMs);
+    return throwError('peer-unavailable', 'The home is silent.');
+  };
+  const gateway = createGateway({ peers: { call }, directory: { get: () => HOME, refresh } });
+  const startedAtMs = performance.now();
+  await expect(gateway.getState('pages', 'a')).rejects.toMatchObject({ kind: 'peer-unavailable' });
+  expect(performance.now() - startedAtMs).toBeLessThan(CALLER_WAIT_MS);
+});
+
 // Guards against a job that is lost or runs twice, as its late answer reaches nobody.
 it('takes the repeat of a submission in doubt for the same job, and runs it once', async () => {
   const world = new HomeWorld();
