Wait for no VM that was lost while it moved to its pool

A move counted as a VM that arrives until the list showed the VM up again. One that was lost for good on its way stays down, or leaves the list, so it counted for as long as the fleet's home lived: the pool was short of a VM that stood idle elsewhere, and its callers' jobs waited. Many VMs may be lost at once while a load peak moves them.

The order itself stays active until the VM is back, so that nothing else is ordered of it meanwhile.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -334,9 +334,7 @@
     const counts = new Map<string, number>();
     const increment = (pool: string): unknown => counts.set(pool, (counts.get(pool) ?? 0) + 1);
     this.leaving.forEach(({ toPool }) => increment(toPool));
-    this.orders.listActiveOrders().forEach((order) => {
-      if (order.type === 'move') increment(order.toPool);
-    });
+    this.orders.listArrivingMoves().forEach(({ toPool }) => increment(toPool));
     // A VM that an earlier home has moved is in transit without an active order of this home.
     vms
       .filter(({ vm, state }) => state === 'moving' && !this.orders.hasActiveOrder(vm))
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -75,6 +75,9 @@
 
   private readonly recent: RecentOrders;
 
+  /** VMs with an active order that the latest list shows as down or not at all. */
+  private lostVms: ReadonlySet<string> = new Set();
+
   /** Monotonic time of the request for the loads by which VMs are considered empty. */
   private loadsAskedAtMs = Infinity;
 
@@ -118,6 +121,17 @@
       .filter((order) => order.type === 'move');
   }
 
+  /**
+   * Lists the moves whose VMs may still arrive in their pools. One that is down, or not listed any
+   * more, may stay away for good, and its pool would wait for it as long as this holder lives.
+   * @returns The active moves, except those of lost VMs.
+   */
+  listArrivingMoves(): readonly VmMoveOrder[] {
+    return this.listActiveOrders()
+      .filter((order) => order.type === 'move')
+      .filter(({ vm }) => !this.lostVms.has(vm));
+  }
+
   /**
    * Tells whether an order without an answer can be repeated, because a list requested now would
    * show its effect if it had been carried out.
@@ -176,6 +190,16 @@
       const isBack = hasChanged || VmOrders.hasNoEffect(active, askedAtMs);
       if (state === 'up' && isBack) this.activeOrders.delete(vm);
     });
+    this.lostVms = this.findLostVms(vms, askedAtMs);
+  }
+
+  private findLostVms(vms: readonly FleetVm[], askedAtMs: number): ReadonlySet<string> {
+    const present = new Set(vms.filter(({ state }) => state !== 'down').map(({ vm }) => vm));
+    const lost = [...this.activeOrders.values()]
+      .filter(({ orderedAtMs }) => askedAtMs - orderedAtMs >= EFFECT_LISTED_AFTER_MS)
+      .map(({ order }) => order.vm)
+      .filter((vm) => !present.has(vm));
+    return new Set(lost);
   }
 
   /**
--- a/tests/fleetHome/FleetHome.test.ts
+++ b/tests/fleetHome/FleetHome.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { FleetHome } from '../../src/fleetHome/index.js';
 import { encodeCbor } from '../../src/peers/frameCodec.js';
+import type { FleetVm } from '../../src/vms/index.js';
 import { makeDemand, createFleetHome, OrderWorld } from './OrderWorld.js';
 
 /** Time after which the list of VMs shows the effect of an order, in milliseconds. */
@@ -36,6 +37,27 @@
     await vi.waitFor(() => expect(world.listOrders()).toEqual([`${vm} by holder-2`]));
   });
 
+  // Guards against a pool that waits without end for a VM that was lost while it moved there.
+  it.each([
+    [
+      'that the list shows as down',
+      (vm: FleetVm): readonly FleetVm[] => [{ ...vm, state: 'down' }],
+    ],
+    ['that the list shows no more', (): readonly FleetVm[] => []],
+  ])('moves another VM in place of one %s', async (_name, lose) => {
+    const { fleet } = world;
+    const vms = await fleet.listVms();
+    const moveVm = vi.spyOn(fleet, 'moveVm').mockResolvedValue({ type: 'accepted' });
+    const listMoved = (): ReadonlySet<string> => new Set(moveVm.mock.calls.map(([vm]) => vm));
+    vi.spyOn(fleet, 'listVms').mockImplementation(async () =>
+      vms.flatMap((vm) => (listMoved().has(vm.vm) ? lose({ ...vm, targetId: undefined }) : [vm])),
+    );
+    home.start();
+    await vi.waitFor(() => expect(listMoved().size).toBe(1));
+    world.clock.advance(LISTED_AFTER_MS);
+    await vi.waitFor(() => expect(listMoved().size).toBe(2), 3_000);
+  });
+
   // Guards against placing a task on a VM whose move may still be carried out and would end it.
   it('keeps tasks off a VM whose move has no answer', async () => {
     const moveVm = vi.spyOn(world.fleet, 'moveVm').mockRejectedValue(new Error('no answer'));
