Manage the fleet also while the status of a wave can't be stored

A pass of the fleet's home waited until the status of a wave was stored. The append is repeated until the store answers for that topic, so that one partition without an answer stopped the whole fleet's home: no VM was moved, and the homes of pools were told of no lost VM, no drain and no part of a limit, without which a new home starts no task of an organisation that has one.

The status is published beside the passes, once for each change, and again after a failure. The wave is still stored before its first publication.

--- a/src/fleetHome/WaveCoordinator.ts
+++ b/src/fleetHome/WaveCoordinator.ts
@@ -234,12 +234,20 @@
   /**
    * Publishes a changed status to operators. The wave is stored before its first publication; a
    * completed wave is already stored.
+   *
+   * The publication is not waited for. It is repeated until the store answers, and meanwhile no VM
+   * would be moved, and no home would be told of lost VMs and of limits.
    */
   private async publish(wave: number): Promise<void> {
     const { status } = this.progress.get(wave)!;
     if (this.published.get(wave) === status) return;
     if (status === 'running') await this.store(wave);
-    await this.options.publishStatus(wave, status);
     this.published.set(wave, status);
+    // The writer reports why it has failed; the next pass publishes the status again.
+    this.options.publishStatus(wave, status).catch(() => this.forgetPublication(wave, status));
+  }
+
+  private forgetPublication(wave: number, status: WaveStatus): void {
+    if (this.published.get(wave) === status) this.published.delete(wave);
   }
 }
--- a/tests/fleetHome/FleetHome.test.ts
+++ b/tests/fleetHome/FleetHome.test.ts
@@ -8,6 +8,8 @@
 const LISTED_AFTER_MS = 1_500;
 /** VMs of an idle pool, one more than it keeps. */
 const IDLE_VMS = ['vm-1', 'vm-2', 'vm-3', 'vm-4'];
+/** A wave that has just been ordered. */
+const WAVE = { wave: 1, vms: ['vm-1'], withinMs: 60_000, maxDownCount: 1 };
 
 describe('FleetHome', () => {
   let world: OrderWorld;
@@ -58,6 +60,27 @@
     await vi.waitFor(() => expect(listMoved().size).toBe(2), 3_000);
   });
 
+  // Guards against a fleet that nobody manages while the status of a wave can't be stored.
+  it('moves VMs while the store does not answer for the status of a wave', async () => {
+    home.close();
+    const publishStatus = vi.fn(() => new Promise<void>(() => {}));
+    home = createFleetHome(world, { listWaveOrders: () => [WAVE], publishStatus });
+    const moveVm = vi.spyOn(world.fleet, 'moveVm');
+    home.start();
+    await vi.waitFor(() => expect(moveVm).toHaveBeenCalled(), 3_000);
+    expect(publishStatus).toHaveBeenCalledOnce();
+  });
+
+  // Guards against a wave whose status operators never see, as one publication has failed.
+  it('publishes the status of a wave again that was not stored', async () => {
+    home.close();
+    const publishStatus = vi.fn(async () => undefined);
+    publishStatus.mockRejectedValueOnce(new Error('not stored'));
+    home = createFleetHome(world, { listWaveOrders: () => [WAVE], publishStatus });
+    home.start();
+    await vi.waitFor(() => expect(publishStatus).toHaveBeenCalledTimes(2), 3_000);
+  });
+
   // Guards against placing a task on a VM whose move may still be carried out and would end it.
   it('keeps tasks off a VM whose move has no answer', async () => {
     const moveVm = vi.spyOn(world.fleet, 'moveVm').mockRejectedValue(new Error('no answer'));
