Refuse jobs of which the store takes no record, instead of holding up their pool

A home repeats an append until the store accepts it. The store rejects a record above a certain size each time, and nothing bounded the size of a job: one submission with some 1,100 steps, or with 130,000 tasks, stopped every change of its partition for as long as the home kept it. Callers of all pools there had their jobs refused and their cancels in doubt, and no task was placed, while the membership was renewed and so nobody else took over.

The size is a setting that the platform gives. The progress of an accepted job can still grow with its checkpoints; that is not bounded by this.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -225,6 +225,7 @@
     const { bounds, capacity, clock, events, mechanisms, metrics, ports, records } = this.options;
     return new TaskHomes({
       maxAppendBytes: getMaxAppendBytes(capacity.linkMbps),
+      maxRecordBytes: bounds.maxRecordBytes,
       linkMbps: capacity.linkMbps,
       mechanisms,
       ...ports,
--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -54,6 +54,8 @@
   readonly keepFinishedMs: number;
   /** Time between the orders of two holders for one VM, in milliseconds. */
   readonly orderLeaseMs: number;
+  /** Maximum size of a record in the store, with its key, in bytes. */
+  readonly maxRecordBytes: number;
 }
 
 /** Options of a node. */
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -1,7 +1,6 @@
 import { RattanliftError, throwError } from '../errors/index.js';
 import {
   cancelJob,
-  createJobRow,
   type DurableJobSpec,
   type DurableJobState,
   isFinished,
@@ -10,6 +9,7 @@
 import type { KeyedRecord } from '../store/index.js';
 import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
+import { createStorableJob } from './createStorableJob.js';
 import { JobTable } from './JobTable.js';
 import { JobTelemetry } from './JobTelemetry.js';
 import { LeaseLapses } from './LeaseLapses.js';
@@ -173,9 +173,9 @@
    * Accepts a job. A repeated submission changes nothing.
    * @param spec - The job.
    * @returns Resolves once the job is stored.
-   * @throws RattanliftError Of kind `home-unavailable` or `log-unavailable` if the job was not
-   * stored and never will be, `request-id-reused` if another organisation's job has the id, or
-   * `outcome-unknown`.
+   * @throws RattanliftError Of kind `home-unavailable`, `log-unavailable` or `job-too-large` if the
+   * job was not stored and never will be, `request-id-reused` if another organisation's job has the
+   * id, or `outcome-unknown`.
    */
   async submit(spec: DurableJobSpec): Promise<void> {
     const { jobId } = spec;
@@ -190,7 +190,8 @@
       return;
     }
     if (this.writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
-    const row = createJobRow({ ...spec, submittedAtMs: this.options.clock.wallMs() });
+    const { clock, maxRecordBytes } = this.options;
+    const row = createStorableJob({ ...spec, submittedAtMs: clock.wallMs() }, maxRecordBytes);
     this.table.add(row);
     this.arrivals.get(spec.terms.pool).record(this.runs.runTimes.estimateRemainingWork(row));
     try {
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -19,6 +19,8 @@
   readonly claimed: ClaimedTerm;
   /** Maximum size of an append, in bytes of record values; absent on a link of default speed. */
   readonly maxAppendBytes?: number;
+  /** Maximum size of a record, with its key, in bytes; no bound if absent. */
+  readonly maxRecordBytes?: number;
   readonly timing: TaskHomeTiming;
   readonly clock: Clock;
   readonly events: EventLog;
--- a/src/taskHome/TaskHomesOptions.ts
+++ b/src/taskHome/TaskHomesOptions.ts
@@ -24,6 +24,8 @@
   readonly termsTopic: string;
   /** Maximum size of an append, in bytes of record values. */
   readonly maxAppendBytes: number;
+  /** Maximum size of a record, with its key, in bytes. */
+  readonly maxRecordBytes: number;
   /** Speed of this instance's link, in megabits per second. */
   readonly linkMbps: number;
   readonly metrics: Metrics;
--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -202,6 +202,7 @@
         maxTargetLeaseMs: 5_000,
         keepFinishedMs: 60_000,
         orderLeaseMs: 100,
+        maxRecordBytes: 262_144,
       },
       clock,
       events,
--- a/tests/launcher/builtDaemon.test.ts
+++ b/tests/launcher/builtDaemon.test.ts
@@ -54,6 +54,7 @@
       storeAddress: `127.0.0.1:${port}`,
       storePartitionCount: 4,
       storeMinTtlMs: 1_000,
+      storeMaxRecordBytes: 262_144,
       vmsAddress: `127.0.0.1:${port}`,
       longestTargetLeaseMs: 6_000,
       keepFinishedS: 120,
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -16,6 +16,8 @@
 const TERMS_TOPIC = 'terms';
 const PARTITION = 0;
 const TICK_MS = 10;
+/** Largest record that the store takes, in bytes. */
+export const MAX_RECORD_BYTES = 262_144;
 
 /** Creates a step of one short task, with the changes that a test needs. */
 export function makeStep(changes: Partial<StepSpec> = {}): StepSpec {
@@ -154,6 +156,7 @@
       targets: access,
       producer: 'home',
       claimed: claimed!,
+      maxRecordBytes: MAX_RECORD_BYTES,
       timing: {
         targetLeaseMs: this.leaseMs,
         targetWaitMs: 10,
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -99,6 +99,7 @@
       topic: JOBS_TOPIC,
       termsTopic: 'terms',
       maxAppendBytes: 100_000,
+      maxRecordBytes: 262_144,
       linkMbps: 7,
       metrics: new MemoryMetrics(),
       mechanisms: ALL_MECHANISMS,
