Leave partitions to others where an instance can open none of its own

A membership is renewed apart from the records of the store. An instance that got its renewals through but no page of a partition held its share without end and tried again and again: the group named it as the home, nobody else claimed the partition, and callers of its pools were told that there is no home, for as long as the instance lived.

It closes nothing that works: one with an open home stays, as its other partitions fail for reasons that another instance meets as well. One that reads a partition page by page stays too. `openingsGivenUp` tells of it.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -81,6 +81,11 @@
     level: 'warn',
     text: 'Partitions of this instance have no open home.',
   },
+  openingsGivenUp: {
+    number: 6052,
+    level: 'warn',
+    text: 'This instance leaves its partitions to others.',
+  },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/taskHome/PacedPages.ts
+++ b/src/taskHome/PacedPages.ts
@@ -6,6 +6,8 @@
   readonly store: Pick<KeyedLogPort, 'readNewest' | 'readFrom'>;
   /** Limit of the pages that this instance reads at the same time, for all partitions together. */
   readonly limit: ConcurrencyLimit;
+  /** Called after each page that was read. */
+  readonly onPage?: () => void;
   /** Waits until this instance's membership and its targets' leases have just been renewed. */
   readonly whenRenewed: () => Promise<void>;
 }
@@ -31,10 +33,12 @@
 
   /** {@inheritDoc KeyedLogPort.readNewest} */
   readNewest(topic: string, partition: number, afterKey?: string): Promise<NewestRecords> {
-    const { store, limit, whenRenewed } = this.options;
+    const { store, limit, onPage, whenRenewed } = this.options;
     return limit.run(async () => {
       await whenRenewed();
-      return store.readNewest(topic, partition, afterKey);
+      const page = await store.readNewest(topic, partition, afterKey);
+      onPage?.();
+      return page;
     });
   }
 
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -10,6 +10,7 @@
 import { decodeReadable } from './decodeReadable.js';
 import { GroupMembership } from './GroupMembership.js';
 import { getExtensionGraceMs } from './leaseBounds.js';
+import { OpeningWatch } from './OpeningWatch.js';
 import { PacedPages } from './PacedPages.js';
 import { type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
 import { type ClaimedTerm, HOME_PRODUCER } from './PartitionTerms.js';
@@ -53,6 +54,8 @@
 
   private readonly unopened: UnopenedPartitions;
 
+  private readonly openingWatch: OpeningWatch;
+
   /**
    * Partitions whose home was replaced since the latest renewal of the membership. The group may
    * have assigned them to others. Otherwise two instances that both believe in their share would
@@ -73,8 +76,10 @@
   constructor(options: TaskHomesOptions) {
     this.options = options;
     this.renewalsWaitMs = getLongestRenewalsWaitMs(options.linkMbps);
+    this.openingWatch = new OpeningWatch(options);
     this.pages = new PacedPages({
       store: options.store,
+      onPage: () => this.openingWatch.noteProgress(),
       limit: new ConcurrencyLimit(countPagesAtOnce(options.linkMbps)),
       whenRenewed: () => this.whenRenewed(),
     });
@@ -82,6 +87,7 @@
       ...options,
       extensionGraceMs: getExtensionGraceMs(options.homeTiming.targetLeaseMs),
       getAnswerDelayMs: () => this.getAnswerDelayMs(),
+      shouldHold: (isMember) => this.mayHold() && options.shouldHold(isMember),
       onRenewed: () => this.updateHomes(),
       onLeaving: (reason) => this.closeAllHomes(reason),
     });
@@ -174,6 +180,11 @@
     return this.membership.holds(partition);
   }
 
+  private mayHold(): boolean {
+    const hasOpenHome = [...this.homes.values()].some(({ isLoaded }) => isLoaded);
+    return this.openingWatch.mayHold({ hasOpenHome, isOpening: !this.openings.isIdle });
+  }
+
   private logUnopened(): void {
     const unopened = this.options.partitions
       .listUsedPartitions()
@@ -210,6 +221,7 @@
         const { recordCount } = opening;
         const reason = String(thrown);
         this.options.events.write('taskHomeOpenFailed', { partition, recordCount, reason });
+        this.openingWatch.noteFailure();
       }
       // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
       await sleep(REOPEN_PAUSE_MS);
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -22,6 +22,7 @@
 const PAGE_COUNT = 10;
 const PAGE_MS = 300;
 const LOADED_WITHIN_MS = 15_000;
+const GIVEN_UP_WITHIN_MS = 15_000;
 
 describe('TaskHomes', () => {
   const events = new MemoryEventLog();
@@ -31,6 +32,7 @@
   /** Whether the group assigns the partition to the instance, and whether it answers. */
   let group: { isAssigned: boolean; answers: boolean };
   let renewedAtMs: number[];
+  let leftAtMs: number[];
   /** What the homes of the fleet were given, in the order of their terms. */
   let fleetContexts: FleetHomeContext[];
 
@@ -39,7 +41,9 @@
       if (!group.answers) throw new Error('The group did not answer.');
       return { generation, partitions: group.isAssigned ? [0] : [] };
     },
-    leave: async () => undefined,
+    leave: async () => {
+      leftAtMs.push(performance.now());
+    },
     listOwners: async () => [],
   };
 
@@ -70,6 +74,7 @@
     targets = new LeasedTargetsStandIn();
     group = { isAssigned: true, answers: true };
     renewedAtMs = [];
+    leftAtMs = [];
     fleetContexts = [];
     targets.add('t1');
     await append(TARGETS_TOPIC, ['t1']);
@@ -207,4 +212,20 @@
     fleetContexts[1]!.onReplaced();
     expect(homes.get('pages')).toBeUndefined();
   });
+
+  // Guards against a pool without a home, as its partition stays where the store gives no records.
+  it('leaves the group while it can read no partition, and comes back later', async () => {
+    const { readNewest } = store;
+    let isTurnedAway = true;
+    vi.spyOn(store, 'readNewest').mockImplementation(async (topic, partition) => {
+      if (isTurnedAway && topic === JOBS_TOPIC) throw new Error('The store answered 503.');
+      return readNewest.call(store, topic, partition);
+    });
+    homes.start();
+    await vi.waitFor(() => expect(leftAtMs).toHaveLength(1), GIVEN_UP_WITHIN_MS);
+    expect(homes.get('pages')).toBeUndefined();
+    isTurnedAway = false;
+    await vi.waitFor(() => expect(homes.get('pages')?.isLoaded).toBe(true), LOADED_WITHIN_MS);
+    expect(leftAtMs).toHaveLength(1);
+  });
 });
