Wait for the lease of an earlier home until this one has extended it

A task ran twice (by force): a target that was silent for a new home answered one renewal while its lease could not be extended, as the store or the group did not answer, and was silent again. After the first answer the home forgot how long an earlier home's lease may last, took its own, which it had never extended, for lapsed at once, and started the task elsewhere beside the run.

The end of the earlier home's lease now counts until this session has extended the lease itself.

--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -100,12 +100,13 @@
   }
 
   /**
-   * Monotonic time by which everything that ran on the target has certainly been killed. Before the
-   * first answer, a lease of an earlier home may still be valid.
+   * Monotonic time by which everything that ran on the target has certainly been killed. Until this
+   * session has extended the lease, that of an earlier home may still be valid.
    */
   get latestLapseAtMs(): number {
-    const { clockReading, leaseUntilTargetMs } = this;
-    if (clockReading === undefined) return this.options.getInheritedLapseAtMs();
+    const { clockReading, leaseUntilTargetMs, leaseExtendedAtMs } = this;
+    const hasExtended = leaseExtendedAtMs > Number.NEGATIVE_INFINITY;
+    if (clockReading === undefined || !hasExtended) return this.options.getInheritedLapseAtMs();
     const remainingMs = leaseUntilTargetMs - clockReading.targetMs;
     return clockReading.atMs + Math.max(0, remainingMs) / SLOWEST_TARGET_CLOCK_RATE;
   }
--- a/tests/taskHome/TargetSession.test.ts
+++ b/tests/taskHome/TargetSession.test.ts
@@ -108,4 +108,11 @@
     expect(leaseUntilTargetMs).toBeUndefined();
     expect(session.latestLapseAtMs).toBeLessThanOrEqual(1_000 + (LEASE_MS - 1_000) / 0.98);
   });
+
+  // Guards against a task that runs twice: the target runs on under the lease of an earlier home.
+  it('waits for the lease of an earlier home while it has extended none itself', async () => {
+    mayExtendLease = false;
+    await answer(0);
+    expect(session.latestLapseAtMs).toBeGreaterThanOrEqual(INHERITED_LAPSE_AT_MS);
+  });
 });
