Ask a target with a slow clock for no more than a lease

What could happen: a task that runs twice. The end of a lease was counted from the best reading of the target's clock with the whole time since; a target 2 % slow whose first answer was the quickest was asked for 6.0 s after 50 s, more than the next home allows for.

The time since the reading counts at the rate of the slowest clock, as it does for what the clock shows at least. A target with a usual clock is asked for at most 2 % of the age of the reading less, 20 ms a renewal.

Evidence: TargetSession.test.ts, 'asks for little more than a lease of a target whose clock is slow', failed with 6,000 of 5,300 ms and passes. Two tests named the longer figure exactly; they name the new one as exactly.

--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -151,8 +151,8 @@
     const mayExtend = this.options.mayExtendLease();
     if (clockReading === undefined || !mayExtend) return this.leaseUntilTargetMs;
     const nowMs = this.options.clock.monotonicMs();
-    const elapsedMs = nowMs - clockReading.atMs;
-    const untilMs = Math.floor(clockReading.targetMs + elapsedMs + this.options.leaseMs);
+    // The next home counts on leases of their length: a slow clock may not make them any longer.
+    const untilMs = Math.floor(this.getEarliestTargetMs(nowMs) + this.options.leaseMs);
     this.leaseUntilTargetMs = Math.max(this.leaseUntilTargetMs, untilMs);
     this.leaseExtendedAtMs = nowMs;
     return this.leaseUntilTargetMs;
