Count the extension of leases from the renewal that the group confirmed

What could happen: a task that runs twice. A home went on extending leases for 1.5 s beyond the time to live of its membership. That time was kept from an earlier renewal which had asked for more (4 s for a page on a link of 2 Mbit/s), and it says nothing where the group gives all partitions away at once: the lease of the earlier home ended up to 3.5 and 5 s after the next home had given it up.

--- a/src/membership/HeldLease.ts
+++ b/src/membership/HeldLease.ts
@@ -38,11 +38,10 @@
    * The lease counts from before the record was sent. Contenders can read the record only after
    * that, so the holder's deadline is always earlier than theirs.
    * @param sentAt - Clocks just before the record was sent.
-   * @param extraMs - Time by which the renewal asked for more than the usual lease.
    */
-  extend(sentAt: { readonly monotonicMs: number; readonly wallMs: number }, extraMs = 0): void {
+  extend(sentAt: { readonly monotonicMs: number; readonly wallMs: number }): void {
     const { leaseMs, marginMs } = this.options.timing;
-    const durationMs = leaseMs + extraMs - marginMs;
+    const durationMs = leaseMs - marginMs;
     this.monotonicDeadlineMs = Math.max(this.monotonicDeadlineMs, sentAt.monotonicMs + durationMs);
     this.wallDeadlineMs = Math.max(this.wallDeadlineMs, sentAt.wallMs + durationMs);
   }
--- a/src/taskHome/GroupMembership.ts
+++ b/src/taskHome/GroupMembership.ts
@@ -23,8 +23,8 @@
   /** Name of this member, which contains its address. */
   readonly member: string;
   readonly groupTiming: GroupTiming;
-  /** How long after its time to live a member still extends leases of targets, in milliseconds. */
-  readonly extensionGraceMs: number;
+  /** How long after a confirmed renewal a member extends leases of targets, in milliseconds. */
+  readonly leaseExtensionMs: number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Whether this instance should hold partitions, given whether it is a member now. */
@@ -79,12 +79,12 @@
    */
   constructor(options: GroupMembershipOptions) {
     this.options = options;
-    const { events, groupTiming, extensionGraceMs } = options;
+    const { events, groupTiming, leaseExtensionMs } = options;
     const { shortestWaitMs: shortestMs, longestWaitMs: longestMs } = groupTiming;
     this.renewTimeout = new AdaptiveTimeout({ shortestMs, longestMs });
     this.outage = new OutageLog({ events, lost: 'groupUnreachable', regained: 'groupReachable' });
     this.lease = this.createLease(groupTiming.ttlMs);
-    this.extension = this.createLease(groupTiming.ttlMs + extensionGraceMs);
+    this.extension = this.createLease(leaseExtensionMs);
   }
 
   /** Joins the group, and renews the membership until it is stopped. */
@@ -209,7 +209,7 @@
       );
       if (this.isStopped) return true;
       this.lease.extend(sentAt);
-      this.extension.extend(sentAt, delayMs);
+      this.extension.extend(sentAt);
       if (delayMs > 0) this.allowedDelaysAtMs = sentAtMs;
       this.outage.noteSuccess({ group, member, generation });
       this.generation = share.generation;
--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -4,8 +4,13 @@
 import { decodeReadable, type DecodeReadableOptions } from './decodeReadable.js';
 import type { JobTable } from './JobTable.js';
 import { decodeLapseRecord, encodeLapseRecord, type LeaseLapse } from './LapseRecord.js';
-import { getExtensionGraceMs, LAPSE_MARGIN_MS, SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
+import {
+  getLongestInheritedLeaseMs,
+  LAPSE_MARGIN_MS,
+  SLOWEST_TARGET_CLOCK_RATE,
+} from './leaseBounds.js';
 import type { RecordWriter } from './RecordWriter.js';
+import type { TargetSession } from './TargetSession.js';
 import type { TargetSessions } from './TargetSessions.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
 
@@ -82,7 +87,7 @@
     this.inheritedLapseAtMs = new Map(
       lapses.map(({ targetId, lapsedByMs }) => [
         targetId,
-        this.getLapseAfterClaimMs(lapsedByMs - recordedAtMs),
+        this.claimedAtMs + Math.max(0, lapsedByMs - recordedAtMs) / SLOWEST_TARGET_CLOCK_RATE,
       ]),
     );
   }
@@ -93,9 +98,8 @@
    * @returns The time by the monotonic clock.
    */
   getInheritedLapseAtMs(targetId: string): number {
-    const { targetLeaseMs } = this.options.timing;
-    const longestMs = targetLeaseMs + getExtensionGraceMs(targetLeaseMs);
-    return this.inheritedLapseAtMs.get(targetId) ?? this.getLapseAfterClaimMs(longestMs);
+    const longestMs = getLongestInheritedLeaseMs(this.options.timing.targetLeaseMs);
+    return this.inheritedLapseAtMs.get(targetId) ?? this.claimedAtMs + longestMs;
   }
 
   /**
@@ -133,10 +137,6 @@
     if (this.isRecordDue(lapses, nowMs)) this.lastWrite = this.record(lapses, nowMs);
   }
 
-  private getLapseAfterClaimMs(remainingMs: number): number {
-    return this.claimedAtMs + Math.max(0, remainingMs) / SLOWEST_TARGET_CLOCK_RATE;
-  }
-
   private listAwaited(nowMs: number): readonly LeaseLapse[] {
     return [...this.options.table.listUsedTargets()].flatMap((targetId) => {
       const lapsedByMs = this.getAwaitedLapseMs(targetId, nowMs);
@@ -145,14 +145,17 @@
   }
 
   private getAwaitedLapseMs(targetId: string, nowMs: number): number | undefined {
-    const { getSessions, timing } = this.options;
-    const session = getSessions().getSession(targetId);
+    const session = this.options.getSessions().getSession(targetId);
     if (session === undefined) return this.getInheritedLapseAtMs(targetId);
-    if (session.isReachable) return undefined;
-    const { answeredAtMs, latestLapseAtMs } = session;
-    const leftMs = latestLapseAtMs - nowMs;
-    const isRecent = leftMs > timing.targetLeaseMs * (1 - RECORD_AFTER_SHARE);
-    return answeredAtMs !== undefined && isRecent ? undefined : latestLapseAtMs;
+    if (session.isReachable || this.isRecent(session, nowMs)) return undefined;
+    return session.latestLapseAtMs;
+  }
+
+  /** Tells whether a silent target may answer in a moment, as calls get lost now and then. */
+  private isRecent({ answeredAtMs, latestLapseAtMs }: TargetSession, nowMs: number): boolean {
+    const { targetLeaseMs } = this.options.timing;
+    if (answeredAtMs === undefined) return false;
+    return latestLapseAtMs - nowMs > targetLeaseMs * (1 - RECORD_AFTER_SHARE);
   }
 
   private isRecordDue(lapses: readonly LeaseLapse[], nowMs: number): boolean {
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -9,7 +9,7 @@
 import { ConcurrencyLimit, KeyedOnce, whenAborted } from '../utils/index.js';
 import { decodeReadable } from './decodeReadable.js';
 import { GroupMembership } from './GroupMembership.js';
-import { getExtensionGraceMs } from './leaseBounds.js';
+import { getLeaseExtensionMs } from './leaseBounds.js';
 import { OpeningWatch } from './OpeningWatch.js';
 import { PacedPages } from './PacedPages.js';
 import { type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
@@ -85,7 +85,7 @@
     });
     this.membership = new GroupMembership({
       ...options,
-      extensionGraceMs: getExtensionGraceMs(options.homeTiming.targetLeaseMs),
+      leaseExtensionMs: getLeaseExtensionMs(options.homeTiming.targetLeaseMs),
       getAnswerDelayMs: () => this.getAnswerDelayMs(),
       shouldHold: (isMember) => this.mayHold() && options.shouldHold(isMember),
       onRenewed: () => this.updateHomes(),
--- a/src/taskHome/TaskHomesOptions.ts
+++ b/src/taskHome/TaskHomesOptions.ts
@@ -13,7 +13,7 @@
 /** Options of `TaskHomes`. */
 export interface TaskHomesOptions extends Omit<
   GroupMembershipOptions,
-  'extensionGraceMs' | 'getAnswerDelayMs' | 'onRenewed' | 'onLeaving'
+  'leaseExtensionMs' | 'getAnswerDelayMs' | 'onRenewed' | 'onLeaving'
 > {
   readonly store: KeyedLogPort;
   readonly targets: LeasedTargetPort;
