Give targets time to answer a new home before their lapses are recorded

What callers would have seen: tasks that are killed though their targets answer. A home recorded each target without an answer at its first look, right after it had loaded its jobs; with calls of 40 ms that was every target. The store fell silent just then, so the records could not be taken back, and for as long no lease was extended.

A target of which a home has no answer is recorded from a tenth of a lease after the claim on, 0.5 s.

--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -35,6 +35,8 @@
 const STORE_WAIT_MS = 400;
 /** Share of a lease that must be over before its lapse is recorded: single calls get lost. */
 const RECORD_AFTER_SHARE = 0.5;
+/** Time for a target to answer a new home before its lapse is recorded, as a share of a lease. */
+const FIRST_ANSWER_SHARE = 0.1;
 
 /**
  * By when the leases of silent targets have certainly ended: as an earlier home has left them, and
@@ -154,7 +156,9 @@
   /** Tells whether a silent target may answer in a moment, as calls get lost now and then. */
   private isRecent({ answeredAtMs, latestLapseAtMs }: TargetSession, nowMs: number): boolean {
     const { targetLeaseMs } = this.options.timing;
-    if (answeredAtMs === undefined) return false;
+    if (answeredAtMs === undefined) {
+      return nowMs < this.claimedAtMs + targetLeaseMs * FIRST_ANSWER_SHARE;
+    }
     return latestLapseAtMs - nowMs > targetLeaseMs * (1 - RECORD_AFTER_SHARE);
   }
 
