Keep the end of a lease on record until the ends of its runs are stored

What callers could see: a task that runs nowhere for 9.46 s (9 are allowed). A home that had given up the last runs on a silent target stored at once that it awaited no lapse, and the ends of the runs with the next round, in a later append. If it was killed between the two, the next home found runs on a target that it could not hear and no word of the lease, and waited for a whole one anew.

A recorded lapse stays on record for a lease after its end while the target is not heard. Lapses are recorded once 0.4 of a lease is over, 0.1 sooner than before: with two changes of home within 2.6 s after a target had fallen silent nothing was recorded yet (9.06 to 9.21 s).

--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -34,7 +34,7 @@
 /** Longest wait for a record to be stored before a target is asked again, in milliseconds. */
 const STORE_WAIT_MS = 400;
 /** Share of a lease that must be over before its lapse is recorded: single calls get lost. */
-const RECORD_AFTER_SHARE = 0.5;
+const RECORD_AFTER_SHARE = 0.4;
 /** Time for a target to answer a new home before its lapse is recorded, as a share of a lease. */
 const FIRST_ANSWER_SHARE = 0.1;
 
@@ -61,6 +61,9 @@
   /** Targets in records of this term that are or may be the latest one. */
   private recorded: ReadonlySet<string> = new Set();
 
+  /** The latest record of this term. */
+  private latest: readonly LeaseLapse[] = [];
+
   private recordedAtMs = Number.NEGATIVE_INFINITY;
 
   private isWriting = false;
@@ -135,7 +138,7 @@
       .filter((targetId) => getSessions().getSession(targetId) === undefined)
       .filter((targetId) => nowMs > this.getInheritedLapseAtMs(targetId) + LAPSE_MARGIN_MS)
       .forEach((targetId) => onLapsed(targetId));
-    const lapses = this.listAwaited(nowMs);
+    const lapses = [...this.listAwaited(nowMs), ...this.listGivenUp(nowMs)];
     if (this.isRecordDue(lapses, nowMs)) this.lastWrite = this.record(lapses, nowMs);
   }
 
@@ -146,6 +149,19 @@
     });
   }
 
+  /**
+   * Lists the recorded lapses of targets on which no runs are left. They stay for a while: the ends
+   * of the runs may not be stored yet, and the next home would wait for the whole lease anew.
+   */
+  private listGivenUp(nowMs: number): readonly LeaseLapse[] {
+    const { table, timing, getSessions } = this.options;
+    const used = table.listUsedTargets();
+    return this.latest
+      .filter(({ targetId }) => !used.has(targetId))
+      .filter(({ targetId }) => getSessions().getSession(targetId)?.isReachable !== true)
+      .filter(({ lapsedByMs }) => nowMs < lapsedByMs + timing.targetLeaseMs);
+  }
+
   private getAwaitedLapseMs(targetId: string, nowMs: number): number | undefined {
     const session = this.options.getSessions().getSession(targetId);
     if (session === undefined) return this.getInheritedLapseAtMs(targetId);
@@ -175,6 +191,7 @@
     const { writer, term } = this.options;
     const targetIds = lapses.map(({ targetId }) => targetId);
     this.recorded = new Set([...this.recorded, ...targetIds]);
+    this.latest = lapses;
     this.recordedAtMs = recordedAtMs;
     this.isWriting = true;
     try {
