Let the clocks of targets in drawn histories run at the bounds of the platform

A lease is counted on the target's own clock, which may be 2 % slow. Histories of lost tasks now have slow, true and fast clocks in turns, so that a home that counts a lease as over too soon is seen to start a task twice. The other histories keep true clocks.

--- a/standins/leasedTargets/UnsteadyTargets.ts
+++ b/standins/leasedTargets/UnsteadyTargets.ts
@@ -44,6 +44,8 @@
 /** One lifetime of a target, with what is known of it outside. */
 interface Lifetime {
   readonly target: LeasedTarget;
+  /** How fast the target's own clock runs, as a multiple of the clock of all targets. */
+  readonly clockRate: number;
   readonly runs: Map<string, number>;
   readonly fates: Record<FatedCall, CallFate[]>;
   condition: TargetCondition;
@@ -81,10 +83,16 @@
   /**
    * Adds a target.
    * @param targetId - Id of the lifetime.
+   * @param clockRate - How fast its own clock runs, as a multiple of the clock of all targets.
    */
-  add(targetId: string): void {
+  add(targetId: string, clockRate = 1): void {
+    const clock: Clock = {
+      monotonicMs: () => this.clock.monotonicMs() * clockRate,
+      wallMs: () => this.clock.wallMs(),
+    };
     this.lifetimes.set(targetId, {
-      target: new LeasedTarget(this.clock),
+      target: new LeasedTarget(clock),
+      clockRate,
       runs: new Map(),
       fates: { start: [], stop: [], renew: [] },
       condition: 'well',
@@ -290,9 +298,10 @@
   }
 
   private observeLifetime(targetId: string, lifetime: Lifetime): void {
-    const { target, runs } = lifetime;
+    const { target, runs, clockRate } = lifetime;
     const running = new Set(target.runningNames);
-    const { leaseEndsAtMs, unacknowledged } = target;
+    const { unacknowledged } = target;
+    const leaseEndsAtMs = target.leaseEndsAtMs / clockRate;
     const nowMs = this.clock.monotonicMs();
     unacknowledged
       .filter(({ endNumber }) => endNumber > lifetime.seenEndNumber)
--- a/tests/taskHome/histories/HistoryScene.ts
+++ b/tests/taskHome/histories/HistoryScene.ts
@@ -1,10 +1,9 @@
 import { StoreStandIn } from '../../../standins/store/index.js';
 import { MemoryEventLog } from '../../../src/logging/index.js';
-import type { TargetEntry } from '../../../src/taskHome/index.js';
 import type { TaskHomeTiming } from '../../../src/taskHome/TaskHomeTiming.js';
 import { HistoryHomes } from './HistoryHomes.js';
 import { HistoryJobs } from './HistoryJobs.js';
-import { HistoryTargets } from './HistoryTargets.js';
+import { HistoryTargets, type HistoryTargetsOptions } from './HistoryTargets.js';
 import type { StoreCondition } from './RunHistory.js';
 import { RunScript } from './RunScript.js';
 import { RunWatch } from './RunWatch.js';
@@ -14,9 +13,7 @@
 export interface HistorySceneOptions {
   /** Virtual time, which begins again. */
   readonly time: VirtualTime;
-  readonly targetCount: number;
-  /** What differs in the entries of targets from those of other tests. */
-  readonly entryChanges?: Partial<TargetEntry>;
+  readonly targets: Omit<HistoryTargetsOptions, 'time' | 'watch'>;
   /** Timing of the homes, unless it is the usual one of short leases. */
   readonly timing?: TaskHomeTiming;
 }
@@ -39,12 +36,12 @@
    * Creates a scene with a home that opens.
    * @param options - Time, targets and timing.
    */
-  constructor({ time, targetCount, entryChanges, timing }: HistorySceneOptions) {
+  constructor({ time, targets: targetOptions, timing }: HistorySceneOptions) {
     time.reset();
     const { store, events } = this;
     const watch = new RunWatch(time);
     this.watch = watch;
-    this.targets = new HistoryTargets(time, watch, targetCount, entryChanges);
+    this.targets = new HistoryTargets({ ...targetOptions, time, watch });
     const { port: targets, entries } = this.targets;
     const homes = new HistoryHomes({ time, store, targets, entries, events, timing });
     this.homes = homes;
--- a/tests/taskHome/histories/HistoryTargets.ts
+++ b/tests/taskHome/histories/HistoryTargets.ts
@@ -4,6 +4,19 @@
 import type { RunWatch } from './RunWatch.js';
 import type { VirtualTime } from './VirtualTime.js';
 
+/** Options of {@link HistoryTargets}. */
+export interface HistoryTargetsOptions {
+  readonly time: VirtualTime;
+  /** Is told what happens on the targets. */
+  readonly watch: RunWatch;
+  /** How many there are at the beginning. */
+  readonly count: number;
+  /** What differs in their entries from those of other tests. */
+  readonly entryChanges?: Partial<TargetEntry>;
+  /** How fast the clocks of targets run, in turns, as multiples of the time's rate. */
+  readonly clockRates?: readonly number[];
+}
+
 /** The targets of a history, and their entries in the platform. */
 export class HistoryTargets {
   readonly port: UnsteadyTargets;
@@ -12,24 +25,16 @@
 
   private addedCount = 0;
 
-  private readonly entryChanges: Partial<TargetEntry>;
+  private readonly options: HistoryTargetsOptions;
 
   /**
    * Creates some targets.
-   * @param time - Clock of the targets.
-   * @param watch - Is told what happens on them.
-   * @param count - How many there are.
-   * @param entryChanges - What differs in their entries from those of other tests.
+   * @param options - Clock, observer, and what the targets are like.
    */
-  constructor(
-    time: VirtualTime,
-    watch: RunWatch,
-    count: number,
-    entryChanges: Partial<TargetEntry> = {},
-  ) {
-    this.entryChanges = entryChanges;
-    this.port = new UnsteadyTargets(time, watch);
-    Array.from({ length: count }, () => this.add());
+  constructor(options: HistoryTargetsOptions) {
+    this.options = options;
+    this.port = new UnsteadyTargets(options.time, options.watch);
+    Array.from({ length: options.count }, () => this.add());
   }
 
   /**
@@ -71,14 +76,16 @@
    * @param targetId - Id of the lifetime.
    */
   list(targetId: string): void {
-    this.entries.set(targetId, makeEntry(targetId, this.entryChanges));
+    this.entries.set(targetId, makeEntry(targetId, this.options.entryChanges));
   }
 
   /** Adds a target that is listed. */
   add(): void {
+    const { clockRates = [1] } = this.options;
+    const clockRate = clockRates[this.addedCount % clockRates.length];
     this.addedCount += 1;
     const targetId = `t${this.addedCount}`;
-    this.port.add(targetId);
+    this.port.add(targetId, clockRate);
     this.list(targetId);
   }
 }
--- a/tests/taskHome/histories/LostTaskHistoryWorld.ts
+++ b/tests/taskHome/histories/LostTaskHistoryWorld.ts
@@ -22,6 +22,8 @@
 
 /** Room for all tasks of a history on two targets, with as much beside them. */
 const CAPACITY = { cpuMillicores: 64_000, memoryMb: 100_000, gpuCount: 0 } as const;
+/** The bounds of the platform: 2 % slow, and as much too fast. */
+const CLOCK_RATES = [0.98, 1, 1.02] as const;
 const SERVICE: DrawnJob = { shape: 'service', runMs: Infinity, failureCount: 0 };
 const SERVICE_TASK_COUNT = makeSteps('service')[0]!.taskCount;
 /** Interval at which jobs are handed in again and states are read, in milliseconds. */
@@ -29,7 +31,7 @@
 /** Time within which the service is at work before the first step, in milliseconds. */
 const START_MS = 3_000;
 /** Time after which a replaced home has heard of it from the group, in milliseconds. */
-const CLOSES_AFTER_MS = 400;
+const CLOSES_AFTER_MS = 300;
 /** Time within which a home works once nothing disturbs it, in milliseconds. */
 const HOME_WITHIN_MS = 6_000;
 /** Time of calm: a lease, the time after which a task is lost, and as much again. */
@@ -66,8 +68,11 @@
     this.time = time;
     this.scene = new HistoryScene({
       time,
-      targetCount: LOST_TASK_TARGET_COUNT,
-      entryChanges: { capacity: CAPACITY },
+      targets: {
+        count: LOST_TASK_TARGET_COUNT,
+        entryChanges: { capacity: CAPACITY },
+        clockRates: CLOCK_RATES,
+      },
       timing: PLATFORM_TIMING,
     });
     this.watch = this.scene.watch;
--- a/tests/taskHome/histories/RunHistoryWorld.ts
+++ b/tests/taskHome/histories/RunHistoryWorld.ts
@@ -47,7 +47,7 @@
    */
   constructor(time: VirtualTime) {
     this.time = time;
-    this.scene = new HistoryScene({ time, targetCount: TARGET_COUNT });
+    this.scene = new HistoryScene({ time, targets: { count: TARGET_COUNT } });
     this.watch = this.scene.watch;
     this.targets = this.scene.targets;
     this.homes = this.scene.homes;
--- a/tests/taskHome/histories/ServiceHistoryWorld.ts
+++ b/tests/taskHome/histories/ServiceHistoryWorld.ts
@@ -44,7 +44,7 @@
     time.reset();
     this.time = time;
     this.watch = new RunWatch(time);
-    this.targets = new HistoryTargets(time, this.watch, SERVICE_TARGET_COUNT);
+    this.targets = new HistoryTargets({ time, watch: this.watch, count: SERVICE_TARGET_COUNT });
     const { port: targets, entries } = this.targets;
     const store = new StoreStandIn({ partitionCount: 1 });
     const events = new MemoryEventLog();
