--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -63,6 +63,24 @@
     level: 'info',
     text: 'Tasks wait for the limit of their organisation.',
   },
+  tasksUnplaced: { number: 6046, level: 'info', text: 'Ready tasks are not placed, and why.' },
+  targetsSilent: {
+    number: 6047,
+    level: 'warn',
+    text: 'Runs are on targets that have been silent past their leases.',
+  },
+  homeCallWaited: {
+    number: 6048,
+    level: 'info',
+    text: 'A call to a home got no reply, or a late one.',
+  },
+  homeCallOpen: { number: 6049, level: 'warn', text: 'A call to a home does not end.' },
+  appendHeld: { number: 6050, level: 'warn', text: 'An append has been repeated for a while.' },
+  partitionsUnopened: {
+    number: 6051,
+    level: 'warn',
+    text: 'Partitions of this instance have no open home.',
+  },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
   configurationUnreadable: {
     number: 6029,
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -13,14 +13,16 @@
   readonly timing: Pick<TaskHomeTiming, 'targetLeaseMs'>;
   /** Gets how long a target may delay its answer until a run ends, in milliseconds. */
   readonly getTargetWaitMs: () => number;
+  /** Tells whether this home may extend leases of targets. */
+  readonly mayExtendLeases: () => boolean;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Targets of this home's pools as the platform lists them. */
   readonly getEntries: () => TargetEntries;
+  /** Tells whether runs are ordered on a target. */
+  readonly hasRuns: (targetId: string) => boolean;
   readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
-  /**
-   * Called when the lifetime of a target is certainly over, so that nothing runs there any more.
-   */
+  /** Called when nothing runs on a target any more, as its lease or its lifetime is over. */
   readonly onGone: (targetId: string, reason: TargetLossReason) => void;
   readonly onStaleTerm: () => void;
 }
--- a/tests/taskHome/histories/HistoryHomes.ts
+++ b/tests/taskHome/histories/HistoryHomes.ts
@@ -5,6 +5,7 @@
 import type { LeasedTargetPort } from '../../../src/targets/index.js';
 import { PartitionOpening } from '../../../src/taskHome/PartitionOpening.js';
 import { type TargetEntry, TaskHome } from '../../../src/taskHome/index.js';
+import { getExtensionGraceMs } from '../../../src/taskHome/leaseBounds.js';
 import type { TaskHomeTiming } from '../../../src/taskHome/TaskHomeTiming.js';
 import { HomeGate } from './HomeGate.js';
 import type { VirtualTime } from './VirtualTime.js';
@@ -26,6 +27,8 @@
   /** How long it takes to read the jobs, besides the calls of the store, in milliseconds. */
   readonly readMs: number;
   home: TaskHome | undefined;
+  /** When the group gave the partition to the next process, in virtual time. */
+  replacedAtMs: number;
 }
 
 const PLACE = { topic: 'jobs', termsTopic: 'terms', partition: 0 } as const;
@@ -84,8 +87,11 @@
    * @param readMs - How long it takes to read the jobs, in milliseconds.
    */
   openNext(readMs = 0): void {
-    const gate = new HomeGate(this.options.time);
-    const created: HomeProcess = { gate, readMs, home: undefined };
+    const { time } = this.options;
+    const gate = new HomeGate(time);
+    const created = { gate, readMs, home: undefined, replacedAtMs: Infinity };
+    const replaced = this.processes.at(-1);
+    if (replaced !== undefined) replaced.replacedAtMs = time.monotonicMs();
     this.processes.push(created);
     void this.run(created);
     this.tick(created);
@@ -173,6 +179,8 @@
     });
     const claimed = await opening.claim();
     if (claimed === undefined) return;
+    const timing = this.options.timing ?? TIMING;
+    const graceMs = getExtensionGraceMs(timing.targetLeaseMs);
     const home = new TaskHome({
       ...this.options,
       ...PLACE,
@@ -180,13 +188,14 @@
       targets: process.gate.guardTargets(this.options.targets),
       producer: 'home',
       claimed,
-      timing: this.options.timing ?? TIMING,
+      timing,
       clock: time,
       mechanisms: ALL_MECHANISMS,
       metrics: new MemoryMetrics(),
       getEntries: () => this.options.entries,
       listOrganisations: () => [],
       isGroupLeaseHeld: () => this.isLatest(process),
+      mayExtendLeases: () => time.monotonicMs() < process.replacedAtMs + graceMs,
       onReplaced: () => undefined,
     });
     Object.assign(process, { home });
