--- a/tests/taskHome/histories/LostTaskHistory.ts
+++ b/tests/taskHome/histories/LostTaskHistory.ts
@@ -43,8 +43,8 @@
   | { readonly type: 'kill-homes'; readonly nextAfterMs: number; readonly readMs: number }
   | { readonly type: 'freeze' }
   | { readonly type: 'thaw' }
-  /** The latest home alone can't reach a target for a time. */
-  | { readonly type: 'cut-home'; readonly target: number; readonly forMs: number }
+  /** The latest home alone can't reach some targets for a time. */
+  | { readonly type: 'cut-home'; readonly targets: readonly number[]; readonly forMs: number }
   /** The fleet's home drains these targets alone from now on. */
   | { readonly type: 'drain'; readonly targets: readonly number[] }
   | {
@@ -74,6 +74,8 @@
 const CHANGE_PAUSES_MS = [200, 500, 1_000, 2_000, 3_000] as const;
 /** Pauses between such changes once all is calm: all are over when a lease may have lapsed. */
 const CALM_CHANGE_PAUSES_MS = [200, 500, 1_000, 1_500] as const;
+/** How long a home alone doesn't reach a target: the longest is longer than any wait for leases. */
+const CUT_TIMES_MS = [1_000, 5_200, 15_000, 15_000] as const;
 const MAX_CHANGE_COUNT = 3;
 const MAX_STEP_COUNT = 16;
 
@@ -152,7 +154,14 @@
     },
     { weight: 1, arbitrary: fc.constant<LostTaskStep>({ type: 'freeze' }) },
     { weight: 1, arbitrary: fc.constant<LostTaskStep>({ type: 'thaw' }) },
-    { weight: 1, arbitrary: fc.record({ type: fc.constant('cut-home'), target, forMs: timeMs }) },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        type: fc.constant('cut-home'),
+        targets: fc.uniqueArray(target, { minLength: 1 }),
+        forMs: fc.constantFrom(...CUT_TIMES_MS),
+      }),
+    },
     { weight: 1, arbitrary: fc.record({ type: fc.constant('drain'), targets: drained }) },
     {
       weight: 1,
@@ -203,6 +212,7 @@
         { ...drawn, how: 'cut-off' },
         { ...drawn, forMs: undefined },
       ];
+    case 'cut-home':
     case 'drain':
       return drawn.targets.map((_each, place) => ({
         ...drawn,
--- a/tests/taskHome/histories/LostTaskHistoryWorld.ts
+++ b/tests/taskHome/histories/LostTaskHistoryWorld.ts
@@ -157,7 +157,9 @@
         this.homes.thaw();
         return;
       case 'cut-home':
-        this.homes.cutOff(this.targets.pick(step.target), this.nowMs + step.forMs);
+        this.targets
+          .pickAll(step.targets)
+          .forEach((targetId) => this.homes.cutOff(targetId, this.nowMs + step.forMs));
         return;
       case 'drain':
         this.drains.replace(this.targets.pickAll(step.targets));
