Show a lapse that is forgotten before the runs that it ended are

Callers would see a task run nowhere for 9.46 s (9 are allowed). A home that gives up the last runs on a target stores at once that it waits for no lapse; the ends of these runs are stored by the next round, in a later append. A home that is killed between the two leaves runs on a silent target without the lapse, and the next home waits for a whole lease anew.

--- a/tests/taskHome/lostTaskHistories.test.ts
+++ b/tests/taskHome/lostTaskHistories.test.ts
@@ -1,4 +1,4 @@
-import { describe, it, vi } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { findFailure } from './histories/findFailure.js';
 import {
   describeLostTaskHistory,
@@ -23,6 +23,19 @@
 /** Far above the time of the histories, as none of their pauses is waited for. */
 const TIMEOUT_MS = 60_000 + HISTORY_COUNT * 400;
 
+/** A home gives up the runs on an unlisted target, and is killed before it has stored that. */
+const KILLED_AT_LAPSE: LostTaskHistory = {
+  maxTasksPerTarget: 4,
+  jobs: [],
+  steps: [
+    { type: 'unlist', target: 0 },
+    { type: 'replace-home', earlier: 'killed', readMs: 0 },
+    { type: 'wait', forMs: 2_000 },
+    { type: 'replace-home', earlier: 'killed', readMs: 3_000 },
+  ],
+  calmChangesAfterMs: [1_000, 1_500],
+};
+
 /** Plays a history, and describes it if it breaks a rule. */
 async function findViolations(history: LostTaskHistory): Promise<string | undefined> {
   const world = new LostTaskHistoryWorld(virtualTime);
@@ -59,4 +72,9 @@
     () => play(['killed', 'goes-on', 'frozen']),
     TIMEOUT_MS,
   );
+
+  // Guards against a next home that waits anew for a lease that its predecessor knew as lapsed.
+  it('lets a task run again in time whose home is killed as it gives the run up', async () => {
+    expect(await findViolations(KILLED_AT_LAPSE)).toBeUndefined();
+  });
 });
