--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -100,12 +100,13 @@
   }
 
   /**
-   * Monotonic time by which everything that ran on the target has certainly been killed. Before the
-   * first answer, a lease of an earlier home may still be valid.
+   * Monotonic time by which everything that ran on the target has certainly been killed. Until this
+   * session has extended the lease, that of an earlier home may still be valid.
    */
   get latestLapseAtMs(): number {
-    const { clockReading, leaseUntilTargetMs } = this;
-    if (clockReading === undefined) return this.options.getInheritedLapseAtMs();
+    const { clockReading, leaseUntilTargetMs, leaseExtendedAtMs } = this;
+    const hasExtended = leaseExtendedAtMs > Number.NEGATIVE_INFINITY;
+    if (clockReading === undefined || !hasExtended) return this.options.getInheritedLapseAtMs();
     const remainingMs = leaseUntilTargetMs - clockReading.targetMs;
     return clockReading.atMs + Math.max(0, remainingMs) / SLOWEST_TARGET_CLOCK_RATE;
   }
@@ -150,8 +151,8 @@
     const mayExtend = this.options.mayExtendLease();
     if (clockReading === undefined || !mayExtend) return this.leaseUntilTargetMs;
     const nowMs = this.options.clock.monotonicMs();
-    const elapsedMs = nowMs - clockReading.atMs;
-    const untilMs = Math.floor(clockReading.targetMs + elapsedMs + this.options.leaseMs);
+    // The next home counts on leases of their length: a slow clock may not make them any longer.
+    const untilMs = Math.floor(this.getEarliestTargetMs(nowMs) + this.options.leaseMs);
     this.leaseUntilTargetMs = Math.max(this.leaseUntilTargetMs, untilMs);
     this.leaseExtendedAtMs = nowMs;
     return this.leaseUntilTargetMs;
