--- a/tests/taskHome/histories/HistoryTargets.ts
+++ b/tests/taskHome/histories/HistoryTargets.ts
@@ -4,6 +4,19 @@
 import type { RunWatch } from './RunWatch.js';
 import type { VirtualTime } from './VirtualTime.js';
 
+/** Options of {@link HistoryTargets}. */
+export interface HistoryTargetsOptions {
+  readonly time: VirtualTime;
+  /** Is told what happens on the targets. */
+  readonly watch: RunWatch;
+  /** How many there are at the beginning. */
+  readonly count: number;
+  /** What differs in their entries from those of other tests. */
+  readonly entryChanges?: Partial<TargetEntry>;
+  /** How fast the clocks of targets run, in turns, as multiples of the time's rate. */
+  readonly clockRates?: readonly number[];
+}
+
 /** The targets of a history, and their entries in the platform. */
 export class HistoryTargets {
   readonly port: UnsteadyTargets;
@@ -12,15 +25,16 @@
 
   private addedCount = 0;
 
+  private readonly options: HistoryTargetsOptions;
+
   /**
    * Creates some targets.
-   * @param time - Clock of the targets.
-   * @param watch - Is told what happens on them.
-   * @param count - How many there are.
+   * @param options - Clock, observer, and what the targets are like.
    */
-  constructor(time: VirtualTime, watch: RunWatch, count: number) {
-    this.port = new UnsteadyTargets(time, watch);
-    Array.from({ length: count }, () => this.add());
+  constructor(options: HistoryTargetsOptions) {
+    this.options = options;
+    this.port = new UnsteadyTargets(options.time, options.watch);
+    Array.from({ length: options.count }, () => this.add());
   }
 
   /**
@@ -33,6 +47,15 @@
     return targetIds[target % targetIds.length]!;
   }
 
+  /**
+   * Picks targets by the numbers that a history gives.
+   * @param targets - The numbers.
+   * @returns Their ids, each once.
+   */
+  pickAll(targets: readonly number[]): readonly string[] {
+    return [...new Set(targets.map((target) => this.pick(target)))];
+  }
+
   /**
    * Ends a lifetime; another target is there at once.
    * @param targetId - Id of the lifetime.
@@ -45,13 +68,24 @@
 
   /** Lists every target whose lifetime is not over. */
   listAgain(): void {
-    this.port.targetIds.forEach((targetId) => this.entries.set(targetId, makeEntry(targetId)));
+    this.port.targetIds.forEach((targetId) => this.list(targetId));
+  }
+
+  /**
+   * Lists a target in the platform.
+   * @param targetId - Id of the lifetime.
+   */
+  list(targetId: string): void {
+    this.entries.set(targetId, makeEntry(targetId, this.options.entryChanges));
   }
 
-  private add(): void {
+  /** Adds a target that is listed. */
+  add(): void {
+    const { clockRates = [1] } = this.options;
+    const clockRate = clockRates[this.addedCount % clockRates.length];
     this.addedCount += 1;
     const targetId = `t${this.addedCount}`;
-    this.port.add(targetId);
-    this.entries.set(targetId, makeEntry(targetId));
+    this.port.add(targetId, clockRate);
+    this.list(targetId);
   }
 }
