--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -7,6 +7,7 @@
 import type { LimitOrder, PoolDemand } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { EndedTargets } from '../vms/index.js';
+import { callWithin } from './callWithin.js';
 import { HomeCallTrace } from './HomeCallTrace.js';
 import type { HomeDirectory } from './HomeDirectory.js';
 import type { PoolOrganisations } from './LimitParts.js';
@@ -191,7 +192,7 @@
     pool: string,
     trace: HomeCallTrace,
   ): Promise<PeerReply> {
-    const { clock, directory } = this.options;
+    const { clock } = this.options;
     const giveUpAtMs = clock.monotonicMs() + HOME_SEARCH_MS;
     let isInDoubt = false;
     let last: CallOutcome = await this.attemptCall(request, pool, trace);
@@ -200,7 +201,7 @@
       trace.begin(last.wait);
       const paused = sleep(RETRY_PAUSE_MS).then(() => trace.begin('refresh'));
       // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
-      await Promise.all([directory.refresh(), paused]);
+      await Promise.all([this.refreshUntil(giveUpAtMs), paused]);
       // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
       last = await this.attemptCall(request, pool, trace);
     }
@@ -213,6 +214,13 @@
     throw last.error;
   }
 
+  /** Looks for the home, for no longer than the search lasts; a silent store takes seconds. */
+  private async refreshUntil(giveUpAtMs: number): Promise<void> {
+    const { clock, directory } = this.options;
+    const leftMs = Math.max(0, giveUpAtMs - clock.monotonicMs());
+    await Promise.race([directory.refresh(), sleep(leftMs)]);
+  }
+
   private async attemptCall(
     request: DurableJobRequest,
     pool: string,
@@ -244,7 +252,7 @@
     trace?.noteHome(home.instance, isLocal);
     try {
       const reply = isLocal
-        ? await handleLocally(request)
+        ? await callWithin(handleLocally(request), CALL_WAIT_MS)
         : await peers.call(home, request, CALL_WAIT_MS);
       const isRetryable = reply.type === 'refused' && RETRYABLE_KINDS.has(reply.kind);
       if (!isRetryable) return { type: 'reply', reply };
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -2,6 +2,7 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { LeaseAnswer, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
 import { assertNever, type Clock } from '../utils/index.js';
+import { SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
 
 /** A report of a target with the time at which it was requested. */
 export interface TargetReport {
@@ -24,8 +25,10 @@
   readonly leaseMs: number;
   /** Gets how long the target may delay its answer until a run ends, in milliseconds. */
   readonly getWaitMs: () => number;
-  /** Tells whether renewals may extend the lease; otherwise they only request reports. */
+  /** Tells whether renewals and starts may extend the lease; otherwise it stays as it is. */
   readonly mayExtendLease: () => boolean;
+  /** Gets by when a lease of an earlier home has certainly ended, by the monotonic clock. */
+  readonly getInheritedLapseAtMs: () => number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Handles a report; the next renewal is sent once this has resolved. */
@@ -35,15 +38,11 @@
 
 /** Pause after an unanswered renewal, in milliseconds; allows several attempts within one lease. */
 const RETRY_PAUSE_MS = 200;
-/** Rate of the slowest clock that the platform's bounds allow a target: 2 % slow. */
-const SLOWEST_TARGET_CLOCK_RATE = 0.98;
 
 /** Renews the lease of one target and passes on its reports, one renewal at a time. */
 export class TargetSession {
   private readonly options: TargetSessionOptions;
 
-  private readonly createdAtMs: number;
-
   private isClosed = false;
 
   private acknowledgedEndNumber = 0;
@@ -67,7 +66,6 @@
    */
   constructor(options: TargetSessionOptions) {
     this.options = options;
-    this.createdAtMs = options.clock.monotonicMs();
     this.outage = new OutageLog({
       events: options.events,
       lost: 'targetSilent',
@@ -102,14 +100,13 @@
   }
 
   /**
-   * Monotonic time by which everything that ran on the target has certainly been killed. Before the
-   * first answer, a lease of an earlier home may still be valid.
+   * Monotonic time by which everything that ran on the target has certainly been killed. Until this
+   * session has extended the lease, that of an earlier home may still be valid.
    */
   get latestLapseAtMs(): number {
-    const { clockReading, leaseUntilTargetMs, createdAtMs } = this;
-    if (clockReading === undefined) {
-      return createdAtMs + this.options.leaseMs / SLOWEST_TARGET_CLOCK_RATE;
-    }
+    const { clockReading, leaseUntilTargetMs, leaseExtendedAtMs } = this;
+    const hasExtended = leaseExtendedAtMs > Number.NEGATIVE_INFINITY;
+    if (clockReading === undefined || !hasExtended) return this.options.getInheritedLapseAtMs();
     const remainingMs = leaseUntilTargetMs - clockReading.targetMs;
     return clockReading.atMs + Math.max(0, remainingMs) / SLOWEST_TARGET_CLOCK_RATE;
   }
@@ -146,15 +143,16 @@
   }
 
   /**
-   * Extends the lease that renewals and starts ask for, counted from now.
+   * Extends the lease that renewals and starts ask for, counted from now, if it may be extended.
    * @returns Its end on the target's clock, in milliseconds.
    */
   extendLease(): number {
     const { clockReading } = this;
-    if (clockReading === undefined) return this.leaseUntilTargetMs;
+    const mayExtend = this.options.mayExtendLease();
+    if (clockReading === undefined || !mayExtend) return this.leaseUntilTargetMs;
     const nowMs = this.options.clock.monotonicMs();
-    const elapsedMs = nowMs - clockReading.atMs;
-    const untilMs = Math.floor(clockReading.targetMs + elapsedMs + this.options.leaseMs);
+    // The next home counts on leases of their length: a slow clock may not make them any longer.
+    const untilMs = Math.floor(this.getEarliestTargetMs(nowMs) + this.options.leaseMs);
     this.leaseUntilTargetMs = Math.max(this.leaseUntilTargetMs, untilMs);
     this.leaseExtendedAtMs = nowMs;
     return this.leaseUntilTargetMs;
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -1,8 +1,9 @@
 import type { Resources } from '../jobs/index.js';
-import type { PlacementTarget } from '../systems/index.js';
+import { hasLessCapacity, type PlacementTarget } from '../systems/index.js';
 import type { EndedTaskReport, LeasedTargetAddress } from '../targets/index.js';
 import { waitUntil } from '../utils/index.js';
 import { LapsedStarts } from './LapsedStarts.js';
+import { LAPSE_MARGIN_MS } from './leaseBounds.js';
 import type { RunKey } from './RunKey.js';
 import type { TargetEntry } from './TargetEntry.js';
 import { TargetSession } from './TargetSession.js';
@@ -19,16 +20,6 @@
 /** Age up to which a renewal is fresh, in milliseconds: renewals come about once a second. */
 const FRESH_LEASE_MAX_AGE_MS = 1_500;
 const FRESHNESS_CHECK_MS = 5;
-/** Margin after the end of a lease until its target counts as empty, in milliseconds. */
-const LAPSE_MARGIN_MS = 300;
-
-function hasLessCapacity(current: Resources, previous: Resources): boolean {
-  return (
-    current.cpuMillicores < previous.cpuMillicores ||
-    current.memoryMb < previous.memoryMb ||
-    current.gpuCount < previous.gpuCount
-  );
-}
 
 /** The targets of one home: a session with each, and its latest entry in the platform. */
 export class TargetSessions {
@@ -52,16 +43,14 @@
     this.openedAtMs = options.clock.monotonicMs();
   }
 
-  /** Opens sessions with new targets, and ends those of targets that are certainly gone. */
+  /** Opens sessions with new targets, and reports those whose leases have certainly lapsed. */
   sync(): void {
     const entries = this.options.getEntries();
     entries.forEach((entry) => this.update(entry));
     const nowMs = this.options.clock.monotonicMs();
     [...this.tracked].forEach(([targetId, target]) => {
       Object.assign(target, { isListed: entries.has(targetId) });
-      if (TargetSessions.isCertainlyGone(target, nowMs)) {
-        this.options.onGone(targetId, 'lapsed');
-      }
+      if (this.isToGiveUp(target, nowMs)) this.options.onGone(targetId, 'lapsed');
     });
   }
 
@@ -182,6 +171,15 @@
     return this.tracked.get(targetId)?.session.answeredAtMs;
   }
 
+  /**
+   * Gets the session with a target.
+   * @param targetId - Id of the target.
+   * @returns The session, or undefined if the target is not known.
+   */
+  getSession(targetId: string): TargetSession | undefined {
+    return this.tracked.get(targetId)?.session;
+  }
+
   /**
    * Extends a target's lease for an order that carries it.
    * @param targetId - Id of the target.
@@ -258,12 +256,13 @@
   }
 
   /**
-   * Ends the session with a target whose lease has lapsed, until the same lifetime is back.
+   * Takes note that the runs on a target are given up, as its lease has lapsed. The session goes on
+   * for as long as the target is listed; otherwise it ends until the same lifetime is back.
    * @param targetId - Id of the target.
    * @param openStarts - Runs of which a start has no answer.
    */
   suspend(targetId: string, openStarts: readonly RunKey[]): void {
-    this.end(targetId);
+    if (this.tracked.get(targetId)?.isListed !== true) this.end(targetId);
     this.lapsedStarts.add(targetId, openStarts);
   }
 
@@ -281,14 +280,15 @@
   }
 
   /**
-   * Tells whether nothing can run on a target any more: its lease is over even by the slowest
-   * clock, and the platform does not list it. Silence alone proves nothing, as a target that is cut
-   * off runs on. A target that has announced its leave also runs on for seconds, and its entry may
-   * expire meanwhile; if it counted as gone, its tasks would run twice. The list of VMs shows
-   * sooner that a target has left.
+   * Tells whether a target is to be given up: it is silent, and its lease is over even by the
+   * slowest clock, so nothing runs there any more. Silence alone proves nothing, as a target that
+   * is cut off or leaves runs on until then.
+   *
+   * A target that is still listed loses its runs like any other. It may stay listed for as long as
+   * only this home cannot reach it, and its tasks would run nowhere meanwhile.
    */
-  private static isCertainlyGone({ session, isListed }: TrackedTarget, nowMs: number): boolean {
-    if (isListed || session.isReachable) return false;
+  private isToGiveUp({ entry, session, isListed }: TrackedTarget, nowMs: number): boolean {
+    if (session.isReachable || (isListed && !this.options.hasRuns(entry.targetId))) return false;
     return nowMs > session.latestLapseAtMs + LAPSE_MARGIN_MS;
   }
 
@@ -317,7 +317,7 @@
   }
 
   private open(entry: TargetEntry): void {
-    const { targets, term, timing, getTargetWaitMs, clock, events } = this.options;
+    const { targets, term, timing, getTargetWaitMs, clock, events, lapses } = this.options;
     const { onReport, onGone, onStaleTerm } = this.options;
     const { targetId, pool, rack } = entry;
     const session = new TargetSession({
@@ -328,10 +328,11 @@
       getWaitMs: getTargetWaitMs,
       clock,
       events,
-      mayExtendLease: () => !this.lapsedStarts.has(targetId),
+      mayExtendLease: () => lapses.mayExtend(targetId) && !this.lapsedStarts.has(targetId),
+      getInheritedLapseAtMs: () => lapses.getInheritedLapseAtMs(targetId),
       onReport: async (report) => {
         await onReport(targetId, report);
-        await this.lapsedStarts.stopOn(entry);
+        await Promise.all([this.lapsedStarts.stopOn(entry), lapses.release(targetId)]);
       },
       onEnd: (end) => (end === 'stale-term' ? onStaleTerm() : onGone(targetId, end)),
     });
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '../logging/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
+import type { LeaseLapses } from './LeaseLapses.js';
 import type { TargetEntries } from './TargetEntry.js';
 import type { TargetReport } from './TargetSession.js';
 import type { TargetLossReason } from './TargetSessions.js';
@@ -17,10 +18,12 @@
   readonly events: EventLog;
   /** Targets of this home's pools as the platform lists them. */
   readonly getEntries: () => TargetEntries;
+  /** What is known of leases that earlier homes have extended, and which may be extended now. */
+  readonly lapses: Pick<LeaseLapses, 'getInheritedLapseAtMs' | 'mayExtend' | 'release'>;
+  /** Tells whether runs are ordered on a target. */
+  readonly hasRuns: (targetId: string) => boolean;
   readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
-  /**
-   * Called when the lifetime of a target is certainly over, so that nothing runs there any more.
-   */
+  /** Called when nothing runs on a target any more, as its lease or its lifetime is over. */
   readonly onGone: (targetId: string, reason: TargetLossReason) => void;
   readonly onStaleTerm: () => void;
 }
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -19,6 +19,8 @@
   readonly claimed: ClaimedTerm;
   /** Maximum size of an append, in bytes of record values; absent on a link of default speed. */
   readonly maxAppendBytes?: number;
+  /** Maximum size of a record, with its key, in bytes; no bound if absent. */
+  readonly maxRecordBytes?: number;
   readonly timing: TaskHomeTiming;
   readonly clock: Clock;
   readonly events: EventLog;
@@ -29,6 +31,8 @@
   readonly listOrganisations: () => readonly Organisation[];
   /** Whether this instance is certain to be the home at this moment. */
   readonly isGroupLeaseHeld: () => boolean;
+  /** Whether this instance may extend leases of targets, for some time beyond that. */
+  readonly mayExtendLeases: () => boolean;
   /** Called once when another home has taken over. */
   readonly onReplaced: () => void;
 }
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -9,6 +9,8 @@
 import { ConcurrencyLimit, KeyedOnce, whenAborted } from '../utils/index.js';
 import { decodeReadable } from './decodeReadable.js';
 import { GroupMembership } from './GroupMembership.js';
+import { getExtensionGraceMs } from './leaseBounds.js';
+import { OpeningWatch } from './OpeningWatch.js';
 import { PacedPages } from './PacedPages.js';
 import { type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
 import { type ClaimedTerm, HOME_PRODUCER } from './PartitionTerms.js';
@@ -52,6 +54,8 @@
 
   private readonly unopened: UnopenedPartitions;
 
+  private readonly openingWatch: OpeningWatch;
+
   /**
    * Partitions whose home was replaced since the latest renewal of the membership. The group may
    * have assigned them to others. Otherwise two instances that both believe in their share would
@@ -72,14 +76,18 @@
   constructor(options: TaskHomesOptions) {
     this.options = options;
     this.renewalsWaitMs = getLongestRenewalsWaitMs(options.linkMbps);
+    this.openingWatch = new OpeningWatch(options);
     this.pages = new PacedPages({
       store: options.store,
+      onPage: () => this.openingWatch.noteProgress(),
       limit: new ConcurrencyLimit(countPagesAtOnce(options.linkMbps)),
       whenRenewed: () => this.whenRenewed(),
     });
     this.membership = new GroupMembership({
       ...options,
+      extensionGraceMs: getExtensionGraceMs(options.homeTiming.targetLeaseMs),
       getAnswerDelayMs: () => this.getAnswerDelayMs(),
+      shouldHold: (isMember) => this.mayHold() && options.shouldHold(isMember),
       onRenewed: () => this.updateHomes(),
       onLeaving: (reason) => this.closeAllHomes(reason),
     });
@@ -172,6 +180,11 @@
     return this.membership.holds(partition);
   }
 
+  private mayHold(): boolean {
+    const hasOpenHome = [...this.homes.values()].some(({ isLoaded }) => isLoaded);
+    return this.openingWatch.mayHold({ hasOpenHome, isOpening: !this.openings.isIdle });
+  }
+
   private logUnopened(): void {
     const unopened = this.options.partitions
       .listUsedPartitions()
@@ -208,6 +221,7 @@
         const { recordCount } = opening;
         const reason = String(thrown);
         this.options.events.write('taskHomeOpenFailed', { partition, recordCount, reason });
+        this.openingWatch.noteFailure();
       }
       // eslint-disable-next-line no-await-in-loop -- the pause belongs between two attempts
       await sleep(REOPEN_PAUSE_MS);
@@ -275,6 +289,7 @@
       timing: homeTiming,
       getEntries: () => partitions.filterEntries(partition, directory.list()),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
+      mayExtendLeases: () => this.membership.mayExtendLeases(),
       onReplaced: () => this.handleReplaced(partition),
     });
   }
@@ -284,13 +299,10 @@
     this.closeHome(partition, 'replaced');
   }
 
-  private loadHome(
-    partition: number,
-    home: TaskHome,
-    { jobs, endedJobs, records }: OpenedPartition,
-  ): void {
+  private loadHome(partition: number, home: TaskHome, opened: OpenedPartition): void {
     const { partitions, events } = this.options;
-    home.load({ jobs, endedJobs });
+    const { jobs, endedJobs, records } = opened;
+    home.load(opened);
     this.readings.delete(partition);
     if (partitions.isFleetPartition(partition)) this.openFleetHome(partition, home, records);
     const jobCount = jobs.length + endedJobs.length;
@@ -309,7 +321,10 @@
       peakRecords: decodeReadable(records, decodePoolPeakRecord, source),
       store: (changes) => home.store(changes),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
-      onReplaced: () => this.handleReplaced(partition),
+      // An answer to a closed home may come late, and this instance may be the home again by then.
+      onReplaced: () => {
+        if (!home.closed.aborted) this.handleReplaced(partition);
+      },
     });
     this.fleet.start();
   }
