List that room on targets that take no tasks keeps VMs away from a service

A task of a step with at most one a target waited for 2.2 s (reason spread) while its pool asked for no VM: countWholeVms takes silent, draining and drained targets for room.

--- a/tests/systems/countWholeVms.test.ts
+++ b/tests/systems/countWholeVms.test.ts
@@ -43,4 +43,13 @@
     expect(count([makeService(), makeWide({ demand: tooLarge })])).toBe(0);
     expect(count([makeService(), makeWide({ requiredLabel: 'a' })])).toBe(0);
   });
+
+  // Guards against a service task that stays down: the one VM without its step is silent or leaves.
+  it('counts a VM for a task that only fits on a target that takes none', () => {
+    const step = makeStep({ taskCount: 2, isLongRunning: true, maxTasksPerTarget: 1 });
+    const row = placeTask(createJobRow(makeJob('service', [step])), 0, 't1');
+    const targets = TARGETS.map((target) => ({ ...target, takesTasks: target.targetId === 't1' }));
+    const demand = { rows: [row], targets, runTimes: new RunTimes(), nowMs: 0 };
+    expect(countWholeVms(demand)).toBe(1);
+  });
 });
