--- a/tests/taskHome/inheritedLeases.test.ts
+++ b/tests/taskHome/inheritedLeases.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it, vi } from 'vitest';
 import { TargetAccess } from '../../standins/leasedTargets/index.js';
+import type { TaskHome } from '../../src/taskHome/index.js';
 import { makeStep } from './HomeWorld.js';
 import { LEASE_MS, playSilence, type SilenceScene } from './SilenceScene.js';
 
@@ -30,6 +31,33 @@
   return access;
 }
 
+/** What a test does with a home that has read its jobs and not loaded them. */
+interface Takeover {
+  readonly access: TargetAccess;
+  readonly home: TaskHome;
+  /** Loads the jobs. */
+  readonly load: () => void;
+}
+
+/** Lets a task begin under a home, and the next home claim the partition, out of its reach. */
+async function takeOver(scene: SilenceScene): Promise<Takeover> {
+  const { world } = scene;
+  world.leaseMs = LONG_LEASE_MS;
+  const first = await scene.open();
+  await scene.submit(LASTING);
+  await scene.until(() => scene.listRunning().length === 1);
+  scene.choose(world.targets.begun[0]!.targetId);
+  world.kill(first);
+  const access = cutNextHomeOff(scene);
+  const { home, opening } = await world.claim();
+  const opened = await opening.read(home.claimed);
+  const load = (): void => {
+    home.load(opened);
+    home.tick();
+  };
+  return { access, home, load };
+}
+
 /** Lets the target answer one renewal of the present home, and fall silent again. */
 async function hearOnce(scene: SilenceScene, access: TargetAccess): Promise<void> {
   const { world } = scene;
@@ -43,18 +71,9 @@
   it('is waited for though the target answers once while the store does not', () =>
     playSilence(TARGET_IDS, async (scene) => {
       const { world } = scene;
-      world.leaseMs = LONG_LEASE_MS;
-      const first = await scene.open();
-      await scene.submit(LASTING);
-      await scene.until(() => scene.listRunning().length === 1);
-      scene.choose(world.targets.begun[0]!.targetId);
-      world.kill(first);
-      const access = cutNextHomeOff(scene);
-      const { home, opening } = await world.claim();
-      const opened = await opening.read(home.claimed);
+      const { access, load } = await takeOver(scene);
       world.store.faults.isSilent = true;
-      home.load(opened);
-      home.tick();
+      load();
       await hearOnce(scene, access);
       await sleep(SILENT_AGAIN_MS);
       const remainingMs = scene.target.leaseEndsAtMs - world.targets.clock.monotonicMs();
@@ -66,18 +85,9 @@
   it('has ended before the task begins again once the store is back', () =>
     playSilence(TARGET_IDS, async (scene) => {
       const { world } = scene;
-      world.leaseMs = LONG_LEASE_MS;
-      const first = await scene.open();
-      await scene.submit(LASTING);
-      await scene.until(() => scene.listRunning().length === 1);
-      scene.choose(world.targets.begun[0]!.targetId);
-      world.kill(first);
-      const access = cutNextHomeOff(scene);
-      const { home, opening } = await world.claim();
-      const opened = await opening.read(home.claimed);
+      const { access, load } = await takeOver(scene);
       world.store.faults.isSilent = true;
-      home.load(opened);
-      home.tick();
+      load();
       await hearOnce(scene, access);
       await sleep(SILENT_AGAIN_MS);
       world.store.faults.isSilent = false;
@@ -89,19 +99,10 @@
   it('has ended before the next home begins the task, though the group confirms no home meanwhile', () =>
     playSilence(TARGET_IDS, async (scene) => {
       const { world } = scene;
-      world.leaseMs = LONG_LEASE_MS;
-      const first = await scene.open();
-      await scene.submit(LASTING);
-      await scene.until(() => scene.listRunning().length === 1);
-      scene.choose(world.targets.begun[0]!.targetId);
-      world.kill(first);
-      const access = cutNextHomeOff(scene);
-      const { home, opening } = await world.claim();
-      const opened = await opening.read(home.claimed);
+      const { access, home, load } = await takeOver(scene);
       world.isGroupLeaseHeld = false;
       Object.assign(world, { mayExtendLeases: () => false });
-      home.load(opened);
-      home.tick();
+      load();
       await hearOnce(scene, access);
       await sleep(SILENT_AGAIN_MS);
       world.kill(home);
@@ -142,18 +143,9 @@
   it('is extended by the next home though the target answers late and the store later still', () =>
     playSilence(TARGET_IDS, async (scene) => {
       const { world } = scene;
-      world.leaseMs = LONG_LEASE_MS;
-      const first = await scene.open();
-      await scene.submit(LASTING);
-      await scene.until(() => scene.listRunning().length === 1);
-      scene.choose(world.targets.begun[0]!.targetId);
-      world.kill(first);
-      const access = cutNextHomeOff(scene);
-      const { home, opening } = await world.claim();
-      const opened = await opening.read(home.claimed);
+      const { access, load } = await takeOver(scene);
       world.store.faults.isSilent = true;
-      home.load(opened);
-      home.tick();
+      load();
       access.unreachableTargets.clear();
       await sleep(OUTAGE_LEASES * LONG_LEASE_MS);
       world.store.faults.isSilent = false;
