Extend leases on record again where no run needs their end

What callers would have seen: a target that is back after a lapse and of no use while the store does not answer. Its lapse stays on record after its runs were given up, and no lease on record could be extended, though nothing runs there whose end the next home might count on.

A lease on record is held back only while runs are on the target. Instead no task is placed on a target that is on record: the record would tell the next home too early an end of the lease under which the task runs.

--- a/scripts/oldKnowledgeMutants.ts
+++ b/scripts/oldKnowledgeMutants.ts
@@ -11,8 +11,8 @@
   {
     failure: 'a lease extended that the next home takes for lapsed',
     file: 'src/taskHome/LeaseLapses.ts',
-    find: ' && !this.recorded.has(targetId)',
-    replace: '',
+    find: 'return mayExtendLeases() && !isAwaited;',
+    replace: 'return mayExtendLeases() || isAwaited;',
     test: LAPSE_TEST,
     name: 'lets a recorded lease be extended only once a record without it is stored',
   },
@@ -43,8 +43,8 @@
   {
     failure: 'a lease renewed by a home that was replaced and does not know',
     file: 'src/taskHome/LeaseLapses.ts',
-    find: 'this.options.mayExtendLeases() && ',
-    replace: '',
+    find: 'return mayExtendLeases() && !isAwaited;',
+    replace: 'return !isAwaited;',
     test: 'tests/taskHome/unlistedTargets.test.ts',
     name: 'has ended before the task starts again',
   },
--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -106,10 +106,22 @@
   /**
    * Tells whether the lease of a target may be extended.
    * @param targetId - Id of the target.
-   * @returns Whether it may, and no record tells the next home when it will have ended.
+   * @returns Whether it may, and no record tells the next home when its runs will have ended.
    */
   mayExtend(targetId: string): boolean {
-    return this.options.mayExtendLeases() && !this.recorded.has(targetId);
+    const { mayExtendLeases, table } = this.options;
+    const isAwaited = this.recorded.has(targetId) && table.listUsedTargets().has(targetId);
+    return mayExtendLeases() && !isAwaited;
+  }
+
+  /**
+   * Tells whether a record may tell the next home when the lease of a target will have ended. A
+   * task that was placed there would run on under a lease that the next home takes for lapsed.
+   * @param targetId - Id of the target.
+   * @returns Whether it may.
+   */
+  isRecorded(targetId: string): boolean {
+    return this.recorded.has(targetId);
   }
 
   /**
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -135,15 +135,6 @@
     return this.options.clock.monotonicMs() - appearedAtMs < JUST_STARTED_MS;
   }
 
-  /**
-   * Tells whether there is a session with a target.
-   * @param targetId - Id of the target.
-   * @returns Whether it is known.
-   */
-  has(targetId: string): boolean {
-    return this.tracked.has(targetId);
-  }
-
   /**
    * Gets the address of a target.
    * @param targetId - Id of the target.
@@ -232,8 +223,10 @@
    * store.
    */
   listForPlacement(isAvoided: (targetId: string) => boolean): readonly PlacementTarget[] {
-    const mayTake = (targetId: string): boolean =>
-      !isAvoided(targetId) && !this.lapsedStarts.has(targetId);
+    const { lapses } = this.options;
+    const isHeldBack = (targetId: string): boolean =>
+      this.lapsedStarts.has(targetId) || lapses.isRecorded(targetId);
+    const mayTake = (targetId: string): boolean => !isAvoided(targetId) && !isHeldBack(targetId);
     return [...this.tracked.values()].map(({ entry, session }) => ({
       targetId: entry.targetId,
       pool: entry.pool,
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -19,7 +19,10 @@
   /** Targets of this home's pools as the platform lists them. */
   readonly getEntries: () => TargetEntries;
   /** What is known of leases that earlier homes have extended, and which may be extended now. */
-  readonly lapses: Pick<LeaseLapses, 'getInheritedLapseAtMs' | 'mayExtend' | 'release'>;
+  readonly lapses: Pick<
+    LeaseLapses,
+    'getInheritedLapseAtMs' | 'isRecorded' | 'mayExtend' | 'release'
+  >;
   /** Tells whether runs are ordered on a target. */
   readonly hasRuns: (targetId: string) => boolean;
   readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -304,7 +304,8 @@
   }
 
   private isKnown(targetId: string): boolean {
-    return this.sessions.has(targetId) || this.orders.countOn(targetId) > 0;
+    const session = this.sessions.getSession(targetId);
+    return session !== undefined || this.orders.countOn(targetId) > 0;
   }
 
   private createStart(key: RunKey): TaskStart | undefined {
--- a/tests/taskHome/LeaseLapses.test.ts
+++ b/tests/taskHome/LeaseLapses.test.ts
@@ -167,6 +167,15 @@
     expect(lapses.mayExtend('t2')).toBe(false);
   });
 
+  // Guards against a target that is of no use, as the store does not answer: nothing runs there.
+  it('lets a recorded lease be extended that no run needs, and no task be placed there', () => {
+    used.set('t1', UNKNOWN);
+    lapses.check();
+    used.delete('t1');
+    expect(lapses.mayExtend('t1')).toBe(true);
+    expect(lapses.isRecorded('t1')).toBe(true);
+  });
+
   // Guards against a target that was heard in time and yet loses its tasks.
   it('releases the lease of a target that answers as soon as the record is stored', async () => {
     clock.advance(FIRST_ANSWER_MS);
