--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -38,8 +38,8 @@
   {
     failure: 'a task that runs on a target that is cut off, and elsewhere',
     file: 'src/taskHome/TargetSessions.ts',
-    find: 'if (isListed || session.isReachable) return false;',
-    replace: 'if (session.isReachable) return false;\n    if (!session.isReachable) return true;',
+    find: 'return nowMs > session.latestLapseAtMs + LAPSE_MARGIN_MS;',
+    replace: 'return nowMs > 0;',
     test: HOME_TEST,
     name: 'keeps a task on a target that is silent until its lease has lapsed',
   },
@@ -222,8 +222,8 @@
   {
     failure: 'a task that runs twice, as a leaving target was taken for gone',
     file: 'src/taskHome/TargetSessions.ts',
-    find: 'if (isListed || session.isReachable) return false;',
-    replace: 'if (isListed || session.isReachable) return false;\n    if (nowMs > 0) return true;',
+    find: 'return nowMs > session.latestLapseAtMs + LAPSE_MARGIN_MS;',
+    replace: 'return nowMs > (isListed ? Infinity : 0);',
     test: 'tests/taskHome/TargetSessions.test.ts',
     name: 'keeps a task on a leaving target that is silent until its lease has lapsed',
   },
