List the targets with runs once a look in place of three times

Each look at the lapses of leases, four a second in each home, walked all jobs of the partition three times for the same set: for unknown targets, for the awaited lapses and for the kept ones. The set is listed once, and once more only if runs were given up in between.

--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -140,18 +140,25 @@
 
   /** Reports lapsed targets without a session, and records other lapses; called on each tick. */
   check(): void {
-    const { table, clock, getSessions, onLapsed } = this.options;
-    const nowMs = clock.monotonicMs();
-    [...table.listUsedTargets()]
-      .filter((targetId) => getSessions().getSession(targetId) === undefined)
-      .filter((targetId) => nowMs > this.getInheritedLapseAtMs(targetId) + LAPSE_MARGIN_MS)
-      .forEach((targetId) => onLapsed(targetId));
-    const lapses = [...this.listAwaited(nowMs), ...this.listGivenUp(nowMs)];
+    const nowMs = this.options.clock.monotonicMs();
+    const used = this.reportLapsed(nowMs);
+    const lapses = [...this.listAwaited(used, nowMs), ...this.listGivenUp(used, nowMs)];
     if (this.isRecordDue(lapses, nowMs)) this.lastWrite = this.record(lapses, nowMs);
   }
 
-  private listAwaited(nowMs: number): readonly LeaseLapse[] {
-    return [...this.options.table.listUsedTargets()].flatMap((targetId) => {
+  /** Reports lapsed targets without a session; returns the targets that are used after that. */
+  private reportLapsed(nowMs: number): ReadonlySet<string> {
+    const { table, getSessions, onLapsed } = this.options;
+    const used = table.listUsedTargets();
+    const lapsed = [...used]
+      .filter((targetId) => getSessions().getSession(targetId) === undefined)
+      .filter((targetId) => nowMs > this.getInheritedLapseAtMs(targetId) + LAPSE_MARGIN_MS);
+    lapsed.forEach((targetId) => onLapsed(targetId));
+    return lapsed.length === 0 ? used : table.listUsedTargets();
+  }
+
+  private listAwaited(used: ReadonlySet<string>, nowMs: number): readonly LeaseLapse[] {
+    return [...used].flatMap((targetId) => {
       const lapsedByMs = this.getAwaitedLapseMs(targetId, nowMs);
       return lapsedByMs === undefined ? [] : [{ targetId, lapsedByMs }];
     });
@@ -161,9 +168,8 @@
    * Lists the recorded lapses of targets on which no runs are left. They stay for a while: the ends
    * of the runs may not be stored yet, and the next home would wait for the whole lease anew.
    */
-  private listGivenUp(nowMs: number): readonly LeaseLapse[] {
-    const { table, timing, getSessions } = this.options;
-    const used = table.listUsedTargets();
+  private listGivenUp(used: ReadonlySet<string>, nowMs: number): readonly LeaseLapse[] {
+    const { timing, getSessions } = this.options;
     return this.latest
       .filter(({ targetId }) => !used.has(targetId))
       .filter(({ targetId }) => getSessions().getSession(targetId)?.isReachable !== true)
