Log what a configuration costs to learn: its bytes, its origin and its decoding

The logs could not tell the hypotheses on configurations that come late apart: whether peers or the store sent a version, how often peers sent it, how long it took to decode, and how old the configuration was by which a call got 404.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -87,6 +87,7 @@
     text: 'This instance leaves its partitions to others.',
   },
   configurationInForce: { number: 6028, level: 'info', text: 'A configuration is in force here.' },
+  configurationTold: { number: 6053, level: 'info', text: 'A peer was sent the configuration.' },
   configurationUnreadable: {
     number: 6029,
     level: 'error',
--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -37,6 +37,16 @@
 /** Pause after a failed read, in milliseconds; allows several retries within the limit of 2 s. */
 const RETRY_PAUSE_MS = 150;
 
+/** Where a configuration was read. */
+type ConfigurationOrigin = 'store' | 'peer';
+
+/** How a configuration came to this instance. */
+interface Arrival {
+  readonly origin: ConfigurationOrigin;
+  /** Time that it took to decode, in milliseconds. */
+  readonly decodeMs: number;
+}
+
 /** Follows the topic of configurations and keeps the newest one that operators have published. */
 export class ConfigurationFollower {
   private readonly options: ConfigurationFollowerOptions;
@@ -98,7 +108,10 @@
       return { type: 'refused', kind: 'home-unavailable', message };
     }
     const isNews = knownVersion === undefined || knownVersion < configuration.version;
-    return { type: 'configuration', ageMs, ...(isNews ? { value: source } : {}) };
+    if (!isNews || source === undefined) return { type: 'configuration', ageMs };
+    const { version } = configuration;
+    this.options.events.write('configurationTold', { version, byteCount: source.length });
+    return { type: 'configuration', ageMs, value: source };
   }
 
   /**
@@ -107,7 +120,7 @@
    * @param confirmedAtMs - Monotonic time at which the peer knew it to be the newest one.
    */
   takeFromPeer(value: Uint8Array | undefined, confirmedAtMs: number): void {
-    if (value !== undefined) this.decode(value);
+    if (value !== undefined) this.decode(value, 'peer');
     this.noteConfirmed(confirmedAtMs);
   }
 
@@ -154,20 +167,23 @@
       onOtherRecord?.(record);
       return;
     }
-    if (record.value !== undefined) this.decode(record.value);
+    if (record.value !== undefined) this.decode(record.value, 'store');
   }
 
-  private decode(value: Uint8Array): void {
-    const { decode, events } = this.options;
+  private decode(value: Uint8Array, origin: ConfigurationOrigin): void {
+    const { decode, events, clock } = this.options;
+    const startedAtMs = clock.monotonicMs();
     try {
-      this.accept(decode(value), value);
+      const next = decode(value);
+      const decodeMs = Math.round(clock.monotonicMs() - startedAtMs);
+      this.accept(next, value, { origin, decodeMs });
     } catch (thrown) {
       events.write('configurationUnreadable', { reason: String(thrown) });
     }
   }
 
   /** Ignores versions that are not newer, since a reload may return an outdated record. */
-  private accept(next: QueueConfiguration, source: Uint8Array): void {
+  private accept(next: QueueConfiguration, source: Uint8Array, arrival: Arrival): void {
     if (this.configuration !== undefined && next.version <= this.configuration.version) return;
     this.configuration = next;
     this.source = source;
@@ -176,6 +192,8 @@
       version,
       queueCount: queues.length,
       poolCount: pools.length,
+      byteCount: source.length,
+      ...arrival,
     });
   }
 }
