Send a configuration to a peer once, compressed, and only after its version

Callers got 404 for routes of a version that was acknowledged more than 3 s before, and services lost tasks in calm, as a configuration of 4,250 routes (0.75 MB) came.

Cause: while the store's own answer of 0.75 MB was on its way over 7 or 10 Mbit/s (0.9 s alone), the configuration of a small instance aged over 1.3 s. It then asked three peers, each sent the whole record, each was waited for 1 s and thrown away when late, and three others were asked 0.3 s later. The replies filled the link, so the store's answer took longer still, and nothing else passed: renewals by way of that instance, calls to homes, the group.

Now peers tell their versions, a short reply, and one of them sends the record, compressed once for all and expanded only if it is still news. The requests have new names: an instance of an earlier version is refused and passes over, in place of taking the absence of a record for news that there is none.

--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -99,7 +99,8 @@
       case 'get-organisation-use':
       case 'call-target':
       case 'list-homes':
-      case 'get-configuration':
+      case 'get-configuration-version':
+      case 'get-configuration-record':
       case 'announce-member':
         return NO_HOME;
       default:
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -330,8 +330,9 @@
       case 'get-organisation-use':
       case 'sync-pool':
         return this.handleJob(request);
-      case 'get-configuration':
-        return this.configuration.getReply(request.knownVersion);
+      case 'get-configuration-version':
+      case 'get-configuration-record':
+        return this.configuration.getReply(request);
       case 'list-homes':
         return this.homeDirectory.getOwnersReply();
       case 'announce-member':
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -102,13 +102,19 @@
   | { readonly type: 'explain'; readonly subject: string }
   /** Requests the owners of the partitions, as the receiver has last read them. */
   | { readonly type: 'list-homes' }
-  /** Requests the configuration in force, if it is newer than a version. */
-  | { readonly type: 'get-configuration'; readonly knownVersion?: number }
+  | ConfigurationRequest
   /** Announces an instance that can hold homes but holds none. */
   | { readonly type: 'announce-member'; readonly member: string }
   | TargetCallRequest
   | DurableJobRequest;
 
+/**
+ * Requests the version of the configuration in force, or its record. They are apart, as a record
+ * fills a narrow link for seconds, and several peers are asked for their versions at a time.
+ */
+export type ConfigurationRequest =
+  { readonly type: 'get-configuration-version' } | { readonly type: 'get-configuration-record' };
+
 /** Grant of a slot to an entry instance. */
 export interface GrantReply {
   readonly type: 'granted';
@@ -151,12 +157,14 @@
       /** Time since the owners were read; no timestamp, because clocks differ. */
       readonly ageMs: number;
     }
-  /** The configuration in force at the callee, and the time since it was known to be the newest. */
+  /** Version in force at the callee, and the time since it was known to be the newest. */
+  | { readonly type: 'configuration-version'; readonly version: number; readonly ageMs: number }
   | {
-      readonly type: 'configuration';
+      readonly type: 'configuration-record';
+      readonly version: number;
       readonly ageMs: number;
-      /** Its record as operators have published it; absent if the caller knows the version. */
-      readonly value?: Uint8Array;
+      /** Its record as operators have published it, compressed. */
+      readonly compressed: Uint8Array;
     }
   | { readonly type: 'grants'; readonly grants: readonly HeldGrant[] }
   | { readonly type: 'entries'; readonly entries: readonly LogEntry[] }
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -2,6 +2,7 @@
 export { PeerClient, type PeerClientOptions } from './PeerClient.js';
 export type { ReopenOptions } from './PeerLink.js';
 export type {
+  ConfigurationRequest,
   DurableJobRequest,
   GrantReply,
   GrantRequest,
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -96,7 +96,8 @@
     limits: limitOrder.optional(),
   }),
   z.looseObject({ type: z.literal('list-homes') }),
-  z.looseObject({ type: z.literal('get-configuration'), knownVersion: z.number().optional() }),
+  z.looseObject({ type: z.literal('get-configuration-version') }),
+  z.looseObject({ type: z.literal('get-configuration-record') }),
   z.looseObject({ type: z.literal('announce-member'), member: text }),
   z.looseObject({
     type: z.literal('call-target'),
@@ -173,9 +174,15 @@
     ageMs: z.number().nonnegative(),
   }),
   z.looseObject({
-    type: z.literal('configuration'),
+    type: z.literal('configuration-version'),
+    version: z.number(),
     ageMs: z.number().nonnegative(),
-    value: z.instanceof(Uint8Array).optional(),
+  }),
+  z.looseObject({
+    type: z.literal('configuration-record'),
+    version: z.number(),
+    ageMs: z.number().nonnegative(),
+    compressed: z.instanceof(Uint8Array),
   }),
   z.looseObject({ type: z.literal('grants'), grants: z.array(heldGrant) }),
   z.looseObject({ type: z.literal('entries'), entries }),
--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -1,9 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { type EventLog, OutageLog } from '../logging/index.js';
-import type { PeerReply } from '../peers/index.js';
+import type { ConfigurationRequest, PeerReply } from '../peers/index.js';
 import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
 import type { Clock } from '../utils/index.js';
 import type { QueueConfiguration } from './QueueConfiguration.js';
+import { compressRecord, expandRecord } from './recordCompression.js';
 
 /** Options of {@link ConfigurationFollower}. */
 export interface ConfigurationFollowerOptions {
@@ -37,6 +38,12 @@
 /** Pause after a failed read, in milliseconds; allows several retries within the limit of 2 s. */
 const RETRY_PAUSE_MS = 150;
 
+/** Record of a configuration as a peer has sent it. */
+type ConfigurationRecord = Pick<
+  Extract<PeerReply, { readonly type: 'configuration-record' }>,
+  'version' | 'compressed'
+>;
+
 /** Where a configuration was read. */
 type ConfigurationOrigin = 'store' | 'peer';
 
@@ -98,30 +105,49 @@
 
   /**
    * Answers a peer that the store does not answer.
-   * @param knownVersion - Version that the peer knows; undefined if it knows none.
-   * @returns The configuration in force, if the peer doesn't know it, and its age.
+   * @param request - What the peer asks for.
+   * @returns The version in force or its record, and its age; a refusal before the first one.
    */
-  getReply(knownVersion: number | undefined): PeerReply {
+  getReply(request: ConfigurationRequest): PeerReply {
     const { configuration, source, ageMs } = this;
-    if (configuration === undefined || ageMs === Infinity) {
+    if (configuration === undefined || source === undefined || ageMs === Infinity) {
       const message = 'No configuration was read yet.';
       return { type: 'refused', kind: 'home-unavailable', message };
     }
-    const isNews = knownVersion === undefined || knownVersion < configuration.version;
-    if (!isNews || source === undefined) return { type: 'configuration', ageMs };
     const { version } = configuration;
-    this.options.events.write('configurationTold', { version, byteCount: source.length });
-    return { type: 'configuration', ageMs, value: source };
+    if (request.type === 'get-configuration-version') {
+      return { type: 'configuration-version', version, ageMs };
+    }
+    const compressed = compressRecord(source);
+    this.options.events.write('configurationTold', { version, byteCount: compressed.length });
+    return { type: 'configuration-record', version, ageMs, compressed };
+  }
+
+  /**
+   * Tells whether a version is newer than the one in force.
+   * @param version - The version.
+   * @returns Whether it is.
+   */
+  isNews(version: number): boolean {
+    return this.configuration === undefined || version > this.configuration.version;
   }
 
   /**
-   * Takes a configuration over from a peer, unless it is older than the one in force.
-   * @param value - Its record; undefined if the peer knows none that is newer.
+   * Takes over from a peer that no newer version was published.
+   * @param confirmedAtMs - Monotonic time at which the peer knew that.
+   */
+  confirm(confirmedAtMs: number): void {
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, confirmedAtMs);
+  }
+
+  /**
+   * Takes a configuration over from a peer, unless the store has sent it meanwhile.
+   * @param record - What the peer has replied.
    * @param confirmedAtMs - Monotonic time at which the peer knew it to be the newest one.
    */
-  takeFromPeer(value: Uint8Array | undefined, confirmedAtMs: number): void {
-    if (value !== undefined) this.decode(value, 'peer');
-    this.noteConfirmed(confirmedAtMs);
+  takeFromPeer(record: ConfigurationRecord, confirmedAtMs: number): void {
+    if (this.isNews(record.version)) this.decode(() => expandRecord(record.compressed), 'peer');
+    this.confirm(confirmedAtMs);
   }
 
   /** Starts to read configurations. */
@@ -147,7 +173,7 @@
     try {
       await this.follower.read(LONG_POLL_MS);
       // An answer that is read later may have waited for a process that was paused.
-      this.noteConfirmed(Math.min(clock.monotonicMs(), askedAtMs + LONG_POLL_MS));
+      this.confirm(Math.min(clock.monotonicMs(), askedAtMs + LONG_POLL_MS));
       this.outage.noteSuccess({ version: this.configuration?.version });
     } catch (thrown) {
       const { version } = this.configuration ?? {};
@@ -156,24 +182,21 @@
     }
   }
 
-  /** Records when the configuration was known to be the newest one; earlier times add nothing. */
-  private noteConfirmed(atMs: number): void {
-    this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
-  }
-
   private handleRecord(record: KeyedRecord): void {
     const { key, onOtherRecord } = this.options;
     if (record.key !== key) {
       onOtherRecord?.(record);
       return;
     }
-    if (record.value !== undefined) this.decode(record.value, 'store');
+    const { value } = record;
+    if (value !== undefined) this.decode(() => value, 'store');
   }
 
-  private decode(value: Uint8Array, origin: ConfigurationOrigin): void {
+  private decode(readValue: () => Uint8Array, origin: ConfigurationOrigin): void {
     const { decode, events, clock } = this.options;
     const startedAtMs = clock.monotonicMs();
     try {
+      const value = readValue();
       const next = decode(value);
       const decodeMs = Math.round(clock.monotonicMs() - startedAtMs);
       this.accept(next, value, { origin, decodeMs });
@@ -184,7 +207,7 @@
 
   /** Ignores versions that are not newer, since a reload may return an outdated record. */
   private accept(next: QueueConfiguration, source: Uint8Array, arrival: Arrival): void {
-    if (this.configuration !== undefined && next.version <= this.configuration.version) return;
+    if (!this.isNews(next.version)) return;
     this.configuration = next;
     this.source = source;
     const { version, queues, pools } = next;
--- a/src/queues/ConfigurationPeers.ts
+++ b/src/queues/ConfigurationPeers.ts
@@ -1,5 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { type PeerAddress, type PeerPort, PeerRotation } from '../peers/index.js';
+import {
+  type ConfigurationRequest,
+  type PeerAddress,
+  type PeerPort,
+  type PeerReply,
+  PeerRotation,
+} from '../peers/index.js';
 import type { Clock } from '../utils/index.js';
 import type { ConfigurationFollower } from './ConfigurationFollower.js';
 
@@ -19,8 +25,18 @@
 const MAX_AGE_MS = 1_300;
 /** Pause between two looks at the age, in milliseconds; a withdrawn key may pass for 3 s. */
 const CHECK_INTERVAL_MS = 300;
-/** Longest wait for a peer's reply, in milliseconds; a configuration may have 256 KB. */
-const REPLY_WAIT_MS = 1_000;
+/** Longest wait for the version that a peer has, in milliseconds: a short reply on a busy link. */
+const VERSION_WAIT_MS = 600;
+/** Longest wait for a record, in milliseconds: 200 KB beside others on 2 Mbit/s. */
+const RECORD_WAIT_MS = 2_000;
+
+/** Version that a peer has told. */
+interface ToldVersion {
+  readonly peer: PeerAddress;
+  readonly version: number;
+  /** Monotonic time at which the peer knew it to be the newest one. */
+  readonly confirmedAtMs: number;
+}
 
 /**
  * Learns newer configurations from other instances while the store does not answer this one.
@@ -28,6 +44,10 @@
  * Guards against calls that pass under a withdrawn key, or are refused under a new one, for as long
  * as the store turns this instance away while it serves the others. Versions only rise, so a peer
  * that is behind changes nothing.
+ *
+ * Guards also against records that fill the link of an instance: while a large one is on its way
+ * from the store, the configuration looks as if the store did not answer. Peers tell their versions
+ * first, and one of them sends the record, compressed.
  */
 export class ConfigurationPeers {
   private readonly options: ConfigurationPeersOptions;
@@ -64,19 +84,37 @@
   }
 
   private async askPeers(): Promise<void> {
+    const { follower } = this.options;
     const asked = this.rotation.takeNext(this.options.listPeers());
-    await Promise.all(asked.map((peer) => this.askPeer(peer)));
+    const replies = await Promise.all(asked.map((peer) => this.askVersion(peer)));
+    const told = replies.filter((reply) => reply !== undefined);
+    told
+      .filter(({ version }) => !follower.isNews(version))
+      .forEach(({ confirmedAtMs }) => follower.confirm(confirmedAtMs));
+    const [newest] = told.toSorted((a, b) => b.version - a.version);
+    if (newest !== undefined && follower.isNews(newest.version)) await this.fetch(newest.peer);
+  }
+
+  private async askVersion(peer: PeerAddress): Promise<ToldVersion | undefined> {
+    const askedAtMs = this.options.clock.monotonicMs();
+    const reply = await this.call(peer, { type: 'get-configuration-version' }, VERSION_WAIT_MS);
+    if (reply?.type !== 'configuration-version') return undefined;
+    return { peer, version: reply.version, confirmedAtMs: askedAtMs - reply.ageMs };
+  }
+
+  private async fetch(peer: PeerAddress): Promise<void> {
+    const askedAtMs = this.options.clock.monotonicMs();
+    const reply = await this.call(peer, { type: 'get-configuration-record' }, RECORD_WAIT_MS);
+    if (reply?.type !== 'configuration-record') return;
+    this.options.follower.takeFromPeer(reply, askedAtMs - reply.ageMs);
   }
 
-  private async askPeer(peer: PeerAddress): Promise<void> {
-    const { follower, peers, clock } = this.options;
-    const askedAtMs = clock.monotonicMs();
-    const knownVersion = follower.get()?.version;
-    // A peer that does not reply is passed over; the connection to it logs its own failures.
-    const reply = await peers
-      .call(peer, { type: 'get-configuration', knownVersion }, REPLY_WAIT_MS)
-      .catch(() => undefined);
-    if (reply?.type !== 'configuration') return;
-    follower.takeFromPeer(reply.value, askedAtMs - reply.ageMs);
+  /** A peer that does not reply is passed over; the connection to it logs its own failures. */
+  private call(
+    peer: PeerAddress,
+    request: ConfigurationRequest,
+    waitMs: number,
+  ): Promise<PeerReply | undefined> {
+    return this.options.peers.call(peer, request, waitMs).catch(() => undefined);
   }
 }
--- a/tests/queues/ConfigurationFollower.test.ts
+++ b/tests/queues/ConfigurationFollower.test.ts
@@ -92,7 +92,7 @@
     expect(follower.ageMs).toBeGreaterThan(3_900);
     // What a peer has told meanwhile is not taken back by the next answer that is read late.
     clock.advance(5_000);
-    follower.takeFromPeer(undefined, clock.monotonicMs());
+    follower.confirm(clock.monotonicMs());
     deliveries[1]!();
     await vi.waitFor(() => expect(deliveries).toHaveLength(3));
     expect(follower.ageMs).toBeLessThan(1_000);
--- a/tests/queues/ConfigurationPeers.test.ts
+++ b/tests/queues/ConfigurationPeers.test.ts
@@ -1,7 +1,12 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { RattanliftError } from '../../src/errors/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
-import type { PeerAddress, PeerPort } from '../../src/peers/index.js';
+import type {
+  ConfigurationRequest,
+  PeerAddress,
+  PeerPort,
+  PeerRequest,
+} from '../../src/peers/index.js';
 import {
   ConfigurationFollower,
   ConfigurationPeers,
@@ -17,6 +22,10 @@
   port: 1,
 }));
 
+function isConfigurationRequest(request: PeerRequest): request is ConfigurationRequest {
+  return ['get-configuration-version', 'get-configuration-record'].includes(request.type);
+}
+
 describe('ConfigurationPeers', () => {
   const stops: (() => void)[] = [];
 
@@ -47,8 +56,8 @@
       if (source === undefined) {
         throw new RattanliftError({ kind: 'peer-unavailable', message: '' });
       }
-      if (request.type !== 'get-configuration') throw new Error(request.type);
-      return source.getReply(request.knownVersion);
+      if (!isConfigurationRequest(request)) throw new Error(request.type);
+      return source.getReply(request);
     });
     const clock = new SystemClock();
     const listPeers = (): readonly PeerAddress[] => PEERS;
