Find the queue of a call by host and prefix instead of a look at every queue

Calls to small instances took longer the more routes a configuration had: each call, and each refusal once more for its log line, looked at all of them.

Cause: a scan by filter and sort at each call. Queues are indexed by host and prefix once for each configuration; a call looks up one slice of its path for each length of prefix that the host has.

--- a/src/queues/QueueConfiguration.ts
+++ b/src/queues/QueueConfiguration.ts
@@ -28,20 +28,3 @@
   /** Organisations with keys; if absent, no call needs a key. */
   readonly organisations?: readonly Organisation[];
 }
-
-/**
- * Finds the queue of a request.
- * @param configuration - The configuration in force.
- * @param host - Host of the request.
- * @param path - Path of the request.
- * @returns The queue with the longest matching prefix, or undefined if none matches.
- */
-export function findQueue(
-  configuration: QueueConfiguration,
-  host: string,
-  path: string,
-): QueueRoute | undefined {
-  return configuration.queues
-    .filter((queue) => queue.host === host && path.startsWith(queue.pathPrefix))
-    .toSorted((a, b) => b.pathPrefix.length - a.pathPrefix.length)[0];
-}
--- a/src/queues/index.ts
+++ b/src/queues/index.ts
@@ -6,9 +6,5 @@
 export { ConfigurationPeers, type ConfigurationPeersOptions } from './ConfigurationPeers.js';
 export { digestKey, getKeyId, KeyRing } from './KeyRing.js';
 export { getWeight, hasLimit, NO_LIMIT, type Organisation } from './Organisation.js';
-export {
-  findQueue,
-  type PoolDefinition,
-  type QueueConfiguration,
-  type QueueRoute,
-} from './QueueConfiguration.js';
+export { findQueue } from './findQueue.js';
+export type { PoolDefinition, QueueConfiguration, QueueRoute } from './QueueConfiguration.js';
