Leave a configuration as old as it is where a peer's newer one cannot be read

An instance that the store turns away took its keys and routes for current, with the age that a peer told, though it could not read the newer record that the peer had sent. Where operators set maxKeyAgeMs, withdrawn keys went on passing.

Cause: the age was taken over whatever became of the record. Now it counts only once that version, or a newer one, is in force. Evidence: 'ages while the record that a peer sends cannot be read' fails on the code before (age 1.5 s of 2.5 s).

--- a/src/queues/ConfigurationFollower.ts
+++ b/src/queues/ConfigurationFollower.ts
@@ -142,13 +142,14 @@
   }
 
   /**
-   * Takes a configuration over from a peer, unless the store has sent it meanwhile.
+   * Takes a configuration over from a peer, unless the store has sent it meanwhile. One that cannot
+   * be read leaves the configuration in force as old as it is.
    * @param record - What the peer has replied.
    * @param confirmedAtMs - Monotonic time at which the peer knew it to be the newest one.
    */
   takeFromPeer(record: ConfigurationRecord, confirmedAtMs: number): void {
     if (this.isNews(record.version)) this.decode(() => expandRecord(record.compressed), 'peer');
-    this.confirm(confirmedAtMs);
+    if (!this.isNews(record.version)) this.confirm(confirmedAtMs);
   }
 
   /** Starts to read configurations. */
--- a/tests/queues/ConfigurationPeers.test.ts
+++ b/tests/queues/ConfigurationPeers.test.ts
@@ -50,8 +50,8 @@
     return follower;
   }
 
-  function learn(follower: ConfigurationFollower, sources: readonly ConfigurationFollower[]) {
-    const call = vi.fn<PeerPort['call']>(async ({ instance }, request) => {
+  function answerFrom(sources: readonly ConfigurationFollower[]) {
+    return vi.fn<PeerPort['call']>(async ({ instance }, request) => {
       const source = sources[PEERS.findIndex((peer) => peer.instance === instance)];
       if (source === undefined) {
         throw new RattanliftError({ kind: 'peer-unavailable', message: '' });
@@ -59,6 +59,13 @@
       if (!isConfigurationRequest(request)) throw new Error(request.type);
       return source.getReply(request);
     });
+  }
+
+  function learn(
+    follower: ConfigurationFollower,
+    sources: readonly ConfigurationFollower[],
+    call = answerFrom(sources),
+  ) {
     const clock = new SystemClock();
     const listPeers = (): readonly PeerAddress[] => PEERS;
     const peers = new ConfigurationPeers({ follower, peers: { call }, listPeers, clock });
@@ -117,6 +124,21 @@
     await vi.waitFor(() => expect(cut.ageMs).toBeGreaterThan(2_500), 6_000);
   }, 10_000);
 
+  // Failure: an instance takes its keys for current though it could not read the newer version.
+  it('ages while the record that a peer sends cannot be read', async () => {
+    const { access, cut } = await createCut();
+    access.isCut = true;
+    const call = vi.fn<PeerPort['call']>(async (_peer, { type }) =>
+      type === 'get-configuration-version'
+        ? { type: 'configuration-version', version: 2, ageMs: 0 }
+        : { type: 'configuration-record', version: 2, ageMs: 0, compressed: Buffer.from('no') },
+    );
+    learn(cut, [], call);
+    await vi.waitFor(() => expect(cut.ageMs).toBeGreaterThan(2_500), 6_000);
+    expect(call.mock.calls.map(([, { type }]) => type)).toContain('get-configuration-record');
+    expect(cut.get()?.version).toBe(1);
+  }, 10_000);
+
   it('asks nobody while the store answers', async () => {
     const { cut, reached } = await createCut();
     const call = learn(cut, [reached]);
