--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -6,6 +6,7 @@
 const WRITER_TEST = 'tests/taskHome/RecordWriter.test.ts';
 const EDGE_TEST = 'tests/platformAdapter/createCallerEdge.test.ts';
 const CONFIGURATION_TEST = 'tests/queues/ConfigurationFollower.test.ts';
+const NARROW_CONFIGURATION_TEST = 'tests/queues/configurationOverNarrowLink.test.ts';
 const LINES_TEST = 'tests/logging/BoundedLineWriter.test.ts';
 
 /** Guards of durable jobs and their homes that have a test of their own. */
@@ -126,8 +127,8 @@
   {
     failure: 'a configuration that goes back to an older one',
     file: 'src/queues/ConfigurationFollower.ts',
-    find: 'next.version <= this.configuration.version',
-    replace: 'next.version === this.configuration.version',
+    find: 'version > this.configuration.version',
+    replace: 'version !== this.configuration.version',
     test: CONFIGURATION_TEST,
     name: 'never goes back to an older one',
   },
@@ -391,11 +392,43 @@
   {
     failure: 'a configuration that is late, as all before it are read on a narrow link',
     file: 'src/queues/ConfigurationFollower.ts',
-    find: 'const MAX_BEHIND_COUNT = 4;',
+    find: 'const MAX_BEHIND_COUNT = 1;',
     replace: 'const MAX_BEHIND_COUNT = 4_096;',
     test: CONFIGURATION_TEST,
     name: 'reads the newest configuration alone after a burst of changes that it has missed',
   },
+  {
+    failure: 'a configuration that is late, as those it has replaced come with it',
+    file: 'src/queues/ConfigurationFollower.ts',
+    find: 'const MAX_BEHIND_COUNT = 1;',
+    replace: 'const MAX_BEHIND_COUNT = 4;',
+    test: NARROW_CONFIGURATION_TEST,
+    name: 'reads the newest of several large versions in time after an outage',
+  },
+  {
+    failure: 'a link that is full of records from peers',
+    file: 'src/queues/recordCompression.ts',
+    find: 'constants.Z_BEST_SPEED',
+    replace: 'constants.Z_NO_COMPRESSION',
+    test: NARROW_CONFIGURATION_TEST,
+    name: 'carries a large version about once, and short calls beside it',
+  },
+  {
+    failure: 'a configuration that counts as current though the newer one could not be read',
+    file: 'src/queues/ConfigurationFollower.ts',
+    find: 'if (!this.isNews(record.version)) this.confirm(confirmedAtMs);',
+    replace: 'this.confirm(confirmedAtMs);',
+    test: 'tests/queues/ConfigurationPeers.test.ts',
+    name: 'ages while the record that a peer sends cannot be read',
+  },
+  {
+    failure: 'calls that each look at all queues',
+    file: 'src/queues/findQueue.ts',
+    find: 'getIndex(configuration.queues)',
+    replace: 'new QueueIndex(configuration.queues)',
+    test: 'tests/queues/findQueue.test.ts',
+    name: 'looks at each queue once, however many calls there are',
+  },
   {
     failure: 'two tasks of a step away at once, as a stop had no answer',
     file: 'src/systems/runLife.ts',
