--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -29,10 +29,10 @@
   PoolPartitions,
   RecordWriter,
   RelayedTargets,
-  relayTargetCall,
   TargetDirectory,
   TaskHomes,
 } from '../taskHome/index.js';
+import { answerPeer } from './answerPeer.js';
 import type { JobNodeOptions } from './JobNodeOptions.js';
 import { measurePorts } from './measurePorts.js';
 import { PauseLog } from './PauseLog.js';
@@ -122,7 +122,12 @@
       clock,
     });
     const handler = (_from: string, request: PeerRequest): Promise<PeerReply> =>
-      this.handlePeer(request);
+      answerPeer(request, {
+        configuration: this.configuration,
+        homeDirectory: this.homeDirectory,
+        targets: ports.targets,
+        handleJob: (job) => this.handleJob(job),
+      });
     this.peerServer = new PeerServer({ instance, host, port, handler, events, heartbeat });
     this.gateway = new JobGateway({
       instance,
@@ -320,28 +325,4 @@
     }
     return handleJobRequest(this.homes?.get(request.pool), request);
   }
-
-  private async handlePeer(request: PeerRequest): Promise<PeerReply> {
-    switch (request.type) {
-      case 'submit-durable-job':
-      case 'get-durable-job':
-      case 'cancel-durable-job':
-      case 'count-pending-jobs':
-      case 'get-organisation-use':
-      case 'sync-pool':
-        return this.handleJob(request);
-      case 'get-configuration-version':
-      case 'get-configuration-record':
-        return this.configuration.getReply(request);
-      case 'list-homes':
-        return this.homeDirectory.getOwnersReply();
-      case 'announce-member':
-        this.homeDirectory.addAnnouncedMember(request.member);
-        return { type: 'done' };
-      case 'call-target':
-        return relayTargetCall(this.options.ports.targets, request);
-      default:
-        return { type: 'refused', kind: 'bad-request', message: `No ${request.type} here.` };
-    }
-  }
 }
