--- /dev/null
+++ b/tests/queues/NarrowWorld.ts
@@ -0,0 +1,128 @@
+import { MemoryEventLog } from '../../src/logging/index.js';
+import type { ConfigurationRequest, PeerAddress, PeerReply } from '../../src/peers/index.js';
+import {
+  ConfigurationFollower,
+  ConfigurationPeers,
+  type QueueConfiguration,
+} from '../../src/queues/index.js';
+import type { KeyedLogPort } from '../../src/store/index.js';
+import { AttendedClock, LinkedCalls, LinkedStore, NarrowLink } from '../../standins/links/index.js';
+import { StoreAccess, StoreStandIn } from '../../standins/store/index.js';
+
+const PLACE = { topic: 'op', partition: 0 };
+/** Links have small windows: others have their turns beside a large answer. */
+const WINDOW_BYTES = 64 * 1_024;
+/** How long the store waits for a change before it answers, in milliseconds. */
+const STORE_WAIT_MS = 1_000;
+const WRITE_TIMEOUT_MS = 1_000;
+const CALL_INTERVAL_MS = 100;
+const SHORT_BYTES = 100;
+
+/** The instances that the store always answers. */
+export const PEERS: readonly PeerAddress[] = ['a', 'b', 'c'].map((instance) => ({
+  instance,
+  host: '127.0.0.1',
+  port: 1,
+}));
+
+function measureReply(reply: PeerReply): number {
+  return reply.type === 'configuration-record' ? reply.compressed.length : SHORT_BYTES;
+}
+
+/** An instance behind a narrow link, and three that the store has told everything. */
+export class NarrowWorld {
+  readonly store = new StoreStandIn({ partitionCount: 1, longestWaitMs: STORE_WAIT_MS });
+
+  readonly access = new StoreAccess(this.store);
+
+  readonly clock = new AttendedClock();
+
+  readonly link: NarrowLink;
+
+  readonly narrow: ConfigurationFollower;
+
+  /** Longest time that a short call over the link has taken, in milliseconds. */
+  longestCallMs = 0;
+
+  private readonly sources: readonly ConfigurationFollower[];
+
+  private readonly peers: ConfigurationPeers;
+
+  private readonly timer: NodeJS.Timeout;
+
+  /**
+   * Creates a world that has not started.
+   * @param linkMbps - Speed of the narrow link, in megabits per second.
+   * @param peers - Peers that the instance behind the link knows.
+   */
+  constructor(linkMbps: number, peers: readonly PeerAddress[]) {
+    const { clock } = this;
+    const bitsPerMs = linkMbps * 1_000;
+    this.link = new NarrowLink({ bitsPerMs, windowBytes: WINDOW_BYTES, clock });
+    this.narrow = this.follow(new LinkedStore(this.access, this.link));
+    this.sources = PEERS.map(() => this.follow(this.store));
+    const calls = new LinkedCalls(this.link);
+    this.peers = new ConfigurationPeers({
+      follower: this.narrow,
+      peers: {
+        call: ({ instance }, request, timeoutMs) =>
+          calls.call({
+            requestBytes: SHORT_BYTES,
+            run: async () => this.answer(instance, request as ConfigurationRequest),
+            measure: measureReply,
+            timeoutMs,
+          }),
+      },
+      listPeers: () => peers,
+      clock,
+    });
+    this.timer = setInterval(() => {
+      void this.callHome();
+    }, CALL_INTERVAL_MS);
+  }
+
+  /** Starts every follower. */
+  start(): void {
+    [this.narrow, ...this.sources].forEach((follower) => follower.start());
+    this.peers.start();
+  }
+
+  /** Stops everything. */
+  stop(): void {
+    clearInterval(this.timer);
+    [this.narrow, ...this.sources, this.peers].forEach((part) => part.stop());
+  }
+
+  /**
+   * Publishes a configuration.
+   * @param value - Its record.
+   */
+  async publish(value: Buffer): Promise<void> {
+    const records = [{ key: 'config', value }];
+    await this.store.append({ ...PLACE, records, timeoutMs: WRITE_TIMEOUT_MS });
+  }
+
+  private follow(store: KeyedLogPort): ConfigurationFollower {
+    return new ConfigurationFollower({
+      store,
+      ...PLACE,
+      key: 'config',
+      decode: (value) => JSON.parse(Buffer.from(value).toString()) as QueueConfiguration,
+      clock: this.clock,
+      events: new MemoryEventLog(),
+    });
+  }
+
+  private answer(instance: string, request: ConfigurationRequest): PeerReply {
+    const place = PEERS.findIndex((peer) => peer.instance === instance);
+    return this.sources[place]!.getReply(request);
+  }
+
+  /** Makes a short call, such as one of an entry to a home. */
+  private async callHome(): Promise<void> {
+    const startedAtMs = this.clock.monotonicMs();
+    await this.link.transfer('up', SHORT_BYTES);
+    await this.link.transfer('down', SHORT_BYTES);
+    this.longestCallMs = Math.max(this.longestCallMs, this.clock.monotonicMs() - startedAtMs);
+  }
+}
