--- a/tests/queues/NarrowWorld.ts
+++ b/tests/queues/NarrowWorld.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import type { ConfigurationRequest, PeerAddress, PeerReply } from '../../src/peers/index.js';
 import {
@@ -6,7 +7,8 @@
   type QueueConfiguration,
 } from '../../src/queues/index.js';
 import type { KeyedLogPort } from '../../src/store/index.js';
-import { AttendedClock, LinkedCalls, LinkedStore, NarrowLink } from '../../standins/links/index.js';
+import type { Clock } from '../../src/utils/index.js';
+import { LinkedCalls, LinkedStore, NarrowLink } from '../../standins/links/index.js';
 import { StoreAccess, StoreStandIn } from '../../standins/store/index.js';
 
 const PLACE = { topic: 'op', partition: 0 };
@@ -29,13 +31,22 @@
   return reply.type === 'configuration-record' ? reply.compressed.length : SHORT_BYTES;
 }
 
+/** Options of {@link NarrowWorld}. */
+export interface NarrowWorldOptions {
+  /** Speed of the narrow link, in megabits per second. */
+  readonly linkMbps: number;
+  /** Peers that the instance behind the link knows; all if absent. */
+  readonly peers?: readonly PeerAddress[];
+  readonly clock: Clock;
+}
+
 /** An instance behind a narrow link, and three that the store has told everything. */
 export class NarrowWorld {
   readonly store = new StoreStandIn({ partitionCount: 1, longestWaitMs: STORE_WAIT_MS });
 
   readonly access = new StoreAccess(this.store);
 
-  readonly clock = new AttendedClock();
+  readonly clock: Clock;
 
   readonly link: NarrowLink;
 
@@ -48,15 +59,14 @@
 
   private readonly peers: ConfigurationPeers;
 
-  private readonly timer: NodeJS.Timeout;
+  private isStopped = false;
 
   /**
    * Creates a world that has not started.
-   * @param linkMbps - Speed of the narrow link, in megabits per second.
-   * @param peers - Peers that the instance behind the link knows.
+   * @param options - The narrow link, and the peers that the instance behind it knows.
    */
-  constructor(linkMbps: number, peers: readonly PeerAddress[]) {
-    const { clock } = this;
+  constructor({ linkMbps, peers = PEERS, clock }: NarrowWorldOptions) {
+    this.clock = clock;
     const bitsPerMs = linkMbps * 1_000;
     this.link = new NarrowLink({ bitsPerMs, windowBytes: WINDOW_BYTES, clock });
     this.narrow = this.follow(new LinkedStore(this.access, this.link));
@@ -76,20 +86,18 @@
       listPeers: () => peers,
       clock,
     });
-    this.timer = setInterval(() => {
-      void this.callHome();
-    }, CALL_INTERVAL_MS);
   }
 
   /** Starts every follower. */
   start(): void {
     [this.narrow, ...this.sources].forEach((follower) => follower.start());
     this.peers.start();
+    void this.callHomes();
   }
 
   /** Stops everything. */
   stop(): void {
-    clearInterval(this.timer);
+    this.isStopped = true;
     [this.narrow, ...this.sources, this.peers].forEach((part) => part.stop());
   }
 
@@ -118,6 +126,14 @@
     return this.sources[place]!.getReply(request);
   }
 
+  private async callHomes(): Promise<void> {
+    while (!this.isStopped) {
+      void this.callHome();
+      // eslint-disable-next-line no-await-in-loop -- the pause belongs between two calls
+      await sleep(CALL_INTERVAL_MS);
+    }
+  }
+
   /** Makes a short call, such as one of an entry to a home. */
   private async callHome(): Promise<void> {
     const startedAtMs = this.clock.monotonicMs();
--- a/tests/queues/configurationOverNarrowLink.test.ts
+++ b/tests/queues/configurationOverNarrowLink.test.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, describe, expect, it, vi } from 'vitest';
+import { AttendedClock } from '../../standins/links/index.js';
 import { makeLargeRecord, makeSmallRecord } from './configurationRecords.js';
 import { NarrowWorld, PEERS } from './NarrowWorld.js';
 
@@ -21,7 +22,7 @@
   afterEach(() => worlds.splice(0).forEach((world) => world.stop()));
 
   async function startWorld(linkMbps: number, peers = PEERS): Promise<NarrowWorld> {
-    const world = new NarrowWorld(linkMbps, peers);
+    const world = new NarrowWorld({ linkMbps, peers, clock: new AttendedClock() });
     worlds.push(world);
     await world.publish(makeSmallRecord(1));
     world.start();
