Hold up every start in the test of a target that accepts a stop after a lapse

Cause: the test races. Its fault held up the first call of the start alone. The home repeats a start that the next report, some 10 ms later, does not show; on a busy machine that came before the test had cut the target off. The repeat was answered, the run began, and the lapse ended it. Then no stop is due: a run that has ended does not begin again, so the first call has no use any more.

Change: every start is held up until the target is cut off, as in the neighbouring tests, so the lapsed run has a start without an answer whatever the machine does. What is asked for after that is the same.

Conclusion: no fault of the home; the check is as strict as before.

--- a/tests/taskHome/lapsedStarts.test.ts
+++ b/tests/taskHome/lapsedStarts.test.ts
@@ -76,8 +76,8 @@
 
   // Guards against a target that stays without tasks for good after it was lost.
   it('lets the target take tasks again once it has accepted a stop', async () => {
-    await lapse({ appliesFirstStartsLate: true });
-    world.targets.setFaults('t1', { appliesFirstStartsLate: false, losesStops: true });
+    await lapse({ appliesStartsLate: true });
+    world.targets.setFaults('t1', { appliesStartsLate: false, losesStops: true });
     comeBack();
     await scene.until(() => world.targets.stops.length > 0);
     await scene.placeOn(['t1']);
