Ask for a VM where only targets that take no tasks have room for a task

A task of a step with at most one task a target waited for 2.2 s (reason 'spread') while its pool asked for no VM: the only target without the step was silent or was leaving.

Cause, in two parts. countWholeVms took every target for one that takes tasks, so the room on a silent or leaving one counted. planMoves counted such a VM as one without long-running tasks, so it covered a need for a whole VM even where the need was reported.

Ruled out: leaving the targets out of the need for processor as well. planMoves compares that need with the number of VMs, whose silence is mostly short; no case shows that it is wrong.

Change: countWholeVms counts room only on targets that take tasks. Loads name targets that take none (a field that is absent otherwise, so instances of other versions read them as before), and planMoves does not count their VMs as whole. They may still be given away, as before. A home none of whose targets takes tasks describes all of them as taking tasks, as before: it may be cut off itself, and would ask for 32 VMs at once for all that waits.

Not covered: targets that the fleet's home drains for a wave or a move, for 3 s at most each; their VMs are held in planMoves, but their room still counts.

--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -149,6 +149,7 @@
           runCount: count,
           longRunningCount: count,
           usedCpuMillicores: z.number(),
+          takesTasks: z.literal(false).optional(),
           cpuMillicores: z.number(),
         }),
       ),
--- a/src/systems/PoolDemand.ts
+++ b/src/systems/PoolDemand.ts
@@ -9,6 +9,8 @@
   readonly longRunningCount: number;
   readonly usedCpuMillicores: number;
   readonly cpuMillicores: number;
+  /** False if the target takes no tasks, as it is silent or leaves; absent if it takes them. */
+  readonly takesTasks?: false;
 }
 
 /** Load and demand of a pool, as reported by its home. */
--- a/src/systems/countWholeVms.ts
+++ b/src/systems/countWholeVms.ts
@@ -17,10 +17,13 @@
   readonly nowMs: number;
 }
 
-/** Lists the free capacity of each target with only its long-running tasks. */
+/**
+ * Lists the free capacity of each target with only its long-running tasks. A target that takes no
+ * tasks has none: if it is silent or leaves, its room is of no use to a task that waits.
+ */
 function listLongTermCapacities({ rows, targets }: CountWholeVmsInput): readonly TargetCapacity[] {
   const capacities = new Map(
-    targets.map((target) => [target.targetId, new TargetCapacity({ ...target, takesTasks: true })]),
+    targets.map((target) => [target.targetId, new TargetCapacity(target)]),
   );
   rows
     .flatMap((row) => listAllocations(row))
@@ -34,7 +37,8 @@
  * don't fit on any target next to its long-running tasks.
  *
  * Without such VMs, an accepted job may never run: a task of 29 of 32 cores waits forever if each
- * VM runs a long-running task, and the pool gets no VM since its total CPU suffices. Tasks that
+ * VM runs a long-running task, and the pool gets no VM since its total CPU suffices. The same goes
+ * for a task of a step with one task a target, if only silent targets are without one. Tasks that
  * need a label or don't fit on an empty target are ignored, since another VM may not help them.
  * @param input - Jobs and targets of the pool.
  * @returns Number of VMs that complete such tasks within the catch-up time.
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -60,7 +60,7 @@
   readonly reserveCount: number;
   /** VMs that the pool does not give to other pools. */
   readonly retainedCount: number;
-  /** VMs without long-running tasks, present or arriving, that exceed the need for whole VMs. */
+  /** Usable VMs without long-running tasks, present or arriving, beyond the need for whole VMs. */
   readonly spareWholeCount: number;
 }
 
@@ -76,6 +76,11 @@
   return getLoad(loads, vm)?.longRunningCount === 0;
 }
 
+/** Tells whether a VM runs no long-running task and takes tasks that need all of it. */
+function isUsableWhole(vm: FleetVm, loads: ReadonlyMap<string, TargetLoad>): boolean {
+  return isWhole(vm, loads) && getLoad(loads, vm)?.takesTasks !== false;
+}
+
 /**
  * Compares the VMs of a pool with its needs.
  *
@@ -95,7 +100,7 @@
   const usableHeldCount = upInPool.filter(({ vm }) => usableHeldVms.has(vm)).length;
   const reserveCount = reserveCounts?.get(pool) ?? MIN_RESERVE_COUNT;
   const arrivingCount = usableHeldCount + (arrivingByPool.get(pool) ?? 0);
-  const wholeCount = movableVms.filter((vm) => isWhole(vm, loads)).length + arrivingCount;
+  const wholeCount = movableVms.filter((vm) => isUsableWhole(vm, loads)).length + arrivingCount;
   const vmMillicores = targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
   const needCount = Math.ceil(neededCpuMillicores / vmMillicores);
   const usedCpuMillicores = targets.reduce((sum, target) => sum + target.usedCpuMillicores, 0);
--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -32,6 +32,19 @@
     .reduce((sum, { capacity }) => sum + capacity.cpuMillicores, 0);
 }
 
+/**
+ * Lists the targets of a pool. A home that hears none of them may be cut off itself: their silence
+ * tells nothing then, and the home would ask for VMs for all that waits.
+ */
+function listTargets(
+  targets: readonly PlacementTarget[],
+  pool: string,
+): readonly PlacementTarget[] {
+  const ofPool = targets.filter((target) => target.pool === pool);
+  const isAnyUsable = ofPool.some(({ takesTasks }) => takesTasks);
+  return isAnyUsable ? ofPool : ofPool.map((target) => ({ ...target, takesTasks: true }));
+}
+
 /**
  * Describes the load of a pool and the work that waits for capacity in it.
  * @param input - Jobs and targets of the pool's home.
@@ -49,23 +62,23 @@
   );
   const organisationUse = listOrganisationUse(poolRows, nowMs);
   const placedByTarget = groupBy(placedTasks, ({ targetId }) => targetId);
+  const poolTargets = listTargets(targets, pool);
   return {
     pool,
-    targets: targets
-      .filter((target) => target.pool === pool)
-      .map(({ targetId, capacity }) => {
-        const tasksOnTarget = placedByTarget.get(targetId) ?? [];
-        return {
-          targetId,
-          runCount: Math.max(tasksOnTarget.length, countRuns(targetId)),
-          longRunningCount: tasksOnTarget.filter(({ step }) => step.isLongRunning).length,
-          usedCpuMillicores: tasksOnTarget.reduce(
-            (sum, { step }) => sum + getAllocatedResources(step).cpuMillicores,
-            0,
-          ),
-          cpuMillicores: capacity.cpuMillicores,
-        };
-      }),
+    targets: poolTargets.map(({ targetId, capacity, takesTasks }) => {
+      const tasksOnTarget = placedByTarget.get(targetId) ?? [];
+      return {
+        targetId,
+        runCount: Math.max(tasksOnTarget.length, countRuns(targetId)),
+        longRunningCount: tasksOnTarget.filter(({ step }) => step.isLongRunning).length,
+        usedCpuMillicores: tasksOnTarget.reduce(
+          (sum, { step }) => sum + getAllocatedResources(step).cpuMillicores,
+          0,
+        ),
+        cpuMillicores: capacity.cpuMillicores,
+        ...(takesTasks ? {} : { takesTasks }),
+      };
+    }),
     waitingCpuMillicores,
     ...estimateNeededCpu({
       rows: poolRows,
@@ -77,7 +90,7 @@
     }),
     wholeVmCount: countWholeVms({
       rows: poolRows,
-      targets: targets.filter((target) => target.pool === pool),
+      targets: poolTargets,
       runTimes,
       nowMs,
     }),
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -204,6 +204,19 @@
     expect(moves).toEqual([]);
   });
 
+  // Guards against a service task that stays down: the one VM without its step is silent or leaves.
+  it('counts no VM as whole whose target takes no tasks', () => {
+    const taken = { ...makeLoad('p1', 1), longRunningCount: 1 };
+    const vms = [makeVm('p1', 'pages'), makeVm('p2', 'pages'), off];
+    const plan = (changes: Partial<TargetLoad>) => {
+      const targets = [taken, { ...makeLoad('p2'), ...changes }];
+      const demand = { ...makeDemand('pages', 0, targets), wholeVmCount: 1 };
+      return planMoves({ ...input, demands: [demand], vms }).map(({ vm }) => vm);
+    };
+    expect(plan({})).toEqual([]);
+    expect(plan({ takesTasks: false })).toEqual(['s1']);
+  });
+
   // Guards against a fleet that processes jobs of little remaining value while each job of the next
   // load peak becomes late as well.
   it('takes VMs from work that is too late for work in time, but not for other late work', () => {
