Count a failure that a target reports after a list has shown it as gone, once

A run failed on a target that was cut off; a list showed the target's lifetime as over, which was false; the task waited again, and the next home heard of the failure, ignored it as of no current run and acknowledged it. So the task began once more than its attempts allow.

Cause: a home could not tell whether an earlier one had counted the failure. Each home hears of an end until one of them has acknowledged it, so counting what nobody expects would count it twice.

Ruled out: counting at the acknowledgement (the home may be lost between the record and the acknowledgement); keeping the run placed until the end is heard (a target that is really gone never reports, and the task would wait). A lapse keeps its meaning: it excuses a failure, and none is awaited. A target that answers as another lifetime can report nothing of the earlier one.

Change: a run that ends by a list alone (unlisted, crashed) is named in the job's progress. Its failure counts as an attempt and takes the name away, in one record; the task's current run goes on, unless this was the last attempt. The column is absent without such runs, so records of other jobs are as before.

--- a/src/jobs/TaskRow.ts
+++ b/src/jobs/TaskRow.ts
@@ -15,6 +15,8 @@
   readonly failureCount: number;
   /** Number of target crashes that this task may have caused. */
   readonly crashCount: number;
+  /** Runs that were given up as their targets were listed as gone; each may have failed unheard. */
+  readonly unheardRuns?: readonly number[];
   /** Latest saved progress, from which the next run can resume. */
   readonly checkpoint?: string;
 }
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -29,6 +29,7 @@
 } from './jobCodec.js';
 export { durableJobStateSchema } from './durableJobStateSchema.js';
 export { type JobProgress, restoreJobRow } from './jobProgress.js';
+export { countLateFailure, isUnheardRun, noteUnheardRun } from './lateFailures.js';
 export {
   addResources,
   isEmptyResources,
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -31,6 +31,8 @@
   failures: z.array(z.tuple([count, count])),
   /** Position and crash count of each task that may have crashed a target. */
   crashes: z.array(z.tuple([count, count])).default([]),
+  /** Position and unheard runs of each task that has any; absent if no task has. */
+  unheard: z.array(z.tuple([count, z.array(count)])).optional(),
   /** Position and checkpoint of each task that has a checkpoint. */
   checkpoints: z.array(z.tuple([count, z.string()])),
 });
@@ -66,6 +68,9 @@
     .filter(({ phase }) => phase === 'placed')
     .map(({ targetId }) => targetId!);
   const targetIds = [...new Set(placedTargetIds)];
+  const unheard = collectPresentValues(tasks, ({ unheardRuns = [] }) =>
+    unheardRuns.length === 0 ? undefined : [...unheardRuns],
+  );
   return {
     state,
     ...(finishedAtMs === undefined ? {} : { finishedAtMs }),
@@ -75,6 +80,7 @@
     targetOf: placedTargetIds.map((targetId) => targetIds.indexOf(targetId)),
     failures: collectPresentValues(tasks, ({ failureCount }) => failureCount || undefined),
     crashes: collectPresentValues(tasks, ({ crashCount }) => crashCount || undefined),
+    ...(unheard.length === 0 ? {} : { unheard }),
     checkpoints: collectPresentValues(tasks, ({ checkpoint }) => checkpoint),
   };
 }
@@ -102,6 +108,7 @@
   }
   const failures = new Map(progress.failures);
   const crashes = new Map(progress.crashes);
+  const unheard = new Map(progress.unheard);
   const checkpoints = new Map(progress.checkpoints);
   const placedTargetIds = targetOf.map((targetIndex) => targetIds[targetIndex]).values();
   const tasks = row.tasks.map((task, position): TaskRow => {
@@ -113,6 +120,7 @@
       targetId: phase === 'placed' ? placedTargetIds.next().value : undefined,
       failureCount: failures.get(position) ?? 0,
       crashCount: crashes.get(position) ?? 0,
+      ...(unheard.has(position) ? { unheardRuns: unheard.get(position)! } : {}),
       checkpoint: checkpoints.get(position),
     };
   });
--- a/src/jobs/progressJob.ts
+++ b/src/jobs/progressJob.ts
@@ -62,6 +62,19 @@
   return isCompleted ? { ...row, state: 'completed', finishedAtMs: nowMs } : row;
 }
 
+/**
+ * Counts a failure of a task without a change of its phase.
+ * @param row - The job.
+ * @param position - Position of the task among the job's tasks.
+ * @param nowMs - Wall-clock time in milliseconds since the Unix epoch.
+ * @returns The job, in state `failed` if this was the last attempt.
+ */
+export function recordFailure(row: DurableJobRow, position: number, nowMs: number): DurableJobRow {
+  const task = row.tasks[position]!;
+  const failed = { ...task, failureCount: task.failureCount + 1 };
+  return updateJobState(replaceTask(row, position, failed), position, nowMs);
+}
+
 /** How a run ended. */
 export interface RunEnd {
   readonly end: TaskEnd;
--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -1,8 +1,11 @@
 import {
+  countLateFailure,
   type DurableJobRow,
   endRun,
   isFinished,
+  isUnheardRun,
   nameTask,
+  noteUnheardRun,
   type RunEnd,
   type TaskRow,
 } from '../jobs/index.js';
@@ -12,9 +15,19 @@
 import type { RunKey } from './RunKey.js';
 import type { RunTimer } from './RunTimer.js';
 import type { TargetHealth } from './TargetHealth.js';
+import type { TargetLossReason } from './TargetSessions.js';
 import type { TaskOrders } from './TaskOrders.js';
 import type { TaskProgress } from './TaskProgress.js';
 
+/** End of a run whose target has not reported any. */
+export const LAPSED: RunEnd = { end: 'lapsed', checkpoint: undefined };
+
+/**
+ * Losses that are known from a list alone. If the list is wrong, the target may report ends later,
+ * and no lapse of its lease excuses a failure.
+ */
+const LISTED_LOSSES: ReadonlySet<TargetLossReason> = new Set(['unlisted', 'crashed']);
+
 /** Options of {@link RunEnds}. */
 export interface RunEndsOptions {
   readonly table: JobTable;
@@ -48,7 +61,8 @@
     const { table, telemetry } = this.options;
     const expected = table.findPlaced(key);
     const found = expected ?? this.findCompleted(key, runEnd);
-    if (found === undefined) telemetry.noteIgnoredEnd(table, key, runEnd.end);
+    const isCounted = expected === undefined && this.countLateFailure(key, runEnd);
+    if (found === undefined && !isCounted) telemetry.noteIgnoredEnd(table, key, runEnd.end);
     this.applyTo(found, key, runEnd, expected === undefined ? 'reported-unexpected' : 'reported');
   }
 
@@ -62,11 +76,41 @@
     this.applyTo(this.options.table.findPlaced(key), key, runEnd, source);
   }
 
+  /**
+   * Ends a run on a target on which nothing runs any more.
+   * @param key - The run.
+   * @param reason - How the loss became known.
+   */
+  applyLoss(key: RunKey, reason: TargetLossReason): void {
+    const { table } = this.options;
+    const placed = table.findPlaced(key);
+    this.applyTo(placed, key, LAPSED, reason);
+    const lost = placed && table.findTask(key.taskName);
+    if (lost === undefined || !LISTED_LOSSES.has(reason)) return;
+    table.put(noteUnheardRun(lost.row, lost.position, key.run));
+  }
+
+  /** Counts the failure of a run that was given up as its target was listed as gone. */
+  private countLateFailure(key: RunKey, runEnd: RunEnd): boolean {
+    const { table, health, clock, telemetry } = this.options;
+    const found = table.findTask(key.taskName);
+    if (found === undefined || runEnd.end !== 'failed') return false;
+    const { row, position } = found;
+    if (!isUnheardRun(row, position, key.run)) return false;
+    const { jobId } = row.spec;
+    telemetry.noteEnded(jobId, key, runEnd, 'reported-unexpected');
+    health.noteFailure(key.targetId, jobId, key.taskName);
+    const counted = countLateFailure(row, position, key.run, clock.wallMs());
+    table.put(counted);
+    if (isFinished(counted)) telemetry.noteFinished(counted);
+    return true;
+  }
+
   /**
    * Finds a task that a run has completed although this home does not expect it, for example after
    * the lease of the target had lapsed. If the end were ignored, the target would discard it, and
    * the task would run again. A failure is left out: each new home hears of it until one of them
-   * acknowledges it, so it would count more than once.
+   * acknowledges it, so it would count more than once. See {@link countLateFailure}.
    */
   private findCompleted(key: RunKey, { end }: RunEnd): PlacedTask | undefined {
     const { table } = this.options;
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -5,7 +5,6 @@
   nameTask,
   recordCrash,
   placeTask,
-  type RunEnd,
   unplaceTask,
 } from '../jobs/index.js';
 import {
@@ -22,7 +21,7 @@
 import type { RunKey } from './RunKey.js';
 import { type AttributedCrash, CrashAttribution } from './CrashAttribution.js';
 import { RunConfirmations } from './RunConfirmations.js';
-import { RunEnds } from './RunEnds.js';
+import { LAPSED, RunEnds } from './RunEnds.js';
 import { RunStopper } from './RunStopper.js';
 import { RunTimer } from './RunTimer.js';
 import { StartGuard } from './StartGuard.js';
@@ -35,9 +34,6 @@
 import { TaskProgress } from './TaskProgress.js';
 import type { TaskRunsOptions } from './TaskRunsOptions.js';
 
-/** End of a run whose target has not reported any. */
-const LAPSED: RunEnd = { end: 'lapsed', checkpoint: undefined };
-
 /** Manages the runs of a home's tasks from placement to end, including their failures. */
 export class TaskRuns {
   private readonly options: TaskRunsOptions;
@@ -264,7 +260,7 @@
       this.sessions.suspend(targetId, this.orders.listUnansweredStarts(targetId));
     } else this.sessions.remove(targetId);
     this.options.events.write('targetGone', { targetId, reason, runCount: lost.length });
-    lost.forEach((run) => this.ends.apply(run, LAPSED, reason));
+    lost.forEach((run) => this.ends.applyLoss(run, reason));
     this.orders.forgetTarget(targetId);
     if (reason === 'other-lifetime') this.attributeCrash(targetId, 'weak');
     this.options.onChanged();
--- a/tests/jobs/jobProgress.test.ts
+++ b/tests/jobs/jobProgress.test.ts
@@ -4,6 +4,7 @@
   decodeJobRecord,
   encodeJobProgress,
   endRun,
+  noteUnheardRun,
   placeTask,
   restoreJobRow,
 } from '../../src/jobs/index.js';
@@ -29,6 +30,13 @@
     expect(storeAndRestore(again)).toEqual(again);
   });
 
+  // Guards against a failed run that counts for no attempt, as the next home does not know of it.
+  it('restores which runs were given up unheard', () => {
+    const lost = noteUnheardRun(placeTask(createJobRow(spec), 3, 't'), 3, 1);
+    expect(lost.tasks[3]!.unheardRuns).toEqual([1]);
+    expect(storeAndRestore(lost)).toEqual(lost);
+  });
+
   it('restores when a job has finished', () => {
     const row = createJobRow(makeJob('j2'));
     const done = endRun(placeTask(row, 0, 't'), 0, { end: 'done', checkpoint: undefined }, 77);
--- a/tests/taskHome/unexpectedEnds.test.ts
+++ b/tests/taskHome/unexpectedEnds.test.ts
@@ -115,6 +115,20 @@
     },
   );
 
+  // Guards against a job that fails too early, as each new home counts a failure that it hears of.
+  it('counts as one attempt if it failed, however many homes hear of it', async () => {
+    await lose('unlisted', makeJob('a'), 'failed');
+    world.targets.setFaults('t1', { ignoresAcknowledgements: true });
+    world.entries.set('t1', makeEntry('t1'));
+    world.targets.setFaults('t1', { isCutOff: false });
+    await scene.until(() => world.countEvents('endsStored') === 1);
+    scene.kill();
+    await scene.open([]);
+    await scene.until(() => world.countEvents('endsStored') === 2);
+    await scene.complete('a', 'failed');
+    expect(scene.describe('a')).toEqual({ violations: [], state: 'failed', beginCount: 2 });
+  });
+
   // Guards against a gang that starts again after its acknowledged end.
   it.each(LOST_RUNS)('is the truth about a gang (%s, and the gang %s)', async (loss, place) => {
     await lose(loss, makeJob('a', [makeStep({ taskCount: 2, isGang: true })]), 'done');
