Take another lifetime of a VM for the effect of an unanswered order only where it is one

A VM whose order had no answer crashed and was back in another lifetime. That counted as the order's effect, so the order was forgotten: another VM could be ordered in its place, and the late call then moved the VM, or took it down beside as many others as the wave allows.

Cause: the end of an order was taken from a change of lifetime, whatever had changed it.

Change: an order without an answer is over by the list only if the list shows its effect: a move where the VM is in the pool that it moves to, a maintenance where an earlier list has shown the VM in maintenance. Otherwise it stays active and is repeated as before (a move once its VM is empty and 1.5 s after the order; a maintenance in the next pass in which the VM is up and empty); the platform accepts a repeat of what is done, and the order ends. Orders with an answer end as before.

The price: a maintenance that no list has shown, as lists failed meanwhile, counts against its wave for the repeat and 1.5 s more; a standby VM whose move was lost is ordered again after 1.5 s, no longer chosen anew after 0.7 s.

--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -39,6 +39,8 @@
   readonly orderedAtMs: number;
   /** Monotonic time at which the order was accepted; absent while it has no answer. */
   readonly acceptedAtMs?: number;
+  /** Whether a list has shown the VM in maintenance since the order. */
+  readonly wasInMaintenance: boolean;
 }
 
 /** Age from which an order may no longer be justified, in milliseconds: five passes of the home. */
@@ -183,16 +185,33 @@
    * @param askedAtMs - Monotonic time at which the list was requested.
    */
   endCompletedOrders(vms: readonly FleetVm[], askedAtMs: number): void {
-    vms.forEach(({ vm, state, targetId }) => {
+    vms.forEach((listed) => {
+      const { vm, state, targetId } = listed;
       const active = this.activeOrders.get(vm);
-      if (active === undefined || askedAtMs - active.orderedAtMs < LIST_LAG_MS) return;
+      if (active === undefined) return;
+      if (state === 'in-maintenance') {
+        this.activeOrders.set(vm, { ...active, wasInMaintenance: true });
+      }
+      if (state !== 'up' || askedAtMs - active.orderedAtMs < LIST_LAG_MS) return;
       const hasChanged = targetId === undefined || targetId !== active.targetIdBefore;
-      const isBack = hasChanged || VmOrders.hasNoEffect(active, askedAtMs);
-      if (state === 'up' && isBack) this.activeOrders.delete(vm);
+      const isBack = hasChanged && VmOrders.isCarriedOut(active, listed);
+      if (isBack || VmOrders.hasNoEffect(active, askedAtMs)) this.activeOrders.delete(vm);
     });
     this.lostVms = this.findLostVms(vms, askedAtMs);
   }
 
+  /**
+   * Tells whether the change of a VM is the effect of its order. A VM that has crashed is back in
+   * another lifetime, too; an order without an answer may then still be carried out.
+   */
+  private static isCarriedOut(
+    { order, acceptedAtMs, wasInMaintenance }: ActiveOrder,
+    { pool }: FleetVm,
+  ): boolean {
+    if (acceptedAtMs !== undefined) return true;
+    return order.type === 'move' ? pool === order.toPool : wasInMaintenance;
+  }
+
   private findLostVms(vms: readonly FleetVm[], askedAtMs: number): ReadonlySet<string> {
     const present = new Set(vms.filter(({ state }) => state !== 'down').map(({ vm }) => vm));
     const lost = [...this.activeOrders.values()]
@@ -224,7 +243,8 @@
     if (this.recent.isLeased(order.vm)) return 'too-early';
     const before = this.activeOrders.get(order.vm);
     const targetIdBefore = before?.targetIdBefore ?? targetId;
-    const active: ActiveOrder = { order, targetIdBefore, orderedAtMs };
+    const wasInMaintenance = before?.wasInMaintenance ?? false;
+    const active: ActiveOrder = { order, targetIdBefore, orderedAtMs, wasInMaintenance };
     this.activeOrders.set(order.vm, active);
     const record = { vm: order.vm, wave: order.type === 'maintain' ? order.wave : undefined };
     this.recent.recordStart(record);
