--- a/scripts/runLifeMutants.ts
+++ b/scripts/runLifeMutants.ts
@@ -49,8 +49,8 @@
   {
     failure: 'a task that runs again after its acknowledged end, which nobody expected',
     file: 'src/taskHome/RunEnds.ts',
-    find: 'table.findPlaced(key) ?? this.findCompleted(key, runEnd)',
-    replace: 'table.findPlaced(key)',
+    find: 'expected ?? this.findCompleted(key, runEnd)',
+    replace: 'expected',
     test: END_TEST,
     name: 'is the truth',
   },
