Stop less urgent and late runs whose room others wait for

Cause: what runs keeps its target until its end. An urgent job in a pool full of less urgent tasks of 4 s waits for all of them, though the operators' priorities say that it may preempt them; a VM that the next pool waits for stays until the last of its late tasks has ended. Ruled out: stopping the youngest run, as steps with checkpoints lose nothing at a stop; a record of its own, as the end of the stopped run is stored anyway. Change: after each round the home plans stops for what the round has left waiting (planTaskPreemptions), and ends late runs on drained targets (listLateRuns); TaskPreemptor carries both out, with an event and a counter.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -37,6 +37,7 @@
   targetListUnreachable: { number: 6026, level: 'warn', text: 'The list of targets is stale.' },
   targetListReachable: { number: 6027, level: 'info', text: 'The list of targets is fresh again.' },
   taskEvacuated: { number: 6032, level: 'info', text: 'A task leaves a target that is emptied.' },
+  taskPreempted: { number: 6060, level: 'info', text: 'A task is stopped for more urgent work.' },
   taskStalled: { number: 6033, level: 'warn', text: 'A task stands still and is started anew.' },
   taskPaced: { number: 6034, level: 'info', text: 'The speed of a best-effort task was changed.' },
   questionTurnedAway: {
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -112,6 +112,12 @@
     meaning: 'Runs of tasks that were lost with their targets, by how the loss became known.',
     tags: ['pool', 'reason'],
   },
+  preempted_runs: {
+    type: 'counter',
+    unit: 'runs',
+    meaning: 'Runs of tasks that were stopped for more urgent work, by what needed their room.',
+    tags: ['pool', 'reason'],
+  },
   starts_withheld: {
     type: 'counter',
     unit: 'seconds',
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -38,7 +38,14 @@
 } from './mechanisms.js';
 export { type MeasuredRun, RunTimes } from './RunTimes.js';
 export { listAllocations } from './listAllocations.js';
+export { type LateRun, listLateRuns, type ListLateRunsInput } from './listLateRuns.js';
 export { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
+export {
+  planTaskPreemptions,
+  type PlanTaskPreemptionsInput,
+  type PreemptibleRun,
+  type TaskPreemption,
+} from './planTaskPreemptions.js';
 export {
   explainUnplaced,
   type ExplainUnplacedInput,
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -29,6 +29,10 @@
   'kept-yields-in-shortage',
   /** Waves are planned with the observed durations of their steps. */
   'observed-wave-steps',
+  /** Tasks of less urgent queues are stopped if tasks of more urgent ones find no room. */
+  'urgent-work-preempts',
+  /** Late tasks on VMs that another pool waits for are stopped. */
+  'late-runs-release-vms',
   /** Targets on which tasks keep failing are avoided. */
   'failing-targets-avoided',
 ] as const;
--- /dev/null
+++ b/src/systems/planTaskPreemptions.ts
@@ -0,0 +1,245 @@
+import {
+  type DurableJobRow,
+  isLongRunning,
+  listPlacedTasks,
+  type StepSpec,
+} from '../jobs/index.js';
+import { groupBy } from '../utils/index.js';
+import { estimateStartByMs } from './estimateStartByMs.js';
+import { listReadyTasks } from './listReadyTasks.js';
+import type { OrganisationRooms } from './OrganisationRooms.js';
+import type { RunTimes } from './RunTimes.js';
+import { getStepKey, type PlacementTarget, TargetCapacity } from './TargetCapacity.js';
+
+/** A task that is to be stopped, so that a task of a more urgent job gets its room. */
+export interface TaskPreemption {
+  readonly jobId: string;
+  /** Index of the task in its job's list of tasks. */
+  readonly position: number;
+  readonly targetId: string;
+  /** The job that gets the room. */
+  readonly forJobId: string;
+  /** Work that is lost, in thousandths of a core times milliseconds. */
+  readonly lostWork: number;
+}
+
+/** State of a run that may be stopped before its end. */
+export type PreemptibleRun =
+  | { readonly type: 'running'; readonly progressPercent: number }
+  /** It is being stopped already, so its room will be free soon. */
+  | { readonly type: 'stopping' }
+  /** It isn't known to be at work, or has been stopped for others before. */
+  | { readonly type: 'protected' };
+
+/** Input of {@link planTaskPreemptions}. */
+export interface PlanTaskPreemptionsInput {
+  /** Jobs with tasks that were not placed, in placement order. */
+  readonly waitingJobs: readonly DurableJobRow[];
+  /** Every job with tasks on targets, including the placements of this round. */
+  readonly allocatedJobs: readonly DurableJobRow[];
+  readonly targets: readonly PlacementTarget[];
+  readonly runTimes: RunTimes;
+  /** What organisations may still take into use. */
+  readonly rooms: OrganisationRooms;
+  readonly getRun: (row: DurableJobRow, position: number) => PreemptibleRun;
+  /** Steady wall-clock time by which jobs are late, in milliseconds since the Unix epoch. */
+  readonly nowMs: number;
+  /** Wall-clock time by which occurrences are due, in milliseconds since the Unix epoch. */
+  readonly dueAtMs: number;
+}
+
+/** Most tasks that are stopped in one round, which bounds its processor time. */
+const MAX_PREEMPTION_COUNT = 32;
+/**
+ * Shortest rest of a run that is stopped, in milliseconds. A stop and the start that follows it
+ * take about as long, so the waiting task would gain nothing.
+ */
+const MIN_REST_MS = 500;
+/** Progress from which a run without checkpoints is left to end, in percent. */
+const MAX_LOST_PERCENT = 50;
+
+/** A run that may be stopped, with what that costs. */
+interface Victim {
+  readonly row: DurableJobRow;
+  readonly position: number;
+  readonly step: StepSpec;
+  readonly stepKey: string;
+  readonly lostWork: number;
+}
+
+/** The targets of a pool during the planning, and the runs on them that may be stopped. */
+class PreemptionPool {
+  private readonly capacities: readonly TargetCapacity[];
+
+  private readonly victimsByTarget: Map<string, readonly Victim[]>;
+
+  constructor(capacities: readonly TargetCapacity[], victims: readonly Victim[]) {
+    this.capacities = capacities.filter(({ acceptsTasks }) => acceptsTasks);
+    const ordered = victims.toSorted(
+      (a, b) => b.row.spec.terms.priority - a.row.spec.terms.priority || a.lostWork - b.lostWork,
+    );
+    const getTargetId = ({ row, position }: Victim): string => row.tasks[position]!.targetId!;
+    this.victimsByTarget = new Map(groupBy(ordered, getTargetId));
+  }
+
+  /** Allocates room that is free, or will be once what is being stopped has ended. */
+  takeFreeRoom(stepKey: string, step: StepSpec): boolean {
+    const capacity = this.capacities.find((each) => each.accepts(stepKey, step));
+    capacity?.allocate(stepKey, step);
+    return capacity !== undefined;
+  }
+
+  /** Makes room for a task on the target where least work is lost, and allocates it. */
+  makeRoom(stepKey: string, step: StepSpec, priority: number): readonly Victim[] | undefined {
+    const cheapest = this.capacities
+      .map((capacity) => ({
+        capacity,
+        victims: this.listVictims(capacity, stepKey, step, priority),
+      }))
+      .reduce<{ capacity: TargetCapacity; victims: readonly Victim[]; lostWork: number }>(
+        (best, { capacity, victims }) => {
+          if (victims === undefined) return best;
+          const lostWork = victims.reduce((sum, victim) => sum + victim.lostWork, 0);
+          const isBetter =
+            lostWork < best.lostWork ||
+            (lostWork === best.lostWork && victims.length < best.victims.length);
+          return isBetter ? { capacity, victims, lostWork } : best;
+        },
+        { capacity: this.capacities[0]!, victims: [], lostWork: Infinity },
+      );
+    if (cheapest.victims.length === 0) return undefined;
+    const { capacity, victims } = cheapest;
+    victims.forEach((victim) => capacity.release(victim.stepKey, victim.step));
+    capacity.allocate(stepKey, step);
+    const { targetId } = capacity.target;
+    const left = this.victimsByTarget.get(targetId)!.filter((victim) => !victims.includes(victim));
+    this.victimsByTarget.set(targetId, left);
+    return victims;
+  }
+
+  /** Lists the fewest runs, the least urgent ones first, after which the target accepts a task. */
+  private listVictims(
+    capacity: TargetCapacity,
+    stepKey: string,
+    step: StepSpec,
+    priority: number,
+  ): readonly Victim[] | undefined {
+    const candidates = (this.victimsByTarget.get(capacity.target.targetId) ?? []).filter(
+      ({ row }) => row.spec.terms.priority > priority,
+    );
+    const released: Victim[] = [];
+    const isEnough = candidates.some((victim) => {
+      capacity.release(victim.stepKey, victim.step);
+      released.push(victim);
+      return capacity.accepts(stepKey, step);
+    });
+    released.forEach((victim) => capacity.allocate(victim.stepKey, victim.step));
+    return isEnough ? released : undefined;
+  }
+}
+
+/** Gets what stopping a run costs; undefined if it is better left to end. */
+function createVictim(
+  row: DurableJobRow,
+  position: number,
+  progressPercent: number,
+  runTimes: RunTimes,
+): Victim | undefined {
+  const { step: stepIndex, occurrence } = row.tasks[position]!;
+  const step = row.spec.steps[stepIndex]!;
+  if (step.isLongRunning || step.isGang) return undefined;
+  const runMs = runTimes.estimateMs(row, stepIndex);
+  const doneMs = (runMs * progressPercent) / 100;
+  if (runMs - doneMs < MIN_REST_MS) return undefined;
+  if (!step.isCheckpointing && progressPercent >= MAX_LOST_PERCENT) return undefined;
+  const lostWork = step.isCheckpointing ? 0 : doneMs * step.demand.cpuMillicores;
+  return { row, position, step, stepKey: getStepKey(row, occurrence, stepIndex), lostWork };
+}
+
+function createPool(input: PlanTaskPreemptionsInput, pool: string): PreemptionPool {
+  const { allocatedJobs, targets, getRun, runTimes } = input;
+  const capacities = new Map(
+    targets
+      .filter((target) => target.pool === pool)
+      .map((target) => [target.targetId, new TargetCapacity(target)]),
+  );
+  const victims = allocatedJobs
+    .filter((row) => row.spec.terms.pool === pool)
+    .flatMap((row) =>
+      listPlacedTasks(row).flatMap(({ task, position }): readonly Victim[] => {
+        const run = getRun(row, position);
+        if (run.type === 'stopping') return [];
+        const stepKey = getStepKey(row, task.occurrence, task.step);
+        capacities.get(task.targetId!)?.allocate(stepKey, row.spec.steps[task.step]!);
+        if (run.type === 'protected') return [];
+        const victim = createVictim(row, position, run.progressPercent, runTimes);
+        return victim === undefined ? [] : [victim];
+      }),
+    );
+  return new PreemptionPool([...capacities.values()], victims);
+}
+
+/** Lists the pools in which a job waits while a less urgent one has tasks on targets. */
+function listContendedPools({
+  waitingJobs,
+  allocatedJobs,
+}: PlanTaskPreemptionsInput): ReadonlySet<string> {
+  const lowest = new Map<string, number>();
+  allocatedJobs.forEach(({ spec: { terms } }) =>
+    lowest.set(terms.pool, Math.max(lowest.get(terms.pool) ?? -Infinity, terms.priority)),
+  );
+  return new Set(
+    waitingJobs
+      .map(({ spec: { terms } }) => terms)
+      .filter(({ pool, priority }) => priority < (lowest.get(pool) ?? -Infinity))
+      .map(({ pool }) => pool),
+  );
+}
+
+/**
+ * Plans which tasks to stop so that tasks of more urgent queues in the same pool get their room.
+ *
+ * The load that it answers: urgent jobs arrive in a pool that is full of less urgent ones, whose
+ * tasks run for longer than the urgent callers can wait. Only tasks of a queue with a lower
+ * priority are stopped, those that lose the least work first: a task with checkpoints goes on from
+ * where it was stopped. Long-running tasks and gangs are never stopped, nor a run that is about to
+ * end. Nothing is stopped for a job that is too late for its objective, nor for one that waits for
+ * the limit of its organisation. Room that earlier stops are about to free counts as free, so that
+ * each waiting task has runs stopped once.
+ * @param input - Waiting jobs, placed tasks and targets after a round of placement.
+ * @returns The tasks to stop; none where all jobs of a pool have the same priority.
+ */
+export function planTaskPreemptions(input: PlanTaskPreemptionsInput): readonly TaskPreemption[] {
+  const { waitingJobs, rooms, runTimes, nowMs, dueAtMs } = input;
+  const contended = listContendedPools(input);
+  const pools = new Map([...contended].map((pool) => [pool, createPool(input, pool)]));
+  const isInTime = (row: DurableJobRow): boolean =>
+    isLongRunning(row) || nowMs <= estimateStartByMs(row, runTimes);
+  const planned: TaskPreemption[] = [];
+  const makeRoom = (row: DurableJobRow, step: StepSpec, stepKey: string): boolean => {
+    const pool = pools.get(row.spec.terms.pool)!;
+    if (planned.length >= MAX_PREEMPTION_COUNT || !rooms.fits(row, step)) return false;
+    const victims = pool.takeFreeRoom(stepKey, step)
+      ? []
+      : pool.makeRoom(stepKey, step, row.spec.terms.priority);
+    if (victims === undefined) return false;
+    rooms.allocate(row, step);
+    victims.forEach(({ row: { spec, tasks }, position, lostWork }) => {
+      const targetId = tasks[position]!.targetId!;
+      const { jobId: forJobId } = row.spec;
+      planned.push({ jobId: spec.jobId, position, targetId, forJobId, lostWork });
+    });
+    return true;
+  };
+  waitingJobs
+    .filter((row) => contended.has(row.spec.terms.pool) && isInTime(row))
+    .forEach((row) =>
+      listReadyTasks(row, dueAtMs)
+        .filter(({ step }) => !row.spec.steps[step]!.isGang)
+        .forEach(({ step, occurrence, positions }) => {
+          const stepKey = getStepKey(row, occurrence, step);
+          positions.every(() => makeRoom(row, row.spec.steps[step]!, stepKey));
+        }),
+    );
+  return planned;
+}
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -1,4 +1,4 @@
-import type { DurableJobRow, RunEnd, CrashOutcome } from '../jobs/index.js';
+import { type CrashOutcome, type DurableJobRow, nameTask, type RunEnd } from '../jobs/index.js';
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
 import { getShareKey, type PoolDemand } from '../systems/index.js';
@@ -39,6 +39,18 @@
   readonly runCount: number;
 }
 
+/** Why a run is stopped although it could go on. */
+export type PreemptionCause =
+  | {
+      readonly reason: 'urgent-work';
+      /** The job that gets the room. */
+      readonly forJobId: string;
+      /** Work that is lost, in thousandths of a core times milliseconds. */
+      readonly lostWork: number;
+    }
+  /** Another pool waits for the VM, and the run's job is late. */
+  | { readonly reason: 'drained-vm' };
+
 /** Writes log events and metrics about the jobs of one home. */
 export class JobTelemetry {
   private readonly options: JobTelemetryOptions;
@@ -101,6 +113,24 @@
     events.write('endIgnored', { taskName, run, targetId, term, end, ...ignored });
   }
 
+  /**
+   * Records that a run is stopped for others.
+   * @param row - Its job.
+   * @param position - Index of the task among the job's tasks.
+   * @param cause - What its room is needed for.
+   */
+  notePreempted(row: DurableJobRow, position: number, cause: PreemptionCause): void {
+    const { events, metrics, term } = this.options;
+    const { jobId, terms } = row.spec;
+    const task = row.tasks[position]!;
+    const { run, targetId } = task;
+    metrics.increment('preempted_runs', { pool: terms.pool, reason: cause.reason });
+    events.write('taskPreempted', {
+      ...{ jobId, taskName: nameTask(row, task), run, targetId, term },
+      ...cause,
+    });
+  }
+
   /**
    * Records that a run was lost with its target. Its end is recorded separately, like any other.
    * @param row - Its job.
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -88,7 +88,7 @@
   }
 
   private async placeAndStore(): Promise<void> {
-    const { clock, metrics, runs, table, writer } = this.options;
+    const { clock, drains, metrics, runs, table, writer } = this.options;
     // A placement made during an append is stored only after it, so one round after the append
     // covers all requests that arrived meanwhile.
     await writer.whenIdle();
@@ -96,6 +96,7 @@
     this.waiting = undefined;
     const startedAtMs = clock.monotonicMs();
     const placed = this.isClosed ? [] : this.placeReadyTasks();
+    if (!this.isClosed) runs.preemptor.releaseDrained(drains.list(), runs.runTimes);
     const records = table.takeChanges();
     const unstoredEnds = table.listUnstoredEnds();
     const tookMs = clock.monotonicMs() - startedAtMs;
@@ -140,21 +141,29 @@
     if (readyJobs.length === 0) return [];
     const organisations = listOrganisations();
     const rooms = new OrganisationRooms(rows, (pool, name) => limitParts.get(pool, name));
+    const nowMs = clock.wallMs();
+    const targets = this.listTargets(rows);
+    const jobs = orderJobs(readyJobs, {
+      ...{ runTimes, mechanisms, allocatedJobs: rows },
+      getWeight: (name) => getWeight(organisations, name),
+      nowMs,
+    });
     const placements = placeTasks({
-      jobs: orderJobs(readyJobs, {
-        ...{ runTimes, mechanisms, allocatedJobs: rows },
-        getWeight: (name) => getWeight(organisations, name),
-        nowMs: clock.wallMs(),
-      }),
+      jobs,
       mechanisms,
       allocatedJobs: rows,
       rooms,
-      targets: this.listTargets(rows),
+      targets,
       getFailedTargets: (jobId, position) => runs.getFailedTargets(jobId, position),
       nowMs: dueAtMs,
     });
     telemetry.noteWithheld(rooms.withheld);
     const placed = placements.map((placement) => runs.reserve(placement));
+    runs.preemptor.makeRoom({
+      waitingJobs: jobs.map(({ spec }) => table.getActive(spec.jobId)!),
+      allocatedJobs: table.listActive(),
+      ...{ targets, runTimes, rooms, nowMs, dueAtMs },
+    });
     this.unplaced.noteRound(rooms, () => this.listTargets(table.listActive()));
     return placed;
   }
--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -87,6 +87,17 @@
     return progress && Math.round(this.clock.monotonicMs() - progress.askedAtMs);
   }
 
+  /**
+   * Gets the progress of a run by its latest report.
+   * @param taskName - Name of the task.
+   * @param run - Number of the run.
+   * @returns The progress in percent; undefined if no report has shown the run.
+   */
+  getPercent(taskName: string, run: number): number | undefined {
+    const progress = this.byTask.get(taskName);
+    return progress?.run === run ? progress.percent : undefined;
+  }
+
   /**
    * Forgets a run that is over or about to be stopped.
    * @param taskName - Name of the task.
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -32,6 +32,7 @@
 import type { TargetCallOptions } from './TargetCallOptions.js';
 import { TaskOrders } from './TaskOrders.js';
 import { TaskPacer } from './TaskPacer.js';
+import { TaskPreemptor } from './TaskPreemptor.js';
 import { TaskProgress } from './TaskProgress.js';
 import type { TaskRunsOptions } from './TaskRunsOptions.js';
 
@@ -40,6 +41,9 @@
 
 /** Manages the runs of a home's tasks from placement to end, including their failures. */
 export class TaskRuns {
+  /** Stops runs whose room more urgent work needs. */
+  readonly preemptor: TaskPreemptor;
+
   private readonly options: TaskRunsOptions;
 
   private readonly table: JobTable;
@@ -110,6 +114,7 @@
     });
     const { orders, health, progress, timer } = this;
     this.stopper = new RunStopper({ ...options, orders, health, progress });
+    this.preemptor = new TaskPreemptor({ ...options, orders, progress });
     this.ends = new RunEnds({ ...options, orders, health, progress, timer });
   }
 
--- a/standins/leasedTargets/LeasedTarget.ts
+++ b/standins/leasedTargets/LeasedTarget.ts
@@ -170,6 +170,16 @@
     };
   }
 
+  /**
+   * Sets the progress that later reports show of a run.
+   * @param taskName - Name of the task.
+   * @param progressPercent - The progress, in percent.
+   */
+  setProgress(taskName: string, progressPercent: number): void {
+    const running = this.running.findLast(({ start }) => start.taskName === taskName)!;
+    running.progressPercent = progressPercent;
+  }
+
   /**
    * Ends what runs.
    * @param taskName - Name of the task.
--- /dev/null
+++ b/tests/taskHome/preemptions.test.ts
@@ -0,0 +1,114 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { beforeEach, describe, expect, it, vi } from 'vitest';
+import type { TaskHome } from '../../src/taskHome/index.js';
+import {
+  EMPTY_SYNC_REQUEST,
+  type HomeWorld,
+  makeEntry,
+  makeJob,
+  makeStep,
+  TERMS,
+  useHomeWorld,
+} from './HomeWorld.js';
+
+const DEMAND = { cpuMillicores: 4_000, memoryMb: 100, gpuCount: 0 };
+const LONG_RUN_MS = 20_000;
+/** Time in which a home runs several rounds of placement, in milliseconds. */
+const SEVERAL_ROUNDS_MS = 150;
+const BATCH_TASK = 'batch.0.0.0';
+const URGENT_TASK = 'urgent.0.0.0';
+
+describe('preemptions', () => {
+  let home: TaskHome;
+  let world: HomeWorld;
+
+  useHomeWorld((created) => {
+    world = created;
+  });
+
+  /** Submits a job that fills the only target, of which a report shows a quarter. */
+  const fillPool = async (): Promise<void> => {
+    const step = makeStep({ demand: DEMAND, estimatedRunMs: LONG_RUN_MS, isCheckpointing: true });
+    await home.submit({ ...makeJob('batch', [step]), terms: { ...TERMS, priority: 1 } });
+    await world.waitForRunning([BATCH_TASK]);
+    world.targets.get('t1').setProgress(BATCH_TASK, 25);
+    await sleep(SEVERAL_ROUNDS_MS);
+  };
+
+  const submitUrgent = (): Promise<void> =>
+    home.submit(makeJob('urgent', [makeStep({ demand: DEMAND })]));
+
+  beforeEach(async () => {
+    world.entries.delete('t2');
+    home = await world.open();
+    await fillPool();
+  });
+
+  it('give a waiting task of a more urgent queue its room, and resume the other later', async () => {
+    await submitUrgent();
+    await world.waitForRunning([URGENT_TASK]);
+    world.targets.finish(URGENT_TASK, 'done');
+    await world.waitForRunning([BATCH_TASK]);
+    expect(world.targets.stops).toEqual([BATCH_TASK]);
+    expect(world.countEvents('taskPreempted')).toBe(1);
+  });
+
+  // Failure: a task that was stopped for another one is stopped for the next one at once.
+  it('do not stop a task again right after it has resumed', async () => {
+    await submitUrgent();
+    await world.waitForRunning([URGENT_TASK]);
+    world.targets.finish(URGENT_TASK, 'done');
+    await world.waitForRunning([BATCH_TASK]);
+    world.targets.get('t1').setProgress(BATCH_TASK, 30);
+    await home.submit(makeJob('second', [makeStep({ demand: DEMAND })]));
+    await sleep(SEVERAL_ROUNDS_MS);
+    expect(world.targets.stops).toEqual([BATCH_TASK]);
+  });
+
+  // Failure: a stop whose answer is lost leaves the urgent task waiting, or two runs at once.
+  it('repeat a stop that was lost', async () => {
+    world.targets.setFaults('t1', { losesStops: true });
+    await submitUrgent();
+    await vi.waitFor(() => expect(world.targets.stops.length).toBeGreaterThan(0));
+    world.targets.setFaults('t1', { losesStops: false });
+    await world.waitForRunning([URGENT_TASK]);
+  });
+
+  // Failure: a home that dies between stop and end leaves a task that nobody starts again.
+  it('are completed by the next home', async () => {
+    world.targets.setFaults('t1', { delaysReports: true });
+    await submitUrgent();
+    await vi.waitFor(() => expect(world.targets.stops).toEqual([BATCH_TASK]));
+    world.kill(home);
+    world.targets.setFaults('t1', { delaysReports: false });
+    home = await world.open();
+    await world.waitForRunning([URGENT_TASK]);
+    world.targets.finish(URGENT_TASK, 'done');
+    await world.waitForRunning([BATCH_TASK]);
+  });
+
+  // Failure: an instance that was replaced stops tasks that it can't start again.
+  it('wait until this instance is certain to be the home', async () => {
+    world.isGroupLeaseHeld = false;
+    await submitUrgent().catch(() => undefined);
+    await sleep(SEVERAL_ROUNDS_MS);
+    expect(world.targets.stops).toEqual([]);
+    world.isGroupLeaseHeld = true;
+    await home.submit(makeJob('second', [makeStep({ demand: DEMAND })]));
+    await vi.waitFor(() => expect(world.targets.stops).toEqual([BATCH_TASK]));
+  });
+
+  // Failure: a VM that another pool waits for stays until the last of its late tasks has ended.
+  it('stop a late task on a drained target', async () => {
+    world.addTarget(makeEntry('t3'));
+    const late = makeJob('late', [makeStep({ demand: DEMAND, estimatedRunMs: LONG_RUN_MS })]);
+    const terms = { ...TERMS, priority: 1, stretch: 0, targetDurationMs: 0 };
+    await home.submit({ ...late, terms });
+    await world.waitForRunning([BATCH_TASK, 'late.0.0.0']);
+    world.targets.get('t3').setProgress('late.0.0.0', 25);
+    await sleep(SEVERAL_ROUNDS_MS);
+    const request = { ...EMPTY_SYNC_REQUEST, drainedTargets: ['t1', 't3'] };
+    await home.syncPool(request);
+    await vi.waitFor(() => expect(world.targets.stops).toEqual(['late.0.0.0']));
+  });
+});
