Leave late runs on drained VMs to end, and keep preemption by priority alone

What was stopped waited again, behind everything, and ran anew in the next lull. Ruled out: a longer shortest rest, as nearly all of these runs were in their first half. Conclusion: VMs reach the next pool sooner only if late work ends, not if it is put back.

--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -115,8 +115,8 @@
   preempted_runs: {
     type: 'counter',
     unit: 'runs',
-    meaning: 'Runs of tasks that were stopped for more urgent work, by what needed their room.',
-    tags: ['pool', 'reason'],
+    meaning: 'Runs of tasks that were stopped so that more urgent tasks get their room.',
+    tags: ['pool'],
   },
   starts_withheld: {
     type: 'counter',
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -38,7 +38,6 @@
 } from './mechanisms.js';
 export { type MeasuredRun, RunTimes } from './RunTimes.js';
 export { listAllocations } from './listAllocations.js';
-export { type LateRun, listLateRuns, type ListLateRunsInput } from './listLateRuns.js';
 export { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 export {
   planTaskPreemptions,
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -31,8 +31,6 @@
   'observed-wave-steps',
   /** Tasks of less urgent queues are stopped if tasks of more urgent ones find no room. */
   'urgent-work-preempts',
-  /** Late tasks on VMs that another pool waits for are stopped. */
-  'late-runs-release-vms',
   /** Targets on which tasks keep failing are avoided. */
   'failing-targets-avoided',
 ] as const;
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -39,17 +39,13 @@
   readonly runCount: number;
 }
 
-/** Why a run is stopped although it could go on. */
-export type PreemptionCause =
-  | {
-      readonly reason: 'urgent-work';
-      /** The job that gets the room. */
-      readonly forJobId: string;
-      /** Work that is lost, in thousandths of a core times milliseconds. */
-      readonly lostWork: number;
-    }
-  /** Another pool waits for the VM, and the run's job is late. */
-  | { readonly reason: 'drained-vm' };
+/** What a run is stopped for although it could go on. */
+export interface PreemptionCause {
+  /** The job that gets the room. */
+  readonly forJobId: string;
+  /** Work that is lost, in thousandths of a core times milliseconds. */
+  readonly lostWork: number;
+}
 
 /** Writes log events and metrics about the jobs of one home. */
 export class JobTelemetry {
@@ -124,7 +120,7 @@
     const { jobId, terms } = row.spec;
     const task = row.tasks[position]!;
     const { run, targetId } = task;
-    metrics.increment('preempted_runs', { pool: terms.pool, reason: cause.reason });
+    metrics.increment('preempted_runs', { pool: terms.pool });
     events.write('taskPreempted', {
       ...{ jobId, taskName: nameTask(row, task), run, targetId, term },
       ...cause,
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -88,7 +88,7 @@
   }
 
   private async placeAndStore(): Promise<void> {
-    const { clock, drains, metrics, runs, table, writer } = this.options;
+    const { clock, metrics, runs, table, writer } = this.options;
     // A placement made during an append is stored only after it, so one round after the append
     // covers all requests that arrived meanwhile.
     await writer.whenIdle();
@@ -96,7 +96,6 @@
     this.waiting = undefined;
     const startedAtMs = clock.monotonicMs();
     const placed = this.isClosed ? [] : this.placeReadyTasks();
-    if (!this.isClosed) runs.preemptor.releaseDrained(drains.list(), runs.runTimes);
     const records = table.takeChanges();
     const unstoredEnds = table.listUnstoredEnds();
     const tookMs = clock.monotonicMs() - startedAtMs;
--- a/src/taskHome/TaskPreemptor.ts
+++ b/src/taskHome/TaskPreemptor.ts
@@ -1,11 +1,9 @@
 import { type DurableJobRow, nameTask } from '../jobs/index.js';
 import {
-  listLateRuns,
   type Mechanisms,
   type PlanTaskPreemptionsInput,
   planTaskPreemptions,
   type PreemptibleRun,
-  type RunTimes,
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
@@ -60,47 +58,18 @@
    * @param state - What waits and what is placed.
    */
   makeRoom(state: PlacementState): void {
-    const { table, mechanisms, telemetry } = this.options;
-    if (!mechanisms.has('urgent-work-preempts') || !this.mayStop()) return;
+    const { table, mechanisms, telemetry, isGroupLeaseHeld } = this.options;
+    if (!mechanisms.has('urgent-work-preempts') || !isGroupLeaseHeld()) return;
     const getRun = (row: DurableJobRow, position: number): PreemptibleRun =>
       this.getRun(row, position);
     planTaskPreemptions({ ...state, getRun }).forEach((preemption) => {
       const { jobId, position, forJobId, lostWork } = preemption;
       const row = table.getActive(jobId)!;
-      telemetry.notePreempted(row, position, { reason: 'urgent-work', forJobId, lostWork });
+      telemetry.notePreempted(row, position, { forJobId, lostWork });
       this.stop(row, position);
     });
   }
 
-  /**
-   * Stops the late runs on targets whose VMs are drained, so that the VMs can go where others wait.
-   * @param drainedTargets - Ids of the targets.
-   * @param runTimes - Learned run times.
-   */
-  releaseDrained(drainedTargets: ReadonlySet<string>, runTimes: RunTimes): void {
-    const { table, mechanisms, telemetry, clock } = this.options;
-    if (!mechanisms.has('late-runs-release-vms') || !this.mayStop()) return;
-    const runs = listLateRuns({
-      jobs: table.listActive(),
-      drainedTargets,
-      runTimes,
-      getProgressPercent: (row, position) => {
-        const run = this.getRun(row, position);
-        return run.type === 'running' ? run.progressPercent : undefined;
-      },
-      nowMs: clock.wallMs(),
-    });
-    runs.forEach(({ jobId, position }) => {
-      const row = table.getActive(jobId)!;
-      telemetry.notePreempted(row, position, { reason: 'drained-vm' });
-      this.stop(row, position);
-    });
-  }
-
-  private mayStop(): boolean {
-    return this.options.isGroupLeaseHeld();
-  }
-
   private getRun(row: DurableJobRow, position: number): PreemptibleRun {
     const { orders, progress, clock } = this.options;
     const task = row.tasks[position]!;
