Stop no run in vain, and let a stopped task run before it is stopped again

Cause, found by reading: (1) runs were released in order until the waiting task fitted, so a run with none of the resources that it lacked was stopped as well; (2) a run was stopped for a job with less slack than a stop and a start take, which is late by then and placed behind the stopped task; (3) the 10 s in which a task is not stopped again counted from its stop, so one that had waited for longer was stopped as soon as it resumed, and one without checkpoints lost its work each time; (4) planning counts what it makes room for in the limits of organisations, and the log of unplaced tasks read them afterwards; (5) the pools were summed up although nothing urgent waited. Change: runs without use are left out; a job needs the time of a stop and a start; a task runs for 10 s before it is stopped again, and is stopped once at most without checkpoints; the log comes first; jobs without waiting tasks don't count. (4) and (5) have no test of their own.

--- a/src/systems/planTaskPreemptions.ts
+++ b/src/systems/planTaskPreemptions.ts
@@ -6,7 +6,7 @@
 } from '../jobs/index.js';
 import { groupBy } from '../utils/index.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
-import { listReadyTasks } from './listReadyTasks.js';
+import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import type { OrganisationRooms } from './OrganisationRooms.js';
 import type { RunTimes } from './RunTimes.js';
 import { getStepKey, type PlacementTarget, TargetCapacity } from './TargetCapacity.js';
@@ -33,7 +33,7 @@
 
 /** Input of {@link planTaskPreemptions}. */
 export interface PlanTaskPreemptionsInput {
-  /** Jobs with tasks that were not placed, in placement order. */
+  /** Jobs that may have tasks that were not placed, in placement order. */
   readonly waitingJobs: readonly DurableJobRow[];
   /** Every job with tasks on targets, including the placements of this round. */
   readonly allocatedJobs: readonly DurableJobRow[];
@@ -51,10 +51,11 @@
 /** Most tasks that are stopped in one round, which bounds its processor time. */
 const MAX_PREEMPTION_COUNT = 32;
 /**
- * Shortest rest of a run that is stopped, in milliseconds. A stop and the start that follows it
- * take about as long, so the waiting task would gain nothing.
+ * Time that a stop and the start that follows it take together, in milliseconds. A run with less
+ * left is not stopped, as the waiting task would gain nothing; nor is any for a job that would be
+ * late by then, as the room would go back to the stopped task.
  */
-const MIN_REST_MS = 500;
+const STOP_AND_START_MS = 500;
 /** Progress from which a run without checkpoints is left to end, in percent. */
 const MAX_LOST_PERCENT = 50;
 
@@ -117,7 +118,10 @@
     return victims;
   }
 
-  /** Lists the fewest runs, the least urgent ones first, after which the target accepts a task. */
+  /**
+   * Lists runs, the least urgent ones first, after which the target accepts a task. Runs whose
+   * resources the task can do without are left out: stopping them would gain nothing.
+   */
   private listVictims(
     capacity: TargetCapacity,
     stepKey: string,
@@ -133,8 +137,14 @@
       released.push(victim);
       return capacity.accepts(stepKey, step);
     });
-    released.forEach((victim) => capacity.allocate(victim.stepKey, victim.step));
-    return isEnough ? released : undefined;
+    const needed = released.toReversed().filter((victim) => {
+      capacity.allocate(victim.stepKey, victim.step);
+      const isNeeded = !capacity.accepts(stepKey, step);
+      if (isNeeded) capacity.release(victim.stepKey, victim.step);
+      return isNeeded;
+    });
+    needed.forEach((victim) => capacity.allocate(victim.stepKey, victim.step));
+    return isEnough ? needed : undefined;
   }
 }
 
@@ -150,7 +160,7 @@
   if (step.isLongRunning || step.isGang) return undefined;
   const runMs = runTimes.estimateMs(row, stepIndex);
   const doneMs = (runMs * progressPercent) / 100;
-  if (runMs - doneMs < MIN_REST_MS) return undefined;
+  if (runMs - doneMs < STOP_AND_START_MS) return undefined;
   if (!step.isCheckpointing && progressPercent >= MAX_LOST_PERCENT) return undefined;
   const lostWork = step.isCheckpointing ? 0 : doneMs * step.demand.cpuMillicores;
   return { row, position, step, stepKey: getStepKey(row, occurrence, stepIndex), lostWork };
@@ -179,11 +189,11 @@
   return new PreemptionPool([...capacities.values()], victims);
 }
 
-/** Lists the pools in which a job waits while a less urgent one has tasks on targets. */
+/** Lists the pools in which a job waits while there is a less urgent one. */
 function listContendedPools({
   waitingJobs,
   allocatedJobs,
-}: PlanTaskPreemptionsInput): ReadonlySet<string> {
+}: Pick<PlanTaskPreemptionsInput, 'waitingJobs' | 'allocatedJobs'>): ReadonlySet<string> {
   const lowest = new Map<string, number>();
   allocatedJobs.forEach(({ spec: { terms } }) =>
     lowest.set(terms.pool, Math.max(lowest.get(terms.pool) ?? -Infinity, terms.priority)),
@@ -203,18 +213,23 @@
  * tasks run for longer than the urgent callers can wait. Only tasks of a queue with a lower
  * priority are stopped, those that lose the least work first: a task with checkpoints goes on from
  * where it was stopped. Long-running tasks and gangs are never stopped, nor a run that is about to
- * end. Nothing is stopped for a job that is too late for its objective, nor for one that waits for
- * the limit of its organisation. Room that earlier stops are about to free counts as free, so that
- * each waiting task has runs stopped once.
+ * end. Nothing is stopped for a gang, for a job that is too late for its objective, or for one that
+ * waits for the limit of its organisation. Room that earlier stops are about to free counts as
+ * free, so that each waiting task has runs stopped once.
  * @param input - Waiting jobs, placed tasks and targets after a round of placement.
  * @returns The tasks to stop; none where all jobs of a pool have the same priority.
  */
 export function planTaskPreemptions(input: PlanTaskPreemptionsInput): readonly TaskPreemption[] {
-  const { waitingJobs, rooms, runTimes, nowMs, dueAtMs } = input;
-  const contended = listContendedPools(input);
-  const pools = new Map([...contended].map((pool) => [pool, createPool(input, pool)]));
+  const { allocatedJobs, rooms, runTimes, nowMs, dueAtMs } = input;
   const isInTime = (row: DurableJobRow): boolean =>
-    isLongRunning(row) || nowMs <= estimateStartByMs(row, runTimes);
+    isLongRunning(row) || nowMs + STOP_AND_START_MS <= estimateStartByMs(row, runTimes);
+  const listSingleTasks = (row: DurableJobRow): readonly ReadyTasks[] =>
+    listReadyTasks(row, dueAtMs).filter(({ step }) => !row.spec.steps[step]!.isGang);
+  const waitingJobs = input.waitingJobs.filter(
+    (row) => listSingleTasks(row).length > 0 && isInTime(row),
+  );
+  const contended = listContendedPools({ waitingJobs, allocatedJobs });
+  const pools = new Map([...contended].map((pool) => [pool, createPool(input, pool)]));
   const planned: TaskPreemption[] = [];
   const makeRoom = (row: DurableJobRow, step: StepSpec, stepKey: string): boolean => {
     const pool = pools.get(row.spec.terms.pool)!;
@@ -232,14 +247,12 @@
     return true;
   };
   waitingJobs
-    .filter((row) => contended.has(row.spec.terms.pool) && isInTime(row))
+    .filter((row) => contended.has(row.spec.terms.pool))
     .forEach((row) =>
-      listReadyTasks(row, dueAtMs)
-        .filter(({ step }) => !row.spec.steps[step]!.isGang)
-        .forEach(({ step, occurrence, positions }) => {
-          const stepKey = getStepKey(row, occurrence, step);
-          positions.every(() => makeRoom(row, row.spec.steps[step]!, stepKey));
-        }),
+      listSingleTasks(row).forEach(({ step, occurrence, positions }) => {
+        const stepKey = getStepKey(row, occurrence, step);
+        positions.every(() => makeRoom(row, row.spec.steps[step]!, stepKey));
+      }),
     );
   return planned;
 }
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -158,12 +158,13 @@
     });
     telemetry.noteWithheld(rooms.withheld);
     const placed = placements.map((placement) => runs.reserve(placement));
+    // Planning stops counts the room to come as taken, and would spoil the reasons in this log.
+    this.unplaced.noteRound(rooms, () => this.listTargets(table.listActive()));
     runs.preemptor.makeRoom({
       waitingJobs: jobs.map(({ spec }) => table.getActive(spec.jobId)!),
       allocatedJobs: table.listActive(),
       ...{ targets, runTimes, rooms, nowMs, dueAtMs },
     });
-    this.unplaced.noteRound(rooms, () => this.listTargets(table.listActive()));
     return placed;
   }
 }
--- a/src/taskHome/TaskPreemptor.ts
+++ b/src/taskHome/TaskPreemptor.ts
@@ -1,4 +1,4 @@
-import { type DurableJobRow, nameTask } from '../jobs/index.js';
+import { type DurableJobRow, isFinished, nameTask } from '../jobs/index.js';
 import {
   type Mechanisms,
   type PlanTaskPreemptionsInput,
@@ -14,7 +14,7 @@
 /** Options of {@link TaskPreemptor}. */
 export interface TaskPreemptorOptions {
   readonly table: JobTable;
-  readonly orders: Pick<TaskOrders, 'isStopping' | 'stop'>;
+  readonly orders: Pick<TaskOrders, 'find' | 'isStopping' | 'stop'>;
   readonly progress: TaskProgress;
   readonly telemetry: JobTelemetry;
   readonly mechanisms: Mechanisms;
@@ -27,8 +27,8 @@
 export type PlacementState = Omit<PlanTaskPreemptionsInput, 'getRun'>;
 
 /**
- * Time for which a task that was stopped for another one is not stopped again, in milliseconds. It
- * outlasts a load peak, so that a task makes progress between two stops.
+ * Time for which a task that was stopped for another one is not stopped again once it runs, in
+ * milliseconds, so that it makes progress between two stops.
  */
 const PROTECTED_MS = 10_000;
 
@@ -42,8 +42,8 @@
 export class TaskPreemptor {
   private readonly options: TaskPreemptorOptions;
 
-  /** Until when each stopped task is protected, by the monotonic clock. */
-  private readonly protectedUntilMs = new Map<string, number>();
+  /** Names of the unfinished tasks that were stopped for others. */
+  private readonly stoppedTasks = new Set<string>();
 
   /**
    * Creates a preemptor that has stopped nothing.
@@ -62,8 +62,9 @@
     if (!mechanisms.has('urgent-work-preempts') || !isGroupLeaseHeld()) return;
     const getRun = (row: DurableJobRow, position: number): PreemptibleRun =>
       this.getRun(row, position);
-    planTaskPreemptions({ ...state, getRun }).forEach((preemption) => {
-      const { jobId, position, forJobId, lostWork } = preemption;
+    const preemptions = planTaskPreemptions({ ...state, getRun });
+    if (preemptions.length > 0) this.forgetFinished();
+    preemptions.forEach(({ jobId, position, forJobId, lostWork }) => {
       const row = table.getActive(jobId)!;
       telemetry.notePreempted(row, position, { forJobId, lostWork });
       this.stop(row, position);
@@ -71,24 +72,41 @@
   }
 
   private getRun(row: DurableJobRow, position: number): PreemptibleRun {
-    const { orders, progress, clock } = this.options;
+    const { orders, progress } = this.options;
     const task = row.tasks[position]!;
     const taskName = nameTask(row, task);
     if (orders.isStopping(taskName)) return { type: 'stopping' };
-    const protectedUntilMs = this.protectedUntilMs.get(taskName) ?? -Infinity;
     const progressPercent = progress.getPercent(taskName, task.run);
-    const isProtected = clock.monotonicMs() < protectedUntilMs || progressPercent === undefined;
+    if (progressPercent === undefined) return { type: 'protected' };
+    const { isCheckpointing } = row.spec.steps[task.step]!;
+    const isProtected = this.isProtected(taskName, isCheckpointing);
     return isProtected ? { type: 'protected' } : { type: 'running', progressPercent };
   }
 
+  /** Without checkpoints, a second stop would lose the work once more, so there is none. */
+  private isProtected(taskName: string, isCheckpointing: boolean): boolean {
+    const { orders, clock } = this.options;
+    if (!this.stoppedTasks.has(taskName)) return false;
+    const begunAtMs = orders.find(taskName)?.begunAtMs;
+    const isRecent = begunAtMs === undefined || clock.monotonicMs() - begunAtMs < PROTECTED_MS;
+    return isRecent || !isCheckpointing;
+  }
+
+  private forgetFinished(): void {
+    [...this.stoppedTasks]
+      .filter((taskName) => this.isDone(taskName))
+      .forEach((taskName) => this.stoppedTasks.delete(taskName));
+  }
+
+  private isDone(taskName: string): boolean {
+    const found = this.options.table.findTask(taskName);
+    return found === undefined || isFinished(found.row) || found.task.phase === 'done';
+  }
+
   private stop(row: DurableJobRow, position: number): void {
-    const { orders, progress, clock } = this.options;
-    const nowMs = clock.monotonicMs();
-    [...this.protectedUntilMs]
-      .filter(([, untilMs]) => untilMs <= nowMs)
-      .forEach(([taskName]) => this.protectedUntilMs.delete(taskName));
+    const { orders, progress } = this.options;
     const taskName = nameTask(row, row.tasks[position]!);
-    this.protectedUntilMs.set(taskName, nowMs + PROTECTED_MS);
+    this.stoppedTasks.add(taskName);
     progress.forget(taskName);
     orders.stop(taskName);
   }
--- a/tests/systems/planTaskPreemptions.test.ts
+++ b/tests/systems/planTaskPreemptions.test.ts
@@ -13,6 +13,7 @@
   type PreemptibleRun,
   RunTimes,
 } from '../../src/systems/index.js';
+import { estimateStartByMs } from '../../src/systems/estimateStartByMs.js';
 import { makeEntry, makeJob, makeStep, TERMS } from '../taskHome/HomeWorld.js';
 
 const NOW_MS = 1_000_000;
@@ -151,6 +152,28 @@
     expect(planned).toEqual([]);
   });
 
+  // Failure: tasks are stopped whose resources are of no use to the waiting one.
+  it('leaves runs whose resources the waiting task can do without', () => {
+    const urgent = makeRow('urgent', { demand: LARGE });
+    const small = makeBatch('small', ['t1'], {
+      demand: { cpuMillicores: 0, memoryMb: 100, gpuCount: 0 },
+    });
+    const batch = makeBatch('batch', ['t1', 't1']);
+    const planned = plan([urgent], [small, batch], undefined, TARGETS.slice(0, 1));
+    expect(planned.map(({ jobId }) => jobId)).toEqual(['batch']);
+  });
+
+  // Failure: a job is late once its room is free, and the stopped task gets that room back.
+  it('stops nothing for a job that would be late once the room is free', () => {
+    const runTimes = new RunTimes();
+    const urgent = makeRow('urgent', { demand: LARGE });
+    const waitMs = estimateStartByMs(urgent, runTimes) - NOW_MS;
+    const withMsLeft = (leftMs: number): DurableJobRow =>
+      createJobRow({ ...urgent.spec, submittedAtMs: NOW_MS - waitMs + leftMs });
+    expect(plan([withMsLeft(100)], [makeBatch('batch', FULL)])).toEqual([]);
+    expect(plan([withMsLeft(1_000)], [makeBatch('batch', FULL)])).toHaveLength(1);
+  });
+
   it('stops nothing on targets that take no tasks', () => {
     const urgent = makeRow('urgent', { demand: LARGE });
     const draining = TARGETS.map((target) => ({ ...target, takesTasks: false }));
--- a/tests/taskHome/preemptions.test.ts
+++ b/tests/taskHome/preemptions.test.ts
@@ -1,12 +1,15 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { beforeEach, describe, expect, it, vi } from 'vitest';
 import type { TaskHome } from '../../src/taskHome/index.js';
+import { ManualClock } from '../../src/utils/index.js';
 import { type HomeWorld, makeJob, makeStep, TERMS, useHomeWorld } from './HomeWorld.js';
 
 const DEMAND = { cpuMillicores: 4_000, memoryMb: 100, gpuCount: 0 };
 const LONG_RUN_MS = 20_000;
 /** Time in which a home runs several rounds of placement, in milliseconds. */
 const SEVERAL_ROUNDS_MS = 150;
+/** Outlasts the time for which a resumed task is not stopped again, in milliseconds. */
+const LONGER_THAN_PROTECTED_MS = 11_000;
 const BATCH_TASK = 'batch.0.0.0';
 const URGENT_TASK = 'urgent.0.0.0';
 
@@ -57,6 +60,24 @@
     expect(world.targets.stops).toEqual([BATCH_TASK]);
   });
 
+  // Failure: a task that has waited for long is stopped whenever it resumes, and never ends.
+  it('let a task run for some time before it is stopped again, however long it has waited', async () => {
+    const clock = new ManualClock(1_000_000);
+    world.kill(home);
+    home = await world.open(clock);
+    await sleep(SEVERAL_ROUNDS_MS);
+    await submitUrgent();
+    await world.waitForRunning([URGENT_TASK]);
+    clock.advance(LONGER_THAN_PROTECTED_MS);
+    world.targets.finish(URGENT_TASK, 'done');
+    await world.waitForRunning([BATCH_TASK]);
+    world.targets.get('t1').setProgress(BATCH_TASK, 30);
+    await sleep(SEVERAL_ROUNDS_MS);
+    await home.submit(makeJob('second', [makeStep({ demand: DEMAND })]));
+    await sleep(SEVERAL_ROUNDS_MS);
+    expect(world.targets.stops).toEqual([BATCH_TASK]);
+  });
+
   // Failure: a stop whose answer is lost leaves the urgent task waiting, or two runs at once.
   it('repeat a stop that was lost', async () => {
     world.targets.setFaults('t1', { losesStops: true });
