Learn no run time from a run that has resumed

Cause, found by reading: a run is timed from its placement, and one that resumes from a checkpoint does only the rest of the work. Stops for more urgent work make such runs usual in the queues with checkpoints, whose run times would be learned too short, and their jobs placed too late. Ruled out: adding the times of the runs before, which a home that takes over does not have. Change: a run of a task with a checkpoint is not learned from.

--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -98,8 +98,9 @@
     const { health, progress, timer } = this.options;
     const { taskName, targetId } = key;
     progress.forget(taskName);
-    // The time was measured from the placement of the latest run.
-    const isMeasured = row.tasks[position]!.run === key.run;
+    const { run, checkpoint } = row.tasks[position]!;
+    // The time is that of the latest run, which is only the rest of the work if it has resumed.
+    const isMeasured = run === key.run && checkpoint === undefined;
     timer.end(taskName, row, position, end === 'done' && isMeasured);
     if (end === 'done') health.noteSuccess(targetId);
     if (end === 'failed') health.noteFailure(targetId, row.spec.jobId, taskName);
--- a/tests/taskHome/RunEnds.test.ts
+++ b/tests/taskHome/RunEnds.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { createJobRow, endRun, placeTask, type RunEnd } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
@@ -19,7 +19,7 @@
 const LAPSED: RunEnd = { end: 'lapsed', checkpoint: undefined };
 
 /** Creates a job of two tasks, of which the first has lapsed on `t1` and is placed on `t2`. */
-function createEnds(isLongRunning: boolean) {
+function createEnds(isLongRunning: boolean, lapsed: RunEnd = LAPSED) {
   const clock = new ManualClock();
   const events = new MemoryEventLog();
   const table = new JobTable(clock);
@@ -28,19 +28,22 @@
     0,
     't1',
   );
-  table.add(placeTask(endRun(placed, 0, LAPSED, 0), 0, 't2'));
+  table.add(placeTask(endRun(placed, 0, lapsed, 0), 0, 't2'));
   const { orders, port } = createOrders();
   orders.reserve(SECOND);
+  const timer = new RunTimer(clock);
+  timer.begin(SECOND.taskName);
+  const record = vi.spyOn(timer.runTimes, 'record');
   const ends = new RunEnds({
     table,
     orders,
     health: new TargetHealth({ clock, events }),
     progress: new TaskProgress(clock),
-    timer: new RunTimer(clock),
+    timer,
     telemetry: new JobTelemetry({ events, metrics: new MemoryMetrics(), clock, term: 3 }),
     clock,
   });
-  return { ends, orders, port, getTask: () => table.getActive('a')!.tasks[0] };
+  return { ends, orders, port, record, getTask: () => table.getActive('a')!.tasks[0] };
 }
 
 describe('RunEnds', () => {
@@ -80,4 +83,14 @@
     expect(orders.isOrdered(SECOND)).toBe(false);
     expect(orders.hasUnwantedRuns('t2')).toBe(false);
   });
+
+  // Guards against run times that are learned too short, as tasks that were stopped have resumed.
+  it('learns the time of a run only if it has done all the work', () => {
+    const whole = createEnds(false);
+    whole.ends.applyReported(SECOND, DONE);
+    expect(whole.record).toHaveBeenCalledTimes(1);
+    const resumed = createEnds(false, { end: 'lapsed', checkpoint: 'saved' });
+    resumed.ends.applyReported(SECOND, DONE);
+    expect(resumed.record).not.toHaveBeenCalled();
+  });
 });
