--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -112,6 +112,12 @@
     meaning: 'Runs of tasks that were lost with their targets, by how the loss became known.',
     tags: ['pool', 'reason'],
   },
+  preempted_runs: {
+    type: 'counter',
+    unit: 'runs',
+    meaning: 'Runs of tasks that were stopped so that more urgent tasks get their room.',
+    tags: ['pool'],
+  },
   starts_withheld: {
     type: 'counter',
     unit: 'seconds',
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -39,6 +39,12 @@
 export { type MeasuredRun, RunTimes } from './RunTimes.js';
 export { listAllocations } from './listAllocations.js';
 export { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
+export {
+  planTaskPreemptions,
+  type PlanTaskPreemptionsInput,
+  type PreemptibleRun,
+  type TaskPreemption,
+} from './planTaskPreemptions.js';
 export {
   explainUnplaced,
   type ExplainUnplacedInput,
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -29,6 +29,8 @@
   'kept-yields-in-shortage',
   /** Waves are planned with the observed durations of their steps. */
   'observed-wave-steps',
+  /** Tasks of less urgent queues are stopped if tasks of more urgent ones find no room. */
+  'urgent-work-preempts',
   /** Targets on which tasks keep failing are avoided. */
   'failing-targets-avoided',
 ] as const;
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -140,22 +140,31 @@
     if (readyJobs.length === 0) return [];
     const organisations = listOrganisations();
     const rooms = new OrganisationRooms(rows, (pool, name) => limitParts.get(pool, name));
+    const nowMs = clock.wallMs();
+    const targets = this.listTargets(rows);
+    const jobs = orderJobs(readyJobs, {
+      ...{ runTimes, mechanisms, allocatedJobs: rows },
+      getWeight: (name) => getWeight(organisations, name),
+      nowMs,
+    });
     const placements = placeTasks({
-      jobs: orderJobs(readyJobs, {
-        ...{ runTimes, mechanisms, allocatedJobs: rows },
-        getWeight: (name) => getWeight(organisations, name),
-        nowMs: clock.wallMs(),
-      }),
+      jobs,
       mechanisms,
       allocatedJobs: rows,
       rooms,
-      targets: this.listTargets(rows),
+      targets,
       getFailedTargets: (jobId, position) => runs.getFailedTargets(jobId, position),
       nowMs: dueAtMs,
     });
     telemetry.noteWithheld(rooms.withheld);
     const placed = placements.map((placement) => runs.reserve(placement));
+    // Planning stops counts the room to come as taken, and would spoil the reasons in this log.
     this.unplaced.noteRound(rooms, () => this.listTargets(table.listActive()));
+    runs.preemptor.makeRoom({
+      waitingJobs: jobs.map(({ spec }) => table.getActive(spec.jobId)!),
+      allocatedJobs: table.listActive(),
+      ...{ targets, runTimes, rooms, nowMs, dueAtMs },
+    });
     return placed;
   }
 }
