Switch idle VMs off, and share free ones among pools that are short

A pool that lacks VMs gets those of the largest shortage first, so that pools which are short at the same time wait for it; and a mere forecast drew the reserves of the other pools, which were ordered back later.

Change: the home of the fleet counts for each pool how many VMs were idle at each moment of the last 4 s, and moves those to the standby pool if the configuration has one. VMs without runs move before those that are off, where idle VMs are switched off: one order in place of two. Free VMs go to short pools by the priority of their waiting work, a quarter of them in proportion. Reserves go only to work that runs or waits. Moves carry their reason, in the log and a counter; gauges give the VMs of the pools. planMoves takes expected peaks, and is split by job; FleetMoves has the part of FleetHome that drains VMs and orders moves.

The test of the store of orders skips records of peaks, which it could not decode; a home that had seen a pool could not be followed by another there.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { type EventLog, OutageLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import {
   indexLoads,
@@ -9,13 +10,12 @@
   type PoolPeak,
   PoolPeaks,
   type TargetLoad,
-  type VmMove,
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { Organisation } from '../queues/index.js';
 import type { EndedTargets, FleetVm, VmFleetPort } from '../vms/index.js';
+import { FleetMoves } from './FleetMoves.js';
 import { LifetimeEndDetector } from './LifetimeEndDetector.js';
-import { isEmpty } from './isEmpty.js';
 import { listDrainedTargets } from './listDrainedTargets.js';
 import { MovePlanner } from './MovePlanner.js';
 import { OrganisationLimits } from './OrganisationLimits.js';
@@ -34,6 +34,7 @@
   readonly term: number;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
   /** Minimum time between the orders of two holders for one VM, in milliseconds. */
   readonly orderLeaseMs: number;
@@ -71,14 +72,6 @@
 /** Pause between two passes, in milliseconds; a move takes 1.5 s, a load peak lasts 5 s. */
 const PASS_INTERVAL_MS = 200;
 
-/** Time within which a VM must be empty to be moved, in milliseconds; tasks last 1 to 2 s. */
-const MOVE_DRAIN_TIMEOUT_MS = 3_000;
-
-interface DrainingMove extends VmMove {
-  /** Monotonic time after which the move is abandoned. */
-  readonly expiresAtMs: number;
-}
-
 /** Orders the moves and the maintenance of VMs. A term has one home of the fleet. */
 export class FleetHome {
   private readonly options: FleetHomeOptions;
@@ -87,11 +80,13 @@
 
   private readonly waves: WaveCoordinator;
 
-  /** Planned moves whose VMs are being drained, by VM. */
-  private readonly leaving = new Map<string, DrainingMove>();
+  private readonly moves: FleetMoves;
 
   private readonly lifetimeEndDetector: LifetimeEndDetector;
 
+  /** The VMs as listed last. */
+  private vms: readonly FleetVm[] = [];
+
   private demands: readonly PoolDemand[] = [];
 
   private isClosed = false;
@@ -104,8 +99,6 @@
 
   private readonly limits: OrganisationLimits;
 
-  private readonly movePlanner: MovePlanner;
-
   /** Number of VMs that each pool keeps according to the stored peaks. */
   private storedKeptCounts: ReadonlyMap<string, number>;
 
@@ -124,13 +117,19 @@
     this.limits = new OrganisationLimits(options);
     this.poolReporter = new PoolReporter(options);
     this.peaks = new PoolPeaks(options.clock, options.peakRecords);
-    this.movePlanner = new MovePlanner({ ...options, peaks: this.peaks });
     this.storedKeptCounts = this.peaks.getReserveCounts();
     const onStaleTerm = (): void => this.options.onReplaced();
     this.orders = new VmOrders({ ...options, onStaleTerm });
     const hasActiveOrder = (vm: string): boolean => this.orders.hasActiveOrder(vm);
     this.lifetimeEndDetector = new LifetimeEndDetector({ ...options, hasActiveOrder });
     this.waves = new WaveCoordinator({ ...options, orders: this.orders, records: waveRecords });
+    this.moves = new FleetMoves({
+      ...options,
+      orders: this.orders,
+      waves: this.waves,
+      planner: new MovePlanner({ ...options, peaks: this.peaks }),
+      requestLoads: (pools) => this.refreshLoads(pools),
+    });
   }
 
   /** Starts the periodic passes over the fleet. */
@@ -158,16 +157,17 @@
     const askedAtMs = this.options.clock.monotonicMs();
     const vms = await this.listVms();
     if (vms === undefined || this.isClosed) return;
+    this.vms = vms;
     this.orders.endCompletedOrders(vms, askedAtMs);
     void this.orders.settle();
     this.demands = await this.requestLoads(vms, this.options.listPools());
     await this.raiseLimits(vms);
     if (this.isClosed) return;
-    this.poolReporter.report(this.demands, vms, this.listHeldVms());
+    this.poolReporter.report(this.demands, vms, this.moves.listHeldVms());
     this.demands.forEach((demand) => this.peaks.record(demand));
     this.storePeaks();
     await this.waves.advance(vms, this.getLoads());
-    await this.moveVms(vms);
+    await this.moves.advance({ vms, demands: this.demands, loads: this.getLoads() });
   }
 
   private async listVms(): Promise<readonly FleetVm[] | undefined> {
@@ -212,7 +212,7 @@
     vms: readonly FleetVm[],
     pools: readonly string[],
   ): Promise<readonly PoolDemand[]> {
-    const drained = this.listDrainedVms();
+    const drained = this.moves.listDrainedVms();
     const limits = this.limits.createOrders(pools, this.options.listPools());
     const answers = await Promise.all(
       pools.map((pool) => this.syncPool(vms, pool, drained, limits.get(pool))),
@@ -241,104 +241,9 @@
     if (pools.length > 0) await this.syncPools(vms, pools);
   }
 
-  /** Plans further moves and orders the moves whose VMs are empty. */
-  private async moveVms(vms: readonly FleetVm[]): Promise<void> {
-    const { clock, events } = this.options;
-    const nowMs = clock.monotonicMs();
-    const moves = this.planMoves(vms);
-    moves.forEach((move) => {
-      this.leaving.set(move.vm, { ...move, expiresAtMs: nowMs + MOVE_DRAIN_TIMEOUT_MS });
-      events.write('vmLeaving', { vm: move.vm, fromPool: move.fromPool, toPool: move.toPool });
-    });
-    const loads = moves.length === 0 ? this.getLoads() : await this.refreshLoads(vms, moves);
-    await this.orderMoves(vms, loads);
-  }
-
-  private planMoves(vms: readonly FleetVm[]): readonly VmMove[] {
-    return this.movePlanner.plan({
-      demands: this.demands,
-      vms,
-      heldVms: this.listHeldVms(),
-      usableHeldVms: this.listStayingVms(),
-      arrivingByPool: this.countArrivingByPool(vms),
-    });
-  }
-
-  /**
-   * Orders the moves whose VMs are empty and repeats the moves that got no answer.
-   *
-   * Without the repeat, a move that got no answer and was never carried out would count as in
-   * progress, and its VM would stay unused, until the next change of homes. Repeating a move that
-   * was carried out has no effect.
-   */
-  private async orderMoves(
-    vms: readonly FleetVm[],
-    loads: ReadonlyMap<string, TargetLoad>,
-  ): Promise<void> {
-    const nowMs = this.options.clock.monotonicMs();
-    const moves = this.getPoolsOfDueMoves();
-    const empty = vms
-      .filter(({ vm, state }) => state === 'up' && moves.has(vm))
-      .filter((vm) => isEmpty(vm, loads));
-    const ordered = empty.map(({ vm, targetId }) =>
-      this.orders.issue({ type: 'move', vm, toPool: moves.get(vm)! }, targetId),
-    );
-    empty.forEach(({ vm }) => this.leaving.delete(vm));
-    // A VM that is not empty in time stays in its pool and may be selected again.
-    [...this.leaving]
-      .filter(([, { expiresAtMs }]) => expiresAtMs < nowMs)
-      .forEach(([vm]) => this.leaving.delete(vm));
-    await Promise.all(ordered);
-  }
-
-  /** Maps VMs whose move has to be ordered or repeated to the pools that they move to. */
-  private getPoolsOfDueMoves(): ReadonlyMap<string, string> {
-    const { orders, leaving } = this;
-    const unanswered = orders.listUnansweredMoves().filter((order) => orders.canRepeat(order));
-    return new Map([...leaving.values(), ...unanswered].map(({ vm, toPool }) => [vm, toPool]));
-  }
-
-  /** Requests the loads again once the VMs get no new tasks; only then do empty targets stay so. */
-  private async refreshLoads(
-    vms: readonly FleetVm[],
-    moves: readonly VmMove[],
-  ): Promise<ReadonlyMap<string, TargetLoad>> {
-    const sourcePools = new Set(moves.map(({ fromPool }) => fromPool));
-    const pools = this.options.listPools().filter((pool) => sourcePools.has(pool));
-    return indexLoads(await this.requestLoads(vms, pools));
-  }
-
-  /** Lists VMs that get no new task: a wave or a move drains them, or a move is unanswered. */
-  private listDrainedVms(): ReadonlySet<string> {
-    const unanswered = this.orders.listUnansweredMoves().map(({ vm }) => vm);
-    return new Set([...this.waves.listDrainingVms(), ...this.leaving.keys(), ...unanswered]);
-  }
-
-  /** Lists VMs that must not be moved: drained, under an active order or under an earlier lease. */
-  private listHeldVms(): ReadonlySet<string> {
-    const active = this.orders.listActiveOrders().map(({ vm }) => vm);
-    return new Set([...this.listDrainedVms(), ...active, ...this.orders.listLeasedVms()]);
-  }
-
-  /** Lists the usable VMs under an earlier lease: neither drained nor under an active order. */
-  private listStayingVms(): ReadonlySet<string> {
-    const drained = this.listDrainedVms();
-    return new Set(
-      this.orders
-        .listLeasedVms()
-        .filter((vm) => !drained.has(vm) && !this.orders.hasActiveOrder(vm)),
-    );
-  }
-
-  private countArrivingByPool(vms: readonly FleetVm[]): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    const increment = (pool: string): unknown => counts.set(pool, (counts.get(pool) ?? 0) + 1);
-    this.leaving.forEach(({ toPool }) => increment(toPool));
-    this.orders.listArrivingMoves().forEach(({ toPool }) => increment(toPool));
-    // A VM that an earlier home has moved is in transit without an active order of this home.
-    vms
-      .filter(({ vm, state }) => state === 'moving' && !this.orders.hasActiveOrder(vm))
-      .forEach(({ pool }) => increment(pool));
-    return counts;
+  /** Requests the loads of some pools again, for the VMs that were listed last. */
+  private async refreshLoads(pools: ReadonlySet<string>): Promise<ReadonlyMap<string, TargetLoad>> {
+    const known = this.options.listPools().filter((pool) => pools.has(pool));
+    return indexLoads(await this.requestLoads(this.vms, known));
   }
 }
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -167,6 +167,18 @@
     meaning: 'Tasks of a pool that are given to targets.',
     tags: ['pool'],
   },
+  vm_moves: {
+    type: 'counter',
+    unit: 'moves',
+    meaning: 'Moves of VMs between pools that the home of the fleet planned, by reason.',
+    tags: ['reason'],
+  },
+  pool_vms: {
+    type: 'gauge',
+    unit: 'VMs',
+    meaning: 'VMs of a pool: up, needed, idle beyond need and reserve, or off in a standby pool.',
+    tags: ['pool', 'state'],
+  },
 } as const satisfies Readonly<Record<string, MetricKind>>;
 
 /** Name of a measurement. */
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -153,6 +153,9 @@
         }),
       ),
       waitingCpuMillicores: z.number(),
+      waitingByPriority: z
+        .array(z.looseObject({ priority: z.number(), cpuMillicores: z.number() }))
+        .optional(),
       neededCpuMillicores: z.number(),
       // Instances of earlier versions do not send these two fields.
       lateCpuMillicores: z.number().default(0),
--- a/src/systems/PoolDemand.ts
+++ b/src/systems/PoolDemand.ts
@@ -11,12 +11,22 @@
   readonly cpuMillicores: number;
 }
 
+/** CPU that waiting work of a priority asks for. */
+export interface WaitingCpu {
+  /** Priority of the work's queue; 0 is the highest. */
+  readonly priority: number;
+  /** Thousandths of a core. */
+  readonly cpuMillicores: number;
+}
+
 /** Load and demand of a pool, as reported by its home. */
 export interface PoolDemand {
   readonly pool: string;
   readonly targets: readonly TargetLoad[];
   /** CPU demand of waiting tasks that are ready to start, in thousandths of a core. */
   readonly waitingCpuMillicores: number;
+  /** Part of it for work that is on time, by priority; absent if none waits. */
+  readonly waitingByPriority?: readonly WaitingCpu[];
   /**
    * CPU that completes the arriving work and the backlog in time, in thousandths of a core,
    * including the allocations of long-running tasks.
--- a/src/systems/PoolPeaks.ts
+++ b/src/systems/PoolPeaks.ts
@@ -1,11 +1,11 @@
 import type { Clock } from '../utils/index.js';
-import { MIN_RESERVE_COUNT } from './planMoves.js';
+import { MIN_RESERVE_COUNT } from './PoolBalance.js';
 import type { PoolDemand } from './PoolDemand.js';
 
 /**
- * Share of a pool's peak that it keeps as a reserve while idle. A load peak lasts 8 s, and VMs for
- * it arrive after about 2.5 s, so the reserve covers its start. Reserve VMs have a cost all the
- * time; at about a quarter, one more VM costs as much as it is worth.
+ * Share of a pool's peak that it keeps as a reserve while idle, for the jobs that arrive before the
+ * first VMs that are ordered for a peak are up. Load peaks rise for 2 to 3 s, and in the first half
+ * of that a quarter of a peak's work arrives.
  */
 const RESERVE_SHARE = 0.25;
 /** Half-life of a peak, in milliseconds: several rounds of load peaks. */
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -63,7 +63,9 @@
   type PlanMaintenanceInput,
   DEFAULT_STEP_MS,
 } from './planMaintenance.js';
-export { planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
+export { planMoves, type PlanMovesInput, type PoolSummary, summarizePools } from './planMoves.js';
+export { listWaitingByPriority } from './listWaitingByPriority.js';
+export { type PriorityShortage, shareVms } from './shareVms.js';
 export { type PaceChange, type PacedTask, planPace, type ServingLoad } from './planPace.js';
 export { type PoolPeak, PoolPeaks } from './PoolPeaks.js';
 export {
@@ -95,3 +97,6 @@
   UNLIMITED_AMOUNT,
 } from './LimitPart.js';
 export { type GetWeight, orderByShare, type OrderByShareInput } from './orderByShare.js';
+export { IdleWindow } from './IdleWindow.js';
+export type { MoveReason, VmMove } from './VmMove.js';
+export type { ExpectedPeak } from './ExpectedPeak.js';
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -19,6 +19,8 @@
   'arriving-demand',
   /** A rising arrival rate is extrapolated to the time at which an ordered VM is available. */
   'rise-foreseen',
+  /** Only the part of the known and arriving work that is behind its schedule is a backlog. */
+  'need-by-known-work',
   /** Work that is too late for its objective gets no VMs that another pool needs. */
   'late-work-yields',
   /** VMs move between pools. */
@@ -27,6 +29,10 @@
   'kept-by-peak',
   /** Idle pools give up their reserve if another pool is short of VMs. */
   'kept-yields-in-shortage',
+  /** Pools that are short of VMs at the same time share the free ones. */
+  'shortages-shared',
+  /** VMs that have been idle for long move to the standby pool, where they are off. */
+  'idle-vms-off',
   /** Waves are planned with the observed durations of their steps. */
   'observed-wave-steps',
   /** Targets on which tasks keep failing are avoided. */
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -1,212 +1,166 @@
 import type { FleetVm } from '../vms/index.js';
-import { indexLoads, type PoolDemand, type TargetLoad } from './PoolDemand.js';
-
-/** A move of a VM to another pool. */
-export interface VmMove {
-  readonly vm: string;
-  readonly fromPool: string;
-  readonly toPool: string;
-}
+import type { ExpectedPeak } from './ExpectedPeak.js';
+import { adjustReserves, getExpectedCounts } from './expectPeaks.js';
+import {
+  assignVms,
+  getCurrentShortage,
+  getForecastShortage,
+  getWholeVmShortage,
+  limitMoves,
+  listShortages,
+  shareShortages,
+  type VmShortage,
+} from './listShortages.js';
+import {
+  balancePool,
+  compareByRunCount,
+  type FleetInput,
+  listIdleVms,
+  listSpareVms,
+  type PoolBalance,
+} from './PoolBalance.js';
+import { indexLoads, type TargetLoad } from './PoolDemand.js';
+import type { VmMove } from './VmMove.js';
 
 /** Input of {@link planMoves}. */
-export interface PlanMovesInput {
-  readonly demands: readonly PoolDemand[];
-  readonly vms: readonly FleetVm[];
-  /** Pools whose VMs are powered off until they move to another pool. */
-  readonly standbyPools: ReadonlySet<string>;
-  /** VMs that must not be moved: drained, moving, in a wave, or moved recently. */
-  readonly heldVms: ReadonlySet<string>;
-  /** Held VMs that stay in service in their pool: an earlier home has recently moved them there. */
-  readonly usableHeldVms?: ReadonlySet<string>;
-  /** Number of VMs that are moving to each pool. */
-  readonly arrivingByPool: ReadonlyMap<string, number>;
-  /** Reserve VMs that each pool keeps without load; {@link MIN_RESERVE_COUNT} if absent. */
-  readonly reserveCounts?: ReadonlyMap<string, number>;
+export interface PlanMovesInput extends FleetInput {
   /** Whether idle pools give up part of their reserve if another pool is short of VMs. */
   readonly releasesReserves?: boolean;
+  /** Whether pools that are short at the same time share the free VMs. */
+  readonly sharesShortages?: boolean;
+  /** VMs of each pool that have been idle for long enough to be switched off; none if absent. */
+  readonly idleCounts?: ReadonlyMap<string, number>;
+  /** Load peaks that pools are expected to have; none if absent. */
+  readonly expectedPeaks?: readonly ExpectedPeak[];
+  /** Monotonic time in milliseconds, for the expected peaks. */
+  readonly nowMs?: number;
 }
 
-/** Assumed CPU of one VM if the pool has no target, in thousandths of a core. */
-const TYPICAL_VM_MILLICORES = 32_000;
-/** Least reserve VMs of a pool without work, for the first tasks of its next load peak. */
-export const MIN_RESERVE_COUNT = 3;
-/**
- * Reserve VMs of a pool without work while another pool is short of VMs. Otherwise a pool whose
- * load peak needed 1,200 cores had 600, while three idle pools kept 16 VMs of 32 cores in reserve.
- */
+/** Reserve VMs of a pool without work while another pool is short of VMs. */
 const MIN_RESERVE_IN_SHORTAGE = 2;
 /**
- * Most VMs that are ordered at once for one pool: half of the 64 calls per second that the platform
- * accepts. At the start of a load peak, a pool of 50 targets needs 45; with a limit of 8 per
- * planning round, the last one waited for 2 s.
+ * Most VMs that are switched off at once, so that a load peak that begins meanwhile finds most of
+ * the calls per second that the platform accepts.
  */
-const MAX_MOVES_PER_POOL = 32;
-
-const NO_VMS: ReadonlySet<string> = new Set();
-
-/** VMs that a pool has or is about to have, compared with its needs. */
-interface PoolBalance {
-  readonly demand: PoolDemand;
-  /** VMs of the pool that are up and may be moved. */
-  readonly movableVms: readonly FleetVm[];
-  readonly availableCount: number;
-  /** VMs needed for the tasks that run or wait now; at most the total need. */
-  readonly currentNeedCount: number;
-  /** VMs needed by the time at which a VM that is ordered now is available. */
-  readonly needCount: number;
-  /** Part of the total need for work that is not too late for its objective. */
-  readonly onTimeNeedCount: number;
-  /** Reserve VMs that the pool keeps without load. */
-  readonly reserveCount: number;
-  /** VMs that the pool does not give to other pools. */
-  readonly retainedCount: number;
-  /** VMs without long-running tasks, present or arriving, that exceed the need for whole VMs. */
-  readonly spareWholeCount: number;
-}
-
-function getLoad(
-  loads: ReadonlyMap<string, TargetLoad>,
-  { targetId }: FleetVm,
-): TargetLoad | undefined {
-  return targetId === undefined ? undefined : loads.get(targetId);
-}
+const MAX_IDLE_MOVES = 8;
 
-/** Tells whether a VM is known to run no long-running task. */
-function isWhole(vm: FleetVm, loads: ReadonlyMap<string, TargetLoad>): boolean {
-  return getLoad(loads, vm)?.longRunningCount === 0;
+/** Pools of the fleet, and what decides about their VMs. */
+interface FleetBalance {
+  readonly input: PlanMovesInput;
+  readonly balances: readonly PoolBalance[];
+  readonly loads: ReadonlyMap<string, TargetLoad>;
 }
 
-/**
- * Compares the VMs of a pool with its needs.
- *
- * VMs that an earlier home has recently moved into the pool must not be moved, but are counted.
- * Otherwise they would seem to be missing once they are up, and would be ordered twice: a pool with
- * a need of 124 VMs had 182, and the next pool started its load peak with 3.
- */
-function balancePool(
-  demand: PoolDemand,
-  input: PlanMovesInput,
-  loads: ReadonlyMap<string, TargetLoad>,
-): PoolBalance {
-  const { vms, heldVms, usableHeldVms = NO_VMS, arrivingByPool, reserveCounts } = input;
-  const { pool, targets, neededCpuMillicores, lateCpuMillicores, waitingCpuMillicores } = demand;
-  const upInPool = vms.filter((vm) => vm.pool === pool && vm.state === 'up');
-  const movableVms = upInPool.filter(({ vm }) => !heldVms.has(vm));
-  const usableHeldCount = upInPool.filter(({ vm }) => usableHeldVms.has(vm)).length;
-  const reserveCount = reserveCounts?.get(pool) ?? MIN_RESERVE_COUNT;
-  const arrivingCount = usableHeldCount + (arrivingByPool.get(pool) ?? 0);
-  const wholeCount = movableVms.filter((vm) => isWhole(vm, loads)).length + arrivingCount;
-  const vmMillicores = targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
-  const needCount = Math.ceil(neededCpuMillicores / vmMillicores);
-  const usedCpuMillicores = targets.reduce((sum, target) => sum + target.usedCpuMillicores, 0);
-  const currentNeedCount = Math.ceil((usedCpuMillicores + waitingCpuMillicores) / vmMillicores);
-  return {
-    demand,
-    movableVms,
-    availableCount: movableVms.length + arrivingCount,
-    currentNeedCount: Math.min(needCount, currentNeedCount),
-    needCount,
-    onTimeNeedCount: Math.ceil((neededCpuMillicores - lateCpuMillicores) / vmMillicores),
-    reserveCount,
-    retainedCount: Math.max(needCount, reserveCount),
-    spareWholeCount: wholeCount - demand.wholeVmCount,
-  };
-}
-
-/** Number of VMs that a pool lacks and is to get. */
-interface VmShortage {
-  readonly pool: string;
-  readonly count: number;
-}
-
-/** Compares VMs by their number of runs in ascending order; VMs with unknown load come last. */
-function compareByRunCount(
-  loads: ReadonlyMap<string, TargetLoad>,
-): (a: FleetVm, b: FleetVm) => number {
-  const getRunCount = (vm: FleetVm): number => getLoad(loads, vm)?.runCount ?? Infinity;
-  return (a, b) => getRunCount(a) - getRunCount(b);
-}
-
-/**
- * Lists the VMs that exceed the need and the reserve of a pool, those with the fewest runs first. A
- * VM that still runs tasks is drained before its move. VMs with long-running tasks stay.
- */
-function listSpareVms(
-  { movableVms, availableCount, spareWholeCount }: PoolBalance,
-  retainedCount: number,
-  loads: ReadonlyMap<string, TargetLoad>,
-): readonly FleetVm[] {
-  const spareCount = Math.min(availableCount - retainedCount, spareWholeCount);
-  return movableVms
-    .filter((vm) => isWhole(vm, loads))
-    .toSorted(compareByRunCount(loads))
-    .slice(0, Math.max(0, spareCount));
+function balanceFleet(input: PlanMovesInput): FleetBalance {
+  const { demands, standbyPools, expectedPeaks = [], nowMs = 0, reserveCounts } = input;
+  const loads = indexLoads(demands);
+  const adjusted: PlanMovesInput =
+    reserveCounts === undefined
+      ? input
+      : { ...input, reserveCounts: adjustReserves(reserveCounts, expectedPeaks, nowMs) };
+  const balances = demands
+    .filter(({ pool }) => !standbyPools.has(pool))
+    .map((demand) => balancePool(demand, adjusted, loads));
+  return { input: adjusted, balances, loads };
 }
 
 /** Lists the spare VMs of all pools, given what each one keeps; the fewest runs come first. */
 function listAllSpareVms(
-  balances: readonly PoolBalance[],
+  { balances, loads }: FleetBalance,
   getRetainedCount: (balance: PoolBalance) => number,
-  loads: ReadonlyMap<string, TargetLoad>,
 ): readonly FleetVm[] {
   return balances
     .flatMap((balance) => listSpareVms(balance, getRetainedCount(balance), loads))
     .toSorted(compareByRunCount(loads));
 }
 
-/** Limits the number of VMs that are ordered at once for a pool. */
-function limitMoves(missingCount: number): number {
-  return Math.min(MAX_MOVES_PER_POOL, Math.max(0, missingCount));
+/** Lists the VMs of all pools that would be switched off if no pool needed them. */
+function listAllIdleVms({ balances, loads }: FleetBalance): readonly FleetVm[] {
+  return balances.flatMap((balance) => listIdleVms(balance, loads));
 }
 
-/** Lists the pools that lack VMs, those that lack most first. */
-function listShortages(
-  balances: readonly PoolBalance[],
-  getMissingCount: (balance: PoolBalance) => number,
-): readonly VmShortage[] {
-  return balances
-    .map((balance) => ({ pool: balance.demand.pool, count: getMissingCount(balance) }))
-    .filter(({ count }) => count > 0)
-    .toSorted((a, b) => b.count - a.count);
+/**
+ * Assigns VMs to pools that lack them at the same time, by the priority of their work or, without
+ * sharing, to the largest shortage first.
+ */
+function assignToShort(
+  { balances, input }: FleetBalance,
+  shortages: readonly VmShortage[],
+  available: readonly FleetVm[],
+): readonly VmMove[] {
+  const { sharesShortages = false } = input;
+  const shared = sharesShortages
+    ? shareShortages(shortages, balances, available.length)
+    : shortages;
+  return assignVms(shared, available);
+}
+
+function excludeAssigned(vms: readonly FleetVm[], assigned: readonly VmMove[]): readonly FleetVm[] {
+  const names = new Set(assigned.map(({ vm }) => vm));
+  return vms.filter(({ vm }) => !names.has(vm));
+}
+
+function countAssigned(assigned: readonly VmMove[], pool: string): number {
+  return assigned.filter(({ toPool }) => toPool === pool).length;
 }
 
 /**
- * Lists the VMs that pools lack, by priority: first for tasks that fit on none of their VMs, then
- * for all tasks that run or wait now, and last for forecast load. Forecasts may be far off: one of
- * four times the fleet took every free VM, while tasks of a pool at the start of its load peak
- * waited with three VMs.
+ * Assigns free VMs to the pools that lack them: first for tasks that fit on none of their VMs, then
+ * for all tasks that run or wait now, and last for forecast load and for the peaks that pools are
+ * expected to have. A forecast may be far off, and must not take the VMs that tasks wait for.
  */
-function listShortagesByPriority(balances: readonly PoolBalance[]): readonly VmShortage[] {
-  const getWholeVmShortage = ({ spareWholeCount }: PoolBalance): number =>
-    limitMoves(-spareWholeCount);
-  const getCurrentShortage = (balance: PoolBalance): number =>
-    Math.max(
-      getWholeVmShortage(balance),
-      limitMoves(balance.currentNeedCount - balance.availableCount),
-    );
-  const getForecastShortage = (balance: PoolBalance): number =>
-    Math.max(getCurrentShortage(balance), limitMoves(balance.needCount - balance.availableCount));
-  return [
-    ...listShortages(balances, getWholeVmShortage),
-    ...listShortages(
+function planMovesOfFreeVms(fleet: FleetBalance, available: readonly FleetVm[]): readonly VmMove[] {
+  const { balances, input } = fleet;
+  const whole = assignVms(listShortages(balances, 'shortage', getWholeVmShortage), available);
+  const current = assignToShort(
+    fleet,
+    listShortages(
       balances,
+      'shortage',
       (balance) => getCurrentShortage(balance) - getWholeVmShortage(balance),
     ),
-    ...listShortages(
+    excludeAssigned(available, whole),
+  );
+  const forecast = assignVms(
+    listShortages(
       balances,
+      'forecast',
       (balance) => getForecastShortage(balance) - getCurrentShortage(balance),
     ),
-  ];
+    excludeAssigned(available, [...whole, ...current]),
+  );
+  const assigned = [...whole, ...current, ...forecast];
+  const expectedCounts = getExpectedCounts(input.expectedPeaks ?? [], input.nowMs ?? 0);
+  const expected = assignVms(
+    listShortages(balances, 'forecast', ({ demand, availableCount }) =>
+      limitMoves(
+        (expectedCounts.get(demand.pool) ?? 0) -
+          availableCount -
+          countAssigned(assigned, demand.pool),
+      ),
+    ),
+    excludeAssigned(available, assigned),
+  );
+  return [...assigned, ...expected];
 }
 
-function assignVms(
-  shortages: readonly VmShortage[],
-  available: readonly FleetVm[],
+/**
+ * Moves reserve VMs of idle pools to pools that still lack VMs for tasks that run or wait. Forecast
+ * load gets none of them: they would be missing at the start of their own pool's next load peak.
+ */
+function planMovesFromReserves(
+  fleet: FleetBalance,
+  assigned: readonly VmMove[],
 ): readonly VmMove[] {
-  const remaining = [...available];
-  return shortages.flatMap(({ pool, count }) =>
-    remaining.splice(0, count).map(({ vm, pool: fromPool }) => ({ vm, fromPool, toPool: pool })),
+  const shortages = listShortages(
+    fleet.balances,
+    'shortage',
+    (balance) => getCurrentShortage(balance) - countAssigned(assigned, balance.demand.pool),
+  );
+  const reserves = listAllSpareVms(fleet, ({ needCount }) =>
+    Math.max(needCount, MIN_RESERVE_IN_SHORTAGE),
   );
+  return assignToShort(fleet, shortages, excludeAssigned(reserves, assigned));
 }
 
 /**
@@ -214,79 +168,108 @@
  * runs or waits and is on time. Forecast load gets none of them: forecasts may be far off, and late
  * work that makes no progress meanwhile soon has no value.
  *
- * This handles successive load peaks that exceed the fleet: the first pool kept 44 of 70 VMs for
- * jobs that had a tenth of their value left, and every job of the next pool, which had six VMs, was
- * late.
+ * This handles successive load peaks that exceed the fleet: otherwise the first pool keeps its VMs
+ * for jobs that are late anyway, and every job of the next pool is late as well.
  */
 function planMovesFromLateWork(
-  balances: readonly PoolBalance[],
+  fleet: FleetBalance,
   assigned: readonly VmMove[],
-  loads: ReadonlyMap<string, TargetLoad>,
-  releasesReserves: boolean,
 ): readonly VmMove[] {
-  const countAssigned = (pool: string): number =>
-    assigned.filter(({ toPool }) => toPool === pool).length;
+  const { releasesReserves = false } = fleet.input;
   const shortages = listShortages(
-    balances,
+    fleet.balances,
+    'shortage',
     ({ demand, onTimeNeedCount, currentNeedCount, availableCount }) =>
       limitMoves(
-        Math.min(onTimeNeedCount, currentNeedCount) - availableCount - countAssigned(demand.pool),
+        Math.min(onTimeNeedCount, currentNeedCount) -
+          availableCount -
+          countAssigned(assigned, demand.pool),
       ),
   );
-  const assignedNames = new Set(assigned.map(({ vm }) => vm));
-  const getRetainedCount = ({ onTimeNeedCount, reserveCount }: PoolBalance): number =>
-    Math.max(onTimeNeedCount, releasesReserves ? MIN_RESERVE_IN_SHORTAGE : reserveCount);
-  const reclaimable = listAllSpareVms(balances, getRetainedCount, loads);
-  return assignVms(
-    shortages,
-    reclaimable.filter(({ vm }) => !assignedNames.has(vm)),
+  const reclaimable = listAllSpareVms(fleet, ({ onTimeNeedCount, reserveCount }) =>
+    Math.max(onTimeNeedCount, releasesReserves ? MIN_RESERVE_IN_SHORTAGE : reserveCount),
   );
+  return assignToShort(fleet, shortages, excludeAssigned(reclaimable, assigned));
+}
+
+/** State of a pool's VMs, for operators and for the decision which VMs are switched off. */
+export interface PoolSummary {
+  readonly pool: string;
+  /** VMs of the pool that are up and may be moved. */
+  readonly upCount: number;
+  readonly neededCount: number;
+  /** VMs that run nothing and exceed the need and the reserve. */
+  readonly idleCount: number;
+}
+
+/**
+ * Summarizes the pools whose homes have answered.
+ * @param input - Demand of the pools, and the VMs.
+ * @returns A summary for each pool.
+ */
+export function summarizePools(input: PlanMovesInput): readonly PoolSummary[] {
+  const { balances, loads } = balanceFleet(input);
+  return balances.map((balance) => ({
+    pool: balance.demand.pool,
+    upCount: balance.movableVms.length,
+    neededCount: balance.needCount,
+    idleCount: listIdleVms(balance, loads).length,
+  }));
+}
+
+/**
+ * Switches off VMs that have been idle for long enough: they move to the standby pool, from which
+ * a pool gets them back as fast as from another pool. What a pool expects to need soon stays on.
+ */
+function planIdleMoves({ balances, loads, input }: FleetBalance): readonly VmMove[] {
+  const { idleCounts = new Map(), standbyPools, expectedPeaks = [], nowMs = 0 } = input;
+  const [standbyPool] = standbyPools;
+  if (standbyPool === undefined) return [];
+  const expectedCounts = getExpectedCounts(expectedPeaks, nowMs);
+  const getExcessCount = ({ demand, availableCount }: PoolBalance): number => {
+    const excessCount = availableCount - (expectedCounts.get(demand.pool) ?? 0);
+    return Math.max(0, Math.min(idleCounts.get(demand.pool) ?? 0, excessCount));
+  };
+  return balances
+    .flatMap((balance) => listIdleVms(balance, loads).slice(0, getExcessCount(balance)))
+    .slice(0, MAX_IDLE_MOVES)
+    .map(({ vm, pool }) => ({ vm, fromPool: pool, toPool: standbyPool, reason: 'idle' }));
 }
 
 /**
  * Plans moves of VMs to pools that need more than they have. VMs that are powered off move first,
- * then VMs that other pools don't need, those with the fewest runs first. Once all needs are met,
- * pools get back their reserves for the start of their next load peak. Idle VMs stay powered on:
- * those that are off are as far from the next load peak as those of another pool, and each way
- * costs as much as three idle seconds.
+ * then VMs that other pools don't need, those with the fewest runs first, then reserves, and last
+ * VMs that do late work. Where idle VMs are switched off, they move before those that are off: each
+ * arrives as fast, and one that is switched off while another is switched on moves for nothing.
+ *
+ * Once all needs are met, pools get back their reserves for the start of their next load peak, and
+ * VMs that have been idle for long are switched off.
  *
  * A load peak moves from pool to pool and needs more VMs than one pool has, while the others idle.
- * While tasks wait for a VM, its work is worth about fifteen times its cost. Arriving work counts
- * as well as waiting work, since a VM takes 2 s to become available and a peak lasts 5 s.
+ * Arriving work counts as well as waiting work, since a VM takes 2 s to become available and a peak
+ * lasts only a few times as long.
  * @param input - Demand of the pools, and the VMs.
  * @returns The moves.
  */
 export function planMoves(input: PlanMovesInput): readonly VmMove[] {
-  const { demands, vms, standbyPools, heldVms, reserveCounts, releasesReserves = false } = input;
+  const { vms, standbyPools, heldVms, idleCounts, releasesReserves = false } = input;
   const standby = vms.filter(
     ({ vm, pool, state }) => standbyPools.has(pool) && state === 'up' && !heldVms.has(vm),
   );
-  const loads = indexLoads(demands);
-  const balances = demands
-    .filter(({ pool }) => !standbyPools.has(pool))
-    .map((demand) => balancePool(demand, input, loads));
-  const spare = listAllSpareVms(balances, ({ retainedCount }) => retainedCount, loads);
-  const shortages = listShortagesByPriority(balances);
-  const reserves =
-    releasesReserves && shortages.length > 0
-      ? listAllSpareVms(
-          balances,
-          ({ needCount }) => Math.max(needCount, MIN_RESERVE_IN_SHORTAGE),
-          loads,
-        )
-      : [];
-  // VMs are assigned in this order, so reserves are used only when nothing else is left.
-  const available = [...new Set([...standby, ...spare, ...reserves])];
-  const assigned = assignVms(shortages, available);
-  const moves = [
-    ...assigned,
-    ...planMovesFromLateWork(balances, assigned, loads, releasesReserves),
-  ];
+  const fleet = balanceFleet(input);
+  const spare = listAllSpareVms(fleet, ({ retainedCount }) => retainedCount);
+  const idle = idleCounts === undefined ? [] : listAllIdleVms(fleet);
+  const free = planMovesOfFreeVms(fleet, [...new Set([...idle, ...standby, ...spare])]);
+  const reserves = releasesReserves ? planMovesFromReserves(fleet, free) : [];
+  const assigned = [...free, ...reserves];
+  const moves = [...assigned, ...planMovesFromLateWork(fleet, assigned)];
   if (moves.length > 0) return moves;
-  return assignVms(
-    listShortages(balances, ({ demand, availableCount }) =>
+  const { reserveCounts } = fleet.input;
+  const refills = assignVms(
+    listShortages(fleet.balances, 'reserve', ({ demand, availableCount }) =>
       limitMoves((reserveCounts?.get(demand.pool) ?? 0) - availableCount),
     ),
     [...spare, ...standby],
   );
+  return refills.length > 0 ? refills : planIdleMoves(fleet);
 }
--- a/tests/fleetHome/OrderWorld.ts
+++ b/tests/fleetHome/OrderWorld.ts
@@ -2,6 +2,7 @@
 import { decodeVmOrderRecord, type VmOrderRecord } from '../../src/fleetHome/VmOrderRecord.js';
 import { VmOrders } from '../../src/fleetHome/VmOrders.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
+import { MemoryMetrics } from '../../src/metrics/index.js';
 import type { KeyedRecord } from '../../src/store/index.js';
 import { ALL_MECHANISMS, type PoolDemand } from '../../src/systems/index.js';
 import { ManualClock } from '../../src/utils/index.js';
@@ -47,6 +48,8 @@
 
   readonly events = new MemoryEventLog();
 
+  readonly metrics = new MemoryMetrics();
+
   readonly fleet: FleetStandIn;
 
   /** Demands that the homes of pools report, by pool. */
@@ -73,7 +76,9 @@
   };
 
   get orderRecords(): readonly VmOrderRecord[] {
-    return [...this.stored.values()].map((record) => decodeVmOrderRecord(record)!);
+    return [...this.stored.values()]
+      .map((record) => decodeVmOrderRecord(record))
+      .filter((record) => record !== undefined);
   }
 
   createOrders(term: number, holder = `holder-${term}`): VmOrders {
@@ -101,13 +106,14 @@
   world: OrderWorld,
   changes: Partial<FleetHomeOptions> = {},
 ): FleetHome {
-  const { clock, events, fleet, orderRecords } = world;
+  const { clock, events, fleet, metrics, orderRecords } = world;
   return new FleetHome({
     port: fleet,
     holder: 'holder-2',
     term: 2,
     clock,
     events,
+    metrics,
     mechanisms: ALL_MECHANISMS,
     orderLeaseMs: ORDER_LEASE_MS,
     waveRecords: [],
