Estimate the need of a pool from known work and a rate that counts support

Cause: while a peak rises, a pool asked for three to five times what it came to use.

Change: a rise needs more arrivals than chance gives, and is extrapolated from the lower bound of their count; the rate spans twelve arrivals. Only work that is behind its schedule is a backlog, done in 3 s, and the need is at most what the jobs that are under way then can use. With need-by-known-work off the estimate is the earlier one.

The cases of estimateNeededCpu that hold for the earlier estimate now name it, each beside the figure of the new one.

--- a/src/systems/ArrivalRate.ts
+++ b/src/systems/ArrivalRate.ts
@@ -1,9 +1,11 @@
 import type { Clock } from '../utils/index.js';
-
-interface Arrival {
-  readonly atMs: number;
-  readonly work: number;
-}
+import {
+  type Arrival,
+  forecastArrivals,
+  getSteadyMillicores,
+  sumWork,
+} from './forecastArrivals.js';
+import type { Mechanisms } from './mechanisms.js';
 
 /** Least number of arrivals for a rate: with fewer, a single arrival dominates the result. */
 const MIN_ARRIVAL_COUNT = 5;
@@ -22,10 +24,6 @@
 /** Assumed growth of a rising rate until a VM that is ordered now is available. */
 const FORECAST_FACTOR = 2;
 
-function sumWork(arrivals: readonly Arrival[]): number {
-  return arrivals.reduce((sum, { work }) => sum + work, 0);
-}
-
 /** Measures how much work has arrived recently. */
 export class ArrivalRate {
   private readonly clock: Clock;
@@ -48,6 +46,28 @@
     this.arrivals = [...this.listRecent(), { atMs: this.clock.monotonicMs(), work }];
   }
 
+  /**
+   * Forecasts the CPU that keeps up with the arrivals once a VM ordered now is available.
+   * @param mechanisms - Enabled mechanisms.
+   * @returns The CPU in thousandths of a core.
+   */
+  forecast(mechanisms: Mechanisms): number {
+    if (!mechanisms.has('rise-foreseen')) return this.cpuMillicores;
+    if (!mechanisms.has('need-by-known-work')) return this.forecastCpuMillicores;
+    return forecastArrivals(this.listRecent(), this.clock.monotonicMs());
+  }
+
+  /**
+   * CPU that keeps up with the arrivals at their steady rate, in thousandths of a core. With
+   * `need-by-known-work` it is measured over more arrivals.
+   * @param mechanisms - Enabled mechanisms.
+   * @returns The CPU.
+   */
+  getPresent(mechanisms: Mechanisms): number {
+    if (!mechanisms.has('need-by-known-work')) return this.forecast(mechanisms);
+    return getSteadyMillicores(this.listRecent(), this.clock.monotonicMs());
+  }
+
   /**
    * CPU that keeps up with the arrivals, in thousandths of a core. The rate is measured over a
    * short span if many jobs arrive, and over a longer one otherwise, so that three large jobs that
--- a/src/systems/estimateNeededCpu.ts
+++ b/src/systems/estimateNeededCpu.ts
@@ -1,6 +1,7 @@
 import { type DurableJobRow, isFinished } from '../jobs/index.js';
 import { CATCH_UP_MS, LATE_CATCH_UP_MS } from './catchUpTimes.js';
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
+import { describeKnownWork, type KnownWork } from './describeKnownWork.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
 import type { RunTimes } from './RunTimes.js';
 import { getAllocatedResources } from './TargetCapacity.js';
@@ -12,14 +13,24 @@
   readonly runTimes: RunTimes;
   /** CPU of the pool's targets that accept tasks, in thousandths of a core. */
   readonly capacityCpuMillicores: number;
-  /** CPU that keeps up with the arriving work, in thousandths of a core. */
+  /**
+   * CPU that keeps up with the arriving work once a VM that is ordered now is available, in
+   * thousandths of a core.
+   */
   readonly arrivingCpuMillicores: number;
+  /** CPU that keeps up with the work that arrives now; as much as then if absent. */
+  readonly presentCpuMillicores?: number;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
   /** Enabled mechanisms; all if absent. */
   readonly mechanisms?: Mechanisms;
 }
 
+/**
+ * Time in which work that is behind its schedule is to be completed, in milliseconds: its jobs wait
+ * half of it on average, and objectives allow 1 to 2 s.
+ */
+const BACKLOG_CATCH_UP_MS = 3_000;
 /** Time from the order of a VM to its first task, in ms; the move takes 1.5 s of it. */
 const VM_LEAD_MS = 2_000;
 
@@ -51,6 +62,31 @@
     );
 }
 
+/** CPU for jobs of a pool, in thousandths of a core, as far as {@link boundJobCpu} needs it. */
+interface JobCpu {
+  readonly arriving: number;
+  /** Mean of the CPU that keeps up with the work that arrives until a VM is available. */
+  readonly meanArriving: number;
+  /** Capacity for jobs, without long-running tasks. */
+  readonly capacity: number;
+}
+
+/**
+ * Limits the CPU for jobs to what can be used when a VM ordered now is available: by the known jobs
+ * that are under way then, and by those that arrive until then. What arrives beyond the present
+ * capacity waits, and is under way later for as long as it is then late.
+ */
+function boundJobCpu(
+  needed: number,
+  { arriving, meanArriving, capacity }: JobCpu,
+  known: KnownWork,
+): number {
+  const arrivedShare = VM_LEAD_MS / Math.max(VM_LEAD_MS, known.meanChainMs);
+  const waitingShare = VM_LEAD_MS / Math.max(1, known.meanChainMs);
+  const waiting = Math.max(0, meanArriving - capacity) * waitingShare;
+  return Math.min(needed, known.laterCpuMillicores + arriving * arrivedShare + waiting);
+}
+
 function sumWork(rows: readonly DurableJobRow[], runTimes: RunTimes): number {
   return rows.reduce((sum, row) => sum + runTimes.estimateRemainingWork(row), 0);
 }
@@ -61,14 +97,14 @@
  * CPU of running tasks that are on time. Late work gets only capacity that others don't need.
  *
  * Load peaks move from pool to pool. A backlog causes no need where the pool keeps up with it:
- * counted in full, it kept ten idle VMs in a pool at the end of its peak while the next pool waited
- * for VMs. A pool that does not keep up gets VMs before its queue grows.
+ * counted in full, it would keep idle VMs in a pool at the end of its peak, while the next pool
+ * waits for VMs. A pool that does not keep up gets VMs before its queue grows.
  * @param input - Jobs and capacity of the pool, and the arriving work.
  * @returns The need, and the part of it that can wait.
  */
 export function estimateNeededCpu(input: NeededCpuInput): NeededCpu {
   const { rows, runTimes, capacityCpuMillicores, arrivingCpuMillicores, nowMs } = input;
-  const { mechanisms = ALL_MECHANISMS } = input;
+  const { mechanisms = ALL_MECHANISMS, presentCpuMillicores = arrivingCpuMillicores } = input;
   const unfinished = rows.filter((row) => !isFinished(row));
   const isLate = (row: DurableJobRow): boolean =>
     mechanisms.has('late-work-yields') && nowMs > estimateStartByMs(row, runTimes);
@@ -83,8 +119,18 @@
     lateCpuMillicores,
   });
   if (!mechanisms.has('arriving-demand')) return toNeed(backlog / CATCH_UP_MS);
-  const jobCapacityMillicores = Math.max(0, capacityCpuMillicores - longRunning);
-  const expectedBacklog = backlog + (arrivingCpuMillicores - jobCapacityMillicores) * VM_LEAD_MS;
-  const catchUpMillicores = Math.max(0, expectedBacklog) / CATCH_UP_MS;
-  return toNeed(arrivingCpuMillicores + catchUpMillicores);
+  const jobCpu: JobCpu = {
+    arriving: arrivingCpuMillicores,
+    meanArriving: (presentCpuMillicores + arrivingCpuMillicores) / 2,
+    capacity: Math.max(0, capacityCpuMillicores - longRunning),
+  };
+  const expectedBacklog = backlog + (jobCpu.meanArriving - jobCpu.capacity) * VM_LEAD_MS;
+  if (!mechanisms.has('need-by-known-work')) {
+    return toNeed(arrivingCpuMillicores + Math.max(0, expectedBacklog) / CATCH_UP_MS);
+  }
+  const known = describeKnownWork({ rows: onTime, runTimes, leadMs: VM_LEAD_MS, nowMs });
+  // At a steady rate, jobs on schedule are on average half done; only the rest is behind.
+  const scheduled = (arrivingCpuMillicores * known.meanChainMs) / 2;
+  const catchUp = Math.max(0, expectedBacklog - scheduled) / BACKLOG_CATCH_UP_MS;
+  return toNeed(boundJobCpu(arrivingCpuMillicores + catchUp, jobCpu, known));
 }
--- a/src/taskHome/PoolDemands.ts
+++ b/src/taskHome/PoolDemands.ts
@@ -43,13 +43,15 @@
    */
   describe(pool: string): PoolDemand {
     const { dueClock, mechanisms, runs, sessions, table, telemetry } = this.options;
+    const arrivals = this.options.arrivals.get(pool);
     const demand = describeDemand({
       pool,
       rows: table.listActive(),
       targets: sessions.listForPlacement(() => false),
       countRuns: (targetId) => runs.countOn(targetId),
       runTimes: runs.runTimes,
-      arrivingCpuMillicores: this.getArrivingCpuMillicores(pool),
+      arrivingCpuMillicores: arrivals.forecast(mechanisms),
+      presentCpuMillicores: arrivals.getPresent(mechanisms),
       mechanisms,
       nowMs: dueClock.wallMs(),
     });
@@ -67,10 +69,4 @@
     const rows = table.listActive().filter(({ spec }) => spec.terms.pool === pool);
     return listOrganisationUse(rows, dueClock.wallMs());
   }
-
-  private getArrivingCpuMillicores(pool: string): number {
-    const arrivals = this.options.arrivals.get(pool);
-    const isForeseen = this.options.mechanisms.has('rise-foreseen');
-    return isForeseen ? arrivals.forecastCpuMillicores : arrivals.cpuMillicores;
-  }
 }
--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -4,6 +4,7 @@
   estimateNeededCpu,
   getAllocatedResources,
   listOrganisationUse,
+  listWaitingByPriority,
   type Mechanisms,
   type PlacementTarget,
   type PoolDemand,
@@ -19,8 +20,13 @@
   readonly targets: readonly PlacementTarget[];
   readonly countRuns: (targetId: string) => number;
   readonly runTimes: RunTimes;
-  /** CPU that is needed to keep up with arriving jobs, in thousandths of a core. */
+  /**
+   * CPU that is needed to keep up with arriving jobs once a VM that is ordered now is available, in
+   * thousandths of a core.
+   */
   readonly arrivingCpuMillicores: number;
+  /** CPU that is needed to keep up with the jobs that arrive now, in thousandths of a core. */
+  readonly presentCpuMillicores?: number;
   readonly mechanisms: Mechanisms;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
@@ -38,8 +44,8 @@
  * @returns Load and demand.
  */
 export function describeDemand(input: DescribeDemandInput): PoolDemand {
-  const { pool, rows, targets, countRuns, runTimes, arrivingCpuMillicores, nowMs } = input;
-  const { mechanisms } = input;
+  const { pool, rows, targets, countRuns, runTimes, nowMs } = input;
+  const { arrivingCpuMillicores, presentCpuMillicores, mechanisms } = input;
   const poolRows = rows.filter((row) => row.spec.terms.pool === pool);
   const waitingCpuMillicores = sumReadyCpu(poolRows, nowMs);
   const placedTasks = poolRows.flatMap((row) =>
@@ -47,6 +53,8 @@
       .filter(({ phase }) => phase === 'placed')
       .map(({ targetId, step }) => ({ targetId: targetId!, step: row.spec.steps[step]! })),
   );
+  const waitingByPriority =
+    waitingCpuMillicores === 0 ? [] : listWaitingByPriority(poolRows, runTimes, nowMs);
   const organisationUse = listOrganisationUse(poolRows, nowMs);
   const placedByTarget = groupBy(placedTasks, ({ targetId }) => targetId);
   return {
@@ -67,11 +75,13 @@
         };
       }),
     waitingCpuMillicores,
+    ...(waitingByPriority.length === 0 ? {} : { waitingByPriority }),
     ...estimateNeededCpu({
       rows: poolRows,
       runTimes,
       capacityCpuMillicores: sumCapacity(targets, pool),
       arrivingCpuMillicores,
+      presentCpuMillicores,
       nowMs,
       mechanisms,
     }),
--- a/tests/systems/estimateNeededCpu.test.ts
+++ b/tests/systems/estimateNeededCpu.test.ts
@@ -37,13 +37,30 @@
     // 90 cores of work arrive. When a VM becomes available, 2 s x 58 cores of it and 8 core-s are
     // left.
     const input = { rows, ...QUIET, arrivingCpuMillicores: 90_000 };
-    expect(estimateNeededCpu(input).neededCpuMillicores).toBe(90_000 + 58_000 + 4_000);
+    const mechanisms = disableMechanisms(['need-by-known-work']);
+    expect(estimateNeededCpu({ ...input, mechanisms }).neededCpuMillicores).toBe(
+      90_000 + 58_000 + 4_000,
+    );
+    // 90 core-s of that are under way on schedule: jobs of 2 s that are half done. What is behind,
+    // 34 core-s, is completed in 3 s.
+    expect(estimateNeededCpu(input).neededCpuMillicores).toBeCloseTo(90_000 + 34_000 / 3);
   });
 
-  it('asks for what catches up within two seconds where work waits', () => {
+  it('expects less backlog where the rate of arrivals is still rising to its forecast', () => {
+    const rows = [makeRow('j1', 4)];
+    const steady = { rows, ...QUIET, arrivingCpuMillicores: 200_000 };
+    const rising = { ...steady, presentCpuMillicores: 100_000 };
+    const difference =
+      estimateNeededCpu(steady).neededCpuMillicores - estimateNeededCpu(rising).neededCpuMillicores;
+    expect(difference).toBeCloseTo(100_000 / 3);
+  });
+
+  it('asks for what catches up within two or three seconds where work waits', () => {
     const rows = Array.from({ length: 20 }, (_unused, number) => makeRow(`j${number}`, 0));
     // 20 jobs of 8 core-s minus 2 s x 32 cores leave 96 core-s.
-    expect(estimateNeededCpu({ rows, ...QUIET }).neededCpuMillicores).toBe(48_000);
+    const mechanisms = disableMechanisms(['need-by-known-work']);
+    expect(estimateNeededCpu({ rows, ...QUIET, mechanisms }).neededCpuMillicores).toBe(48_000);
+    expect(estimateNeededCpu({ rows, ...QUIET }).neededCpuMillicores).toBe(32_000);
   });
 
   // Guards against late work that holds VMs: 20 VMs stayed in the pool of the previous load peak
@@ -53,7 +70,7 @@
     const tooLate = { ...QUIET, nowMs: Date.now() + 60_000 };
     // 160 core-s in 10 s, without arriving work.
     expect(estimateNeededCpu({ rows, ...tooLate }).neededCpuMillicores).toBe(16_000);
-    const mechanisms = disableMechanisms(['late-work-yields']);
+    const mechanisms = disableMechanisms(['late-work-yields', 'need-by-known-work']);
     expect(estimateNeededCpu({ rows, ...tooLate, mechanisms }).neededCpuMillicores).toBe(48_000);
   });
 
