--- a/src/systems/expectPeaks.ts
+++ b/src/systems/expectPeaks.ts
@@ -44,7 +44,7 @@
   }
   if (leftMs > FAR_MS) return reserveCount;
   const raisedCount = Math.min(vmCount, reserveCount * (1 + confidence));
-  return Math.max(reserveCount, Math.ceil(raisedCount));
+  return Math.max(reserveCount, Math.floor(raisedCount));
 }
 
 /**
