Reword the reason for reserves, and format two tests

Cause: a reason said that a quarter of a peak's work arrives in its rise, which a rise of 2 to 3 s doesn't give. Change: words and layout only.

--- a/src/systems/PoolPeaks.ts
+++ b/src/systems/PoolPeaks.ts
@@ -4,8 +4,8 @@
 
 /**
  * Share of a pool's peak that it keeps as a reserve while idle, for the jobs that arrive before the
- * first VMs that are ordered for a peak are up. Load peaks rise for 2 to 3 s, and in the first half
- * of that a quarter of a peak's work arrives.
+ * first VMs that are ordered for a peak are up. Load peaks rise for 2 to 3 s, so that until then
+ * about a third of a peak's rate arrives on average, and some of these jobs may wait.
  */
 const RESERVE_SHARE = 0.25;
 /** Half-life of a peak, in milliseconds: several rounds of load peaks. */
--- a/tests/systems/idleVmsOff.test.ts
+++ b/tests/systems/idleVmsOff.test.ts
@@ -34,7 +34,7 @@
   expect(afterWindow.moveCount).toBeLessThan(atOnce.moveCount);
   expect(countInTime(afterWindow)).toBeGreaterThanOrEqual(countInTime(never));
   expect(countInTime(atOnce)).toBeLessThanOrEqual(countInTime(afterWindow));
-    process.stdout.write(
-      `idle ${JSON.stringify([never, atOnce, afterWindow].map((w) => [w.moveCount, w.vmSeconds, countInTime(w)]))}\n`,
-    );
+  process.stdout.write(
+    `idle ${JSON.stringify([never, atOnce, afterWindow].map((w) => [w.moveCount, w.vmSeconds, countInTime(w)]))}\n`,
+  );
 });
--- a/tests/systems/overlappingPeaks.test.ts
+++ b/tests/systems/overlappingPeaks.test.ts
@@ -34,7 +34,7 @@
 
 /**
  * Counts the jobs that run in time if each VM may run jobs of any pool, without moves: no plan runs
- * more. The jobs, which all take as long, take the VMs that are free first, in the order of arrival.
+ * more. The jobs take equally long, and get the VMs that are free first in the order of arrival.
  */
 function countAtBest(): number {
   const freeAtMs = Array.from({ length: VM_COUNT }, () => 0);
@@ -58,7 +58,7 @@
   expect(shared.inTime.get('search')!).toBeGreaterThan(largestFirst.inTime.get('search')!);
   expect(countInTime(shared)).toBeGreaterThan(countInTime(largestFirst));
   expect(countInTime(shared) / countAtBest()).toBeGreaterThan(0.8);
-    process.stdout.write(
-      `peaks ${JSON.stringify([[...shared.inTime], [...largestFirst.inTime], countAtBest(), PEAKS.map(countJobs)])}\n`,
-    );
+  process.stdout.write(
+    `peaks ${JSON.stringify([[...shared.inTime], [...largestFirst.inTime], countAtBest(), PEAKS.map(countJobs)])}\n`,
+  );
 });
