Keep a VM more for each that is drained for its maintenance

Cause: with idle VMs off, a pool that is calm has little more than its reserve.

Change: the reserve of a pool grows by its VMs that a wave drains, where idle VMs are switched off.

--- a/src/fleetHome/FleetMoves.ts
+++ b/src/fleetHome/FleetMoves.ts
@@ -100,6 +100,7 @@
       vms,
       heldVms: this.listHeldVms(),
       usableHeldVms: this.listStayingVms(),
+      maintainedVms: new Set(this.options.waves.listDrainingVms()),
       arrivingByPool: this.countArrivingByPool(vms),
     });
   }
--- a/src/fleetHome/MovePlanner.ts
+++ b/src/fleetHome/MovePlanner.ts
@@ -22,7 +22,13 @@
 /** State of the fleet in one pass. */
 export type FleetState = Pick<
   PlanMovesInput,
-  'demands' | 'vms' | 'heldVms' | 'usableHeldVms' | 'arrivingByPool' | 'expectedPeaks'
+  | 'demands'
+  | 'vms'
+  | 'heldVms'
+  | 'usableHeldVms'
+  | 'maintainedVms'
+  | 'arrivingByPool'
+  | 'expectedPeaks'
 >;
 
 /** Planned moves, and the state of the pools by which they were planned. */
@@ -67,6 +73,7 @@
     const { clock, mechanisms, peaks, listStandbyPools } = this.options;
     return {
       ...state,
+      maintainedVms: mechanisms.has('idle-vms-off') ? state.maintainedVms : new Set(),
       standbyPools: new Set(listStandbyPools()),
       releasesReserves: mechanisms.has('kept-yields-in-shortage'),
       sharesShortages: mechanisms.has('shortages-shared'),
--- a/src/systems/PoolBalance.ts
+++ b/src/systems/PoolBalance.ts
@@ -11,6 +11,8 @@
   readonly heldVms: ReadonlySet<string>;
   /** Held VMs that stay in service in their pool: an earlier home has recently moved them there. */
   readonly usableHeldVms?: ReadonlySet<string>;
+  /** VMs that are drained for their maintenance, whose tasks need room on others of their pool. */
+  readonly maintainedVms?: ReadonlySet<string>;
   /** Number of VMs that are moving to each pool. */
   readonly arrivingByPool: ReadonlyMap<string, number>;
   /** Reserve VMs that each pool keeps without load; {@link MIN_RESERVE_COUNT} if absent. */
@@ -61,6 +63,9 @@
  *
  * VMs that an earlier home has recently moved into the pool must not be moved, but are counted.
  * Otherwise they would seem to be missing once they are up, and would be ordered twice.
+ *
+ * While VMs are drained for their maintenance, the pool keeps as many more. Tasks of a service that
+ * must not share a VM would otherwise find no other one, and the maintenance would be late.
  * @param demand - Load and demand of the pool.
  * @param input - State of the fleet.
  * @param loads - Loads of the fleet's targets.
@@ -72,11 +77,13 @@
   loads: ReadonlyMap<string, TargetLoad>,
 ): PoolBalance {
   const { vms, heldVms, usableHeldVms = NO_VMS, arrivingByPool, reserveCounts } = input;
+  const { maintainedVms = NO_VMS } = input;
   const { pool, targets, neededCpuMillicores, lateCpuMillicores, waitingCpuMillicores } = demand;
   const upInPool = vms.filter((vm) => vm.pool === pool && vm.state === 'up');
   const movableVms = upInPool.filter(({ vm }) => !heldVms.has(vm));
   const usableHeldCount = upInPool.filter(({ vm }) => usableHeldVms.has(vm)).length;
-  const reserveCount = reserveCounts?.get(pool) ?? MIN_RESERVE_COUNT;
+  const maintainedCount = upInPool.filter(({ vm }) => maintainedVms.has(vm)).length;
+  const reserveCount = (reserveCounts?.get(pool) ?? MIN_RESERVE_COUNT) + maintainedCount;
   const arrivingCount = usableHeldCount + (arrivingByPool.get(pool) ?? 0);
   const wholeCount = movableVms.filter((vm) => isWhole(vm, loads)).length + arrivingCount;
   const vmMillicores = targets[0]?.cpuMillicores ?? TYPICAL_VM_MILLICORES;
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -266,8 +266,8 @@
   if (moves.length > 0) return moves;
   const { reserveCounts } = fleet.input;
   const refills = assignVms(
-    listShortages(fleet.balances, 'reserve', ({ demand, availableCount }) =>
-      limitMoves((reserveCounts?.get(demand.pool) ?? 0) - availableCount),
+    listShortages(fleet.balances, 'reserve', ({ reserveCount, availableCount }) =>
+      reserveCounts === undefined ? 0 : limitMoves(reserveCount - availableCount),
     ),
     [...spare, ...standby],
   );
--- a/tests/systems/planFleet.test.ts
+++ b/tests/systems/planFleet.test.ts
@@ -219,6 +219,26 @@
     expect(plan({ ...rush, waitingCpuMillicores: 0 })).toEqual([]);
   });
 
+  // Failure: the VMs of a wave are not empty in time, since their pool has switched off or given
+  // away the VMs to which their services could move.
+  it('keeps as many more VMs in a pool as are drained for their maintenance', () => {
+    const reserveCounts = new Map([['archive', 2]]);
+    const idleCounts = new Map([['archive', 9]]);
+    const plan = (maintained: readonly string[]) => {
+      const maintainedVms = new Set(maintained);
+      const state = {
+        ...input,
+        demands: demands.slice(0, 1),
+        vms: [...idle, off],
+        heldVms: maintainedVms,
+      };
+      return planMoves({ ...state, maintainedVms, reserveCounts, idleCounts });
+    };
+    expect(plan([]).map(({ reason }) => reason)).toEqual(['idle', 'idle']);
+    expect(plan(['a1'])).toEqual([]);
+    expect(plan(['a1', 'a2']).map(({ vm, reason }) => `${vm} ${reason}`)).toEqual(['s1 reserve']);
+  });
+
   it('leaves VMs alone that carry long-running tasks or are held', () => {
     const loads = idle.map(({ vm }) => ({ ...makeLoad(vm, 1), longRunningCount: 1 }));
     const working = [makeDemand('archive', 0, loads), demands[1]!];
