Order VMs for a rise as early as before

About ten jobs were late in each of two windows of 2 s, where peaks of small jobs began.

A rise is taken twice without reduction, if the latest arrivals are more than twice those before and more than chance gives. The arriving work counts in full until VMs are up.

--- a/src/systems/ArrivalRate.ts
+++ b/src/systems/ArrivalRate.ts
@@ -1,10 +1,5 @@
 import type { Clock } from '../utils/index.js';
-import {
-  type Arrival,
-  forecastArrivals,
-  getSteadyMillicores,
-  sumWork,
-} from './forecastArrivals.js';
+import { type Arrival, forecastArrivals, sumWork } from './forecastArrivals.js';
 import type { Mechanisms } from './mechanisms.js';
 
 /** Least number of arrivals for a rate: with fewer, a single arrival dominates the result. */
@@ -57,17 +52,6 @@
     return forecastArrivals(this.listRecent(), this.clock.monotonicMs());
   }
 
-  /**
-   * CPU that keeps up with the arrivals at their steady rate, in thousandths of a core. With
-   * `need-by-known-work` it is measured over more arrivals.
-   * @param mechanisms - Enabled mechanisms.
-   * @returns The CPU.
-   */
-  getPresent(mechanisms: Mechanisms): number {
-    if (!mechanisms.has('need-by-known-work')) return this.forecast(mechanisms);
-    return getSteadyMillicores(this.listRecent(), this.clock.monotonicMs());
-  }
-
   /**
    * CPU that keeps up with the arrivals, in thousandths of a core. The rate is measured over a
    * short span if many jobs arrive, and over a longer one otherwise, so that three large jobs that
--- a/src/systems/estimateNeededCpu.ts
+++ b/src/systems/estimateNeededCpu.ts
@@ -18,8 +18,6 @@
    * thousandths of a core.
    */
   readonly arrivingCpuMillicores: number;
-  /** CPU that keeps up with the work that arrives now; as much as then if absent. */
-  readonly presentCpuMillicores?: number;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
   /** Enabled mechanisms; all if absent. */
@@ -65,8 +63,6 @@
 /** CPU for jobs of a pool, in thousandths of a core, as far as {@link boundJobCpu} needs it. */
 interface JobCpu {
   readonly arriving: number;
-  /** Mean of the CPU that keeps up with the work that arrives until a VM is available. */
-  readonly meanArriving: number;
   /** Capacity for jobs, without long-running tasks. */
   readonly capacity: number;
 }
@@ -76,14 +72,10 @@
  * that are under way then, and by those that arrive until then. What arrives beyond the present
  * capacity waits, and is under way later for as long as it is then late.
  */
-function boundJobCpu(
-  needed: number,
-  { arriving, meanArriving, capacity }: JobCpu,
-  known: KnownWork,
-): number {
+function boundJobCpu(needed: number, { arriving, capacity }: JobCpu, known: KnownWork): number {
   const arrivedShare = VM_LEAD_MS / Math.max(VM_LEAD_MS, known.meanChainMs);
   const waitingShare = VM_LEAD_MS / Math.max(1, known.meanChainMs);
-  const waiting = Math.max(0, meanArriving - capacity) * waitingShare;
+  const waiting = Math.max(0, arriving - capacity) * waitingShare;
   return Math.min(needed, known.laterCpuMillicores + arriving * arrivedShare + waiting);
 }
 
@@ -104,7 +96,7 @@
  */
 export function estimateNeededCpu(input: NeededCpuInput): NeededCpu {
   const { rows, runTimes, capacityCpuMillicores, arrivingCpuMillicores, nowMs } = input;
-  const { mechanisms = ALL_MECHANISMS, presentCpuMillicores = arrivingCpuMillicores } = input;
+  const { mechanisms = ALL_MECHANISMS } = input;
   const unfinished = rows.filter((row) => !isFinished(row));
   const isLate = (row: DurableJobRow): boolean =>
     mechanisms.has('late-work-yields') && nowMs > estimateStartByMs(row, runTimes);
@@ -121,10 +113,9 @@
   if (!mechanisms.has('arriving-demand')) return toNeed(backlog / CATCH_UP_MS);
   const jobCpu: JobCpu = {
     arriving: arrivingCpuMillicores,
-    meanArriving: (presentCpuMillicores + arrivingCpuMillicores) / 2,
     capacity: Math.max(0, capacityCpuMillicores - longRunning),
   };
-  const expectedBacklog = backlog + (jobCpu.meanArriving - jobCpu.capacity) * VM_LEAD_MS;
+  const expectedBacklog = backlog + (jobCpu.arriving - jobCpu.capacity) * VM_LEAD_MS;
   if (!mechanisms.has('need-by-known-work')) {
     return toNeed(arrivingCpuMillicores + Math.max(0, expectedBacklog) / CATCH_UP_MS);
   }
--- a/src/systems/forecastArrivals.ts
+++ b/src/systems/forecastArrivals.ts
@@ -16,8 +16,10 @@
  * alone exceeds two of them in one of 40 comparisons.
  */
 const RISE_DEVIATIONS = 2;
+/** Ratio of the latest arrivals to those before from which the rate rises at a peak's pace. */
+const MIN_RISE_RATIO = 2;
 /** Assumed growth of a rising rate until a VM that is ordered now is available. */
-const RISE_FACTOR = 1.5;
+const RISE_FACTOR = 2;
 /** Arrivals from which their rate is measured: its standard deviation is then below a third. */
 const RATE_COUNT = 12;
 /** Longest span of a rate, in milliseconds: the callers of a load peak wait no longer for VMs. */
@@ -34,13 +36,8 @@
   return arrivals.reduce((sum, { work }) => sum + work, 0);
 }
 
-/**
- * Computes the CPU that keeps up with a steady rate, over a span with enough arrivals.
- * @param arrivals - Arrivals of the last two seconds, in ascending order of time.
- * @param nowMs - Monotonic time in milliseconds.
- * @returns The CPU in thousandths of a core.
- */
-export function getSteadyMillicores(arrivals: readonly Arrival[], nowMs: number): number {
+/** Computes the CPU that keeps up with a steady rate, over a span with enough arrivals. */
+function getSteadyMillicores(arrivals: readonly Arrival[], nowMs: number): number {
   const ageMs = nowMs - (arrivals.at(-RATE_COUNT)?.atMs ?? Number.NEGATIVE_INFINITY);
   const spanMs = Math.min(MAX_RATE_SPAN_MS, Math.max(MIN_RATE_SPAN_MS, ageMs));
   return sumWork(arrivals.filter(({ atMs }) => atMs >= nowMs - spanMs)) / spanMs;
@@ -51,21 +48,20 @@
   const lateCount = arrivals.filter(({ atMs }) => atMs >= nowMs - spanMs).length;
   const bothCount = arrivals.filter(({ atMs }) => atMs >= nowMs - 2 * spanMs).length;
   const earlyCount = bothCount - lateCount;
-  const isRising = lateCount - earlyCount > RISE_DEVIATIONS * Math.sqrt(bothCount);
-  if (!isRising) return 0;
-  // What the arrivals carry at least: one standard deviation less than were counted.
-  const certainCount = lateCount - Math.sqrt(lateCount);
+  const isSteep = lateCount > MIN_RISE_RATIO * earlyCount;
+  const isCertain = lateCount - earlyCount > RISE_DEVIATIONS * Math.sqrt(bothCount);
+  if (!isSteep || !isCertain) return 0;
   const meanWork = sumWork(arrivals) / arrivals.length;
-  return (RISE_FACTOR * certainCount * meanWork) / spanMs;
+  return (RISE_FACTOR * lateCount * meanWork) / spanMs;
 }
 
 /**
  * Forecasts the CPU that keeps up with arriving work once a VM that is ordered now is available.
  *
  * This handles the start of a load peak, which rises for 2 to 3 s while a VM takes 2 s: VMs ordered
- * by the present rate would cover half of the need. A rise is extrapolated no further than the
- * number of arrivals supports: by their work alone, four large jobs that arrive together by chance
- * would ask for more than the fleet has.
+ * by the present rate would cover half of the need. A rise is extrapolated only if the number of
+ * arrivals supports it: by their work alone, four large jobs that arrive together by chance would
+ * ask for more than the fleet has.
  * @param arrivals - Arrivals of the last two seconds, in ascending order of time.
  * @param nowMs - Monotonic time in milliseconds.
  * @returns The CPU in thousandths of a core.
--- a/src/taskHome/PoolDemands.ts
+++ b/src/taskHome/PoolDemands.ts
@@ -51,7 +51,6 @@
       countRuns: (targetId) => runs.countOn(targetId),
       runTimes: runs.runTimes,
       arrivingCpuMillicores: arrivals.forecast(mechanisms),
-      presentCpuMillicores: arrivals.getPresent(mechanisms),
       mechanisms,
       nowMs: dueClock.wallMs(),
     });
--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -25,8 +25,6 @@
    * thousandths of a core.
    */
   readonly arrivingCpuMillicores: number;
-  /** CPU that is needed to keep up with the jobs that arrive now, in thousandths of a core. */
-  readonly presentCpuMillicores?: number;
   readonly mechanisms: Mechanisms;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
@@ -45,7 +43,7 @@
  */
 export function describeDemand(input: DescribeDemandInput): PoolDemand {
   const { pool, rows, targets, countRuns, runTimes, nowMs } = input;
-  const { arrivingCpuMillicores, presentCpuMillicores, mechanisms } = input;
+  const { arrivingCpuMillicores, mechanisms } = input;
   const poolRows = rows.filter((row) => row.spec.terms.pool === pool);
   const waitingCpuMillicores = sumReadyCpu(poolRows, nowMs);
   const placedTasks = poolRows.flatMap((row) =>
@@ -81,7 +79,6 @@
       runTimes,
       capacityCpuMillicores: sumCapacity(targets, pool),
       arrivingCpuMillicores,
-      presentCpuMillicores,
       nowMs,
       mechanisms,
     }),
