--- a/src/taskHome/describeDemand.ts
+++ b/src/taskHome/describeDemand.ts
@@ -4,6 +4,7 @@
   estimateNeededCpu,
   getAllocatedResources,
   listOrganisationUse,
+  listWaitingByPriority,
   type Mechanisms,
   type PlacementTarget,
   type PoolDemand,
@@ -19,7 +20,10 @@
   readonly targets: readonly PlacementTarget[];
   readonly countRuns: (targetId: string) => number;
   readonly runTimes: RunTimes;
-  /** CPU that is needed to keep up with arriving jobs, in thousandths of a core. */
+  /**
+   * CPU that is needed to keep up with arriving jobs once a VM that is ordered now is available, in
+   * thousandths of a core.
+   */
   readonly arrivingCpuMillicores: number;
   readonly mechanisms: Mechanisms;
   /** Wall-clock time in milliseconds since the Unix epoch. */
@@ -51,8 +55,8 @@
  * @returns Load and demand.
  */
 export function describeDemand(input: DescribeDemandInput): PoolDemand {
-  const { pool, rows, targets, countRuns, runTimes, arrivingCpuMillicores, nowMs } = input;
-  const { mechanisms } = input;
+  const { pool, rows, targets, countRuns, runTimes, nowMs } = input;
+  const { arrivingCpuMillicores, mechanisms } = input;
   const poolRows = rows.filter((row) => row.spec.terms.pool === pool);
   const waitingCpuMillicores = sumReadyCpu(poolRows, nowMs);
   const placedTasks = poolRows.flatMap((row) =>
@@ -60,6 +64,8 @@
       .filter(({ phase }) => phase === 'placed')
       .map(({ targetId, step }) => ({ targetId: targetId!, step: row.spec.steps[step]! })),
   );
+  const waitingByPriority =
+    waitingCpuMillicores === 0 ? [] : listWaitingByPriority(poolRows, runTimes, nowMs);
   const organisationUse = listOrganisationUse(poolRows, nowMs);
   const placedByTarget = groupBy(placedTasks, ({ targetId }) => targetId);
   const poolTargets = listTargets(targets, pool);
@@ -80,6 +86,7 @@
       };
     }),
     waitingCpuMillicores,
+    ...(waitingByPriority.length === 0 ? {} : { waitingByPriority }),
     ...estimateNeededCpu({
       rows: poolRows,
       runTimes,
