Forecast load peaks that recur, by turns of pools and by the period of each

Pools peak by turns, each with more than it holds, and a VM is of use 3.5 s after its order; the fleet's home ordered by what waits and has just arrived. Its demands now also feed a detector of peaks, a learner of turns, rounds and periods, and records for the next home. Moves don't use the expectations yet.

Ruled out: the period of each pool's own load alone, which needs two rounds.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { type EventLog, OutageLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import {
   indexLoads,
@@ -7,7 +8,6 @@
   type Mechanisms,
   type PoolDemand,
   type PoolPeak,
-  PoolPeaks,
   type TargetLoad,
   type VmMove,
 } from '../systems/index.js';
@@ -19,8 +19,10 @@
 import { listDrainedTargets } from './listDrainedTargets.js';
 import { MovePlanner } from './MovePlanner.js';
 import { OrganisationLimits } from './OrganisationLimits.js';
-import { encodePoolPeakRecord } from './PoolPeakRecord.js';
+import { PeakForecaster } from './PeakForecaster.js';
+import type { PeakForecastRecord } from './PeakForecastRecord.js';
 import { PoolReporter } from './PoolReporter.js';
+import { StoredPoolPeaks } from './StoredPoolPeaks.js';
 import type { VmOrderRecord } from './VmOrderRecord.js';
 import { VmOrders } from './VmOrders.js';
 import { WaveCoordinator } from './WaveCoordinator.js';
@@ -34,6 +36,7 @@
   readonly term: number;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
   /** Minimum time between the orders of two holders for one VM, in milliseconds. */
   readonly orderLeaseMs: number;
@@ -41,6 +44,8 @@
   readonly waveRecords: readonly WaveRecord[];
   /** Peak VM count of each pool, as stored by earlier homes. */
   readonly peakRecords: readonly PoolPeak[];
+  /** What earlier homes have learned about peaks that recur. */
+  readonly forecastRecords: readonly PeakForecastRecord[];
   /** Latest orders for VMs, as stored by earlier homes. */
   readonly orderRecords: readonly VmOrderRecord[];
   readonly listWaveOrders: () => readonly WaveOrder[];
@@ -100,15 +105,14 @@
 
   private readonly poolReporter: PoolReporter;
 
-  private readonly peaks: PoolPeaks;
+  private readonly peaks: StoredPoolPeaks;
+
+  private readonly peakForecaster: PeakForecaster;
 
   private readonly limits: OrganisationLimits;
 
   private readonly movePlanner: MovePlanner;
 
-  /** Number of VMs that each pool keeps according to the stored peaks. */
-  private storedKeptCounts: ReadonlyMap<string, number>;
-
   /**
    * Creates a home, which is inactive until {@link start} is called.
    * @param options - VM platform, pools, waves and stored state.
@@ -123,9 +127,9 @@
     });
     this.limits = new OrganisationLimits(options);
     this.poolReporter = new PoolReporter(options);
-    this.peaks = new PoolPeaks(options.clock, options.peakRecords);
-    this.movePlanner = new MovePlanner({ ...options, peaks: this.peaks });
-    this.storedKeptCounts = this.peaks.getReserveCounts();
+    this.peaks = new StoredPoolPeaks(options);
+    this.peakForecaster = new PeakForecaster(options);
+    this.movePlanner = new MovePlanner({ ...options, peaks: this.peaks.peaks });
     const onStaleTerm = (): void => this.options.onReplaced();
     this.orders = new VmOrders({ ...options, onStaleTerm });
     const hasActiveOrder = (vm: string): boolean => this.orders.hasActiveOrder(vm);
@@ -164,8 +168,8 @@
     await this.raiseLimits(vms);
     if (this.isClosed) return;
     this.poolReporter.report(this.demands, vms, this.listHeldVms());
-    this.demands.forEach((demand) => this.peaks.record(demand));
-    this.storePeaks();
+    this.peakForecaster.observe(this.demands, this.peaks.list());
+    this.peaks.record(this.demands);
     await this.waves.advance(vms, this.getLoads());
     await this.moveVms(vms);
   }
@@ -182,18 +186,6 @@
     }
   }
 
-  /** Stores the peaks of the pools whose number of kept VMs differs from the stored state. */
-  private storePeaks(): void {
-    const keptCounts = this.peaks.getReserveCounts();
-    const changed = this.peaks
-      .list()
-      .filter(({ pool }) => keptCounts.get(pool) !== this.storedKeptCounts.get(pool));
-    if (changed.length === 0) return;
-    this.storedKeptCounts = keptCounts;
-    // The writer reports that it was replaced; the next home starts from the peaks stored before.
-    this.options.store(changed.map(encodePoolPeakRecord)).catch(() => undefined);
-  }
-
   private getLoads(): ReadonlyMap<string, TargetLoad> {
     return indexLoads(this.demands);
   }
@@ -261,6 +253,8 @@
       heldVms: this.listHeldVms(),
       usableHeldVms: this.listStayingVms(),
       arrivingByPool: this.countArrivingByPool(vms),
+      expectedPeaks: this.peakForecaster.listExpectedPeaks(),
+      nowMs: this.options.clock.monotonicMs(),
     });
   }
 
--- a/src/fleetHome/MovePlanner.ts
+++ b/src/fleetHome/MovePlanner.ts
@@ -17,7 +17,7 @@
 /** State of the fleet in one pass. */
 export type FleetState = Pick<
   PlanMovesInput,
-  'demands' | 'vms' | 'heldVms' | 'usableHeldVms' | 'arrivingByPool'
+  'demands' | 'vms' | 'heldVms' | 'usableHeldVms' | 'arrivingByPool' | 'expectedPeaks' | 'nowMs'
 >;
 
 /** Plans which VMs move between pools, with the mechanisms that are enabled. */
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -290,7 +290,7 @@
   }
 
   private createFleetHome(basis: FleetHomeContext): FleetHome {
-    const { bounds, clock, events, holder, mechanisms, ports, records } = this.options;
+    const { bounds, clock, events, holder, mechanisms, metrics, ports, records } = this.options;
     const statusWriter = new RecordWriter({
       store: ports.store,
       topic: records.statusTopic,
@@ -307,6 +307,7 @@
       holder,
       clock,
       events,
+      metrics,
       mechanisms,
       orderLeaseMs: bounds.orderLeaseMs,
       listWaveOrders: () => [...this.waveOrders.values()],
--- a/src/logging/events/fleetEvents.ts
+++ b/src/logging/events/fleetEvents.ts
@@ -24,5 +24,9 @@
   fleetLookFailed: { number: 3016, level: 'warn', text: 'A look at the fleet broke off.' },
   vmChanged: { number: 3017, level: 'info', text: 'A VM is in another state, pool or lifetime.' },
   poolSeen: { number: 3019, level: 'info', text: 'VMs and demand of a pool, once a second.' },
+  peakBegan: { number: 3020, level: 'info', text: 'A load peak of a pool has begun.' },
+  peakEnded: { number: 3021, level: 'info', text: 'A load peak of a pool has ended.' },
+  peakExpected: { number: 3022, level: 'info', text: 'A pool is expected to have a load peak.' },
+  peakMissed: { number: 3023, level: 'info', text: 'Expected load peaks have not begun.' },
   vmLeaving: { number: 3018, level: 'info', text: 'A VM is emptied to change its pool.' },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -149,6 +149,12 @@
     meaning: 'From a call to the interface of VMs to its answer or failure.',
     tags: ['call', 'result'],
   },
+  peaks_begun: {
+    type: 'counter',
+    unit: 'peaks',
+    meaning: 'Load peaks of a pool, by whether they were expected in time to order VMs.',
+    tags: ['pool', 'result'],
+  },
   open_jobs: {
     type: 'gauge',
     unit: 'jobs',
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -65,6 +65,16 @@
 } from './planMaintenance.js';
 export { planMoves, type PlanMovesInput, type VmMove } from './planMoves.js';
 export { type PaceChange, type PacedTask, planPace, type ServingLoad } from './planPace.js';
+export type { ExpectedPeak } from './ExpectedPeak.js';
+export {
+  PeakForecast,
+  type PeakForecastChange,
+  type PeakForecastState,
+  type PeakObservations,
+} from './PeakForecast.js';
+export type { PeakRhythmState } from './PeakRhythm.js';
+export type { PeakTurnsState } from './PeakTurns.js';
+export type { PoolPeakPatternState } from './PoolPeakPattern.js';
 export { type PoolPeak, PoolPeaks } from './PoolPeaks.js';
 export {
   type HomeCapacity,
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -27,6 +27,8 @@
   'kept-by-peak',
   /** Idle pools give up their reserve if another pool is short of VMs. */
   'kept-yields-in-shortage',
+  /** VMs are ordered for load peaks that recur before these begin. */
+  'peaks-foreseen',
   /** Waves are planned with the observed durations of their steps. */
   'observed-wave-steps',
   /** Targets on which tasks keep failing are avoided. */
--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -1,4 +1,5 @@
 import type { FleetVm } from '../vms/index.js';
+import type { ExpectedPeak } from './ExpectedPeak.js';
 import { indexLoads, type PoolDemand, type TargetLoad } from './PoolDemand.js';
 
 /** A move of a VM to another pool. */
@@ -24,6 +25,10 @@
   readonly reserveCounts?: ReadonlyMap<string, number>;
   /** Whether idle pools give up part of their reserve if another pool is short of VMs. */
   readonly releasesReserves?: boolean;
+  /** Load peaks that pools are expected to have; none if absent. */
+  readonly expectedPeaks?: readonly ExpectedPeak[];
+  /** Monotonic time in milliseconds, to which the times of the expected peaks refer. */
+  readonly nowMs?: number;
 }
 
 /** Assumed CPU of one VM if the pool has no target, in thousandths of a core. */
--- a/src/taskHome/FleetHomeContext.ts
+++ b/src/taskHome/FleetHomeContext.ts
@@ -1,4 +1,4 @@
-import type { VmOrderRecord, WaveRecord } from '../fleetHome/index.js';
+import type { PeakForecastRecord, VmOrderRecord, WaveRecord } from '../fleetHome/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import type { PoolPeak } from '../systems/index.js';
 
@@ -8,6 +8,7 @@
   readonly waveRecords: readonly WaveRecord[];
   readonly orderRecords: readonly VmOrderRecord[];
   readonly peakRecords: readonly PoolPeak[];
+  readonly forecastRecords: readonly PeakForecastRecord[];
   readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
   /** Whether this instance is certain to be the fleet's home at this moment. */
   readonly isGroupLeaseHeld: () => boolean;
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  decodePeakForecastRecord,
   decodePoolPeakRecord,
   decodeVmOrderRecord,
   decodeWaveRecord,
@@ -319,6 +320,7 @@
       waveRecords: decodeReadable(records, decodeWaveRecord, source),
       orderRecords: decodeReadable(records, decodeVmOrderRecord, source),
       peakRecords: decodeReadable(records, decodePoolPeakRecord, source),
+      forecastRecords: decodeReadable(records, decodePeakForecastRecord, source),
       store: (changes) => home.store(changes),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
       // An answer to a closed home may come late, and this instance may be the home again by then.
--- a/tests/fleetHome/OrderWorld.ts
+++ b/tests/fleetHome/OrderWorld.ts
@@ -2,6 +2,7 @@
 import { decodeVmOrderRecord, type VmOrderRecord } from '../../src/fleetHome/VmOrderRecord.js';
 import { VmOrders } from '../../src/fleetHome/VmOrders.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
+import { MemoryMetrics } from '../../src/metrics/index.js';
 import type { KeyedRecord } from '../../src/store/index.js';
 import { ALL_MECHANISMS, type PoolDemand } from '../../src/systems/index.js';
 import { ManualClock } from '../../src/utils/index.js';
@@ -108,10 +109,12 @@
     term: 2,
     clock,
     events,
+    metrics: new MemoryMetrics(),
     mechanisms: ALL_MECHANISMS,
     orderLeaseMs: ORDER_LEASE_MS,
     waveRecords: [],
     peakRecords: [],
+    forecastRecords: [],
     orderRecords,
     listWaveOrders: () => [],
     listPools: () => [...world.demands.keys()],
