Keep the growth of a peak in progress for the next home

Now records of all peaks in progress are written with each beginning. A peak that a new home finds is logged without foresight and not counted again.

Checks: npx vitest run tests/systems/PeakForecast.test.ts tests/fleetHome/PeakForecaster.test.ts tests/fleetHome/restorePeakForecast.test.ts tests/logging tests/docs, 61 of 61 passed.

--- a/src/fleetHome/PeakForecaster.ts
+++ b/src/fleetHome/PeakForecaster.ts
@@ -59,6 +59,8 @@
   /** Pools whose records are out of date. */
   private readonly unstoredPools = new Set<string>();
 
+  private readonly poolsInPeak = new Set<string>();
+
   private areTurnsUnstored = false;
 
   private storedAtMs = Number.NEGATIVE_INFINITY;
@@ -120,10 +122,16 @@
   }: Extract<PeakForecastChange, { readonly type: 'began' }>): void {
     const { events, metrics } = this.options;
     const { pool, isBeginSeen, vmCount } = peak;
+    this.poolsInPeak.add(pool);
+    // The heights of all peaks in progress tell what to expect of pools that have had none.
+    this.markUnstored([...this.poolsInPeak]);
+    if (!isBeginSeen) {
+      events.write('peakBegan', { pool, isBeginSeen, vmCount: Math.ceil(vmCount) });
+      return;
+    }
     const foresight = expected === undefined ? 'no' : this.getForesight(peak);
     events.write('peakBegan', { pool, isBeginSeen, vmCount: Math.ceil(vmCount), foresight });
     metrics.increment('peaks_begun', { pool, result: foresight });
-    this.markUnstored([pool]);
   }
 
   private getForesight({ pool, beganAtMs }: { pool: string; beganAtMs: number }): Foresight {
@@ -138,6 +146,7 @@
     const { pool, vmCount, beganAtMs } = peak;
     const lastedMs = Math.round(endedAtMs - beganAtMs);
     this.options.events.write('peakEnded', { pool, vmCount: Math.ceil(vmCount), lastedMs });
+    this.poolsInPeak.delete(pool);
     this.unstoredPools.add(pool);
   }
 
--- a/src/systems/PeakForecast.ts
+++ b/src/systems/PeakForecast.ts
@@ -81,7 +81,9 @@
   get state(): PeakForecastState {
     return {
       turns: this.turns.state,
-      patterns: [...this.patterns.values()].map(({ state }) => state),
+      patterns: [...this.patterns].map(([pool, pattern]) =>
+        pattern.getStateDuring(this.getPeak(pool)),
+      ),
     };
   }
 
@@ -223,6 +225,7 @@
     return [...this.detectors.values()]
       .map(({ peak }) => peak)
       .filter((peak) => peak !== undefined)
+      .filter(({ isBeginSeen }) => isBeginSeen)
       .map(({ vmCount, formerVmCount }) => vmCount / Math.max(1, formerVmCount));
   }
 
--- a/src/systems/PoolPeakPattern.ts
+++ b/src/systems/PoolPeakPattern.ts
@@ -55,7 +55,17 @@
 
   /** What is known of the pool. */
   get state(): PoolPeakPatternState {
-    const { pool, rhythm, vmCount, growthFactor, lengthMs } = this;
+    return this.getStateDuring(undefined);
+  }
+
+  /**
+   * Gets what is known during a peak, for the next home if this one does not see the end.
+   * @param peak - The peak in progress, if any.
+   * @returns What is known.
+   */
+  getStateDuring(peak: SeenPeak | undefined): PoolPeakPatternState {
+    const { pool, rhythm, vmCount, lengthMs } = this;
+    const growthFactor = peak === undefined ? this.growthFactor : this.getGrowthFactor(peak);
     return {
       pool,
       rhythm: rhythm.state,
@@ -84,9 +94,14 @@
    */
   recordEnd(peak: SeenPeak, endedAtMs: number): void {
     this.vmCount = average(this.vmCount, peak.vmCount);
-    // A home that found the peak in progress knows neither its beginning nor its former height.
+    this.growthFactor = this.getGrowthFactor(peak);
     if (!peak.isBeginSeen) return;
-    this.growthFactor ??= peak.vmCount / Math.max(1, peak.formerVmCount);
     this.lengthMs = average(this.lengthMs, endedAtMs - peak.beganAtMs);
   }
+
+  private getGrowthFactor({ isBeginSeen, vmCount, formerVmCount }: SeenPeak): number | undefined {
+    // A home that found a peak in progress does not know how many VMs the pool used before.
+    if (!isBeginSeen) return this.growthFactor;
+    return Math.max(this.growthFactor ?? 0, vmCount / Math.max(1, formerVmCount));
+  }
 }
--- a/tests/systems/PeakForecast.test.ts
+++ b/tests/systems/PeakForecast.test.ts
@@ -107,6 +107,26 @@
   });
 });
 
+describe('PeakForecast of a pool without an earlier peak', () => {
+  // Guards against a height that the next home estimates by a peak that it has not seen begin.
+  it('expects the height by the growth of a peak that an earlier home has seen', () => {
+    const peaks = makeTurns(101, 3);
+    const first = new ForecastUnderTest(POOLS);
+    const homes = [first];
+    const atMs = peaks[1]!.startsAtMs + 4_000;
+    const endsAtMs = atMs + 2_000;
+    const create = (): ForecastUnderTest => {
+      homes.push(first.createNext(first.forecast.state));
+      return homes[1]!;
+    };
+    playPeaks(first, { seed: 101, pools: POOLS, peaks, endsAtMs, takeover: { atMs, create } });
+    const [known, peak] = homes.map((home) => home.listExpectedPeaks(endsAtMs)[0]!);
+    expect(peak).toMatchObject({ pool: 'p3' });
+    expect(Math.abs(peak!.vmCount - known!.vmCount)).toBeLessThan(5);
+    expect(peak!.vmCount).toBeGreaterThan(60);
+  });
+});
+
 describe('PeakForecast of a rhythm that breaks', () => {
   it('goes on after a turn that is left out', () => {
     const results = playAll((seed) => makeTurns(seed).filter((_, index) => index !== 6));
