--- a/tests/systems/PeakForecast.test.ts
+++ b/tests/systems/PeakForecast.test.ts
@@ -46,6 +46,19 @@
   return results.flatMap(({ foreseen }) => foreseen.slice(from)).filter(Boolean).length;
 }
 
+/** Counts the foreseen peaks of each round of four. */
+function countForeseenByRound(results: readonly PeakPlayResult[]): readonly number[] {
+  return [0, 4, 8].map(
+    (from) =>
+      results.flatMap(({ foreseen }) => foreseen.slice(from, from + 4)).filter(Boolean).length,
+  );
+}
+
+function getMeanInVainMs(results: readonly PeakPlayResult[]): number {
+  const sumMs = results.reduce((sum, { keptInVainMs }) => sum + keptInVainMs, 0);
+  return sumMs / results.length;
+}
+
 const getLongestInVain = (results: readonly PeakPlayResult[]): number =>
   Math.max(...results.map(({ longestInVainMs }) => longestInVainMs));
 
@@ -68,7 +81,8 @@
     expect(getLongestInVain(results)).toBeLessThan(ONE_EXPECTATION_MS);
   });
 
-  it('expects three times as many peaks as the autocorrelation of each pool', () => {
+  it('expects peaks two rounds earlier than the autocorrelation of each pool', () => {
+    const results = playAll((seed) => makeTurns(seed));
     const others = SEEDS.map((seed) =>
       playPeaks(new AutocorrelationForecast(), {
         seed,
@@ -77,8 +91,10 @@
         endsAtMs: getEndMs(TURN_COUNT),
       }),
     );
-    const own = countForeseen(playAll((seed) => makeTurns(seed)));
-    expect(own).toBeGreaterThan(3 * countForeseen(others));
+    expect(countForeseenByRound(results)).toEqual([20, 40, 40]);
+    expect(countForeseenByRound(others)).toEqual([0, 0, 28]);
+    expect(getMeanInVainMs(results)).toBeLessThan(28_000);
+    expect(getMeanInVainMs(others)).toBeLessThan(6_000);
   });
 
   it('splits the confidence among the pools that may have the next turn', () => {
