Leave peaks that begin together out of the turns

A beginning is dated back to its rise, so of two peaks the one seen later may have begun earlier: the interval of the pair was negative, and the record of the turns unreadable for the next home. Found by reading. Also, a peak found in progress counts as the expected turn only once that is due.

--- a/src/systems/PeakRhythm.ts
+++ b/src/systems/PeakRhythm.ts
@@ -33,7 +33,7 @@
 export type RhythmMatch = 'onTime' | 'offTime' | 'unexpected';
 
 /** Shortest interval of a rhythm, in ms: in less no VM that is ordered for a beginning arrives. */
-const MIN_INTERVAL_MS = 3_000;
+export const MIN_INTERVAL_MS = 3_000;
 /** Number of intervals that are kept. */
 const MAX_INTERVAL_COUNT = 8;
 /** Number of outcomes that are kept: a few misses end the trust in any rhythm. */
--- a/src/systems/PeakTurns.ts
+++ b/src/systems/PeakTurns.ts
@@ -1,5 +1,6 @@
 import {
   type ExpectedBegin,
+  MIN_INTERVAL_MS,
   PeakRhythm,
   type PeakRhythmState,
   type RhythmMatch,
@@ -144,21 +145,23 @@
   }
 
   /** Takes a peak that was found in progress as the turn that was expected, if it may be that. */
-  private recordUnseenBegin({ pool }: SeenPeak, pools: readonly string[]): RhythmMatch {
+  private recordUnseenBegin({ pool, beganAtMs }: SeenPeak, pools: readonly string[]): RhythmMatch {
     if (pool === this.turnPools.at(-1)) return 'unexpected';
     const next = this.getNextBegin();
     if (!this.listCandidates(pools, next?.intervalCount ?? 1).includes(pool)) return 'unexpected';
     const isLastBeginKnown = this.rhythm.state.lastBeganAtMs !== undefined;
     // Without the time of the latest turn, this one is known to be over or in progress, no more.
     if (next === undefined && isLastBeginKnown) return 'unexpected';
-    if (next !== undefined) this.rhythm.restartAt(next.atMs);
+    if (next !== undefined && next.earliestMs > beganAtMs) return 'unexpected';
+    if (next !== undefined) this.rhythm.restartAt(Math.min(next.atMs, beganAtMs));
     this.addTurn(pool);
     return next === undefined ? 'unexpected' : 'onTime';
   }
 
   private addSuccessor(turn: SuccessorTurn): void {
     const lastPool = this.turnPools.at(-1);
-    if (lastPool === undefined) return;
+    // Peaks that begin together are no turns, and the later one may be seen first.
+    if (lastPool === undefined || turn.intervalMs < MIN_INTERVAL_MS) return;
     const former = this.successors.get(lastPool);
     const formerIntervalMs = former?.pool === turn.pool ? former.intervalMs : turn.intervalMs;
     const intervalMs = (formerIntervalMs + turn.intervalMs) / 2;
