--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -8,7 +8,6 @@
   type Mechanisms,
   type PoolDemand,
   type PoolPeak,
-  PoolPeaks,
   type TargetLoad,
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
@@ -19,8 +18,10 @@
 import { listDrainedTargets } from './listDrainedTargets.js';
 import { MovePlanner } from './MovePlanner.js';
 import { OrganisationLimits } from './OrganisationLimits.js';
-import { encodePoolPeakRecord } from './PoolPeakRecord.js';
+import { PeakForecaster } from './PeakForecaster.js';
+import type { PeakForecastRecord } from './PeakForecastRecord.js';
 import { PoolReporter } from './PoolReporter.js';
+import { StoredPoolPeaks } from './StoredPoolPeaks.js';
 import type { VmOrderRecord } from './VmOrderRecord.js';
 import { VmOrders } from './VmOrders.js';
 import { WaveCoordinator } from './WaveCoordinator.js';
@@ -42,6 +43,8 @@
   readonly waveRecords: readonly WaveRecord[];
   /** Peak VM count of each pool, as stored by earlier homes. */
   readonly peakRecords: readonly PoolPeak[];
+  /** What earlier homes have learned about peaks that recur. */
+  readonly forecastRecords: readonly PeakForecastRecord[];
   /** Latest orders for VMs, as stored by earlier homes. */
   readonly orderRecords: readonly VmOrderRecord[];
   readonly listWaveOrders: () => readonly WaveOrder[];
@@ -69,7 +72,7 @@
   readonly onReplaced: () => void;
 }
 
-/** Pause between two passes, in milliseconds; a move takes 1.5 s, a load peak lasts 5 s. */
+/** Pause between two passes, in milliseconds: short against the time that a VM takes to move. */
 const PASS_INTERVAL_MS = 200;
 
 /** Orders the moves and the maintenance of VMs. A term has one home of the fleet. */
@@ -95,12 +98,11 @@
 
   private readonly poolReporter: PoolReporter;
 
-  private readonly peaks: PoolPeaks;
+  private readonly peaks: StoredPoolPeaks;
 
-  private readonly limits: OrganisationLimits;
+  private readonly peakForecaster: PeakForecaster;
 
-  /** Number of VMs that each pool keeps according to the stored peaks. */
-  private storedKeptCounts: ReadonlyMap<string, number>;
+  private readonly limits: OrganisationLimits;
 
   /**
    * Creates a home, which is inactive until {@link start} is called.
@@ -116,8 +118,8 @@
     });
     this.limits = new OrganisationLimits(options);
     this.poolReporter = new PoolReporter(options);
-    this.peaks = new PoolPeaks(options.clock, options.peakRecords);
-    this.storedKeptCounts = this.peaks.getReserveCounts();
+    this.peaks = new StoredPoolPeaks(options);
+    this.peakForecaster = new PeakForecaster(options);
     const onStaleTerm = (): void => this.options.onReplaced();
     this.orders = new VmOrders({ ...options, onStaleTerm });
     const hasActiveOrder = (vm: string): boolean => this.orders.hasActiveOrder(vm);
@@ -127,7 +129,8 @@
       ...options,
       orders: this.orders,
       waves: this.waves,
-      planner: new MovePlanner({ ...options, peaks: this.peaks }),
+      planner: new MovePlanner({ ...options, peaks: this.peaks.peaks }),
+      listExpectedPeaks: () => this.peakForecaster.listExpectedPeaks(),
       requestLoads: (pools) => this.refreshLoads(pools),
     });
   }
@@ -164,8 +167,8 @@
     await this.raiseLimits(vms);
     if (this.isClosed) return;
     this.poolReporter.report(this.demands, vms, this.moves.listHeldVms());
-    this.demands.forEach((demand) => this.peaks.record(demand));
-    this.storePeaks();
+    this.peakForecaster.observe(this.demands, this.peaks.list());
+    this.peaks.record(this.demands);
     await this.waves.advance(vms, this.getLoads());
     await this.moves.advance({ vms, demands: this.demands, loads: this.getLoads() });
   }
@@ -182,18 +185,6 @@
     }
   }
 
-  /** Stores the peaks of the pools whose number of kept VMs differs from the stored state. */
-  private storePeaks(): void {
-    const keptCounts = this.peaks.getReserveCounts();
-    const changed = this.peaks
-      .list()
-      .filter(({ pool }) => keptCounts.get(pool) !== this.storedKeptCounts.get(pool));
-    if (changed.length === 0) return;
-    this.storedKeptCounts = keptCounts;
-    // The writer reports that it was replaced; the next home starts from the peaks stored before.
-    this.options.store(changed.map(encodePoolPeakRecord)).catch(() => undefined);
-  }
-
   private getLoads(): ReadonlyMap<string, TargetLoad> {
     return indexLoads(this.demands);
   }
--- a/src/fleetHome/FleetMoves.ts
+++ b/src/fleetHome/FleetMoves.ts
@@ -1,6 +1,12 @@
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { PoolDemand, PoolSummary, TargetLoad, VmMove } from '../systems/index.js';
+import type {
+  ExpectedPeak,
+  PoolDemand,
+  PoolSummary,
+  TargetLoad,
+  VmMove,
+} from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { FleetVm } from '../vms/index.js';
 import { isEmpty } from './isEmpty.js';
@@ -18,6 +24,8 @@
   readonly waves: WaveCoordinator;
   /** Lists the pools whose VMs are switched off until they are moved to another pool. */
   readonly listStandbyPools: () => readonly string[];
+  /** Lists the load peaks that pools are expected to have. */
+  readonly listExpectedPeaks: () => readonly ExpectedPeak[];
   /**
    * Requests the loads of pools again once the VMs that leave them get no new task; only then do
    * empty targets stay so.
@@ -102,6 +110,7 @@
       usableHeldVms: this.listStayingVms(),
       maintainedVms: new Set(this.options.waves.listDrainingVms()),
       arrivingByPool: this.countArrivingByPool(vms),
+      expectedPeaks: this.options.listExpectedPeaks(),
     });
   }
 
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -73,6 +73,16 @@
 export { listWaitingByPriority } from './listWaitingByPriority.js';
 export { type PriorityShortage, shareVms } from './shareVms.js';
 export { type PaceChange, type PacedTask, planPace, type ServingLoad } from './planPace.js';
+export type { ExpectedPeak } from './ExpectedPeak.js';
+export {
+  PeakForecast,
+  type PeakForecastChange,
+  type PeakForecastState,
+  type PeakObservations,
+} from './PeakForecast.js';
+export type { PeakRhythmState } from './PeakRhythm.js';
+export type { PeakTurnsState } from './PeakTurns.js';
+export type { PoolPeakPatternState } from './PoolPeakPattern.js';
 export { type PoolPeak, PoolPeaks } from './PoolPeaks.js';
 export {
   type HomeCapacity,
@@ -105,4 +115,3 @@
 export { type GetWeight, orderByShare, type OrderByShareInput } from './orderByShare.js';
 export { IdleWindow } from './IdleWindow.js';
 export type { MoveReason, VmMove } from './VmMove.js';
-export type { ExpectedPeak } from './ExpectedPeak.js';
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -33,6 +33,8 @@
   'shortages-shared',
   /** VMs that have been idle for long move to the standby pool, where they are off. */
   'idle-vms-off',
+  /** VMs are ordered for load peaks that recur before these begin. */
+  'peaks-foreseen',
   /** Waves are planned with the observed durations of their steps. */
   'observed-wave-steps',
   /** Tasks of less urgent queues are stopped if tasks of more urgent ones find no room. */
--- a/tests/fleetHome/OrderWorld.ts
+++ b/tests/fleetHome/OrderWorld.ts
@@ -118,6 +118,7 @@
     orderLeaseMs: ORDER_LEASE_MS,
     waveRecords: [],
     peakRecords: [],
+    forecastRecords: [],
     orderRecords,
     listWaveOrders: () => [],
     listPools: () => [...world.demands.keys()],
