Avoid targets that run slowly or fail a part of their tasks, and restart late runs

Cause: placement knew of targets that fail two jobs in a row or stand still, but compared no target by its pace, so each job with a task on a slow target was as late as that task; a target that fails a third of its runs was hardly ever avoided, as every success in between cleared its record.

Change: the home measures the progress of runs between reports by the target's clock, compares it with the other tasks of the step or the estimate, and the target with the median of its pool. One that is slow beyond the spread of runs, or fails a part of its runs while peers do not, gets services only, and after a pause one task at a time of a job that bears it. Late runs there are stopped and start elsewhere if that ends them sooner. Three mechanisms switch the parts off.

--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -20,6 +20,9 @@
   targetSilent: { number: 6014, level: 'warn', text: 'A target does not answer.' },
   targetHeardAgain: { number: 6015, level: 'info', text: 'A silent target answers again.' },
   targetAvoided: { number: 6016, level: 'warn', text: 'A target gets no new task for a while.' },
+  targetUneven: { number: 6054, level: 'warn', text: 'A target is slow or fails; it is avoided.' },
+  targetEvenAgain: { number: 6055, level: 'info', text: 'A target runs as its peers do again.' },
+  runRestarted: { number: 6056, level: 'info', text: 'A late run is started again elsewhere.' },
   leasesTakenOver: {
     number: 6042,
     level: 'info',
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -124,6 +124,18 @@
     meaning: 'Tasks that are not started again, as they crash the targets that start them.',
     tags: ['pool'],
   },
+  uneven_targets: {
+    type: 'counter',
+    unit: 'targets',
+    meaning: 'Targets that were found slow or failing beside their peers.',
+    tags: ['pool', 'reason'],
+  },
+  late_runs_restarted: {
+    type: 'counter',
+    unit: 'runs',
+    meaning: 'Late runs on slow targets that were stopped to start elsewhere.',
+    tags: ['pool'],
+  },
   placement_round_ms: {
     type: 'timer',
     unit: 'ms',
--- a/src/systems/PoolCapacity.ts
+++ b/src/systems/PoolCapacity.ts
@@ -11,6 +11,8 @@
   /** Free capacity of each target, in the order of the targets. */
   readonly capacities: readonly TargetCapacity[];
 
+  private readonly hasAvoided: boolean;
+
   /** Largest free CPU of a target that accepts tasks; undefined after it may have changed. */
   private largestFreeCpuMillicores: number | undefined;
 
@@ -21,6 +23,7 @@
    */
   constructor(capacities: readonly TargetCapacity[]) {
     this.capacities = capacities;
+    this.hasAvoided = capacities.some(({ isAvoided }) => isAvoided);
   }
 
   /**
@@ -30,8 +33,10 @@
    * @returns Whether it is worth searching for a target.
    */
   mayFit(step: StepSpec): boolean {
+    // A service may also start on a target that is avoided.
+    if (step.isLongRunning && this.hasAvoided) return true;
     this.largestFreeCpuMillicores ??= this.capacities
-      .filter(({ acceptsTasks: isOpen }) => isOpen)
+      .filter((capacity) => capacity.acceptsTasks && capacity.isOpenToTasks)
       .reduce((most, { freeCpuMillicores }) => Math.max(most, freeCpuMillicores), -Infinity);
     return getAllocatedResources(step).cpuMillicores <= this.largestFreeCpuMillicores;
   }
--- a/src/systems/TargetCapacity.ts
+++ b/src/systems/TargetCapacity.ts
@@ -1,4 +1,6 @@
 import type { DurableJobRow, Resources, StepSpec } from '../jobs/index.js';
+import { assertNever } from '../utils/index.js';
+import type { TargetIntake } from './TargetVerdicts.js';
 
 /** A target that placement may choose. */
 export interface PlacementTarget {
@@ -13,6 +15,8 @@
   readonly hasJustStarted?: boolean;
   /** Whether a task that may have crashed a target has just started on this one. */
   readonly holdsSuspect?: boolean;
+  /** Which tasks the target may get if it is slow or fails; all if absent. */
+  readonly intake?: TargetIntake;
 }
 
 /**
@@ -56,6 +60,8 @@
 
   private holdsSuspect: boolean;
 
+  private readonly intake: TargetIntake;
+
   private readonly countsByStep = new Map<string, number>();
 
   /**
@@ -65,6 +71,7 @@
   constructor(target: PlacementTarget) {
     this.target = target;
     this.holdsSuspect = target.holdsSuspect === true;
+    this.intake = target.intake ?? 'all';
     ({
       cpuMillicores: this.cpuMillicores,
       memoryMb: this.memoryMb,
@@ -101,6 +108,37 @@
     return this.target.takesTasks && !this.holdsSuspect;
   }
 
+  /** Whether the target is avoided, as it is slow or fails. */
+  get isAvoided(): boolean {
+    return this.intake !== 'all';
+  }
+
+  /**
+   * Tells whether the target is open to the tasks of a step, as far as it is avoided. Services may
+   * always start there, as they must not stay down while there is room.
+   * @param step - The step.
+   * @param mayProbe - Whether its job bears a slow run, which shows how the target runs now.
+   * @returns Whether a task may start there if there is room.
+   */
+  isOpenTo(step: StepSpec, mayProbe = true): boolean {
+    if (step.isLongRunning || !this.isAvoided) return true;
+    return this.isOpenToTasks && mayProbe && !step.isGang;
+  }
+
+  /** Whether the target is open to some task that is not long-running. */
+  get isOpenToTasks(): boolean {
+    switch (this.intake) {
+      case 'all':
+        return true;
+      case 'probes':
+        return this.taskCount === this.longRunningCount;
+      case 'services':
+        return false;
+      default:
+        return assertNever(this.intake);
+    }
+  }
+
   /** Unallocated CPU, in thousandths of a core. */
   get freeCpuMillicores(): number {
     return this.cpuMillicores;
@@ -149,11 +187,13 @@
    * Tells whether one more task of a step may run on this target.
    * @param stepKey - Job, occurrence and step.
    * @param step - The step.
+   * @param mayProbe - Whether its job bears a slow run.
    * @returns Whether the free capacity suffices and the constraints of the step are met.
    */
-  accepts(stepKey: string, step: StepSpec): boolean {
+  accepts(stepKey: string, step: StepSpec, mayProbe = true): boolean {
     return (
       this.acceptsTasks &&
+      this.isOpenTo(step, mayProbe) &&
       this.hasRoomFor(step) &&
       this.countTasks(stepKey) < (step.maxTasksPerTarget ?? Infinity)
     );
--- a/src/systems/explainUnplaced.ts
+++ b/src/systems/explainUnplaced.ts
@@ -22,7 +22,7 @@
   'label',
   /** No target that takes tasks has enough free resources. */
   'room',
-  /** Each target with room is reserved for a task that may have crashed another. */
+  /** Each target with room is reserved for a task that may have crashed another, or is avoided. */
   'reserved',
   /** Each target with room already has as many tasks of the step as it may have. */
   'spread',
@@ -93,7 +93,7 @@
     if (!this.hasRoomFor(step)) return 'room';
     if (this.open.some((capacity) => capacity.accepts(stepKey, step))) return undefined;
     const isFree = (capacity: TargetCapacity): boolean =>
-      capacity.acceptsTasks && capacity.hasRoomFor(step);
+      capacity.acceptsTasks && capacity.isOpenTo(step) && capacity.hasRoomFor(step);
     return this.open.some(isFree) ? 'spread' : 'reserved';
   }
 
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -31,6 +31,12 @@
   'observed-wave-steps',
   /** Targets on which tasks keep failing are avoided. */
   'failing-targets-avoided',
+  /** Targets that run tasks several times slower than their peers are avoided. */
+  'slow-targets-avoided',
+  /** Targets that fail a part of their runs while their peers fail hardly any are avoided. */
+  'grey-targets-avoided',
+  /** Late runs on slow targets are stopped and started elsewhere if that ends them sooner. */
+  'late-runs-restarted',
 ] as const;
 
 /** Name of a mechanism that can be disabled. */
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -29,6 +29,11 @@
   readonly getFailedTargets: (jobId: string, position: number) => ReadonlySet<string>;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
+  /**
+   * Tells whether a job bears a run on a target that may still be slow, which shows its pace; each
+   * does if absent.
+   */
+  readonly mayProbe?: (row: DurableJobRow) => boolean;
   /** What organisations may still take into use; without limits if absent. */
   readonly rooms?: OrganisationRooms;
   /** Enabled mechanisms; all if absent. */
@@ -52,6 +57,7 @@
  * after a load peak until the last task ends. These criteria come first, the strongest first:
  *
  * - A task that may have crashed a target goes where another crash would cost least.
+ * - Targets that are slow or fail get a task only if no other target has room.
  * - Targets on which the task has failed before are avoided.
  * - The rack of the task's data is preferred, since the task takes longer elsewhere.
  * - A task of a step with a limit on unavailable tasks goes to the target with the fewest tasks of
@@ -65,8 +71,10 @@
   task: TaskRow,
   failedTargets: ReadonlySet<string>,
   isFullestFirst: boolean,
+  mayProbe: boolean,
 ): TargetCapacity | undefined {
   const getPreference = (capacity: TargetCapacity): readonly number[] => [
+    capacity.isAvoided ? 1 : 0,
     failedTargets.has(capacity.target.targetId) ? 1 : 0,
     step.dataRack !== undefined && capacity.target.rack !== step.dataRack ? 1 : 0,
     step.maxUnavailableCount === undefined ? 0 : capacity.countTasks(stepKey),
@@ -83,7 +91,7 @@
     return firstDifference >= 0 && a[firstDifference]! < b[firstDifference]!;
   };
   return capacities
-    .filter((capacity) => capacity.accepts(stepKey, step))
+    .filter((capacity) => capacity.accepts(stepKey, step, mayProbe))
     .map((capacity) => ({ capacity, rank: getRank(capacity) }))
     .reduce<{ readonly capacity: TargetCapacity; readonly rank: readonly number[] } | undefined>(
       (best, next) => (best === undefined || isBetter(next.rank, best.rank) ? next : best),
@@ -99,14 +107,17 @@
   readonly stepKey: string;
   readonly getFailedTargets: PlaceTasksInput['getFailedTargets'];
   readonly isFullestFirst: boolean;
+  readonly mayProbe: boolean;
   readonly rooms: OrganisationRooms;
 }
 
 /** Places tasks one by one until one does not fit; the others of the step would not fit either. */
 function placeOneByOne(
-  { row, ready, step, stepKey, getFailedTargets, isFullestFirst, rooms }: StepPlacement,
+  placement: StepPlacement,
   capacities: readonly TargetCapacity[],
 ): readonly TaskPlacement[] {
+  const { row, ready, step, stepKey, getFailedTargets, isFullestFirst, mayProbe, rooms } =
+    placement;
   const { jobId } = row.spec;
   let isFull = false;
   return ready.positions.flatMap((position): readonly TaskPlacement[] => {
@@ -114,7 +125,7 @@
     const task = row.tasks[position]!;
     const failedTargets = task.failureCount > 0 ? getFailedTargets(jobId, position) : NO_TARGETS;
     const capacity = rooms.fits(row, step)
-      ? chooseTarget(capacities, step, stepKey, task, failedTargets, isFullestFirst)
+      ? chooseTarget(capacities, step, stepKey, task, failedTargets, isFullestFirst, mayProbe)
       : undefined;
     isFull = capacity === undefined;
     if (capacity === undefined) return [];
@@ -179,6 +190,7 @@
     targets,
     getFailedTargets,
     nowMs,
+    mayProbe = () => true,
     rooms = new OrganisationRooms(allocatedJobs, () => undefined),
     mechanisms = ALL_MECHANISMS,
   } = input;
@@ -205,6 +217,7 @@
         stepKey,
         getFailedTargets,
         isFullestFirst,
+        mayProbe: mayProbe(row),
         rooms,
       };
       const placeStep = step.isGang ? placeGang : placeOneByOne;
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -6,6 +6,7 @@
 import {
   listReadyTasks,
   listSuspects,
+  mayRunProbe,
   type Mechanisms,
   OrganisationRooms,
   orderJobs,
@@ -122,10 +123,9 @@
     const suspectHolders = runs.listTargetsHeldBySuspects(rows.flatMap(listSuspects));
     const isAvoided = (targetId: string): boolean =>
       runs.isAvoided(targetId) || drains.has(targetId);
-    const targets = sessions.listForPlacement(isAvoided);
-    if (suspectHolders.size === 0) return targets;
-    return targets.map((target) => ({
+    return sessions.listForPlacement(isAvoided).map((target) => ({
       ...target,
+      intake: runs.getIntake(target.targetId),
       holdsSuspect: suspectHolders.has(target.targetId),
     }));
   }
@@ -150,6 +150,7 @@
       allocatedJobs: rows,
       rooms,
       targets: this.listTargets(rows),
+      mayProbe: (row) => mayRunProbe(row, runTimes, clock.wallMs()),
       getFailedTargets: (jobId, position) => runs.getFailedTargets(jobId, position),
       nowMs: dueAtMs,
     });
--- a/src/taskHome/RunCommands.ts
+++ b/src/taskHome/RunCommands.ts
@@ -53,10 +53,12 @@
   }
 
   private handleStartAnswer(order: RunOrder, answer: StartAnswer): void {
-    const { onClock, onOtherLifetime } = this.options;
+    const { onClock, onOtherLifetime, onStarted } = this.options;
     switch (answer.type) {
       case 'started':
         onClock(order.targetId, answer.targetClockMs);
+        // An earlier start without an answer may have begun the run before.
+        if (!order.life.hasOpenStart) onStarted(order, answer.targetClockMs);
         this.options.apply(order, { type: 'start-accepted' });
         return;
       case 'other-lifetime':
--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -14,6 +14,7 @@
 import type { TargetHealth } from './TargetHealth.js';
 import type { TaskOrders } from './TaskOrders.js';
 import type { TaskProgress } from './TaskProgress.js';
+import type { UnevenTargets } from './UnevenTargets.js';
 
 /** Options of {@link RunEnds}. */
 export interface RunEndsOptions {
@@ -21,6 +22,7 @@
   readonly orders: Pick<TaskOrders, 'abandon' | 'forget' | 'isOrdered'>;
   readonly health: TargetHealth;
   readonly progress: TaskProgress;
+  readonly uneven: Pick<UnevenTargets, 'noteEnd'>;
   readonly timer: RunTimer;
   readonly telemetry: JobTelemetry;
   readonly clock: Clock;
@@ -95,9 +97,10 @@
   }
 
   private learn({ row, position }: PlacedTask, key: RunKey, { end }: RunEnd): void {
-    const { health, progress, timer } = this.options;
+    const { health, progress, timer, uneven } = this.options;
     const { taskName, targetId } = key;
     progress.forget(taskName);
+    uneven.noteEnd(key, row, end);
     // The time was measured from the placement of the latest run.
     const isMeasured = row.tasks[position]!.run === key.run;
     timer.end(taskName, row, position, end === 'done' && isMeasured);
--- a/src/taskHome/RunStopper.ts
+++ b/src/taskHome/RunStopper.ts
@@ -113,6 +113,15 @@
     );
   }
 
+  /**
+   * Stops a run whose task continues on another target; the next run starts with new progress.
+   * @param taskName - Name of the task.
+   */
+  stopForRestart(taskName: string): void {
+    this.options.progress.forget(taskName);
+    this.options.orders.stop(taskName);
+  }
+
   /**
    * Tells whether a long-running task is at work and is not being stopped. A target reports a run
    * that is being stopped until it has ended; if that run counted as at work, a second task of the
@@ -137,12 +146,6 @@
     return { reportAgeMs: getAgeMs(task), oldestReportAgeMs: Math.max(...agesMs) };
   }
 
-  /** Stops a run whose task continues on another target; the next run starts with new progress. */
-  private stopForRestart(taskName: string): void {
-    this.options.progress.forget(taskName);
-    this.options.orders.stop(taskName);
-  }
-
   private stopTask(row: DurableJobRow, task: TaskRow, position: number): void {
     const { orders, table } = this.options;
     const taskName = nameTask(row, task);
--- a/src/taskHome/TaskOrdersOptions.ts
+++ b/src/taskHome/TaskOrdersOptions.ts
@@ -12,6 +12,8 @@
    * Tells whether a target must not receive a start: it is draining, or its capacity has shrunk.
    */
   readonly refusesStarts: (targetId: string) => boolean;
+  /** Called when a target has begun a run, with the reading of its clock. */
+  readonly onStarted: (key: RunKey, targetClockMs: number) => void;
   /** Called when the start of a run was not sent and never will be. */
   readonly onWithdrawn: (key: RunKey) => void;
   /** Called when a target has refused a start; an earlier start may still take effect. */
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -6,21 +6,22 @@
   recordCrash,
   placeTask,
   type RunEnd,
-  unplaceTask,
 } from '../jobs/index.js';
 import {
   type CrashEvidence,
   isSuspect,
   type PlacedSuspect,
   type RunTimes,
+  type TargetIntake,
   type TaskPlacement,
 } from '../systems/index.js';
-import type { EndedTaskReport, StartRefusal, TaskStart } from '../targets/index.js';
+import type { EndedTaskReport, TaskStart } from '../targets/index.js';
 import type { EndedTargets } from '../vms/index.js';
 import { createTaskStart } from './createTaskStart.js';
 import type { JobTable } from './JobTable.js';
 import type { RunKey } from './RunKey.js';
 import { type AttributedCrash, CrashAttribution } from './CrashAttribution.js';
+import { LateRunRestarts } from './LateRunRestarts.js';
 import { RunConfirmations } from './RunConfirmations.js';
 import { RunEnds } from './RunEnds.js';
 import { RunStopper } from './RunStopper.js';
@@ -34,6 +35,8 @@
 import { TaskPacer } from './TaskPacer.js';
 import { TaskProgress } from './TaskProgress.js';
 import type { TaskRunsOptions } from './TaskRunsOptions.js';
+import { UnbegunRuns } from './UnbegunRuns.js';
+import { UnevenTargets } from './UnevenTargets.js';
 
 /** End of a run whose target has not reported any. */
 const LAPSED: RunEnd = { end: 'lapsed', checkpoint: undefined };
@@ -64,6 +67,12 @@
 
   private readonly ends: RunEnds;
 
+  private readonly unbegun: UnbegunRuns;
+
+  private readonly uneven: UnevenTargets;
+
+  private readonly restarts: LateRunRestarts;
+
   /**
    * Starts without runs.
    * @param options - Jobs, targets, and callbacks for changes.
@@ -75,6 +84,7 @@
     this.health = new TargetHealth({ clock, events });
     this.progress = new TaskProgress(clock);
     this.timer = new RunTimer(clock, options.mechanisms);
+    this.uneven = new UnevenTargets({ ...options, runTimes: this.timer.runTimes });
     this.pacer = new TaskPacer({
       port: targets,
       term,
@@ -94,9 +104,10 @@
       clock,
       isGroupLeaseHeld: () => options.isGroupLeaseHeld(),
       refusesStarts: (targetId) => this.startGuard.refusesStarts(targetId),
-      onWithdrawn: (key) => this.returnToWaiting(key),
-      onRefused: (key, reason) => this.noteRefusal(key, reason),
-      onNeverBegins: (key, reason) => this.handleNeverBegins(key, reason),
+      onStarted: (key, targetClockMs) => this.uneven.paces.noteStarted(key, targetClockMs),
+      onWithdrawn: (key) => this.unbegun.returnToWaiting(key),
+      onRefused: (key, reason) => this.unbegun.noteRefusal(key, reason),
+      onNeverBegins: (key, reason) => this.unbegun.handleNeverBegins(key, reason),
       onVanished: (key) => this.ends.apply(key, LAPSED, 'vanished'),
       onOtherLifetime: (targetId) => this.handleLostTarget(targetId, 'other-lifetime'),
       onStaleTerm: () => this.options.onStaleTerm(),
@@ -108,9 +119,13 @@
       find: (taskName) => this.orders.find(taskName),
       onConfirmed: () => this.options.onChanged(),
     });
-    const { orders, health, progress, timer } = this;
+    const { orders, health, progress, timer, uneven } = this;
     this.stopper = new RunStopper({ ...options, orders, health, progress });
-    this.ends = new RunEnds({ ...options, orders, health, progress, timer });
+    this.ends = new RunEnds({ ...options, orders, health, progress, timer, uneven });
+    const { ends, stopper } = this;
+    this.unbegun = new UnbegunRuns({ ...options, health, stopper, ends });
+    const isAvoided = (targetId: string): boolean => this.isAvoided(targetId);
+    this.restarts = new LateRunRestarts({ ...options, orders, stopper, uneven, isAvoided });
   }
 
   /** The run times learned so far. */
@@ -186,6 +201,15 @@
     return mechanisms.has('failing-targets-avoided') && this.health.isAvoided(targetId);
   }
 
+  /**
+   * Tells which tasks a target may get, as far as it is slow or fails beside its peers.
+   * @param targetId - The target.
+   * @returns The tasks.
+   */
+  getIntake(targetId: string): TargetIntake {
+    return this.uneven.getIntake(targetId);
+  }
+
   /**
    * Counts the runs on a target, started or not.
    * @param targetId - The target.
@@ -202,12 +226,15 @@
    * @param report - The whole report.
    */
   handleReport(targetId: string, ended: readonly EndedTaskReport[], report: TargetReport): void {
-    const { running } = report.answer;
+    const { running, targetClockMs } = report.answer;
+    this.uneven.paces.noteClock(targetId, targetClockMs);
     ended.forEach(({ taskName, run, end, checkpoint }) =>
       this.ends.applyReported({ taskName, run, targetId }, { end, checkpoint }),
     );
     this.progress.note(report);
+    this.uneven.noteReport(targetId, report);
     this.stopper.stopStalled(targetId, running);
+    this.restarts.check(targetId, report);
     const address = this.sessions.getAddress(targetId);
     if (address !== undefined) this.pacer.handleReport(address, running);
     this.orders.reconcile(targetId, report);
@@ -266,6 +293,7 @@
     this.options.events.write('targetGone', { targetId, reason, runCount: lost.length });
     lost.forEach((run) => this.ends.apply(run, LAPSED, reason));
     this.orders.forgetTarget(targetId);
+    this.uneven.forgetTarget(targetId);
     if (reason === 'other-lifetime') this.attributeCrash(targetId, 'weak');
     this.options.onChanged();
   }
@@ -280,6 +308,8 @@
    * @param drainedTargets - Ids of the targets that are being drained.
    */
   check(drainedTargets: ReadonlySet<string>): void {
+    this.uneven.check();
+    this.restarts.noteDrained(drainedTargets);
     this.evacuate(drainedTargets);
     this.stopFinished();
     this.orders.startWithheld();
@@ -314,32 +344,4 @@
     const leaseUntilTargetMs = this.sessions.extendLease(key.targetId);
     return createTaskStart(key, found, { leaseUntilTargetMs, term: this.options.term });
   }
-
-  /** Records a refusal. Without this member the others of its gang can't work, begun or not. */
-  private noteRefusal(key: RunKey, reason: StartRefusal): void {
-    const isOfTarget = reason !== 'malformed' && reason !== 'lease-past';
-    if (isOfTarget) this.health.noteRefusal(key.targetId);
-    const found = this.table.findPlaced(key);
-    if (found !== undefined) this.stopper.stopGangMates(found.row, found.position);
-  }
-
-  private handleNeverBegins(key: RunKey, reason: StartRefusal): void {
-    if (reason === 'malformed') {
-      this.ends.apply(key, { end: 'failed', checkpoint: undefined }, reason);
-      return;
-    }
-    this.returnToWaiting(key);
-    this.options.onChanged();
-  }
-
-  /**
-   * Makes a task wait again whose run has not begun and never will. The caller reports the change,
-   * or leaves it to the next round, so that a withdrawn task is not placed again at once.
-   */
-  private returnToWaiting(key: RunKey): void {
-    const found = this.table.findPlaced(key);
-    if (found === undefined) return;
-    this.stopper.stopGangMates(found.row, found.position);
-    this.table.put(unplaceTask(found.row, found.position));
-  }
 }
--- a/src/taskHome/TaskRunsOptions.ts
+++ b/src/taskHome/TaskRunsOptions.ts
@@ -1,9 +1,11 @@
 import type { EventLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
 import type { JobTelemetry } from './JobTelemetry.js';
+import type { TargetEntries } from './TargetEntry.js';
 import type { TargetSessions } from './TargetSessions.js';
 
 /** Options of `TaskRuns`. */
@@ -13,8 +15,11 @@
   readonly table: JobTable;
   /** Gets the sessions with the targets, which are created after the runs. */
   readonly getSessions: () => TargetSessions;
+  /** Lists the targets that the platform knows. */
+  readonly getEntries: () => TargetEntries;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly telemetry: JobTelemetry;
   readonly mechanisms: Mechanisms;
   /** Tells whether this instance is certain to be the home still. */
--- a/tests/taskHome/RunEnds.test.ts
+++ b/tests/taskHome/RunEnds.test.ts
@@ -36,6 +36,7 @@
     orders,
     health: new TargetHealth({ clock, events }),
     progress: new TaskProgress(clock),
+    uneven: { noteEnd: () => undefined },
     timer: new RunTimer(clock),
     telemetry: new JobTelemetry({ events, metrics: new MemoryMetrics(), clock, term: 3 }),
     clock,
