--- a/src/systems/RunPaces.ts
+++ b/src/systems/RunPaces.ts
@@ -89,17 +89,6 @@
     return this.tracks.get(taskName)?.latest;
   }
 
-  /**
-   * Lets the measured span of a run begin with its latest report.
-   * @param taskName - Name of the task.
-   */
-  restartSpan(taskName: string): void {
-    const track = this.tracks.get(taskName);
-    if (track === undefined) return;
-    const { latest } = track;
-    this.tracks.set(taskName, { ...track, from: latest, middle: latest });
-  }
-
   /**
    * Forgets a run that is over.
    * @param taskName - Name of the task.
--- a/src/systems/TargetPaces.ts
+++ b/src/systems/TargetPaces.ts
@@ -1,18 +1,28 @@
-import { estimateTargetPace, type RunPace, type TargetPace } from './estimateTargetPace.js';
+import {
+  estimateTargetPace,
+  getGeometricMean,
+  type RunPace,
+  type TargetPace,
+} from './estimateTargetPace.js';
 import { findMedian } from './findMedian.js';
 
-/** Pace of a target beside that of its peers. */
-export interface ComparedPace extends TargetPace {
-  /** Median pace of the pool's targets; at most 1. */
-  readonly peerShare: number;
+/** Pace of a run beside what its task is expected to need. */
+export interface ObservedPace {
+  readonly stepKey: string;
+  /** Pace beside the estimate: 0.2 for a run that takes five times as long. */
+  readonly estimateShare: number;
+  /** Pace beside other tasks of the step on other targets; undefined if too few tell. */
+  readonly peerShare: number | undefined;
 }
 
-interface DatedPace extends RunPace {
+interface DatedPace extends ObservedPace {
   readonly atMs: number;
 }
 
-interface KnownPace extends TargetPace {
+interface KnownPace {
   readonly pool: string;
+  /** Geometric mean of the paces beside the estimates. */
+  readonly estimateShare: number;
   readonly atMs: number;
 }
 
@@ -43,7 +53,7 @@
    * @param pace - The pace.
    * @param nowMs - Monotonic time of the home.
    */
-  note(targetId: string, taskName: string, pace: RunPace, nowMs: number): void {
+  note(targetId: string, taskName: string, pace: ObservedPace, nowMs: number): void {
     const runs = this.runsByTarget.get(targetId) ?? new Map<string, DatedPace>();
     runs.set(taskName, { ...pace, atMs: nowMs });
     this.runsByTarget.set(targetId, runs);
@@ -51,20 +61,42 @@
 
   /**
    * Compares a target with the other targets of its pool.
-   *
-   * The median of the pool stands for what tasks need where the whole pool is slow, or every
-   * estimate too short. A median above 1 only shows estimates that are too long.
    * @param targetId - The target.
    * @param pool - Its pool.
    * @param nowMs - Monotonic time of the home.
-   * @returns Its pace and that of its peers; undefined if too few runs or targets tell.
+   * @returns Its pace beside its peers'; undefined if too few runs or targets tell.
    */
-  compare(targetId: string, pool: string, nowMs: number): ComparedPace | undefined {
-    const pace = estimateTargetPace(this.listRecent(targetId, nowMs));
-    if (pace === undefined) return undefined;
-    this.paces.set(targetId, { ...pace, pool, atMs: nowMs });
-    const peerShare = this.getMedian(pool, nowMs);
-    return peerShare === undefined ? undefined : { ...pace, peerShare: Math.min(1, peerShare) };
+  compare(targetId: string, pool: string, nowMs: number): TargetPace | undefined {
+    const runs = this.listRecent(targetId, nowMs);
+    if (runs.length === 0) return undefined;
+    const estimateShare = getGeometricMean(runs.map((run) => run.estimateShare));
+    this.paces.set(targetId, { pool, estimateShare, atMs: nowMs });
+    const poolShare = this.getPoolShare(pool, nowMs);
+    const paces = runs.flatMap(({ stepKey, peerShare, ...run }): readonly RunPace[] => {
+      if (peerShare !== undefined) return [{ stepKey, share: peerShare, basis: 'peers' }];
+      if (poolShare === undefined) return [];
+      return [{ stepKey, share: run.estimateShare / poolShare, basis: 'estimate' }];
+    });
+    return estimateTargetPace(paces);
+  }
+
+  /**
+   * Gets the median pace of a pool's targets beside the estimates. It shows what tasks need where
+   * the whole pool is slow, or every estimate too short; estimates that are too long tell nothing.
+   * @param pool - The pool.
+   * @param nowMs - Monotonic time of the home.
+   * @returns The pace, at most 1; undefined if too few targets tell.
+   */
+  getPoolShare(pool: string, nowMs: number): number | undefined {
+    const known = this.medians.get(pool);
+    if (known !== undefined && nowMs < known.untilMs) return known.share;
+    const shares = [...this.paces.values()]
+      .filter((pace) => pace.pool === pool && nowMs - pace.atMs <= KEPT_MS)
+      .map(({ estimateShare }) => estimateShare);
+    const median = shares.length < MIN_TARGET_COUNT ? undefined : findMedian(shares);
+    const share = median && Math.min(1, median);
+    this.medians.set(pool, { share, untilMs: nowMs + MEDIAN_KEPT_MS });
+    return share;
   }
 
   /**
@@ -76,22 +108,11 @@
     this.paces.delete(targetId);
   }
 
-  private listRecent(targetId: string, nowMs: number): readonly RunPace[] {
+  private listRecent(targetId: string, nowMs: number): readonly ObservedPace[] {
     const runs = this.runsByTarget.get(targetId) ?? new Map<string, DatedPace>();
     runs.forEach(({ atMs }, taskName) => {
       if (nowMs - atMs > KEPT_MS) runs.delete(taskName);
     });
     return [...runs.values()];
   }
-
-  private getMedian(pool: string, nowMs: number): number | undefined {
-    const known = this.medians.get(pool);
-    if (known !== undefined && nowMs < known.untilMs) return known.share;
-    const shares = [...this.paces.values()]
-      .filter((pace) => pace.pool === pool && nowMs - pace.atMs <= KEPT_MS)
-      .map(({ share }) => share);
-    const share = shares.length < MIN_TARGET_COUNT ? undefined : findMedian(shares);
-    this.medians.set(pool, { share, untilMs: nowMs + MEDIAN_KEPT_MS });
-    return share;
-  }
 }
--- a/src/systems/TargetVerdicts.ts
+++ b/src/systems/TargetVerdicts.ts
@@ -1,4 +1,4 @@
-import type { ComparedPace } from './TargetPaces.js';
+import type { TargetPace } from './estimateTargetPace.js';
 
 /** Why a target is avoided. */
 export type UnevenReason = 'slow' | 'failing';
@@ -59,15 +59,15 @@
   judgePace(
     targetId: string,
     pool: string,
-    pace: ComparedPace,
+    pace: TargetPace,
     nowMs: number,
   ): 'found' | 'returned' | 'same' {
-    const { share, upperShare, peerShare } = pace;
-    const isSlow = upperShare < MIN_BEARABLE_SHARE * peerShare;
+    const { share, upperShare } = pace;
+    const isSlow = upperShare < MIN_BEARABLE_SHARE;
     const known = this.verdicts.get(targetId);
     if (known === undefined) return isSlow ? this.add(targetId, 'slow', pool, nowMs) : 'same';
     if (known.reason !== 'slow') return 'same';
-    if (share >= MIN_BEARABLE_SHARE * peerShare) return this.remove(targetId);
+    if (share >= MIN_BEARABLE_SHARE) return this.remove(targetId);
     this.verdicts.set(targetId, { ...known, probeAtMs: nowMs + PROBE_PAUSE_MS });
     return 'same';
   }
--- a/src/systems/estimateTargetPace.ts
+++ b/src/systems/estimateTargetPace.ts
@@ -46,6 +46,19 @@
   return (ownErrors + sharedErrors) / square(paces.length);
 }
 
+/**
+ * Gets the geometric mean of some paces: one at a half and one at twice the pace make up for each
+ * other.
+ * @param shares - The paces; one without progress counts as a hundredth.
+ * @returns The mean.
+ */
+export function getGeometricMean(shares: readonly number[]): number {
+  const sum = shares
+    .map((share) => Math.log(Math.max(MIN_SHARE, share)))
+    .reduce((total, value) => total + value, 0);
+  return Math.exp(sum / shares.length);
+}
+
 /**
  * Estimates the pace of a target from the paces of its runs: several runs that are somewhat late
  * tell as much as a single one that is far behind.
@@ -54,10 +67,7 @@
  */
 export function estimateTargetPace(paces: readonly RunPace[]): TargetPace | undefined {
   if (paces.length === 0) return undefined;
-  const sum = paces
-    .map(({ share }) => Math.log(Math.max(MIN_SHARE, share)))
-    .reduce((total, value) => total + value, 0);
-  const mean = sum / paces.length;
+  const share = getGeometricMean(paces.map((pace) => pace.share));
   const margin = CONFIDENCE_DEVIATIONS * Math.sqrt(getVariance(paces));
-  return { share: Math.exp(mean), upperShare: Math.exp(mean + margin), runCount: paces.length };
+  return { share, upperShare: share * Math.exp(margin), runCount: paces.length };
 }
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -39,9 +39,9 @@
 export { type CountedEnd, FailureShares } from './FailureShares.js';
 export { PeerRunTimes } from './PeerRunTimes.js';
 export { type ExpectedRest, type LateRun, planRestart } from './planRestart.js';
-export { type RunPace } from './estimateTargetPace.js';
+export { type TargetPace } from './estimateTargetPace.js';
 export { RunPaces, type RunSpan, type TrackedRun } from './RunPaces.js';
-export { type ComparedPace, TargetPaces } from './TargetPaces.js';
+export { type ObservedPace, TargetPaces } from './TargetPaces.js';
 export { type TargetIntake, TargetVerdicts } from './TargetVerdicts.js';
 export { mayRunProbe } from './mayRunProbe.js';
 export { type MeasuredRun, RunTimes } from './RunTimes.js';
--- a/src/taskHome/PaceObserver.ts
+++ b/src/taskHome/PaceObserver.ts
@@ -1,11 +1,11 @@
 import { isFinished } from '../jobs/index.js';
 import {
-  type ComparedPace,
   getStepKey,
   PeerRunTimes,
   RunPaces,
   type RunSpan,
   type RunTimes,
+  type TargetPace,
   TargetPaces,
 } from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
@@ -28,7 +28,10 @@
   readonly isCheckpointing: boolean;
   /** How long the task takes on other targets, in milliseconds. */
   readonly wholeElsewhereMs: number;
-  readonly basis: 'peers' | 'estimate';
+  /** How long other tasks of the step take on other targets; undefined if too few tell. */
+  readonly peersMs: number | undefined;
+  /** How long the task takes by the estimate, in milliseconds. */
+  readonly estimateMs: number;
 }
 
 const WHOLE_PERCENT = 100;
@@ -123,7 +126,7 @@
    * @param pool - Its pool.
    * @returns Its pace; undefined if too few runs or targets tell.
    */
-  compare(targetId: string, pool: string): ComparedPace | undefined {
+  compare(targetId: string, pool: string): TargetPace | undefined {
     return this.targets.compare(targetId, pool, this.options.clock.monotonicMs());
   }
 
@@ -156,19 +159,19 @@
     if (dataRack !== undefined && rack !== dataRack) return undefined;
     const stepKey = getStepKey(row, task.occurrence, task.step);
     const peersMs = this.peers.getElsewhereMs(stepKey, key.targetId);
-    const wholeElsewhereMs = peersMs ?? runTimes.estimateMs(row, task.step);
-    const basis = peersMs === undefined ? 'estimate' : 'peers';
-    return { row, position, stepKey, isCheckpointing, wholeElsewhereMs, basis };
+    const estimateMs = runTimes.estimateMs(row, task.step);
+    const nowMs = this.options.clock.monotonicMs();
+    const poolShare = this.targets.getPoolShare(row.spec.terms.pool, nowMs) ?? 1;
+    const wholeElsewhereMs = peersMs ?? estimateMs / poolShare;
+    return { row, position, stepKey, isCheckpointing, wholeElsewhereMs, peersMs, estimateMs };
   }
 
   /**
-   * Lets the pace of a target count anew from now on.
+   * Lets the pace of a target count anew from its next report.
    * @param targetId - The target.
-   * @param taskNames - The tasks that run there.
    */
-  restart(targetId: string, taskNames: readonly string[]): void {
+  forgetPaces(targetId: string): void {
     this.targets.forget(targetId);
-    taskNames.forEach((taskName) => this.runs.restartSpan(taskName));
   }
 
   /**
@@ -190,10 +193,11 @@
 
   private notePace(key: RunKey, found: ComparableRun, span: RunSpan, peerSpan: RunSpan): void {
     const { taskName, targetId } = key;
-    const { stepKey, basis, wholeElsewhereMs } = found;
-    const share = wholeElsewhereMs / getRunMs(span);
-    const nowMs = this.options.clock.monotonicMs();
-    this.targets.note(targetId, taskName, { stepKey, share, basis }, nowMs);
+    const { stepKey, peersMs, estimateMs } = found;
+    const runMs = getRunMs(span);
+    const peerShare = peersMs && peersMs / runMs;
+    const pace = { stepKey, estimateShare: estimateMs / runMs, peerShare };
+    this.targets.note(targetId, taskName, pace, this.options.clock.monotonicMs());
     this.peers.note({ stepKey, taskName, targetId, runMs: getRunMs(peerSpan) });
   }
 }
--- a/src/taskHome/UnevenTargets.ts
+++ b/src/taskHome/UnevenTargets.ts
@@ -29,10 +29,6 @@
 const COUNTS_KEPT_MS = 250;
 const PERCENT = 100;
 
-function toPercent(share: number): number {
-  return Math.round(share * PERCENT);
-}
-
 /** Finds the targets of a home that are slow or fail a part of their runs, and avoids them. */
 export class UnevenTargets {
   /** How fast runs progress. */
@@ -68,11 +64,10 @@
     if (pool === undefined || pace === undefined) return;
     const change = this.verdicts.judgePace(targetId, pool, pace, this.nowMs);
     if (change === 'same') return;
-    const taskNames = report.answer.running.map(({ taskName }) => taskName);
-    this.paces.restart(targetId, taskNames);
-    const { runCount, peerShare, share } = pace;
-    const shares = { pacePercent: toPercent(share), peerPercent: toPercent(peerShare), runCount };
-    this.logChange(targetId, pool, change, { reason: 'slow', ...shares });
+    this.paces.forgetPaces(targetId);
+    const { runCount, share } = pace;
+    const pacePercent = Math.round(share * PERCENT);
+    this.logChange(targetId, pool, change, { reason: 'slow', pacePercent, runCount });
   }
 
   /**
--- a/standins/leasedTargets/LeasedTarget.ts
+++ b/standins/leasedTargets/LeasedTarget.ts
@@ -14,7 +14,7 @@
 /** What runs on a target. */
 interface Running {
   readonly start: TaskStart;
-  progressPercent: number;
+  readonly begunAtMs: number;
 }
 
 /** A run that was killed as nobody renewed the lease. */
@@ -28,6 +28,8 @@
 /** Most ends that a report lists, unless a test sets fewer. */
 const MAX_LISTED_END_COUNT = 500;
 
+const WHOLE_PERCENT = 100;
+
 /** One lifetime of a target: what it runs, what has ended, and which term it has seen. */
 export class LeasedTarget {
   /** Runs that were killed for the lease, in order; those of others' questions count at once. */
@@ -36,6 +38,9 @@
   /** Most ends that a report lists, the oldest first. */
   maxListedEndCount = MAX_LISTED_END_COUNT;
 
+  /** How long the tasks take here, in milliseconds; each is at work at once if it is 0. */
+  runMs = 0;
+
   private readonly clock: Clock;
 
   /** What runs, the newest run last; a faulty home may start two runs of a task. */
@@ -134,7 +139,7 @@
     if (isStale) return refuse('stale-run');
     if (refusal !== undefined) return refuse(refusal);
     if (this.leaseUntilMs <= targetClockMs) return refuse('lease-past');
-    this.running = [...this.running, { start, progressPercent: 100 }];
+    this.running = [...this.running, { start, begunAtMs: targetClockMs }];
     return { type: 'started', targetClockMs };
   }
 
@@ -158,10 +163,10 @@
     return {
       type: 'report',
       targetClockMs: this.clock.monotonicMs(),
-      running: this.running.map(({ start, progressPercent }): RunningTaskReport => ({
+      running: this.running.map(({ start, begunAtMs }): RunningTaskReport => ({
         taskName: start.taskName,
         run: start.run,
-        progressPercent,
+        progressPercent: this.getProgressPercent(begunAtMs),
         checkpoint: undefined,
         loadFigure: undefined,
       })),
@@ -181,6 +186,12 @@
     this.endRun(start, { end, checkpoint });
   }
 
+  private getProgressPercent(begunAtMs: number): number {
+    if (this.runMs === 0) return WHOLE_PERCENT;
+    const ranMs = this.clock.monotonicMs() - begunAtMs;
+    return Math.min(WHOLE_PERCENT - 1, Math.floor((WHOLE_PERCENT * ranMs) / this.runMs));
+  }
+
   private endRun(
     { taskName, run }: Pick<TaskStart, 'taskName' | 'run'>,
     { end, checkpoint }: Pick<EndedTaskReport, 'end' | 'checkpoint'>,
