--- a/tests/systems/placeTasks.test.ts
+++ b/tests/systems/placeTasks.test.ts
@@ -66,6 +66,42 @@
     expect(place([row], [...targets, makeTarget('t4', { labels: ['ssd'] })])).toHaveLength(1);
   });
 
+  describe('on a target that is slow or fails', () => {
+    const short = makeStep({ taskCount: 2 });
+    const placeOn = (step: StepSpec, target: PlacementTarget, mayProbe = true) =>
+      placeTasks({
+        jobs: [makeRow('a', [step])],
+        allocatedJobs: [],
+        targets: [target],
+        getFailedTargets: () => new Set<string>(),
+        mayProbe: () => mayProbe,
+        nowMs: NOW_MS,
+      });
+
+    it('places nothing while another one has room', () => {
+      const targets = [makeTarget('t1', { intake: 'probes' }), makeTarget('t2')];
+      const placed = place([makeRow('a', [short])], targets);
+      expect(placed.map(({ targetId }) => targetId)).toEqual(['t2', 't2']);
+    });
+
+    it('places one task at a time, of a job that bears it', () => {
+      const target = makeTarget('t1', { intake: 'probes' });
+      expect(placeOn(short, target)).toHaveLength(1);
+      expect(placeOn(short, target, false)).toEqual([]);
+      expect(placeOn(makeStep({ taskCount: 2, isGang: true }), target)).toEqual([]);
+    });
+
+    // Guards against a service that stays down while the only room is on an avoided target.
+    it.each(['probes', 'services'] as const)('places services (%s)', (intake) => {
+      const target = makeTarget('t1', { intake });
+      expect(placeOn(makeStep({ taskCount: 2, isLongRunning: true }), target)).toHaveLength(2);
+    });
+
+    it('places no other task right after it was found', () => {
+      expect(placeOn(short, makeTarget('t1', { intake: 'services' }))).toEqual([]);
+    });
+  });
+
   it('prefers the rack of the data', () => {
     const row = makeRow('a', [makeStep({ dataRack: 'r2' })]);
     const targets = [makeTarget('t1'), makeTarget('t2', { rack: 'r2' }), makeTarget('t3')];
