Keep rounds of placement as short where no target is avoided

Cause: each target's rank had one more part, and each job's room to bear a probe was estimated, also where no target is avoided.

Change: both only in pools with an avoided target.

--- a/src/systems/PoolCapacity.ts
+++ b/src/systems/PoolCapacity.ts
@@ -11,7 +11,8 @@
   /** Free capacity of each target, in the order of the targets. */
   readonly capacities: readonly TargetCapacity[];
 
-  private readonly hasAvoided: boolean;
+  /** Whether a target of the pool is avoided, as it is slow or fails. */
+  readonly hasAvoided: boolean;
 
   /** Largest free CPU of a target that accepts tasks; undefined after it may have changed. */
   private largestFreeCpuMillicores: number | undefined;
--- a/src/systems/TargetCapacity.ts
+++ b/src/systems/TargetCapacity.ts
@@ -48,6 +48,9 @@
 export class TargetCapacity {
   readonly target: PlacementTarget;
 
+  /** Whether the target is avoided, as it is slow or fails. */
+  readonly isAvoided: boolean;
+
   private cpuMillicores: number;
 
   private memoryMb: number;
@@ -72,6 +75,7 @@
     this.target = target;
     this.holdsSuspect = target.holdsSuspect === true;
     this.intake = target.intake ?? 'all';
+    this.isAvoided = this.intake !== 'all';
     ({
       cpuMillicores: this.cpuMillicores,
       memoryMb: this.memoryMb,
@@ -108,11 +112,6 @@
     return this.target.takesTasks && !this.holdsSuspect;
   }
 
-  /** Whether the target is avoided, as it is slow or fails. */
-  get isAvoided(): boolean {
-    return this.intake !== 'all';
-  }
-
   /**
    * Tells whether the target is open to the tasks of a step, as far as it is avoided. Services may
    * always start there, as they must not stay down while there is room.
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -51,6 +51,20 @@
   );
 }
 
+/** Ready tasks of one step and occurrence, and how targets are chosen for them. */
+interface StepPlacement {
+  readonly row: DurableJobRow;
+  readonly ready: ReadyTasks;
+  readonly step: StepSpec;
+  readonly stepKey: string;
+  readonly getFailedTargets: PlaceTasksInput['getFailedTargets'];
+  readonly isFullestFirst: boolean;
+  /** Whether some target of the pool is avoided, as it is slow or fails. */
+  readonly hasAvoided: boolean;
+  readonly mayProbe: boolean;
+  readonly rooms: OrganisationRooms;
+}
+
 /**
  * Chooses the fullest target with sufficient free capacity (bin packing), so that other targets
  * become idle and can move to another pool. If tasks were spread evenly, a pool would keep every VM
@@ -66,15 +80,11 @@
  */
 function chooseTarget(
   capacities: readonly TargetCapacity[],
-  step: StepSpec,
-  stepKey: string,
+  { step, stepKey, isFullestFirst, hasAvoided, mayProbe }: StepPlacement,
   task: TaskRow,
   failedTargets: ReadonlySet<string>,
-  isFullestFirst: boolean,
-  mayProbe: boolean,
 ): TargetCapacity | undefined {
   const getPreference = (capacity: TargetCapacity): readonly number[] => [
-    capacity.isAvoided ? 1 : 0,
     failedTargets.has(capacity.target.targetId) ? 1 : 0,
     step.dataRack !== undefined && capacity.target.rack !== step.dataRack ? 1 : 0,
     step.maxUnavailableCount === undefined ? 0 : capacity.countTasks(stepKey),
@@ -85,7 +95,10 @@
     ...capacity.crashCost,
     ...getPreference(capacity),
   ];
-  const getRank = isSuspect(task) ? getSuspectPreference : getPreference;
+  const getSoundRank = isSuspect(task) ? getSuspectPreference : getPreference;
+  const getRank = hasAvoided
+    ? (capacity: TargetCapacity) => [capacity.isAvoided ? 1 : 0, ...getSoundRank(capacity)]
+    : getSoundRank;
   const isBetter = (a: readonly number[], b: readonly number[]): boolean => {
     const firstDifference = a.findIndex((value, index) => value !== b[index]);
     return firstDifference >= 0 && a[firstDifference]! < b[firstDifference]!;
@@ -99,18 +112,6 @@
     )?.capacity;
 }
 
-/** Ready tasks of one step and occurrence, and how targets are chosen for them. */
-interface StepPlacement {
-  readonly row: DurableJobRow;
-  readonly ready: ReadyTasks;
-  readonly step: StepSpec;
-  readonly stepKey: string;
-  readonly getFailedTargets: PlaceTasksInput['getFailedTargets'];
-  readonly isFullestFirst: boolean;
-  readonly mayProbe: boolean;
-  readonly rooms: OrganisationRooms;
-}
-
 /** Places tasks one by one until one does not fit; the others of the step would not fit either. */
 function placeOneByOne(
   placement: StepPlacement,
@@ -125,7 +126,7 @@
     const task = row.tasks[position]!;
     const failedTargets = task.failureCount > 0 ? getFailedTargets(jobId, position) : NO_TARGETS;
     const capacity = rooms.fits(row, step)
-      ? chooseTarget(capacities, step, stepKey, task, failedTargets, isFullestFirst, mayProbe)
+      ? chooseTarget(capacities, placement, task, failedTargets)
       : undefined;
     isFull = capacity === undefined;
     if (capacity === undefined) return [];
@@ -217,7 +218,8 @@
         stepKey,
         getFailedTargets,
         isFullestFirst,
-        mayProbe: mayProbe(row),
+        hasAvoided: pool.hasAvoided,
+        mayProbe: pool.hasAvoided && mayProbe(row),
         rooms,
       };
       const placeStep = step.isGang ? placeGang : placeOneByOne;
