--- a/src/explain/tellJobStory.ts
+++ b/src/explain/tellJobStory.ts
@@ -13,9 +13,11 @@
   'targetAppeared',
   'targetAvoided',
   'targetDraining',
+  'targetEvenAgain',
   'targetGone',
   'targetHeardAgain',
   'targetSilent',
+  'targetUneven',
 ]);
 
 /** Events that tell of a pool's room. */
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -117,8 +117,7 @@
   placement: StepPlacement,
   capacities: readonly TargetCapacity[],
 ): readonly TaskPlacement[] {
-  const { row, ready, step, stepKey, getFailedTargets, isFullestFirst, mayProbe, rooms } =
-    placement;
+  const { row, ready, step, stepKey, getFailedTargets, rooms } = placement;
   const { jobId } = row.spec;
   let isFull = false;
   return ready.positions.flatMap((position): readonly TaskPlacement[] => {
