--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -29,6 +29,11 @@
   readonly getFailedTargets: (jobId: string, position: number) => ReadonlySet<string>;
   /** Wall-clock time in milliseconds since the Unix epoch. */
   readonly nowMs: number;
+  /**
+   * Tells whether a job bears a run on a target that may still be slow, which shows its pace; each
+   * does if absent.
+   */
+  readonly mayProbe?: (row: DurableJobRow) => boolean;
   /** What organisations may still take into use; without limits if absent. */
   readonly rooms?: OrganisationRooms;
   /** Enabled mechanisms; all if absent. */
@@ -46,12 +51,27 @@
   );
 }
 
+/** Ready tasks of one step and occurrence, and how targets are chosen for them. */
+interface StepPlacement {
+  readonly row: DurableJobRow;
+  readonly ready: ReadyTasks;
+  readonly step: StepSpec;
+  readonly stepKey: string;
+  readonly getFailedTargets: PlaceTasksInput['getFailedTargets'];
+  readonly isFullestFirst: boolean;
+  /** Whether some target of the pool is avoided, as it is slow or fails. */
+  readonly hasAvoided: boolean;
+  readonly mayProbe: boolean;
+  readonly rooms: OrganisationRooms;
+}
+
 /**
  * Chooses the fullest target with sufficient free capacity (bin packing), so that other targets
  * become idle and can move to another pool. If tasks were spread evenly, a pool would keep every VM
  * after a load peak until the last task ends. These criteria come first, the strongest first:
  *
  * - A task that may have crashed a target goes where another crash would cost least.
+ * - Targets that are slow or fail get a task only if no other target has room.
  * - Targets on which the task has failed before are avoided.
  * - The rack of the task's data is preferred, since the task takes longer elsewhere.
  * - A task of a step with a limit on unavailable tasks goes to the target with the fewest tasks of
@@ -60,11 +80,9 @@
  */
 function chooseTarget(
   capacities: readonly TargetCapacity[],
-  step: StepSpec,
-  stepKey: string,
+  { step, stepKey, isFullestFirst, hasAvoided, mayProbe }: StepPlacement,
   task: TaskRow,
   failedTargets: ReadonlySet<string>,
-  isFullestFirst: boolean,
 ): TargetCapacity | undefined {
   const getPreference = (capacity: TargetCapacity): readonly number[] => [
     failedTargets.has(capacity.target.targetId) ? 1 : 0,
@@ -77,13 +95,16 @@
     ...capacity.crashCost,
     ...getPreference(capacity),
   ];
-  const getRank = isSuspect(task) ? getSuspectPreference : getPreference;
+  const getSoundRank = isSuspect(task) ? getSuspectPreference : getPreference;
+  const getRank = hasAvoided
+    ? (capacity: TargetCapacity) => [capacity.isAvoided ? 1 : 0, ...getSoundRank(capacity)]
+    : getSoundRank;
   const isBetter = (a: readonly number[], b: readonly number[]): boolean => {
     const firstDifference = a.findIndex((value, index) => value !== b[index]);
     return firstDifference >= 0 && a[firstDifference]! < b[firstDifference]!;
   };
   return capacities
-    .filter((capacity) => capacity.accepts(stepKey, step))
+    .filter((capacity) => capacity.accepts(stepKey, step, mayProbe))
     .map((capacity) => ({ capacity, rank: getRank(capacity) }))
     .reduce<{ readonly capacity: TargetCapacity; readonly rank: readonly number[] } | undefined>(
       (best, next) => (best === undefined || isBetter(next.rank, best.rank) ? next : best),
@@ -91,22 +112,12 @@
     )?.capacity;
 }
 
-/** Ready tasks of one step and occurrence, and how targets are chosen for them. */
-interface StepPlacement {
-  readonly row: DurableJobRow;
-  readonly ready: ReadyTasks;
-  readonly step: StepSpec;
-  readonly stepKey: string;
-  readonly getFailedTargets: PlaceTasksInput['getFailedTargets'];
-  readonly isFullestFirst: boolean;
-  readonly rooms: OrganisationRooms;
-}
-
 /** Places tasks one by one until one does not fit; the others of the step would not fit either. */
 function placeOneByOne(
-  { row, ready, step, stepKey, getFailedTargets, isFullestFirst, rooms }: StepPlacement,
+  placement: StepPlacement,
   capacities: readonly TargetCapacity[],
 ): readonly TaskPlacement[] {
+  const { row, ready, step, stepKey, getFailedTargets, rooms } = placement;
   const { jobId } = row.spec;
   let isFull = false;
   return ready.positions.flatMap((position): readonly TaskPlacement[] => {
@@ -114,7 +125,7 @@
     const task = row.tasks[position]!;
     const failedTargets = task.failureCount > 0 ? getFailedTargets(jobId, position) : NO_TARGETS;
     const capacity = rooms.fits(row, step)
-      ? chooseTarget(capacities, step, stepKey, task, failedTargets, isFullestFirst)
+      ? chooseTarget(capacities, placement, task, failedTargets)
       : undefined;
     isFull = capacity === undefined;
     if (capacity === undefined) return [];
@@ -179,6 +190,7 @@
     targets,
     getFailedTargets,
     nowMs,
+    mayProbe = () => true,
     rooms = new OrganisationRooms(allocatedJobs, () => undefined),
     mechanisms = ALL_MECHANISMS,
   } = input;
@@ -205,6 +217,8 @@
         stepKey,
         getFailedTargets,
         isFullestFirst,
+        hasAvoided: pool.hasAvoided,
+        mayProbe: pool.hasAvoided && mayProbe(row),
         rooms,
       };
       const placeStep = step.isGang ? placeGang : placeOneByOne;
--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -18,6 +18,7 @@
 import type { TargetLossReason } from './TargetSessions.js';
 import type { TaskOrders } from './TaskOrders.js';
 import type { TaskProgress } from './TaskProgress.js';
+import type { UnevenTargets } from './UnevenTargets.js';
 
 /** End of a run whose target has not reported any. */
 export const LAPSED: RunEnd = { end: 'lapsed', checkpoint: undefined };
@@ -34,6 +35,7 @@
   readonly orders: Pick<TaskOrders, 'abandon' | 'forget' | 'isOrdered'>;
   readonly health: TargetHealth;
   readonly progress: TaskProgress;
+  readonly uneven: Pick<UnevenTargets, 'noteEnd'>;
   readonly timer: RunTimer;
   readonly telemetry: JobTelemetry;
   readonly clock: Clock;
@@ -139,9 +141,10 @@
   }
 
   private learn({ row, position }: PlacedTask, key: RunKey, { end }: RunEnd): void {
-    const { health, progress, timer } = this.options;
+    const { health, progress, timer, uneven } = this.options;
     const { taskName, targetId } = key;
     progress.forget(taskName);
+    uneven.noteEnd(key, row, end);
     const { run, checkpoint } = row.tasks[position]!;
     // The time is that of the latest run, which is only the rest of the work if it has resumed.
     const isMeasured = run === key.run && checkpoint === undefined;
--- a/standins/leasedTargets/LeasedTarget.ts
+++ b/standins/leasedTargets/LeasedTarget.ts
@@ -14,7 +14,9 @@
 /** What runs on a target. */
 interface Running {
   readonly start: TaskStart;
-  progressPercent: number;
+  readonly begunAtMs: number;
+  /** Progress that a test has set, in percent; undefined if it follows from the run's age. */
+  setPercent?: number;
 }
 
 /** A run that was killed as nobody renewed the lease. */
@@ -28,6 +30,8 @@
 /** Most ends that a report lists, unless a test sets fewer. */
 const MAX_LISTED_END_COUNT = 500;
 
+const WHOLE_PERCENT = 100;
+
 /** One lifetime of a target: what it runs, what has ended, and which term it has seen. */
 export class LeasedTarget {
   /** Runs that were killed for the lease, in order; those of others' questions count at once. */
@@ -36,6 +40,9 @@
   /** Most ends that a report lists, the oldest first. */
   maxListedEndCount = MAX_LISTED_END_COUNT;
 
+  /** How long the tasks take here, in milliseconds; each is at work at once if it is 0. */
+  runMs = 0;
+
   private readonly clock: Clock;
 
   /** What runs, the newest run last; a faulty home may start two runs of a task. */
@@ -134,7 +141,7 @@
     if (isStale) return refuse('stale-run');
     if (refusal !== undefined) return refuse(refusal);
     if (this.leaseUntilMs <= targetClockMs) return refuse('lease-past');
-    this.running = [...this.running, { start, progressPercent: 100 }];
+    this.running = [...this.running, { start, begunAtMs: targetClockMs }];
     return { type: 'started', targetClockMs };
   }
 
@@ -158,10 +165,10 @@
     return {
       type: 'report',
       targetClockMs: this.clock.monotonicMs(),
-      running: this.running.map(({ start, progressPercent }): RunningTaskReport => ({
+      running: this.running.map(({ start, begunAtMs, setPercent }): RunningTaskReport => ({
         taskName: start.taskName,
         run: start.run,
-        progressPercent,
+        progressPercent: setPercent ?? this.getProgressPercent(begunAtMs),
         checkpoint: undefined,
         loadFigure: undefined,
       })),
@@ -177,7 +184,7 @@
    */
   setProgress(taskName: string, progressPercent: number): void {
     const running = this.running.findLast(({ start }) => start.taskName === taskName)!;
-    running.progressPercent = progressPercent;
+    running.setPercent = progressPercent;
   }
 
   /**
@@ -191,6 +198,12 @@
     this.endRun(start, { end, checkpoint });
   }
 
+  private getProgressPercent(begunAtMs: number): number {
+    if (this.runMs === 0) return WHOLE_PERCENT;
+    const ranMs = this.clock.monotonicMs() - begunAtMs;
+    return Math.min(WHOLE_PERCENT - 1, Math.floor((WHOLE_PERCENT * ranMs) / this.runMs));
+  }
+
   private endRun(
     { taskName, run }: Pick<TaskStart, 'taskName' | 'run'>,
     { end, checkpoint }: Pick<EndedTaskReport, 'end' | 'checkpoint'>,
--- a/tests/taskHome/RunEnds.test.ts
+++ b/tests/taskHome/RunEnds.test.ts
@@ -40,6 +40,7 @@
     health: new TargetHealth({ clock, events }),
     progress: new TaskProgress(clock),
     timer,
+    uneven: { noteEnd: () => undefined },
     telemetry: new JobTelemetry({ events, metrics: new MemoryMetrics(), clock, term: 3 }),
     clock,
   });
