Decide which jobs would end too late to be of use

Cause: under more load than a pool carries each job was accepted. Those that could no longer be in time were placed last, ended beyond three times their objective, and their callers learned of it only by waiting.

Change: PoolBacklog sums up the unfinished work of a pool by what decides on the order of placement, admitJob compares the place that a job would get with the time within which its end is of use, and says when to come back, spread by job id.

--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -7,6 +7,7 @@
   STABLE_AFTER_MS,
 } from './attributeCrash.js';
 export { isSuspect, listSuspects, type PlacedSuspect } from './listSuspects.js';
+export { type Admission, admitJob, type AdmitJobInput, type RefusedAdmission } from './admitJob.js';
 export { alignSubmissions } from './alignSubmissions.js';
 export { checkBudget, type CheckBudgetOptions } from './checkBudget.js';
 export type {
@@ -27,6 +28,7 @@
 export { recordRun, type RecordRunOptions } from './recordRun.js';
 export { isQuarantined } from './vmStates.js';
 export { summariseWaves, type WaveProgress } from './WaveProgress.js';
+export { PoolBacklog, type PoolBacklogOptions, type WorkAhead } from './PoolBacklog.js';
 export { ArrivalRate } from './ArrivalRate.js';
 export { orderJobs, type OrderJobsOptions } from './orderJobs.js';
 export {
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -11,6 +11,8 @@
   'newest-first-in-overload',
   /** In a full pool, organisations are served by weight, and not by age and objective alone. */
   'shares-by-weight',
+  /** Where the settings call for it, jobs that would end too late to be of use are refused. */
+  'unservable-jobs-refused',
   /** Run times are estimated from measurements instead of the callers' declarations. */
   'learned-run-times',
   /** Tasks go to the fullest target with sufficient free capacity, so that others become idle. */
--- a/src/systems/orderByShare.ts
+++ b/src/systems/orderByShare.ts
@@ -13,6 +13,17 @@
 /** Smallest weight that counts, so that an organisation of weight 0 waits but is not forgotten. */
 const MIN_WEIGHT = 0.01;
 
+/**
+ * Gets the weight that counts for an organisation.
+ * @param organisation - The organisation; undefined for the jobs that belong to none.
+ * @param getWeight - Gets the weights of the configuration.
+ * @returns The weight, which is positive.
+ */
+export function getShareWeight(organisation: string | undefined, getWeight: GetWeight): number {
+  const weight = organisation === undefined ? WEIGHT_WITHOUT_ORGANISATION : getWeight(organisation);
+  return Math.max(MIN_WEIGHT, weight);
+}
+
 /** Input of {@link orderByShare}. */
 export interface OrderByShareInput {
   /** Jobs of equal standing, in the order that holds within an organisation. */
@@ -47,13 +58,11 @@
   const jobsByShare = groupBy(jobs, getShareKey);
   const startTimes = new Map<DurableJobRow, number>();
   jobsByShare.forEach((own, key) => {
-    const { organisation } = own[0]!.spec;
-    const weight =
-      organisation === undefined ? WEIGHT_WITHOUT_ORGANISATION : getWeight(organisation);
+    const weight = getShareWeight(own[0]!.spec.organisation, getWeight);
     const allocated = allocatedByShare.get(key) ?? [];
     let usedCpu = allocated.reduce((sum, row) => sum + sumAllocatedCpu(row), 0);
     own.forEach((row) => {
-      startTimes.set(row, usedCpu / Math.max(MIN_WEIGHT, weight));
+      startTimes.set(row, usedCpu / weight);
       usedCpu += sumReadyCpu([row], nowMs);
     });
   });
