Refuse unservable jobs at their pool's home, where the settings say so

Cause: a job that cannot be of use any more is known only to the pool's home, which has the backlog, the run times and the targets.

Change: JobSubmissions asks JobAdmission before anything is stored or placed. An attempt without a reply before it still makes the outcome unknown. TaskHome hands its submissions to a module of their own.

--- a/src/callers/createErrorBody.ts
+++ b/src/callers/createErrorBody.ts
@@ -4,9 +4,7 @@
   type Outcome,
   type RattanliftError,
 } from '../errors/index.js';
-
-const MS_PER_S = 1000;
-const MIN_RETRY_AFTER_S = 1;
+import { getRetryAfterS } from './getRetryAfterS.js';
 
 /** Body of an answer that tells an error, as JSON. */
 export interface ErrorBody {
@@ -33,11 +31,6 @@
   readonly outcome?: Outcome;
 }
 
-function getRetryAfterS(error: RattanliftError, nowMs: number): number | undefined {
-  if (error.retryAtMs === undefined) return ERROR_ANSWERS[error.kind].retryAfterS;
-  return Math.max(MIN_RETRY_AFTER_S, Math.ceil((error.retryAtMs - nowMs) / MS_PER_S));
-}
-
 /**
  * Creates the body that tells a caller of an error.
  * @param options - The error, its request and the time.
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -1,6 +1,7 @@
 export { ANSWER_HEADERS, CALLER_HEADERS } from './callerHeaders.js';
 export type { ErrorBody } from './createErrorBody.js';
 export { createMetricsServer } from './createMetricsServer.js';
+export { getRetryAfterS } from './getRetryAfterS.js';
 export { createHttpServer, type HttpServerOptions } from './createHttpServer.js';
 export type { EntryPort, JobAnswer, JobState, JobSubmission } from './EntryPort.js';
 export { type CallerRoutesOptions, registerCallerRoutes } from './registerCallerRoutes.js';
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -233,6 +233,7 @@
       maxRecordBytes: bounds.maxRecordBytes,
       linkMbps: capacity.linkMbps,
       mechanisms,
+      refusesUnservableJobs: this.options.refusesUnservableJobs,
       ...ports,
       targets: this.createTargets(),
       directory: new TargetDirectory({
@@ -323,6 +324,6 @@
     if ('caller' in request && isKeyWithdrawn(request.caller, this.getConfiguration())) {
       return { type: 'refused', kind: 'key-rejected', message: 'The key was withdrawn.' };
     }
-    return handleJobRequest(this.homes?.get(request.pool), request);
+    return handleJobRequest(this.homes?.get(request.pool), request, this.options.clock);
   }
 }
--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -71,6 +71,8 @@
   readonly bounds: JobNodeBounds;
   /** Mechanisms of the decisions that are on. */
   readonly mechanisms: Mechanisms;
+  /** Whether jobs are refused that would end too late to be of use; no if absent. */
+  readonly refusesUnservableJobs?: boolean;
   readonly clock: Clock;
   readonly events: EventLog;
   readonly metrics: Metrics;
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -53,6 +53,11 @@
     text: 'A start was not sent, as its target leaves or has shrunk.',
   },
   runLost: { number: 6040, level: 'warn', text: 'A run of a task was lost with its target.' },
+  jobRefusedByLoad: {
+    number: 6054,
+    level: 'info',
+    text: 'A durable job was refused, as it would end too late to be of use.',
+  },
   taskGivenUp: {
     number: 6041,
     level: 'warn',
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -112,6 +112,12 @@
     meaning: 'Runs of tasks that were lost with their targets, by how the loss became known.',
     tags: ['pool', 'reason'],
   },
+  jobs_refused: {
+    type: 'counter',
+    unit: 'jobs',
+    meaning: 'Submissions of durable jobs that were refused, as they would end too late.',
+    tags: ['pool'],
+  },
   starts_withheld: {
     type: 'counter',
     unit: 'seconds',
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -136,6 +136,8 @@
       readonly message: string;
       /** Wall-clock time at which to retry. */
       readonly retryAtMs?: number;
+      /** Time after which to submit a durable job again; no deadline, because clocks differ. */
+      readonly retryAfterMs?: number;
       /** Whether the callee is the home but has not read its jobs yet. */
       readonly isHomeLoading?: boolean;
     }
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -132,6 +132,7 @@
     kind: errorKind,
     message: text,
     retryAtMs: z.number().optional(),
+    retryAfterMs: z.number().nonnegative().optional(),
   }),
   z.looseObject({ type: z.literal('done') }),
   z.looseObject({
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -207,7 +207,7 @@
     }
     if (last.type === 'reply') {
       trace.noteReply();
-      return JobGateway.unwrapReply(last.reply, isInDoubt);
+      return this.unwrapReply(last.reply, isInDoubt);
     }
     // `not-run` must be certain, but an earlier unanswered attempt may have stored the job.
     if (isInDoubt) throwError('outcome-unknown', 'No home has answered.', { cause: last.error });
@@ -266,9 +266,12 @@
     }
   }
 
-  private static unwrapReply(reply: PeerReply, isInDoubt: boolean): PeerReply {
+  private unwrapReply(reply: PeerReply, isInDoubt: boolean): PeerReply {
     if (reply.type !== 'refused') return reply;
-    const isNotRun = ERROR_ANSWERS[reply.kind].outcome === 'not-run';
-    return throwError(isInDoubt && isNotRun ? 'outcome-unknown' : reply.kind, reply.message);
+    const { kind, message, retryAfterMs } = reply;
+    const isNotRun = ERROR_ANSWERS[kind].outcome === 'not-run';
+    if (isInDoubt && isNotRun) throwError('outcome-unknown', message);
+    if (retryAfterMs === undefined) throwError(kind, message);
+    return throwError(kind, message, { retryAtMs: this.options.clock.wallMs() + retryAfterMs });
   }
 }
--- /dev/null
+++ b/src/taskHome/JobSubmissions.ts
@@ -0,0 +1,69 @@
+import { throwError } from '../errors/index.js';
+import { type DurableJobSpec, isVisibleTo } from '../jobs/index.js';
+import type { Clock } from '../utils/index.js';
+import { createStorableJob } from './createStorableJob.js';
+import type { JobAdmission } from './JobAdmission.js';
+import type { JobTable } from './JobTable.js';
+import type { PoolArrivals } from './PoolArrivals.js';
+import type { RecordWriter } from './RecordWriter.js';
+import type { TaskRuns } from './TaskRuns.js';
+
+/** Options of {@link JobSubmissions}. */
+export interface JobSubmissionsOptions {
+  readonly table: JobTable;
+  readonly writer: RecordWriter;
+  readonly runs: TaskRuns;
+  readonly arrivals: PoolArrivals;
+  readonly admission: JobAdmission;
+  /** Maximum size of a record, with its key, in bytes; no bound if absent. */
+  readonly maxRecordBytes?: number;
+  readonly clock: Clock;
+  /** Places ready tasks and stores all changes. */
+  readonly flush: () => Promise<void>;
+}
+
+/** Takes the jobs that callers submit to a home. */
+export class JobSubmissions {
+  private readonly options: JobSubmissionsOptions;
+
+  /**
+   * Creates the taker of a home's jobs.
+   * @param options - The jobs, and what decides on new ones.
+   */
+  constructor(options: JobSubmissionsOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Stores a job unless it is known or refused. A refusal leaves nothing behind; only the rate at
+   * which work arrives counts it, since its caller needs the capacity all the same.
+   * @param spec - The job.
+   * @returns Resolves once the job is stored.
+   * @throws RattanliftError If the job was not stored and never will be, or if the home has been
+   * replaced meanwhile.
+   */
+  async submit(spec: DurableJobSpec): Promise<void> {
+    const { admission, arrivals, clock, flush, maxRecordBytes, runs, table, writer } = this.options;
+    const { jobId, organisation, terms } = spec;
+    const known = table.get(jobId);
+    if (known !== undefined) {
+      if (!isVisibleTo(known, organisation)) {
+        throwError('request-id-reused', 'The job id is taken.');
+      }
+      // The first submission may still wait for a round, so only a round after it tells.
+      await flush();
+      return;
+    }
+    if (writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
+    const row = createStorableJob({ ...spec, submittedAtMs: clock.wallMs() }, maxRecordBytes);
+    arrivals.get(terms.pool).record(runs.runTimes.estimateRemainingWork(row));
+    admission.admit(row);
+    table.add(row);
+    try {
+      await flush();
+    } catch (thrown) {
+      table.remove(jobId);
+      throw thrown;
+    }
+  }
+}
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -1,7 +1,7 @@
 import type { DurableJobRow, RunEnd, CrashOutcome } from '../jobs/index.js';
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import { getShareKey, type PoolDemand } from '../systems/index.js';
+import { getShareKey, type PoolDemand, type RefusedAdmission } from '../systems/index.js';
 import type { TaskEnd } from '../targets/index.js';
 import { type Clock, groupBy } from '../utils/index.js';
 import { explainIgnoredEnd, isOrdinaryReason } from './explainIgnoredEnd.js';
@@ -11,6 +11,8 @@
 /** Shortest time between two log lines of an organisation in a pool, in milliseconds. */
 const WITHHELD_INTERVAL_MS = 1_000;
 
+const MILLICORES_PER_CORE = 1_000;
+
 /** Options of {@link JobTelemetry}. */
 export interface JobTelemetryOptions {
   readonly events: EventLog;
@@ -177,6 +179,27 @@
     });
   }
 
+  /**
+   * Records that an arriving job was refused, since it would end too late to be of use.
+   * @param row - The job, which is not stored.
+   * @param refusal - The estimate.
+   */
+  noteRefused({ spec }: DurableJobRow, refusal: RefusedAdmission): void {
+    const { events, metrics, clock, term } = this.options;
+    const { jobId, organisation, terms } = spec;
+    const { queue, pool } = terms;
+    const nowMs = clock.wallMs();
+    const getLeftMs = (atMs: number): number => Math.round(atMs - nowMs);
+    metrics.increment('jobs_refused', { pool });
+    events.write('jobRefusedByLoad', {
+      ...{ jobId, queue, pool, organisation, term },
+      expectedEndInMs: getLeftMs(refusal.expectedEndAtMs),
+      usefulForMs: getLeftMs(refusal.usefulUntilMs),
+      backlogCoreMs: Math.round(refusal.backlogWork / MILLICORES_PER_CORE),
+      retryAfterMs: getLeftMs(refusal.retryAtMs),
+    });
+  }
+
   private getShortage(pool: string): OutageLog {
     const known = this.shortages.get(pool);
     if (known !== undefined) return known;
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -1,15 +1,10 @@
 import { RattanliftError, throwError } from '../errors/index.js';
-import {
-  cancelJob,
-  type DurableJobSpec,
-  type DurableJobState,
-  isFinished,
-  isVisibleTo,
-} from '../jobs/index.js';
+import { cancelJob, type DurableJobSpec, type DurableJobState, isFinished } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
-import { createStorableJob } from './createStorableJob.js';
+import { JobAdmission } from './JobAdmission.js';
+import { JobSubmissions } from './JobSubmissions.js';
 import { JobTable } from './JobTable.js';
 import { JobTelemetry } from './JobTelemetry.js';
 import { LeaseLapses } from './LeaseLapses.js';
@@ -47,7 +42,9 @@
 
   private readonly telemetry: JobTelemetry;
 
-  private readonly arrivals: PoolArrivals;
+  private readonly admission: JobAdmission;
+
+  private readonly submissions: JobSubmissions;
 
   private readonly poolSync: PoolSync;
 
@@ -75,7 +72,6 @@
     this.wallClock = options.clock;
     this.table = new JobTable(clock);
     this.writer = new RecordWriter({ ...this.options, onFenced: () => this.handleReplaced() });
-    this.arrivals = new PoolArrivals(clock);
     this.telemetry = new JobTelemetry(this.options);
     this.runs = new TaskRuns({
       ...this.options,
@@ -109,7 +105,8 @@
       onGone: (targetId, reason) => this.reports.handleGone(targetId, reason),
       onStaleTerm: () => this.handleReplaced(),
     });
-    const { arrivals, runs, sessions, table, telemetry, writer } = this;
+    const { runs, sessions, table, telemetry, writer } = this;
+    const arrivals = new PoolArrivals(clock);
     const parts = { ...this.options, table, runs, sessions, telemetry };
     this.silentTargets = new SilentTargetsLog(parts);
     this.poolSync = new PoolSync({
@@ -120,10 +117,17 @@
       flush: () => this.flush(),
       assertIsHome: () => this.assertIsHome(),
     });
+    const { drains } = this.poolSync;
+    this.admission = new JobAdmission({ ...parts, arrivals, drains, wallClock: this.wallClock });
+    const flush = (): Promise<void> => this.flush();
+    this.submissions = new JobSubmissions({
+      ...parts,
+      ...{ admission: this.admission, arrivals, writer, flush },
+    });
     this.rounds = new PlacementRounds({
       ...parts,
-      writer,
-      drains: this.poolSync.drains,
+      ...{ drains, writer },
+      mechanisms: this.admission.placementMechanisms,
       limitParts: this.poolSync.limitParts,
       dueClock: this.wallClock,
     });
@@ -161,6 +165,7 @@
       this.table.restore(row);
       this.runs.restore(row);
     });
+    this.admission.handleLoaded();
     this.reports.handleLoaded();
   }
 
@@ -173,33 +178,13 @@
    * Accepts a job. A repeated submission changes nothing.
    * @param spec - The job.
    * @returns Resolves once the job is stored.
-   * @throws RattanliftError Of kind `home-unavailable`, `log-unavailable` or `job-too-large` if the
-   * job was not stored and never will be, `request-id-reused` if another organisation's job has the
-   * id, or `outcome-unknown`.
+   * @throws RattanliftError Of kind `home-unavailable`, `log-unavailable`, `no-capacity` or
+   * `job-too-large` if the job was not stored and never will be, `request-id-reused` if another
+   * organisation's job has the id, or `outcome-unknown`.
    */
   async submit(spec: DurableJobSpec): Promise<void> {
-    const { jobId } = spec;
     this.assertIsOpen();
-    const known = this.table.get(jobId);
-    if (known !== undefined) {
-      if (!isVisibleTo(known, spec.organisation)) {
-        throwError('request-id-reused', 'The job id is taken.');
-      }
-      // The first submission may still wait for a round, so only a round after it tells.
-      await this.flush();
-      return;
-    }
-    if (this.writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
-    const { clock, maxRecordBytes } = this.options;
-    const row = createStorableJob({ ...spec, submittedAtMs: clock.wallMs() }, maxRecordBytes);
-    this.table.add(row);
-    this.arrivals.get(spec.terms.pool).record(this.runs.runTimes.estimateRemainingWork(row));
-    try {
-      await this.flush();
-    } catch (thrown) {
-      this.table.remove(jobId);
-      throw thrown;
-    }
+    await this.submissions.submit(spec);
   }
 
   /**
@@ -233,6 +218,7 @@
     const row = this.table.getActive(jobId);
     if (row !== undefined && !isFinished(row)) {
       this.table.put(cancelJob(row, this.options.clock.wallMs()));
+      this.admission.handleCancelled();
       this.options.events.write('jobCancelled', { jobId, term: this.term, stateBefore: row.state });
     }
     await this.flush();
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -26,6 +26,8 @@
   readonly events: EventLog;
   readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
+  /** Whether jobs are refused that would end too late to be of use; no if absent. */
+  readonly refusesUnservableJobs?: boolean;
   readonly getEntries: () => TargetEntries;
   /** Lists the organisations of the configuration in force. */
   readonly listOrganisations: () => readonly Organisation[];
--- a/src/taskHome/TaskHomesOptions.ts
+++ b/src/taskHome/TaskHomesOptions.ts
@@ -30,6 +30,8 @@
   readonly linkMbps: number;
   readonly metrics: Metrics;
   readonly mechanisms: Mechanisms;
+  /** Whether jobs are refused that would end too late to be of use; no if absent. */
+  readonly refusesUnservableJobs?: boolean;
   /** Lists the organisations of the configuration in force. */
   readonly listOrganisations: () => readonly Organisation[];
   /** Creates the fleet's home on the instance that is the home of the fleet's partition. */
--- a/src/taskHome/handleJobRequest.ts
+++ b/src/taskHome/handleJobRequest.ts
@@ -1,6 +1,6 @@
 import { toRattanliftError } from '../errors/index.js';
 import type { DurableJobRequest, PeerReply } from '../peers/index.js';
-import { assertNever } from '../utils/index.js';
+import { assertNever, type Clock, SystemClock } from '../utils/index.js';
 import type { TaskHome } from './TaskHome.js';
 
 const NOT_HOME_REPLY: PeerReply = {
@@ -44,18 +44,22 @@
  * Handles a request about durable jobs at the home of their pool.
  * @param home - The home on this instance; undefined if the home is elsewhere.
  * @param request - The request.
+ * @param clock - Clock by which the home tells when to come back.
  * @returns The reply; an error is returned as a refusal of the same kind.
  */
 export async function handleJobRequest(
   home: TaskHome | undefined,
   request: DurableJobRequest,
+  clock: Clock = new SystemClock(),
 ): Promise<PeerReply> {
   if (home === undefined) return NOT_HOME_REPLY;
   if (!home.isLoaded) return LOADING_REPLY;
   try {
     return await dispatch(home, request);
   } catch (thrown) {
-    const { kind, message } = toRattanliftError(thrown);
-    return { type: 'refused', kind, message };
+    const { kind, message, retryAtMs } = toRattanliftError(thrown);
+    const refusal = { type: 'refused', kind, message } as const;
+    if (retryAtMs === undefined) return refusal;
+    return { ...refusal, retryAfterMs: Math.max(0, retryAtMs - clock.wallMs()) };
   }
 }
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -109,6 +109,9 @@
   /** Organisations of the configuration in force. */
   organisations: readonly Organisation[] = [];
 
+  /** Whether homes that are opened next refuse jobs that would end too late to be of use. */
+  refusesUnservableJobs = false;
+
   /** Whether the homes are certain that they still are the home of their partition. */
   isGroupLeaseHeld = true;
 
@@ -167,6 +170,7 @@
       clock,
       events,
       mechanisms: ALL_MECHANISMS,
+      refusesUnservableJobs: this.refusesUnservableJobs,
       metrics: this.metrics,
       getEntries: () => this.entries,
       listOrganisations: () => this.organisations,
--- a/tests/taskHome/JobGateway.test.ts
+++ b/tests/taskHome/JobGateway.test.ts
@@ -2,12 +2,32 @@
 import { type EventFields, type KeptEvent, MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
 import type { PeerAddress, PeerPort, PeerReply } from '../../src/peers/index.js';
+import { throwError } from '../../src/errors/index.js';
 import { JobGateway, PoolPartitions } from '../../src/taskHome/index.js';
-import { SystemClock } from '../../src/utils/index.js';
+import { type Clock, ManualClock, SystemClock } from '../../src/utils/index.js';
+import { makeJob } from './HomeWorld.js';
 
 const REFUSAL = { type: 'refused', kind: 'home-unavailable', message: 'Not now.' } as const;
 const HOME = { instance: 'home', host: '10.0.0.1', port: 7_700 };
 
+/** Submits a job to a home that gives the replies in turn; undefined is none. */
+function submit(replies: readonly (PeerReply | undefined)[], clock: Clock): Promise<void> {
+  const left = [...replies];
+  const call: PeerPort['call'] = async () =>
+    left.shift() ?? throwError('peer-unavailable', 'No reply.');
+  const gateway = new JobGateway({
+    instance: 'entry',
+    peers: { call },
+    handleLocally: () => Promise.resolve(REFUSAL),
+    directory: { get: () => HOME, refresh: () => Promise.resolve() },
+    partitions: new PoolPartitions({ partitionCount: 1, listPools: () => ['pages'] }),
+    clock,
+    metrics: new MemoryMetrics(),
+    events: new MemoryEventLog(),
+  });
+  return gateway.submit(makeJob('a'));
+}
+
 /** Asks a home that gives the same reply to every call, until the caller gives up. */
 async function ask(
   reply: PeerReply,
@@ -58,3 +78,20 @@
     expect(fields.attemptCount).toBeGreaterThan(1);
   });
 });
+
+describe('a refusal for too much load', () => {
+  const TOO_MUCH = { type: 'refused', kind: 'no-capacity', message: 'Too much work.' } as const;
+
+  it('tells when to come back, by the clock of the entry', async () => {
+    const clock = new ManualClock(50_000);
+    const refused = submit([{ ...TOO_MUCH, retryAfterMs: 7_000 }], clock);
+    await expect(refused).rejects.toMatchObject({ kind: 'no-capacity', retryAtMs: 57_000 });
+  });
+
+  // Failure: the answer to a first attempt that stored the job is lost, the next one is refused,
+  // and the caller is told that the job never runs.
+  it('leaves the outcome unknown after an attempt without a reply', async () => {
+    const refused = submit([undefined, { ...TOO_MUCH, retryAfterMs: 7_000 }], new SystemClock());
+    await expect(refused).rejects.toMatchObject({ kind: 'outcome-unknown', retryAtMs: undefined });
+  });
+});
