--- a/tests/platformAdapter/createCallerEdge.test.ts
+++ b/tests/platformAdapter/createCallerEdge.test.ts
@@ -87,6 +87,15 @@
     expect(await inDoubt('POST', JOB_PATH)).toMatchObject({ status: 504, retry: undefined });
   });
 
+  // Failure: callers who are refused for too much load come back before there is room for them.
+  it('names the time at which a refused caller should come back, in whole seconds', async () => {
+    const error = { kind: 'no-capacity', message: 'Too much work.', retryAtMs: 12_400 } as const;
+    const clock = new ManualClock(5_000);
+    const submit = () => Promise.reject(new RattanliftError(error));
+    const refused = createEdge({ submit }, CONFIGURATION, { clock });
+    expect(await refused('POST', JOB_PATH)).toMatchObject({ status: 503, retry: '8' });
+  });
+
   it('answers 404 for no queue, and 503 before it has a configuration', async () => {
     expect(await createEdge()('GET', '/none/')).toMatchObject({ status: 404 });
     const edge = createCallerEdge({
--- a/tests/platformAdapter/readSettings.test.ts
+++ b/tests/platformAdapter/readSettings.test.ts
@@ -25,6 +25,17 @@
   'bounds.lease_ms': '3000',
 };
 
+/** Fills a section as the platform does: once if it is true, or once for each entry of a list. */
+function fillSection(value: string | undefined, section: string): string {
+  if (value === undefined || value === 'false') return '';
+  if (value === 'true') return section;
+  return value
+    .split(',')
+    .map((entry) => section.replace('{{.}}', entry).replace('{{,}}', ','))
+    .join('')
+    .replace(/,$/, '');
+}
+
 function fill(
   changes: Readonly<Record<string, string>> = {},
   edit: (text: string) => string = (text) => text,
@@ -32,7 +43,7 @@
   const values = { ...VALUES, ...changes };
   const text = TEMPLATE.replaceAll(
     /\{\{#([^}]+)\}\}(.*?)\{\{\/\1\}\}/gs,
-    (_all, name: string, section: string) => (values[name] === 'true' ? section : ''),
+    (_all, name: string, section: string) => fillSection(values[name], section),
   ).replaceAll(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name]!);
   const file = join(mkdtempSync(join(tmpdir(), 'settings-')), 'entry.jsonc');
   writeFileSync(file, edit(text));
@@ -62,6 +73,22 @@
     expect(readSettings(fill(strict)).maxKeyAgeMs).toBe(5_000);
   });
 
+  it('refuses unservable jobs only where the platform tells of pressure, unless told otherwise', () => {
+    const read = (contracts: string, line = '"mechanismsOff"') =>
+      readSettings(fill({ contracts }, (text) => text.replace('"mechanismsOff"', line)))
+        .refusesUnservableJobs;
+    expect(readSettings(fill()).refusesUnservableJobs).toBe(false);
+    expect(read('base,drain,cost')).toBe(false);
+    expect(read('base,pressure,cost')).toBe(true);
+    const override = (value: string): string =>
+      `"refusesUnservableJobs": ${value}, "mechanismsOff"`;
+    expect(read('base,pressure', override('false'))).toBe(false);
+    expect(read('base', override('true'))).toBe(true);
+    expect(() => read('base', override('"yes"'))).toThrow(
+      /entry\.jsonc:\d+:\d+.*refusesUnservableJobs.*true or false/s,
+    );
+  });
+
   it('takes only mechanisms that there are', () => {
     const off = (list: string): readonly string[] =>
       readSettings(
