--- a/src/systems/PoolBacklog.ts
+++ b/src/systems/PoolBacklog.ts
@@ -1,6 +1,7 @@
 import { type DurableJobRow, isFinished } from '../jobs/index.js';
+import { memoizeByObject } from '../utils/index.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
-import { listReadyTasks } from './listReadyTasks.js';
+import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import { type GetWeight, getShareWeight } from './orderByShare.js';
 import type { RunTimes } from './RunTimes.js';
 import { getAllocatedResources } from './TargetCapacity.js';
@@ -35,6 +36,28 @@
 /** Share of a placed task's work that remains on average. */
 const REMAINING_SHARE = 0.5;
 
+/** Tasks of a step that are not done. */
+interface TaskCounts {
+  readonly placed: number;
+  readonly waiting: number;
+}
+
+const countTasks = memoizeByObject(({ spec, tasks }: DurableJobRow): readonly TaskCounts[] =>
+  spec.steps.map((_step, index) => {
+    const own = tasks.filter(({ step }) => step === index);
+    return {
+      placed: own.filter(({ phase }) => phase === 'placed').length,
+      waiting: own.filter(({ phase }) => phase === 'waiting').length,
+    };
+  }),
+);
+
+function countReadyTasks(ready: readonly ReadyTasks[], step: number): number {
+  return ready
+    .filter((group) => group.step === step)
+    .reduce((sum, { positions }) => sum + positions.length, 0);
+}
+
 function sumWork(shares: WorkByShare): number {
   return [...shares.values()].reduce((sum, { started, waiting }) => sum + started + waiting, 0);
 }
@@ -149,19 +172,14 @@
   /** Estimates the remaining work of a job, without occurrences that are not due. */
   private estimateDueWork(row: DurableJobRow): number {
     const { nowMs, runTimes } = this.options;
-    const taskWork = row.spec.steps.map((step, index) =>
-      step.isLongRunning
-        ? 0
-        : getAllocatedResources(step).cpuMillicores * runTimes.estimateMs(row, index),
-    );
-    const ready = new Set(
-      row.spec.schedule && listReadyTasks(row, nowMs).flatMap(({ positions }) => positions),
-    );
-    return row.tasks.reduce((sum, { phase, step }, position) => {
-      if (phase === 'done') return sum;
-      if (phase === 'placed') return sum + REMAINING_SHARE * taskWork[step]!;
-      const isDue = row.spec.schedule === undefined || ready.has(position);
-      return sum + (isDue ? taskWork[step]! : 0);
+    const counts = countTasks(row);
+    const ready = row.spec.schedule && listReadyTasks(row, nowMs);
+    return row.spec.steps.reduce((sum, step, index) => {
+      if (step.isLongRunning) return sum;
+      const { placed, waiting } = counts[index]!;
+      const due = ready === undefined ? waiting : countReadyTasks(ready, index);
+      const taskWork = getAllocatedResources(step).cpuMillicores * runTimes.estimateMs(row, index);
+      return sum + (REMAINING_SHARE * placed + due) * taskWork;
     }, 0);
   }
 }
