Judge an organisation's late jobs by its own share as well

Cause: a calm organisation's job that would be a little late was judged by all work of the pool that is on time, which is mostly another one's. By the time that the job is late, so is that work, and weights decide again. Change: the late case sums up all work by shares. The longest time to come back is spread too; as it was, all that reached it came at once.

--- a/src/systems/PoolBacklog.ts
+++ b/src/systems/PoolBacklog.ts
@@ -1,22 +1,21 @@
 import { type DurableJobRow, isFinished } from '../jobs/index.js';
-import { memoizeByObject } from '../utils/index.js';
+import { groupBy, memoizeByObject } from '../utils/index.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
 import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import { type GetWeight, getShareWeight } from './orderByShare.js';
 import type { RunTimes } from './RunTimes.js';
 import { getAllocatedResources } from './TargetCapacity.js';
 
-/** Work of one organisation at one priority, in thousandths of a core times milliseconds. */
-interface ShareWork {
+/** Work of jobs of equal standing, in thousandths of a core times milliseconds. */
+interface StandingWork {
+  readonly isLate: boolean;
+  readonly priority: number;
   readonly organisation: string | undefined;
-  /** Remaining work of jobs that have begun; it precedes all work that waits. */
-  started: number;
-  waiting: number;
+  /** Remaining work of jobs that have begun; it precedes the work that waits. */
+  readonly started: number;
+  readonly waiting: number;
 }
 
-/** Work of the jobs of one standing, by organisation. */
-type WorkByShare = Map<string | undefined, ShareWork>;
-
 /** Options of {@link PoolBacklog}. */
 export interface PoolBacklogOptions {
   readonly runTimes: RunTimes;
@@ -27,9 +26,9 @@
 
 /** Work that is placed before an arriving job, in thousandths of a core times milliseconds. */
 export interface WorkAhead {
-  /** If the job is placed while it can meet its objective. */
+  /** If the job is placed while it can meet its objective, before all late work. */
   readonly onTime: number;
-  /** If it is placed only once it is late, and all that is on time has precedence. */
+  /** If it is placed only once it is late, in turn with other late work. */
   readonly late: number;
 }
 
@@ -58,18 +57,23 @@
     .reduce((sum, { positions }) => sum + positions.length, 0);
 }
 
-function sumWork(shares: WorkByShare): number {
-  return [...shares.values()].reduce((sum, { started, waiting }) => sum + started + waiting, 0);
+function sumStarted(standings: readonly StandingWork[]): number {
+  return standings.reduce((sum, { started }) => sum + started, 0);
 }
 
-function sumStartedWork(shares: WorkByShare): number {
-  return [...shares.values()].reduce((sum, { started }) => sum + started, 0);
+function sumWaiting(standings: readonly StandingWork[]): number {
+  return standings.reduce((sum, { waiting }) => sum + waiting, 0);
 }
 
-function sumBefore(byPriority: ReadonlyMap<number, WorkByShare>, priority: number): number {
-  return [...byPriority]
-    .filter(([other]) => other < priority)
-    .reduce((sum, [, shares]) => sum + sumWork(shares), 0);
+function sumWork(standings: readonly StandingWork[]): number {
+  return sumStarted(standings) + sumWaiting(standings);
+}
+
+function sumLongRunningCpu({ spec }: DurableJobRow): number {
+  return spec.steps
+    .filter((step) => step.isLongRunning)
+    .map((step) => step.taskCount * getAllocatedResources(step).cpuMillicores)
+    .reduce((sum, cpuMillicores) => sum + cpuMillicores, 0);
 }
 
 /**
@@ -79,9 +83,7 @@
 export class PoolBacklog {
   private readonly options: PoolBacklogOptions;
 
-  private readonly onTime = new Map<number, WorkByShare>();
-
-  private readonly late = new Map<number, WorkByShare>();
+  private readonly standings = new Map<string, StandingWork>();
 
   /** CPU of long-running tasks, which no other job gets, in thousandths of a core. */
   private longRunningMillicores = 0;
@@ -103,9 +105,7 @@
 
   /** All work, in thousandths of a core times milliseconds. */
   get totalWork(): number {
-    return [...this.onTime.values(), ...this.late.values()]
-      .map(sumWork)
-      .reduce((sum, work) => sum + work, 0);
+    return sumWork([...this.standings.values()]);
   }
 
   /**
@@ -116,16 +116,18 @@
     if (isFinished(row)) return;
     const { nowMs, runTimes } = this.options;
     const { organisation, terms } = row.spec;
-    this.longRunningMillicores += PoolBacklog.sumLongRunningCpu(row);
+    const { priority } = terms;
     const isLate = nowMs > estimateStartByMs(row, runTimes);
-    const byPriority = isLate ? this.late : this.onTime;
-    const shares: WorkByShare = byPriority.get(terms.priority) ?? new Map();
-    byPriority.set(terms.priority, shares);
-    const share = shares.get(organisation) ?? { organisation, started: 0, waiting: 0 };
-    shares.set(organisation, share);
+    const key = `${isLate}/${priority}/${organisation ?? ''}`;
+    const { started, waiting } = this.standings.get(key) ?? { started: 0, waiting: 0 };
     const work = this.estimateDueWork(row);
-    if (row.state === 'queued') share.waiting += work;
-    else share.started += work;
+    const isStarted = row.state !== 'queued';
+    this.standings.set(key, {
+      ...{ isLate, priority, organisation },
+      started: started + (isStarted ? work : 0),
+      waiting: waiting + (isStarted ? 0 : work),
+    });
+    this.longRunningMillicores += sumLongRunningCpu(row);
   }
 
   /**
@@ -135,38 +137,26 @@
    * @param row - The job, which is not part of the backlog.
    * @returns The work in both cases.
    */
-  sumAhead({ spec }: DurableJobRow): WorkAhead {
-    const { organisation, terms } = spec;
-    const onTime = this.sumAheadWithin(this.onTime, terms.priority, organisation);
-    const allOnTime = [...this.onTime.values()].reduce((sum, shares) => sum + sumWork(shares), 0);
-    const late = this.sumAheadWithin(this.late, terms.priority, organisation);
-    return { onTime, late: allOnTime + late };
+  sumAhead(row: DurableJobRow): WorkAhead {
+    const all = [...this.standings.values()];
+    const onTime = all.filter(({ isLate }) => !isLate);
+    // By the time that the job is late, so is what is on time now and has not been placed.
+    return { onTime: this.sumAheadWithin(onTime, row), late: this.sumAheadWithin(all, row) };
   }
 
-  private static sumLongRunningCpu({ spec }: DurableJobRow): number {
-    return spec.steps
-      .filter((step) => step.isLongRunning)
-      .map((step) => step.taskCount * getAllocatedResources(step).cpuMillicores)
-      .reduce((sum, cpuMillicores) => sum + cpuMillicores, 0);
-  }
-
-  private sumAheadWithin(
-    byPriority: ReadonlyMap<number, WorkByShare>,
-    priority: number,
-    organisation: string | undefined,
-  ): number {
-    const before = sumBefore(byPriority, priority);
-    const shares = byPriority.get(priority);
-    if (shares === undefined) return before;
+  private sumAheadWithin(standings: readonly StandingWork[], { spec }: DurableJobRow): number {
+    const { organisation, terms } = spec;
     const { getWeight } = this.options;
-    const own = shares.get(organisation);
-    const ownWork = own === undefined ? 0 : own.started + own.waiting;
+    const before = standings.filter(({ priority }) => priority < terms.priority);
+    const equal = standings.filter(({ priority }) => priority === terms.priority);
+    const byOrganisation = groupBy(equal, (standing) => standing.organisation);
+    const ownWork = sumWork(byOrganisation.get(organisation) ?? []);
     const workPerWeight = ownWork / getShareWeight(organisation, getWeight);
-    const waiting = [...shares.values()].map((share) => {
-      const entitled = workPerWeight * getShareWeight(share.organisation, getWeight);
-      return Math.min(share.waiting, Math.max(0, entitled - share.started));
+    const waiting = [...byOrganisation].map(([name, shares]) => {
+      const entitled = workPerWeight * getShareWeight(name, getWeight);
+      return Math.min(sumWaiting(shares), Math.max(0, entitled - sumStarted(shares)));
     });
-    return before + sumStartedWork(shares) + waiting.reduce((sum, work) => sum + work, 0);
+    return sumWork(before) + sumStarted(equal) + waiting.reduce((sum, work) => sum + work, 0);
   }
 
   /** Estimates the remaining work of a job, without occurrences that are not due. */
--- a/src/systems/admitJob.ts
+++ b/src/systems/admitJob.ts
@@ -42,9 +42,9 @@
 const LASTING_ARRIVAL_SHARE = 0.5;
 /** Part of the capacity that late jobs get at least, as peaks end and VMs join the pool. */
 const MIN_CATCH_UP_SHARE = 0.25;
-/** Shortest and longest time after which a refused caller is asked back, in milliseconds. */
+/** Shortest and longest time at which callers begin to be asked back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000;
-const MAX_RETRY_AFTER_MS = 30_000;
+const MAX_RETRY_AFTER_MS = 15_000;
 
 const HASH_RANGE = 2 ** 32;
 
@@ -54,15 +54,15 @@
 }
 
 function getRetryAfterMs(jobId: string, untilInTimeMs: number): number {
-  const spreadMs = Math.max(MIN_RETRY_AFTER_MS, untilInTimeMs) * (1 + getSpread(jobId));
-  return Math.min(MAX_RETRY_AFTER_MS, spreadMs);
+  const earliestMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, untilInTimeMs));
+  return earliestMs * (1 + getSpread(jobId));
 }
 
 /**
  * Decides whether a pool accepts a job. It is refused if it would certainly end too late to be of
- * use: the work that is placed before it takes longer than it can wait for its objective, and
- * behind all work that then has precedence it ends beyond three times its objective. Long-running
- * services and scheduled jobs are always accepted.
+ * use: the work that is placed before it takes longer than it can wait for its objective, and with
+ * the late work before it, it ends beyond three times its objective. Long-running services and
+ * scheduled jobs are always accepted.
  *
  * The load that it answers: more jobs arrive than a pool can carry, for longer than callers wait.
  * Without refusals each caller learns at its own time limit that it has waited in vain, and the
