Refuse jobs only while certain to be the home

Cause: a home that has been replaced without knowing it does not know what the next one has stored, and would tell the caller of a stored job that it never runs. Change: it goes on to the append, which the store rejects.

--- a/src/taskHome/JobAdmission.ts
+++ b/src/taskHome/JobAdmission.ts
@@ -23,6 +23,8 @@
   readonly telemetry: JobTelemetry;
   /** Lists the organisations of the configuration in force. */
   readonly listOrganisations: () => readonly Organisation[];
+  /** Whether this instance is certain to be the home at this moment. */
+  readonly isGroupLeaseHeld: () => boolean;
   /** Steady clock, by which ages are measured. */
   readonly clock: Clock;
   /** Clock of the instance, by which callers are told when to come back. */
@@ -101,8 +103,10 @@
    * @throws RattanliftError Of kind `no-capacity`, with the time to come back.
    */
   admit(row: DurableJobRow): void {
-    const { arrivals, clock, runs, telemetry } = this.options;
+    const { arrivals, clock, isGroupLeaseHeld, runs, telemetry } = this.options;
     if (!this.isEnabled || clock.monotonicMs() < this.settledAtMs) return;
+    // The next home may have stored the job already; where there is one, the append fails.
+    if (!isGroupLeaseHeld()) return;
     const { pool } = row.spec.terms;
     const { backlog, capacityCpuMillicores } = this.getSummary(pool);
     const { runTimes } = runs;
--- a/tests/taskHome/JobAdmission.test.ts
+++ b/tests/taskHome/JobAdmission.test.ts
@@ -92,6 +92,18 @@
     expect(next.getState('late')).toBe('queued');
   });
 
+  // Failure: a home that has been replaced does not know that the next one has stored the job, and
+  // tells its caller that it never runs.
+  it('refuses nothing while another instance may be the home', async () => {
+    const first = await openFull();
+    const next = await world.open(clock);
+    await next.submit(makeJob('stored'));
+    world.isGroupLeaseHeld = false;
+    await expect(first.submit(makeJob('stored'))).rejects.toMatchObject({
+      kind: expect.not.stringMatching(refusedWith.kind),
+    });
+  });
+
   // Failure: right after a takeover no target has reported, and callers are refused for that.
   it('refuses nothing until the targets of a new home have reported', async () => {
     const first = await openFull();
