Refuse nothing while VMs may still join a pool

Change: PoolPressure tells since when a pool has been short without a VM that joined; jobs are refused from four seconds on, the time in which a VM of another pool joins. It is kept in memory and counted anew by the next home. Without refusals nothing is placed otherwise than by objective.

--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -28,6 +28,7 @@
 export { recordRun, type RecordRunOptions } from './recordRun.js';
 export { isQuarantined } from './vmStates.js';
 export { summariseWaves, type WaveProgress } from './WaveProgress.js';
+export { PoolPressure, type PoolReading } from './PoolPressure.js';
 export { PoolBacklog, type PoolBacklogOptions, type WorkAhead } from './PoolBacklog.js';
 export { ArrivalRate } from './ArrivalRate.js';
 export { orderJobs, type OrderJobsOptions } from './orderJobs.js';
--- a/src/taskHome/JobAdmission.ts
+++ b/src/taskHome/JobAdmission.ts
@@ -1,7 +1,13 @@
 import { throwError } from '../errors/index.js';
 import type { DurableJobRow } from '../jobs/index.js';
 import { getWeight, type Organisation } from '../queues/index.js';
-import { admitJob, type Mechanisms, type PlacementTarget, PoolBacklog } from '../systems/index.js';
+import {
+  admitJob,
+  type Mechanisms,
+  type PlacementTarget,
+  PoolBacklog,
+  PoolPressure,
+} from '../systems/index.js';
 import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
 import type { JobTelemetry } from './JobTelemetry.js';
@@ -60,6 +66,8 @@
 
   private readonly summaries = new Map<string, PoolSummary>();
 
+  private readonly pressures = new Map<string, PoolPressure>();
+
   /** Monotonic time before which nothing is refused; infinite until the home has its jobs. */
   private settledAtMs = Infinity;
 
@@ -114,7 +122,8 @@
     const nowMs = clock.wallMs();
     const capacity = { capacityCpuMillicores, arrivingCpuMillicores };
     const admission = admitJob({ row, backlog, ...capacity, runTimes, nowMs });
-    if (admission.type === 'admitted') backlog.add(row);
+    const isLasting = this.getPressure(pool).isLasting(clock.monotonicMs());
+    if (admission.type === 'admitted' || !isLasting) backlog.add(row);
     else {
       telemetry.noteRefused(row, admission);
       this.refuse(admission.retryAtMs - nowMs);
@@ -132,6 +141,20 @@
     if (known !== undefined && this.options.clock.monotonicMs() < known.validUntilMs) return known;
     const created = this.summarize(pool);
     this.summaries.set(pool, created);
+    const { backlog, capacityCpuMillicores } = created;
+    const nowMs = this.options.clock.monotonicMs();
+    this.getPressure(pool).note({
+      ...{ capacityCpuMillicores, nowMs },
+      backlogWork: backlog.totalWork,
+    });
+    return created;
+  }
+
+  private getPressure(pool: string): PoolPressure {
+    const known = this.pressures.get(pool);
+    if (known !== undefined) return known;
+    const created = new PoolPressure();
+    this.pressures.set(pool, created);
     return created;
   }
 
