Place by objective only while jobs are refused

Change: placement rounds ask for the mechanisms of their order, and newest first is left out only while a pool stays short.

--- a/src/taskHome/JobAdmission.ts
+++ b/src/taskHome/JobAdmission.ts
@@ -96,12 +96,15 @@
   }
 
   /**
-   * Mechanisms of the placement rounds. Newest first would spend the room on jobs that have just
-   * arrived, and those that were accepted earlier, while they could still be in time, would wait.
+   * Gets the mechanisms of the order in which jobs are placed. While jobs are refused, newest first
+   * would give the room that was counted for an accepted job to one that arrives later.
+   * @returns The mechanisms, without newest first while a pool stays short.
    */
-  get placementMechanisms(): Mechanisms {
-    const { mechanisms } = this.options;
-    if (!this.isEnabled) return mechanisms;
+  getOrderMechanisms(): Mechanisms {
+    const { clock, mechanisms } = this.options;
+    const nowMs = clock.monotonicMs();
+    const isRefusing = [...this.pressures.values()].some((pressure) => pressure.isLasting(nowMs));
+    if (!this.isEnabled || !isRefusing) return mechanisms;
     return new Set([...mechanisms].filter((name) => name !== 'newest-first-in-overload'));
   }
 
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -35,6 +35,8 @@
   readonly listOrganisations: () => readonly Organisation[];
   readonly telemetry: JobTelemetry;
   readonly mechanisms: Mechanisms;
+  /** Gets the mechanisms of the order in which jobs are placed; as `mechanisms` if absent. */
+  readonly getOrderMechanisms?: () => Mechanisms;
   readonly metrics: Metrics;
   readonly events: EventLog;
   readonly partition: number;
@@ -132,7 +134,7 @@
 
   private placeReadyTasks(): readonly RunKey[] {
     const { clock, dueClock, mechanisms, runs, table, telemetry } = this.options;
-    const { limitParts, listOrganisations } = this.options;
+    const { getOrderMechanisms = () => mechanisms, limitParts, listOrganisations } = this.options;
     const { runTimes } = runs;
     const dueAtMs = dueClock.wallMs();
     const rows = table.listActive();
@@ -142,7 +144,7 @@
     const rooms = new OrganisationRooms(rows, (pool, name) => limitParts.get(pool, name));
     const placements = placeTasks({
       jobs: orderJobs(readyJobs, {
-        ...{ runTimes, mechanisms, allocatedJobs: rows },
+        ...{ runTimes, mechanisms: getOrderMechanisms(), allocatedJobs: rows },
         getWeight: (name) => getWeight(organisations, name),
         nowMs: clock.wallMs(),
       }),
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -127,7 +127,7 @@
     this.rounds = new PlacementRounds({
       ...parts,
       ...{ drains, writer },
-      mechanisms: this.admission.placementMechanisms,
+      getOrderMechanisms: () => this.admission.getOrderMechanisms(),
       limitParts: this.poolSync.limitParts,
       dueClock: this.wallClock,
     });
