--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -118,6 +118,12 @@
     meaning: 'Runs of tasks that were stopped so that more urgent tasks get their room.',
     tags: ['pool'],
   },
+  jobs_refused: {
+    type: 'counter',
+    unit: 'jobs',
+    meaning: 'Submissions of durable jobs that were refused, as they would end too late.',
+    tags: ['pool'],
+  },
   starts_withheld: {
     type: 'counter',
     unit: 'seconds',
--- a/src/systems/orderJobs.ts
+++ b/src/systems/orderJobs.ts
@@ -14,6 +14,8 @@
   readonly getWeight?: GetWeight;
   /** Every job with tasks on targets; none if absent. */
   readonly allocatedJobs?: readonly DurableJobRow[];
+  /** Pools that refuse what they can't serve in time, and serve by objective; none if absent. */
+  readonly refusingPools?: ReadonlySet<string>;
   /** Enabled mechanisms; all if absent. */
   readonly mechanisms?: Mechanisms;
 }
@@ -90,12 +92,16 @@
   options: OrderJobsOptions,
 ): readonly DurableJobRow[] {
   const { mechanisms = ALL_MECHANISMS, allocatedJobs = [], getWeight = () => 1 } = options;
+  const { refusingPools } = options;
   const ranked = jobs.filter((row) => !isFinished(row)).map((row) => rankJob(row, options));
   const overloaded = mechanisms.has('newest-first-in-overload')
     ? listOverloadedPools(ranked)
     : new Set<string>();
   const isNewestFirst = (job: RankedJob): boolean =>
-    !job.isStarted && !isLate(job) && overloaded.has(job.row.spec.terms.pool);
+    !job.isStarted &&
+    !isLate(job) &&
+    overloaded.has(job.row.spec.terms.pool) &&
+    refusingPools?.has(job.row.spec.terms.pool) !== true;
   const getSortKey = (job: RankedJob): number =>
     isNewestFirst(job) ? -job.row.spec.submittedAtMs : job.startByMs;
   const sorted = ranked
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -36,6 +36,8 @@
   readonly listOrganisations: () => readonly Organisation[];
   readonly telemetry: JobTelemetry;
   readonly mechanisms: Mechanisms;
+  /** Lists the pools that refuse what they can't serve in time; none if absent. */
+  readonly listRefusingPools?: () => ReadonlySet<string>;
   readonly metrics: Metrics;
   readonly events: EventLog;
   readonly partition: number;
@@ -132,7 +134,7 @@
 
   private placeReadyTasks(): readonly RunKey[] {
     const { clock, dueClock, mechanisms, runs, table, telemetry } = this.options;
-    const { limitParts, listOrganisations } = this.options;
+    const { limitParts, listOrganisations, listRefusingPools } = this.options;
     const { runTimes } = runs;
     const dueAtMs = dueClock.wallMs();
     const rows = table.listActive();
@@ -144,6 +146,7 @@
     const targets = this.listTargets(rows);
     const jobs = orderJobs(readyJobs, {
       ...{ runTimes, mechanisms, allocatedJobs: rows },
+      refusingPools: listRefusingPools?.(),
       getWeight: (name) => getWeight(organisations, name),
       nowMs,
     });
