--- a/src/systems/expectPeaks.ts
+++ b/src/systems/expectPeaks.ts
@@ -20,7 +20,8 @@
 
 /**
  * Computes the VMs that pools get ahead of expected peaks: as many as their beginnings need and the
- * confidence supports, from the time at which a VM that is ordered then arrives at the start of the peak.
+ * confidence supports. They are ordered from the time at which a VM arrives at the start of the
+ * peak.
  * @param peaks - Expected peaks.
  * @param nowMs - Monotonic time in milliseconds.
  * @returns Number of VMs by pool, without pools that expect no peak soon.
--- a/tests/taskHome/unevenTargets.test.ts
+++ b/tests/taskHome/unevenTargets.test.ts
@@ -121,7 +121,7 @@
   it('while each fifth job fails wherever it runs', () =>
     expectNothingAvoided({ ...EVEN, hopelessEach: 5 }));
 
-  // Failure: the whole pool slows down, and the targets that report first seem slow beside the rest.
+  // Failure: the whole pool slows down, and targets that report first seem slow beside the rest.
   it('while all targets become slow at once', () =>
     expectNothingAvoided({ ...EVEN, getSpeed: (_index, nowMs) => (isFault(nowMs) ? 0.2 : 1) }));
 });
