Split the plan of preemptions into named steps

The function held four closures that changed one list, so a reader had to keep all of them in mind. What decides on one task is a function of its own now, as are the two filters. A run that may be stopped is called that, no longer a victim. The order of the checks for one task is as before: the bound on stops, the organisation's room, free room, stops.

--- a/src/systems/planTaskPreemptions.ts
+++ b/src/systems/planTaskPreemptions.ts
@@ -60,7 +60,7 @@
 const MAX_LOST_PERCENT = 50;
 
 /** A run that may be stopped, with what that costs. */
-interface Victim {
+interface StoppableRun {
   readonly row: DurableJobRow;
   readonly position: number;
   readonly step: StepSpec;
@@ -72,15 +72,15 @@
 class PreemptionPool {
   private readonly capacities: readonly TargetCapacity[];
 
-  private readonly victimsByTarget: Map<string, readonly Victim[]>;
+  private readonly runsByTarget: Map<string, readonly StoppableRun[]>;
 
-  constructor(capacities: readonly TargetCapacity[], victims: readonly Victim[]) {
+  constructor(capacities: readonly TargetCapacity[], runs: readonly StoppableRun[]) {
     this.capacities = capacities.filter(({ acceptsTasks }) => acceptsTasks);
-    const ordered = victims.toSorted(
+    const ordered = runs.toSorted(
       (a, b) => b.row.spec.terms.priority - a.row.spec.terms.priority || a.lostWork - b.lostWork,
     );
-    const getTargetId = ({ row, position }: Victim): string => row.tasks[position]!.targetId!;
-    this.victimsByTarget = new Map(groupBy(ordered, getTargetId));
+    const getTargetId = ({ row, position }: StoppableRun): string => row.tasks[position]!.targetId!;
+    this.runsByTarget = new Map(groupBy(ordered, getTargetId));
   }
 
   /** Allocates room that is free, or will be once what is being stopped has ended. */
@@ -91,70 +91,70 @@
   }
 
   /** Makes room for a task on the target where least work is lost, and allocates it. */
-  makeRoom(stepKey: string, step: StepSpec, priority: number): readonly Victim[] | undefined {
+  makeRoom(stepKey: string, step: StepSpec, priority: number): readonly StoppableRun[] | undefined {
     const cheapest = this.capacities
       .map((capacity) => ({
         capacity,
-        victims: this.listVictims(capacity, stepKey, step, priority),
+        runs: this.listRunsToStop(capacity, stepKey, step, priority),
       }))
-      .reduce<{ capacity: TargetCapacity; victims: readonly Victim[]; lostWork: number }>(
-        (best, { capacity, victims }) => {
-          if (victims === undefined) return best;
-          const lostWork = victims.reduce((sum, victim) => sum + victim.lostWork, 0);
+      .reduce<{ capacity: TargetCapacity; runs: readonly StoppableRun[]; lostWork: number }>(
+        (best, { capacity, runs }) => {
+          if (runs === undefined) return best;
+          const lostWork = runs.reduce((sum, run) => sum + run.lostWork, 0);
           const isBetter =
             lostWork < best.lostWork ||
-            (lostWork === best.lostWork && victims.length < best.victims.length);
-          return isBetter ? { capacity, victims, lostWork } : best;
+            (lostWork === best.lostWork && runs.length < best.runs.length);
+          return isBetter ? { capacity, runs, lostWork } : best;
         },
-        { capacity: this.capacities[0]!, victims: [], lostWork: Infinity },
+        { capacity: this.capacities[0]!, runs: [], lostWork: Infinity },
       );
-    if (cheapest.victims.length === 0) return undefined;
-    const { capacity, victims } = cheapest;
-    victims.forEach((victim) => capacity.release(victim.stepKey, victim.step));
+    if (cheapest.runs.length === 0) return undefined;
+    const { capacity, runs } = cheapest;
+    runs.forEach((run) => capacity.release(run.stepKey, run.step));
     capacity.allocate(stepKey, step);
     const { targetId } = capacity.target;
-    const left = this.victimsByTarget.get(targetId)!.filter((victim) => !victims.includes(victim));
-    this.victimsByTarget.set(targetId, left);
-    return victims;
+    const left = this.runsByTarget.get(targetId)!.filter((run) => !runs.includes(run));
+    this.runsByTarget.set(targetId, left);
+    return runs;
   }
 
   /**
    * Lists runs, the least urgent ones first, after which the target accepts a task. Runs whose
    * resources the task can do without are left out: stopping them would gain nothing.
    */
-  private listVictims(
+  private listRunsToStop(
     capacity: TargetCapacity,
     stepKey: string,
     step: StepSpec,
     priority: number,
-  ): readonly Victim[] | undefined {
-    const candidates = (this.victimsByTarget.get(capacity.target.targetId) ?? []).filter(
+  ): readonly StoppableRun[] | undefined {
+    const candidates = (this.runsByTarget.get(capacity.target.targetId) ?? []).filter(
       ({ row }) => row.spec.terms.priority > priority,
     );
-    const released: Victim[] = [];
-    const isEnough = candidates.some((victim) => {
-      capacity.release(victim.stepKey, victim.step);
-      released.push(victim);
+    const released: StoppableRun[] = [];
+    const isEnough = candidates.some((run) => {
+      capacity.release(run.stepKey, run.step);
+      released.push(run);
       return capacity.accepts(stepKey, step);
     });
-    const needed = released.toReversed().filter((victim) => {
-      capacity.allocate(victim.stepKey, victim.step);
+    const needed = released.toReversed().filter((run) => {
+      capacity.allocate(run.stepKey, run.step);
       const isNeeded = !capacity.accepts(stepKey, step);
-      if (isNeeded) capacity.release(victim.stepKey, victim.step);
+      if (isNeeded) capacity.release(run.stepKey, run.step);
       return isNeeded;
     });
-    needed.forEach((victim) => capacity.allocate(victim.stepKey, victim.step));
+    needed.forEach((run) => capacity.allocate(run.stepKey, run.step));
     return isEnough ? needed : undefined;
   }
 }
 
 /** Gets what stopping a run costs; undefined if it is better left to end. */
-function createVictim(
+function createStoppableRun(
   row: DurableJobRow,
   position: number,
   progressPercent: number,
   runTimes: RunTimes,
-): Victim | undefined {
+): StoppableRun | undefined {
   const { step: stepIndex, occurrence } = row.tasks[position]!;
   const step = row.spec.steps[stepIndex]!;
   if (step.isLongRunning || step.isGang) return undefined;
@@ -173,20 +173,20 @@
       .filter((target) => target.pool === pool)
       .map((target) => [target.targetId, new TargetCapacity(target)]),
   );
-  const victims = allocatedJobs
+  const stoppableRuns = allocatedJobs
     .filter((row) => row.spec.terms.pool === pool)
     .flatMap((row) =>
-      listPlacedTasks(row).flatMap(({ task, position }): readonly Victim[] => {
+      listPlacedTasks(row).flatMap(({ task, position }): readonly StoppableRun[] => {
         const run = getRun(row, position);
         if (run.type === 'stopping') return [];
         const stepKey = getStepKey(row, task.occurrence, task.step);
         capacities.get(task.targetId!)?.allocate(stepKey, row.spec.steps[task.step]!);
         if (run.type === 'protected') return [];
-        const victim = createVictim(row, position, run.progressPercent, runTimes);
-        return victim === undefined ? [] : [victim];
+        const stoppable = createStoppableRun(row, position, run.progressPercent, runTimes);
+        return stoppable === undefined ? [] : [stoppable];
       }),
     );
-  return new PreemptionPool([...capacities.values()], victims);
+  return new PreemptionPool([...capacities.values()], stoppableRuns);
 }
 
 /** Lists the pools in which a job waits while there is a less urgent one. */
@@ -206,6 +206,44 @@
   );
 }
 
+/** Lists the tasks of a job that wait for room and are not members of a gang. */
+function listSingleTasks(row: DurableJobRow, dueAtMs: number): readonly ReadyTasks[] {
+  return listReadyTasks(row, dueAtMs).filter(({ step }) => !row.spec.steps[step]!.isGang);
+}
+
+/** Tells whether a job can still meet its objective in room that a stop frees. */
+function isInTime(
+  row: DurableJobRow,
+  { nowMs, runTimes }: Pick<PlanTaskPreemptionsInput, 'nowMs' | 'runTimes'>,
+): boolean {
+  return isLongRunning(row) || nowMs + STOP_AND_START_MS <= estimateStartByMs(row, runTimes);
+}
+
+/**
+ * Finds room for one task of a job and allocates it.
+ * @returns The runs to stop, none if there is free room; undefined if the task gets no room.
+ */
+function makeRoomForTask(
+  row: DurableJobRow,
+  { step: stepIndex, occurrence }: ReadyTasks,
+  pool: PreemptionPool,
+  rooms: OrganisationRooms,
+): readonly TaskPreemption[] | undefined {
+  const { jobId: forJobId, steps, terms } = row.spec;
+  const step = steps[stepIndex]!;
+  const stepKey = getStepKey(row, occurrence, stepIndex);
+  if (!rooms.fits(row, step)) return undefined;
+  const stopped = pool.takeFreeRoom(stepKey, step)
+    ? []
+    : pool.makeRoom(stepKey, step, terms.priority);
+  if (stopped === undefined) return undefined;
+  rooms.allocate(row, step);
+  return stopped.map(({ row: { spec, tasks }, position, lostWork }) => {
+    const targetId = tasks[position]!.targetId!;
+    return { jobId: spec.jobId, position, targetId, forJobId, lostWork };
+  });
+}
+
 /**
  * Plans which tasks to stop so that tasks of more urgent queues in the same pool get their room.
  *
@@ -220,39 +258,25 @@
  * @returns The tasks to stop; none where all jobs of a pool have the same priority.
  */
 export function planTaskPreemptions(input: PlanTaskPreemptionsInput): readonly TaskPreemption[] {
-  const { allocatedJobs, rooms, runTimes, nowMs, dueAtMs } = input;
-  const isInTime = (row: DurableJobRow): boolean =>
-    isLongRunning(row) || nowMs + STOP_AND_START_MS <= estimateStartByMs(row, runTimes);
-  const listSingleTasks = (row: DurableJobRow): readonly ReadyTasks[] =>
-    listReadyTasks(row, dueAtMs).filter(({ step }) => !row.spec.steps[step]!.isGang);
+  const { allocatedJobs, dueAtMs } = input;
   const waitingJobs = input.waitingJobs.filter(
-    (row) => listSingleTasks(row).length > 0 && isInTime(row),
+    (row) => listSingleTasks(row, dueAtMs).length > 0 && isInTime(row, input),
   );
   const contended = listContendedPools({ waitingJobs, allocatedJobs });
   const pools = new Map([...contended].map((pool) => [pool, createPool(input, pool)]));
   const planned: TaskPreemption[] = [];
-  const makeRoom = (row: DurableJobRow, step: StepSpec, stepKey: string): boolean => {
-    const pool = pools.get(row.spec.terms.pool)!;
-    if (planned.length >= MAX_PREEMPTION_COUNT || !rooms.fits(row, step)) return false;
-    const victims = pool.takeFreeRoom(stepKey, step)
-      ? []
-      : pool.makeRoom(stepKey, step, row.spec.terms.priority);
-    if (victims === undefined) return false;
-    rooms.allocate(row, step);
-    victims.forEach(({ row: { spec, tasks }, position, lostWork }) => {
-      const targetId = tasks[position]!.targetId!;
-      const { jobId: forJobId } = row.spec;
-      planned.push({ jobId: spec.jobId, position, targetId, forJobId, lostWork });
-    });
-    return true;
-  };
   waitingJobs
     .filter((row) => contended.has(row.spec.terms.pool))
-    .forEach((row) =>
-      listSingleTasks(row).forEach(({ step, occurrence, positions }) => {
-        const stepKey = getStepKey(row, occurrence, step);
-        positions.every(() => makeRoom(row, row.spec.steps[step]!, stepKey));
-      }),
-    );
+    .forEach((row) => {
+      const pool = pools.get(row.spec.terms.pool)!;
+      listSingleTasks(row, dueAtMs).forEach((ready) =>
+        ready.positions.every(() => {
+          if (planned.length >= MAX_PREEMPTION_COUNT) return false;
+          const stopped = makeRoomForTask(row, ready, pool, input.rooms);
+          planned.push(...(stopped ?? []));
+          return stopped !== undefined;
+        }),
+      );
+    });
   return planned;
 }
