Keep the lead of a VM and the time of a stop and start in one place

Two files each had a constant for the time from the order of a VM to its first task, and two had one, under two names, for the time that a stop and the next start take. A reader could not tell whether they were meant to be equal. The reasons why a short rest or a late job stops nothing now stand where that is decided.

--- a/src/systems/estimateNeededCpu.ts
+++ b/src/systems/estimateNeededCpu.ts
@@ -3,6 +3,7 @@
 import { ALL_MECHANISMS, type Mechanisms } from './mechanisms.js';
 import { describeKnownWork, type KnownWork } from './describeKnownWork.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
+import { VM_LEAD_MS } from './leadTimes.js';
 import type { RunTimes } from './RunTimes.js';
 import { getAllocatedResources } from './TargetCapacity.js';
 
@@ -29,8 +30,6 @@
  * half of it on average, and objectives allow 1 to 2 s.
  */
 const BACKLOG_CATCH_UP_MS = 3_000;
-/** Time from the order of a VM to its first task, in ms; the move takes 1.5 s of it. */
-const VM_LEAD_MS = 2_000;
 
 /** CPU that a pool needs, in thousandths of a core. */
 export interface NeededCpu {
--- a/src/systems/expectPeaks.ts
+++ b/src/systems/expectPeaks.ts
@@ -1,8 +1,7 @@
 import type { ExpectedPeak } from './ExpectedPeak.js';
+import { VM_LEAD_MS } from './leadTimes.js';
 import { MIN_RESERVE_COUNT } from './PoolBalance.js';
 
-/** Time from the order of a VM to its first task, in milliseconds. */
-const VM_LEAD_MS = 2_000;
 /**
  * Time before which a pool needs no reserve for its next peak, in milliseconds: its reserve is
  * restored in two moves, one away and one back, long before.
--- a/src/systems/planRestart.ts
+++ b/src/systems/planRestart.ts
@@ -1,3 +1,5 @@
+import { STOP_AND_START_MS } from './leadTimes.js';
+
 /** A run on a slow target. */
 export interface LateRun {
   readonly progressPercent: number;
@@ -20,8 +22,6 @@
   readonly isSoonerElsewhere: boolean;
 }
 
-/** Time that the stop of a run, the storing of the next placement and its start take. */
-const RESTART_MS = 500;
 /** Tasks of one step take up to a third longer than their mean. */
 const LONGEST_TASK_FACTOR = 4 / 3;
 const WHOLE_PERCENT = 100;
@@ -37,7 +37,7 @@
   const restPercent = WHOLE_PERCENT - progressPercent;
   const hereMs = donePercent > 0 ? (restPercent * elapsedMs) / donePercent : Infinity;
   const openShare = isCheckpointing ? restPercent / WHOLE_PERCENT : 1;
-  const elsewhereMs = RESTART_MS + wholeElsewhereMs * openShare;
-  const latestMs = RESTART_MS + wholeElsewhereMs * openShare * LONGEST_TASK_FACTOR;
+  const elsewhereMs = STOP_AND_START_MS + wholeElsewhereMs * openShare;
+  const latestMs = STOP_AND_START_MS + wholeElsewhereMs * openShare * LONGEST_TASK_FACTOR;
   return { hereMs, elsewhereMs, isSoonerElsewhere: latestMs < hereMs };
 }
--- a/src/systems/planTaskPreemptions.ts
+++ b/src/systems/planTaskPreemptions.ts
@@ -6,6 +6,7 @@
 } from '../jobs/index.js';
 import { groupBy } from '../utils/index.js';
 import { estimateStartByMs } from './estimateStartByMs.js';
+import { STOP_AND_START_MS } from './leadTimes.js';
 import { listReadyTasks, type ReadyTasks } from './listReadyTasks.js';
 import type { OrganisationRooms } from './OrganisationRooms.js';
 import type { RunTimes } from './RunTimes.js';
@@ -50,12 +51,6 @@
 
 /** Most tasks that are stopped in one round, which bounds its processor time. */
 const MAX_PREEMPTION_COUNT = 32;
-/**
- * Time that a stop and the start that follows it take together, in milliseconds. A run with less
- * left is not stopped, as the waiting task would gain nothing; nor is any for a job that would be
- * late by then, as the room would go back to the stopped task.
- */
-const STOP_AND_START_MS = 500;
 /** Progress from which a run without checkpoints is left to end, in percent. */
 const MAX_LOST_PERCENT = 50;
 
@@ -160,6 +155,7 @@
   if (step.isLongRunning || step.isGang) return undefined;
   const runMs = runTimes.estimateMs(row, stepIndex);
   const doneMs = (runMs * progressPercent) / 100;
+  // The waiting task would gain nothing.
   if (runMs - doneMs < STOP_AND_START_MS) return undefined;
   if (!step.isCheckpointing && progressPercent >= MAX_LOST_PERCENT) return undefined;
   const lostWork = step.isCheckpointing ? 0 : doneMs * step.demand.cpuMillicores;
@@ -211,7 +207,10 @@
   return listReadyTasks(row, dueAtMs).filter(({ step }) => !row.spec.steps[step]!.isGang);
 }
 
-/** Tells whether a job can still meet its objective in room that a stop frees. */
+/**
+ * Tells whether a job can still meet its objective in room that a stop frees. The room of a run
+ * that is stopped for a late job would go back to the stopped task.
+ */
 function isInTime(
   row: DurableJobRow,
   { nowMs, runTimes }: Pick<PlanTaskPreemptionsInput, 'nowMs' | 'runTimes'>,
