Give each name one meaning among peaks, medians, reserves and summaries

Two types were called SeenPeak and meant a load peak and the most VMs of a pool; two were called PoolSummary. What the glossary calls a reserve was the number of kept VMs in StoredPoolPeaks. Two functions were called median and differ for an even count: each says now which middle it takes. A figure in a comment of PoolPeaks repeated a constant.

--- a/src/fleetHome/StoredPoolPeaks.ts
+++ b/src/fleetHome/StoredPoolPeaks.ts
@@ -18,8 +18,8 @@
 
   private readonly options: StoredPoolPeaksOptions;
 
-  /** Number of VMs that each pool keeps according to the stored peaks. */
-  private storedKeptCounts: ReadonlyMap<string, number>;
+  /** Reserve of each pool, in VMs, by the peaks that are stored. */
+  private storedReserveCounts: ReadonlyMap<string, number>;
 
   /**
    * Creates the peaks.
@@ -28,7 +28,7 @@
   constructor(options: StoredPoolPeaksOptions) {
     this.options = options;
     this.peaks = new PoolPeaks(options.clock, options.peakRecords);
-    this.storedKeptCounts = this.peaks.getReserveCounts();
+    this.storedReserveCounts = this.peaks.getReserveCounts();
   }
 
   /**
@@ -40,17 +40,17 @@
   }
 
   /**
-   * Records the usage of pools, and stores the peaks of those whose number of kept VMs changes.
+   * Records the usage of pools, and stores the peaks of those whose reserve changes.
    * @param demands - Load and demand of the pools.
    */
   record(demands: readonly PoolDemand[]): void {
     demands.forEach((demand) => this.peaks.record(demand));
-    const keptCounts = this.peaks.getReserveCounts();
+    const reserveCounts = this.peaks.getReserveCounts();
     const changed = this.peaks
       .list()
-      .filter(({ pool }) => keptCounts.get(pool) !== this.storedKeptCounts.get(pool));
+      .filter(({ pool }) => reserveCounts.get(pool) !== this.storedReserveCounts.get(pool));
     if (changed.length === 0) return;
-    this.storedKeptCounts = keptCounts;
+    this.storedReserveCounts = reserveCounts;
     // The writer reports that it was replaced; the next home starts from the peaks stored before.
     this.options.store(changed.map(encodePoolPeakRecord)).catch(() => undefined);
   }
--- a/src/systems/PeakRhythm.ts
+++ b/src/systems/PeakRhythm.ts
@@ -49,6 +49,7 @@
 /** Share of expectations that came true up to which a rhythm is not trusted. */
 const MIN_TRUST = 0.5;
 
+/** Computes the median of at least one number; of the middle two it is the mean. */
 function getMedian(values: readonly number[]): number {
   const sorted = values.toSorted((a, b) => a - b);
   const middle = Math.floor(sorted.length / 2);
--- a/src/systems/PeerRunTimes.ts
+++ b/src/systems/PeerRunTimes.ts
@@ -1,4 +1,4 @@
-import { findMedian } from './findMedian.js';
+import { findLowerMedian } from './findLowerMedian.js';
 
 /** Whole run time of a task, as its progress or its end tells. */
 export interface PeerRun {
@@ -46,6 +46,6 @@
     const elsewhereMs = peers
       .filter((peer) => peer.targetId !== targetId)
       .map(({ runMs }) => runMs);
-    return elsewhereMs.length < MIN_PEER_COUNT ? undefined : findMedian(elsewhereMs);
+    return elsewhereMs.length < MIN_PEER_COUNT ? undefined : findLowerMedian(elsewhereMs);
   }
 }
--- a/src/systems/PoolPeaks.ts
+++ b/src/systems/PoolPeaks.ts
@@ -14,13 +14,16 @@
 /** Time in which a new pool's targets count as its peak, in ms: all are discovered within 2 s. */
 const ALLOTMENT_WINDOW_MS = 3_000;
 
-/** Most VMs that a pool has used at once, decayed until the pool was last observed. */
+/**
+ * Most VMs that a pool has used at once, decayed until the pool was last observed. It is one number
+ * for each pool, whereas a load peak ({@link PeakDetector}) has a beginning and an end.
+ */
 export interface PoolPeak {
   readonly pool: string;
   readonly vmCount: number;
 }
 
-interface SeenPeak extends PoolPeak {
+interface TimedPoolPeak extends PoolPeak {
   /** Monotonic time at which the pool was last observed, in milliseconds. */
   readonly seenAtMs: number;
 }
@@ -30,14 +33,14 @@
  *
  * A new home continues with the stored peaks of the previous one. During a load peak, the current
  * VMs of a pool don't show how many operators assigned to it. Without the stored peaks, a pool that
- * has just given its VMs to others would keep three for its own peak. The stored peaks count as
+ * has just given its VMs to others would keep only the least reserve. The stored peaks count as
  * observed at the takeover: the previous home stored each one when it changed, and with ages by the
  * wall clock, a jump of 40 minutes would decay all of them.
  */
 export class PoolPeaks {
   private readonly clock: Clock;
 
-  private readonly peaks: Map<string, SeenPeak>;
+  private readonly peaks: Map<string, TimedPoolPeak>;
 
   /** Monotonic time at which each pool was first observed; -Infinity if its peak was known. */
   private readonly firstSeenAtMs = new Map<string, number>();
--- a/src/systems/TargetPaces.ts
+++ b/src/systems/TargetPaces.ts
@@ -4,7 +4,7 @@
   type RunPace,
   type TargetPace,
 } from './estimateTargetPace.js';
-import { findMedian } from './findMedian.js';
+import { findLowerMedian } from './findLowerMedian.js';
 
 /** Pace of a run beside what its task is expected to need. */
 export interface ObservedPace {
@@ -93,7 +93,7 @@
     const shares = [...this.paces.values()]
       .filter((pace) => pace.pool === pool && nowMs - pace.atMs <= KEPT_MS)
       .map(({ estimateShare }) => estimateShare);
-    const median = shares.length < MIN_TARGET_COUNT ? undefined : findMedian(shares);
+    const median = shares.length < MIN_TARGET_COUNT ? undefined : findLowerMedian(shares);
     const share = median && Math.min(1, median);
     this.medians.set(pool, { share, untilMs: nowMs + MEDIAN_KEPT_MS });
     return share;
--- a/src/taskHome/JobAdmission.ts
+++ b/src/taskHome/JobAdmission.ts
@@ -37,17 +37,17 @@
   readonly wallClock: Clock;
 }
 
-/** What the home knows of a pool for decisions about arriving jobs. */
-interface PoolSummary {
+/** What decisions about the arriving jobs of a pool rest on. */
+interface AdmissionBasis {
   readonly backlog: PoolBacklog;
   /** CPU of the targets that take tasks, in thousandths of a core; 0 if too few have answered. */
   readonly capacityCpuMillicores: number;
-  /** Monotonic time until which the summary is used. */
+  /** Monotonic time until which the basis is used, in milliseconds. */
   readonly validUntilMs: number;
 }
 
-/** How long the summary of a pool is used, in milliseconds: short against any run of a task. */
-const SUMMARY_VALID_MS = 100;
+/** Time for which the basis of a pool is used, in milliseconds: short against any run of a task. */
+const BASIS_VALID_MS = 100;
 /**
  * Time after its opening within which a home refuses nothing, in milliseconds: targets are found
  * within one second, and report what runs on them within another.
@@ -64,7 +64,7 @@
 export class JobAdmission {
   private readonly options: JobAdmissionOptions;
 
-  private readonly summaries = new Map<string, PoolSummary>();
+  private readonly basisByPool = new Map<string, AdmissionBasis>();
 
   private readonly pressures = new Map<string, PoolPressure>();
 
@@ -90,9 +90,9 @@
     this.settledAtMs = this.options.clock.monotonicMs() + SETTLING_MS;
   }
 
-  /** Forgets what it has summed up, as room has become free. */
+  /** Forgets the sums of unfinished work, as a cancelled job has left room. */
   handleCancelled(): void {
-    this.summaries.clear();
+    this.basisByPool.clear();
   }
 
   /**
@@ -118,7 +118,7 @@
     // The next home may have stored the job already; where there is one, the append fails.
     if (!isGroupLeaseHeld()) return;
     const { pool } = row.spec.terms;
-    const { backlog, capacityCpuMillicores } = this.getSummary(pool);
+    const { backlog, capacityCpuMillicores } = this.getBasis(pool);
     const { runTimes } = runs;
     const arrivingCpuMillicores = arrivals.get(pool).cpuMillicores;
     const nowMs = clock.wallMs();
@@ -138,11 +138,11 @@
     return throwError('no-capacity', 'The work ahead of the job takes too long.', { retryAtMs });
   }
 
-  private getSummary(pool: string): PoolSummary {
-    const known = this.summaries.get(pool);
+  private getBasis(pool: string): AdmissionBasis {
+    const known = this.basisByPool.get(pool);
     if (known !== undefined && this.options.clock.monotonicMs() < known.validUntilMs) return known;
-    const created = this.summarize(pool);
-    this.summaries.set(pool, created);
+    const created = this.createBasis(pool);
+    this.basisByPool.set(pool, created);
     const { backlog, capacityCpuMillicores } = created;
     const nowMs = this.options.clock.monotonicMs();
     this.getPressure(pool).note({
@@ -160,7 +160,7 @@
     return created;
   }
 
-  private summarize(pool: string): PoolSummary {
+  private createBasis(pool: string): AdmissionBasis {
     const { clock, listOrganisations, runs, table } = this.options;
     const organisations = listOrganisations();
     const rows = table.listActive().filter(({ spec }) => spec.terms.pool === pool);
@@ -172,7 +172,7 @@
     return {
       backlog,
       capacityCpuMillicores: this.sumCapacity(pool),
-      validUntilMs: clock.monotonicMs() + SUMMARY_VALID_MS,
+      validUntilMs: clock.monotonicMs() + BASIS_VALID_MS,
     };
   }
 
