Name the parts of the plan of moves

The moves for expected peaks are a function of their own, as those for idle VMs and late work are. The local names tell moves to reserves from moves out of them, which were refills and reserves. The comment no longer gives the lead of a VM a second time.

--- a/src/systems/planMoves.ts
+++ b/src/systems/planMoves.ts
@@ -104,13 +104,27 @@
   return assigned.filter(({ toPool }) => toPool === pool).length;
 }
 
+/** Assigns free VMs to pools for the peaks that these are expected to have. */
+function planMovesForExpectedPeaks(
+  { balances, input }: FleetBalance,
+  assigned: readonly VmMove[],
+  available: readonly FleetVm[],
+): readonly VmMove[] {
+  const expectedCounts = getExpectedCounts(input.expectedPeaks ?? [], input.nowMs ?? 0);
+  const shortages = listShortages(balances, 'forecast', ({ demand, availableCount }) => {
+    const expectedCount = expectedCounts.get(demand.pool) ?? 0;
+    return limitMoves(expectedCount - availableCount - countAssigned(assigned, demand.pool));
+  });
+  return assignVms(shortages, available);
+}
+
 /**
  * Assigns free VMs to the pools that lack them: first for tasks that fit on none of their VMs, then
  * for all tasks that run or wait now, and last for forecast load and for the peaks that pools are
  * expected to have. A forecast may be far off, and must not take the VMs that tasks wait for.
  */
 function planMovesOfFreeVms(fleet: FleetBalance, available: readonly FleetVm[]): readonly VmMove[] {
-  const { balances, input } = fleet;
+  const { balances } = fleet;
   const whole = assignVms(listShortages(balances, 'shortage', getWholeVmShortage), available);
   const current = assignToShort(
     fleet,
@@ -130,18 +144,8 @@
     excludeAssigned(available, [...whole, ...current]),
   );
   const assigned = [...whole, ...current, ...forecast];
-  const expectedCounts = getExpectedCounts(input.expectedPeaks ?? [], input.nowMs ?? 0);
-  const expected = assignVms(
-    listShortages(balances, 'forecast', ({ demand, availableCount }) =>
-      limitMoves(
-        (expectedCounts.get(demand.pool) ?? 0) -
-          availableCount -
-          countAssigned(assigned, demand.pool),
-      ),
-    ),
-    excludeAssigned(available, assigned),
-  );
-  return [...assigned, ...expected];
+  const left = excludeAssigned(available, assigned);
+  return [...assigned, ...planMovesForExpectedPeaks(fleet, assigned, left)];
 }
 
 /**
@@ -246,8 +250,8 @@
  * VMs that have been idle for long are switched off.
  *
  * A load peak moves from pool to pool and needs more VMs than one pool has, while the others idle.
- * Arriving work counts as well as waiting work, since a VM takes 2 s to become available and a peak
- * lasts only a few times as long.
+ * Arriving work counts as well as waiting work, since a peak lasts only a few times as long as a VM
+ * takes to become available.
  * @param input - Demand of the pools, and the VMs.
  * @returns The moves.
  */
@@ -260,16 +264,17 @@
   const spare = listAllSpareVms(fleet, ({ retainedCount }) => retainedCount);
   const idle = idleCounts === undefined ? [] : listAllIdleVms(fleet);
   const free = planMovesOfFreeVms(fleet, [...new Set([...idle, ...standby, ...spare])]);
-  const reserves = releasesReserves ? planMovesFromReserves(fleet, free) : [];
-  const assigned = [...free, ...reserves];
+  const fromReserves = releasesReserves ? planMovesFromReserves(fleet, free) : [];
+  const assigned = [...free, ...fromReserves];
   const moves = [...assigned, ...planMovesFromLateWork(fleet, assigned)];
   if (moves.length > 0) return moves;
   const { reserveCounts } = fleet.input;
-  const refills = assignVms(
-    listShortages(fleet.balances, 'reserve', ({ reserveCount, availableCount }) =>
+  const reserveShortages = listShortages(
+    fleet.balances,
+    'reserve',
+    ({ reserveCount, availableCount }) =>
       reserveCounts === undefined ? 0 : limitMoves(reserveCount - availableCount),
-    ),
-    [...spare, ...standby],
   );
-  return refills.length > 0 ? refills : planIdleMoves(fleet);
+  const toReserves = assignVms(reserveShortages, [...spare, ...standby]);
+  return toReserves.length > 0 ? toReserves : planIdleMoves(fleet);
 }
