Say in one way which load a mechanism handles, without figures of one load

Some doc comments spoke of a load that a function answers, others of what it handles; the second stays. The forecast of peaks gave a lead of a VM that differs from the constant beside it, and two comments gave sizes of one load. Units are added in PaceObserver, and the tick of UnevenTargets says what it looks for. Comments only; eslint, typecheck.

--- a/src/fleetHome/FleetMoves.ts
+++ b/src/fleetHome/FleetMoves.ts
@@ -40,7 +40,7 @@
   readonly loads: ReadonlyMap<string, TargetLoad>;
 }
 
-/** Time within which a VM must be empty to be moved, in milliseconds; tasks last 1 to 2 s. */
+/** Time within which a VM must be empty to be moved, in ms: longer than most tasks run. */
 const MOVE_DRAIN_TIMEOUT_MS = 3_000;
 
 interface DrainingMove extends VmMove {
--- a/src/systems/PeakForecast.ts
+++ b/src/systems/PeakForecast.ts
@@ -49,8 +49,9 @@
 /**
  * Forecasts load peaks that recur: by turns of the pools, and by the period of each pool alone.
  *
- * The load: pools have their peaks one after the other, each more than it holds, and a VM is of use
- * 3.5 s after it was ordered. With the load alone as a reason, each peak begins with few VMs.
+ * This handles pools that have their peaks one after the other, each larger than its own VMs
+ * carry. A VM becomes available seconds after its order, so if only the load itself were a reason
+ * for orders, each peak would begin with few VMs.
  */
 export class PeakForecast {
   private readonly detectors = new Map<string, PeakDetector>();
--- a/src/systems/PoolPressure.ts
+++ b/src/systems/PoolPressure.ts
@@ -25,7 +25,7 @@
  * Tells whether a pool stays short of room. Its present capacity says little while VMs may still be
  * on their way to it, which its home does not know.
  *
- * The load that it answers: the peak of an idle pool, which gets many times its VMs within seconds.
+ * This handles the peak of an idle pool, which gets many times its VMs within seconds.
  */
 export class PoolPressure {
   private lastCapacityMillicores = 0;
--- a/src/systems/admitJob.ts
+++ b/src/systems/admitJob.ts
@@ -64,11 +64,11 @@
  * the late work before it, it ends beyond three times its objective. Long-running services and
  * scheduled jobs are always accepted.
  *
- * The load that it answers: more jobs arrive than a pool can carry, for longer than callers wait.
- * Without refusals each caller learns at its own time limit that it has waited in vain, and the
- * pool later runs work that nobody needs. A refused caller is asked back at the time at which the
- * pool is expected to serve the job in time, or up to twice as late, so that refused callers do
- * not return together and take the place of others.
+ * This handles more jobs than a pool can carry, for longer than callers wait. Without refusals each
+ * caller learns at its own time limit that it has waited in vain, and the pool later runs work that
+ * nobody needs. A refused caller is asked back at the time at which the pool is expected to serve
+ * the job in time, or up to twice as late, so that refused callers do not return together and take
+ * the place of others.
  * @param input - The job, the unfinished work of its pool, and the capacity.
  * @returns The decision.
  */
--- a/src/systems/forecastArrivals.ts
+++ b/src/systems/forecastArrivals.ts
@@ -60,8 +60,8 @@
  *
  * This handles the start of a load peak, which rises for 2 to 3 s while a VM takes 2 s: VMs ordered
  * by the present rate would cover half of the need. A rise is extrapolated only if the number of
- * arrivals supports it: by their work alone, four large jobs that arrive together by chance would
- * ask for more than the fleet has.
+ * arrivals supports it: by their work alone, a few large jobs that arrive together by chance would
+ * seem to be a rise.
  * @param arrivals - Arrivals of the last two seconds, in ascending order of time.
  * @param nowMs - Monotonic time in milliseconds.
  * @returns The CPU in thousandths of a core.
--- a/src/systems/orderByShare.ts
+++ b/src/systems/orderByShare.ts
@@ -45,9 +45,9 @@
  * Orders jobs by start-time fair queueing: by what their organisation uses already in the pool and
  * would use with its jobs before them, in relation to its weight.
  *
- * The load that it answers: one organisation sends many times its usual and the pool is full. By
- * age or objective alone its jobs would take the place of all others' in proportion to their
- * number. Where all fits, or nobody has an organisation, the order has no effect.
+ * This handles one organisation that sends many times its usual while the pool is full. By age or
+ * objective alone its jobs would take the place of all others' in proportion to their number. Where
+ * all fits, or nobody has an organisation, the order has no effect.
  * @param input - The jobs, what is placed, and the weights.
  * @returns The jobs in placement order.
  */
--- a/src/systems/planTaskPreemptions.ts
+++ b/src/systems/planTaskPreemptions.ts
@@ -246,8 +246,8 @@
 /**
  * Plans which tasks to stop so that tasks of more urgent queues in the same pool get their room.
  *
- * The load that it answers: urgent jobs arrive in a pool that is full of less urgent ones, whose
- * tasks run for longer than the urgent callers can wait. Only tasks of a queue with a lower
+ * This handles urgent jobs that arrive in a pool full of less urgent ones, whose tasks run for
+ * longer than the urgent callers can wait. Only tasks of a queue with a lower
  * priority are stopped, those that lose the least work first: a task with checkpoints goes on from
  * where it was stopped. Long-running tasks and gangs are never stopped, nor a run that is about to
  * end. Nothing is stopped for a gang, for a job that is too late for its objective, or for one that
--- a/src/taskHome/PaceObserver.ts
+++ b/src/taskHome/PaceObserver.ts
@@ -28,9 +28,9 @@
   readonly isCheckpointing: boolean;
   /** How long the task takes on other targets, in milliseconds. */
   readonly wholeElsewhereMs: number;
-  /** How long other tasks of the step take on other targets; undefined if too few tell. */
+  /** The same by other tasks of the step, in milliseconds; undefined if too few tell. */
   readonly peersMs: number | undefined;
-  /** How long the task takes by the estimate, in milliseconds. */
+  /** The same by the estimate alone, in milliseconds. */
   readonly estimateMs: number;
 }
 
@@ -52,7 +52,7 @@
 
   private readonly targets = new TargetPaces();
 
-  /** Clock of each target in its latest report. */
+  /** Reading of each target's clock in its latest report, in milliseconds. */
   private readonly clocksMs = new Map<string, number>();
 
   /**
@@ -191,6 +191,7 @@
     this.clocksMs.delete(targetId);
   }
 
+  /** Records a pace by one span, and the run time of a peer of other runs by another one. */
   private notePace(key: RunKey, found: ComparableRun, span: RunSpan, peerSpan: RunSpan): void {
     const { taskName, targetId } = key;
     const { stepKey, peersMs, estimateMs } = found;
--- a/src/taskHome/UnevenTargets.ts
+++ b/src/taskHome/UnevenTargets.ts
@@ -118,7 +118,10 @@
     this.verdicts.forget(targetId);
   }
 
-  /** Lets targets return whose failures were those of hopeless jobs or lie back; on each tick. */
+  /**
+   * Judges the failing targets anew, on each tick: their failures may have become too old to count,
+   * or may be those of jobs that have failed elsewhere since.
+   */
   check(): void {
     this.failures.prune();
     this.verdicts.list().forEach((targetId) => {
