Say of the division of limits which load it handles

The last of the doc comments that named a load as something to be answered; a rush is a load peak in the glossary.

--- a/src/systems/shareLimit.ts
+++ b/src/systems/shareLimit.ts
@@ -34,7 +34,7 @@
  * it was told last; a part that was told and not confirmed may be in force or not, so the higher
  * one counts as its bound.
  *
- * The load that it answers: pools have their rushes by turns, and an organisation sends most of its
+ * This handles pools that have their load peaks by turns while an organisation sends most of its
  * work to one pool at a time. So parts follow what is wanted, and most of the rest is dealt out
  * beforehand, so that a task that comes need not wait for a part.
  *
