--- a/src/systems/PoolBacklog.ts
+++ b/src/systems/PoolBacklog.ts
@@ -6,8 +6,11 @@
 import type { RunTimes } from './RunTimes.js';
 import { getAllocatedResources } from './TargetCapacity.js';
 
-/** Work of jobs of equal standing, in thousandths of a core times milliseconds. */
-interface StandingWork {
+/**
+ * Work of the jobs that are alike in what decides on the order of placement, in thousandths of a
+ * core times milliseconds.
+ */
+interface WorkGroup {
   readonly isLate: boolean;
   readonly priority: number;
   readonly organisation: string | undefined;
@@ -57,16 +60,16 @@
     .reduce((sum, { positions }) => sum + positions.length, 0);
 }
 
-function sumStarted(standings: readonly StandingWork[]): number {
-  return standings.reduce((sum, { started }) => sum + started, 0);
+function sumStarted(groups: readonly WorkGroup[]): number {
+  return groups.reduce((sum, { started }) => sum + started, 0);
 }
 
-function sumWaiting(standings: readonly StandingWork[]): number {
-  return standings.reduce((sum, { waiting }) => sum + waiting, 0);
+function sumWaiting(groups: readonly WorkGroup[]): number {
+  return groups.reduce((sum, { waiting }) => sum + waiting, 0);
 }
 
-function sumWork(standings: readonly StandingWork[]): number {
-  return sumStarted(standings) + sumWaiting(standings);
+function sumWork(groups: readonly WorkGroup[]): number {
+  return sumStarted(groups) + sumWaiting(groups);
 }
 
 function sumLongRunningCpu({ spec }: DurableJobRow): number {
@@ -83,7 +86,7 @@
 export class PoolBacklog {
   private readonly options: PoolBacklogOptions;
 
-  private readonly standings = new Map<string, StandingWork>();
+  private readonly groups = new Map<string, WorkGroup>();
 
   /** CPU of long-running tasks, which no other job gets, in thousandths of a core. */
   private longRunningMillicores = 0;
@@ -105,7 +108,7 @@
 
   /** All work, in thousandths of a core times milliseconds. */
   get totalWork(): number {
-    return sumWork([...this.standings.values()]);
+    return sumWork([...this.groups.values()]);
   }
 
   /**
@@ -119,11 +122,13 @@
     const { priority } = terms;
     const isLate = nowMs > estimateStartByMs(row, runTimes);
     const key = `${isLate}/${priority}/${organisation ?? ''}`;
-    const { started, waiting } = this.standings.get(key) ?? { started: 0, waiting: 0 };
+    const { started, waiting } = this.groups.get(key) ?? { started: 0, waiting: 0 };
     const work = this.estimateDueWork(row);
     const isStarted = row.state !== 'queued';
-    this.standings.set(key, {
-      ...{ isLate, priority, organisation },
+    this.groups.set(key, {
+      isLate,
+      priority,
+      organisation,
       started: started + (isStarted ? work : 0),
       waiting: waiting + (isStarted ? 0 : work),
     });
@@ -138,23 +143,23 @@
    * @returns The work in both cases.
    */
   sumAhead(row: DurableJobRow): WorkAhead {
-    const all = [...this.standings.values()];
+    const all = [...this.groups.values()];
     const onTime = all.filter(({ isLate }) => !isLate);
     // By the time that the job is late, so is what is on time now and has not been placed.
     return { onTime: this.sumAheadWithin(onTime, row), late: this.sumAheadWithin(all, row) };
   }
 
-  private sumAheadWithin(standings: readonly StandingWork[], { spec }: DurableJobRow): number {
+  private sumAheadWithin(groups: readonly WorkGroup[], { spec }: DurableJobRow): number {
     const { organisation, terms } = spec;
     const { getWeight } = this.options;
-    const before = standings.filter(({ priority }) => priority < terms.priority);
-    const equal = standings.filter(({ priority }) => priority === terms.priority);
-    const byOrganisation = groupBy(equal, (standing) => standing.organisation);
+    const before = groups.filter(({ priority }) => priority < terms.priority);
+    const equal = groups.filter(({ priority }) => priority === terms.priority);
+    const byOrganisation = groupBy(equal, (group) => group.organisation);
     const ownWork = sumWork(byOrganisation.get(organisation) ?? []);
     const workPerWeight = ownWork / getShareWeight(organisation, getWeight);
-    const waiting = [...byOrganisation].map(([name, shares]) => {
+    const waiting = [...byOrganisation].map(([name, theirs]) => {
       const entitled = workPerWeight * getShareWeight(name, getWeight);
-      return Math.min(sumWaiting(shares), Math.max(0, entitled - sumStarted(shares)));
+      return Math.min(sumWaiting(theirs), Math.max(0, entitled - sumStarted(theirs)));
     });
     return sumWork(before) + sumStarted(equal) + waiting.reduce((sum, work) => sum + work, 0);
   }
--- a/src/taskHome/JobAdmission.ts
+++ b/src/taskHome/JobAdmission.ts
@@ -145,10 +145,8 @@
     this.basisByPool.set(pool, created);
     const { backlog, capacityCpuMillicores } = created;
     const nowMs = this.options.clock.monotonicMs();
-    this.getPressure(pool).note({
-      ...{ capacityCpuMillicores, nowMs },
-      backlogWork: backlog.totalWork,
-    });
+    const { totalWork: backlogWork } = backlog;
+    this.getPressure(pool).note({ capacityCpuMillicores, backlogWork, nowMs });
     return created;
   }
 
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -145,7 +145,9 @@
     const nowMs = clock.wallMs();
     const targets = this.listTargets(rows);
     const jobs = orderJobs(readyJobs, {
-      ...{ runTimes, mechanisms, allocatedJobs: rows },
+      runTimes,
+      mechanisms,
+      allocatedJobs: rows,
       refusingPools: listRefusingPools?.(),
       getWeight: (name) => getWeight(organisations, name),
       nowMs,
@@ -167,7 +169,11 @@
     runs.preemptor.makeRoom({
       waitingJobs: jobs.map(({ spec }) => table.getActive(spec.jobId)!),
       allocatedJobs: table.listActive(),
-      ...{ targets, runTimes, rooms, nowMs, dueAtMs },
+      targets,
+      runTimes,
+      rooms,
+      nowMs,
+      dueAtMs,
     });
     return placed;
   }
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -92,7 +92,8 @@
     });
     this.lapses = new LeaseLapses({
       ...this.options,
-      ...{ table: this.table, writer: this.writer },
+      table: this.table,
+      writer: this.writer,
       getSessions: () => this.sessions,
       onLapsed: (targetId) => this.runs.handleLostTarget(targetId, 'lapsed'),
     });
@@ -122,11 +123,15 @@
     const flush = (): Promise<void> => this.flush();
     this.submissions = new JobSubmissions({
       ...parts,
-      ...{ admission: this.admission, arrivals, writer, flush },
+      admission: this.admission,
+      arrivals,
+      writer,
+      flush,
     });
     this.rounds = new PlacementRounds({
       ...parts,
-      ...{ drains, writer },
+      drains,
+      writer,
       listRefusingPools: () => this.admission.listRefusingPools(),
       limitParts: this.poolSync.limitParts,
       dueClock: this.wallClock,
