Explain the counts of failed runs, and name a list of candidates a list

The dated ends had a time without its clock and unit, the counts did not say which failures are left out, and a function called find returned a list.

--- a/src/systems/FailureShares.ts
+++ b/src/systems/FailureShares.ts
@@ -6,10 +6,13 @@
   readonly isFailed: boolean;
 }
 
+/** End of a run with its time. */
 interface DatedEnd extends CountedEnd {
+  /** Monotonic time of the home, in milliseconds. */
   readonly atMs: number;
 }
 
+/** Numbers of ends; a failure of a job that has failed on several targets counts only as an end. */
 interface EndCounts {
   readonly endCount: number;
   readonly failedCount: number;
@@ -20,7 +23,7 @@
 const MIN_FAILED_SHARE = 1 / 3;
 /** Different jobs that must have failed there; a single one may be the cause itself. */
 const MIN_FAILED_JOB_COUNT = 2;
-/** The pool's other targets must fail at most this share of what the target fails. */
+/** Share of failed runs that the pool's other targets may have, as a part of the target's own. */
 const MAX_PEER_SHARE = 1 / 3;
 /** Time for which an end counts, in milliseconds. */
 const KEPT_MS = 6_000;
--- a/src/taskHome/LateRunRestarts.ts
+++ b/src/taskHome/LateRunRestarts.ts
@@ -37,6 +37,7 @@
   readonly metrics: Metrics;
 }
 
+/** A late run whose task ends sooner elsewhere. */
 interface Candidate extends ComparableRun {
   readonly key: RunKey;
   readonly rest: ExpectedRest;
@@ -84,7 +85,7 @@
     if (!isGroupLeaseHeld() || nowMs - askedAtMs > MAX_REPORT_AGE_MS) return;
     if (nowMs < this.nextSearchAtMs) return;
     const candidates = answer.running
-      .flatMap((running) => this.findCandidate(targetId, running))
+      .flatMap((running) => this.listCandidates(targetId, running))
       .toSorted((a, b) => b.rest.hereMs - a.rest.hereMs);
     if (candidates.length === 0) return;
     this.nextSearchAtMs = nowMs + SEARCH_PAUSE_MS;
@@ -99,7 +100,8 @@
     this.drainedTargets = drainedTargets;
   }
 
-  private findCandidate(
+  /** Lists a run if its task ends sooner elsewhere, and nothing otherwise. */
+  private listCandidates(
     targetId: string,
     { taskName, run, progressPercent }: RunningTaskReport,
   ): readonly Candidate[] {
