Move a queue by one version in the review's third case

Cause: in the first form the queue was away between two versions, so that one could take the second for another queue. Change: one version removes the route and adds one with the same host and prefix for another service.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -19,7 +19,7 @@
   stretch: 1.6,
 };
 const OTHER = { ...EDITOR, name: 'r-other', path_prefix: '/other/' };
-const EXPORTER = { ...EDITOR, backend: 'exporter' };
+const EXPORTER = { ...EDITOR, name: 'r-save-2', backend: 'exporter' };
 const BACKENDS = ['editor', 'exporter'].map((name) => ({
   name,
   health_path: '/health',
@@ -52,12 +52,8 @@
   const before = await cluster.getState(EDITOR, jobId, 1);
   if (before.state !== 'running') throw new Error('The job does not run.');
 
-  // The disruption: one version removes the queue, and a later one adds it for another service.
-  if (hasTrouble) {
-    cluster.putConfig({ routes: [OTHER], backends: BACKENDS });
-    await sleep(CONFIG_APPLY_MS + 500);
-    cluster.putConfig({ routes: [EXPORTER, OTHER], backends: BACKENDS });
-  }
+  // The disruption: one version removes the queue's route and adds one for another service.
+  if (hasTrouble) cluster.putConfig({ routes: [EXPORTER, OTHER], backends: BACKENDS });
   await sleep(VISIBLE_MS + CONFIG_APPLY_MS);
 
   const answers = [];
