Keep of a job what is due, not every occurrence it will have

Seen: a job of 525,600 occurrences (each minute of a year, 160 bytes) ended each daemon that became its home, out of memory, one after the other; the entry sent it to the next home, and callers repeated it.

Cause: createJobRow made an object for each task of every occurrence at once, before anything was refused; what was stored and read back grew alike. The entry's search for a home sent the same bytes to each home that followed.

Ruled out: a smaller bound on the number of occurrences. Such a job is valid.

Change: - an occurrence has tasks from when it is due until all of them are done; a progress record tells how many have begun and which are kept. Records of earlier versions are read as before. An earlier version can't read the new records of scheduled jobs and would begin these anew. - occurrences that are due all at once begin as others end (1,000 tasks a job, 50,000 for all jobs of a home with a schedule). - 20,000 tasks in one occurrence, 200,000 of all jobs of a home: more is refused before it is made, with field and bound. - done tasks keep no checkpoint: 10,000 of them outgrew a record of the store, which would have held up all changes of the partition. - a submission is sent to two homes at most that don't reply.

Work that arrives counted each future occurrence as due now.

placeTasks.test.ts asked a fresh row for occurrences that aren't due; it makes them first now and asserts the same. The fake table of PlacementRounds.test.ts has the new method.

--- a/src/callers/parseDurableJob.ts
+++ b/src/callers/parseDurableJob.ts
@@ -1,5 +1,10 @@
 import { z } from 'zod';
-import type { DurableJobSpec, QueueTerms } from '../jobs/index.js';
+import {
+  countOccurrenceTasks,
+  type DurableJobSpec,
+  MAX_OCCURRENCE_TASKS,
+  type QueueTerms,
+} from '../jobs/index.js';
 import { parseJsonBody } from './parseJsonBody.js';
 
 const count = z.int().nonnegative();
@@ -37,7 +42,10 @@
     .refine(
       (steps) => steps.every(({ afterSteps }, step) => afterSteps.every((before) => before < step)),
       { error: 'a step may only come after earlier ones' },
-    ),
+    )
+    .refine((steps) => countOccurrenceTasks({ steps }) <= MAX_OCCURRENCE_TASKS, {
+      error: `\`taskCount\` of all steps together is at most ${MAX_OCCURRENCE_TASKS}`,
+    }),
   schedule: z
     .strictObject({
       occurrenceCount: z.int().positive(),
--- a/src/jobs/DurableJobRow.ts
+++ b/src/jobs/DurableJobRow.ts
@@ -1,12 +1,15 @@
 import type { DurableJobSpec, DurableJobState } from './DurableJobSpec.js';
+import { createOccurrence } from './occurrences.js';
 import { formatTaskName, type TaskRow } from './TaskRow.js';
 
 /** A job and the progress of its tasks. Rows are immutable; an update creates a new row. */
 export interface DurableJobRow {
   readonly spec: DurableJobSpec;
   readonly state: DurableJobState;
-  /** Tasks ordered by occurrence, step and index. */
+  /** Tasks of the occurrences that have begun and are kept, by occurrence, step and index. */
   readonly tasks: readonly TaskRow[];
+  /** Occurrences 0 to this number less one have begun; those without tasks here are done. */
+  readonly begunOccurrenceCount: number;
   /** When the job reached its final state, in milliseconds since the Unix epoch. */
   readonly finishedAtMs?: number;
 }
@@ -14,26 +17,18 @@
 /**
  * Creates the row of a newly accepted job.
  * @param spec - Specification of the job.
- * @returns The row, with every task in phase `waiting`.
+ * @returns The row, with every task in phase `waiting`; a job with a schedule has none until an
+ * occurrence is due.
  */
 export function createJobRow(spec: DurableJobSpec): DurableJobRow {
-  const occurrenceCount = spec.schedule?.occurrenceCount ?? 1;
-  const tasks = Array.from({ length: occurrenceCount }, (_o, occurrence) =>
-    spec.steps.flatMap(({ taskCount }, step) =>
-      Array.from({ length: taskCount }, (_t, index): TaskRow => ({
-        occurrence,
-        step,
-        index,
-        phase: 'waiting',
-        run: 0,
-        targetId: undefined,
-        failureCount: 0,
-        crashCount: 0,
-        checkpoint: undefined,
-      })),
-    ),
-  ).flat();
-  return { spec, state: 'queued', tasks, finishedAtMs: undefined };
+  const isScheduled = spec.schedule !== undefined;
+  return {
+    spec,
+    state: 'queued',
+    tasks: isScheduled ? [] : createOccurrence(spec, 0),
+    begunOccurrenceCount: isScheduled ? 0 : 1,
+    finishedAtMs: undefined,
+  };
 }
 
 /**
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -30,6 +30,13 @@
 export { durableJobStateSchema } from './durableJobStateSchema.js';
 export { type JobProgress, restoreJobRow } from './jobProgress.js';
 export { countLateFailure, isUnheardRun, noteUnheardRun } from './lateFailures.js';
+export {
+  advanceOccurrences,
+  countOccurrenceTasks,
+  getOccurrenceCount,
+  isDue,
+  MAX_OCCURRENCE_TASKS,
+} from './occurrences.js';
 export {
   addResources,
   isEmptyResources,
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -3,6 +3,7 @@
 import { createJobRow, type DurableJobRow } from './DurableJobRow.js';
 import type { DurableJobSpec } from './DurableJobSpec.js';
 import { durableJobStateSchema } from './durableJobStateSchema.js';
+import { countOccurrenceTasks, createOccurrence, getOccurrenceCount } from './occurrences.js';
 import type { TaskPhase, TaskRow } from './TaskRow.js';
 
 const count = z.int().nonnegative();
@@ -19,6 +20,12 @@
 export const progressSchema = z.looseObject({
   state: durableJobStateSchema,
   finishedAtMs: z.number().optional(),
+  /**
+   * How many occurrences of a job with a schedule have begun, and which of them have tasks here; if
+   * absent, all of its occurrences have.
+   */
+  begunOccurrenceCount: count.optional(),
+  occurrences: z.array(count).optional(),
   /** One letter per task, in the order of the job's tasks. */
   phases: z.string().regex(/^[wpd]*$/),
   /** Number of each task's latest run. */
@@ -58,12 +65,40 @@
   });
 }
 
+function packOccurrences({
+  spec,
+  tasks,
+  begunOccurrenceCount,
+}: DurableJobRow): Pick<JobProgress, 'begunOccurrenceCount' | 'occurrences'> {
+  if (spec.schedule === undefined) return {};
+  const occurrences = [...new Set(tasks.map(({ occurrence }) => occurrence))];
+  return { begunOccurrenceCount, occurrences };
+}
+
+/** Creates the tasks that a progress record tells about, all in phase `waiting`. */
+function createStoredTasks(
+  spec: DurableJobSpec,
+  { occurrences, phases, runs }: JobProgress,
+): readonly TaskRow[] {
+  const keptCount = occurrences?.length ?? getOccurrenceCount(spec);
+  const taskCount = keptCount * countOccurrenceTasks(spec);
+  if (phases.length !== taskCount || runs.length !== taskCount) {
+    throwError(
+      'internal',
+      `Stored progress of job ${spec.jobId} does not match its steps: ${phases.length} tasks.`,
+    );
+  }
+  const kept = occurrences ?? Array.from({ length: keptCount }, (_o, occurrence) => occurrence);
+  return kept.flatMap((occurrence) => createOccurrence(spec, occurrence));
+}
+
 /**
  * Converts the progress of a job to its stored form.
  * @param row - The job.
  * @returns The progress in columns.
  */
-export function packProgress({ state, finishedAtMs, tasks }: DurableJobRow): JobProgress {
+export function packProgress(row: DurableJobRow): JobProgress {
+  const { state, finishedAtMs, tasks } = row;
   const placedTargetIds = tasks
     .filter(({ phase }) => phase === 'placed')
     .map(({ targetId }) => targetId!);
@@ -74,6 +109,7 @@
   return {
     state,
     ...(finishedAtMs === undefined ? {} : { finishedAtMs }),
+    ...packOccurrences(row),
     phases: tasks.map(({ phase }) => PHASE_LETTERS[phase]).join(''),
     runs: tasks.map(({ run }) => run),
     targetIds,
@@ -97,21 +133,16 @@
   spec: DurableJobSpec,
   progress: JobProgress | undefined,
 ): DurableJobRow {
-  const row = createJobRow(spec);
-  if (progress === undefined) return row;
+  if (progress === undefined) return createJobRow(spec);
   const { state, finishedAtMs, phases, runs, targetIds, targetOf } = progress;
-  if (phases.length !== row.tasks.length || runs.length !== row.tasks.length) {
-    throwError(
-      'internal',
-      `Stored progress of job ${spec.jobId} does not match its steps: ${phases.length} tasks.`,
-    );
-  }
+  const { begunOccurrenceCount = getOccurrenceCount(spec) } = progress;
+  const created = createStoredTasks(spec, progress);
   const failures = new Map(progress.failures);
   const crashes = new Map(progress.crashes);
   const unheard = new Map(progress.unheard);
   const checkpoints = new Map(progress.checkpoints);
   const placedTargetIds = targetOf.map((targetIndex) => targetIds[targetIndex]).values();
-  const tasks = row.tasks.map((task, position): TaskRow => {
+  const tasks = created.map((task, position): TaskRow => {
     const phase = PHASES_BY_LETTER.get(phases[position]!)!;
     return {
       ...task,
@@ -124,5 +155,5 @@
       checkpoint: checkpoints.get(position),
     };
   });
-  return { spec, state, tasks, finishedAtMs };
+  return { spec, state, tasks, begunOccurrenceCount, finishedAtMs };
 }
--- a/src/jobs/progressJob.ts
+++ b/src/jobs/progressJob.ts
@@ -1,5 +1,6 @@
 import type { TaskEnd } from '../targets/index.js';
 import { type DurableJobRow, isFinished } from './DurableJobRow.js';
+import { countOccurrenceTasks, getOccurrenceCount } from './occurrences.js';
 import type { TaskRow } from './TaskRow.js';
 
 function replaceTask(row: DurableJobRow, position: number, task: TaskRow): DurableJobRow {
@@ -58,7 +59,8 @@
   if (failureCount >= row.spec.terms.maxAttempts) {
     return { ...row, state: 'failed', finishedAtMs: nowMs };
   }
-  const isCompleted = row.tasks.every(({ phase }) => phase === 'done');
+  const haveAllBegun = row.begunOccurrenceCount >= getOccurrenceCount(row.spec);
+  const isCompleted = haveAllBegun && row.tasks.every(({ phase }) => phase === 'done');
   return isCompleted ? { ...row, state: 'completed', finishedAtMs: nowMs } : row;
 }
 
@@ -98,9 +100,11 @@
 ): DurableJobRow {
   const ended = endTask(row, position, end);
   const updateMember = (task: TaskRow): TaskRow => {
-    const saved = { ...task, checkpoint: checkpoint ?? task.checkpoint };
     // The members of a gang finish together, so the end of one member applies to all of them.
-    return ended.phase === 'done' ? { ...resetToWaiting(saved), phase: 'done' } : saved;
+    if (ended.phase === 'done') {
+      return { ...resetToWaiting(task), phase: 'done', checkpoint: undefined };
+    }
+    return { ...task, checkpoint: checkpoint ?? task.checkpoint };
   };
   const tasks = listGangPositions(row, position).reduce<readonly TaskRow[]>(
     (tasksSoFar, memberPosition) =>
@@ -171,10 +175,15 @@
  */
 export function findTask(
   row: DurableJobRow,
-  task: Pick<TaskRow, 'occurrence' | 'step' | 'index'>,
+  { occurrence, step, index }: Pick<TaskRow, 'occurrence' | 'step' | 'index'>,
 ): number {
-  return row.tasks.findIndex(
-    ({ occurrence, step, index }) =>
-      occurrence === task.occurrence && step === task.step && index === task.index,
-  );
+  const { spec, tasks } = row;
+  const stepSpec = spec.steps[step];
+  if (stepSpec === undefined || index < 0 || index >= stepSpec.taskCount) return -1;
+  const occurrenceTaskCount = countOccurrenceTasks(spec);
+  const keptCount = tasks.length / occurrenceTaskCount;
+  const starts = Array.from({ length: keptCount }, (_kept, place) => place * occurrenceTaskCount);
+  const start = starts.find((position) => tasks[position]!.occurrence === occurrence);
+  if (start === undefined) return -1;
+  return start + countOccurrenceTasks({ steps: spec.steps.slice(0, step) }) + index;
 }
--- a/src/systems/listReadyTasks.ts
+++ b/src/systems/listReadyTasks.ts
@@ -1,4 +1,4 @@
-import { type DurableJobRow, isFinished } from '../jobs/index.js';
+import { type DurableJobRow, isDue, isFinished } from '../jobs/index.js';
 import { groupBy, memoizeByObject } from '../utils/index.js';
 
 /** Waiting tasks of one step and occurrence that may start. */
@@ -9,12 +9,6 @@
   readonly positions: readonly number[];
 }
 
-function isDue({ spec }: DurableJobRow, occurrence: number, nowMs: number): boolean {
-  if (spec.schedule === undefined) return true;
-  const { firstDueAtMs, intervalMs } = spec.schedule;
-  return nowMs >= firstDueAtMs + occurrence * intervalMs;
-}
-
 /** Lists the waiting tasks whose preceding steps are done, whether or not they are due. */
 const listUnblockedTasks = memoizeByObject((row: DurableJobRow): readonly ReadyTasks[] => {
   if (isFinished(row)) return [];
@@ -51,5 +45,5 @@
 export function listReadyTasks(row: DurableJobRow, nowMs: number): readonly ReadyTasks[] {
   const unblocked = listUnblockedTasks(row);
   if (row.spec.schedule === undefined) return unblocked;
-  return unblocked.filter(({ occurrence }) => isDue(row, occurrence, nowMs));
+  return unblocked.filter(({ occurrence }) => isDue(row.spec, occurrence, nowMs));
 }
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -40,6 +40,12 @@
 /** How long a drain lasts without another message, in milliseconds: ten checks of the fleet. */
 const DRAIN_DURATION_MS = 3_000;
 
+/**
+ * Homes that one submission may be sent to without a reply. The first may have ended of the job;
+ * without a bound, it would end each instance that becomes the home while the search lasts.
+ */
+const MAX_UNANSWERED_HOMES = 2;
+
 const RETRYABLE_KINDS: ReadonlySet<string> = new Set(['home-unavailable', 'peer-unavailable']);
 
 /** Outcome of one attempt to call a home. */
@@ -49,7 +55,14 @@
       readonly type: 'again';
       readonly error: RattanliftError;
       /** What the pause before the next attempt is for. */
-      readonly wait: 'noHome' | 'loading' | 'refused' | 'unanswered';
+      readonly wait: 'noHome' | 'loading' | 'refused';
+    }
+  | {
+      readonly type: 'again';
+      readonly error: RattanliftError;
+      readonly wait: 'unanswered';
+      /** Instance that was called. */
+      readonly home: string;
     };
 
 /** Forwards requests about durable jobs from their entry to the homes of their pools. */
@@ -194,14 +207,17 @@
   ): Promise<PeerReply> {
     const { clock } = this.options;
     const giveUpAtMs = clock.monotonicMs() + HOME_SEARCH_MS;
+    const unanswered = new Set<string>();
     let isInDoubt = false;
     let last: CallOutcome = await this.attemptCall(request, pool, trace);
     while (last.type === 'again' && clock.monotonicMs() < giveUpAtMs) {
       isInDoubt ||= ERROR_ANSWERS[last.error.kind].outcome !== 'not-run';
+      if (last.wait === 'unanswered') unanswered.add(last.home);
       trace.begin(last.wait);
       const paused = sleep(RETRY_PAUSE_MS).then(() => trace.begin('refresh'));
       // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
       await Promise.all([this.refreshUntil(giveUpAtMs), paused]);
+      if (!this.mayCallNextHome(request, pool, unanswered)) break;
       // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
       last = await this.attemptCall(request, pool, trace);
     }
@@ -214,6 +230,18 @@
     throw last.error;
   }
 
+  /** Tells whether a request may be sent to the present home, by the homes that did not reply. */
+  private mayCallNextHome(
+    { type }: DurableJobRequest,
+    pool: string,
+    unanswered: ReadonlySet<string>,
+  ): boolean {
+    const { directory, partitions } = this.options;
+    if (type !== 'submit-durable-job' || unanswered.size < MAX_UNANSWERED_HOMES) return true;
+    const home = directory.get(partitions.getPartition(pool));
+    return home === undefined || unanswered.has(home.instance);
+  }
+
   /** Looks for the home, for no longer than the search lasts; a silent store takes seconds. */
   private async refreshUntil(giveUpAtMs: number): Promise<void> {
     const { clock, directory } = this.options;
@@ -262,7 +290,7 @@
     } catch (thrown) {
       const error = toRattanliftError(thrown);
       if (!RETRYABLE_KINDS.has(error.kind)) throw error;
-      return { type: 'again', error, wait: 'unanswered' };
+      return { type: 'again', error, wait: 'unanswered', home: home.instance };
     }
   }
 
--- a/src/taskHome/JobSubmissions.ts
+++ b/src/taskHome/JobSubmissions.ts
@@ -1,5 +1,5 @@
 import { throwError } from '../errors/index.js';
-import { type DurableJobSpec, isVisibleTo } from '../jobs/index.js';
+import { countOccurrenceTasks, type DurableJobSpec, isVisibleTo } from '../jobs/index.js';
 import type { Clock } from '../utils/index.js';
 import { createStorableJob } from './createStorableJob.js';
 import type { JobAdmission } from './JobAdmission.js';
@@ -8,6 +8,9 @@
 import type { RecordWriter } from './RecordWriter.js';
 import type { TaskRuns } from './TaskRuns.js';
 
+/** Tasks of the jobs of one home; about 20 MB of an instance that may have 128. */
+const MAX_HOME_TASKS = 200_000;
+
 /** Options of {@link JobSubmissions}. */
 export interface JobSubmissionsOptions {
   readonly table: JobTable;
@@ -56,6 +59,7 @@
     }
     if (writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
     const row = createStorableJob({ ...spec, submittedAtMs: clock.wallMs() }, maxRecordBytes);
+    this.assertHasRoom(spec);
     arrivals.get(terms.pool).record(runs.runTimes.estimateRemainingWork(row));
     admission.admit(row);
     table.add(row);
@@ -66,4 +70,11 @@
       throw thrown;
     }
   }
+
+  /** Throws if the home's jobs would have more tasks than the memory of an instance holds. */
+  private assertHasRoom(spec: DurableJobSpec): void {
+    const taskCount = this.options.table.countOccurrenceTasks() + countOccurrenceTasks(spec);
+    if (taskCount <= MAX_HOME_TASKS) return;
+    throwError('no-capacity', `The jobs of a home may have ${MAX_HOME_TASKS} tasks at a time.`);
+  }
 }
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -1,4 +1,6 @@
 import {
+  advanceOccurrences,
+  countOccurrenceTasks,
   type DurableJobRow,
   type DurableJobState,
   encodeEndedJob,
@@ -31,6 +33,11 @@
   readonly task: TaskRow;
 }
 
+/** Tasks that jobs with a schedule may have together before occurrences that are due wait. */
+const MAX_SCHEDULED_TASKS = 50_000;
+/** Tasks that one such job may have; each round looks at every occurrence that is under way. */
+const MAX_SCHEDULED_TASKS_PER_JOB = 1_000;
+
 interface EndedJobEntry {
   readonly job: EndedJob;
   /** When this home learned of the end, by the monotonic clock. */
@@ -176,6 +183,32 @@
     this.changed.add(jobId);
   }
 
+  /**
+   * Begins the occurrences of all jobs that are due, and drops those that are done. The next home
+   * does the same, so this alone is no change to store.
+   * @param nowMs - Wall-clock time in milliseconds since the Unix epoch.
+   */
+  advanceOccurrences(nowMs: number): void {
+    const scheduled = this.listActive().filter(
+      (row) => row.spec.schedule !== undefined && !isFinished(row),
+    );
+    const maxTaskCount = Math.min(
+      MAX_SCHEDULED_TASKS_PER_JOB,
+      Math.floor(MAX_SCHEDULED_TASKS / scheduled.length),
+    );
+    scheduled.forEach((row) =>
+      this.active.set(row.spec.jobId, advanceOccurrences(row, nowMs, maxTaskCount)),
+    );
+  }
+
+  /**
+   * Counts the tasks of the active jobs, as far as they don't grow with the time.
+   * @returns The tasks of one occurrence of each job.
+   */
+  countOccurrenceTasks(): number {
+    return this.listActive().reduce((sum, { spec }) => sum + countOccurrenceTasks(spec), 0);
+  }
+
   /**
    * Gets the state of a job that its callers may be told: an end counts once it is stored. If this
    * home is lost before, the next home continues the job.
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -137,6 +137,7 @@
     const { limitParts, listOrganisations, listRefusingPools } = this.options;
     const { runTimes } = runs;
     const dueAtMs = dueClock.wallMs();
+    table.advanceOccurrences(dueAtMs);
     const rows = table.listActive();
     const readyJobs = rows.filter((row) => listReadyTasks(row, dueAtMs).length > 0);
     if (readyJobs.length === 0) return [];
--- a/src/taskHome/createStorableJob.ts
+++ b/src/taskHome/createStorableJob.ts
@@ -1,10 +1,12 @@
 import { throwError } from '../errors/index.js';
 import {
+  countOccurrenceTasks,
   createJobRow,
   type DurableJobRow,
   type DurableJobSpec,
   encodeJobProgress,
   encodeJobSpec,
+  MAX_OCCURRENCE_TASKS,
 } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
 
@@ -23,9 +25,13 @@
  * @param spec - The job.
  * @param maxRecordBytes - Maximum size of a record, with its key, in bytes.
  * @returns Its row.
- * @throws RattanliftError Of kind `job-too-large` if a record of the job exceeds the maximum.
+ * @throws RattanliftError Of kind `job-too-large` if it has too many tasks, which no entry of this
+ * version passes on, or if a record of the job exceeds the maximum.
  */
 export function createStorableJob(spec: DurableJobSpec, maxRecordBytes = Infinity): DurableJobRow {
+  if (countOccurrenceTasks(spec) > MAX_OCCURRENCE_TASKS) {
+    throwError('job-too-large', `A job may have ${MAX_OCCURRENCE_TASKS} tasks at a time.`);
+  }
   const row = createJobRow(spec);
   const sizesBytes = [encodeJobSpec(spec), encodeJobProgress(row)].map(measure);
   if (Math.max(...sizesBytes) <= maxRecordBytes) return row;
--- a/tests/systems/placeTasks.test.ts
+++ b/tests/systems/placeTasks.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import {
+  advanceOccurrences,
   createJobRow,
   type DurableJobRow,
   placeTask,
@@ -152,7 +153,7 @@
       ...makeJob('a'),
       schedule: { occurrenceCount: 3, firstDueAtMs: NOW_MS - 1, intervalMs: 500 },
     };
-    const row = createJobRow(spec);
+    const row = advanceOccurrences(createJobRow(spec), NOW_MS + 499, 100);
     expect(listReadyTasks(row, NOW_MS).map(({ occurrence }) => occurrence)).toEqual([0]);
     expect(listReadyTasks(row, NOW_MS + 499)).toHaveLength(2);
   });
--- a/tests/taskHome/JobGateway.test.ts
+++ b/tests/taskHome/JobGateway.test.ts
@@ -95,3 +95,29 @@
     await expect(refused).rejects.toMatchObject({ kind: 'outcome-unknown', retryAtMs: undefined });
   });
 });
+
+// Guards against a job that ends each instance that becomes its home, as its entry sends it again.
+it('sends a submission to at most two homes that do not reply, and tells that it is in doubt', async () => {
+  const called: string[] = [];
+  const homes = ['first', 'second', 'third', 'fourth'];
+  const call: PeerPort['call'] = async ({ instance }) => {
+    called.push(instance);
+    homes.shift();
+    return throwError('peer-unavailable', 'No reply.');
+  };
+  const gateway = new JobGateway({
+    instance: 'entry',
+    peers: { call },
+    handleLocally: () => Promise.resolve(REFUSAL),
+    directory: {
+      get: () => ({ ...HOME, instance: homes[0]! }),
+      refresh: () => Promise.resolve(),
+    },
+    partitions: new PoolPartitions({ partitionCount: 1, listPools: () => ['pages'] }),
+    clock: new SystemClock(),
+    metrics: new MemoryMetrics(),
+    events: new MemoryEventLog(),
+  });
+  await expect(gateway.submit(makeJob('a'))).rejects.toMatchObject({ kind: 'outcome-unknown' });
+  expect(called).toEqual(['first', 'second']);
+});
--- a/tests/taskHome/PlacementRounds.test.ts
+++ b/tests/taskHome/PlacementRounds.test.ts
@@ -33,6 +33,7 @@
     const rounds = new PlacementRounds({
       table: {
         listActive,
+        advanceOccurrences: () => undefined,
         takeChanges: () => [],
         listUnstoredEnds: () => [],
         noteEndsStored: () => undefined,
