Name each lifetime of a target that starts again under its id

Seen: work items that were done ran again, up to four times, after an executor had started again under the id that it had. Its next lifetime numbers its ends from 1; the home took them for ends that it had taken already, acknowledged them, and never applied them. Where the list of VMs had shown it down in between, the home took its id for ended and gave it no work.

Cause: a lifetime was the id alone; nothing read `born`.

Change: the id of a lifetime is the id together with its start (ID@START), made where an entry is decoded and taken apart where a target is called. So what is kept by target belongs to one lifetime without further ado.

- What ran in the lifetime before is lost once the next one is listed and has answered under the home's term.
A start that no report of the earlier one has confirmed may have reached the next one, which knows no fence: its task waits until the next one has accepted a stop of it.
- A renewal after a call without an answer acknowledges nothing.
- An entry of an earlier lifetime that comes late is left out; the second one in a row means that the target's clock has gone back.
- An entry without version, capacity or sequence, or with ones of another type, names no target.

Ruled out: comparing `born` at each place that keeps something by target; there are some fifteen, and a new one would forget it.

Left: a target that dies and is back between two renewals, within some tens of milliseconds, still gets one acknowledgement of its earlier lifetime; a line for each unreadable entry, not one for each writer.

The reports of decode.test.ts had none of the fields that are required now; they have, and there are five more cases.

--- a/src/fleetHome/FleetHome.ts
+++ b/src/fleetHome/FleetHome.ts
@@ -31,6 +31,8 @@
 /** Options of {@link FleetHome}. */
 export interface FleetHomeOptions {
   readonly port: VmFleetPort;
+  /** Gets the listed lifetime of a target by the id under which the target reports itself. */
+  readonly getLifetimeId: (instance: string) => string;
   readonly holder: string;
   readonly term: number;
   readonly clock: Clock;
@@ -175,7 +177,8 @@
 
   private async listVms(): Promise<readonly FleetVm[] | undefined> {
     try {
-      const vms = await this.options.port.listVms();
+      const listed = await this.options.port.listVms();
+      const vms = listed.map((vm) => this.nameLifetime(vm));
       this.listOutage.noteSuccess();
       this.lifetimeEndDetector.compare(vms);
       return vms;
@@ -185,6 +188,12 @@
     }
   }
 
+  private nameLifetime(vm: FleetVm): FleetVm {
+    const { targetId: instance } = vm;
+    if (instance === undefined) return vm;
+    return { ...vm, targetId: this.options.getLifetimeId(instance) };
+  }
+
   private getLoads(): ReadonlyMap<string, TargetLoad> {
     return indexLoads(this.demands);
   }
--- a/src/fleetHome/LifetimeEndDetector.ts
+++ b/src/fleetHome/LifetimeEndDetector.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from '../logging/index.js';
+import { mayBeSameLifetime } from '../targets/index.js';
 import { groupBy } from '../utils/index.js';
 import type { Clock } from '../utils/index.js';
 import type { EndedTargets, FleetVm } from '../vms/index.js';
@@ -43,7 +44,7 @@
 }
 
 function hasLifetimeEnded({ before, now }: VmChange): boolean {
-  return before.targetId !== undefined && before.targetId !== now.targetId;
+  return before.targetId !== undefined && !mayBeSameLifetime(before.targetId, now.targetId);
 }
 
 /** Whether the lists show a move or a maintenance: by the VM's state or by a change of its pool. */
@@ -77,7 +78,7 @@
     const changes = vms.flatMap((now): readonly VmChange[] => {
       const known = this.latestVms.get(now.vm);
       const pools = new Set([...(known?.pools ?? []), now.pool]);
-      const isSameLifetime = known?.vm.targetId === now.targetId;
+      const isSameLifetime = mayBeSameLifetime(known?.vm.targetId, now.targetId);
       this.latestVms.set(now.vm, { vm: now, pools: isSameLifetime ? pools : new Set([now.pool]) });
       return known === undefined ? [] : [{ before: known.vm, now, pools }];
     });
--- a/src/fleetHome/VmOrders.ts
+++ b/src/fleetHome/VmOrders.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from '../logging/index.js';
+import { mayBeSameLifetime } from '../targets/index.js';
 import type { FleetVm, VmFleetPort, VmOrderAnswer, VmOrderRefusal } from '../vms/index.js';
 import { RecentOrders, type RecentOrdersOptions } from './RecentOrders.js';
 import { encodeVmOrderRecord, type VmOrderRecord } from './VmOrderRecord.js';
@@ -193,7 +194,8 @@
         this.activeOrders.set(vm, { ...active, wasInMaintenance: true });
       }
       if (state !== 'up' || askedAtMs - active.orderedAtMs < LIST_LAG_MS) return;
-      const hasChanged = targetId === undefined || targetId !== active.targetIdBefore;
+      const hasChanged =
+        targetId === undefined || !mayBeSameLifetime(targetId, active.targetIdBefore);
       const isBack = hasChanged && VmOrders.isCarriedOut(active, listed);
       if (isBack || VmOrders.hasNoEffect(active, askedAtMs)) this.activeOrders.delete(vm);
     });
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -23,3 +23,10 @@
   TaskStart,
 } from './LeasedTargetPort.js';
 export { callTarget } from './callTarget.js';
+export {
+  areOfSameTarget,
+  formatLifetimeId,
+  mayBeSameLifetime,
+  parseLifetimeId,
+  type TargetLifetime,
+} from './lifetimeId.js';
--- a/src/taskHome/FleetHomeContext.ts
+++ b/src/taskHome/FleetHomeContext.ts
@@ -10,6 +10,8 @@
   readonly peakRecords: readonly PoolPeak[];
   readonly forecastRecords: readonly PeakForecastRecord[];
   readonly store: (records: readonly KeyedRecord[]) => Promise<void>;
+  /** Gets the listed lifetime of a target by the id under which the target reports itself. */
+  readonly getLifetimeId: (instance: string) => string;
   /** Whether this instance is certain to be the fleet's home at this moment. */
   readonly isGroupLeaseHeld: () => boolean;
   readonly onReplaced: () => void;
--- a/src/taskHome/TargetDirectory.ts
+++ b/src/taskHome/TargetDirectory.ts
@@ -1,5 +1,6 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
 import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
+import { parseLifetimeId } from '../targets/index.js';
 import type { TargetEntries, TargetEntry } from './TargetEntry.js';
 
 /** Options of {@link TargetDirectory}. */
@@ -26,6 +27,12 @@
 
   private readonly entries = new Map<string, TargetEntry>();
 
+  /** Ids of the listed lifetimes, by the key of their records. */
+  private readonly lifetimes = new Map<string, string>();
+
+  /** Ids of lifetimes that were reported once after a later one, by the key of their records. */
+  private readonly reportedOutOfOrder = new Map<string, string>();
+
   private readonly outage: OutageLog;
 
   private pendingRefresh: Promise<void> | undefined;
@@ -56,6 +63,15 @@
     return this.entries;
   }
 
+  /**
+   * Gets the listed lifetime of a target.
+   * @param instance - Id under which the target reports itself.
+   * @returns Id of the lifetime; that of the target itself if it is not listed.
+   */
+  getLifetimeId(instance: string): string {
+    return this.lifetimes.get(instance) ?? instance;
+  }
+
   /** Whether the list has been read at least once. */
   get hasBeenRead(): boolean {
     return this.follower.endOffset !== undefined;
@@ -79,8 +95,31 @@
   }
 
   private applyRecord(record: KeyedRecord): void {
-    const entry = record.value === undefined ? undefined : this.options.decode(record);
-    if (entry === undefined) this.entries.delete(record.key);
-    else this.entries.set(record.key, entry);
+    const { key, value } = record;
+    const entry = value === undefined ? undefined : this.options.decode(record);
+    if (entry !== undefined && this.isOutOfOrder(key, entry.targetId)) return;
+    this.remove(key);
+    if (entry === undefined) return;
+    this.lifetimes.set(key, entry.targetId);
+    this.entries.set(entry.targetId, entry);
+  }
+
+  /**
+   * Tells whether a report is of a lifetime that has been replaced. A write that was held up comes
+   * late once; a second such report means that the clock of the target has gone back.
+   */
+  private isOutOfOrder(key: string, targetId: string): boolean {
+    const { bornAtMs = -Infinity } = parseLifetimeId(targetId);
+    const { bornAtMs: latestBornAtMs = -Infinity } = parseLifetimeId(this.getLifetimeId(key));
+    const isFirst = this.reportedOutOfOrder.get(key) !== targetId;
+    this.reportedOutOfOrder.delete(key);
+    if (bornAtMs >= latestBornAtMs || !isFirst) return false;
+    this.reportedOutOfOrder.set(key, targetId);
+    return true;
+  }
+
+  private remove(key: string): void {
+    this.entries.delete(this.getLifetimeId(key));
+    this.lifetimes.delete(key);
   }
 }
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -14,7 +14,7 @@
 }
 
 /** Why a session has ended. */
-export type SessionEnd = 'other-lifetime' | 'stale-term';
+export type SessionEnd = 'other-lifetime' | 'reborn' | 'stale-term';
 
 /** Options of {@link TargetSession}. */
 export interface TargetSessionOptions {
@@ -58,6 +58,8 @@
 
   private hasAnswered = false;
 
+  private reportRequestedAtMs = Number.NEGATIVE_INFINITY;
+
   private readonly outage: OutageLog;
 
   /**
@@ -75,7 +77,7 @@
 
   /** Whether the target answers under this home's term. */
   get isReachable(): boolean {
-    return this.hasAnswered && !this.outage.isOut;
+    return this.hasAnswered && !this.isClosed && !this.outage.isOut;
   }
 
   /** Age of the target's latest answer in milliseconds; undefined before the first. */
@@ -84,6 +86,11 @@
     return Math.round(this.options.clock.monotonicMs() - this.lastAnswerAtMs);
   }
 
+  /** When the latest report was requested that has come, by the monotonic clock. */
+  get latestReportAskedAtMs(): number {
+    return this.reportRequestedAtMs;
+  }
+
   /** When the target last answered, by the monotonic clock; undefined before the first answer. */
   get answeredAtMs(): number | undefined {
     return this.lastAnswerAtMs;
@@ -184,7 +191,8 @@
     try {
       const answer = await port.renew(address, {
         term,
-        acknowledgedEndNumber: this.acknowledgedEndNumber,
+        // After a call without an answer, another lifetime may number its ends anew.
+        acknowledgedEndNumber: isUnknown ? 0 : this.acknowledgedEndNumber,
         leaseUntilTargetMs: isProbe ? undefined : this.extendLease(),
         waitMs: isProbe ? 0 : getWaitMs(),
       });
@@ -207,6 +215,7 @@
       case 'report':
         this.noteClock(answer.targetClockMs);
         this.hasAnswered = true;
+        this.reportRequestedAtMs = renewal.askedAtMs;
         this.outage.noteSuccess({ targetId, term });
         await this.options.onReport({ ...renewal, answer });
         if (!this.options.mayExtendLease()) await sleep(RETRY_PAUSE_MS);
@@ -217,6 +226,7 @@
         return;
       case 'stale-term':
       case 'other-lifetime':
+      case 'reborn':
         this.close();
         this.options.onEnd(answer.type);
         return;
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -1,12 +1,13 @@
 import type { Resources } from '../jobs/index.js';
 import { hasLessCapacity, type PlacementTarget } from '../systems/index.js';
 import type { EndedTaskReport, LeasedTargetAddress } from '../targets/index.js';
-import { waitUntil } from '../utils/index.js';
+import { assertNever } from '../utils/index.js';
 import { LapsedStarts } from './LapsedStarts.js';
 import { LAPSE_MARGIN_MS } from './leaseBounds.js';
+import { ReplacedLifetimes } from './ReplacedLifetimes.js';
 import type { RunKey } from './RunKey.js';
 import type { TargetEntry } from './TargetEntry.js';
-import { TargetSession } from './TargetSession.js';
+import { type SessionEnd, TargetSession } from './TargetSession.js';
 import type { TargetSessionsOptions } from './TargetSessionsOptions.js';
 import type { TrackedTarget } from './TrackedTarget.js';
 
@@ -17,9 +18,6 @@
 const INITIAL_DISCOVERY_MS = 1_000;
 /** Age up to which a target has just started, in milliseconds; a faulty one crashes every few s. */
 const JUST_STARTED_MS = 10_000;
-/** Age up to which a renewal is fresh, in milliseconds: renewals come about once a second. */
-const FRESH_LEASE_MAX_AGE_MS = 1_500;
-const FRESHNESS_CHECK_MS = 5;
 
 /** The targets of one home: a session with each, and its latest entry in the platform. */
 export class TargetSessions {
@@ -29,6 +27,8 @@
 
   private readonly ended = new Set<string>();
 
+  private readonly replaced: ReplacedLifetimes;
+
   private readonly lapsedStarts: LapsedStarts;
 
   private readonly openedAtMs: number;
@@ -40,6 +40,12 @@
   constructor(options: TargetSessionsOptions) {
     this.options = options;
     this.lapsedStarts = new LapsedStarts(options);
+    this.replaced = new ReplacedLifetimes({
+      ...options,
+      tracked: this.tracked,
+      lapsedStarts: this.lapsedStarts,
+      onReplaced: (targetId) => options.onGone(targetId, 'other-lifetime'),
+    });
     this.openedAtMs = options.clock.monotonicMs();
   }
 
@@ -47,6 +53,7 @@
   sync(): void {
     const entries = this.options.getEntries();
     entries.forEach((entry) => this.update(entry));
+    this.replaced.check(entries);
     const nowMs = this.options.clock.monotonicMs();
     [...this.tracked].forEach(([targetId, target]) => {
       Object.assign(target, { isListed: entries.has(targetId) });
@@ -54,29 +61,6 @@
     });
   }
 
-  /**
-   * Waits until every target has been sent a renewal of its lease within the last moment.
-   * @param maxMs - Longest wait, in milliseconds, as some targets may be silent.
-   */
-  async whenLeasesFresh(maxMs: number): Promise<void> {
-    const { clock } = this.options;
-    await waitUntil(() => this.freshLeaseCount >= this.targetCount, {
-      clock,
-      deadlineMs: clock.monotonicMs() + maxMs,
-      checkEveryMs: FRESHNESS_CHECK_MS,
-    });
-  }
-
-  /** Number of targets that have been sent a renewal of their lease within the last moment. */
-  get freshLeaseCount(): number {
-    return this.listOpen().filter((session) => session.leaseAgeMs <= FRESH_LEASE_MAX_AGE_MS).length;
-  }
-
-  /** Number of targets whose lifetime is not known to be over. */
-  get targetCount(): number {
-    return this.listOpen().length;
-  }
-
   /**
    * Lists the targets that there is a session with.
    * @returns The targets.
@@ -291,10 +275,6 @@
     this.options.targets.forget(targetId);
   }
 
-  private listOpen(): readonly TargetSession[] {
-    return [...this.tracked.values()].map(({ session }) => session).filter(({ isOver }) => !isOver);
-  }
-
   private update(entry: TargetEntry): void {
     const target = this.tracked.get(entry.targetId);
     if (target === undefined) {
@@ -309,10 +289,28 @@
     target.entry = entry;
   }
 
+  private handleEnd(targetId: string, end: SessionEnd): void {
+    const { onGone, onStaleTerm } = this.options;
+    switch (end) {
+      case 'stale-term':
+        onStaleTerm();
+        return;
+      case 'other-lifetime':
+        onGone(targetId, end);
+        return;
+      case 'reborn':
+        // Its next lifetime ends it, once it is listed; if it never is, so does the lease.
+        return;
+      default:
+        assertNever(end);
+    }
+  }
+
   private open(entry: TargetEntry): void {
     const { targets, term, timing, getTargetWaitMs, clock, events, lapses } = this.options;
-    const { onReport, onGone, onStaleTerm } = this.options;
+    const { onReport } = this.options;
     const { targetId, pool, rack } = entry;
+    this.replaced.closeEarlier(targetId);
     const session = new TargetSession({
       port: targets,
       address: entry,
@@ -327,7 +325,7 @@
         await onReport(targetId, report);
         await Promise.all([this.lapsedStarts.stopOn(entry), lapses.release(targetId)]);
       },
-      onEnd: (end) => (end === 'stale-term' ? onStaleTerm() : onGone(targetId, end)),
+      onEnd: (end) => this.handleEnd(targetId, end),
     });
     this.tracked.set(targetId, {
       session,
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -2,6 +2,7 @@
 import type { LeasedTargetPort } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
 import type { LeaseLapses } from './LeaseLapses.js';
+import type { RunKey } from './RunKey.js';
 import type { TargetEntries } from './TargetEntry.js';
 import type { TargetReport } from './TargetSession.js';
 import type { TargetLossReason } from './TargetSessions.js';
@@ -23,6 +24,13 @@
     LeaseLapses,
     'getInheritedLapseAtMs' | 'isRecorded' | 'mayExtend' | 'release'
   >;
+  /** Lists the targets on which tasks are placed. */
+  readonly listUsedTargets: () => ReadonlySet<string>;
+  /**
+   * Lists the runs on a target whose starts no report has confirmed that was requested at a time of
+   * the monotonic clock or before.
+   */
+  readonly listUnconfirmedStarts: (targetId: string, sinceMs: number) => readonly RunKey[];
   /** Tells whether runs are ordered on a target. */
   readonly hasRuns: (targetId: string) => boolean;
   readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -3,6 +3,7 @@
 import type { KeyedRecord } from '../store/index.js';
 import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
+import { HomeLeases } from './HomeLeases.js';
 import { JobAdmission } from './JobAdmission.js';
 import { JobSubmissions } from './JobSubmissions.js';
 import { JobTable } from './JobTable.js';
@@ -30,6 +31,9 @@
  * the targets would be killed meanwhile.
  */
 export class TaskHome {
+  /** The leases of the targets, which this home renews with or without its jobs. */
+  readonly leases: HomeLeases;
+
   private readonly options: TaskHomeOptions & Pick<RecordWriterOptions, 'term' | 'lastSequence'>;
 
   private readonly table: JobTable;
@@ -102,11 +106,14 @@
       lapses: this.lapses,
       getTargetWaitMs: () => (this.isLoaded ? options.timing.targetWaitMs : 0),
       hasRuns: (targetId) => this.runs.countOn(targetId) > 0,
+      listUsedTargets: () => this.table.listUsedTargets(),
+      listUnconfirmedStarts: (...target) => this.runs.orders.listUnconfirmedStarts(...target),
       onReport: (targetId, report) => this.reports.handleReport(targetId, report),
       onGone: (targetId, reason) => this.reports.handleGone(targetId, reason),
       onStaleTerm: () => this.handleReplaced(),
     });
     const { runs, sessions, table, telemetry, writer } = this;
+    this.leases = new HomeLeases(sessions, clock);
     const arrivals = new PoolArrivals(clock);
     const parts = { ...this.options, table, runs, sessions, telemetry };
     this.silentTargets = new SilentTargetsLog(parts);
@@ -174,11 +181,6 @@
     this.reports.handleLoaded();
   }
 
-  /** The leases of the targets, which this home renews with or without its jobs. */
-  get leases(): Pick<TargetSessions, 'freshLeaseCount' | 'targetCount' | 'whenLeasesFresh'> {
-    return this.sessions;
-  }
-
   /**
    * Accepts a job. A repeated submission changes nothing.
    * @param spec - The job.
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -313,7 +313,7 @@
   }
 
   private openFleetHome(partition: number, home: TaskHome, records: readonly KeyedRecord[]): void {
-    const { createFleetHome, events } = this.options;
+    const { createFleetHome, directory, events } = this.options;
     const source = { partition, events };
     this.fleet = createFleetHome({
       term: home.term,
@@ -322,6 +322,7 @@
       peakRecords: decodeReadable(records, decodePoolPeakRecord, source),
       forecastRecords: decodeReadable(records, decodePeakForecastRecord, source),
       store: (changes) => home.store(changes),
+      getLifetimeId: (instance) => directory.getLifetimeId(instance),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
       // An answer to a closed home may come late, and this instance may be the home again by then.
       onReplaced: () => {
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -150,6 +150,21 @@
     return orders.map(describeOrder);
   }
 
+  /**
+   * Lists the runs on a target whose starts were sent, and of which no report shows that it began
+   * them.
+   * @param targetId - Id of the target.
+   * @param sinceMs - When the latest report was requested, by the monotonic clock.
+   * @returns The runs.
+   */
+  listUnconfirmedStarts(targetId: string, sinceMs: number): readonly RunKey[] {
+    return this.orders
+      .listOn(targetId)
+      .filter(({ life }) => life.phase !== 'unsent')
+      .filter(({ life, begunAtMs = Infinity }) => hasUnansweredStart(life) || begunAtMs > sinceMs)
+      .map(describeOrder);
+  }
+
   /**
    * Counts the runs on a target.
    * @param targetId - Id of the target.
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -43,12 +43,13 @@
   /** Stops runs whose room more urgent work needs. */
   readonly preemptor: TaskPreemptor;
 
+  /** Orders for the runs, from placement to end. */
+  readonly orders: TaskOrders;
+
   private readonly options: TaskRunsOptions;
 
   private readonly table: JobTable;
 
-  private readonly orders: TaskOrders;
-
   private readonly health: TargetHealth;
 
   private readonly progress: TaskProgress;
--- a/src/vms/VmFleetPort.ts
+++ b/src/vms/VmFleetPort.ts
@@ -6,7 +6,10 @@
   readonly vm: string;
   readonly pool: string;
   readonly state: VmState;
-  /** Lifetime of the target on the VM; absent while the VM is off, moves or is maintained. */
+  /**
+   * Lifetime of the target on the VM, as far as the list tells it; absent while the VM is off, moves
+   * or is maintained.
+   */
   readonly targetId?: string;
   readonly rack?: string;
 }
--- a/tests/fleetHome/OrderWorld.ts
+++ b/tests/fleetHome/OrderWorld.ts
@@ -109,6 +109,7 @@
   const { clock, events, fleet, metrics, orderRecords } = world;
   return new FleetHome({
     port: fleet,
+    getLifetimeId: (instance) => instance,
     holder: 'holder-2',
     term: 2,
     clock,
--- a/tests/platformAdapter/PlatformTargets.test.ts
+++ b/tests/platformAdapter/PlatformTargets.test.ts
@@ -10,9 +10,14 @@
   let server: Server;
   let targets: PlatformTargets;
   let endCount: number;
+  let bornAtMs: number | undefined;
+  let calledFor: string | undefined;
 
   beforeEach(async () => {
-    server = createServer((_request, response) => {
+    endCount = 0;
+    bornAtMs = undefined;
+    server = createServer((request, response) => {
+      calledFor = request.headers['expect-instance']?.toString();
       const ended = Array.from({ length: endCount }, (_none, index) => [
         index + 1,
         `00000000000000ff.0.0.${index}`,
@@ -21,7 +26,7 @@
         '',
       ]);
       response.setHeader('content-type', 'application/json');
-      response.end(JSON.stringify({ clock_ms: 5, running: [], ended }));
+      response.end(JSON.stringify({ clock_ms: 5, born: bornAtMs, running: [], ended }));
     });
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
@@ -47,4 +52,20 @@
     expect(answer).toMatchObject({ type: 'report', hasAllEnds });
     expect(answer).toHaveProperty('ended.length', count);
   });
+
+  // Guards against ends of a lifetime that count as those of the one before it.
+  it.each([
+    ['its own', `${TARGET_ID}@7`, 7, 'report'],
+    ['a later', `${TARGET_ID}@7`, 8, 'reborn'],
+    ['an earlier', `${TARGET_ID}@7`, 6, 'reborn'],
+    ['an unnamed', `${TARGET_ID}@7`, undefined, 'report'],
+    ['any, as its entry names none', TARGET_ID, 7, 'report'],
+  ])('tells of a report from %s lifetime', async (_which, targetId, answeredBornAtMs, type) => {
+    bornAtMs = answeredBornAtMs;
+    const { port } = server.address() as AddressInfo;
+    const answer = await targets.renew({ targetId, host: '127.0.0.1', port }, RENEWAL);
+    targets.forget(targetId);
+    expect(answer.type).toBe(type);
+    expect(calledFor).toBe(TARGET_ID);
+  });
 });
--- a/tests/platformAdapter/decode.test.ts
+++ b/tests/platformAdapter/decode.test.ts
@@ -151,6 +151,9 @@
       backend: 'b',
       address: '10.0.0.1:80',
       zone: 'z',
+      version: 'v1',
+      capacity: 8,
+      sequence: 4,
       state: 'draining',
       labels: ['a', 'r1-3'],
       free_capacity: { cpu: 16_000, mem_mb: 32_768 },
@@ -170,6 +173,26 @@
     expect(events.events.map(({ event }) => event)).toEqual(['recordUnreadable']);
   });
 
+  // Guards against ends of a lifetime that count as those of the one before it.
+  it('names each lifetime of a target that starts again under its id', () => {
+    const report = {
+      backend: 'b',
+      address: '10.0.0.1:80',
+      zone: 'z',
+      version: 'v1',
+      capacity: 8,
+      sequence: 4,
+      state: 'ready',
+      free_capacity: {},
+    };
+    const targetIds = [undefined, 1, 2].map(
+      (born) =>
+        decodeTargetEntry({ key: 'i-1', value: toBytes({ ...report, born }) }, new MemoryEventLog())
+          ?.targetId,
+    );
+    expect(targetIds).toEqual(['i-1', 'i-1@1', 'i-1@2']);
+  });
+
   // Another writer left entries among those of targets; one was taken for a target that is ready,
   // and tasks were placed on an address at which nobody listens.
   it.each([
@@ -178,12 +201,20 @@
     ['an address without a port', { address: 'somewhere' }],
     ['no service', { backend: undefined }],
     ['no capacity', { free_capacity: undefined }],
+    ['no version', { version: undefined }],
+    ['a capacity of another type', { capacity: '8' }],
+    ['no sequence', { sequence: undefined }],
+    ['a start that is no whole number', { born: 1.5 }],
+    ['a start of another type', { born: '1' }],
   ])('takes an entry with %s for no target, and tells of it', (_what, changes) => {
     const events = new MemoryEventLog();
     const report = {
       backend: 'b',
       address: '10.0.0.1:80',
       zone: 'z',
+      version: 'v1',
+      capacity: 8,
+      sequence: 4,
       state: 'ready',
       free_capacity: { cpu: 16_000, mem_mb: 32_768 },
       ...changes,
--- a/tests/taskHome/TargetDirectory.test.ts
+++ b/tests/taskHome/TargetDirectory.test.ts
@@ -1,7 +1,8 @@
-import { expect, it } from 'vitest';
+import { beforeEach, describe, expect, it } from 'vitest';
 import { z } from 'zod';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { decodeRecordValue, encodeRecordValue } from '../../src/store/index.js';
+import { formatLifetimeId } from '../../src/targets/index.js';
 import { TargetDirectory } from '../../src/taskHome/TargetDirectory.js';
 import { StoreStandIn } from '../../standins/store/index.js';
 import { makeEntry } from './HomeWorld.js';
@@ -35,3 +36,53 @@
   await directory.refresh();
   expect(directory.list().get('t1')?.isDraining).toBe(true);
 });
+
+describe('a target that starts again under its id', () => {
+  const KEY = 'i-1';
+  const bornSchema = z.object({ bornAtMs: z.number() });
+  let store: StoreStandIn;
+  let directory: TargetDirectory;
+
+  beforeEach(() => {
+    store = new StoreStandIn({ partitionCount: 1 });
+    directory = new TargetDirectory({
+      ...PLACE,
+      store,
+      decode: (record) => {
+        const { bornAtMs } = decodeRecordValue(bornSchema, record);
+        return makeEntry(formatLifetimeId({ instance: record.key, bornAtMs }));
+      },
+      events: new MemoryEventLog(),
+    });
+  });
+
+  async function report(bornAtMs: number | undefined): Promise<readonly string[]> {
+    const value = bornAtMs === undefined ? undefined : encodeRecordValue({ bornAtMs });
+    await store.append({ ...PLACE, records: [{ key: KEY, value }], timeoutMs: 1_000 });
+    await directory.refresh();
+    return [...directory.list().keys()];
+  }
+
+  it('is listed in its latest lifetime alone', async () => {
+    expect(await report(1)).toEqual(['i-1@1']);
+    expect(await report(2)).toEqual(['i-1@2']);
+    expect(directory.getLifetimeId(KEY)).toBe('i-1@2');
+    expect(await report(undefined)).toEqual([]);
+    expect(directory.getLifetimeId(KEY)).toBe(KEY);
+  });
+
+  // Guards against a sound lifetime that counts as ended, as a write of the one before comes late.
+  it('stays listed when a report of its earlier lifetime comes late', async () => {
+    await report(2);
+    expect(await report(1)).toEqual(['i-1@2']);
+    expect(await report(2)).toEqual(['i-1@2']);
+    expect(await report(1)).toEqual(['i-1@2']);
+  });
+
+  // Guards against a target without work, as its clock went back before it started again.
+  it('is listed with an earlier start once it has reported that twice', async () => {
+    await report(2);
+    await report(1);
+    expect(await report(1)).toEqual(['i-1@1']);
+  });
+});
