Take the ends of starts that reached the next lifetime of their target

And a `reborn` answer that came by way of another instance was refused by the schema of what instances send each other, so the home took the target for silent.

Cause: a run that was ordered from one lifetime was looked for there alone, and the home waited for the platform's list to name the next one.

Change: - the target's own answer names its next lifetime, and the home opens a session with it at once; the answer is passed on by instances. - an end that the next lifetime reports of a run with the number that was ordered counts as that of the order. - a start that may have reached the next lifetime is given up once a report, requested after the stop of it was accepted, shows that it doesn't run.

Why it holds: a start reaches the next lifetime only over a connection that was opened after the restart; so it precedes the first answer of that lifetime to this home, or is stopped by number, and stopped numbers are refused from then on.

The stand-in restarts targets: calls under way die with their connections, what is sent afterwards under the earlier name is carried out.

--- a/src/targets/LeasedTargetPort.ts
+++ b/src/targets/LeasedTargetPort.ts
@@ -91,8 +91,8 @@
     }
   | { readonly type: 'stale-term' }
   | { readonly type: 'other-lifetime' }
-  /** The target has started again under its id; it may carry out orders for its lifetime before. */
-  | { readonly type: 'reborn' }
+  /** The target has started again under its id; it carries out orders for its lifetime before. */
+  | { readonly type: 'reborn'; readonly targetId: string }
   | { readonly type: 'unhealthy' };
 
 /** A command for a leased target, or a renewal of its lease, as a single value. */
--- a/src/taskHome/ReplacedLifetimes.ts
+++ b/src/taskHome/ReplacedLifetimes.ts
@@ -1,7 +1,7 @@
 import { areOfSameTarget, parseLifetimeId } from '../targets/index.js';
+import type { Clock } from '../utils/index.js';
 import type { LapsedStarts } from './LapsedStarts.js';
 import type { RunKey } from './RunKey.js';
-import type { TargetEntries } from './TargetEntry.js';
 import type { TrackedTarget } from './TrackedTarget.js';
 
 /** Options of {@link ReplacedLifetimes}. */
@@ -15,7 +15,10 @@
    * requested on the monotonic clock.
    */
   readonly listUnconfirmedStarts: (targetId: string, sinceMs: number) => readonly RunKey[];
+  /** Tells whether the latest report of a target shows runs that nobody wants there. */
+  readonly hasUnwantedRuns: (targetId: string) => boolean;
   readonly lapsedStarts: LapsedStarts;
+  readonly clock: Clock;
   /** Called when nothing of a lifetime can run any more. */
   readonly onReplaced: (targetId: string) => void;
 }
@@ -30,8 +33,11 @@
 export class ReplacedLifetimes {
   private readonly options: ReplacedLifetimesOptions;
 
-  /** Lifetimes whose starts the next one has been given to refuse. */
-  private readonly awaited = new Set<string>();
+  /**
+   * Time of the monotonic clock at which the next lifetime had accepted the stops, by lifetime;
+   * infinite until then.
+   */
+  private readonly awaited = new Map<string, number>();
 
   /**
    * Starts without lifetimes.
@@ -53,40 +59,56 @@
       .forEach(([, { session }]) => session.close());
   }
 
-  /**
-   * Gives up the lifetimes whose next one is listed and answers.
-   * @param entries - The targets as the platform lists them.
-   */
-  check(entries: TargetEntries): void {
+  /** Gives up the lifetimes whose next one answers. */
+  check(): void {
     const { listUsedTargets, tracked } = this.options;
     const known = new Set([...tracked.keys(), ...listUsedTargets()]);
-    const gone = [...known].filter(
-      (targetId) => !entries.has(targetId) && parseLifetimeId(targetId).bornAtMs !== undefined,
+    const over = [...known].filter(
+      (targetId) =>
+        parseLifetimeId(targetId).bornAtMs !== undefined &&
+        tracked.get(targetId)?.session.isOver !== false,
     );
-    if (gone.length === 0) return;
-    const listed = new Map(
-      [...entries.keys()].map((targetId) => [parseLifetimeId(targetId).instance, targetId]),
+    if (over.length === 0) return;
+    const present = new Map(
+      [...tracked.values()]
+        .filter(({ session }) => session.isReachable)
+        .map((target) => [parseLifetimeId(target.entry.targetId).instance, target]),
     );
-    gone.forEach((targetId) => {
-      const nextId = listed.get(parseLifetimeId(targetId).instance);
-      const next = nextId === undefined ? undefined : tracked.get(nextId);
-      if (next?.session.isReachable === true) this.giveUp(targetId, next.entry.targetId);
+    over.forEach((targetId) => {
+      const next = present.get(parseLifetimeId(targetId).instance);
+      if (next !== undefined) this.giveUp(targetId, next);
     });
   }
 
-  private giveUp(targetId: string, nextId: string): void {
-    const { lapsedStarts, listUnconfirmedStarts, onReplaced, tracked } = this.options;
-    if (!this.awaited.has(targetId)) {
-      this.awaited.add(targetId);
-      const { latestReportAskedAtMs = -Infinity } = tracked.get(targetId)?.session ?? {};
-      const starts = listUnconfirmedStarts(targetId, latestReportAskedAtMs);
+  /**
+   * Gives up a lifetime unless one of its starts may have reached the next one. What comes of such
+   * a start is known from a report that is requested after the next lifetime has accepted its stop.
+   */
+  private giveUp(targetId: string, { entry, session }: TrackedTarget): void {
+    const { clock, hasUnwantedRuns, lapsedStarts, onReplaced } = this.options;
+    const starts = this.awaited.has(targetId) ? [] : this.listUnconfirmedStarts(targetId);
+    if (starts.length > 0) {
+      const { targetId: nextId } = entry;
       lapsedStarts.add(
         nextId,
         starts.map((start) => ({ ...start, targetId: nextId })),
       );
+      this.awaited.set(targetId, Infinity);
     }
-    if (lapsedStarts.has(nextId)) return;
+    if (lapsedStarts.has(entry.targetId)) return;
+    if (this.awaited.get(targetId) === Infinity) this.awaited.set(targetId, clock.monotonicMs());
+    const reportedSinceMs = this.awaited.get(targetId);
+    const isAwaited =
+      reportedSinceMs !== undefined &&
+      (session.latestReportAskedAtMs < reportedSinceMs || hasUnwantedRuns(entry.targetId));
+    if (isAwaited) return;
     this.awaited.delete(targetId);
     onReplaced(targetId);
   }
+
+  private listUnconfirmedStarts(targetId: string): readonly RunKey[] {
+    const { listUnconfirmedStarts, tracked } = this.options;
+    const { latestReportAskedAtMs = -Infinity } = tracked.get(targetId)?.session ?? {};
+    return listUnconfirmedStarts(targetId, latestReportAskedAtMs);
+  }
 }
--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -9,6 +9,7 @@
   type RunEnd,
   type TaskRow,
 } from '../jobs/index.js';
+import { areOfSameTarget } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
 import type { JobTable, PlacedTask } from './JobTable.js';
 import type { JobTelemetry } from './JobTelemetry.js';
@@ -56,11 +57,12 @@
   /**
    * Applies an end that a target has reported. The target discards it once this home has stored its
    * changes.
-   * @param key - The run.
+   * @param reported - The run.
    * @param runEnd - How it ended.
    */
-  applyReported(key: RunKey, runEnd: RunEnd): void {
+  applyReported(reported: RunKey, runEnd: RunEnd): void {
     const { table, telemetry } = this.options;
+    const key = this.nameOrdered(reported);
     const expected = table.findPlaced(key);
     const found = expected ?? this.findCompleted(key, runEnd);
     const isCounted = expected === undefined && this.countLateFailure(key, runEnd);
@@ -92,6 +94,17 @@
     table.put(noteUnheardRun(lost.row, lost.position, key.run));
   }
 
+  /**
+   * Names the lifetime from which a run was ordered. Its start may have reached the next lifetime
+   * of the target, and then that one reports its end.
+   */
+  private nameOrdered(reported: RunKey): RunKey {
+    const { run, targetId } = this.options.table.findTask(reported.taskName)?.task ?? {};
+    const isOrdered = run === reported.run && targetId !== undefined;
+    if (!isOrdered || !areOfSameTarget(targetId, reported.targetId)) return reported;
+    return { ...reported, targetId };
+  }
+
   /** Counts the failure of a run that was given up as its target was listed as gone. */
   private countLateFailure(key: RunKey, runEnd: RunEnd): boolean {
     const { table, health, clock, telemetry } = this.options;
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -14,7 +14,9 @@
 }
 
 /** Why a session has ended. */
-export type SessionEnd = 'other-lifetime' | 'reborn' | 'stale-term';
+export type SessionEnd =
+  | { readonly type: 'other-lifetime' | 'stale-term' }
+  | Extract<LeaseAnswer, { readonly type: 'reborn' }>;
 
 /** Options of {@link TargetSession}. */
 export interface TargetSessionOptions {
@@ -86,7 +88,7 @@
     return Math.round(this.options.clock.monotonicMs() - this.lastAnswerAtMs);
   }
 
-  /** When the latest report was requested that has come, by the monotonic clock. */
+  /** When the latest report was requested that has been handled, by the monotonic clock. */
   get latestReportAskedAtMs(): number {
     return this.reportRequestedAtMs;
   }
@@ -215,9 +217,9 @@
       case 'report':
         this.noteClock(answer.targetClockMs);
         this.hasAnswered = true;
-        this.reportRequestedAtMs = renewal.askedAtMs;
         this.outage.noteSuccess({ targetId, term });
         await this.options.onReport({ ...renewal, answer });
+        this.reportRequestedAtMs = renewal.askedAtMs;
         if (!this.options.mayExtendLease()) await sleep(RETRY_PAUSE_MS);
         return;
       case 'unhealthy':
@@ -228,7 +230,7 @@
       case 'other-lifetime':
       case 'reborn':
         this.close();
-        this.options.onEnd(answer.type);
+        this.options.onEnd(answer);
         return;
       default:
         assertNever(answer);
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -53,7 +53,7 @@
   sync(): void {
     const entries = this.options.getEntries();
     entries.forEach((entry) => this.update(entry));
-    this.replaced.check(entries);
+    this.replaced.check();
     const nowMs = this.options.clock.monotonicMs();
     [...this.tracked].forEach(([targetId, target]) => {
       Object.assign(target, { isListed: entries.has(targetId) });
@@ -289,17 +289,18 @@
     target.entry = entry;
   }
 
-  private handleEnd(targetId: string, end: SessionEnd): void {
+  private handleEnd(entry: TargetEntry, end: SessionEnd): void {
     const { onGone, onStaleTerm } = this.options;
-    switch (end) {
+    switch (end.type) {
       case 'stale-term':
         onStaleTerm();
         return;
       case 'other-lifetime':
-        onGone(targetId, end);
+        onGone(entry.targetId, end.type);
         return;
       case 'reborn':
-        // Its next lifetime ends it, once it is listed; if it never is, so does the lease.
+        // The platform may list the next lifetime much later, and it may have runs of this one.
+        this.update({ ...entry, targetId: end.targetId });
         return;
       default:
         assertNever(end);
@@ -325,7 +326,7 @@
         await onReport(targetId, report);
         await Promise.all([this.lapsedStarts.stopOn(entry), lapses.release(targetId)]);
       },
-      onEnd: (end) => this.handleEnd(targetId, end),
+      onEnd: (end) => this.handleEnd(entry, end),
     });
     this.tracked.set(targetId, {
       session,
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -31,6 +31,8 @@
    * the monotonic clock or before.
    */
   readonly listUnconfirmedStarts: (targetId: string, sinceMs: number) => readonly RunKey[];
+  /** Tells whether the latest report of a target shows runs that nobody wants there. */
+  readonly hasUnwantedRuns: (targetId: string) => boolean;
   /** Tells whether runs are ordered on a target. */
   readonly hasRuns: (targetId: string) => boolean;
   readonly onReport: (targetId: string, report: TargetReport) => Promise<void>;
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -106,6 +106,7 @@
       lapses: this.lapses,
       getTargetWaitMs: () => (this.isLoaded ? options.timing.targetWaitMs : 0),
       hasRuns: (targetId) => this.runs.countOn(targetId) > 0,
+      hasUnwantedRuns: (targetId) => this.runs.orders.hasUnwantedRuns(targetId),
       listUsedTargets: () => this.table.listUsedTargets(),
       listUnconfirmedStarts: (...target) => this.runs.orders.listUnconfirmedStarts(...target),
       onReport: (targetId, report) => this.reports.handleReport(targetId, report),
--- a/standins/leasedTargets/UnsteadyTargets.ts
+++ b/standins/leasedTargets/UnsteadyTargets.ts
@@ -10,7 +10,7 @@
   TaskEnd,
   TaskStart,
 } from '../../src/targets/index.js';
-import { assertNever, type Clock } from '../../src/utils/index.js';
+import { assertNever, type Clock, whenAborted } from '../../src/utils/index.js';
 import { LeasedTarget } from './LeasedTarget.js';
 
 /** Calls whose fate can be chosen. */
@@ -46,12 +46,25 @@
   readonly target: LeasedTarget;
   /** How fast the target's own clock runs, as a multiple of the clock of all targets. */
   readonly clockRate: number;
+  /** When its own clock showed 0, by the clock of all targets. */
+  readonly clockStartMs: number;
   readonly runs: Map<string, number>;
   readonly fates: Record<FatedCall, CallFate[]>;
+  /** Is aborted when the connections break, as the target starts again. */
+  readonly connections: AbortController;
+  /** Resolves at that time. */
+  readonly whenReset: Promise<undefined>;
   condition: TargetCondition;
   seenEndNumber: number;
 }
 
+/** A lifetime of a target that has started again under its id. */
+interface Rebirth {
+  readonly nextId: string;
+  /** Whether the next renewal for the lifetime before meets a connection that has broken. */
+  hasBrokenConnection: boolean;
+}
+
 /** Time that a call takes on its way, in milliseconds. */
 const WAY_MS = 1;
 /** Longest wait after which a renewal counts only as it is answered, in milliseconds. */
@@ -70,6 +83,9 @@
   /** Lifetimes that are over, and whether another lifetime answers at their address. */
   private readonly ended = new Map<string, boolean>();
 
+  /** Lifetimes whose target has started again under its id, with what takes their calls. */
+  private readonly rebirths = new Map<string, Rebirth>();
+
   /**
    * Creates the stand-in without targets.
    * @param clock - Clock of the targets.
@@ -84,17 +100,22 @@
    * Adds a target.
    * @param targetId - Id of the lifetime.
    * @param clockRate - How fast its own clock runs, as a multiple of the clock of all targets.
+   * @param clockStartMs - When its own clock shows 0, by the clock of all targets.
    */
-  add(targetId: string, clockRate = 1): void {
+  add(targetId: string, clockRate = 1, clockStartMs = 0): void {
     const clock: Clock = {
-      monotonicMs: () => this.clock.monotonicMs() * clockRate,
+      monotonicMs: () => (this.clock.monotonicMs() - clockStartMs) * clockRate,
       wallMs: () => this.clock.wallMs(),
     };
+    const connections = new AbortController();
     this.lifetimes.set(targetId, {
       target: new LeasedTarget(clock),
       clockRate,
+      clockStartMs,
       runs: new Map(),
       fates: { start: [], stop: [], renew: [] },
+      connections,
+      whenReset: whenAborted(connections.signal),
       condition: 'well',
       seenEndNumber: 0,
     });
@@ -117,6 +138,20 @@
     this.observer.onCrashed(targetId);
   }
 
+  /**
+   * Ends a lifetime and starts the target again under its id: its clock and its ends begin anew,
+   * and it carries out calls for the lifetime before. Connections from before break.
+   * @param targetId - Id of the lifetime that ends.
+   * @param nextId - Id of the next one.
+   */
+  restart(targetId: string, nextId: string): void {
+    const { connections } = this.lifetimes.get(targetId)!;
+    this.crash(targetId, true);
+    connections.abort();
+    this.rebirths.set(targetId, { nextId, hasBrokenConnection: true });
+    this.add(nextId, 1, this.clock.monotonicMs());
+  }
+
   /**
    * Changes the state of a target.
    * @param targetId - Id of the lifetime.
@@ -172,10 +207,10 @@
     return this.call<StartAnswer>(targetId, 'start', {
       refuse,
       otherLifetime: { type: 'other-lifetime' },
-      carryOut: (lifetime) => {
+      carryOut: (lifetime, presentId) => {
         const isThere = lifetime.runs.get(start.taskName) === start.run;
         if (lifetime.condition === 'full' && !isThere) return refuse('no-room');
-        return this.begin(targetId, lifetime, start);
+        return this.begin(presentId, lifetime, start);
       },
     });
   }
@@ -202,16 +237,19 @@
   /** {@inheritDoc LeasedTargetPort.renew} */
   async renew({ targetId }: LeasedTargetAddress, renewal: LeaseRenewal): Promise<LeaseAnswer> {
     if (renewal.waitMs > SHORT_WAIT_MS) this.renewOnArrival(targetId, renewal);
-    await sleep(Math.max(WAY_MS, renewal.waitMs));
+    const hadRebirth = this.rebirths.has(targetId);
+    const answered = sleep(Math.max(WAY_MS, renewal.waitMs));
+    await Promise.race([answered, this.lifetimes.get(targetId)?.whenReset ?? answered]);
+    this.breakConnection(targetId, hadRebirth);
     return this.call<LeaseAnswer>(targetId, 'renew', {
       refuse: () => ({ type: 'unhealthy' }),
       otherLifetime: { type: 'other-lifetime' },
-      carryOut: ({ target }) => {
+      carryOut: ({ target }, presentId) => {
         const answer = target.renew(renewal);
         if (answer.type === 'report') {
-          this.observer.onAcknowledged(targetId, renewal.acknowledgedEndNumber);
+          this.observer.onAcknowledged(presentId, renewal.acknowledgedEndNumber);
         }
-        return answer;
+        return presentId === targetId ? answer : { type: 'reborn', targetId: presentId };
       },
     });
   }
@@ -241,24 +279,25 @@
   }
 
   private async call<Answer>(targetId: string, call: FatedCall, how: CallEffect<Answer>) {
-    const fate = this.lifetimes.get(targetId)?.fates[call].shift();
+    const presentId = this.findPresent(targetId);
+    const fate = this.lifetimes.get(presentId)?.fates[call].shift();
     await sleep(WAY_MS);
-    if (fate === undefined) return this.carryOut(targetId, how);
+    if (fate === undefined) return this.carryOut(presentId, how);
     switch (fate.type) {
       case 'request-lost':
         return UnsteadyTargets.timeOut();
       case 'answer-lost':
-        await this.carryOut(targetId, how).catch(() => undefined);
+        await this.carryOut(presentId, how).catch(() => undefined);
         return UnsteadyTargets.timeOut();
       case 'late':
-        void this.carryOutLate(targetId, how, fate.afterMs);
+        void this.carryOutLate(presentId, how, fate.afterMs);
         return UnsteadyTargets.timeOut();
       case 'slow':
         await sleep(fate.afterMs);
-        return this.carryOut(targetId, how);
+        return this.carryOut(presentId, how);
       case 'unhealthy':
       case 'no-room':
-        return this.lifetimes.has(targetId) ? how.refuse(fate.type) : how.otherLifetime;
+        return this.lifetimes.has(presentId) ? how.refuse(fate.type) : how.otherLifetime;
       default:
         return assertNever(fate);
     }
@@ -277,16 +316,35 @@
   private async carryOut<Answer>(targetId: string, how: CallEffect<Answer>): Promise<Answer> {
     const lifetime = this.lifetimes.get(targetId);
     if (lifetime === undefined) {
+      // A call that was under way dies with its connection, and never reaches the next lifetime.
+      if (this.rebirths.has(targetId)) throw new Error('The connection was reset.');
       return this.ended.get(targetId) === true ? how.otherLifetime : UnsteadyTargets.timeOut();
     }
     if (lifetime.condition === 'cut-off') return UnsteadyTargets.timeOut();
     if (lifetime.condition === 'unhealthy') return how.refuse('unhealthy');
     this.observe();
-    const answer = how.carryOut(lifetime);
+    const answer = how.carryOut(lifetime, targetId);
     this.observe();
     return answer;
   }
 
+  /**
+   * Fails a renewal that was under way when its target started again, or the first one after that:
+   * its connection is that of the lifetime before.
+   */
+  private breakConnection(targetId: string, hadRebirth: boolean): void {
+    const rebirth = this.rebirths.get(targetId);
+    if (rebirth === undefined || !(rebirth.hasBrokenConnection || !hadRebirth)) return;
+    rebirth.hasBrokenConnection = false;
+    throw new Error('The connection was reset.');
+  }
+
+  /** Finds the lifetime that takes the calls for another one of its target. */
+  private findPresent(targetId: string): string {
+    const nextId = this.rebirths.get(targetId)?.nextId;
+    return nextId === undefined ? targetId : this.findPresent(nextId);
+  }
+
   private static async timeOut(): Promise<never> {
     await sleep(CALL_TIMEOUT_MS);
     throw new Error('The call was not answered.');
@@ -298,10 +356,10 @@
   }
 
   private observeLifetime(targetId: string, lifetime: Lifetime): void {
-    const { target, runs, clockRate } = lifetime;
+    const { target, runs, clockRate, clockStartMs } = lifetime;
     const running = new Set(target.runningNames);
     const { unacknowledged } = target;
-    const leaseEndsAtMs = target.leaseEndsAtMs / clockRate;
+    const leaseEndsAtMs = clockStartMs + target.leaseEndsAtMs / clockRate;
     const nowMs = this.clock.monotonicMs();
     unacknowledged
       .filter(({ endNumber }) => endNumber > lifetime.seenEndNumber)
@@ -319,5 +377,6 @@
 interface CallEffect<Answer> {
   readonly refuse: (reason: 'unhealthy' | 'no-room') => Answer;
   readonly otherLifetime: Answer;
-  readonly carryOut: (lifetime: Lifetime) => Answer;
+  /** Is given the lifetime that takes the call, and its id. */
+  readonly carryOut: (lifetime: Lifetime, presentId: string) => Answer;
 }
--- a/tests/platformAdapter/PlatformTargets.test.ts
+++ b/tests/platformAdapter/PlatformTargets.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { targetAnswerSchema } from '../../src/targets/targetCallSchemas.js';
 import { PlatformTargets } from '../../platform/PlatformTargets.js';
 
 const TARGET_ID = '00000000000000a1';
@@ -55,17 +56,19 @@
 
   // Guards against ends of a lifetime that count as those of the one before it.
   it.each([
-    ['its own', `${TARGET_ID}@7`, 7, 'report'],
-    ['a later', `${TARGET_ID}@7`, 8, 'reborn'],
-    ['an earlier', `${TARGET_ID}@7`, 6, 'reborn'],
-    ['an unnamed', `${TARGET_ID}@7`, undefined, 'report'],
-    ['any, as its entry names none', TARGET_ID, 7, 'report'],
-  ])('tells of a report from %s lifetime', async (_which, targetId, answeredBornAtMs, type) => {
+    ['its own', `${TARGET_ID}@7`, 7, { type: 'report' }],
+    ['a later', `${TARGET_ID}@7`, 8, { type: 'reborn', targetId: `${TARGET_ID}@8` }],
+    ['an earlier', `${TARGET_ID}@7`, 6, { type: 'reborn', targetId: `${TARGET_ID}@6` }],
+    ['an unnamed', `${TARGET_ID}@7`, undefined, { type: 'report' }],
+    ['any, as its entry names none', TARGET_ID, 7, { type: 'report' }],
+  ])('tells of a report from %s lifetime', async (_which, targetId, answeredBornAtMs, expected) => {
     bornAtMs = answeredBornAtMs;
     const { port } = server.address() as AddressInfo;
     const answer = await targets.renew({ targetId, host: '127.0.0.1', port }, RENEWAL);
     targets.forget(targetId);
-    expect(answer.type).toBe(type);
+    expect(answer).toMatchObject(expected);
+    // A home may call through another instance.
+    expect(targetAnswerSchema.parse(answer)).toEqual(answer);
     expect(calledFor).toBe(TARGET_ID);
   });
 });
--- a/tests/taskHome/histories/HistoryTargets.ts
+++ b/tests/taskHome/histories/HistoryTargets.ts
@@ -1,5 +1,6 @@
 import { UnsteadyTargets } from '../../../standins/leasedTargets/UnsteadyTargets.js';
 import type { TargetEntry } from '../../../src/taskHome/index.js';
+import { areOfSameTarget, formatLifetimeId, parseLifetimeId } from '../../../src/targets/index.js';
 import { makeEntry } from '../HomeWorld.js';
 import type { RunWatch } from './RunWatch.js';
 import type { VirtualTime } from './VirtualTime.js';
@@ -15,6 +16,8 @@
   readonly entryChanges?: Partial<TargetEntry>;
   /** How fast the clocks of targets run, in turns, as multiples of the time's rate. */
   readonly clockRates?: readonly number[];
+  /** Whether the ids of lifetimes name their starts, so that targets can start again. */
+  readonly haveStarts?: boolean;
 }
 
 /** The targets of a history, and their entries in the platform. */
@@ -66,6 +69,18 @@
     this.add();
   }
 
+  /**
+   * Starts a target again under its id; its earlier lifetime stays listed.
+   * @param targetId - Id of the lifetime that ends.
+   * @returns Id of the next one, which is not listed yet.
+   */
+  restart(targetId: string): string {
+    const { instance, bornAtMs } = parseLifetimeId(targetId);
+    const nextId = formatLifetimeId({ instance, bornAtMs: bornAtMs! + 1 });
+    this.port.restart(targetId, nextId);
+    return nextId;
+  }
+
   /** Lists every target whose lifetime is not over. */
   listAgain(): void {
     this.port.targetIds.forEach((targetId) => this.list(targetId));
@@ -76,6 +91,9 @@
    * @param targetId - Id of the lifetime.
    */
   list(targetId: string): void {
+    [...this.entries.keys()]
+      .filter((listedId) => areOfSameTarget(listedId, targetId))
+      .forEach((listedId) => this.entries.delete(listedId));
     this.entries.set(targetId, makeEntry(targetId, this.options.entryChanges));
   }
 
@@ -84,7 +102,8 @@
     const { clockRates = [1] } = this.options;
     const clockRate = clockRates[this.addedCount % clockRates.length];
     this.addedCount += 1;
-    const targetId = `t${this.addedCount}`;
+    const bornAtMs = this.options.haveStarts === true ? 0 : undefined;
+    const targetId = formatLifetimeId({ instance: `t${this.addedCount}`, bornAtMs });
     this.port.add(targetId, clockRate);
     this.list(targetId);
   }
--- a/tests/taskHome/histories/RunHistory.ts
+++ b/tests/taskHome/histories/RunHistory.ts
@@ -44,6 +44,8 @@
       /** Whether the list of VMs tells at once, the next lifetime answers, or nobody does. */
       readonly shownBy: 'list' | 'next-lifetime' | 'nobody';
     }
+  /** A target starts again under its id, and is listed so after a while. */
+  | { readonly type: 'restart'; readonly target: number; readonly listedAfterMs: number }
   | { readonly type: 'unlist'; readonly target: number }
   | { readonly type: 'list-again' };
 
@@ -139,6 +141,18 @@
   size: 'max',
 });
 
+/** Draws histories in which targets start again under their ids. */
+export const rebirthHistory: fc.Arbitrary<RunHistory> = fc.array(
+  fc.oneof(
+    { weight: 12, arbitrary: step },
+    {
+      weight: 2,
+      arbitrary: fc.record({ type: fc.constant('restart'), target, listedAfterMs: timeMs }),
+    },
+  ),
+  { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' },
+);
+
 /**
  * Lists the steps of a job.
  * @param shape - Shape of the job.
--- a/tests/taskHome/histories/RunHistoryWorld.ts
+++ b/tests/taskHome/histories/RunHistoryWorld.ts
@@ -44,10 +44,11 @@
   /**
    * Creates a world with two targets and a home that opens.
    * @param time - Virtual time, which begins again.
+   * @param haveStarts - Whether ids of lifetimes name their starts, so that targets start again.
    */
-  constructor(time: VirtualTime) {
+  constructor(time: VirtualTime, haveStarts = false) {
     this.time = time;
-    this.scene = new HistoryScene({ time, targets: { count: TARGET_COUNT } });
+    this.scene = new HistoryScene({ time, targets: { count: TARGET_COUNT, haveStarts } });
     this.watch = this.scene.watch;
     this.targets = this.scene.targets;
     this.homes = this.scene.homes;
@@ -106,6 +107,9 @@
       case 'crash':
         this.crash(this.targets.pick(step.target), step.shownBy);
         return;
+      case 'restart':
+        this.restart(this.targets.pick(step.target), step.listedAfterMs);
+        return;
       case 'unlist':
         this.targets.entries.delete(this.targets.pick(step.target));
         return;
@@ -124,6 +128,13 @@
     this.time.call(ENTRY_EXPIRES_MS, () => this.targets.entries.delete(targetId));
   }
 
+  private restart(targetId: string, listedAfterMs: number): void {
+    const nextId = this.targets.restart(targetId);
+    this.time.call(listedAfterMs, () => {
+      if (this.targets.port.targetIds.includes(nextId)) this.targets.list(nextId);
+    });
+  }
+
   /** Tells the home what the list of VMs shows, and reads the states that it shows. */
   private look(): void {
     if (this.isOver) return;
