Confirm no start on a silent target, which may have started again

The home repeats the start of a task under suspicion 200 ms later, to see whether the target has survived it; the target had restarted under its id meanwhile and was silent, and its next lifetime carried the repeat out as a start.

Cause: a repeat was taken to be without effect on a run that has begun. That holds for one lifetime only.

Change: it isn't sent while the target doesn't answer; a restart breaks the renewal that waits there, so the home knows of it at once.

--- a/src/taskHome/RunConfirmations.ts
+++ b/src/taskHome/RunConfirmations.ts
@@ -6,6 +6,8 @@
 /** Options of {@link RunConfirmations}. */
 export interface RunConfirmationsOptions extends TargetCallOptions {
   readonly find: (taskName: string) => OrderedRun | undefined;
+  /** Tells whether a target answers at this moment. */
+  readonly isReachable: (targetId: string) => boolean;
   /** Called once other tasks may be placed on the target of the confirmed task. */
   readonly onConfirmed: () => void;
 }
@@ -34,7 +36,8 @@
 
   /**
    * Sends the start of a run again after a short delay. A repeated start has no effect on a run
-   * that has begun, and the answer shows that the target has survived until then.
+   * that has begun, and the answer shows that the target has survived until then. It is not sent to
+   * a silent target, which may have started again under its id: it would begin the run once more.
    * @param taskName - Name of the task.
    * @returns Resolves once the target has answered or the call has failed.
    */
@@ -44,6 +47,7 @@
     await sleep(CONFIRM_AFTER_MS, undefined, { ref: false });
     const begun = find(taskName);
     if (begun?.isRunning !== true || begun.run !== run) return;
+    if (!this.options.isReachable(begun.targetId)) return;
     await this.confirm(begun);
     onConfirmed();
   }
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -118,6 +118,7 @@
     this.confirmations = new RunConfirmations({
       ...calls,
       find: (taskName) => this.orders.find(taskName),
+      isReachable: (targetId) => this.sessions.getSession(targetId)?.isReachable === true,
       onConfirmed: () => this.options.onChanged(),
     });
     const { orders, health, progress, timer, uneven } = this;
