--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -1,16 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { DurableJobSpec } from '../../src/jobs/index.js';
-import { TslogEventLog } from '../../src/logging/index.js';
-import { ScrapedMetrics } from '../../src/metrics/index.js';
-import { ALL_MECHANISMS } from '../../src/systems/index.js';
-import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
-import { PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
-import { HOME_PRODUCER } from '../../src/taskHome/PartitionTerms.js';
-import { holdBackOptimizer, SystemClock } from '../../src/utils/index.js';
-import { StoreStandIn } from '../../standins/store/index.js';
+import type { TargetEntry, TaskHome } from '../../src/taskHome/index.js';
+import { holdBackOptimizer } from '../../src/utils/index.js';
 import { readUsedUs } from '../slopes/readUsedUs.js';
 import { HeldTargets } from './HeldTargets.js';
 import { BENCH_POOL, BENCH_RUN_MS, makeBenchJob, makeBenchStep } from './makeBenchJob.js';
+import { clock, openBenchHome } from './openBenchHome.js';
 
 const TASKS_PER_STEP = 8;
 const CORES_PER_TASK = 4.5;
@@ -27,8 +22,6 @@
 const CORE_COUNT = 0.12;
 
 holdBackOptimizer(CORE_COUNT);
-const clock = new SystemClock();
-const events = new TslogEventLog({ instance: 'home', level: 'info', writeLine: () => undefined });
 
 function makeTarget(number: number): TargetEntry {
   return {
@@ -52,41 +45,6 @@
   return makeBenchJob(jobId, steps, clock.wallMs());
 }
 
-async function openHome(
-  targets: HeldTargets,
-  entries: ReadonlyMap<string, TargetEntry>,
-): Promise<TaskHome> {
-  const store = new StoreStandIn({ partitionCount: 1 });
-  const place = { store, topic: 'jobs', partition: 0 };
-  const opening = new PartitionOpening({
-    ...place,
-    termsTopic: 'terms',
-    pages: store,
-    instance: 'home',
-    mayClaim: () => true,
-    events,
-  });
-  const claimed = (await opening.claim())!;
-  const home = new TaskHome({
-    ...place,
-    targets,
-    producer: HOME_PRODUCER,
-    claimed,
-    timing: { targetLeaseMs: 5_000, targetWaitMs: 1_000, keepFinishedMs: 120_000 },
-    clock,
-    events,
-    mechanisms: ALL_MECHANISMS,
-    metrics: new ScrapedMetrics({ clock }),
-    getEntries: () => entries,
-    listOrganisations: () => [],
-    isGroupLeaseHeld: () => true,
-    mayExtendLeases: () => true,
-    onReplaced: () => undefined,
-  });
-  home.load(await opening.read(claimed));
-  return home;
-}
-
 /** Submits jobs at a steady rate, until the timer is cleared. */
 function submitJobs(home: TaskHome, jobsPerS: number): NodeJS.Timeout | undefined {
   if (jobsPerS === 0) return undefined;
@@ -109,7 +67,8 @@
 async function measureHome(targetCount: number, jobsPerS: number): Promise<string> {
   const targets = new HeldTargets(clock, BENCH_RUN_MS);
   const list = Array.from({ length: targetCount }, (_t, number) => makeTarget(number));
-  const home = await openHome(targets, new Map(list.map((entry) => [entry.targetId, entry])));
+  const entries = new Map(list.map((entry) => [entry.targetId, entry]));
+  const home = await openBenchHome({ targets, entries });
   const lists = { endedTargets: [], crashedTargets: [], lostWithRack: [] };
   const drainedTargets = list.slice(0, DRAINED_COUNT).map(({ targetId }) => targetId);
   const sync = { pool: BENCH_POOL, drainedTargets, drainedForMs: 3_000, ...lists };
--- /dev/null
+++ b/bench/jobs/openBenchHome.ts
@@ -0,0 +1,58 @@
+import { TslogEventLog } from '../../src/logging/index.js';
+import { ScrapedMetrics } from '../../src/metrics/index.js';
+import { ALL_MECHANISMS } from '../../src/systems/index.js';
+import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
+import { PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
+import { HOME_PRODUCER } from '../../src/taskHome/PartitionTerms.js';
+import { SystemClock } from '../../src/utils/index.js';
+import { StoreStandIn } from '../../standins/store/index.js';
+import type { HeldTargets } from './HeldTargets.js';
+
+/** Clock of the homes here. */
+export const clock = new SystemClock();
+const events = new TslogEventLog({ instance: 'home', level: 'info', writeLine: () => undefined });
+
+/** What a home works with. */
+export interface BenchHomeParts {
+  readonly targets: HeldTargets;
+  readonly entries: ReadonlyMap<string, TargetEntry>;
+  /** Store with the jobs of an earlier home; an empty one if absent. */
+  readonly store?: StoreStandIn;
+}
+
+/**
+ * Opens a home over ports in memory.
+ * @param parts - Its targets and its store.
+ * @returns The home, with the jobs that the store has.
+ */
+export async function openBenchHome(parts: BenchHomeParts): Promise<TaskHome> {
+  const { targets, entries, store = new StoreStandIn({ partitionCount: 1 }) } = parts;
+  const place = { store, topic: 'jobs', partition: 0 };
+  const opening = new PartitionOpening({
+    ...place,
+    termsTopic: 'terms',
+    pages: store,
+    instance: 'home',
+    mayClaim: () => true,
+    events,
+  });
+  const claimed = (await opening.claim())!;
+  const home = new TaskHome({
+    ...place,
+    targets,
+    producer: HOME_PRODUCER,
+    claimed,
+    timing: { targetLeaseMs: 5_000, targetWaitMs: 1_000, keepFinishedMs: 120_000 },
+    clock,
+    events,
+    mechanisms: ALL_MECHANISMS,
+    metrics: new ScrapedMetrics({ clock }),
+    getEntries: () => entries,
+    listOrganisations: () => [],
+    isGroupLeaseHeld: () => true,
+    mayExtendLeases: () => true,
+    onReplaced: () => undefined,
+  });
+  home.load(await opening.read(claimed));
+  return home;
+}
--- a/bench/slopes/measureHeapKb.ts
+++ b/bench/slopes/measureHeapKb.ts
@@ -4,8 +4,11 @@
 v8.setFlagsFromString('--expose-gc');
 const collectGarbage = vm.runInNewContext('gc') as () => void;
 
-/** Heap in use after a collection, in bytes. */
-function usedHeapBytes(): number {
+/**
+ * Measures the heap in use after a collection.
+ * @returns The heap, in bytes.
+ */
+export function usedHeapBytes(): number {
   collectGarbage();
   return process.memoryUsage().heapUsed;
 }
