--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -4,6 +4,7 @@
   endRun,
   isFinished,
   isUnheardRun,
+  listOtherGangTasks,
   nameTask,
   noteUnheardRun,
   type RunEnd,
@@ -148,7 +149,7 @@
     telemetry.noteEnded(found.row.spec.jobId, key, runEnd, source);
     this.learn(found, key, runEnd);
     const row = endRun(found.row, found.position, runEnd, clock.wallMs());
-    this.dropOrdersOfDoneTasks(found.row, row, key);
+    this.dropOrdersOfDoneTasks(found, row, key);
     table.put(row);
     if (isFinished(row) && !isFinished(found.row)) telemetry.noteFinished(row);
   }
@@ -167,11 +168,12 @@
   }
 
   /** Drops the orders of tasks that this end has completed; members of a gang end together. */
-  private dropOrdersOfDoneTasks(before: DurableJobRow, after: DurableJobRow, ended: RunKey): void {
-    before.tasks
-      .filter(
-        ({ phase }, position) => phase === 'placed' && after.tasks[position]!.phase === 'done',
-      )
+  private dropOrdersOfDoneTasks(found: PlacedTask, after: DurableJobRow, ended: RunKey): void {
+    const { row: before, position } = found;
+    [position, ...listOtherGangTasks(before, position)]
+      .filter((member) => after.tasks[member]!.phase === 'done')
+      .map((member) => before.tasks[member]!)
+      .filter(({ phase }) => phase === 'placed')
       .forEach((task) => this.dropOrder(nameTask(before, task), task, ended));
   }
 
