--- a/tests/platformAdapter/decode.test.ts
+++ b/tests/platformAdapter/decode.test.ts
@@ -19,6 +19,18 @@
   },
 };
 
+/** What a target that is ready reports of itself. */
+const TARGET_REPORT = {
+  backend: 'b',
+  address: '10.0.0.1:80',
+  zone: 'z',
+  version: 'v1',
+  capacity: 8,
+  sequence: 4,
+  state: 'ready',
+  free_capacity: { cpu: 16_000, mem_mb: 32_768 },
+};
+
 const toBytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
 
 function withHead(endOffset: number, records: Buffer): Buffer {
@@ -147,17 +159,7 @@
 describe('decodeTargetEntry', () => {
   it('reads a report, and leaves out one that it cannot read, with a line', () => {
     const events = new MemoryEventLog();
-    const report = {
-      backend: 'b',
-      address: '10.0.0.1:80',
-      zone: 'z',
-      version: 'v1',
-      capacity: 8,
-      sequence: 4,
-      state: 'draining',
-      labels: ['a', 'r1-3'],
-      free_capacity: { cpu: 16_000, mem_mb: 32_768 },
-    };
+    const report = { ...TARGET_REPORT, state: 'draining', labels: ['a', 'r1-3'] };
     expect(decodeTargetEntry({ key: 'i-1', value: toBytes(report) }, events)).toEqual({
       targetId: 'i-1',
       pool: 'b',
@@ -175,20 +177,12 @@
 
   // Guards against ends of a lifetime that count as those of the one before it.
   it('names each lifetime of a target that starts again under its id', () => {
-    const report = {
-      backend: 'b',
-      address: '10.0.0.1:80',
-      zone: 'z',
-      version: 'v1',
-      capacity: 8,
-      sequence: 4,
-      state: 'ready',
-      free_capacity: {},
-    };
     const targetIds = [undefined, 1, 2].map(
       (born) =>
-        decodeTargetEntry({ key: 'i-1', value: toBytes({ ...report, born }) }, new MemoryEventLog())
-          ?.targetId,
+        decodeTargetEntry(
+          { key: 'i-1', value: toBytes({ ...TARGET_REPORT, born }) },
+          new MemoryEventLog(),
+        )?.targetId,
     );
     expect(targetIds).toEqual(['i-1', 'i-1@1', 'i-1@2']);
   });
@@ -208,17 +202,7 @@
     ['a start of another type', { born: '1' }],
   ])('takes an entry with %s for no target, and tells of it', (_what, changes) => {
     const events = new MemoryEventLog();
-    const report = {
-      backend: 'b',
-      address: '10.0.0.1:80',
-      zone: 'z',
-      version: 'v1',
-      capacity: 8,
-      sequence: 4,
-      state: 'ready',
-      free_capacity: { cpu: 16_000, mem_mb: 32_768 },
-      ...changes,
-    };
+    const report = { ...TARGET_REPORT, ...changes };
     expect(decodeTargetEntry({ key: 'i-1', value: toBytes(report) }, events)).toBeUndefined();
     expect(events.events.map(({ event }) => event)).toEqual(['recordUnreadable']);
   });
--- a/tests/taskHome/runHistories.test.ts
+++ b/tests/taskHome/runHistories.test.ts
@@ -3,6 +3,7 @@
 import {
   describeHistory,
   listShorterHistories,
+  rebirthHistory,
   type RunHistory,
   runHistory,
 } from './histories/RunHistory.js';
@@ -23,29 +24,44 @@
 const TIMEOUT_MS = 60_000 + HISTORY_COUNT * 200;
 
 /** Plays a history, and describes it if it breaks a rule. */
-async function findViolations(history: RunHistory): Promise<string | undefined> {
-  const world = new RunHistoryWorld(virtualTime);
+async function findViolations(
+  history: RunHistory,
+  haveStarts: boolean,
+): Promise<string | undefined> {
+  const world = new RunHistoryWorld(virtualTime, haveStarts);
   const violations = await world.play(history);
   if (violations.length === 0) return undefined;
   const runs = world.watch.runs.map((run) => JSON.stringify(run));
   return [...violations, describeHistory(history), ...runs].join('\n');
 }
 
+async function expectNoViolations(
+  arbitrary: typeof runHistory,
+  haveStarts: boolean,
+): Promise<void> {
+  const failure = await findFailure({
+    arbitrary,
+    seed: SEED,
+    path: PATH,
+    historyCount: HISTORY_COUNT,
+    findViolations: (history) => findViolations(history, haveStarts),
+    listShorter: listShorterHistories,
+  });
+  if (failure !== undefined) throw new Error(failure);
+}
+
 describe(`drawn histories of runs, seed ${SEED}`, () => {
   // Guards against a task that runs twice, begins again after its end, or never ends.
   it(
     'lets each task run one at a time, and to its end',
-    async () => {
-      const failure = await findFailure({
-        arbitrary: runHistory,
-        seed: SEED,
-        path: PATH,
-        historyCount: HISTORY_COUNT,
-        findViolations,
-        listShorter: listShorterHistories,
-      });
-      if (failure !== undefined) throw new Error(failure);
-    },
+    () => expectNoViolations(runHistory, false),
+    TIMEOUT_MS,
+  );
+
+  // Guards against work that is done and runs again, as its target started again under its id.
+  it(
+    'does so while targets start again under their ids',
+    () => expectNoViolations(rebirthHistory, true),
     TIMEOUT_MS,
   );
 });
