Log an entry that is none of a target once, and count each

An entry of another writer among those of targets was logged with each of its heartbeats. It is logged when it first can't be read, and counted each time (target_reports_unreadable); another line follows if the key has had a readable one in between. The decoder throws now, as the directory decides what to tell.

The tests of the decoder that asked for a line ask for the error; the line and the count are asked for in the directory's test.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -242,6 +242,7 @@
         partition: ONLY_PARTITION,
         decode: records.decodeTargetEntry,
         events,
+        metrics,
       }),
       partitions: this.partitions,
       group: GROUP,
--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -40,8 +40,11 @@
   /** Decodes an order for a wave; undefined where the record holds none. */
   readonly decodeWaveOrder: (record: KeyedRecord) => WaveOrder | undefined;
   readonly encodeWaveStatus: (wave: number, status: WaveStatus) => KeyedRecord;
-  /** Decodes a target's report; undefined where it cannot be read. */
-  readonly decodeTargetEntry: (record: KeyedRecord) => TargetEntry | undefined;
+  /**
+   * Decodes a target's report.
+   * @throws Error If the record is none of a target.
+   */
+  readonly decodeTargetEntry: (record: KeyedRecord) => TargetEntry;
 }
 
 /** Bounds that the platform sets. */
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -22,6 +22,12 @@
     meaning: 'Further attempts at jobs after one that did not run or may be repeated.',
     tags: [],
   },
+  target_reports_unreadable: {
+    type: 'counter',
+    unit: 'records',
+    meaning: 'Records among the reports of targets that are none of a target.',
+    tags: [],
+  },
   records_rejected: {
     type: 'counter',
     unit: 'records',
--- a/src/taskHome/TargetDirectory.ts
+++ b/src/taskHome/TargetDirectory.ts
@@ -1,4 +1,5 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
+import type { Metrics } from '../metrics/index.js';
 import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
 import { parseLifetimeId } from '../targets/index.js';
 import type { TargetEntries, TargetEntry } from './TargetEntry.js';
@@ -8,9 +9,13 @@
   readonly store: KeyedLogPort;
   readonly topic: string;
   readonly partition: number;
-  /** Decodes a target's report; undefined if it cannot be read. */
-  readonly decode: (record: KeyedRecord) => TargetEntry | undefined;
+  /**
+   * Decodes a target's report.
+   * @throws Error If the record is none of a target.
+   */
+  readonly decode: (record: KeyedRecord) => TargetEntry;
   readonly events: EventLog;
+  readonly metrics: Metrics;
 }
 
 /**
@@ -33,6 +38,9 @@
   /** Ids of lifetimes that were reported once after a later one, by the key of their records. */
   private readonly reportedOutOfOrder = new Map<string, string>();
 
+  /** Keys whose latest record is none of a target. */
+  private readonly unreadableKeys = new Set<string>();
+
   private readonly outage: OutageLog;
 
   private pendingRefresh: Promise<void> | undefined;
@@ -96,7 +104,8 @@
 
   private applyRecord(record: KeyedRecord): void {
     const { key, value } = record;
-    const entry = value === undefined ? undefined : this.options.decode(record);
+    if (value === undefined) this.unreadableKeys.delete(key);
+    const entry = value === undefined ? undefined : this.decode(record);
     if (entry !== undefined && this.isOutOfOrder(key, entry.targetId)) return;
     this.remove(key);
     if (entry === undefined) return;
@@ -104,6 +113,24 @@
     this.entries.set(entry.targetId, entry);
   }
 
+  /** Decodes a report; one of another writer names no target, and is logged once for its key. */
+  private decode(record: KeyedRecord): TargetEntry | undefined {
+    const { key } = record;
+    const { decode, events, metrics } = this.options;
+    try {
+      const entry = decode(record);
+      this.unreadableKeys.delete(key);
+      return entry;
+    } catch (thrown) {
+      metrics.increment('target_reports_unreadable');
+      if (!this.unreadableKeys.has(key)) {
+        events.write('recordUnreadable', { key, reason: String(thrown) });
+      }
+      this.unreadableKeys.add(key);
+      return undefined;
+    }
+  }
+
   /**
    * Tells whether a report is of a lifetime that has been replaced. A write that was held up comes
    * late once; a second such report means that the clock of the target has gone back.
--- a/tests/platformAdapter/decode.test.ts
+++ b/tests/platformAdapter/decode.test.ts
@@ -157,10 +157,9 @@
 });
 
 describe('decodeTargetEntry', () => {
-  it('reads a report, and leaves out one that it cannot read, with a line', () => {
-    const events = new MemoryEventLog();
+  it('reads a report, and throws at one that it cannot read', () => {
     const report = { ...TARGET_REPORT, state: 'draining', labels: ['a', 'r1-3'] };
-    expect(decodeTargetEntry({ key: 'i-1', value: toBytes(report) }, events)).toEqual({
+    expect(decodeTargetEntry({ key: 'i-1', value: toBytes(report) })).toEqual({
       targetId: 'i-1',
       pool: 'b',
       host: '10.0.0.1',
@@ -171,18 +170,15 @@
       capacity: { cpuMillicores: 16_000, memoryMb: 32_768, gpuCount: 0 },
       isDraining: true,
     });
-    expect(decodeTargetEntry({ key: 'i-2', value: Buffer.from('{}') }, events)).toBeUndefined();
-    expect(events.events.map(({ event }) => event)).toEqual(['recordUnreadable']);
+    const unreadable = ['{}', 'no JSON', '', '[]', 'null'].map((text) => Buffer.from(text));
+    unreadable.forEach((value) => expect(() => decodeTargetEntry({ key: 'i-2', value })).toThrow());
   });
 
   // Guards against ends of a lifetime that count as those of the one before it.
   it('names each lifetime of a target that starts again under its id', () => {
     const targetIds = [undefined, 1, 2].map(
       (born) =>
-        decodeTargetEntry(
-          { key: 'i-1', value: toBytes({ ...TARGET_REPORT, born }) },
-          new MemoryEventLog(),
-        )?.targetId,
+        decodeTargetEntry({ key: 'i-1', value: toBytes({ ...TARGET_REPORT, born }) }).targetId,
     );
     expect(targetIds).toEqual(['i-1', 'i-1@1', 'i-1@2']);
   });
@@ -200,11 +196,9 @@
     ['no sequence', { sequence: undefined }],
     ['a start that is no whole number', { born: 1.5 }],
     ['a start of another type', { born: '1' }],
-  ])('takes an entry with %s for no target, and tells of it', (_what, changes) => {
-    const events = new MemoryEventLog();
-    const report = { ...TARGET_REPORT, ...changes };
-    expect(decodeTargetEntry({ key: 'i-1', value: toBytes(report) }, events)).toBeUndefined();
-    expect(events.events.map(({ event }) => event)).toEqual(['recordUnreadable']);
+  ])('takes an entry with %s for no target', (_what, changes) => {
+    const value = toBytes({ ...TARGET_REPORT, ...changes });
+    expect(() => decodeTargetEntry({ key: 'i-1', value })).toThrow();
   });
 });
 
--- a/tests/taskHome/TargetDirectory.test.ts
+++ b/tests/taskHome/TargetDirectory.test.ts
@@ -1,8 +1,10 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { z } from 'zod';
 import { MemoryEventLog } from '../../src/logging/index.js';
-import { decodeRecordValue, encodeRecordValue } from '../../src/store/index.js';
+import { MemoryMetrics } from '../../src/metrics/index.js';
+import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../../src/store/index.js';
 import { formatLifetimeId } from '../../src/targets/index.js';
+import type { TargetEntry } from '../../src/taskHome/index.js';
 import { TargetDirectory } from '../../src/taskHome/TargetDirectory.js';
 import { StoreStandIn } from '../../standins/store/index.js';
 import { makeEntry } from './HomeWorld.js';
@@ -25,6 +27,7 @@
     store,
     decode: (record) => makeEntry(record.key, decodeRecordValue(entrySchema, record)),
     events: new MemoryEventLog(),
+    metrics: new MemoryMetrics(),
   });
   await report('t1', false);
   await directory.refresh();
@@ -53,6 +56,7 @@
         return makeEntry(formatLifetimeId({ instance: record.key, bornAtMs }));
       },
       events: new MemoryEventLog(),
+      metrics: new MemoryMetrics(),
     });
   });
 
@@ -86,3 +90,30 @@
     expect(await report(1)).toEqual(['i-1@1']);
   });
 });
+
+// Guards against a log that fills with an entry of another writer, which comes with each heartbeat.
+it('tells of an entry that is none of a target once, and counts each', async () => {
+  const store = new StoreStandIn({ partitionCount: 1 });
+  const events = new MemoryEventLog();
+  const metrics = new MemoryMetrics();
+  const decode = (record: KeyedRecord): TargetEntry =>
+    makeEntry(record.key, decodeRecordValue(entrySchema, record));
+  const directory = new TargetDirectory({ ...PLACE, store, decode, events, metrics });
+  const report = async (value: unknown): Promise<void> => {
+    const records = [{ key: 't1', value: encodeRecordValue(value) }];
+    await store.append({ ...PLACE, records, timeoutMs: 1_000 });
+    await directory.refresh();
+  };
+  await report('first');
+  await report('second');
+  expect(directory.list().size).toBe(0);
+  const listEvents = (): readonly string[] => events.events.map(({ event }) => event);
+  expect(listEvents()).toEqual(['recordUnreadable']);
+  const counted = metrics.measurements.filter(({ name }) => name === 'target_reports_unreadable');
+  expect(counted).toHaveLength(2);
+  await report({ isDraining: false });
+  expect(directory.list().size).toBe(1);
+  await report('third');
+  expect(directory.list().size).toBe(0);
+  expect(listEvents()).toEqual(['recordUnreadable', 'recordUnreadable']);
+});
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -97,6 +97,7 @@
         partition: 0,
         decode: ({ key }) => makeEntry(key),
         events,
+        metrics: new MemoryMetrics(),
       }),
       partitions: new PoolPartitions({ partitionCount: 1, listPools: () => ['pages'] }),
       homeTiming: { targetLeaseMs: LEASE_MS, targetWaitMs: 10, keepFinishedMs: 60_000 },
