--- a/src/jobs/occurrences.ts
+++ b/src/jobs/occurrences.ts
@@ -5,7 +5,7 @@
 /** Maximum number of tasks in one occurrence of a job: twice what one step may have. */
 export const MAX_OCCURRENCE_TASKS = 20_000;
 
-/** Returned for jobs without a schedule, whose steps run once. */
+/** Schedule of jobs without one, whose steps run once. */
 const ONCE: Schedule = {
   occurrenceCount: 1,
   firstDueAtMs: Number.NEGATIVE_INFINITY,
