--- a/src/vms/VmFleetPort.ts
+++ b/src/vms/VmFleetPort.ts
@@ -7,8 +7,8 @@
   readonly pool: string;
   readonly state: VmState;
   /**
-   * Lifetime of the target on the VM, as far as the list tells it; absent while the VM is off, moves
-   * or is maintained.
+   * Lifetime of the target on the VM, as far as the list tells it; absent while the VM is off,
+   * moves or is maintained.
    */
   readonly targetId?: string;
   readonly rack?: string;
