--- a/bench/jobs/homeLoad.ts
+++ b/bench/jobs/homeLoad.ts
@@ -49,9 +49,9 @@
 function submitJobs(home: TaskHome, jobsPerS: number): NodeJS.Timeout | undefined {
   if (jobsPerS === 0) return undefined;
   let jobCount = 0;
-  const submit = (): Promise<void> => {
+  const submit = async (): Promise<void> => {
     jobCount += 1;
-    return home.submit(makeJob(`job-${jobCount}`));
+    await home.submit(makeJob(`job-${jobCount}`));
   };
   return setInterval(submit, MS_PER_S / jobsPerS);
 }
--- a/bench/jobs/openBenchHome.ts
+++ b/bench/jobs/openBenchHome.ts
@@ -1,5 +1,6 @@
 import { TslogEventLog } from '../../src/logging/index.js';
 import { ScrapedMetrics } from '../../src/metrics/index.js';
+import { QueuePools } from '../../src/queues/index.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
 import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
 import { PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
@@ -48,6 +49,7 @@
     mechanisms: ALL_MECHANISMS,
     metrics: new ScrapedMetrics({ clock }),
     getEntries: () => entries,
+    queuePools: new QueuePools({ store, topic: 'queues', clock, events }),
     listOrganisations: () => [],
     isGroupLeaseHeld: () => true,
     mayExtendLeases: () => true,
--- a/scripts/mutants.ts
+++ b/scripts/mutants.ts
@@ -6,6 +6,7 @@
 import { DURABLE_JOB_MUTANTS } from './durableJobMutants.js';
 import { FLEET_MUTANTS } from './fleetMutants.js';
 import { MUTANTS as ONE_SHOT_MUTANTS } from './mutantList.js';
+import { MOVED_QUEUE_MUTANTS } from './movedQueueMutants.js';
 import type { Mutant } from './Mutant.js';
 import { OLD_KNOWLEDGE_MUTANTS } from './oldKnowledgeMutants.js';
 import { ORGANISATION_MUTANTS } from './organisationMutants.js';
@@ -60,6 +61,7 @@
   ...DURABLE_JOB_MUTANTS,
   ...CRASH_MUTANTS,
   ...FLEET_MUTANTS,
+  ...MOVED_QUEUE_MUTANTS,
   ...OLD_KNOWLEDGE_MUTANTS,
   ...ORGANISATION_MUTANTS,
   ...RUN_LIFE_MUTANTS,
--- a/src/callers/registerDurableJobRoutes.ts
+++ b/src/callers/registerDurableJobRoutes.ts
@@ -1,7 +1,13 @@
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { throwError } from '../errors/index.js';
-import type { CallerIdentity, DurableJobSpec, DurableJobState, QueueTerms } from '../jobs/index.js';
-import { authenticateCaller, type QueueConfiguration } from '../queues/index.js';
+import type {
+  CallerIdentity,
+  DurableJobSpec,
+  DurableJobState,
+  QueueReference,
+  QueueTerms,
+} from '../jobs/index.js';
+import { authenticateCaller, getQueueTerms, type QueueConfiguration } from '../queues/index.js';
 import type { Clock } from '../utils/index.js';
 import { parseDurableJob } from './parseDurableJob.js';
 
@@ -16,14 +22,14 @@
   submit(job: DurableJobSpec, caller?: CallerIdentity): Promise<void>;
   /** Gets the state of a job; undefined where there certainly is none. */
   getState(
-    pool: string,
+    queue: QueueReference,
     jobId: string,
     caller?: CallerIdentity,
   ): Promise<DurableJobState | undefined>;
   /** Cancels a job; false where there certainly is none. */
-  cancel(pool: string, jobId: string, caller?: CallerIdentity): Promise<boolean>;
+  cancel(queue: QueueReference, jobId: string, caller?: CallerIdentity): Promise<boolean>;
   /** Counts the jobs of a queue that have not begun. */
-  countPending(pool: string, queue: string, caller?: CallerIdentity): Promise<number>;
+  countPending(queue: QueueReference, caller?: CallerIdentity): Promise<number>;
 }
 
 /** Options of {@link registerDurableJobRoutes}. */
@@ -72,7 +78,8 @@
     const found = configuration.queues.find(({ terms }) => terms.queue === queue);
     if (found === undefined) return throwError('unknown-pool', `There is no queue ${queue}.`);
     const key = BEARER_PATTERN.exec(headers.authorization ?? '')?.[1];
-    return { terms: found.terms, caller: authenticateCaller(configuration, found, key) };
+    const terms = getQueueTerms(configuration, found);
+    return { terms, caller: authenticateCaller(configuration, found, key) };
   };
 
   const findJobId = ({ params }: FastifyRequest): string => {
@@ -102,7 +109,7 @@
   server.get(JOB_PATH, async (request, reply) => {
     const { terms, caller } = findQueue(request);
     const jobId = findJobId(request);
-    const state = await port.getState(terms.pool, jobId, caller);
+    const state = await port.getState(terms, jobId, caller);
     if (state === undefined) throwError('unknown-job', `There is no job ${jobId}.`);
     return reply.send(view(terms, jobId, state));
   });
@@ -110,14 +117,14 @@
   server.delete(JOB_PATH, async (request, reply) => {
     const { terms, caller } = findQueue(request);
     const jobId = findJobId(request);
-    const isKnown = await port.cancel(terms.pool, jobId, caller);
+    const isKnown = await port.cancel(terms, jobId, caller);
     if (!isKnown) throwError('unknown-job', `There is no job ${jobId}.`);
     return reply.send(view(terms, jobId, 'cancelled'));
   });
 
   server.get(QUEUE_PATH, async (request, reply) => {
     const { terms, caller } = findQueue(request);
-    const { pool, queue } = terms;
-    return reply.send({ queue, pendingJobCount: await port.countPending(pool, queue, caller) });
+    const { queue } = terms;
+    return reply.send({ queue, pendingJobCount: await port.countPending(terms, caller) });
   });
 }
--- a/src/daemon/createPeerHandler.ts
+++ b/src/daemon/createPeerHandler.ts
@@ -92,6 +92,7 @@
       case 'explain':
         return toState(options.explainHere(request.subject));
       case 'submit-durable-job':
+      case 'find-durable-job':
       case 'get-durable-job':
       case 'cancel-durable-job':
       case 'count-pending-jobs':
--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -14,6 +14,7 @@
   isKeyWithdrawn,
   type Organisation,
   type QueueConfiguration,
+  QueuePools,
 } from '../queues/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import { shouldHoldHomes } from '../systems/index.js';
@@ -34,6 +35,7 @@
 } from '../taskHome/index.js';
 import { answerPeer } from './answerPeer.js';
 import type { JobNodeOptions } from './JobNodeOptions.js';
+import { KnownPools } from './KnownPools.js';
 import { measurePorts } from './measurePorts.js';
 import { PauseLog } from './PauseLog.js';
 
@@ -74,6 +76,10 @@
 
   private readonly waveOrders = new Map<number, WaveOrder>();
 
+  private readonly queuePools: QueuePools;
+
+  private readonly knownPools: KnownPools;
+
   private readonly partitions: PoolPartitions;
 
   private homes: TaskHomes | undefined;
@@ -100,10 +106,12 @@
     const ports = measurePorts(options.ports, { metrics, clock });
     this.options = { ...options, ports };
     const { instance, host, port } = address;
-    this.partitions = new PoolPartitions({
-      partitionCount: records.partitionCount,
-      listPools: () => (this.getConfiguration()?.pools ?? []).map(({ pool }) => pool),
-    });
+    const { partitionCount, queuePoolsTopic: topic } = records;
+    this.queuePools = new QueuePools({ store: ports.store, topic, clock, events });
+    const getConfiguration = (): QueueConfiguration | undefined => this.getConfiguration();
+    this.knownPools = new KnownPools({ getConfiguration, queuePools: this.queuePools });
+    const listPools = (): readonly string[] => this.knownPools.list();
+    this.partitions = new PoolPartitions({ partitionCount, listPools });
     this.configuration = this.createConfigurationFollower();
     const heartbeat = PEER_HEARTBEAT;
     this.peers = new PeerClient({ instance, events, clock, heartbeat });
@@ -197,11 +205,16 @@
   /** Reads who holds the homes, and tells smaller holders of this instance where it holds none. */
   private async lookForHomes(member: GroupMember): Promise<void> {
     const { homeDirectory: directory, peers } = this;
-    await directory.refresh();
+    await Promise.all([directory.refresh(), this.readKnownPools()]);
     if (this.isStopping || this.homes?.isMember !== true) return;
     await announceMember({ member, directory, peers });
   }
 
+  /** What was not read is read at the next look; the outage of the store is logged once. */
+  private async readKnownPools(): Promise<void> {
+    await this.knownPools.refresh().catch(() => undefined);
+  }
+
   private createConfigurationFollower(): ConfigurationFollower {
     const { clock, ports, records, events } = this.options;
     return new ConfigurationFollower({
@@ -245,6 +258,7 @@
         metrics,
       }),
       partitions: this.partitions,
+      queuePools: this.queuePools,
       group: GROUP,
       topic: records.jobsTopic,
       termsTopic: records.termsTopic,
@@ -326,6 +340,9 @@
     if ('caller' in request && isKeyWithdrawn(request.caller, this.getConfiguration())) {
       return { type: 'refused', kind: 'key-rejected', message: 'The key was withdrawn.' };
     }
-    return handleJobRequest(this.homes?.get(request.pool), request, this.options.clock);
+    const home = this.homes?.get(request.pool);
+    // The partition of a pool that only an earlier configuration had opens once it is known.
+    if (home === undefined) void this.knownPools.lookUp(request.pool).catch(() => undefined);
+    return handleJobRequest(home, request, this.options.clock);
   }
 }
--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -25,6 +25,8 @@
   /** Topic of the terms in which homes write the topic of jobs, with as many partitions. */
   readonly termsTopic: string;
   readonly partitionCount: number;
+  /** Topic of the pools that queues have had. */
+  readonly queuePoolsTopic: string;
   /** Topic in which operators publish, with the key of the configuration. */
   readonly operatorsTopic: string;
   readonly configurationKey: string;
--- a/src/jobNode/answerPeer.ts
+++ b/src/jobNode/answerPeer.ts
@@ -22,6 +22,7 @@
   const { configuration, homeDirectory, targets, handleJob } = parts;
   switch (request.type) {
     case 'submit-durable-job':
+    case 'find-durable-job':
     case 'get-durable-job':
     case 'cancel-durable-job':
     case 'count-pending-jobs':
--- a/src/jobs/DurableJobSpec.ts
+++ b/src/jobs/DurableJobSpec.ts
@@ -56,6 +56,30 @@
   readonly targetDurationMs: number;
   /** Whether a service has to be asked which targets may run a step. */
   readonly needsAdvice?: boolean;
+  /** Host and path prefix under which callers reach the queue; absent if it has only its name. */
+  readonly address?: string;
+  /** Version of the configuration with these terms; absent from instances of earlier releases. */
+  readonly configurationVersion?: number;
+}
+
+/** A queue as a request names it: what identifies it, and where one configuration sends it. */
+export type QueueReference = Pick<
+  QueueTerms,
+  'queue' | 'pool' | 'address' | 'configurationVersion'
+>;
+
+/**
+ * Gets what identifies a queue in requests between instances.
+ * @param terms - The queue, with or without the other terms.
+ * @returns The reference alone.
+ */
+export function getQueueReference({
+  queue,
+  pool,
+  address,
+  configurationVersion,
+}: QueueReference): QueueReference {
+  return { queue, pool, address, configurationVersion };
 }
 
 /** A job as its caller submitted it. */
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -8,13 +8,15 @@
   nameTask,
   type PositionedTask,
 } from './DurableJobRow.js';
-export type {
-  DurableJobSpec,
-  DurableJobState,
-  QueueTerms,
-  Resources,
-  Schedule,
-  StepSpec,
+export {
+  type DurableJobSpec,
+  type DurableJobState,
+  getQueueReference,
+  type QueueReference,
+  type QueueTerms,
+  type Resources,
+  type Schedule,
+  type StepSpec,
 } from './DurableJobSpec.js';
 export { type EndedJob, isVisibleTo, summarizeEndedJob, type TrackedJob } from './EndedJob.js';
 export {
--- a/src/jobs/jobCodec.ts
+++ b/src/jobs/jobCodec.ts
@@ -40,6 +40,8 @@
     maxAttempts: count,
     stretch: z.number(),
     targetDurationMs: z.number(),
+    address: z.string().optional(),
+    configurationVersion: z.number().optional(),
   }),
   organisation: z.string().optional(),
   payload: z.string(),
--- a/src/logging/events/taskEvents.ts
+++ b/src/logging/events/taskEvents.ts
@@ -112,4 +112,20 @@
     level: 'info',
     text: 'The configuration can be read from the store again.',
   },
+  queuePoolRegistered: { number: 6062, level: 'info', text: 'A pool takes jobs of a queue.' },
+  queuePoolsUnreachable: {
+    number: 6063,
+    level: 'warn',
+    text: 'The pools that queues have had cannot be read.',
+  },
+  queueClosed: {
+    number: 6064,
+    level: 'info',
+    text: 'A pool takes no more jobs of a queue by older configurations.',
+  },
+  jobFoundElsewhere: {
+    number: 6065,
+    level: 'info',
+    text: 'A job was found in an earlier pool of its queue.',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -1,5 +1,10 @@
 import type { ErrorKind, Outcome } from '../errors/index.js';
-import type { CallerIdentity, DurableJobSpec, DurableJobState } from '../jobs/index.js';
+import type {
+  CallerIdentity,
+  DurableJobSpec,
+  DurableJobState,
+  QueueReference,
+} from '../jobs/index.js';
 import type { LogEntry } from '../platform/index.js';
 import type { Urgency } from '../settings/index.js';
 import type { PartitionOwner } from '../store/GroupPort.js';
@@ -39,12 +44,29 @@
   readonly caller?: CallerIdentity;
 }
 
+/** The queue as the entry's configuration has it; instances of earlier releases send none. */
+interface OfQueue {
+  readonly queue: QueueReference;
+}
+
 /** Request about durable jobs to the home of their pool. */
 export type DurableJobRequest =
-  | (OfCaller & { readonly type: 'submit-durable-job'; readonly job: DurableJobSpec })
-  | (OfCaller & { readonly type: 'get-durable-job'; readonly jobId: string })
-  | (OfCaller & { readonly type: 'cancel-durable-job'; readonly jobId: string })
-  | (OfCaller & { readonly type: 'count-pending-jobs'; readonly queue: string })
+  | (OfCaller & {
+      readonly type: 'submit-durable-job';
+      readonly job: DurableJobSpec;
+      /** Other pools of the job's queue whose homes have denied to have the job. */
+      readonly searchedPools?: readonly string[];
+    })
+  /** Asks, for a later pool of the queue, whether a job is stored; if not, it never will be. */
+  | (OfCaller & OfQueue & { readonly type: 'find-durable-job'; readonly jobId: string })
+  | (OfCaller & Partial<OfQueue> & { readonly type: 'get-durable-job'; readonly jobId: string })
+  | (OfCaller & Partial<OfQueue> & { readonly type: 'cancel-durable-job'; readonly jobId: string })
+  | (OfCaller & {
+      readonly type: 'count-pending-jobs';
+      readonly queue: string;
+      readonly address?: string;
+      readonly configurationVersion?: number;
+    })
   /** Requests what organisations use and may use in the pool. */
   | { readonly type: 'get-organisation-use'; readonly pool: string }
   /** From the fleet's home: drained and ended targets. The reply holds the pool's demand. */
@@ -142,9 +164,22 @@
       readonly isHomeLoading?: boolean;
     }
   | { readonly type: 'done' }
-  /** State of a durable job; if absent, the home is certain that the job does not exist. */
-  | { readonly type: 'durable-job'; readonly state?: DurableJobState }
-  | { readonly type: 'pending-jobs'; readonly count: number }
+  /** State of a durable job; if absent, the home is certain that it does not have the job. */
+  | {
+      readonly type: 'durable-job';
+      readonly state?: DurableJobState;
+      /** Other pools of the queue, whose homes may have the job. */
+      readonly otherPools?: readonly string[];
+    }
+  | {
+      readonly type: 'pending-jobs';
+      readonly count: number;
+      /** Other pools of the queue, whose homes may have more jobs of it. */
+      readonly otherPools?: readonly string[];
+    }
+  /** A submission was not stored: the homes of these pools of its queue have to be asked first. */
+  | { readonly type: 'other-pools'; readonly pools: readonly string[] }
+  | { readonly type: 'found-job'; readonly isStored: boolean }
   | { readonly type: 'pool-demand'; readonly demand: PoolDemand }
   | {
       readonly type: 'organisation-use';
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -13,6 +13,12 @@
 const caller = z
   .looseObject({ organisation: id, keyDigest: id, configurationVersion: z.number() })
   .optional();
+const queueReference = z.looseObject({
+  queue: id,
+  pool: id,
+  address: text.optional(),
+  configurationVersion: z.number().optional(),
+});
 const resources = z.looseObject({
   cpuMillicores: z.number(),
   memoryMb: z.number(),
@@ -78,11 +84,38 @@
     type: z.literal('submit-durable-job'),
     pool: id,
     job: durableJobSpecSchema,
+    searchedPools: z.array(id).optional(),
+    caller,
+  }),
+  z.looseObject({
+    type: z.literal('find-durable-job'),
+    pool: id,
+    jobId: id,
+    queue: queueReference,
+    caller,
+  }),
+  z.looseObject({
+    type: z.literal('get-durable-job'),
+    pool: id,
+    jobId: id,
+    queue: queueReference.optional(),
+    caller,
+  }),
+  z.looseObject({
+    type: z.literal('cancel-durable-job'),
+    pool: id,
+    jobId: id,
+    queue: queueReference.optional(),
+    caller,
+  }),
+  z.looseObject({
+    type: z.literal('count-pending-jobs'),
+    pool: id,
+    queue: id,
+    address: text.optional(),
+    configurationVersion: z.number().optional(),
     caller,
   }),
-  z.looseObject({ type: z.literal('get-durable-job'), pool: id, jobId: id, caller }),
-  z.looseObject({ type: z.literal('cancel-durable-job'), pool: id, jobId: id, caller }),
-  z.looseObject({ type: z.literal('count-pending-jobs'), pool: id, queue: id, caller }),
   z.looseObject({ type: z.literal('get-organisation-use'), pool: id }),
   z.looseObject({
     type: z.literal('sync-pool'),
@@ -138,8 +171,11 @@
   z.looseObject({
     type: z.literal('durable-job'),
     state: durableJobStateSchema.optional(),
+    otherPools: z.array(id).optional(),
   }),
-  z.looseObject({ type: z.literal('pending-jobs'), count }),
+  z.looseObject({ type: z.literal('pending-jobs'), count, otherPools: z.array(id).optional() }),
+  z.looseObject({ type: z.literal('other-pools'), pools: z.array(id) }),
+  z.looseObject({ type: z.literal('found-job'), isStored: z.boolean() }),
   z.looseObject({
     type: z.literal('pool-demand'),
     demand: z.looseObject({
--- a/src/queues/index.ts
+++ b/src/queues/index.ts
@@ -7,4 +7,7 @@
 export { digestKey, getKeyId, KeyRing } from './KeyRing.js';
 export { getWeight, hasLimit, NO_LIMIT, type Organisation } from './Organisation.js';
 export { findQueue } from './findQueue.js';
+export { getQueueTerms } from './getQueueTerms.js';
+export { getQueueKey } from './queuePoolRecord.js';
+export { QueuePools, type QueuePoolsOptions } from './QueuePools.js';
 export type { PoolDefinition, QueueConfiguration, QueueRoute } from './QueueConfiguration.js';
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -1,76 +1,39 @@
-import { setTimeout as sleep } from 'node:timers/promises';
-import { ERROR_ANSWERS, RattanliftError, throwError, toRattanliftError } from '../errors/index.js';
-import type { CallerIdentity, DurableJobSpec, DurableJobState } from '../jobs/index.js';
-import type { EventLog } from '../logging/index.js';
-import { measureCall, type Metrics } from '../metrics/index.js';
-import type { DurableJobRequest, PeerAddress, PeerPort, PeerReply } from '../peers/index.js';
+import { throwError, toRattanliftError } from '../errors/index.js';
+import {
+  type CallerIdentity,
+  type DurableJobSpec,
+  type DurableJobState,
+  getQueueReference,
+  type QueueReference,
+} from '../jobs/index.js';
 import type { LimitOrder, PoolDemand } from '../systems/index.js';
-import type { Clock } from '../utils/index.js';
 import type { EndedTargets } from '../vms/index.js';
-import { callWithin } from './callWithin.js';
-import { HomeCallTrace } from './HomeCallTrace.js';
-import type { HomeDirectory } from './HomeDirectory.js';
+import { HomeCalls, type HomeCallsOptions } from './HomeCalls.js';
 import type { PoolOrganisations } from './LimitParts.js';
-import type { PoolPartitions } from './PoolPartitions.js';
 
 /** Options of {@link JobGateway}. */
-export interface JobGatewayOptions {
-  /** Id of this instance. */
-  readonly instance: string;
-  readonly peers: PeerPort;
-  /** Handles a request for which this instance is the home. */
-  readonly handleLocally: (request: DurableJobRequest) => Promise<PeerReply>;
-  readonly directory: Pick<HomeDirectory, 'get' | 'refresh'>;
-  readonly partitions: PoolPartitions;
-  readonly clock: Clock;
-  readonly metrics: Metrics;
-  readonly events: EventLog;
-}
-
-/** Pause before the next attempt to find a home, in milliseconds; a home opens in about 50. */
-const RETRY_PAUSE_MS = 100;
-/** Longest wait for one reply, in milliseconds; above the latency of a store at 1 % speed. */
-const CALL_WAIT_MS = 1_200;
-/** Longest search for a home: a takeover takes about 2.5 s, and callers do not wait longer. */
-const HOME_SEARCH_MS = 2_500;
-
-/** Time without a reply of any home, despite calls, after which homes count as silent. */
-const SILENT_AFTER_MS = 1_500;
+export type JobGatewayOptions = HomeCallsOptions;
 
 /** How long a drain lasts without another message, in milliseconds: ten checks of the fleet. */
 const DRAIN_DURATION_MS = 3_000;
 
+/** A call of a caller about one job. */
+interface JobCall {
+  readonly type: 'submit' | 'read' | 'cancel';
+  readonly jobId: string;
+  /** Pool that the queue of the job has now. */
+  readonly pool: string;
+}
+
 /**
- * Homes that one submission may be sent to without a reply. The first may have ended of the job;
- * without a bound, it would end each instance that becomes the home while the search lasts.
+ * Forwards requests about durable jobs from their entry to the homes of their pools. A job is kept
+ * by the pool that its queue had when it was accepted, so a home that does not have it names the
+ * other pools of the queue, which are searched then.
  */
-const MAX_UNANSWERED_HOMES = 2;
-
-const RETRYABLE_KINDS: ReadonlySet<string> = new Set(['home-unavailable', 'peer-unavailable']);
-
-/** Outcome of one attempt to call a home. */
-type CallOutcome =
-  | { readonly type: 'reply'; readonly reply: PeerReply }
-  | {
-      readonly type: 'again';
-      readonly error: RattanliftError;
-      /** What the pause before the next attempt is for. */
-      readonly wait: 'noHome' | 'loading' | 'refused';
-    }
-  | {
-      readonly type: 'again';
-      readonly error: RattanliftError;
-      readonly wait: 'unanswered';
-      /** Instance that was called. */
-      readonly home: string;
-    };
-
-/** Forwards requests about durable jobs from their entry to the homes of their pools. */
 export class JobGateway {
   private readonly options: JobGatewayOptions;
 
-  /** Since when no home has replied to any call; undefined if the last call was replied to. */
-  private silentSinceMs: number | undefined;
+  private readonly calls: HomeCalls;
 
   /**
    * Creates a gateway.
@@ -78,68 +41,72 @@
    */
   constructor(options: JobGatewayOptions) {
     this.options = options;
+    this.calls = new HomeCalls(options);
   }
 
   /** Whether calls to homes have had no reply for some time. */
   get areHomesSilent(): boolean {
-    const { silentSinceMs } = this;
-    if (silentSinceMs === undefined) return false;
-    return this.options.clock.monotonicMs() - silentSinceMs > SILENT_AFTER_MS;
+    return this.calls.areHomesSilent;
   }
 
   /**
-   * Submits a job. A repeated submission refers to the same job.
+   * Submits a job. A repeated submission refers to the same job, also where its queue has another
+   * pool meanwhile.
    * @param job - The job.
    * @param caller - Whose call it is; undefined if it needs no key.
    * @returns Resolves once it is stored.
    * @throws RattanliftError With an outcome of `not-run` only if the job is certainly not stored.
    */
   async submit(job: DurableJobSpec, caller?: CallerIdentity): Promise<void> {
-    const { pool } = job.terms;
-    await this.call({ type: 'submit-durable-job', pool, job, caller }, pool);
+    await this.submitAfterSearch(job, caller, []);
   }
 
   /**
    * Gets the state of a job.
-   * @param pool - Pool of the job's queue.
+   * @param queue - The queue of the job.
    * @param jobId - Id of the job.
    * @param caller - Whose call it is; undefined if it needs no key.
    * @returns The state, or undefined if the caller certainly has no such job.
    * @throws RattanliftError If no home could answer.
    */
   async getState(
-    pool: string,
+    queue: QueueReference,
     jobId: string,
     caller?: CallerIdentity,
   ): Promise<DurableJobState | undefined> {
-    const reply = await this.call({ type: 'get-durable-job', pool, jobId, caller }, pool);
-    return reply.type === 'durable-job' ? reply.state : undefined;
+    return this.askForState('get-durable-job', queue, jobId, caller);
   }
 
   /**
    * Cancels a job.
-   * @param pool - Pool of the job's queue.
+   * @param queue - The queue of the job.
    * @param jobId - Id of the job.
    * @param caller - Whose call it is; undefined if it needs no key.
    * @returns Whether the caller has such a job.
    * @throws RattanliftError If no home confirmed the cancellation.
    */
-  async cancel(pool: string, jobId: string, caller?: CallerIdentity): Promise<boolean> {
-    const reply = await this.call({ type: 'cancel-durable-job', pool, jobId, caller }, pool);
-    return reply.type === 'durable-job' && reply.state !== undefined;
+  async cancel(queue: QueueReference, jobId: string, caller?: CallerIdentity): Promise<boolean> {
+    const state = await this.askForState('cancel-durable-job', queue, jobId, caller);
+    return state !== undefined;
   }
 
   /**
    * Counts the jobs of a queue that have not started.
-   * @param pool - Pool of the queue.
-   * @param queue - Name of the queue.
+   * @param queue - The queue.
    * @param caller - Whose call it is; undefined if it needs no key.
-   * @returns The number of jobs, of all organisations.
-   * @throws RattanliftError If no home could answer.
+   * @returns The number of jobs, of all organisations and in all pools of the queue.
+   * @throws RattanliftError If a home could not answer.
    */
-  async countPending(pool: string, queue: string, caller?: CallerIdentity): Promise<number> {
-    const reply = await this.call({ type: 'count-pending-jobs', pool, queue, caller }, pool);
-    return reply.type === 'pending-jobs' ? reply.count : 0;
+  async countPending(queue: QueueReference, caller?: CallerIdentity): Promise<number> {
+    const type = 'count-pending-jobs';
+    const reply = await this.calls.call({ type, ...getQueueReference(queue), caller });
+    if (reply.type !== 'pending-jobs') return 0;
+    const { queue: name, address } = queue;
+    const counts = (reply.otherPools ?? []).map(async (pool) => {
+      const other = await this.calls.call({ type, pool, queue: name, address, caller });
+      return other.type === 'pending-jobs' ? other.count : 0;
+    });
+    return (await Promise.all(counts)).reduce((sum, count) => sum + count, reply.count);
   }
 
   /**
@@ -158,7 +125,7 @@
   ): Promise<PoolDemand | undefined> {
     const lists = { drainedTargets, drainedForMs: DRAIN_DURATION_MS, ...ended };
     const request = { type: 'sync-pool', pool, ...lists, limits } as const;
-    const outcome = await this.attemptCall(request, pool).catch(() => undefined);
+    const outcome = await this.calls.attempt(request).catch(() => undefined);
     if (outcome?.type !== 'reply' || outcome.reply.type !== 'pool-demand') return undefined;
     return outcome.reply.demand;
   }
@@ -170,136 +137,88 @@
    * @throws RattanliftError If no home could answer.
    */
   async getOrganisationUse(pool: string): Promise<PoolOrganisations> {
-    const reply = await this.call({ type: 'get-organisation-use', pool }, pool);
+    const reply = await this.calls.call({ type: 'get-organisation-use', pool });
     return reply.type === 'organisation-use' ? reply : { use: [], parts: [] };
   }
 
-  private call(request: DurableJobRequest, pool: string): Promise<PeerReply> {
-    const { clock, metrics } = this.options;
-    return measureCall({
-      metrics,
-      clock,
-      timer: 'durable_answer_ms',
-      call: request.type,
-      run: () => this.callAndTrace(request, pool),
-      describeError: (thrown) => toRattanliftError(thrown).kind,
-    });
-  }
-
-  private async callAndTrace(request: DurableJobRequest, pool: string): Promise<PeerReply> {
-    const { clock, events, partitions } = this.options;
-    const jobId = 'jobId' in request ? request.jobId : undefined;
-    const partition = partitions.getPartition(pool);
-    const fields = { call: request.type, pool, partition, jobId };
-    const trace = new HomeCallTrace({ clock, events, fields });
-    try {
-      return await this.callWithRetries(request, pool, trace);
-    } finally {
-      trace.end();
-    }
-  }
-
-  /** Calls the home of a pool, and retries with the next home while a home is being replaced. */
-  private async callWithRetries(
-    request: DurableJobRequest,
-    pool: string,
-    trace: HomeCallTrace,
-  ): Promise<PeerReply> {
-    const { clock } = this.options;
-    const giveUpAtMs = clock.monotonicMs() + HOME_SEARCH_MS;
-    const unanswered = new Set<string>();
-    let isInDoubt = false;
-    let last: CallOutcome = await this.attemptCall(request, pool, trace);
-    while (last.type === 'again' && clock.monotonicMs() < giveUpAtMs) {
-      isInDoubt ||= ERROR_ANSWERS[last.error.kind].outcome !== 'not-run';
-      if (last.wait === 'unanswered') unanswered.add(last.home);
-      trace.begin(last.wait);
-      const paused = sleep(RETRY_PAUSE_MS).then(() => trace.begin('refresh'));
-      // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
-      await Promise.all([this.refreshUntil(giveUpAtMs), paused]);
-      if (!this.mayCallNextHome(request, pool, unanswered)) break;
-      // eslint-disable-next-line no-await-in-loop -- a try follows the one before it
-      last = await this.attemptCall(request, pool, trace);
-    }
-    if (last.type === 'reply') {
-      trace.noteReply();
-      return this.unwrapReply(last.reply, isInDoubt);
+  /** Submits a job once the homes of some pools have denied to have it. */
+  private async submitAfterSearch(
+    job: DurableJobSpec,
+    caller: CallerIdentity | undefined,
+    searchedPools: readonly string[],
+  ): Promise<void> {
+    const { jobId, terms } = job;
+    const { pool } = terms;
+    const type = 'submit-durable-job';
+    const reply = await this.calls.call({ type, pool, job, caller, searchedPools });
+    if (reply.type !== 'other-pools') return;
+    const pools = reply.pools.filter((other) => !searchedPools.includes(other));
+    if (pools.length === 0) throwError('home-unavailable', 'The home asks for no other pool.');
+    const isStored = await this.search({ type: 'submit', jobId, pool }, pools, async (other) =>
+      (await this.isStoredIn(other, job, caller)) ? true : undefined,
+    );
+    if (isStored === undefined) {
+      await this.submitAfterSearch(job, caller, [...searchedPools, ...pools]);
     }
-    // `not-run` must be certain, but an earlier unanswered attempt may have stored the job.
-    if (isInDoubt) throwError('outcome-unknown', 'No home has answered.', { cause: last.error });
-    throw last.error;
-  }
-
-  /** Tells whether a request may be sent to the present home, by the homes that did not reply. */
-  private mayCallNextHome(
-    { type }: DurableJobRequest,
-    pool: string,
-    unanswered: ReadonlySet<string>,
-  ): boolean {
-    const { directory, partitions } = this.options;
-    if (type !== 'submit-durable-job' || unanswered.size < MAX_UNANSWERED_HOMES) return true;
-    const home = directory.get(partitions.getPartition(pool));
-    return home === undefined || unanswered.has(home.instance);
-  }
-
-  /** Looks for the home, for no longer than the search lasts; a silent store takes seconds. */
-  private async refreshUntil(giveUpAtMs: number): Promise<void> {
-    const { clock, directory } = this.options;
-    const leftMs = Math.max(0, giveUpAtMs - clock.monotonicMs());
-    await Promise.race([directory.refresh(), sleep(leftMs)]);
-  }
-
-  private async attemptCall(
-    request: DurableJobRequest,
-    pool: string,
-    trace?: HomeCallTrace,
-  ): Promise<CallOutcome> {
-    trace?.noteAttempt();
-    const outcome = await this.callHome(request, pool, trace);
-    // A home that is still reading is at work. If it counted as silent, small instances would join
-    // the group, and the partitions would be assigned anew before any of them has been read.
-    const isHeard = outcome.type === 'reply' || outcome.wait === 'loading';
-    if (isHeard) this.silentSinceMs = undefined;
-    else this.silentSinceMs ??= this.options.clock.monotonicMs();
-    return outcome;
   }
 
-  private async callHome(
-    request: DurableJobRequest,
+  private async isStoredIn(
     pool: string,
-    trace?: HomeCallTrace,
-  ): Promise<CallOutcome> {
-    const { instance, directory, partitions, handleLocally, peers } = this.options;
-    const home: PeerAddress | undefined = directory.get(partitions.getPartition(pool));
-    if (home === undefined) {
-      const message = 'No home is known.';
-      const error = new RattanliftError({ kind: 'home-unavailable', message });
-      return { type: 'again', error, wait: 'noHome' };
-    }
-    const isLocal = home.instance === instance;
-    trace?.noteHome(home.instance, isLocal);
+    { jobId, terms }: DurableJobSpec,
+    caller: CallerIdentity | undefined,
+  ): Promise<boolean> {
+    const queue = getQueueReference(terms);
     try {
-      const reply = isLocal
-        ? await callWithin(handleLocally(request), CALL_WAIT_MS)
-        : await peers.call(home, request, CALL_WAIT_MS);
-      const isRetryable = reply.type === 'refused' && RETRYABLE_KINDS.has(reply.kind);
-      if (!isRetryable) return { type: 'reply', reply };
-      const { isHomeLoading = false, kind, message } = reply;
-      const error = new RattanliftError({ kind, message });
-      return { type: 'again', error, wait: isHomeLoading ? 'loading' : 'refused' };
+      const reply = await this.calls.call({ type: 'find-durable-job', pool, jobId, queue, caller });
+      return reply.type === 'found-job' && reply.isStored;
     } catch (thrown) {
       const error = toRattanliftError(thrown);
-      if (!RETRYABLE_KINDS.has(error.kind)) throw error;
-      return { type: 'again', error, wait: 'unanswered', home: home.instance };
+      // An instance of an earlier release does not know the question.
+      if (error.kind !== 'bad-request') throw error;
+      return throwError('home-unavailable', 'An earlier pool of the queue does not answer.');
     }
   }
 
-  private unwrapReply(reply: PeerReply, isInDoubt: boolean): PeerReply {
-    if (reply.type !== 'refused') return reply;
-    const { kind, message, retryAfterMs } = reply;
-    const isNotRun = ERROR_ANSWERS[kind].outcome === 'not-run';
-    if (isInDoubt && isNotRun) throwError('outcome-unknown', message);
-    if (retryAfterMs === undefined) throwError(kind, message);
-    return throwError(kind, message, { retryAtMs: this.options.clock.wallMs() + retryAfterMs });
+  private async askForState(
+    type: 'get-durable-job' | 'cancel-durable-job',
+    terms: QueueReference,
+    jobId: string,
+    caller: CallerIdentity | undefined,
+  ): Promise<DurableJobState | undefined> {
+    const { pool } = terms;
+    const queue = getQueueReference(terms);
+    const reply = await this.calls.call({ type, pool, queue, jobId, caller });
+    if (reply.type !== 'durable-job') return undefined;
+    if (reply.state !== undefined) return reply.state;
+    const call = type === 'get-durable-job' ? 'read' : 'cancel';
+    const { otherPools = [] } = reply;
+    return this.search({ type: call, jobId, pool }, otherPools, async (other) => {
+      const found = await this.calls.call({ type, pool: other, jobId, caller });
+      return found.type === 'durable-job' ? found.state : undefined;
+    });
+  }
+
+  /**
+   * Asks the homes of all other pools of a queue. That none has a job is certain only if all have
+   * answered.
+   */
+  private async search<Found>(
+    { type: call, jobId, pool }: JobCall,
+    otherPools: readonly string[],
+    ask: (pool: string) => Promise<Found | undefined>,
+  ): Promise<Found | undefined> {
+    const results = await Promise.allSettled(otherPools.map(ask));
+    const place = results.findIndex(
+      (result) => result.status === 'fulfilled' && result.value !== undefined,
+    );
+    const found = results[place];
+    if (found?.status === 'fulfilled') {
+      const foundIn = otherPools[place];
+      this.options.events.write('jobFoundElsewhere', { jobId, call, pool, foundIn });
+      return found.value;
+    }
+    const failed = results.find(({ status }) => status === 'rejected');
+    if (failed?.status === 'rejected') throw toRattanliftError(failed.reason);
+    return undefined;
   }
 }
--- a/src/taskHome/JobSubmissions.ts
+++ b/src/taskHome/JobSubmissions.ts
@@ -1,10 +1,17 @@
 import { throwError } from '../errors/index.js';
-import { countOccurrenceTasks, type DurableJobSpec, isVisibleTo } from '../jobs/index.js';
+import {
+  countOccurrenceTasks,
+  type DurableJobSpec,
+  isVisibleTo,
+  type QueueReference,
+  type TrackedJob,
+} from '../jobs/index.js';
 import type { Clock } from '../utils/index.js';
 import { createStorableJob } from './createStorableJob.js';
 import type { JobAdmission } from './JobAdmission.js';
 import type { JobTable } from './JobTable.js';
 import type { PoolArrivals } from './PoolArrivals.js';
+import type { QueueMoves } from './QueueMoves.js';
 import type { RecordWriter } from './RecordWriter.js';
 import type { TaskRuns } from './TaskRuns.js';
 
@@ -18,6 +25,7 @@
   readonly runs: TaskRuns;
   readonly arrivals: PoolArrivals;
   readonly admission: JobAdmission;
+  readonly moves: QueueMoves;
   /** Maximum size of a record, with its key, in bytes; no bound if absent. */
   readonly maxRecordBytes?: number;
   readonly clock: Clock;
@@ -25,6 +33,15 @@
   readonly flush: () => Promise<void>;
 }
 
+/** A job for which a later pool of its queue asks. */
+export interface SoughtJob {
+  readonly jobId: string;
+  /** Organisation of the caller; absent if its call needs no key. */
+  readonly organisation?: string;
+  /** The queue as the later pool has it. */
+  readonly queue: QueueReference;
+}
+
 /** Takes the jobs that callers submit to a home. */
 export class JobSubmissions {
   private readonly options: JobSubmissionsOptions;
@@ -41,22 +58,59 @@
    * Stores a job unless it is known or refused. A refusal leaves nothing behind; only the rate at
    * which work arrives counts it, since its caller needs the capacity all the same.
    * @param spec - The job.
-   * @returns Resolves once the job is stored.
+   * @param searchedPools - Pools whose homes have denied to have the job.
+   * @returns Resolves once the job is stored, with no pools; or with the pools whose homes have to
+   * be asked before, and nothing is stored.
    * @throws RattanliftError If the job was not stored and never will be, or if the home has been
    * replaced meanwhile.
    */
-  async submit(spec: DurableJobSpec): Promise<void> {
-    const { admission, arrivals, clock, flush, maxRecordBytes, runs, table, writer } = this.options;
+  async submit(
+    spec: DurableJobSpec,
+    searchedPools: readonly string[] = [],
+  ): Promise<readonly string[]> {
+    const { moves, table } = this.options;
     const { jobId, organisation, terms } = spec;
+    if (table.get(jobId) === undefined) {
+      const otherPools = await moves.register(terms);
+      const unsearched = otherPools.filter((pool) => !searchedPools.includes(pool));
+      if (unsearched.length > 0) return unsearched;
+    }
+    // Another submission, or a later pool of the queue, may have come meanwhile.
     const known = table.get(jobId);
-    if (known !== undefined) {
-      if (!isVisibleTo(known, organisation)) {
-        throwError('request-id-reused', 'The job id is taken.');
-      }
-      // The first submission may still wait for a round, so only a round after it tells.
-      await flush();
-      return;
+    if (known === undefined) {
+      moves.assertOpen(terms);
+      await this.store(spec);
+    } else {
+      await this.whenStored(known, organisation);
     }
+    return [];
+  }
+
+  /**
+   * Finds a job for a later pool of its queue. The queue is closed here before a job is denied.
+   * @param sought - The job, and the queue as the later pool has it.
+   * @returns Whether the job is stored here.
+   * @throws RattanliftError Of kind `request-id-reused` if another organisation's job has the id,
+   * or if this home has been replaced.
+   */
+  async find({ jobId, organisation, queue }: SoughtJob): Promise<boolean> {
+    const { moves, table } = this.options;
+    if (table.get(jobId) === undefined) await moves.close(queue);
+    const known = table.get(jobId);
+    if (known === undefined) return false;
+    await this.whenStored(known, organisation);
+    return true;
+  }
+
+  private async whenStored(known: TrackedJob, organisation: string | undefined): Promise<void> {
+    if (!isVisibleTo(known, organisation)) throwError('request-id-reused', 'The job id is taken.');
+    // The first submission may still wait for a round, so only a round after it tells.
+    await this.options.flush();
+  }
+
+  private async store(spec: DurableJobSpec): Promise<void> {
+    const { admission, arrivals, clock, flush, maxRecordBytes, runs, table, writer } = this.options;
+    const { jobId, terms } = spec;
     if (writer.isStalled) throwError('log-unavailable', 'The store does not answer.');
     const row = createStorableJob({ ...spec, submittedAtMs: clock.wallMs() }, maxRecordBytes);
     this.assertHasRoom(spec);
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -259,13 +259,17 @@
   }
 
   /**
-   * Counts the jobs of a queue that have no placed task yet.
+   * Counts the jobs of a queue that have no placed task yet. A job counts where its queue had the
+   * same name or the same address, since operators change either.
    * @param queue - Name of the queue.
+   * @param address - Address of the queue; undefined if it has only its name.
    * @returns The number of jobs.
    */
-  countPending(queue: string): number {
+  countPending(queue: string, address?: string): number {
+    const isOfQueue = ({ spec: { terms } }: DurableJobRow): boolean =>
+      terms.queue === queue || (address !== undefined && terms.address === address);
     return this.listActive().filter(
-      (row) => row.spec.terms.queue === queue && !isFinished(row) && row.state === 'queued',
+      (row) => row.state === 'queued' && !isFinished(row) && isOfQueue(row),
     ).length;
   }
 
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -1,11 +1,11 @@
 import { RattanliftError, throwError } from '../errors/index.js';
-import { cancelJob, type DurableJobSpec, type DurableJobState, isFinished } from '../jobs/index.js';
+import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
+import { CallerJobs } from './CallerJobs.js';
 import { HomeLeases } from './HomeLeases.js';
-import { JobAdmission } from './JobAdmission.js';
-import { JobSubmissions } from './JobSubmissions.js';
+import type { SoughtJob } from './JobSubmissions.js';
 import { JobTable } from './JobTable.js';
 import { JobTelemetry } from './JobTelemetry.js';
 import { LeaseLapses } from './LeaseLapses.js';
@@ -34,6 +34,9 @@
   /** The leases of the targets, which this home renews with or without its jobs. */
   readonly leases: HomeLeases;
 
+  /** The jobs as callers see them, without regard to whether another instance may be the home. */
+  readonly jobs: CallerJobs;
+
   private readonly options: TaskHomeOptions & Pick<RecordWriterOptions, 'term' | 'lastSequence'>;
 
   private readonly table: JobTable;
@@ -46,10 +49,6 @@
 
   private readonly telemetry: JobTelemetry;
 
-  private readonly admission: JobAdmission;
-
-  private readonly submissions: JobSubmissions;
-
   private readonly poolSync: PoolSync;
 
   private readonly rounds: PlacementRounds;
@@ -127,20 +126,14 @@
       assertIsHome: () => this.assertIsHome(),
     });
     const { drains } = this.poolSync;
-    this.admission = new JobAdmission({ ...parts, arrivals, drains, wallClock: this.wallClock });
+    const { wallClock } = this;
     const flush = (): Promise<void> => this.flush();
-    this.submissions = new JobSubmissions({
-      ...parts,
-      admission: this.admission,
-      arrivals,
-      writer,
-      flush,
-    });
+    this.jobs = new CallerJobs({ ...parts, arrivals, drains, wallClock, writer, flush });
     this.rounds = new PlacementRounds({
       ...parts,
       drains,
       writer,
-      listRefusingPools: () => this.admission.listRefusingPools(),
+      listRefusingPools: () => this.jobs.listRefusingPools(),
       limitParts: this.poolSync.limitParts,
       dueClock: this.wallClock,
     });
@@ -178,21 +171,40 @@
       this.table.restore(row);
       this.runs.restore(row);
     });
-    this.admission.handleLoaded();
+    this.jobs.handleLoaded(records, jobs);
     this.reports.handleLoaded();
   }
 
   /**
    * Accepts a job. A repeated submission changes nothing.
    * @param spec - The job.
-   * @returns Resolves once the job is stored.
+   * @param searchedPools - Pools whose homes have denied to have the job.
+   * @returns Resolves once the job is stored, with no pools; or with other pools of its queue, and
+   * nothing is stored: their homes have to be asked first.
    * @throws RattanliftError Of kind `home-unavailable`, `log-unavailable`, `no-capacity` or
    * `job-too-large` if the job was not stored and never will be, `request-id-reused` if another
    * organisation's job has the id, or `outcome-unknown`.
    */
-  async submit(spec: DurableJobSpec): Promise<void> {
+  async submit(
+    spec: DurableJobSpec,
+    searchedPools?: readonly string[],
+  ): Promise<readonly string[]> {
     this.assertIsOpen();
-    await this.submissions.submit(spec);
+    return this.jobs.submit(spec, searchedPools);
+  }
+
+  /**
+   * Finds a job for a later pool of its queue; from a denial on, it is not accepted here.
+   * @param sought - The job, and the queue as the later pool has it.
+   * @returns Whether the job is stored here.
+   * @throws RattanliftError Of kind `request-id-reused` if another organisation's job has the id,
+   * or `home-unavailable` if another instance may be the home.
+   */
+  async find(sought: SoughtJob): Promise<boolean> {
+    this.assertIsHome();
+    const isStored = await this.jobs.find(sought);
+    this.assertIsHome();
+    return isStored;
   }
 
   /**
@@ -204,9 +216,9 @@
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
   getState(jobId: string, organisation?: string): DurableJobState | undefined {
-    const job = this.table.getVisible(jobId, organisation);
-    if (job === undefined) this.assertIsHome();
-    return job && this.table.getShownState(jobId);
+    const state = this.jobs.getState(jobId, organisation);
+    if (state === undefined) this.assertIsHome();
+    return state;
   }
 
   /**
@@ -219,30 +231,21 @@
    * the home.
    */
   async cancel(jobId: string, organisation?: string): Promise<boolean> {
-    if (this.table.getVisible(jobId, organisation) === undefined) {
-      this.assertIsHome();
-      return false;
-    }
-    const row = this.table.getActive(jobId);
-    if (row !== undefined && !isFinished(row)) {
-      this.table.put(cancelJob(row, this.options.clock.wallMs()));
-      this.admission.handleCancelled();
-      this.options.events.write('jobCancelled', { jobId, term: this.term, stateBefore: row.state });
-    }
-    await this.flush();
-    this.runs.stopFinished();
-    return true;
+    const isKnown = await this.jobs.cancel(jobId, organisation);
+    if (!isKnown) this.assertIsHome();
+    return isKnown;
   }
 
   /**
    * Counts the jobs of a queue that have not started.
    * @param queue - Name of the queue.
+   * @param address - Address of the queue; absent if it has only its name.
    * @returns The number of jobs.
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
-  countPending(queue: string): number {
+  countPending(queue: string, address?: string): number {
     this.assertIsHome();
-    return this.table.countPending(queue);
+    return this.table.countPending(queue, address);
   }
 
   /**
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -1,6 +1,6 @@
 import type { EventLog } from '../logging/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { Organisation } from '../queues/index.js';
+import type { Organisation, QueuePools } from '../queues/index.js';
 import type { KeyedLogPort } from '../store/index.js';
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
@@ -29,6 +29,8 @@
   /** Whether jobs are refused that would end too late to be of use; no if absent. */
   readonly refusesUnservableJobs?: boolean;
   readonly getEntries: () => TargetEntries;
+  /** The pools that queues have had, which may have jobs that are unknown here. */
+  readonly queuePools: QueuePools;
   /** Lists the organisations of the configuration in force. */
   readonly listOrganisations: () => readonly Organisation[];
   /** Whether this instance is certain to be the home at this moment. */
--- a/src/taskHome/TaskHomesOptions.ts
+++ b/src/taskHome/TaskHomesOptions.ts
@@ -1,6 +1,6 @@
 import type { FleetHome } from '../fleetHome/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { Organisation } from '../queues/index.js';
+import type { Organisation, QueuePools } from '../queues/index.js';
 import type { KeyedLogPort } from '../store/index.js';
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
@@ -32,6 +32,8 @@
   readonly mechanisms: Mechanisms;
   /** Whether jobs are refused that would end too late to be of use; no if absent. */
   readonly refusesUnservableJobs?: boolean;
+  /** The pools that queues have had. */
+  readonly queuePools: QueuePools;
   /** Lists the organisations of the configuration in force. */
   readonly listOrganisations: () => readonly Organisation[];
   /** Creates the fleet's home on the instance that is the home of the fleet's partition. */
--- a/src/taskHome/handleJobRequest.ts
+++ b/src/taskHome/handleJobRequest.ts
@@ -1,8 +1,11 @@
 import { toRattanliftError } from '../errors/index.js';
+import type { QueueReference } from '../jobs/index.js';
 import type { DurableJobRequest, PeerReply } from '../peers/index.js';
 import { assertNever, type Clock, SystemClock } from '../utils/index.js';
 import type { TaskHome } from './TaskHome.js';
 
+type CountRequest = Extract<DurableJobRequest, { readonly type: 'count-pending-jobs' }>;
+
 const NOT_HOME_REPLY: PeerReply = {
   type: 'refused',
   kind: 'home-unavailable',
@@ -16,21 +19,48 @@
   isHomeLoading: true,
 };
 
+/** Names the other pools of a queue to an entry whose job is not here. */
+async function createUnknownReply(
+  home: TaskHome,
+  queue: QueueReference | undefined,
+): Promise<PeerReply> {
+  const otherPools = await home.jobs.moves.listOtherPools(queue);
+  return otherPools.length === 0 ? { type: 'durable-job' } : { type: 'durable-job', otherPools };
+}
+
+async function countPending(
+  home: TaskHome,
+  { pool, queue, address, configurationVersion }: CountRequest,
+): Promise<PeerReply> {
+  const count = home.countPending(queue, address);
+  const reference = { pool, queue, address, configurationVersion };
+  const otherPools = await home.jobs.moves.listKnownOtherPools(reference);
+  return { type: 'pending-jobs', count, ...(otherPools.length === 0 ? {} : { otherPools }) };
+}
+
 async function dispatch(home: TaskHome, request: DurableJobRequest): Promise<PeerReply> {
   switch (request.type) {
-    case 'submit-durable-job':
-      await home.submit(request.job);
-      return { type: 'done' };
+    case 'submit-durable-job': {
+      const pools = await home.submit(request.job, request.searchedPools);
+      return pools.length === 0 ? { type: 'done' } : { type: 'other-pools', pools };
+    }
+    case 'find-durable-job': {
+      const { jobId, queue, caller } = request;
+      const isStored = await home.find({ jobId, queue, organisation: caller?.organisation });
+      return { type: 'found-job', isStored };
+    }
     case 'get-durable-job': {
       const state = home.getState(request.jobId, request.caller?.organisation);
-      return state === undefined ? { type: 'durable-job' } : { type: 'durable-job', state };
+      if (state === undefined) return createUnknownReply(home, request.queue);
+      return { type: 'durable-job', state };
     }
     case 'cancel-durable-job': {
       const isKnown = await home.cancel(request.jobId, request.caller?.organisation);
-      return isKnown ? { type: 'durable-job', state: 'cancelled' } : { type: 'durable-job' };
+      if (!isKnown) return createUnknownReply(home, request.queue);
+      return { type: 'durable-job', state: 'cancelled' };
     }
     case 'count-pending-jobs':
-      return { type: 'pending-jobs', count: home.countPending(request.queue) };
+      return countPending(home, request);
     case 'get-organisation-use':
       return { type: 'organisation-use', ...home.getOrganisationUse(request.pool) };
     case 'sync-pool':
--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -184,6 +184,7 @@
       records: {
         jobsTopic: 'jobs',
         termsTopic: 'terms',
+        queuePoolsTopic: 'queues',
         partitionCount: PARTITION_COUNT,
         operatorsTopic: OPERATORS_TOPIC,
         configurationKey: CONFIGURATION_KEY,
--- a/tests/jobNode/TakeoverWorld.ts
+++ b/tests/jobNode/TakeoverWorld.ts
@@ -337,7 +337,7 @@
   private async ask(pool: string, jobId: string): Promise<string | undefined> {
     const { gateway } = this.cluster.nodes.at(-1)!.node;
     try {
-      const state = await gateway.getState(pool, jobId);
+      const state = await gateway.getState({ queue: pool, pool }, jobId);
       if (state === undefined) this.denials.push(jobId);
       return state;
     } catch {
--- a/tests/jobNode/crashSoak.test.ts
+++ b/tests/jobNode/crashSoak.test.ts
@@ -105,7 +105,7 @@
    */
   async listWrong(): Promise<readonly string[]> {
     const { gateway } = this.cluster.nodes[0]!.node;
-    const ask = (jobId: string) => gateway.getState('pages', jobId).catch(() => undefined);
+    const ask = (jobId: string) => gateway.getState(TERMS, jobId).catch(() => undefined);
     const states = await Promise.all(this.jobIds.map(ask));
     return this.jobIds
       .filter((jobId, place) => states[place] !== this.getExpected(jobId))
--- a/tests/jobNode/crashingTasks.test.ts
+++ b/tests/jobNode/crashingTasks.test.ts
@@ -46,6 +46,6 @@
     await vi.waitFor(() => expect(countStarts('bad.0.0.1')).toBeGreaterThan(1), 10_000);
     await sleep(6_000);
     expect(countStarts('bad.0.0.1')).toBeLessThan(STARTS_TOO_MANY);
-    expect(await gateway.getState('pages', 'bad')).toBe('failed');
+    expect(await gateway.getState(TERMS, 'bad')).toBe('failed');
   }, 30_000);
 });
--- a/tests/jobNode/cutFromStore.test.ts
+++ b/tests/jobNode/cutFromStore.test.ts
@@ -100,7 +100,7 @@
   await configure(3, []);
   await vi.waitFor(() => expect(home.node.getConfiguration()?.version).toBe(3), 5_000);
   const caller = { organisation: 'council', keyDigest, configurationVersion: 2 };
-  const read = entry.node.gateway.getState(POOL, 'first', caller);
+  const read = entry.node.gateway.getState(TERMS, 'first', caller);
   await expect(read).rejects.toMatchObject({ kind: 'key-rejected' });
   await vi.waitFor(() => expect(entry.node.getConfiguration()?.version).toBe(3), 3_000);
 }, 20_000);
--- a/tests/platformAdapter/createCallerEdge.test.ts
+++ b/tests/platformAdapter/createCallerEdge.test.ts
@@ -176,7 +176,7 @@
       await send('DELETE', JOB_PATH, BODY, 'key-1');
       expect(gateway.cancel.mock.calls[0]?.[2]).toEqual(caller);
       await send('GET', '/saves/', BODY, 'key-1');
-      expect(gateway.countPending.mock.calls[0]?.[2]).toEqual(caller);
+      expect(gateway.countPending.mock.calls[0]?.[1]).toEqual(caller);
     });
 
     it('takes calls to a public queue with any key and with none', async () => {
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -2,7 +2,7 @@
 import type { DurableJobSpec, QueueTerms, StepSpec } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
-import type { Organisation } from '../../src/queues/index.js';
+import { type Organisation, QueuePools } from '../../src/queues/index.js';
 import { type Clock, SystemClock } from '../../src/utils/index.js';
 import { LeasedTargetsStandIn } from '../../standins/leasedTargets/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
@@ -97,6 +97,14 @@
 
   readonly metrics = new MemoryMetrics();
 
+  /** The pools that queues have had; they are apart from the store that tests disturb. */
+  readonly queuePools = new QueuePools({
+    store: new StoreStandIn({ partitionCount: 1 }),
+    topic: 'queues',
+    clock: new SystemClock(),
+    events: this.events,
+  });
+
   /** Length of the leases of targets, in milliseconds. */
   leaseMs = 60_000;
 
@@ -173,6 +181,7 @@
       refusesUnservableJobs: this.refusesUnservableJobs,
       metrics: this.metrics,
       getEntries: () => this.entries,
+      queuePools: this.queuePools,
       listOrganisations: () => this.organisations,
       isGroupLeaseHeld: () => this.isGroupLeaseHeld,
       mayExtendLeases: () => this.mayExtendLeases(home),
--- a/tests/taskHome/JobGateway.test.ts
+++ b/tests/taskHome/JobGateway.test.ts
@@ -5,7 +5,7 @@
 import { throwError } from '../../src/errors/index.js';
 import { JobGateway, PoolPartitions } from '../../src/taskHome/index.js';
 import { type Clock, ManualClock, SystemClock } from '../../src/utils/index.js';
-import { makeJob } from './HomeWorld.js';
+import { makeJob, TERMS } from './HomeWorld.js';
 
 const REFUSAL = { type: 'refused', kind: 'home-unavailable', message: 'Not now.' } as const;
 const HOME = { instance: 'home', host: '10.0.0.1', port: 7_700 };
@@ -51,7 +51,7 @@
 ): Promise<JobGateway> {
   const call: PeerPort['call'] = () => Promise.resolve(reply);
   const gateway = createGateway(call, { getHome, events });
-  await expect(gateway.getState('pages', 'a')).rejects.toMatchObject({ kind: REFUSAL.kind });
+  await expect(gateway.getState(TERMS, 'a')).rejects.toMatchObject({ kind: REFUSAL.kind });
   return gateway;
 }
 
--- a/tests/taskHome/TaskHomes.test.ts
+++ b/tests/taskHome/TaskHomes.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
+import { QueuePools } from '../../src/queues/index.js';
 import { encodeRecordValue, type GroupPort } from '../../src/store/index.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
 import {
@@ -102,6 +103,7 @@
       partitions: new PoolPartitions({ partitionCount: 1, listPools: () => ['pages'] }),
       homeTiming: { targetLeaseMs: LEASE_MS, targetWaitMs: 10, keepFinishedMs: 60_000 },
       listOrganisations: () => [],
+      queuePools: new QueuePools({ store, topic: 'queues', clock, events }),
       topic: JOBS_TOPIC,
       termsTopic: 'terms',
       maxAppendBytes: 100_000,
--- a/tests/taskHome/histories/HistoryHomes.ts
+++ b/tests/taskHome/histories/HistoryHomes.ts
@@ -1,6 +1,7 @@
 import type { StoreStandIn } from '../../../standins/store/index.js';
 import type { MemoryEventLog } from '../../../src/logging/index.js';
 import { MemoryMetrics } from '../../../src/metrics/index.js';
+import { QueuePools } from '../../../src/queues/index.js';
 import { ALL_MECHANISMS } from '../../../src/systems/index.js';
 import type { LeasedTargetPort } from '../../../src/targets/index.js';
 import { PartitionOpening } from '../../../src/taskHome/PartitionOpening.js';
@@ -196,6 +197,7 @@
       mechanisms: ALL_MECHANISMS,
       metrics: new MemoryMetrics(),
       getEntries: () => this.options.entries,
+      queuePools: new QueuePools({ store, topic: 'queues', clock: time, events }),
       listOrganisations: () => [],
       isGroupLeaseHeld: () => this.isLatest(process),
       mayExtendLeases: () => time.monotonicMs() < process.replacedAtMs + extensionMs,
--- a/tests/taskHome/preemptions.test.ts
+++ b/tests/taskHome/preemptions.test.ts
@@ -30,7 +30,7 @@
     await sleep(SEVERAL_ROUNDS_MS);
   };
 
-  const submitUrgent = (): Promise<void> =>
+  const submitUrgent = (): Promise<readonly string[]> =>
     home.submit(makeJob('urgent', [makeStep({ demand: DEMAND })]));
 
   beforeEach(async () => {
--- a/tests/taskHome/silentHomes.test.ts
+++ b/tests/taskHome/silentHomes.test.ts
@@ -11,7 +11,7 @@
   PoolPartitions,
 } from '../../src/taskHome/index.js';
 import { SystemClock } from '../../src/utils/index.js';
-import { HomeWorld, makeJob } from './HomeWorld.js';
+import { HomeWorld, makeJob, TERMS } from './HomeWorld.js';
 
 const REFUSAL = { type: 'refused', kind: 'home-unavailable', message: 'Not now.' } as const;
 const HOME = { instance: 'home', host: '10.0.0.1', port: 7_700 };
@@ -37,7 +37,7 @@
 // Guards against callers without an answer, as the home on their own instance waits for the store.
 it.each([
   { name: 'submission', call: (gateway: JobGateway) => gateway.submit(makeJob('a')) },
-  { name: 'cancel', call: (gateway: JobGateway) => gateway.cancel('pages', 'a') },
+  { name: 'cancel', call: (gateway: JobGateway) => gateway.cancel(TERMS, 'a') },
 ])(
   'answers a $name in time, as in doubt, while the home on its instance is silent',
   async ({ call }) => {
@@ -61,7 +61,7 @@
   };
   const gateway = createGateway({ peers: { call }, directory: { get: () => HOME, refresh } });
   const startedAtMs = performance.now();
-  await expect(gateway.getState('pages', 'a')).rejects.toMatchObject({ kind: 'peer-unavailable' });
+  await expect(gateway.getState(TERMS, 'a')).rejects.toMatchObject({ kind: 'peer-unavailable' });
   expect(performance.now() - startedAtMs).toBeLessThan(CALLER_WAIT_MS);
 });
 
@@ -77,7 +77,7 @@
   world.store.faults.isSilent = false;
   await gateway.submit(makeJob('a'));
   await world.waitForRunning(['a.0.0.0']);
-  expect(await gateway.getState('pages', 'a')).toBe('running');
+  expect(await gateway.getState(TERMS, 'a')).toBe('running');
   world.close();
   expect(world.targets.violations).toEqual([]);
 });
