Close other pools by the version of the pool that accepts a job

Cause: the question that closes another pool carried the version of the entry. By version 1, archive was closed to nothing that mattered, denied the job, and went on to accept it by version 2, while pages (version 3) accepted it by the entry of version 1. Found by reading beside it: a search stayed valid however late it was used; a pool that had denied the job might have accepted it by a later version, before the asking pool registered anew.

Ruled out: refusing every entry that is behind the registration. The pool is the right one, and its caller would be turned away for seconds.

Change: the home names the version of its own registration with the pools to be searched, the entry asks by that version and submits with the search it has made; the home wants a new one if its registration is later.

Why it holds: a pool between has to register anew before it accepts a job by its own version, and then sees the later registration, or asks that pool.

Both guards are caught when taken out.

--- a/scripts/movedQueueMutants.ts
+++ b/scripts/movedQueueMutants.ts
@@ -39,6 +39,22 @@
     test: HOME_TEST,
     name: 'does not store it once it has denied it',
   },
+  {
+    failure: 'a second job: a pool between is closed to the version of an entry that is behind',
+    file: 'src/taskHome/QueueMoves.ts',
+    find: 'queuePools.getVersion(queue) ?? configurationVersion',
+    replace: 'configurationVersion',
+    test: HOME_TEST,
+    name: 'closes other pools by the version of the pool that accepts a job, not by that of its entry',
+  },
+  {
+    failure: 'a second job: a search counts that was made before the latest registration',
+    file: 'src/taskHome/JobSubmissions.ts',
+    find: 'search === undefined || search.configurationVersion < needed.configurationVersion',
+    replace: 'search === undefined',
+    test: HOME_TEST,
+    name: 'wants a search anew that was made before its latest registration',
+  },
   {
     failure: 'a denial before the closing is stored',
     file: 'src/taskHome/QueueMoves.ts',
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -32,6 +32,7 @@
 export { durableJobStateSchema } from './durableJobStateSchema.js';
 export { type JobProgress, restoreJobRow } from './jobProgress.js';
 export { countLateFailure, isUnheardRun, noteUnheardRun } from './lateFailures.js';
+export type { PoolSearch } from './PoolSearch.js';
 export {
   advanceOccurrences,
   countOccurrenceTasks,
--- a/src/peers/PeerMessage.ts
+++ b/src/peers/PeerMessage.ts
@@ -3,6 +3,7 @@
   CallerIdentity,
   DurableJobSpec,
   DurableJobState,
+  PoolSearch,
   QueueReference,
 } from '../jobs/index.js';
 import type { LogEntry } from '../platform/index.js';
@@ -54,8 +55,8 @@
   | (OfCaller & {
       readonly type: 'submit-durable-job';
       readonly job: DurableJobSpec;
-      /** Other pools of the job's queue whose homes have denied to have the job. */
-      readonly searchedPools?: readonly string[];
+      /** Search in which no home had the job; absent if there was none. */
+      readonly search?: PoolSearch;
     })
   /** Asks, for a later pool of the queue, whether a job is stored; if not, it never will be. */
   | (OfCaller & OfQueue & { readonly type: 'find-durable-job'; readonly jobId: string })
@@ -177,8 +178,8 @@
       /** Other pools of the queue, whose homes may have more jobs of it. */
       readonly otherPools?: readonly string[];
     }
-  /** A submission was not stored: the homes of these pools of its queue have to be asked first. */
-  | { readonly type: 'other-pools'; readonly pools: readonly string[] }
+  /** A submission was not stored: its job has to be searched for first. */
+  | { readonly type: 'search-first'; readonly search: PoolSearch }
   | { readonly type: 'found-job'; readonly isStored: boolean }
   | { readonly type: 'pool-demand'; readonly demand: PoolDemand }
   | {
--- a/src/peers/peerSchemas.ts
+++ b/src/peers/peerSchemas.ts
@@ -13,6 +13,7 @@
 const caller = z
   .looseObject({ organisation: id, keyDigest: id, configurationVersion: z.number() })
   .optional();
+const poolSearch = z.looseObject({ pools: z.array(id), configurationVersion: z.number() });
 const queueReference = z.looseObject({
   queue: id,
   pool: id,
@@ -84,7 +85,7 @@
     type: z.literal('submit-durable-job'),
     pool: id,
     job: durableJobSpecSchema,
-    searchedPools: z.array(id).optional(),
+    search: poolSearch.optional(),
     caller,
   }),
   z.looseObject({
@@ -174,7 +175,7 @@
     otherPools: z.array(id).optional(),
   }),
   z.looseObject({ type: z.literal('pending-jobs'), count, otherPools: z.array(id).optional() }),
-  z.looseObject({ type: z.literal('other-pools'), pools: z.array(id) }),
+  z.looseObject({ type: z.literal('search-first'), search: poolSearch }),
   z.looseObject({ type: z.literal('found-job'), isStored: z.boolean() }),
   z.looseObject({
     type: z.literal('pool-demand'),
--- a/src/taskHome/CallerJobs.ts
+++ b/src/taskHome/CallerJobs.ts
@@ -4,6 +4,7 @@
   type DurableJobSpec,
   type DurableJobState,
   isFinished,
+  type PoolSearch,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import type { QueuePools } from '../queues/index.js';
@@ -65,8 +66,8 @@
   }
 
   /** {@inheritDoc JobSubmissions.submit} */
-  submit(spec: DurableJobSpec, searchedPools?: readonly string[]): Promise<readonly string[]> {
-    return this.submissions.submit(spec, searchedPools);
+  submit(spec: DurableJobSpec, search?: PoolSearch): Promise<PoolSearch | undefined> {
+    return this.submissions.submit(spec, search);
   }
 
   /** {@inheritDoc JobSubmissions.find} */
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -4,6 +4,7 @@
   type DurableJobSpec,
   type DurableJobState,
   getQueueReference,
+  type PoolSearch,
   type QueueReference,
 } from '../jobs/index.js';
 import type { LimitOrder, PoolDemand } from '../systems/index.js';
@@ -17,6 +18,9 @@
 /** How long a drain lasts without another message, in milliseconds: ten checks of the fleet. */
 const DRAIN_DURATION_MS = 3_000;
 
+/** Searches for the job of one submission; a further one follows a move of its queue meanwhile. */
+const MAX_SEARCH_COUNT = 3;
+
 /** A call of a caller about one job. */
 interface JobCall {
   readonly type: 'submit' | 'read' | 'cancel';
@@ -58,7 +62,7 @@
    * @throws RattanliftError With an outcome of `not-run` only if the job is certainly not stored.
    */
   async submit(job: DurableJobSpec, caller?: CallerIdentity): Promise<void> {
-    await this.submitAfterSearch(job, caller, []);
+    await this.submitAfterSearch(job, caller, undefined, 0);
   }
 
   /**
@@ -141,33 +145,44 @@
     return reply.type === 'organisation-use' ? reply : { use: [], parts: [] };
   }
 
-  /** Submits a job once the homes of some pools have denied to have it. */
+  /** Submits a job, and searches for it first where its home wants that. */
   private async submitAfterSearch(
     job: DurableJobSpec,
     caller: CallerIdentity | undefined,
-    searchedPools: readonly string[],
+    search: PoolSearch | undefined,
+    searchCount: number,
   ): Promise<void> {
-    const { jobId, terms } = job;
-    const { pool } = terms;
+    const { pool } = job.terms;
     const type = 'submit-durable-job';
-    const reply = await this.calls.call({ type, pool, job, caller, searchedPools });
-    if (reply.type !== 'other-pools') return;
-    const pools = reply.pools.filter((other) => !searchedPools.includes(other));
-    if (pools.length === 0) throwError('home-unavailable', 'The home asks for no other pool.');
-    const isStored = await this.search({ type: 'submit', jobId, pool }, pools, async (other) =>
-      (await this.isStoredIn(other, job, caller)) ? true : undefined,
-    );
-    if (isStored === undefined) {
-      await this.submitAfterSearch(job, caller, [...searchedPools, ...pools]);
+    const reply = await this.calls.call({ type, pool, job, caller, search });
+    if (reply.type !== 'search-first') return;
+    if (searchCount >= MAX_SEARCH_COUNT) {
+      throwError('home-unavailable', 'The queue of the job is moved again and again.');
     }
+    const isStored = await this.isStoredElsewhere(job, caller, reply.search);
+    if (!isStored) await this.submitAfterSearch(job, caller, reply.search, searchCount + 1);
+  }
+
+  private async isStoredElsewhere(
+    job: DurableJobSpec,
+    caller: CallerIdentity | undefined,
+    { pools, configurationVersion }: PoolSearch,
+  ): Promise<boolean> {
+    const { jobId, terms } = job;
+    const call = { type: 'submit', jobId, pool: terms.pool } as const;
+    const found = await this.search(call, pools, async (pool) =>
+      (await this.isStoredIn(pool, job, caller, configurationVersion)) ? true : undefined,
+    );
+    return found === true;
   }
 
   private async isStoredIn(
     pool: string,
     { jobId, terms }: DurableJobSpec,
     caller: CallerIdentity | undefined,
+    configurationVersion: number,
   ): Promise<boolean> {
-    const queue = getQueueReference(terms);
+    const queue = { ...getQueueReference(terms), configurationVersion };
     try {
       const reply = await this.calls.call({ type: 'find-durable-job', pool, jobId, queue, caller });
       return reply.type === 'found-job' && reply.isStored;
--- a/src/taskHome/JobSubmissions.ts
+++ b/src/taskHome/JobSubmissions.ts
@@ -3,6 +3,7 @@
   countOccurrenceTasks,
   type DurableJobSpec,
   isVisibleTo,
+  type PoolSearch,
   type QueueReference,
   type TrackedJob,
 } from '../jobs/index.js';
@@ -42,6 +43,18 @@
   readonly queue: QueueReference;
 }
 
+/**
+ * Tells whether a search was as wide as the one that is needed. Guards against a search that is out
+ * of date: a pool that denied the job may have accepted it since, by a later version.
+ */
+function covers(search: PoolSearch | undefined, needed: PoolSearch): boolean {
+  if (needed.pools.length === 0) return true;
+  if (search === undefined || search.configurationVersion < needed.configurationVersion) {
+    return false;
+  }
+  return needed.pools.every((pool) => search.pools.includes(pool));
+}
+
 /** Takes the jobs that callers submit to a home. */
 export class JobSubmissions {
   private readonly options: JobSubmissionsOptions;
@@ -58,22 +71,18 @@
    * Stores a job unless it is known or refused. A refusal leaves nothing behind; only the rate at
    * which work arrives counts it, since its caller needs the capacity all the same.
    * @param spec - The job.
-   * @param searchedPools - Pools whose homes have denied to have the job.
-   * @returns Resolves once the job is stored, with no pools; or with the pools whose homes have to
-   * be asked before, and nothing is stored.
+   * @param search - Search in which no home had the job; absent if there was none.
+   * @returns Resolves with nothing once the job is stored; or with the search that has to come
+   * first, and nothing is stored.
    * @throws RattanliftError If the job was not stored and never will be, or if the home has been
    * replaced meanwhile.
    */
-  async submit(
-    spec: DurableJobSpec,
-    searchedPools: readonly string[] = [],
-  ): Promise<readonly string[]> {
+  async submit(spec: DurableJobSpec, search?: PoolSearch): Promise<PoolSearch | undefined> {
     const { moves, table } = this.options;
     const { jobId, organisation, terms } = spec;
     if (table.get(jobId) === undefined) {
-      const otherPools = await moves.register(terms);
-      const unsearched = otherPools.filter((pool) => !searchedPools.includes(pool));
-      if (unsearched.length > 0) return unsearched;
+      const neededSearch = await moves.register(terms);
+      if (!covers(search, neededSearch)) return neededSearch;
     }
     // Another submission, or a later pool of the queue, may have come meanwhile.
     const known = table.get(jobId);
@@ -83,7 +92,7 @@
     } else {
       await this.whenStored(known, organisation);
     }
-    return [];
+    return undefined;
   }
 
   /**
--- a/src/taskHome/QueueMoves.ts
+++ b/src/taskHome/QueueMoves.ts
@@ -1,5 +1,5 @@
 import { throwError, toRattanliftError } from '../errors/index.js';
-import type { DurableJobRow, QueueReference } from '../jobs/index.js';
+import type { DurableJobRow, PoolSearch, QueueReference } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import { getQueueKey, type QueuePools } from '../queues/index.js';
 import type { KeyedRecord } from '../store/index.js';
@@ -59,15 +59,22 @@
    * Registers the pool of a queue before the queue's first job is stored there. Does nothing for a
    * request of an instance of an earlier release, which names no version.
    * @param queue - The queue.
-   * @returns The other pools of the queue, which may have the job.
+   * @returns The search that the queue's jobs need: its other pools, which may have the job.
    * @throws RattanliftError Of kind `home-unavailable` if the store does not answer, or
    * `outcome-unknown` if the queue is closed to the version of the request.
    */
-  async register(queue: QueueReference): Promise<readonly string[]> {
-    if (queue.configurationVersion === undefined) return [];
+  async register(queue: QueueReference): Promise<PoolSearch> {
+    const { configurationVersion } = queue;
+    if (configurationVersion === undefined) return { pools: [], configurationVersion: 0 };
+    const { queuePools } = this.options;
     this.assertOpen(queue);
-    if (!this.isRegistered(queue)) await this.options.queuePools.register(queue);
-    return this.options.queuePools.listOthers(queue);
+    if (!this.isRegistered(queue)) await queuePools.register(queue);
+    // An entry that is behind may ask a pool that the queue has left since, and is back at. Closed
+    // to the entry's version alone, the pool between would go on accepting jobs by its own.
+    return {
+      pools: queuePools.listOthers(queue),
+      configurationVersion: queuePools.getVersion(queue) ?? configurationVersion,
+    };
   }
 
   /**
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -1,5 +1,5 @@
 import { RattanliftError, throwError } from '../errors/index.js';
-import type { DurableJobSpec, DurableJobState } from '../jobs/index.js';
+import type { DurableJobSpec, DurableJobState, PoolSearch } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
@@ -178,19 +178,16 @@
   /**
    * Accepts a job. A repeated submission changes nothing.
    * @param spec - The job.
-   * @param searchedPools - Pools whose homes have denied to have the job.
-   * @returns Resolves once the job is stored, with no pools; or with other pools of its queue, and
-   * nothing is stored: their homes have to be asked first.
+   * @param search - Search in which no home had the job; absent if there was none.
+   * @returns Resolves with nothing once the job is stored; or with the search that has to come
+   * first, and nothing is stored.
    * @throws RattanliftError Of kind `home-unavailable`, `log-unavailable`, `no-capacity` or
    * `job-too-large` if the job was not stored and never will be, `request-id-reused` if another
    * organisation's job has the id, or `outcome-unknown`.
    */
-  async submit(
-    spec: DurableJobSpec,
-    searchedPools?: readonly string[],
-  ): Promise<readonly string[]> {
+  async submit(spec: DurableJobSpec, search?: PoolSearch): Promise<PoolSearch | undefined> {
     this.assertIsOpen();
-    return this.jobs.submit(spec, searchedPools);
+    return this.jobs.submit(spec, search);
   }
 
   /**
--- a/src/taskHome/handleJobRequest.ts
+++ b/src/taskHome/handleJobRequest.ts
@@ -41,8 +41,8 @@
 async function dispatch(home: TaskHome, request: DurableJobRequest): Promise<PeerReply> {
   switch (request.type) {
     case 'submit-durable-job': {
-      const pools = await home.submit(request.job, request.searchedPools);
-      return pools.length === 0 ? { type: 'done' } : { type: 'other-pools', pools };
+      const search = await home.submit(request.job, request.search);
+      return search === undefined ? { type: 'done' } : { type: 'search-first', search };
     }
     case 'find-durable-job': {
       const { jobId, queue, caller } = request;
--- a/tests/taskHome/TaskHome.test.ts
+++ b/tests/taskHome/TaskHome.test.ts
@@ -292,7 +292,7 @@
     });
     await expect(home.submit(makeJob('b'))).rejects.toMatchObject({ kind: 'log-unavailable' });
     world.store.faults.isSilent = false;
-    expect(await first).toEqual([]);
+    expect(await first).toBeUndefined();
     const { records } = await world.store.readNewest('jobs', 0);
     expect(records.some(({ key }) => key.includes('b'))).toBe(false);
   });
--- a/tests/taskHome/movedQueues.test.ts
+++ b/tests/taskHome/movedQueues.test.ts
@@ -62,6 +62,20 @@
   }, 15_000);
 });
 
+// Guards against a second run by a pool between, which was closed to the entry's version alone.
+it('closes other pools by the version of the pool that accepts a job, not by that of its entry', async () => {
+  const world = new MovedQueueWorld(SEED);
+  await world.start();
+  world.move('archive');
+  expect(await world.getState('a')).toBeUndefined();
+  world.move('pages');
+  expect(await world.getState('a')).toBeUndefined();
+  await world.submit('a', 2);
+  await expect(world.submit('a', 1)).rejects.toMatchObject(OUTCOME_UNKNOWN);
+  expect(await world.listStoredIn('a')).toEqual(['pages']);
+  world.close();
+});
+
 describe('a home whose queue is moved while it accepts a job', () => {
   const EARLIER: QueueTerms = { ...TERMS, address: 'wiki.example/save/', configurationVersion: 1 };
   const LATER: QueueTerms = { ...EARLIER, pool: 'archive', configurationVersion: 2 };
@@ -88,6 +102,19 @@
     expect(home.getState('a')).toBeUndefined();
   });
 
+  // Guards against a job that another pool has accepted since its entry has searched for it.
+  it('wants a search anew that was made before its latest registration', async () => {
+    const home = await world.open();
+    const job = { ...makeJob('a'), terms: { ...EARLIER, configurationVersion: 3 } };
+    await world.queuePools.register(LATER);
+    const needed = { pools: ['archive'], configurationVersion: 3 };
+    expect(await home.submit(job)).toEqual(needed);
+    expect(await home.submit(job, { ...needed, configurationVersion: 2 })).toEqual(needed);
+    expect(await home.submit(job, { ...needed, pools: [] })).toEqual(needed);
+    expect(await home.submit(job, needed)).toBeUndefined();
+    expect(home.getState('a')).toBeDefined();
+  });
+
   // Guards against a denial of a job whose append is on its way.
   it('tells a later pool of a job that is being stored', async () => {
     const home = await world.open();
--- a/tests/taskHome/preemptions.test.ts
+++ b/tests/taskHome/preemptions.test.ts
@@ -30,8 +30,9 @@
     await sleep(SEVERAL_ROUNDS_MS);
   };
 
-  const submitUrgent = (): Promise<readonly string[]> =>
-    home.submit(makeJob('urgent', [makeStep({ demand: DEMAND })]));
+  const submitUrgent = async (): Promise<void> => {
+    await home.submit(makeJob('urgent', [makeStep({ demand: DEMAND })]));
+  };
 
   beforeEach(async () => {
     world.entries.delete('t2');
