Blame no task for a crash whose start reached nobody

Cause: a start counts as sent once it is on its way, and a start that a dead target's machine refuses (no process listens there) stayed "without an answer". The crash, which the list of VMs shows later, was then attributed to the task as well as to the one that had caused it.

Ruled out: giving the task to another target at once. It would be placed there again and again until the target counts as silent; that is a change of placement, and not needed for the truth.

Change: a start whose connection is refused is answered as `unreachable`, and an order tells whether any start may have reached its target. The start is repeated as before. A repeat that reaches nobody takes nothing back of an earlier start without an answer, and an order of an earlier home counts as received.

Why it holds: the system refuses a connection before a byte is sent, so the target cannot have begun the run by that call.

The guard is caught when it is taken out.

--- a/scripts/crashMutants.ts
+++ b/scripts/crashMutants.ts
@@ -111,4 +111,12 @@
     test: ROOM_TEST,
     name: 'get nothing of a rush until what an earlier home placed fits again',
   },
+  {
+    failure: 'a job that is failed for crashes under which nothing of it had begun',
+    file: 'src/taskHome/RunOrder.ts',
+    find: "hasReceivedStart || life.phase === 'starting'",
+    replace: "life.phase !== 'unsent'",
+    test: 'tests/taskHome/crashes.test.ts',
+    name: 'gives no task up of which a dead target has received no start',
+  },
 ];
--- a/src/targets/LeasedTargetPort.ts
+++ b/src/targets/LeasedTargetPort.ts
@@ -33,7 +33,9 @@
       readonly reason: StartRefusal;
       readonly targetClockMs?: number | undefined;
     }
-  | { readonly type: 'other-lifetime' };
+  | { readonly type: 'other-lifetime' }
+  /** No connection could be opened, so the target has not received the start. */
+  | { readonly type: 'unreachable' };
 
 /** Answer to a stop request or a change of the pace. */
 export type CommandAnswer =
--- a/src/targets/targetCallSchemas.ts
+++ b/src/targets/targetCallSchemas.ts
@@ -58,6 +58,7 @@
   z.looseObject({ type: z.literal('accepted') }),
   z.looseObject({ type: z.literal('refused'), reason: text, targetClockMs: number.optional() }),
   z.looseObject({ type: z.literal('other-lifetime') }),
+  z.looseObject({ type: z.literal('unreachable') }),
   z.looseObject({ type: z.literal('reborn'), targetId: text }),
   z.looseObject({ type: z.literal('stale-term') }),
   z.looseObject({ type: z.literal('unhealthy') }),
--- a/src/taskHome/RunCommands.ts
+++ b/src/taskHome/RunCommands.ts
@@ -45,8 +45,14 @@
       if (answer.type === 'refused') {
         events.write('startRefused', { ...fields, reason: answer.reason });
       }
+      if (answer.type === 'unreachable') {
+        events.write('startUnanswered', { ...fields, reason: 'No connection could be opened.' });
+      } else {
+        Object.assign(order, { hasReceivedStart: true });
+      }
       if (this.options.isCurrent(order)) this.handleStartAnswer(order, answer);
     } catch (thrown) {
+      Object.assign(order, { hasReceivedStart: true });
       events.write('startUnanswered', { ...fields, reason: String(thrown) });
       if (this.options.isCurrent(order)) this.options.apply(order, { type: 'start-unanswered' });
     }
@@ -64,6 +70,10 @@
       case 'other-lifetime':
         onOtherLifetime(order.targetId);
         return;
+      case 'unreachable':
+        // The target may be back at any moment, so the start is repeated like an unanswered one.
+        this.options.apply(order, { type: 'start-unanswered' });
+        return;
       case 'refused':
         if (answer.targetClockMs !== undefined) onClock(order.targetId, answer.targetClockMs);
         this.handleRefusal(order, answer.reason);
--- a/src/taskHome/RunOrder.ts
+++ b/src/taskHome/RunOrder.ts
@@ -3,7 +3,7 @@
 
 /** A run that was ordered from a target. */
 export interface OrderedRun extends RunKey {
-  /** Whether its start was sent, so that the target may have begun it. */
+  /** Whether a start may have reached the target, so that it may have begun the run. */
   readonly isSent: boolean;
   /** Whether the target is known to run it, and it is not being stopped. */
   readonly isRunning: boolean;
@@ -15,6 +15,8 @@
 export interface RunOrder extends RunKey {
   /** What is known of the run. */
   life: RunLife;
+  /** Whether the target may have received a start of this or an earlier home. */
+  hasReceivedStart: boolean;
   /** Since when the target is known to run it, by the monotonic clock. */
   begunAtMs: number | undefined;
   /** Monotonic time of the last answer; a report that is requested later shows the run. */
@@ -26,8 +28,9 @@
  * @param order - The order.
  * @returns The run and its known state.
  */
-export function describeOrder({ taskName, run, targetId, life, begunAtMs }: RunOrder): OrderedRun {
-  const isSent = life.phase !== 'unsent';
+export function describeOrder(order: RunOrder): OrderedRun {
+  const { taskName, run, targetId, life, hasReceivedStart, begunAtMs } = order;
+  const isSent = hasReceivedStart || life.phase === 'starting';
   const isRunning = life.phase === 'started';
   return { taskName, run, targetId, isSent, isRunning, begunAtMs };
 }
--- a/src/taskHome/RunOrders.ts
+++ b/src/taskHome/RunOrders.ts
@@ -16,7 +16,9 @@
    */
   add({ taskName, run, targetId }: RunKey, life: RunLife): void {
     this.forget(taskName);
-    const order = { taskName, run, targetId, life, begunAtMs: undefined, answeredAtMs: 0 };
+    const hasReceivedStart = life.phase !== 'unsent';
+    const begun = { hasReceivedStart, begunAtMs: undefined, answeredAtMs: 0 };
+    const order = { taskName, run, targetId, life, ...begun };
     this.byTask.set(taskName, order);
     const onTarget = this.byTarget.get(targetId) ?? new Set();
     this.byTarget.set(targetId, onTarget.add(order));
--- a/tests/platformAdapter/PlatformTargets.test.ts
+++ b/tests/platformAdapter/PlatformTargets.test.ts
@@ -54,6 +54,19 @@
     expect(answer).toHaveProperty('ended.length', count);
   });
 
+  // Guards against a start that counts as begun on a target that was dead before it was sent.
+  it('tells of a start that has reached nobody', async () => {
+    const { port } = server.address() as AddressInfo;
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+    const target = { targetId: TARGET_ID, host: '127.0.0.1', port };
+    const start = { taskName: 'a.0.0.0', run: 1, payload: '', leaseUntilTargetMs: 9, term: 1 };
+    const answer = await targets.start(target, start);
+    expect(answer).toEqual({ type: 'unreachable' });
+    expect(targetAnswerSchema.parse(answer)).toEqual(answer);
+  });
+
   // Guards against ends of a lifetime that count as those of the one before it.
   it.each([
     ['its own', `${TARGET_ID}@7`, 7, { type: 'report' }],
--- a/tests/taskHome/crashes.test.ts
+++ b/tests/taskHome/crashes.test.ts
@@ -118,6 +118,42 @@
     expect(countStarts(CULPRIT)).toBe(2);
   });
 
+  // Guards against a job that is shown as failed, of which nothing had begun on a crashed target.
+  it('gives no task up of which a dead target has received no start', async () => {
+    const home = await world.open();
+    const start = vi.spyOn(world.targets, 'start');
+    start.mockImplementation(async ({ targetId }) => {
+      if (!crashed.includes(targetId)) world.targets.crash(targetId);
+      return { type: 'unreachable' };
+    });
+    await home.submit(makeJob('good'));
+    for (let loss = 0; loss < 5; loss += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one loss follows the other
+      await waitForCrash();
+      // eslint-disable-next-line no-await-in-loop -- one loss follows the other
+      await tellCrashes(home);
+    }
+    expect(home.getState('good')).toBe('running');
+    await waitForCrash();
+    start.mockRestore();
+    await tellCrashes(home);
+    await world.waitForRunning(['good.0.0.0']);
+  });
+
+  // Guards against a task that hides behind a repeat of its start, which a dead target refuses.
+  it('counts a crash after a start without an answer, also if its repeat reaches nobody', async () => {
+    const home = await world.open();
+    const start = vi.spyOn(world.targets, 'start');
+    start.mockImplementation(async ({ targetId }) => {
+      if (crashed.includes(targetId)) return { type: 'unreachable' };
+      world.targets.crash(targetId);
+      throw new Error('The target has crashed.');
+    });
+    await home.submit(makeJob('bad'));
+    await crashTwice(home);
+    await vi.waitFor(() => expect(home.getState('bad')).toBe('failed'));
+  });
+
   // Guards against tasks that are given up because of lost racks, moves, maintenance or lapses.
   it('gives no task up whose targets are lost for other reasons', async () => {
     const home = await world.open();
