Tell a target's own id from that of a lifetime

Change: the id of such a target gets the separator behind it where it is formatted, and nothing behind that names no start.

Evidence: one of the two new cases of lifetimeId.test.ts fails on the code before ("i@1"; the other one, "i@", guards the new form).

The mutant of a crash that counts for nobody finds its guard again.

--- a/scripts/crashMutants.ts
+++ b/scripts/crashMutants.ts
@@ -81,9 +81,9 @@
   },
   {
     failure: 'a crash that counts for nobody, as the home died before the start was answered',
-    file: 'src/taskHome/RunOrder.ts',
-    find: "const isSent = life.phase !== 'unsent';",
-    replace: "const isSent = life.phase !== 'unsent' && life.phase !== 'unanswered';",
+    file: 'src/taskHome/RunOrders.ts',
+    find: "const hasReceivedStart = life.phase !== 'unsent';",
+    replace: "const hasReceivedStart = life.phase !== 'unsent' && life.phase !== 'unanswered';",
     test: CRASH_TEST,
     name: 'counts the crashes that no home lived to note',
   },
--- a/src/targets/lifetimeId.ts
+++ b/src/targets/lifetimeId.ts
@@ -8,13 +8,20 @@
   readonly bornAtMs: number | undefined;
 }
 
+/** Matches the id of a lifetime, of which the start may be left out. */
+const LIFETIME_PATTERN = /^(.*)@(-?\d+)?$/s;
+
 /**
  * Formats the id of a target's lifetime.
+ *
+ * Guards against a target whose own id looks like that of a lifetime, and which does not tell its
+ * start: it would be called by another id, and answer none of the calls.
  * @param lifetime - The target and its start.
- * @returns The id; that of the target itself if its start is unknown.
+ * @returns The id; that of the target itself if its start is unknown and it can't be mistaken.
  */
 export function formatLifetimeId({ instance, bornAtMs }: TargetLifetime): string {
-  return bornAtMs === undefined ? instance : `${instance}${SEPARATOR}${bornAtMs}`;
+  if (bornAtMs !== undefined) return `${instance}${SEPARATOR}${bornAtMs}`;
+  return LIFETIME_PATTERN.test(instance) ? `${instance}${SEPARATOR}` : instance;
 }
 
 /**
@@ -23,7 +30,7 @@
  * @returns The target and its start.
  */
 export function parseLifetimeId(targetId: string): TargetLifetime {
-  const [, instance = targetId, bornAtMs] = /^(.*)@(-?\d+)$/.exec(targetId) ?? [];
+  const [, instance = targetId, bornAtMs] = LIFETIME_PATTERN.exec(targetId) ?? [];
   return { instance, bornAtMs: bornAtMs === undefined ? undefined : Number(bornAtMs) };
 }
 
--- a/tests/targets/lifetimeId.test.ts
+++ b/tests/targets/lifetimeId.test.ts
@@ -6,11 +6,14 @@
   parseLifetimeId,
 } from '../../src/targets/index.js';
 
+// Guards against a target that is called by another id, as its own looks like that of a lifetime.
 it.each([
   { instance: 'i-1', bornAtMs: undefined },
   { instance: 'i-1', bornAtMs: 0 },
   { instance: 'i@1', bornAtMs: 1_750_000_000_000 },
   { instance: 'i-1', bornAtMs: -5 },
+  { instance: 'i@1', bornAtMs: undefined },
+  { instance: 'i@', bornAtMs: undefined },
 ])('reads the id of a lifetime that it has written: %o', (lifetime) => {
   expect(parseLifetimeId(formatLifetimeId(lifetime))).toEqual(lifetime);
 });
