--- a/tests/platformAdapter/createCallerEdge.test.ts
+++ b/tests/platformAdapter/createCallerEdge.test.ts
@@ -109,6 +109,15 @@
     expect(answer.statusCode).toBe(503);
   });
 
+  // Guards against callers who are turned away because they write their ids in capitals.
+  it('takes ids in capital digits, as they are written', async () => {
+    const getState = vi.fn<Gateway['getState']>(async () => 'running');
+    const send = createEdge({ getState });
+    expect(await send('POST', '/saves/5C0E7A21D94B36F8')).toMatchObject({ status: 200 });
+    expect(await send('GET', '/saves/5C0E7A21D94B36F8')).toMatchObject({ status: 200 });
+    expect(getState.mock.calls[0]?.[1]).toBe('5C0E7A21D94B36F8');
+  });
+
   it('answers 400 with the field for malformed jobs and ids', async () => {
     const send = createEdge();
     expect((await send('POST', JOB_PATH, '{"spec":"s"}')).body).toContain('"field":"steps"');
--- a/tests/platformAdapter/decode.test.ts
+++ b/tests/platformAdapter/decode.test.ts
@@ -87,6 +87,11 @@
     });
   });
 
+  // Guards against callers who are turned away because they leave out what is empty.
+  it('takes a job without a payload for one with an empty payload', () => {
+    expect(decodeJob(toBytes({ steps: [{ count: 1 }] }), ORIGIN).payload).toBe('');
+  });
+
   it('reads steps that last, fill and come after others, and times', () => {
     const step = { count: 1, long_running: true, may_miss: 0, target_ms: 80, fills: true };
     const body = {
