Count the pools of queues that a read has found only as a whole

By reading, beside the move of queues: the first read of the registered pools is several pages. A page may hold a registration that was stored while the pages were read, and an earlier one may be on a page behind; until the rest is read, a home would have taken a queue for registered without its other pool, and might have accepted a job that the other pool has.

Change: records count once the read that brought them is complete.

Evidence: the new case of QueuePools.test.ts fails on the code before.

--- a/src/queues/QueuePools.ts
+++ b/src/queues/QueuePools.ts
@@ -41,6 +41,9 @@
 
   private readonly pools = new Set<string>();
 
+  /** Records of a read that is not complete. */
+  private readonly unappliedRecords: KeyedRecord[] = [];
+
   private readonly outage: OutageLog;
 
   /** The latest read; the next one begins after it, as both use the same follower. */
@@ -63,7 +66,7 @@
     this.follower = new KeyedFollower({
       ...options,
       partition: ONLY_PARTITION,
-      onRecord: (record) => this.applyRecord(record),
+      onRecord: (record) => this.unappliedRecords.push(record),
     });
   }
 
@@ -159,13 +162,20 @@
     return Math.max(...others.map(([, version]) => version));
   }
 
-  /** Reads after the reads before it, as all use the same follower. */
+  /**
+   * Reads after the reads before it, as all use the same follower. What is read counts as a whole:
+   * a page may hold a registration, and lack an earlier one that was stored behind the reading.
+   */
   private read(action: () => Promise<void>): Promise<void> {
-    const read = this.latestRead.then(() => this.attempt(action));
+    const read = this.latestRead.then(() => this.attempt(action)).then(() => this.applyRecords());
     this.latestRead = read.catch(() => undefined);
     return read;
   }
 
+  private applyRecords(): void {
+    this.unappliedRecords.splice(0).forEach((record) => this.applyRecord(record));
+  }
+
   private async attempt<Value>(action: () => Promise<Value>): Promise<Value> {
     try {
       const value = await action();
--- a/tests/queues/QueuePools.test.ts
+++ b/tests/queues/QueuePools.test.ts
@@ -43,6 +43,19 @@
   expect(behind.getVersion(QUEUE)).toBeUndefined();
 });
 
+// Guards against two pools that accept the same job, as a page holds the later registration alone.
+it('counts no registration of a read that is not complete', async () => {
+  const pools = open();
+  await open().register(QUEUE);
+  const readFrom = vi.spyOn(store, 'readFrom').mockRejectedValue(new Error('No answer.'));
+  await expect(pools.refresh()).rejects.toMatchObject({ kind: 'home-unavailable' });
+  expect(pools.getVersion(QUEUE)).toBeUndefined();
+  readFrom.mockRestore();
+  clock.advance(500);
+  await pools.refresh();
+  expect(pools.getVersion(QUEUE)).toBe(3);
+});
+
 // Guards against a version that falls, as an append that was held up is carried out late.
 it('keeps the highest version of a pool', async () => {
   const pools = open();
