Log a confirmation whose start reaches nobody

Seen in reading the change once more: since a refused connection is an answer of its own and no error, a start that is repeated to confirm a task under suspicion left no line in the log when it reached nobody; before, it was logged as unanswered like any other.

Change: it is logged as `startUnanswered` again, and both places give the answer's type as the reason, `unreachable`.

--- a/src/taskHome/RunCommands.ts
+++ b/src/taskHome/RunCommands.ts
@@ -46,7 +46,7 @@
         events.write('startRefused', { ...fields, reason: answer.reason });
       }
       if (answer.type === 'unreachable') {
-        events.write('startUnanswered', { ...fields, reason: 'No connection could be opened.' });
+        events.write('startUnanswered', { ...fields, reason: answer.type });
       } else {
         Object.assign(order, { hasReceivedStart: true });
       }
--- a/src/taskHome/RunConfirmations.ts
+++ b/src/taskHome/RunConfirmations.ts
@@ -61,6 +61,9 @@
     try {
       const answer = await port.start(address, start);
       if (answer.type === 'started') onClock(targetId, answer.targetClockMs);
+      if (answer.type === 'unreachable') {
+        events.write('startUnanswered', { taskName, run, targetId, term, reason: answer.type });
+      }
     } catch (thrown) {
       events.write('startUnanswered', { taskName, run, targetId, term, reason: String(thrown) });
     }
