Say once under which keys a queue is registered

Seen in reading the change once more: the pair of a queue's own key and that of its name was put together in three places of QueuePools, and the versions of a queue were looked up under the same digest twice for one answer. A search for a stored job turned a boolean into `true` or nothing, and back. In the tests, three methods of MovedQueueWorld were the same call with a delay before and after it, and two cases of movedQueues.test.ts replaced all instances in the same lines.

No behaviour, bound or assertion is changed; the two mutants that name these lines name the new ones.

Left: movedQueueHistories.test.ts plays its histories in real time, twenty side by side, and does not use findFailure with virtual time as the other histories do. That would shorten what it finds and repeat it exactly, and is a change of the test, not of its form. A submission digests the queue's address some seven times, and a home of an earlier release's jobs that can't register their queue logs `queuePoolsUnreachable` also where a later pool has come first.

--- a/scripts/movedQueueMutants.ts
+++ b/scripts/movedQueueMutants.ts
@@ -74,7 +74,7 @@
   {
     failure: 'a second job: a home registers its pool after a later one',
     file: 'src/queues/QueuePools.ts',
-    find: 'if (this.getOtherVersion(queue) <= version) return;',
+    find: 'if (getOtherVersion(this.getVersions(getQueueKey(queue)), queue.pool) <= version) return;',
     replace: 'if (version >= 0) return;',
     test: POOLS_TEST,
     name: 'refuses to register a pool after a later version has sent the queue elsewhere',
@@ -82,7 +82,7 @@
   {
     failure: 'a second job: a refused registration counts as one',
     file: 'src/queues/QueuePools.ts',
-    find: 'return version !== undefined && version >= this.getOtherVersion(queue) ? version : undefined;',
+    find: 'return isNewest ? version : undefined;',
     replace: 'return version;',
     test: HISTORIES_TEST,
     name: 'keeps each job one job, found at every time, whatever versions entries know',
--- a/src/queues/QueuePools.ts
+++ b/src/queues/QueuePools.ts
@@ -3,12 +3,7 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
 import { KeyedFollower, type KeyedLogPort, type KeyedRecord } from '../store/index.js';
 import type { Clock } from '../utils/index.js';
-import {
-  decodeQueuePool,
-  encodeQueuePool,
-  getQueueKey,
-  getQueueNameKey,
-} from './queuePoolRecord.js';
+import { decodeQueuePool, encodeQueuePool, getQueueKey, getQueueKeys } from './queuePoolRecord.js';
 
 /** Options of {@link QueuePools}. */
 export interface QueuePoolsOptions {
@@ -25,6 +20,14 @@
 /** Minimum time between two reads that questions call for, in milliseconds: calls are shared. */
 const MIN_READ_GAP_MS = 500;
 
+const NO_VERSIONS: ReadonlyMap<string, number> = new Map();
+
+/** Gets the highest version that has sent a queue to another pool. */
+function getOtherVersion(versions: ReadonlyMap<string, number>, ownPool: string): number {
+  const others = [...versions].filter(([pool]) => pool !== ownPool);
+  return Math.max(...others.map(([, version]) => version));
+}
+
 /**
  * The pools that the queues have had in any configuration under which a job was accepted.
  *
@@ -84,8 +87,7 @@
    * @returns The names of the pools.
    */
   listOthers(queue: QueueReference): readonly string[] {
-    const keys = [getQueueKey(queue), getQueueNameKey(queue)];
-    const pools = keys.flatMap((key) => [...(this.versionsByQueue.get(key)?.keys() ?? [])]);
+    const pools = getQueueKeys(queue).flatMap((key) => [...this.getVersions(key).keys()]);
     return [...new Set(pools)].filter((pool) => pool !== queue.pool);
   }
 
@@ -96,8 +98,10 @@
    * @returns The highest such version, or undefined if there is none.
    */
   getVersion(queue: QueueReference): number | undefined {
-    const version = this.versionsByQueue.get(getQueueKey(queue))?.get(queue.pool);
-    return version !== undefined && version >= this.getOtherVersion(queue) ? version : undefined;
+    const versions = this.getVersions(getQueueKey(queue));
+    const version = versions.get(queue.pool);
+    const isNewest = version !== undefined && version >= getOtherVersion(versions, queue.pool);
+    return isNewest ? version : undefined;
   }
 
   /** Reads what was registered since, unless that was done a moment ago. */
@@ -120,7 +124,7 @@
   async register(queue: QueueReference): Promise<void> {
     const { pool, configurationVersion = 0 } = queue;
     this.assertIsNewest(queue, configurationVersion);
-    const key = [getQueueKey(queue), getQueueNameKey(queue), pool, configurationVersion].join(' ');
+    const key = [...getQueueKeys(queue), pool, configurationVersion].join(' ');
     const pending = this.registrations.get(key) ?? this.append(queue, configurationVersion);
     this.registrations.set(key, pending);
     try {
@@ -134,8 +138,7 @@
   private async append(queue: QueueReference, configurationVersion: number): Promise<void> {
     const { store, topic, events } = this.options;
     const { queue: name, pool } = queue;
-    const keys = new Set([getQueueKey(queue), getQueueNameKey(queue)]);
-    const records = [...keys].map((queueKey) =>
+    const records = getQueueKeys(queue).map((queueKey) =>
       encodeQueuePool({ queueKey, pool, configurationVersion }),
     );
     const endOffset = await this.attempt(async () => {
@@ -151,15 +154,12 @@
 
   /** Guards against a second run of a job by an entry that does not know of the queue's move. */
   private assertIsNewest(queue: QueueReference, version: number): void {
-    if (this.getOtherVersion(queue) <= version) return;
+    if (getOtherVersion(this.getVersions(getQueueKey(queue)), queue.pool) <= version) return;
     throwError('outcome-unknown', 'The queue has moved to another pool.');
   }
 
-  /** Gets the highest version that has sent a queue to another pool. */
-  private getOtherVersion(queue: QueueReference): number {
-    const versions = [...(this.versionsByQueue.get(getQueueKey(queue)) ?? [])];
-    const others = versions.filter(([pool]) => pool !== queue.pool);
-    return Math.max(...others.map(([, version]) => version));
+  private getVersions(queueKey: string): ReadonlyMap<string, number> {
+    return this.versionsByQueue.get(queueKey) ?? NO_VERSIONS;
   }
 
   /**
--- a/src/queues/queuePoolRecord.ts
+++ b/src/queues/queuePoolRecord.ts
@@ -9,7 +9,7 @@
 
 /** A pool to which a configuration sent a queue. */
 export interface QueuePool {
-  /** Key of the queue, as {@link getQueueKey} or {@link getQueueNameKey} gives it. */
+  /** Key of the queue, as {@link getQueueKeys} gives it. */
   readonly queueKey: string;
   readonly pool: string;
   /** Version of the configuration. */
@@ -27,12 +27,7 @@
   return createHash(DIGEST_ALGORITHM).update(text).digest('hex').slice(0, DIGEST_LENGTH);
 }
 
-/**
- * Gets the key under which a queue is known by its name.
- * @param queue - The queue.
- * @returns The key.
- */
-export function getQueueNameKey({ queue }: Pick<QueueReference, 'queue'>): string {
+function getNameKey({ queue }: Pick<QueueReference, 'queue'>): string {
   return digest(`name ${queue}`);
 }
 
@@ -43,7 +38,16 @@
  */
 export function getQueueKey(queue: Pick<QueueReference, 'queue' | 'address'>): string {
   const { address } = queue;
-  return address === undefined ? getQueueNameKey(queue) : digest(`address ${address}`);
+  return address === undefined ? getNameKey(queue) : digest(`address ${address}`);
+}
+
+/**
+ * Gets all keys under which a queue is registered.
+ * @param queue - The queue.
+ * @returns Its own key, and that of its name if that is another one.
+ */
+export function getQueueKeys(queue: Pick<QueueReference, 'queue' | 'address'>): readonly string[] {
+  return [...new Set([getQueueKey(queue), getNameKey(queue)])];
 }
 
 /**
--- a/src/taskHome/JobGateway.ts
+++ b/src/taskHome/JobGateway.ts
@@ -170,10 +170,11 @@
   ): Promise<boolean> {
     const { jobId, terms } = job;
     const call = { type: 'submit', jobId, pool: terms.pool } as const;
-    const found = await this.search(call, pools, async (pool) =>
-      (await this.isStoredIn(pool, job, caller, configurationVersion)) ? true : undefined,
-    );
-    return found === true;
+    const foundIn = await this.search(call, pools, async (pool) => {
+      const isStored = await this.isStoredIn(pool, job, caller, configurationVersion);
+      return isStored ? pool : undefined;
+    });
+    return foundIn !== undefined;
   }
 
   private async isStoredIn(
--- a/tests/jobNode/movedQueues.test.ts
+++ b/tests/jobNode/movedQueues.test.ts
@@ -90,6 +90,16 @@
   }, 5_000);
 }
 
+/** Replaces every instance, and waits until each of the new ones tells that the job runs. */
+async function replaceInstances(): Promise<void> {
+  const earlier = cluster.nodes.splice(0);
+  await Promise.all(earlier.map(() => cluster.startNode()));
+  await Promise.all(earlier.map((node) => JobsCluster.stopNode(node)));
+  await vi.waitFor(async () => {
+    expect(await askAll('saves/jobs/save-1')).toEqual(['running', 'running', 'running']);
+  }, 8_000);
+}
+
 describe('a job whose queue is moved to another pool', () => {
   // Guards against an accepted job that is told to be unknown, and runs again when it is repeated.
   it('is found by every instance, and stays one job', async () => {
@@ -117,12 +127,7 @@
   it('is found after every instance has been replaced', async () => {
     await startJob();
     await place({ pool: 'archive' });
-    const earlier = cluster.nodes.splice(0);
-    await Promise.all(earlier.map(() => cluster.startNode()));
-    await Promise.all(earlier.map((node) => JobsCluster.stopNode(node)));
-    await vi.waitFor(async () => {
-      expect(await askAll('saves/jobs/save-1')).toEqual(['running', 'running', 'running']);
-    }, 8_000);
+    await replaceInstances();
     expect(await submit('saves/jobs/save-1', 1)).toBe(201);
     await finishJob('saves/jobs/save-1');
     expect(cluster.targets.begun).toHaveLength(TASKS.length);
@@ -147,12 +152,7 @@
     await startJob();
     await place({ pool: 'archive', pools: ['archive', 'media'] });
     expect(await askAll('saves/jobs/save-1')).toEqual(['running', 'running', 'running']);
-    const earlier = cluster.nodes.splice(0);
-    await Promise.all(earlier.map(() => cluster.startNode()));
-    await Promise.all(earlier.map((node) => JobsCluster.stopNode(node)));
-    await vi.waitFor(async () => {
-      expect(await askAll('saves/jobs/save-1')).toEqual(['running', 'running', 'running']);
-    }, 8_000);
+    await replaceInstances();
     await finishJob('saves/jobs/save-1');
     expect(cluster.targets.begun).toHaveLength(TASKS.length);
   }, 30_000);
--- a/tests/queues/QueuePools.test.ts
+++ b/tests/queues/QueuePools.test.ts
@@ -2,7 +2,7 @@
 import type { QueueReference } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { QueuePools } from '../../src/queues/index.js';
-import { encodeQueuePool, getQueueKey, getQueueNameKey } from '../../src/queues/queuePoolRecord.js';
+import { encodeQueuePool, getQueueKeys } from '../../src/queues/queuePoolRecord.js';
 import { ManualClock } from '../../src/utils/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
 
@@ -63,8 +63,8 @@
   await pools.register(QUEUE);
   await open().register(MOVED);
   await pools.register(back);
-  const { queue, pool } = QUEUE;
-  const late = [getQueueKey(QUEUE), getQueueNameKey({ queue })].map((queueKey) =>
+  const { pool } = QUEUE;
+  const late = getQueueKeys(QUEUE).map((queueKey) =>
     encodeQueuePool({ queueKey, pool, configurationVersion: 3 }),
   );
   await store.append({ topic: 'queues', partition: 0, records: late, timeoutMs: 100 });
--- a/tests/taskHome/MovedQueueWorld.ts
+++ b/tests/taskHome/MovedQueueWorld.ts
@@ -9,7 +9,7 @@
 import { MemoryMetrics } from '../../src/metrics/index.js';
 import type { PeerReply } from '../../src/peers/index.js';
 import { QueuePools } from '../../src/queues/index.js';
-import type { AppendRequest, KeyedLogPort } from '../../src/store/index.js';
+import type { KeyedLogPort } from '../../src/store/index.js';
 import { ALL_MECHANISMS } from '../../src/systems/index.js';
 import {
   handleJobRequest,
@@ -173,35 +173,26 @@
   private async handle(
     request: Parameters<typeof handleJobRequest>[1] & { readonly job?: DurableJobSpec },
   ): Promise<PeerReply> {
-    await this.delay();
-    const reply = await handleJobRequest(this.homes.get(request.pool), request);
-    await this.delay();
-    return reply;
+    return this.callLate(() => handleJobRequest(this.homes.get(request.pool), request));
   }
 
   private createAccess(): KeyedLogPort {
+    const { store } = this;
     return {
-      append: async (request: AppendRequest) => {
-        await this.delay();
-        const result = await this.store.append(request);
-        await this.delay();
-        return result;
-      },
-      readNewest: async (...page) => {
-        await this.delay();
-        const result = await this.store.readNewest(...page);
-        await this.delay();
-        return result;
-      },
-      readFrom: async (request) => {
-        await this.delay();
-        const result = await this.store.readFrom(request);
-        await this.delay();
-        return result;
-      },
+      append: (request) => this.callLate(() => store.append(request)),
+      readNewest: (...page) => this.callLate(() => store.readNewest(...page)),
+      readFrom: (request) => this.callLate(() => store.readFrom(request)),
     };
   }
 
+  /** Makes a call that takes a drawn time on its way, and its answer another one. */
+  private async callLate<Answer>(call: () => Promise<Answer>): Promise<Answer> {
+    await this.delay();
+    const answer = await call();
+    await this.delay();
+    return answer;
+  }
+
   private async delay(): Promise<void> {
     await sleep(this.random.next() * LONGEST_DELAY_MS);
   }
