--- a/review/common-2/Executor.mjs
+++ b/review/common-2/Executor.mjs
@@ -2,7 +2,8 @@
    no-use-before-define -- a small stand-in in one file */
 /**
  * A small stand-in of an executor and of its machine. The text `spec` of a job tells, as JSON, what
- * its work items do: `ms` (work), `saves` (whether a checkpoint is kept each second), `gang` (how
+ * its work items do: `ms` (work), `lasts` (its startup in ms, if it lasts until
+ * it is stopped), `saves` (whether a checkpoint is kept each second), `gang` (how
  * many members work together), `saveBytes` (length of a checkpoint).
  */
 import { createServer } from 'node:http';
@@ -231,6 +232,7 @@
   }
 
   getPercent({ job, doneMs }) {
+    if (job.lasts !== undefined) return Math.min(100, Math.floor((100 * doneMs) / job.lasts));
     return Math.min(99, Math.floor((100 * doneMs) / job.ms));
   }
 
