--- a/review/common-2/World.mjs
+++ b/review/common-2/World.mjs
@@ -123,6 +123,14 @@
     return new Set(runs).size;
   }
 
+  /** Counts the work items of a job that have ended `done`. */
+  countDone(id) {
+    const tasks = this.seen
+      .filter(({ event, task, how }) => event === 'end' && how === 'done' && task.startsWith(id))
+      .map(({ task }) => task);
+    return new Set(tasks).size;
+  }
+
   /** Tells whether an executor has begun a work item of a job. */
   hasStarted(id) {
     return this.seen.some(({ event, task }) => event === 'start' && task.startsWith(id));
