--- a/review/common-2/World.mjs
+++ b/review/common-2/World.mjs
@@ -104,6 +104,9 @@
     this.agent = new Agent({ keepAlive: false });
     this.isQuiet = false;
     process.once('exit', () => this.killAll());
+    ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) =>
+      process.once(signal, () => process.exit(2)),
+    );
   }
 
   log = (fields) => {
