Check the heads of requests before any handler, on each processor alike

Callers saw: on arm64 a request with a header without a name, or with a blank in a name or before the colon, reached the handlers; on x86-64 it was refused. On every processor a request without a Host got 400 with an empty body and without an outcome, one with two Hosts was served, and an Expect that is not known got 417 without a body. createHttpServer.test.ts was red on arm64, 5 of 5 runs.

Cause: what a head may have was left to the HTTP parser. Tried with plain node:http (20.19, llhttp 8.1.2) on arm64: `: x`, `A b: c` and `A : c` are handed over as headers; two Hosts, chunks in HTTP/1.0 and an unknown version too. Behind a balancer that reads such a head otherwise, a body is read as the next request.

Ruled out: folded values, bare line feeds and carriage returns, control characters, doubled or odd lengths, sizes of chunks: the parser refuses each.

Change: HeadGuard checks the version, the names by RFC 9110's token, Host, Expect and chunks in HTTP/1.0, as the first hook of the server that callers, operators, measurements and readiness share. The answer is that of other broken requests (400, JSON, not-run, close), in the order of the connection, so an answer that is due before comes first. Nothing that follows on the connection is handled, also where the router has refused the path.

Evidence: 37 of the 66 tests of HeadGuard.test.ts fail on the code before (run with a timeout of 1.5 s each), all pass now, with every name by its characters drawn in findHeadFault.test.ts; tests/callers 146 passed. The old test is unchanged and green. Not run on x86-64.

--- a/src/callers/createHttpServer.ts
+++ b/src/callers/createHttpServer.ts
@@ -6,6 +6,7 @@
 import { type Clock, SystemClock } from '../utils/index.js';
 import { answerBrokenRequest } from './answerBrokenRequest.js';
 import { CALLER_HEADERS } from './callerHeaders.js';
+import { HeadGuard } from './HeadGuard.js';
 import { isRequestId } from './headerValues.js';
 import { sendError } from './sendError.js';
 import { toRequestError } from './toRequestError.js';
@@ -111,6 +112,21 @@
   });
 }
 
+/** Refuses requests with a broken head before a handler sees them, and closes their connection. */
+function useHeadGuard(server: FastifyInstance, guard: HeadGuard): void {
+  server.addHook('onRequest', ({ raw }, reply, done) => {
+    const fault = guard.check(raw);
+    if (fault === undefined) {
+      done();
+      return;
+    }
+    void reply.header('Connection', 'close');
+    throwError('bad-request', `The request is broken: ${fault}.`, { field: 'request' });
+  });
+  // Without a listener, Node.js itself answers expectations that it does not know.
+  server.server.on('checkExpectation', server.routing);
+}
+
 /** Counts the requests of each connection that are being handled. */
 function countHandled(server: FastifyInstance): (socket: Socket) => number {
   const counts = new WeakMap<Socket, number>();
@@ -132,6 +148,7 @@
 export function createHttpServer(options: HttpServerOptions = {}): FastifyInstance {
   const { clock = new SystemClock(), createRequestId = randomUUID } = options;
   const receiveTimeoutMs = options.receiveTimeoutMs ?? DEFAULT_RECEIVE_TIMEOUT_MS;
+  const headGuard = new HeadGuard();
   let getHandledCount = (_socket: Socket): number => 0;
   const server = fastify({
     bodyLimit: options.bodyLimitBytes ?? DEFAULT_BODY_LIMIT_BYTES,
@@ -150,13 +167,16 @@
       keepAlive: true,
       keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
       noDelay: true,
+      // Checked by the guard of heads, whose answer tells the outcome.
+      requireHostHeader: false,
     },
     genReqId: (raw) => {
       const given = raw.headers[CALLER_HEADERS.requestId.toLowerCase()];
       return typeof given === 'string' && isRequestId(given) ? given : createRequestId();
     },
-    frameworkErrors: (thrown, _request, reply) => {
+    frameworkErrors: (thrown, { raw }, reply) => {
       const { error, httpStatus } = toRequestError(thrown);
+      if (headGuard.check(raw) !== undefined) void reply.header('Connection', 'close');
       sendError(reply, error, { nowMs: clock.wallMs(), httpStatus });
     },
     /**
@@ -171,6 +191,7 @@
     },
   });
   getHandledCount = countHandled(server);
+  useHeadGuard(server, headGuard);
   useRawBodies(server);
   useJsonErrors(server, clock, options);
   useGracefulClose(server);
