End what a home grants with the proof of its membership

The home and one target are cut off for 5.5 s, and the store deals its partitions anew 0.1 s later.

Cause: a home extended leases for 0.4 of a lease after its latest confirmed renewal, each time by a whole one. The next home waited for one lease from its claim, which is enough only where the claim comes a time to live later. A deal of the store's own comes at any time.

Ruled out: late answers of the group, late starts, slow clocks alone.

Change: a grant, in a renewal or a start, ends at the earlier of now + L and S + 1.15 L, S being the sending of the latest confirmed renewal; the age is that of the clock that shows more. The next home waits for 1.15 L from its claim, which is after S in every case. Until a target has answered the next home, a whole lease of an earlier one counts too.

The wait of LeaseLapses.test.ts is 1.15 leases, exactly, as it was 1.

--- a/bench/jobs/openBenchHome.ts
+++ b/bench/jobs/openBenchHome.ts
@@ -53,6 +53,7 @@
     listOrganisations: () => [],
     isGroupLeaseHeld: () => true,
     mayExtendLeases: () => true,
+    getConfirmationAgeMs: () => 0,
     onReplaced: () => undefined,
   });
   home.load(await opening.read(claimed));
--- a/scripts/oldKnowledgeMutants.ts
+++ b/scripts/oldKnowledgeMutants.ts
@@ -16,6 +16,14 @@
     test: LAPSE_TEST,
     name: 'lets a recorded lease be extended only once a record without it is stored',
   },
+  {
+    failure: 'a lease granted for longer than the next home waits for it',
+    file: 'src/taskHome/leaseBounds.ts',
+    find: 'Math.min(leaseMs, getLongestGrantMs(leaseMs) - confirmationAgeMs)',
+    replace: 'Math.min(leaseMs, confirmationAgeMs + leaseMs)',
+    test: 'tests/taskHome/leaseBounds.test.ts',
+    name: 'are kept where the group reassigns the partition at once',
+  },
   {
     failure: 'a lease taken for lapsed that a home in between has extended',
     file: 'src/taskHome/LeaseLapses.ts',
--- a/src/membership/HeldLease.ts
+++ b/src/membership/HeldLease.ts
@@ -46,6 +46,20 @@
     this.wallDeadlineMs = Math.max(this.wallDeadlineMs, sentAt.wallMs + durationMs);
   }
 
+  /**
+   * Gets the age of the lease, by the clock that shows more: one of them may have stood still.
+   * @returns Time since the latest accepted record was sent, in milliseconds; infinite before it.
+   */
+  getAgeMs(): number {
+    const { clock, timing } = this.options;
+    const durationMs = timing.leaseMs - timing.marginMs;
+    const leftMs = Math.min(
+      this.monotonicDeadlineMs - clock.monotonicMs(),
+      this.wallDeadlineMs - clock.wallMs(),
+    );
+    return durationMs - leftMs;
+  }
+
   /** Gives up the lease immediately. */
   drop(): void {
     this.monotonicDeadlineMs = Number.NEGATIVE_INFINITY;
--- a/src/taskHome/GroupMembership.ts
+++ b/src/taskHome/GroupMembership.ts
@@ -25,6 +25,8 @@
   readonly groupTiming: GroupTiming;
   /** How long after a confirmed renewal a member extends leases of targets, in milliseconds. */
   readonly leaseExtensionMs: number;
+  /** Longest time to live that a renewal asks for since answers are delayed, in milliseconds. */
+  readonly longestTtlMs: number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Whether this instance should hold partitions, given whether it is a member now. */
@@ -124,6 +126,15 @@
     return this.extension.isHeld();
   }
 
+  /**
+   * Tells how long the group has not confirmed this member. Nothing that happened to the share
+   * since then is known here.
+   * @returns Time since the latest confirmed renewal was sent, in milliseconds.
+   */
+  getConfirmationAgeMs(): number {
+    return this.lease.getAgeMs();
+  }
+
   /**
    * Waits until the membership has just been renewed in a way that allows for delayed answers.
    * @param maxMs - Longest wait, in milliseconds.
@@ -197,12 +208,14 @@
   }
 
   private async renew(): Promise<boolean> {
-    const { groups, group, member, topic, groupTiming, clock, onRenewed } = this.options;
+    const { groups, group, member, topic, groupTiming, longestTtlMs, clock } = this.options;
     const sentAt = this.lease.readClocks();
     const { generation } = this;
     const sentAtMs = clock.monotonicMs();
     const delayMs = this.options.getAnswerDelayMs();
-    const request = { group, member, topic, generation, ttlMs: groupTiming.ttlMs + delayMs };
+    const delayedTtlMs = Math.min(groupTiming.ttlMs + delayMs, longestTtlMs);
+    const ttlMs = Math.max(groupTiming.ttlMs, delayedTtlMs);
+    const request = { group, member, topic, generation, ttlMs };
     try {
       const share = await this.renewTimeout.run(clock, (timeoutMs) =>
         groups.join({ ...request, timeoutMs: timeoutMs + delayMs }),
@@ -214,7 +227,7 @@
       this.outage.noteSuccess({ group, member, generation });
       this.generation = share.generation;
       this.share = new Set(share.partitions);
-      onRenewed();
+      this.options.onRenewed();
       return true;
     } catch (thrown) {
       this.outage.noteFailure({ group, member, reason: String(thrown) });
--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -4,7 +4,7 @@
 import { decodeReadable, type DecodeReadableOptions } from './decodeReadable.js';
 import type { JobTable } from './JobTable.js';
 import { decodeLapseRecord, encodeLapseRecord, type LeaseLapse } from './LapseRecord.js';
-import { LAPSE_MARGIN_MS, SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
+import { getInheritedLeaseMs, LAPSE_MARGIN_MS, SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
 import type { RecordWriter } from './RecordWriter.js';
 import type { TargetSession } from './TargetSession.js';
 import type { TargetSessions } from './TargetSessions.js';
@@ -99,7 +99,7 @@
    * @returns The time by the monotonic clock.
    */
   getInheritedLapseAtMs(targetId: string): number {
-    const longestMs = this.options.timing.targetLeaseMs / SLOWEST_TARGET_CLOCK_RATE;
+    const longestMs = getInheritedLeaseMs(this.options.timing.targetLeaseMs);
     return this.inheritedLapseAtMs.get(targetId) ?? this.claimedAtMs + longestMs;
   }
 
--- a/src/taskHome/TargetSession.ts
+++ b/src/taskHome/TargetSession.ts
@@ -2,7 +2,7 @@
 import { type EventLog, OutageLog } from '../logging/index.js';
 import type { LeaseAnswer, LeasedTargetAddress, LeasedTargetPort } from '../targets/index.js';
 import { assertNever, type Clock } from '../utils/index.js';
-import { SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
+import { getGrantMs, SLOWEST_TARGET_CLOCK_RATE } from './leaseBounds.js';
 
 /** A report of a target with the time at which it was requested. */
 export interface TargetReport {
@@ -29,6 +29,8 @@
   readonly getWaitMs: () => number;
   /** Tells whether renewals and starts may extend the lease; otherwise it stays as it is. */
   readonly mayExtendLease: () => boolean;
+  /** Gets the time since the latest renewal was sent that the group has confirmed. */
+  readonly getConfirmationAgeMs: () => number;
   /** Gets by when a lease of an earlier home has certainly ended, by the monotonic clock. */
   readonly getInheritedLapseAtMs: () => number;
   readonly clock: Clock;
@@ -56,6 +58,9 @@
 
   private leaseUntilTargetMs = 0;
 
+  /** Latest end of a lease that an earlier home has granted before this one was first heard. */
+  private earlierLeaseUntilTargetMs = 0;
+
   private leaseExtendedAtMs = Number.NEGATIVE_INFINITY;
 
   private hasAnswered = false;
@@ -113,10 +118,11 @@
    * session has extended the lease, that of an earlier home may still be valid.
    */
   get latestLapseAtMs(): number {
-    const { clockReading, leaseUntilTargetMs, leaseExtendedAtMs } = this;
+    const { clockReading, leaseUntilTargetMs, earlierLeaseUntilTargetMs, leaseExtendedAtMs } = this;
     const hasExtended = leaseExtendedAtMs > Number.NEGATIVE_INFINITY;
     if (clockReading === undefined || !hasExtended) return this.options.getInheritedLapseAtMs();
-    const remainingMs = leaseUntilTargetMs - clockReading.targetMs;
+    const untilTargetMs = Math.max(leaseUntilTargetMs, earlierLeaseUntilTargetMs);
+    const remainingMs = untilTargetMs - clockReading.targetMs;
     return clockReading.atMs + Math.max(0, remainingMs) / SLOWEST_TARGET_CLOCK_RATE;
   }
 
@@ -148,20 +154,26 @@
   noteClock(targetMs: number): void {
     const nowMs = this.options.clock.monotonicMs();
     this.lastAnswerAtMs = nowMs;
+    // From its first answer on, the target refuses what earlier homes ask for.
+    if (this.clockReading === undefined) {
+      this.earlierLeaseUntilTargetMs = targetMs + this.options.leaseMs;
+    }
     if (targetMs >= this.getEarliestTargetMs(nowMs)) this.clockReading = { targetMs, atMs: nowMs };
   }
 
   /**
-   * Extends the lease that renewals and starts ask for, counted from now, if it may be extended.
+   * Extends the lease that renewals and starts ask for, if it may be extended. It ends a lease from
+   * now, but not later than this home's own right to the target can have lasted.
    * @returns Its end on the target's clock, in milliseconds.
    */
   extendLease(): number {
     const { clockReading } = this;
-    const mayExtend = this.options.mayExtendLease();
-    if (clockReading === undefined || !mayExtend) return this.leaseUntilTargetMs;
-    const nowMs = this.options.clock.monotonicMs();
+    const { clock, leaseMs, getConfirmationAgeMs, mayExtendLease } = this.options;
+    if (clockReading === undefined || !mayExtendLease()) return this.leaseUntilTargetMs;
+    const nowMs = clock.monotonicMs();
+    const grantMs = getGrantMs(leaseMs, getConfirmationAgeMs());
     // The next home counts on leases of their length: a slow clock may not make them any longer.
-    const untilMs = Math.floor(this.getEarliestTargetMs(nowMs) + this.options.leaseMs);
+    const untilMs = Math.floor(this.getEarliestTargetMs(nowMs) + grantMs);
     this.leaseUntilTargetMs = Math.max(this.leaseUntilTargetMs, untilMs);
     this.leaseExtendedAtMs = nowMs;
     return this.leaseUntilTargetMs;
--- a/src/taskHome/TargetSessions.ts
+++ b/src/taskHome/TargetSessions.ts
@@ -321,6 +321,7 @@
       clock,
       events,
       mayExtendLease: () => lapses.mayExtend(targetId) && !this.lapsedStarts.has(targetId),
+      getConfirmationAgeMs: this.options.getConfirmationAgeMs,
       getInheritedLapseAtMs: () => lapses.getInheritedLapseAtMs(targetId),
       onReport: async (report) => {
         await onReport(targetId, report);
--- a/src/taskHome/TargetSessionsOptions.ts
+++ b/src/taskHome/TargetSessionsOptions.ts
@@ -15,6 +15,8 @@
   readonly timing: Pick<TaskHomeTiming, 'targetLeaseMs'>;
   /** Gets how long a target may delay its answer until a run ends, in milliseconds. */
   readonly getTargetWaitMs: () => number;
+  /** Gets the time since the latest renewal was sent that the group has confirmed. */
+  readonly getConfirmationAgeMs: () => number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Targets of this home's pools as the platform lists them. */
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -37,6 +37,11 @@
   readonly isGroupLeaseHeld: () => boolean;
   /** Whether this instance may extend leases of targets, for some time beyond that. */
   readonly mayExtendLeases: () => boolean;
+  /**
+   * Gets the time since the latest renewal of the membership was sent that the group has confirmed,
+   * in milliseconds. Since then, the group may have given the partition to another instance.
+   */
+  readonly getConfirmationAgeMs: () => number;
   /** Called once when another home has taken over. */
   readonly onReplaced: () => void;
 }
--- a/src/taskHome/TaskHomes.ts
+++ b/src/taskHome/TaskHomes.ts
@@ -10,7 +10,7 @@
 import { ConcurrencyLimit, KeyedOnce, whenAborted } from '../utils/index.js';
 import { decodeReadable } from './decodeReadable.js';
 import { GroupMembership } from './GroupMembership.js';
-import { getLeaseExtensionMs } from './leaseBounds.js';
+import { getLeaseExtensionMs, getLongestMembershipMs } from './leaseBounds.js';
 import { OpeningWatch } from './OpeningWatch.js';
 import { PacedPages } from './PacedPages.js';
 import { type OpenedPartition, PartitionOpening } from './PartitionOpening.js';
@@ -87,6 +87,7 @@
     this.membership = new GroupMembership({
       ...options,
       leaseExtensionMs: getLeaseExtensionMs(options.homeTiming.targetLeaseMs),
+      longestTtlMs: getLongestMembershipMs(options.homeTiming.targetLeaseMs),
       getAnswerDelayMs: () => this.getAnswerDelayMs(),
       shouldHold: (isMember) => this.mayHold() && options.shouldHold(isMember),
       onRenewed: () => this.updateHomes(),
@@ -291,6 +292,7 @@
       getEntries: () => partitions.filterEntries(partition, directory.list()),
       isGroupLeaseHeld: () => this.membership.isLeaseHeld(),
       mayExtendLeases: () => this.membership.mayExtendLeases(),
+      getConfirmationAgeMs: () => this.membership.getConfirmationAgeMs(),
       onReplaced: () => this.handleReplaced(partition),
     });
   }
--- a/src/taskHome/TaskHomesOptions.ts
+++ b/src/taskHome/TaskHomesOptions.ts
@@ -13,7 +13,7 @@
 /** Options of `TaskHomes`. */
 export interface TaskHomesOptions extends Omit<
   GroupMembershipOptions,
-  'leaseExtensionMs' | 'getAnswerDelayMs' | 'onRenewed' | 'onLeaving'
+  'leaseExtensionMs' | 'longestTtlMs' | 'getAnswerDelayMs' | 'onRenewed' | 'onLeaving'
 > {
   readonly store: KeyedLogPort;
   readonly targets: LeasedTargetPort;
--- a/tests/membership/HeldLease.test.ts
+++ b/tests/membership/HeldLease.test.ts
@@ -51,6 +51,25 @@
     });
   });
 
+  describe('getAgeMs', () => {
+    // Guards against grants that outlast a paused home's right to them.
+    it.each([
+      [10, 60_000, 60_000],
+      [6_000, -60_000, 6_000],
+    ])('takes of %i and %i ms by its two clocks the longer one', (monotonic, wall, ageMs) => {
+      const clock = new TwoClocks();
+      const lease = new HeldLease({ clock, timing: TIMING });
+      lease.extend(lease.readClocks());
+      clock.monotonic += monotonic;
+      clock.wall += wall;
+      expect(lease.getAgeMs()).toBe(ageMs);
+    });
+
+    it('is infinite before the lease is held', () => {
+      expect(new HeldLease({ clock: new TwoClocks(), timing: TIMING }).getAgeMs()).toBe(Infinity);
+    });
+  });
+
   describe('extend', () => {
     // The process sends a renewal, is paused before it reads the record back, and resumes after the
     // lease has expired for all other instances. If the lease counted from reading the record back,
--- a/tests/taskHome/GroupMembership.test.ts
+++ b/tests/taskHome/GroupMembership.test.ts
@@ -68,6 +68,7 @@
       member: 'm1',
       groupTiming: GROUP_TIMING,
       leaseExtensionMs: EXTENSION_MS,
+      longestTtlMs: Infinity,
       clock: new SystemClock(),
       events: new MemoryEventLog(),
       shouldHold: () => true,
@@ -205,6 +206,36 @@
     await member.stop();
   });
 
+  // Guards against tasks that lapse: the next home would come after the end of their leases.
+  it('asks for no longer a time to live than leases bear, but for the usual one', async () => {
+    const createDelayed = (longestTtlMs: number): GroupMembership =>
+      createMember({ longestTtlMs, getAnswerDelayMs: () => 700 });
+    const longestTtlMs = GROUP_TIMING.ttlMs + 300;
+    const members = [createDelayed(longestTtlMs), createDelayed(1)];
+    members[0]!.start();
+    await vi.waitFor(() => expect(groups.lastRequest?.ttlMs).toBe(longestTtlMs));
+    await members[0]!.stop();
+    members[1]!.start();
+    await vi.waitFor(() => expect(groups.lastRequest?.ttlMs).toBe(GROUP_TIMING.ttlMs));
+    await members[1]!.stop();
+  });
+
+  // Guards against a task that runs twice: what is granted must end with the confirmation.
+  it('counts the age of its confirmation from the sending of the renewal', async () => {
+    const clock = new ManualClock();
+    const member = createMember({ clock });
+    expect(member.getConfirmationAgeMs()).toBe(Infinity);
+    groups.holdsAnswers = true;
+    member.start();
+    await vi.waitFor(() => expect(groups.calls).toContain('join'));
+    clock.advance(70);
+    groups.releaseAnswers();
+    await vi.waitFor(() => expect(member.getConfirmationAgeMs()).toBe(70));
+    clock.advance(30);
+    expect(member.getConfirmationAgeMs()).toBe(100);
+    await member.stop();
+  });
+
   // Guards against a task that runs twice: a page of records delayed answers until a moment ago.
   it('counts the time to live from the latest renewal, also after one that asked for more', async () => {
     const clock = new ManualClock();
--- a/tests/taskHome/HomeWorld.ts
+++ b/tests/taskHome/HomeWorld.ts
@@ -185,6 +185,7 @@
       listOrganisations: () => this.organisations,
       isGroupLeaseHeld: () => this.isGroupLeaseHeld,
       mayExtendLeases: () => this.mayExtendLeases(home),
+      getConfirmationAgeMs: () => this.getConfirmationAgeMs(home),
       onReplaced: () => undefined,
     });
     this.homes.push(home);
@@ -215,9 +216,14 @@
 
   /** Tells whether a home may extend leases: the group tells one that goes on nothing else. */
   private mayExtendLeases(home: TaskHome): boolean {
+    return this.getConfirmationAgeMs(home) < getLeaseExtensionMs(this.leaseMs);
+  }
+
+  /** Gets how long a home is not confirmed: its time to live, as it is replaced. */
+  private getConfirmationAgeMs(home: TaskHome): number {
     const replacedAtMs = this.replacedAtMs.get(home) ?? Infinity;
-    const timeToLiveMs = this.leaseMs * TIME_TO_LIVE_SHARE;
-    return performance.now() < replacedAtMs - timeToLiveMs + getLeaseExtensionMs(this.leaseMs);
+    const confirmedAtMs = replacedAtMs - this.leaseMs * TIME_TO_LIVE_SHARE;
+    return Math.max(0, performance.now() - confirmedAtMs);
   }
 
   /** Counts the logged events of a kind. */
--- a/tests/taskHome/LeaseLapses.test.ts
+++ b/tests/taskHome/LeaseLapses.test.ts
@@ -7,8 +7,8 @@
 import { ManualClock } from '../../src/utils/index.js';
 
 const LEASE_MS = 5_000;
-/** A lease by the slowest clock. */
-const LONGEST_MS = LEASE_MS / 0.98;
+/** The longest grant of an earlier home after its latest confirmation, by the slowest clock. */
+const LONGEST_MS = (1.15 * LEASE_MS) / 0.98;
 /** Margin after a lease, in milliseconds. */
 const MARGIN_MS = 300;
 const TERM = 7;
@@ -83,7 +83,7 @@
     lapses.restore([encodeLapseRecord(record)]);
   }
 
-  it('waits a whole lease by the slowest clock for a target of which nothing is recorded', () => {
+  it('waits the longest grant by the slowest clock for a target of which nothing is recorded', () => {
     used.set('t1', UNKNOWN);
     clock.advance(LONGEST_MS + MARGIN_MS);
     lapses.check();
--- a/tests/taskHome/MovedQueueWorld.ts
+++ b/tests/taskHome/MovedQueueWorld.ts
@@ -137,6 +137,7 @@
       listOrganisations: () => [],
       isGroupLeaseHeld: () => this.homes.get(pool) === home,
       mayExtendLeases: () => true,
+      getConfirmationAgeMs: () => 0,
       onReplaced: () => undefined,
     });
     home.load(await opening.read(claimed));
--- a/tests/taskHome/TargetSession.test.ts
+++ b/tests/taskHome/TargetSession.test.ts
@@ -20,6 +20,7 @@
   let renewals: OpenRenewal[];
   let session: TargetSession;
   let mayExtendLease: boolean;
+  let confirmationAgeMs: number;
 
   /** Answers the latest renewal with a report that was made at a time of the home's clock. */
   const answer = async (madeAtMs: number): Promise<LeaseRenewal> => {
@@ -39,6 +40,7 @@
     clock = new ManualClock();
     renewals = [];
     mayExtendLease = true;
+    confirmationAgeMs = 0;
     session = new TargetSession({
       port: {
         renew: (_target, renewal) =>
@@ -51,6 +53,7 @@
       leaseMs: LEASE_MS,
       getWaitMs: () => 0,
       mayExtendLease: () => mayExtendLease,
+      getConfirmationAgeMs: () => confirmationAgeMs,
       getInheritedLapseAtMs: () => INHERITED_LAPSE_AT_MS,
       clock,
       events: new MemoryEventLog(),
@@ -62,6 +65,25 @@
 
   afterEach(() => session.close());
 
+  // Guards against a run that goes on beside the next home's, under a lease of a replaced one.
+  it.each([
+    [0, LEASE_MS],
+    [0.15 * LEASE_MS, LEASE_MS],
+    [0.15 * LEASE_MS + 100, LEASE_MS - 100],
+    [0.4 * LEASE_MS, 0.75 * LEASE_MS],
+  ])('grants, %i ms after the confirmation, a lease of %i ms', async (ageMs, grantMs) => {
+    confirmationAgeMs = ageMs;
+    const { leaseUntilTargetMs } = await answer(0);
+    expect(leaseUntilTargetMs).toBe(TARGET_AHEAD_MS + grantMs);
+  });
+
+  // Guards against a lapse that is seen too early: the home before may have granted a whole lease.
+  it('counts a lease that an earlier home may have granted until the first answer', async () => {
+    confirmationAgeMs = 0.4 * LEASE_MS;
+    await answer(0);
+    expect(session.latestLapseAtMs - clock.monotonicMs()).toBeCloseTo(LEASE_MS / 0.98);
+  });
+
   it('asks for a whole lease, counted on the clock of the target', async () => {
     expect(renewals[0]!.renewal.leaseUntilTargetMs).toBeUndefined();
     const { leaseUntilTargetMs } = await answer(0);
--- a/tests/taskHome/histories/HistoryHomes.ts
+++ b/tests/taskHome/histories/HistoryHomes.ts
@@ -28,8 +28,20 @@
   /** How long it takes to read the jobs, besides the calls of the store, in milliseconds. */
   readonly readMs: number;
   home: TaskHome | undefined;
-  /** When the group gave the partition to the next process, in virtual time. */
-  replacedAtMs: number;
+  /** When the group last confirms the process, in virtual time; it does so until then. */
+  confirmedAtMs: number;
+}
+
+/** How the store gives a partition on while its home and one target are cut off. */
+export interface Deal {
+  /** Target that the earlier home alone reaches. */
+  readonly targetId: string;
+  /** Targets that the next home alone reaches. */
+  readonly otherTargetIds: readonly string[];
+  /** How long before the deal the group has confirmed the earlier home, in milliseconds. */
+  readonly confirmedBeforeMs: number;
+  /** How long the earlier home and the target stay cut off, in milliseconds. */
+  readonly forMs: number;
 }
 
 const PLACE = { topic: 'jobs', termsTopic: 'terms', partition: 0 } as const;
@@ -90,11 +102,33 @@
    * @param readMs - How long it takes to read the jobs, in milliseconds.
    */
   openNext(readMs = 0): void {
+    this.replace(readMs, this.timing.targetLeaseMs * TIME_TO_LIVE_SHARE);
+  }
+
+  /**
+   * Gives the partition to the next process at once, while the latest one is cut off.
+   * @param deal - What is cut off.
+   */
+  deal({ targetId, otherTargetIds, confirmedBeforeMs, forMs }: Deal): void {
+    const untilMs = this.options.time.monotonicMs() + forMs;
+    const { gate: earlier } = this.processes.at(-1)!;
+    earlier.cutOffStore(untilMs);
+    otherTargetIds.forEach((otherId) => earlier.cutOff(otherId, untilMs));
+    this.replace(0, confirmedBeforeMs);
+    this.processes.at(-1)!.gate.cutOff(targetId, untilMs);
+  }
+
+  private get timing(): TaskHomeTiming {
+    return this.options.timing ?? TIMING;
+  }
+
+  /** Starts the next process; the group has confirmed the latest one some time before. */
+  private replace(readMs: number, confirmedBeforeMs: number): void {
     const { time } = this.options;
     const gate = new HomeGate(time);
-    const created = { gate, readMs, home: undefined, replacedAtMs: Infinity };
+    const created = { gate, readMs, home: undefined, confirmedAtMs: Infinity };
     const replaced = this.processes.at(-1);
-    if (replaced !== undefined) replaced.replacedAtMs = time.monotonicMs();
+    if (replaced !== undefined) replaced.confirmedAtMs = time.monotonicMs() - confirmedBeforeMs;
     this.processes.push(created);
     void this.run(created);
     this.tick(created);
@@ -182,9 +216,10 @@
     });
     const claimed = await opening.claim();
     if (claimed === undefined) return;
-    const timing = this.options.timing ?? TIMING;
-    const timeToLiveMs = timing.targetLeaseMs * TIME_TO_LIVE_SHARE;
-    const extensionMs = getLeaseExtensionMs(timing.targetLeaseMs) - timeToLiveMs;
+    const { timing } = this;
+    const getConfirmationAgeMs = (): number =>
+      Math.max(0, time.monotonicMs() - process.confirmedAtMs);
+    const extensionMs = getLeaseExtensionMs(timing.targetLeaseMs);
     const home = new TaskHome({
       ...this.options,
       ...PLACE,
@@ -200,7 +235,8 @@
       queuePools: new QueuePools({ store, topic: 'queues', clock: time, events }),
       listOrganisations: () => [],
       isGroupLeaseHeld: () => this.isLatest(process),
-      mayExtendLeases: () => time.monotonicMs() < process.replacedAtMs + extensionMs,
+      mayExtendLeases: () => getConfirmationAgeMs() < extensionMs,
+      getConfirmationAgeMs,
       onReplaced: () => undefined,
     });
     Object.assign(process, { home });
--- a/tests/taskHome/histories/HomeGate.ts
+++ b/tests/taskHome/histories/HomeGate.ts
@@ -20,6 +20,8 @@
   /** Targets that the process can't reach, with the monotonic time until which it can't. */
   private readonly cutOffUntilMs = new Map<string, number>();
 
+  private storeCutOffUntilMs = 0;
+
   private readonly clock: Clock;
 
   /**
@@ -74,9 +76,18 @@
     this.cutOffUntilMs.set(targetId, untilMs);
   }
 
-  /** Lets the process reach every target. */
+  /**
+   * Cuts the process off from the store.
+   * @param untilMs - Monotonic time at which it reaches the store again.
+   */
+  cutOffStore(untilMs: number): void {
+    this.storeCutOffUntilMs = untilMs;
+  }
+
+  /** Lets the process reach the store and every target. */
   reconnect(): void {
     this.cutOffUntilMs.clear();
+    this.storeCutOffUntilMs = 0;
   }
 
   /**
@@ -109,6 +120,7 @@
 
   private passToStore<Answer>(call: () => Promise<Answer>): Promise<Answer> {
     return this.pass(async () => {
+      if (this.clock.monotonicMs() < this.storeCutOffUntilMs) return HomeGate.timeOut();
       await sleep(STORE_CALL_MS);
       return call();
     });
@@ -124,7 +136,7 @@
 
   private static async timeOut(): Promise<never> {
     await sleep(CALL_TIMEOUT_MS);
-    throw new Error('The target is out of reach.');
+    throw new Error('It is out of reach.');
   }
 
   private async pass<Answer>(call: () => Promise<Answer>): Promise<Answer> {
--- a/tests/taskHome/histories/RunHistory.ts
+++ b/tests/taskHome/histories/RunHistory.ts
@@ -37,6 +37,13 @@
   | { readonly type: 'store'; readonly condition: StoreCondition }
   /** The next home opens; the earlier one is killed, goes on, or is frozen until it thaws. */
   | { readonly type: 'replace-home'; readonly earlier: 'killed' | 'goes-on' | 'frozen' }
+  /** The store gives the partition on while its home and one target are cut off from all else. */
+  | {
+      readonly type: 'deal';
+      readonly target: number;
+      readonly confirmedBeforeMs: number;
+      readonly forMs: number;
+    }
   | { readonly type: 'thaw' }
   | {
       readonly type: 'crash';
@@ -153,6 +160,23 @@
   { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' },
 );
 
+/** Draws histories in which partitions are given on while a home and a target are cut off. */
+export const dealHistory: fc.Arbitrary<RunHistory> = fc.array(
+  fc.oneof(
+    { weight: 8, arbitrary: step },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        type: fc.constant('deal'),
+        target,
+        confirmedBeforeMs: fc.constantFrom(0, 5, 50, 120, 200, 360),
+        forMs: fc.constantFrom(700, 1_400, 1_800, 2_500),
+      }),
+    },
+  ),
+  { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' },
+);
+
 /**
  * Lists the steps of a job.
  * @param shape - Shape of the job.
@@ -178,6 +202,8 @@
       return listFewerFates(drawn);
     case 'replace-home':
       return [{ ...drawn, earlier: 'killed' }];
+    case 'deal':
+      return drawn.confirmedBeforeMs === 0 ? [] : [{ ...drawn, confirmedBeforeMs: 0 }];
     default:
       return [];
   }
--- a/tests/taskHome/histories/RunHistoryWorld.ts
+++ b/tests/taskHome/histories/RunHistoryWorld.ts
@@ -1,9 +1,9 @@
 import { assertNever } from '../../../src/utils/index.js';
 import { EMPTY_SYNC_REQUEST, makeJob } from '../HomeWorld.js';
-import type { HistoryHomes } from './HistoryHomes.js';
+import type { Deal, HistoryHomes } from './HistoryHomes.js';
 import type { HistoryJobs } from './HistoryJobs.js';
 import { HistoryScene } from './HistoryScene.js';
-import type { HistoryTargets } from './HistoryTargets.js';
+import type { HistoryTargets, HistoryTargetsOptions } from './HistoryTargets.js';
 import { type HistoryStep, makeSteps, type RunHistory } from './RunHistory.js';
 import type { RunWatch } from './RunWatch.js';
 import type { VirtualTime } from './VirtualTime.js';
@@ -44,11 +44,14 @@
   /**
    * Creates a world with two targets and a home that opens.
    * @param time - Virtual time, which begins again.
-   * @param haveStarts - Whether ids of lifetimes name their starts, so that targets start again.
+   * @param targets - Clocks of the targets, and whether they can start again under their ids.
    */
-  constructor(time: VirtualTime, haveStarts = false) {
+  constructor(
+    time: VirtualTime,
+    targets: Pick<HistoryTargetsOptions, 'clockRates' | 'haveStarts'> = {},
+  ) {
     this.time = time;
-    this.scene = new HistoryScene({ time, targets: { count: TARGET_COUNT, haveStarts } });
+    this.scene = new HistoryScene({ time, targets: { count: TARGET_COUNT, ...targets } });
     this.watch = this.scene.watch;
     this.targets = this.scene.targets;
     this.homes = this.scene.homes;
@@ -101,6 +104,9 @@
         if (step.earlier === 'frozen') this.homes.freeze();
         this.homes.openNext();
         return;
+      case 'deal':
+        this.deal(this.targets.pick(step.target), step);
+        return;
       case 'thaw':
         this.homes.thaw();
         return;
@@ -121,6 +127,11 @@
     }
   }
 
+  private deal(targetId: string, cut: Pick<Deal, 'confirmedBeforeMs' | 'forMs'>): void {
+    const otherTargetIds = this.targets.port.targetIds.filter((otherId) => otherId !== targetId);
+    this.homes.deal({ ...cut, targetId, otherTargetIds });
+  }
+
   /** Ends a lifetime; another target is there at once. */
   private crash(targetId: string, shownBy: 'list' | 'next-lifetime' | 'nobody'): void {
     this.targets.crash(targetId, shownBy === 'next-lifetime');
--- a/tests/taskHome/leaseBounds.test.ts
+++ b/tests/taskHome/leaseBounds.test.ts
@@ -7,6 +7,7 @@
   SLOWEST_TARGET_CLOCK_RATE,
 } from '../../src/taskHome/leaseBounds.js';
 import { LeaseLapses } from '../../src/taskHome/LeaseLapses.js';
+import { TargetSession } from '../../src/taskHome/TargetSession.js';
 import { ManualClock } from '../../src/utils/index.js';
 
 const LEASE_MS = 5_000;
@@ -41,6 +42,7 @@
       },
       ...{ group: 'homes', topic: 'jobs', member: 'm1', clock, groupTiming: GROUP_TIMING },
       leaseExtensionMs: getLeaseExtensionMs(LEASE_MS),
+      longestTtlMs: Infinity,
       events: new MemoryEventLog(),
       shouldHold: () => true,
       getAnswerDelayMs: () => delayMs,
@@ -58,14 +60,36 @@
     isAnswered = false;
   }
 
+  /** Creates a session with a target whose clock is slow, and lets it be heard. */
+  function openSession(): TargetSession {
+    const startedAtMs = clock.monotonicMs();
+    const getTargetMs = (): number =>
+      Math.floor((clock.monotonicMs() - startedAtMs) * SLOWEST_TARGET_CLOCK_RATE);
+    const session = new TargetSession({
+      port: { renew: () => new Promise<never>(() => {}) },
+      address: { targetId: TARGET_ID, host: '10.0.0.1', port: 80 },
+      ...{ term: 1, leaseMs: LEASE_MS, clock, events: new MemoryEventLog() },
+      getWaitMs: () => 0,
+      mayExtendLease: () => member.mayExtendLeases(),
+      getConfirmationAgeMs: () => member.getConfirmationAgeMs(),
+      getInheritedLapseAtMs: () => Infinity,
+      onReport: () => Promise.resolve(),
+      onEnd: () => undefined,
+    });
+    session.noteClock(getTargetMs());
+    return session;
+  }
+
   /** Computes when the lease that this member extends last has ended by the slowest clock. */
   function measureLeaseEndMs(): number {
-    let extendedAtMs = clock.monotonicMs();
+    const startedAtMs = clock.monotonicMs();
+    const session = openSession();
+    let untilTargetMs = session.extendLease();
     while (member.mayExtendLeases()) {
-      extendedAtMs = clock.monotonicMs();
+      untilTargetMs = session.extendLease();
       clock.advance(STEP_MS);
     }
-    return extendedAtMs + LEASE_MS / SLOWEST_TARGET_CLOCK_RATE;
+    return startedAtMs + untilTargetMs / SLOWEST_TARGET_CLOCK_RATE;
   }
 
   /** Computes when a home that claims the partition now begins the tasks of the target anew. */
