Let a job begin with what its target tells, not with its placement

Cause: placeTask set a job to `running` as the placement was decided, and nothing set it back when the start was refused or withdrawn. The state is stored, so the next home counted alike. By the log: 12 placements, then only refusals.

Ruled out: a count that is out of date; it stayed 0 for 3 s on all daemons.

Change: a job begins with an accepted start, a report of a run, or one of its end (JobBeginnings), stored with the next changes. What hung on the state follows: what callers are shown, the order of placement, the backlog of admission, and first_start_ms, which was measured at the decision. A start without an answer leaves its job pending until the next report.

Tests that made a job begin by placing it now say so with beginJob; the state of a job is asserted as before. The measurement's test asks the new call for the same figure.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -20,6 +20,14 @@
     test: HOME_TEST,
     name: 'lets a target forget an end only once it is stored',
   },
+  {
+    failure: 'jobs that wait and are not shown as pending, as their starts were refused',
+    file: 'src/jobs/progressJob.ts',
+    find: 'return replaceTask(row, position, placed);',
+    replace: "return { ...replaceTask(row, position, placed), state: 'running' };",
+    test: 'tests/taskHome/pendingJobs.test.ts',
+    name: 'count in the next home too',
+  },
   {
     failure: 'tasks of a cancelled job that run on',
     file: 'src/taskHome/RunStopper.ts',
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -56,6 +56,7 @@
   type TaskRow,
 } from './TaskRow.js';
 export {
+  beginJob,
   cancelJob,
   endRun,
   findTask,
--- a/src/jobs/progressJob.ts
+++ b/src/jobs/progressJob.ts
@@ -12,7 +12,17 @@
 }
 
 /**
- * Places a waiting task on a target and increments its run number.
+ * Records that a target has begun a run of a job.
+ * @param row - The job.
+ * @returns The job, in state `running` unless it was so before or is finished.
+ */
+export function beginJob(row: DurableJobRow): DurableJobRow {
+  return row.state === 'queued' ? { ...row, state: 'running' } : row;
+}
+
+/**
+ * Places a waiting task on a target and increments its run number. Its job begins only once the
+ * target has begun the run, see {@link beginJob}.
  * @param row - The job.
  * @param position - Position of the task among the job's tasks.
  * @param targetId - The target.
@@ -21,7 +31,7 @@
 export function placeTask(row: DurableJobRow, position: number, targetId: string): DurableJobRow {
   const task = row.tasks[position]!;
   const placed: TaskRow = { ...task, phase: 'placed', run: task.run + 1, targetId };
-  return { ...replaceTask(row, position, placed), state: 'running' };
+  return replaceTask(row, position, placed);
 }
 
 /**
@@ -114,7 +124,8 @@
       ),
     row.tasks,
   );
-  return updateJobState({ ...row, tasks }, position, nowMs);
+  const begun = end === 'done' ? beginJob(row) : row;
+  return updateJobState({ ...begun, tasks }, position, nowMs);
 }
 
 /** Consequences of a target's crash for a task that was placed on it. */
--- a/src/metrics/METRIC_CATALOGUE.ts
+++ b/src/metrics/METRIC_CATALOGUE.ts
@@ -103,7 +103,7 @@
   first_start_ms: {
     type: 'timer',
     unit: 'ms',
-    meaning: "From a durable job's submission to the placement of its first task.",
+    meaning: "From a durable job's submission to when its first task is known to run.",
     tags: ['pool'],
   },
   job_ms: {
--- a/src/taskHome/JobTelemetry.ts
+++ b/src/taskHome/JobTelemetry.ts
@@ -72,12 +72,20 @@
    * @param key - The run.
    * @param basis - Data on which the decision was based.
    */
-  notePlaced({ spec, state }: DurableJobRow, key: RunKey, basis: PlacementBasis): void {
-    const { events, metrics, clock, term } = this.options;
+  notePlaced({ spec }: DurableJobRow, key: RunKey, basis: PlacementBasis): void {
+    const { events, clock, term } = this.options;
     const jobAgeMs = clock.wallMs() - spec.submittedAtMs;
-    const { jobId, terms } = spec;
-    if (state === 'queued') metrics.timing('first_start_ms', jobAgeMs, { pool: terms.pool });
-    events.write('taskPlaced', { jobId, ...key, term, jobAgeMs, ...basis });
+    events.write('taskPlaced', { jobId: spec.jobId, ...key, term, jobAgeMs, ...basis });
+  }
+
+  /**
+   * Records that the first run of a job has begun.
+   * @param row - The job.
+   */
+  noteBegun({ spec }: DurableJobRow): void {
+    const { metrics, clock } = this.options;
+    const jobAgeMs = clock.wallMs() - spec.submittedAtMs;
+    metrics.timing('first_start_ms', jobAgeMs, { pool: spec.terms.pool });
   }
 
   /**
--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -12,6 +12,7 @@
 } from '../jobs/index.js';
 import { areOfSameTarget } from '../targets/index.js';
 import type { Clock } from '../utils/index.js';
+import type { JobBeginnings } from './JobBeginnings.js';
 import type { JobTable, PlacedTask } from './JobTable.js';
 import type { JobTelemetry } from './JobTelemetry.js';
 import type { RunKey } from './RunKey.js';
@@ -35,6 +36,7 @@
 export interface RunEndsOptions {
   readonly table: JobTable;
   readonly orders: Pick<TaskOrders, 'abandon' | 'forget' | 'isOrdered'>;
+  readonly beginnings: JobBeginnings;
   readonly health: TargetHealth;
   readonly progress: TaskProgress;
   readonly uneven: Pick<UnevenTargets, 'noteEnd'>;
@@ -64,6 +66,7 @@
   applyReported(reported: RunKey, runEnd: RunEnd): void {
     const { table, telemetry } = this.options;
     const key = this.nameOrdered(reported);
+    this.options.beginnings.note(key.taskName);
     const expected = table.findPlaced(key);
     const found = expected ?? this.findCompleted(key, runEnd);
     const isCounted = expected === undefined && this.countLateFailure(key, runEnd);
--- a/src/taskHome/TaskOrders.ts
+++ b/src/taskHome/TaskOrders.ts
@@ -267,8 +267,9 @@
 
   private notePhase(order: RunOrder, { phase }: RunLife): void {
     const answeredAtMs = this.options.clock.monotonicMs();
-    const begunAtMs = order.begunAtMs ?? (phase === 'started' ? answeredAtMs : undefined);
-    Object.assign(order, { answeredAtMs, begunAtMs });
+    const hasBegun = phase === 'started' && order.begunAtMs === undefined;
+    Object.assign(order, { answeredAtMs, ...(hasBegun ? { begunAtMs: answeredAtMs } : {}) });
+    if (hasBegun) this.options.onBegun(order);
   }
 
   private carryOut(order: RunOrder, verdict: RunLifeVerdict): void {
--- a/src/taskHome/TaskOrdersOptions.ts
+++ b/src/taskHome/TaskOrdersOptions.ts
@@ -12,7 +12,9 @@
    * Tells whether a target must not receive a start: it is draining, or its capacity has shrunk.
    */
   readonly refusesStarts: (targetId: string) => boolean;
-  /** Called when a target has begun a run, with the reading of its clock. */
+  /** Called once when a run is known to have begun, by an answer or a report. */
+  readonly onBegun: (key: RunKey) => void;
+  /** Called when an answer tells that a target has just begun a run, with its clock. */
   readonly onStarted: (key: RunKey, targetClockMs: number) => void;
   /** Called when the start of a run was not sent and never will be. */
   readonly onWithdrawn: (key: RunKey) => void;
--- a/src/taskHome/TaskRuns.ts
+++ b/src/taskHome/TaskRuns.ts
@@ -17,6 +17,7 @@
 import type { EndedTaskReport, TaskStart } from '../targets/index.js';
 import type { EndedTargets } from '../vms/index.js';
 import { createTaskStart } from './createTaskStart.js';
+import { JobBeginnings } from './JobBeginnings.js';
 import type { JobTable } from './JobTable.js';
 import type { RunKey } from './RunKey.js';
 import { type AttributedCrash, CrashAttribution } from './CrashAttribution.js';
@@ -82,6 +83,7 @@
     const { clock, events, targets, term, table } = options;
     this.options = options;
     this.table = table;
+    const beginnings = new JobBeginnings(options);
     this.health = new TargetHealth({ clock, events });
     this.progress = new TaskProgress(clock);
     this.timer = new RunTimer(clock, options.mechanisms);
@@ -105,6 +107,7 @@
       clock,
       isGroupLeaseHeld: () => options.isGroupLeaseHeld(),
       refusesStarts: (targetId) => this.startGuard.refusesStarts(targetId),
+      onBegun: (key) => beginnings.note(key.taskName),
       onStarted: (key, targetClockMs) => this.uneven.paces.noteStarted(key, targetClockMs),
       onWithdrawn: (key) => this.unbegun.returnToWaiting(key),
       onRefused: (key, reason) => this.unbegun.noteRefusal(key, reason),
@@ -124,7 +127,7 @@
     const { orders, health, progress, timer, uneven } = this;
     this.stopper = new RunStopper({ ...options, orders, health, progress });
     this.preemptor = new TaskPreemptor({ ...options, orders, progress });
-    this.ends = new RunEnds({ ...options, orders, health, progress, timer, uneven });
+    this.ends = new RunEnds({ ...options, orders, beginnings, health, progress, timer, uneven });
     const { ends, stopper } = this;
     this.unbegun = new UnbegunRuns({ ...options, health, stopper, ends });
     const isAvoided = (targetId: string): boolean => this.isAvoided(targetId);
@@ -259,7 +262,9 @@
   handleEndedTargets({ endedTargets, crashedTargets, lostWithRack }: EndedTargets): void {
     const crashed = new Set(crashedTargets);
     const withRack = new Set(lostWithRack);
-    const known = endedTargets.filter((targetId) => this.isKnown(targetId));
+    const known = endedTargets.filter(
+      (targetId) => this.sessions.getSession(targetId) !== undefined || this.countOn(targetId) > 0,
+    );
     endedTargets.forEach((targetId) => this.sessions.forgetLapse(targetId));
     known.forEach((targetId) =>
       this.handleLostTarget(targetId, crashed.has(targetId) ? 'crashed' : 'unlisted'),
@@ -336,11 +341,6 @@
     telemetry.noteFinished(row);
   }
 
-  private isKnown(targetId: string): boolean {
-    const session = this.sessions.getSession(targetId);
-    return session !== undefined || this.orders.countOn(targetId) > 0;
-  }
-
   private createStart(key: RunKey): TaskStart | undefined {
     const found = this.table.findPlaced(key);
     if (found === undefined || isFinished(found.row)) return undefined;
--- a/tests/systems/admissionLoad.test.ts
+++ b/tests/systems/admissionLoad.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import {
+  beginJob,
   createJobRow,
   type DurableJobRow,
   endRun,
@@ -152,7 +153,7 @@
     const rows = new Map(this.rows.map((row) => [row.spec.jobId, row]));
     placements.forEach(({ jobId, position, targetId }) => {
       this.endsAtMs.set(`${jobId}/${position}`, nowMs + RUN_MS);
-      rows.set(jobId, placeTask(rows.get(jobId)!, position, targetId));
+      rows.set(jobId, beginJob(placeTask(rows.get(jobId)!, position, targetId)));
     });
     this.rows = [...rows.values()];
   }
--- a/tests/systems/admitJob.test.ts
+++ b/tests/systems/admitJob.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { createJobRow, type DurableJobRow, placeTask } from '../../src/jobs/index.js';
+import { beginJob, createJobRow, type DurableJobRow, placeTask } from '../../src/jobs/index.js';
 import { type Admission, admitJob, PoolBacklog, RunTimes } from '../../src/systems/index.js';
 import { makeJob, makeStep, TERMS } from '../taskHome/HomeWorld.js';
 
@@ -59,7 +59,7 @@
   });
 
   it('counts the work of jobs that have begun, whoever they belong to', () => {
-    const begun = placeTask(makeRow('large', 200, 'rushing'), 0, 't1');
+    const begun = beginJob(placeTask(makeRow('large', 200, 'rushing'), 0, 't1'));
     expect(admit(makeRow('a', 1, 'water'), [begun]).type).toBe('refused');
   });
 
--- a/tests/systems/placeTasks.test.ts
+++ b/tests/systems/placeTasks.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import {
+  beginJob,
   advanceOccurrences,
   createJobRow,
   type DurableJobRow,
@@ -179,11 +180,8 @@
   // often as others, since after their first tasks, smaller and later jobs with an earlier
   // objective took the capacity.
   it('puts jobs that have begun before those that have not', () => {
-    const begun = placeTask(
-      makeRow('begun', [makeStep({ taskCount: 9, estimatedRunMs: 5_000 })]),
-      0,
-      't',
-    );
+    const wide = makeRow('begun', [makeStep({ taskCount: 9, estimatedRunMs: 5_000 })]);
+    const begun = beginJob(placeTask(wide, 0, 't'));
     const small = makeRow('small', [makeStep()]);
     const options = { runTimes: new RunTimes(), nowMs: Date.now() };
     const listIds = (off: readonly Mechanism[]): readonly string[] =>
--- a/tests/systems/urgentBurst.test.ts
+++ b/tests/systems/urgentBurst.test.ts
@@ -1,5 +1,6 @@
 import { expect, it } from 'vitest';
 import {
+  beginJob,
   createJobRow,
   type DurableJobRow,
   endRun,
@@ -101,7 +102,7 @@
       getFailedTargets: () => new Set(),
     });
     placements.forEach(({ jobId, position, targetId }) =>
-      this.replace(jobId, (row) => placeTask(row, position, targetId)),
+      this.replace(jobId, (row) => beginJob(placeTask(row, position, targetId))),
     );
     if (this.preempts) this.preempt(jobs, nowMs);
   }
--- a/tests/taskHome/JobTelemetry.test.ts
+++ b/tests/taskHome/JobTelemetry.test.ts
@@ -40,13 +40,14 @@
     ]);
   });
 
-  it('logs the basis of each placement, and measures only the first of a job', () => {
+  it('logs the basis of each placement, and measures when a job begins', () => {
     const { telemetry, events, metrics, clock, row } = createTelemetry();
     clock.advance(40);
     const key = { taskName: 'j1.0.0.0', run: 1, targetId: 't1' };
     const basis = { freeCpuMillicores: 4_000, reportAgeMs: 120 };
     telemetry.notePlaced(row, key, basis);
     telemetry.notePlaced(placeTask(row, 0, 't1'), { ...key, run: 2 }, basis);
+    telemetry.noteBegun(placeTask(row, 0, 't1'));
     expect(events.events[0]).toEqual({
       event: 'taskPlaced',
       fields: { jobId: 'j1', ...key, term: 3, jobAgeMs: 40, ...basis },
--- a/tests/taskHome/RunEnds.test.ts
+++ b/tests/taskHome/RunEnds.test.ts
@@ -2,6 +2,7 @@
 import { createJobRow, endRun, placeTask, type RunEnd } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { MemoryMetrics } from '../../src/metrics/index.js';
+import { JobBeginnings } from '../../src/taskHome/JobBeginnings.js';
 import { JobTable } from '../../src/taskHome/JobTable.js';
 import { JobTelemetry } from '../../src/taskHome/JobTelemetry.js';
 import { RunEnds } from '../../src/taskHome/RunEnds.js';
@@ -34,14 +35,16 @@
   const timer = new RunTimer(clock);
   timer.begin(SECOND.taskName);
   const record = vi.spyOn(timer.runTimes, 'record');
+  const telemetry = new JobTelemetry({ events, metrics: new MemoryMetrics(), clock, term: 3 });
   const ends = new RunEnds({
     table,
+    beginnings: new JobBeginnings({ table, telemetry }),
     orders,
     health: new TargetHealth({ clock, events }),
     progress: new TaskProgress(clock),
     timer,
     uneven: { noteEnd: () => undefined },
-    telemetry: new JobTelemetry({ events, metrics: new MemoryMetrics(), clock, term: 3 }),
+    telemetry,
     clock,
   });
   return { ends, orders, port, record, getTask: () => table.getActive('a')!.tasks[0] };
--- a/tests/taskHome/UnevenWorld.ts
+++ b/tests/taskHome/UnevenWorld.ts
@@ -1,4 +1,5 @@
 import {
+  beginJob,
   createJobRow,
   type DurableJobRow,
   endRun,
@@ -197,7 +198,7 @@
   }
 
   private start(jobId: string, position: number, targetId: string): void {
-    const row = placeTask(this.table.getActive(jobId)!, position, targetId);
+    const row = beginJob(placeTask(this.table.getActive(jobId)!, position, targetId));
     this.table.put(row);
     const task = row.tasks[position]!;
     const key = { taskName: nameTask(row, task), run: task.run, targetId };
--- a/tests/taskHome/createOrders.ts
+++ b/tests/taskHome/createOrders.ts
@@ -31,6 +31,7 @@
     clock: new ManualClock(),
     isGroupLeaseHeld: () => true,
     refusesStarts: () => false,
+    onBegun: () => undefined,
     onStarted: () => undefined,
     onWithdrawn: () => undefined,
     onRefused,
--- a/tests/taskHome/histories/HistoryJobs.ts
+++ b/tests/taskHome/histories/HistoryJobs.ts
@@ -27,6 +27,15 @@
 /** Crashes of its targets from which a task may be given up, by the users' pages. */
 const CRASHES_ALLOWED = 2;
 
+/** Reads how many jobs are pending; undefined from a home that may not be the home any more. */
+function readPending(home: TaskHome): number | undefined {
+  try {
+    return home.countPending(TERMS.queue);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Reads an end as callers see it; a home that has lost the partition doesn't know every job. */
 function readEnd(home: TaskHome, jobId: string): DurableJobState | undefined {
   try {
@@ -93,8 +102,9 @@
     });
   }
 
-  /** Reads the state of each job from each home that answers. */
+  /** Reads the state of each job from each home that answers, and the count of pending ones. */
   look(): void {
+    this.checkPending(Infinity, (pending, unbegun) => pending >= unbegun);
     this.options.homes.listActing().forEach((home) =>
       this.jobs.forEach((job) => {
         const shownEnd = readEnd(home, job.jobId);
@@ -105,6 +115,32 @@
     );
   }
 
+  /**
+   * Checks that no job counts as pending of which a run has begun long before, while calm.
+   * @param begunByMs - By when the runs have begun that count, by the time of the watch.
+   */
+  checkCalmPending(begunByMs: number): void {
+    this.checkPending(begunByMs, (pending, unbegun) => pending <= unbegun);
+  }
+
+  private checkPending(
+    begunByMs: number,
+    isRight: (pending: number, unbegunCount: number) => boolean,
+  ): void {
+    const { current } = this.options.homes;
+    const pending = current && readPending(current);
+    const unbegunCount = [...this.jobs.values()].filter(
+      (job) => job.isAccepted && job.shownEnd === undefined && !this.hasBegun(job, begunByMs),
+    ).length;
+    if (pending === undefined || isRight(pending, unbegunCount)) return;
+    this.violations.push(`${pending} are shown as pending, ${unbegunCount} have not begun`);
+  }
+
+  private hasBegun({ jobId, drawn }: SubmittedJob, byMs: number): boolean {
+    const runs = listTaskNames(jobId, drawn).flatMap((name) => this.options.watch.listOf(name));
+    return runs.some(({ begunAtMs }) => begunAtMs <= byMs);
+  }
+
   /**
    * Lists what should not have happened.
    * @returns One sentence each.
--- a/tests/taskHome/histories/RunHistoryWorld.ts
+++ b/tests/taskHome/histories/RunHistoryWorld.ts
@@ -19,6 +19,10 @@
 const LAST_STEPS_MS = 400;
 /** Time without faults within which every job has to end, in milliseconds. */
 const SETTLES_WITHIN_MS = 40_000;
+/** Time without faults after which a home has heard its targets, in milliseconds. */
+const CALM_AFTER_MS = 4_000;
+/** Age that a count of pending jobs may have, in milliseconds. */
+const PENDING_MAX_AGE_MS = 2_000;
 /** Time after the last end in which nothing may begin again, in milliseconds. */
 const AFTERMATH_MS = 2_000;
 
@@ -166,10 +170,12 @@
     this.homes.thaw();
     this.targets.listAgain();
     const untilMs = this.nowMs + SETTLES_WITHIN_MS;
+    const calmFromMs = this.nowMs + CALM_AFTER_MS;
     while (!this.jobs.haveEnded && this.nowMs < untilMs) {
       this.jobs.submitMissing();
       // eslint-disable-next-line no-await-in-loop -- one look follows the other
       await this.time.advance(LOOK_EVERY_MS);
+      if (this.nowMs > calmFromMs) this.jobs.checkCalmPending(this.nowMs - PENDING_MAX_AGE_MS);
     }
     await this.time.advance(AFTERMATH_MS);
   }
