Count a failed run of a gang once, however many of its members fail

Cause: the failures of all members were added up and compared with the attempts. The members of a gang share a run, so its attempts are its failed runs.

Change: a failed run counts once, with the member whose failure is known first; that member's record keeps the run's number, and the other members no longer wait for a late failure of that run. A gang that is placed again avoids the targets on which any member has failed: before, each member knew its own only.

What the histories take for a due end of a gang counts runs too, and a start after the last failed run of a gang is a violation now.

--- a/scripts/durableJobMutants.ts
+++ b/scripts/durableJobMutants.ts
@@ -28,6 +28,14 @@
     test: 'tests/taskHome/pendingJobs.test.ts',
     name: 'count in the next home too',
   },
+  {
+    failure: 'a gang that is given up after one run, of which several members have failed',
+    file: 'src/jobs/failedRuns.ts',
+    find: 'if (isFailureCounted(row, position, run)) return row.tasks;',
+    replace: '',
+    test: 'tests/jobs/gangFailures.test.ts',
+    name: 'count once for each run',
+  },
   {
     failure: 'tasks of a cancelled job that run on',
     file: 'src/taskHome/RunStopper.ts',
--- a/src/jobs/TaskRow.ts
+++ b/src/jobs/TaskRow.ts
@@ -11,8 +11,10 @@
   readonly run: number;
   /** Target of the latest run; set only while the task is placed. */
   readonly targetId?: string;
-  /** Number of runs that ended with a failure. */
+  /** Number of runs that ended with a failure; each run of a gang counts with one member. */
   readonly failureCount: number;
+  /** For a member of a gang, the latest run that counts with it. */
+  readonly failedRun?: number;
   /** Number of target crashes that this task may have caused. */
   readonly crashCount: number;
   /** Runs that were given up as their targets were listed as gone; each may have failed unheard. */
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -3,6 +3,7 @@
 import { createJobRow, type DurableJobRow } from './DurableJobRow.js';
 import type { DurableJobSpec } from './DurableJobSpec.js';
 import { durableJobStateSchema } from './durableJobStateSchema.js';
+import { mergeMemberFailures } from './failedRuns.js';
 import { countOccurrenceTasks, createOccurrence, getOccurrenceCount } from './occurrences.js';
 import type { TaskPhase, TaskRow } from './TaskRow.js';
 
@@ -36,6 +37,8 @@
   targetOf: z.array(count),
   /** Position and failure count of each task that has failed. */
   failures: z.array(z.tuple([count, count])),
+  /** Position and latest failed run of each member of a gang that has one; absent if none has. */
+  failedRuns: z.array(z.tuple([count, count])).optional(),
   /** Position and crash count of each task that may have crashed a target. */
   crashes: z.array(z.tuple([count, count])).default([]),
   /** Position and unheard runs of each task that has any; absent if no task has. */
@@ -103,6 +106,7 @@
     .filter(({ phase }) => phase === 'placed')
     .map(({ targetId }) => targetId!);
   const targetIds = [...new Set(placedTargetIds)];
+  const failedRuns = collectPresentValues(tasks, ({ failedRun }) => failedRun);
   const unheard = collectPresentValues(tasks, ({ unheardRuns = [] }) =>
     unheardRuns.length === 0 ? undefined : [...unheardRuns],
   );
@@ -115,6 +119,7 @@
     targetIds,
     targetOf: placedTargetIds.map((targetId) => targetIds.indexOf(targetId)),
     failures: collectPresentValues(tasks, ({ failureCount }) => failureCount || undefined),
+    ...(failedRuns.length === 0 ? {} : { failedRuns }),
     crashes: collectPresentValues(tasks, ({ crashCount }) => crashCount || undefined),
     ...(unheard.length === 0 ? {} : { unheard }),
     checkpoints: collectPresentValues(tasks, ({ checkpoint }) => checkpoint),
@@ -138,6 +143,7 @@
   const { begunOccurrenceCount = getOccurrenceCount(spec) } = progress;
   const created = createStoredTasks(spec, progress);
   const failures = new Map(progress.failures);
+  const failedRuns = new Map(progress.failedRuns);
   const crashes = new Map(progress.crashes);
   const unheard = new Map(progress.unheard);
   const checkpoints = new Map(progress.checkpoints);
@@ -150,10 +156,12 @@
       run: runs[position]!,
       targetId: phase === 'placed' ? placedTargetIds.next().value : undefined,
       failureCount: failures.get(position) ?? 0,
+      ...(failedRuns.has(position) ? { failedRun: failedRuns.get(position)! } : {}),
       crashCount: crashes.get(position) ?? 0,
       ...(unheard.has(position) ? { unheardRuns: unheard.get(position)! } : {}),
       checkpoint: checkpoints.get(position),
     };
   });
-  return { spec, state, tasks, begunOccurrenceCount, finishedAtMs };
+  const merged = mergeMemberFailures(spec, tasks);
+  return { spec, state, tasks: merged, begunOccurrenceCount, finishedAtMs };
 }
--- a/src/jobs/lateFailures.ts
+++ b/src/jobs/lateFailures.ts
@@ -1,4 +1,5 @@
 import { type DurableJobRow, isFinished } from './DurableJobRow.js';
+import { isFailureCounted } from './failedRuns.js';
 import { recordFailure } from './progressJob.js';
 
 /**
@@ -18,6 +19,7 @@
 export function noteUnheardRun(row: DurableJobRow, position: number, run: number): DurableJobRow {
   const task = row.tasks[position]!;
   if (isFinished(row) || row.spec.steps[task.step]!.isLongRunning) return row;
+  if (isFailureCounted(row, position, run)) return row;
   const unheardRuns = [...(task.unheardRuns ?? []), run].slice(-MAX_UNHEARD_RUNS);
   return { ...row, tasks: row.tasks.with(position, { ...task, unheardRuns }) };
 }
@@ -52,5 +54,5 @@
   const task = row.tasks[position]!;
   const unheardRuns = task.unheardRuns?.filter((unheard) => unheard !== run);
   const heard = { ...row, tasks: row.tasks.with(position, { ...task, unheardRuns }) };
-  return recordFailure(heard, position, nowMs);
+  return recordFailure(heard, position, run, nowMs);
 }
--- a/src/jobs/progressJob.ts
+++ b/src/jobs/progressJob.ts
@@ -1,5 +1,6 @@
 import type { TaskEnd } from '../targets/index.js';
 import { type DurableJobRow, isFinished } from './DurableJobRow.js';
+import { countFailedAttempts, countFailedRun, listGangPositions } from './failedRuns.js';
 import { countOccurrenceTasks, getOccurrenceCount } from './occurrences.js';
 import type { TaskRow } from './TaskRow.js';
 
@@ -44,29 +45,22 @@
   return replaceTask(row, position, resetToWaiting(row.tasks[position]!));
 }
 
-/** Lists the positions of all members of the task's gang, or of the task alone. */
-function listGangPositions(row: DurableJobRow, position: number): readonly number[] {
-  const { occurrence, step } = row.tasks[position]!;
-  if (!row.spec.steps[step]!.isGang) return [position];
-  return row.tasks.flatMap((task, memberPosition) =>
-    task.occurrence === occurrence && task.step === step ? [memberPosition] : [],
-  );
-}
-
 function endTask(row: DurableJobRow, position: number, end: TaskEnd): TaskRow {
   const task = resetToWaiting(row.tasks[position]!);
   const { isLongRunning } = row.spec.steps[task.step]!;
   if (isLongRunning) return task;
-  if (end === 'done') return { ...task, phase: 'done' };
-  return end === 'failed' ? { ...task, failureCount: task.failureCount + 1 } : task;
+  return end === 'done' ? { ...task, phase: 'done' } : task;
+}
+
+function countIfFailed(row: DurableJobRow, position: number, end: TaskEnd): DurableJobRow {
+  const { run, step } = row.tasks[position]!;
+  if (end !== 'failed' || row.spec.steps[step]!.isLongRunning) return row;
+  return { ...row, tasks: countFailedRun(row, position, run) };
 }
 
 function updateJobState(row: DurableJobRow, position: number, nowMs: number): DurableJobRow {
   if (isFinished(row)) return row;
-  const failureCount = listGangPositions(row, position)
-    .map((memberPosition) => row.tasks[memberPosition]!.failureCount)
-    .reduce((sum, count) => sum + count, 0);
-  if (failureCount >= row.spec.terms.maxAttempts) {
+  if (countFailedAttempts(row, position) >= row.spec.terms.maxAttempts) {
     return { ...row, state: 'failed', finishedAtMs: nowMs };
   }
   const haveAllBegun = row.begunOccurrenceCount >= getOccurrenceCount(row.spec);
@@ -75,16 +69,21 @@
 }
 
 /**
- * Counts a failure of a task without a change of its phase.
+ * Counts a failure of an earlier run of a task without a change of its phase.
  * @param row - The job.
  * @param position - Position of the task among the job's tasks.
+ * @param run - Number of the run.
  * @param nowMs - Wall-clock time in milliseconds since the Unix epoch.
  * @returns The job, in state `failed` if this was the last attempt.
  */
-export function recordFailure(row: DurableJobRow, position: number, nowMs: number): DurableJobRow {
-  const task = row.tasks[position]!;
-  const failed = { ...task, failureCount: task.failureCount + 1 };
-  return updateJobState(replaceTask(row, position, failed), position, nowMs);
+export function recordFailure(
+  row: DurableJobRow,
+  position: number,
+  run: number,
+  nowMs: number,
+): DurableJobRow {
+  const tasks = countFailedRun(row, position, run);
+  return updateJobState({ ...row, tasks }, position, nowMs);
 }
 
 /** How a run ended. */
@@ -108,7 +107,8 @@
   { end, checkpoint }: RunEnd,
   nowMs: number,
 ): DurableJobRow {
-  const ended = endTask(row, position, end);
+  const counted = countIfFailed(row, position, end);
+  const ended = endTask(counted, position, end);
   const updateMember = (task: TaskRow): TaskRow => {
     // The members of a gang finish together, so the end of one member applies to all of them.
     if (ended.phase === 'done') {
@@ -122,9 +122,9 @@
         memberPosition,
         updateMember(memberPosition === position ? ended : tasksSoFar[memberPosition]!),
       ),
-    row.tasks,
+    counted.tasks,
   );
-  const begun = end === 'done' ? beginJob(row) : row;
+  const begun = end === 'done' ? beginJob(counted) : counted;
   return updateJobState({ ...begun, tasks }, position, nowMs);
 }
 
--- a/src/systems/placeTasks.ts
+++ b/src/systems/placeTasks.ts
@@ -112,20 +112,40 @@
     )?.capacity;
 }
 
+/**
+ * Lists the targets on which tasks of a step have failed, for each of them: those of its own runs,
+ * or of its whole gang, whose members fail together.
+ */
+function createFailedTargets({
+  row,
+  ready,
+  step,
+  getFailedTargets,
+}: StepPlacement): (position: number) => ReadonlySet<string> {
+  const listOf = (position: number): ReadonlySet<string> =>
+    getFailedTargets(row.spec.jobId, position);
+  const hasFailed = (position: number): boolean => row.tasks[position]!.failureCount > 0;
+  if (!step.isGang) return (position) => (hasFailed(position) ? listOf(position) : NO_TARGETS);
+  const ofGang = ready.positions.some(hasFailed)
+    ? new Set(ready.positions.flatMap((position) => [...listOf(position)]))
+    : NO_TARGETS;
+  return () => ofGang;
+}
+
 /** Places tasks one by one until one does not fit; the others of the step would not fit either. */
 function placeOneByOne(
   placement: StepPlacement,
   capacities: readonly TargetCapacity[],
 ): readonly TaskPlacement[] {
-  const { row, ready, step, stepKey, getFailedTargets, rooms } = placement;
+  const { row, ready, step, stepKey, rooms } = placement;
   const { jobId } = row.spec;
+  const getFailedTargets = createFailedTargets(placement);
   let isFull = false;
   return ready.positions.flatMap((position): readonly TaskPlacement[] => {
     if (isFull) return [];
     const task = row.tasks[position]!;
-    const failedTargets = task.failureCount > 0 ? getFailedTargets(jobId, position) : NO_TARGETS;
     const capacity = rooms.fits(row, step)
-      ? chooseTarget(capacities, placement, task, failedTargets)
+      ? chooseTarget(capacities, placement, task, getFailedTargets(position))
       : undefined;
     isFull = capacity === undefined;
     if (capacity === undefined) return [];
--- a/tests/systems/placeTasks.test.ts
+++ b/tests/systems/placeTasks.test.ts
@@ -123,6 +123,21 @@
     expect(placed[0]?.targetId).toBe('t2');
   });
 
+  // Guards against a gang whose attempts all fail on one target, member by member.
+  it('keeps a whole gang off the targets on which one of its members has failed', () => {
+    const row = makeRow('a', [makeStep({ taskCount: 2, isGang: true })]);
+    const tasks = row.tasks.map((task, position) => ({ ...task, failureCount: 1 - position }));
+    const failed = { ...row, tasks };
+    const placed = placeTasks({
+      jobs: [failed],
+      allocatedJobs: [failed],
+      targets: [makeTarget('t1'), makeTarget('t2')],
+      getFailedTargets: (_jobId, position) => new Set(position === 0 ? ['t1'] : []),
+      nowMs: NOW_MS,
+    });
+    expect(placed.map(({ targetId }) => targetId)).toEqual(['t2', 't2']);
+  });
+
   it('counts the tasks of finished jobs until they have ended', () => {
     const row = makeRow('a', [makeStep({ taskCount: 4 })]);
     const tasks = row.tasks.map((task) => ({ ...task, phase: 'placed' as const, targetId: 't1' }));
--- a/tests/taskHome/histories/HistoryJobs.ts
+++ b/tests/taskHome/histories/HistoryJobs.ts
@@ -4,7 +4,7 @@
 import type { HistoryHomes } from './HistoryHomes.js';
 import type { DueTask } from './listLostTasks.js';
 import type { DrawnJob } from './RunHistory.js';
-import { listTaskNames } from './RunScript.js';
+import { isGang, listTaskNames } from './RunScript.js';
 import type { RunWatch } from './RunWatch.js';
 
 /** Options of {@link HistoryJobs}. */
@@ -161,7 +161,15 @@
    * @returns One sentence each.
    */
   listWrongRunsAndEnds(): readonly string[] {
-    return [...this.options.watch.listViolations(TERMS.maxAttempts), ...this.violations];
+    const gangs = [...this.jobs.values()]
+      .filter(({ drawn }) => isGang(drawn))
+      .map(({ jobId, drawn }) => listTaskNames(jobId, drawn));
+    const { watch } = this.options;
+    return [
+      ...watch.listViolations(TERMS.maxAttempts),
+      ...gangs.flatMap((names) => watch.listGangViolations(names, TERMS.maxAttempts)),
+      ...this.violations,
+    ];
   }
 
   /**
@@ -229,8 +237,11 @@
     const count = (end: string) =>
       runs.map((ofTask) => ofTask.filter((run) => run.end === end).length);
     if (shownEnd === 'completed') return count('done').every((doneCount) => doneCount > 0);
-    const failed = count('failed');
-    const hasFailed = failed.some((failedCount) => failedCount >= TERMS.maxAttempts);
+    const failedRuns = runs.map((ofTask) => ofTask.filter(({ end }) => end === 'failed'));
+    const attempts = isGang(drawn) ? [failedRuns.flat()] : failedRuns;
+    const hasFailed = attempts.some(
+      (ofOne) => new Set(ofOne.map(({ run }) => run)).size >= TERMS.maxAttempts,
+    );
     return hasFailed || count('crashed').some((crashCount) => crashCount >= CRASHES_ALLOWED);
   }
 }
--- a/tests/taskHome/histories/RunHistory.ts
+++ b/tests/taskHome/histories/RunHistory.ts
@@ -10,7 +10,14 @@
 import { listShorterSteps } from './shortenHistory.js';
 
 /** Shapes of the jobs in a history. */
-export type JobShape = 'one-task' | 'three-tasks' | 'gang' | 'two-steps' | 'service';
+export type JobShape =
+  | 'one-task'
+  | 'three-tasks'
+  | 'gang'
+  /** A gang whose members all end as failed in a run that fails. */
+  | 'gang-failing-as-one'
+  | 'two-steps'
+  | 'service';
 
 /** A job of a history, and what its runs do by themselves. */
 export interface DrawnJob {
@@ -160,6 +167,25 @@
   { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' },
 );
 
+/** Draws histories of gangs of which several members fail at once. */
+export const gangHistory: fc.Arbitrary<RunHistory> = fc.array(
+  fc.oneof(
+    { weight: 8, arbitrary: step },
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        type: fc.constant('submit'),
+        job: fc.record({
+          shape: fc.constantFrom<JobShape>('gang-failing-as-one', 'gang'),
+          runMs: fc.constantFrom(5, 20, 100, 600),
+          failureCount: fc.constantFrom(0, 1, 1, 2, 3),
+        }),
+      }),
+    },
+  ),
+  { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' },
+);
+
 /** Draws histories in which partitions are given on while a home and a target are cut off. */
 export const dealHistory: fc.Arbitrary<RunHistory> = fc.array(
   fc.oneof(
@@ -187,6 +213,7 @@
     'one-task': [makeStep()],
     'three-tasks': [makeStep({ taskCount: 3 })],
     gang: [makeStep({ taskCount: 2, isGang: true })],
+    'gang-failing-as-one': [makeStep({ taskCount: 2, isGang: true })],
     'two-steps': [makeStep(), makeStep({ afterSteps: [0] })],
     service: [makeStep({ taskCount: SERVICE_TASK_COUNT, isLongRunning: true })],
   };
--- a/tests/taskHome/histories/RunScript.ts
+++ b/tests/taskHome/histories/RunScript.ts
@@ -24,6 +24,11 @@
   );
 }
 
+/** Tells whether the tasks of a job are one gang. */
+export function isGang({ shape }: DrawnJob): boolean {
+  return shape === 'gang' || shape === 'gang-failing-as-one';
+}
+
 /** Lets runs end by themselves, as their jobs say. */
 export class RunScript {
   private readonly options: RunScriptOptions;
@@ -45,7 +50,7 @@
     const job = this.options.getJob(jobId);
     if (job.shape === 'service') return;
     const end = (): void =>
-      job.shape === 'gang' ? this.endGang(run, listTaskNames(jobId, job), job) : this.end(run, job);
+      isGang(job) ? this.endGang(run, listTaskNames(jobId, job), job) : this.end(run, job);
     this.options.time.call(job.runMs, end);
   }
 
@@ -74,8 +79,9 @@
       const [first, ...others] = members;
       const isFailing = this.fails(first!.taskName, job);
       targets.end(first!.targetId, first!.taskName, isFailing ? 'failed' : 'done');
+      const failedEnd = job.shape === 'gang-failing-as-one' ? 'failed' : 'gang-broken';
       others.forEach((member) =>
-        targets.end(member.targetId, member.taskName, isFailing ? 'gang-broken' : 'done'),
+        targets.end(member.targetId, member.taskName, isFailing ? failedEnd : 'done'),
       );
     } else if (waitedMs >= GANG_WAIT_MS) {
       targets.end(run.targetId, run.taskName, 'gang-alone');
--- a/tests/taskHome/histories/RunWatch.ts
+++ b/tests/taskHome/histories/RunWatch.ts
@@ -118,6 +118,24 @@
     });
   }
 
+  /**
+   * Lists the runs of a gang that should not have begun, as it has failed too often before.
+   * @param taskNames - Names of its members.
+   * @param maxAttempts - Count of failed runs after which the gang must not begin again.
+   * @returns A sentence for each.
+   */
+  listGangViolations(taskNames: readonly string[], maxAttempts: number): readonly string[] {
+    const ofGang = this.runs.filter(({ taskName }) => taskNames.includes(taskName));
+    return ofGang.flatMap((run) => {
+      const failed = ofGang
+        .filter((other) => hasEndedBefore(other, run) && isBinding(other))
+        .filter((other) => other.end === 'failed' && other.run !== run.run);
+      const attempts = new Set(failed.map((other) => other.run)).size;
+      if (attempts < maxAttempts) return [];
+      return [`run ${run.run} of ${run.taskName} began after ${attempts} failed runs of its gang`];
+    });
+  }
+
   private listUnacknowledged(targetId: string): readonly WatchedRun[] {
     return this.runs.filter(
       (run) => run.targetId === targetId && run.acknowledgedAtMs === undefined,
--- a/tests/taskHome/runHistories.test.ts
+++ b/tests/taskHome/runHistories.test.ts
@@ -3,6 +3,7 @@
 import {
   dealHistory,
   describeHistory,
+  gangHistory,
   listShorterHistories,
   rebirthHistory,
   type RunHistory,
@@ -71,6 +72,9 @@
     TIMEOUT_MS,
   );
 
+  // Guards against a gang that is given up too early or too late, as several members fail at once.
+  it('does so while gangs fail as one', () => expectNoViolations(gangHistory), TIMEOUT_MS);
+
   // Guards against a second run beside one that a home goes on extending which has been replaced.
   it(
     'does so while partitions are given on with a home and a target cut off',
