Judge a stall by how long a percent of the task takes

Callers saw: a task of more than some 200 s never ends on a quiet system. Targets report whole percents, and 2 s without a change counted as a stall: each percent of such a task takes longer, so it was stopped and begun anew every 3 to 5 s.

Change: a run is stalled after 2 s, after five percents of its estimated time, or three times the longest percent that it has shown, whichever is longest. An estimate may be far too short, so the time doubles with each stall of the task until it is done.

--- a/scripts/oldKnowledgeMutants.ts
+++ b/scripts/oldKnowledgeMutants.ts
@@ -24,6 +24,14 @@
     test: 'tests/taskHome/leaseBounds.test.ts',
     name: 'are kept where the group reassigns the partition at once',
   },
+  {
+    failure: 'a long task that is stopped as stalled without end',
+    file: 'src/taskHome/getStallLimitMs.ts',
+    find: 'Math.max(MIN_LIMIT_MS, expectedMs, seenMs) * 2 ** doublingCount',
+    replace: 'MIN_LIMIT_MS',
+    test: PROGRESS_TEST,
+    name: 'takes no run for stalled whose percents take long by its estimate',
+  },
   {
     failure: 'a lease taken for lapsed that a home in between has extended',
     file: 'src/taskHome/LeaseLapses.ts',
--- a/src/taskHome/RunEnds.ts
+++ b/src/taskHome/RunEnds.ts
@@ -166,7 +166,10 @@
     // The time is that of the latest run, which is only the rest of the work if it has resumed.
     const isMeasured = run === key.run && checkpoint === undefined;
     timer.end(taskName, row, position, end === 'done' && isMeasured);
-    if (end === 'done') health.noteSuccess(targetId);
+    if (end === 'done') {
+      health.noteSuccess(targetId);
+      progress.forgetStalls(taskName);
+    }
     if (end === 'failed') health.noteFailure(targetId, row.spec.jobId, taskName);
   }
 
--- a/src/taskHome/RunStopper.ts
+++ b/src/taskHome/RunStopper.ts
@@ -92,11 +92,14 @@
     const { table, progress, health, events, isGroupLeaseHeld } = this.options;
     if (!isGroupLeaseHeld()) return;
     running
-      .filter(({ taskName, run }) => progress.isStalled(taskName, run))
-      .filter(({ taskName }) => table.getStep(taskName)?.isGang === false)
+      .filter(({ taskName, run }) => {
+        const step = table.getStep(taskName);
+        return step?.isGang === false && progress.isStalled(taskName, run, step.estimatedRunMs);
+      })
       .forEach(({ taskName, run, progressPercent }) => {
         events.write('taskStalled', { taskName, run, targetId, progressPercent });
         health.noteStall(targetId);
+        progress.noteStall(taskName);
         this.stopForRestart(taskName);
       });
   }
--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../utils/index.js';
+import { getStallLimitMs } from './getStallLimitMs.js';
 import type { TargetReport } from './TargetSession.js';
 
 /** Progress at which a long-running task counts as at work. */
@@ -12,17 +13,13 @@
  */
 const MAX_ASKED_AGE_MS = 3_000;
 
-/**
- * Time without progress from which a task counts as stalled, in milliseconds. A task of 4 s on a
- * target that is seven times too slow still makes progress every third of a second.
- */
-const STALLED_MS = 2_000;
-
 interface Progress {
   readonly run: number;
   readonly percent: number;
   /** Since when the progress is the same, by the clock of the target. */
   readonly sinceTargetMs: number;
+  /** Longest time that one percent of the run has taken, by the clock of the target. */
+  readonly longestPercentMs: number;
   /** When the target made the report, by its own clock. */
   readonly reportedTargetMs: number;
   /** When the report was read, by the monotonic clock. */
@@ -31,10 +28,20 @@
   readonly askedAtMs: number;
 }
 
+/** Gets the longest time that one percent of a run has taken, as of its next progress. */
+function getLongestPercentMs(known: Progress, percent: number, reportedTargetMs: number): number {
+  const percentCount = Math.max(1, percent - known.percent);
+  const percentMs = (reportedTargetMs - known.sinceTargetMs) / percentCount;
+  return Math.max(known.longestPercentMs, percentMs);
+}
+
 /** Tracks the progress of running tasks by the latest reports of their targets. */
 export class TaskProgress {
   private readonly byTask = new Map<string, Progress>();
 
+  /** How often runs of a task were stopped as stalled; only of tasks of which some were. */
+  private readonly stallCounts = new Map<string, number>();
+
   private readonly clock: Clock;
 
   /**
@@ -55,9 +62,14 @@
     const reading = { reportedTargetMs, readAtMs, askedAtMs };
     running.forEach(({ taskName, run, progressPercent: percent }) => {
       const known = this.byTask.get(taskName);
-      const isSame = known?.run === run && known.percent === percent;
-      const sinceTargetMs = isSame ? known.sinceTargetMs : reportedTargetMs;
-      this.byTask.set(taskName, { run, percent, sinceTargetMs, ...reading });
+      const ofRun = known?.run === run ? known : undefined;
+      const isSame = ofRun?.percent === percent;
+      const sinceTargetMs = isSame ? ofRun.sinceTargetMs : reportedTargetMs;
+      const longestPercentMs =
+        ofRun === undefined || isSame
+          ? (ofRun?.longestPercentMs ?? 0)
+          : getLongestPercentMs(ofRun, percent, reportedTargetMs);
+      this.byTask.set(taskName, { run, percent, sinceTargetMs, longestPercentMs, ...reading });
     });
   }
 
@@ -69,12 +81,32 @@
    * each other may be read far apart, if this process was paused in between.
    * @param taskName - Name of the task.
    * @param run - Number of the run.
+   * @param estimatedRunMs - The caller's estimate of the task's run time, in milliseconds.
    * @returns Whether it is stalled.
    */
-  isStalled(taskName: string, run: number): boolean {
+  isStalled(taskName: string, run: number, estimatedRunMs: number): boolean {
     const progress = this.byTask.get(taskName);
     if (progress?.run !== run || progress.percent >= AT_WORK_PERCENT) return false;
-    return progress.reportedTargetMs - progress.sinceTargetMs >= STALLED_MS;
+    const { reportedTargetMs, sinceTargetMs, longestPercentMs } = progress;
+    const stallCount = this.stallCounts.get(taskName) ?? 0;
+    const limitMs = getStallLimitMs({ estimatedRunMs, longestPercentMs, stallCount });
+    return reportedTargetMs - sinceTargetMs >= limitMs;
+  }
+
+  /**
+   * Records that a run is stopped as stalled; the next ones may take longer without progress.
+   * @param taskName - Name of the task.
+   */
+  noteStall(taskName: string): void {
+    this.stallCounts.set(taskName, (this.stallCounts.get(taskName) ?? 0) + 1);
+  }
+
+  /**
+   * Forgets the stalls of a task that is done.
+   * @param taskName - Name of the task.
+   */
+  forgetStalls(taskName: string): void {
+    this.stallCounts.delete(taskName);
   }
 
   /**
