Derive a membership's extension from its age, and say a few things once

A member kept two leases that were always extended together; how long it extends those of targets follows from the age of its confirmation, which it gives anyway. The failure of an unheard run took the run off that member's list before countFailedRun does so for the whole gang. The pace of a run was worked out in a nested condition of TaskProgress.note. Drawn histories repeated their length and the mix with usual steps.

No behaviour, bound or assertion is changed.

--- a/src/jobs/lateFailures.ts
+++ b/src/jobs/lateFailures.ts
@@ -51,8 +51,5 @@
   run: number,
   nowMs: number,
 ): DurableJobRow {
-  const task = row.tasks[position]!;
-  const unheardRuns = task.unheardRuns?.filter((unheard) => unheard !== run);
-  const heard = { ...row, tasks: row.tasks.with(position, { ...task, unheardRuns }) };
-  return recordFailure(heard, position, run, nowMs);
+  return recordFailure(row, position, run, nowMs);
 }
--- a/src/taskHome/GroupMembership.ts
+++ b/src/taskHome/GroupMembership.ts
@@ -57,9 +57,6 @@
 
   private readonly lease: HeldLease;
 
-  /** Ends later than the lease on the share. */
-  private readonly extension: HeldLease;
-
   private readonly renewTimeout: AdaptiveTimeout;
 
   private readonly outage: OutageLog;
@@ -81,12 +78,13 @@
    */
   constructor(options: GroupMembershipOptions) {
     this.options = options;
-    const { events, groupTiming, leaseExtensionMs } = options;
+    const { clock, events, groupTiming } = options;
     const { shortestWaitMs: shortestMs, longestWaitMs: longestMs } = groupTiming;
     this.renewTimeout = new AdaptiveTimeout({ shortestMs, longestMs });
     this.outage = new OutageLog({ events, lost: 'groupUnreachable', regained: 'groupReachable' });
-    this.lease = this.createLease(groupTiming.ttlMs);
-    this.extension = this.createLease(leaseExtensionMs);
+    const { ttlMs: leaseMs, renewEveryMs } = groupTiming;
+    const timing = { leaseMs, renewEveryMs, marginMs: LEASE_MARGIN_MS, contenderStepMs: 0 };
+    this.lease = new HeldLease({ clock, timing });
   }
 
   /** Joins the group, and renews the membership until it is stopped. */
@@ -123,7 +121,7 @@
    * @returns Whether the group has confirmed the membership recently.
    */
   mayExtendLeases(): boolean {
-    return this.extension.isHeld();
+    return this.getConfirmationAgeMs() < this.options.leaseExtensionMs - LEASE_MARGIN_MS;
   }
 
   /**
@@ -146,13 +144,6 @@
     await waitUntil(isFresh, { clock, deadlineMs, checkEveryMs: FRESHNESS_CHECK_MS });
   }
 
-  private createLease(leaseMs: number): HeldLease {
-    const { clock, groupTiming } = this.options;
-    const { renewEveryMs } = groupTiming;
-    const timing = { leaseMs, renewEveryMs, marginMs: LEASE_MARGIN_MS, contenderStepMs: 0 };
-    return new HeldLease({ clock, timing });
-  }
-
   private async runRenewals(): Promise<void> {
     while (!this.isStopped) {
       const { generation } = this;
@@ -222,7 +213,6 @@
       );
       if (this.isStopped) return true;
       this.lease.extend(sentAt);
-      this.extension.extend(sentAt);
       if (delayMs > 0) this.allowedDelaysAtMs = sentAtMs;
       this.outage.noteSuccess({ group, member, generation });
       this.generation = share.generation;
--- a/src/taskHome/TaskProgress.ts
+++ b/src/taskHome/TaskProgress.ts
@@ -28,11 +28,21 @@
   readonly askedAtMs: number;
 }
 
-/** Gets the longest time that one percent of a run has taken, as of its next progress. */
-function getLongestPercentMs(known: Progress, percent: number, reportedTargetMs: number): number {
+/** Measures the pace of a run by its next report. */
+function measurePace(
+  known: Progress | undefined,
+  percent: number,
+  reportedTargetMs: number,
+): Pick<Progress, 'sinceTargetMs' | 'longestPercentMs'> {
+  if (known === undefined) return { sinceTargetMs: reportedTargetMs, longestPercentMs: 0 };
+  const { sinceTargetMs, longestPercentMs } = known;
+  if (known.percent === percent) return { sinceTargetMs, longestPercentMs };
   const percentCount = Math.max(1, percent - known.percent);
-  const percentMs = (reportedTargetMs - known.sinceTargetMs) / percentCount;
-  return Math.max(known.longestPercentMs, percentMs);
+  const percentMs = (reportedTargetMs - sinceTargetMs) / percentCount;
+  return {
+    sinceTargetMs: reportedTargetMs,
+    longestPercentMs: Math.max(longestPercentMs, percentMs),
+  };
 }
 
 /** Tracks the progress of running tasks by the latest reports of their targets. */
@@ -63,13 +73,8 @@
     running.forEach(({ taskName, run, progressPercent: percent }) => {
       const known = this.byTask.get(taskName);
       const ofRun = known?.run === run ? known : undefined;
-      const isSame = ofRun?.percent === percent;
-      const sinceTargetMs = isSame ? ofRun.sinceTargetMs : reportedTargetMs;
-      const longestPercentMs =
-        ofRun === undefined || isSame
-          ? (ofRun?.longestPercentMs ?? 0)
-          : getLongestPercentMs(ofRun, percent, reportedTargetMs);
-      this.byTask.set(taskName, { run, percent, sinceTargetMs, longestPercentMs, ...reading });
+      const pace = measurePace(ofRun, percent, reportedTargetMs);
+      this.byTask.set(taskName, { run, percent, ...pace, ...reading });
     });
   }
 
--- a/tests/systems/placeTasks.test.ts
+++ b/tests/systems/placeTasks.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import {
-  beginJob,
   advanceOccurrences,
+  beginJob,
   createJobRow,
   type DurableJobRow,
   placeTask,
--- a/tests/taskHome/histories/RunHistory.ts
+++ b/tests/taskHome/histories/RunHistory.ts
@@ -148,60 +148,50 @@
 /** Tasks of a service. */
 const SERVICE_TASK_COUNT = 4;
 
+function drawHistory(drawnStep: fc.Arbitrary<HistoryStep>): fc.Arbitrary<RunHistory> {
+  return fc.array(drawnStep, { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' });
+}
+
+/** Draws histories of the usual steps, with one of another kind for some of them. */
+function drawMixedHistory(
+  usualWeight: number,
+  other: fc.WeightedArbitrary<HistoryStep>,
+): fc.Arbitrary<RunHistory> {
+  return drawHistory(fc.oneof({ weight: usualWeight, arbitrary: step }, other));
+}
+
 /** Draws histories. */
-export const runHistory: fc.Arbitrary<RunHistory> = fc.array(step, {
-  minLength: 1,
-  maxLength: MAX_STEP_COUNT,
-  size: 'max',
-});
+export const runHistory: fc.Arbitrary<RunHistory> = drawHistory(step);
 
 /** Draws histories in which targets start again under their ids. */
-export const rebirthHistory: fc.Arbitrary<RunHistory> = fc.array(
-  fc.oneof(
-    { weight: 12, arbitrary: step },
-    {
-      weight: 2,
-      arbitrary: fc.record({ type: fc.constant('restart'), target, listedAfterMs: timeMs }),
-    },
-  ),
-  { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' },
-);
+export const rebirthHistory: fc.Arbitrary<RunHistory> = drawMixedHistory(12, {
+  weight: 2,
+  arbitrary: fc.record({ type: fc.constant('restart'), target, listedAfterMs: timeMs }),
+});
 
 /** Draws histories of gangs of which several members fail at once. */
-export const gangHistory: fc.Arbitrary<RunHistory> = fc.array(
-  fc.oneof(
-    { weight: 8, arbitrary: step },
-    {
-      weight: 3,
-      arbitrary: fc.record({
-        type: fc.constant('submit'),
-        job: fc.record({
-          shape: fc.constantFrom<JobShape>('gang-failing-as-one', 'gang'),
-          runMs: fc.constantFrom(5, 20, 100, 600),
-          failureCount: fc.constantFrom(0, 1, 1, 2, 3),
-        }),
-      }),
-    },
-  ),
-  { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' },
-);
+export const gangHistory: fc.Arbitrary<RunHistory> = drawMixedHistory(8, {
+  weight: 3,
+  arbitrary: fc.record({
+    type: fc.constant('submit'),
+    job: fc.record({
+      shape: fc.constantFrom<JobShape>('gang-failing-as-one', 'gang'),
+      runMs: fc.constantFrom(5, 20, 100, 600),
+      failureCount: fc.constantFrom(0, 1, 1, 2, 3),
+    }),
+  }),
+});
 
 /** Draws histories in which partitions are given on while a home and a target are cut off. */
-export const dealHistory: fc.Arbitrary<RunHistory> = fc.array(
-  fc.oneof(
-    { weight: 8, arbitrary: step },
-    {
-      weight: 2,
-      arbitrary: fc.record({
-        type: fc.constant('deal'),
-        target,
-        confirmedBeforeMs: fc.constantFrom(0, 5, 50, 120, 200, 360),
-        forMs: fc.constantFrom(700, 1_400, 1_800, 2_500),
-      }),
-    },
-  ),
-  { minLength: 1, maxLength: MAX_STEP_COUNT, size: 'max' },
-);
+export const dealHistory: fc.Arbitrary<RunHistory> = drawMixedHistory(8, {
+  weight: 2,
+  arbitrary: fc.record({
+    type: fc.constant('deal'),
+    target,
+    confirmedBeforeMs: fc.constantFrom(0, 5, 50, 120, 200, 360),
+    forMs: fc.constantFrom(700, 1_400, 1_800, 2_500),
+  }),
+});
 
 /**
  * Lists the steps of a job.
