Split the bench's models of jobs and of the fleet by what they hold

The runs with their speeds, the check of a start, the rows of attempts and results, and the racks that count as failed stand in modules of their own; runs are replaced instead of changed in place, and the expiry of a job is the answer that it gives.

--- a/bench/model/FleetModel.ts
+++ b/bench/model/FleetModel.ts
@@ -1,10 +1,12 @@
 import { checkBudget, summariseWaves } from '../../src/systems/index.js';
 import { PoolTables, type PoolVmRow, type WaveStepRow } from '../../src/tables/index.js';
-import { assertNever, groupBy } from '../../src/utils/index.js';
+import { assertNever } from '../../src/utils/index.js';
 import type { FleetPolicy } from '../policies/FleetPolicy.js';
 import type { Trace, TraceEvent } from '../traces/index.js';
+import { countLeastVms } from './countLeastVms.js';
 import { EventQueue } from './EventQueue.js';
 import type { FleetOutcome } from './FleetOutcome.js';
+import { listFailedRacks } from './listFailedRacks.js';
 import { toPoolVm } from './toPoolVm.js';
 
 const HOUR_MS = 3_600_000;
@@ -31,13 +33,6 @@
 /** What maintenance of a VM does. */
 type StepStory = Extract<TraceEvent, { type: 'step' }>;
 
-/** Fewest VMs of which enough are left when the rack with the most of them is lost. */
-function leastVmCount(neededVmCount: number, rackCount: number): number {
-  let vmCount = neededVmCount;
-  while (vmCount - Math.ceil(vmCount / rackCount) < neededVmCount) vmCount += 1;
-  return vmCount;
-}
-
 /** Small model of pools, spare VMs, losses and maintenance; the decisions come from a policy. */
 export class FleetModel {
   private readonly options: FleetModelOptions;
@@ -211,7 +206,8 @@
     this.measure();
     const { policy, tickMs } = this.options;
     const minuteOfDay = Math.floor(this.nowMs / MINUTE_MS) % MINUTES_A_DAY;
-    const failedRacks = this.listFailedRacks();
+    const { vms } = this.options.trace.head;
+    const failedRacks = listFailedRacks(vms, { lostVms: this.lostVms, steps: this.steps });
     this.pools.forEach((tables) => {
       // Each home sees the steps that the homes before it have just decided.
       const fleetProgress = summariseWaves([...this.steps.values()]);
@@ -231,19 +227,6 @@
     this.agenda.push(this.nowMs + tickMs, { type: 'tick' });
   }
 
-  /** Racks that lost all their VMs, or one that the wave has not touched. */
-  private listFailedRacks(): ReadonlySet<string> {
-    const byRack = groupBy(
-      this.options.trace.head.vms,
-      ({ dataCentre, rack }) => `${dataCentre}/${rack}`,
-    );
-    const failed = [...byRack].filter(([, vms]) => {
-      const lost = vms.filter(({ vm }) => this.lostVms.has(vm));
-      return lost.length === vms.length || lost.some(({ vm }) => !this.steps.has(vm));
-    });
-    return new Set(failed.map(([rack]) => rack));
-  }
-
   private startStep(tables: PoolTables, wave: string, vm: string): void {
     const { drainMs, rebootMs } = this.stories.get(vm)!;
     const step: WaveStepRow = {
@@ -354,7 +337,7 @@
       heldCount += vms.length;
       this.heldMs += vms.length * tickMs;
       this.neededMs += neededVmCount * tickMs;
-      this.boundMs += leastVmCount(neededVmCount, this.rackCount) * tickMs;
+      this.boundMs += countLeastVms(neededVmCount, this.rackCount) * tickMs;
       const peak = Math.max(this.peakByPool.get(tables.pool) ?? 0, vms.length);
       this.peakByPool.set(tables.pool, peak);
     });
--- a/bench/model/JobModel.ts
+++ b/bench/model/JobModel.ts
@@ -1,10 +1,15 @@
 import { recordRun } from '../../src/systems/index.js';
-import { type GrantRow, PoolTables, type QueuedRow } from '../../src/tables/index.js';
-import { assertNever, type Rng } from '../../src/utils/index.js';
-import type { PlacementPolicy } from '../policies/PlacementPolicy.js';
-import type { Trace, TraceEvent, TraceJob } from '../traces/index.js';
+import { type GrantRow, PoolTables } from '../../src/tables/index.js';
+import { assertNever } from '../../src/utils/index.js';
+import type { TraceEvent, TraceJob } from '../traces/index.js';
+import { type AttemptRun, AttemptRuns } from './AttemptRuns.js';
+import { createJobResult } from './createJobResult.js';
+import { createQueuedRow } from './createQueuedRow.js';
 import { EventQueue } from './EventQueue.js';
-import type { JobEnd, JobOutcome, JobResult } from './JobOutcome.js';
+import { findStartFaults } from './findStartFaults.js';
+import type { JobHappening } from './JobHappening.js';
+import type { JobEnd, JobOutcome } from './JobOutcome.js';
+import type { JobModelOptions } from './JobModelOptions.js';
 import { JobState } from './JobState.js';
 import { toPoolVm } from './toPoolVm.js';
 
@@ -23,49 +28,19 @@
 /** VMs that a job is tried on. */
 const MAX_ATTEMPT_COUNT = 3;
 
-/** Options of {@link JobModel}. */
-export interface JobModelOptions {
-  readonly trace: Trace;
-  readonly policy: PlacementPolicy;
-  readonly rng: Rng;
-}
-
-/** What is due at some time. */
-type Happening =
-  | { readonly type: 'trace'; readonly event: TraceEvent }
-  | { readonly type: 'run-ends'; readonly attemptId: string; readonly endsAtMs: number }
-  | { readonly type: 'checkpointed'; readonly attemptId: string }
-  | { readonly type: 'loss-noticed'; readonly vm: string }
-  | { readonly type: 'patience-over'; readonly id: string }
-  | { readonly type: 'tick' };
-
-/** A run on a VM. */
-interface RunState {
-  readonly attemptId: string;
-  readonly state: JobState;
-  readonly vm: string;
-  readonly startedAtMs: number;
-  readonly failure: 'none' | 'failed';
-  /** Run time ahead when the run began. */
-  readonly workMs: number;
-  /** Time from which on the speed has been as it is. */
-  resumedAtMs: number;
-  remainingMs: number;
-  speed: number;
-  endsAtMs: number;
-}
-
 /** Small model of what VMs do with the jobs of one pool; the decisions come from a policy. */
 export class JobModel {
   private readonly options: JobModelOptions;
 
   private readonly tables: PoolTables;
 
-  private readonly agenda = new EventQueue<Happening>();
+  private readonly agenda = new EventQueue<JobHappening>();
 
   private readonly jobs = new Map<string, JobState>();
 
-  private readonly runs = new Map<string, RunState>();
+  private readonly runs = new AttemptRuns((attemptId, endsAtMs) =>
+    this.agenda.push(endsAtMs, { type: 'run-ends', attemptId, endsAtMs }),
+  );
 
   private readonly badVms = new Set<string>();
 
@@ -114,7 +89,7 @@
     this.nowMs = endMs;
     this.countUnfinished();
     return {
-      results: [...this.jobs.values()].map((state) => this.resultOf(state)),
+      results: [...this.jobs.values()].map((state) => createJobResult(this.tables, state, endMs)),
       brokenPromises: this.brokenPromises,
       overfilledStartCount: this.overfilledStarts,
       badVmStartCount: this.badVmStarts,
@@ -124,7 +99,7 @@
     };
   }
 
-  private handle(happening: Happening): void {
+  private handle(happening: JobHappening): void {
     switch (happening.type) {
       case 'trace':
         this.handleEvent(happening.event);
@@ -139,7 +114,7 @@
         this.noticeLoss(happening.vm);
         return;
       case 'patience-over':
-        this.expire(happening.id);
+        this.answer(this.jobs.get(happening.id)!, 'expired');
         return;
       case 'tick':
         this.agenda.push(this.nowMs + TICK_MS, { type: 'tick' });
@@ -188,23 +163,7 @@
   }
 
   private enqueue(state: JobState): void {
-    const { job } = state;
-    const declared = this.tables.settings.jobKinds[job.kind]!;
-    const row: QueuedRow = {
-      attemptId: state.beginAttempt(),
-      requestId: job.id,
-      entry: 'entry-1',
-      pool: this.tables.pool,
-      team: job.team,
-      jobKind: job.kind,
-      urgency: declared.urgency,
-      coreCount: declared.coreCount,
-      memoryMb: declared.memoryMb,
-      queuedAtMs: job.atMs,
-      deadlineMs: state.deadlineMs,
-      excludedVms: state.excludedVms,
-    };
-    this.tables.queue.put(row);
+    this.tables.queue.put(createQueuedRow(this.tables, state));
   }
 
   private decide(): void {
@@ -224,7 +183,7 @@
           this.preempt(decision.grantId, decision.action);
           return;
         case 'unthrottle':
-          this.setSpeed(decision.grantId, 1);
+          this.runs.setSpeed(decision.grantId, 1, this.nowMs);
           return;
         default:
           assertNever(decision);
@@ -239,7 +198,8 @@
   ): void {
     const row = this.tables.queue.getOrThrow(attemptId);
     const state = this.jobs.get(row.requestId)!;
-    this.checkStart(row, vm);
+    const isAnswered = state.result !== undefined;
+    this.brokenPromises.push(...findStartFaults(this.tables, { row, vm, isAnswered }));
     this.tables.queue.remove(attemptId);
     const { queuedAtMs, excludedVms, attemptId: grantId, ...request } = row;
     const grant: GrantRow = {
@@ -253,21 +213,14 @@
     this.tables.grants.put(grant);
     state.noteStart(this.nowMs);
     const failMs = this.failureDelayMs(state, vm);
-    const remainingMs = failMs ?? state.remainingMs;
-    const run: RunState = {
+    this.runs.begin({
       attemptId,
       state,
       vm,
       startedAtMs: this.nowMs,
       failure: failMs === undefined ? 'none' : 'failed',
-      workMs: remainingMs,
-      resumedAtMs: this.nowMs,
-      remainingMs,
-      speed: 1,
-      endsAtMs: this.nowMs + remainingMs,
-    };
-    this.runs.set(attemptId, run);
-    this.scheduleEnd(run);
+      workMs: failMs ?? state.remainingMs,
+    });
   }
 
   /** How soon a start fails; undefined where it does not. */
@@ -278,44 +231,19 @@
       return BAD_VM_FAIL_MS;
     }
     if (state.job.poison === true) return FAIL_MS;
-    const usedMb = [...this.runs.values()]
-      .filter((run) => run.vm === vm && run.failure === 'none')
+    const usedMb = this.runs
+      .listOn(vm)
+      .filter((run) => run.failure === 'none')
       .reduce((sum, run) => sum + run.state.job.memoryMb, 0);
     if (usedMb + state.job.memoryMb <= this.tables.vms.getOrThrow(vm).memoryMb) return undefined;
     this.overfilledStarts += 1;
     return FAIL_MS;
   }
 
-  /** Notes every promise that a start breaks. */
-  private checkStart(row: QueuedRow, vmName: string): void {
-    const vm = this.tables.vms.getOrThrow(vmName);
-    const grants = this.tables.grants.list();
-    const { quotas } = this.tables.settings;
-    const quota = quotas[row.team] ?? quotas['*'];
-    const checks: readonly (readonly [boolean, string])[] = [
-      [vm.condition === 'accepting', 'started on a VM that takes no work'],
-      [grants.filter((grant) => grant.vm === vmName).length < vm.slotCount, 'slots overfilled'],
-      [!row.excludedVms.includes(vmName), 'started again on a VM that failed it'],
-      [this.jobs.get(row.requestId)?.result === undefined, 'started after its final answer'],
-      [
-        grants.filter((grant) => grant.team === row.team).length < (quota?.slotCount ?? 0),
-        'quota exceeded',
-      ],
-    ];
-    checks
-      .filter(([holds]) => !holds)
-      .forEach(([, text]) => this.brokenPromises.push(`${row.attemptId} on ${vmName}: ${text}`));
-  }
-
-  private scheduleEnd(run: RunState): void {
-    const { attemptId, endsAtMs } = run;
-    this.agenda.push(endsAtMs, { type: 'run-ends', attemptId, endsAtMs });
-  }
-
   private endRun(attemptId: string, endsAtMs: number): void {
-    const run = this.runs.get(attemptId);
     // The run was checkpointed, cancelled, or changed its speed after this end was scheduled.
-    if (run === undefined || run.endsAtMs !== endsAtMs) return;
+    if (!this.runs.isDue(attemptId, endsAtMs)) return;
+    const run = this.runs.getOrThrow(attemptId);
     const fails = run.failure === 'failed' || this.lostVms.has(run.vm);
     this.dropRun(run);
     this.learn(run, fails ? 'failed' : 'run');
@@ -327,7 +255,7 @@
     this.answer(run.state, 'run');
   }
 
-  private learn(run: RunState, result: 'run' | 'failed'): void {
+  private learn(run: AttemptRun, result: 'run' | 'failed'): void {
     if (!this.options.policy.learns) return;
     const { job, excludedVms } = run.state;
     recordRun(this.tables, {
@@ -342,7 +270,7 @@
     });
   }
 
-  private retry(run: RunState): void {
+  private retry(run: AttemptRun): void {
     const { state } = run;
     if (state.result !== undefined) return;
     state.exclude(run.vm);
@@ -350,37 +278,23 @@
     else this.enqueue(state);
   }
 
-  private dropRun(run: RunState): void {
-    this.runs.delete(run.attemptId);
+  private dropRun(run: AttemptRun): void {
+    this.runs.remove(run.attemptId);
     this.tables.grants.remove(run.attemptId);
   }
 
   private preempt(attemptId: string, action: 'checkpoint' | 'throttle'): void {
-    if (action === 'throttle') this.setSpeed(attemptId, THROTTLED_SPEED);
+    if (action === 'throttle') this.runs.setSpeed(attemptId, THROTTLED_SPEED, this.nowMs);
     else this.agenda.push(this.nowMs + CHECKPOINT_MS, { type: 'checkpointed', attemptId });
   }
 
-  private setSpeed(attemptId: string, speed: number): void {
-    const run = this.runs.get(attemptId);
-    if (run === undefined) return;
-    run.remainingMs = this.leftOf(run);
-    run.resumedAtMs = this.nowMs;
-    run.speed = speed;
-    run.endsAtMs = this.nowMs + Math.max(0, run.remainingMs) / speed;
-    this.scheduleEnd(run);
-  }
-
-  private leftOf(run: RunState): number {
-    return run.remainingMs - (this.nowMs - run.resumedAtMs) * run.speed;
-  }
-
   private finishCheckpoint(attemptId: string): void {
     const run = this.runs.get(attemptId);
     if (run === undefined) return;
     this.dropRun(run);
     const { state } = run;
     if (run.failure === 'none') {
-      const leftMs = this.leftOf(run);
+      const leftMs = AttemptRuns.getRemainingMs(run, this.nowMs);
       state.keepProgress(leftMs);
       this.usefulMs += run.workMs - leftMs;
     }
@@ -390,8 +304,7 @@
   private noticeLoss(vm: string): void {
     if (!this.lostVms.has(vm)) return;
     this.setCondition(vm, 'unreachable');
-    const runs = [...this.runs.values()].filter((run) => run.vm === vm);
-    runs.forEach((run) => {
+    this.runs.listOn(vm).forEach((run) => {
       this.dropRun(run);
       this.retry(run);
     });
@@ -406,11 +319,6 @@
     if (state !== undefined) this.answer(state, 'cancelled');
   }
 
-  private expire(id: string): void {
-    const state = this.jobs.get(id)!;
-    if (state.result === undefined) this.answer(state, 'expired');
-  }
-
   private answer(state: JobState, end: JobEnd): void {
     if (state.result !== undefined) return;
     state.finish(end, this.nowMs);
@@ -430,24 +338,11 @@
   }
 
   private countUnfinished(): void {
-    [...this.runs.values()]
+    this.runs
+      .list()
       .filter((run) => run.failure === 'none' && run.state.result === undefined)
       .forEach((run) => {
-        this.usefulMs += run.workMs - this.leftOf(run);
+        this.usefulMs += run.workMs - AttemptRuns.getRemainingMs(run, this.nowMs);
       });
   }
-
-  private resultOf(state: JobState): JobResult {
-    const { job, startedAtMs, result } = state;
-    return {
-      id: job.id,
-      team: job.team,
-      kind: job.kind,
-      urgency: this.tables.settings.jobKinds[job.kind]!.urgency,
-      arrivedAtMs: job.atMs,
-      startedAtMs,
-      end: result?.end ?? 'open',
-      endedAtMs: result?.atMs ?? this.nowMs,
-    };
-  }
 }
