Split the unsteady targets of the drawn histories into lifetimes, fates and their observer

What belongs to one lifetime of a target (its clock, its runs, what is chosen for its next calls, what the observer is told) stands in TargetLifetime.ts; what is carried out, lost or late stays.

--- a/standins/leasedTargets/UnsteadyTargets.ts
+++ b/standins/leasedTargets/UnsteadyTargets.ts
@@ -1,7 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type {
   CommandAnswer,
-  EndedTaskReport,
   LeaseAnswer,
   LeasedTargetAddress,
   LeasedTargetPort,
@@ -10,53 +9,10 @@
   TaskEnd,
   TaskStart,
 } from '../../src/targets/index.js';
-import { assertNever, type Clock, whenAborted } from '../../src/utils/index.js';
-import { LeasedTarget } from './LeasedTarget.js';
-
-/** Calls whose fate can be chosen. */
-export type FatedCall = 'start' | 'stop' | 'renew';
-
-/**
- * What happens to one call. `answer-lost` is carried out at once; `late` is carried out after the
- * given time, is judged by the state of the target then, and has no answer either.
- */
-export type CallFate =
-  | { readonly type: 'request-lost' }
-  | { readonly type: 'answer-lost' }
-  | { readonly type: 'late'; readonly afterMs: number }
-  | { readonly type: 'slow'; readonly afterMs: number }
-  | { readonly type: 'unhealthy' }
-  | { readonly type: 'no-room' };
-
-/** State of a target that lasts until it changes. */
-export type TargetCondition = 'well' | 'unhealthy' | 'full' | 'cut-off';
-
-/** Is told what happens on the targets, at the time by their clock at which it happens. */
-export interface TargetObserver {
-  readonly onBegun: (targetId: string, taskName: string, run: number) => void;
-  readonly onEnded: (targetId: string, ended: EndedTaskReport, atMs: number) => void;
-  /** Every end up to this number has been acknowledged, by a renewal that was carried out. */
-  readonly onAcknowledged: (targetId: string, endNumber: number) => void;
-  readonly onLapsed: (targetId: string, atMs: number) => void;
-  readonly onCrashed: (targetId: string) => void;
-}
-
-/** One lifetime of a target, with what is known of it outside. */
-interface Lifetime {
-  readonly target: LeasedTarget;
-  /** How fast the target's own clock runs, as a multiple of the clock of all targets. */
-  readonly clockRate: number;
-  /** When its own clock showed 0, by the clock of all targets. */
-  readonly clockStartMs: number;
-  readonly runs: Map<string, number>;
-  readonly fates: Record<FatedCall, CallFate[]>;
-  /** Is aborted when the connections break, as the target starts again. */
-  readonly connections: AbortController;
-  /** Resolves at that time. */
-  readonly whenReset: Promise<undefined>;
-  condition: TargetCondition;
-  seenEndNumber: number;
-}
+import { assertNever, type Clock } from '../../src/utils/index.js';
+import type { CallFate, FatedCall, TargetCondition } from './CallFate.js';
+import { TargetLifetime } from './TargetLifetime.js';
+import type { TargetObserver } from './TargetObserver.js';
 
 /** A lifetime of a target that has started again under its id. */
 interface Rebirth {
@@ -78,7 +34,7 @@
 
   private readonly observer: TargetObserver;
 
-  private readonly lifetimes = new Map<string, Lifetime>();
+  private readonly lifetimes = new Map<string, TargetLifetime>();
 
   /** Lifetimes that are over, and whether another lifetime answers at their address. */
   private readonly ended = new Map<string, boolean>();
@@ -103,22 +59,9 @@
    * @param clockStartMs - When its own clock shows 0, by the clock of all targets.
    */
   add(targetId: string, clockRate = 1, clockStartMs = 0): void {
-    const clock: Clock = {
-      monotonicMs: () => (this.clock.monotonicMs() - clockStartMs) * clockRate,
-      wallMs: () => this.clock.wallMs(),
-    };
-    const connections = new AbortController();
-    this.lifetimes.set(targetId, {
-      target: new LeasedTarget(clock),
-      clockRate,
-      clockStartMs,
-      runs: new Map(),
-      fates: { start: [], stop: [], renew: [] },
-      connections,
-      whenReset: whenAborted(connections.signal),
-      condition: 'well',
-      seenEndNumber: 0,
-    });
+    const { clock, observer } = this;
+    const lifetime = new TargetLifetime({ targetId, clock, observer, clockRate, clockStartMs });
+    this.lifetimes.set(targetId, lifetime);
   }
 
   /** Ids of the lifetimes that are not over. */
@@ -145,9 +88,9 @@
    * @param nextId - Id of the next one.
    */
   restart(targetId: string, nextId: string): void {
-    const { connections } = this.lifetimes.get(targetId)!;
+    const lifetime = this.lifetimes.get(targetId)!;
     this.crash(targetId, true);
-    connections.abort();
+    lifetime.breakConnections();
     this.rebirths.set(targetId, { nextId, hasBrokenConnection: true });
     this.add(nextId, 1, this.clock.monotonicMs());
   }
@@ -168,14 +111,12 @@
    * @param fates - What happens to one after the other.
    */
   addFates(targetId: string, call: FatedCall, fates: readonly CallFate[]): void {
-    this.lifetimes.get(targetId)!.fates[call].push(...fates);
+    this.lifetimes.get(targetId)!.addFates(call, fates);
   }
 
   /** Lifts every fault; calls that are under way stay so. */
   liftFaults(): void {
-    this.lifetimes.forEach((lifetime) => {
-      Object.assign(lifetime, { condition: 'well', fates: { start: [], stop: [], renew: [] } });
-    });
+    this.lifetimes.forEach((lifetime) => lifetime.liftFaults());
   }
 
   /**
@@ -186,7 +127,7 @@
    */
   findRun(targetId: string, taskName: string): number | undefined {
     this.observe();
-    return this.lifetimes.get(targetId)?.runs.get(taskName);
+    return this.lifetimes.get(targetId)?.findRun(taskName);
   }
 
   /**
@@ -197,7 +138,7 @@
    */
   end(targetId: string, taskName: string, end: TaskEnd): void {
     this.observe();
-    this.lifetimes.get(targetId)!.target.end(taskName, end);
+    this.lifetimes.get(targetId)!.end(taskName, end);
     this.observe();
   }
 
@@ -207,10 +148,10 @@
     return this.call<StartAnswer>(targetId, 'start', {
       refuse,
       otherLifetime: { type: 'other-lifetime' },
-      carryOut: (lifetime, presentId) => {
-        const isThere = lifetime.runs.get(start.taskName) === start.run;
+      carryOut: (lifetime) => {
+        const isThere = lifetime.findRun(start.taskName) === start.run;
         if (lifetime.condition === 'full' && !isThere) return refuse('no-room');
-        return this.begin(presentId, lifetime, start);
+        return lifetime.begin(start);
       },
     });
   }
@@ -225,7 +166,7 @@
     return this.call<CommandAnswer>(targetId, 'stop', {
       refuse: (reason) => ({ type: 'refused', reason }),
       otherLifetime: { type: 'other-lifetime' },
-      carryOut: ({ target }) => target.stop(taskName, run, term),
+      carryOut: (lifetime) => lifetime.stop(taskName, run, term),
     });
   }
 
@@ -244,8 +185,8 @@
     return this.call<LeaseAnswer>(targetId, 'renew', {
       refuse: () => ({ type: 'unhealthy' }),
       otherLifetime: { type: 'other-lifetime' },
-      carryOut: ({ target }, presentId) => {
-        const answer = target.renew(renewal);
+      carryOut: (lifetime, presentId) => {
+        const answer = lifetime.renew(renewal);
         if (answer.type === 'report') {
           this.observer.onAcknowledged(presentId, renewal.acknowledgedEndNumber);
         }
@@ -261,26 +202,16 @@
   /** Extends the lease at once, unless something happens to the renewal. */
   private renewOnArrival(targetId: string, renewal: LeaseRenewal): void {
     const lifetime = this.lifetimes.get(targetId);
-    const isWell = lifetime?.condition === 'well' && lifetime.fates.renew.length === 0;
+    const isWell = lifetime?.condition === 'well' && !lifetime.hasFate('renew');
     if (!isWell) return;
     this.observe();
-    lifetime.target.renew(renewal);
+    lifetime.renew(renewal);
     this.observer.onAcknowledged(targetId, renewal.acknowledgedEndNumber);
   }
 
-  private begin(targetId: string, { target, runs }: Lifetime, start: TaskStart): StartAnswer {
-    const { taskName, run } = start;
-    const before = runs.get(taskName);
-    const answer = target.start(start);
-    if (answer.type !== 'started' || before === run) return answer;
-    this.observer.onBegun(targetId, taskName, run);
-    runs.set(taskName, run);
-    return answer;
-  }
-
   private async call<Answer>(targetId: string, call: FatedCall, how: CallEffect<Answer>) {
     const presentId = this.findPresent(targetId);
-    const fate = this.lifetimes.get(presentId)?.fates[call].shift();
+    const fate = this.lifetimes.get(presentId)?.takeFate(call);
     await sleep(WAY_MS);
     if (fate === undefined) return this.carryOut(presentId, how);
     switch (fate.type) {
@@ -352,24 +283,7 @@
 
   /** Tells the observer what has ended since the last look. */
   private observe(): void {
-    this.lifetimes.forEach((lifetime, targetId) => this.observeLifetime(targetId, lifetime));
-  }
-
-  private observeLifetime(targetId: string, lifetime: Lifetime): void {
-    const { target, runs, clockRate, clockStartMs } = lifetime;
-    const running = new Set(target.runningNames);
-    const { unacknowledged } = target;
-    const leaseEndsAtMs = clockStartMs + target.leaseEndsAtMs / clockRate;
-    const nowMs = this.clock.monotonicMs();
-    unacknowledged
-      .filter(({ endNumber }) => endNumber > lifetime.seenEndNumber)
-      .forEach((ended) => {
-        const atMs = ended.end === 'lapsed' ? leaseEndsAtMs : nowMs;
-        Object.assign(lifetime, { seenEndNumber: ended.endNumber });
-        this.observer.onEnded(targetId, ended, atMs);
-        if (!running.has(ended.taskName)) runs.delete(ended.taskName);
-      });
-    if (leaseEndsAtMs <= nowMs) this.observer.onLapsed(targetId, leaseEndsAtMs);
+    this.lifetimes.forEach((lifetime) => lifetime.observe());
   }
 }
 
@@ -378,5 +292,5 @@
   readonly refuse: (reason: 'unhealthy' | 'no-room') => Answer;
   readonly otherLifetime: Answer;
   /** Is given the lifetime that takes the call, and its id. */
-  readonly carryOut: (lifetime: Lifetime, presentId: string) => Answer;
+  readonly carryOut: (lifetime: TargetLifetime, presentId: string) => Answer;
 }
--- a/tests/taskHome/histories/FatesStep.ts
+++ b/tests/taskHome/histories/FatesStep.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import type { CallFate, FatedCall } from '../../../standins/leasedTargets/UnsteadyTargets.js';
+import type { CallFate, FatedCall } from '../../../standins/leasedTargets/CallFate.js';
 
 /** Something happens to the next calls of a kind to a target. */
 export interface FatesStep {
--- a/tests/taskHome/histories/LostTaskHistory.ts
+++ b/tests/taskHome/histories/LostTaskHistory.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import type { CallFate } from '../../../standins/leasedTargets/UnsteadyTargets.js';
+import type { CallFate } from '../../../standins/leasedTargets/CallFate.js';
 import { drawFates, drawSlowCall, type FatesStep, listFewerFates, lostCall } from './FatesStep.js';
 import type { DrawnJob, JobShape, StoreCondition } from './RunHistory.js';
 import { listShorterSteps } from './shortenHistory.js';
--- a/tests/taskHome/histories/LostTaskHistoryWorld.ts
+++ b/tests/taskHome/histories/LostTaskHistoryWorld.ts
@@ -1,4 +1,4 @@
-import type { TargetCondition } from '../../../standins/leasedTargets/UnsteadyTargets.js';
+import type { TargetCondition } from '../../../standins/leasedTargets/CallFate.js';
 import { assertNever } from '../../../src/utils/index.js';
 import { makeJob } from '../HomeWorld.js';
 import { HistoryDrains, SYNC_EVERY_MS } from './HistoryDrains.js';
--- a/tests/taskHome/histories/RunHistory.ts
+++ b/tests/taskHome/histories/RunHistory.ts
@@ -3,7 +3,7 @@
   CallFate,
   FatedCall,
   TargetCondition,
-} from '../../../standins/leasedTargets/UnsteadyTargets.js';
+} from '../../../standins/leasedTargets/CallFate.js';
 import type { StepSpec } from '../../../src/jobs/index.js';
 import { makeStep } from '../HomeWorld.js';
 import { type FatesStep, listFewerFates } from './FatesStep.js';
--- a/tests/taskHome/histories/RunWatch.ts
+++ b/tests/taskHome/histories/RunWatch.ts
@@ -1,4 +1,4 @@
-import type { TargetObserver } from '../../../standins/leasedTargets/UnsteadyTargets.js';
+import type { TargetObserver } from '../../../standins/leasedTargets/TargetObserver.js';
 import type { EndedTaskReport, TaskEnd } from '../../../src/targets/index.js';
 import type { Clock } from '../../../src/utils/index.js';
 
