Tell of the first wrong item of a list alone

The cause isn't the depth, nor JSON.parse, nor a copy: an array of zod makes an issue for each wrong item, and all become one text.

Lists of others now stop at the first wrong item. Lists in answers of targets and in frames of peers are as they were.

--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -19,6 +19,7 @@
 export { groupBy } from './groupBy.js';
 export { hashText } from './hashText.js';
 export { holdBackOptimizer } from './holdBackOptimizer.js';
+export { listOf } from './listOf.js';
 export { memoizeByObject } from './memoizeByObject.js';
 export { rankByRendezvous } from './rankByRendezvous.js';
 export { KeyedOnce } from './KeyedOnce.js';
