Show a job of an organisation without a key on its own queue alone

Callers without a key saw and cancelled jobs of organisations by way of any queue that asks for no key, if it has the same pool (GET and DELETE 200; callers of other organisations got 410). A caller without an organisation counted as one that may see every job; the queue of the call was known at the home and not looked at.

Ruled out: refusing such calls altogether, as a queue that asked for keys when the job came may need none by a later configuration, and its jobs are still owed an answer.

Now the call has to come on the job's own queue, by name or address. Ended jobs of organisations keep their queue for that.

--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -18,7 +18,14 @@
   type Schedule,
   type StepSpec,
 } from './DurableJobSpec.js';
-export { type EndedJob, isVisibleTo, summarizeEndedJob, type TrackedJob } from './EndedJob.js';
+export {
+  type EndedJob,
+  isVisibleTo,
+  type JobCaller,
+  type QueueName,
+  summarizeEndedJob,
+  type TrackedJob,
+} from './EndedJob.js';
 export {
   decodeJobRecord,
   durableJobSpecSchema,
--- a/src/jobs/jobCodec.ts
+++ b/src/jobs/jobCodec.ts
@@ -59,10 +59,11 @@
   type: z.literal(ENDED_TYPE),
   state: durableJobStateSchema.extract(['completed', 'failed', 'cancelled']),
   organisation: z.string().optional(),
+  queue: z.looseObject({ queue: z.string(), address: z.string().optional() }).optional(),
 });
 
 const progressOrEndedSchema = z.union([
-  endedSchema.transform(({ type, state, organisation }) => ({ type, state, organisation })),
+  endedSchema.transform(({ type, ...ended }) => ({ type, ended })),
   progressSchema.transform((progress) => ({ type: 'progress' as const, progress })),
 ]);
 
@@ -99,8 +100,8 @@
  * @param ended - The ended job.
  * @returns The record.
  */
-export function encodeEndedJob({ jobId, state, organisation }: EndedJob): KeyedRecord {
-  const owner = organisation === undefined ? {} : { organisation };
+export function encodeEndedJob({ jobId, state, organisation, queue }: EndedJob): KeyedRecord {
+  const owner = organisation === undefined ? {} : { organisation, queue };
   const value = encodeRecordValue({ type: ENDED_TYPE, state, ...owner });
   return { key: `${PROGRESS_PREFIX}${jobId}`, value };
 }
@@ -140,8 +141,9 @@
     const jobId = key.slice(PROGRESS_PREFIX.length);
     const decoded = decodeRecordValue(progressOrEndedSchema, record);
     if (decoded.type === 'progress') return { ...decoded, jobId };
-    const { type, state, organisation } = decoded;
-    return { type, jobId, ended: { jobId, state, organisation } };
+    const { type, ended } = decoded;
+    const { state, organisation, queue } = ended;
+    return { type, jobId, ended: { jobId, state, organisation, queue } };
   }
   return { type: 'other' };
 }
--- a/src/taskHome/CallerJobs.ts
+++ b/src/taskHome/CallerJobs.ts
@@ -4,6 +4,7 @@
   type DurableJobSpec,
   type DurableJobState,
   isFinished,
+  type JobCaller,
   type PoolSearch,
 } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
@@ -78,26 +79,26 @@
   /**
    * Gets the state of a job.
    * @param jobId - Id of the job.
-   * @param organisation - Organisation of the caller; undefined if its call needs no key.
+   * @param caller - Whose call it is, and on which queue.
    * @returns The state; undefined if there is no job here that the caller may see.
    */
-  getState(jobId: string, organisation: string | undefined): DurableJobState | undefined {
+  getState(jobId: string, caller: JobCaller): DurableJobState | undefined {
     const { table } = this.options;
-    const job = table.getVisible(jobId, organisation);
+    const job = table.getVisible(jobId, caller);
     return job && table.getShownState(jobId);
   }
 
   /**
    * Cancels a job unless it has ended.
    * @param jobId - Id of the job.
-   * @param organisation - Organisation of the caller; undefined if its call needs no key.
+   * @param caller - Whose call it is, and on which queue.
    * @returns Whether there is a job that the caller may see; resolves once the cancellation is
    * stored.
    * @throws RattanliftError If the cancellation could not be stored.
    */
-  async cancel(jobId: string, organisation: string | undefined): Promise<boolean> {
+  async cancel(jobId: string, caller: JobCaller): Promise<boolean> {
     const { clock, events, flush, runs, table, term } = this.options;
-    if (table.getVisible(jobId, organisation) === undefined) return false;
+    if (table.getVisible(jobId, caller) === undefined) return false;
     const row = table.getActive(jobId);
     if (row !== undefined && !isFinished(row)) {
       table.put(cancelJob(row, clock.wallMs()));
--- a/src/taskHome/JobSubmissions.ts
+++ b/src/taskHome/JobSubmissions.ts
@@ -3,6 +3,7 @@
   countOccurrenceTasks,
   type DurableJobSpec,
   isVisibleTo,
+  type JobCaller,
   type PoolSearch,
   type QueueReference,
   type TrackedJob,
@@ -90,7 +91,7 @@
       moves.assertOpen(terms);
       await this.store(spec);
     } else {
-      await this.whenStored(known, organisation);
+      await this.whenStored(known, { organisation, queue: terms });
     }
     return undefined;
   }
@@ -107,12 +108,12 @@
     if (table.get(jobId) === undefined) await moves.close(queue);
     const known = table.get(jobId);
     if (known === undefined) return false;
-    await this.whenStored(known, organisation);
+    await this.whenStored(known, { organisation, queue });
     return true;
   }
 
-  private async whenStored(known: TrackedJob, organisation: string | undefined): Promise<void> {
-    if (!isVisibleTo(known, organisation)) throwError('request-id-reused', 'The job id is taken.');
+  private async whenStored(known: TrackedJob, caller: JobCaller): Promise<void> {
+    if (!isVisibleTo(known, caller)) throwError('request-id-reused', 'The job id is taken.');
     // The first submission may still wait for a round, so only a round after it tells.
     await this.options.flush();
   }
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -11,6 +11,7 @@
   findTask,
   isFinished,
   isVisibleTo,
+  type JobCaller,
   type TrackedJob,
   parseTaskName,
   type StepSpec,
@@ -81,12 +82,12 @@
   /**
    * Gets a job that a caller may see.
    * @param jobId - Id of the job.
-   * @param organisation - Organisation of the caller; undefined if its call needs no key.
-   * @returns The job, or undefined if it is unknown or belongs to another organisation.
+   * @param caller - Whose call it is, and on which queue.
+   * @returns The job, or undefined if it is unknown or the caller may not see it.
    */
-  getVisible(jobId: string, organisation: string | undefined): TrackedJob | undefined {
+  getVisible(jobId: string, caller: JobCaller): TrackedJob | undefined {
     const job = this.get(jobId);
-    return job !== undefined && isVisibleTo(job, organisation) ? job : undefined;
+    return job !== undefined && isVisibleTo(job, caller) ? job : undefined;
   }
 
   /**
--- a/src/taskHome/TaskHome.ts
+++ b/src/taskHome/TaskHome.ts
@@ -1,5 +1,5 @@
 import { RattanliftError, throwError } from '../errors/index.js';
-import type { DurableJobSpec, DurableJobState, PoolSearch } from '../jobs/index.js';
+import type { DurableJobSpec, DurableJobState, JobCaller, PoolSearch } from '../jobs/index.js';
 import type { KeyedRecord } from '../store/index.js';
 import { alignSubmissions, type PoolDemand } from '../systems/index.js';
 import { type Clock, SteadyClock } from '../utils/index.js';
@@ -207,13 +207,13 @@
   /**
    * Gets the state of a job.
    * @param jobId - Id of the job.
-   * @param organisation - Organisation of the caller; undefined if its call needs no key.
+   * @param caller - Whose call it is, and on which queue.
    * @returns The state, in which an end counts once it is stored; undefined if there is no job that
    * the caller may see.
    * @throws RattanliftError Of kind `home-unavailable` if another instance may be the home.
    */
-  getState(jobId: string, organisation?: string): DurableJobState | undefined {
-    const state = this.jobs.getState(jobId, organisation);
+  getState(jobId: string, caller: JobCaller = {}): DurableJobState | undefined {
+    const state = this.jobs.getState(jobId, caller);
     if (state === undefined) this.assertIsHome();
     return state;
   }
@@ -221,14 +221,14 @@
   /**
    * Cancels a job.
    * @param jobId - Id of the job.
-   * @param organisation - Organisation of the caller; undefined if its call needs no key.
+   * @param caller - Whose call it is, and on which queue.
    * @returns Whether there is a job that the caller may see; resolves once the cancellation is
    * stored.
    * @throws RattanliftError If the cancellation could not be stored, or another instance may be
    * the home.
    */
-  async cancel(jobId: string, organisation?: string): Promise<boolean> {
-    const isKnown = await this.jobs.cancel(jobId, organisation);
+  async cancel(jobId: string, caller: JobCaller = {}): Promise<boolean> {
+    const isKnown = await this.jobs.cancel(jobId, caller);
     if (!isKnown) this.assertIsHome();
     return isKnown;
   }
--- a/src/taskHome/handleJobRequest.ts
+++ b/src/taskHome/handleJobRequest.ts
@@ -1,11 +1,16 @@
 import { toRattanliftError } from '../errors/index.js';
-import type { QueueReference } from '../jobs/index.js';
+import type { JobCaller, QueueReference } from '../jobs/index.js';
 import type { DurableJobRequest, PeerReply } from '../peers/index.js';
 import { assertNever, type Clock, SystemClock } from '../utils/index.js';
 import type { TaskHome } from './TaskHome.js';
 
 type CountRequest = Extract<DurableJobRequest, { readonly type: 'count-pending-jobs' }>;
 
+type CallerRequest = Extract<
+  DurableJobRequest,
+  { readonly type: 'get-durable-job' | 'cancel-durable-job' }
+>;
+
 const NOT_HOME_REPLY: PeerReply = {
   type: 'refused',
   kind: 'home-unavailable',
@@ -38,6 +43,10 @@
   return { type: 'pending-jobs', count, ...(otherPools.length === 0 ? {} : { otherPools }) };
 }
 
+function toJobCaller({ caller, queue }: CallerRequest): JobCaller {
+  return { organisation: caller?.organisation, queue };
+}
+
 async function dispatch(home: TaskHome, request: DurableJobRequest): Promise<PeerReply> {
   switch (request.type) {
     case 'submit-durable-job': {
@@ -50,12 +59,12 @@
       return { type: 'found-job', isStored };
     }
     case 'get-durable-job': {
-      const state = home.getState(request.jobId, request.caller?.organisation);
+      const state = home.getState(request.jobId, toJobCaller(request));
       if (state === undefined) return createUnknownReply(home, request.queue);
       return { type: 'durable-job', state };
     }
     case 'cancel-durable-job': {
-      const isKnown = await home.cancel(request.jobId, request.caller?.organisation);
+      const isKnown = await home.cancel(request.jobId, toJobCaller(request));
       if (!isKnown) return createUnknownReply(home, request.queue);
       return { type: 'durable-job', state: 'cancelled' };
     }
