Test odd lists of VMs and odd answers of targets

Neither breaks: a list nested 100,000 times, or with one odd row, is given up as a whole with a short reason, what was known stays, and the next one is read. A row alone isn't left out: the lifetime of its target would count as ended.

--- a/tests/platformAdapter/PlatformTargets.test.ts
+++ b/tests/platformAdapter/PlatformTargets.test.ts
@@ -11,11 +11,13 @@
   let server: Server;
   let targets: PlatformTargets;
   let endCount: number;
+  let oddBody: string | undefined;
   let bornAtMs: number | undefined;
   let calledFor: string | undefined;
 
   beforeEach(async () => {
     endCount = 0;
+    oddBody = undefined;
     bornAtMs = undefined;
     server = createServer((request, response) => {
       calledFor = request.headers['expect-instance']?.toString();
@@ -27,7 +29,7 @@
         '',
       ]);
       response.setHeader('content-type', 'application/json');
-      response.end(JSON.stringify({ clock_ms: 5, born: bornAtMs, running: [], ended }));
+      response.end(oddBody ?? JSON.stringify({ clock_ms: 5, born: bornAtMs, running: [], ended }));
     });
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
@@ -84,4 +86,22 @@
     expect(targetAnswerSchema.parse(answer)).toEqual(answer);
     expect(calledFor).toBe(TARGET_ID);
   });
+
+  // Guards against a home that ends at the answer of one target.
+  it.each(['running', 'ended', 'clock_ms', 'another'])(
+    'reads on after an answer with %s nested 100,000 times',
+    async (field) => {
+      const depth = 100_000;
+      const fields = { clock_ms: 5, running: [], ended: [] };
+      const others = JSON.stringify({ ...fields, [field]: undefined }).slice(0, -1);
+      const { port } = server.address() as AddressInfo;
+      const address = { targetId: TARGET_ID, host: '127.0.0.1', port };
+      oddBody = `${others},"${field}":${'['.repeat(depth)}${']'.repeat(depth)}}`;
+      const renewed = targets.renew(address, RENEWAL);
+      if (field === 'another') expect(await renewed).toMatchObject({ type: 'report' });
+      else await expect(renewed).rejects.toThrow(field);
+      oddBody = undefined;
+      expect(await targets.renew(address, RENEWAL)).toMatchObject({ type: 'report' });
+    },
+  );
 });
--- a/tests/platformAdapter/PlatformVms.test.ts
+++ b/tests/platformAdapter/PlatformVms.test.ts
@@ -58,4 +58,26 @@
     await expect(vms.listVms()).rejects.toThrow();
     expect(performance.now() - startedAtMs).toBeLessThan(2_000);
   });
+
+  // Guards against a fleet whose home ends, or stops listing it, at one odd row of the list.
+  it('tells why it cannot read a list, in a few words, and reads the next one', async () => {
+    const rows = [makeRow(1), makeRow(2)];
+    const depth = 100_000;
+    const nested = '['.repeat(depth) + ']'.repeat(depth);
+    const toList = (row: string): string => `{"machines":[${JSON.stringify(rows[0])},${row}]}`;
+    const whole = JSON.stringify({ machines: rows });
+    forwarder.toClientBytesPerS = Infinity;
+    await [nested, toList(nested), toList('null'), toList('{"machine":1e400}'), '['].reduce(
+      async (before, odd) => {
+        await before;
+        answer = (response) => response.end(odd);
+        const reason = await vms.listVms().then(() => '', String);
+        expect(reason).not.toBe('');
+        expect(reason.length).toBeLessThan(2_000);
+        answer = (response) => response.end(whole);
+        expect(await vms.listVms()).toHaveLength(rows.length);
+      },
+      Promise.resolve(),
+    );
+  });
 });
