--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -36,6 +36,7 @@
 import { answerPeer } from './answerPeer.js';
 import type { JobNodeOptions } from './JobNodeOptions.js';
 import { KnownPools } from './KnownPools.js';
+import { LoadLog } from './LoadLog.js';
 import { measurePorts } from './measurePorts.js';
 import { PauseLog } from './PauseLog.js';
 
@@ -90,7 +91,7 @@
 
   private readonly peerServer: PeerServer;
 
-  private readonly pauseLog: PauseLog;
+  private readonly processLogs: readonly (PauseLog | LoadLog)[];
 
   private homesTimer: NodeJS.Timeout | undefined;
 
@@ -102,7 +103,7 @@
    */
   constructor(options: JobNodeOptions) {
     const { address, clock, events, metrics, records } = options;
-    this.pauseLog = new PauseLog({ clock, events });
+    this.processLogs = [new PauseLog({ clock, events }), new LoadLog({ clock, events })];
     const ports = measurePorts(options.ports, { metrics, clock });
     this.options = { ...options, ports };
     const { instance, host, port } = address;
@@ -169,7 +170,7 @@
 
   /** Starts to serve peers, to follow the configuration and to hold homes. */
   async start(): Promise<void> {
-    this.pauseLog.start();
+    this.processLogs.forEach((log) => log.start());
     const { port } = await this.peerServer.start();
     this.configuration.start();
     this.configurationPeers.start();
@@ -195,7 +196,7 @@
   /** Ends everything else, after {@link handOver} and the last request. */
   async stop(): Promise<void> {
     clearInterval(this.homesTimer);
-    this.pauseLog.stop();
+    this.processLogs.forEach((log) => log.stop());
     this.configurationPeers.stop();
     this.configuration.stop();
     this.peers.close();
--- a/src/logging/events/daemonEvents.ts
+++ b/src/logging/events/daemonEvents.ts
@@ -18,4 +18,9 @@
     text: 'The port of the metrics cannot be opened; work goes on without.',
   },
   processPaused: { number: 9008, level: 'warn', text: 'The process did not run for a while.' },
+  instanceLoad: {
+    number: 9009,
+    level: 'info',
+    text: 'Processor time of an instance and delays of its timers, once a second.',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
