--- a/tests/taskHome/RelayedTargets.test.ts
+++ b/tests/taskHome/RelayedTargets.test.ts
@@ -195,4 +195,19 @@
     await stop(60);
     expect(callers().at(-1)).toBe('home');
   });
+
+  // Guards against a home whose own calls to 20 targets fill its two thirds of a core in the load
+  // peak of its pool, so that its jobs are late while other instances are idle.
+  it('leaves nearly all calls of a load peak to relays, whichever targets they are for', async () => {
+    targets = open(0.675);
+    log.calls.length = 0;
+    await Array.from({ length: 400 }, (_t, number) => number).reduce(async (before, number) => {
+      await before;
+      clock.advance(2.5);
+      await stop(number % 20);
+    }, Promise.resolve());
+    const directCount = callers().filter((caller) => caller === 'home').length;
+    expect(directCount / 400).toBeLessThan(0.3);
+    expect(callers()).toHaveLength(400);
+  });
 });
