Leave the calls of a busy home to instances without one

All jobs of a pool are decided by one home, so the turn of a pool falls on one instance: it was at its limit (670 to 780 ms a second of 675) and the others at 20 to 120. It called up to 16 of its 20 targets itself, 300 and more calls a second, since the number of direct targets was bounded, and not that of the calls; the instances that could relay them were idle.

A home now makes its calls itself while its event loop is at work for less than half of the time, and at most 5 % of its processor time goes into them (84 calls a second with 0.675 cores); the others go through relays where there are any. Outside of peaks no failure of a relay delays a call, also with more than 16 targets, which earlier had relays at all times.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -33,6 +33,7 @@
   TargetDirectory,
   TaskHomes,
 } from '../taskHome/index.js';
+import { LoopLoad } from '../utils/index.js';
 import { answerPeer } from './answerPeer.js';
 import type { JobNodeOptions } from './JobNodeOptions.js';
 import { KnownPools } from './KnownPools.js';
@@ -105,7 +106,7 @@
     const { address, clock, events, metrics, records } = options;
     this.processLogs = [new PauseLog({ clock, events }), new LoadLog({ clock, events })];
     const ports = measurePorts(options.ports, { metrics, clock });
-    this.options = { ...options, ports };
+    this.options = { loopLoad: new LoopLoad({ clock }), ...options, ports };
     const { instance, host, port } = address;
     const { partitionCount, queuePoolsTopic: topic } = records;
     this.queuePools = new QueuePools({ store: ports.store, topic, clock, events });
@@ -231,13 +232,12 @@
   }
 
   private createTargets(): RelayedTargets {
-    const { capacity, clock, events, ports } = this.options;
-    const { coreCount } = capacity;
-    const { peers } = this;
+    const { capacity, clock, events, loopLoad, ports } = this.options;
     const listRelays = (): readonly PeerAddress[] =>
       this.homeDirectory.listIdleMembers(this.partitions.listUsedPartitions());
     const { targets } = ports;
-    return new RelayedTargets({ targets, peers, coreCount, listRelays, clock, events });
+    const basis = { targets, peers: this.peers, clock, events, loopLoad };
+    return new RelayedTargets({ ...basis, coreCount: capacity.coreCount, listRelays });
   }
 
   private createHomes(member: string): TaskHomes {
--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -7,7 +7,7 @@
 import type { HomeCapacity, Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
 import type { TargetEntry } from '../taskHome/index.js';
-import type { Clock } from '../utils/index.js';
+import type { Clock, LoopLoad } from '../utils/index.js';
 import type { VmFleetPort } from '../vms/index.js';
 
 /** The outside systems that a node works with. */
@@ -81,4 +81,6 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly metrics: Metrics;
+  /** How much of the time the event loop is at work; measured if absent. */
+  readonly loopLoad?: Pick<LoopLoad, 'share'>;
 }
--- a/src/taskHome/RelayedTargets.ts
+++ b/src/taskHome/RelayedTargets.ts
@@ -13,7 +13,7 @@
   type TargetCall,
   type TaskStart,
 } from '../targets/index.js';
-import { type Clock, rankByRendezvous } from '../utils/index.js';
+import { type Clock, type LoopLoad, rankByRendezvous, TokenBucket } from '../utils/index.js';
 
 /** Options of {@link RelayedTargets}. */
 export interface RelayedTargetsOptions {
@@ -26,22 +26,18 @@
   readonly listRelays: () => readonly PeerAddress[];
   readonly clock: Clock;
   readonly events: EventLog;
+  /** How much of the time the event loop is at work; it counts as idle if absent. */
+  readonly loopLoad?: Pick<LoopLoad, 'share'>;
 }
 
-/**
- * CPU that the calls to one target take under peak load, in cores: 25 starts and 20 renewals a
- * second at 0.3 ms each.
- */
-const CORES_PER_DIRECT_TARGET = 0.015;
-/** Share of its CPU that an instance spends on direct calls to targets. */
-const DIRECT_CALLS_CPU_SHARE = 0.4;
-/**
- * Maximum number of targets that an instance calls directly, however much CPU it has: their calls
- * take a quarter of a core.
- */
-const MAX_DIRECT_TARGET_COUNT = 16;
-/** Time without a call after which a target stops counting as a direct one, in ms: two leases. */
-const DIRECT_TARGET_IDLE_MS = 10_000;
+/** Share of the time at work from which an instance leaves all calls to relays. */
+const BUSY_LOOP_SHARE = 0.5;
+/** CPU time of a direct call to a target, in seconds: an HTTP request with its answer. */
+const DIRECT_CALL_CPU_S = 0.000_4;
+/** Share of its CPU that an instance spends on direct calls to targets while there are relays. */
+const DIRECT_CALLS_CPU_SHARE = 0.05;
+/** Time for which unused direct calls are kept, in seconds: a round starts dozens of tasks. */
+const DIRECT_CALLS_BURST_S = 0.25;
 /**
  * Timeout for a relay's reply on top of the target's own wait, in ms: above the 1 s of an order.
  */
@@ -52,36 +48,34 @@
 const RELAY_AVOIDANCE_MS = 5_000;
 
 /**
- * Computes how many targets an instance calls directly.
+ * Creates the limit of an instance's direct calls to targets.
  *
  * If a home on a tenth of a core called as many targets as one on a whole core, the calls alone
  * would take twice its CPU, and leases would lapse because it cannot renew them in time.
  * @param coreCount - CPU of the instance, in cores.
- * @returns The number of targets; at least one.
+ * @returns The limit; it allows one call at least.
  */
-export function countDirectTargets(coreCount: number): number {
-  const affordableCount = Math.floor(
-    (DIRECT_CALLS_CPU_SHARE * coreCount) / CORES_PER_DIRECT_TARGET,
-  );
-  return Math.min(MAX_DIRECT_TARGET_COUNT, Math.max(1, affordableCount));
+function createDirectCallLimit(coreCount: number): TokenBucket {
+  const ratePerS = (DIRECT_CALLS_CPU_SHARE * coreCount) / DIRECT_CALL_CPU_S;
+  const burstCount = Math.max(1, Math.floor(DIRECT_CALLS_BURST_S * ratePerS));
+  return new TokenBucket({ ratePerS, burstCount });
 }
 
 /**
- * Calls targets through other instances when there are more than this instance can call itself.
+ * Calls targets through other instances when there are more calls than this instance should make.
  *
- * A pool of 60 targets whose home runs on a third of a core needs this: an HTTP call costs 0.3 ms,
- * so 1,600 starts a second need more CPU than that, and a home that falls behind loses its leases.
- * The home still makes every decision; an instance that holds no home makes the calls on its
- * behalf, with its term. A call that is lost or delayed on the way counts as unanswered, as a
- * direct call may be, so the same safeguards apply.
+ * All jobs of a pool are decided by one home, so the load peak of a pool falls on one instance. Its
+ * calls alone take a third of a core at 300 starts a second, and a home that falls behind serves
+ * every job late and loses its leases, while the instances without a home are idle. The home still
+ * makes every decision; an instance that holds no home makes the calls on its behalf, with its
+ * term. A call that is lost or delayed on the way counts as unanswered, as a direct call may be, so
+ * the same safeguards apply. Outside of peaks, a home calls its targets itself, which no failure of
+ * a relay can delay.
  */
 export class RelayedTargets implements LeasedTargetPort {
   private readonly options: RelayedTargetsOptions;
 
-  private readonly maxDirectTargetCount: number;
-
-  /** Targets that this instance calls directly, with the monotonic time of the last call. */
-  private readonly directTargets = new Map<string, number>();
+  private readonly directCallLimit: TokenBucket;
 
   /**
    * Relays that did not reply and targets that did not answer through a relay, with the monotonic
@@ -97,12 +91,12 @@
   private readonly relayOf = new Map<string, PeerAddress>();
 
   /**
-   * Creates a port that calls the first targets directly.
+   * Creates a port that calls targets directly as long as the calls are few.
    * @param options - The direct port, and the instances that may relay calls.
    */
   constructor(options: RelayedTargetsOptions) {
     this.options = options;
-    this.maxDirectTargetCount = countDirectTargets(options.coreCount);
+    this.directCallLimit = createDirectCallLimit(options.coreCount);
   }
 
   /** {@inheritDoc LeasedTargetPort.start} */
@@ -139,35 +133,21 @@
 
   /** {@inheritDoc LeasedTargetPort.forget} */
   forget(targetId: string): void {
-    this.directTargets.delete(targetId);
     this.relayOf.delete(targetId);
     this.avoidedUntilMs.delete(targetId);
     this.options.targets.forget(targetId);
   }
 
   private call(target: LeasedTargetAddress, call: TargetCall): Promise<TargetAnswer> {
-    const relay = this.isDirect(target.targetId) ? undefined : this.findRelay(target.targetId);
+    const relay = this.mayCallDirectly() ? undefined : this.findRelay(target.targetId);
     return relay === undefined
       ? callTarget(this.options.targets, target, call)
       : this.callViaRelay(relay, target, call);
   }
 
-  private isDirect(targetId: string): boolean {
-    const nowMs = this.options.clock.monotonicMs();
-    if (this.directTargets.has(targetId)) {
-      this.directTargets.set(targetId, nowMs);
-      return true;
-    }
-    if (this.directTargets.size >= this.maxDirectTargetCount) this.forgetIdleTargets(nowMs);
-    if (this.directTargets.size >= this.maxDirectTargetCount) return false;
-    this.directTargets.set(targetId, nowMs);
-    return true;
-  }
-
-  private forgetIdleTargets(nowMs: number): void {
-    [...this.directTargets]
-      .filter(([, calledAtMs]) => nowMs - calledAtMs > DIRECT_TARGET_IDLE_MS)
-      .forEach(([targetId]) => this.directTargets.delete(targetId));
+  private mayCallDirectly(): boolean {
+    if ((this.options.loopLoad?.share ?? 0) >= BUSY_LOOP_SHARE) return false;
+    return this.directCallLimit.take(this.options.clock.monotonicMs());
   }
 
   private isAvoided(name: string): boolean {
