Let late jobs wait while a home is short of processor time

While its event loop is at work for 90 % of the time, a home now gives late jobs a quarter of the starts beside those in time, eight tasks in each round at least and always the first one, so that they end as well. Long-running tasks are not held back. 'late-jobs-withheld' in mechanismsOff does without.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -248,6 +248,7 @@
       linkMbps: capacity.linkMbps,
       mechanisms,
       refusesUnservableJobs: this.options.refusesUnservableJobs,
+      loopLoad: this.options.loopLoad,
       ...ports,
       targets: this.createTargets(),
       directory: new TargetDirectory({
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -126,3 +126,4 @@
 export { type GetWeight, orderByShare, type OrderByShareInput } from './orderByShare.js';
 export { IdleWindow } from './IdleWindow.js';
 export type { MoveReason, VmMove } from './VmMove.js';
+export { withholdLateJobs, type WithholdLateJobsInput } from './withholdLateJobs.js';
