--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -33,9 +33,11 @@
   TargetDirectory,
   TaskHomes,
 } from '../taskHome/index.js';
+import { LoopLoad } from '../utils/index.js';
 import { answerPeer } from './answerPeer.js';
 import type { JobNodeOptions } from './JobNodeOptions.js';
 import { KnownPools } from './KnownPools.js';
+import { LoadLog } from './LoadLog.js';
 import { measurePorts } from './measurePorts.js';
 import { PauseLog } from './PauseLog.js';
 
@@ -90,7 +92,7 @@
 
   private readonly peerServer: PeerServer;
 
-  private readonly pauseLog: PauseLog;
+  private readonly processLogs: readonly (PauseLog | LoadLog)[];
 
   private homesTimer: NodeJS.Timeout | undefined;
 
@@ -102,9 +104,9 @@
    */
   constructor(options: JobNodeOptions) {
     const { address, clock, events, metrics, records } = options;
-    this.pauseLog = new PauseLog({ clock, events });
+    this.processLogs = [new PauseLog({ clock, events }), new LoadLog({ clock, events })];
     const ports = measurePorts(options.ports, { metrics, clock });
-    this.options = { ...options, ports };
+    this.options = { loopLoad: new LoopLoad({ clock }), ...options, ports };
     const { instance, host, port } = address;
     const { partitionCount, queuePoolsTopic: topic } = records;
     this.queuePools = new QueuePools({ store: ports.store, topic, clock, events });
@@ -169,7 +171,7 @@
 
   /** Starts to serve peers, to follow the configuration and to hold homes. */
   async start(): Promise<void> {
-    this.pauseLog.start();
+    this.processLogs.forEach((log) => log.start());
     const { port } = await this.peerServer.start();
     this.configuration.start();
     this.configurationPeers.start();
@@ -195,7 +197,7 @@
   /** Ends everything else, after {@link handOver} and the last request. */
   async stop(): Promise<void> {
     clearInterval(this.homesTimer);
-    this.pauseLog.stop();
+    this.processLogs.forEach((log) => log.stop());
     this.configurationPeers.stop();
     this.configuration.stop();
     this.peers.close();
@@ -230,13 +232,12 @@
   }
 
   private createTargets(): RelayedTargets {
-    const { capacity, clock, events, ports } = this.options;
-    const { coreCount } = capacity;
-    const { peers } = this;
+    const { capacity, clock, events, loopLoad, ports } = this.options;
     const listRelays = (): readonly PeerAddress[] =>
       this.homeDirectory.listIdleMembers(this.partitions.listUsedPartitions());
     const { targets } = ports;
-    return new RelayedTargets({ targets, peers, coreCount, listRelays, clock, events });
+    const basis = { targets, peers: this.peers, clock, events, loopLoad };
+    return new RelayedTargets({ ...basis, coreCount: capacity.coreCount, listRelays });
   }
 
   private createHomes(member: string): TaskHomes {
@@ -247,6 +248,7 @@
       linkMbps: capacity.linkMbps,
       mechanisms,
       refusesUnservableJobs: this.options.refusesUnservableJobs,
+      loopLoad: this.options.loopLoad,
       ...ports,
       targets: this.createTargets(),
       directory: new TargetDirectory({
