Write the last lines of a daemon's log before it ends

Lines are written by a thread of the runtime, so that a full pipe holds up no request, and the process ended itself in the same moment in which the last ones were handed over. What waited was dropped: also what a stop does in its last milliseconds. Ruled out: a process that ends early.

No fault of the reports is mended by this.

--- a/src/logging/BoundedLineWriter.ts
+++ b/src/logging/BoundedLineWriter.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../utils/index.js';
+import { type Clock, waitUntil } from '../utils/index.js';
 import type { EventName } from './EVENT_CATALOGUE.js';
 import { EVENT_CATALOGUE } from './EVENT_CATALOGUE.js';
 
@@ -20,6 +20,7 @@
 /** A few seconds of lines at full rate. */
 const DEFAULT_MAX_WAITING_BYTES = 1024 * 1024;
 const WINDOW_MS = 1_000;
+const WRITTEN_CHECK_MS = 5;
 const LINE_BREAK_BYTES = 1;
 /** Share of the budget for lines of single tasks. */
 const DETAIL_SHARE = 0.5;
@@ -94,6 +95,21 @@
     this.push(line);
   }
 
+  /**
+   * Waits until all lines so far are written.
+   *
+   * Guards against a process that ends before its last lines are written, which tell how it ended.
+   * @param maxMs - Longest wait, in milliseconds, as nobody may read.
+   */
+  async whenWritten(maxMs: number): Promise<void> {
+    const { clock } = this.options;
+    await waitUntil(() => !this.isWriting, {
+      clock,
+      deadlineMs: clock.monotonicMs() + maxMs,
+      checkEveryMs: WRITTEN_CHECK_MS,
+    });
+  }
+
   private countLeftOut(event: EventName): void {
     this.leftOut.set(event, (this.leftOut.get(event) ?? 0) + 1);
   }
--- a/tests/logging/BoundedLineWriter.test.ts
+++ b/tests/logging/BoundedLineWriter.test.ts
@@ -1,7 +1,12 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 import { BoundedLineWriter } from '../../src/logging/index.js';
 import { ManualClock } from '../../src/utils/index.js';
 
+/** Longer than a check of what is written. */
+const SHORT_MS = 30;
+const LONG_MS = 1_000;
+
 function createWriter(options: { readonly reads: boolean; readonly maxWaitingBytes?: number }) {
   const clock = new ManualClock();
   const written: string[] = [];
@@ -66,4 +71,29 @@
     expect(written).toHaveLength(2);
     expect(written[1]!.length).toBeLessThanOrEqual(40);
   });
+
+  // Guards against a process that ends before its last lines are written.
+  it('waits until the last line is written', async () => {
+    const { written, pending, writer } = createWriter({ reads: false });
+    write(writer, 'jobFinished', 2);
+    const events: string[] = [];
+    const waited = writer.whenWritten(LONG_MS).then(() => events.push('waited'));
+    await sleep(SHORT_MS);
+    pending.splice(0).forEach((onWritten) => onWritten());
+    await sleep(SHORT_MS);
+    expect(written.join('')).toContain('jobFinished 1');
+    expect(events).toEqual([]);
+    pending.splice(0).forEach((onWritten) => onWritten());
+    await waited;
+    expect(events).toEqual(['waited']);
+  });
+
+  // Guards against a process that doesn't end as nobody reads its log.
+  it('waits for no longer than it is told to where nobody reads', async () => {
+    const { clock, writer } = createWriter({ reads: false });
+    write(writer, 'jobFinished', 1);
+    const waited = writer.whenWritten(LONG_MS);
+    clock.advance(LONG_MS);
+    await expect(waited).resolves.toBeUndefined();
+  });
 });
