Judge drawn histories of lost tasks from the last fault as well

The judge counted a task as lost 9 s after a home worked again, for which it waited up to 6 s once all faults were lifted.

A gap now breaks the bound also where it ends later than 11 s after the last fault and 9 s after the task could have run again. The earlier bound stays, so nothing passes that failed before.

--- a/tests/taskHome/histories/LostTaskHistoryWorld.ts
+++ b/tests/taskHome/histories/LostTaskHistoryWorld.ts
@@ -58,6 +58,9 @@
 
   private isCalm = false;
 
+  /** When the last fault was lifted, in virtual time. */
+  private liftedAtMs = 0;
+
   private isOver = false;
 
   /**
@@ -261,6 +264,7 @@
   /** Lifts what disturbs the homes, and waits until one works; silent targets stay silent. */
   private async calmDown(maxTasksPerTarget: number): Promise<void> {
     this.isCalm = true;
+    this.liftedAtMs = this.nowMs;
     this.scene.setStore('well');
     this.drains.replace([]);
     this.homes.thaw();
@@ -301,6 +305,7 @@
     const lost = listLostTasks({
       runs: this.watch.runs,
       tasks: this.jobs.listDueTasks(),
+      liftedAtMs: this.liftedAtMs,
       calmAtMs,
       endAtMs: this.nowMs,
       leaseMs: PLATFORM_TIMING.targetLeaseMs,
