--- a/bench/jobs/openBenchHome.ts
+++ b/bench/jobs/openBenchHome.ts
@@ -1,24 +1,34 @@
-import { TslogEventLog } from '../../src/logging/index.js';
+import { type EventLog, TslogEventLog } from '../../src/logging/index.js';
 import { ScrapedMetrics } from '../../src/metrics/index.js';
 import { QueuePools } from '../../src/queues/index.js';
-import { ALL_MECHANISMS } from '../../src/systems/index.js';
+import { ALL_MECHANISMS, type Mechanisms } from '../../src/systems/index.js';
+import type { LeasedTargetPort } from '../../src/targets/index.js';
 import { type TargetEntry, TaskHome } from '../../src/taskHome/index.js';
 import { PartitionOpening } from '../../src/taskHome/PartitionOpening.js';
 import { HOME_PRODUCER } from '../../src/taskHome/PartitionTerms.js';
-import { SystemClock } from '../../src/utils/index.js';
+import { type Clock, SystemClock } from '../../src/utils/index.js';
 import { StoreStandIn } from '../../standins/store/index.js';
-import type { HeldTargets } from './HeldTargets.js';
 
-/** Clock of the homes here. */
+/** Clock of the homes that are given none. */
 export const clock = new SystemClock();
-const events = new TslogEventLog({ instance: 'home', level: 'info', writeLine: () => undefined });
+const quietEvents = new TslogEventLog({
+  instance: 'home',
+  level: 'info',
+  writeLine: () => undefined,
+});
 
 /** What a home works with. */
 export interface BenchHomeParts {
-  readonly targets: HeldTargets;
+  readonly targets: LeasedTargetPort;
   readonly entries: ReadonlyMap<string, TargetEntry>;
   /** Store with the jobs of an earlier home; an empty one if absent. */
   readonly store?: StoreStandIn;
+  /** The clock of this machine if absent. */
+  readonly clock?: Clock;
+  /** A log that drops its lines if absent. */
+  readonly events?: EventLog;
+  /** All mechanisms if absent. */
+  readonly mechanisms?: Mechanisms;
 }
 
 /**
@@ -28,6 +38,8 @@
  */
 export async function openBenchHome(parts: BenchHomeParts): Promise<TaskHome> {
   const { targets, entries, store = new StoreStandIn({ partitionCount: 1 }) } = parts;
+  const { mechanisms = ALL_MECHANISMS, events = quietEvents } = parts;
+  const homeClock = parts.clock ?? clock;
   const place = { store, topic: 'jobs', partition: 0 };
   const opening = new PartitionOpening({
     ...place,
@@ -44,12 +56,12 @@
     producer: HOME_PRODUCER,
     claimed,
     timing: { targetLeaseMs: 5_000, targetWaitMs: 1_000, keepFinishedMs: 120_000 },
-    clock,
+    clock: homeClock,
     events,
-    mechanisms: ALL_MECHANISMS,
-    metrics: new ScrapedMetrics({ clock }),
+    mechanisms,
+    metrics: new ScrapedMetrics({ clock: homeClock }),
     getEntries: () => entries,
-    queuePools: new QueuePools({ store, topic: 'queues', clock, events }),
+    queuePools: new QueuePools({ store, topic: 'queues', clock: homeClock, events }),
     listOrganisations: () => [],
     isGroupLeaseHeld: () => true,
     mayExtendLeases: () => true,
--- a/tests/support/index.ts
+++ b/tests/support/index.ts
@@ -1,3 +1,4 @@
+export { CallCounter } from './CallCounter.js';
 export { type FleetShape, makeFleet } from './makeFleet.js';
 export {
   endProcesses,
