Write the log lines of a turn of the event loop together, and format each without copies

What callers saw: short jobs on small instances late, as the home of their pool is at its processor limit in the pool's turn. A placed task has three log lines. Each was copied several times by the logging library, and the first one of a turn was handed by itself to a thread of the runtime, with the wake-ups that this takes; the others followed in a second write.

Lines are now put together from what is the same for all lines of a kind and from their own fields, with the same content in the same order, and the lines of a turn go out in one write. At the end of the process what waits is handed over as before; a kill takes the lines of its own turn with it, which an earlier thread might have written. tslog is not used any more.

--- a/bench/jobs/openBenchHome.ts
+++ b/bench/jobs/openBenchHome.ts
@@ -1,4 +1,4 @@
-import { type EventLog, TslogEventLog } from '../../src/logging/index.js';
+import { type EventLog, JsonEventLog } from '../../src/logging/index.js';
 import { ScrapedMetrics } from '../../src/metrics/index.js';
 import { QueuePools } from '../../src/queues/index.js';
 import { ALL_MECHANISMS, type Mechanisms } from '../../src/systems/index.js';
@@ -11,7 +11,7 @@
 
 /** Clock of the homes that are given none. */
 export const clock = new SystemClock();
-const quietEvents = new TslogEventLog({
+const quietEvents = new JsonEventLog({
   instance: 'home',
   level: 'info',
   writeLine: () => undefined,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { defineCommand, runMain } from 'citty';
 import { ERROR_ANSWERS, toRattanliftError } from '../errors/index.js';
-import { TslogEventLog } from '../logging/index.js';
+import { JsonEventLog } from '../logging/index.js';
 import { NoMetrics, StatsdMetrics } from '../metrics/index.js';
 import { Daemon } from './Daemon.js';
 import { readDaemonConfig } from './DaemonConfig.js';
@@ -15,7 +15,7 @@
   const writeLine = (line: string): void => {
     process.stdout.write(`${line}\n`);
   };
-  const events = new TslogEventLog({ instance, level: config.logLevel, writeLine });
+  const events = new JsonEventLog({ instance, level: config.logLevel, writeLine });
   const metrics =
     config.metrics === undefined ? new NoMetrics() : new StatsdMetrics(config.metrics);
   const daemon = new Daemon({ config, instance, events, metrics });
--- a/src/logging/BoundedLineWriter.ts
+++ b/src/logging/BoundedLineWriter.ts
@@ -6,6 +6,8 @@
 export interface BoundedLineWriterOptions {
   /** Writes text without blocking, and calls back once it is written. */
   readonly write: (text: string, onWritten: () => void) => void;
+  /** Calls back once at the end of a turn of the event loop, whose lines are written together. */
+  readonly afterTurn: (write: () => void) => void;
   readonly clock: Clock;
   /** Most lines a second; what explains failed requests may use all, the rest half of them. */
   readonly maxLinesPerS?: number;
@@ -50,7 +52,8 @@
 
   private waitingBytes = 0;
 
-  private isWriting = false;
+  /** Whether waiting lines are about to be written, after this turn or after another write. */
+  private isDue = false;
 
   private windowStartMs = Number.NEGATIVE_INFINITY;
 
@@ -94,6 +97,16 @@
     this.push(line);
   }
 
+  /**
+   * Hands over what waits, at the end of the process: no turn of the event loop follows, and the
+   * last lines tell why it ends.
+   */
+  flush(): void {
+    const text = this.waiting.join('');
+    this.waiting = [];
+    if (text !== '') this.options.write(text, () => undefined);
+  }
+
   private countLeftOut(event: EventName): void {
     this.leftOut.set(event, (this.leftOut.get(event) ?? 0) + 1);
   }
@@ -125,17 +138,21 @@
   private push(line: string): void {
     this.waiting.push(`${line}\n`);
     this.waitingBytes += line.length + LINE_BREAK_BYTES;
-    if (!this.isWriting) this.flush();
+    if (this.isDue) return;
+    this.isDue = true;
+    this.options.afterTurn(() => this.writeWaiting());
   }
 
-  private flush(): void {
+  private writeWaiting(): void {
+    if (this.waiting.length === 0) {
+      this.isDue = false;
+      return;
+    }
     const text = this.waiting.join('');
     this.waiting = [];
-    this.isWriting = true;
     this.options.write(text, () => {
       this.waitingBytes -= text.length;
-      this.isWriting = false;
-      if (this.waiting.length > 0) this.flush();
+      this.writeWaiting();
     });
   }
 }
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -6,4 +6,4 @@
 export { MemoryEventLog, type KeptEvent } from './MemoryEventLog.js';
 export { OutageLog, type OutageLogOptions } from './OutageLog.js';
 export { writeToDescriptor } from './writeToDescriptor.js';
-export { TslogEventLog, type TslogEventLogOptions } from './TslogEventLog.js';
+export { JsonEventLog, type JsonEventLogOptions } from './JsonEventLog.js';
--- a/tests/logging/BoundedLineWriter.test.ts
+++ b/tests/logging/BoundedLineWriter.test.ts
@@ -2,7 +2,14 @@
 import { BoundedLineWriter } from '../../src/logging/index.js';
 import { ManualClock } from '../../src/utils/index.js';
 
-function createWriter(options: { readonly reads: boolean; readonly maxWaitingBytes?: number }) {
+interface WriterTraits {
+  readonly reads: boolean;
+  readonly maxWaitingBytes?: number;
+  /** Takes what follows the turn; it follows at once if absent. */
+  readonly afterTurn?: (write: () => void) => void;
+}
+
+function createWriter(options: WriterTraits) {
   const clock = new ManualClock();
   const written: string[] = [];
   const pending: (() => void)[] = [];
@@ -12,6 +19,7 @@
       if (options.reads) onWritten();
       else pending.push(onWritten);
     },
+    afterTurn: options.afterTurn ?? ((end) => end()),
     clock,
     maxLinesPerS: 10,
     maxWaitingBytes: options.maxWaitingBytes,
@@ -66,4 +74,31 @@
     expect(written).toHaveLength(2);
     expect(written[1]!.length).toBeLessThanOrEqual(40);
   });
+
+  // Guards against a home in a rush that hands each line over by itself: a thread of the runtime
+  // wakes up for each, which costs more than the line.
+  it('writes the lines of a turn together, and those that come meanwhile after them', () => {
+    const turns: (() => void)[] = [];
+    const traits = { reads: false, afterTurn: (end: () => void) => turns.push(end) };
+    const { written, pending, writer } = createWriter(traits);
+    write(writer, 'jobFinished', 3);
+    expect(written).toEqual([]);
+    turns.splice(0).forEach((end) => end());
+    expect(written).toEqual(['jobFinished 0\njobFinished 1\njobFinished 2\n']);
+    write(writer, 'jobFinished', 2);
+    expect(turns).toEqual([]);
+    pending.splice(0).forEach((onWritten) => onWritten());
+    expect(written.slice(1)).toEqual(['jobFinished 0\njobFinished 1\n']);
+    pending.splice(0).forEach((onWritten) => onWritten());
+    write(writer, 'jobFinished', 1);
+    expect(turns).toHaveLength(1);
+  });
+
+  it('hands over what waits where no turn follows, and only once', () => {
+    const { written, writer } = createWriter({ reads: true, afterTurn: () => undefined });
+    write(writer, 'jobFinished', 2);
+    writer.flush();
+    writer.flush();
+    expect(written).toEqual(['jobFinished 0\njobFinished 1\n']);
+  });
 });
--- a/tests/logging/TslogEventLog.test.ts
+++ b/tests/logging/JsonEventLog.test.ts
@@ -1,15 +1,15 @@
 import { describe, expect, it } from 'vitest';
-import { type LogLevel, TslogEventLog } from '../../src/logging/index.js';
+import { type LogLevel, JsonEventLog } from '../../src/logging/index.js';
 import { ManualClock } from '../../src/utils/index.js';
 
 function createLog(level: LogLevel, takesEvent = () => true) {
   const lines: string[] = [];
   const writeLine = (line: string) => lines.push(line);
   const clock = new ManualClock(Date.UTC(2026, 0, 2, 3, 4, 5, 6));
-  return { lines, log: new TslogEventLog({ instance: 'a', level, writeLine, takesEvent, clock }) };
+  return { lines, log: new JsonEventLog({ instance: 'a', level, writeLine, takesEvent, clock }) };
 }
 
-describe('TslogEventLog.write', () => {
+describe('JsonEventLog.write', () => {
   // The home of a rush spent 4 % of a core on lines that nobody ever saw: each one was
   // formatted before the budget of lines a second left it out.
   it('formats no line of a kind that is not taken at this moment', () => {
--- a/tests/taskHome/workOfATurn.test.ts
+++ b/tests/taskHome/workOfATurn.test.ts
@@ -3,7 +3,7 @@
 import { makeBenchJob, makeBenchStep } from '../../bench/jobs/makeBenchJob.js';
 import { openBenchHome } from '../../bench/jobs/openBenchHome.js';
 import { StoreStandIn } from '../../standins/store/index.js';
-import { TslogEventLog } from '../../src/logging/index.js';
+import { JsonEventLog } from '../../src/logging/index.js';
 import type { KeyedRecord } from '../../src/store/index.js';
 import { disableMechanisms, type Mechanism } from '../../src/systems/index.js';
 import type { TaskHome } from '../../src/taskHome/index.js';
@@ -93,7 +93,7 @@
   const targets = new TurnTargets(virtualTime, RUN_MS);
   const ids = Array.from({ length: TARGET_COUNT }, (_t, number) => `target-${number}`);
   const entries = ids.map((id) => makeEntry(id, { capacity: TARGET_CAPACITY }));
-  const events = new TslogEventLog({
+  const events = new JsonEventLog({
     instance: 'home',
     level: 'info',
     writeLine: () => {
