Look once whether a task has more to store than its phase and its run

Each change of a job stores its progress, and for that each of its tasks was asked five times for what hardly any has: failures, failed runs, crashes, unheard runs, checkpoints. They are asked once now, and only those of which there is more to store are looked at further; the records are the same bytes.

--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { throwError } from '../errors/index.js';
-import { createJobRow, type DurableJobRow } from './DurableJobRow.js';
+import { createJobRow, type DurableJobRow, type PositionedTask } from './DurableJobRow.js';
 import type { DurableJobSpec } from './DurableJobSpec.js';
 import { durableJobStateSchema } from './durableJobStateSchema.js';
 import { mergeMemberFailures } from './failedRuns.js';
@@ -57,12 +57,25 @@
  */
 export type JobProgress = z.output<typeof progressSchema>;
 
-/** Lists the positions and values of the tasks for which `read` returns a value. */
+/** Tells whether a task has more to store than its phase, its run and its target. */
+function isMarked(task: TaskRow): boolean {
+  const { failureCount, failedRun, crashCount, unheardRuns, checkpoint } = task;
+  if (failureCount > 0 || crashCount > 0) return true;
+  return failedRun !== undefined || unheardRuns !== undefined || checkpoint !== undefined;
+}
+
+/** Lists the marked tasks: most jobs have none, and each change of a job writes a record. */
+function listMarkedTasks(tasks: readonly TaskRow[]): readonly PositionedTask[] {
+  if (!tasks.some(isMarked)) return [];
+  return tasks.map((task, position) => ({ task, position })).filter(({ task }) => isMarked(task));
+}
+
+/** Lists the positions and values of the tasks for which `getValue` returns a value. */
 function collectPresentValues<Value>(
-  tasks: readonly TaskRow[],
+  tasks: readonly PositionedTask[],
   getValue: (task: TaskRow) => Value | undefined,
 ): [number, Value][] {
-  return tasks.flatMap((task, position): [number, Value][] => {
+  return tasks.flatMap(({ task, position }): [number, Value][] => {
     const value = getValue(task);
     return value === undefined ? [] : [[position, value]];
   });
@@ -106,8 +119,9 @@
     .filter(({ phase }) => phase === 'placed')
     .map(({ targetId }) => targetId!);
   const targetIds = [...new Set(placedTargetIds)];
-  const failedRuns = collectPresentValues(tasks, ({ failedRun }) => failedRun);
-  const unheard = collectPresentValues(tasks, ({ unheardRuns = [] }) =>
+  const marked = listMarkedTasks(tasks);
+  const failedRuns = collectPresentValues(marked, ({ failedRun }) => failedRun);
+  const unheard = collectPresentValues(marked, ({ unheardRuns = [] }) =>
     unheardRuns.length === 0 ? undefined : [...unheardRuns],
   );
   return {
@@ -118,11 +132,11 @@
     runs: tasks.map(({ run }) => run),
     targetIds,
     targetOf: placedTargetIds.map((targetId) => targetIds.indexOf(targetId)),
-    failures: collectPresentValues(tasks, ({ failureCount }) => failureCount || undefined),
+    failures: collectPresentValues(marked, ({ failureCount }) => failureCount || undefined),
     ...(failedRuns.length === 0 ? {} : { failedRuns }),
-    crashes: collectPresentValues(tasks, ({ crashCount }) => crashCount || undefined),
+    crashes: collectPresentValues(marked, ({ crashCount }) => crashCount || undefined),
     ...(unheard.length === 0 ? {} : { unheard }),
-    checkpoints: collectPresentValues(tasks, ({ checkpoint }) => checkpoint),
+    checkpoints: collectPresentValues(marked, ({ checkpoint }) => checkpoint),
   };
 }
 
