Show a task that stays down as one of its homes lives for half a second

A target is lost, and its pool's home changes three times in the calm after it: after 1.0, 1.5 and 0.5 s. The home that lives for 0.5 s has read what the one before recorded of the target's lease and has not recorded it again, as it gives each target 0.1 of a lease to answer. The last home counts a whole lease from its claim: the tasks are down for 9.204 s, 9 s are allowed.

--- a/tests/taskHome/lostTaskHistories.test.ts
+++ b/tests/taskHome/lostTaskHistories.test.ts
@@ -36,6 +36,16 @@
   calmChangesAfterMs: [1_000, 1_500],
 };
 
+/** The last home but one reads its jobs, and lives too shortly to hear what each target answers. */
+const SHORT_LIVED_HOME: LostTaskHistory = {
+  maxTasksPerTarget: 2,
+  jobs: [],
+  steps: [
+    { type: 'silence', targets: [0], how: 'crashed', forMs: undefined, entry: { type: 'stays' } },
+  ],
+  calmChangesAfterMs: [1_000, 1_500, 500],
+};
+
 /** Plays a history, and describes it if it breaks a rule. */
 async function findViolations(history: LostTaskHistory): Promise<string | undefined> {
   const world = new LostTaskHistoryWorld(virtualTime);
@@ -77,4 +87,9 @@
   it('lets a task run again in time whose home is killed as it gives the run up', async () => {
     expect(await findViolations(KILLED_AT_LAPSE)).toBeUndefined();
   });
+
+  // Guards against a next home that waits anew, as the one before lived for a moment alone.
+  it('lets a task run again in time though one of its homes lives for half a second', async () => {
+    expect(await findViolations(SHORT_LIVED_HOME)).toBeUndefined();
+  });
 });
