Record at once what the home before has recorded of a silent target's lease

Callers saw: a lasting task down for 9.2 s with room for it, 9 s are allowed, where a target is lost and its pool's home changes three times within 3 s, the last but one for half a second.

Cause: a home gives each target 0.1 of a lease to answer before it records by when its lease will have ended. One that is replaced before that passes nothing on, though it has read what the home before had recorded, and the next one waits 1.15 leases from its claim. While that wait was 0.77 s shorter, the same homes stayed within the bound (worked out).

Ruled out: room, reading and claims (all take milliseconds in the history).

Change: a target in the record of the home before is recorded again without that wait. A recorded lease is extended only once a record without it is stored, as before, so a home grants no more than it did.

Conclusion: mended for homes that have read their jobs; homes that are replaced unread stay listed.

--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -179,14 +179,23 @@
   private getAwaitedLapseMs(targetId: string, nowMs: number): number | undefined {
     const session = this.options.getSessions().getSession(targetId);
     if (session === undefined) return this.getInheritedLapseAtMs(targetId);
-    if (session.isReachable || this.isRecent(session, nowMs)) return undefined;
+    if (session.isReachable || this.isRecent(targetId, session, nowMs)) return undefined;
     return session.latestLapseAtMs;
   }
 
-  /** Tells whether a silent target may answer in a moment, as calls get lost now and then. */
-  private isRecent({ answeredAtMs, latestLapseAtMs }: TargetSession, nowMs: number): boolean {
+  /**
+   * Tells whether a silent target may answer in a moment, as calls get lost now and then. One that
+   * the home before has recorded may not: the next home would wait for its whole lease anew if this
+   * one were replaced before it has recorded the rest.
+   */
+  private isRecent(
+    targetId: string,
+    { answeredAtMs, latestLapseAtMs }: TargetSession,
+    nowMs: number,
+  ): boolean {
     const { targetLeaseMs } = this.options.timing;
     if (answeredAtMs === undefined) {
+      if (this.inheritedLapseAtMs.has(targetId)) return false;
       return nowMs < this.claimedAtMs + targetLeaseMs * FIRST_ANSWER_SHARE;
     }
     return latestLapseAtMs - nowMs > targetLeaseMs * (1 - RECORD_AFTER_SHARE);
--- a/tests/taskHome/LeaseLapses.test.ts
+++ b/tests/taskHome/LeaseLapses.test.ts
@@ -147,6 +147,16 @@
     expect(decodeWrite(1)).toMatchObject({ lapses: [{ targetId: 't2' }, { targetId: 't3' }] });
   });
 
+  // Guards against a task that stays down: a home that lives for a moment passes nothing on.
+  it('records at once what is left of a lease that the home before has recorded', () => {
+    restore(TERM - 1, 490);
+    used.set('t1', { answeredAtMs: undefined, isReachable: false, latestLapseAtMs: 500 });
+    used.set('t2', { answeredAtMs: undefined, isReachable: false, latestLapseAtMs: LONGEST_MS });
+    lapses.check();
+    expect(decodeWrite(0)).toMatchObject({ lapses: [{ targetId: 't1', lapsedByMs: 500 }] });
+    expect(lapses.mayExtend('t1')).toBe(false);
+  });
+
   // Guards against a task that runs twice: the next home takes a recorded lease for lapsed.
   it('lets a recorded lease be extended only once a record without it is stored', async () => {
     clock.advance(FIRST_ANSWER_MS);
