--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -248,7 +248,6 @@
       linkMbps: capacity.linkMbps,
       mechanisms,
       refusesUnservableJobs: this.options.refusesUnservableJobs,
-      loopLoad: this.options.loopLoad,
       ...ports,
       targets: this.createTargets(),
       directory: new TargetDirectory({
--- a/src/systems/index.ts
+++ b/src/systems/index.ts
@@ -126,4 +126,3 @@
 export { type GetWeight, orderByShare, type OrderByShareInput } from './orderByShare.js';
 export { IdleWindow } from './IdleWindow.js';
 export type { MoveReason, VmMove } from './VmMove.js';
-export { withholdLateJobs, type WithholdLateJobsInput } from './withholdLateJobs.js';
--- a/src/systems/mechanisms.ts
+++ b/src/systems/mechanisms.ts
@@ -5,8 +5,6 @@
 export const MECHANISMS = [
   /** Jobs that are too late for their objective are placed last. */
   'late-jobs-last',
-  /** While a home is short of processor time, late jobs get a small part of the starts. */
-  'late-jobs-withheld',
   /** Jobs that have started are placed before others. */
   'started-jobs-first',
   /** In an overloaded pool, the newest jobs are placed first. */
--- a/src/taskHome/PlacementRounds.ts
+++ b/src/taskHome/PlacementRounds.ts
@@ -12,9 +12,8 @@
   orderJobs,
   type PlacementTarget,
   placeTasks,
-  withholdLateJobs,
 } from '../systems/index.js';
-import type { Clock, LoopLoad } from '../utils/index.js';
+import type { Clock } from '../utils/index.js';
 import type { JobTable } from './JobTable.js';
 import type { JobTelemetry } from './JobTelemetry.js';
 import type { LimitParts } from './LimitParts.js';
@@ -47,16 +46,12 @@
   readonly clock: Clock;
   /** Clock that determines which occurrences are due. */
   readonly dueClock: Clock;
-  /** How much of the time the event loop is at work; it counts as idle if absent. */
-  readonly loopLoad?: Pick<LoopLoad, 'share'>;
 }
 
 /** Pause after a round, as a multiple of its duration: rounds take at most 1/4 of the time. */
 const PAUSE_FACTOR = 3;
 /** Longest pause between two rounds, in milliseconds: the interval of target checks. */
 const MAX_PAUSE_MS = 250;
-/** Share of the time at work from which a home is short of processor time. */
-const BUSY_LOOP_SHARE = 0.9;
 
 /** Runs placement rounds: each places waiting tasks on targets, stores this, and starts them. */
 export class PlacementRounds {
@@ -158,10 +153,8 @@
       getWeight: (name) => getWeight(organisations, name),
       nowMs,
     });
-    const isBusy = (this.options.loopLoad?.share ?? 0) >= BUSY_LOOP_SHARE;
-    const isWithholding = isBusy && mechanisms.has('late-jobs-withheld');
     const placements = placeTasks({
-      jobs: isWithholding ? withholdLateJobs({ jobs, runTimes, nowMs, dueAtMs }) : jobs,
+      jobs,
       mechanisms,
       allocatedJobs: rows,
       rooms,
--- a/src/taskHome/TaskHomeOptions.ts
+++ b/src/taskHome/TaskHomeOptions.ts
@@ -4,7 +4,7 @@
 import type { KeyedLogPort } from '../store/index.js';
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
-import type { Clock, LoopLoad } from '../utils/index.js';
+import type { Clock } from '../utils/index.js';
 import type { ClaimedTerm } from './PartitionTerms.js';
 import type { TargetEntries } from './TargetEntry.js';
 import type { TaskHomeTiming } from './TaskHomeTiming.js';
@@ -28,8 +28,6 @@
   readonly mechanisms: Mechanisms;
   /** Whether jobs are refused that would end too late to be of use; no if absent. */
   readonly refusesUnservableJobs?: boolean;
-  /** How much of the time the event loop is at work; it counts as idle if absent. */
-  readonly loopLoad?: Pick<LoopLoad, 'share'>;
   readonly getEntries: () => TargetEntries;
   /** The pools that queues have had, which may have jobs that are unknown here. */
   readonly queuePools: QueuePools;
--- a/src/taskHome/TaskHomesOptions.ts
+++ b/src/taskHome/TaskHomesOptions.ts
@@ -4,7 +4,6 @@
 import type { KeyedLogPort } from '../store/index.js';
 import type { Mechanisms } from '../systems/index.js';
 import type { LeasedTargetPort } from '../targets/index.js';
-import type { LoopLoad } from '../utils/index.js';
 import type { FleetHomeContext } from './FleetHomeContext.js';
 import type { GroupMembershipOptions } from './GroupMembership.js';
 import type { PoolPartitions } from './PoolPartitions.js';
@@ -33,8 +32,6 @@
   readonly mechanisms: Mechanisms;
   /** Whether jobs are refused that would end too late to be of use; no if absent. */
   readonly refusesUnservableJobs?: boolean;
-  /** How much of the time the event loop is at work; it counts as idle if absent. */
-  readonly loopLoad?: Pick<LoopLoad, 'share'>;
   /** The pools that queues have had. */
   readonly queuePools: QueuePools;
   /** Lists the organisations of the configuration in force. */
