Give a target that the home before has recorded a moment to answer

It now waits for 0.04 of a lease from its claim, 0.2 s of 5 s, instead of 0.1 for other targets: sessions begin at the claim, so a target that is there has answered, and a home that lives for half a second still records what it has read.

--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -33,6 +33,11 @@
 const RECORD_AFTER_SHARE = 0.4;
 /** Time for a target to answer a new home before its lapse is recorded, as a share of a lease. */
 const FIRST_ANSWER_SHARE = 0.1;
+/**
+ * Share of a lease in which a target that the home before has recorded may answer first. Shorter,
+ * as the next home would wait for the whole lease anew if this one were replaced before its record.
+ */
+const RECORDED_ANSWER_SHARE = 0.04;
 
 /**
  * By when the leases of silent targets have certainly ended: as an earlier home has left them, and
@@ -183,11 +188,7 @@
     return session.latestLapseAtMs;
   }
 
-  /**
-   * Tells whether a silent target may answer in a moment, as calls get lost now and then. One that
-   * the home before has recorded may not: the next home would wait for its whole lease anew if this
-   * one were replaced before it has recorded the rest.
-   */
+  /** Tells whether a silent target may answer in a moment, as calls get lost now and then. */
   private isRecent(
     targetId: string,
     { answeredAtMs, latestLapseAtMs }: TargetSession,
@@ -195,8 +196,9 @@
   ): boolean {
     const { targetLeaseMs } = this.options.timing;
     if (answeredAtMs === undefined) {
-      if (this.inheritedLapseAtMs.has(targetId)) return false;
-      return nowMs < this.claimedAtMs + targetLeaseMs * FIRST_ANSWER_SHARE;
+      const isRecorded = this.inheritedLapseAtMs.has(targetId);
+      const share = isRecorded ? RECORDED_ANSWER_SHARE : FIRST_ANSWER_SHARE;
+      return nowMs < this.claimedAtMs + targetLeaseMs * share;
     }
     return latestLapseAtMs - nowMs > targetLeaseMs * (1 - RECORD_AFTER_SHARE);
   }
