--- a/src/taskHome/RelayedTargets.ts
+++ b/src/taskHome/RelayedTargets.ts
@@ -27,7 +27,7 @@
   readonly clock: Clock;
   readonly events: EventLog;
   /** How much of the time the event loop is at work; it counts as idle if absent. */
-  readonly loopLoad?: Pick<LoopLoad, 'share'>;
+  readonly loopLoad?: Pick<LoopLoad, 'measureShare'>;
 }
 
 /** Share of the time at work from which an instance leaves all calls to relays. */
@@ -146,7 +146,7 @@
   }
 
   private mayCallDirectly(): boolean {
-    if ((this.options.loopLoad?.share ?? 0) >= BUSY_LOOP_SHARE) return false;
+    if ((this.options.loopLoad?.measureShare() ?? 0) >= BUSY_LOOP_SHARE) return false;
     return this.directCallLimit.take(this.options.clock.monotonicMs());
   }
 
--- a/src/utils/LoopLoad.ts
+++ b/src/utils/LoopLoad.ts
@@ -25,7 +25,8 @@
 export class LoopLoad {
   private readonly options: Required<LoopLoadOptions>;
 
-  private latestShare = 0;
+  /** Shares of the latest two windows: one long turn alone is no load. */
+  private latestShares: readonly [number, number] = [0, 0];
 
   private measuredAtMs: number;
 
@@ -38,14 +39,17 @@
     this.measuredAtMs = options.clock.monotonicMs();
   }
 
-  /** Share of the time for which the loop was at work lately, from 0 to 1. */
-  get share(): number {
+  /**
+   * Measures the share of the time for which the loop was at work lately.
+   * @returns The smaller share of the latest two windows, from 0 to 1.
+   */
+  measureShare(): number {
     const { clock, readShare } = this.options;
     const nowMs = clock.monotonicMs();
     if (nowMs - this.measuredAtMs >= WINDOW_MS) {
-      this.latestShare = readShare();
+      this.latestShares = [this.latestShares[1], readShare()];
       this.measuredAtMs = nowMs;
     }
-    return this.latestShare;
+    return Math.min(...this.latestShares);
   }
 }
