--- a/src/jobNode/JobNodeOptions.ts
+++ b/src/jobNode/JobNodeOptions.ts
@@ -82,5 +82,5 @@
   readonly events: EventLog;
   readonly metrics: Metrics;
   /** How much of the time the event loop is at work; measured if absent. */
-  readonly loopLoad?: Pick<LoopLoad, 'share'>;
+  readonly loopLoad?: Pick<LoopLoad, 'measureShare'>;
 }
