Give the nodes that share a test's process a load of their own

The takeovers over a narrow link failed (10 of 18, twice, in a whole check beside plays and alone at load 11): a home whose event loop is busy calls its targets through other instances, and in a test all instances share one loop, which six takeovers at once keep busy. So the home that the test cuts off from its targets reached them through the next one, and its leases never ran down to where the test kills it (12 to 43 s of 4).

The product did as it should.

--- a/standins/jobs/JobsCluster.ts
+++ b/standins/jobs/JobsCluster.ts
@@ -172,6 +172,8 @@
     const place = String(this.startedCount).padStart(3, '0');
     const instance = `node-${place}-${randomUUID().slice(0, 8)}`;
     const node = new JobNode({
+      // The nodes share this process, so that the load of its event loop is none of theirs.
+      loopLoad: { measureShare: () => 0 },
       address: { instance, host: HOST, port: 0 },
       capacity,
       holder: instance,
