--- a/src/jobs/EndedJob.ts
+++ b/src/jobs/EndedJob.ts
@@ -12,18 +12,18 @@
   /** Organisation that the job belongs to, if any. */
   readonly organisation?: string;
   /** Queue of a job that belongs to an organisation; absent in records of earlier releases. */
-  readonly queue?: QueueName;
+  readonly queue?: QueueIdentity;
 }
 
 /** What identifies a queue: its name, and the address under which callers reach it. */
-export type QueueName = Pick<QueueReference, 'queue' | 'address'>;
+export type QueueIdentity = Pick<QueueReference, 'queue' | 'address'>;
 
 /** Whose call it is that names a job, and where it came in. */
 export interface JobCaller {
   /** Organisation of the caller; absent if its call needs no key. */
   readonly organisation?: string;
   /** Queue of the call; absent from instances of earlier releases. */
-  readonly queue?: QueueName;
+  readonly queue?: QueueIdentity;
 }
 
 /** A job in its home: the complete row until the job is finished and has left all targets. */
@@ -44,7 +44,7 @@
 }
 
 /** Tells whether two names are those of one queue, which operators may rename or readdress. */
-function isSameQueue(one: QueueName, other: QueueName): boolean {
+function isSameQueue(one: QueueIdentity, other: QueueIdentity): boolean {
   if (one.queue === other.queue) return true;
   return one.address !== undefined && one.address === other.address;
 }
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -22,7 +22,7 @@
   type EndedJob,
   isVisibleTo,
   type JobCaller,
-  type QueueName,
+  type QueueIdentity,
   summarizeEndedJob,
   type TrackedJob,
 } from './EndedJob.js';
--- a/src/taskHome/LeaseLapses.ts
+++ b/src/taskHome/LeaseLapses.ts
@@ -184,12 +184,12 @@
   private getAwaitedLapseMs(targetId: string, nowMs: number): number | undefined {
     const session = this.options.getSessions().getSession(targetId);
     if (session === undefined) return this.getInheritedLapseAtMs(targetId);
-    if (session.isReachable || this.isRecent(targetId, session, nowMs)) return undefined;
+    if (session.isReachable || this.mayAnswerSoon(targetId, session, nowMs)) return undefined;
     return session.latestLapseAtMs;
   }
 
-  /** Tells whether a silent target may answer in a moment, as calls get lost now and then. */
-  private isRecent(
+  /** Tells whether a silent target may yet answer, as single calls get lost now and then. */
+  private mayAnswerSoon(
     targetId: string,
     { answeredAtMs, latestLapseAtMs }: TargetSession,
     nowMs: number,
--- a/src/taskHome/RelayedTargets.ts
+++ b/src/taskHome/RelayedTargets.ts
@@ -65,8 +65,8 @@
  * Calls targets through other instances when there are more calls than this instance should make.
  *
  * All jobs of a pool are decided by one home, so the load peak of a pool falls on one instance. Its
- * calls alone take a third of a core at 300 starts a second, and a home that falls behind serves
- * every job late and loses its leases, while the instances without a home are idle. The home still
+ * calls alone take an eighth of a core at 300 a second, and a home that falls behind serves every
+ * job late and loses its leases, while the instances without a home are idle. The home still
  * makes every decision; an instance that holds no home makes the calls on its behalf, with its
  * term. A call that is lost or delayed on the way counts as unanswered, as a direct call may be, so
  * the same safeguards apply. Outside of peaks, a home calls its targets itself, which no failure of
--- a/src/taskHome/UnevenTargets.ts
+++ b/src/taskHome/UnevenTargets.ts
@@ -139,7 +139,7 @@
     });
   }
 
-  /** Whether paces are of use; on a small home what nobody asks for costs a share of each task. */
+  /** Whether paces are compared; where they are not, nothing of them is kept. */
   private get comparesPaces(): boolean {
     return this.options.mechanisms.has('slow-targets-avoided');
   }
