Tell by one rule whether two queues are the same

The rule that a queue is the same under its name or its address stood twice: in countPending, and again in what a caller without a key may see. Both call isSameQueue now, and what identifies a queue has one type in place of three spellings. The codec of ended jobs picks its fields once.

--- a/src/jobs/EndedJob.ts
+++ b/src/jobs/EndedJob.ts
@@ -1,5 +1,6 @@
 import { type DurableJobRow, isFinished } from './DurableJobRow.js';
-import type { DurableJobState, QueueReference } from './DurableJobSpec.js';
+import type { DurableJobState } from './DurableJobSpec.js';
+import { isSameQueue, type QueueIdentity } from './QueueIdentity.js';
 
 /**
  * What is kept of a job that is finished and has no tasks on targets: only what its caller can
@@ -15,9 +16,6 @@
   readonly queue?: QueueIdentity;
 }
 
-/** What identifies a queue: its name, and the address under which callers reach it. */
-export type QueueIdentity = Pick<QueueReference, 'queue' | 'address'>;
-
 /** Whose call it is that names a job, and where it came in. */
 export interface JobCaller {
   /** Organisation of the caller; absent if its call needs no key. */
@@ -43,12 +41,6 @@
   return { jobId, state, organisation, queue: { queue, address } };
 }
 
-/** Tells whether two names are those of one queue, which operators may rename or readdress. */
-function isSameQueue(one: QueueIdentity, other: QueueIdentity): boolean {
-  if (one.queue === other.queue) return true;
-  return one.address !== undefined && one.address === other.address;
-}
-
 /**
  * Tells whether a job may be shown to a caller, or cancelled by it.
  *
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -22,10 +22,10 @@
   type EndedJob,
   isVisibleTo,
   type JobCaller,
-  type QueueIdentity,
   summarizeEndedJob,
   type TrackedJob,
 } from './EndedJob.js';
+export { isSameQueue, type QueueIdentity } from './QueueIdentity.js';
 export {
   decodeJobRecord,
   durableJobSpecSchema,
--- a/src/jobs/jobCodec.ts
+++ b/src/jobs/jobCodec.ts
@@ -64,7 +64,10 @@
 });
 
 const progressOrEndedSchema = z.union([
-  endedSchema.transform(({ type, ...ended }) => ({ type, ended })),
+  endedSchema.transform(({ type, state, organisation, queue }) => ({
+    type,
+    ended: { state, organisation, queue },
+  })),
   progressSchema.transform((progress) => ({ type: 'progress' as const, progress })),
 ]);
 
@@ -143,8 +146,7 @@
     const decoded = decodeRecordValue(progressOrEndedSchema, record);
     if (decoded.type === 'progress') return { ...decoded, jobId };
     const { type, ended } = decoded;
-    const { state, organisation, queue } = ended;
-    return { type, jobId, ended: { jobId, state, organisation, queue } };
+    return { type, jobId, ended: { jobId, ...ended } };
   }
   return { type: 'other' };
 }
--- a/src/queues/queuePoolRecord.ts
+++ b/src/queues/queuePoolRecord.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
-import type { QueueReference } from '../jobs/index.js';
+import type { QueueIdentity } from '../jobs/index.js';
 import { decodeRecordValue, encodeRecordValue, type KeyedRecord } from '../store/index.js';
 
 const DIGEST_ALGORITHM = 'sha256';
@@ -27,7 +27,7 @@
   return createHash(DIGEST_ALGORITHM).update(text).digest('hex').slice(0, DIGEST_LENGTH);
 }
 
-function getNameKey({ queue }: Pick<QueueReference, 'queue'>): string {
+function getNameKey({ queue }: Pick<QueueIdentity, 'queue'>): string {
   return digest(`name ${queue}`);
 }
 
@@ -36,7 +36,7 @@
  * @param queue - The queue.
  * @returns The key of its address; that of its name if it has no address.
  */
-export function getQueueKey(queue: Pick<QueueReference, 'queue' | 'address'>): string {
+export function getQueueKey(queue: QueueIdentity): string {
   const { address } = queue;
   return address === undefined ? getNameKey(queue) : digest(`address ${address}`);
 }
@@ -46,7 +46,7 @@
  * @param queue - The queue.
  * @returns Its own key, and that of its name if that is another one.
  */
-export function getQueueKeys(queue: Pick<QueueReference, 'queue' | 'address'>): readonly string[] {
+export function getQueueKeys(queue: QueueIdentity): readonly string[] {
   return [...new Set([getQueueKey(queue), getNameKey(queue)])];
 }
 
--- a/src/taskHome/JobTable.ts
+++ b/src/taskHome/JobTable.ts
@@ -10,6 +10,7 @@
   type EndedJob,
   findTask,
   isFinished,
+  isSameQueue,
   isVisibleTo,
   type JobCaller,
   type TrackedJob,
@@ -260,17 +261,17 @@
   }
 
   /**
-   * Counts the jobs of a queue that have no placed task yet. A job counts where its queue had the
-   * same name or the same address, since operators change either.
+   * Counts the jobs of a queue that have no placed task yet, under its name or its address.
    * @param queue - Name of the queue.
    * @param address - Address of the queue; undefined if it has only its name.
    * @returns The number of jobs.
    */
   countPending(queue: string, address?: string): number {
-    const isOfQueue = ({ spec: { terms } }: DurableJobRow): boolean =>
-      terms.queue === queue || (address !== undefined && terms.address === address);
     return this.listActive().filter(
-      (row) => row.state === 'queued' && !isFinished(row) && isOfQueue(row),
+      (row) =>
+        row.state === 'queued' &&
+        !isFinished(row) &&
+        isSameQueue({ queue, address }, row.spec.terms),
     ).length;
   }
 
--- a/src/taskHome/QueueMoves.ts
+++ b/src/taskHome/QueueMoves.ts
@@ -1,5 +1,5 @@
 import { throwError, toRattanliftError } from '../errors/index.js';
-import type { DurableJobRow, PoolSearch, QueueReference } from '../jobs/index.js';
+import type { DurableJobRow, PoolSearch, QueueIdentity, QueueReference } from '../jobs/index.js';
 import type { EventLog } from '../logging/index.js';
 import { getQueueKey, type QueuePools } from '../queues/index.js';
 import type { KeyedRecord } from '../store/index.js';
@@ -153,7 +153,7 @@
     return configurationVersion >= this.getClosedVersion(queue);
   }
 
-  private getClosedVersion(queue: Pick<QueueReference, 'queue' | 'address'>): number {
+  private getClosedVersion(queue: QueueIdentity): number {
     return this.closedVersions.get(getQueueKey(queue)) ?? -Infinity;
   }
 
