Watch the timers of a process once for both of its logs

The log of an instance's load had a timer of its own beside that of the log of pauses, at the same interval and with the same subtraction: four more wake-ups a second on each instance, in a change that was to spare a busy one. TimerWatch checks once and tells both, PauseLog and LoadLog only decide on lines.

The lines are the same.

--- a/src/jobNode/JobNode.ts
+++ b/src/jobNode/JobNode.ts
@@ -35,11 +35,11 @@
 } from '../taskHome/index.js';
 import { LoopLoad } from '../utils/index.js';
 import { answerPeer } from './answerPeer.js';
+import { createTimerWatch } from './createTimerWatch.js';
 import type { JobNodeOptions } from './JobNodeOptions.js';
 import { KnownPools } from './KnownPools.js';
-import { LoadLog } from './LoadLog.js';
 import { measurePorts } from './measurePorts.js';
-import { PauseLog } from './PauseLog.js';
+import type { TimerWatch } from './TimerWatch.js';
 
 /** Group in which the nodes share the partitions of jobs, and role of the fleet's home. */
 const GROUP = 'homes';
@@ -92,7 +92,7 @@
 
   private readonly peerServer: PeerServer;
 
-  private readonly processLogs: readonly (PauseLog | LoadLog)[];
+  private readonly timerWatch: TimerWatch;
 
   private homesTimer: NodeJS.Timeout | undefined;
 
@@ -104,7 +104,7 @@
    */
   constructor(options: JobNodeOptions) {
     const { address, clock, events, metrics, records } = options;
-    this.processLogs = [new PauseLog({ clock, events }), new LoadLog({ clock, events })];
+    this.timerWatch = createTimerWatch({ clock, events });
     const ports = measurePorts(options.ports, { metrics, clock });
     this.options = { loopLoad: new LoopLoad({ clock }), ...options, ports };
     const { instance, host, port } = address;
@@ -171,7 +171,7 @@
 
   /** Starts to serve peers, to follow the configuration and to hold homes. */
   async start(): Promise<void> {
-    this.processLogs.forEach((log) => log.start());
+    this.timerWatch.start();
     const { port } = await this.peerServer.start();
     this.configuration.start();
     this.configurationPeers.start();
@@ -197,7 +197,7 @@
   /** Ends everything else, after {@link handOver} and the last request. */
   async stop(): Promise<void> {
     clearInterval(this.homesTimer);
-    this.processLogs.forEach((log) => log.stop());
+    this.timerWatch.stop();
     this.configurationPeers.stop();
     this.configuration.stop();
     this.peers.close();
@@ -236,8 +236,9 @@
     const listRelays = (): readonly PeerAddress[] =>
       this.homeDirectory.listIdleMembers(this.partitions.listUsedPartitions());
     const { targets } = ports;
-    const basis = { targets, peers: this.peers, clock, events, loopLoad };
-    return new RelayedTargets({ ...basis, coreCount: capacity.coreCount, listRelays });
+    const { coreCount } = capacity;
+    const { peers } = this;
+    return new RelayedTargets({ targets, peers, coreCount, listRelays, clock, events, loopLoad });
   }
 
   private createHomes(member: string): TaskHomes {
--- a/src/jobNode/LoadLog.ts
+++ b/src/jobNode/LoadLog.ts
@@ -9,8 +9,6 @@
   readonly getCpuMs?: () => number;
 }
 
-/** Interval between two checks, in milliseconds. */
-const CHECK_INTERVAL_MS = 250;
 /** Interval between two lines, in milliseconds. */
 const LINE_INTERVAL_MS = 1_000;
 
@@ -25,10 +23,6 @@
 export class LoadLog {
   private readonly options: Required<LoadLogOptions>;
 
-  private timer: NodeJS.Timeout | undefined;
-
-  private checkedAtMs = Number.NEGATIVE_INFINITY;
-
   private loggedAtMs = Number.NEGATIVE_INFINITY;
 
   private loggedCpuMs = 0;
@@ -36,33 +30,22 @@
   private longestDelayMs = 0;
 
   /**
-   * Creates a log that checks nothing until it is started.
+   * Begins the first interval.
    * @param options - Clock, processor time, and destination of the lines.
    */
   constructor(options: LoadLogOptions) {
     this.options = { getCpuMs: getProcessCpuMs, ...options };
+    this.beginInterval(options.clock.monotonicMs());
   }
 
-  /** Starts the checks; they do not keep the process from ending. */
-  start(): void {
-    const nowMs = this.options.clock.monotonicMs();
-    this.checkedAtMs = nowMs;
-    this.beginInterval(nowMs);
-    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
-  }
-
-  /** Ends the checks. */
-  stop(): void {
-    clearInterval(this.timer);
-  }
-
-  /** Notes the delay of this check, and writes a line where one is due. */
-  check(): void {
+  /**
+   * Notes the delay of a timer, and writes a line where one is due.
+   * @param delayMs - How late the timer was, in milliseconds.
+   */
+  noteDelay(delayMs: number): void {
     const { clock, events, getCpuMs } = this.options;
     const nowMs = clock.monotonicMs();
-    const delayMs = nowMs - this.checkedAtMs - CHECK_INTERVAL_MS;
     this.longestDelayMs = Math.max(this.longestDelayMs, delayMs);
-    this.checkedAtMs = nowMs;
     const forMs = nowMs - this.loggedAtMs;
     if (forMs < LINE_INTERVAL_MS) return;
     events.write('instanceLoad', {
--- a/tests/jobNode/LoadLog.test.ts
+++ b/tests/jobNode/LoadLog.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { LoadLog } from '../../src/jobNode/LoadLog.js';
+import { TimerWatch } from '../../src/jobNode/TimerWatch.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { ManualClock } from '../../src/utils/index.js';
 
@@ -10,13 +11,14 @@
     const events = new MemoryEventLog();
     let cpuMs = 100;
     const log = new LoadLog({ clock, events, getCpuMs: () => cpuMs });
-    log.start();
+    const watch = new TimerWatch({ clock, onDelay: (delayMs) => log.noteDelay(delayMs) });
+    watch.start();
     [250, 330, 250, 250, 250, 250, 250, 250].forEach((elapsedMs) => {
       clock.advance(elapsedMs);
       cpuMs += 50;
-      log.check();
+      watch.check();
     });
-    log.stop();
+    watch.stop();
     expect(events.events).toMatchObject([
       { event: 'instanceLoad', fields: { forMs: 1_080, cpuMs: 200, longestDelayMs: 80 } },
       { event: 'instanceLoad', fields: { forMs: 1_000, cpuMs: 200, longestDelayMs: 0 } },
--- a/tests/jobNode/PauseLog.test.ts
+++ b/tests/jobNode/PauseLog.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { PauseLog } from '../../src/jobNode/PauseLog.js';
+import { TimerWatch } from '../../src/jobNode/TimerWatch.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
 import { ManualClock } from '../../src/utils/index.js';
 
@@ -8,13 +9,14 @@
   it('logs that the process did not run, and not that it was busy', () => {
     const clock = new ManualClock();
     const events = new MemoryEventLog();
-    const log = new PauseLog({ clock, events });
-    log.start();
+    const log = new PauseLog(events);
+    const watch = new TimerWatch({ clock, onDelay: (delayMs) => log.noteDelay(delayMs) });
+    watch.start();
     [250, 700, 250, 2_250].forEach((elapsedMs) => {
       clock.advance(elapsedMs);
-      log.check();
+      watch.check();
     });
-    log.stop();
+    watch.stop();
     expect(events.events).toMatchObject([{ event: 'processPaused', fields: { forMs: 2_000 } }]);
   });
 });
