Let the count of a home's work use the targets of the bench

TurnTargets was HeldTargets written again, as that one had the machine's timer built in. HeldTargets is given its timer now, that of the machine if none, and counts renewals.

The expected figures stay as they are.

--- a/bench/jobs/HeldTarget.ts
+++ b/bench/jobs/HeldTarget.ts
@@ -1,5 +1,8 @@
 import type { EndedTaskReport, RunningTaskReport } from '../../src/targets/index.js';
 
+/** Calls a function after some milliseconds; what it returns cancels the call. */
+export type CallLater = (afterMs: number, run: () => void) => () => void;
+
 /** What one target runs and has to tell. */
 export class HeldTarget {
   /** Tasks that run, by their names. */
@@ -8,11 +11,21 @@
   /** Ends that nobody has acknowledged. */
   ended: readonly EndedTaskReport[] = [];
 
+  private readonly callLater: CallLater;
+
   private lastEndNumber = 0;
 
   /** Answers the renewal that is held back; absent where none is. */
   private answer: (() => void) | undefined;
 
+  /**
+   * Creates a target without tasks.
+   * @param callLater - Calls a function later.
+   */
+  constructor(callLater: CallLater) {
+    this.callLater = callLater;
+  }
+
   /**
    * Ends a task.
    * @param taskName - Name of the task.
@@ -33,9 +46,9 @@
    */
   waitForEnd(waitMs: number): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, waitMs);
+      const cancel = this.callLater(waitMs, resolve);
       this.answer = () => {
-        clearTimeout(timer);
+        cancel();
         resolve();
       };
     });
--- a/bench/jobs/HeldTargets.ts
+++ b/bench/jobs/HeldTargets.ts
@@ -8,13 +8,21 @@
   TaskStart,
 } from '../../src/targets/index.js';
 import type { Clock } from '../../src/utils/index.js';
-import { HeldTarget } from './HeldTarget.js';
+import { type CallLater, HeldTarget } from './HeldTarget.js';
+
+const callLaterByTimer: CallLater = (afterMs, run) => {
+  const timer = setTimeout(run, afterMs);
+  return () => clearTimeout(timer);
+};
 
 /** Targets in memory that hold renewals back until a task ends, as real ones do. */
 export class HeldTargets implements LeasedTargetPort {
   /** Starts that were carried out. */
   startCount = 0;
 
+  /** Renewals that were taken. */
+  renewalCount = 0;
+
   /** Other orders that were accepted, and change nothing here. */
   orderCount = 0;
 
@@ -23,16 +31,20 @@
   /** How long each task runs, in milliseconds. */
   private readonly runMs: number;
 
+  private readonly callLater: CallLater;
+
   private readonly targets = new Map<string, HeldTarget>();
 
   /**
    * Creates the targets; one appears with the first call to it.
    * @param clock - Clock of the targets.
    * @param runMs - How long each task runs, in milliseconds.
+   * @param callLater - Timer by the same clock; that of this machine if absent.
    */
-  constructor(clock: Clock, runMs: number) {
+  constructor(clock: Clock, runMs: number, callLater: CallLater = callLaterByTimer) {
     this.clock = clock;
     this.runMs = runMs;
+    this.callLater = callLater;
   }
 
   /** {@inheritDoc LeasedTargetPort.start} */
@@ -42,7 +54,7 @@
     const report = { taskName, run, progressPercent: 0, checkpoint: undefined };
     target.running.set(taskName, { ...report, loadFigure: undefined });
     this.startCount += 1;
-    setTimeout(() => target.end(taskName, run), this.runMs);
+    this.callLater(this.runMs, () => target.end(taskName, run));
     return { type: 'started', targetClockMs: this.clock.monotonicMs() };
   }
 
@@ -59,6 +71,7 @@
   /** {@inheritDoc LeasedTargetPort.renew} */
   async renew({ targetId }: LeasedTargetAddress, renewal: LeaseRenewal): Promise<LeaseAnswer> {
     const target = this.get(targetId);
+    this.renewalCount += 1;
     const { acknowledgedEndNumber, waitMs } = renewal;
     target.ended = target.ended.filter(({ endNumber }) => endNumber > acknowledgedEndNumber);
     if (target.ended.length === 0) await target.waitForEnd(waitMs);
@@ -80,7 +93,7 @@
   private get(targetId: string): HeldTarget {
     const known = this.targets.get(targetId);
     if (known !== undefined) return known;
-    const created = new HeldTarget();
+    const created = new HeldTarget(this.callLater);
     this.targets.set(targetId, created);
     return created;
   }
--- a/tests/taskHome/workOfATurn.test.ts
+++ b/tests/taskHome/workOfATurn.test.ts
@@ -1,5 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { expect, it, vi } from 'vitest';
+import type { CallLater } from '../../bench/jobs/HeldTarget.js';
+import { HeldTargets } from '../../bench/jobs/HeldTargets.js';
 import { makeBenchJob, makeBenchStep } from '../../bench/jobs/makeBenchJob.js';
 import { openBenchHome } from '../../bench/jobs/openBenchHome.js';
 import { StoreStandIn } from '../../standins/store/index.js';
@@ -10,7 +12,6 @@
 import { CallCounter } from '../support/index.js';
 import { virtualTime } from './histories/VirtualTime.js';
 import { EMPTY_SYNC_REQUEST, makeEntry } from './HomeWorld.js';
-import { TurnTargets } from './TurnTargets.js';
 
 vi.mock('node:timers/promises', async () => {
   const { virtualTime: time } = await import('./histories/VirtualTime.js');
@@ -49,6 +50,17 @@
 
 type Work = Record<keyof typeof EXPECTED, number>;
 
+/** Virtual time keeps what is due; a call that is cancelled is due for nobody. */
+const callLater: CallLater = (afterMs, run) => {
+  let isCancelled = false;
+  virtualTime.call(afterMs, () => {
+    if (!isCancelled) run();
+  });
+  return () => {
+    isCancelled = true;
+  };
+};
+
 /** Reads which mechanisms the users' platform does without. */
 function readMechanismsOff(): readonly Mechanism[] {
   const text = readFileSync('deploy/settings.jsonc', 'utf8');
@@ -90,7 +102,7 @@
     work.recordBytes += countBytes(request.records);
     return append(request);
   });
-  const targets = new TurnTargets(virtualTime, RUN_MS);
+  const targets = new HeldTargets(virtualTime, RUN_MS, callLater);
   const ids = Array.from({ length: TARGET_COUNT }, (_t, number) => `target-${number}`);
   const entries = ids.map((id) => makeEntry(id, { capacity: TARGET_CAPACITY }));
   const events = new TslogEventLog({
