--- a/tests/platformAdapter/decode.test.ts
+++ b/tests/platformAdapter/decode.test.ts
@@ -5,31 +5,8 @@
 import { decodeTargetEntry } from '../../platform/decodeTargetEntry.js';
 import { decodeRead, encodeRecords } from '../../platform/recordCodec.js';
 import { decodeWaveOrder } from '../../platform/waveRecords.js';
-
-const ORIGIN = {
-  jobId: '5c0e7a21d94b36f8',
-  nowMs: 5,
-  terms: {
-    queue: 'q',
-    pool: 'p',
-    priority: 0,
-    maxAttempts: 1,
-    stretch: 1,
-    targetDurationMs: 0,
-  },
-};
-
-/** What a target that is ready reports of itself. */
-const TARGET_REPORT = {
-  backend: 'b',
-  address: '10.0.0.1:80',
-  zone: 'z',
-  version: 'v1',
-  capacity: 8,
-  sequence: 4,
-  state: 'ready',
-  free_capacity: { cpu: 16_000, mem_mb: 32_768 },
-};
+import { JOB_ORIGIN } from '../support/index.js';
+import { TARGET_REPORT } from './targetReport.js';
 
 const toBytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
 
@@ -77,7 +54,7 @@
 
 describe('decodeJob', () => {
   it('fills in what the wire leaves out', () => {
-    const job = decodeJob(toBytes({ spec: 's', steps: [{ count: 4, cpu: 500 }] }), ORIGIN);
+    const job = decodeJob(toBytes({ spec: 's', steps: [{ count: 4, cpu: 500 }] }), JOB_ORIGIN);
     expect(job).toMatchObject({ payload: 's', submittedAtMs: 5, schedule: undefined });
     expect(job.steps[0]).toMatchObject({
       taskCount: 4,
@@ -89,7 +66,7 @@
 
   // Guards against callers who are turned away because they leave out what is empty.
   it('takes a job without a payload for one with an empty payload', () => {
-    expect(decodeJob(toBytes({ steps: [{ count: 1 }] }), ORIGIN).payload).toBe('');
+    expect(decodeJob(toBytes({ steps: [{ count: 1 }] }), JOB_ORIGIN).payload).toBe('');
   });
 
   it('reads steps that last, fill and come after others, and times', () => {
@@ -101,7 +78,7 @@
       first_run_ms: 1_000,
       interval_ms: 50,
     };
-    const job = decodeJob(toBytes(body), ORIGIN);
+    const job = decodeJob(toBytes(body), JOB_ORIGIN);
     expect(job.steps[1]).toMatchObject({
       isLongRunning: true,
       maxUnavailableCount: 0,
@@ -120,7 +97,7 @@
     ['{"spec":"s","steps":[{"count":1,"after":[0]}]}', 'steps'],
     ['{"spec":1,"steps":[{"count":1}]}', 'spec'],
   ])('names the field at fault of %s', (body, field) => {
-    const act = () => decodeJob(Buffer.from(body), ORIGIN);
+    const act = () => decodeJob(Buffer.from(body), JOB_ORIGIN);
     expect(act).toThrow(expect.objectContaining({ kind: 'bad-request', field }));
   });
 });
--- a/tests/platformAdapter/oddEntries.test.ts
+++ b/tests/platformAdapter/oddEntries.test.ts
@@ -7,6 +7,8 @@
 import { decodeWaveRecord, encodeWaveRecord } from '../../src/fleetHome/WaveRecord.js';
 import { decodeJobRecord, encodeJobSpec } from '../../src/jobs/index.js';
 import { MemoryEventLog } from '../../src/logging/index.js';
+import { findReason, JOB_ORIGIN } from '../support/index.js';
+import { TARGET_REPORT } from './targetReport.js';
 
 const RUN_COUNT = Number(process.env.ODD_ENTRIES_RUNS ?? 200);
 const SEED = Number(process.env.ODD_ENTRIES_SEED ?? 1);
@@ -16,26 +18,7 @@
 const OTHER_FIELDS_BYTES = 1_024;
 /** What one unreadable entry may take in the log. */
 const MAX_REASON_LENGTH = 4_000;
-const TERMS = {
-  queue: 'q',
-  pool: 'p',
-  priority: 0,
-  maxAttempts: 1,
-  stretch: 1,
-  targetDurationMs: 0,
-};
-const ORIGIN = { jobId: '5c0e7a21d94b36f8', nowMs: 5, terms: TERMS };
-
-const TARGET = {
-  backend: 'b',
-  address: '10.0.0.1:80',
-  zone: 'z',
-  version: 'v1',
-  capacity: 8,
-  sequence: 4,
-  state: 'ready',
-  free_capacity: { cpu: 16_000, mem_mb: 32_768 },
-};
+
 const ROUTE = { name: 'r', host: 'h.example', path_prefix: '/p/', backend: 'b' };
 const CONFIGURATION = { version: 7, routes: [ROUTE], backends: [{ name: 'b' }] };
 const JOB = { spec: 's', steps: [{ count: 1 }] };
@@ -50,7 +33,7 @@
 }
 
 const readTarget = (value: Buffer): unknown => decodeTargetEntry({ key: 'i-1', value });
-const readJob = (value: Buffer): unknown => decodeJob(value, ORIGIN);
+const readJob = (value: Buffer): unknown => decodeJob(value, JOB_ORIGIN);
 
 function readWave(value: Buffer): unknown {
   const events = new MemoryEventLog();
@@ -60,7 +43,7 @@
 }
 
 const READERS: readonly (readonly [string, object, (value: Buffer) => unknown])[] = [
-  ['target', TARGET, readTarget],
+  ['target', TARGET_REPORT, readTarget],
   ['configuration', CONFIGURATION, decodeConfiguration],
   ['job', JOB, readJob],
   ['wave', WAVE, readWave],
@@ -70,16 +53,6 @@
   [...Object.keys(object), 'another'].map((field) => [what, field, object, read] as const),
 );
 
-/** Reads bytes; returns why they can't be read, or an empty text. */
-function findReason(read: () => unknown): string {
-  try {
-    read();
-    return '';
-  } catch (thrown) {
-    return String(thrown);
-  }
-}
-
 const LEVEL_COUNT = (MAX_RECORD_BYTES - OTHER_FIELDS_BYTES) / 2;
 const NESTED_LISTS = '['.repeat(LEVEL_COUNT) + ']'.repeat(LEVEL_COUNT);
 const OBJECT_LEVEL_COUNT = Math.floor((MAX_RECORD_BYTES - OTHER_FIELDS_BYTES) / 6);
@@ -106,7 +79,7 @@
   const listOf = (item: string): string =>
     `[${`${item},`.repeat((MAX_RECORD_BYTES - OTHER_FIELDS_BYTES) / (item.length + 1))}${item}]`;
   const LISTS: readonly (readonly [string, string, object, (value: Buffer) => unknown])[] = [
-    ['target', 'labels', TARGET, readTarget],
+    ['target', 'labels', TARGET_REPORT, readTarget],
     ['configuration', 'routes', CONFIGURATION, decodeConfiguration],
     ['configuration', 'backends', CONFIGURATION, decodeConfiguration],
     ['configuration', 'tenants', CONFIGURATION, decodeConfiguration],
@@ -162,9 +135,9 @@
 it('accepts only jobs that the next home can read', () => {
   fc.assert(
     fc.property(jobTexts, (text) => {
-      const read = (): unknown => decodeJob(Buffer.from(text), ORIGIN);
+      const read = (): unknown => decodeJob(Buffer.from(text), JOB_ORIGIN);
       if (findReason(read) !== '') return;
-      const spec = decodeJob(Buffer.from(text), ORIGIN);
+      const spec = decodeJob(Buffer.from(text), JOB_ORIGIN);
       expect(decodeJobRecord(encodeJobSpec(spec))).toMatchObject({ type: 'spec', spec });
     }),
     { numRuns: RUN_COUNT, seed: SEED },
@@ -186,7 +159,7 @@
       if (findReason(() => decodeConfiguration(value)) !== '') return;
       const { needsAdvice, ...terms } = decodeConfiguration(value).queues[0]!.terms;
       expect(needsAdvice).toBe(false);
-      const spec = decodeJob(Buffer.from(JSON.stringify(JOB)), { ...ORIGIN, terms });
+      const spec = decodeJob(Buffer.from(JSON.stringify(JOB)), { ...JOB_ORIGIN, terms });
       expect(decodeJobRecord(encodeJobSpec(spec))).toMatchObject({ type: 'spec', spec });
     }),
     { numRuns: RUN_COUNT, seed: SEED },
@@ -217,7 +190,7 @@
 describe('a target that nobody can call', () => {
   it('counts as none, whatever is odd of its port and its host', () => {
     const read = UNCALLABLE_ADDRESSES.filter((address) => {
-      const value = Buffer.from(JSON.stringify({ ...TARGET, address }));
+      const value = Buffer.from(JSON.stringify({ ...TARGET_REPORT, address }));
       return findReason(() => readTarget(value)) === '';
     });
     expect(read).toEqual([]);
@@ -226,7 +199,7 @@
   it.each(['10.0.0.1:1', 'a-1.example_x.org:65535', 'localhost:8080'])(
     'is none of those with a host and a port, such as %s',
     (address) => {
-      const value = Buffer.from(JSON.stringify({ ...TARGET, address }));
+      const value = Buffer.from(JSON.stringify({ ...TARGET_REPORT, address }));
       expect(`${decodeTargetEntry({ key: 'i-1', value }).port}`).toBe(address.split(':')[1]);
     },
   );
@@ -238,7 +211,7 @@
   (field) => {
     NUMBER_TEXTS.filter((text) => Number(text) < 0 || Number(text) >= 1e15).forEach((text) => {
       const capacity = withText({ cpu: 1, mem_mb: 1, gpu: 0 }, field, text).toString();
-      const value = withText(TARGET, 'free_capacity', capacity);
+      const value = withText(TARGET_REPORT, 'free_capacity', capacity);
       expect(() => decodeTargetEntry({ key: 'i-1', value })).toThrow();
     });
   },
--- a/tests/support/index.ts
+++ b/tests/support/index.ts
@@ -9,4 +9,6 @@
 } from './startProcess.js';
 export { TcpForwarder } from './TcpForwarder.js';
 export { findFreePort } from './findFreePort.js';
+export { findReason } from './findReason.js';
 export { holdUp } from './holdUp.js';
+export { JOB_ORIGIN } from './jobOrigin.js';
--- a/tests/taskHome/oddRecords.test.ts
+++ b/tests/taskHome/oddRecords.test.ts
@@ -15,6 +15,7 @@
 import { decodeReadable } from '../../src/taskHome/decodeReadable.js';
 import { TargetDirectory } from '../../src/taskHome/TargetDirectory.js';
 import { StoreStandIn } from '../../standins/store/index.js';
+import { TARGET_REPORT } from '../platformAdapter/targetReport.js';
 import {
   MAX_RECORD_BYTES,
   makeEntry,
@@ -65,23 +66,13 @@
   });
 });
 
-const REPORT = {
-  backend: 'b',
-  address: '10.0.0.1:80',
-  zone: 'z',
-  version: 'v1',
-  capacity: 8,
-  sequence: 4,
-  state: 'ready',
-  free_capacity: { cpu: 16_000, mem_mb: 32_768 },
-};
 const ODD_REPORTS = [
   '[',
   '['.repeat(LEVEL_COUNT),
   `${'['.repeat(LEVEL_COUNT / 2)}${']'.repeat(LEVEL_COUNT / 2)}`,
   `{"labels":[${'1,'.repeat(LEVEL_COUNT / 2 - 10)}1]}`,
-  JSON.stringify({ ...REPORT, address: '10.0.0.1:70000' }),
-  JSON.stringify({ ...REPORT, free_capacity: { cpu: 1e300 } }),
+  JSON.stringify({ ...TARGET_REPORT, address: '10.0.0.1:70000' }),
+  JSON.stringify({ ...TARGET_REPORT, free_capacity: { cpu: 1e300 } }),
 ];
 
 describe('an odd report under the key of a real target', () => {
@@ -100,7 +91,7 @@
         await directory.refresh();
         return [...directory.list().keys()].toSorted();
       };
-      const good = JSON.stringify(REPORT);
+      const good = JSON.stringify(TARGET_REPORT);
       await report('i-1', good);
       await report('i-2', good);
       expect(await report('i-1', odd)).toEqual(['i-2']);
--- a/tests/taskHome/wrongLists.test.ts
+++ b/tests/taskHome/wrongLists.test.ts
@@ -2,21 +2,12 @@
 import { decodeJobRecord } from '../../src/jobs/index.js';
 import { parsePeerRequest } from '../../src/peers/peerSchemas.js';
 import { encodeRecordValue } from '../../src/store/index.js';
+import { findReason } from '../support/index.js';
 import { makeJob } from './HomeWorld.js';
 
 const WRONG_ITEMS = Array<undefined>(100_000).fill(undefined);
 const MAX_REASON_LENGTH = 4_000;
 
-/** Tells why something can't be read; an empty text if it can. */
-function findReason(read: () => unknown): string {
-  try {
-    read();
-    return '';
-  } catch (thrown) {
-    return String(thrown);
-  }
-}
-
 function expectShort(reason: string): void {
   expect(reason).toContain('malformed');
   expect(reason.length).toBeLessThan(MAX_REASON_LENGTH);
